--- /dev/null
+++ b/ramptray/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' bundle: its model, its signatures and its checks."""
--- /dev/null
+++ b/ramptray/bundle/acceptance.py
@@ -0,0 +1,189 @@
+"""Which bundle is in force: a pure function of the log's records.
+
+Every reader of the same records reaches the same answer, so of two racing
+rollouts the one first in the log wins everywhere.  The log forgets old records,
+so readers also leave checkpoints: the bundle in force after an offset.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from result import Err, Ok
+
+from ramptray.bundle import model, signature, text
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rollout:
+    """A record by which operators put a bundle in force."""
+
+    envelope: signature.Envelope
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Checkpoint:
+    """A record of the bundle in force after reading up to an offset.
+
+    Attributes:
+        envelope: The bundle that was in force.
+        through_offset: The last offset that had been read.
+    """
+
+    envelope: signature.Envelope
+    through_offset: int
+
+
+Record = Rollout | Checkpoint
+
+
+class Verdict(enum.Enum):
+    """What became of a rollout."""
+
+    ACCEPTED = "accepted"
+    REPEATED = "repeated"
+    WRONG_BASE = "wrong_base"
+    BAD_SIGNATURE = "bad_signature"
+    INVALID = "invalid"
+    NO_HISTORY = "no_history"
+    CHECKPOINT = "checkpoint"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """A bundle in force."""
+
+    bundle: model.Bundle
+    envelope: signature.Envelope
+
+    @property
+    def generation(self) -> int:
+        """The bundle's generation."""
+        return self.bundle.generation
+
+
+class Learner:
+    """Holds the bundle in force as told by peers; only ever moves up."""
+
+    def __init__(self) -> None:
+        self.in_force: InForce | None = None
+
+    def learn(self, envelope: signature.Envelope) -> bool:
+        """Takes a bundle that is in force at a peer.
+
+        Returns:
+            Whether the bundle in force has changed.
+        """
+        candidate = _parse(envelope)
+        return candidate is not None and self.raise_to(candidate)
+
+    def raise_to(self, candidate: InForce) -> bool:
+        """Puts a bundle in force if it is newer than the present one."""
+        current = self.in_force
+        if current and candidate.generation <= current.generation:
+            return False
+        self.in_force = candidate
+        return True
+
+
+class Acceptance(Learner):
+    """Follows the log of rollouts and never steps down.
+
+    Args:
+        trust: Who may sign the first bundle.
+    """
+
+    def __init__(self, trust: model.Operators) -> None:
+        super().__init__()
+        self._trust = trust
+        self.next_offset = 0
+        self.verdicts: dict[str, Verdict] = {}
+        self._log_view: InForce | None = None
+        self._first_retained = 0
+        # Records read while the history before them is unknown.
+        self._unjoined: list[tuple[int, Record]] | None = None
+
+    @property
+    def log_view(self) -> InForce | None:
+        """The bundle in force by the log alone, as far as it was read."""
+        return self._log_view
+
+    def skip_to(self, offset: int) -> None:
+        """Notes that records before this offset are gone from the log."""
+        if offset <= self.next_offset:
+            return
+        self.next_offset = offset
+        self._first_retained = offset
+        self._log_view = None
+        self._unjoined = []
+
+    def read(self, offset: int, record: Record) -> Verdict:
+        """Takes the next record of the log.
+
+        Records must be given in the order of their offsets.
+        """
+        if offset < self.next_offset:
+            return Verdict.REPEATED
+        self.next_offset = offset + 1
+        if self._unjoined is not None:
+            return self._read_unjoined(offset, record)
+        if isinstance(record, Checkpoint):
+            return Verdict.CHECKPOINT
+        verdict = self._judge(record.envelope)
+        self.verdicts[record.envelope.digest] = verdict
+        return verdict
+
+    def _read_unjoined(self, offset: int, record: Record) -> Verdict:
+        """Waits for a checkpoint that no missing record precedes.
+
+        The records after the offset that the checkpoint speaks for are then
+        judged anew, since one of them may have been accepted before the
+        checkpoint itself reached the log.
+        """
+        assert self._unjoined is not None
+        joined = (
+            isinstance(record, Checkpoint)
+            and record.through_offset + 1 >= self._first_retained
+        )
+        candidate = _parse(record.envelope) if joined else None
+        if not isinstance(record, Checkpoint) or candidate is None:
+            self._unjoined.append((offset, record))
+            return Verdict.NO_HISTORY
+        replay = self._unjoined
+        self._unjoined = None
+        self._log_view = candidate
+        self.raise_to(candidate)
+        for past, earlier in replay:
+            if past > record.through_offset and isinstance(earlier, Rollout):
+                digest = earlier.envelope.digest
+                self.verdicts[digest] = self._judge(earlier.envelope)
+        return Verdict.CHECKPOINT
+
+    def _judge(self, envelope: signature.Envelope) -> Verdict:
+        candidate = _parse(envelope)
+        if candidate is None:
+            return Verdict.INVALID
+        view = self._log_view
+        if view is not None and envelope.digest == view.envelope.digest:
+            return Verdict.REPEATED
+        base = view.envelope.digest if view else None
+        generation = view.generation + 1 if view else 1
+        follows = candidate.bundle.base == base
+        if not follows or candidate.generation != generation:
+            return Verdict.WRONG_BASE
+        operators = view.bundle.operators if view else self._trust
+        signed = signature.count_valid(envelope, operators.keys)
+        if signed < operators.signatures_required:
+            return Verdict.BAD_SIGNATURE
+        self._log_view = candidate
+        self.raise_to(candidate)
+        return Verdict.ACCEPTED
+
+
+def _parse(envelope: signature.Envelope) -> InForce | None:
+    match text.parse_bundle(envelope.text):
+        case Ok(bundle):
+            return InForce(bundle, envelope)
+        case Err(_):
+            return None
--- /dev/null
+++ b/ramptray/bundle/model.py
@@ -0,0 +1,196 @@
+"""The bundle: what operators declare, as validated models.
+
+The bundle is JSON with comments.  Names of customers, tiers, services, engines
+and backend servers are the keys of its objects.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from typing import Annotated
+
+import pydantic
+
+Name = Annotated[
+    str, pydantic.StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
+]
+KeyHash = Annotated[
+    str, pydantic.StringConstraints(pattern=r"^sha256:[0-9a-f]{64}$")
+]
+PublicKey = Annotated[
+    str, pydantic.StringConstraints(pattern=r"^ed25519:[0-9a-f]{64}$")
+]
+Url = Annotated[
+    str, pydantic.StringConstraints(pattern=r"^https?://[^\s/]+(/\S*)?$")
+]
+
+
+class Model(pydantic.BaseModel):
+    """Base of all models of the bundle: unknown fields are mistakes."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Operators(Model):
+    """Who may sign the next bundle."""
+
+    keys: dict[Name, PublicKey] = pydantic.Field(min_length=1)
+    signatures_required: int = pydantic.Field(1, ge=1)
+
+
+class Tier(Model):
+    """A class of requests; the lowest order goes first.
+
+    Attributes:
+        order: Place among the tiers, unique; the lowest is the most urgent.
+        deadline_s: Seconds after which an answer is of no use, unless the
+            request names its own deadline.
+    """
+
+    order: int = pydantic.Field(ge=0)
+    deadline_s: float = pydantic.Field(gt=0, le=86400)
+
+
+class Limits(Model):
+    """A customer's limits for each service, over all zones.
+
+    Attributes:
+        requests_per_s: Requests a second.
+        tokens_per_s: Prompt tokens and four times the output tokens a second.
+    """
+
+    requests_per_s: float | None = pydantic.Field(None, ge=1)
+    tokens_per_s: float | None = pydantic.Field(None, ge=1)
+
+
+class Customer(Model):
+    """A customer, known by the hashes of its keys.
+
+    Attributes:
+        key_hashes: SHA-256 of each bearer key.
+        tiers: Tiers it may ask for; the first is used where it names none.
+        share: Weight within a tier.
+        limits: Its limits.
+    """
+
+    key_hashes: list[KeyHash] = pydantic.Field(min_length=1)
+    tiers: list[Name] = pydantic.Field(min_length=1)
+    share: float = pydantic.Field(1.0, gt=0, le=1000)
+    limits: Limits = Limits()
+
+
+class ServiceKind(enum.Enum):
+    """What stands behind a service."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class Legacy(Model):
+    """The old script that still takes part of a service's requests.
+
+    Attributes:
+        url: Where the old script listens.
+        percent: Part of the requests that goes to it.
+    """
+
+    url: Url
+    percent: float = pydantic.Field(ge=0, le=100)
+
+
+class Service(Model):
+    """A model or plain service that callers name.
+
+    Attributes:
+        kind: Whether model engines or plain servers stand behind it.
+        version: The model version that the engines are to have loaded.
+        queue_tokens: Cost that may wait in a zone before requests are shed.
+        headroom: Part of each engine's places kept for the highest tier.
+        shards: Into how many parts each zone divides the service.
+        repeatable_methods: Methods of a plain service that may be repeated.
+        legacy: The old script that still takes a share of the requests.
+    """
+
+    kind: ServiceKind
+    version: str = "1"
+    queue_tokens: int = pydantic.Field(200_000, ge=1)
+    headroom: float = pydantic.Field(0.1, ge=0, le=0.9)
+    shards: int = pydantic.Field(1, ge=1, le=64)
+    repeatable_methods: list[str] = ["GET", "HEAD", "OPTIONS"]
+    legacy: Legacy | None = None
+
+
+class Engine(Model):
+    """A kind of engine.
+
+    Attributes:
+        max_running: Requests it batches at a time.
+        kv_tokens: Tokens that fit its KV memory.
+        cache_blocks: Prefix blocks of 64 tokens its cache keeps.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+    """
+
+    max_running: int = pydantic.Field(ge=1, le=4096)
+    kv_tokens: int = pydantic.Field(1_000_000, ge=1)
+    cache_blocks: int = pydantic.Field(1024, ge=0)
+    checks_fencing: bool = False
+
+
+class BackendServer(Model):
+    """A replica of a model or plain service.
+
+    Attributes:
+        zone: The availability zone it stands in.
+        service: The service it works for.
+        engine: Its kind of engine.
+        url: Where it listens.
+        leaving: Whether it is to get no new work.
+    """
+
+    zone: Name
+    service: Name
+    engine: Name
+    url: Url
+    leaving: bool = False
+
+
+class Bundle(Model):
+    """All that operators declare.
+
+    Attributes:
+        generation: One more than that of the bundle it replaces.
+        base: Digest of the bundle it replaces; None for the first.
+    """
+
+    generation: int = pydantic.Field(ge=1)
+    base: str | None = pydantic.Field(None, pattern=r"^sha256:[0-9a-f]{64}$")
+    operators: Operators
+    zones: list[Name] = pydantic.Field(min_length=1)
+    tiers: dict[Name, Tier] = pydantic.Field(min_length=1)
+    customers: dict[Name, Customer]
+    services: dict[Name, Service]
+    engines: dict[Name, Engine]
+    backend_servers: dict[Name, BackendServer]
+
+    def get_ranks(self) -> dict[str, int]:
+        """Returns the rank of each tier, 0 for the most urgent."""
+        ordered = sorted(self.tiers, key=lambda name: self.tiers[name].order)
+        return {name: rank for rank, name in enumerate(ordered)}
+
+    def get_customer_by_key(self, key: str) -> str | None:
+        """Returns the name of the customer that holds this bearer key."""
+        digest = hash_key(key)
+        return next(
+            (
+                name
+                for name, customer in self.customers.items()
+                if digest in customer.key_hashes
+            ),
+            None,
+        )
+
+
+def hash_key(key: str) -> str:
+    """Returns the form in which a customer's key stands in the bundle."""
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/ramptray/bundle/signature.py
@@ -0,0 +1,80 @@
+"""Signed bundles: Ed25519 over the exact text that the operator saw."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+
+from cryptography import exceptions
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+PREFIX = "ed25519:"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Envelope:
+    """A bundle's text with its signatures.
+
+    Attributes:
+        text: JSON with comments, exactly as signed.
+        signatures: Operator name to signature in hex.
+    """
+
+    text: str
+    signatures: dict[str, str]
+
+    @property
+    def digest(self) -> str:
+        """Digest by which the next bundle names this one as its base."""
+        return "sha256:" + hashlib.sha256(self.text.encode()).hexdigest()
+
+
+def make_private_key() -> str:
+    """Returns a new private key in its text form."""
+    return (
+        PREFIX + ed25519.Ed25519PrivateKey.generate().private_bytes_raw().hex()
+    )
+
+
+def get_public_key(private_key: str) -> str:
+    """Returns the public key that belongs to a private key.
+
+    Raises:
+        ValueError: The text is not a private key.
+    """
+    return PREFIX + _load(private_key).public_key().public_bytes_raw().hex()
+
+
+def sign(envelope: Envelope, operator: str, private_key: str) -> Envelope:
+    """Returns the envelope with this operator's signature added.
+
+    Raises:
+        ValueError: The text is not a private key.
+    """
+    signature = _load(private_key).sign(envelope.text.encode()).hex()
+    return dataclasses.replace(
+        envelope, signatures={**envelope.signatures, operator: signature}
+    )
+
+
+def count_valid(envelope: Envelope, keys: dict[str, str]) -> int:
+    """Returns how many of these operators have signed the text."""
+    return sum(
+        _verify(envelope.text, envelope.signatures.get(operator, ""), key)
+        for operator, key in keys.items()
+    )
+
+
+def _load(private_key: str) -> ed25519.Ed25519PrivateKey:
+    raw = bytes.fromhex(private_key.strip().removeprefix(PREFIX))
+    return ed25519.Ed25519PrivateKey.from_private_bytes(raw)
+
+
+def _verify(text: str, signature: str, key: str) -> bool:
+    raw = bytes.fromhex(key.removeprefix(PREFIX))
+    public = ed25519.Ed25519PublicKey.from_public_bytes(raw)
+    try:
+        public.verify(bytes.fromhex(signature), text.encode())
+    except (exceptions.InvalidSignature, ValueError):
+        return False
+    return True
--- /dev/null
+++ b/ramptray/bundle/text.py
@@ -0,0 +1,171 @@
+"""Reads JSON with comments into validated models, naming every mistake."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import pathlib
+from typing import Any, TypeVar
+
+import pydantic
+import pyjson5
+from result import Err, Ok, Result
+
+from ramptray.bundle import model
+
+ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mistake:
+    """One mistake in a file that a person wrote.
+
+    Attributes:
+        path: Path to the field, dots between keys; empty for the whole file.
+        expected: What was expected there.
+    """
+
+    path: str
+    expected: str
+
+    def format(self, file: str) -> str:
+        """Returns the line shown to the person."""
+        return f"{file}: {self.path or '(whole file)'}: {self.expected}"
+
+
+class TextError(Exception):
+    """A settings or bundle file has mistakes that its author can mend."""
+
+    def __init__(self, file: str, mistakes: list[Mistake]) -> None:
+        self.file = file
+        self.mistakes = mistakes
+        super().__init__("\n".join(m.format(file) for m in mistakes))
+
+
+def parse_model(text: str, kind: type[ModelT]) -> Result[ModelT, list[Mistake]]:
+    """Parses JSON with comments and validates it, all mistakes at once."""
+    try:
+        data: Any = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        return Err(
+            [Mistake("", f"JSON with comments ({_locate(error, text)})")]
+        )
+    try:
+        return Ok(kind.model_validate(data))
+    except pydantic.ValidationError as error:
+        return Err(
+            [
+                Mistake(".".join(str(p) for p in e["loc"]), _describe(e))
+                for e in error.errors()
+            ]
+        )
+
+
+def read_model(path: pathlib.Path, kind: type[ModelT]) -> ModelT:
+    """Reads and validates a file.
+
+    Raises:
+        TextError: The file cannot be read or has mistakes.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise TextError(str(path), [Mistake("", f"readable ({error})")]) from (
+            error
+        )
+    match parse_model(text, kind):
+        case Ok(value):
+            return value
+        case Err(mistakes):
+            raise TextError(str(path), mistakes)
+
+
+def parse_bundle(text: str) -> Result[model.Bundle, list[Mistake]]:
+    """Parses a bundle and checks that what it names exists."""
+    return parse_model(text, model.Bundle).and_then(_check_bundle)
+
+
+def _check_bundle(
+    bundle: model.Bundle,
+) -> Result[model.Bundle, list[Mistake]]:
+    mistakes = [
+        *_check_tiers(bundle),
+        *_check_customers(bundle),
+        *_check_backend_servers(bundle),
+        *_check_operators(bundle),
+    ]
+    return Err(mistakes) if mistakes else Ok(bundle)
+
+
+def _check_tiers(bundle: model.Bundle) -> list[Mistake]:
+    orders = collections.Counter(t.order for t in bundle.tiers.values())
+    return [
+        Mistake(f"tiers.{name}.order", "an order that no other tier has")
+        for name, tier in bundle.tiers.items()
+        if orders[tier.order] > 1
+    ]
+
+
+def _check_customers(bundle: model.Bundle) -> list[Mistake]:
+    unknown = [
+        Mistake(f"customers.{name}.tiers.{i}", f"a tier, {tier!r} is none")
+        for name, customer in bundle.customers.items()
+        for i, tier in enumerate(customer.tiers)
+        if tier not in bundle.tiers
+    ]
+    uses = collections.Counter(
+        key for c in bundle.customers.values() for key in set(c.key_hashes)
+    )
+    twice = [
+        Mistake(
+            f"customers.{name}.key_hashes.{i}", "a key no other customer has"
+        )
+        for name, customer in bundle.customers.items()
+        for i, key in enumerate(customer.key_hashes)
+        if uses[key] > 1
+    ]
+    return unknown + twice
+
+
+def _check_backend_servers(bundle: model.Bundle) -> list[Mistake]:
+    kinds: list[tuple[str, str, Any]] = [
+        ("zone", "a zone", bundle.zones),
+        ("service", "a service", bundle.services),
+        ("engine", "an engine", bundle.engines),
+    ]
+    return [
+        Mistake(
+            f"backend_servers.{name}.{field}",
+            f"{expected} of this bundle, {getattr(server, field)!r} is none",
+        )
+        for name, server in bundle.backend_servers.items()
+        for field, expected, known in kinds
+        if getattr(server, field) not in known
+    ]
+
+
+def _check_operators(bundle: model.Bundle) -> list[Mistake]:
+    operators = bundle.operators
+    if operators.signatures_required <= len(operators.keys):
+        return []
+    return [
+        Mistake(
+            "operators.signatures_required",
+            f"at most the number of keys, {len(operators.keys)}",
+        )
+    ]
+
+
+def _describe(error: Any) -> str:
+    given = error.get("input")
+    shown = "" if isinstance(given, dict | list) else f" (found {given!r})"
+    return f"{error['msg']}{shown}"
+
+
+def _locate(error: pyjson5.Json5Exception, text: str) -> str:
+    reason = str(error.args[0]) if error.args else str(error)
+    digits = "".join(c if c.isdigit() else " " for c in reason).split()
+    if not digits:
+        return reason
+    line = text.count("\n", 0, int(digits[-1])) + 1
+    return f"line {line}: {reason}"
--- /dev/null
+++ b/ramptray/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface that callers use."""
--- /dev/null
+++ b/ramptray/caller/metrics.py
@@ -0,0 +1,68 @@
+"""What an entry measures of its callers' requests."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterator
+
+from hdrh import histogram
+
+HIGHEST_US = 3_600_000_000
+DIGITS = 3
+_QUANTILES = (50.0, 95.0, 99.0)
+
+
+class Metrics:
+    """Counters and histograms, by tier."""
+
+    def __init__(self) -> None:
+        self._ended: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self._tokens: collections.Counter[str] = collections.Counter()
+        self._histograms: dict[tuple[str, str], histogram.HdrHistogram] = {}
+
+    def count_end(self, tier: str, outcome: str, reason: str) -> None:
+        """Counts a request that has ended."""
+        self._ended[tier, outcome, reason] += 1
+
+    def count_tokens(self, tier: str, tokens: int) -> None:
+        """Counts output tokens of whole answers."""
+        self._tokens[tier] += tokens
+
+    def record(self, name: str, tier: str, seconds: float) -> None:
+        """Records a duration."""
+        key = (name, tier)
+        if key not in self._histograms:
+            self._histograms[key] = histogram.HdrHistogram(
+                1, HIGHEST_US, DIGITS
+            )
+        self._histograms[key].record_value(max(1, int(seconds * 1e6)))
+
+    def format(self) -> str:
+        """Returns all measures in the Prometheus text format."""
+        return "\n".join(self._iterate_lines()) + "\n"
+
+    def _iterate_lines(self) -> Iterator[str]:
+        yield "# TYPE ramptray_requests_ended_total counter"
+        for (tier, outcome, reason), count in sorted(self._ended.items()):
+            labels = f'tier="{tier}",outcome="{outcome}",reason="{reason}"'
+            yield f"ramptray_requests_ended_total{{{labels}}} {count}"
+        yield "# TYPE ramptray_output_tokens_total counter"
+        for tier, count in sorted(self._tokens.items()):
+            yield f'ramptray_output_tokens_total{{tier="{tier}"}} {count}'
+        for name in sorted({name for name, _ in self._histograms}):
+            yield f"# TYPE ramptray_{name}_seconds summary"
+            yield from self._iterate_summary(name)
+
+    def _iterate_summary(self, name: str) -> Iterator[str]:
+        for (kind, tier), found in sorted(self._histograms.items()):
+            if kind != name:
+                continue
+            metric = f"ramptray_{name}_seconds"
+            for quantile in _QUANTILES:
+                value = found.get_value_at_percentile(quantile) / 1e6
+                labels = f'tier="{tier}",quantile="{quantile / 100}"'
+                yield f"{metric}{{{labels}}} {value}"
+            count = found.get_total_count()
+            yield f'{metric}_count{{tier="{tier}"}} {count}'
--- /dev/null
+++ b/ramptray/caller/plain.py
@@ -0,0 +1,226 @@
+"""Serves calls to plain services, some of which may not be repeated."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import anyio
+import xxhash
+from result import Err, Ok
+from starlette import requests, responses
+
+from ramptray import settings as settings_module
+from ramptray.bundle import model
+from ramptray.caller import body as caller_body
+from ramptray.caller import metrics, refusal
+from ramptray.caller import request as caller_request
+from ramptray.core import message, request
+from ramptray.engine import client as engine_client
+from ramptray.entry import dispatcher
+from ramptray.service import client as service_client
+
+_HOP_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class PlainServices:
+    """Serves ``/services/NAME/...``."""
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        desk: dispatcher.Dispatcher,
+        client: service_client.ServiceClient,
+        measures: metrics.Metrics,
+        make_request_id: Callable[[], str],
+    ) -> None:
+        self._settings = settings
+        self._desk = desk
+        self._client = client
+        self._metrics = measures
+        self._make_request_id = make_request_id
+
+    async def serve(self, http: requests.Request) -> responses.Response:
+        """Serves one call."""
+        in_force = self._desk.in_force
+        if in_force is None:
+            finish = request.Finish(
+                message.Outcome.NOT_RUN, message.Reason.NOT_READY, 1.0
+            )
+            return refusal.make_response(finish, "")
+        bundle = in_force.bundle
+        match caller_request.find_customer(bundle, http.headers):
+            case Err(mistake):
+                return refusal.answer_mistake(mistake)
+            case Ok(customer):
+                pass
+        body = await caller_body.read(http, self._settings.limits)
+        if isinstance(body, caller_request.Mistake):
+            return refusal.answer_mistake(body)
+        request_id = self._make_request_id()
+        match caller_request.read_plain_request(
+            bundle,
+            self._settings.zone,
+            customer,
+            http.headers,
+            http.path_params["name"],
+            request_id,
+            body,
+        ):
+            case Err(mistake):
+                return refusal.answer_mistake(mistake)
+            case Ok(asked):
+                return await self._exchange(http, bundle, asked, body)
+
+    async def _exchange(
+        self,
+        http: requests.Request,
+        bundle: model.Bundle,
+        asked: caller_request.Asked,
+        body: bytes,
+    ) -> responses.Response:
+        service = bundle.services[asked.info.shard.service]
+        call = _make_call(http, asked.info.request_id, body)
+        if _goes_to_legacy(service, asked):
+            assert service.legacy is not None
+            return await self._call_legacy(service.legacy.url, asked, call)
+        served = PlainExchange(self._desk, self._client, asked, call)
+        began = time.monotonic()
+        # Once dispatched, the call runs to its end even if the caller goes.
+        with anyio.CancelScope(shield=True):
+            outcome = await served.run()
+        tier = asked.info.tier
+        if isinstance(outcome, request.Finish):
+            reason = outcome.reason.value if outcome.reason else ""
+            self._metrics.count_end(tier, outcome.outcome.value, reason)
+            return refusal.make_response(outcome, asked.info.request_id)
+        self._metrics.count_end(tier, message.Outcome.COMPLETE.value, "")
+        self._metrics.record("answer", tier, time.monotonic() - began)
+        return _pass_back(outcome, asked.info.request_id)
+
+    async def _call_legacy(
+        self,
+        url: str,
+        asked: caller_request.Asked,
+        call: service_client.Call,
+    ) -> responses.Response:
+        try:
+            answer = await self._client.call(url, call)
+        except engine_client.NotSentError:
+            finish = request.Finish(
+                message.Outcome.NOT_RUN, message.Reason.NO_BACKEND, 1.0
+            )
+            return refusal.make_response(finish, asked.info.request_id)
+        except engine_client.BrokenError:
+            finish = request.Finish(
+                message.Outcome.UNKNOWN, message.Reason.BACKEND_LOST
+            )
+            return refusal.make_response(finish, asked.info.request_id)
+        return _pass_back(answer, asked.info.request_id)
+
+
+class PlainExchange:
+    """Serves one call from grant to answer."""
+
+    def __init__(
+        self,
+        desk: dispatcher.Dispatcher,
+        client: service_client.ServiceClient,
+        asked: caller_request.Asked,
+        call: service_client.Call,
+    ) -> None:
+        self._desk = desk
+        self._client = client
+        self._asked = asked
+        self._call = call
+        self._answer: service_client.Answer | None = None
+
+    async def run(self) -> service_client.Answer | request.Finish:
+        """Returns the answer, or why there is none."""
+        ticket = self._desk.submit(self._asked.info, self._asked.wish)
+        async for effect in ticket.effects:
+            if isinstance(effect, request.Dispatch):
+                await self._dispatch(ticket, effect.grant)
+            elif effect.outcome is message.Outcome.COMPLETE:
+                break
+            else:
+                return effect
+        assert self._answer is not None
+        return self._answer
+
+    async def _dispatch(
+        self, ticket: dispatcher.Ticket, grant: message.Grant
+    ) -> None:
+        request_id = self._asked.info.request_id
+        url = self._desk.find_url(grant.backend)
+        if url is None:
+            ticket.report(dispatcher.ConnectFailed(request_id))
+            return
+        began = time.monotonic()
+        try:
+            self._answer = await self._client.call(url, self._call)
+        except engine_client.NotSentError:
+            ticket.report(dispatcher.ConnectFailed(request_id))
+        except engine_client.BrokenError:
+            ended = message.Ended(request_id, 0, 0.0, False, certain=False)
+            ticket.report(dispatcher.Lost(ended, message.Reason.BACKEND_LOST))
+        else:
+            elapsed = time.monotonic() - began
+            first = message.FirstToken(request_id, elapsed, 0, 0)
+            ticket.report(dispatcher.Begun(first))
+            ended = message.Ended(request_id, 0, 0.0, True)
+            ticket.report(dispatcher.Completed(ended, self._answer.status))
+
+
+def _goes_to_legacy(
+    service: model.Service, asked: caller_request.Asked
+) -> bool:
+    """Tells whether the old script takes this request.
+
+    A key decides for all attempts that carry it, so that a repeated call meets
+    the same side, as long as the percentage stays.
+    """
+    if service.legacy is None:
+        return False
+    seed = asked.wish.key if asked.wish else asked.info.request_id
+    return xxhash.xxh3_64_intdigest(seed.encode()) % 10_000 < (
+        service.legacy.percent * 100
+    )
+
+
+def _make_call(
+    http: requests.Request, request_id: str, body: bytes
+) -> service_client.Call:
+    query = f"?{http.url.query}" if http.url.query else ""
+    headers = [
+        (name, value)
+        for name, value in http.headers.items()
+        if name not in _HOP_HEADERS
+    ]
+    headers.append(("x-request-id", request_id))
+    target = "/" + http.path_params.get("path", "") + query
+    return service_client.Call(http.method, target, headers, body)
+
+
+def _pass_back(
+    answer: service_client.Answer, request_id: str
+) -> responses.Response:
+    headers = {
+        name: value
+        for name, value in answer.headers
+        if name.lower() not in _HOP_HEADERS
+    }
+    headers["x-request-id"] = request_id
+    return responses.Response(answer.body, answer.status, headers)
--- /dev/null
+++ b/ramptray/caller/refusal.py
@@ -0,0 +1,86 @@
+"""Refusals: what a caller is told when it gets no whole answer."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+from starlette import responses
+
+from ramptray.caller import request as caller_request
+from ramptray.core import message, request
+
+_STATUS = {
+    message.Reason.OVERLOADED: 503,
+    message.Reason.DEADLINE: 504,
+    message.Reason.CUSTOMER_LIMIT: 429,
+    message.Reason.NO_BACKEND: 503,
+    message.Reason.UNKNOWN_SERVICE: 404,
+    message.Reason.NOT_READY: 503,
+    message.Reason.CALLER_GONE: 499,
+    message.Reason.LOG_UNAVAILABLE: 503,
+    message.Reason.KEY_IN_PROGRESS: 409,
+    message.Reason.KEY_DONE: 409,
+    message.Reason.KEY_REUSED: 422,
+    message.Reason.KEY_EXPIRED: 409,
+    message.Reason.BACKEND_REFUSED: 503,
+    message.Reason.BACKEND_LOST: 502,
+    message.Reason.STREAM_BROKEN: 502,
+    message.Reason.STOPPING: 503,
+}
+
+
+def make_response(
+    finish: request.Finish, request_id: str
+) -> responses.Response:
+    """Returns the HTTP answer of a request that got no answer."""
+    assert finish.reason is not None
+    headers = {"x-request-id": request_id}
+    if finish.retry_after_s > 0:
+        headers["retry-after"] = str(math.ceil(finish.retry_after_s))
+    return responses.JSONResponse(
+        make_body(finish, request_id),
+        status_code=_STATUS[finish.reason],
+        headers=headers,
+    )
+
+
+def make_event(finish: request.Finish, request_id: str) -> str:
+    """Returns the event that ends a stream which was cut."""
+    data = msgspec.json.encode(make_body(finish, request_id)).decode()
+    return f"event: error\ndata: {data}\n\n"
+
+
+def make_body(finish: request.Finish, request_id: str) -> dict[str, Any]:
+    """Returns a refusal in the form that OpenAI clients read."""
+    reason = finish.reason.value if finish.reason else "unknown"
+    return {
+        "error": {
+            "message": f"no whole answer: {reason}",
+            "type": "ramptray_refusal",
+            "code": reason,
+            "outcome": finish.outcome.value,
+            "reason": reason,
+            "retry_after_s": finish.retry_after_s or None,
+            "request_id": request_id,
+        }
+    }
+
+
+def answer_mistake(
+    mistake: caller_request.Mistake,
+) -> responses.JSONResponse:
+    """Returns the answer to a request that is itself at fault."""
+    return responses.JSONResponse(
+        {
+            "error": {
+                "message": mistake.text,
+                "type": "invalid_request_error",
+                "code": mistake.code,
+                "outcome": message.Outcome.NOT_RUN.value,
+                "reason": mistake.code,
+            }
+        },
+        status_code=mistake.status,
+    )
--- /dev/null
+++ b/ramptray/caller/request.py
@@ -0,0 +1,186 @@
+"""Reads what a caller asks for: customer, tier, deadline and sizes."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from ramptray.bundle import model
+from ramptray.core import message, prefix
+from ramptray.entry import dispatcher
+from ramptray.scheduler import rules
+
+TIER_HEADER = "x-ramptray-tier"
+DEADLINE_HEADER = "x-ramptray-deadline-s"
+KEY_HEADER = "idempotency-key"
+MAX_KEY_CHARS = 200
+DEFAULT_OUTPUT_TOKENS = 256
+PLAIN_COST_TOKENS = 16
+"""What a call to a plain service counts as, in tokens."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mistake:
+    """Why a request cannot be taken as it is."""
+
+    status: int
+    code: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """A request that can be taken.
+
+    Attributes:
+        info: What the scheduler is told.
+        wish: What is to be claimed first, if anything.
+    """
+
+    info: message.RequestInfo
+    wish: dispatcher.ClaimWish | None
+
+
+def find_customer(
+    bundle: model.Bundle, headers: Mapping[str, str]
+) -> Result[str, Mistake]:
+    """Returns the customer whose bearer key the request carries."""
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    customer = bundle.get_customer_by_key(key.strip())
+    if scheme.lower() != "bearer" or customer is None:
+        text = "a bearer key of a customer is needed"
+        return Err(Mistake(401, "invalid_api_key", text))
+    return Ok(customer)
+
+
+def parse_body(
+    body: bytes,
+) -> Result[dict[str, Any], Mistake]:
+    """Returns the body of a completion request."""
+    try:
+        parsed = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        return Err(Mistake(400, "invalid_json", f"body: {error}"))
+    if not isinstance(parsed, dict):
+        return Err(Mistake(400, "invalid_json", "body: expected an object"))
+    asked = parsed.get("max_tokens", parsed.get("max_completion_tokens"))
+    if asked is not None and (not isinstance(asked, int) or asked < 1):
+        text = f"max_tokens: expected a positive number, found {asked!r}"
+        return Err(Mistake(400, "invalid_value", text))
+    return Ok(parsed)
+
+
+def read_model_request(
+    bundle: model.Bundle,
+    zone: str,
+    customer: str,
+    headers: Mapping[str, str],
+    parsed: dict[str, Any],
+    prompt: str,
+    request_id: str,
+    body: bytes,
+) -> Result[Asked, Mistake]:
+    """Returns the facts of a completion request."""
+    service = parsed.get("model")
+    known = bundle.services.get(service) if isinstance(service, str) else None
+    if known is None or known.kind is not model.ServiceKind.MODEL:
+        text = f"model: {service!r} is not a model service"
+        return Err(Mistake(404, message.Reason.UNKNOWN_SERVICE.value, text))
+    asked = parsed.get("max_tokens", parsed.get("max_completion_tokens"))
+    blocks = prefix.hash_blocks(prompt)
+    seed = str(blocks[0]) if blocks else customer
+    info = message.RequestInfo(
+        request_id,
+        message.ShardKey(
+            zone, str(service), rules.get_shard_number(seed, known.shards)
+        ),
+        customer,
+        tier="",
+        prompt_tokens=prefix.count_tokens(prompt),
+        output_tokens=asked or DEFAULT_OUTPUT_TOKENS,
+        prefix=blocks,
+        deadline_s=0.0,
+    )
+    return _apply_headers(bundle, info, headers, body)
+
+
+def read_plain_request(
+    bundle: model.Bundle,
+    zone: str,
+    customer: str,
+    headers: Mapping[str, str],
+    service: str,
+    request_id: str,
+    body: bytes,
+) -> Result[Asked, Mistake]:
+    """Returns the facts of a call to a plain service."""
+    known = bundle.services.get(service)
+    if known is None or known.kind is not model.ServiceKind.PLAIN:
+        text = f"{service!r} is not a plain service"
+        return Err(Mistake(404, message.Reason.UNKNOWN_SERVICE.value, text))
+    info = message.RequestInfo(
+        request_id,
+        message.ShardKey(
+            zone, service, rules.get_shard_number(request_id, known.shards)
+        ),
+        customer,
+        tier="",
+        prompt_tokens=PLAIN_COST_TOKENS,
+        output_tokens=0,
+        prefix=(),
+        deadline_s=0.0,
+    )
+    return _apply_headers(bundle, info, headers, body)
+
+
+def _apply_headers(
+    bundle: model.Bundle,
+    info: message.RequestInfo,
+    headers: Mapping[str, str],
+    body: bytes,
+) -> Result[Asked, Mistake]:
+    allowed = bundle.customers[info.customer].tiers
+    tier = headers.get(TIER_HEADER, allowed[0])
+    if tier not in allowed:
+        text = f"{TIER_HEADER}: {tier!r} is not one of {allowed}"
+        return Err(Mistake(403, "tier_not_allowed", text))
+    deadline_s = _read_deadline(headers, bundle.tiers[tier].deadline_s)
+    if deadline_s is None:
+        text = f"{DEADLINE_HEADER}: expected a positive number of seconds"
+        return Err(Mistake(400, "invalid_value", text))
+    info = dataclasses.replace(info, tier=tier, deadline_s=deadline_s)
+    key = headers.get(KEY_HEADER)
+    if key is None:
+        return Ok(Asked(info, None))
+    if not key or len(key) > MAX_KEY_CHARS:
+        text = f"{KEY_HEADER}: expected 1 to {MAX_KEY_CHARS} characters"
+        return Err(Mistake(400, "invalid_value", text))
+    return Ok(Asked(info, _make_wish(info, key, body)))
+
+
+def _read_deadline(
+    headers: Mapping[str, str], default_s: float
+) -> float | None:
+    given = headers.get(DEADLINE_HEADER)
+    if given is None:
+        return default_s
+    try:
+        seconds = float(given)
+    except ValueError:
+        return None
+    return seconds if 0 < seconds <= 86400 else None
+
+
+def _make_wish(
+    info: message.RequestInfo, key: str, body: bytes
+) -> dispatcher.ClaimWish:
+    name = f"{info.customer}\n{info.shard.service}\n{key}"
+    return dispatcher.ClaimWish(
+        hashlib.sha256(name.encode()).hexdigest()[:32],
+        hashlib.sha256(body).hexdigest()[:32],
+    )
--- /dev/null
+++ b/ramptray/command/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/ramptray/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller process: orders to engines under a lease."""
--- /dev/null
+++ b/ramptray/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decision core: plain objects with no sockets, clock or randomness."""
--- /dev/null
+++ b/ramptray/core/backend.py
@@ -0,0 +1,293 @@
+"""A shard owner's view of one backend server: what runs there, and how fast.
+
+Room is counted in tokens.  The view rests on the owner's own grants and on the
+answers' timing; the engine's lagging load report only corrects it.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+
+from ramptray.core import message
+
+BLOCK_TOKENS = 64
+"""Prompt tokens covered by one prefix hash."""
+
+DEFAULT_PREFILL_RATE = 2000.0
+"""Prefill speed assumed before the first answer, in tokens a second."""
+
+DEFAULT_STEP_S = 0.03
+"""Time between tokens assumed before the first answer, in seconds."""
+
+PREFILL_WINDOW_S = 0.5
+"""How much prefill work, in seconds, may stand on one engine at a time."""
+
+LEARNING_RATE = 0.3
+"""Weight of the newest sample in a learned speed."""
+
+MIN_SAMPLE_TOKENS = 32
+"""Prefills smaller than this say little about speed and are not learned."""
+
+OVERDUE_FACTOR = 2.0
+"""An answer this many times later than expected marks the engine as slow."""
+
+OVERDUE_GRACE_S = 0.2
+"""Lateness below this is never taken as a sign of a slow engine."""
+
+UNREACHABLE_S = 0.5
+"""How long the first refused connection keeps new work away, in seconds."""
+
+MAX_UNREACHABLE_S = 8.0
+"""How long a refused connection keeps new work away at most, in seconds."""
+
+LOST_FAILURES = 3
+"""After so many refused connections in a row nobody waits for the server."""
+
+
+class BackendState(enum.Enum):
+    """Whether a backend server may get new work."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendInfo:
+    """What the bundle says of a backend server.
+
+    Attributes:
+        name: The name in the bundle.
+        max_running: Requests the engine batches at a time.
+        kv_tokens: Tokens that fit the engine's KV memory.
+        cache_blocks: Prefix blocks the engine can keep.
+    """
+
+    name: str
+    max_running: int
+    kv_tokens: int
+    cache_blocks: int
+
+
+@dataclasses.dataclass(slots=True)
+class Placed:
+    """A request that occupies a place on a backend server."""
+
+    request: message.RequestInfo
+    entry: str
+    grant_id: str
+    started: float
+    uncached: int
+    work_ahead: int
+    expected_s: float
+    prefilling: bool = True
+    orphaned_at: float | None = None
+
+    @property
+    def tokens(self) -> int:
+        """KV tokens the request will need at most."""
+        return self.request.prompt_tokens + self.request.output_tokens
+
+
+class PrefixCache:
+    """What an engine's prefix cache probably holds, least recent first out."""
+
+    def __init__(self, blocks: int) -> None:
+        self._limit = blocks
+        self._blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, prefix: tuple[int, ...]) -> None:
+        """Notes that the engine has computed these blocks."""
+        for block in prefix:
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._limit:
+            self._blocks.popitem(last=False)
+
+    def drop(self, blocks: tuple[int, ...]) -> None:
+        """Notes that the engine has evicted these blocks."""
+        for block in blocks:
+            self._blocks.pop(block, None)
+
+    def count(self, prefix: tuple[int, ...]) -> int:
+        """Returns how many leading blocks are held, by binary search.
+
+        Blocks are chained, so a block is held only if the ones before it are.
+        """
+        known = self._blocks
+        if not prefix or prefix[0] not in known:
+            return 0
+        low, high = 1, len(prefix)
+        while low < high:
+            middle = (low + high + 1) // 2
+            if prefix[middle - 1] in known:
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
+
+class Backend:
+    """What the owner believes of one backend server."""
+
+    __slots__ = (
+        "cache",
+        "failures",
+        "foreign",
+        "info",
+        "pending",
+        "placed",
+        "prefill_rate",
+        "prefill_tokens",
+        "report_running",
+        "state",
+        "step_s",
+        "held_tokens",
+        "unreachable_until",
+    )
+
+    def __init__(self, info: BackendInfo) -> None:
+        self.info = info
+        self.state = BackendState.ACTIVE
+        self.placed: dict[str, Placed] = {}
+        self.pending: dict[str, Placed] = {}
+        self.prefill_tokens = 0
+        self.held_tokens = 0
+        self.prefill_rate = DEFAULT_PREFILL_RATE
+        self.step_s = DEFAULT_STEP_S
+        self.cache = PrefixCache(info.cache_blocks)
+        self.foreign = 0
+        self.report_running = 0
+        self.failures = 0
+        self.unreachable_until = 0.0
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether no request should wait for this backend server."""
+        leaving = self.state is BackendState.LEAVING
+        return leaving or self.failures >= LOST_FAILURES
+
+    def note_unreachable(self, now: float) -> None:
+        """Keeps new work away after a refused connection, longer each time."""
+        pause = min(UNREACHABLE_S * 2**self.failures, MAX_UNREACHABLE_S)
+        self.failures += 1
+        self.unreachable_until = now + pause
+
+    def is_open(self, now: float) -> bool:
+        """Tells whether new work may go there at all."""
+        return (
+            self.state is BackendState.ACTIVE and now >= self.unreachable_until
+        )
+
+    def count_uncached(self, request: message.RequestInfo) -> int:
+        """Returns the prompt tokens that the engine would have to compute."""
+        held = self.cache.count(request.prefix) * BLOCK_TOKENS
+        return max(1, request.prompt_tokens - held)
+
+    def estimate_first_token(self, uncached: int, now: float) -> float:
+        """Returns the seconds until a new request's first token."""
+        base = (self.prefill_tokens + uncached) / self.prefill_rate
+        return (base + self.step_s) * self.get_lateness(now)
+
+    def get_lateness(self, now: float) -> float:
+        """Returns how many times slower than learned the engine now seems."""
+        if not self.pending:
+            return 1.0
+        oldest = next(iter(self.pending.values()))
+        waited = now - oldest.started - OVERDUE_GRACE_S
+        return max(1.0, waited / oldest.expected_s)
+
+    def has_room(
+        self, request: message.RequestInfo, uncached: int, limit: int
+    ) -> bool:
+        """Tells whether the request fits beside what runs there.
+
+        Args:
+            request: The request to place.
+            uncached: Its prompt tokens that are not in the prefix cache.
+            limit: How many requests may run there for this tier.
+        """
+        if len(self.placed) + self.foreign >= limit:
+            return False
+        if not self.placed:
+            return True
+        if self.failures:
+            return False  # One request at a time tries whether it is back.
+        tokens = request.prompt_tokens + request.output_tokens
+        if self.held_tokens + tokens > self.info.kv_tokens:
+            return False
+        window = PREFILL_WINDOW_S * self.prefill_rate
+        return not self.pending or self.prefill_tokens + uncached <= window
+
+    def place(
+        self,
+        request: message.RequestInfo,
+        entry: str,
+        grant_id: str,
+        now: float,
+    ) -> Placed:
+        """Occupies a place for the request."""
+        uncached = self.count_uncached(request)
+        self.prefill_tokens += uncached
+        placed = Placed(
+            request,
+            entry,
+            grant_id,
+            started=now,
+            uncached=uncached,
+            work_ahead=self.prefill_tokens,
+            expected_s=self.prefill_tokens / self.prefill_rate + self.step_s,
+        )
+        self.placed[request.request_id] = placed
+        self.pending[request.request_id] = placed
+        self.held_tokens += placed.tokens
+        self.cache.add(request.prefix)
+        return placed
+
+    def begin_answer(self, first: message.FirstToken) -> None:
+        """Learns the prefill speed from a first token."""
+        placed = self.pending.get(first.request_id)
+        if placed is None:
+            return
+        self.failures = 0
+        self._finish_prefill(placed)
+        work = placed.work_ahead - placed.uncached + first.prefilled_tokens
+        elapsed = max(first.elapsed_s - self.step_s, 1e-3)
+        if work >= MIN_SAMPLE_TOKENS:
+            self.prefill_rate += LEARNING_RATE * (
+                work / elapsed - self.prefill_rate
+            )
+
+    def end(self, ended: message.Ended) -> None:
+        """Frees the request's place and learns the decode speed."""
+        self.remove(ended.request_id)
+        if ended.output_tokens > 1:
+            step = ended.decode_s / (ended.output_tokens - 1)
+            self.step_s += LEARNING_RATE * (step - self.step_s)
+
+    def remove(self, request_id: str) -> Placed | None:
+        """Frees the request's place."""
+        placed = self.placed.pop(request_id, None)
+        if placed is None:
+            return None
+        self.held_tokens -= placed.tokens
+        self._finish_prefill(placed)
+        return placed
+
+    def correct(self, running: int) -> None:
+        """Takes a lagging load report: what runs there besides our own.
+
+        A report is compared with the one before it, since a single report may
+        still count requests that have ended here.
+        """
+        steady = min(running, self.report_running)
+        self.report_running = running
+        self.foreign = max(0, steady - len(self.placed))
+
+    def _finish_prefill(self, placed: Placed) -> None:
+        if self.pending.pop(placed.request.request_id, None) is not None:
+            self.prefill_tokens -= placed.uncached
+            placed.prefilling = False
--- /dev/null
+++ b/ramptray/core/claim.py
@@ -0,0 +1,156 @@
+"""Claims on idempotency keys: who may run a request that must not repeat.
+
+The order of a log stream decides.  A claim holds its key if the key is free or
+its holder has released it.  A claim of an attempt that was released before is
+void, since its append may have taken effect long after the attempt gave up.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import xxhash
+
+from ramptray.core import message, request
+
+PARTITIONS = 16
+"""Streams over which the keys are spread."""
+
+SERVICE = "claims"
+"""Name under which a zone's schedulers share out the partitions."""
+
+
+class Verdict(enum.Enum):
+    """What the log says of an attempt."""
+
+    HELD = "held"
+    IN_PROGRESS = "in_progress"
+    DONE = "done"
+    REUSED = "reused"
+    VOID = "void"
+    UNAVAILABLE = "unavailable"
+
+
+class RecordKind(enum.Enum):
+    """What a record of the claim stream says."""
+
+    CLAIM = "claim"
+    RELEASE = "release"
+    DONE = "done"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRecord:
+    """One fact in a claim stream.
+
+    Attributes:
+        kind: What is said.
+        key: Digest of customer, service and idempotency key.
+        attempt: The request's id.
+        digest: Digest of the body; empty but for claims.
+        status: Status of the answer; 0 but for done.
+    """
+
+    kind: RecordKind
+    key: str
+    attempt: str
+    digest: str = ""
+    status: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _KeyState:
+    holder: str | None = None
+    digest: str = ""
+    status: int = 0
+    done: bool = False
+    released: set[str] = dataclasses.field(default_factory=set)
+
+
+class ClaimLedger:
+    """The state of a claim stream: a pure function of its records."""
+
+    def __init__(self) -> None:
+        self._keys: dict[str, _KeyState] = {}
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def read(self, record: ClaimRecord) -> None:
+        """Takes the next record of the stream."""
+        state = self._keys.setdefault(record.key, _KeyState())
+        match record.kind:
+            case RecordKind.CLAIM:
+                free = state.holder is None and not state.done
+                if free and record.attempt not in state.released:
+                    state.holder = record.attempt
+                    state.digest = record.digest
+            case RecordKind.RELEASE:
+                state.released.add(record.attempt)
+                if state.holder == record.attempt and not state.done:
+                    state.holder = None
+            case RecordKind.DONE:
+                if state.holder == record.attempt:
+                    state.done = True
+                    state.status = record.status
+
+    def judge(self, key: str, attempt: str, digest: str) -> Verdict | None:
+        """Returns what the records read so far say of an attempt.
+
+        Returns:
+            None while the attempt's claim has not been read.
+        """
+        state = self._keys.get(key)
+        if state is None:
+            return None
+        if attempt in state.released:
+            return Verdict.VOID
+        if state.holder is None:
+            return None
+        if state.holder == attempt:
+            return Verdict.HELD
+        if state.digest != digest:
+            return Verdict.REUSED
+        return Verdict.DONE if state.done else Verdict.IN_PROGRESS
+
+    def get_status(self, key: str) -> int:
+        """Returns the status of the answer that a key's holder got."""
+        state = self._keys.get(key)
+        return state.status if state else 0
+
+
+def get_partition(key: str) -> int:
+    """Returns the partition of a key."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % PARTITIONS
+
+
+def get_partition_shard(zone: str, key: str) -> message.ShardKey:
+    """Returns the shard by which a zone's partition finds its scheduler."""
+    return message.ShardKey(zone, SERVICE, get_partition(key))
+
+
+def make_finish(verdict: Verdict) -> request.Finish:
+    """Returns what a caller is told whose attempt may not run.
+
+    ``not_run`` is said only where neither this attempt nor another one with
+    the key can have run.
+    """
+    outcomes = {
+        Verdict.IN_PROGRESS: (
+            message.Outcome.UNKNOWN,
+            message.Reason.KEY_IN_PROGRESS,
+        ),
+        Verdict.DONE: (message.Outcome.UNKNOWN, message.Reason.KEY_DONE),
+        Verdict.REUSED: (message.Outcome.NOT_RUN, message.Reason.KEY_REUSED),
+        Verdict.VOID: (
+            message.Outcome.NOT_RUN,
+            message.Reason.LOG_UNAVAILABLE,
+        ),
+        Verdict.UNAVAILABLE: (
+            message.Outcome.NOT_RUN,
+            message.Reason.LOG_UNAVAILABLE,
+        ),
+    }
+    outcome, reason = outcomes[verdict]
+    return request.Finish(outcome, reason, retry_after_s=1.0)
--- /dev/null
+++ b/ramptray/core/membership.py
@@ -0,0 +1,239 @@
+"""Which schedulers of a zone are alive, and which of them owns a shard.
+
+A SWIM-like protocol: every period each scheduler probes one other member, and
+each probe and its answer carry a few recent changes.  So a node's heartbeat
+cost does not grow with the size of the zone or the number of zones.  Nothing
+that must hold rests on this view: a wrong one costs efficiency only.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+import random
+
+import xxhash
+
+PERIOD_S = 0.25
+"""Time between two probes of a node, in seconds."""
+
+PROBE_TIMEOUT_S = 0.5
+"""How long an answer to a probe may take, in seconds."""
+
+SUSPECT_S = 0.75
+"""How long a suspected member may still speak up, in seconds."""
+
+FORGET_S = 60.0
+"""How long a dead member's record is kept, in seconds."""
+
+UPDATES_PER_MESSAGE = 6
+"""Changes that one message carries at most."""
+
+SPREAD_FACTOR = 3
+"""A change is told this many times the logarithm of the members' number."""
+
+
+class MemberState(enum.Enum):
+    """What is believed of a member; later ones override earlier ones."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEFT = "left"
+    DEAD = "dead"
+
+
+_ORDER = {state: place for place, state in enumerate(MemberState)}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A scheduler as its zone knows it.
+
+    Attributes:
+        vm: Name of the VM it runs on.
+        zone: Its availability zone.
+        address: IP number and port that its peers use.
+        incarnation: Grows when the member refutes a suspicion or restarts.
+        state: What is believed of it.
+        generation: The bundle generation in force on its VM.
+    """
+
+    vm: str
+    zone: str
+    address: str
+    incarnation: int
+    state: MemberState = MemberState.ALIVE
+    generation: int = 0
+
+    def overrides(self, other: Member) -> bool:
+        """Tells whether this record is newer than the other."""
+        mine = (self.incarnation, _ORDER[self.state], self.generation)
+        theirs = (other.incarnation, _ORDER[other.state], other.generation)
+        return mine > theirs
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    member: Member
+    since: float
+    told: int = 0
+
+
+class Membership:
+    """One scheduler's view of its zone."""
+
+    def __init__(self, me: Member, rng: random.Random, now: float) -> None:
+        self._me = me
+        self._rng = rng
+        self._known: dict[str, _Known] = {me.vm: _Known(me, now)}
+        self._round: list[str] = []
+        self.version = 1
+
+    @property
+    def me(self) -> Member:
+        """This scheduler's own record."""
+        return self._me
+
+    def list_alive(self) -> list[Member]:
+        """Returns the members that may own shards, this one included."""
+        return [
+            known.member
+            for known in self._known.values()
+            if known.member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        ]
+
+    def list_all(self) -> list[Member]:
+        """Returns every record, dead members included."""
+        return [known.member for known in self._known.values()]
+
+    def set_generation(self, generation: int, now: float) -> None:
+        """Notes the bundle generation in force on this VM."""
+        if generation != self._me.generation:
+            self._set_me(generation=generation, now=now)
+
+    def leave(self, now: float) -> None:
+        """Marks this member as leaving by its own will."""
+        self._set_me(state=MemberState.LEFT, now=now)
+
+    def pick_target(self) -> Member | None:
+        """Returns the next member to probe: each once in a random round."""
+        while self._round:
+            known = self._known.get(self._round.pop())
+            if known and self._may_probe(known.member):
+                return known.member
+        self._round = [
+            vm
+            for vm, known in self._known.items()
+            if self._may_probe(known.member)
+        ]
+        self._rng.shuffle(self._round)
+        if not self._round:
+            return None
+        return self._known[self._round.pop()].member
+
+    def pick_updates(self) -> list[Member]:
+        """Returns the changes to tell next, the least told ones first."""
+        most = SPREAD_FACTOR * math.ceil(math.log2(len(self._known) + 1))
+        fresh = [k for k in self._known.values() if k.told < most]
+        fresh.sort(key=lambda known: known.told)
+        chosen = fresh[:UPDATES_PER_MESSAGE]
+        for known in chosen:
+            known.told += 1
+        return [known.member for known in chosen]
+
+    def merge(self, updates: list[Member], now: float) -> None:
+        """Takes what a peer told."""
+        for update in updates:
+            if update.zone != self._me.zone:
+                continue
+            if update.vm == self._me.vm:
+                self._refute(update, now)
+                continue
+            known = self._known.get(update.vm)
+            if known is None or update.overrides(known.member):
+                self._put(update, now)
+
+    def suspect(self, vm: str, now: float) -> None:
+        """Notes that a member did not answer a probe."""
+        known = self._known.get(vm)
+        if known and known.member.state is MemberState.ALIVE:
+            suspected = dataclasses.replace(
+                known.member, state=MemberState.SUSPECT
+            )
+            self._put(suspected, now)
+
+    def tick(self, now: float) -> None:
+        """Declares silent suspects dead and forgets the long dead."""
+        for vm, known in list(self._known.items()):
+            state = known.member.state
+            if state is MemberState.SUSPECT and now - known.since > SUSPECT_S:
+                self._put(
+                    dataclasses.replace(known.member, state=MemberState.DEAD),
+                    now,
+                )
+            gone = state in (MemberState.DEAD, MemberState.LEFT)
+            if gone and vm != self._me.vm and now - known.since > FORGET_S:
+                del self._known[vm]
+
+    def _may_probe(self, member: Member) -> bool:
+        alive = member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        return alive and member.vm != self._me.vm
+
+    def _refute(self, update: Member, now: float) -> None:
+        """Answers a false word about this member with a newer incarnation."""
+        if self._me.state is MemberState.LEFT:
+            return
+        newer = update.incarnation > self._me.incarnation
+        doubted = update.state is not MemberState.ALIVE
+        moved = update.address != self._me.address
+        if newer or (
+            update.incarnation == self._me.incarnation and (doubted or moved)
+        ):
+            self._set_me(incarnation=update.incarnation + 1, now=now)
+
+    def _set_me(
+        self,
+        now: float,
+        incarnation: int | None = None,
+        state: MemberState | None = None,
+        generation: int | None = None,
+    ) -> None:
+        me = self._me
+        self._me = dataclasses.replace(
+            me,
+            incarnation=me.incarnation if incarnation is None else incarnation,
+            state=me.state if state is None else state,
+            generation=me.generation if generation is None else generation,
+        )
+        self._put(self._me, now)
+
+    def _put(self, member: Member, now: float) -> None:
+        known = self._known.get(member.vm)
+        old = known.member if known else None
+        self._known[member.vm] = _Known(member, now)
+        if old is None or (old.state, old.address) != (
+            member.state,
+            member.address,
+        ):
+            self.version += 1
+
+
+def pick_owner(key: str, candidates: list[str]) -> str | None:
+    """Returns the candidate with the highest weight for a key.
+
+    Rendezvous hashing: when a candidate goes, only its own keys move.
+
+    Args:
+        key: What is to be owned.
+        candidates: Names of those that may own it.
+    """
+    return max(
+        candidates,
+        key=lambda name: (_weigh(key, name), name),
+        default=None,
+    )
+
+
+def _weigh(key: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}|{name}".encode())
--- /dev/null
+++ b/ramptray/core/message.py
@@ -0,0 +1,197 @@
+"""Typed messages between an entry and a scheduler.
+
+Durations are in seconds and relative to the moment the message is sent, since
+two VMs share no clock.  Sizes are in tokens.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Outcome(enum.Enum):
+    """What a caller may believe about its request."""
+
+    COMPLETE = "complete"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.Enum):
+    """Why a request ended without a whole answer (a closed set)."""
+
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    CUSTOMER_LIMIT = "customer_limit"
+    NO_BACKEND = "no_backend"
+    UNKNOWN_SERVICE = "unknown_service"
+    NOT_READY = "not_ready"
+    CALLER_GONE = "caller_gone"
+    LOG_UNAVAILABLE = "log_unavailable"
+    KEY_IN_PROGRESS = "key_in_progress"
+    KEY_DONE = "key_done"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    BACKEND_REFUSED = "backend_refused"
+    BACKEND_LOST = "backend_lost"
+    STREAM_BROKEN = "stream_broken"
+    STOPPING = "stopping"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardKey:
+    """The unit of ownership: part of a service within an availability zone."""
+
+    zone: str
+    service: str
+    number: int = 0
+
+    def format(self) -> str:
+        """Returns the text form that rendezvous hashing works on."""
+        return f"{self.zone}/{self.service}/{self.number}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestInfo:
+    """What a scheduler knows of a request; never its body.
+
+    Attributes:
+        request_id: Unique over all entries.
+        shard: The shard the request belongs to.
+        customer: The customer's name in the bundle.
+        tier: The tier's name in the bundle.
+        prompt_tokens: Estimated size of the prompt.
+        output_tokens: Estimated size of the answer.
+        prefix: Chained block hashes of the prompt, the longest prefix last.
+        deadline_s: Seconds left until the answer is of no more use.
+        age_s: Seconds since the entry received the request.
+        spilled_from: Zones that had no room for the request.
+    """
+
+    request_id: str
+    shard: ShardKey
+    customer: str
+    tier: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix: tuple[int, ...]
+    deadline_s: float
+    age_s: float = 0.0
+    spilled_from: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Enqueue:
+    """Entry to owner: this request waits for a grant."""
+
+    request: RequestInfo
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """Entry to a new owner: this request already runs on a backend server."""
+
+    request: RequestInfo
+    backend: str
+    running_s: float
+    output_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Entry to owner: forget this request, it no longer waits or runs here."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decline:
+    """Entry to owner: this grant is not used."""
+
+    request_id: str
+    grant_id: str
+    unreachable: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstToken:
+    """Entry to owner: the answer has begun.
+
+    Attributes:
+        request_id: The request.
+        elapsed_s: Seconds from the dispatch to the first token.
+        prefilled_tokens: Prompt tokens the engine had to compute.
+        cached_tokens: Prompt tokens found in the engine's prefix cache.
+    """
+
+    request_id: str
+    elapsed_s: float
+    prefilled_tokens: int
+    cached_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """Entry to owner: the request has left its backend server.
+
+    Attributes:
+        request_id: The request.
+        output_tokens: Tokens of the answer that arrived.
+        decode_s: Seconds from the first token to the last.
+        whole: Whether the end marker arrived.
+        certain: Whether the backend server has surely freed its place.
+    """
+
+    request_id: str
+    output_tokens: int
+    decode_s: float
+    whole: bool
+    certain: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SyncDone:
+    """Entry to owner: everything that waits or runs here has been sent."""
+
+    entry: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Owner to entry: dispatch this request to this backend server."""
+
+    request_id: str
+    grant_id: str
+    backend: str
+    owner: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reject:
+    """Owner to entry: this request is given up; answer the caller now."""
+
+    request_id: str
+    reason: Reason
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Redirect:
+    """Owner to entry: no room here; ask the owner in another zone.
+
+    Attributes:
+        request_id: The request.
+        zone: The zone that has room.
+        owner: Address of the scheduler that owns the shard there.
+    """
+
+    request_id: str
+    zone: str
+    owner: str
+
+
+EntryMessage = (
+    Enqueue | Running | Withdraw | Decline | FirstToken | Ended | SyncDone
+)
+OwnerMessage = Grant | Reject | Redirect
--- /dev/null
+++ b/ramptray/core/meter.py
@@ -0,0 +1,37 @@
+"""A rate over a sliding window."""
+
+from __future__ import annotations
+
+import collections
+
+MIN_SPAN_S = 1.0
+"""Shorter spans than this are counted as this long, in seconds."""
+
+
+class RateMeter:
+    """Sums amounts over a sliding window at constant cost per amount."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._amounts: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._sum = 0
+
+    def add(self, amount: int, now: float) -> None:
+        """Counts an amount at this moment."""
+        self._amounts.append((now, amount))
+        self._sum += amount
+        self._prune(now)
+
+    def get_rate(self, now: float) -> float:
+        """Returns the amount a second, or 0 where nothing was counted."""
+        self._prune(now)
+        if len(self._amounts) < 2:
+            return 0.0
+        span = max(now - self._amounts[0][0], MIN_SPAN_S)
+        return self._sum / span
+
+    def _prune(self, now: float) -> None:
+        while self._amounts and now - self._amounts[0][0] > self._window_s:
+            self._sum -= self._amounts.popleft()[1]
--- /dev/null
+++ b/ramptray/core/policy.py
@@ -0,0 +1,151 @@
+"""How a shard owner chooses the backend server for a request.
+
+Every policy is a subclass of ``Policy``.  The baselines stand beside the one
+in use so that a benchmark can compare them in one run.
+"""
+
+from __future__ import annotations
+
+import abc
+import itertools
+from collections.abc import Callable, Sequence
+
+from ramptray.core import backend as backends
+from ramptray.core import message
+
+DECODE_WEIGHT_TOKENS = 16
+"""Tokens of decode that count beside the first token in a placement."""
+
+
+class Policy(abc.ABC):
+    """Chooses a backend server, or none to keep the request waiting."""
+
+    name: str
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        request: message.RequestInfo,
+        share: float,
+        candidates: Sequence[backends.Backend],
+        now: float,
+    ) -> backends.Backend | None:
+        """Returns the backend server for the request, or None to wait.
+
+        Args:
+            request: The request at the head of the queue.
+            share: The part of each engine's places that its tier may use.
+            candidates: The shard's backend servers.
+            now: The owner's clock in seconds.
+        """
+
+
+class TokenPolicy(Policy):
+    """Late binding: the earliest first token among the engines with room."""
+
+    name = "token"
+
+    def choose(
+        self,
+        request: message.RequestInfo,
+        share: float,
+        candidates: Sequence[backends.Backend],
+        now: float,
+    ) -> backends.Backend | None:
+        """See the base class."""
+        best: backends.Backend | None = None
+        best_s = float("inf")
+        for candidate in candidates:
+            if not candidate.is_open(now):
+                continue
+            limit = max(1, int(candidate.info.max_running * share))
+            if len(candidate.placed) + candidate.foreign >= limit:
+                continue
+            uncached = candidate.count_uncached(request)
+            if not candidate.has_room(request, uncached, limit):
+                continue
+            cost = candidate.estimate_first_token(uncached, now)
+            cost += candidate.step_s * DECODE_WEIGHT_TOKENS
+            if cost < best_s:
+                best, best_s = candidate, cost
+        return best
+
+
+class RoundRobinPolicy(Policy):
+    """Baseline: each backend server in turn, at once."""
+
+    name = "round_robin"
+
+    def __init__(self) -> None:
+        self._turn = itertools.count()
+
+    def choose(
+        self,
+        request: message.RequestInfo,
+        share: float,
+        candidates: Sequence[backends.Backend],
+        now: float,
+    ) -> backends.Backend | None:
+        """See the base class."""
+        usable = _list_open(candidates, now)
+        return usable[next(self._turn) % len(usable)] if usable else None
+
+
+class LeastReportedPolicy(Policy):
+    """Baseline: the smallest running count in the engines' stale reports."""
+
+    name = "least_reported"
+
+    def choose(
+        self,
+        request: message.RequestInfo,
+        share: float,
+        candidates: Sequence[backends.Backend],
+        now: float,
+    ) -> backends.Backend | None:
+        """See the base class."""
+        usable = _list_open(candidates, now)
+        return min(usable, key=lambda b: b.report_running, default=None)
+
+
+class LeastOutstandingPolicy(Policy):
+    """Baseline: the fewest requests this owner has running there."""
+
+    name = "least_outstanding"
+
+    def choose(
+        self,
+        request: message.RequestInfo,
+        share: float,
+        candidates: Sequence[backends.Backend],
+        now: float,
+    ) -> backends.Backend | None:
+        """See the base class."""
+        usable = _list_open(candidates, now)
+        return min(usable, key=lambda b: len(b.placed), default=None)
+
+
+POLICIES: dict[str, Callable[[], Policy]] = {
+    policy.name: policy
+    for policy in (
+        TokenPolicy,
+        RoundRobinPolicy,
+        LeastReportedPolicy,
+        LeastOutstandingPolicy,
+    )
+}
+
+
+def make_policy(name: str = TokenPolicy.name) -> Policy:
+    """Returns a new policy of the given name.
+
+    Raises:
+        KeyError: There is no such policy.
+    """
+    return POLICIES[name]()
+
+
+def _list_open(
+    candidates: Sequence[backends.Backend], now: float
+) -> list[backends.Backend]:
+    return [candidate for candidate in candidates if candidate.is_open(now)]
--- /dev/null
+++ b/ramptray/core/request.py
@@ -0,0 +1,241 @@
+"""The state machine of one request, held by the entry that has its caller.
+
+All safety towards the caller lives here: whatever schedulers say, late, twice
+or in contradiction, the request is dispatched at most once, and ``not_run`` is
+said only in a state from which it can never be dispatched.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from ramptray.core import message
+
+
+class State(enum.Enum):
+    """Where a request stands."""
+
+    WAITING = "waiting"
+    DISPATCHED = "dispatched"
+    ENDED = "ended"
+
+
+class Claim(enum.Enum):
+    """Whether the request may run as far as its idempotency key goes."""
+
+    NOT_NEEDED = "not_needed"
+    PENDING = "pending"
+    HELD = "held"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Effect: send the request's body to this backend server, once."""
+
+    grant: message.Grant
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tell:
+    """Effect: send this message to the named scheduler."""
+
+    owner: str
+    message: message.EntryMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finish:
+    """Effect: give the caller its final outcome."""
+
+    outcome: message.Outcome
+    reason: message.Reason | None = None
+    retry_after_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Effect: the claim on the idempotency key is no longer needed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Effect: cancel the stream on the backend server."""
+
+    backend: str
+
+
+Effect = Dispatch | Tell | Finish | Release | Cancel
+
+
+class RequestMachine:
+    """Decides what happens to one request; performs nothing itself.
+
+    Each method takes one event and returns the effects to perform, in order.
+    """
+
+    def __init__(self, info: message.RequestInfo, needs_claim: bool) -> None:
+        self.info = info
+        self.state = State.WAITING
+        self.claim = Claim.PENDING if needs_claim else Claim.NOT_NEEDED
+        self.owner: str | None = None
+        self.dispatches = 0
+        self._grant: message.Grant | None = None
+
+    @property
+    def backend(self) -> str | None:
+        """The backend server the request was dispatched to, if any."""
+        dispatched = self.state is not State.WAITING and self._grant
+        return self._grant.backend if dispatched and self._grant else None
+
+    @property
+    def grant(self) -> message.Grant | None:
+        """The grant that is held or in use."""
+        return self._grant
+
+    def assign(
+        self, owner: str, info: message.RequestInfo, elapsed_s: float = 0.0
+    ) -> list[Effect]:
+        """Moves the request to another owner.
+
+        Args:
+            owner: The scheduler that now owns the request's shard.
+            info: The request's facts with ages as of now.
+            elapsed_s: Seconds since the dispatch, if it was dispatched.
+        """
+        previous = self.owner
+        self.owner = owner
+        self.info = info
+        if self.state is State.ENDED:
+            return []
+        effects: list[Effect] = []
+        if previous is not None and previous != owner:
+            effects.append(Tell(previous, message.Withdraw(info.request_id)))
+        if self.state is State.DISPATCHED and self._grant:
+            running = message.Running(info, self._grant.backend, elapsed_s, 0)
+            return [*effects, Tell(owner, running)]
+        self._grant = None
+        return [*effects, Tell(owner, message.Enqueue(info))]
+
+    def receive_grant(self, grant: message.Grant) -> list[Effect]:
+        """Uses a grant if, and only if, the request still waits for one."""
+        decline = Tell(
+            grant.owner, message.Decline(grant.request_id, grant.grant_id)
+        )
+        if self.state is not State.WAITING or grant.owner != self.owner:
+            return [] if grant == self._grant else [decline]
+        if self._grant is not None:
+            return [] if grant == self._grant else [decline]
+        self._grant = grant
+        return self._dispatch_if_allowed()
+
+    def receive_reject(
+        self, reject: message.Reject, owner: str
+    ) -> list[Effect]:
+        """Ends a waiting request that its owner gave up."""
+        if self.state is not State.WAITING or owner != self.owner:
+            return []
+        return self._end_unrun(reject.reason, reject.retry_after_s, tell=False)
+
+    def decide_claim(
+        self, held: bool, finish: Finish | None = None
+    ) -> list[Effect]:
+        """Takes the log's word on the claim.
+
+        Args:
+            held: Whether this attempt holds the idempotency key.
+            finish: What the caller is told where it does not.
+        """
+        if self.claim is not Claim.PENDING or self.state is not State.WAITING:
+            return []
+        if held:
+            self.claim = Claim.HELD
+            return self._dispatch_if_allowed()
+        self.claim = Claim.LOST
+        self.state = State.ENDED
+        final = finish or Finish(message.Outcome.NOT_RUN)
+        return [*self._leave_owner(), final]
+
+    def fail_connect(self) -> list[Effect]:
+        """Returns to waiting: the connection was refused, no byte was sent."""
+        if self.state is not State.DISPATCHED or self._grant is None:
+            return []
+        grant = self._grant
+        self.state = State.WAITING
+        self.dispatches -= 1
+        self._grant = None
+        decline = message.Decline(grant.request_id, grant.grant_id, True)
+        return [Tell(grant.owner, decline)]
+
+    def complete(self, ended: message.Ended) -> list[Effect]:
+        """Ends a dispatched request whose whole answer has arrived."""
+        return self._end_dispatched(Finish(message.Outcome.COMPLETE), ended)
+
+    def refuse(self, ended: message.Ended) -> list[Effect]:
+        """Ends a request that its backend server says it did not admit."""
+        finish = Finish(
+            message.Outcome.NOT_RUN, message.Reason.BACKEND_REFUSED, 1.0
+        )
+        effects = self._end_dispatched(finish, ended)
+        if effects and self.claim is Claim.HELD:
+            effects.append(Release())
+        return effects
+
+    def lose(
+        self, reason: message.Reason, ended: message.Ended
+    ) -> list[Effect]:
+        """Ends a dispatched request whose answer cannot be had any more."""
+        return self._end_dispatched(
+            Finish(message.Outcome.UNKNOWN, reason), ended
+        )
+
+    def abandon(self, ended: message.Ended) -> list[Effect]:
+        """Ends the request because its caller has gone."""
+        if self.state is State.WAITING:
+            return self._end_unrun(message.Reason.CALLER_GONE, 0.0)
+        if self.state is not State.DISPATCHED or self._grant is None:
+            return []
+        backend = self._grant.backend
+        finish = Finish(message.Outcome.UNKNOWN, message.Reason.CALLER_GONE)
+        return [Cancel(backend), *self._end_dispatched(finish, ended)]
+
+    def give_up(
+        self, reason: message.Reason, retry_after_s: float
+    ) -> list[Effect]:
+        """Ends a waiting request for the entry's own reasons."""
+        if self.state is not State.WAITING:
+            return []
+        return self._end_unrun(reason, retry_after_s)
+
+    def _dispatch_if_allowed(self) -> list[Effect]:
+        claimed = self.claim in (Claim.NOT_NEEDED, Claim.HELD)
+        if not claimed or self._grant is None:
+            return []
+        self.state = State.DISPATCHED
+        self.dispatches += 1
+        return [Dispatch(self._grant)]
+
+    def _end_unrun(
+        self, reason: message.Reason, retry_after_s: float, tell: bool = True
+    ) -> list[Effect]:
+        self.state = State.ENDED
+        effects: list[Effect] = self._leave_owner() if tell else []
+        if self.claim in (Claim.PENDING, Claim.HELD):
+            effects.append(Release())
+        finish = Finish(message.Outcome.NOT_RUN, reason, retry_after_s)
+        return [*effects, finish]
+
+    def _leave_owner(self) -> list[Effect]:
+        if self.owner is None:
+            return []
+        return [Tell(self.owner, message.Withdraw(self.info.request_id))]
+
+    def _end_dispatched(
+        self, finish: Finish, ended: message.Ended
+    ) -> list[Effect]:
+        if self.state is not State.DISPATCHED:
+            return []
+        self.state = State.ENDED
+        told = [Tell(self.owner, ended)] if self.owner else []
+        return [*told, finish]
--- /dev/null
+++ b/ramptray/core/shard.py
@@ -0,0 +1,521 @@
+"""The owner of one shard: queue, grants, sheds and the view of its engines.
+
+The owner keeps soft state only.  A successor rebuilds it from the entries, and
+two owners at once cost efficiency but no promise.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+from ramptray.core import backend as backends
+from ramptray.core import limit, message, meter, policy, queue
+
+HEADS_TRIED = 4
+"""Customers whose first request is tried before a tier is left waiting."""
+
+DRAIN_WINDOW_S = 5.0
+"""Span over which the rate of grants is measured, in seconds."""
+
+SETTLE_S = 0.5
+"""How long a new owner waits for the entries' reports, in seconds."""
+
+LEARN_S = 3.0
+"""How long a new owner waits for word of the other zones, in seconds."""
+
+ORPHAN_S = 30.0
+"""Longest time a lost entry's request keeps its place, in seconds."""
+
+MIN_RETRY_S = 0.5
+"""Shortest advice on when to come back, in seconds."""
+
+MAX_RETRY_S = 30.0
+"""Longest advice on when to come back, in seconds."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToEntry:
+    """Effect: send this message to the named entry."""
+
+    entry: str
+    message: message.OwnerMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardSummary:
+    """What other zones need to know of a shard, to send requests there.
+
+    Attributes:
+        shard: The shard.
+        owner: The address of the scheduler that owns it.
+        limit: Cost that may wait, as ``queue.weigh`` counts it.
+        waiting: Cost that waits, by tier, highest tier first.
+        has_backend: Whether any backend server is open.
+        version: Hybrid clock value when it was made; the newest counts.
+    """
+
+    shard: message.ShardKey
+    owner: str
+    limit: int
+    waiting: tuple[int, ...]
+    has_backend: bool
+    version: int
+
+    def has_room(self, rank: int, cost: int) -> bool:
+        """Tells whether a request of this tier would be kept there."""
+        ahead = sum(self.waiting[: rank + 1])
+        return self.has_backend and ahead + cost <= self.limit
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardRules:
+    """What the bundle says about a shard.
+
+    Attributes:
+        ranks: Rank of each tier by name; 0 is the highest.
+        queue_cost: Cost that may wait, as ``queue.weigh`` counts it.
+        headroom: Part of each engine's places kept for the highest tier.
+        shares: Weight of each customer within a tier.
+        limits: Rates of each customer in this zone.
+    """
+
+    ranks: dict[str, int]
+    queue_cost: int
+    headroom: float
+    shares: dict[str, float]
+    limits: dict[str, limit.Rate]
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """What the shard has done since its owner took over."""
+
+    enqueued: int = 0
+    granted: int = 0
+    shed: int = 0
+    redirected: int = 0
+    declined: int = 0
+
+
+class ShardOwner:
+    """Decides who goes next, and where, for one shard."""
+
+    def __init__(
+        self,
+        shard: message.ShardKey,
+        address: str,
+        rules: ShardRules,
+        infos: list[backends.BackendInfo],
+        chosen: policy.Policy,
+        now: float,
+    ) -> None:
+        self.shard = shard
+        self.counters = Counters()
+        self.backends: dict[str, backends.Backend] = {}
+        self._address = address
+        self._policy = chosen
+        self._grant_ids = itertools.count(1)
+        self._waiting: dict[str, queue.Waiting] = {}
+        self._where: dict[str, backends.Backend] = {}
+        self._syncing: dict[str, set[str]] = {}
+        self._born = now
+        self._settled_at = now + SETTLE_S
+        self._drained = meter.RateMeter(DRAIN_WINDOW_S)
+        self._elsewhere: dict[str, ShardSummary] = {}
+        self.configure(rules, infos)
+
+    # Configuration and outside views.
+
+    def configure(
+        self, rules: ShardRules, infos: list[backends.BackendInfo]
+    ) -> None:
+        """Takes the rules and backend servers of the bundle in force."""
+        self._rules = rules
+        tiers = max(rules.ranks.values(), default=0) + 1
+        old = getattr(self, "_tiers", [])
+        self._tiers = [queue.TierQueue() for _ in range(tiers)]
+        for waiting in itertools.chain.from_iterable(
+            tier.list_all() for tier in old
+        ):
+            waiting.rank = self._rank(waiting.request.tier)
+            self._tiers[waiting.rank].push(waiting)
+        self._limits = limit.Limits(rules.limits)
+        self._take_backends(infos)
+
+    def set_state(self, name: str, state: backends.BackendState) -> None:
+        """Notes that a backend server is leaving, or is back."""
+        if name in self.backends:
+            self.backends[name].state = state
+
+    def correct_load(self, name: str, running: int) -> None:
+        """Takes an engine's lagging load report."""
+        if name in self.backends:
+            self.backends[name].correct(running)
+
+    def set_elsewhere(self, summaries: list[ShardSummary]) -> None:
+        """Takes what is known of the same shard in the other zones."""
+        self._elsewhere = {summary.shard.zone: summary for summary in summaries}
+
+    def summarize(self, version: int) -> ShardSummary:
+        """Returns what the other zones need to know of this shard.
+
+        Args:
+            version: Larger than that of every earlier summary.
+        """
+        return ShardSummary(
+            self.shard,
+            self._address,
+            self._rules.queue_cost,
+            tuple(tier.cost for tier in self._tiers),
+            self._has_backend(),
+            version,
+        )
+
+    def holds(self, request_id: str) -> bool:
+        """Tells whether a request waits or runs here."""
+        return request_id in self._waiting or request_id in self._where
+
+    def wants(self, name: str) -> bool:
+        """Tells whether the bundle lets a backend server get new work."""
+        return name in self._wanted
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing waits and nothing runs."""
+        return not self._waiting and not self._where
+
+    @property
+    def waiting_count(self) -> int:
+        """How many requests wait."""
+        return len(self._waiting)
+
+    def list_waiting(self) -> list[int]:
+        """Returns the number of waiting requests of each tier."""
+        return [tier.count for tier in self._tiers]
+
+    # Messages from entries.
+
+    def receive(
+        self, entry: str, received: message.EntryMessage, now: float
+    ) -> list[ToEntry]:
+        """Takes one message from an entry and returns what to send."""
+        match received:
+            case message.Enqueue(request):
+                return self._enqueue(entry, request, now)
+            case message.Running():
+                self._note_running(entry, received, now)
+            case message.Withdraw(request_id):
+                self._forget(request_id)
+            case message.Decline():
+                self._take_back(entry, received, now)
+            case message.FirstToken(request_id):
+                if backend := self._where.get(request_id):
+                    backend.begin_answer(received)
+            case message.Ended(request_id):
+                self._end(received, now)
+            case message.SyncDone():
+                self._finish_sync(entry)
+        return self.grant(now)
+
+    def begin_sync(self, entry: str) -> None:
+        """Notes that an entry has attached and will tell all it has."""
+        self._syncing[entry] = {
+            request_id
+            for request_id, backend in self._where.items()
+            if backend.placed[request_id].entry == entry
+        }
+        self._drop_waiting(entry)
+
+    def lose_entry(self, entry: str, now: float) -> None:
+        """Drops what an entry had waiting; what runs keeps its place."""
+        self._syncing.pop(entry, None)
+        self._drop_waiting(entry)
+        for request_id, backend in self._where.items():
+            placed = backend.placed[request_id]
+            if placed.entry == entry and placed.orphaned_at is None:
+                placed.orphaned_at = now
+
+    def tick(self, now: float) -> list[ToEntry]:
+        """Gives up what is past its deadline and frees lost places."""
+        expired = [w for w in self._waiting.values() if w.deadline <= now]
+        out = [
+            self._reject(waiting, message.Reason.DEADLINE, now)
+            for waiting in expired
+        ]
+        for request_id, backend in list(self._where.items()):
+            orphaned_at = backend.placed[request_id].orphaned_at
+            if orphaned_at is not None and now - orphaned_at > ORPHAN_S:
+                self._free(request_id)
+        return [*out, *self._send_elsewhere(now), *self.grant(now)]
+
+    # Decisions.
+
+    def grant(self, now: float) -> list[ToEntry]:
+        """Grants as much as fits, highest tier first."""
+        if now < self._settled_at and self._syncing:
+            return []
+        out: list[ToEntry] = []
+        for rank, tier in enumerate(self._tiers):
+            share = 1.0 if rank == 0 else 1.0 - self._rules.headroom
+            while granted := self._grant_one(tier, share, now):
+                out.append(granted)
+            if tier.count:
+                break
+        return out
+
+    def _grant_one(
+        self, tier: queue.TierQueue, share: float, now: float
+    ) -> ToEntry | None:
+        candidates = list(self.backends.values())
+        for waiting in tier.list_heads(HEADS_TRIED):
+            chosen = self._policy.choose(
+                waiting.request, share, candidates, now
+            )
+            if chosen is not None:
+                return self._place(tier, waiting, chosen, now)
+        return None
+
+    def _place(
+        self,
+        tier: queue.TierQueue,
+        waiting: queue.Waiting,
+        chosen: backends.Backend,
+        now: float,
+    ) -> ToEntry:
+        request = waiting.request
+        grant_id = f"{self._address}#{next(self._grant_ids)}"
+        tier.remove(waiting)
+        tier.charge(waiting, self._rules.shares.get(request.customer, 1.0))
+        del self._waiting[request.request_id]
+        chosen.place(request, waiting.entry, grant_id, now)
+        self._where[request.request_id] = chosen
+        self._drained.add(waiting.cost, now)
+        self.counters.granted += 1
+        return ToEntry(
+            waiting.entry,
+            message.Grant(
+                request.request_id, grant_id, chosen.info.name, self._address
+            ),
+        )
+
+    def _enqueue(
+        self, entry: str, request: message.RequestInfo, now: float
+    ) -> list[ToEntry]:
+        request_id = request.request_id
+        if request_id in self._waiting or request_id in self._where:
+            return []
+        self.counters.enqueued += 1
+        waiting = queue.Waiting(
+            request,
+            entry,
+            self._rank(request.tier),
+            arrived=now,
+            deadline=now + request.deadline_s,
+            cost=queue.weigh(request),
+        )
+        wait_s = self._limits.check(request.customer, waiting.cost, now)
+        if wait_s > 0 and not request.spilled_from:
+            self.counters.shed += 1
+            return [
+                ToEntry(
+                    entry,
+                    message.Reject(
+                        request_id, message.Reason.CUSTOMER_LIMIT, wait_s
+                    ),
+                )
+            ]
+        self._waiting[request_id] = waiting
+        self._tiers[waiting.rank].push(waiting)
+        granted = self.grant(now)
+        return [*granted, *self._make_room(waiting, now)]
+
+    def _make_room(self, newest: queue.Waiting, now: float) -> list[ToEntry]:
+        out: list[ToEntry] = []
+        while sum(t.cost for t in self._tiers) > self._rules.queue_cost:
+            victim = self._pick_victim()
+            if victim is None or len(self._waiting) == 1:
+                break
+            out.append(self._turn_away(victim, now))
+        if newest.request.request_id not in self._waiting:
+            return out
+        if self._is_hopeless(newest, now):
+            out.append(self._turn_away(newest, now))
+        return [*out, *self._send_elsewhere(now)]
+
+    def _send_elsewhere(self, now: float) -> list[ToEntry]:
+        """Turns everything away while no backend server is left here.
+
+        A young owner first waits for word of the other zones.
+        """
+        if self._has_backend():
+            return []
+        waiting = list(self._waiting.values())
+        if now - self._born > LEARN_S:
+            return [self._turn_away(w, now) for w in waiting]
+        return [self._turn_away(w, now) for w in waiting if self._list_rooms(w)]
+
+    def _pick_victim(self) -> queue.Waiting | None:
+        victims = (tier.pick_victim() for tier in reversed(self._tiers))
+        return next((v for v in victims if v is not None), None)
+
+    def _is_hopeless(self, waiting: queue.Waiting, now: float) -> bool:
+        """Tells whether a request cannot meet its deadline.
+
+        While a lower tier waits, a request is never refused early: it goes
+        before all of them as soon as any engine has room.
+        """
+        if any(tier.count for tier in self._tiers[waiting.rank + 1 :]):
+            return False
+        return now + self._estimate_wait(waiting, now) > waiting.deadline
+
+    def _estimate_wait(self, waiting: queue.Waiting, now: float) -> float:
+        rate = self._drained.get_rate(now)
+        if rate == 0.0:
+            return 0.0
+        ahead = sum(t.cost for t in self._tiers[: waiting.rank + 1])
+        return (ahead - waiting.cost) / rate
+
+    def _turn_away(self, waiting: queue.Waiting, now: float) -> ToEntry:
+        """Sends a request to a zone with room, or gives it up."""
+        rooms = self._list_rooms(waiting)
+        if not rooms:
+            return self._reject(waiting, message.Reason.OVERLOADED, now)
+        target = min(rooms, key=lambda summary: sum(summary.waiting))
+        self._drop(waiting)
+        self.counters.redirected += 1
+        return ToEntry(
+            waiting.entry,
+            message.Redirect(
+                waiting.request.request_id, target.shard.zone, target.owner
+            ),
+        )
+
+    def _list_rooms(self, waiting: queue.Waiting) -> list[ShardSummary]:
+        tried = (*waiting.request.spilled_from, self.shard.zone)
+        return [
+            summary
+            for zone, summary in self._elsewhere.items()
+            if zone not in tried
+            and summary.has_room(waiting.rank, waiting.cost)
+        ]
+
+    def _reject(
+        self, waiting: queue.Waiting, reason: message.Reason, now: float
+    ) -> ToEntry:
+        self._drop(waiting)
+        self.counters.shed += 1
+        if not self._has_backend():
+            reason = message.Reason.NO_BACKEND
+        wait_s = self._estimate_wait(waiting, now)
+        retry_s = min(max(wait_s, MIN_RETRY_S), MAX_RETRY_S)
+        return ToEntry(
+            waiting.entry,
+            message.Reject(waiting.request.request_id, reason, retry_s),
+        )
+
+    # Bookkeeping.
+
+    def _has_backend(self) -> bool:
+        return any(not b.is_lost for b in self.backends.values())
+
+    def _rank(self, tier: str) -> int:
+        return self._rules.ranks.get(tier, len(self._tiers) - 1)
+
+    def _note_running(
+        self, entry: str, running: message.Running, now: float
+    ) -> None:
+        request_id = running.request.request_id
+        if waiting := self._waiting.get(request_id):
+            self._drop(waiting)
+        backend = self.backends.get(running.backend)
+        if backend is None:
+            return
+        if request_id in self._where:
+            self._where[request_id].placed[request_id].orphaned_at = None
+            self._syncing.get(entry, set()).discard(request_id)
+            return
+        backend.place(running.request, entry, "", now - running.running_s)
+        self._where[request_id] = backend
+
+    def _take_back(
+        self, entry: str, decline: message.Decline, now: float
+    ) -> None:
+        request_id = decline.request_id
+        backend = self._where.get(request_id)
+        if backend is None:
+            return
+        if backend.placed[request_id].grant_id != decline.grant_id:
+            return
+        placed = self._free(request_id)
+        self.counters.declined += 1
+        if not decline.unreachable or placed is None:
+            return
+        backend.note_unreachable(now)
+        request = placed.request
+        waiting = queue.Waiting(
+            request,
+            entry,
+            self._rank(request.tier),
+            arrived=placed.started,
+            deadline=placed.started + request.deadline_s,
+            cost=queue.weigh(request),
+        )
+        self._waiting[request_id] = waiting
+        self._tiers[waiting.rank].restore(waiting)
+
+    def _end(self, ended: message.Ended, now: float) -> None:
+        backend = self._where.get(ended.request_id)
+        if backend is None:
+            self._forget(ended.request_id)
+            return
+        if not ended.certain:
+            backend.placed[ended.request_id].orphaned_at = now
+            return
+        del self._where[ended.request_id]
+        backend.end(ended)
+
+    def _finish_sync(self, entry: str) -> None:
+        for request_id in self._syncing.pop(entry, set()):
+            self._free(request_id)
+
+    def _forget(self, request_id: str) -> None:
+        if waiting := self._waiting.get(request_id):
+            self._drop(waiting)
+        self._free(request_id)
+
+    def _free(self, request_id: str) -> backends.Placed | None:
+        backend = self._where.pop(request_id, None)
+        return backend.remove(request_id) if backend else None
+
+    def _drop(self, waiting: queue.Waiting) -> None:
+        del self._waiting[waiting.request.request_id]
+        self._tiers[waiting.rank].remove(waiting)
+
+    def _drop_waiting(self, entry: str) -> None:
+        for waiting in list(self._waiting.values()):
+            if waiting.entry == entry:
+                self._drop(waiting)
+
+    def _take_backends(self, infos: list[backends.BackendInfo]) -> None:
+        wanted = {info.name: info for info in infos}
+        self._wanted = frozenset(wanted)
+        for name, info in wanted.items():
+            known = self.backends.get(name)
+            if known is None or known.info != info:
+                self.backends[name] = backends.Backend(info)
+                self._move_placed(known, self.backends[name])
+        for name in set(self.backends) - set(wanted):
+            self.backends[name].state = backends.BackendState.LEAVING
+            if not self.backends[name].placed:
+                del self.backends[name]
+
+    def _move_placed(
+        self, old: backends.Backend | None, new: backends.Backend
+    ) -> None:
+        for request_id, placed in (old.placed if old else {}).items():
+            moved = new.place(
+                placed.request, placed.entry, placed.grant_id, placed.started
+            )
+            moved.orphaned_at = placed.orphaned_at
+            self._where[request_id] = new
--- /dev/null
+++ b/ramptray/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The client side of the model engines' HTTP protocol."""
--- /dev/null
+++ b/ramptray/engine/client.py
@@ -0,0 +1,255 @@
+"""Client of a model engine: dispatch, resume, cancel and load reports."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+from typing import Any, TypeVar
+
+import anyio
+import httpcore
+import msgspec
+
+from ramptray.engine import event
+
+CONNECT_S = 1.0
+"""Longest time to open a connection, in seconds."""
+
+SILENCE_S = 20.0
+"""Longest silence of a stream before it counts as broken, in seconds."""
+
+QUERY_S = 2.0
+"""Longest time for a small query, in seconds."""
+
+STREAMS_PER_BACKEND = 512
+
+
+AnswerT = TypeVar("AnswerT")
+
+
+class EngineError(Exception):
+    """Base of the errors of a backend server."""
+
+
+class NotSentError(EngineError):
+    """The connection could not be opened: no byte of the request was sent."""
+
+
+class RefusedError(EngineError):
+    """The engine answered that it did not admit the request.
+
+    Attributes:
+        status: HTTP status of the answer.
+        body: Its body.
+    """
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+        super().__init__(f"status {status}")
+
+
+class BrokenError(EngineError):
+    """The connection broke after the request was sent."""
+
+
+class GoneError(EngineError):
+    """The engine does not know the stream (any more)."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """An engine's lagging word on itself.
+
+    Attributes:
+        running: Requests in its batch.
+        waiting: Requests in its own queue.
+        leaving: Whether it says that it is leaving.
+        versions: Loaded model versions, as ``service@version``.
+        step_s: Its present time between tokens, in seconds.
+    """
+
+    running: int
+    waiting: int
+    leaving: bool = False
+    versions: tuple[str, ...] = ()
+    step_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """Changes of an engine's prefix cache, late and with gaps.
+
+    Attributes:
+        next: Number from which to ask the next time.
+        stored: Blocks it has computed.
+        removed: Blocks it has evicted.
+    """
+
+    next: int
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+class EngineClient:
+    """Talks to all backend servers of one process."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    @contextlib.asynccontextmanager
+    async def dispatch(
+        self, url: str, path: str, request_id: str, body: bytes
+    ) -> AsyncIterator[AsyncIterator[event.Event]]:
+        """Sends a request, once, and yields its stream of events.
+
+        Raises:
+            NotSentError: No byte was sent.
+            RefusedError: The engine did not admit the request.
+            BrokenError: The connection broke; the request may be running.
+        """
+        headers = {
+            "content-type": "application/json",
+            "x-request-id": request_id,
+        }
+        async with self._open(
+            "POST", url, path, headers=headers, content=body
+        ) as response:
+            if response.status != 200:
+                raise RefusedError(response.status, await _read(response))
+            yield _iterate(response)
+
+    @contextlib.asynccontextmanager
+    async def resume(
+        self, url: str, request_id: str, after: int
+    ) -> AsyncIterator[AsyncIterator[event.Event]]:
+        """Reads a stream on after an event.
+
+        Raises:
+            NotSentError: The engine cannot be reached now.
+            GoneError: The engine does not know the stream.
+            BrokenError: The connection broke again.
+        """
+        path = f"/v1/streams/{request_id}?after={after}"
+        async with self._open("GET", url, path) as response:
+            if response.status == 404:
+                raise GoneError(request_id)
+            if response.status != 200:
+                raise BrokenError(f"status {response.status}")
+            yield _iterate(response)
+
+    async def cancel(self, url: str, request_id: str) -> None:
+        """Cancels a stream.
+
+        Raises:
+            EngineError: There is no answer.
+        """
+        await self._query("DELETE", url, f"/v1/streams/{request_id}")
+
+    async def fetch_load(self, url: str) -> LoadReport:
+        """Returns the engine's load report.
+
+        Raises:
+            EngineError: There is no good answer.
+        """
+        return _convert(await self._query("GET", url, "/load"), LoadReport)
+
+    async def fetch_cache_events(self, url: str, after: int) -> CacheEvents:
+        """Returns the changes of the prefix cache since a number.
+
+        Raises:
+            EngineError: There is no good answer.
+        """
+        path = f"/cache/events?after={after}"
+        return _convert(await self._query("GET", url, path), CacheEvents)
+
+    async def query(
+        self, method: str, url: str, path: str, body: Any = None
+    ) -> Any:
+        """Sends a small JSON query and returns its answer.
+
+        Raises:
+            EngineError: There is no good answer.
+        """
+        return await self._query(method, url, path, body)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for pool in self._pools.values():
+            await pool.aclose()
+        self._pools.clear()
+
+    async def _query(
+        self, method: str, url: str, path: str, body: Any = None
+    ) -> Any:
+        content = None if body is None else msgspec.json.encode(body)
+        try:
+            with anyio.fail_after(QUERY_S):
+                async with self._open(
+                    method, url, path, content=content
+                ) as response:
+                    data = await _read(response)
+        except TimeoutError as error:
+            raise BrokenError(f"{url}{path}: no answer in time") from error
+        if response.status >= 300:
+            raise RefusedError(response.status, data)
+        try:
+            return msgspec.json.decode(data) if data else None
+        except msgspec.DecodeError as error:
+            raise BrokenError(f"{url}{path}: {error}") from error
+
+    @contextlib.asynccontextmanager
+    async def _open(
+        self, method: str, url: str, path: str, **options: Any
+    ) -> AsyncIterator[httpcore.Response]:
+        timeouts = {"connect": CONNECT_S, "pool": CONNECT_S, "read": SILENCE_S}
+        try:
+            async with self._get_pool(url).stream(
+                method,
+                url.rstrip("/") + path,
+                extensions={"timeout": timeouts},
+                **options,
+            ) as response:
+                yield response
+        except (
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
+            httpcore.PoolTimeout,
+        ) as error:
+            raise NotSentError(f"{url}: {error!r}") from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise BrokenError(f"{url}: {error!r}") from error
+
+    def _get_pool(self, url: str) -> httpcore.AsyncConnectionPool:
+        if url not in self._pools:
+            self._pools[url] = httpcore.AsyncConnectionPool(
+                max_connections=STREAMS_PER_BACKEND,
+                max_keepalive_connections=8,
+                keepalive_expiry=5.0,
+            )
+        return self._pools[url]
+
+
+async def _read(response: httpcore.Response) -> bytes:
+    return b"".join([chunk async for chunk in response.aiter_stream()])
+
+
+async def _iterate(
+    response: httpcore.Response,
+) -> AsyncIterator[event.Event]:
+    splitter = event.EventSplitter()
+    async for data in response.aiter_stream():
+        for found in splitter.feed(data):
+            yield found
+
+
+def _convert(answer: Any, kind: type[AnswerT]) -> AnswerT:
+    try:
+        return msgspec.convert(answer, kind)
+    except msgspec.ValidationError as error:
+        raise BrokenError(f"answer not understood: {error}") from error
--- /dev/null
+++ b/ramptray/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers' requests and their dispatch."""
--- /dev/null
+++ b/ramptray/entry/dispatcher.py
@@ -0,0 +1,541 @@
+"""The task that owns all request machines of an entry.
+
+It is the only one that talks to schedulers.  An exchange (the task that serves
+one request) hands it events and receives effects; neither touches the other's
+state.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import logging
+import time
+from collections.abc import Iterable
+
+import anyio
+import anyio.abc
+from anyio.streams import memory
+
+from ramptray import timeline
+from ramptray.bundle import acceptance, signature
+from ramptray.core import claim, membership, message, request
+from ramptray.entry import link
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+
+LOG = logging.getLogger(__name__)
+
+TICK_S = 0.1
+NO_OWNER_S = 3.0
+"""How long a request waits for any scheduler before it is refused."""
+
+RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimWish:
+    """What is claimed for a request that may not be repeated.
+
+    Attributes:
+        key: Digest of customer, service and idempotency key.
+        digest: Digest of the body.
+    """
+
+    key: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submitted:
+    """A new request."""
+
+    ticket: Ticket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectFailed:
+    """The backend server refused the connection; nothing was sent."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begun:
+    """The first token has arrived."""
+
+    first: message.FirstToken
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completed:
+    """The whole answer has arrived.
+
+    Attributes:
+        ended: What the owner is told.
+        status: HTTP status of the answer.
+    """
+
+    ended: message.Ended
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The backend server says that it did not admit the request."""
+
+    ended: message.Ended
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The answer cannot be had any more."""
+
+    ended: message.Ended
+    reason: message.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The caller has gone."""
+
+    ended: message.Ended
+
+
+Event = (
+    Submitted
+    | ConnectFailed
+    | Begun
+    | Completed
+    | Refused
+    | Lost
+    | Abandoned
+    | link.Up
+    | link.Down
+    | link.Said
+)
+ExchangeEffect = request.Dispatch | request.Finish
+
+
+class Ticket:
+    """One request's connection between its exchange and the dispatcher."""
+
+    def __init__(
+        self,
+        info: message.RequestInfo,
+        wish: ClaimWish | None,
+        events: memory.MemoryObjectSendStream[Event],
+    ) -> None:
+        self.info = info
+        self.wish = wish
+        self.machine = request.RequestMachine(info, wish is not None)
+        self.submitted = time.monotonic()
+        self.dispatched: float | None = None
+        self.deadline = self.submitted + info.deadline_s
+        self.down_since: float | None = None
+        self._events = events
+        # Dispatches that are refused by a backend server come back here, so
+        # an exchange sees at most a few effects; it never blocks the sender.
+        self._effects, self.effects = anyio.create_memory_object_stream[
+            ExchangeEffect
+        ](64)
+
+    def report(self, event: Event) -> None:
+        """Hands an event to the dispatcher."""
+        with contextlib.suppress(anyio.ClosedResourceError):
+            self._events.send_nowait(event)
+
+    def perform(self, effect: ExchangeEffect) -> None:
+        """Hands an effect to the exchange."""
+        with contextlib.suppress(
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.WouldBlock,
+        ):
+            self._effects.send_nowait(effect)
+
+    def get_info(self, now: float) -> message.RequestInfo:
+        """Returns the request's facts with its ages as of now."""
+        return dataclasses.replace(
+            self.machine.info,
+            age_s=now - self.submitted,
+            deadline_s=max(0.0, self.deadline - now),
+        )
+
+
+class Dispatcher:
+    """Owns the request machines and the links to schedulers."""
+
+    def __init__(
+        self,
+        name: str,
+        vm: str,
+        zone: str,
+        local: str,
+        client: peer_link.PeerClient,
+        events: timeline.Timeline,
+    ) -> None:
+        self.in_force: acceptance.InForce | None = None
+        self.timeline = events
+        self._name = name
+        self._vm = vm
+        self._zone = zone
+        self._local = local
+        self._client = client
+        send, receive = anyio.create_memory_object_stream[Event](100_000)
+        self._send: memory.MemoryObjectSendStream[Event] = send
+        self._receive: memory.MemoryObjectReceiveStream[Event] = receive
+        self._tickets: dict[str, Ticket] = {}
+        self._links: dict[str, link.OwnerLink] = {}
+        self._members: dict[str, membership.Member] = {}
+        self._others: list[membership.Member] = []
+        self._down_links: set[str] = set()
+        self._learner = acceptance.Learner()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+        return self.in_force is not None
+
+    @property
+    def request_count(self) -> int:
+        """How many requests have not ended."""
+        return len(self._tickets)
+
+    def find_url(self, backend: str) -> str | None:
+        """Returns where a backend server of the bundle listens."""
+        if self.in_force is None:
+            return None
+        server = self.in_force.bundle.backend_servers.get(backend)
+        return server.url if server else None
+
+    def submit(
+        self, info: message.RequestInfo, wish: ClaimWish | None
+    ) -> Ticket:
+        """Takes a new request; its effects arrive on the ticket."""
+        ticket = Ticket(info, wish, self._send)
+        ticket.report(Submitted(ticket))
+        return ticket
+
+    async def run(self) -> None:
+        """Handles events until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._get_link(self._local)
+            tasks.start_soon(self._run_ticks)
+            async for event in self._receive:
+                self._handle(event, time.monotonic())
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            self._tick(time.monotonic())
+
+    def _handle(self, event: Event, now: float) -> None:
+        match event:
+            case Submitted(ticket):
+                self._begin(ticket, now)
+            case link.Up(address):
+                self._sync(address, now)
+            case link.Down(address):
+                self._lose_link(address, now)
+            case link.Said(address, body):
+                self._hear(address, body, now)
+            case _:
+                self._handle_exchange(event, now)
+
+    def _handle_exchange(self, event: Event, now: float) -> None:
+        ticket = self._tickets.get(_get_request_id(event))
+        if ticket is None:
+            return
+        machine = ticket.machine
+        match event:
+            case ConnectFailed():
+                self._perform(ticket, machine.fail_connect(), now)
+            case Begun(first):
+                if machine.owner:
+                    self._tell(machine.owner, first)
+                self.timeline.note("first_token", first.request_id)
+            case Completed(ended, status):
+                if ticket.wish:
+                    self._finish_claim(ticket, status)
+                self._perform(ticket, machine.complete(ended), now)
+            case Refused(ended):
+                self._perform(ticket, machine.refuse(ended), now)
+            case Lost(ended, reason):
+                self._perform(ticket, machine.lose(reason, ended), now)
+            case Abandoned(ended):
+                self._perform(ticket, machine.abandon(ended), now)
+
+    def _begin(self, ticket: Ticket, now: float) -> None:
+        info = ticket.info
+        self._tickets[info.request_id] = ticket
+        self.timeline.note("request", info.request_id, customer=info.customer)
+        if ticket.wish:
+            self._send_claim(ticket)
+        self._assign(ticket, now)
+
+    def _assign(self, ticket: Ticket, now: float) -> None:
+        """Finds the request's owner and asks it, or notes there is none."""
+        owner = self._find_owner(ticket.machine.info.shard)
+        if owner is None:
+            ticket.down_since = ticket.down_since or now
+            return
+        ticket.down_since = None
+        if owner == ticket.machine.owner:
+            return
+        dispatched = ticket.dispatched
+        elapsed = now - dispatched if dispatched is not None else 0.0
+        effects = ticket.machine.assign(owner, ticket.get_info(now), elapsed)
+        self._perform(ticket, effects, now)
+
+    def _find_owner(self, shard: message.ShardKey) -> str | None:
+        """Returns the address of the scheduler to ask for a shard."""
+        for members in (
+            [m for m in self._members.values() if m.zone == shard.zone],
+            [m for m in self._others if m.zone == shard.zone],
+            self._others,
+        ):
+            usable = {
+                m.vm: m.address
+                for m in members
+                if m.address not in self._down_links
+            }
+            owner = membership.pick_owner(shard.format(), list(usable))
+            if owner is not None:
+                return usable[owner]
+        return None
+
+    def _perform(
+        self, ticket: Ticket, effects: Iterable[request.Effect], now: float
+    ) -> None:
+        for effect in effects:
+            match effect:
+                case request.Tell(owner, told):
+                    self._tell(owner, told)
+                case request.Dispatch(grant):
+                    ticket.dispatched = now
+                    self.timeline.note(
+                        "dispatch", grant.request_id, backend=grant.backend
+                    )
+                    ticket.perform(effect)
+                case request.Finish(outcome, reason):
+                    self._tickets.pop(ticket.info.request_id, None)
+                    self.timeline.note(
+                        "end",
+                        ticket.info.request_id,
+                        outcome=outcome.value,
+                        reason=reason.value if reason else None,
+                    )
+                    ticket.perform(effect)
+                case request.Release():
+                    self._release_claim(ticket)
+                case request.Cancel():
+                    pass  # The exchange cancels the stream it owns.
+
+    # Claims: they go to the claim partition's scheduler.
+
+    def _claim_owner(self, key: str) -> str | None:
+        return self._find_owner(claim.get_partition_shard(self._zone, key))
+
+    def _send_claim(self, ticket: Ticket) -> None:
+        assert ticket.wish is not None
+        wish = ticket.wish
+        owner = self._claim_owner(wish.key)
+        if owner is not None:
+            claim_key = peer_message.ClaimKey(
+                wish.key, ticket.info.request_id, wish.digest
+            )
+            self._tell_any(owner, claim_key)
+
+    def _release_claim(self, ticket: Ticket) -> None:
+        assert ticket.wish is not None
+        owner = self._claim_owner(ticket.wish.key)
+        if owner is not None:
+            release = peer_message.ReleaseKey(
+                ticket.wish.key, ticket.info.request_id
+            )
+            self._tell_any(owner, release)
+
+    def _finish_claim(self, ticket: Ticket, status: int) -> None:
+        assert ticket.wish is not None
+        owner = self._claim_owner(ticket.wish.key)
+        if owner is not None:
+            finish = peer_message.FinishKey(
+                ticket.wish.key, ticket.info.request_id, status
+            )
+            self._tell_any(owner, finish)
+
+    def _decide_claim(
+        self, decision: peer_message.ClaimDecision, now: float
+    ) -> None:
+        ticket = self._tickets.get(decision.attempt)
+        if ticket is None:
+            return
+        verdict = claim.Verdict(decision.verdict)
+        held = verdict is claim.Verdict.HELD
+        finish = None if held else claim.make_finish(verdict)
+        effects = ticket.machine.decide_claim(held, finish)
+        self._perform(ticket, effects, now)
+
+    # Schedulers.
+
+    def _hear(self, address: str, body: object, now: float) -> None:
+        match body:
+            case message.Grant(request_id):
+                self._take_grant(body, request_id, now)
+            case message.Reject(request_id):
+                if ticket := self._tickets.get(request_id):
+                    effects = ticket.machine.receive_reject(body, address)
+                    self._perform(ticket, effects, now)
+            case message.Redirect(request_id):
+                self._redirect(address, body, now)
+            case peer_message.ClaimDecision():
+                self._decide_claim(body, now)
+            case peer_message.View() if address == self._local:
+                self._take_view(body, now)
+            case peer_message.BundleUpdate(envelope):
+                self._take_bundle(address, envelope)
+
+    def _take_grant(
+        self, grant: message.Grant, request_id: str, now: float
+    ) -> None:
+        ticket = self._tickets.get(request_id)
+        if ticket is None:
+            decline = message.Decline(request_id, grant.grant_id)
+            self._tell(grant.owner, decline)
+            return
+        self._perform(ticket, ticket.machine.receive_grant(grant), now)
+
+    def _redirect(
+        self, address: str, redirect: message.Redirect, now: float
+    ) -> None:
+        ticket = self._tickets.get(redirect.request_id)
+        if ticket is None or ticket.machine.owner != address:
+            return
+        if ticket.machine.state is not request.State.WAITING:
+            return
+        info = ticket.get_info(now)
+        info = dataclasses.replace(
+            info,
+            shard=dataclasses.replace(info.shard, zone=redirect.zone),
+            spilled_from=(*info.spilled_from, info.shard.zone),
+        )
+        self.timeline.note("redirect", info.request_id, zone=redirect.zone)
+        effects = ticket.machine.assign(redirect.owner, info)
+        self._perform(ticket, effects, now)
+
+    def _take_view(self, view: peer_message.View, now: float) -> None:
+        self._members = {m.vm: m for m in view.members}
+        self._others = view.others
+        known = {m.address for m in (*view.members, *view.others)}
+        for address in set(self._links) - known - {self._local}:
+            self._links.pop(address).stop()
+            self._down_links.discard(address)
+        self._reassign_all(now)
+
+    def _take_bundle(self, address: str, envelope: signature.Envelope) -> None:
+        if self._learner.learn(envelope):
+            self.in_force = self._learner.in_force
+            assert self.in_force is not None
+            self.timeline.note(
+                "bundle", f"generation-{self.in_force.generation}"
+            )
+            LOG.info(
+                "bundle in force",
+                extra={"generation": self.in_force.generation},
+            )
+        if self.in_force:
+            report = peer_message.InForceReport(self.in_force.generation)
+            self._tell_any(address, report)
+
+    # Links.
+
+    def _tell(self, owner: str, told: message.EntryMessage) -> None:
+        self._tell_any(owner, told)
+
+    def _tell_any(self, address: str, body: object) -> None:
+        self._get_link(address).send(body)
+
+    def _get_link(self, address: str) -> link.OwnerLink:
+        if address not in self._links:
+            hello = peer_message.Hello(self._name, self._vm, "entry")
+            owner_link = link.OwnerLink(
+                address, hello, self._client, self._send
+            )
+            self._links[address] = owner_link
+            assert self._tasks is not None
+            self._tasks.start_soon(owner_link.run)
+        return self._links[address]
+
+    def _sync(self, address: str, now: float) -> None:
+        """Tells a scheduler all that waits or runs with it."""
+        self._down_links.discard(address)
+        for ticket in self._tickets.values():
+            if ticket.machine.owner == address:
+                self._resend(ticket, now)
+            if ticket.machine.claim is request.Claim.PENDING:
+                self._send_claim(ticket)
+        self._tell(address, message.SyncDone(self._name))
+        self._reassign_all(now)
+
+    def _resend(self, ticket: Ticket, now: float) -> None:
+        owner = ticket.machine.owner
+        assert owner is not None
+        since = ticket.dispatched
+        effects = ticket.machine.assign(
+            owner, ticket.get_info(now), now - since if since else 0.0
+        )
+        self._perform(ticket, effects, now)
+
+    def _lose_link(self, address: str, now: float) -> None:
+        self._down_links.add(address)
+        self._reassign_all(now)
+
+    def _reassign_all(self, now: float) -> None:
+        for ticket in list(self._tickets.values()):
+            owner = ticket.machine.owner
+            # A request sent on to another zone stays there while it can.
+            spilled = bool(ticket.machine.info.spilled_from)
+            if spilled and owner and owner not in self._down_links:
+                continue
+            self._assign(ticket, now)
+        for ticket in self._tickets.values():
+            if ticket.machine.claim is request.Claim.PENDING:
+                self._send_claim(ticket)
+
+    def _tick(self, now: float) -> None:
+        for ticket in list(self._tickets.values()):
+            reason = self._find_give_up_reason(ticket, now)
+            if reason is not None:
+                effects = ticket.machine.give_up(reason, RETRY_AFTER_S)
+                self._perform(ticket, effects, now)
+
+    @staticmethod
+    def _find_give_up_reason(
+        ticket: Ticket, now: float
+    ) -> message.Reason | None:
+        if ticket.machine.state is not request.State.WAITING:
+            return None
+        if now >= ticket.deadline:
+            pending = ticket.machine.claim is request.Claim.PENDING
+            granted = ticket.machine.grant is not None
+            if pending and granted:
+                return message.Reason.LOG_UNAVAILABLE
+            return message.Reason.DEADLINE
+        down = ticket.down_since
+        if down is not None and now - down > NO_OWNER_S:
+            return message.Reason.NOT_READY
+        return None
+
+
+def _get_request_id(event: Event) -> str:
+    match event:
+        case ConnectFailed(request_id):
+            return request_id
+        case Begun(first):
+            return first.request_id
+        case Completed(ended) | Refused(ended) | Lost(ended) | Abandoned(ended):
+            return ended.request_id
+    return ""
--- /dev/null
+++ b/ramptray/entry/exchange.py
@@ -0,0 +1,205 @@
+"""The task that serves one model request: one dispatch, one stream.
+
+It owns the connection to the backend server.  When the connection breaks it
+resumes the same stream; it never sends the request a second time.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+import msgspec
+from anyio.streams import memory
+
+from ramptray.core import message, request
+from ramptray.engine import client as engine_client
+from ramptray.engine import event
+from ramptray.entry import dispatcher
+
+RESUME_S = 8.0
+"""How long a broken stream is tried to be resumed, in seconds."""
+
+RESUME_PAUSE_S = 0.2
+BUFFER_EVENTS = 256
+"""Events that may wait for a slow caller."""
+
+
+class StreamEndedError(Exception):
+    """A stream ended without its end marker."""
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: dict[str, int] = {}
+
+
+class _Chunk(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
+
+Item = event.Event | request.Finish
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelCall:
+    """What is sent to the engine.
+
+    Attributes:
+        path: Path of the engine's interface.
+        body: The request's body, already asking for a stream.
+    """
+
+    path: str
+    body: bytes
+
+
+class Exchange:
+    """Serves one model request from grant to last event."""
+
+    def __init__(
+        self,
+        ticket: dispatcher.Ticket,
+        call: ModelCall,
+        client: engine_client.EngineClient,
+        find_url: Callable[[str], str | None],
+        idle_write_s: float,
+    ) -> None:
+        self.request_id = ticket.info.request_id
+        self._ticket = ticket
+        self._call = call
+        self._client = client
+        self._find_url = find_url
+        self._idle_write_s = idle_write_s
+        self._send: memory.MemoryObjectSendStream[Item]
+        self._send, self.items = anyio.create_memory_object_stream[Item](
+            BUFFER_EVENTS
+        )
+        self._scope = anyio.CancelScope()
+        self._position = 0
+        self._tokens = 0
+        self._dispatched_at = 0.0
+        self._first_at: float | None = None
+        self._url: str | None = None
+
+    def abandon(self) -> None:
+        """Ends the exchange because the caller has gone."""
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Serves the request; items end with a ``Finish``."""
+        with self._scope:
+            async with self._send:
+                async for effect in self._ticket.effects:
+                    if isinstance(effect, request.Finish):
+                        await self._put(effect)
+                        return
+                    await self._dispatch(effect.grant)
+        if self._scope.cancelled_caught:
+            await self._leave()
+
+    async def _leave(self) -> None:
+        self._ticket.report(dispatcher.Abandoned(self._make_ended(False)))
+        if self._url is None:
+            return
+        with anyio.CancelScope(shield=True):
+            try:
+                await self._client.cancel(self._url, self.request_id)
+            except engine_client.EngineError:
+                return
+
+    async def _dispatch(self, grant: message.Grant) -> None:
+        url = self._find_url(grant.backend)
+        if url is None:
+            self._ticket.report(dispatcher.ConnectFailed(self.request_id))
+            return
+        self._dispatched_at = time.monotonic()
+        try:
+            async with self._client.dispatch(
+                url, self._call.path, self.request_id, self._call.body
+            ) as events:
+                self._url = url
+                await self._pass_on(events)
+        except engine_client.NotSentError:
+            self._ticket.report(dispatcher.ConnectFailed(self.request_id))
+        except engine_client.RefusedError:
+            self._ticket.report(dispatcher.Refused(self._make_ended(False)))
+        except (engine_client.BrokenError, StreamEndedError):
+            self._url = url
+            await self._resume(url)
+
+    async def _resume(self, url: str) -> None:
+        gives_up_at = time.monotonic() + RESUME_S
+        while time.monotonic() < gives_up_at:
+            try:
+                async with self._client.resume(
+                    url, self.request_id, self._position
+                ) as events:
+                    await self._pass_on(events)
+                    return
+            except engine_client.GoneError:
+                self._lose(message.Reason.BACKEND_LOST)
+                return
+            except (engine_client.EngineError, StreamEndedError):
+                await anyio.sleep(RESUME_PAUSE_S)
+        self._lose(message.Reason.STREAM_BROKEN)
+
+    def _lose(self, reason: message.Reason) -> None:
+        ended = self._make_ended(False, certain=False)
+        self._ticket.report(dispatcher.Lost(ended, reason))
+
+    async def _pass_on(self, events: AsyncIterator[event.Event]) -> None:
+        async for found in events:
+            if found.number != self._position + 1:
+                continue  # Repeated by a resume.
+            self._position = found.number
+            if found.is_end:
+                ended = self._make_ended(True)
+                self._ticket.report(dispatcher.Completed(ended, 200))
+                return
+            self._note(found)
+            await self._put(found)
+        raise StreamEndedError
+
+    def _note(self, found: event.Event) -> None:
+        self._tokens += 1
+        if self._first_at is not None:
+            return
+        self._first_at = time.monotonic()
+        usage = _read_usage(found.data)
+        cached = usage.prompt_tokens_details.get("cached_tokens", 0)
+        first = message.FirstToken(
+            self.request_id,
+            self._first_at - self._dispatched_at,
+            max(0, usage.prompt_tokens - cached),
+            cached,
+        )
+        self._ticket.report(dispatcher.Begun(first))
+
+    async def _put(self, item: Item) -> None:
+        """Hands an item to the caller; one that does not read is dropped."""
+        try:
+            with anyio.fail_after(self._idle_write_s):
+                await self._send.send(item)
+        except (TimeoutError, anyio.BrokenResourceError):
+            self._scope.cancel()
+            await anyio.lowlevel.checkpoint()
+
+    def _make_ended(self, whole: bool, certain: bool = True) -> message.Ended:
+        began = self._first_at
+        decode_s = time.monotonic() - began if began is not None else 0.0
+        # The last chunk carries the reason of the end and no token.
+        tokens = max(0, self._tokens - 1) if whole else self._tokens
+        return message.Ended(self.request_id, tokens, decode_s, whole, certain)
+
+
+def _read_usage(data: str) -> _Usage:
+    try:
+        return _CHUNK_DECODER.decode(data).usage or _Usage()
+    except msgspec.MsgspecError:
+        return _Usage()
--- /dev/null
+++ b/ramptray/entry/link.py
@@ -0,0 +1,114 @@
+"""The task that keeps one link from an entry to a scheduler."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import logging
+from typing import Any
+
+import anyio
+from anyio.streams import memory
+
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+
+LOG = logging.getLogger(__name__)
+
+RECONNECT_S = 0.2
+QUEUE_MESSAGES = 50_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Up:
+    """The link to a scheduler is open and nothing was sent on it yet."""
+
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Down:
+    """The link to a scheduler is broken; what was queued is dropped."""
+
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Said:
+    """A scheduler has sent a message."""
+
+    address: str
+    body: Any
+
+
+class OwnerLink:
+    """Keeps a link to one scheduler open, and reopens it when it breaks.
+
+    What is sent while the link is down is dropped: when it is up again the
+    dispatcher tells the scheduler everything anew.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        hello: peer_message.Hello,
+        client: peer_link.PeerClient,
+        events: memory.MemoryObjectSendStream[Any],
+    ) -> None:
+        self.address = address
+        self._hello = hello
+        self._client = client
+        self._events = events
+        self._queue: memory.MemoryObjectSendStream[Any] | None = None
+        self._scope = anyio.CancelScope()
+
+    def send(self, body: Any) -> None:
+        """Queues a message if the link is up."""
+        if self._queue is None:
+            return
+        with contextlib.suppress(
+            anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):
+            try:
+                self._queue.send_nowait(body)
+            except anyio.WouldBlock:
+                self._queue.close()
+
+    def stop(self) -> None:
+        """Closes the link for good."""
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Keeps the link until it is stopped."""
+        with self._scope:
+            while True:
+                try:
+                    await self._hold()
+                except* peer_link.LinkError as group:
+                    LOG.debug("link down: %s", group.exceptions[0])
+                self._queue = None
+                self._events.send_nowait(Down(self.address))
+                await anyio.sleep(RECONNECT_S)
+        await self._client.forget(self.address)
+
+    async def _hold(self) -> None:
+        async with self._client.attach(self.address) as opened:
+            await opened.send(self._hello)
+            # The scheduler answers a greeting at once with what it knows.
+            first = await opened.receive()
+            send, receive = anyio.create_memory_object_stream[Any](
+                QUEUE_MESSAGES
+            )
+            self._queue = send
+            self._events.send_nowait(Up(self.address))
+            self._events.send_nowait(Said(self.address, first))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._read, opened)
+                async for body in receive:
+                    await opened.send(body)
+                raise peer_link.LinkError(f"{self.address}: queue overflow")
+
+    async def _read(self, opened: peer_link.Link) -> None:
+        while True:
+            body = await opened.receive()
+            self._events.send_nowait(Said(self.address, body))
--- /dev/null
+++ b/ramptray/entry/main.py
@@ -0,0 +1,76 @@
+"""``ramptray-entry``: callers' requests and their dispatch on one VM."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+
+from ramptray import process, timeline, wallclock, webserver
+from ramptray.caller import app as caller_app
+from ramptray.caller import metrics
+from ramptray.core import clock
+from ramptray.engine import client as engine_client
+from ramptray.entry import dispatcher
+from ramptray.peer import link as peer_link
+from ramptray.service import client as service_client
+from ramptray.settings import EntrySettings
+
+LOG = logging.getLogger(__name__)
+
+LAME_DUCK_S = 1.0
+"""How long a stopping entry says it is not ready before it stops listening."""
+
+
+async def main(settings: EntrySettings, stop: process.Stop) -> None:
+    """Serves until a stop is asked for and what runs has ended."""
+    hybrid_clock = clock.HybridClock(wallclock.read)
+    events = timeline.Timeline(
+        f"entry/{settings.vm}", settings.zone, hybrid_clock
+    )
+    client = peer_link.PeerClient(hybrid_clock, settings.tls)
+    desk = dispatcher.Dispatcher(
+        f"entry/{settings.vm}",
+        settings.vm,
+        settings.zone,
+        settings.scheduler,
+        client,
+        events,
+    )
+    listener = webserver.bind(settings.listen)
+    async with anyio.create_task_group() as tasks:
+        served = caller_app.CallerApp(
+            settings,
+            desk,
+            engine_client.EngineClient(),
+            service_client.ServiceClient(),
+            metrics.Metrics(),
+            tasks,
+        )
+        server = webserver.make_server(
+            served.make_app(),
+            settings.limits.connections,
+            settings.limits.header_bytes,
+        )
+        tasks.start_soon(desk.run)
+        async with anyio.create_task_group() as serving:
+            serving.start_soon(server.serve, [listener])
+            LOG.info("listening", extra={"address": settings.listen})
+            await stop.event.wait()
+            served.stopping = True
+            await anyio.sleep(LAME_DUCK_S)
+            server.should_exit = True
+            serving.cancel_scope.deadline = (
+                anyio.current_time() + settings.drain_s
+            )
+        LOG.info("drained", extra={"left": desk.request_count})
+        await client.close()
+        tasks.cancel_scope.cancel()
+
+
+run = process.make_program(
+    "ramptray-entry",
+    EntrySettings,
+    main,
+    "Takes callers' requests and dispatches each of them at most once.",
+)
--- /dev/null
+++ b/ramptray/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool: seeded load with a report."""
--- /dev/null
+++ b/ramptray/load/plan.py
@@ -0,0 +1,170 @@
+"""What load is sent: settings and the seeded schedule of requests."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+import random
+import uuid
+
+import pydantic
+
+from ramptray.bundle import model
+from ramptray.core import prefix
+
+WORD = "lorem "
+
+
+class Kind(enum.Enum):
+    """Which interface a class of requests uses."""
+
+    CHAT = "chat"
+    PLAIN = "plain"
+
+
+class Burst(model.Model):
+    """A time of higher rates.
+
+    Attributes:
+        at_s: Its beginning.
+        for_s: Its length.
+        factor: By how much all rates grow.
+    """
+
+    at_s: float = pydantic.Field(ge=0)
+    for_s: float = pydantic.Field(gt=0)
+    factor: float = pydantic.Field(gt=0)
+
+
+class LoadClass(model.Model):
+    """A class of like requests.
+
+    Attributes:
+        customer: The customer that sends them.
+        tier: The tier they ask for.
+        service: The service they go to.
+        kind: The interface they use.
+        rate_per_s: Requests a second.
+        prompt_tokens: Least and most; drawn evenly on a log scale.
+        shared_tokens: Tokens that prompts of one group begin with.
+        groups: How many such groups there are.
+        max_tokens: Least and most output tokens asked for.
+        deadline_s: Deadline sent along.
+        repeatable: Whether requests carry no idempotency key.
+        stream: Whether answers are streamed.
+    """
+
+    customer: model.Name
+    tier: model.Name
+    service: model.Name
+    kind: Kind = Kind.CHAT
+    rate_per_s: float = pydantic.Field(gt=0)
+    prompt_tokens: tuple[int, int] = (16, 64)
+    shared_tokens: int = pydantic.Field(0, ge=0)
+    groups: int = pydantic.Field(1, ge=1)
+    max_tokens: tuple[int, int] = (8, 32)
+    deadline_s: float = pydantic.Field(30.0, gt=0)
+    repeatable: bool = True
+    stream: bool = True
+
+
+class LoadSettings(model.Model):
+    """Settings of ``ramptray-load``.
+
+    Attributes:
+        entries: Base URLs of the entries, used in turn.
+        keys: Bearer key of each customer.
+        engines: Base URLs of engine stand-ins whose ledgers are read.
+        seed: Seed of everything that is drawn.
+        duration_s: How long requests are sent.
+        classes: What is sent.
+        bursts: Times of higher rates.
+    """
+
+    entries: list[model.Url] = pydantic.Field(min_length=1)
+    keys: dict[model.Name, str]
+    engines: list[model.Url] = []
+    seed: int = 1
+    duration_s: float = pydantic.Field(10.0, gt=0)
+    classes: list[LoadClass] = pydantic.Field(min_length=1)
+    bursts: list[Burst] = []
+    log_level: str = "WARNING"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shot:
+    """One request to be sent.
+
+    Attributes:
+        at_s: When, from the beginning.
+        number: Its place in the schedule.
+        kind: What it is.
+        prompt: Its prompt, or the body of a call to a plain service.
+        max_tokens: Output tokens asked for.
+        key: Idempotency key, where it may not be repeated.
+    """
+
+    at_s: float
+    number: int
+    kind: LoadClass
+    prompt: str
+    max_tokens: int
+    key: str | None
+
+
+def make_schedule(settings: LoadSettings) -> list[Shot]:
+    """Returns the requests to send, in order; the seed alone decides."""
+    rng = random.Random(settings.seed)
+    shots = [
+        _draw_shot(kind, at_s, rng)
+        for kind in settings.classes
+        for at_s in _draw_times(kind, settings, rng)
+    ]
+    shots.sort(key=lambda shot: shot.at_s)
+    return [
+        dataclasses.replace(shot, number=number)
+        for number, shot in enumerate(shots)
+    ]
+
+
+def _draw_times(
+    kind: LoadClass, settings: LoadSettings, rng: random.Random
+) -> list[float]:
+    """Draws arrivals of a Poisson process whose rate rises in bursts."""
+    highest = max([1.0, *(burst.factor for burst in settings.bursts)])
+    times: list[float] = []
+    at_s = rng.expovariate(kind.rate_per_s * highest)
+    while at_s < settings.duration_s:
+        if rng.random() < _get_factor(at_s, settings.bursts) / highest:
+            times.append(at_s)
+        at_s += rng.expovariate(kind.rate_per_s * highest)
+    return times
+
+
+def _get_factor(at_s: float, bursts: list[Burst]) -> float:
+    factors = [b.factor for b in bursts if b.at_s <= at_s < b.at_s + b.for_s]
+    return max(factors, default=1.0)
+
+
+def _draw_shot(kind: LoadClass, at_s: float, rng: random.Random) -> Shot:
+    low, high = kind.prompt_tokens
+    tokens = int(math.exp(rng.uniform(math.log(low), math.log(high))))
+    group = rng.randrange(kind.groups)
+    shared = _make_text(f"{kind.customer} {group}", kind.shared_tokens)
+    own = _make_text(f"{rng.getrandbits(64):016x}", max(tokens, 8))
+    key = str(uuid.UUID(int=rng.getrandbits(128), version=4))
+    return Shot(
+        at_s,
+        0,
+        kind,
+        shared + own,
+        rng.randint(*kind.max_tokens),
+        None if kind.repeatable else key,
+    )
+
+
+def _make_text(start: str, tokens: int) -> str:
+    length = tokens * prefix.CHARS_PER_TOKEN
+    repeats = length // len(WORD) + 1
+    return (f"{start} " + WORD * repeats)[:length]
--- /dev/null
+++ b/ramptray/load/report.py
@@ -0,0 +1,134 @@
+"""Sums up what became of the requests, by tier."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+from typing import Any
+
+from hdrh import histogram
+
+from ramptray.load import shooter
+
+_HIGHEST_US = 600_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TierReport:
+    """What became of one tier's requests.
+
+    Attributes:
+        tier: The tier.
+        sent: Requests sent.
+        complete: Whole answers.
+        useful: Whole answers within their deadline (goodput).
+        not_run: Refusals that say the request did not run.
+        unknown: Ends where the request may have run.
+        broken: Requests whose entry went away.
+        wrong: Answers that were not the whole answer to their request.
+        useful_tokens: Output tokens of the useful answers.
+        first_token_p50_s: Median time to the first token.
+        first_token_p95_s: 95th percentile of it.
+        gap_p95_s: 95th percentile of the time between tokens.
+        reasons: Why there was no whole answer.
+    """
+
+    tier: str
+    sent: int
+    complete: int
+    useful: int
+    not_run: int
+    unknown: int
+    broken: int
+    wrong: int
+    useful_tokens: int
+    first_token_p50_s: float | None
+    first_token_p95_s: float | None
+    gap_p95_s: float | None
+    reasons: dict[str, int]
+
+
+def sum_up(hits: Iterable[shooter.Hit]) -> list[TierReport]:
+    """Returns a report for each tier."""
+    by_tier: dict[str, list[shooter.Hit]] = collections.defaultdict(list)
+    for hit in hits:
+        by_tier[hit.tier].append(hit)
+    return [_sum_up_tier(tier, found) for tier, found in by_tier.items()]
+
+
+def get_percentile(values: Iterable[float], quantile: float) -> float | None:
+    """Returns a percentile of durations in seconds, None for no values."""
+    found = histogram.HdrHistogram(1, _HIGHEST_US, 3)
+    for value in values:
+        found.record_value(max(1, int(value * 1e6)))
+    if found.get_total_count() == 0:
+        return None
+    return round(float(found.get_value_at_percentile(quantile)) / 1e6, 4)
+
+
+def format_table(reports: list[TierReport]) -> str:
+    """Returns the reports as a table for a terminal."""
+    header = (
+        f"{'tier':<12}{'sent':>7}{'complete':>9}{'useful':>8}{'not run':>8}"
+        f"{'unknown':>8}{'broken':>7}{'wrong':>6}{'goodput':>9}"
+        f"{'first p50':>10}{'first p95':>10}{'gap p95':>9}"
+    )
+    return "\n".join([header, *(_format_row(report) for report in reports)])
+
+
+def summarize(
+    reports: list[TierReport], ledgers: list[dict[str, Any]]
+) -> dict[str, Any]:
+    """Returns everything as one JSON object."""
+    prefill = sum(ledger["prefill_tokens"] for ledger in ledgers)
+    wasted = sum(ledger["wasted_prefill_tokens"] for ledger in ledgers)
+    cached = sum(ledger["cached_tokens"] for ledger in ledgers)
+    return {
+        "tiers": [dataclasses.asdict(report) for report in reports],
+        "prefill_tokens": prefill,
+        "wasted_prefill_tokens": wasted,
+        "wasted_prefill_share": wasted / prefill if prefill else 0.0,
+        "cache_hit_share": cached / (cached + prefill) if prefill else 0.0,
+    }
+
+
+def _sum_up_tier(tier: str, hits: list[shooter.Hit]) -> TierReport:
+    outcomes = collections.Counter(hit.outcome for hit in hits)
+    firsts = [h.first_token_s for h in hits if h.first_token_s is not None]
+    gaps = [gap for hit in hits for gap in hit.gaps]
+    useful = [hit for hit in hits if hit.useful]
+    complete = [hit for hit in hits if hit.outcome == "complete"]
+    return TierReport(
+        tier,
+        sent=len(hits),
+        complete=len(complete),
+        useful=len(useful),
+        not_run=outcomes["not_run"],
+        unknown=outcomes["unknown"],
+        broken=outcomes["broken"],
+        wrong=sum(not hit.whole for hit in complete),
+        useful_tokens=sum(hit.tokens for hit in useful),
+        first_token_p50_s=get_percentile(firsts, 50),
+        first_token_p95_s=get_percentile(firsts, 95),
+        gap_p95_s=get_percentile(gaps, 95),
+        reasons=dict(
+            collections.Counter(hit.reason for hit in hits if hit.reason)
+        ),
+    )
+
+
+def _format_row(report: TierReport) -> str:
+    goodput = report.useful / report.sent if report.sent else 0.0
+    return (
+        f"{report.tier:<12}{report.sent:>7}{report.complete:>9}"
+        f"{report.useful:>8}{report.not_run:>8}{report.unknown:>8}"
+        f"{report.broken:>7}{report.wrong:>6}{goodput:>9.1%}"
+        f"{_format_s(report.first_token_p50_s):>10}"
+        f"{_format_s(report.first_token_p95_s):>10}"
+        f"{_format_s(report.gap_p95_s):>9}"
+    )
+
+
+def _format_s(seconds: float | None) -> str:
+    return "-" if seconds is None else f"{seconds * 1000:.0f} ms"
--- /dev/null
+++ b/ramptray/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between ramptray's own processes, over gRPC."""
--- /dev/null
+++ b/ramptray/peer/codec.py
@@ -0,0 +1,88 @@
+"""Encodes messages between processes as MessagePack.
+
+Each frame is (clock, type name, body): the sender's hybrid logical clock, the
+message's class and its fields.  Decoding validates every field.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from typing import Any
+
+import msgspec
+
+from ramptray.core import message as core_message
+from ramptray.peer import message as peer_message
+
+_KINDS: dict[str, type[Any]] = {
+    kind.__name__: kind
+    for kind in itertools.chain(
+        (
+            core_message.Enqueue,
+            core_message.Running,
+            core_message.Withdraw,
+            core_message.Decline,
+            core_message.FirstToken,
+            core_message.Ended,
+            core_message.SyncDone,
+            core_message.Grant,
+            core_message.Reject,
+            core_message.Redirect,
+        ),
+        (
+            peer_message.Hello,
+            peer_message.View,
+            peer_message.BundleUpdate,
+            peer_message.InForceReport,
+            peer_message.ClaimKey,
+            peer_message.ReleaseKey,
+            peer_message.FinishKey,
+            peer_message.ClaimDecision,
+            peer_message.Gossip,
+            peer_message.FetchBundle,
+            peer_message.FetchedBundle,
+            peer_message.AskStatus,
+            peer_message.Status,
+            peer_message.AskTimeline,
+            peer_message.TimelineEvents,
+        ),
+    )
+}
+
+_Frame = tuple[int, str, msgspec.Raw]
+_ENCODER = msgspec.msgpack.Encoder()
+_FRAME_DECODER = msgspec.msgpack.Decoder(_Frame)
+_DECODERS = {
+    name: msgspec.msgpack.Decoder(kind) for name, kind in _KINDS.items()
+}
+
+
+class CodecError(Exception):
+    """Bytes from a peer that are not a message."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """A decoded message with its sender's clock."""
+
+    clock: int
+    body: Any
+
+
+def encode(clock: int, body: Any) -> bytes:
+    """Returns a message as bytes."""
+    return _ENCODER.encode((clock, type(body).__name__, body))
+
+
+def decode(data: bytes) -> Frame:
+    """Returns the message in the bytes.
+
+    Raises:
+        CodecError: The bytes are not a known, valid message.
+    """
+    try:
+        clock, name, raw = _FRAME_DECODER.decode(data)
+        return Frame(clock, _DECODERS[name].decode(raw))
+    except (msgspec.MsgspecError, KeyError) as error:
+        raise CodecError(f"not a message of this version: {error}") from error
--- /dev/null
+++ b/ramptray/peer/link.py
@@ -0,0 +1,325 @@
+"""The gRPC channel between ramptray's processes.
+
+``Attach`` is a stream in both directions, kept open between an entry (or a
+controller) and a scheduler.  ``Ask`` is one question with one answer.
+"""
+
+from __future__ import annotations
+
+import abc
+import contextlib
+import pathlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+import anyio.abc
+import grpc
+import grpc.aio
+from anyio.streams import memory
+
+from ramptray import settings
+from ramptray.core import clock
+from ramptray.peer import codec
+
+SERVICE = "ramptray.Peer"
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+QUEUE_FRAMES = 10_000
+"""Frames that may wait for a slow peer before its link is cut."""
+
+_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_FRAME_BYTES),
+    ("grpc.max_send_message_length", MAX_FRAME_BYTES),
+    ("grpc.keepalive_time_ms", 1000),
+    ("grpc.keepalive_timeout_ms", 1500),
+    ("grpc.keepalive_permit_without_calls", 0),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", 500),
+    ("grpc.http2.max_ping_strikes", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.so_reuseport", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+]
+
+
+class LinkError(Exception):
+    """A peer cannot be reached, or the link to it broke."""
+
+
+class Session:
+    """One attached peer, as the serving side sees it."""
+
+    def __init__(self) -> None:
+        send, receive = anyio.create_memory_object_stream[Any](QUEUE_FRAMES)
+        self._send = send
+        self.outgoing: memory.MemoryObjectReceiveStream[Any] = receive
+
+    def send(self, body: Any) -> None:
+        """Queues a message; a peer that does not read loses its link."""
+        with contextlib.suppress(
+            anyio.ClosedResourceError, anyio.BrokenResourceError
+        ):
+            try:
+                self._send.send_nowait(body)
+            except anyio.WouldBlock:
+                self.close()
+
+    def close(self) -> None:
+        """Ends the session; the peer sees the end of the stream."""
+        self._send.close()
+
+
+class Servant(abc.ABC):
+    """What a serving process does with its peers' messages."""
+
+    @abc.abstractmethod
+    async def open(self, session: Session) -> None:
+        """A peer has attached."""
+
+    @abc.abstractmethod
+    async def receive(self, session: Session, body: Any) -> None:
+        """An attached peer has sent a message."""
+
+    @abc.abstractmethod
+    async def close(self, session: Session) -> None:
+        """An attached peer has gone."""
+
+    @abc.abstractmethod
+    async def answer(self, question: Any) -> Any:
+        """Returns the answer to one question."""
+
+
+class PeerServer:
+    """Serves peers over gRPC."""
+
+    def __init__(
+        self,
+        servant: Servant,
+        hybrid_clock: clock.HybridClock,
+        tls: settings.TlsSettings | None,
+    ) -> None:
+        self._servant = servant
+        self._clock = hybrid_clock
+        self._tls = tls
+        self._server: grpc.aio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Starts to serve.
+
+        Raises:
+            LinkError: The address cannot be had.
+        """
+        self._server = grpc.aio.server(options=_OPTIONS)
+        handlers: dict[str, Any] = {
+            "Attach": grpc.stream_stream_rpc_method_handler(self._attach),
+            "Ask": grpc.unary_unary_rpc_method_handler(self._ask),
+        }
+        self._server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(SERVICE, handlers),)
+        )
+        try:
+            if self._tls:
+                self._server.add_secure_port(
+                    address, _make_server_credentials(self._tls)
+                )
+            else:
+                self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise LinkError(f"cannot listen on {address}: {error}") from error
+        await self._server.start()
+
+    async def stop(self, grace_s: float = 0.5) -> None:
+        """Stops serving; open streams end after the grace."""
+        if self._server:
+            await self._server.stop(grace_s)
+
+    async def _attach(
+        self,
+        frames: AsyncIterator[bytes],
+        context: grpc.aio.ServicerContext[bytes, bytes],
+    ) -> None:
+        session = Session()
+        await self._servant.open(session)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._read, session, frames)
+                async for body in session.outgoing:
+                    await context.write(codec.encode(self._clock.tick(), body))
+                tasks.cancel_scope.cancel()
+        except* (grpc.aio.AioRpcError, grpc.aio.UsageError, grpc.RpcError):
+            pass
+        finally:
+            session.close()
+            with anyio.CancelScope(shield=True):
+                await self._servant.close(session)
+
+    async def _read(
+        self, session: Session, frames: AsyncIterator[bytes]
+    ) -> None:
+        try:
+            async for data in frames:
+                frame = codec.decode(data)
+                self._clock.witness(frame.clock)
+                await self._servant.receive(session, frame.body)
+        finally:
+            session.close()
+
+    async def _ask(
+        self, data: bytes, context: grpc.aio.ServicerContext[bytes, bytes]
+    ) -> bytes:
+        try:
+            frame = codec.decode(data)
+        except codec.CodecError as error:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        self._clock.witness(frame.clock)
+        answer = await self._servant.answer(frame.body)
+        return codec.encode(self._clock.tick(), answer)
+
+
+class PeerClient:
+    """Opens links to serving peers; one channel an address."""
+
+    def __init__(
+        self,
+        hybrid_clock: clock.HybridClock,
+        tls: settings.TlsSettings | None,
+    ) -> None:
+        self._clock = hybrid_clock
+        self._tls = tls
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self.sent_bytes = 0
+
+    async def ask(self, address: str, question: Any, timeout_s: float) -> Any:
+        """Returns the peer's answer.
+
+        Raises:
+            LinkError: There was no answer in time.
+        """
+        call: Any = self._get_channel(address).unary_unary(f"/{SERVICE}/Ask")
+        data = codec.encode(self._clock.tick(), question)
+        self.sent_bytes += len(data)
+        try:
+            frame = codec.decode(await call(data, timeout=timeout_s))
+        except (grpc.aio.AioRpcError, codec.CodecError) as error:
+            raise LinkError(f"{address}: {_describe(error)}") from error
+        self._clock.witness(frame.clock)
+        return frame.body
+
+    @contextlib.asynccontextmanager
+    async def attach(self, address: str) -> AsyncIterator[Link]:
+        """Opens a link; it is cut when the context ends.
+
+        Raises:
+            LinkError: The peer cannot be reached.
+        """
+        call: Any = self._get_channel(address).stream_stream(
+            f"/{SERVICE}/Attach"
+        )(wait_for_ready=False)
+        try:
+            yield Link(address, call, self._clock)
+        finally:
+            call.cancel()
+
+    async def close(self) -> None:
+        """Closes all channels."""
+        for channel in self._channels.values():
+            await channel.close()
+        self._channels.clear()
+
+    async def forget(self, address: str) -> None:
+        """Closes the channel to a peer that has gone for good."""
+        if channel := self._channels.pop(address, None):
+            await channel.close()
+
+    def _get_channel(self, address: str) -> grpc.aio.Channel:
+        if address not in self._channels:
+            self._channels[address] = self._open_channel(address)
+        return self._channels[address]
+
+    def _open_channel(self, address: str) -> grpc.aio.Channel:
+        if not self._tls:
+            return grpc.aio.insecure_channel(address, options=_OPTIONS)
+        name = ("grpc.ssl_target_name_override", self._tls.server_name)
+        return grpc.aio.secure_channel(
+            address,
+            _make_client_credentials(self._tls),
+            options=[*_OPTIONS, name],
+        )
+
+
+class Link:
+    """The attaching side of a stream of messages."""
+
+    def __init__(
+        self, address: str, call: Any, hybrid_clock: clock.HybridClock
+    ) -> None:
+        self.address = address
+        self._call = call
+        self._clock = hybrid_clock
+
+    async def send(self, body: Any) -> None:
+        """Sends a message.
+
+        Raises:
+            LinkError: The link is broken.
+        """
+        try:
+            await self._call.write(codec.encode(self._clock.tick(), body))
+        except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
+            raise LinkError(f"{self.address}: {_describe(error)}") from error
+        except anyio.get_cancelled_exc_class():
+            raise
+
+    async def receive(self) -> Any:
+        """Returns the next message.
+
+        Raises:
+            LinkError: The link is broken or ended.
+        """
+        try:
+            data = await self._call.read()
+        except grpc.aio.AioRpcError as error:
+            raise LinkError(f"{self.address}: {_describe(error)}") from error
+        if data is grpc.aio.EOF:
+            raise LinkError(f"{self.address}: the peer ended the link")
+        try:
+            frame = codec.decode(data)
+        except codec.CodecError as error:
+            raise LinkError(f"{self.address}: {error}") from error
+        self._clock.witness(frame.clock)
+        return frame.body
+
+
+def _describe(error: Exception) -> str:
+    if isinstance(error, grpc.aio.AioRpcError):
+        return f"{error.code().name}: {error.details()}"
+    return str(error)
+
+
+def _read_keys(tls: settings.TlsSettings) -> tuple[bytes, bytes, bytes]:
+    names = (tls.key_file, tls.certificate_file, tls.authority_file)
+    key, certificate, authority = (
+        pathlib.Path(name).read_bytes() for name in names
+    )
+    return key, certificate, authority
+
+
+def _make_server_credentials(
+    tls: settings.TlsSettings,
+) -> grpc.ServerCredentials:
+    key, certificate, authority = _read_keys(tls)
+    return grpc.ssl_server_credentials(
+        [(key, certificate)],
+        root_certificates=authority,
+        require_client_auth=True,
+    )
+
+
+def _make_client_credentials(
+    tls: settings.TlsSettings,
+) -> grpc.ChannelCredentials:
+    key, certificate, authority = _read_keys(tls)
+    return grpc.ssl_channel_credentials(authority, key, certificate)
--- /dev/null
+++ b/ramptray/peer/message.py
@@ -0,0 +1,155 @@
+"""Messages between ramptray's processes beside those of the decision core."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from ramptray.bundle import signature
+from ramptray.core import membership, shard
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """Entry or controller to scheduler: who attaches."""
+
+    name: str
+    vm: str
+    kind: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """Scheduler to an attached process: the schedulers it may use.
+
+    Attributes:
+        members: Live schedulers of the own zone.
+        others: Some live schedulers of each other zone.
+    """
+
+    members: list[membership.Member]
+    others: list[membership.Member]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BundleUpdate:
+    """Scheduler to an attached process: the bundle in force."""
+
+    envelope: signature.Envelope
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForceReport:
+    """Attached process to scheduler: the generation it works by."""
+
+    generation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimKey:
+    """Entry to scheduler: claim an idempotency key for an attempt.
+
+    Attributes:
+        key: Digest of customer, service and idempotency key.
+        attempt: The request's id.
+        digest: Digest of the request's body.
+    """
+
+    key: str
+    attempt: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseKey:
+    """Entry to scheduler: the attempt will never dispatch."""
+
+    key: str
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FinishKey:
+    """Entry to scheduler: the attempt's answer was whole."""
+
+    key: str
+    attempt: str
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimDecision:
+    """Scheduler to entry: what the log says of a claim.
+
+    Attributes:
+        attempt: The request's id.
+        verdict: A value of ``core.claim.Verdict``.
+        status: Status of the earlier answer, where there is one.
+    """
+
+    attempt: str
+    verdict: str
+    status: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gossip:
+    """Scheduler to scheduler, and back: liveness and recent changes.
+
+    Attributes:
+        sender: The sender's own record.
+        updates: Recent changes of the sender's zone.
+        summaries: Shards of any zone, newest known.
+        contacts: Live schedulers of other zones.
+    """
+
+    sender: membership.Member
+    updates: list[membership.Member]
+    summaries: list[shard.ShardSummary]
+    contacts: list[membership.Member]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchBundle:
+    """Scheduler to scheduler: send your bundle in force if it is newer."""
+
+    above: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchedBundle:
+    """Answer to ``FetchBundle``."""
+
+    envelope: signature.Envelope | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskStatus:
+    """Operator's command to scheduler: what do you see."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """Answer to ``AskStatus``: a report ready to be shown as JSON."""
+
+    report: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskTimeline:
+    """Operator's command to scheduler: events of this VM.
+
+    Attributes:
+        after: Only events with a later clock value.
+        subject: Only events about this request, backend server or bundle.
+    """
+
+    after: int
+    subject: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimelineEvents:
+    """Answer to ``AskTimeline``, or events that an entry hands on."""
+
+    events: list[dict[str, Any]]
--- /dev/null
+++ b/ramptray/platform/log.py
@@ -0,0 +1,131 @@
+"""Client of the platform's append-only log.
+
+The log has named streams; each record has an offset in its stream.  An append
+whose answer is lost may still take effect, even much later.
+"""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+
+APPEND_TIMEOUT_S = 2.0
+READ_SLACK_S = 2.0
+
+
+class PlatformError(Exception):
+    """The platform did not answer, or answered with an error."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogRecord:
+    """One record of a stream."""
+
+    offset: int
+    body: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Part of a stream.
+
+    Attributes:
+        first_retained: Lowest offset the log still keeps.
+        next_offset: Offset the stream's next record will get.
+        records: Records from the offset that was asked for.
+    """
+
+    first_retained: int
+    next_offset: int
+    records: list[LogRecord]
+
+
+class Log(abc.ABC):
+    """An append-only log with offsets."""
+
+    @abc.abstractmethod
+    async def append(self, stream: str, body: dict[str, Any]) -> int:
+        """Appends a record and returns its offset.
+
+        Raises:
+            PlatformError: There is no answer; the append may yet take effect.
+        """
+
+    @abc.abstractmethod
+    async def read(self, stream: str, offset: int, wait_s: float) -> Page:
+        """Returns records from an offset on, waiting if there are none.
+
+        Raises:
+            PlatformError: There is no answer.
+        """
+
+
+class HttpLog(Log):
+    """The platform's log over HTTP."""
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        # Reads wait long, so they must not keep appends from a connection.
+        self._readers = httpcore.AsyncConnectionPool(max_connections=64)
+        self._writers = httpcore.AsyncConnectionPool(max_connections=8)
+
+    async def append(self, stream: str, body: dict[str, Any]) -> int:
+        """See the base class."""
+        answer = await call_platform(
+            self._writers,
+            "POST",
+            f"{self._url}/log/{stream}",
+            APPEND_TIMEOUT_S,
+            body,
+        )
+        return int(answer["offset"])
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> Page:
+        """See the base class."""
+        answer = await call_platform(
+            self._readers,
+            "GET",
+            f"{self._url}/log/{stream}?from={offset}&wait={wait_s}",
+            wait_s + READ_SLACK_S,
+        )
+        return msgspec.convert(answer, Page)
+
+
+async def call_platform(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    url: str,
+    timeout_s: float,
+    body: Any = None,
+) -> Any:
+    """Sends one JSON request to the platform and returns its JSON answer.
+
+    Raises:
+        PlatformError: There was no answer in time, or not a good one.
+    """
+    try:
+        with anyio.fail_after(timeout_s):
+            response = await pool.request(
+                method,
+                url,
+                headers={"content-type": "application/json"},
+                content=None if body is None else msgspec.json.encode(body),
+            )
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+        TimeoutError,
+    ) as error:
+        raise PlatformError(f"{method} {url}: {error!r}") from error
+    if response.status >= 300:
+        raise PlatformError(f"{method} {url}: status {response.status}")
+    try:
+        return msgspec.json.decode(response.content)
+    except msgspec.DecodeError as error:
+        raise PlatformError(f"{method} {url}: {error}") from error
--- /dev/null
+++ b/ramptray/process.py
@@ -0,0 +1,132 @@
+"""What every program shares: arguments, logs, signals and exit codes."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import pathlib
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+import click
+import pydantic
+from pythonjsonlogger import json as json_logger
+
+import ramptray
+from ramptray.bundle import text
+
+EXIT_OK = 0
+EXIT_MISTAKE = 2
+"""Settings, bundle or arguments have a mistake."""
+
+EXIT_FAILED = 1
+"""The work could not be done."""
+
+SettingsT = TypeVar("SettingsT", bound=pydantic.BaseModel)
+
+
+class ProcessError(Exception):
+    """A failure that ends the program, said in one line."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """Tells the tasks of a process that a planned stop was asked for."""
+
+    event: anyio.Event
+
+    @property
+    def asked(self) -> bool:
+        """Whether the stop was asked for."""
+        return self.event.is_set()
+
+
+Main = Callable[[Any, Stop], Awaitable[None]]
+
+
+def make_program(
+    name: str, kind: type[SettingsT], main: Main, about: str
+) -> click.Command:
+    """Returns the command of a long-running program.
+
+    Args:
+        name: The program's name.
+        kind: Its settings model.
+        main: Runs until the stop is asked for and what runs is finished.
+        about: Help text.
+    """
+
+    @click.command(name=name, help=about + _EXIT_CODES)
+    @click.version_option(ramptray.__version__)
+    @click.option(
+        "--settings",
+        "settings_file",
+        type=click.Path(path_type=pathlib.Path),
+        required=True,
+        help="Settings in JSON with comments.",
+    )
+    def command(settings_file: pathlib.Path) -> None:
+        try:
+            settings = text.read_model(settings_file, kind)
+        except text.TextError as error:
+            click.echo(str(error), err=True)
+            sys.exit(EXIT_MISTAKE)
+        set_up_logs(name, getattr(settings, "log_level", "INFO"))
+        try:
+            anyio.run(_run, main, settings)
+        except* (OSError, ProcessError) as group:
+            for leaf in flatten(group):
+                click.echo(f"{name}: {leaf}", err=True)
+            sys.exit(EXIT_FAILED)
+
+    return command
+
+
+def flatten(group: BaseExceptionGroup[Any]) -> list[BaseException]:
+    """Returns the single errors of a group."""
+    return [
+        leaf
+        for error in group.exceptions
+        for leaf in (
+            flatten(error) if isinstance(error, BaseExceptionGroup) else [error]
+        )
+    ]
+
+
+def set_up_logs(program: str, level: str) -> None:
+    """Sends all logs to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        json_logger.JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            rename_fields={"asctime": "time", "levelname": "level"},
+            static_fields={"program": program},
+        )
+    )
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    for noisy in ("httpcore", "uvicorn.access", "asyncio"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
+
+
+async def _run(main: Main, settings: Any) -> None:
+    stop = Stop(anyio.Event())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, stop)
+        await main(settings, stop)
+        tasks.cancel_scope.cancel()
+
+
+async def _watch_signals(stop: Stop) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            logging.getLogger(__name__).info("planned stop asked for")
+            stop.event.set()
+
+
+_EXIT_CODES = """
+
+Exit codes: 0 after a planned stop (SIGTERM), 1 if the work failed, 2 for a
+mistake in the settings or arguments."""
--- /dev/null
+++ b/ramptray/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduler process: shards, membership and the bundle."""
--- /dev/null
+++ b/ramptray/scheduler/claims.py
@@ -0,0 +1,290 @@
+"""The task that claims idempotency keys on the log, in grouped appends."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import msgspec
+from anyio.streams import memory
+
+from ramptray.core import claim
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+from ramptray.platform import log as platform_log
+
+LOG = logging.getLogger(__name__)
+
+GROUP_S = 0.04
+"""How long claims are gathered before they are appended together."""
+
+GROUP_RECORDS = 500
+READ_WAIT_S = 10.0
+RETRY_S = 0.2
+DOWN_S = 2.0
+"""How long the log may fail before a claim is given up, in seconds."""
+
+INBOX = 100_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """An entry wants a key."""
+
+    session: peer_link.Session
+    wish: peer_message.ClaimKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unwanted:
+    """An entry will never dispatch an attempt."""
+
+    release: peer_message.ReleaseKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """An attempt's answer was whole."""
+
+    finish: peer_message.FinishKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartitionsChanged:
+    """These partitions are this scheduler's own in its view."""
+
+    numbers: frozenset[int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    session: peer_link.Session
+    wish: peer_message.ClaimKey
+    since: float
+
+
+@dataclasses.dataclass(slots=True)
+class Partition:
+    """One claim stream as this scheduler has read it."""
+
+    number: int
+    ledger: claim.ClaimLedger = dataclasses.field(
+        default_factory=claim.ClaimLedger
+    )
+    next_offset: int = 0
+    pending: dict[str, _Pending] = dataclasses.field(default_factory=dict)
+    outbox: list[claim.ClaimRecord] = dataclasses.field(default_factory=list)
+    scope: anyio.CancelScope = dataclasses.field(
+        default_factory=anyio.CancelScope
+    )
+    wake: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream in the log."""
+        return f"claims-{self.number}"
+
+
+class ClaimDesk:
+    """Owns the partitions that this scheduler serves."""
+
+    def __init__(
+        self,
+        log: platform_log.Log,
+        on_decision: Callable[
+            [peer_link.Session, peer_message.ClaimDecision], None
+        ],
+    ) -> None:
+        self._log = log
+        self._on_decision = on_decision
+        self._partitions: dict[int, Partition] = {}
+        send, receive = anyio.create_memory_object_stream[Any](INBOX)
+        self._send: memory.MemoryObjectSendStream[Any] = send
+        self._receive: memory.MemoryObjectReceiveStream[Any] = receive
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    def post(self, event: Any) -> None:
+        """Puts an event into the inbox."""
+        self._send.send_nowait(event)
+
+    async def run(self) -> None:
+        """Handles events until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._run_ticks)
+            async for event in self._receive:
+                self._handle(event)
+
+    def _handle(self, event: Any) -> None:
+        match event:
+            case Wanted(session, wish):
+                self._want(session, wish)
+            case Unwanted(release):
+                partition = self._get(release.key)
+                partition.pending.pop(release.attempt, None)
+                self._put(
+                    partition,
+                    claim.ClaimRecord(
+                        claim.RecordKind.RELEASE, release.key, release.attempt
+                    ),
+                )
+            case Finished(finish):
+                self._put(
+                    self._get(finish.key),
+                    claim.ClaimRecord(
+                        claim.RecordKind.DONE,
+                        finish.key,
+                        finish.attempt,
+                        status=finish.status,
+                    ),
+                )
+            case PartitionsChanged(numbers):
+                self._take_partitions(numbers)
+
+    def _want(
+        self, session: peer_link.Session, wish: peer_message.ClaimKey
+    ) -> None:
+        partition = self._get(wish.key)
+        known = partition.pending.get(wish.attempt)
+        if known is not None:
+            known.session = session
+            return
+        partition.pending[wish.attempt] = _Pending(
+            session, wish, time.monotonic()
+        )
+        self._put(partition, _make_claim(wish))
+
+    def _put(self, partition: Partition, record: claim.ClaimRecord) -> None:
+        partition.outbox.append(record)
+        partition.wake.set()
+
+    def _get(self, key: str) -> Partition:
+        return self._open(claim.get_partition(key))
+
+    def _open(self, number: int) -> Partition:
+        if number not in self._partitions:
+            partition = Partition(number)
+            self._partitions[number] = partition
+            assert self._tasks is not None
+            self._tasks.start_soon(self._run_partition, partition)
+        return self._partitions[number]
+
+    def _take_partitions(self, numbers: frozenset[int]) -> None:
+        for number in numbers:
+            self._open(number)
+        for number, partition in list(self._partitions.items()):
+            busy = partition.pending or partition.outbox
+            if number not in numbers and not busy:
+                partition.scope.cancel()
+                del self._partitions[number]
+
+    async def _run_partition(self, partition: Partition) -> None:
+        with partition.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write, partition)
+                await self._read(partition)
+
+    async def _write(self, partition: Partition) -> None:
+        while True:
+            await partition.wake.wait()
+            await anyio.sleep(GROUP_S)
+            partition.wake = anyio.Event()
+            group = partition.outbox[:GROUP_RECORDS]
+            if not group:
+                continue
+            body = {"records": [_format(record) for record in group]}
+            try:
+                await self._log.append(partition.stream, body)
+            except platform_log.PlatformError as error:
+                # The append may yet take effect; to say it twice is harmless.
+                LOG.info("claims not appended: %s", error)
+                await anyio.sleep(RETRY_S)
+            else:
+                del partition.outbox[: len(group)]
+            if partition.outbox:
+                partition.wake.set()
+
+    async def _read(self, partition: Partition) -> None:
+        while True:
+            try:
+                page = await self._log.read(
+                    partition.stream, partition.next_offset, READ_WAIT_S
+                )
+            except platform_log.PlatformError as error:
+                LOG.info("claims not read: %s", error)
+                await anyio.sleep(RETRY_S)
+                continue
+            for record in page.records:
+                self._take(partition, record.body)
+                partition.next_offset = record.offset + 1
+            partition.next_offset = max(
+                partition.next_offset, page.first_retained
+            )
+            self._decide(partition)
+
+    def _take(self, partition: Partition, body: dict[str, Any]) -> None:
+        try:
+            records = msgspec.convert(
+                body.get("records"), list[claim.ClaimRecord]
+            )
+        except msgspec.ValidationError as error:
+            LOG.warning("record is not a group of claims: %s", error)
+            return
+        for record in records:
+            partition.ledger.read(record)
+
+    def _decide(self, partition: Partition) -> None:
+        for attempt, pending in list(partition.pending.items()):
+            wish = pending.wish
+            verdict = partition.ledger.judge(wish.key, attempt, wish.digest)
+            if verdict is not None:
+                self._answer(partition, pending, verdict)
+
+    def _answer(
+        self, partition: Partition, pending: _Pending, verdict: claim.Verdict
+    ) -> None:
+        wish = pending.wish
+        del partition.pending[wish.attempt]
+        status = partition.ledger.get_status(wish.key)
+        self._on_decision(
+            pending.session,
+            peer_message.ClaimDecision(wish.attempt, verdict.value, status),
+        )
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await anyio.sleep(RETRY_S)
+            overdue = time.monotonic() - DOWN_S
+            for partition in list(self._partitions.values()):
+                for pending in list(partition.pending.values()):
+                    if pending.since < overdue:
+                        self._give_up(partition, pending)
+
+    def _give_up(self, partition: Partition, pending: _Pending) -> None:
+        """Answers that the log cannot be asked; the attempt is released."""
+        wish = pending.wish
+        self._answer(partition, pending, claim.Verdict.UNAVAILABLE)
+        self._put(
+            partition,
+            claim.ClaimRecord(claim.RecordKind.RELEASE, wish.key, wish.attempt),
+        )
+
+
+def _make_claim(wish: peer_message.ClaimKey) -> claim.ClaimRecord:
+    return claim.ClaimRecord(
+        claim.RecordKind.CLAIM, wish.key, wish.attempt, wish.digest
+    )
+
+
+def _format(record: claim.ClaimRecord) -> dict[str, Any]:
+    fields = dataclasses.asdict(record)
+    return {
+        name: value.value if isinstance(value, enum.Enum) else value
+        for name, value in fields.items()
+    }
