--- /dev/null
+++ b/ramptray/scheduler/gossip.py
@@ -0,0 +1,237 @@
+"""The task that owns the membership and talks with other schedulers."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from ramptray.core import membership, shard
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+
+LOG = logging.getLogger(__name__)
+
+SUMMARIES_PER_MESSAGE = 8
+CONTACTS_PER_MESSAGE = 3
+CONTACTS_PER_ZONE = 4
+"""Schedulers of each other zone that are remembered."""
+
+OTHER_ZONE_EVERY = 3
+"""Every so many periods a scheduler of another zone is asked."""
+
+SUMMARY_STALE_S = 8.0
+"""A shard's summary older than this is not acted on."""
+
+
+class Gossiper:
+    """Probes other schedulers and spreads what is new.
+
+    Args:
+        me: This scheduler's own record.
+        seeds: Addresses to ask while nobody is known.
+        client: Opens channels.
+        rng: Chooses whom to probe.
+        on_view: Called with each new view.
+        on_newer: Called with a peer that has a newer bundle in force.
+    """
+
+    def __init__(
+        self,
+        me: membership.Member,
+        seeds: list[str],
+        client: peer_link.PeerClient,
+        rng: random.Random,
+        on_view: Callable[[peer_message.View], None],
+        on_newer: Callable[[str, int], Awaitable[None]],
+    ) -> None:
+        now = time.monotonic()
+        self.membership = membership.Membership(me, rng, now)
+        self._me = me
+        self._seeds = [s for s in seeds if s != me.address]
+        self._client = client
+        self._rng = rng
+        self._on_view = on_view
+        self._on_newer = on_newer
+        self._version = 0
+        self._contacts: dict[str, dict[str, membership.Member]] = {}
+        self._summaries: dict[str, tuple[float, shard.ShardSummary]] = {}
+        self._rounds = itertools.count(1)
+        self._turn = 0
+
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        while True:
+            await anyio.sleep(membership.PERIOD_S * self._rng.uniform(0.8, 1.2))
+            await self._run_period()
+
+    def add_seeds(self, addresses: list[str]) -> None:
+        """Adds schedulers that the platform's list names."""
+        known = {*self._seeds, self._me.address}
+        self._seeds.extend(a for a in addresses if a not in known)
+
+    def set_summaries(
+        self, summaries: list[shard.ShardSummary], now: float
+    ) -> None:
+        """Takes the summaries of this scheduler's own shards."""
+        for summary in summaries:
+            self._summaries[summary.shard.format()] = (now, summary)
+
+    def list_elsewhere(
+        self, service: str, zone: str, now: float
+    ) -> list[shard.ShardSummary]:
+        """Returns fresh summaries of a service in the other zones."""
+        return [
+            summary
+            for seen, summary in self._summaries.values()
+            if summary.shard.service == service
+            and summary.shard.zone != zone
+            and now - seen < SUMMARY_STALE_S
+        ]
+
+    def receive(self, gossip: peer_message.Gossip) -> peer_message.Gossip:
+        """Takes a peer's probe and returns the answer."""
+        self._merge(gossip, time.monotonic())
+        return self._make_message()
+
+    async def leave(self) -> None:
+        """Tells the zone that this scheduler goes."""
+        now = time.monotonic()
+        self.membership.leave(now)
+        targets = [
+            m.address
+            for m in self.membership.list_alive()
+            if m.address != self._me.address
+        ]
+        self._rng.shuffle(targets)
+        for address in targets[:3]:
+            await self._probe(address)
+        self._publish()
+
+    async def _run_period(self) -> None:
+        self.membership.tick(time.monotonic())
+        target = self.membership.pick_target()
+        addresses = [target.address] if target else []
+        if not target and self._seeds:
+            addresses.append(self._rng.choice(self._seeds))
+        if next(self._rounds) % OTHER_ZONE_EVERY == 0:
+            addresses.extend(self._pick_other_zone())
+        for address in addresses:
+            answered = await self._probe(address)
+            if target and address == target.address and not answered:
+                self.membership.suspect(target.vm, time.monotonic())
+        self._publish()
+
+    def _pick_other_zone(self) -> list[str]:
+        contacts = [
+            member.address
+            for members in self._contacts.values()
+            for member in members.values()
+        ]
+        strangers = [s for s in self._seeds if s not in contacts]
+        pool = contacts + strangers[:CONTACTS_PER_ZONE]
+        return [self._rng.choice(pool)] if pool else []
+
+    async def _probe(self, address: str) -> bool:
+        try:
+            answer = await self._client.ask(
+                address, self._make_message(), membership.PROBE_TIMEOUT_S
+            )
+        except peer_link.LinkError:
+            self._drop_contact(address)
+            return False
+        self._merge(answer, time.monotonic())
+        sender = answer.sender
+        if sender.generation > self.membership.me.generation:
+            await self._on_newer(sender.address, sender.generation)
+        return True
+
+    def _merge(self, gossip: peer_message.Gossip, now: float) -> None:
+        self.membership.merge([gossip.sender, *gossip.updates], now)
+        for contact in [gossip.sender, *gossip.contacts]:
+            self._note_contact(contact)
+        for summary in gossip.summaries:
+            key = summary.shard.format()
+            known = self._summaries.get(key)
+            if known is None or summary.version > known[1].version:
+                self._summaries[key] = (now, summary)
+
+    def _note_contact(self, member: membership.Member) -> None:
+        if member.zone == self._me.zone:
+            return
+        contacts = self._contacts.setdefault(member.zone, {})
+        gone = member.state is not membership.MemberState.ALIVE
+        if gone:
+            contacts.pop(member.vm, None)
+            return
+        known = contacts.get(member.vm)
+        if known is None or member.overrides(known):
+            contacts[member.vm] = member
+        while len(contacts) > CONTACTS_PER_ZONE:
+            contacts.pop(next(iter(contacts)))
+
+    def _drop_contact(self, address: str) -> None:
+        for contacts in self._contacts.values():
+            for vm, member in list(contacts.items()):
+                if member.address == address:
+                    del contacts[vm]
+
+    def _make_message(self) -> peer_message.Gossip:
+        contacts = [
+            member
+            for members in self._contacts.values()
+            for member in members.values()
+        ]
+        count = min(CONTACTS_PER_MESSAGE, len(contacts))
+        return peer_message.Gossip(
+            self.membership.me,
+            self.membership.pick_updates(),
+            self._pick_summaries(),
+            self._rng.sample(contacts, count),
+        )
+
+    def _pick_summaries(self) -> list[shard.ShardSummary]:
+        """Returns the next few summaries, each of them in its turn."""
+        now = time.monotonic()
+        fresh = [
+            summary
+            for seen, summary in self._summaries.values()
+            if now - seen < SUMMARY_STALE_S
+        ]
+        if not fresh:
+            return []
+        start = self._turn % len(fresh)
+        self._turn += SUMMARIES_PER_MESSAGE
+        ring = itertools.islice(itertools.cycle(fresh), start, None)
+        count = min(SUMMARIES_PER_MESSAGE, len(fresh))
+        return list(itertools.islice(ring, count))
+
+    def _publish(self) -> None:
+        others = sorted(
+            (
+                member
+                for members in self._contacts.values()
+                for member in members.values()
+            ),
+            key=lambda member: member.vm,
+        )
+        signature = hash(
+            (
+                self.membership.version,
+                tuple((m.vm, m.address) for m in others),
+            )
+        )
+        if signature == self._version:
+            return
+        self._version = signature
+        alive = [
+            m
+            for m in self.membership.list_alive()
+            if m.state is membership.MemberState.ALIVE
+            or m.address == self._me.address
+        ]
+        self._on_view(peer_message.View(alive, others))
--- /dev/null
+++ b/ramptray/scheduler/hub.py
@@ -0,0 +1,431 @@
+"""The task that owns a scheduler's shards and its attached processes."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import time
+from collections.abc import Iterable
+from typing import Any
+
+import anyio
+from anyio.streams import memory
+
+from ramptray import timeline, wallclock
+from ramptray.bundle import acceptance
+from ramptray.core import backend, claim, membership, message, policy, shard
+from ramptray.engine import client as engine_client
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+from ramptray.scheduler import claims, gossip, rules
+
+LOG = logging.getLogger(__name__)
+
+TICK_S = 0.1
+SUMMARY_EVERY_S = 0.5
+IDLE_SHARD_S = 5.0
+"""How long a shard that is owned elsewhere is kept while it is empty."""
+
+INBOX = 200_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """A process has attached."""
+
+    session: peer_link.Session
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Closed:
+    """An attached process has gone."""
+
+    session: peer_link.Session
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """An attached process has sent a message."""
+
+    session: peer_link.Session
+    body: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BundleChanged:
+    """Another bundle is in force."""
+
+    in_force: acceptance.InForce
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewChanged:
+    """The zone's membership, or what is known of other zones, has changed."""
+
+    view: peer_message.View
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reported:
+    """An engine's load report has arrived, or none did."""
+
+    backend: str
+    report: engine_client.LoadReport | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheChanged:
+    """An engine's cache events have arrived."""
+
+    backend: str
+    events: engine_client.CacheEvents
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingListed:
+    """The platform's list names these backend servers as leaving."""
+
+    names: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decided:
+    """The log has decided on a claim."""
+
+    session: peer_link.Session
+    decision: peer_message.ClaimDecision
+
+
+@dataclasses.dataclass(slots=True)
+class Attached:
+    """What is known of an attached process."""
+
+    hello: peer_message.Hello
+    generation: int = 0
+
+
+class Hub:
+    """Owns the shards; every change to them is one message to its inbox."""
+
+    def __init__(
+        self,
+        address: str,
+        zone: str,
+        policy_name: str,
+        gossiper: gossip.Gossiper,
+        claim_desk: claims.ClaimDesk,
+        events: timeline.Timeline,
+    ) -> None:
+        self.in_force: acceptance.InForce | None = None
+        self.timeline = events
+        self.shards: dict[message.ShardKey, shard.ShardOwner] = {}
+        self.view = peer_message.View([], [])
+        self._address = address
+        self._zone = zone
+        self._policy_name = policy_name
+        self._gossiper = gossiper
+        self._claims = claim_desk
+        self._sessions: dict[peer_link.Session, Attached | None] = {}
+        self._entries: dict[str, peer_link.Session] = {}
+        self._leaving_listed: frozenset[str] = frozenset()
+        self._leaving_said: set[str] = set()
+        self._empty_since: dict[message.ShardKey, float] = {}
+        self._summaries_at = 0.0
+        send, receive = anyio.create_memory_object_stream[Any](INBOX)
+        self._send: memory.MemoryObjectSendStream[Any] = send
+        self._receive: memory.MemoryObjectReceiveStream[Any] = receive
+
+    def post(self, event: Any) -> None:
+        """Puts an event into the inbox."""
+        self._send.send_nowait(event)
+
+    async def run(self) -> None:
+        """Handles events until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_ticks)
+            async for event in self._receive:
+                self._handle(event, time.monotonic())
+
+    def owns(self, key: message.ShardKey) -> bool:
+        """Tells whether this scheduler owns a shard in its own view."""
+        members = {m.vm: m.address for m in self.view.members}
+        owner = membership.pick_owner(key.format(), list(members))
+        return owner is not None and members[owner] == self._address
+
+    def list_own_backends(self) -> list[str]:
+        """Returns the backend servers that this scheduler polls."""
+        return [
+            name
+            for key, owner in self.shards.items()
+            if self.owns(key)
+            for name in owner.backends
+        ]
+
+    def list_attached(self) -> list[Attached]:
+        """Returns the attached processes."""
+        return [a for a in self._sessions.values() if a is not None]
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            self._tick(time.monotonic())
+
+    def _handle(self, event: Any, now: float) -> None:
+        match event:
+            case Received(session, body):
+                self._receive_from(session, body, now)
+            case Opened(session):
+                self._sessions[session] = None
+            case Closed(session):
+                self._close(session, now)
+            case BundleChanged(in_force):
+                self._take_bundle(in_force)
+                self._open_own_shards(now)
+            case ViewChanged(view):
+                self._take_view(view)
+                self._open_own_shards(now)
+            case Reported(name, report):
+                self._take_report(name, report)
+            case CacheChanged(name, changes):
+                self._take_cache_changes(name, changes)
+            case LeavingListed(names):
+                self._leaving_listed = names
+                self._mark_leaving()
+            case Decided(session, decision):
+                session.send(decision)
+
+    # Attached processes.
+
+    def _receive_from(
+        self, session: peer_link.Session, body: Any, now: float
+    ) -> None:
+        attached = self._sessions.get(session)
+        match body:
+            case peer_message.Hello():
+                self._greet(session, body)
+            case _ if attached is None:
+                session.close()
+            case message.SyncDone(entry):
+                for owner in self.shards.values():
+                    self._send_out(owner.receive(entry, body, now))
+            case message.Enqueue(info) | message.Running(info):
+                self._pass_to_shard(attached, info.shard, body, now)
+            case (
+                message.Withdraw()
+                | message.Decline()
+                | message.FirstToken()
+                | message.Ended()
+            ):
+                self._pass_to_holder(attached, body, now)
+            case peer_message.InForceReport(generation):
+                attached.generation = generation
+            case peer_message.ClaimKey():
+                self._claims.post(claims.Wanted(session, body))
+            case peer_message.ReleaseKey():
+                self._claims.post(claims.Unwanted(body))
+            case peer_message.FinishKey():
+                self._claims.post(claims.Finished(body))
+
+    def _greet(
+        self, session: peer_link.Session, hello: peer_message.Hello
+    ) -> None:
+        self._sessions[session] = Attached(hello)
+        session.send(self.view)
+        if self.in_force:
+            session.send(peer_message.BundleUpdate(self.in_force.envelope))
+        if hello.kind != "entry":
+            return
+        previous = self._entries.get(hello.name)
+        self._entries[hello.name] = session
+        if previous is not None:
+            previous.close()
+        for owner in self.shards.values():
+            owner.begin_sync(hello.name)
+
+    def _close(self, session: peer_link.Session, now: float) -> None:
+        attached = self._sessions.pop(session, None)
+        if attached is None:
+            return
+        name = attached.hello.name
+        if self._entries.get(name) is session:
+            del self._entries[name]
+            for owner in self.shards.values():
+                owner.lose_entry(name, now)
+
+    def _pass_to_shard(
+        self,
+        attached: Attached,
+        key: message.ShardKey,
+        body: message.EntryMessage,
+        now: float,
+    ) -> None:
+        owner = self._get_shard(key, now)
+        if owner is not None:
+            self._send_out(owner.receive(attached.hello.name, body, now))
+            return
+        if isinstance(body, message.Enqueue):
+            reject = message.Reject(
+                body.request.request_id, message.Reason.NOT_READY, 1.0
+            )
+            self._send_out([shard.ToEntry(attached.hello.name, reject)])
+
+    def _pass_to_holder(
+        self,
+        attached: Attached,
+        body: message.Withdraw
+        | message.Decline
+        | message.FirstToken
+        | message.Ended,
+        now: float,
+    ) -> None:
+        for owner in self.shards.values():
+            if owner.holds(body.request_id):
+                out = owner.receive(attached.hello.name, body, now)
+                self._send_out(out)
+                return
+
+    def _send_out(self, effects: Iterable[shard.ToEntry]) -> None:
+        for effect in effects:
+            session = self._entries.get(effect.entry)
+            if session is not None:
+                session.send(effect.message)
+            self._note(effect.message)
+
+    def _note(self, sent: message.OwnerMessage) -> None:
+        match sent:
+            case message.Grant(request_id, _, name, _):
+                self.timeline.note("grant", request_id, backend=name)
+            case message.Reject(request_id, reason):
+                self.timeline.note("shed", request_id, reason=reason.value)
+            case message.Redirect(request_id, zone):
+                self.timeline.note("spill", request_id, zone=zone)
+
+    # Shards.
+
+    def _get_shard(
+        self, key: message.ShardKey, now: float
+    ) -> shard.ShardOwner | None:
+        if key in self.shards:
+            return self.shards[key]
+        bundle = self.in_force.bundle if self.in_force else None
+        if bundle is None or key.service not in bundle.services:
+            return None
+        owner = shard.ShardOwner(
+            key,
+            self._address,
+            rules.make_rules(bundle, key),
+            rules.list_infos(bundle, key),
+            policy.make_policy(self._policy_name),
+            now,
+        )
+        self.shards[key] = owner
+        self._mark_leaving()
+        return owner
+
+    def _take_bundle(self, in_force: acceptance.InForce) -> None:
+        self.in_force = in_force
+        bundle = in_force.bundle
+        update = peer_message.BundleUpdate(in_force.envelope)
+        for session, attached in self._sessions.items():
+            if attached is not None:
+                session.send(update)
+        for key, owner in list(self.shards.items()):
+            if key.service not in bundle.services:
+                del self.shards[key]
+                continue
+            owner.configure(
+                rules.make_rules(bundle, key), rules.list_infos(bundle, key)
+            )
+        self._mark_leaving()
+        self.timeline.note("bundle", f"generation-{bundle.generation}")
+        LOG.info("bundle in force", extra={"generation": bundle.generation})
+
+    def _take_view(self, view: peer_message.View) -> None:
+        self.view = view
+        self._claims.post(claims.PartitionsChanged(self._list_partitions()))
+        for session, attached in self._sessions.items():
+            if attached is not None:
+                session.send(view)
+        self.timeline.note(
+            "membership", self._zone, members=[m.vm for m in view.members]
+        )
+
+    def _open_own_shards(self, now: float) -> None:
+        """Opens each own shard, so that other zones learn of its room."""
+        if self.in_force is None:
+            return
+        for name, service in self.in_force.bundle.services.items():
+            for number in range(service.shards):
+                key = message.ShardKey(self._zone, name, number)
+                if self.owns(key):
+                    self._get_shard(key, now)
+
+    def _list_partitions(self) -> frozenset[int]:
+        return frozenset(
+            number
+            for number in range(claim.PARTITIONS)
+            if self.owns(message.ShardKey(self._zone, claim.SERVICE, number))
+        )
+
+    def _take_report(
+        self, name: str, report: engine_client.LoadReport | None
+    ) -> None:
+        if report is None:
+            return
+        for owner in self.shards.values():
+            owner.correct_load(name, report.running + report.waiting)
+        if report.leaving:
+            self._leaving_said.add(name)
+        else:
+            self._leaving_said.discard(name)
+        self._mark_leaving()
+
+    def _take_cache_changes(
+        self, name: str, changes: engine_client.CacheEvents
+    ) -> None:
+        for owner in self.shards.values():
+            if known := owner.backends.get(name):
+                known.cache.drop(changes.removed)
+                known.cache.add(changes.stored)
+
+    def _mark_leaving(self) -> None:
+        leaving = self._leaving_listed | self._leaving_said
+        for owner in self.shards.values():
+            for name in owner.backends:
+                left = name in leaving or not owner.wants(name)
+                owner.set_state(
+                    name,
+                    backend.BackendState.LEAVING
+                    if left
+                    else backend.BackendState.ACTIVE,
+                )
+
+    def _tick(self, now: float) -> None:
+        for owner in self.shards.values():
+            self._send_out(owner.tick(now))
+        if now - self._summaries_at >= SUMMARY_EVERY_S:
+            self._summaries_at = now
+            self._exchange_summaries(now)
+            self._drop_foreign_shards(now)
+
+    def _exchange_summaries(self, now: float) -> None:
+        mine = [
+            owner.summarize(wallclock.read())
+            for key, owner in self.shards.items()
+            if self.owns(key)
+        ]
+        self._gossiper.set_summaries(mine, now)
+        for key, owner in self.shards.items():
+            owner.set_elsewhere(
+                self._gossiper.list_elsewhere(key.service, self._zone, now)
+            )
+
+    def _drop_foreign_shards(self, now: float) -> None:
+        for key, owner in list(self.shards.items()):
+            if self.owns(key) or not owner.is_empty:
+                self._empty_since.pop(key, None)
+                continue
+            since = self._empty_since.setdefault(key, now)
+            if now - since > IDLE_SHARD_S:
+                del self.shards[key]
+                del self._empty_since[key]
--- /dev/null
+++ b/ramptray/scheduler/main.py
@@ -0,0 +1,120 @@
+"""``ramptray-scheduler``: shards, membership and the bundle on one VM."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+
+import anyio
+
+from ramptray import process, timeline, wallclock
+from ramptray.bundle import acceptance
+from ramptray.core import clock, membership
+from ramptray.peer import link as peer_link
+from ramptray.platform import log as platform_log
+from ramptray.platform import vmlist
+from ramptray.scheduler import (
+    claims,
+    follower,
+    gossip,
+    hub,
+    poller,
+    servant,
+)
+from ramptray.settings import SchedulerSettings
+
+LOG = logging.getLogger(__name__)
+
+LEAVE_S = 1.0
+"""How long attached processes get to move what waits, in seconds."""
+
+
+async def main(settings: SchedulerSettings, stop: process.Stop) -> None:
+    """Serves until a stop is asked for, then leaves its zone in order."""
+    hybrid_clock = clock.HybridClock(wallclock.read)
+    events = timeline.Timeline(
+        f"scheduler/{settings.vm}", settings.zone, hybrid_clock
+    )
+    client = peer_link.PeerClient(hybrid_clock, settings.tls)
+    log = platform_log.HttpLog(settings.platform)
+    me = membership.Member(
+        settings.vm, settings.zone, settings.listen, int(time.time())
+    )
+    rng = random.Random()
+    follow = follower.Follower(
+        log,
+        settings.trust,
+        client,
+        rng,
+        lambda in_force: _announce(in_force, owner, gossiper),
+    )
+    gossiper = gossip.Gossiper(
+        me,
+        list(settings.seeds),
+        client,
+        rng,
+        lambda view: owner.post(hub.ViewChanged(view)),
+        follow.fetch,
+    )
+    desk = claims.ClaimDesk(
+        log,
+        lambda session, decision: owner.post(hub.Decided(session, decision)),
+    )
+    owner = hub.Hub(
+        settings.listen,
+        settings.zone,
+        settings.policy,
+        gossiper,
+        desk,
+        events,
+    )
+    poll = poller.Poller(
+        owner,
+        gossiper,
+        vmlist.VmList(settings.platform),
+        settings.report_every_s,
+        settings.zone,
+    )
+    server = peer_link.PeerServer(
+        servant.SchedulerServant(owner, gossiper, follow, events),
+        hybrid_clock,
+        settings.tls,
+    )
+    try:
+        await server.start(settings.listen)
+    except peer_link.LinkError as error:
+        raise process.ProcessError(str(error)) from error
+    LOG.info("listening", extra={"address": settings.listen})
+    async with anyio.create_task_group() as tasks:
+        for task in (
+            owner.run,
+            desk.run,
+            follow.run,
+            gossiper.run,
+            poll.run,
+        ):
+            tasks.start_soon(task)
+        await stop.event.wait()
+        await gossiper.leave()
+        await anyio.sleep(LEAVE_S)
+        await server.stop()
+        await client.close()
+        tasks.cancel_scope.cancel()
+
+
+def _announce(
+    in_force: acceptance.InForce,
+    owner: hub.Hub,
+    gossiper: gossip.Gossiper,
+) -> None:
+    owner.post(hub.BundleChanged(in_force))
+    gossiper.membership.set_generation(in_force.generation, time.monotonic())
+
+
+run = process.make_program(
+    "ramptray-scheduler",
+    SchedulerSettings,
+    main,
+    "Owns shards: queues, grants, limits, membership and the bundle.",
+)
--- /dev/null
+++ b/ramptray/scheduler/poller.py
@@ -0,0 +1,107 @@
+"""The task that asks engines for their load and the platform for its VMs."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import anyio
+
+from ramptray.bundle import model
+from ramptray.engine import client as engine_client
+from ramptray.platform import log as platform_log
+from ramptray.platform import vmlist
+from ramptray.scheduler import gossip, hub
+
+LOG = logging.getLogger(__name__)
+
+VM_LIST_EVERY_S = 1.0
+AT_ONCE = 16
+"""Engines that are asked at the same time."""
+
+
+class Poller:
+    """Polls the backend servers of this scheduler's own shards."""
+
+    def __init__(
+        self,
+        target: hub.Hub,
+        gossiper: gossip.Gossiper,
+        vms: vmlist.VmList,
+        every_s: float,
+        zone: str,
+    ) -> None:
+        self._hub = target
+        self._gossiper = gossiper
+        self._vms = vms
+        self._every_s = every_s
+        self._zone = zone
+        self._client = engine_client.EngineClient()
+        self._positions: dict[str, int] = {}
+        self._limit = anyio.CapacityLimiter(AT_ONCE)
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._repeat, self._poll_vms, VM_LIST_EVERY_S)
+            tasks.start_soon(self._repeat, self._poll_engines, self._every_s)
+
+    async def _repeat(self, poll: Callable[[], object], every_s: float) -> None:
+        while True:
+            await poll()  # type: ignore[misc]
+            await anyio.sleep(every_s)
+
+    async def _poll_vms(self) -> None:
+        try:
+            listed = await self._vms.fetch()
+        except platform_log.PlatformError as error:
+            LOG.info("list of VMs: %s", error)
+            return
+        schedulers = [vm.address for vm in listed if vm.role == "entry"]
+        self._gossiper.add_seeds(schedulers)
+        leaving = frozenset(
+            vm.name
+            for vm in listed
+            if vm.role == "backend" and vm.state is vmlist.VmState.LEAVING
+        )
+        self._hub.post(hub.LeavingListed(leaving))
+
+    async def _poll_engines(self) -> None:
+        in_force = self._hub.in_force
+        if in_force is None:
+            return
+        async with anyio.create_task_group() as tasks:
+            for name in self._hub.list_own_backends():
+                server = in_force.bundle.backend_servers.get(name)
+                if server is not None:
+                    tasks.start_soon(
+                        self._poll_engine, in_force.bundle, name, server.url
+                    )
+
+    async def _poll_engine(
+        self, bundle: model.Bundle, name: str, url: str
+    ) -> None:
+        async with self._limit:
+            try:
+                report = await self._client.fetch_load(url)
+            except engine_client.EngineError:
+                self._hub.post(hub.Reported(name, None))
+                return
+            self._hub.post(hub.Reported(name, report))
+            if _is_model(bundle, name):
+                await self._poll_cache(name, url)
+
+    async def _poll_cache(self, name: str, url: str) -> None:
+        after = self._positions.get(name, 0)
+        try:
+            events = await self._client.fetch_cache_events(url, after)
+        except engine_client.EngineError:
+            return
+        self._positions[name] = events.next
+        if events.stored or events.removed:
+            self._hub.post(hub.CacheChanged(name, events))
+
+
+def _is_model(bundle: model.Bundle, name: str) -> bool:
+    service = bundle.services[bundle.backend_servers[name].service]
+    return service.kind is model.ServiceKind.MODEL
--- /dev/null
+++ b/ramptray/scheduler/rules.py
@@ -0,0 +1,60 @@
+"""Turns the bundle in force into what a shard's owner works by."""
+
+from __future__ import annotations
+
+import xxhash
+
+from ramptray.bundle import model
+from ramptray.core import backend, limit, message, shard
+
+
+def make_rules(bundle: model.Bundle, key: message.ShardKey) -> shard.ShardRules:
+    """Returns the rules of a shard."""
+    service = bundle.services[key.service]
+    parts = service.shards * len(bundle.zones)
+    return shard.ShardRules(
+        ranks=bundle.get_ranks(),
+        queue_cost=service.queue_tokens // service.shards,
+        headroom=service.headroom,
+        shares={name: c.share for name, c in bundle.customers.items()},
+        limits={
+            name: limit.Rate(
+                _divide(customer.limits.requests_per_s, parts),
+                _divide(customer.limits.tokens_per_s, parts),
+            )
+            for name, customer in bundle.customers.items()
+            if customer.limits != model.Limits()
+        },
+    )
+
+
+def list_infos(
+    bundle: model.Bundle, key: message.ShardKey
+) -> list[backend.BackendInfo]:
+    """Returns the backend servers of a shard that may get new work."""
+    shards = bundle.services[key.service].shards
+    return [
+        make_info(bundle, name)
+        for name, server in bundle.backend_servers.items()
+        if server.zone == key.zone
+        and server.service == key.service
+        and not server.leaving
+        and get_shard_number(name, shards) == key.number
+    ]
+
+
+def make_info(bundle: model.Bundle, name: str) -> backend.BackendInfo:
+    """Returns what an owner needs to know of a backend server."""
+    engine = bundle.engines[bundle.backend_servers[name].engine]
+    return backend.BackendInfo(
+        name, engine.max_running, engine.kv_tokens, engine.cache_blocks
+    )
+
+
+def get_shard_number(name: str, shards: int) -> int:
+    """Returns the shard that a backend server or prefix falls into."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % shards
+
+
+def _divide(rate: float | None, parts: int) -> float | None:
+    return None if rate is None else rate / parts
--- /dev/null
+++ b/ramptray/scheduler/status.py
@@ -0,0 +1,81 @@
+"""A scheduler's report on itself, as the operators' command shows it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ramptray.core import backend, shard
+from ramptray.scheduler import follower, gossip, hub
+
+
+def make_report(
+    owner: hub.Hub, gossiper: gossip.Gossiper, follow: follower.Follower
+) -> dict[str, Any]:
+    """Returns what this scheduler sees, as JSON values."""
+    me = gossiper.membership.me
+    return {
+        "vm": me.vm,
+        "zone": me.zone,
+        "address": me.address,
+        "generation": me.generation,
+        "digest": follow.in_force.envelope.digest if follow.in_force else None,
+        "log_up": follow.log_up,
+        "members": [
+            {
+                "vm": member.vm,
+                "address": member.address,
+                "state": member.state.value,
+                "generation": member.generation,
+            }
+            for member in gossiper.membership.list_all()
+        ],
+        "others": [
+            {"vm": m.vm, "zone": m.zone, "address": m.address}
+            for m in owner.view.others
+        ],
+        "attached": [
+            {
+                "name": attached.hello.name,
+                "kind": attached.hello.kind,
+                "vm": attached.hello.vm,
+                "generation": attached.generation,
+            }
+            for attached in owner.list_attached()
+        ],
+        "shards": [
+            _describe_shard(owner, shard_owner)
+            for shard_owner in owner.shards.values()
+        ],
+    }
+
+
+def _describe_shard(
+    owner: hub.Hub, shard_owner: shard.ShardOwner
+) -> dict[str, Any]:
+    counters = shard_owner.counters
+    return {
+        "shard": shard_owner.shard.format(),
+        "owned": owner.owns(shard_owner.shard),
+        "waiting_by_tier": shard_owner.list_waiting(),
+        "enqueued": counters.enqueued,
+        "granted": counters.granted,
+        "shed": counters.shed,
+        "redirected": counters.redirected,
+        "declined": counters.declined,
+        "backend_servers": [
+            _describe_backend(known) for known in shard_owner.backends.values()
+        ],
+    }
+
+
+def _describe_backend(known: backend.Backend) -> dict[str, Any]:
+    return {
+        "name": known.info.name,
+        "state": known.state.value,
+        "running": len(known.placed),
+        "places": known.info.max_running,
+        "foreign": known.foreign,
+        "prefill_tokens": known.prefill_tokens,
+        "prefill_tokens_per_s": round(known.prefill_rate, 1),
+        "step_s": round(known.step_s, 4),
+    }
--- /dev/null
+++ b/ramptray/service/__init__.py
@@ -0,0 +1,1 @@
+"""The client side of plain services behind ramptray."""
--- /dev/null
+++ b/ramptray/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain services and the platform."""
--- /dev/null
+++ b/ramptray/standin/engine/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for a model engine."""
--- /dev/null
+++ b/ramptray/standin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for the platform's services."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ramptray."""
--- /dev/null
+++ b/test/test_path.py
@@ -0,0 +1,132 @@
+"""The whole path over real processes, as an ordinary caller sees it."""
+
+from __future__ import annotations
+
+import json
+import urllib.error
+import urllib.request
+from typing import Any
+
+import openai
+import pytest
+
+from bench import deployment
+from ramptray.standin.engine import batch
+
+
+def call(
+    url: str, body: Any, key: str = "key-salon-ola", **headers: str
+) -> tuple[int, Any, Any]:
+    """Returns status, headers and JSON body of a POST."""
+    asked = urllib.request.Request(
+        url,
+        json.dumps(body).encode(),
+        {"authorization": f"Bearer {key}", **headers},
+        method="POST",
+    )
+    try:
+        with urllib.request.urlopen(asked, timeout=20) as answer:
+            return answer.status, answer.headers, json.load(answer)
+    except urllib.error.HTTPError as error:
+        return error.code, error.headers, json.load(error)
+
+
+def make_client(running: deployment.Deployment) -> openai.OpenAI:
+    return openai.OpenAI(
+        base_url=running.entries[0].url + "/v1",
+        api_key="key-salon-ola",
+        max_retries=0,
+    )
+
+
+def test_openai_client_streams_its_own_whole_answer(
+    running: deployment.Deployment,
+) -> None:
+    stream = make_client(running).chat.completions.create(
+        model="assistant",
+        messages=[{"role": "user", "content": "VAT on haircuts?"}],
+        max_tokens=12,
+        stream=True,
+    )
+    text = "".join(c.choices[0].delta.content or "" for c in stream)
+    prompt = "user: VAT on haircuts?\n"
+    tag = batch.tag_prompt(prompt)
+    count = batch.draw_output_tokens(prompt, 12)
+    assert text == "".join(f"{tag}-{n} " for n in range(1, count + 1))
+
+
+def test_openai_client_gets_a_whole_answer_and_the_models(
+    running: deployment.Deployment,
+) -> None:
+    client = make_client(running)
+    answer = client.completions.create(
+        model="assistant", prompt="hello", max_tokens=4
+    )
+    tag = batch.tag_prompt("hello")
+    assert answer.choices[0].text.startswith(f"{tag}-1 ")
+    assert answer.usage is not None
+    assert [m.id for m in client.models.list()] == ["assistant"]
+
+
+@pytest.mark.parametrize(
+    ("body", "key", "headers", "status", "code"),
+    [
+        ({"model": "assistant"}, "wrong", {}, 401, "invalid_api_key"),
+        ({"model": "nobody"}, None, {}, 404, "unknown_service"),
+        ([], None, {}, 400, "invalid_json"),
+        (
+            {"model": "assistant", "max_tokens": -1},
+            None,
+            {},
+            400,
+            "invalid_value",
+        ),
+        (
+            {"model": "assistant"},
+            None,
+            {"x-ramptray-tier": "gold"},
+            403,
+            "tier_not_allowed",
+        ),
+    ],
+)
+def test_refuses_what_cannot_be_served(
+    running: deployment.Deployment,
+    body: Any,
+    key: str | None,
+    headers: dict[str, str],
+    status: int,
+    code: str,
+) -> None:
+    got, _, answer = call(
+        running.entries[0].url + "/v1/chat/completions",
+        body,
+        key or "key-salon-ola",
+        **headers,
+    )
+    assert (got, answer["error"]["code"]) == (status, code)
+    assert answer["error"]["outcome"] == "not_run"
+
+
+def test_a_zone_without_the_service_sends_requests_on(
+    running: deployment.Deployment,
+) -> None:
+    elsewhere = running.processes["entry/waw-b-vm1"].url
+    deadline = {"x-ramptray-deadline-s": "5"}
+    got = call(elsewhere + "/services/portal/ping", {}, **deadline)
+    assert (got[0], got[2]["service"]) == (200, "portal-1")
+
+
+def test_plain_service_runs_a_key_once(
+    running: deployment.Deployment,
+) -> None:
+    url = running.entries[0].url + "/services/portal/invoices?draft=no"
+    first = call(url, {"n": 1}, **{"idempotency-key": "invoice-1"})
+    again = call(url, {"n": 1}, **{"idempotency-key": "invoice-1"})
+    other = call(url, {"n": 2}, **{"idempotency-key": "invoice-1"})
+    assert (first[0], first[2]["run"]) == (200, 1)
+    assert first[2]["query"] == "draft=no"
+    assert (again[0], again[2]["error"]["reason"]) == (409, "key_done")
+    assert (other[0], other[2]["error"]["reason"]) == (422, "key_reused")
+    ledger = running.get("service/portal-1", "/ledger")
+    assert ledger["runs_by_key"]["invoice-1"] == 1
