--- a/ramptray/caller/app.py
+++ b/ramptray/caller/app.py
@@ -78,7 +78,6 @@
                 routing.Route("/healthz", self._show_health),
                 routing.Route("/readyz", self._show_ready),
                 routing.Route("/metrics", self._show_metrics),
-                routing.Route("/timeline", self._show_timeline),
             ]
         )
 
@@ -234,15 +233,6 @@
     async def _show_metrics(self, http: requests.Request) -> responses.Response:
         return responses.PlainTextResponse(self._metrics.format())
 
-    async def _show_timeline(
-        self, http: requests.Request
-    ) -> responses.Response:
-        after = int(http.query_params.get("after", 0))
-        subject = http.query_params.get("subject", "")
-        return responses.JSONResponse(
-            self._desk.timeline.list_events(after, subject)
-        )
-
 
 class _Watched:
     """An exchange whose items are counted on their way to the caller."""
--- a/ramptray/command/__init__.py
+++ b/ramptray/command/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command line."""
+"""The operators' command line: one module a command."""
--- /dev/null
+++ b/ramptray/command/main.py
@@ -0,0 +1,45 @@
+"""``ramptray``: the operators' command."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+import ramptray
+from ramptray import process
+from ramptray.bundle import text
+from ramptray.command import bundle, keys, rollout, status, timeline
+from ramptray.command.error import CommandError
+
+
+@click.group(name="ramptray")
+@click.version_option(ramptray.__version__)
+def run_group() -> None:
+    """Declares and rolls out what ramptray works by, and shows what it does.
+
+    Exit codes: 0 done, 1 not done, 2 a mistake in a file or argument.
+    """
+
+
+for command in (
+    bundle.group,
+    keys.group,
+    rollout.command,
+    status.command,
+    timeline.command,
+):
+    run_group.add_command(command)
+
+
+def run() -> None:
+    """Runs the command; errors that a user can mend are shown as one line."""
+    process.set_up_logs("ramptray", "ERROR")
+    try:
+        run_group()
+    except text.TextError as error:
+        click.echo(str(error), err=True)
+        sys.exit(process.EXIT_MISTAKE)
+    except CommandError as error:
+        click.echo(f"ramptray: {error}", err=True)
+        sys.exit(process.EXIT_FAILED)
--- /dev/null
+++ b/ramptray/command/peers.py
@@ -0,0 +1,100 @@
+"""Asks the schedulers of a deployment, wherever they are."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+import click
+
+from ramptray import settings, wallclock
+from ramptray.bundle import text
+from ramptray.core import clock
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+
+ASK_S = 2.0
+
+SETTINGS_OPTION = click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(path_type=pathlib.Path),
+    required=True,
+    envvar="RAMPTRAY_SETTINGS",
+    help="The operator's settings, JSON with comments.",
+)
+
+
+def read_settings(file: pathlib.Path) -> settings.OperatorSettings:
+    """Returns the operator's settings.
+
+    Raises:
+        text.TextError: They have mistakes.
+    """
+    return text.read_model(file, settings.OperatorSettings)
+
+
+class Peers:
+    """All schedulers that can be found from the settings."""
+
+    def __init__(
+        self, given: settings.OperatorSettings, client: peer_link.PeerClient
+    ) -> None:
+        self._given = given
+        self._client = client
+
+    async def ask_all(
+        self, question: Any, addresses: list[str]
+    ) -> dict[str, Any]:
+        """Returns the answers of those that answered, by address."""
+        answers: dict[str, Any] = {}
+
+        async def ask(address: str) -> None:
+            with contextlib.suppress(peer_link.LinkError):
+                answers[address] = await self._client.ask(
+                    address, question, ASK_S
+                )
+
+        async with anyio.create_task_group() as tasks:
+            for address in addresses:
+                tasks.start_soon(ask, address)
+        return {a: answers[a] for a in addresses if a in answers}
+
+    async def find_reports(self) -> dict[str, dict[str, Any]]:
+        """Returns every reachable scheduler's report, by VM.
+
+        Starts from the settings and goes on to whom the reports name.
+        """
+        reports: dict[str, dict[str, Any]] = {}
+        asked: set[str] = set()
+        wanted = set(self._given.schedulers)
+        while wanted:
+            asked |= wanted
+            answers = await self.ask_all(
+                peer_message.AskStatus(), sorted(wanted)
+            )
+            for answer in answers.values():
+                reports[answer.report["vm"]] = answer.report
+            named = {
+                peer["address"]
+                for report in reports.values()
+                for peer in (*report["members"], *report["others"])
+                if peer.get("state", "alive") == "alive"
+            }
+            wanted = named - asked
+        return dict(sorted(reports.items()))
+
+
+@contextlib.asynccontextmanager
+async def open_peers(
+    given: settings.OperatorSettings,
+) -> AsyncIterator[Peers]:
+    """Opens the channels to a deployment's schedulers."""
+    client = peer_link.PeerClient(clock.HybridClock(wallclock.read), given.tls)
+    try:
+        yield Peers(given, client)
+    finally:
+        await client.close()
--- /dev/null
+++ b/ramptray/command/status.py
@@ -0,0 +1,84 @@
+"""``ramptray status``: what the deployment does, on one screen."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Iterator
+from typing import Any
+
+import anyio
+import click
+import msgspec
+
+from ramptray import settings
+from ramptray.command import peers, rollout
+from ramptray.command.error import CommandError
+
+
+@click.command(name="status")
+@peers.SETTINGS_OPTION
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def command(settings_file: pathlib.Path, as_json: bool) -> None:
+    """Shows VMs, shards and backend servers."""
+    given = peers.read_settings(settings_file)
+    reports = anyio.run(_fetch, given)
+    if not reports:
+        raise CommandError("no scheduler answers")
+    if as_json:
+        click.echo(msgspec.json.encode(reports).decode())
+        return
+    for line in iterate_lines(reports):
+        click.echo(line)
+
+
+def iterate_lines(reports: dict[str, dict[str, Any]]) -> Iterator[str]:
+    """Yields the lines of the screen."""
+    yield f"{'VM':<20}{'zone':<18}{'generation':<12}{'log':<6}lease"
+    for vm, report in reports.items():
+        log = "up" if report["log_up"] else "DOWN"
+        lease = "holds" if report.get("lease") else ""
+        yield (
+            f"{vm:<20}{report['zone']:<18}"
+            f"{rollout.get_generation(report):<12}{log:<6}{lease}"
+        )
+    yield ""
+    yield (
+        f"{'shard':<34}{'owner':<20}{'waiting by tier':<18}"
+        f"{'granted':>8}{'shed':>6}{'spilled':>8}"
+    )
+    for vm, shard in _iterate_owned(reports):
+        waiting = " ".join(map(str, shard["waiting_by_tier"]))
+        yield (
+            f"{shard['shard']:<34}{vm:<20}{waiting:<18}"
+            f"{shard['granted']:>8}{shard['shed']:>6}"
+            f"{shard['redirected']:>8}"
+        )
+    yield ""
+    yield (
+        f"{'backend server':<24}{'state':<10}{'running':>8}{'places':>7}"
+        f"{'prefill/s':>11}{'step':>9}"
+    )
+    for _, shard in _iterate_owned(reports):
+        for server in shard["backend_servers"]:
+            yield (
+                f"{server['name']:<24}{server['state']:<10}"
+                f"{server['running']:>8}{server['places']:>7}"
+                f"{server['prefill_tokens_per_s']:>11.0f}"
+                f"{server['step_s'] * 1000:>6.1f} ms"
+            )
+
+
+def _iterate_owned(
+    reports: dict[str, dict[str, Any]],
+) -> Iterator[tuple[str, dict[str, Any]]]:
+    for vm, report in reports.items():
+        for shard in report["shards"]:
+            if shard["owned"]:
+                yield vm, shard
+
+
+async def _fetch(
+    given: settings.OperatorSettings,
+) -> dict[str, dict[str, Any]]:
+    async with peers.open_peers(given) as found:
+        return await found.find_reports()
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -391,6 +391,10 @@
                     self._perform(ticket, effects, now)
             case message.Redirect(request_id):
                 self._redirect(address, body, now)
+            case peer_message.AskTimeline(after, subject, number):
+                events = self.timeline.list_events(after, subject)
+                answer = peer_message.TimelineEvents(events, number)
+                self._tell_any(address, answer)
             case peer_message.ClaimDecision():
                 self._decide_claim(body, now)
             case peer_message.View() if address == self._local:
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -190,7 +190,7 @@
         self._clock = hybrid_clock
         self._tls = tls
         self._channels: dict[str, grpc.aio.Channel] = {}
-        self.sent_bytes = 0
+        self.asked_bytes = 0
 
     async def ask(self, address: str, question: Any, timeout_s: float) -> Any:
         """Returns the peer's answer.
@@ -200,9 +200,10 @@
         """
         call: Any = self._get_channel(address).unary_unary(f"/{SERVICE}/Ask")
         data = codec.encode(self._clock.tick(), question)
-        self.sent_bytes += len(data)
         try:
-            frame = codec.decode(await call(data, timeout=timeout_s))
+            answer = await call(data, timeout=timeout_s)
+            self.asked_bytes += len(data) + len(answer)
+            frame = codec.decode(answer)
         except (grpc.aio.AioRpcError, codec.CodecError) as error:
             raise LinkError(f"{address}: {_describe(error)}") from error
         self._clock.witness(frame.clock)
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -137,19 +137,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskTimeline:
-    """Operator's command to scheduler: events of this VM.
+    """Operator's command to scheduler, or scheduler to an attached process.
 
     Attributes:
         after: Only events with a later clock value.
         subject: Only events about this request, backend server or bundle.
+        ticket: Tells apart the questions to an attached process.
     """
 
     after: int
     subject: str
+    ticket: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimelineEvents:
-    """Answer to ``AskTimeline``, or events that an entry hands on."""
+    """Answer to ``AskTimeline``.
+
+    Attributes:
+        events: Events, oldest first.
+        ticket: The question's ticket.
+    """
 
     events: list[dict[str, Any]]
+    ticket: int = 0
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -69,6 +69,11 @@
             await anyio.sleep(membership.PERIOD_S * self._rng.uniform(0.8, 1.2))
             await self._run_period()
 
+    @property
+    def asked_bytes(self) -> int:
+        """Bytes of questions and answers exchanged with other schedulers."""
+        return self._client.asked_bytes
+
     def add_seeds(self, addresses: list[str]) -> None:
         """Adds schedulers that the platform's list names."""
         known = {*self._seeds, self._me.address}
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+import itertools
 import logging
 import time
 from collections.abc import Iterable
@@ -96,6 +98,19 @@
     decision: peer_message.ClaimDecision
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventsWanted:
+    """An operator asks for the events of this VM's processes.
+
+    Attributes:
+        question: What is asked.
+        answers: Where each attached process's answer goes.
+    """
+
+    question: peer_message.AskTimeline
+    answers: memory.MemoryObjectSendStream[peer_message.TimelineEvents]
+
+
 @dataclasses.dataclass(slots=True)
 class Attached:
     """What is known of an attached process."""
@@ -131,6 +146,11 @@
         self._leaving_said: set[str] = set()
         self._empty_since: dict[message.ShardKey, float] = {}
         self._summaries_at = 0.0
+        self._numbers = itertools.count(1)
+        self._wanted_events: dict[
+            tuple[int, peer_link.Session],
+            memory.MemoryObjectSendStream[peer_message.TimelineEvents],
+        ] = {}
         send, receive = anyio.create_memory_object_stream[Any](INBOX)
         self._send: memory.MemoryObjectSendStream[Any] = send
         self._receive: memory.MemoryObjectReceiveStream[Any] = receive
@@ -193,6 +213,31 @@
                 self._mark_leaving()
             case Decided(session, decision):
                 session.send(decision)
+            case EventsWanted():
+                self._ask_for_events(event)
+
+    def _ask_for_events(self, wanted: EventsWanted) -> None:
+        number = next(self._numbers)
+        question = dataclasses.replace(wanted.question, ticket=number)
+        vm = self._gossiper.membership.me.vm
+        asked = [
+            session
+            for session, attached in self._sessions.items()
+            if attached is not None and attached.hello.vm == vm
+        ]
+        # The stream closes by itself when the last answer was handed on.
+        for session in asked:
+            self._wanted_events[number, session] = wanted.answers.clone()
+            session.send(question)
+        wanted.answers.close()
+
+    def _hand_on_events(
+        self, session: peer_link.Session, events: peer_message.TimelineEvents
+    ) -> None:
+        answers = self._wanted_events.pop((events.ticket, session), None)
+        if answers is not None:
+            with contextlib.suppress(anyio.BrokenResourceError), answers:
+                answers.send_nowait(events)
 
     # Attached processes.
 
@@ -217,6 +262,8 @@
                 | message.Ended()
             ):
                 self._pass_to_holder(attached, body, now)
+            case peer_message.TimelineEvents():
+                self._hand_on_events(session, body)
             case peer_message.InForceReport(generation):
                 attached.generation = generation
             case peer_message.ClaimKey():
@@ -243,6 +290,8 @@
             owner.begin_sync(hello.name)
 
     def _close(self, session: peer_link.Session, now: float) -> None:
+        for key in [k for k in self._wanted_events if k[1] is session]:
+            self._wanted_events.pop(key).close()
         attached = self._sessions.pop(session, None)
         if attached is None:
             return
--- a/ramptray/scheduler/servant.py
+++ b/ramptray/scheduler/servant.py
@@ -4,11 +4,19 @@
 
 from typing import Any
 
+import anyio
+
 from ramptray import timeline
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.scheduler import follower, gossip, hub, status
 
+COLLECT_S = 1.0
+"""How long the VM's other processes may take to send their events."""
+
+ATTACHED = 16
+"""Processes of one VM that may answer."""
+
 
 class SchedulerServant(peer_link.Servant):
     """Passes attached processes to the hub and answers questions."""
@@ -57,8 +65,20 @@
                         self._hub, self._gossiper, self._follower
                     )
                 )
-            case peer_message.AskTimeline(after, subject):
-                return peer_message.TimelineEvents(
-                    self._timeline.list_events(after, subject)
-                )
+            case peer_message.AskTimeline():
+                return await self._collect_events(question)
         raise ValueError(f"no question: {type(question).__name__}")
+
+    async def _collect_events(
+        self, question: peer_message.AskTimeline
+    ) -> peer_message.TimelineEvents:
+        """Returns the events of this VM's processes that answer in time."""
+        events = self._timeline.list_events(question.after, question.subject)
+        send, receive = anyio.create_memory_object_stream[
+            peer_message.TimelineEvents
+        ](ATTACHED)
+        self._hub.post(hub.EventsWanted(question, send))
+        with anyio.move_on_after(COLLECT_S):
+            async for answer in receive:
+                events.extend(answer.events)
+        return peer_message.TimelineEvents(events)
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -20,6 +20,7 @@
         "generation": me.generation,
         "digest": follow.in_force.envelope.digest if follow.in_force else None,
         "log_up": follow.log_up,
+        "asked_bytes": gossiper.asked_bytes,
         "members": [
             {
                 "vm": member.vm,
