--- a/ramptray/command/status.py
+++ b/ramptray/command/status.py
@@ -21,7 +21,7 @@
 def command(settings_file: pathlib.Path, as_json: bool) -> None:
     """Shows VMs, shards and backend servers."""
     given = peers.read_settings(settings_file)
-    reports = anyio.run(_fetch, given)
+    reports = anyio.run(fetch, given)
     if not reports:
         raise CommandError("no scheduler answers")
     if as_json:
@@ -77,8 +77,9 @@
                 yield vm, shard
 
 
-async def _fetch(
+async def fetch(
     given: settings.OperatorSettings,
 ) -> dict[str, dict[str, Any]]:
+    """Returns every reachable scheduler's report, by VM."""
     async with peers.open_peers(given) as found:
         return await found.find_reports()
