Order engines under a lease on the log, and check the core's rules

Controllers hold a lease per zone; its record's offset fences orders; engines are brought level with the bundle; a version is unloaded after its last request.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -398,6 +398,7 @@
                     "step_s": spec.step_s,
                     "max_running": spec.max_running,
                     "cache_blocks": spec.cache_blocks,
+                    "versions": [f"{spec.service}@1"],
                     **spec.options,
                 },
             )
--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -146,6 +146,7 @@
         engine: Its kind of engine.
         url: Where it listens.
         leaving: Whether it is to get no new work.
+        role: The role that its engine is to have.
     """
 
     zone: Name
@@ -153,6 +154,17 @@
     engine: Name
     url: Url
     leaving: bool = False
+    role: Name = "any"
+
+
+class Weights(Model):
+    """What the weight store can bear.
+
+    Attributes:
+        loads_at_once: Engines of one zone that may load at a time.
+    """
+
+    loads_at_once: int = pydantic.Field(2, ge=1)
 
 
 class Bundle(Model):
@@ -172,6 +184,7 @@
     services: dict[Name, Service]
     engines: dict[Name, Engine]
     backend_servers: dict[Name, BackendServer]
+    weights: Weights = Weights()
 
     def get_ranks(self) -> dict[str, int]:
         """Returns the rank of each tier, 0 for the most urgent."""
--- /dev/null
+++ b/ramptray/controller/leaseholder.py
@@ -0,0 +1,103 @@
+"""The task that takes and renews the lease of a zone on the log."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import time
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from ramptray.core import lease
+from ramptray.platform import log as platform_log
+
+LOG = logging.getLogger(__name__)
+
+TICK_S = 0.1
+READ_WAIT_S = 2.0
+RETRY_S = 0.2
+
+
+class LeaseHolder:
+    """Follows the lease stream of a zone and contends for the lease."""
+
+    def __init__(
+        self,
+        log: platform_log.Log,
+        zone: str,
+        state: lease.Lease,
+        on_change: Callable[[bool, int], None],
+    ) -> None:
+        self._log = log
+        self._stream = f"lease-{zone}"
+        self._lease = state
+        self._on_change = on_change
+        self._next_offset = 0
+        self._caught_up = False
+        self._held = False
+
+    async def run(self) -> None:
+        """Contends until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._read)
+            tasks.start_soon(self._write)
+
+    async def release(self) -> None:
+        """Gives the lease up at a planned stop, if it is held."""
+        if not self._lease.holds(time.monotonic()):
+            return
+        try:
+            await self._append(self._lease.release())
+        except platform_log.PlatformError as error:
+            LOG.info("lease not released: %s", error)
+
+    async def _read(self) -> None:
+        while True:
+            try:
+                page = await self._log.read(
+                    self._stream, self._next_offset, READ_WAIT_S
+                )
+            except platform_log.PlatformError as error:
+                LOG.info("lease not read: %s", error)
+                await anyio.sleep(RETRY_S)
+                continue
+            self._lease.skip_to(page.first_retained, time.monotonic())
+            self._next_offset = max(self._next_offset, page.first_retained)
+            for record in page.records:
+                self._take(record)
+                self._next_offset = record.offset + 1
+            self._caught_up = self._next_offset >= page.next_offset
+
+    def _take(self, record: platform_log.LogRecord) -> None:
+        try:
+            parsed = msgspec.convert(record.body, lease.LeaseRecord)
+        except msgspec.ValidationError as error:
+            LOG.warning("record is no lease: %s", error)
+            return
+        self._lease.read(record.offset, parsed, time.monotonic())
+
+    async def _write(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            self._report()
+            if not self._caught_up:
+                continue
+            record = self._lease.make_record(time.monotonic())
+            if record is None:
+                continue
+            try:
+                await self._append(record)
+            except platform_log.PlatformError as error:
+                LOG.info("lease not appended: %s", error)
+
+    async def _append(self, record: lease.LeaseRecord) -> None:
+        await self._log.append(self._stream, dataclasses.asdict(record))
+
+    def _report(self) -> None:
+        held = self._lease.holds(time.monotonic())
+        if held != self._held:
+            self._held = held
+            LOG.info("lease", extra={"held": held})
+            self._on_change(held, self._lease.fencing)
--- a/ramptray/controller/main.py
+++ b/ramptray/controller/main.py
@@ -3,31 +3,114 @@
 from __future__ import annotations
 
 import logging
+import secrets
+import time
 
 import anyio
 from starlette import applications, requests, responses, routing
 
-from ramptray import process, webserver
+from ramptray import process, timeline, wallclock, webserver
+from ramptray.bundle import acceptance
+from ramptray.controller import leaseholder, reconciler
+from ramptray.core import clock, lease
+from ramptray.peer import attachment
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+from ramptray.platform import log as platform_log
 from ramptray.settings import ControllerSettings
 
 LOG = logging.getLogger(__name__)
 
+INBOX = 1000
+TERM_S = 6.0
+"""How long a holder holds the lease after it sent a record, in seconds."""
+
+
+class Controller:
+    """Connects the local scheduler's word with lease and reconciler."""
+
+    def __init__(self, settings: ControllerSettings) -> None:
+        hybrid_clock = clock.HybridClock(wallclock.read)
+        name = f"controller/{settings.vm}"
+        self._settings = settings
+        self._timeline = timeline.Timeline(name, settings.zone, hybrid_clock)
+        self._client = peer_link.PeerClient(hybrid_clock, settings.tls)
+        self._learner = acceptance.Learner()
+        times = lease.LeaseTimes(TERM_S, settings.order_timeout_s)
+        # The name tells lives apart: a restarted controller is another holder.
+        state = lease.Lease(
+            f"{name}/{secrets.token_hex(4)}", times, time.monotonic()
+        )
+        self.holder = leaseholder.LeaseHolder(
+            platform_log.HttpLog(settings.platform),
+            settings.zone,
+            state,
+            self._note_lease,
+        )
+        self.reconciler = reconciler.Reconciler(
+            settings.zone, state, self._timeline, settings.order_timeout_s
+        )
+        send, self._receive = anyio.create_memory_object_stream[
+            attachment.Event
+        ](INBOX)
+        self.link = attachment.Attachment(
+            settings.scheduler,
+            peer_message.Hello(name, settings.vm, "controller"),
+            self._client,
+            send,
+        )
+
+    async def run(self) -> None:
+        """Handles what the scheduler says until cancelled."""
+        async for event in self._receive:
+            if isinstance(event, attachment.Said):
+                self._hear(event.body)
+
+    def _hear(self, body: object) -> None:
+        match body:
+            case peer_message.BundleUpdate(envelope):
+                if self._learner.learn(envelope) and self._learner.in_force:
+                    self.reconciler.set_bundle(self._learner.in_force)
+                in_force = self._learner.in_force
+                if in_force is not None:
+                    report = peer_message.InForceReport(in_force.generation)
+                    self.link.send(report)
+            case peer_message.LowestGeneration(generation):
+                self.reconciler.set_lowest_generation(generation)
+            case peer_message.AskTimeline(after, subject, number):
+                events = self._timeline.list_events(after, subject)
+                self.link.send(peer_message.TimelineEvents(events, number))
+
+    def _note_lease(self, held: bool, fencing: int) -> None:
+        kind = "lease" if held else "lease_lost"
+        self._timeline.note(kind, self._settings.zone, fencing=fencing)
+        self.link.send(peer_message.LeaseReport(held, fencing))
+
 
 async def main(settings: ControllerSettings, stop: process.Stop) -> None:
-    """Serves until a stop is asked for."""
+    """Serves until a stop is asked for, then gives the lease up."""
+    controller = Controller(settings)
+    listener = webserver.bind(settings.listen)
+    server = webserver.make_server(_make_app())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(controller.link.run)
+        tasks.start_soon(controller.run)
+        tasks.start_soon(controller.holder.run)
+        tasks.start_soon(controller.reconciler.run)
+        tasks.start_soon(server.serve, [listener])
+        LOG.info("listening", extra={"address": settings.listen})
+        await stop.event.wait()
+        await controller.holder.release()
+        tasks.cancel_scope.cancel()
+
 
+def _make_app() -> applications.Starlette:
     async def show_health(http: requests.Request) -> responses.Response:
         return responses.JSONResponse({"status": "ok"})
 
-    app = applications.Starlette(
+    return applications.Starlette(
         routes=[routing.Route("/healthz", show_health)]
     )
-    server = webserver.make_server(app)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve, [webserver.bind(settings.listen)])
-        LOG.info("listening", extra={"address": settings.listen})
-        await stop.event.wait()
-        tasks.cancel_scope.cancel()
 
 
 run = process.make_program(
--- /dev/null
+++ b/ramptray/controller/reconciler.py
@@ -0,0 +1,151 @@
+"""The task that brings a zone's engines to what the bundle declares."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import anyio
+
+from ramptray import timeline
+from ramptray.bundle import acceptance, model
+from ramptray.core import lease, placement
+from ramptray.engine import client as engine_client
+from ramptray.engine import orders
+
+LOG = logging.getLogger(__name__)
+
+EVERY_S = 0.5
+TAKEOVER_S = 10.0
+"""How long after a takeover silent engines count as loading, in seconds."""
+
+SETTLE_S = 3.0
+"""How long a bundle must be in force before old versions are unloaded."""
+
+
+class Reconciler:
+    """Orders the engines of one zone while the lease is held."""
+
+    def __init__(
+        self,
+        zone: str,
+        state: lease.Lease,
+        events: timeline.Timeline,
+        order_timeout_s: float,
+    ) -> None:
+        self._zone = zone
+        self._lease = state
+        self._timeline = events
+        self._timeout_s = order_timeout_s
+        self._client = orders.OrderClient(engine_client.EngineClient())
+        self._in_force: acceptance.InForce | None = None
+        self._lowest_generation = 0
+        self._settled_since: float | None = None
+        self._held_since: float | None = None
+
+    def set_bundle(self, in_force: acceptance.InForce) -> None:
+        """Takes the bundle in force."""
+        self._in_force = in_force
+        self._settled_since = None
+
+    def set_lowest_generation(self, generation: int) -> None:
+        """Takes the lowest generation that a live VM works by."""
+        self._lowest_generation = generation
+
+    async def run(self) -> None:
+        """Reconciles until cancelled."""
+        while True:
+            await anyio.sleep(EVERY_S)
+            now = time.monotonic()
+            if not self._lease.holds(now):
+                self._held_since = None
+                continue
+            self._held_since = self._held_since or now
+            if self._in_force is not None:
+                await self._reconcile(self._in_force.bundle, now)
+
+    async def _reconcile(self, bundle: model.Bundle, now: float) -> None:
+        wishes = make_wishes(bundle, self._zone)
+        states = await self._fetch_states(bundle, list(wishes))
+        assert self._held_since is not None
+        young = now - self._held_since < TAKEOVER_S
+        silent = len(wishes) - len(states)
+        for order in placement.plan_orders(
+            wishes,
+            states,
+            bundle.weights.loads_at_once,
+            silent if young else 0,
+            self._may_unload(bundle, now),
+        ):
+            url = bundle.backend_servers[order.backend].url
+            await self._send(url, order)
+
+    async def _fetch_states(
+        self, bundle: model.Bundle, names: list[str]
+    ) -> dict[str, placement.EngineState]:
+        states: dict[str, placement.EngineState] = {}
+
+        async def fetch(name: str) -> None:
+            url = bundle.backend_servers[name].url
+            try:
+                states[name] = await self._client.fetch_state(url)
+            except engine_client.EngineError as error:
+                LOG.debug("state of %s: %s", name, error)
+
+        async with anyio.create_task_group() as tasks:
+            for name in names:
+                tasks.start_soon(fetch, name)
+        return states
+
+    def _may_unload(self, bundle: model.Bundle, now: float) -> bool:
+        """Tells whether nobody can still route by an older bundle."""
+        if self._lowest_generation < bundle.generation:
+            self._settled_since = None
+            return False
+        self._settled_since = self._settled_since or now
+        return now - self._settled_since > SETTLE_S
+
+    async def _send(self, url: str, order: placement.Order) -> None:
+        """Gives one order, if the lease still covers its flight."""
+        if not self._lease.may_order(time.monotonic()):
+            return
+        fencing = self._lease.fencing
+        try:
+            with anyio.fail_after(self._timeout_s):
+                await self._client.send(url, order, fencing)
+        except (engine_client.EngineError, TimeoutError) as error:
+            LOG.warning(
+                "order not confirmed: %r",
+                error,
+                extra={"backend": order.backend, "order": order.kind.value},
+            )
+            return
+        self._timeline.note(
+            "order",
+            order.backend,
+            order=order.kind.value,
+            argument=order.argument,
+            fencing=fencing,
+        )
+        LOG.info(
+            "order given",
+            extra={
+                "backend": order.backend,
+                "order": order.kind.value,
+                "argument": order.argument,
+                "fencing": fencing,
+            },
+        )
+
+
+def make_wishes(bundle: model.Bundle, zone: str) -> dict[str, placement.Wish]:
+    """Returns what the bundle declares for the engines of a zone."""
+    return {
+        name: placement.Wish(
+            f"{server.service}@{bundle.services[server.service].version}",
+            server.role,
+        )
+        for name, server in bundle.backend_servers.items()
+        if server.zone == zone
+        and bundle.services[server.service].kind is model.ServiceKind.MODEL
+    }
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -147,6 +147,9 @@
         "step_s",
         "held_tokens",
         "unreachable_until",
+        "version",
+        "versions",
+        "loaded",
     )
 
     def __init__(self, info: BackendInfo) -> None:
@@ -161,6 +164,9 @@
         self.cache = PrefixCache(info.cache_blocks)
         self.foreign = 0
         self.report_running = 0
+        self.versions: tuple[str, ...] = ()
+        self.version = ""
+        self.loaded = True
         self.failures = 0
         self.unreachable_until = 0.0
 
@@ -176,11 +182,25 @@
         self.failures += 1
         self.unreachable_until = now + pause
 
+    def choose_version(self, wanted: str) -> None:
+        """Chooses the model version that new work there asks for.
+
+        Until the wanted one is loaded, another version of the same service
+        serves on; an engine with none gets no new work.
+        """
+        service = wanted.partition("@")[0] + "@"
+        others = [v for v in self.versions if v.startswith(service)]
+        if not self.versions or wanted in others:
+            self.version, self.loaded = wanted, True
+        elif others:
+            self.version, self.loaded = others[-1], True
+        else:
+            self.loaded = False
+
     def is_open(self, now: float) -> bool:
         """Tells whether new work may go there at all."""
-        return (
-            self.state is BackendState.ACTIVE and now >= self.unreachable_until
-        )
+        active = self.state is BackendState.ACTIVE and self.loaded
+        return active and now >= self.unreachable_until
 
     def count_uncached(self, request: message.RequestInfo) -> int:
         """Returns the prompt tokens that the engine would have to compute."""
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -159,12 +159,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """Owner to entry: dispatch this request to this backend server."""
+    """Owner to entry: dispatch this request to this backend server.
+
+    Attributes:
+        request_id: The request.
+        grant_id: Tells apart the grants of one owner.
+        backend: Name of the backend server.
+        owner: Address of the scheduler that grants.
+        version: The model version to ask for; empty for none.
+    """
 
     request_id: str
     grant_id: str
     backend: str
     owner: str
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -78,6 +78,7 @@
         headroom: Part of each engine's places kept for the highest tier.
         shares: Weight of each customer within a tier.
         limits: Rates of each customer in this zone.
+        version: The model version to serve, as ``service@version``.
     """
 
     ranks: dict[str, int]
@@ -85,6 +86,7 @@
     headroom: float
     shares: dict[str, float]
     limits: dict[str, limit.Rate]
+    version: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -148,10 +150,14 @@
         if name in self.backends:
             self.backends[name].state = state
 
-    def correct_load(self, name: str, running: int) -> None:
+    def correct_load(
+        self, name: str, running: int, versions: tuple[str, ...] = ()
+    ) -> None:
         """Takes an engine's lagging load report."""
-        if name in self.backends:
-            self.backends[name].correct(running)
+        if known := self.backends.get(name):
+            known.correct(running)
+            known.versions = versions
+            known.choose_version(self._rules.version)
 
     def set_elsewhere(self, summaries: list[ShardSummary]) -> None:
         """Takes what is known of the same shard in the other zones."""
@@ -295,7 +301,11 @@
         return ToEntry(
             waiting.entry,
             message.Grant(
-                request.request_id, grant_id, chosen.info.name, self._address
+                request.request_id,
+                grant_id,
+                chosen.info.name,
+                self._address,
+                chosen.version,
             ),
         )
 
@@ -505,6 +515,8 @@
             if known is None or known.info != info:
                 self.backends[name] = backends.Backend(info)
                 self._move_placed(known, self.backends[name])
+        for known in self.backends.values():
+            known.choose_version(self._rules.version)
         for name in set(self.backends) - set(wanted):
             self.backends[name].state = backends.BackendState.LEAVING
             if not self.backends[name].placed:
--- a/ramptray/engine/client.py
+++ b/ramptray/engine/client.py
@@ -100,7 +100,12 @@
 
     @contextlib.asynccontextmanager
     async def dispatch(
-        self, url: str, path: str, request_id: str, body: bytes
+        self,
+        url: str,
+        path: str,
+        request_id: str,
+        body: bytes,
+        version: str = "",
     ) -> AsyncIterator[AsyncIterator[event.Event]]:
         """Sends a request, once, and yields its stream of events.
 
@@ -113,6 +118,8 @@
             "content-type": "application/json",
             "x-request-id": request_id,
         }
+        if version:
+            headers["x-model-version"] = version
         async with self._open(
             "POST", url, path, headers=headers, content=body
         ) as response:
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -20,7 +20,7 @@
 from ramptray import timeline
 from ramptray.bundle import acceptance, signature
 from ramptray.core import claim, membership, message, request
-from ramptray.entry import link
+from ramptray.peer import attachment
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 
@@ -110,9 +110,9 @@
     | Refused
     | Lost
     | Abandoned
-    | link.Up
-    | link.Down
-    | link.Said
+    | attachment.Up
+    | attachment.Down
+    | attachment.Said
 )
 ExchangeEffect = request.Dispatch | request.Finish
 
@@ -186,7 +186,7 @@
         self._send: memory.MemoryObjectSendStream[Event] = send
         self._receive: memory.MemoryObjectReceiveStream[Event] = receive
         self._tickets: dict[str, Ticket] = {}
-        self._links: dict[str, link.OwnerLink] = {}
+        self._links: dict[str, attachment.Attachment] = {}
         self._members: dict[str, membership.Member] = {}
         self._others: list[membership.Member] = []
         self._down_links: set[str] = set()
@@ -236,11 +236,11 @@
         match event:
             case Submitted(ticket):
                 self._begin(ticket, now)
-            case link.Up(address):
+            case attachment.Up(address):
                 self._sync(address, now)
-            case link.Down(address):
+            case attachment.Down(address):
                 self._lose_link(address, now)
-            case link.Said(address, body):
+            case attachment.Said(address, body):
                 self._hear(address, body, now)
             case _:
                 self._handle_exchange(event, now)
@@ -462,10 +462,10 @@
     def _tell_any(self, address: str, body: object) -> None:
         self._get_link(address).send(body)
 
-    def _get_link(self, address: str) -> link.OwnerLink:
+    def _get_link(self, address: str) -> attachment.Attachment:
         if address not in self._links:
             hello = peer_message.Hello(self._name, self._vm, "entry")
-            owner_link = link.OwnerLink(
+            owner_link = attachment.Attachment(
                 address, hello, self._client, self._send
             )
             self._links[address] = owner_link
--- a/ramptray/entry/exchange.py
+++ b/ramptray/entry/exchange.py
@@ -121,7 +121,11 @@
         self._dispatched_at = time.monotonic()
         try:
             async with self._client.dispatch(
-                url, self._call.path, self.request_id, self._call.body
+                url,
+                self._call.path,
+                self.request_id,
+                self._call.body,
+                grant.version,
             ) as events:
                 self._url = url
                 await self._pass_on(events)
--- a/ramptray/entry/link.py
+++ b/ramptray/peer/attachment.py
@@ -1,4 +1,4 @@
-"""The task that keeps one link from an entry to a scheduler."""
+"""The task that keeps a process attached to one scheduler."""
 
 from __future__ import annotations
 
@@ -41,7 +41,10 @@
     body: Any
 
 
-class OwnerLink:
+Event = Up | Down | Said
+
+
+class Attachment:
     """Keeps a link to one scheduler open, and reopens it when it breaks.
 
     What is sent while the link is down is dropped: when it is up again the
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -35,6 +35,8 @@
             peer_message.View,
             peer_message.BundleUpdate,
             peer_message.InForceReport,
+            peer_message.LeaseReport,
+            peer_message.LowestGeneration,
             peer_message.ClaimKey,
             peer_message.ReleaseKey,
             peer_message.FinishKey,
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -31,6 +31,13 @@
     others: list[membership.Member]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LowestGeneration:
+    """Scheduler to controller: the zone's VMs all work by this or newer."""
+
+    generation: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BundleUpdate:
     """Scheduler to an attached process: the bundle in force."""
@@ -45,6 +52,14 @@
     generation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseReport:
+    """Controller to scheduler: whether it holds its zone's lease."""
+
+    held: bool
+    fencing: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimKey:
     """Entry to scheduler: claim an idempotency key for an attempt.
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -37,6 +37,7 @@
         client: Opens channels.
         rng: Chooses whom to probe.
         on_view: Called with each new view.
+        on_lowest: Called when the zone's lowest generation has changed.
         on_newer: Called with a peer that has a newer bundle in force.
     """
 
@@ -47,6 +48,7 @@
         client: peer_link.PeerClient,
         rng: random.Random,
         on_view: Callable[[peer_message.View], None],
+        on_lowest: Callable[[int], None],
         on_newer: Callable[[str, int], Awaitable[None]],
     ) -> None:
         now = time.monotonic()
@@ -56,8 +58,10 @@
         self._client = client
         self._rng = rng
         self._on_view = on_view
+        self._on_lowest = on_lowest
         self._on_newer = on_newer
         self._version = 0
+        self._lowest = 0
         self._contacts: dict[str, dict[str, membership.Member]] = {}
         self._summaries: dict[str, tuple[float, shard.ShardSummary]] = {}
         self._rounds = itertools.count(1)
@@ -230,6 +234,10 @@
                 tuple((m.vm, m.address) for m in others),
             )
         )
+        lowest = min(m.generation for m in self.membership.list_alive())
+        if lowest != self._lowest:
+            self._lowest = lowest
+            self._on_lowest(lowest)
         if signature == self._version:
             return
         self._version = signature
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -67,6 +67,13 @@
     view: peer_message.View
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LowestChanged:
+    """All VMs of the zone now work by this generation or a newer one."""
+
+    generation: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reported:
     """An engine's load report has arrived, or none did."""
@@ -117,6 +124,7 @@
 
     hello: peer_message.Hello
     generation: int = 0
+    holds_lease: bool = False
 
 
 class Hub:
@@ -146,6 +154,7 @@
         self._leaving_said: set[str] = set()
         self._empty_since: dict[message.ShardKey, float] = {}
         self._summaries_at = 0.0
+        self._lowest = 0
         self._numbers = itertools.count(1)
         self._wanted_events: dict[
             tuple[int, peer_link.Session],
@@ -204,6 +213,11 @@
             case ViewChanged(view):
                 self._take_view(view)
                 self._open_own_shards(now)
+            case LowestChanged(generation):
+                self._lowest = generation
+                for session, attached in self._sessions.items():
+                    if attached and attached.hello.kind == "controller":
+                        session.send(peer_message.LowestGeneration(generation))
             case Reported(name, report):
                 self._take_report(name, report)
             case CacheChanged(name, changes):
@@ -266,6 +280,8 @@
                 self._hand_on_events(session, body)
             case peer_message.InForceReport(generation):
                 attached.generation = generation
+            case peer_message.LeaseReport(held):
+                attached.holds_lease = held
             case peer_message.ClaimKey():
                 self._claims.post(claims.Wanted(session, body))
             case peer_message.ReleaseKey():
@@ -281,6 +297,7 @@
         if self.in_force:
             session.send(peer_message.BundleUpdate(self.in_force.envelope))
         if hello.kind != "entry":
+            session.send(peer_message.LowestGeneration(self._lowest))
             return
         previous = self._entries.get(hello.name)
         self._entries[hello.name] = session
@@ -342,7 +359,7 @@
 
     def _note(self, sent: message.OwnerMessage) -> None:
         match sent:
-            case message.Grant(request_id, _, name, _):
+            case message.Grant(request_id, _, name):
                 self.timeline.note("grant", request_id, backend=name)
             case message.Reject(request_id, reason):
                 self.timeline.note("shed", request_id, reason=reason.value)
@@ -422,7 +439,9 @@
         if report is None:
             return
         for owner in self.shards.values():
-            owner.correct_load(name, report.running + report.waiting)
+            owner.correct_load(
+                name, report.running + report.waiting, report.versions
+            )
         if report.leaving:
             self._leaving_said.add(name)
         else:
--- a/ramptray/scheduler/main.py
+++ b/ramptray/scheduler/main.py
@@ -55,6 +55,7 @@
         client,
         rng,
         lambda view: owner.post(hub.ViewChanged(view)),
+        lambda lowest: owner.post(hub.LowestChanged(lowest)),
         follow.fetch,
     )
     desk = claims.ClaimDesk(
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -17,6 +17,7 @@
         queue_cost=service.queue_tokens // service.shards,
         headroom=service.headroom,
         shares={name: c.share for name, c in bundle.customers.items()},
+        version=f"{key.service}@{service.version}",
         limits={
             name: limit.Rate(
                 _divide(customer.limits.requests_per_s, parts),
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -43,6 +43,7 @@
             }
             for attached in owner.list_attached()
         ],
+        "lease": any(a.holds_lease for a in owner.list_attached()),
         "shards": [
             _describe_shard(owner, shard_owner)
             for shard_owner in owner.shards.values()
--- a/ramptray/standin/engine/main.py
+++ b/ramptray/standin/engine/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import random
 import time
@@ -87,6 +88,7 @@
 
     sequence: batch.Sequence
     chat: bool
+    version: str
     events: list[str]
     ended_at: float | None = None
     changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
@@ -117,6 +119,7 @@
         self._epoch = 0
         self._reports: list[tuple[float, dict[str, Any]]] = []
         self._versions = set(settings.versions)
+        self._loading: dict[str, float] = {}
         self._role = "any"
         self._fencing = -1
         self._events: list[tuple[float, str, int]] = []
@@ -162,6 +165,7 @@
             while self._reports[0][0] < oldest:
                 self._reports.pop(0)
             self._drop_old_streams(now)
+            self._finish_loads(now)
             await anyio.sleep(0.05)
 
     def lose_all(self) -> None:
@@ -178,6 +182,9 @@
         body = await request.json()
         if self._faults.refuse:
             return responses.JSONResponse({"error": "not admitted"}, 503)
+        version = request.headers.get("x-model-version", "")
+        if version and self._versions and version not in self._versions:
+            return responses.JSONResponse({"error": "not loaded"}, 404)
         if request_id in self._streams:
             return responses.JSONResponse({"error": "known request"}, 409)
         self.batch.ledger.dispatches.append(request_id)
@@ -191,7 +198,7 @@
             prefix.count_tokens(prompt),
             batch.draw_output_tokens(prompt, max_tokens),
         )
-        stream = Stream(sequence, chat, [])
+        stream = Stream(sequence, chat, version, [])
         self._streams[request_id] = stream
         self.batch.add(sequence)
         return self._stream(stream, 0)
@@ -317,6 +324,7 @@
         self, request: requests.Request
     ) -> responses.Response:
         order = await request.json()
+        argument = str(order.get("argument", ""))
         number = int(order.get("fencing", -1))
         stale = number < self._fencing
         refused = stale and self.settings.checks_fencing
@@ -328,12 +336,13 @@
         self._fencing = max(self._fencing, number)
         match order.get("order"):
             case "load":
-                await anyio.sleep(self.settings.load_s)
-                self._versions.add(order["version"])
+                self._loading[argument] = (
+                    time.monotonic() + self.settings.load_s
+                )
             case "unload":
-                self._versions.discard(order["version"])
+                self._versions.discard(argument)
             case "role":
-                self._role = order["role"]
+                self._role = argument
             case _:
                 return responses.JSONResponse({"error": "unknown order"}, 400)
         return responses.JSONResponse(self._describe_orders())
@@ -346,10 +355,24 @@
     def _describe_orders(self) -> dict[str, Any]:
         return {
             "versions": sorted(self._versions),
+            "loading": sorted(self._loading),
             "role": self._role,
             "fencing": self._fencing,
+            "running": dict(
+                collections.Counter(
+                    stream.version
+                    for stream in self._streams.values()
+                    if not stream.ended_at
+                )
+            ),
         }
 
+    def _finish_loads(self, now: float) -> None:
+        for version, due in list(self._loading.items()):
+            if due <= now:
+                del self._loading[version]
+                self._versions.add(version)
+
     async def _export_kv(self, request: requests.Request) -> responses.Response:
         stream = self._streams.get(request.query_params.get("request", ""))
         if stream is None:
--- /dev/null
+++ b/test/test_spec.py
@@ -0,0 +1,72 @@
+"""The core protocol's rules, explored exhaustively in bounded sizes.
+
+Each rule that carries safety is also switched off: the checker must then find a
+counterexample, or the rule would not be needed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from spec import bundle, claim, explore, grant, lease
+
+Check = Callable[[Any], explore.Verdict]
+
+HOLDS: list[tuple[Check, Any]] = [
+    (grant.check, grant.Rules()),
+    (claim.check, claim.Rules()),
+    (claim.check, claim.Rules(attempts=3, copies=1)),
+    (bundle.check, bundle.Rules()),
+    (lease.check, lease.Rules()),
+    (lease.check, lease.Rules(check_flight=False, wait_flight=True, until=4)),
+]
+
+BREAKS: list[tuple[Check, Any, str]] = [
+    (grant.check, grant.Rules(dispatch_once=False), "dispatched_at_most_once"),
+    (grant.check, grant.Rules(never_resend=False), "dispatched_at_most_once"),
+    (grant.check, grant.Rules(end_is_final=False), "not_run_is_true"),
+    (claim.check, claim.Rules(read_back=False), "runs_at_most_once"),
+    (claim.check, claim.Rules(promise=False), "not_run_is_true"),
+    (claim.check, claim.Rules(void_released=False), "no_released_holder"),
+    (claim.check, claim.Rules(release_unrun=False), "runs_at_most_once"),
+    (
+        bundle.check,
+        bundle.Rules(wait_for_checkpoint=False, records=4),
+        "reader_agrees",
+    ),
+    (bundle.check, bundle.Rules(joined=False, records=4), "reader_agrees"),
+    (bundle.check, bundle.Rules(replay=False, records=4), "reader_agrees"),
+    (
+        lease.check,
+        lease.Rules(check_flight=False, until=4),
+        "no_stale_order",
+    ),
+    (lease.check, lease.Rules(wait_term=False, until=4), "no_stale_order"),
+    (lease.check, lease.Rules(void_late=False, until=4), "no_stale_order"),
+    # No sender can prevent this one; see docs/design/lease.md.
+    (lease.check, lease.Rules(pause=True, until=4), "no_reordered_order"),
+]
+
+
+@pytest.mark.parametrize(("check", "rules"), HOLDS, ids=str)
+def test_rules_hold(
+    check: Check, rules: Any, capsys: pytest.CaptureFixture[str]
+) -> None:
+    verdict = check(rules)
+    with capsys.disabled():
+        print(f"\n{check.__module__} {rules}: {verdict.states} states")
+    assert verdict.broken == {}
+    assert verdict.states > 100
+
+
+@pytest.mark.parametrize(("check", "rules", "invariant"), BREAKS, ids=str)
+def test_rule_is_needed(check: Check, rules: Any, invariant: str) -> None:
+    assert invariant in check(rules).broken
+
+
+def test_engine_that_checks_numbers_needs_no_care_of_the_sender() -> None:
+    rules = lease.Rules(pause=True, engine_checks=True, until=4)
+    assert "no_reordered_order" not in lease.check(rules).broken
