Let no long prompt starve behind short ones

Cause: a long prompt fits an engine only once its prefills have drained, and short ones of other customers went before it for ever. Failing test: test_customers_share_a_tier_by_tokens, tokens used 0 against 3,328. Now a request may be passed over by its own cost and no more; the test passes with a ratio between 0.5 and 2. Found by writing the property tests of the owner (test/test_shard.py), which hold over 150 x 40 random steps.

--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -19,7 +19,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Waiting:
-    """A request in the queue."""
+    """A request in the queue.
+
+    Attributes:
+        request: Its facts.
+        entry: The entry that has its caller.
+        rank: Its tier's rank.
+        arrived: When it arrived here.
+        deadline: When its answer is of no more use.
+        cost: Its cost.
+        passed_over: Cost of requests that went before it since it was first.
+    """
 
     request: message.RequestInfo
     entry: str
@@ -27,6 +37,12 @@
     arrived: float
     deadline: float
     cost: int
+    passed_over: int = 0
+
+    @property
+    def is_starved(self) -> bool:
+        """Whether no other may go before it any more."""
+        return self.passed_over >= self.cost
 
 
 class TierQueue:
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -274,12 +274,18 @@
         self, tier: queue.TierQueue, share: float, now: float
     ) -> ToEntry | None:
         candidates = list(self.backends.values())
+        passed: list[queue.Waiting] = []
         for waiting in tier.list_heads(HEADS_TRIED):
             chosen = self._policy.choose(
                 waiting.request, share, candidates, now
             )
             if chosen is not None:
+                for other in passed:
+                    other.passed_over += waiting.cost
                 return self._place(tier, waiting, chosen, now)
+            if waiting.is_starved:
+                return None
+            passed.append(waiting)
         return None
 
     def _place(
--- /dev/null
+++ b/test/test_shard.py
@@ -0,0 +1,249 @@
+"""Properties of a shard's owner under any order of messages."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from ramptray.core import backend, message, policy, queue, shard
+
+TIERS = ("urgent", "normal", "batch")
+KEY = message.ShardKey("waw-a", "assistant")
+
+
+def make_owner(
+    count: int = 2, queue_cost: int = 4000, headroom: float = 0.25
+) -> shard.ShardOwner:
+    """Returns an owner with small engines and a short queue."""
+    ranks = {tier: rank for rank, tier in enumerate(TIERS)}
+    return shard.ShardOwner(
+        KEY,
+        "127.0.0.1:1",
+        shard.ShardRules(ranks, queue_cost, headroom, {}, {}),
+        [backend.BackendInfo(f"e{n}", 4, 10_000, 16) for n in range(count)],
+        policy.make_policy(),
+        0.0,
+    )
+
+
+def make_info(
+    name: str,
+    tier: str = "normal",
+    customer: str = "ola",
+    prompt: int = 100,
+    output: int = 50,
+    deadline_s: float = 60.0,
+) -> message.RequestInfo:
+    """Returns a request's facts."""
+    return message.RequestInfo(
+        name, KEY, customer, tier, prompt, output, (), deadline_s
+    )
+
+
+class OwnerMachine(RuleBasedStateMachine):
+    """Sends an owner anything that entries may send, in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 10.0
+        self.owner = make_owner()
+        self.count = 0
+        self.infos: dict[str, message.RequestInfo] = {}
+        self.waiting: set[str] = set()
+        self.granted: dict[str, message.Grant] = {}
+
+    def send(self, sent: message.EntryMessage) -> None:
+        """Sends one message and judges what comes back."""
+        before = self.owner.list_waiting()
+        self.take(self.owner.receive("entry", sent, self.now), before)
+
+    def take(self, out: list[shard.ToEntry], before: list[int]) -> None:
+        """Judges the owner's messages."""
+        for effect in out:
+            told = effect.message
+            assert told.request_id in self.waiting, told
+            self.waiting.discard(told.request_id)
+            if isinstance(told, message.Grant):
+                self.granted[told.request_id] = told
+            if isinstance(told, message.Reject):
+                self.judge_reject(told)
+
+    def judge_reject(self, told: message.Reject) -> None:
+        """No tier is shed while a lower one still waits."""
+        info = self.infos[told.request_id]
+        assert told.retry_after_s > 0
+        if told.reason is message.Reason.OVERLOADED:
+            rank = TIERS.index(info.tier)
+            assert not any(self.owner.list_waiting()[rank + 1 :]), told
+
+    @rule(
+        tier=st.sampled_from(TIERS),
+        customer=st.sampled_from(["ola", "hydraulik", "fryzjer"]),
+        prompt=st.integers(1, 3000),
+        output=st.integers(1, 300),
+        deadline_s=st.floats(0.5, 60),
+    )
+    def enqueue(
+        self,
+        tier: str,
+        customer: str,
+        prompt: int,
+        output: int,
+        deadline_s: float,
+    ) -> None:
+        self.count += 1
+        info = make_info(
+            f"r{self.count}", tier, customer, prompt, output, deadline_s
+        )
+        self.infos[info.request_id] = info
+        self.waiting.add(info.request_id)
+        self.send(message.Enqueue(info))
+
+    @precondition(lambda self: self.infos)
+    @rule(data=st.data())
+    def repeat(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(sorted(self.infos)))
+        if name in self.waiting or name in self.granted:
+            self.send(message.Enqueue(self.infos[name]))
+
+    @precondition(lambda self: self.granted)
+    @rule(data=st.data(), first=st.booleans(), whole=st.booleans())
+    def end(self, data: st.DataObject, first: bool, whole: bool) -> None:
+        name = data.draw(st.sampled_from(sorted(self.granted)))
+        if first:
+            self.send(message.FirstToken(name, 0.2, 80, 20))
+        del self.granted[name]
+        self.send(message.Ended(name, 10, 0.3, whole))
+
+    @precondition(lambda self: self.granted)
+    @rule(data=st.data(), unreachable=st.booleans())
+    def decline(self, data: st.DataObject, unreachable: bool) -> None:
+        name = data.draw(st.sampled_from(sorted(self.granted)))
+        grant = self.granted.pop(name)
+        if unreachable:
+            self.waiting.add(name)
+        self.send(message.Decline(name, grant.grant_id, unreachable))
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data())
+    def withdraw(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(sorted(self.waiting)))
+        self.waiting.discard(name)
+        self.send(message.Withdraw(name))
+
+    @rule(seconds=st.floats(0.01, 5))
+    def tick(self, seconds: float) -> None:
+        self.now += seconds
+        self.take(self.owner.tick(self.now), self.owner.list_waiting())
+
+    @rule()
+    def reattach(self) -> None:
+        """The entry's link breaks; it comes back and tells all it has."""
+        self.owner.lose_entry("entry", self.now)
+        self.owner.begin_sync("entry")
+        for name, grant in self.granted.items():
+            info = self.infos[name]
+            self.send(message.Running(info, grant.backend, 0.5, 0))
+        for name in sorted(self.waiting):
+            if name in self.waiting:
+                self.send(message.Enqueue(self.infos[name]))
+        self.send(message.SyncDone("entry"))
+
+    @rule(running=st.integers(0, 6), name=st.sampled_from(["e0", "e1"]))
+    def report(self, running: int, name: str) -> None:
+        self.owner.correct_load(name, running)
+
+    @invariant()
+    def books_are_balanced(self) -> None:
+        for known in self.owner.backends.values():
+            pending = known.pending.values()
+            assert known.prefill_tokens == sum(p.uncached for p in pending)
+            assert known.held_tokens == sum(
+                p.tokens for p in known.placed.values()
+            )
+            assert len(known.placed) <= known.info.max_running
+        placed = {
+            name
+            for known in self.owner.backends.values()
+            for name in known.placed
+        }
+        assert placed == set(self.granted)
+        assert self.owner.waiting_count == len(self.waiting)
+        assert sum(self.owner.list_waiting()) == len(self.waiting)
+
+
+OwnerMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestOwner = OwnerMachine.TestCase
+
+
+def test_higher_tier_goes_first_and_headroom_is_kept() -> None:
+    owner = make_owner(count=1)
+    granted: list[str] = []
+    for number in range(6):
+        info = make_info(f"b{number}", "batch", prompt=1)
+        out = owner.receive("entry", message.Enqueue(info), 1.0)
+        granted += [effect.message.request_id for effect in out]
+    assert granted == ["b0", "b1", "b2"]
+    urgent = make_info("u", "urgent", prompt=1)
+    out = owner.receive("entry", message.Enqueue(urgent), 1.0)
+    assert [effect.message.request_id for effect in out] == ["u"]
+
+
+def test_customers_share_a_tier_by_tokens() -> None:
+    owner = make_owner(count=1, queue_cost=10**9)
+    for number in range(40):
+        for customer, prompt in (("ola", 1000), ("hydraulik", 100)):
+            info = make_info(
+                f"{customer}{number}", "batch", customer, prompt, 1
+            )
+            owner.receive("entry", message.Enqueue(info), 1.0)
+    used = {"ola": 0, "hydraulik": 0}
+    running = sorted(owner.backends["e0"].placed)
+    for _ in range(30):
+        name = running.pop(0)
+        first = message.FirstToken(name, 0.2, 100, 0)
+        out = owner.receive("entry", first, 1.0)
+        out += owner.receive("entry", message.Ended(name, 1, 0, True), 1.0)
+        for effect in out:
+            running.append(effect.message.request_id)
+            placed = owner.backends["e0"].placed[effect.message.request_id]
+            used[placed.request.customer] += queue.weigh(placed.request)
+    assert 0.5 < used["ola"] / used["hydraulik"] < 2.0
+
+
+def test_an_entry_that_dies_frees_its_places_after_a_bound() -> None:
+    owner = make_owner(count=1)
+    owner.receive("dead", message.Enqueue(make_info("r")), 1.0)
+    assert len(owner.backends["e0"].placed) == 1
+    owner.lose_entry("dead", 2.0)
+    owner.tick(2.0 + shard.ORPHAN_S - 1)
+    assert len(owner.backends["e0"].placed) == 1
+    owner.tick(2.0 + shard.ORPHAN_S + 1)
+    assert len(owner.backends["e0"].placed) == 0
+
+
+def test_no_room_here_sends_the_request_where_there_is_room() -> None:
+    owner = make_owner(count=0)
+    elsewhere = shard.ShardSummary(
+        dataclasses.replace(KEY, zone="waw-b"),
+        "127.0.0.2:1",
+        4000,
+        (0, 0, 0),
+        True,
+        1,
+    )
+    owner.set_elsewhere([elsewhere])
+    out = owner.receive("entry", message.Enqueue(make_info("r")), 1.0)
+    assert [effect.message for effect in out] == [
+        message.Redirect("r", "waw-b", "127.0.0.2:1")
+    ]
