Open a link anew while the old one to its address still closes

Cause: the old link, on its way out, closed the channel it shared with the new one; grpc then cancelled the new link's call, which looked like the task's own cancellation and ended it without a word. Ruled out: membership (the view was right), the scheduler (it answered other entries). Failing test: test_link_to_the_same_address_opens_while_the_old_one_closes. Each link now has a channel of its own, and a call's cancellation that is not the task's is an error of the link.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -32,6 +32,7 @@
 START_S = 30.0
 STOP_S = 20.0
 PROBE_S = 0.05
+CALL_S = 10.0
 
 
 class DeploymentError(Exception):
@@ -247,9 +248,9 @@
 
     # Asking and telling.
 
-    def get(self, name: str, path: str) -> Any:
+    def get(self, name: str, path: str, timeout_s: float = CALL_S) -> Any:
         """Returns a process's JSON answer."""
-        return self._call(name, "GET", path, None)
+        return self._call(name, "GET", path, None, timeout_s)
 
     def put(self, name: str, path: str, body: Any) -> Any:
         """Puts JSON to a process."""
@@ -293,6 +294,30 @@
         ]
         return entries + backends
 
+    def cut_zone(self, zone: str) -> None:
+        """Cuts a zone off from the other zones and from the platform."""
+        inside = {
+            self._addresses[f"scheduler/{vm}"]
+            for vm, place in self.vms
+            if place == zone
+        }
+        outside = {
+            self._addresses[f"scheduler/{vm}"]
+            for vm, place in self.vms
+            if place != zone
+        }
+        for place in self.plan.zones:
+            cut = sorted(outside if place == zone else inside)
+            path = self.folder / f"cut-{place}.json"
+            path.write_text(json.dumps(cut))
+        self.put("platform", "/faults", {"cut_agents": [zone]})
+
+    def join_zones(self) -> None:
+        """Ends a cut."""
+        for place in self.plan.zones:
+            (self.folder / f"cut-{place}.json").write_text("[]")
+        self.put("platform", "/faults", {})
+
     # Bundles.
 
     def make_bundle(
@@ -378,7 +403,7 @@
     # Settings.
 
     def _lay_out(self) -> None:
-        self._addresses = dict(_pick_addresses(self._list_names()))
+        self._addresses = {name: pick_address() for name in self._list_names()}
         address = self._addresses
         platform_url = f"http://{address['platform']}"
         trust = {
@@ -407,7 +432,8 @@
             self._add(f"service/{name}", {"name": name, "listen": listen})
         seeds = [address[f"scheduler/{vm}"] for vm, _ in self.vms]
         for vm, zone in self.vms:
-            common = {"vm": vm, "zone": zone}
+            cut_file = str(self.folder / f"cut-{zone}.json")
+            common = {"vm": vm, "zone": zone, "cut_file": cut_file}
             self._add(
                 f"scheduler/{vm}",
                 {
@@ -482,19 +508,39 @@
             return False
         return bool(answer["ready"] and answer["generation"] >= generation)
 
-    def _call(self, name: str, method: str, path: str, body: Any) -> Any:
+    def _call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: Any,
+        timeout_s: float = CALL_S,
+    ) -> Any:
         url = self.processes[name].url + path
         data = None if body is None else json.dumps(body).encode()
         asked = urllib.request.Request(url, data, method=method)
         opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
-        with opener.open(asked, timeout=10) as answer:
+        with opener.open(asked, timeout=timeout_s) as answer:
             return json.loads(answer.read() or b"null")
 
 
 @contextlib.contextmanager
-def run_deployment(plan: Plan) -> Iterator[Deployment]:
-    """Runs a deployment with its first bundle in force; ends it after."""
-    with tempfile.TemporaryDirectory(prefix="ramptray-") as folder:
+def run_deployment(
+    plan: Plan, keep: pathlib.Path | None = None
+) -> Iterator[Deployment]:
+    """Runs a deployment with its first bundle in force; ends it after.
+
+    Args:
+        plan: What to run.
+        keep: Folder for settings and logs; None for one that is removed.
+    """
+    with contextlib.ExitStack() as stack:
+        if keep is None:
+            temporary = tempfile.TemporaryDirectory(prefix="ramptray-")
+            folder = stack.enter_context(temporary)
+        else:
+            keep.mkdir(parents=True, exist_ok=True)
+            folder = str(keep)
         deployment = Deployment(plan, pathlib.Path(folder))
         try:
             deployment.start_all()
@@ -505,13 +551,11 @@
             deployment.stop_all()
 
 
-def _pick_addresses(names: list[str]) -> Iterator[tuple[str, str]]:
-    """Yields a free address for each name, each on its own loopback IP."""
+def pick_address() -> str:
+    """Returns a free address on a loopback IP number of its own."""
     rng = random.Random(os.urandom(16))
-    for name in names:
-        parts = [rng.randrange(1, 250) for _ in range(3)]
-        host = ".".join(map(str, [127, *parts]))
-        with socket.socket() as probe:
-            probe.bind((host, 0))
-            port = probe.getsockname()[1]
-        yield name, f"{host}:{port}"
+    parts = [rng.randrange(1, 250) for _ in range(3)]
+    host = ".".join(map(str, [127, *parts]))
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
--- a/ramptray/controller/main.py
+++ b/ramptray/controller/main.py
@@ -13,7 +13,7 @@
 from ramptray.bundle import acceptance
 from ramptray.controller import leaseholder, reconciler
 from ramptray.core import clock, lease
-from ramptray.peer import attachment
+from ramptray.peer import attachment, gate
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.platform import log as platform_log
@@ -34,7 +34,9 @@
         name = f"controller/{settings.vm}"
         self._settings = settings
         self._timeline = timeline.Timeline(name, settings.zone, hybrid_clock)
-        self._client = peer_link.PeerClient(hybrid_clock, settings.tls)
+        self._client = peer_link.PeerClient(
+            hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
+        )
         self._learner = acceptance.Learner()
         times = lease.LeaseTimes(TERM_S, settings.order_timeout_s)
         # The name tells lives apart: a restarted controller is another holder.
@@ -42,7 +44,7 @@
             f"{name}/{secrets.token_hex(4)}", times, time.monotonic()
         )
         self.holder = leaseholder.LeaseHolder(
-            platform_log.HttpLog(settings.platform),
+            platform_log.HttpLog(settings.platform, settings.vm),
             settings.zone,
             state,
             self._note_lease,
--- a/ramptray/entry/main.py
+++ b/ramptray/entry/main.py
@@ -12,6 +12,7 @@
 from ramptray.core import clock
 from ramptray.engine import client as engine_client
 from ramptray.entry import dispatcher
+from ramptray.peer import gate
 from ramptray.peer import link as peer_link
 from ramptray.service import client as service_client
 from ramptray.settings import EntrySettings
@@ -28,7 +29,9 @@
     events = timeline.Timeline(
         f"entry/{settings.vm}", settings.zone, hybrid_clock
     )
-    client = peer_link.PeerClient(hybrid_clock, settings.tls)
+    client = peer_link.PeerClient(
+        hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
+    )
     desk = dispatcher.Dispatcher(
         f"entry/{settings.vm}",
         settings.vm,
--- a/ramptray/load/plan.py
+++ b/ramptray/load/plan.py
@@ -53,6 +53,8 @@
         deadline_s: Deadline sent along.
         repeatable: Whether requests carry no idempotency key.
         stream: Whether answers are streamed.
+        resends: How often a caller without a whole answer sends again, with
+            the same idempotency key.
     """
 
     customer: model.Name
@@ -67,6 +69,7 @@
     deadline_s: float = pydantic.Field(30.0, gt=0)
     repeatable: bool = True
     stream: bool = True
+    resends: int = pydantic.Field(0, ge=0)
 
 
 class LoadSettings(model.Model):
--- a/ramptray/load/shooter.py
+++ b/ramptray/load/shooter.py
@@ -21,6 +21,7 @@
 
 CONNECT_TRIES = 10
 CONNECT_PAUSE_S = 0.1
+RESEND_PAUSE_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,6 +44,8 @@
         first_token_s: Time to the first token.
         total_s: Time to the end.
         gaps: Times between tokens.
+        entry: The entry's base URL.
+        attempts: Request ids of all attempts, with their outcomes.
         deadline_s: Its deadline.
     """
 
@@ -61,6 +64,8 @@
     first_token_s: float | None = None
     total_s: float = 0.0
     gaps: list[float] = dataclasses.field(default_factory=list)
+    entry: str = ""
+    attempts: list[tuple[str, str]] = dataclasses.field(default_factory=list)
 
     @property
     def useful(self) -> bool:
@@ -90,7 +95,20 @@
             shot.key,
         )
         began = time.monotonic()
+        for _ in range(shot.kind.resends + 1):
+            hit.outcome, hit.reason = "broken", ""
+            await self._try(shot, hit, began)
+            hit.attempts.append((hit.request_id, hit.outcome))
+            if hit.outcome == "complete" or hit.reason == "key_done":
+                break
+            if shot.kind.resends:
+                await anyio.sleep(RESEND_PAUSE_S)
+        hit.total_s = time.monotonic() - began
+        return hit
+
+    async def _try(self, shot: plan.Shot, hit: Hit, began: float) -> None:
         for _ in range(CONNECT_TRIES):
+            hit.request_id = ""
             try:
                 await self._send(shot, hit, began)
                 break
@@ -103,11 +121,10 @@
             ) as error:
                 hit.reason = type(error).__name__
                 break
-        hit.total_s = time.monotonic() - began
-        return hit
 
     async def _send(self, shot: plan.Shot, hit: Hit, began: float) -> None:
-        url = next(self._entries).rstrip("/") + _get_path(shot)
+        hit.entry = next(self._entries).rstrip("/")
+        url = hit.entry + _get_path(shot)
         async with self._pool.stream(
             "POST",
             url,
--- a/ramptray/peer/attachment.py
+++ b/ramptray/peer/attachment.py
@@ -92,7 +92,6 @@
                 self._queue = None
                 self._events.send_nowait(Down(self.address))
                 await anyio.sleep(RECONNECT_S)
-        await self._client.forget(self.address)
 
     async def _hold(self) -> None:
         async with self._client.attach(self.address) as opened:
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 import contextlib
 import pathlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 import anyio
@@ -20,7 +21,7 @@
 
 from ramptray import settings
 from ramptray.core import clock
-from ramptray.peer import codec
+from ramptray.peer import codec, gate
 
 SERVICE = "ramptray.Peer"
 MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -180,15 +181,17 @@
 
 
 class PeerClient:
-    """Opens links to serving peers; one channel an address."""
+    """Opens links to serving peers; questions share a channel an address."""
 
     def __init__(
         self,
         hybrid_clock: clock.HybridClock,
         tls: settings.TlsSettings | None,
+        opened_gate: gate.Gate | None = None,
     ) -> None:
         self._clock = hybrid_clock
         self._tls = tls
+        self._gate = opened_gate or gate.OpenGate()
         self._channels: dict[str, grpc.aio.Channel] = {}
         self.asked_bytes = 0
 
@@ -198,6 +201,7 @@
         Raises:
             LinkError: There was no answer in time.
         """
+        _check(address, self._gate)
         call: Any = self._get_channel(address).unary_unary(f"/{SERVICE}/Ask")
         data = codec.encode(self._clock.tick(), question)
         try:
@@ -216,13 +220,16 @@
         Raises:
             LinkError: The peer cannot be reached.
         """
-        call: Any = self._get_channel(address).stream_stream(
-            f"/{SERVICE}/Attach"
-        )(wait_for_ready=False)
+        # A channel of its own: closing it must not end another link's calls.
+        channel = self._open_channel(address)
         try:
-            yield Link(address, call, self._clock)
+            call: Any = channel.stream_stream(f"/{SERVICE}/Attach")(
+                wait_for_ready=False
+            )
+            yield Link(address, call, self._clock, self._gate)
         finally:
-            call.cancel()
+            with anyio.CancelScope(shield=True):
+                await channel.close()
 
     async def close(self) -> None:
         """Closes all channels."""
@@ -255,10 +262,15 @@
     """The attaching side of a stream of messages."""
 
     def __init__(
-        self, address: str, call: Any, hybrid_clock: clock.HybridClock
+        self,
+        address: str,
+        call: Any,
+        hybrid_clock: clock.HybridClock,
+        opened_gate: gate.Gate,
     ) -> None:
         self.address = address
         self._call = call
+        self._gate = opened_gate
         self._clock = hybrid_clock
 
     async def send(self, body: Any) -> None:
@@ -267,8 +279,10 @@
         Raises:
             LinkError: The link is broken.
         """
+        _check(self.address, self._gate)
         try:
-            await self._call.write(codec.encode(self._clock.tick(), body))
+            with _turn_cancellation(self.address):
+                await self._call.write(codec.encode(self._clock.tick(), body))
         except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
             raise LinkError(f"{self.address}: {_describe(error)}") from error
         except anyio.get_cancelled_exc_class():
@@ -281,9 +295,11 @@
             LinkError: The link is broken or ended.
         """
         try:
-            data = await self._call.read()
+            with _turn_cancellation(self.address):
+                data = await self._call.read()
         except grpc.aio.AioRpcError as error:
             raise LinkError(f"{self.address}: {_describe(error)}") from error
+        _check(self.address, self._gate)
         if data is grpc.aio.EOF:
             raise LinkError(f"{self.address}: the peer ended the link")
         try:
@@ -294,6 +310,27 @@
         return frame.body
 
 
+@contextlib.contextmanager
+def _turn_cancellation(address: str) -> Iterator[None]:
+    """Turns a call's own cancellation into an error of the link.
+
+    grpc raises ``CancelledError`` when a call was cancelled, by whomever.  To
+    the task it looks like its own cancellation, and it would end unnoticed.
+    """
+    try:
+        yield
+    except asyncio.CancelledError as error:
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            raise
+        raise LinkError(f"{address}: the call was cancelled") from error
+
+
+def _check(address: str, opened_gate: gate.Gate) -> None:
+    if not opened_gate.allows(address):
+        raise LinkError(f"{address}: cut off")
+
+
 def _describe(error: Exception) -> str:
     if isinstance(error, grpc.aio.AioRpcError):
         return f"{error.code().name}: {error.details()}"
--- a/ramptray/platform/log.py
+++ b/ramptray/platform/log.py
@@ -66,10 +66,16 @@
 
 
 class HttpLog(Log):
-    """The platform's log over HTTP."""
+    """The platform's log over HTTP.
 
-    def __init__(self, url: str) -> None:
+    Args:
+        url: Base URL of the platform's services.
+        agent: How this process names itself to the platform.
+    """
+
+    def __init__(self, url: str, agent: str = "ramptray") -> None:
         self._url = url.rstrip("/")
+        self._agent = agent
         # Reads wait long, so they must not keep appends from a connection.
         self._readers = httpcore.AsyncConnectionPool(max_connections=64)
         self._writers = httpcore.AsyncConnectionPool(max_connections=8)
@@ -82,6 +88,7 @@
             f"{self._url}/log/{stream}",
             APPEND_TIMEOUT_S,
             body,
+            agent=self._agent,
         )
         return int(answer["offset"])
 
@@ -92,6 +99,7 @@
             "GET",
             f"{self._url}/log/{stream}?from={offset}&wait={wait_s}",
             wait_s + READ_SLACK_S,
+            agent=self._agent,
         )
         return msgspec.convert(answer, Page)
 
@@ -102,6 +110,7 @@
     url: str,
     timeout_s: float,
     body: Any = None,
+    agent: str = "ramptray",
 ) -> Any:
     """Sends one JSON request to the platform and returns its JSON answer.
 
@@ -113,7 +122,10 @@
             response = await pool.request(
                 method,
                 url,
-                headers={"content-type": "application/json"},
+                headers=[
+                    ("content-type", "application/json"),
+                    ("user-agent", agent),
+                ],
                 content=None if body is None else msgspec.json.encode(body),
             )
     except (
--- a/ramptray/scheduler/main.py
+++ b/ramptray/scheduler/main.py
@@ -11,6 +11,7 @@
 from ramptray import process, timeline, wallclock
 from ramptray.bundle import acceptance
 from ramptray.core import clock, membership
+from ramptray.peer import gate
 from ramptray.peer import link as peer_link
 from ramptray.platform import log as platform_log
 from ramptray.platform import vmlist
@@ -36,8 +37,10 @@
     events = timeline.Timeline(
         f"scheduler/{settings.vm}", settings.zone, hybrid_clock
     )
-    client = peer_link.PeerClient(hybrid_clock, settings.tls)
-    log = platform_log.HttpLog(settings.platform)
+    client = peer_link.PeerClient(
+        hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
+    )
+    log = platform_log.HttpLog(settings.platform, settings.vm)
     me = membership.Member(
         settings.vm, settings.zone, settings.listen, int(time.time())
     )
--- a/ramptray/settings.py
+++ b/ramptray/settings.py
@@ -38,6 +38,8 @@
         listen: IP number and port it listens on.
         log_level: Least level that is logged.
         tls: Keys for the channel between own processes; None for none.
+        cut_file: For failure tests: a JSON list of addresses of own processes
+            that cannot be reached.
     """
 
     vm: model.Name
@@ -47,6 +49,7 @@
         "INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
     )
     tls: TlsSettings | None = None
+    cut_file: str | None = None
 
 
 class CallerLimits(model.Model):
--- a/ramptray/standin/engine/batch.py
+++ b/ramptray/standin/engine/batch.py
@@ -111,9 +111,22 @@
 
 @dataclasses.dataclass(slots=True)
 class Ledger:
-    """What the engine has seen, for tests to judge promises by."""
+    """What the engine has seen, for tests to judge promises by.
 
-    dispatches: list[str] = dataclasses.field(default_factory=list)
+    Attributes:
+        dispatches: Request id and monotonic time of each dispatch.
+        completed: Requests whose whole answer was made.
+        prefill_tokens: Prompt tokens computed.
+        cached_tokens: Prompt tokens found in the cache.
+        output_tokens: Tokens made.
+        wasted_prefill_tokens: Prompt tokens computed and thrown away.
+        cancelled_output_tokens: Tokens made and thrown away.
+        orders: Orders, with whether they were stale or refused.
+    """
+
+    dispatches: list[tuple[str, float]] = dataclasses.field(
+        default_factory=list
+    )
     completed: list[str] = dataclasses.field(default_factory=list)
     prefill_tokens: int = 0
     cached_tokens: int = 0
--- a/ramptray/standin/engine/main.py
+++ b/ramptray/standin/engine/main.py
@@ -187,7 +187,7 @@
             return responses.JSONResponse({"error": "not loaded"}, 404)
         if request_id in self._streams:
             return responses.JSONResponse({"error": "known request"}, 409)
-        self.batch.ledger.dispatches.append(request_id)
+        self.batch.ledger.dispatches.append((request_id, time.monotonic()))
         chat = request.url.path.endswith("/chat/completions")
         prompt = render_prompt(body)
         max_tokens = int(body.get("max_tokens") or DEFAULT_MAX_TOKENS)
--- a/ramptray/standin/platform/main.py
+++ b/ramptray/standin/platform/main.py
@@ -49,7 +49,7 @@
 
     Attributes:
         log_down: Whether the log answers nothing but errors.
-        cut_zones: Zones whose requests get no answer (by header).
+        cut_agents: Beginnings of names of clients that get no answer.
         lose_answer: Part of the appends that work but are answered by 503.
         late_append: Part of the appends that are answered by 503 and take
             effect only later.
@@ -57,6 +57,7 @@
     """
 
     log_down: bool = False
+    cut_agents: list[str] = []
     lose_answer: float = 0.0
     late_append: float = 0.0
     late_s: float = 1.0
@@ -118,7 +119,7 @@
                 self._store(name, body)
 
     async def _append(self, request: requests.Request) -> responses.Response:
-        if self._faults.log_down or not self._take_budget():
+        if self._is_down_for(request) or not self._take_budget():
             return responses.Response(status_code=503)
         name = request.path_params["name"]
         body = await request.json()
@@ -138,10 +139,10 @@
         ends = time.monotonic() + float(request.query_params.get("wait", 0))
         stream = self._streams.setdefault(name, Stream())
         while stream.next_offset <= start and time.monotonic() < ends:
-            if self._faults.log_down:
+            if self._is_down_for(request):
                 break
             await anyio.sleep(POLL_S)
-        if self._faults.log_down:
+        if self._is_down_for(request):
             return responses.Response(status_code=503)
         begin = max(start, stream.first)
         records = stream.records[begin - stream.first :][:1000]
@@ -198,6 +199,11 @@
             self._trim(stream)
         return responses.JSONResponse({})
 
+    def _is_down_for(self, request: requests.Request) -> bool:
+        agent = request.headers.get("user-agent", "")
+        cut = tuple(self._faults.cut_agents)
+        return self._faults.log_down or agent.startswith(cut)
+
     def _store(self, name: str, body: dict[str, Any]) -> int:
         stream = self._streams.setdefault(name, Stream())
         stream.records.append(body)
--- a/ramptray/standin/service/main.py
+++ b/ramptray/standin/service/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import time
 from typing import Any
 
 import anyio
@@ -53,7 +54,9 @@
 class Ledger:
     """What the service has run."""
 
-    dispatches: list[str] = dataclasses.field(default_factory=list)
+    dispatches: list[tuple[str, float]] = dataclasses.field(
+        default_factory=list
+    )
     runs_by_key: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -84,7 +87,7 @@
             return responses.JSONResponse({"error": "not admitted"}, 503)
         request_id = request.headers.get("x-request-id", "")
         key = request.headers.get("idempotency-key", "")
-        self._ledger.dispatches.append(request_id)
+        self._ledger.dispatches.append((request_id, time.monotonic()))
         if key:
             runs = self._ledger.runs_by_key
             runs[key] = runs.get(key, 0) + 1
--- /dev/null
+++ b/test/test_attachment.py
@@ -0,0 +1,95 @@
+"""A process's link to a scheduler that goes and comes back."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+from anyio.streams import memory
+
+from bench import deployment
+from ramptray.core import clock
+from ramptray.peer import attachment
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+
+pytestmark = pytest.mark.anyio
+HELLO = peer_message.Hello("entry/vm", "vm", "entry")
+LONG_S = 20.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Greeter(peer_link.Servant):
+    """Answers each greeting with an empty view."""
+
+    def __init__(self) -> None:
+        self.sessions: list[peer_link.Session] = []
+
+    async def open(self, session: peer_link.Session) -> None:
+        self.sessions.append(session)
+
+    async def receive(self, session: peer_link.Session, body: Any) -> None:
+        session.send(peer_message.View([], []))
+
+    async def close(self, session: peer_link.Session) -> None:
+        self.sessions.remove(session)
+
+    async def answer(self, question: Any) -> Any:
+        return question
+
+
+def make_clock() -> clock.HybridClock:
+    return clock.HybridClock(lambda: 0)
+
+
+async def wait_up(
+    events: memory.MemoryObjectReceiveStream[attachment.Event],
+) -> None:
+    """Waits until a link is up; fails if that takes long."""
+    with anyio.fail_after(LONG_S):
+        async for event in events:
+            if isinstance(event, attachment.Up):
+                return
+
+
+async def test_link_to_the_same_address_opens_while_the_old_one_closes() -> (
+    None
+):
+    address = deployment.pick_address()
+    greeter = Greeter()
+    server = peer_link.PeerServer(greeter, make_clock(), None)
+    await server.start(address)
+    client = peer_link.PeerClient(make_clock(), None)
+    send, events = anyio.create_memory_object_stream[attachment.Event](1000)
+    async with anyio.create_task_group() as tasks:
+        old = attachment.Attachment(address, HELLO, client, send)
+        tasks.start_soon(old.run)
+        await wait_up(events)
+        old.stop()
+        new = attachment.Attachment(address, HELLO, client, send)
+        tasks.start_soon(new.run)
+        await wait_up(events)
+        tasks.cancel_scope.cancel()
+    await client.close()
+    await server.stop(0.0)
+
+
+async def test_link_opens_again_after_the_scheduler_restarts() -> None:
+    address = deployment.pick_address()
+    client = peer_link.PeerClient(make_clock(), None)
+    send, events = anyio.create_memory_object_stream[attachment.Event](1000)
+    async with anyio.create_task_group() as tasks:
+        link = attachment.Attachment(address, HELLO, client, send)
+        tasks.start_soon(link.run)
+        for _ in range(2):
+            server = peer_link.PeerServer(Greeter(), make_clock(), None)
+            await server.start(address)
+            await wait_up(events)
+            await server.stop(0.0)
+        tasks.cancel_scope.cancel()
+    await client.close()
