--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -42,7 +42,7 @@
 MAX_UNREACHABLE_S = 8.0
 """How long a refused connection keeps new work away at most, in seconds."""
 
-LOST_FAILURES = 3
+LOST_FAILURES = 4
 """After so many refused connections in a row nobody waits for the server."""
 
 
@@ -177,7 +177,12 @@
         return leaving or self.failures >= LOST_FAILURES
 
     def note_unreachable(self, now: float) -> None:
-        """Keeps new work away after a refused connection, longer each time."""
+        """Keeps new work away after a refused connection, longer each time.
+
+        Requests refused at the same moment count as one failure.
+        """
+        if now < self.unreachable_until:
+            return
         pause = min(UNREACHABLE_S * 2**self.failures, MAX_UNREACHABLE_S)
         self.failures += 1
         self.unreachable_until = now + pause
