Hear an engine before granting, and halve a scheduler's idle cost

A new owner now asks each engine at once and grants nothing to one it has not heard, for at most 1 s (test_a_new_owner_hears_an_engine_before_it_grants).

The reference pages of settings and bundle are written from the models.

--- a/bench/fault.py
+++ b/bench/fault.py
@@ -215,7 +215,7 @@
             self.target.make_bundle(
                 self.generation,
                 self.in_force.digest,
-                weights={"loads_at_once": number},
+                services=self._make_services(number),
             )
             for number in (1, 2)
         ]
@@ -234,6 +234,13 @@
     def end(self) -> None:
         """See the base class; the race is over by then."""
 
+    def _make_services(self, number: int) -> dict[str, object]:
+        """Returns services whose model version the rivals disagree on."""
+        services = dict(self.target.make_bundle()["services"])
+        version = f"{self.generation}.{number}"
+        services["assistant"] = {**services["assistant"], "version": version}
+        return services
+
     def find_first(self) -> signature.Envelope:
         """Returns the very first bundle of the log."""
         records = self.target.get("platform", "/log/bundles?from=0")
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -102,6 +102,7 @@
         [backend.BackendInfo(f"e{n}", 8, 10**6, 1024) for n in range(count)],
         policy.make_policy(),
         0.0,
+        hear_s=0.0,
     )
 
 
--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -33,7 +33,12 @@
 
 
 class Operators(Model):
-    """Who may sign the next bundle."""
+    """Who may sign the next bundle.
+
+    Attributes:
+        keys: Operators' names and public keys.
+        signatures_required: How many of them must sign.
+    """
 
     keys: dict[Name, PublicKey] = pydantic.Field(min_length=1)
     signatures_required: int = pydantic.Field(1, ge=1)
@@ -173,6 +178,14 @@
     Attributes:
         generation: One more than that of the bundle it replaces.
         base: Digest of the bundle it replaces; None for the first.
+        operators: Who may sign the next bundle.
+        zones: Names of the availability zones.
+        tiers: Classes of requests, by name.
+        customers: Customers, by name.
+        services: Model and plain services, by the name that callers use.
+        engines: Kinds of engine, by name.
+        backend_servers: Replicas, by name.
+        weights: What the weight store can bear.
     """
 
     generation: int = pydantic.Field(ge=1)
--- a/ramptray/caller/refusal.py
+++ b/ramptray/caller/refusal.py
@@ -11,7 +11,7 @@
 from ramptray.caller import request as caller_request
 from ramptray.core import message, request
 
-_STATUS = {
+STATUS = {
     message.Reason.OVERLOADED: 503,
     message.Reason.DEADLINE: 504,
     message.Reason.CUSTOMER_LIMIT: 429,
@@ -41,7 +41,7 @@
         headers["retry-after"] = str(math.ceil(finish.retry_after_s))
     return responses.JSONResponse(
         make_body(finish, request_id),
-        status_code=_STATUS[finish.reason],
+        status_code=STATUS[finish.reason],
         headers=headers,
     )
 
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -131,7 +131,13 @@
 
 
 class Backend:
-    """What the owner believes of one backend server."""
+    """What the owner believes of one backend server.
+
+    Args:
+        info: What the bundle says of it.
+        hear_by: Until then no work goes there unless it has said something of
+            itself: a new owner does not know yet whether it is leaving.
+    """
 
     __slots__ = (
         "cache",
@@ -145,6 +151,7 @@
         "report_running",
         "state",
         "step_s",
+        "hear_by",
         "held_tokens",
         "unreachable_until",
         "version",
@@ -152,8 +159,9 @@
         "loaded",
     )
 
-    def __init__(self, info: BackendInfo) -> None:
+    def __init__(self, info: BackendInfo, hear_by: float = 0.0) -> None:
         self.info = info
+        self.hear_by = hear_by
         self.state = BackendState.ACTIVE
         self.placed: dict[str, Placed] = {}
         self.pending: dict[str, Placed] = {}
@@ -205,7 +213,7 @@
     def is_open(self, now: float) -> bool:
         """Tells whether new work may go there at all."""
         active = self.state is BackendState.ACTIVE and self.loaded
-        return active and now >= self.unreachable_until
+        return active and now >= max(self.unreachable_until, self.hear_by)
 
     def count_uncached(self, request: message.RequestInfo) -> int:
         """Returns the prompt tokens that the engine would have to compute."""
--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -15,7 +15,7 @@
 
 import xxhash
 
-PERIOD_S = 0.25
+PERIOD_S = 0.5
 """Time between two probes of a node, in seconds."""
 
 PROBE_TIMEOUT_S = 0.5
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -24,6 +24,9 @@
 LEARN_S = 3.0
 """How long a new owner waits for word of the other zones, in seconds."""
 
+HEAR_S = 1.0
+"""How long a new owner waits for a backend server's own word, in seconds."""
+
 ORPHAN_S = 30.0
 """Longest time a lost entry's request keeps its place, in seconds."""
 
@@ -111,8 +114,10 @@
         infos: list[backends.BackendInfo],
         chosen: policy.Policy,
         now: float,
+        hear_s: float = HEAR_S,
     ) -> None:
         self.shard = shard
+        self._hear_by = now + hear_s
         self.counters = Counters()
         self.backends: dict[str, backends.Backend] = {}
         self._address = address
@@ -155,10 +160,16 @@
     ) -> None:
         """Takes an engine's lagging load report."""
         if known := self.backends.get(name):
+            known.hear_by = 0.0
             known.correct(running)
             known.versions = versions
             known.choose_version(self._rules.version)
 
+    def note_silence(self, name: str) -> None:
+        """Notes that a backend server gives no load report."""
+        if known := self.backends.get(name):
+            known.hear_by = 0.0
+
     def set_elsewhere(self, summaries: list[ShardSummary]) -> None:
         """Takes what is known of the same shard in the other zones."""
         self._elsewhere = {summary.shard.zone: summary for summary in summaries}
@@ -519,7 +530,7 @@
         for name, info in wanted.items():
             known = self.backends.get(name)
             if known is None or known.info != info:
-                self.backends[name] = backends.Backend(info)
+                self.backends[name] = backends.Backend(info, self._hear_by)
                 self._move_placed(known, self.backends[name])
         for known in self.backends.values():
             known.choose_version(self._rules.version)
--- a/ramptray/load/plan.py
+++ b/ramptray/load/plan.py
@@ -83,6 +83,7 @@
         duration_s: How long requests are sent.
         classes: What is sent.
         bursts: Times of higher rates.
+        log_level: Least level that is logged.
     """
 
     entries: list[model.Url] = pydantic.Field(min_length=1)
--- a/ramptray/platform/log.py
+++ b/ramptray/platform/log.py
@@ -117,16 +117,45 @@
     Raises:
         PlatformError: There was no answer in time, or not a good one.
     """
+    headers = [("content-type", "application/json"), ("user-agent", agent)]
+    content = None if body is None else msgspec.json.encode(body)
+    response = await send_request(
+        pool, method, url, timeout_s, headers, content
+    )
+    if response.status >= 300:
+        raise PlatformError(f"{method} {url}: status {response.status}")
+    return decode_answer(response, url)
+
+
+def decode_answer(response: httpcore.Response, url: str) -> Any:
+    """Returns the JSON value of an answer.
+
+    Raises:
+        PlatformError: It is none.
+    """
+    try:
+        return msgspec.json.decode(response.content)
+    except msgspec.DecodeError as error:
+        raise PlatformError(f"{url}: {error}") from error
+
+
+async def send_request(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    url: str,
+    timeout_s: float,
+    headers: list[tuple[str, str]],
+    content: bytes | None = None,
+) -> httpcore.Response:
+    """Sends one request to the platform and returns its whole answer.
+
+    Raises:
+        PlatformError: There was no answer in time.
+    """
     try:
         with anyio.fail_after(timeout_s):
-            response = await pool.request(
-                method,
-                url,
-                headers=[
-                    ("content-type", "application/json"),
-                    ("user-agent", agent),
-                ],
-                content=None if body is None else msgspec.json.encode(body),
+            return await pool.request(
+                method, url, headers=headers, content=content
             )
     except (
         httpcore.NetworkError,
@@ -135,9 +164,3 @@
         TimeoutError,
     ) as error:
         raise PlatformError(f"{method} {url}: {error!r}") from error
-    if response.status >= 300:
-        raise PlatformError(f"{method} {url}: status {response.status}")
-    try:
-        return msgspec.json.decode(response.content)
-    except msgspec.DecodeError as error:
-        raise PlatformError(f"{method} {url}: {error}") from error
--- a/ramptray/platform/vmlist.py
+++ b/ramptray/platform/vmlist.py
@@ -11,6 +11,7 @@
 from ramptray.platform import log
 
 TIMEOUT_S = 2.0
+NOT_MODIFIED = 304
 
 
 class VmState(enum.Enum):
@@ -40,20 +41,50 @@
 
 
 class VmList:
-    """The platform's list of VMs over HTTP."""
+    """The platform's list of the VMs of one zone, over HTTP.
 
-    def __init__(self, url: str) -> None:
-        self._url = url.rstrip("/")
+    Args:
+        url: Base URL of the platform's services.
+        zone: The zone whose VMs are listed.
+        agent: How this process names itself to the platform.
+    """
+
+    def __init__(self, url: str, zone: str, agent: str) -> None:
+        self._url = f"{url.rstrip('/')}/vms?zone={zone}"
+        self._agent = agent
         self._pool = httpcore.AsyncConnectionPool(max_connections=2)
+        self._tag = ""
+        self._vms: list[Vm] = []
 
-    async def fetch(self, zone: str | None = None) -> list[Vm]:
+    async def fetch(self) -> list[Vm]:
         """Returns the list, as old as the platform's lag makes it.
 
+        The list is sent only when it has changed since the last time.
+
         Raises:
-            log.PlatformError: There is no answer.
+            log.PlatformError: There is no good answer.
         """
-        query = f"?zone={zone}" if zone else ""
-        answer = await log.call_platform(
-            self._pool, "GET", f"{self._url}/vms{query}", TIMEOUT_S
+        headers = [("user-agent", self._agent)]
+        if self._tag:
+            headers.append(("if-none-match", self._tag))
+        response = await log.send_request(
+            self._pool, "GET", self._url, TIMEOUT_S, headers
         )
-        return msgspec.convert(answer, list[Vm])
+        if response.status == NOT_MODIFIED:
+            return self._vms
+        if response.status != 200:
+            raise log.PlatformError(f"{self._url}: status {response.status}")
+        answer = log.decode_answer(response, self._url)
+        try:
+            self._vms = msgspec.convert(answer, list[Vm])
+        except msgspec.ValidationError as error:
+            raise log.PlatformError(f"{self._url}: {error}") from error
+        self._tag = _find_tag(response)
+        return self._vms
+
+
+def _find_tag(response: httpcore.Response) -> str:
+    for name, value in response.headers:
+        if name.lower() == b"etag":
+            return value.decode("latin-1")
+    return ""
--- a/ramptray/scheduler/claims.py
+++ b/ramptray/scheduler/claims.py
@@ -27,6 +27,7 @@
 GROUP_RECORDS = 500
 READ_WAIT_S = 10.0
 RETRY_S = 0.2
+TICK_S = 0.5
 DOWN_S = 2.0
 """How long the log may fail before a claim is given up, in seconds."""
 
@@ -259,7 +260,7 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            await anyio.sleep(RETRY_S)
+            await anyio.sleep(TICK_S)
             overdue = time.monotonic() - DOWN_S
             for partition in list(self._partitions.values()):
                 for pending in list(partition.pending.values()):
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -7,7 +7,7 @@
 import itertools
 import logging
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import anyio
@@ -24,6 +24,7 @@
 LOG = logging.getLogger(__name__)
 
 TICK_S = 0.1
+IDLE_TICK_S = 0.5
 SUMMARY_EVERY_S = 0.5
 IDLE_SHARD_S = 5.0
 """How long a shard that is owned elsewhere is kept while it is empty."""
@@ -128,7 +129,15 @@
 
 
 class Hub:
-    """Owns the shards; every change to them is one message to its inbox."""
+    """Owns the shards; every change to them is one message to its inbox.
+
+    Attributes:
+        in_force: The bundle in force, if any.
+        timeline: Where events are noted.
+        shards: The shards that are open here.
+        view: The schedulers of this zone and some of the others.
+        on_new_backends: Called when backend servers should be asked at once.
+    """
 
     def __init__(
         self,
@@ -143,6 +152,7 @@
         self.timeline = events
         self.shards: dict[message.ShardKey, shard.ShardOwner] = {}
         self.view = peer_message.View([], [])
+        self.on_new_backends: Callable[[], None] = _do_nothing
         self._address = address
         self._zone = zone
         self._policy_name = policy_name
@@ -196,7 +206,8 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            await anyio.sleep(TICK_S)
+            idle = all(owner.is_empty for owner in self.shards.values())
+            await anyio.sleep(IDLE_TICK_S if idle else TICK_S)
             self._tick(time.monotonic())
 
     def _handle(self, event: Any, now: float) -> None:
@@ -386,6 +397,7 @@
         )
         self.shards[key] = owner
         self._mark_leaving()
+        self.on_new_backends()
         return owner
 
     def _take_bundle(self, in_force: acceptance.InForce) -> None:
@@ -403,6 +415,7 @@
                 rules.make_rules(bundle, key), rules.list_infos(bundle, key)
             )
         self._mark_leaving()
+        self.on_new_backends()
         self.timeline.note("bundle", f"generation-{bundle.generation}")
         LOG.info("bundle in force", extra={"generation": bundle.generation})
 
@@ -437,6 +450,8 @@
         self, name: str, report: engine_client.LoadReport | None
     ) -> None:
         if report is None:
+            for owner in self.shards.values():
+                owner.note_silence(name)
             return
         for owner in self.shards.values():
             owner.correct_load(
@@ -497,3 +512,7 @@
             if now - since > IDLE_SHARD_S:
                 del self.shards[key]
                 del self._empty_since[key]
+
+
+def _do_nothing() -> None:
+    """Stands in until somebody listens."""
--- a/ramptray/scheduler/main.py
+++ b/ramptray/scheduler/main.py
@@ -76,9 +76,8 @@
     poll = poller.Poller(
         owner,
         gossiper,
-        vmlist.VmList(settings.platform),
+        vmlist.VmList(settings.platform, settings.zone, settings.vm),
         settings.report_every_s,
-        settings.zone,
     )
     server = peer_link.PeerServer(
         servant.SchedulerServant(owner, gossiper, follow, events),
--- a/ramptray/scheduler/poller.py
+++ b/ramptray/scheduler/poller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
 
 import anyio
 
@@ -15,7 +14,7 @@
 
 LOG = logging.getLogger(__name__)
 
-VM_LIST_EVERY_S = 1.0
+VM_LIST_EVERY_S = 2.0
 AT_ONCE = 16
 """Engines that are asked at the same time."""
 
@@ -29,27 +28,37 @@
         gossiper: gossip.Gossiper,
         vms: vmlist.VmList,
         every_s: float,
-        zone: str,
     ) -> None:
         self._hub = target
         self._gossiper = gossiper
         self._vms = vms
         self._every_s = every_s
-        self._zone = zone
         self._client = engine_client.EngineClient()
         self._positions: dict[str, int] = {}
         self._limit = anyio.CapacityLimiter(AT_ONCE)
+        self._wake = anyio.Event()
+        target.on_new_backends = self._wake_up
 
     async def run(self) -> None:
         """Polls until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._repeat, self._poll_vms, VM_LIST_EVERY_S)
-            tasks.start_soon(self._repeat, self._poll_engines, self._every_s)
+            tasks.start_soon(self._repeat_vms)
+            tasks.start_soon(self._repeat_engines)
 
-    async def _repeat(self, poll: Callable[[], object], every_s: float) -> None:
+    def _wake_up(self) -> None:
+        self._wake.set()
+
+    async def _repeat_vms(self) -> None:
+        while True:
+            await self._poll_vms()
+            await anyio.sleep(VM_LIST_EVERY_S)
+
+    async def _repeat_engines(self) -> None:
         while True:
-            await poll()  # type: ignore[misc]
-            await anyio.sleep(every_s)
+            await self._poll_engines()
+            with anyio.move_on_after(self._every_s):
+                await self._wake.wait()
+            self._wake = anyio.Event()
 
     async def _poll_vms(self) -> None:
         try:
--- a/ramptray/standin/engine/main.py
+++ b/ramptray/standin/engine/main.py
@@ -45,6 +45,7 @@
         versions: Model versions loaded at the start.
         load_s: How long loading a version takes.
         seed: Seed of what is drawn by chance.
+        log_level: Least level that is logged.
     """
 
     name: model.Name
--- a/ramptray/standin/platform/main.py
+++ b/ramptray/standin/platform/main.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 import itertools
 import random
 import time
@@ -33,6 +34,7 @@
         appends_per_s: Appends it takes a second.
         list_lag_s: How old the VM list is.
         weight_bytes_per_s: Rate of the weight store for all its clients.
+        log_level: Least level that is logged.
     """
 
     listen: Address
@@ -162,9 +164,11 @@
         seen = time.monotonic() - self._settings.list_lag_s
         known = [vms for at, vms in self._vm_history if at <= seen]
         vms = known[-1] if known else []
-        return responses.JSONResponse(
-            [vm for vm in vms if zone in (None, vm["zone"])]
-        )
+        found = [vm for vm in vms if zone in (None, vm["zone"])]
+        tag = '"' + hashlib.sha256(repr(found).encode()).hexdigest() + '"'
+        if request.headers.get("if-none-match") == tag:
+            return responses.Response(status_code=304)
+        return responses.JSONResponse(found, headers={"etag": tag})
 
     async def _set_vms(self, request: requests.Request) -> responses.Response:
         self._vm_history.append((time.monotonic(), await request.json()))
--- a/ramptray/standin/service/main.py
+++ b/ramptray/standin/service/main.py
@@ -22,6 +22,7 @@
         name: The backend server's name in the bundle.
         listen: IP number and port.
         work_s: How long a call takes.
+        log_level: Least level that is logged.
     """
 
     name: model.Name
--- a/test/test_scenario.py
+++ b/test/test_scenario.py
@@ -45,7 +45,7 @@
         infos = [backend.BackendInfo("e", self.places, 10**6, 16)]
         rules = shard.ShardRules(RANKS, 12_000, 0.0, {}, {})
         self.owners[name] = shard.ShardOwner(
-            KEY, name, rules, infos, policy.make_policy(), self.now
+            KEY, name, rules, infos, policy.make_policy(), self.now, 0.0
         )
 
     def add_request(self, name: str, tier: str = "batch") -> None:
@@ -278,7 +278,7 @@
     ]
     rules = shard.ShardRules(RANKS, 10**6, 0.0, {}, {})
     world.owners["A"] = shard.ShardOwner(
-        KEY, "A", rules, infos, policy.make_policy(), world.now
+        KEY, "A", rules, infos, policy.make_policy(), world.now, 0.0
     )
 
 
--- a/test/test_shard.py
+++ b/test/test_shard.py
@@ -31,6 +31,7 @@
         [backend.BackendInfo(f"e{n}", 4, 10_000, 16) for n in range(count)],
         policy.make_policy(),
         0.0,
+        hear_s=0.0,
     )
 
 
@@ -232,6 +233,25 @@
     assert len(owner.backends["e0"].placed) == 0
 
 
+def test_a_new_owner_hears_an_engine_before_it_grants() -> None:
+    owner = shard.ShardOwner(
+        KEY,
+        "127.0.0.1:1",
+        shard.ShardRules({"normal": 0}, 4000, 0.0, {}, {}),
+        [backend.BackendInfo(f"e{n}", 4, 10_000, 16) for n in range(2)],
+        policy.make_policy(),
+        1.0,
+    )
+    assert not owner.receive("entry", message.Enqueue(make_info("r")), 1.0)
+    owner.correct_load("e0", 0)
+    owner.set_state("e0", backend.BackendState.LEAVING)
+    assert not owner.tick(1.1)
+    owner.correct_load("e1", 0)
+    granted = [effect.message for effect in owner.tick(1.2)]
+    assert isinstance(granted[0], message.Grant)
+    assert granted[0].backend == "e1"
+
+
 def test_no_room_here_sends_the_request_where_there_is_room() -> None:
     owner = make_owner(count=0)
     elsewhere = shard.ShardSummary(
