--- a/bench/main.py
+++ b/bench/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from bench import faults, reference, slopes
+from bench import decide, faults, reference, slopes
 
 
 @click.group(name="bench")
@@ -12,7 +12,12 @@
     """Runs one benchmark; each ends with one line of JSON."""
 
 
-for command in (faults.command, reference.command, slopes.command):
+for command in (
+    decide.command,
+    faults.command,
+    reference.command,
+    slopes.command,
+):
     run.add_command(command)
 
 if __name__ == "__main__":
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -184,6 +184,13 @@
         leaving = self.state is BackendState.LEAVING
         return leaving or self.failures >= LOST_FAILURES
 
+    @property
+    def has_place(self) -> bool:
+        """Whether another request may run there, as far as places go."""
+        running = len(self.placed) + self.foreign
+        active = self.state is BackendState.ACTIVE
+        return active and running < self.info.max_running
+
     def note_unreachable(self, now: float) -> None:
         """Keeps new work away after a refused connection, longer each time.
 
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -21,6 +21,8 @@
     """Chooses a backend server, or none to keep the request waiting."""
 
     name: str
+    looks_at_all = False
+    """Whether it must be given every backend server of the shard."""
 
     @abc.abstractmethod
     def choose(
@@ -35,7 +37,7 @@
         Args:
             request: The request at the head of the queue.
             share: The part of each engine's places that its tier may use.
-            candidates: The shard's backend servers.
+            candidates: Backend servers to choose from.
             now: The owner's clock in seconds.
         """
 
@@ -75,6 +77,7 @@
     """Baseline: each backend server in turn, at once."""
 
     name = "round_robin"
+    looks_at_all = True
 
     def __init__(self) -> None:
         self._turn = itertools.count()
@@ -95,6 +98,7 @@
     """Baseline: the smallest running count in the engines' stale reports."""
 
     name = "least_reported"
+    looks_at_all = True
 
     def choose(
         self,
@@ -112,6 +116,7 @@
     """Baseline: the fewest requests this owner has running there."""
 
     name = "least_outstanding"
+    looks_at_all = True
 
     def choose(
         self,
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -10,7 +10,7 @@
 import itertools
 
 from ramptray.core import backend as backends
-from ramptray.core import limit, message, meter, policy, queue
+from ramptray.core import candidate, limit, message, meter, policy, queue
 
 HEADS_TRIED = 4
 """Customers whose first request is tried before a tier is left waiting."""
@@ -125,6 +125,8 @@
         self._grant_ids = itertools.count(1)
         self._waiting: dict[str, queue.Waiting] = {}
         self._where: dict[str, backends.Backend] = {}
+        self._pool = candidate.FreePool()
+        self._holders = candidate.HolderIndex()
         self._syncing: dict[str, set[str]] = {}
         self._born = now
         self._settled_at = now + SETTLE_S
@@ -152,8 +154,9 @@
 
     def set_state(self, name: str, state: backends.BackendState) -> None:
         """Notes that a backend server is leaving, or is back."""
-        if name in self.backends:
-            self.backends[name].state = state
+        if known := self.backends.get(name):
+            known.state = state
+            self._pool.update(known)
 
     def correct_load(
         self, name: str, running: int, versions: tuple[str, ...] = ()
@@ -164,6 +167,7 @@
             known.correct(running)
             known.versions = versions
             known.choose_version(self._rules.version)
+            self._pool.update(known)
 
     def note_silence(self, name: str) -> None:
         """Notes that a backend server gives no load report."""
@@ -229,8 +233,10 @@
             case message.FirstToken(request_id):
                 if backend := self._where.get(request_id):
                     backend.begin_answer(received)
+                    return self.grant(now, [backend])
+                return []
             case message.Ended(request_id):
-                self._end(received, now)
+                return self.grant(now, self._end(received, now))
             case message.SyncDone():
                 self._finish_sync(entry)
         return self.grant(now)
@@ -268,25 +274,41 @@
 
     # Decisions.
 
-    def grant(self, now: float) -> list[ToEntry]:
-        """Grants as much as fits, highest tier first."""
+    def grant(
+        self, now: float, only: list[backends.Backend] | None = None
+    ) -> list[ToEntry]:
+        """Grants as much as fits, highest tier first.
+
+        Args:
+            now: The owner's clock in seconds.
+            only: The backend servers that have got room; None for any.
+        """
         if now < self._settled_at and self._syncing:
             return []
         out: list[ToEntry] = []
         for rank, tier in enumerate(self._tiers):
             share = 1.0 if rank == 0 else 1.0 - self._rules.headroom
-            while granted := self._grant_one(tier, share, now):
+            while granted := self._grant_one(tier, share, now, only):
                 out.append(granted)
             if tier.count:
                 break
         return out
 
     def _grant_one(
-        self, tier: queue.TierQueue, share: float, now: float
+        self,
+        tier: queue.TierQueue,
+        share: float,
+        now: float,
+        only: list[backends.Backend] | None,
     ) -> ToEntry | None:
-        candidates = list(self.backends.values())
+        if not tier.count:
+            return None
+        window = self._list_candidates() if only is None else only
         passed: list[queue.Waiting] = []
         for waiting in tier.list_heads(HEADS_TRIED):
+            candidates = window
+            if only is None and waiting.request.prefix:
+                candidates = self._add_holders(window, waiting.request)
             chosen = self._policy.choose(
                 waiting.request, share, candidates, now
             )
@@ -299,6 +321,22 @@
             passed.append(waiting)
         return None
 
+    def _list_candidates(self) -> list[backends.Backend]:
+        if self._policy.looks_at_all:
+            return list(self.backends.values())
+        return self._pool.take_window()
+
+    def _add_holders(
+        self, window: list[backends.Backend], request: message.RequestInfo
+    ) -> list[backends.Backend]:
+        if len(window) == len(self._pool) or self._policy.looks_at_all:
+            return window
+        holders = (
+            self.backends.get(name)
+            for name in self._holders.find(request.prefix)
+        )
+        return [*(h for h in holders if h is not None), *window]
+
     def _place(
         self,
         tier: queue.TierQueue,
@@ -312,6 +350,8 @@
         tier.charge(waiting, self._rules.shares.get(request.customer, 1.0))
         del self._waiting[request.request_id]
         chosen.place(request, waiting.entry, grant_id, now)
+        self._pool.update(chosen)
+        self._holders.add(request.prefix, chosen.info.name)
         self._where[request.request_id] = chosen
         self._drained.add(waiting.cost, now)
         self.counters.granted += 1
@@ -464,6 +504,7 @@
             return
         backend.place(running.request, entry, "", now - running.running_s)
         self._where[request_id] = backend
+        self._pool.update(backend)
 
     def _take_back(
         self, entry: str, decline: message.Decline, now: float
@@ -491,16 +532,19 @@
         self._waiting[request_id] = waiting
         self._tiers[waiting.rank].restore(waiting)
 
-    def _end(self, ended: message.Ended, now: float) -> None:
+    def _end(self, ended: message.Ended, now: float) -> list[backends.Backend]:
+        """Returns the backend server that has got room, if any."""
         backend = self._where.get(ended.request_id)
         if backend is None:
             self._forget(ended.request_id)
-            return
+            return []
         if not ended.certain:
             backend.placed[ended.request_id].orphaned_at = now
-            return
+            return []
         del self._where[ended.request_id]
         backend.end(ended)
+        self._pool.update(backend)
+        return [backend]
 
     def _finish_sync(self, entry: str) -> None:
         for request_id in self._syncing.pop(entry, set()):
@@ -513,7 +557,11 @@
 
     def _free(self, request_id: str) -> backends.Placed | None:
         backend = self._where.pop(request_id, None)
-        return backend.remove(request_id) if backend else None
+        if backend is None:
+            return None
+        placed = backend.remove(request_id)
+        self._pool.update(backend)
+        return placed
 
     def _drop(self, waiting: queue.Waiting) -> None:
         del self._waiting[waiting.request.request_id]
@@ -534,7 +582,9 @@
                 self._move_placed(known, self.backends[name])
         for known in self.backends.values():
             known.choose_version(self._rules.version)
+            self._pool.update(known)
         for name in set(self.backends) - set(wanted):
+            self._pool.discard(name)
             self.backends[name].state = backends.BackendState.LEAVING
             if not self.backends[name].placed:
                 del self.backends[name]
