Compare policies side by side, with callers that hang up in time

A stream that can still be resumed is now kept until the request's deadline. Callers of ramptray-load now hang up at their deadline, as real ones do; before, nothing was ever thrown away.

--- a/bench/main.py
+++ b/bench/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from bench import decide, faults, reference, slopes
+from bench import decide, faults, policies, reference, slopes
 
 
 @click.group(name="bench")
@@ -15,6 +15,7 @@
 for command in (
     decide.command,
     faults.command,
+    policies.command,
     reference.command,
     slopes.command,
 ):
--- a/ramptray/entry/exchange.py
+++ b/ramptray/entry/exchange.py
@@ -138,17 +138,26 @@
             await self._resume(url)
 
     async def _resume(self, url: str) -> None:
+        """Reads the stream on, as long as the engine can be reached at all.
+
+        An engine with a long queue is silent for long; a request that waits
+        there is not lost before its deadline.
+        """
         gives_up_at = time.monotonic() + RESUME_S
         while time.monotonic() < gives_up_at:
             try:
                 async with self._client.resume(
                     url, self.request_id, self._position
                 ) as events:
+                    gives_up_at = max(gives_up_at, self._ticket.deadline)
                     await self._pass_on(events)
                     return
             except engine_client.GoneError:
                 self._lose(message.Reason.BACKEND_LOST)
                 return
+            except engine_client.NotSentError:
+                gives_up_at = min(gives_up_at, time.monotonic() + RESUME_S)
+                await anyio.sleep(RESUME_PAUSE_S)
             except (engine_client.EngineError, StreamEndedError):
                 await anyio.sleep(RESUME_PAUSE_S)
         self._lose(message.Reason.STREAM_BROKEN)
--- a/ramptray/load/report.py
+++ b/ramptray/load/report.py
@@ -25,6 +25,7 @@
         useful: Whole answers within their deadline (goodput).
         not_run: Refusals that say the request did not run.
         unknown: Ends where the request may have run.
+        late: Requests whose caller hung up at its deadline.
         broken: Requests whose entry went away.
         wrong: Answers that were not the whole answer to their request.
         useful_tokens: Output tokens of the useful answers.
@@ -40,6 +41,7 @@
     useful: int
     not_run: int
     unknown: int
+    late: int
     broken: int
     wrong: int
     useful_tokens: int
@@ -71,7 +73,7 @@
     """Returns the reports as a table for a terminal."""
     header = (
         f"{'tier':<12}{'sent':>7}{'complete':>9}{'useful':>8}{'not run':>8}"
-        f"{'unknown':>8}{'broken':>7}{'wrong':>6}{'goodput':>9}"
+        f"{'unknown':>8}{'late':>6}{'broken':>7}{'wrong':>6}{'goodput':>9}"
         f"{'first p50':>10}{'first p95':>10}{'gap p95':>9}"
     )
     return "\n".join([header, *(_format_row(report) for report in reports)])
@@ -106,6 +108,7 @@
         useful=len(useful),
         not_run=outcomes["not_run"],
         unknown=outcomes["unknown"],
+        late=outcomes["late"],
         broken=outcomes["broken"],
         wrong=sum(not hit.whole for hit in complete),
         useful_tokens=sum(hit.tokens for hit in useful),
@@ -123,7 +126,7 @@
     return (
         f"{report.tier:<12}{report.sent:>7}{report.complete:>9}"
         f"{report.useful:>8}{report.not_run:>8}{report.unknown:>8}"
-        f"{report.broken:>7}{report.wrong:>6}{goodput:>9.1%}"
+        f"{report.late:>6}{report.broken:>7}{report.wrong:>6}{goodput:>9.1%}"
         f"{_format_s(report.first_token_p50_s):>10}"
         f"{_format_s(report.first_token_p95_s):>10}"
         f"{_format_s(report.gap_p95_s):>9}"
--- a/ramptray/load/shooter.py
+++ b/ramptray/load/shooter.py
@@ -33,8 +33,9 @@
         tier: Its tier.
         customer: Its customer.
         sent_at: When it was sent, in seconds from the beginning.
-        outcome: ``complete``, ``not_run``, ``unknown``, or ``broken`` where
-            the entry itself went away.
+        outcome: ``complete``, ``not_run``, ``unknown``, ``late`` where the
+            caller hung up at its deadline, or ``broken`` where the entry
+            itself went away.
         reason: Why there is no whole answer.
         whole: Whether the answer was whole and this request's own.
         status: HTTP status; 0 for none.
@@ -97,7 +98,10 @@
         began = time.monotonic()
         for _ in range(shot.kind.resends + 1):
             hit.outcome, hit.reason = "broken", ""
-            await self._try(shot, hit, began)
+            with anyio.move_on_after(shot.kind.deadline_s) as patience:
+                await self._try(shot, hit, began)
+            if patience.cancelled_caught:
+                hit.outcome = "late"
             hit.attempts.append((hit.request_id, hit.outcome))
             if hit.outcome == "complete" or hit.reason == "key_done":
                 break
