--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -122,12 +122,17 @@
 class Deployment:
     """Starts, stops and asks the processes of a plan."""
 
-    def __init__(self, plan: Plan, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        folder: pathlib.Path,
+        operator_key: str | None = None,
+    ) -> None:
         self.plan = plan
         self.folder = folder
         self.processes: dict[str, Process] = {}
         self.keys = {name: f"key-{name}" for name in plan.customers}
-        self.operator_key = signature.make_private_key()
+        self.operator_key = operator_key or signature.make_private_key()
         self._addresses: dict[str, str] = {}
         self._lay_out()
 
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -73,7 +73,7 @@
 def _describe_backend(known: backend.Backend) -> dict[str, Any]:
     return {
         "name": known.info.name,
-        "state": known.state.value,
+        "state": "lost" if known.is_lost else known.state.value,
         "running": len(known.placed),
         "places": known.info.max_running,
         "foreign": known.foreign,
