Hold answers by key, refuse expired keys, make certificates for mutual TLS

The same key at the same entry gets the held answer again; a UUIDv7 older than claim_window_s is refused, outcome unknown. Peers with certificates of one authority talk, others are refused (test/test_attachment.py).

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -186,6 +186,8 @@
         engines: Kinds of engine, by name.
         backend_servers: Replicas, by name.
         weights: What the weight store can bear.
+        claim_window_s: How old a key that tells its age may be, in seconds;
+            less than the platform's log keeps its records.
     """
 
     generation: int = pydantic.Field(ge=1)
@@ -198,6 +200,7 @@
     engines: dict[Name, Engine]
     backend_servers: dict[Name, BackendServer]
     weights: Weights = Weights()
+    claim_window_s: float = pydantic.Field(3600.0, gt=0)
 
     def get_ranks(self) -> dict[str, int]:
         """Returns the rank of each tier, 0 for the most urgent."""
--- a/ramptray/caller/app.py
+++ b/ramptray/caller/app.py
@@ -17,8 +17,8 @@
 
 from ramptray import settings as settings_module
 from ramptray.bundle import model
+from ramptray.caller import answer, metrics, plain, refusal, whole
 from ramptray.caller import body as caller_body
-from ramptray.caller import metrics, plain, refusal, whole
 from ramptray.caller import request as caller_request
 from ramptray.core import message, request
 from ramptray.engine import client as engine_client
@@ -51,8 +51,14 @@
         self._tasks = tasks
         self._boot = secrets.token_hex(4)
         self._numbers = itertools.count(1)
+        self._answers = answer.AnswerStore()
         self._plain = plain.PlainServices(
-            settings, desk, services, measures, self._make_request_id
+            settings,
+            desk,
+            services,
+            measures,
+            self._answers,
+            self._make_request_id,
         )
 
     def make_app(self) -> applications.Starlette:
@@ -113,7 +119,11 @@
             case Err(mistake):
                 return refusal.answer_mistake(mistake)
             case Ok(asked):
-                return await self._exchange(http, asked, parsed)
+                pass
+        held = self._answers.find(asked.wish)
+        if held is not None:
+            return held.make_response()
+        return await self._exchange(http, asked, parsed)
 
     async def _exchange(
         self,
@@ -144,7 +154,10 @@
             watched.count_end(first)
             return refusal.make_response(first, served.request_id)
         if not wants_stream:
-            return await self._answer_whole(http, watched, first)
+            response = await self._answer_whole(http, watched, first)
+            if response.status_code == 200:
+                self._answers.hold(asked.wish, response)
+            return response
         return responses.StreamingResponse(
             watched.iterate(first),
             media_type="text/event-stream",
--- a/ramptray/caller/plain.py
+++ b/ramptray/caller/plain.py
@@ -12,8 +12,8 @@
 
 from ramptray import settings as settings_module
 from ramptray.bundle import model
+from ramptray.caller import answer, metrics, refusal
 from ramptray.caller import body as caller_body
-from ramptray.caller import metrics, refusal
 from ramptray.caller import request as caller_request
 from ramptray.core import message, request
 from ramptray.engine import client as engine_client
@@ -44,12 +44,14 @@
         desk: dispatcher.Dispatcher,
         client: service_client.ServiceClient,
         measures: metrics.Metrics,
+        answers: answer.AnswerStore,
         make_request_id: Callable[[], str],
     ) -> None:
         self._settings = settings
         self._desk = desk
         self._client = client
         self._metrics = measures
+        self._answers = answers
         self._make_request_id = make_request_id
 
     async def serve(self, http: requests.Request) -> responses.Response:
@@ -82,7 +84,11 @@
             case Err(mistake):
                 return refusal.answer_mistake(mistake)
             case Ok(asked):
-                return await self._exchange(http, bundle, asked, body)
+                pass
+        held = self._answers.find(asked.wish)
+        if held is not None:
+            return held.make_response()
+        return await self._exchange(http, bundle, asked, body)
 
     async def _exchange(
         self,
@@ -108,7 +114,9 @@
             return refusal.make_response(outcome, asked.info.request_id)
         self._metrics.count_end(tier, message.Outcome.COMPLETE.value, "")
         self._metrics.record("answer", tier, time.monotonic() - began)
-        return _pass_back(outcome, asked.info.request_id)
+        response = _pass_back(outcome, asked.info.request_id)
+        self._answers.hold(asked.wish, response)
+        return response
 
     async def _call_legacy(
         self,
--- a/ramptray/caller/refusal.py
+++ b/ramptray/caller/refusal.py
@@ -78,7 +78,7 @@
                 "message": mistake.text,
                 "type": "invalid_request_error",
                 "code": mistake.code,
-                "outcome": message.Outcome.NOT_RUN.value,
+                "outcome": mistake.outcome.value,
                 "reason": mistake.code,
             }
         },
--- a/ramptray/caller/request.py
+++ b/ramptray/caller/request.py
@@ -4,12 +4,14 @@
 
 import dataclasses
 import hashlib
+import uuid
 from collections.abc import Mapping
 from typing import Any
 
 import msgspec
 from result import Err, Ok, Result
 
+from ramptray import wallclock
 from ramptray.bundle import model
 from ramptray.core import message, prefix
 from ramptray.entry import dispatcher
@@ -19,6 +21,12 @@
 DEADLINE_HEADER = "x-ramptray-deadline-s"
 KEY_HEADER = "idempotency-key"
 MAX_KEY_CHARS = 200
+UUID_WITH_TIME = 7
+"""Version of the UUIDs that begin with the time of their making."""
+
+UUID_TIME_SHIFT = 80
+"""Bits of a UUID that follow its 48 bits of milliseconds."""
+
 DEFAULT_OUTPUT_TOKENS = 256
 PLAIN_COST_TOKENS = 16
 """What a call to a plain service counts as, in tokens."""
@@ -31,6 +39,7 @@
     status: int
     code: str
     text: str
+    outcome: message.Outcome = message.Outcome.NOT_RUN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,9 +169,25 @@
     if not key or len(key) > MAX_KEY_CHARS:
         text = f"{KEY_HEADER}: expected 1 to {MAX_KEY_CHARS} characters"
         return Err(Mistake(400, "invalid_value", text))
+    if _is_expired(key, bundle.claim_window_s):
+        text = f"{KEY_HEADER}: older than {bundle.claim_window_s:g} s"
+        reason = message.Reason.KEY_EXPIRED.value
+        return Err(Mistake(409, reason, text, message.Outcome.UNKNOWN))
     return Ok(Asked(info, _make_wish(info, key, body)))
 
 
+def _is_expired(key: str, window_s: float) -> bool:
+    """Tells whether a key that carries its time of making is too old."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return False
+    if parsed.version != UUID_WITH_TIME:
+        return False
+    made_ms = parsed.int >> UUID_TIME_SHIFT
+    return wallclock.read() / 1000 - made_ms > window_s * 1000
+
+
 def _read_deadline(
     headers: Mapping[str, str], default_s: float
 ) -> float | None:
--- a/ramptray/command/keys.py
+++ b/ramptray/command/keys.py
@@ -7,6 +7,7 @@
 import click
 
 from ramptray.bundle import signature
+from ramptray.command import certificate
 from ramptray.command.error import CommandError
 
 KEY_MODE = 0o600
@@ -14,7 +15,7 @@
 
 @click.group(name="keys")
 def group() -> None:
-    """Makes operators' signing keys."""
+    """Makes operators' signing keys, and certificates for the programs."""
 
 
 @group.command(name="new")
@@ -37,6 +38,10 @@
     click.echo(signature.get_public_key(read_key(file)))
 
 
+group.add_command(certificate.make_authority)
+group.add_command(certificate.make_certificate)
+
+
 def read_key(file: pathlib.Path) -> str:
     """Returns the private key in a file.
 
--- a/test/test_attachment.py
+++ b/test/test_attachment.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import pathlib
 from typing import Any
 
 import anyio
 import pytest
 from anyio.streams import memory
+from click import testing
 
 from bench import deployment
+from ramptray import settings
+from ramptray.command import keys
 from ramptray.core import clock
 from ramptray.peer import attachment
 from ramptray.peer import link as peer_link
@@ -47,6 +51,43 @@
     return clock.HybridClock(lambda: 0)
 
 
+def make_tls(folder: pathlib.Path, name: str) -> settings.TlsSettings:
+    """Returns keys of a peer, signed by the folder's authority."""
+    run = testing.CliRunner().invoke
+    if not (folder / "authority.key").exists():
+        assert run(keys.group, ["authority", str(folder)]).exit_code == 0
+    made = run(keys.group, ["certificate", str(folder), "--name", name])
+    assert made.exit_code == 0
+    return settings.TlsSettings(
+        certificate_file=str(folder / f"{name}.pem"),
+        key_file=str(folder / f"{name}.key"),
+        authority_file=str(folder / "authority.pem"),
+    )
+
+
+async def test_peers_with_keys_of_one_authority_talk_and_no_others(
+    tmp_path: pathlib.Path,
+) -> None:
+    address = deployment.pick_address()
+    ours, theirs = tmp_path / "ours", tmp_path / "theirs"
+    server = peer_link.PeerServer(
+        Greeter(), make_clock(), make_tls(ours, "scheduler")
+    )
+    await server.start(address)
+    question = peer_message.FetchBundle(1)
+    try:
+        friend = peer_link.PeerClient(make_clock(), make_tls(ours, "entry"))
+        assert await friend.ask(address, question, LONG_S) == question
+        await friend.close()
+        for keys_of_peer in (None, make_tls(theirs, "entry")):
+            stranger = peer_link.PeerClient(make_clock(), keys_of_peer)
+            with pytest.raises(peer_link.LinkError):
+                await stranger.ask(address, question, 3.0)
+            await stranger.close()
+    finally:
+        await server.stop(0.0)
+
+
 async def wait_up(
     events: memory.MemoryObjectReceiveStream[attachment.Event],
 ) -> None:
