Carry bundles over the log as differences, and start near the log's end

A fresh scheduler reads the last 512 records, not all (test/test_follower.py: 1,000 records, 512 read), and schedulers that see a checkpoint put off their own.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -29,6 +29,7 @@
 from ramptray.core import backend, claim, membership, message, policy, shard
 from ramptray.peer import codec
 from ramptray.peer import message as peer_message
+from ramptray.scheduler import follower
 
 TICKS_S = os.sysconf("SC_CLK_TCK")
 MIB = 1024 * 1024
@@ -61,6 +62,7 @@
     yield _measure("decision", "us/backend", [10, 60, 300], _time_decision)
     yield _measure("bundle size", "bytes/customer", [50, 200, 800], _size_c)
     yield _measure("bundle size ", "bytes/backend", [50, 200, 800], _size_b)
+    yield _measure("bundle change", "bytes/customer", [50, 400], _size_change)
     yield _measure("bundle load", "ms/customer", [50, 200, 800], _load_c)
     yield _measure("bundle load ", "ms/backend", [50, 200, 800], _load_b)
     yield _measure("bundle memory", "KiB/customer", [50, 200, 800], _keep_c)
@@ -185,6 +187,17 @@
     return float(len(_make_bundle_text(0, count)))
 
 
+def _size_change(count: int) -> float:
+    """Returns the size of the record that changes one customer's share."""
+    old = signature.Envelope(_make_bundle_text(count, 4 * count), {})
+    changed = old.text.replace(
+        '"requests_per_s": 20', '"requests_per_s": 21', 1
+    )
+    new = signature.Envelope(changed, {"anna": "0" * 128})
+    record = follower.make_rollout(new, old)
+    return float(len(json.dumps(follower.format_record(record))))
+
+
 def _time_load(raw: str) -> float:
     began = time.perf_counter()
     text.parse_bundle(raw).unwrap()
--- a/ramptray/bundle/acceptance.py
+++ b/ramptray/bundle/acceptance.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok
 
-from ramptray.bundle import model, signature, text
+from ramptray.bundle import delta, model, signature, text
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +35,24 @@
     through_offset: int
 
 
-Record = Rollout | Checkpoint
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeltaRollout:
+    """A rollout that carries only the difference to the bundle it replaces.
+
+    Attributes:
+        base: Digest of the bundle it replaces.
+        digest: Digest of its own text.
+        delta: The difference, see ``delta``.
+        signatures: Signatures of the whole text.
+    """
+
+    base: str
+    digest: str
+    delta: str
+    signatures: dict[str, str]
+
+
+Record = Rollout | DeltaRollout | Checkpoint
 
 
 class Verdict(enum.Enum):
@@ -109,6 +126,11 @@
         """The bundle in force by the log alone, as far as it was read."""
         return self._log_view
 
+    @property
+    def first_read(self) -> int:
+        """The offset at which the history that was read begins."""
+        return self._first_retained
+
     def skip_to(self, offset: int) -> None:
         """Notes that records before this offset are gone from the log."""
         if offset <= self.next_offset:
@@ -130,9 +152,7 @@
             return self._read_unjoined(offset, record)
         if isinstance(record, Checkpoint):
             return Verdict.CHECKPOINT
-        verdict = self._judge(record.envelope)
-        self.verdicts[record.envelope.digest] = verdict
-        return verdict
+        return self._judge_rollout(record)
 
     def _read_unjoined(self, offset: int, record: Record) -> Verdict:
         """Waits for a checkpoint that no missing record precedes.
@@ -146,7 +166,11 @@
             isinstance(record, Checkpoint)
             and record.through_offset + 1 >= self._first_retained
         )
-        candidate = _parse(record.envelope) if joined else None
+        candidate = (
+            _parse(record.envelope)
+            if joined and isinstance(record, Checkpoint)
+            else None
+        )
         if not isinstance(record, Checkpoint) or candidate is None:
             self._unjoined.append((offset, record))
             return Verdict.NO_HISTORY
@@ -155,11 +179,36 @@
         self._log_view = candidate
         self.raise_to(candidate)
         for past, earlier in replay:
-            if past > record.through_offset and isinstance(earlier, Rollout):
-                digest = earlier.envelope.digest
-                self.verdicts[digest] = self._judge(earlier.envelope)
+            if isinstance(earlier, Checkpoint):
+                continue
+            if past > record.through_offset:
+                self._judge_rollout(earlier)
         return Verdict.CHECKPOINT
 
+    def _judge_rollout(self, record: Rollout | DeltaRollout) -> Verdict:
+        if isinstance(record, Rollout):
+            verdict = self._judge(record.envelope)
+            self.verdicts[record.envelope.digest] = verdict
+            return verdict
+        verdict = self._judge_delta(record)
+        self.verdicts[record.digest] = verdict
+        return verdict
+
+    def _judge_delta(self, record: DeltaRollout) -> Verdict:
+        view = self._log_view
+        if view is not None and record.digest == view.envelope.digest:
+            return Verdict.REPEATED
+        if view is None or record.base != view.envelope.digest:
+            return Verdict.WRONG_BASE
+        try:
+            whole = delta.apply_delta(view.envelope.text, record.delta)
+        except delta.DeltaError:
+            return Verdict.INVALID
+        envelope = signature.Envelope(whole, record.signatures)
+        if envelope.digest != record.digest:
+            return Verdict.INVALID
+        return self._judge(envelope)
+
     def _judge(self, envelope: signature.Envelope) -> Verdict:
         candidate = _parse(envelope)
         if candidate is None:
--- a/ramptray/command/rollout.py
+++ b/ramptray/command/rollout.py
@@ -88,7 +88,11 @@
 ) -> None:
     began = time.monotonic()
     log = platform_log.HttpLog(given.platform)
-    record = follower.format_record(acceptance.Rollout(envelope))
+    reader = await _read_log(log, given)
+    view = reader.log_view
+    record = follower.format_record(
+        follower.make_rollout(envelope, view.envelope if view else None)
+    )
     try:
         offset = await log.append(follower.STREAM, record)
     except platform_log.PlatformError as error:
--- a/ramptray/scheduler/follower.py
+++ b/ramptray/scheduler/follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 import random
 from collections.abc import Callable
@@ -10,7 +11,7 @@
 import anyio
 import msgspec
 
-from ramptray.bundle import acceptance, model, signature
+from ramptray.bundle import acceptance, delta, model, signature
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.platform import log as platform_log
@@ -21,8 +22,17 @@
 WAIT_S = 10.0
 RETRY_S = 0.3
 FETCH_S = 3.0
+FAR_AWAY = 2**53
+"""An offset that no stream reaches."""
+
+RECENT_RECORDS = 512
+"""Records before the log's end at which a fresh reader begins."""
+
 CHECKPOINT_EVERY = 50
-"""Records read after which a checkpoint is due, give or take chance."""
+"""Records without a checkpoint after which one may be due."""
+
+CHECKPOINT_SPREAD = 200
+"""Further records over which the schedulers' turns are spread."""
 
 
 class Follower:
@@ -45,13 +55,17 @@
         on_change: Callable[[acceptance.InForce], None],
     ) -> None:
         self._log = log
+        self._trust = trust
         self._acceptance = acceptance.Acceptance(trust)
+        self._started = False
         self._client = client
         self._rng = rng
         self._on_change = on_change
         self._announced = 0
-        self._since_checkpoint = 0
         self.log_up = False
+        self._since_checkpoint = 0
+        self._checkpoint_due = CHECKPOINT_EVERY
+        self._count_from_checkpoint()
 
     @property
     def in_force(self) -> acceptance.InForce | None:
@@ -93,7 +107,29 @@
             return peer_message.FetchedBundle(None)
         return peer_message.FetchedBundle(current.envelope)
 
+    async def _start(self) -> None:
+        """Begins shortly before the log's end, where a checkpoint must be.
+
+        A log of days holds thousands of bundles, and a fresh VM need not judge
+        them all: to it the log looks as if it had forgotten the older ones.
+        """
+        page = await self._log.read(STREAM, FAR_AWAY, 0.0)
+        start = page.next_offset - RECENT_RECORDS
+        if start > page.first_retained:
+            self._acceptance.skip_to(start)
+        self._started = True
+
+    def _start_over(self) -> None:
+        """Begins at the oldest record, since no checkpoint was found."""
+        LOG.warning("no checkpoint among the recent records")
+        whole = acceptance.Acceptance(self._trust)
+        if self.in_force:
+            whole.learn(self.in_force.envelope)
+        self._acceptance = whole
+
     async def _read_on(self) -> None:
+        if not self._started:
+            await self._start()
         page = await self._log.read(
             STREAM, self._acceptance.next_offset, WAIT_S
         )
@@ -106,23 +142,39 @@
             verdict = self._acceptance.read(record.offset, parsed)
             LOG.info("bundle record", extra={"verdict": verdict.value})
             self._announce()
-        self._since_checkpoint += len(page.records)
+            self._since_checkpoint += 1
+            if verdict is acceptance.Verdict.CHECKPOINT:
+                self._count_from_checkpoint()
+        caught_up = self._acceptance.next_offset >= page.next_offset
+        if caught_up and self._is_lost(page.first_retained):
+            self._start_over()
         await self._leave_checkpoint()
 
+    def _is_lost(self, first_retained: int) -> bool:
+        """Tells whether older records might help and were not read."""
+        unjoined = self._acceptance.log_view is None
+        return unjoined and self._acceptance.first_read > first_retained
+
     async def _leave_checkpoint(self) -> None:
         """Leaves a checkpoint now and then, so that the log may forget.
 
-        Which scheduler does it is left to chance; two checkpoints do no harm.
+        Each scheduler draws how long it waits; whoever's turn comes first does
+        it, and the others, seeing it, begin anew.
         """
         view = self._acceptance.log_view
-        due = CHECKPOINT_EVERY * self._rng.uniform(1.0, 2.0)
-        if view is None or self._since_checkpoint < due:
+        if view is None or self._since_checkpoint < self._checkpoint_due:
             return
-        self._since_checkpoint = 0
+        self._count_from_checkpoint()
         through = self._acceptance.next_offset - 1
         checkpoint = acceptance.Checkpoint(view.envelope, through)
         await self._log.append(STREAM, format_record(checkpoint))
 
+    def _count_from_checkpoint(self) -> None:
+        self._since_checkpoint = 0
+        self._checkpoint_due = CHECKPOINT_EVERY + self._rng.randrange(
+            CHECKPOINT_SPREAD
+        )
+
     def _announce(self) -> None:
         current = self.in_force
         if current and current.generation > self._announced:
@@ -130,8 +182,29 @@
             self._on_change(current)
 
 
+def make_rollout(
+    envelope: signature.Envelope, base: signature.Envelope | None
+) -> acceptance.Rollout | acceptance.DeltaRollout:
+    """Returns the smaller record that puts a bundle in force.
+
+    Args:
+        envelope: The signed bundle.
+        base: The bundle it replaces, if that is known.
+    """
+    if base is None:
+        return acceptance.Rollout(envelope)
+    difference = delta.make_delta(base.text, envelope.text)
+    if len(difference) > len(envelope.text) // 2:
+        return acceptance.Rollout(envelope)
+    return acceptance.DeltaRollout(
+        base.digest, envelope.digest, difference, envelope.signatures
+    )
+
+
 def format_record(record: acceptance.Record) -> dict[str, Any]:
     """Returns a record as it stands in the log."""
+    if isinstance(record, acceptance.DeltaRollout):
+        return dataclasses.asdict(record)
     body: dict[str, Any] = {
         "text": record.envelope.text,
         "signatures": record.envelope.signatures,
@@ -144,6 +217,8 @@
 def parse_record(body: dict[str, Any]) -> acceptance.Record | None:
     """Returns the record that stands in the log, if it is one."""
     try:
+        if "delta" in body:
+            return msgspec.convert(body, acceptance.DeltaRollout)
         envelope = msgspec.convert(
             {key: body[key] for key in ("text", "signatures")},
             signature.Envelope,
--- /dev/null
+++ b/test/test_bundle.py
@@ -0,0 +1,195 @@
+"""Bundles: mistakes, signatures, differences and checkpoints."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from ramptray.bundle import acceptance, delta, model, signature, text
+from ramptray.scheduler import follower
+
+PRIVATE = {name: signature.make_private_key() for name in ("anna", "bela")}
+PUBLIC = {name: signature.get_public_key(key) for name, key in PRIVATE.items()}
+
+
+def make_body(generation: int, base: str | None, **more: Any) -> str:
+    body = {
+        "generation": generation,
+        "base": base,
+        "operators": {"keys": PUBLIC, "signatures_required": 2},
+        "zones": ["waw-a"],
+        "tiers": {"urgent": {"order": 0, "deadline_s": 1}},
+        "customers": {
+            f"customer-{n}": {
+                "key_hashes": [f"sha256:{n:064x}"],
+                "tiers": ["urgent"],
+            }
+            for n in range(200)
+        },
+        "services": {"assistant": {"kind": "model"}},
+        "engines": {"fast": {"max_running": 8}},
+        "backend_servers": {},
+    }
+    return json.dumps({**body, **more}, indent=1)
+
+
+def make_signed(body: str, *operators: str) -> signature.Envelope:
+    envelope = signature.Envelope(body, {})
+    for operator in operators:
+        envelope = signature.sign(envelope, operator, PRIVATE[operator])
+    return envelope
+
+
+FIRST = make_signed(make_body(1, None), "anna", "bela")
+SECOND = make_signed(
+    make_body(2, FIRST.digest, claim_window_s=60), "anna", "bela"
+)
+
+
+def make_reader() -> acceptance.Acceptance:
+    trust = model.Operators(keys=PUBLIC, signatures_required=2)
+    return acceptance.Acceptance(trust)
+
+
+def test_a_small_change_is_a_small_record_and_is_accepted_alike() -> None:
+    record = follower.make_rollout(SECOND, FIRST)
+    assert isinstance(record, acceptance.DeltaRollout)
+    body = follower.format_record(record)
+    assert len(json.dumps(body)) < len(SECOND.text) / 10
+    reader = make_reader()
+    reader.read(0, acceptance.Rollout(FIRST))
+    parsed = follower.parse_record(body)
+    assert parsed == record
+    assert reader.read(1, parsed) is acceptance.Verdict.ACCEPTED
+    assert reader.in_force is not None
+    assert reader.in_force.envelope == SECOND
+
+
+def test_a_difference_to_another_base_is_refused() -> None:
+    record = follower.make_rollout(SECOND, FIRST)
+    assert isinstance(record, acceptance.DeltaRollout)
+    reader = make_reader()
+    assert reader.read(0, record) is acceptance.Verdict.WRONG_BASE
+    reader.read(1, acceptance.Rollout(FIRST))
+    forged = dataclasses.replace(record, digest=FIRST.digest[:-1] + "0")
+    assert reader.read(2, forged) is acceptance.Verdict.INVALID
+    broken = dataclasses.replace(record, delta="AAAA", digest="sha256:0")
+    assert reader.read(3, broken) is acceptance.Verdict.INVALID
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.text(max_size=400), st.text(max_size=400))
+def test_a_difference_gives_back_the_text(base: str, changed: str) -> None:
+    assert delta.apply_delta(base, delta.make_delta(base, changed)) == changed
+
+
+def test_too_few_signatures_are_refused() -> None:
+    reader = make_reader()
+    alone = make_signed(make_body(1, None), "anna")
+    verdict = reader.read(0, acceptance.Rollout(alone))
+    assert verdict is acceptance.Verdict.BAD_SIGNATURE
+    moved = dataclasses.replace(FIRST, text=FIRST.text + " ")
+    verdict = reader.read(1, acceptance.Rollout(moved))
+    assert verdict is acceptance.Verdict.BAD_SIGNATURE
+    assert reader.in_force is None
+
+
+def test_differences_after_a_checkpoint_are_replayed() -> None:
+    record = follower.make_rollout(SECOND, FIRST)
+    reader = make_reader()
+    reader.skip_to(5)
+    reader.read(5, record)
+    assert reader.in_force is None
+    reader.read(6, acceptance.Checkpoint(FIRST, 4))
+    assert reader.in_force is not None
+    assert reader.in_force.envelope == SECOND
+
+
+def test_all_mistakes_are_shown_at_once_with_their_places() -> None:
+    raw = """// a comment
+    {"generation": 0, "operators": {"keys": {}}, "zones": ["Waw"],
+     "tiers": {"a": {"order": 0, "deadline_s": -1}}, "surplus": 1,
+     "customers": {}, "services": {}, "engines": {}, "backend_servers": {}}"""
+    match text.parse_bundle(raw):
+        case Ok(_):
+            pytest.fail("accepted")
+        case Err(mistakes):
+            paths = {mistake.path for mistake in mistakes}
+    assert paths == {
+        "generation",
+        "operators.keys",
+        "zones.0",
+        "tiers.a.deadline_s",
+        "surplus",
+    }
+
+
+@pytest.mark.parametrize(
+    ("changes", "path"),
+    [
+        ({"tiers": {}}, "tiers"),
+        (
+            {
+                "tiers": {
+                    "urgent": {"order": 0, "deadline_s": 1},
+                    "late": {"order": 0, "deadline_s": 1},
+                }
+            },
+            "tiers.urgent.order",
+        ),
+        (
+            {
+                "backend_servers": {
+                    "e": {
+                        "zone": "nowhere",
+                        "service": "assistant",
+                        "engine": "fast",
+                        "url": "http://127.0.0.1:1",
+                    }
+                }
+            },
+            "backend_servers.e.zone",
+        ),
+        (
+            {"operators": {"keys": PUBLIC, "signatures_required": 3}},
+            "operators.signatures_required",
+        ),
+        (
+            {
+                "customers": {
+                    "ola": {
+                        "key_hashes": ["sha256:" + "0" * 64],
+                        "tiers": ["gold"],
+                    }
+                }
+            },
+            "customers.ola.tiers.0",
+        ),
+        (
+            {
+                "customers": {
+                    "ola": {
+                        "key_hashes": ["sha256:" + "0" * 64],
+                        "tiers": ["urgent"],
+                        "limits": {"requests_per_s": 0.5},
+                    }
+                }
+            },
+            "customers.ola.limits.requests_per_s",
+        ),
+    ],
+)
+def test_what_cannot_work_is_refused(
+    changes: dict[str, Any], path: str
+) -> None:
+    match text.parse_bundle(make_body(1, None, **changes)):
+        case Ok(_):
+            pytest.fail("accepted")
+        case Err(mistakes):
+            assert path in {mistake.path for mistake in mistakes}
--- /dev/null
+++ b/test/test_follower.py
@@ -0,0 +1,89 @@
+"""How a scheduler follows the log of bundles."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import anyio
+import pytest
+
+from ramptray.bundle import acceptance
+from ramptray.core import clock
+from ramptray.peer import link as peer_link
+from ramptray.platform import log as platform_log
+from ramptray.scheduler import follower
+from test import test_bundle
+
+pytestmark = pytest.mark.anyio
+LONG_S = 20.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class MemoryLog(platform_log.Log):
+    """A log in memory that counts what is read of it."""
+
+    def __init__(self, records: list[acceptance.Record]) -> None:
+        self.records = [follower.format_record(r) for r in records]
+        self.read_count = 0
+
+    async def append(self, stream: str, body: dict[str, Any]) -> int:
+        self.records.append(body)
+        return len(self.records) - 1
+
+    async def read(
+        self, stream: str, offset: int, wait_s: float
+    ) -> platform_log.Page:
+        found = [
+            platform_log.LogRecord(offset + place, body)
+            for place, body in enumerate(self.records[offset:])
+        ]
+        self.read_count += len(found)
+        if not found and wait_s:
+            await anyio.sleep_forever()
+        return platform_log.Page(0, len(self.records), found)
+
+
+async def follow(log: platform_log.Log) -> acceptance.InForce:
+    """Returns the first bundle that a fresh follower puts in force."""
+    send, receive = anyio.create_memory_object_stream[acceptance.InForce](10)
+    followed = follower.Follower(
+        log,
+        test_bundle.make_reader()._trust,
+        peer_link.PeerClient(clock.HybridClock(lambda: 0), None),
+        random.Random(1),
+        send.send_nowait,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(followed.run)
+        with anyio.fail_after(LONG_S):
+            in_force = await receive.receive()
+        tasks.cancel_scope.cancel()
+    return in_force
+
+
+def make_long_log(with_checkpoint: bool) -> MemoryLog:
+    """Returns a log of one bundle and a thousand losing repetitions."""
+    first = acceptance.Rollout(test_bundle.FIRST)
+    records: list[acceptance.Record] = [first] * 1000
+    if with_checkpoint:
+        records[900] = acceptance.Checkpoint(test_bundle.FIRST, 899)
+    return MemoryLog(records)
+
+
+async def test_a_fresh_follower_reads_the_end_of_a_long_log_only() -> None:
+    log = make_long_log(with_checkpoint=True)
+    in_force = await follow(log)
+    assert in_force.envelope == test_bundle.FIRST
+    assert log.read_count <= follower.RECENT_RECORDS + 1
+
+
+async def test_a_follower_without_a_checkpoint_reads_it_all() -> None:
+    log = make_long_log(with_checkpoint=False)
+    in_force = await follow(log)
+    assert in_force.envelope == test_bundle.FIRST
+    assert log.read_count > 1000
