--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -80,6 +80,7 @@
         queue_tokens: Cost that may wait in a zone, for each service.
         customer_fields: Further fields of each customer in the bundle.
         controllers: Whether controllers are started.
+        common: Further settings of every own process.
         platform: Further settings of the platform stand-in.
     """
 
@@ -94,6 +95,7 @@
         default_factory=dict
     )
     controllers: bool = True
+    common: dict[str, Any] = dataclasses.field(default_factory=dict)
     platform: dict[str, Any] = dataclasses.field(default_factory=dict)
 
 
@@ -438,7 +440,12 @@
         seeds = [address[f"scheduler/{vm}"] for vm, _ in self.vms]
         for vm, zone in self.vms:
             cut_file = str(self.folder / f"cut-{zone}.json")
-            common = {"vm": vm, "zone": zone, "cut_file": cut_file}
+            common = {
+                "vm": vm,
+                "zone": zone,
+                "cut_file": cut_file,
+                **self.plan.common,
+            }
             self._add(
                 f"scheduler/{vm}",
                 {
--- a/ramptray/command/timeline.py
+++ b/ramptray/command/timeline.py
@@ -3,26 +3,67 @@
 from __future__ import annotations
 
 import pathlib
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
 import click
 import msgspec
 
-from ramptray import settings
-from ramptray.command import peers
+from ramptray import settings, timeline
+from ramptray.command import lanes, peers
+from ramptray.command.error import CommandError
 from ramptray.peer import message as peer_message
 
+LIVE_EVERY_S = 0.5
 _FIXED = ("clock", "process", "zone", "kind", "subject")
+_PATH = click.Path(path_type=pathlib.Path)
 
 
 @click.command(name="timeline")
-@peers.SETTINGS_OPTION
+@click.option(
+    "--settings",
+    "settings_file",
+    type=_PATH,
+    envvar="RAMPTRAY_SETTINGS",
+    help="The operator's settings; not needed with --logs.",
+)
 @click.option("--subject", default="", help="A request, server or bundle.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
-def command(settings_file: pathlib.Path, subject: str, as_json: bool) -> None:
-    """Shows what happened, over all processes that can be reached."""
-    events = anyio.run(fetch, peers.read_settings(settings_file), 0, subject)
+@click.option("--html", "html_file", type=_PATH, help="Write a page instead.")
+@click.option("--live", is_flag=True, help="Go on until Ctrl-C.")
+@click.option(
+    "--logs",
+    type=_PATH,
+    multiple=True,
+    help="Read collected log files instead of asking processes.",
+)
+def command(
+    settings_file: pathlib.Path | None,
+    subject: str,
+    as_json: bool,
+    html_file: pathlib.Path | None,
+    live: bool,
+    logs: tuple[pathlib.Path, ...],
+) -> None:
+    """Shows what happened, over all processes.
+
+    Events are in the order of the processes' hybrid logical clocks: what
+    caused another event stands before it, whatever the VMs' clocks say.
+    """
+    if live:
+        anyio.run(_follow, _read(settings_file), subject)
+        return
+    events = (
+        sort_events(read_logs(logs, subject))
+        if logs
+        else anyio.run(fetch, _read(settings_file), 0, subject)
+    )
+    if html_file is not None:
+        page = lanes.make_page(f"Time line {subject}".strip(), events)
+        html_file.write_text(page)
+        click.echo(f"{html_file}: {len(events)} events")
+        return
     for event in events:
         click.echo(
             msgspec.json.encode(event).decode()
@@ -41,7 +82,31 @@
             peer_message.AskTimeline(after, subject),
             [report["address"] for report in reports.values()],
         )
-    events = [event for answer in answers.values() for event in answer.events]
+    return sort_events(
+        event for answer in answers.values() for event in answer.events
+    )
+
+
+def read_logs(
+    files: tuple[pathlib.Path, ...], subject: str
+) -> Iterator[dict[str, Any]]:
+    """Yields the events in log files; other lines are passed over."""
+    for file in files:
+        try:
+            lines = file.read_bytes().splitlines()
+        except OSError as error:
+            raise CommandError(f"{file}: {error.strerror}") from error
+        for line in lines:
+            try:
+                event = msgspec.json.decode(line).get("event")
+            except (msgspec.DecodeError, AttributeError):
+                continue
+            if event and timeline.concerns(subject, event):
+                yield event
+
+
+def sort_events(events: Any) -> list[dict[str, Any]]:
+    """Returns events in the order of their clocks."""
     return sorted(events, key=lambda e: (e["clock"], e["process"]))
 
 
@@ -57,3 +122,20 @@
         f"{seconds:>10.6f}  {event['process']:<26}{event['kind']:<12}"
         f"{event['subject']:<34}{details}"
     )
+
+
+async def _follow(given: settings.OperatorSettings, subject: str) -> None:
+    after = first = 0
+    while True:
+        events = await fetch(given, after, subject)
+        for event in events:
+            first = first or event["clock"]
+            after = event["clock"]
+            click.echo(format_event(event, first))
+        await anyio.sleep(LIVE_EVERY_S)
+
+
+def _read(file: pathlib.Path | None) -> settings.OperatorSettings:
+    if file is None:
+        raise click.UsageError("--settings or --logs is needed")
+    return peers.read_settings(file)
--- a/ramptray/controller/main.py
+++ b/ramptray/controller/main.py
@@ -33,7 +33,13 @@
         hybrid_clock = clock.HybridClock(wallclock.read)
         name = f"controller/{settings.vm}"
         self._settings = settings
-        self._timeline = timeline.Timeline(name, settings.zone, hybrid_clock)
+        self._timeline = timeline.Timeline(
+            name,
+            settings.zone,
+            hybrid_clock,
+            settings.log_events,
+            settings.ring_events,
+        )
         self._client = peer_link.PeerClient(
             hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
         )
--- a/ramptray/entry/main.py
+++ b/ramptray/entry/main.py
@@ -27,7 +27,11 @@
     """Serves until a stop is asked for and what runs has ended."""
     hybrid_clock = clock.HybridClock(wallclock.read)
     events = timeline.Timeline(
-        f"entry/{settings.vm}", settings.zone, hybrid_clock
+        f"entry/{settings.vm}",
+        settings.zone,
+        hybrid_clock,
+        settings.log_events,
+        settings.ring_events,
     )
     client = peer_link.PeerClient(
         hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
--- a/ramptray/scheduler/main.py
+++ b/ramptray/scheduler/main.py
@@ -35,7 +35,11 @@
     """Serves until a stop is asked for, then leaves its zone in order."""
     hybrid_clock = clock.HybridClock(wallclock.read)
     events = timeline.Timeline(
-        f"scheduler/{settings.vm}", settings.zone, hybrid_clock
+        f"scheduler/{settings.vm}",
+        settings.zone,
+        hybrid_clock,
+        settings.log_events,
+        settings.ring_events,
     )
     client = peer_link.PeerClient(
         hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
--- a/ramptray/settings.py
+++ b/ramptray/settings.py
@@ -38,6 +38,8 @@
         listen: IP number and port it listens on.
         log_level: Least level that is logged.
         tls: Keys for the channel between own processes; None for none.
+        log_events: Whether each event of the time line is also logged.
+        ring_events: Events of the time line that are kept; 0 for none.
         cut_file: For failure tests: a JSON list of addresses of own processes
             that cannot be reached.
     """
@@ -49,6 +51,8 @@
         "INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
     )
     tls: TlsSettings | None = None
+    log_events: bool = False
+    ring_events: int = pydantic.Field(20_000, ge=0)
     cut_file: str | None = None
 
 
--- a/ramptray/timeline.py
+++ b/ramptray/timeline.py
@@ -4,10 +4,13 @@
 
 import collections
 import itertools
+import logging
 from typing import Any
 
 from ramptray.core import clock
 
+LOG = logging.getLogger(__name__)
+
 RING_EVENTS = 20_000
 """Events a process keeps."""
 
@@ -15,19 +18,29 @@
 class Timeline:
     """The latest events of one process.
 
-    Attributes:
-        enabled: Whether events are kept at all.
+    Args:
+        process: The process's name.
+        zone: Its zone.
+        hybrid_clock: Its clock.
+        log_events: Whether each event is also logged, so that the time line
+            can be built when the process is gone.
+        ring_events: How many events are kept; 0 for none.
     """
 
     def __init__(
-        self, process: str, zone: str, hybrid_clock: clock.HybridClock
+        self,
+        process: str,
+        zone: str,
+        hybrid_clock: clock.HybridClock,
+        log_events: bool = False,
+        ring_events: int = RING_EVENTS,
     ) -> None:
-        self.enabled = True
         self._process = process
         self._zone = zone
         self._clock = hybrid_clock
+        self._log_events = log_events
         self._ring: collections.deque[tuple[int, str, str, dict[str, Any]]] = (
-            collections.deque(maxlen=RING_EVENTS)
+            collections.deque(maxlen=ring_events)
         )
 
     def note(self, kind: str, subject: str, **details: Any) -> None:
@@ -38,27 +51,35 @@
             subject: The request, backend server or bundle it happened to.
             **details: Further facts, JSON values.
         """
-        if self.enabled:
-            self._ring.append((self._clock.tick(), kind, subject, details))
+        if not self._ring.maxlen:
+            return
+        event = (self._clock.tick(), kind, subject, details)
+        self._ring.append(event)
+        if self._log_events:
+            LOG.info("event", extra={"event": self._describe(event)})
 
     def list_events(self, after: int, subject: str) -> list[dict[str, Any]]:
         """Returns kept events later than a clock value, oldest first."""
         newest_first = itertools.takewhile(
             lambda event: event[0] > after, reversed(self._ring)
         )
-        return [
-            {
-                "clock": value,
-                "process": self._process,
-                "zone": self._zone,
-                "kind": kind,
-                "subject": about,
-                **details,
-            }
-            for value, kind, about, details in newest_first
-            if not subject or _concerns(subject, about, details)
-        ][::-1]
+        described = [self._describe(event) for event in newest_first]
+        return [e for e in reversed(described) if concerns(subject, e)]
+
+    def _describe(
+        self, event: tuple[int, str, str, dict[str, Any]]
+    ) -> dict[str, Any]:
+        value, kind, subject, details = event
+        return {
+            "clock": value,
+            "process": self._process,
+            "zone": self._zone,
+            "kind": kind,
+            "subject": subject,
+            **details,
+        }
 
 
-def _concerns(subject: str, about: str, details: dict[str, Any]) -> bool:
-    return subject == about or subject in details.values()
+def concerns(subject: str, event: dict[str, Any]) -> bool:
+    """Tells whether an event is about a subject; all are about none."""
+    return not subject or subject in event.values()
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -20,6 +20,7 @@
     plain=[("portal-1", "waw-a", "portal")],
     tiers=[("urgent", 10.0), ("batch", 60.0)],
     customers={"salon-ola": ["urgent", "batch"], "hydraulik": ["batch"]},
+    common={"log_events": True},
 )
 
 
--- /dev/null
+++ b/test/test_timeline.py
@@ -0,0 +1,60 @@
+"""The time line over all processes, asked for and built from logs."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+from click import testing
+
+from bench import deployment
+from ramptray.command import timeline
+from ramptray.core import clock
+from test import test_path
+
+CAUSES = ["request", "grant", "dispatch", "first_token", "end"]
+
+
+def run(*arguments: str) -> str:
+    done = testing.CliRunner().invoke(timeline.command, arguments)
+    assert done.exit_code == 0, done.output
+    return done.output
+
+
+def send_request(running: deployment.Deployment) -> str:
+    """Sends a request and returns its id."""
+    url = running.entries[0].url + "/v1/completions"
+    body = {"model": "assistant", "prompt": "why?", "max_tokens": 3}
+    status, headers, _ = test_path.call(url, body)
+    assert status == 200
+    return str(headers["x-request-id"])
+
+
+def test_a_request_is_followed_over_processes_in_the_order_of_causes(
+    running: deployment.Deployment, tmp_path: pathlib.Path
+) -> None:
+    request_id = send_request(running)
+    settings = str(running.folder / "operator.json")
+    asked = run("--settings", settings, "--subject", request_id, "--json")
+    events = [json.loads(line) for line in asked.splitlines()]
+    assert [event["kind"] for event in events] == CAUSES
+    assert len({event["process"] for event in events}) == 2
+    logs = [f"--logs={file}" for file in running.folder.glob("*.log")]
+    logged = run(*logs, "--subject", request_id, "--json")
+    assert logged == asked
+    page = tmp_path / "page.html"
+    run(*logs, "--subject", request_id, "--html", str(page))
+    drawn = page.read_text()
+    assert drawn.count("<circle") == len(CAUSES)
+    assert "http" not in drawn.replace(request_id, "")
+
+
+def test_a_clock_that_runs_behind_never_puts_an_effect_before_its_cause() -> (
+    None
+):
+    ahead = clock.HybridClock(lambda: 1_000_000)
+    behind = clock.HybridClock(lambda: 10)
+    sent = ahead.tick()
+    received = behind.witness(sent)
+    assert sent < received < behind.tick()
+    assert ahead.witness(behind.tick()) > received
