Tell a member that stood still that it counts as dead

Failing test: test_a_member_that_stood_still_comes_back. Cause: its peers had told its death as often as they tell anything, before it woke; it never heard of it, so it never refuted it and stayed without shards for good. Whoever shows an older belief is now told the newer one again.

--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -153,6 +153,10 @@
             known = self._known.get(update.vm)
             if known is None or update.overrides(known.member):
                 self._put(update, now)
+            elif known.member.overrides(update):
+                # Whoever believes an older word is told the newer one again;
+                # so a member that stood still learns that it counts as dead.
+                known.told = 0
 
     def suspect(self, vm: str, now: float) -> None:
         """Notes that a member did not answer a probe."""
--- a/ramptray/entry/main.py
+++ b/ramptray/entry/main.py
@@ -7,8 +7,8 @@
 import anyio
 
 from ramptray import process, timeline, wallclock, webserver
+from ramptray.caller import admission, metrics
 from ramptray.caller import app as caller_app
-from ramptray.caller import metrics
 from ramptray.core import clock
 from ramptray.engine import client as engine_client
 from ramptray.entry import dispatcher
@@ -55,8 +55,7 @@
             tasks,
         )
         server = webserver.make_server(
-            served.make_app(),
-            settings.limits.connections,
+            admission.Admission(served.make_app(), settings.limits.requests),
             settings.limits.header_bytes,
         )
         tasks.start_soon(desk.run)
--- a/ramptray/settings.py
+++ b/ramptray/settings.py
@@ -62,14 +62,14 @@
     Attributes:
         body_bytes: Largest request body.
         header_bytes: Largest request head.
-        connections: Connections open at a time.
+        requests: Requests served at a time.
         body_s: Seconds in which a body must have arrived.
         idle_write_s: Seconds a caller may leave its answer unread.
     """
 
     body_bytes: int = pydantic.Field(4 * 1024 * 1024, ge=1024)
     header_bytes: int = pydantic.Field(32 * 1024, ge=1024)
-    connections: int = pydantic.Field(2000, ge=1)
+    requests: int = pydantic.Field(2000, ge=1)
     body_s: float = pydantic.Field(30.0, gt=0)
     idle_write_s: float = pydantic.Field(60.0, gt=0)
 
--- a/ramptray/webserver.py
+++ b/ramptray/webserver.py
@@ -38,14 +38,12 @@
 
 def make_server(
     app: types.ASGIApp,
-    connections: int | None = None,
     header_bytes: int = 64 * 1024,
 ) -> uvicorn.Server:
     """Returns a server; ``server.serve(sockets=[...])`` runs it.
 
     Args:
         app: The application.
-        connections: Connections open at a time; None for no limit.
         header_bytes: Largest request head.
     """
     config = uvicorn.Config(
@@ -56,7 +54,6 @@
         log_config=None,
         access_log=False,
         server_header=False,
-        limit_concurrency=connections,
         h11_max_incomplete_event_size=header_bytes,
         timeout_keep_alive=30,
         backlog=BACKLOG,
--- /dev/null
+++ b/test/test_membership.py
@@ -0,0 +1,132 @@
+"""Membership under loss, death, pauses and refutation; ownership."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ramptray.core import membership
+
+ZONE = "waw-a"
+COUNT = 9
+
+
+class Zone:
+    """Members that probe one another in rounds, over lossy links."""
+
+    def __init__(self, seed: int, loss: float) -> None:
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.now = 0.0
+        self.up = {f"vm{n}" for n in range(COUNT)}
+        self.views = {
+            vm: membership.Membership(
+                membership.Member(vm, ZONE, f"10.0.0.{n}:1", 1),
+                random.Random(seed * 100 + n),
+                0.0,
+            )
+            for n, vm in enumerate(sorted(self.up))
+        }
+        first = self.views["vm0"]
+        for view in self.views.values():
+            first.merge([view.me], 0.0)
+            view.merge([first.me], 0.0)
+
+    def run(self, rounds: int) -> None:
+        for _ in range(rounds):
+            self.now += membership.PERIOD_S
+            for vm in sorted(self.up):
+                self.probe(vm)
+
+    def probe(self, vm: str) -> None:
+        view = self.views[vm]
+        view.tick(self.now)
+        target = view.pick_target()
+        if target is None:
+            return
+        lost = self.rng.random() < self.loss
+        if lost or target.vm not in self.up:
+            view.suspect(target.vm, self.now)
+            return
+        other = self.views[target.vm]
+        other.merge([view.me, *view.pick_updates()], self.now)
+        view.merge([other.me, *other.pick_updates()], self.now)
+
+    def get_alive(self, vm: str) -> set[str]:
+        return {member.vm for member in self.views[vm].list_alive()}
+
+
+@settings(max_examples=25, deadline=None, derandomize=True)
+@given(seed=st.integers(0, 10_000), dead=st.sets(st.integers(0, 8), max_size=4))
+def test_all_agree_on_who_is_alive_after_deaths(
+    seed: int, dead: set[int]
+) -> None:
+    zone = Zone(seed, loss=0.0)
+    zone.run(20)
+    assert all(zone.get_alive(vm) == zone.up for vm in zone.up)
+    zone.up -= {f"vm{n}" for n in dead}
+    zone.run(20)
+    assert all(zone.get_alive(vm) == zone.up for vm in zone.up)
+
+
+@settings(max_examples=15, deadline=None, derandomize=True)
+@given(seed=st.integers(0, 10_000))
+def test_lost_probes_do_not_bury_the_living_for_good(seed: int) -> None:
+    zone = Zone(seed, loss=0.15)
+    zone.run(60)
+    zone.loss = 0.0
+    zone.run(40)
+    assert all(zone.get_alive(vm) == zone.up for vm in zone.up)
+
+
+def test_a_member_that_stood_still_comes_back() -> None:
+    zone = Zone(1, loss=0.0)
+    zone.run(20)
+    zone.up.discard("vm3")
+    zone.run(12)
+    assert all("vm3" not in zone.get_alive(vm) for vm in zone.up)
+    zone.up.add("vm3")
+    zone.run(30)
+    assert all(zone.get_alive(vm) == zone.up for vm in zone.up)
+
+
+def test_a_restarted_member_overrides_its_former_life() -> None:
+    zone = Zone(2, loss=0.0)
+    zone.run(10)
+    reborn = dataclasses.replace(
+        zone.views["vm4"].me, incarnation=9, address="10.9.9.9:1"
+    )
+    zone.views["vm4"] = membership.Membership(
+        reborn, random.Random(5), zone.now
+    )
+    zone.views["vm4"].merge([zone.views["vm0"].me], zone.now)
+    zone.run(20)
+    seen = {m.vm: m.address for m in zone.views["vm7"].list_alive()}
+    assert seen["vm4"] == "10.9.9.9:1"
+
+
+def test_a_member_that_leaves_is_not_probed_or_chosen() -> None:
+    zone = Zone(3, loss=0.0)
+    zone.run(15)
+    zone.views["vm5"].leave(zone.now)
+    zone.probe("vm5")
+    zone.up.discard("vm5")
+    zone.run(15)
+    assert all("vm5" not in zone.get_alive(vm) for vm in zone.up)
+
+
+@given(
+    names=st.sets(st.text("abcdef", min_size=1), min_size=2, max_size=12),
+    keys=st.lists(st.text(), min_size=1, max_size=50),
+)
+@settings(derandomize=True, deadline=None)
+def test_when_an_owner_goes_only_its_keys_move(
+    names: set[str], keys: list[str]
+) -> None:
+    before = {k: membership.pick_owner(k, sorted(names)) for k in keys}
+    gone = min(names)
+    after = {k: membership.pick_owner(k, sorted(names - {gone})) for k in keys}
+    assert all(after[k] == before[k] for k in keys if before[k] != gone)
