Let a zone use what other zones leave of a customer's limit

Limits were divided evenly, so a customer whose callers all come to one zone got a third. Zones now tell one another the use of those customers that want more, with their summaries; what is left, less a tenth, is shared among those who want it. test_a_zone_uses_what_the_others_leave: 10 -> over 24 of 30 a second; cut off: the own share and no more.

--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -1,12 +1,29 @@
-"""Customers' rate limits, as token buckets in the zone's share."""
+"""Customers' rate limits, as token buckets in the zone's share.
+
+A customer's limit is divided evenly among the zones.  What other zones leave
+unused, by their own fresh word, a zone may use on top of its share; a zone that
+hears nothing of the others keeps its share and no more.
+"""
 
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
+
+from ramptray.core import meter
 
 BURST_S = 2.0
 """How many seconds' worth of its rate a customer may use at once."""
 
+USE_WINDOW_S = 3.0
+"""Span over which a customer's use is measured, in seconds."""
+
+MARGIN = 0.1
+"""Part of a zone's share that is never lent, since words are late."""
+
+MAX_USES = 16
+"""Customers whose use is told to other zones."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rate:
@@ -21,29 +38,42 @@
     tokens_per_s: float | None = None
 
 
-@dataclasses.dataclass(slots=True)
 class _Bucket:
-    rate: float
-    level: float
-    filled_at: float
+    """A token bucket that also measures what was asked of it."""
+
+    def __init__(self, rate: float, now: float) -> None:
+        self.share = rate
+        self.rate = rate
+        self.level = self.get_size()
+        self._filled_at = now
+        self._asked = meter.RateMeter(USE_WINDOW_S)
+
+    def get_size(self) -> float:
+        """Returns the most that may be used at once."""
+        return max(self.rate * BURST_S, 1.0)
 
     def get_wait(self, amount: float, now: float) -> float:
         """Returns the seconds until the amount may be taken, 0 for now."""
-        full = max(self.rate * BURST_S, 1.0)
-        level = self.level + (now - self.filled_at) * self.rate
-        self.level = min(full, level)
-        self.filled_at = now
+        self._asked.add(int(amount), now)
+        earned = (now - self._filled_at) * self.rate
+        self.level = min(self.get_size(), self.level + earned)
+        self._filled_at = now
         # A request larger than the bucket passes when the bucket is full.
-        missing = min(amount, full) - self.level
+        missing = min(amount, self.get_size()) - self.level
         return max(0.0, missing / self.rate)
 
+    def get_use(self, now: float) -> float:
+        """Returns what is asked, as a part of the zone's own share."""
+        return self._asked.get_rate(now) / self.share
+
 
 class Limits:
     """The token buckets of all customers of a shard."""
 
     def __init__(self, rates: dict[str, Rate]) -> None:
         self._rates = rates
-        self._buckets: dict[tuple[str, str], _Bucket] = {}
+        self._buckets: dict[str, list[tuple[str, _Bucket]]] = {}
+        self._wanted_elsewhere: frozenset[str] = frozenset()
 
     def check(self, customer: str, cost: int, now: float) -> float:
         """Takes a request from the customer's buckets if it fits.
@@ -51,30 +81,76 @@
         Returns:
             0 where the request fits, else the seconds until it would.
         """
-        rate = self._rates.get(customer)
-        if rate is None:
-            return 0.0
-        wanted = [
-            (self._get("requests", customer, rate.requests_per_s, now), 1.0),
-            (self._get("tokens", customer, rate.tokens_per_s, now), cost),
-        ]
-        present = [(bucket, amount) for bucket, amount in wanted if bucket]
+        amounts = {"requests": 1.0, "tokens": float(cost)}
+        buckets = self._get(customer, now)
         wait_s = max(
-            (bucket.get_wait(amount, now) for bucket, amount in present),
+            (bucket.get_wait(amounts[kind], now) for kind, bucket in buckets),
             default=0.0,
         )
         if wait_s == 0.0:
-            for bucket, amount in present:
-                bucket.level -= amount
+            for kind, bucket in buckets:
+                bucket.level -= amounts[kind]
         return wait_s
 
-    def _get(
-        self, kind: str, customer: str, rate: float | None, now: float
-    ) -> _Bucket | None:
-        if rate is None:
-            return None
-        key = (kind, customer)
-        if key not in self._buckets:
-            full = max(rate * BURST_S, 1.0)
-            self._buckets[key] = _Bucket(rate, full, now)
-        return self._buckets[key]
+    def list_uses(self, now: float) -> dict[str, float]:
+        """Returns the use of those customers that some zone wants more for.
+
+        Use is a part of the zone's own share; more than 1 wants more.
+        """
+        uses = {c: self._get_use(c, now) for c in self._buckets}
+        told = [
+            customer
+            for customer in self._rates
+            if uses.get(customer, 0.0) > 1.0
+            or customer in self._wanted_elsewhere
+        ]
+        told.sort(key=lambda customer: -uses.get(customer, 0.0))
+        return {c: round(uses.get(c, 0.0), 2) for c in told[:MAX_USES]}
+
+    def borrow(self, elsewhere: Iterable[dict[str, float]]) -> None:
+        """Takes what the other zones have told of their uses.
+
+        Args:
+            elsewhere: A mapping for each zone that was heard of lately.
+        """
+        told = list(elsewhere)
+        wanted: dict[str, int] = {}
+        spare: dict[str, float] = {}
+        for uses in told:
+            for customer, use in uses.items():
+                wanted[customer] = wanted.get(customer, 1) + (use > 1.0)
+                left = max(0.0, 1.0 - MARGIN - use)
+                spare[customer] = spare.get(customer, 0.0) + left
+        self._wanted_elsewhere = frozenset(
+            customer
+            for uses in told
+            for customer, use in uses.items()
+            if use > 1.0
+        )
+        for customer, buckets in self._buckets.items():
+            part = spare.get(customer, 0.0) / wanted.get(customer, 1)
+            for _, bucket in buckets:
+                bucket.rate = bucket.share * (1.0 + part)
+
+    def _get_use(self, customer: str, now: float) -> float:
+        return max(
+            (bucket.get_use(now) for _, bucket in self._buckets[customer]),
+            default=0.0,
+        )
+
+    def _get(self, customer: str, now: float) -> list[tuple[str, _Bucket]]:
+        if customer not in self._buckets:
+            rate = self._rates.get(customer, Rate())
+            kinds = [
+                ("requests", rate.requests_per_s),
+                ("tokens", rate.tokens_per_s),
+            ]
+            made = [
+                (kind, _Bucket(share, now))
+                for kind, share in kinds
+                if share is not None
+            ]
+            if not made:
+                return []
+            self._buckets[customer] = made
+        return self._buckets[customer]
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -55,6 +55,7 @@
         limit: Cost that may wait, as ``queue.weigh`` counts it.
         waiting: Cost that waits, by tier, highest tier first.
         has_backend: Whether any backend server is open.
+        uses: Use of customers' limits that other zones may want to know.
         version: Hybrid clock value when it was made; the newest counts.
     """
 
@@ -64,6 +65,7 @@
     waiting: tuple[int, ...]
     has_backend: bool
     version: int
+    uses: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def has_room(self, rank: int, cost: int) -> bool:
         """Tells whether a request of this tier would be kept there."""
@@ -140,6 +142,7 @@
         self, rules: ShardRules, infos: list[backends.BackendInfo]
     ) -> None:
         """Takes the rules and backend servers of the bundle in force."""
+        old_rules: ShardRules | None = getattr(self, "_rules", None)
         self._rules = rules
         tiers = max(rules.ranks.values(), default=0) + 1
         old = getattr(self, "_tiers", [])
@@ -149,7 +152,8 @@
         ):
             waiting.rank = self._rank(waiting.request.tier)
             self._tiers[waiting.rank].push(waiting)
-        self._limits = limit.Limits(rules.limits)
+        if old_rules is None or old_rules.limits != rules.limits:
+            self._limits = limit.Limits(rules.limits)
         self._take_backends(infos)
 
     def set_state(self, name: str, state: backends.BackendState) -> None:
@@ -177,11 +181,13 @@
     def set_elsewhere(self, summaries: list[ShardSummary]) -> None:
         """Takes what is known of the same shard in the other zones."""
         self._elsewhere = {summary.shard.zone: summary for summary in summaries}
+        self._limits.borrow(summary.uses for summary in summaries)
 
-    def summarize(self, version: int) -> ShardSummary:
+    def summarize(self, now: float, version: int) -> ShardSummary:
         """Returns what the other zones need to know of this shard.
 
         Args:
+            now: The owner's clock in seconds.
             version: Larger than that of every earlier summary.
         """
         return ShardSummary(
@@ -191,6 +197,7 @@
             tuple(tier.cost for tier in self._tiers),
             self._has_backend(),
             version,
+            self._limits.list_uses(now),
         )
 
     def holds(self, request_id: str) -> bool:
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from ramptray.core import membership, shard
+from ramptray.core import membership, message, shard
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 
@@ -91,14 +91,15 @@
             self._summaries[summary.shard.format()] = (now, summary)
 
     def list_elsewhere(
-        self, service: str, zone: str, now: float
+        self, key: message.ShardKey, now: float
     ) -> list[shard.ShardSummary]:
-        """Returns fresh summaries of a service in the other zones."""
+        """Returns fresh summaries of the same shard in the other zones."""
         return [
             summary
             for seen, summary in self._summaries.values()
-            if summary.shard.service == service
-            and summary.shard.zone != zone
+            if summary.shard != key
+            and summary.shard.service == key.service
+            and summary.shard.number == key.number
             and now - seen < SUMMARY_STALE_S
         ]
 
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -493,15 +493,13 @@
 
     def _exchange_summaries(self, now: float) -> None:
         mine = [
-            owner.summarize(wallclock.read())
+            owner.summarize(now, wallclock.read())
             for key, owner in self.shards.items()
             if self.owns(key)
         ]
         self._gossiper.set_summaries(mine, now)
         for key, owner in self.shards.items():
-            owner.set_elsewhere(
-                self._gossiper.list_elsewhere(key.service, self._zone, now)
-            )
+            owner.set_elsewhere(self._gossiper.list_elsewhere(key, now))
 
     def _drop_foreign_shards(self, now: float) -> None:
         for key, owner in list(self.shards.items()):
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -140,3 +140,54 @@
         limits.check("ola", 1, step * 0.01) == 0.0 for step in range(1000)
     )
     assert 100 <= passed <= 100 + 10 * limit.BURST_S
+
+
+ZONES = 3
+TOTAL = 30.0
+
+
+def use_limits(
+    limits: list[limit.Limits],
+    demand: list[float],
+    seconds: float,
+    cut: bool = False,
+) -> list[float]:
+    """Lets each zone ask at its rate; returns what passed a second."""
+    passed = [0] * len(limits)
+    debts = [0.0] * len(limits)
+    for step in range(int(seconds * 100)):
+        now = step / 100
+        for zone, wanted in enumerate(demand):
+            debts[zone] += wanted / 100
+            while debts[zone] >= 1:
+                debts[zone] -= 1
+                waited = limits[zone].check("ola", 1, now)
+                passed[zone] += waited == 0.0 and now >= seconds / 2
+        if step % 50 == 0:
+            told = [one.list_uses(now) for one in limits]
+            for zone, one in enumerate(limits):
+                others = told[:zone] + told[zone + 1 :]
+                one.borrow([] if cut else others)
+    return [count / (seconds / 2) for count in passed]
+
+
+def make_limits() -> list[limit.Limits]:
+    rate = limit.Rate(requests_per_s=TOTAL / ZONES)
+    return [limit.Limits({"ola": rate}) for _ in range(ZONES)]
+
+
+def test_a_zone_uses_what_the_others_leave() -> None:
+    passed = use_limits(make_limits(), [40.0, 1.0, 1.0], 20)
+    assert 24 < passed[0] <= TOTAL
+    assert sum(passed) <= TOTAL
+
+
+def test_zones_that_all_want_more_share_evenly() -> None:
+    passed = use_limits(make_limits(), [40.0, 40.0, 1.0], 20)
+    assert abs(passed[0] - passed[1]) < 1.0
+    assert 24 < sum(passed) <= TOTAL
+
+
+def test_a_zone_that_is_cut_off_keeps_its_share_and_no_more() -> None:
+    passed = use_limits(make_limits(), [40.0, 40.0, 40.0], 20, cut=True)
+    assert all(9.0 < rate <= 10.5 for rate in passed)
