--- a/bench/policies.py
+++ b/bench/policies.py
@@ -30,6 +30,7 @@
     "slow": (1200.0, 0.08),
 }
 PLACES = 6
+QUEUE_TOKENS = 200_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -128,7 +129,7 @@
 USERS = {"ksiegowa": KSIEGOWA, "hanbit": HANBIT}
 
 
-def make_plan(users: Users, name: str) -> deployment.Plan:
+def make_plan(users: Users, name: str, queue_tokens: int) -> deployment.Plan:
     """Returns three zones with engines of three speeds each."""
     customers: dict[str, list[str]] = collections.defaultdict(list)
     for kind in users.classes:
@@ -153,7 +154,7 @@
         tiers=users.tiers,
         customers=dict(customers),
         policy=name,
-        queue_tokens=40_000,
+        queue_tokens=queue_tokens,
         controllers=False,
     )
 
@@ -203,6 +204,11 @@
     default="none",
     help="What goes wrong in the middle.",
 )
+@click.option(
+    "--queue-tokens",
+    default=QUEUE_TOKENS,
+    help="Cost that may wait in a zone.",
+)
 @click.option(
     "--policies",
     default=",".join(policy.POLICIES),
@@ -215,12 +221,15 @@
     factor: float,
     fault: str,
     policies: str,
+    queue_tokens: int,
 ) -> None:
     """Compares policies under the same seeded load."""
     results: dict[str, list[dict[str, Any]]] = {}
     for seed in range(1, seeds + 1):
         for name in policies.split(","):
-            found = run_once(USERS[user], name, factor, seconds, seed, fault)
+            found = run_once(
+                USERS[user], name, factor, seconds, seed, fault, queue_tokens
+            )
             results.setdefault(name, []).append(found)
             click.echo(format_result(name, seed, found))
     if seeds > 1:
@@ -240,9 +249,12 @@
     seconds: float,
     seed: int,
     fault: str = "none",
+    queue_tokens: int = QUEUE_TOKENS,
 ) -> dict[str, Any]:
     """Runs one policy under one seed and returns what came of it."""
-    with deployment.run_deployment(make_plan(users, name)) as started:
+    with deployment.run_deployment(
+        make_plan(users, name, queue_tokens)
+    ) as started:
         time.sleep(SETTLE_S)
         load = make_load(started, users, factor, seconds, seed)
         path = started.folder / "load.json"
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -26,7 +26,15 @@
 from bench import capacity, deployment, fit
 from ramptray.bundle import signature, text
 from ramptray.command import peers, status
-from ramptray.core import backend, claim, membership, message, policy, shard
+from ramptray.core import (
+    backend,
+    claim,
+    membership,
+    message,
+    policy,
+    shard,
+    summary,
+)
 from ramptray.peer import codec
 from ramptray.peer import message as peer_message
 from ramptray.scheduler import follower
@@ -289,7 +297,7 @@
     for _ in range(200):
         updates = known.pick_updates()
     summaries = [
-        shard.ShardSummary(
+        summary.ShardSummary(
             message.ShardKey(f"waw-{n}", "assistant"),
             "10.0.0.1:9000",
             60000,
--- a/ramptray/caller/answer.py
+++ b/ramptray/caller/answer.py
@@ -7,7 +7,7 @@
 
 from starlette import responses
 
-from ramptray.entry import dispatcher
+from ramptray.entry import ticket as tickets
 
 MAX_BYTES = 16 * 1024 * 1024
 """Bytes of answers that an entry holds."""
@@ -52,7 +52,7 @@
 
     def hold(
         self,
-        wish: dispatcher.ClaimWish | None,
+        wish: tickets.ClaimWish | None,
         response: responses.Response,
     ) -> None:
         """Holds the answer to a request with a key, if it is small enough."""
@@ -74,7 +74,7 @@
             _, dropped = self._held.popitem(last=False)
             self._bytes -= len(dropped.body)
 
-    def find(self, wish: dispatcher.ClaimWish | None) -> HeldAnswer | None:
+    def find(self, wish: tickets.ClaimWish | None) -> HeldAnswer | None:
         """Returns the answer to the same request, if it is still held."""
         held = self._held.get(wish.key) if wish else None
         if held is None or wish is None or held.digest != wish.digest:
--- a/ramptray/caller/app.py
+++ b/ramptray/caller/app.py
@@ -17,8 +17,14 @@
 
 from ramptray import settings as settings_module
 from ramptray.bundle import model
-from ramptray.caller import answer, metrics, plain, refusal, whole
-from ramptray.caller import body as caller_body
+from ramptray.caller import (
+    answer,
+    intake,
+    metrics,
+    plain,
+    refusal,
+    whole,
+)
 from ramptray.caller import request as caller_request
 from ramptray.core import message, request
 from ramptray.engine import client as engine_client
@@ -88,33 +94,26 @@
         )
 
     async def _complete(self, http: requests.Request) -> responses.Response:
-        in_force = self._desk.in_force
-        if in_force is None:
-            return self._refuse_unready()
-        bundle = in_force.bundle
-        match caller_request.find_customer(bundle, http.headers):
-            case Err(mistake):
-                return refusal.answer_mistake(mistake)
-            case Ok(customer):
+        match await intake.take_in(http, self._desk, self._settings.limits):
+            case Err(refused):
+                return refused
+            case Ok(taken):
                 pass
-        body = await caller_body.read(http, self._settings.limits)
-        if isinstance(body, caller_request.Mistake):
-            return refusal.answer_mistake(body)
-        match caller_request.parse_body(body):
+        match caller_request.parse_body(taken.body):
             case Err(mistake):
                 return refusal.answer_mistake(mistake)
             case Ok(parsed):
                 pass
         request_id = self._make_request_id()
         match caller_request.read_model_request(
-            bundle,
+            taken.bundle,
             self._settings.zone,
-            customer,
+            taken.customer,
             http.headers,
             parsed,
             whole.render_prompt(parsed),
             request_id,
-            body,
+            taken.body,
         ):
             case Err(mistake):
                 return refusal.answer_mistake(mistake)
@@ -196,24 +195,15 @@
     def _make_request_id(self) -> str:
         return f"{self._settings.vm}-{self._boot}-{next(self._numbers)}"
 
-    def _refuse_unready(self) -> responses.Response:
-        finish = request.Finish(
-            message.Outcome.NOT_RUN, message.Reason.NOT_READY, 1.0
-        )
-        return refusal.make_response(finish, "")
-
     async def _list_models(self, http: requests.Request) -> responses.Response:
-        in_force = self._desk.in_force
-        if in_force is None:
-            return self._refuse_unready()
-        match caller_request.find_customer(in_force.bundle, http.headers):
-            case Err(mistake):
-                return refusal.answer_mistake(mistake)
-            case Ok(_):
+        match intake.identify(http, self._desk):
+            case Err(refused):
+                return refused
+            case Ok(taken):
                 pass
         names = [
             name
-            for name, service in in_force.bundle.services.items()
+            for name, service in taken.bundle.services.items()
             if service.kind is model.ServiceKind.MODEL
         ]
         return responses.JSONResponse(
--- a/ramptray/caller/plain.py
+++ b/ramptray/caller/plain.py
@@ -12,12 +12,12 @@
 
 from ramptray import settings as settings_module
 from ramptray.bundle import model
-from ramptray.caller import answer, metrics, refusal
-from ramptray.caller import body as caller_body
+from ramptray.caller import answer, intake, metrics, refusal
 from ramptray.caller import request as caller_request
 from ramptray.core import message, request
 from ramptray.engine import client as engine_client
 from ramptray.entry import dispatcher
+from ramptray.entry import ticket as tickets
 from ramptray.service import client as service_client
 
 _HOP_HEADERS = frozenset(
@@ -56,30 +56,20 @@
 
     async def serve(self, http: requests.Request) -> responses.Response:
         """Serves one call."""
-        in_force = self._desk.in_force
-        if in_force is None:
-            finish = request.Finish(
-                message.Outcome.NOT_RUN, message.Reason.NOT_READY, 1.0
-            )
-            return refusal.make_response(finish, "")
-        bundle = in_force.bundle
-        match caller_request.find_customer(bundle, http.headers):
-            case Err(mistake):
-                return refusal.answer_mistake(mistake)
-            case Ok(customer):
+        match await intake.take_in(http, self._desk, self._settings.limits):
+            case Err(refused):
+                return refused
+            case Ok(taken):
                 pass
-        body = await caller_body.read(http, self._settings.limits)
-        if isinstance(body, caller_request.Mistake):
-            return refusal.answer_mistake(body)
         request_id = self._make_request_id()
         match caller_request.read_plain_request(
-            bundle,
+            taken.bundle,
             self._settings.zone,
-            customer,
+            taken.customer,
             http.headers,
             http.path_params["name"],
             request_id,
-            body,
+            taken.body,
         ):
             case Err(mistake):
                 return refusal.answer_mistake(mistake)
@@ -88,17 +78,16 @@
         held = self._answers.find(asked.wish)
         if held is not None:
             return held.make_response()
-        return await self._exchange(http, bundle, asked, body)
+        return await self._exchange(http, taken, asked)
 
     async def _exchange(
         self,
         http: requests.Request,
-        bundle: model.Bundle,
+        taken: intake.Intake,
         asked: caller_request.Asked,
-        body: bytes,
     ) -> responses.Response:
-        service = bundle.services[asked.info.shard.service]
-        call = _make_call(http, asked.info.request_id, body)
+        service = taken.bundle.services[asked.info.shard.service]
+        call = _make_call(http, asked.info.request_id, taken.body)
         if _goes_to_legacy(service, asked):
             assert service.legacy is not None
             return await self._call_legacy(service.legacy.url, asked, call)
@@ -169,27 +158,27 @@
         return self._answer
 
     async def _dispatch(
-        self, ticket: dispatcher.Ticket, grant: message.Grant
+        self, ticket: tickets.Ticket, grant: message.Grant
     ) -> None:
         request_id = self._asked.info.request_id
         url = self._desk.find_url(grant.backend)
         if url is None:
-            ticket.report(dispatcher.ConnectFailed(request_id))
+            ticket.report(tickets.ConnectFailed(request_id))
             return
         began = time.monotonic()
         try:
             self._answer = await self._client.call(url, self._call)
         except engine_client.NotSentError:
-            ticket.report(dispatcher.ConnectFailed(request_id))
+            ticket.report(tickets.ConnectFailed(request_id))
         except engine_client.BrokenError:
             ended = message.Ended(request_id, 0, 0.0, False, certain=False)
-            ticket.report(dispatcher.Lost(ended, message.Reason.BACKEND_LOST))
+            ticket.report(tickets.Lost(ended, message.Reason.BACKEND_LOST))
         else:
             elapsed = time.monotonic() - began
             first = message.FirstToken(request_id, elapsed, 0, 0)
-            ticket.report(dispatcher.Begun(first))
+            ticket.report(tickets.Begun(first))
             ended = message.Ended(request_id, 0, 0.0, True)
-            ticket.report(dispatcher.Completed(ended, self._answer.status))
+            ticket.report(tickets.Completed(ended, self._answer.status))
 
 
 def _goes_to_legacy(
--- a/ramptray/caller/request.py
+++ b/ramptray/caller/request.py
@@ -14,7 +14,7 @@
 from ramptray import wallclock
 from ramptray.bundle import model
 from ramptray.core import message, prefix
-from ramptray.entry import dispatcher
+from ramptray.entry import ticket as tickets
 from ramptray.scheduler import rules
 
 TIER_HEADER = "x-ramptray-tier"
@@ -52,7 +52,7 @@
     """
 
     info: message.RequestInfo
-    wish: dispatcher.ClaimWish | None
+    wish: tickets.ClaimWish | None
 
 
 def find_customer(
@@ -203,9 +203,9 @@
 
 def _make_wish(
     info: message.RequestInfo, key: str, body: bytes
-) -> dispatcher.ClaimWish:
+) -> tickets.ClaimWish:
     name = f"{info.customer}\n{info.shard.service}\n{key}"
-    return dispatcher.ClaimWish(
+    return tickets.ClaimWish(
         hashlib.sha256(name.encode()).hexdigest()[:32],
         hashlib.sha256(body).hexdigest()[:32],
     )
--- a/ramptray/controller/leaseholder.py
+++ b/ramptray/controller/leaseholder.py
@@ -12,12 +12,12 @@
 
 from ramptray.core import lease
 from ramptray.platform import log as platform_log
+from ramptray.platform import stream
 
 LOG = logging.getLogger(__name__)
 
 TICK_S = 0.1
 READ_WAIT_S = 2.0
-RETRY_S = 0.2
 
 
 class LeaseHolder:
@@ -34,7 +34,6 @@
         self._stream = f"lease-{zone}"
         self._lease = state
         self._on_change = on_change
-        self._next_offset = 0
         self._caught_up = False
         self._held = False
 
@@ -54,21 +53,12 @@
             LOG.info("lease not released: %s", error)
 
     async def _read(self) -> None:
-        while True:
-            try:
-                page = await self._log.read(
-                    self._stream, self._next_offset, READ_WAIT_S
-                )
-            except platform_log.PlatformError as error:
-                LOG.info("lease not read: %s", error)
-                await anyio.sleep(RETRY_S)
-                continue
+        pages = stream.iterate_pages(self._log, self._stream, READ_WAIT_S)
+        async for page in pages:
             self._lease.skip_to(page.first_retained, time.monotonic())
-            self._next_offset = max(self._next_offset, page.first_retained)
             for record in page.records:
                 self._take(record)
-                self._next_offset = record.offset + 1
-            self._caught_up = self._next_offset >= page.next_offset
+            self._caught_up = page.is_last
 
     def _take(self, record: platform_log.LogRecord) -> None:
         try:
--- a/ramptray/controller/main.py
+++ b/ramptray/controller/main.py
@@ -9,12 +9,11 @@
 import anyio
 from starlette import applications, requests, responses, routing
 
-from ramptray import process, timeline, wallclock, webserver
+from ramptray import process, runtime, webserver
 from ramptray.bundle import acceptance
 from ramptray.controller import leaseholder, reconciler
-from ramptray.core import clock, lease
-from ramptray.peer import attachment, gate
-from ramptray.peer import link as peer_link
+from ramptray.core import lease
+from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
 from ramptray.platform import log as platform_log
 from ramptray.settings import ControllerSettings
@@ -30,24 +29,14 @@
     """Connects the local scheduler's word with lease and reconciler."""
 
     def __init__(self, settings: ControllerSettings) -> None:
-        hybrid_clock = clock.HybridClock(wallclock.read)
-        name = f"controller/{settings.vm}"
+        equipment = runtime.make_runtime("controller", settings)
         self._settings = settings
-        self._timeline = timeline.Timeline(
-            name,
-            settings.zone,
-            hybrid_clock,
-            settings.log_events,
-            settings.ring_events,
-        )
-        self._client = peer_link.PeerClient(
-            hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
-        )
+        self._timeline = equipment.timeline
         self._learner = acceptance.Learner()
         times = lease.LeaseTimes(TERM_S, settings.order_timeout_s)
         # The name tells lives apart: a restarted controller is another holder.
         state = lease.Lease(
-            f"{name}/{secrets.token_hex(4)}", times, time.monotonic()
+            f"{equipment.name}/{secrets.token_hex(4)}", times, time.monotonic()
         )
         self.holder = leaseholder.LeaseHolder(
             platform_log.HttpLog(settings.platform, settings.vm),
@@ -63,8 +52,8 @@
         ](INBOX)
         self.link = attachment.Attachment(
             settings.scheduler,
-            peer_message.Hello(name, settings.vm, "controller"),
-            self._client,
+            peer_message.Hello(equipment.name, settings.vm, "controller"),
+            equipment.client,
             send,
         )
 
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -33,6 +33,9 @@
 OVERDUE_FACTOR = 2.0
 """An answer this many times later than expected marks the engine as slow."""
 
+SLOWER_FACTOR = 1.5
+"""A reported time between tokens this much longer is believed at once."""
+
 OVERDUE_GRACE_S = 0.2
 """Lateness below this is never taken as a sign of a slow engine."""
 
@@ -171,7 +174,7 @@
         self.step_s = DEFAULT_STEP_S
         self.cache = PrefixCache(info.cache_blocks)
         self.foreign = 0
-        self.report_running = 0
+        self.report_running: int | None = None
         self.versions: tuple[str, ...] = ()
         self.version = ""
         self.loaded = True
@@ -317,13 +320,21 @@
         self._finish_prefill(placed)
         return placed
 
-    def correct(self, running: int) -> None:
-        """Takes a lagging load report: what runs there besides our own.
+    def correct(self, running: int, step_s: float = 0.0) -> None:
+        """Takes a lagging load report.
+
+        Answers tell the speed of decoding only when they end, which on an
+        engine that has just slowed down is late; so a reported time between
+        tokens that is much longer than the learned one is believed at once.
 
-        A report is compared with the one before it, since a single report may
-        still count requests that have ended here.
+        As to what runs there besides our own: a report is compared with the
+        one before it, since a single one may still count requests that have
+        ended here.  The first one is all that a new owner has.
         """
-        steady = min(running, self.report_running)
+        if step_s > SLOWER_FACTOR * self.step_s:
+            self.step_s = step_s
+        before = self.report_running
+        steady = running if before is None else min(running, before)
         self.report_running = running
         self.foreign = max(0, steady - len(self.placed))
 
--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -75,6 +75,12 @@
         self._buckets: dict[str, list[tuple[str, _Bucket]]] = {}
         self._wanted_elsewhere: frozenset[str] = frozenset()
 
+    def set_rates(self, rates: dict[str, Rate]) -> None:
+        """Takes the rates of the bundle in force; the same change nothing."""
+        if rates != self._rates:
+            self._rates = rates
+            self._buckets.clear()
+
     def check(self, customer: str, cost: int, now: float) -> float:
         """Takes a request from the customer's buckets if it fits.
 
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -73,14 +73,14 @@
         return best
 
 
-class RoundRobinPolicy(Policy):
-    """Baseline: each backend server in turn, at once."""
+class BaselinePolicy(Policy):
+    """Base of the baselines: they place at once, on any open engine."""
 
-    name = "round_robin"
     looks_at_all = True
 
-    def __init__(self) -> None:
-        self._turn = itertools.count()
+    @abc.abstractmethod
+    def pick(self, usable: list[backends.Backend]) -> backends.Backend:
+        """Returns one of the open backend servers; there is at least one."""
 
     def choose(
         self,
@@ -90,44 +90,41 @@
         now: float,
     ) -> backends.Backend | None:
         """See the base class."""
-        usable = _list_open(candidates, now)
-        return usable[next(self._turn) % len(usable)] if usable else None
+        usable = [found for found in candidates if found.is_open(now)]
+        return self.pick(usable) if usable else None
+
+
+class RoundRobinPolicy(BaselinePolicy):
+    """Baseline: each backend server in turn."""
+
+    name = "round_robin"
+
+    def __init__(self) -> None:
+        self._turn = itertools.count()
+
+    def pick(self, usable: list[backends.Backend]) -> backends.Backend:
+        """See the base class."""
+        return usable[next(self._turn) % len(usable)]
 
 
-class LeastReportedPolicy(Policy):
+class LeastReportedPolicy(BaselinePolicy):
     """Baseline: the smallest running count in the engines' stale reports."""
 
     name = "least_reported"
-    looks_at_all = True
 
-    def choose(
-        self,
-        request: message.RequestInfo,
-        share: float,
-        candidates: Sequence[backends.Backend],
-        now: float,
-    ) -> backends.Backend | None:
+    def pick(self, usable: list[backends.Backend]) -> backends.Backend:
         """See the base class."""
-        usable = _list_open(candidates, now)
-        return min(usable, key=lambda b: b.report_running, default=None)
+        return min(usable, key=lambda found: found.report_running or 0)
 
 
-class LeastOutstandingPolicy(Policy):
+class LeastOutstandingPolicy(BaselinePolicy):
     """Baseline: the fewest requests this owner has running there."""
 
     name = "least_outstanding"
-    looks_at_all = True
 
-    def choose(
-        self,
-        request: message.RequestInfo,
-        share: float,
-        candidates: Sequence[backends.Backend],
-        now: float,
-    ) -> backends.Backend | None:
+    def pick(self, usable: list[backends.Backend]) -> backends.Backend:
         """See the base class."""
-        usable = _list_open(candidates, now)
-        return min(usable, key=lambda b: len(b.placed), default=None)
+        return min(usable, key=lambda found: len(found.placed))
 
 
 POLICIES: dict[str, Callable[[], Policy]] = {
@@ -148,9 +145,3 @@
         KeyError: There is no such policy.
     """
     return POLICIES[name]()
-
-
-def _list_open(
-    candidates: Sequence[backends.Backend], now: float
-) -> list[backends.Backend]:
-    return [candidate for candidate in candidates if candidate.is_open(now)]
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -140,3 +140,101 @@
             for customer, used in self._used.items()
             if customer in self._queues or used > self._virtual
         }
+
+
+class ShardQueue:
+    """All that waits in a shard, by tier, highest tier first.
+
+    Args:
+        ranks: Rank of each tier by name; 0 is the highest.
+    """
+
+    def __init__(self, ranks: dict[str, int]) -> None:
+        self._waiting: dict[str, Waiting] = {}
+        self.tiers: list[TierQueue] = []
+        self.set_ranks(ranks)
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._waiting
+
+    @property
+    def cost(self) -> int:
+        """Cost of all that waits."""
+        return sum(tier.cost for tier in self.tiers)
+
+    def set_ranks(self, ranks: dict[str, int]) -> None:
+        """Takes the tiers of the bundle in force."""
+        self._ranks = ranks
+        count = max(ranks.values(), default=0) + 1
+        ordered = [w for tier in self.tiers for w in tier.list_all()]
+        self.tiers = [TierQueue() for _ in range(count)]
+        for waiting in ordered:
+            waiting.rank = self._get_rank(waiting.request)
+            self.tiers[waiting.rank].push(waiting)
+
+    def make(
+        self, request: message.RequestInfo, entry: str, now: float
+    ) -> Waiting:
+        """Returns a request as it would wait; it does not yet."""
+        return Waiting(
+            request,
+            entry,
+            self._get_rank(request),
+            arrived=now,
+            deadline=now + request.deadline_s,
+            cost=weigh(request),
+        )
+
+    def push(self, waiting: Waiting) -> None:
+        """Adds a request behind its customer's others."""
+        self._waiting[waiting.request.request_id] = waiting
+        self.tiers[waiting.rank].push(waiting)
+
+    def restore(self, waiting: Waiting) -> None:
+        """Puts a request back at the head of its customer's queue."""
+        self._waiting[waiting.request.request_id] = waiting
+        self.tiers[waiting.rank].restore(waiting)
+
+    def remove(self, waiting: Waiting) -> None:
+        """Takes a request out."""
+        del self._waiting[waiting.request.request_id]
+        self.tiers[waiting.rank].remove(waiting)
+
+    def discard(self, request_id: str) -> None:
+        """Takes a request out, if it waits."""
+        if waiting := self._waiting.get(request_id):
+            self.remove(waiting)
+
+    def discard_entry(self, entry: str) -> None:
+        """Takes out all that one entry has waiting."""
+        for waiting in self.list_all():
+            if waiting.entry == entry:
+                self.remove(waiting)
+
+    def list_all(self) -> list[Waiting]:
+        """Returns every waiting request, in order of arrival."""
+        return list(self._waiting.values())
+
+    def list_expired(self, now: float) -> list[Waiting]:
+        """Returns the requests whose deadline has passed."""
+        return [w for w in self._waiting.values() if w.deadline <= now]
+
+    def pick_victim(self) -> Waiting | None:
+        """Returns the request to shed first: one of the lowest tier."""
+        victims = (tier.pick_victim() for tier in reversed(self.tiers))
+        return next((v for v in victims if v is not None), None)
+
+    def get_cost_ahead(self, waiting: Waiting) -> int:
+        """Returns the cost of what goes before a request at most."""
+        ahead = sum(tier.cost for tier in self.tiers[: waiting.rank + 1])
+        return ahead - waiting.cost
+
+    def has_lower(self, rank: int) -> bool:
+        """Tells whether a request of a lower tier waits."""
+        return any(tier.count for tier in self.tiers[rank + 1 :])
+
+    def _get_rank(self, request: message.RequestInfo) -> int:
+        return self._ranks.get(request.tier, len(self.tiers) - 1)
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -10,7 +10,15 @@
 import itertools
 
 from ramptray.core import backend as backends
-from ramptray.core import candidate, limit, message, meter, policy, queue
+from ramptray.core import (
+    candidate,
+    limit,
+    message,
+    meter,
+    policy,
+    queue,
+    summary,
+)
 
 HEADS_TRIED = 4
 """Customers whose first request is tried before a tier is left waiting."""
@@ -18,9 +26,6 @@
 DRAIN_WINDOW_S = 5.0
 """Span over which the rate of grants is measured, in seconds."""
 
-SETTLE_S = 0.5
-"""How long a new owner waits for the entries' reports, in seconds."""
-
 LEARN_S = 3.0
 """How long a new owner waits for word of the other zones, in seconds."""
 
@@ -45,34 +50,6 @@
     message: message.OwnerMessage
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShardSummary:
-    """What other zones need to know of a shard, to send requests there.
-
-    Attributes:
-        shard: The shard.
-        owner: The address of the scheduler that owns it.
-        limit: Cost that may wait, as ``queue.weigh`` counts it.
-        waiting: Cost that waits, by tier, highest tier first.
-        has_backend: Whether any backend server is open.
-        uses: Use of customers' limits that other zones may want to know.
-        version: Hybrid clock value when it was made; the newest counts.
-    """
-
-    shard: message.ShardKey
-    owner: str
-    limit: int
-    waiting: tuple[int, ...]
-    has_backend: bool
-    version: int
-    uses: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    def has_room(self, rank: int, cost: int) -> bool:
-        """Tells whether a request of this tier would be kept there."""
-        ahead = sum(self.waiting[: rank + 1])
-        return self.has_backend and ahead + cost <= self.limit
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShardRules:
     """What the bundle says about a shard.
@@ -125,15 +102,15 @@
         self._address = address
         self._policy = chosen
         self._grant_ids = itertools.count(1)
-        self._waiting: dict[str, queue.Waiting] = {}
+        self._queue = queue.ShardQueue(rules.ranks)
         self._where: dict[str, backends.Backend] = {}
         self._pool = candidate.FreePool()
         self._holders = candidate.HolderIndex()
         self._syncing: dict[str, set[str]] = {}
         self._born = now
-        self._settled_at = now + SETTLE_S
         self._drained = meter.RateMeter(DRAIN_WINDOW_S)
-        self._elsewhere: dict[str, ShardSummary] = {}
+        self._elsewhere: dict[str, summary.ShardSummary] = {}
+        self._limits = limit.Limits(rules.limits)
         self.configure(rules, infos)
 
     # Configuration and outside views.
@@ -142,18 +119,9 @@
         self, rules: ShardRules, infos: list[backends.BackendInfo]
     ) -> None:
         """Takes the rules and backend servers of the bundle in force."""
-        old_rules: ShardRules | None = getattr(self, "_rules", None)
         self._rules = rules
-        tiers = max(rules.ranks.values(), default=0) + 1
-        old = getattr(self, "_tiers", [])
-        self._tiers = [queue.TierQueue() for _ in range(tiers)]
-        for waiting in itertools.chain.from_iterable(
-            tier.list_all() for tier in old
-        ):
-            waiting.rank = self._rank(waiting.request.tier)
-            self._tiers[waiting.rank].push(waiting)
-        if old_rules is None or old_rules.limits != rules.limits:
-            self._limits = limit.Limits(rules.limits)
+        self._queue.set_ranks(rules.ranks)
+        self._limits.set_rates(rules.limits)
         self._take_backends(infos)
 
     def set_state(self, name: str, state: backends.BackendState) -> None:
@@ -163,12 +131,16 @@
             self._pool.update(known)
 
     def correct_load(
-        self, name: str, running: int, versions: tuple[str, ...] = ()
+        self,
+        name: str,
+        running: int,
+        versions: tuple[str, ...] = (),
+        step_s: float = 0.0,
     ) -> None:
         """Takes an engine's lagging load report."""
         if known := self.backends.get(name):
             known.hear_by = 0.0
-            known.correct(running)
+            known.correct(running, step_s)
             known.versions = versions
             known.choose_version(self._rules.version)
             self._pool.update(known)
@@ -178,23 +150,23 @@
         if known := self.backends.get(name):
             known.hear_by = 0.0
 
-    def set_elsewhere(self, summaries: list[ShardSummary]) -> None:
+    def set_elsewhere(self, summaries: list[summary.ShardSummary]) -> None:
         """Takes what is known of the same shard in the other zones."""
-        self._elsewhere = {summary.shard.zone: summary for summary in summaries}
-        self._limits.borrow(summary.uses for summary in summaries)
+        self._elsewhere = {found.shard.zone: found for found in summaries}
+        self._limits.borrow(found.uses for found in summaries)
 
-    def summarize(self, now: float, version: int) -> ShardSummary:
+    def summarize(self, now: float, version: int) -> summary.ShardSummary:
         """Returns what the other zones need to know of this shard.
 
         Args:
             now: The owner's clock in seconds.
             version: Larger than that of every earlier summary.
         """
-        return ShardSummary(
+        return summary.ShardSummary(
             self.shard,
             self._address,
             self._rules.queue_cost,
-            tuple(tier.cost for tier in self._tiers),
+            tuple(tier.cost for tier in self._queue.tiers),
             self._has_backend(),
             version,
             self._limits.list_uses(now),
@@ -202,7 +174,7 @@
 
     def holds(self, request_id: str) -> bool:
         """Tells whether a request waits or runs here."""
-        return request_id in self._waiting or request_id in self._where
+        return request_id in self._queue or request_id in self._where
 
     def wants(self, name: str) -> bool:
         """Tells whether the bundle lets a backend server get new work."""
@@ -211,16 +183,16 @@
     @property
     def is_empty(self) -> bool:
         """Whether nothing waits and nothing runs."""
-        return not self._waiting and not self._where
+        return not self._queue and not self._where
 
     @property
     def waiting_count(self) -> int:
         """How many requests wait."""
-        return len(self._waiting)
+        return len(self._queue)
 
     def list_waiting(self) -> list[int]:
         """Returns the number of waiting requests of each tier."""
-        return [tier.count for tier in self._tiers]
+        return [tier.count for tier in self._queue.tiers]
 
     # Messages from entries.
 
@@ -255,12 +227,12 @@
             for request_id, backend in self._where.items()
             if backend.placed[request_id].entry == entry
         }
-        self._drop_waiting(entry)
+        self._queue.discard_entry(entry)
 
     def lose_entry(self, entry: str, now: float) -> None:
         """Drops what an entry had waiting; what runs keeps its place."""
         self._syncing.pop(entry, None)
-        self._drop_waiting(entry)
+        self._queue.discard_entry(entry)
         for request_id, backend in self._where.items():
             placed = backend.placed[request_id]
             if placed.entry == entry and placed.orphaned_at is None:
@@ -268,10 +240,9 @@
 
     def tick(self, now: float) -> list[ToEntry]:
         """Gives up what is past its deadline and frees lost places."""
-        expired = [w for w in self._waiting.values() if w.deadline <= now]
         out = [
             self._reject(waiting, message.Reason.DEADLINE, now)
-            for waiting in expired
+            for waiting in self._queue.list_expired(now)
         ]
         for request_id, backend in list(self._where.items()):
             orphaned_at = backend.placed[request_id].orphaned_at
@@ -290,10 +261,8 @@
             now: The owner's clock in seconds.
             only: The backend servers that have got room; None for any.
         """
-        if now < self._settled_at and self._syncing:
-            return []
         out: list[ToEntry] = []
-        for rank, tier in enumerate(self._tiers):
+        for rank, tier in enumerate(self._queue.tiers):
             share = 1.0 if rank == 0 else 1.0 - self._rules.headroom
             while granted := self._grant_one(tier, share, now, only):
                 out.append(granted)
@@ -353,9 +322,8 @@
     ) -> ToEntry:
         request = waiting.request
         grant_id = f"{self._address}#{next(self._grant_ids)}"
-        tier.remove(waiting)
+        self._queue.remove(waiting)
         tier.charge(waiting, self._rules.shares.get(request.customer, 1.0))
-        del self._waiting[request.request_id]
         chosen.place(request, waiting.entry, grant_id, now)
         self._pool.update(chosen)
         self._holders.add(request.prefix, chosen.info.name)
@@ -377,17 +345,10 @@
         self, entry: str, request: message.RequestInfo, now: float
     ) -> list[ToEntry]:
         request_id = request.request_id
-        if request_id in self._waiting or request_id in self._where:
+        if self.holds(request_id):
             return []
         self.counters.enqueued += 1
-        waiting = queue.Waiting(
-            request,
-            entry,
-            self._rank(request.tier),
-            arrived=now,
-            deadline=now + request.deadline_s,
-            cost=queue.weigh(request),
-        )
+        waiting = self._queue.make(request, entry, now)
         wait_s = self._limits.check(request.customer, waiting.cost, now)
         if wait_s > 0 and not request.spilled_from:
             self.counters.shed += 1
@@ -399,22 +360,22 @@
                     ),
                 )
             ]
-        self._waiting[request_id] = waiting
-        self._tiers[waiting.rank].push(waiting)
+        self._queue.push(waiting)
         granted = self.grant(now)
         return [*granted, *self._make_room(waiting, now)]
 
     def _make_room(self, newest: queue.Waiting, now: float) -> list[ToEntry]:
         out: list[ToEntry] = []
-        while sum(t.cost for t in self._tiers) > self._rules.queue_cost:
-            victim = self._pick_victim()
-            if victim is None or len(self._waiting) == 1:
+        while self._queue.cost > self._rules.queue_cost:
+            victim = self._queue.pick_victim()
+            if victim is None or len(self._queue) == 1:
                 break
             out.append(self._turn_away(victim, now))
-        if newest.request.request_id not in self._waiting:
+        if newest.request.request_id not in self._queue:
             return out
         if self._is_hopeless(newest, now):
-            out.append(self._turn_away(newest, now))
+            reason = message.Reason.DEADLINE
+            out.append(self._turn_away(newest, now, reason))
         return [*out, *self._send_elsewhere(now)]
 
     def _send_elsewhere(self, now: float) -> list[ToEntry]:
@@ -424,14 +385,13 @@
         """
         if self._has_backend():
             return []
-        waiting = list(self._waiting.values())
-        if now - self._born > LEARN_S:
-            return [self._turn_away(w, now) for w in waiting]
-        return [self._turn_away(w, now) for w in waiting if self._list_rooms(w)]
-
-    def _pick_victim(self) -> queue.Waiting | None:
-        victims = (tier.pick_victim() for tier in reversed(self._tiers))
-        return next((v for v in victims if v is not None), None)
+        is_young = now - self._born <= LEARN_S
+        lowest_first = sorted(self._queue.list_all(), key=lambda w: -w.rank)
+        return [
+            self._turn_away(waiting, now)
+            for waiting in lowest_first
+            if not is_young or self._list_rooms(waiting)
+        ]
 
     def _is_hopeless(self, waiting: queue.Waiting, now: float) -> bool:
         """Tells whether a request cannot meet its deadline.
@@ -439,7 +399,7 @@
         While a lower tier waits, a request is never refused early: it goes
         before all of them as soon as any engine has room.
         """
-        if any(tier.count for tier in self._tiers[waiting.rank + 1 :]):
+        if self._queue.has_lower(waiting.rank):
             return False
         return now + self._estimate_wait(waiting, now) > waiting.deadline
 
@@ -447,16 +407,20 @@
         rate = self._drained.get_rate(now)
         if rate == 0.0:
             return 0.0
-        ahead = sum(t.cost for t in self._tiers[: waiting.rank + 1])
-        return (ahead - waiting.cost) / rate
+        return self._queue.get_cost_ahead(waiting) / rate
 
-    def _turn_away(self, waiting: queue.Waiting, now: float) -> ToEntry:
+    def _turn_away(
+        self,
+        waiting: queue.Waiting,
+        now: float,
+        reason: message.Reason = message.Reason.OVERLOADED,
+    ) -> ToEntry:
         """Sends a request to a zone with room, or gives it up."""
         rooms = self._list_rooms(waiting)
         if not rooms:
-            return self._reject(waiting, message.Reason.OVERLOADED, now)
-        target = min(rooms, key=lambda summary: sum(summary.waiting))
-        self._drop(waiting)
+            return self._reject(waiting, reason, now)
+        target = min(rooms, key=lambda found: sum(found.waiting))
+        self._queue.remove(waiting)
         self.counters.redirected += 1
         return ToEntry(
             waiting.entry,
@@ -465,19 +429,18 @@
             ),
         )
 
-    def _list_rooms(self, waiting: queue.Waiting) -> list[ShardSummary]:
+    def _list_rooms(self, waiting: queue.Waiting) -> list[summary.ShardSummary]:
         tried = (*waiting.request.spilled_from, self.shard.zone)
         return [
-            summary
-            for zone, summary in self._elsewhere.items()
-            if zone not in tried
-            and summary.has_room(waiting.rank, waiting.cost)
+            found
+            for zone, found in self._elsewhere.items()
+            if zone not in tried and found.has_room(waiting.rank, waiting.cost)
         ]
 
     def _reject(
         self, waiting: queue.Waiting, reason: message.Reason, now: float
     ) -> ToEntry:
-        self._drop(waiting)
+        self._queue.remove(waiting)
         self.counters.shed += 1
         if not self._has_backend():
             reason = message.Reason.NO_BACKEND
@@ -493,15 +456,11 @@
     def _has_backend(self) -> bool:
         return any(not b.is_lost for b in self.backends.values())
 
-    def _rank(self, tier: str) -> int:
-        return self._rules.ranks.get(tier, len(self._tiers) - 1)
-
     def _note_running(
         self, entry: str, running: message.Running, now: float
     ) -> None:
         request_id = running.request.request_id
-        if waiting := self._waiting.get(request_id):
-            self._drop(waiting)
+        self._queue.discard(request_id)
         backend = self.backends.get(running.backend)
         if backend is None:
             return
@@ -527,17 +486,8 @@
         if not decline.unreachable or placed is None:
             return
         backend.note_unreachable(now)
-        request = placed.request
-        waiting = queue.Waiting(
-            request,
-            entry,
-            self._rank(request.tier),
-            arrived=placed.started,
-            deadline=placed.started + request.deadline_s,
-            cost=queue.weigh(request),
-        )
-        self._waiting[request_id] = waiting
-        self._tiers[waiting.rank].restore(waiting)
+        waiting = self._queue.make(placed.request, entry, placed.started)
+        self._queue.restore(waiting)
 
     def _end(self, ended: message.Ended, now: float) -> list[backends.Backend]:
         """Returns the backend server that has got room, if any."""
@@ -558,8 +508,7 @@
             self._free(request_id)
 
     def _forget(self, request_id: str) -> None:
-        if waiting := self._waiting.get(request_id):
-            self._drop(waiting)
+        self._queue.discard(request_id)
         self._free(request_id)
 
     def _free(self, request_id: str) -> backends.Placed | None:
@@ -570,15 +519,6 @@
         self._pool.update(backend)
         return placed
 
-    def _drop(self, waiting: queue.Waiting) -> None:
-        del self._waiting[waiting.request.request_id]
-        self._tiers[waiting.rank].remove(waiting)
-
-    def _drop_waiting(self, entry: str) -> None:
-        for waiting in list(self._waiting.values()):
-            if waiting.entry == entry:
-                self._drop(waiting)
-
     def _take_backends(self, infos: list[backends.BackendInfo]) -> None:
         wanted = {info.name: info for info in infos}
         self._wanted = frozenset(wanted)
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import logging
 import time
@@ -15,177 +14,44 @@
 
 import anyio
 import anyio.abc
-from anyio.streams import memory
 
-from ramptray import timeline
+from ramptray import runtime
+from ramptray import settings as settings_module
 from ramptray.bundle import acceptance, signature
 from ramptray.core import claim, membership, message, request
+from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
-from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 
 LOG = logging.getLogger(__name__)
 
 TICK_S = 0.1
+INBOX = 100_000
 NO_OWNER_S = 3.0
 """How long a request waits for any scheduler before it is refused."""
 
 RETRY_AFTER_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimWish:
-    """What is claimed for a request that may not be repeated.
-
-    Attributes:
-        key: Digest of customer, service and idempotency key.
-        digest: Digest of the body.
-    """
-
-    key: str
-    digest: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Submitted:
-    """A new request."""
-
-    ticket: Ticket
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConnectFailed:
-    """The backend server refused the connection; nothing was sent."""
-
-    request_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Begun:
-    """The first token has arrived."""
-
-    first: message.FirstToken
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Completed:
-    """The whole answer has arrived.
-
-    Attributes:
-        ended: What the owner is told.
-        status: HTTP status of the answer.
-    """
-
-    ended: message.Ended
-    status: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """The backend server says that it did not admit the request."""
-
-    ended: message.Ended
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lost:
-    """The answer cannot be had any more."""
-
-    ended: message.Ended
-    reason: message.Reason
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Abandoned:
-    """The caller has gone."""
-
-    ended: message.Ended
-
-
-Event = (
-    Submitted
-    | ConnectFailed
-    | Begun
-    | Completed
-    | Refused
-    | Lost
-    | Abandoned
-    | attachment.Up
-    | attachment.Down
-    | attachment.Said
-)
-ExchangeEffect = request.Dispatch | request.Finish
-
-
-class Ticket:
-    """One request's connection between its exchange and the dispatcher."""
-
-    def __init__(
-        self,
-        info: message.RequestInfo,
-        wish: ClaimWish | None,
-        events: memory.MemoryObjectSendStream[Event],
-    ) -> None:
-        self.info = info
-        self.wish = wish
-        self.machine = request.RequestMachine(info, wish is not None)
-        self.submitted = time.monotonic()
-        self.dispatched: float | None = None
-        self.deadline = self.submitted + info.deadline_s
-        self.down_since: float | None = None
-        self._events = events
-        # Dispatches that are refused by a backend server come back here, so
-        # an exchange sees at most a few effects; it never blocks the sender.
-        self._effects, self.effects = anyio.create_memory_object_stream[
-            ExchangeEffect
-        ](64)
-
-    def report(self, event: Event) -> None:
-        """Hands an event to the dispatcher."""
-        with contextlib.suppress(anyio.ClosedResourceError):
-            self._events.send_nowait(event)
-
-    def perform(self, effect: ExchangeEffect) -> None:
-        """Hands an effect to the exchange."""
-        with contextlib.suppress(
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            anyio.WouldBlock,
-        ):
-            self._effects.send_nowait(effect)
-
-    def get_info(self, now: float) -> message.RequestInfo:
-        """Returns the request's facts with its ages as of now."""
-        return dataclasses.replace(
-            self.machine.info,
-            age_s=now - self.submitted,
-            deadline_s=max(0.0, self.deadline - now),
-        )
-
-
 class Dispatcher:
     """Owns the request machines and the links to schedulers."""
 
     def __init__(
         self,
-        name: str,
-        vm: str,
-        zone: str,
-        local: str,
-        client: peer_link.PeerClient,
-        events: timeline.Timeline,
+        settings: settings_module.EntrySettings,
+        equipment: runtime.Runtime,
     ) -> None:
         self.in_force: acceptance.InForce | None = None
-        self.timeline = events
-        self._name = name
-        self._vm = vm
-        self._zone = zone
-        self._local = local
-        self._client = client
-        send, receive = anyio.create_memory_object_stream[Event](100_000)
-        self._send: memory.MemoryObjectSendStream[Event] = send
-        self._receive: memory.MemoryObjectReceiveStream[Event] = receive
-        self._tickets: dict[str, Ticket] = {}
+        self.timeline = equipment.timeline
+        self._name = equipment.name
+        self._vm = settings.vm
+        self._zone = settings.zone
+        self._local = settings.scheduler
+        self._client = equipment.client
+        self._send, self._receive = anyio.create_memory_object_stream[
+            tickets.Event
+        ](INBOX)
+        self._tickets: dict[str, tickets.Ticket] = {}
         self._links: dict[str, attachment.Attachment] = {}
         self._members: dict[str, membership.Member] = {}
         self._others: list[membership.Member] = []
@@ -211,11 +77,11 @@
         return server.url if server else None
 
     def submit(
-        self, info: message.RequestInfo, wish: ClaimWish | None
-    ) -> Ticket:
+        self, info: message.RequestInfo, wish: tickets.ClaimWish | None
+    ) -> tickets.Ticket:
         """Takes a new request; its effects arrive on the ticket."""
-        ticket = Ticket(info, wish, self._send)
-        ticket.report(Submitted(ticket))
+        ticket = tickets.Ticket(info, wish, self._send)
+        ticket.report(tickets.Submitted(ticket))
         return ticket
 
     async def run(self) -> None:
@@ -232,9 +98,9 @@
             await anyio.sleep(TICK_S)
             self._tick(time.monotonic())
 
-    def _handle(self, event: Event, now: float) -> None:
+    def _handle(self, event: tickets.Event, now: float) -> None:
         match event:
-            case Submitted(ticket):
+            case tickets.Submitted(ticket):
                 self._begin(ticket, now)
             case attachment.Up(address):
                 self._sync(address, now)
@@ -245,30 +111,30 @@
             case _:
                 self._handle_exchange(event, now)
 
-    def _handle_exchange(self, event: Event, now: float) -> None:
-        ticket = self._tickets.get(_get_request_id(event))
+    def _handle_exchange(self, event: tickets.Event, now: float) -> None:
+        ticket = self._tickets.get(tickets.get_request_id(event))
         if ticket is None:
             return
         machine = ticket.machine
         match event:
-            case ConnectFailed():
+            case tickets.ConnectFailed():
                 self._perform(ticket, machine.fail_connect(), now)
-            case Begun(first):
+            case tickets.Begun(first):
                 if machine.owner:
                     self._tell(machine.owner, first)
                 self.timeline.note("first_token", first.request_id)
-            case Completed(ended, status):
+            case tickets.Completed(ended, status):
                 if ticket.wish:
                     self._finish_claim(ticket, status)
                 self._perform(ticket, machine.complete(ended), now)
-            case Refused(ended):
+            case tickets.Refused(ended):
                 self._perform(ticket, machine.refuse(ended), now)
-            case Lost(ended, reason):
+            case tickets.Lost(ended, reason):
                 self._perform(ticket, machine.lose(reason, ended), now)
-            case Abandoned(ended):
+            case tickets.Abandoned(ended):
                 self._perform(ticket, machine.abandon(ended), now)
 
-    def _begin(self, ticket: Ticket, now: float) -> None:
+    def _begin(self, ticket: tickets.Ticket, now: float) -> None:
         info = ticket.info
         self._tickets[info.request_id] = ticket
         self.timeline.note("request", info.request_id, customer=info.customer)
@@ -276,7 +142,7 @@
             self._send_claim(ticket)
         self._assign(ticket, now)
 
-    def _assign(self, ticket: Ticket, now: float) -> None:
+    def _assign(self, ticket: tickets.Ticket, now: float) -> None:
         """Finds the request's owner and asks it, or notes there is none."""
         owner = self._find_owner(ticket.machine.info.shard)
         if owner is None:
@@ -308,7 +174,10 @@
         return None
 
     def _perform(
-        self, ticket: Ticket, effects: Iterable[request.Effect], now: float
+        self,
+        ticket: tickets.Ticket,
+        effects: Iterable[request.Effect],
+        now: float,
     ) -> None:
         for effect in effects:
             match effect:
@@ -339,7 +208,7 @@
     def _claim_owner(self, key: str) -> str | None:
         return self._find_owner(claim.get_partition_shard(self._zone, key))
 
-    def _send_claim(self, ticket: Ticket) -> None:
+    def _send_claim(self, ticket: tickets.Ticket) -> None:
         assert ticket.wish is not None
         wish = ticket.wish
         owner = self._claim_owner(wish.key)
@@ -349,7 +218,7 @@
             )
             self._tell_any(owner, claim_key)
 
-    def _release_claim(self, ticket: Ticket) -> None:
+    def _release_claim(self, ticket: tickets.Ticket) -> None:
         assert ticket.wish is not None
         owner = self._claim_owner(ticket.wish.key)
         if owner is not None:
@@ -358,7 +227,7 @@
             )
             self._tell_any(owner, release)
 
-    def _finish_claim(self, ticket: Ticket, status: int) -> None:
+    def _finish_claim(self, ticket: tickets.Ticket, status: int) -> None:
         assert ticket.wish is not None
         owner = self._claim_owner(ticket.wish.key)
         if owner is not None:
@@ -484,7 +353,7 @@
         self._tell(address, message.SyncDone(self._name))
         self._reassign_all(now)
 
-    def _resend(self, ticket: Ticket, now: float) -> None:
+    def _resend(self, ticket: tickets.Ticket, now: float) -> None:
         owner = ticket.machine.owner
         assert owner is not None
         since = ticket.dispatched
@@ -518,7 +387,7 @@
 
     @staticmethod
     def _find_give_up_reason(
-        ticket: Ticket, now: float
+        ticket: tickets.Ticket, now: float
     ) -> message.Reason | None:
         if ticket.machine.state is not request.State.WAITING:
             return None
@@ -532,14 +401,3 @@
         if down is not None and now - down > NO_OWNER_S:
             return message.Reason.NOT_READY
         return None
-
-
-def _get_request_id(event: Event) -> str:
-    match event:
-        case ConnectFailed(request_id):
-            return request_id
-        case Begun(first):
-            return first.request_id
-        case Completed(ended) | Refused(ended) | Lost(ended) | Abandoned(ended):
-            return ended.request_id
-    return ""
--- a/ramptray/entry/exchange.py
+++ b/ramptray/entry/exchange.py
@@ -17,7 +17,7 @@
 from ramptray.core import message, request
 from ramptray.engine import client as engine_client
 from ramptray.engine import event
-from ramptray.entry import dispatcher
+from ramptray.entry import ticket as tickets
 
 RESUME_S = 8.0
 """How long a broken stream is tried to be resumed, in seconds."""
@@ -64,7 +64,7 @@
 
     def __init__(
         self,
-        ticket: dispatcher.Ticket,
+        ticket: tickets.Ticket,
         call: ModelCall,
         client: engine_client.EngineClient,
         find_url: Callable[[str], str | None],
@@ -104,7 +104,7 @@
             await self._leave()
 
     async def _leave(self) -> None:
-        self._ticket.report(dispatcher.Abandoned(self._make_ended(False)))
+        self._ticket.report(tickets.Abandoned(self._make_ended(False)))
         if self._url is None:
             return
         with anyio.CancelScope(shield=True):
@@ -116,7 +116,7 @@
     async def _dispatch(self, grant: message.Grant) -> None:
         url = self._find_url(grant.backend)
         if url is None:
-            self._ticket.report(dispatcher.ConnectFailed(self.request_id))
+            self._ticket.report(tickets.ConnectFailed(self.request_id))
             return
         self._dispatched_at = time.monotonic()
         try:
@@ -130,9 +130,9 @@
                 self._url = url
                 await self._pass_on(events)
         except engine_client.NotSentError:
-            self._ticket.report(dispatcher.ConnectFailed(self.request_id))
+            self._ticket.report(tickets.ConnectFailed(self.request_id))
         except engine_client.RefusedError:
-            self._ticket.report(dispatcher.Refused(self._make_ended(False)))
+            self._ticket.report(tickets.Refused(self._make_ended(False)))
         except (engine_client.BrokenError, StreamEndedError):
             self._url = url
             await self._resume(url)
@@ -164,7 +164,7 @@
 
     def _lose(self, reason: message.Reason) -> None:
         ended = self._make_ended(False, certain=False)
-        self._ticket.report(dispatcher.Lost(ended, reason))
+        self._ticket.report(tickets.Lost(ended, reason))
 
     async def _pass_on(self, events: AsyncIterator[event.Event]) -> None:
         async for found in events:
@@ -173,7 +173,7 @@
             self._position = found.number
             if found.is_end:
                 ended = self._make_ended(True)
-                self._ticket.report(dispatcher.Completed(ended, 200))
+                self._ticket.report(tickets.Completed(ended, 200))
                 return
             self._note(found)
             await self._put(found)
@@ -192,7 +192,7 @@
             max(0, usage.prompt_tokens - cached),
             cached,
         )
-        self._ticket.report(dispatcher.Begun(first))
+        self._ticket.report(tickets.Begun(first))
 
     async def _put(self, item: Item) -> None:
         """Hands an item to the caller; one that does not read is dropped."""
--- a/ramptray/entry/main.py
+++ b/ramptray/entry/main.py
@@ -6,14 +6,11 @@
 
 import anyio
 
-from ramptray import process, timeline, wallclock, webserver
+from ramptray import process, runtime, webserver
 from ramptray.caller import admission, metrics
 from ramptray.caller import app as caller_app
-from ramptray.core import clock
 from ramptray.engine import client as engine_client
 from ramptray.entry import dispatcher
-from ramptray.peer import gate
-from ramptray.peer import link as peer_link
 from ramptray.service import client as service_client
 from ramptray.settings import EntrySettings
 
@@ -25,25 +22,8 @@
 
 async def main(settings: EntrySettings, stop: process.Stop) -> None:
     """Serves until a stop is asked for and what runs has ended."""
-    hybrid_clock = clock.HybridClock(wallclock.read)
-    events = timeline.Timeline(
-        f"entry/{settings.vm}",
-        settings.zone,
-        hybrid_clock,
-        settings.log_events,
-        settings.ring_events,
-    )
-    client = peer_link.PeerClient(
-        hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
-    )
-    desk = dispatcher.Dispatcher(
-        f"entry/{settings.vm}",
-        settings.vm,
-        settings.zone,
-        settings.scheduler,
-        client,
-        events,
-    )
+    equipment = runtime.make_runtime("entry", settings)
+    desk = dispatcher.Dispatcher(settings, equipment)
     listener = webserver.bind(settings.listen)
     async with anyio.create_task_group() as tasks:
         served = caller_app.CallerApp(
@@ -70,7 +50,7 @@
                 anyio.current_time() + settings.drain_s
             )
         LOG.info("drained", extra={"left": desk.request_count})
-        await client.close()
+        await equipment.client.close()
         tasks.cancel_scope.cancel()
 
 
--- /dev/null
+++ b/ramptray/entry/ticket.py
@@ -0,0 +1,155 @@
+"""What passes between the dispatcher and the exchange of one request."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import time
+
+import anyio
+from anyio.streams import memory
+
+from ramptray.core import message, request
+from ramptray.peer import attachment
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimWish:
+    """What is claimed for a request that may not be repeated.
+
+    Attributes:
+        key: Digest of customer, service and idempotency key.
+        digest: Digest of the body.
+    """
+
+    key: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submitted:
+    """A new request."""
+
+    ticket: Ticket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectFailed:
+    """The backend server refused the connection; nothing was sent."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begun:
+    """The first token has arrived."""
+
+    first: message.FirstToken
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completed:
+    """The whole answer has arrived.
+
+    Attributes:
+        ended: What the owner is told.
+        status: HTTP status of the answer.
+    """
+
+    ended: message.Ended
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The backend server says that it did not admit the request."""
+
+    ended: message.Ended
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The answer cannot be had any more."""
+
+    ended: message.Ended
+    reason: message.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The caller has gone."""
+
+    ended: message.Ended
+
+
+Event = (
+    Submitted
+    | ConnectFailed
+    | Begun
+    | Completed
+    | Refused
+    | Lost
+    | Abandoned
+    | attachment.Up
+    | attachment.Down
+    | attachment.Said
+)
+ExchangeEffect = request.Dispatch | request.Finish
+
+
+class Ticket:
+    """One request's connection between its exchange and the dispatcher."""
+
+    def __init__(
+        self,
+        info: message.RequestInfo,
+        wish: ClaimWish | None,
+        events: memory.MemoryObjectSendStream[Event],
+    ) -> None:
+        self.info = info
+        self.wish = wish
+        self.machine = request.RequestMachine(info, wish is not None)
+        self.submitted = time.monotonic()
+        self.dispatched: float | None = None
+        self.deadline = self.submitted + info.deadline_s
+        self.down_since: float | None = None
+        self._events = events
+        # Dispatches that are refused by a backend server come back here, so
+        # an exchange sees at most a few effects; it never blocks the sender.
+        self._effects, self.effects = anyio.create_memory_object_stream[
+            ExchangeEffect
+        ](64)
+
+    def report(self, event: Event) -> None:
+        """Hands an event to the dispatcher."""
+        with contextlib.suppress(anyio.ClosedResourceError):
+            self._events.send_nowait(event)
+
+    def perform(self, effect: ExchangeEffect) -> None:
+        """Hands an effect to the exchange."""
+        with contextlib.suppress(
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.WouldBlock,
+        ):
+            self._effects.send_nowait(effect)
+
+    def get_info(self, now: float) -> message.RequestInfo:
+        """Returns the request's facts with its ages as of now."""
+        return dataclasses.replace(
+            self.machine.info,
+            age_s=now - self.submitted,
+            deadline_s=max(0.0, self.deadline - now),
+        )
+
+
+def get_request_id(event: Event) -> str:
+    """Returns the request that an exchange's event is about."""
+    match event:
+        case ConnectFailed(request_id):
+            return request_id
+        case Begun(first):
+            return first.request_id
+        case Completed(ended) | Refused(ended) | Lost(ended) | Abandoned(ended):
+            return ended.request_id
+    return ""
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ramptray.bundle import signature
-from ramptray.core import membership, shard
+from ramptray.core import membership, summary
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,7 +120,7 @@
 
     sender: membership.Member
     updates: list[membership.Member]
-    summaries: list[shard.ShardSummary]
+    summaries: list[summary.ShardSummary]
     contacts: list[membership.Member]
 
 
--- a/ramptray/platform/log.py
+++ b/ramptray/platform/log.py
@@ -44,6 +44,13 @@
     next_offset: int
     records: list[LogRecord]
 
+    @property
+    def is_last(self) -> bool:
+        """Whether no further records follow this page yet."""
+        if not self.records:
+            return True
+        return self.records[-1].offset + 1 >= self.next_offset
+
 
 class Log(abc.ABC):
     """An append-only log with offsets."""
--- a/ramptray/scheduler/claims.py
+++ b/ramptray/scheduler/claims.py
@@ -18,6 +18,7 @@
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.platform import log as platform_log
+from ramptray.platform import stream
 
 LOG = logging.getLogger(__name__)
 
@@ -78,7 +79,6 @@
     ledger: claim.ClaimLedger = dataclasses.field(
         default_factory=claim.ClaimLedger
     )
-    next_offset: int = 0
     pending: dict[str, _Pending] = dataclasses.field(default_factory=dict)
     outbox: list[claim.ClaimRecord] = dataclasses.field(default_factory=list)
     scope: anyio.CancelScope = dataclasses.field(
@@ -212,21 +212,10 @@
                 partition.wake.set()
 
     async def _read(self, partition: Partition) -> None:
-        while True:
-            try:
-                page = await self._log.read(
-                    partition.stream, partition.next_offset, READ_WAIT_S
-                )
-            except platform_log.PlatformError as error:
-                LOG.info("claims not read: %s", error)
-                await anyio.sleep(RETRY_S)
-                continue
+        pages = stream.iterate_pages(self._log, partition.stream, READ_WAIT_S)
+        async for page in pages:
             for record in page.records:
                 self._take(partition, record.body)
-                partition.next_offset = record.offset + 1
-            partition.next_offset = max(
-                partition.next_offset, page.first_retained
-            )
             self._decide(partition)
 
     def _take(self, partition: Partition, body: dict[str, Any]) -> None:
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from ramptray.core import membership, message, shard
+from ramptray.core import membership, message, summary
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 
@@ -63,7 +63,7 @@
         self._version = 0
         self._lowest = 0
         self._contacts: dict[str, dict[str, membership.Member]] = {}
-        self._summaries: dict[str, tuple[float, shard.ShardSummary]] = {}
+        self._summaries: dict[str, tuple[float, summary.ShardSummary]] = {}
         self._rounds = itertools.count(1)
         self._turn = 0
 
@@ -84,22 +84,22 @@
         self._seeds.extend(a for a in addresses if a not in known)
 
     def set_summaries(
-        self, summaries: list[shard.ShardSummary], now: float
+        self, summaries: list[summary.ShardSummary], now: float
     ) -> None:
         """Takes the summaries of this scheduler's own shards."""
-        for summary in summaries:
-            self._summaries[summary.shard.format()] = (now, summary)
+        for mine in summaries:
+            self._summaries[mine.shard.format()] = (now, mine)
 
     def list_elsewhere(
         self, key: message.ShardKey, now: float
-    ) -> list[shard.ShardSummary]:
+    ) -> list[summary.ShardSummary]:
         """Returns fresh summaries of the same shard in the other zones."""
         return [
-            summary
-            for seen, summary in self._summaries.values()
-            if summary.shard != key
-            and summary.shard.service == key.service
-            and summary.shard.number == key.number
+            found
+            for seen, found in self._summaries.values()
+            if found.shard != key
+            and found.shard.service == key.service
+            and found.shard.number == key.number
             and now - seen < SUMMARY_STALE_S
         ]
 
@@ -164,11 +164,11 @@
         self.membership.merge([gossip.sender, *gossip.updates], now)
         for contact in [gossip.sender, *gossip.contacts]:
             self._note_contact(contact)
-        for summary in gossip.summaries:
-            key = summary.shard.format()
+        for told in gossip.summaries:
+            key = told.shard.format()
             known = self._summaries.get(key)
-            if known is None or summary.version > known[1].version:
-                self._summaries[key] = (now, summary)
+            if known is None or told.version > known[1].version:
+                self._summaries[key] = (now, told)
 
     def _note_contact(self, member: membership.Member) -> None:
         if member.zone == self._me.zone:
@@ -204,12 +204,12 @@
             self._rng.sample(contacts, count),
         )
 
-    def _pick_summaries(self) -> list[shard.ShardSummary]:
+    def _pick_summaries(self) -> list[summary.ShardSummary]:
         """Returns the next few summaries, each of them in its turn."""
         now = time.monotonic()
         fresh = [
-            summary
-            for seen, summary in self._summaries.values()
+            found
+            for seen, found in self._summaries.values()
             if now - seen < SUMMARY_STALE_S
         ]
         if not fresh:
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -19,7 +19,7 @@
 from ramptray.engine import client as engine_client
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import claims, gossip, rules
+from ramptray.scheduler import claims, event, gossip, rules
 
 LOG = logging.getLogger(__name__)
 
@@ -32,93 +32,6 @@
 INBOX = 200_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Opened:
-    """A process has attached."""
-
-    session: peer_link.Session
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Closed:
-    """An attached process has gone."""
-
-    session: peer_link.Session
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
-    """An attached process has sent a message."""
-
-    session: peer_link.Session
-    body: Any
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BundleChanged:
-    """Another bundle is in force."""
-
-    in_force: acceptance.InForce
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ViewChanged:
-    """The zone's membership, or what is known of other zones, has changed."""
-
-    view: peer_message.View
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LowestChanged:
-    """All VMs of the zone now work by this generation or a newer one."""
-
-    generation: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reported:
-    """An engine's load report has arrived, or none did."""
-
-    backend: str
-    report: engine_client.LoadReport | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CacheChanged:
-    """An engine's cache events have arrived."""
-
-    backend: str
-    events: engine_client.CacheEvents
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeavingListed:
-    """The platform's list names these backend servers as leaving."""
-
-    names: frozenset[str]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Decided:
-    """The log has decided on a claim."""
-
-    session: peer_link.Session
-    decision: peer_message.ClaimDecision
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EventsWanted:
-    """An operator asks for the events of this VM's processes.
-
-    Attributes:
-        question: What is asked.
-        answers: Where each attached process's answer goes.
-    """
-
-    question: peer_message.AskTimeline
-    answers: memory.MemoryObjectSendStream[peer_message.TimelineEvents]
-
-
 @dataclasses.dataclass(slots=True)
 class Attached:
     """What is known of an attached process."""
@@ -174,16 +87,16 @@
         self._send: memory.MemoryObjectSendStream[Any] = send
         self._receive: memory.MemoryObjectReceiveStream[Any] = receive
 
-    def post(self, event: Any) -> None:
+    def post(self, told: Any) -> None:
         """Puts an event into the inbox."""
-        self._send.send_nowait(event)
+        self._send.send_nowait(told)
 
     async def run(self) -> None:
         """Handles events until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_ticks)
-            async for event in self._receive:
-                self._handle(event, time.monotonic())
+            async for told in self._receive:
+                self._handle(told, time.monotonic())
 
     def owns(self, key: message.ShardKey) -> bool:
         """Tells whether this scheduler owns a shard in its own view."""
@@ -210,38 +123,38 @@
             await anyio.sleep(IDLE_TICK_S if idle else TICK_S)
             self._tick(time.monotonic())
 
-    def _handle(self, event: Any, now: float) -> None:
-        match event:
-            case Received(session, body):
+    def _handle(self, told: Any, now: float) -> None:
+        match told:
+            case event.Received(session, body):
                 self._receive_from(session, body, now)
-            case Opened(session):
+            case event.Opened(session):
                 self._sessions[session] = None
-            case Closed(session):
+            case event.Closed(session):
                 self._close(session, now)
-            case BundleChanged(in_force):
+            case event.BundleChanged(in_force):
                 self._take_bundle(in_force)
                 self._open_own_shards(now)
-            case ViewChanged(view):
+            case event.ViewChanged(view):
                 self._take_view(view)
                 self._open_own_shards(now)
-            case LowestChanged(generation):
+            case event.LowestChanged(generation):
                 self._lowest = generation
                 for session, attached in self._sessions.items():
                     if attached and attached.hello.kind == "controller":
                         session.send(peer_message.LowestGeneration(generation))
-            case Reported(name, report):
+            case event.Reported(name, report):
                 self._take_report(name, report)
-            case CacheChanged(name, changes):
+            case event.CacheChanged(name, changes):
                 self._take_cache_changes(name, changes)
-            case LeavingListed(names):
+            case event.LeavingListed(names):
                 self._leaving_listed = names
                 self._mark_leaving()
-            case Decided(session, decision):
+            case event.Decided(session, decision):
                 session.send(decision)
-            case EventsWanted():
-                self._ask_for_events(event)
+            case event.EventsWanted():
+                self._ask_for_events(told)
 
-    def _ask_for_events(self, wanted: EventsWanted) -> None:
+    def _ask_for_events(self, wanted: event.EventsWanted) -> None:
         number = next(self._numbers)
         question = dataclasses.replace(wanted.question, ticket=number)
         vm = self._gossiper.membership.me.vm
@@ -455,7 +368,10 @@
             return
         for owner in self.shards.values():
             owner.correct_load(
-                name, report.running + report.waiting, report.versions
+                name,
+                report.running + report.waiting,
+                report.versions,
+                report.step_s,
             )
         if report.leaving:
             self._leaving_said.add(name)
--- a/ramptray/scheduler/main.py
+++ b/ramptray/scheduler/main.py
@@ -8,15 +8,15 @@
 
 import anyio
 
-from ramptray import process, timeline, wallclock
+from ramptray import process, runtime
 from ramptray.bundle import acceptance
-from ramptray.core import clock, membership
-from ramptray.peer import gate
+from ramptray.core import membership
 from ramptray.peer import link as peer_link
 from ramptray.platform import log as platform_log
 from ramptray.platform import vmlist
 from ramptray.scheduler import (
     claims,
+    event,
     follower,
     gossip,
     hub,
@@ -33,17 +33,8 @@
 
 async def main(settings: SchedulerSettings, stop: process.Stop) -> None:
     """Serves until a stop is asked for, then leaves its zone in order."""
-    hybrid_clock = clock.HybridClock(wallclock.read)
-    events = timeline.Timeline(
-        f"scheduler/{settings.vm}",
-        settings.zone,
-        hybrid_clock,
-        settings.log_events,
-        settings.ring_events,
-    )
-    client = peer_link.PeerClient(
-        hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
-    )
+    equipment = runtime.make_runtime("scheduler", settings)
+    client, events = equipment.client, equipment.timeline
     log = platform_log.HttpLog(settings.platform, settings.vm)
     me = membership.Member(
         settings.vm, settings.zone, settings.listen, int(time.time())
@@ -61,13 +52,13 @@
         list(settings.seeds),
         client,
         rng,
-        lambda view: owner.post(hub.ViewChanged(view)),
-        lambda lowest: owner.post(hub.LowestChanged(lowest)),
+        lambda view: owner.post(event.ViewChanged(view)),
+        lambda lowest: owner.post(event.LowestChanged(lowest)),
         follow.fetch,
     )
     desk = claims.ClaimDesk(
         log,
-        lambda session, decision: owner.post(hub.Decided(session, decision)),
+        lambda session, decision: owner.post(event.Decided(session, decision)),
     )
     owner = hub.Hub(
         settings.listen,
@@ -85,7 +76,7 @@
     )
     server = peer_link.PeerServer(
         servant.SchedulerServant(owner, gossiper, follow, events),
-        hybrid_clock,
+        equipment.clock,
         settings.tls,
     )
     try:
@@ -115,7 +106,7 @@
     owner: hub.Hub,
     gossiper: gossip.Gossiper,
 ) -> None:
-    owner.post(hub.BundleChanged(in_force))
+    owner.post(event.BundleChanged(in_force))
     gossiper.membership.set_generation(in_force.generation, time.monotonic())
 
 
--- a/ramptray/scheduler/poller.py
+++ b/ramptray/scheduler/poller.py
@@ -10,7 +10,7 @@
 from ramptray.engine import client as engine_client
 from ramptray.platform import log as platform_log
 from ramptray.platform import vmlist
-from ramptray.scheduler import gossip, hub
+from ramptray.scheduler import event, gossip, hub
 
 LOG = logging.getLogger(__name__)
 
@@ -73,7 +73,7 @@
             for vm in listed
             if vm.role == "backend" and vm.state is vmlist.VmState.LEAVING
         )
-        self._hub.post(hub.LeavingListed(leaving))
+        self._hub.post(event.LeavingListed(leaving))
 
     async def _poll_engines(self) -> None:
         in_force = self._hub.in_force
@@ -94,9 +94,9 @@
             try:
                 report = await self._client.fetch_load(url)
             except engine_client.EngineError:
-                self._hub.post(hub.Reported(name, None))
+                self._hub.post(event.Reported(name, None))
                 return
-            self._hub.post(hub.Reported(name, report))
+            self._hub.post(event.Reported(name, report))
             if _is_model(bundle, name):
                 await self._poll_cache(name, url)
 
@@ -108,7 +108,7 @@
             return
         self._positions[name] = events.next
         if events.stored or events.removed:
-            self._hub.post(hub.CacheChanged(name, events))
+            self._hub.post(event.CacheChanged(name, events))
 
 
 def _is_model(bundle: model.Bundle, name: str) -> bool:
--- a/ramptray/scheduler/servant.py
+++ b/ramptray/scheduler/servant.py
@@ -9,7 +9,7 @@
 from ramptray import timeline
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import follower, gossip, hub, status
+from ramptray.scheduler import event, follower, gossip, hub, status
 
 COLLECT_S = 1.0
 """How long the VM's other processes may take to send their events."""
@@ -35,15 +35,15 @@
 
     async def open(self, session: peer_link.Session) -> None:
         """See the base class."""
-        self._hub.post(hub.Opened(session))
+        self._hub.post(event.Opened(session))
 
     async def receive(self, session: peer_link.Session, body: Any) -> None:
         """See the base class."""
-        self._hub.post(hub.Received(session, body))
+        self._hub.post(event.Received(session, body))
 
     async def close(self, session: peer_link.Session) -> None:
         """See the base class."""
-        self._hub.post(hub.Closed(session))
+        self._hub.post(event.Closed(session))
 
     async def answer(self, question: Any) -> Any:
         """See the base class."""
@@ -77,7 +77,7 @@
         send, receive = anyio.create_memory_object_stream[
             peer_message.TimelineEvents
         ](ATTACHED)
-        self._hub.post(hub.EventsWanted(question, send))
+        self._hub.post(event.EventsWanted(question, send))
         with anyio.move_on_after(COLLECT_S):
             async for answer in receive:
                 events.extend(answer.events)
--- a/test/test_shard.py
+++ b/test/test_shard.py
@@ -13,7 +13,7 @@
     rule,
 )
 
-from ramptray.core import backend, message, policy, queue, shard
+from ramptray.core import backend, message, policy, queue, shard, summary
 
 TIERS = ("urgent", "normal", "batch")
 KEY = message.ShardKey("waw-a", "assistant")
@@ -254,7 +254,7 @@
 
 def test_no_room_here_sends_the_request_where_there_is_room() -> None:
     owner = make_owner(count=0)
-    elsewhere = shard.ShardSummary(
+    elsewhere = summary.ShardSummary(
         dataclasses.replace(KEY, zone="waw-b"),
         "127.0.0.2:1",
         4000,
