--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -479,6 +479,7 @@
             "platform": platform_url,
             "schedulers": seeds,
             "trust": trust,
+            "tls": self.plan.common.get("tls"),
         }
         (self.folder / "operator.json").write_text(json.dumps(operator))
         (self.folder / "anna.key").write_text(self.operator_key + "\n")
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -132,6 +132,9 @@
 @click.command(name="faults")
 @click.option("--seed", default=1, help="Seed of load and faults.")
 @click.option("--faults", "count", default=24, help="How many faults.")
+@click.option(
+    "--rolling", is_flag=True, help="Replace every VM in turn instead."
+)
 @click.option("--show", is_flag=True, help="Show each fault as it comes.")
 @click.option(
     "--keep",
@@ -139,11 +142,16 @@
     help="Keep settings, logs and records in this folder.",
 )
 def command(
-    seed: int, count: int, show: bool, keep: pathlib.Path | None
+    seed: int,
+    count: int,
+    rolling: bool,
+    show: bool,
+    keep: pathlib.Path | None,
 ) -> None:
     """Brings faults about under load and counts broken promises."""
     with deployment.run_deployment(make_plan(), keep) as started:
-        run = Run(started, seed, count, show)
+        kind = RollingRun if rolling else Run
+        run = kind(started, seed, count, show)
         run.perform()
         report = run.judge()
     for line in report["lines"]:
@@ -497,6 +505,27 @@
         return before, during, after
 
 
+class RollingRun(Run):
+    """Every VM's processes are replaced in turn, in the operators' order."""
+
+    def _bring_about(self) -> None:
+        for vm, _ in self._started.vms:
+            for program in ("entry", "scheduler", "controller"):
+                self._replace(f"{program}/{vm}")
+            self._started.wait_ready()
+
+    def _replace(self, name: str) -> None:
+        stopped = fault.PlannedStop(self._started, name)
+        note = stopped.note
+        if self._show:
+            click.echo(note.name, err=True)
+        self._notes.append(note)
+        stopped.begin()
+        self._started.wait_ended(name, 60.0)
+        self._started.start(name)
+        note.ended = time.monotonic()
+
+
 def _judge_once(counts: collections.Counter[str]) -> Promise:
     promise = Promise("a request is dispatched at most once")
     for request_id, count in counts.items():
--- a/bench/main.py
+++ b/bench/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from bench import decide, faults, policies, reference, slopes
+from bench import decide, events, faults, policies, reference, slopes
 
 
 @click.group(name="bench")
@@ -14,6 +14,7 @@
 
 for command in (
     decide.command,
+    events.command,
     faults.command,
     policies.command,
     reference.command,
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import click
+from matplotlib import pyplot
 
 from bench import deployment
 from ramptray.core import policy
@@ -209,6 +210,11 @@
     default=QUEUE_TOKENS,
     help="Cost that may wait in a zone.",
 )
+@click.option(
+    "--plot",
+    type=click.Path(path_type=pathlib.Path),
+    help="Draw goodput and waste into this SVG.",
+)
 @click.option(
     "--policies",
     default=",".join(policy.POLICIES),
@@ -222,6 +228,7 @@
     fault: str,
     policies: str,
     queue_tokens: int,
+    plot: pathlib.Path | None,
 ) -> None:
     """Compares policies under the same seeded load."""
     results: dict[str, list[dict[str, Any]]] = {}
@@ -235,6 +242,8 @@
     if seeds > 1:
         for name, runs in results.items():
             click.echo(format_spread(name, runs))
+    if plot is not None:
+        draw(plot, f"{user}, load {factor:g}, fault: {fault}", results)
     click.echo(
         json.dumps(
             {"deployment": user, "load": factor, "fault": fault, **results}
@@ -384,6 +393,34 @@
     return "\n".join(lines)
 
 
+def draw(
+    path: pathlib.Path, title: str, results: dict[str, list[dict[str, Any]]]
+) -> None:
+    """Draws goodput by tier, and wasted prefill, for each policy."""
+    figure, axes = pyplot.subplots(figsize=(9, 4))
+    names = [tier["tier"] for tier in next(iter(results.values()))[0]["tiers"]]
+    labels = [*names, "wasted prefill"]
+    width = 0.8 / len(results)
+    for place, (policy_name, runs) in enumerate(results.items()):
+        heights = [
+            statistics.median(
+                run["tiers"][tier]["useful"] / run["tiers"][tier]["sent"]
+                for run in runs
+            )
+            for tier in range(len(names))
+        ]
+        wasted = [run["wasted_prefill_share"] for run in runs]
+        heights.append(statistics.median(wasted))
+        offsets = [x + place * width for x in range(len(labels))]
+        axes.bar(offsets, [100 * h for h in heights], width, label=policy_name)
+    middle = 0.4 - width / 2
+    axes.set_xticks([x + middle for x in range(len(labels))], labels)
+    axes.set_ylabel("per cent (goodput; wasted prefill)")
+    axes.set_title(title)
+    axes.legend()
+    figure.savefig(path, format="svg", metadata={"Date": None})
+
+
 def _spread(values: list[float]) -> str:
     middle = statistics.median(values)
     return f"{min(values):.1%} / {middle:.1%} / {max(values):.1%}"
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -421,19 +421,19 @@
     by_rate: dict[str, list[tuple[float, float]]] = {}
     by_token: dict[str, list[tuple[float, float]]] = {}
     with deployment.run_deployment(plan) as started:
-        _send(started, 5, 8)
+        send(started, 5, 8)
         for rate in REQUEST_RATES:
-            for name, used, sent, _ in _send(started, rate, 8):
+            for name, used, sent, _ in send(started, rate, 8):
                 by_rate.setdefault(name, []).append((sent / LOAD_S, used))
         for tokens in TOKENS:
-            for name, used, _, made in _send(started, 10, tokens):
+            for name, used, _, made in send(started, 10, tokens):
                 by_token.setdefault(name, []).append((made / LOAD_S, used))
     for name in ("scheduler", "entry"):
         yield fit.fit(f"{name} processor", "cores/(request/s)", by_rate[name])
         yield fit.fit(f"{name} processor ", "cores/(token/s)", by_token[name])
 
 
-def _send(
+def send(
     started: deployment.Deployment, rate: float, tokens: int
 ) -> list[tuple[str, float, float, float]]:
     """Sends a load; returns cores used, requests and tokens by process."""
--- a/ramptray/entry/exchange.py
+++ b/ramptray/entry/exchange.py
@@ -119,6 +119,7 @@
             self._ticket.report(tickets.ConnectFailed(self.request_id))
             return
         self._dispatched_at = time.monotonic()
+        self._url = url
         try:
             async with self._client.dispatch(
                 url,
@@ -127,14 +128,13 @@
                 self._call.body,
                 grant.version,
             ) as events:
-                self._url = url
                 await self._pass_on(events)
         except engine_client.NotSentError:
+            self._url = None
             self._ticket.report(tickets.ConnectFailed(self.request_id))
         except engine_client.RefusedError:
             self._ticket.report(tickets.Refused(self._make_ended(False)))
         except (engine_client.BrokenError, StreamEndedError):
-            self._url = url
             await self._resume(url)
 
     async def _resume(self, url: str) -> None:
--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -4,10 +4,15 @@
 
 import pathlib
 import re
+import subprocess
+import sys
 
+import pydantic
 import pytest
 
 from bench import reference
+from ramptray import settings
+from ramptray.bundle import text
 from ramptray.caller import refusal
 from ramptray.core import message
 
@@ -33,3 +38,40 @@
     for page in [*DOCS.rglob("*.md"), DOCS.parent / "README.md"]:
         for link in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
             assert (page.parent / link).exists(), f"{page}: {link}"
+
+
+@pytest.mark.parametrize(
+    ("name", "kind"),
+    [
+        ("entry", settings.EntrySettings),
+        ("scheduler", settings.SchedulerSettings),
+        ("controller", settings.ControllerSettings),
+        ("operator", settings.OperatorSettings),
+    ],
+)
+def test_examples_name_every_setting(
+    name: str, kind: type[pydantic.BaseModel]
+) -> None:
+    path = DOCS.parent / "example" / f"{name}.json5"
+    read = text.read_model(path, kind)
+    assert read.model_fields_set == set(kind.model_fields)
+
+
+def test_a_settings_mistake_is_one_line_each_with_its_place(
+    tmp_path: pathlib.Path,
+) -> None:
+    file = tmp_path / "entry.json5"
+    file.write_text('{"vm": "A B", "zone": "waw-a", /* gone */ "listn": 1}')
+    program = pathlib.Path(sys.executable).parent / "ramptray-entry"
+    done = subprocess.run(
+        [program, "--settings", file], capture_output=True, text=True
+    )
+    lines = done.stderr.splitlines()
+    assert done.returncode == 2
+    assert {line.split(": ")[1] for line in lines} == {
+        "vm",
+        "listen",
+        "listn",
+        "scheduler",
+    }
+    assert all(line.startswith(f"{file}: ") for line in lines)
--- a/test/test_guide.py
+++ b/test/test_guide.py
@@ -1,7 +1,8 @@
-"""Every command of the operators' guide, run in its order."""
+"""Every command of the operators' guide, run in its order, with TLS."""
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import os
 import pathlib
@@ -70,7 +71,13 @@
         for command in commands[: first_key + 1]:
             run(command, folder)
         key = (folder / "anna.key").read_text().strip()
-        started = deployment.Deployment(PLAN, folder, key)
+        tls = {
+            "certificate_file": str(folder / "tls" / "waw-a-vm1.pem"),
+            "key_file": str(folder / "tls" / "waw-a-vm1.key"),
+            "authority_file": str(folder / "tls" / "authority.pem"),
+        }
+        plan = dataclasses.replace(PLAN, common={"tls": tls})
+        started = deployment.Deployment(plan, folder, key)
         bundle = json.dumps(started.make_bundle(), indent=1)
         (folder / "filled.json").write_text(bundle)
         try:
