--- a/ramptray/standin/engine/main.py
+++ b/ramptray/standin/engine/main.py
@@ -330,7 +330,12 @@
         stale = number < self._fencing
         refused = stale and self.settings.checks_fencing
         self.batch.ledger.orders.append(
-            {**order, "stale": stale, "refused": refused}
+            {
+                **order,
+                "stale": stale,
+                "refused": refused,
+                "at": time.monotonic(),
+            }
         )
         if refused:
             return responses.JSONResponse({"error": "old number"}, 409)
