--- a/bench/fault.py
+++ b/bench/fault.py
@@ -282,7 +282,10 @@
             LogDown(target, ""),
             LogLies(target, ""),
             ZoneCut(target, rng.choice(zones)),
-            race,
         ]
         rng.shuffle(kinds)
-        yield from kinds
+        yield from kinds[:5]
+        yield race
+        yield from kinds[5:10]
+        yield race
+        yield from kinds[10:]
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -12,6 +12,7 @@
 import threading
 import time
 import urllib.error
+from collections.abc import Iterator
 from typing import Any
 
 import click
@@ -183,6 +184,7 @@
             collections.defaultdict(list)
         )
         self._in_force_s: list[float] = []
+        self._put_off: list[fault.Fault] = []
         self._watching = True
         self._began = 0.0
 
@@ -219,9 +221,7 @@
         for number in range(self._count):
             self._end_due(active, time.monotonic())
             busy = {note.process for _, _, note in active}
-            chosen = next(
-                f for f in faults if not self._clashes(f, busy, active)
-            )
+            chosen = self._choose(faults, busy, active)
             note = chosen.note
             if self._show:
                 click.echo(f"{number + 1:>3} {note.name}", err=True)
@@ -234,6 +234,22 @@
         while active:
             self._wait(0.2, active)
 
+    def _choose(
+        self,
+        faults: Iterator[fault.Fault],
+        busy: set[str],
+        active: list[tuple[float, fault.Fault, fault.Note]],
+    ) -> fault.Fault:
+        """Returns the next fault; what does not go now is kept for later."""
+        for place, kept in enumerate(self._put_off):
+            if not self._clashes(kept, busy, active):
+                return self._put_off.pop(place)
+        while True:
+            chosen = next(faults)
+            if not self._clashes(chosen, busy, active):
+                return chosen
+            self._put_off.append(chosen)
+
     def _clashes(
         self,
         chosen: fault.Fault,
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -96,7 +96,7 @@
     async def _run_ticks(self) -> None:
         while True:
             await anyio.sleep(TICK_S)
-            self._tick(time.monotonic())
+            self.tick(time.monotonic())
 
     def _handle(self, event: tickets.Event, now: float) -> None:
         match event:
@@ -144,7 +144,14 @@
 
     def _assign(self, ticket: tickets.Ticket, now: float) -> None:
         """Finds the request's owner and asks it, or notes there is none."""
-        owner = self._find_owner(ticket.machine.info.shard)
+        shard = ticket.machine.info.shard
+        if shard.zone != self._zone and not self._reaches(shard.zone):
+            # The zone it was sent on to has been cut off: it comes home.
+            shard = dataclasses.replace(shard, zone=self._zone)
+            ticket.machine.info = dataclasses.replace(
+                ticket.machine.info, shard=shard
+            )
+        owner = self._find_owner(shard)
         if owner is None:
             ticket.down_since = ticket.down_since or now
             return
@@ -156,6 +163,13 @@
         effects = ticket.machine.assign(owner, ticket.get_info(now), elapsed)
         self._perform(ticket, effects, now)
 
+    def _reaches(self, zone: str) -> bool:
+        """Tells whether a scheduler of another zone can be reached."""
+        return any(
+            member.zone == zone and member.address not in self._down_links
+            for member in self._others
+        )
+
     def _find_owner(self, shard: message.ShardKey) -> str | None:
         """Returns the address of the scheduler to ask for a shard."""
         for members in (
@@ -378,7 +392,8 @@
             if ticket.machine.claim is request.Claim.PENDING:
                 self._send_claim(ticket)
 
-    def _tick(self, now: float) -> None:
+    def tick(self, now: float) -> None:
+        """Ends the requests that nobody can or may serve any more."""
         for ticket in list(self._tickets.values()):
             reason = self._find_give_up_reason(ticket, now)
             if reason is not None:
--- /dev/null
+++ b/test/test_dispatcher.py
@@ -0,0 +1,101 @@
+"""Which scheduler an entry asks, as links and views come and go."""
+
+from __future__ import annotations
+
+import pytest
+
+from ramptray import runtime, settings
+from ramptray.core import membership, message
+from ramptray.entry import dispatcher
+from ramptray.peer import attachment
+from ramptray.peer import message as peer_message
+
+OURS, OTHER = "127.0.0.1:1", "127.0.0.2:1"
+
+
+class Desk(dispatcher.Dispatcher):
+    """A dispatcher whose messages are kept instead of sent."""
+
+    def __init__(self) -> None:
+        given = settings.EntrySettings(
+            vm="waw-a-vm1",
+            zone="waw-a",
+            listen="127.0.0.1:2",
+            scheduler=OURS,
+        )
+        super().__init__(given, runtime.make_runtime("entry", given))
+        self.sent: list[tuple[str, object]] = []
+
+    def _tell_any(self, address: str, body: object) -> None:
+        self.sent.append((address, body))
+
+    def hear(self, event: attachment.Event, now: float = 1.0) -> None:
+        """Handles one event of a link."""
+        self._handle(event, now)
+
+    def take_new(self, info: message.RequestInfo) -> None:
+        """Takes a request in."""
+        ticket = self.submit(info, None)
+        assert ticket is not None
+        self._handle(self._receive.receive_nowait(), 1.0)
+
+    def get_enqueued(self) -> list[tuple[str, str]]:
+        """Returns address and zone of each enqueue that was sent."""
+        return [
+            (address, body.request.shard.zone)
+            for address, body in self.sent
+            if isinstance(body, message.Enqueue)
+        ]
+
+
+@pytest.fixture
+def desk() -> Desk:
+    made = Desk()
+    members = [membership.Member("waw-a-vm1", "waw-a", OURS, 1)]
+    others = [membership.Member("waw-b-vm1", "waw-b", OTHER, 1)]
+    view = peer_message.View(members, others)
+    made.hear(attachment.Said(OURS, view))
+    info = message.RequestInfo(
+        "r1", message.ShardKey("waw-a", "s"), "c", "t", 1, 1, (), 60.0
+    )
+    made.take_new(info)
+    return made
+
+
+def test_a_request_sent_on_comes_home_when_its_zone_is_cut_off(
+    desk: Desk,
+) -> None:
+    redirect = message.Redirect("r1", "waw-b", OTHER)
+    desk.hear(attachment.Said(OURS, redirect))
+    desk.hear(attachment.Down(OTHER))
+    assert desk.get_enqueued() == [
+        (OURS, "waw-a"),
+        (OTHER, "waw-b"),
+        (OURS, "waw-a"),
+    ]
+
+
+def test_a_zone_without_a_scheduler_is_served_by_another_zone_s(
+    desk: Desk,
+) -> None:
+    desk.hear(attachment.Down(OURS))
+    assert desk.get_enqueued() == [(OURS, "waw-a"), (OTHER, "waw-a")]
+
+
+def test_a_request_that_nobody_can_decide_on_is_refused_soon(
+    desk: Desk,
+) -> None:
+    desk.hear(attachment.Down(OURS))
+    desk.hear(attachment.Down(OTHER), now=2.0)
+    desk.tick(2.0 + dispatcher.NO_OWNER_S - 0.1)
+    assert desk.request_count == 1
+    desk.tick(2.0 + dispatcher.NO_OWNER_S + 0.1)
+    assert desk.request_count == 0
+
+
+def test_a_grant_for_a_request_that_has_ended_is_declined(
+    desk: Desk,
+) -> None:
+    grant = message.Grant("gone", "g", "e", OURS)
+    desk.hear(attachment.Said(OURS, grant))
+    assert desk.sent[-1] == (OURS, message.Decline("gone", "g"))
