--- a/ramptray/entry/exchange.py
+++ b/ramptray/entry/exchange.py
@@ -23,6 +23,8 @@
 """How long a broken stream is tried to be resumed, in seconds."""
 
 RESUME_PAUSE_S = 0.2
+SERVER_ERROR = 500
+UNAVAILABLE = 503
 BUFFER_EVENTS = 256
 """Events that may wait for a slow caller."""
 
@@ -132,11 +134,22 @@
         except engine_client.NotSentError:
             self._url = None
             self._ticket.report(tickets.ConnectFailed(self.request_id))
-        except engine_client.RefusedError:
-            self._ticket.report(tickets.Refused(self._make_ended(False)))
+        except engine_client.RefusedError as error:
+            self._end_refused(error.status)
         except (engine_client.BrokenError, StreamEndedError):
             await self._resume(url)
 
+    def _end_refused(self, status: int) -> None:
+        """Ends a request that was not answered by a stream.
+
+        Only an answer that says so is taken for "not admitted"; an engine that
+        failed may have begun.
+        """
+        if status < SERVER_ERROR or status == UNAVAILABLE:
+            self._ticket.report(tickets.Refused(self._make_ended(False)))
+        else:
+            self._lose(message.Reason.BACKEND_LOST)
+
     async def _resume(self, url: str) -> None:
         """Reads the stream on, as long as the engine can be reached at all.
 
