--- a/ramptray/caller/app.py
+++ b/ramptray/caller/app.py
@@ -6,7 +6,7 @@
 import logging
 import secrets
 import time
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -260,19 +260,13 @@
             self.note(first)
             yield _format_event(first)
             async for item in self.served.items:
-                parts: list[str] = []
-                # All that has arrived meanwhile goes out in one piece.
-                for piece in (item, *_drain(self.served)):
-                    if isinstance(piece, request.Finish):
-                        ended = True
-                        self.count_end(piece)
-                        parts.append(self._format_end(piece))
-                        break
-                    self.note(piece)
-                    parts.append(_format_event(piece))
-                yield "".join(parts)
-                if ended:
+                if isinstance(item, request.Finish):
+                    ended = True
+                    self.count_end(item)
+                    yield self._format_end(item)
                     return
+                self.note(item)
+                yield _format_event(item)
         finally:
             if not ended:
                 self.served.abandon()
@@ -328,14 +322,5 @@
     return result
 
 
-def _drain(served: exchange.Exchange) -> Iterator[exchange.Item]:
-    """Yields the items that are there already."""
-    while True:
-        try:
-            yield served.items.receive_nowait()
-        except (anyio.WouldBlock, anyio.EndOfStream):
-            return
-
-
 def _format_event(item: event.Event) -> str:
     return f"data: {item.data}\n\n"
--- a/ramptray/entry/exchange.py
+++ b/ramptray/entry/exchange.py
@@ -209,13 +209,6 @@
 
     async def _put(self, item: Item) -> None:
         """Hands an item to the caller; one that does not read is dropped."""
-        try:
-            self._send.send_nowait(item)
-            return
-        except anyio.WouldBlock:
-            pass  # The caller reads slowly.
-        except anyio.BrokenResourceError:
-            self._scope.cancel()
         try:
             with anyio.fail_after(self._idle_write_s):
                 await self._send.send(item)
