Put records, shard numbers and a service's errors where they belong

The entry no longer imports the scheduler's package, the operators' command no longer the follower; plain services have errors of their own.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,6 +24,7 @@
 import click
 
 from bench import capacity, deployment, fit
+from ramptray.bundle import record as bundle_record
 from ramptray.bundle import signature, text
 from ramptray.command import peers, status
 from ramptray.core import (
@@ -37,7 +38,6 @@
 )
 from ramptray.peer import codec
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import follower
 
 TICKS_S = os.sysconf("SC_CLK_TCK")
 MIB = 1024 * 1024
@@ -202,8 +202,8 @@
         '"requests_per_s": 20', '"requests_per_s": 21', 1
     )
     new = signature.Envelope(changed, {"anna": "0" * 128})
-    record = follower.make_rollout(new, old)
-    return float(len(json.dumps(follower.format_record(record))))
+    record = bundle_record.make_rollout(new, old)
+    return float(len(json.dumps(bundle_record.format_record(record))))
 
 
 def _time_load(raw: str) -> float:
--- a/ramptray/caller/plain.py
+++ b/ramptray/caller/plain.py
@@ -15,7 +15,6 @@
 from ramptray.caller import answer, intake, metrics, refusal
 from ramptray.caller import request as caller_request
 from ramptray.core import message, request
-from ramptray.engine import client as engine_client
 from ramptray.entry import dispatcher
 from ramptray.entry import ticket as tickets
 from ramptray.service import client as service_client
@@ -115,12 +114,12 @@
     ) -> responses.Response:
         try:
             answer = await self._client.call(url, call)
-        except engine_client.NotSentError:
+        except service_client.NotSentError:
             finish = request.Finish(
                 message.Outcome.NOT_RUN, message.Reason.NO_BACKEND, 1.0
             )
             return refusal.make_response(finish, asked.info.request_id)
-        except engine_client.BrokenError:
+        except service_client.BrokenError:
             finish = request.Finish(
                 message.Outcome.UNKNOWN, message.Reason.BACKEND_LOST
             )
@@ -168,9 +167,9 @@
         began = time.monotonic()
         try:
             self._answer = await self._client.call(url, self._call)
-        except engine_client.NotSentError:
+        except service_client.NotSentError:
             ticket.report(tickets.ConnectFailed(request_id))
-        except engine_client.BrokenError:
+        except service_client.BrokenError:
             ended = message.Ended(request_id, 0, 0.0, False, certain=False)
             ticket.report(tickets.Lost(ended, message.Reason.BACKEND_LOST))
         else:
--- a/ramptray/caller/request.py
+++ b/ramptray/caller/request.py
@@ -13,9 +13,8 @@
 
 from ramptray import wallclock
 from ramptray.bundle import model
-from ramptray.core import message, prefix
+from ramptray.core import membership, message, prefix
 from ramptray.entry import ticket as tickets
-from ramptray.scheduler import rules
 
 TIER_HEADER = "x-ramptray-tier"
 DEADLINE_HEADER = "x-ramptray-deadline-s"
@@ -106,7 +105,7 @@
     info = message.RequestInfo(
         request_id,
         message.ShardKey(
-            zone, str(service), rules.get_shard_number(seed, known.shards)
+            zone, str(service), membership.get_shard_number(seed, known.shards)
         ),
         customer,
         tier="",
@@ -135,7 +134,7 @@
     info = message.RequestInfo(
         request_id,
         message.ShardKey(
-            zone, service, rules.get_shard_number(request_id, known.shards)
+            zone, service, membership.get_shard_number(request_id, known.shards)
         ),
         customer,
         tier="",
--- a/ramptray/command/rollout.py
+++ b/ramptray/command/rollout.py
@@ -12,10 +12,10 @@
 
 from ramptray import settings
 from ramptray.bundle import acceptance, signature
+from ramptray.bundle import record as bundle_record
 from ramptray.command import bundle, peers
 from ramptray.command.error import CommandError
 from ramptray.platform import log as platform_log
-from ramptray.scheduler import follower
 
 POLL_S = 0.1
 PROGRESS_S = 2.0
@@ -90,11 +90,11 @@
     log = platform_log.HttpLog(given.platform)
     reader = await _read_log(log, given)
     view = reader.log_view
-    record = follower.format_record(
-        follower.make_rollout(envelope, view.envelope if view else None)
+    record = bundle_record.format_record(
+        bundle_record.make_rollout(envelope, view.envelope if view else None)
     )
     try:
-        offset = await log.append(follower.STREAM, record)
+        offset = await log.append(bundle_record.STREAM, record)
     except platform_log.PlatformError as error:
         raise CommandError(
             f"the log gave no answer ({error}); the bundle may or may not "
@@ -142,10 +142,10 @@
     reader = acceptance.Acceptance(given.trust)
     try:
         while True:
-            page = await log.read(follower.STREAM, reader.next_offset, 0.0)
+            page = await log.read(bundle_record.STREAM, reader.next_offset, 0.0)
             reader.skip_to(page.first_retained)
             for record in page.records:
-                parsed = follower.parse_record(record.body)
+                parsed = bundle_record.parse_record(record.body)
                 if parsed is not None:
                     reader.read(record.offset, parsed)
             if not page.records or reader.next_offset >= page.next_offset:
--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -239,5 +239,10 @@
     )
 
 
+def get_shard_number(name: str, shards: int) -> int:
+    """Returns the shard that a backend server or a prefix falls into."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % shards
+
+
 def _weigh(key: str, name: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}|{name}".encode())
--- a/ramptray/scheduler/follower.py
+++ b/ramptray/scheduler/follower.py
@@ -2,23 +2,19 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 import random
 from collections.abc import Callable
-from typing import Any
 
 import anyio
-import msgspec
 
-from ramptray.bundle import acceptance, delta, model, signature
+from ramptray.bundle import acceptance, model, record
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.platform import log as platform_log
 
 LOG = logging.getLogger(__name__)
 
-STREAM = "bundles"
 WAIT_S = 10.0
 RETRY_S = 0.3
 FETCH_S = 3.0
@@ -113,7 +109,7 @@
         A log of days holds thousands of bundles, and a fresh VM need not judge
         them all: to it the log looks as if it had forgotten the older ones.
         """
-        page = await self._log.read(STREAM, FAR_AWAY, 0.0)
+        page = await self._log.read(record.STREAM, FAR_AWAY, 0.0)
         start = page.next_offset - RECENT_RECORDS
         if start > page.first_retained:
             self._acceptance.skip_to(start)
@@ -131,15 +127,15 @@
         if not self._started:
             await self._start()
         page = await self._log.read(
-            STREAM, self._acceptance.next_offset, WAIT_S
+            record.STREAM, self._acceptance.next_offset, WAIT_S
         )
         self._acceptance.skip_to(page.first_retained)
-        for record in page.records:
-            parsed = parse_record(record.body)
+        for found in page.records:
+            parsed = record.parse_record(found.body)
             if parsed is None:
-                LOG.warning("record %s is not a bundle", record.offset)
+                LOG.warning("record %s is not a bundle", found.offset)
                 continue
-            verdict = self._acceptance.read(record.offset, parsed)
+            verdict = self._acceptance.read(found.offset, parsed)
             LOG.info("bundle record", extra={"verdict": verdict.value})
             self._announce()
             self._since_checkpoint += 1
@@ -167,7 +163,7 @@
         self._count_from_checkpoint()
         through = self._acceptance.next_offset - 1
         checkpoint = acceptance.Checkpoint(view.envelope, through)
-        await self._log.append(STREAM, format_record(checkpoint))
+        await self._log.append(record.STREAM, record.format_record(checkpoint))
 
     def _count_from_checkpoint(self) -> None:
         self._since_checkpoint = 0
@@ -180,51 +176,3 @@
         if current and current.generation > self._announced:
             self._announced = current.generation
             self._on_change(current)
-
-
-def make_rollout(
-    envelope: signature.Envelope, base: signature.Envelope | None
-) -> acceptance.Rollout | acceptance.DeltaRollout:
-    """Returns the smaller record that puts a bundle in force.
-
-    Args:
-        envelope: The signed bundle.
-        base: The bundle it replaces, if that is known.
-    """
-    if base is None:
-        return acceptance.Rollout(envelope)
-    difference = delta.make_delta(base.text, envelope.text)
-    if len(difference) > len(envelope.text) // 2:
-        return acceptance.Rollout(envelope)
-    return acceptance.DeltaRollout(
-        base.digest, envelope.digest, difference, envelope.signatures
-    )
-
-
-def format_record(record: acceptance.Record) -> dict[str, Any]:
-    """Returns a record as it stands in the log."""
-    if isinstance(record, acceptance.DeltaRollout):
-        return dataclasses.asdict(record)
-    body: dict[str, Any] = {
-        "text": record.envelope.text,
-        "signatures": record.envelope.signatures,
-    }
-    if isinstance(record, acceptance.Checkpoint):
-        body["through_offset"] = record.through_offset
-    return body
-
-
-def parse_record(body: dict[str, Any]) -> acceptance.Record | None:
-    """Returns the record that stands in the log, if it is one."""
-    try:
-        if "delta" in body:
-            return msgspec.convert(body, acceptance.DeltaRollout)
-        envelope = msgspec.convert(
-            {key: body[key] for key in ("text", "signatures")},
-            signature.Envelope,
-        )
-        if "through_offset" not in body:
-            return acceptance.Rollout(envelope)
-        return acceptance.Checkpoint(envelope, int(body["through_offset"]))
-    except (KeyError, ValueError, TypeError, msgspec.ValidationError):
-        return None
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import xxhash
-
 from ramptray.bundle import model
-from ramptray.core import backend, limit, message, shard
+from ramptray.core import backend, limit, membership, message, shard
 
 
 def make_rules(bundle: model.Bundle, key: message.ShardKey) -> shard.ShardRules:
@@ -40,7 +38,7 @@
         if server.zone == key.zone
         and server.service == key.service
         and not server.leaving
-        and get_shard_number(name, shards) == key.number
+        and membership.get_shard_number(name, shards) == key.number
     ]
 
 
@@ -52,10 +50,5 @@
     )
 
 
-def get_shard_number(name: str, shards: int) -> int:
-    """Returns the shard that a backend server or prefix falls into."""
-    return xxhash.xxh3_64_intdigest(name.encode()) % shards
-
-
 def _divide(rate: float | None, parts: int) -> float | None:
     return None if rate is None else rate / parts
--- a/ramptray/service/client.py
+++ b/ramptray/service/client.py
@@ -6,10 +6,20 @@
 
 import httpcore
 
-from ramptray.engine import client as engine_client
-
 READ_S = 60.0
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+CONNECT_S = 1.0
+
+
+class ServiceError(Exception):
+    """Base of the errors of a plain service."""
+
+
+class NotSentError(ServiceError):
+    """The connection could not be opened: no byte of the call was sent."""
+
+
+class BrokenError(ServiceError):
+    """The connection broke after the call was sent; it may have run."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,12 +60,12 @@
         """Sends the call once and returns the whole answer.
 
         Raises:
-            engine_client.NotSentError: No byte was sent.
-            engine_client.BrokenError: The call may have run.
+            NotSentError: No byte was sent.
+            BrokenError: The call may have run.
         """
         timeouts = {
-            "connect": engine_client.CONNECT_S,
-            "pool": engine_client.CONNECT_S,
+            "connect": CONNECT_S,
+            "pool": CONNECT_S,
             "read": READ_S,
         }
         try:
@@ -71,13 +81,13 @@
             httpcore.ConnectTimeout,
             httpcore.PoolTimeout,
         ) as error:
-            raise engine_client.NotSentError(f"{url}: {error!r}") from error
+            raise NotSentError(f"{url}: {error!r}") from error
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as error:
-            raise engine_client.BrokenError(f"{url}: {error!r}") from error
+            raise BrokenError(f"{url}: {error!r}") from error
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers
--- a/test/test_bundle.py
+++ b/test/test_bundle.py
@@ -12,7 +12,7 @@
 from result import Err, Ok
 
 from ramptray.bundle import acceptance, delta, model, signature, text
-from ramptray.scheduler import follower
+from ramptray.bundle import record as bundle_record
 
 PRIVATE = {name: signature.make_private_key() for name in ("anna", "bela")}
 PUBLIC = {name: signature.get_public_key(key) for name, key in PRIVATE.items()}
@@ -58,13 +58,13 @@
 
 
 def test_a_small_change_is_a_small_record_and_is_accepted_alike() -> None:
-    record = follower.make_rollout(SECOND, FIRST)
+    record = bundle_record.make_rollout(SECOND, FIRST)
     assert isinstance(record, acceptance.DeltaRollout)
-    body = follower.format_record(record)
+    body = bundle_record.format_record(record)
     assert len(json.dumps(body)) < len(SECOND.text) / 10
     reader = make_reader()
     reader.read(0, acceptance.Rollout(FIRST))
-    parsed = follower.parse_record(body)
+    parsed = bundle_record.parse_record(body)
     assert parsed == record
     assert reader.read(1, parsed) is acceptance.Verdict.ACCEPTED
     assert reader.in_force is not None
@@ -72,7 +72,7 @@
 
 
 def test_a_difference_to_another_base_is_refused() -> None:
-    record = follower.make_rollout(SECOND, FIRST)
+    record = bundle_record.make_rollout(SECOND, FIRST)
     assert isinstance(record, acceptance.DeltaRollout)
     reader = make_reader()
     assert reader.read(0, record) is acceptance.Verdict.WRONG_BASE
@@ -101,7 +101,7 @@
 
 
 def test_differences_after_a_checkpoint_are_replayed() -> None:
-    record = follower.make_rollout(SECOND, FIRST)
+    record = bundle_record.make_rollout(SECOND, FIRST)
     reader = make_reader()
     reader.skip_to(5)
     reader.read(5, record)
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -9,6 +9,7 @@
 import pytest
 
 from ramptray.bundle import acceptance
+from ramptray.bundle import record as bundle_record
 from ramptray.core import clock
 from ramptray.peer import link as peer_link
 from ramptray.platform import log as platform_log
@@ -28,7 +29,7 @@
     """A log in memory that counts what is read of it."""
 
     def __init__(self, records: list[acceptance.Record]) -> None:
-        self.records = [follower.format_record(r) for r in records]
+        self.records = [bundle_record.format_record(r) for r in records]
         self.read_count = 0
 
     async def append(self, stream: str, body: dict[str, Any]) -> int:
