--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -155,7 +155,9 @@
         self.claim = Claim.LOST
         self.state = State.ENDED
         final = finish or Finish(message.Outcome.NOT_RUN)
-        return [*self._leave_owner(), final]
+        # Its claim may yet land, so the key is freed by a release.  Where the
+        # claim was read and did not hold, the release changes nothing.
+        return [*self._leave_owner(), Release(), final]
 
     def fail_connect(self) -> list[Effect]:
         """Returns to waiting: the connection was refused, no byte was sent."""
--- a/ramptray/scheduler/claims.py
+++ b/ramptray/scheduler/claims.py
@@ -257,13 +257,12 @@
                         self._give_up(partition, pending)
 
     def _give_up(self, partition: Partition, pending: _Pending) -> None:
-        """Answers that the log cannot be asked; the attempt is released."""
-        wish = pending.wish
+        """Answers that the log cannot be asked.
+
+        Only the entry may release the attempt: it may have been told by
+        another scheduler that the attempt holds the key, and have dispatched.
+        """
         self._answer(partition, pending, claim.Verdict.UNAVAILABLE)
-        self._put(
-            partition,
-            claim.ClaimRecord(claim.RecordKind.RELEASE, wish.key, wish.attempt),
-        )
 
 
 def _make_claim(wish: peer_message.ClaimKey) -> claim.ClaimRecord:
--- /dev/null
+++ b/test/test_claims.py
@@ -0,0 +1,83 @@
+"""The desk that claims keys on the log, when the log or the desk is slow."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+
+from ramptray.core import claim, message, request
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+from ramptray.platform import log as platform_log
+from ramptray.scheduler import claims
+
+pytestmark = pytest.mark.anyio
+LONG_S = 20.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class BrokenLog(platform_log.Log):
+    """A log whose appends work though their answers are lost.
+
+    Nothing can be read of it.
+    """
+
+    def __init__(self) -> None:
+        self.records: list[dict[str, Any]] = []
+
+    async def append(self, stream: str, body: dict[str, Any]) -> int:
+        self.records.extend(body["records"])
+        raise platform_log.PlatformError("no answer")
+
+    async def read(
+        self, stream: str, offset: int, wait_s: float
+    ) -> platform_log.Page:
+        raise platform_log.PlatformError("no answer")
+
+
+async def test_a_desk_that_gives_up_releases_nothing_by_itself(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The attempt may hold the key by another scheduler's word, and run."""
+    monkeypatch.setattr(claims, "DOWN_S", 0.1)
+    log = BrokenLog()
+    send, decisions = anyio.create_memory_object_stream[str](10)
+    desk = claims.ClaimDesk(
+        log, lambda _, decision: send.send_nowait(decision.verdict)
+    )
+    wish = peer_message.ClaimKey("key", "attempt", "digest")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(desk.run)
+        desk.post(claims.Wanted(peer_link.Session(), wish))
+        with anyio.fail_after(LONG_S):
+            verdict = await decisions.receive()
+        assert verdict == claim.Verdict.UNAVAILABLE.value
+        count = len(log.records)
+        with anyio.fail_after(LONG_S):
+            while len(log.records) < count + 3:
+                await anyio.sleep(0.01)
+        assert {r["kind"] for r in log.records} == {"claim"}
+        desk.post(claims.Unwanted(peer_message.ReleaseKey("key", "attempt")))
+        with anyio.fail_after(LONG_S):
+            while log.records[-1]["kind"] != "release":
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+
+def test_an_entry_that_is_told_unavailable_releases_its_claim() -> None:
+    info = message.RequestInfo(
+        "r", message.ShardKey("z", "s"), "c", "t", 1, 1, (), 9.0
+    )
+    machine = request.RequestMachine(info, needs_claim=True)
+    machine.assign("A", info)
+    effects = machine.decide_claim(
+        False, claim.make_finish(claim.Verdict.UNAVAILABLE)
+    )
+    assert request.Release() in effects
+    assert machine.state is request.State.ENDED
