Give a grant anew that was lost with the entry's link

Failing tests: test_a_grant_that_was_lost_with_its_link_is_given_anew, and the property test once its links lose grants. Cause: the owner took the request that came again for a repetition, then freed its place as unreported and forgot it; it waited until its deadline.

--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -345,6 +345,10 @@
         self, entry: str, request: message.RequestInfo, now: float
     ) -> list[ToEntry]:
         request_id = request.request_id
+        if request_id in self._syncing.get(entry, set()):
+            # Its grant was lost when the entry's link broke.
+            self._syncing[entry].discard(request_id)
+            self._free(request_id)
         if self.holds(request_id):
             return []
         self.counters.enqueued += 1
--- a/test/test_shard.py
+++ b/test/test_shard.py
@@ -145,9 +145,16 @@
         self.now += seconds
         self.take(self.owner.tick(self.now), self.owner.list_waiting())
 
-    @rule()
-    def reattach(self) -> None:
-        """The entry's link breaks; it comes back and tells all it has."""
+    @rule(lost=st.sets(st.integers(1, 60), max_size=20))
+    def reattach(self, lost: set[int]) -> None:
+        """The entry's link breaks; it comes back and tells all it has.
+
+        Grants that were under way are lost: those requests wait again.
+        """
+        for name in sorted(self.granted):
+            if int(name[1:]) in lost:
+                del self.granted[name]
+                self.waiting.add(name)
         self.owner.lose_entry("entry", self.now)
         self.owner.begin_sync("entry")
         for name, grant in self.granted.items():
@@ -252,6 +259,18 @@
     assert granted[0].backend == "e1"
 
 
+def test_a_grant_that_was_lost_with_its_link_is_given_anew() -> None:
+    owner = make_owner(count=1)
+    enqueue = message.Enqueue(make_info("r"))
+    assert owner.receive("entry", enqueue, 1.0)
+    owner.lose_entry("entry", 1.1)
+    owner.begin_sync("entry")
+    again = owner.receive("entry", enqueue, 1.2)
+    owner.receive("entry", message.SyncDone("entry"), 1.2)
+    assert [type(effect.message) for effect in again] == [message.Grant]
+    assert list(owner.backends["e0"].placed) == ["r"]
+
+
 def test_no_room_here_sends_the_request_where_there_is_room() -> None:
     owner = make_owner(count=0)
     elsewhere = summary.ShardSummary(
