Tell the present owner that a connection was refused

Failing test: test_a_request_whose_owner_changed_while_it_connected_waits_again. Cause: the refusal went to the owner that had granted; the one that had taken over since believed the request to be running, and it waited until its deadline.

--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -160,7 +160,10 @@
         return [*self._leave_owner(), Release(), final]
 
     def fail_connect(self) -> list[Effect]:
-        """Returns to waiting: the connection was refused, no byte was sent."""
+        """Returns to waiting: the connection was refused, no byte was sent.
+
+        The present owner is told, who may not be the one that granted.
+        """
         if self.state is not State.DISPATCHED or self._grant is None:
             return []
         grant = self._grant
@@ -168,7 +171,7 @@
         self.dispatches -= 1
         self._grant = None
         decline = message.Decline(grant.request_id, grant.grant_id, True)
-        return [Tell(grant.owner, decline)]
+        return [Tell(self.owner or grant.owner, decline)]
 
     def complete(self, ended: message.Ended) -> list[Effect]:
         """Ends a dispatched request whose whole answer has arrived."""
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -483,7 +483,9 @@
         backend = self._where.get(request_id)
         if backend is None:
             return
-        if backend.placed[request_id].grant_id != decline.grant_id:
+        # What an entry told of as running has no grant of this owner.
+        known = backend.placed[request_id].grant_id
+        if known not in ("", decline.grant_id):
             return
         placed = self._free(request_id)
         self.counters.declined += 1
--- a/test/test_shard.py
+++ b/test/test_shard.py
@@ -13,7 +13,15 @@
     rule,
 )
 
-from ramptray.core import backend, message, policy, queue, shard, summary
+from ramptray.core import (
+    backend,
+    message,
+    policy,
+    queue,
+    request,
+    shard,
+    summary,
+)
 
 TIERS = ("urgent", "normal", "batch")
 KEY = message.ShardKey("waw-a", "assistant")
@@ -271,6 +279,25 @@
     assert list(owner.backends["e0"].placed) == ["r"]
 
 
+def test_a_request_whose_owner_changed_while_it_connected_waits_again() -> None:
+    info = make_info("r")
+    machine = request.RequestMachine(info, needs_claim=False)
+    machine.assign("A", info)
+    machine.receive_grant(message.Grant("r", "A#1", "e0", "A"))
+    successor = make_owner(count=2)
+    told = [*machine.assign("B", info, 0.1), *machine.fail_connect()]
+    out = [
+        effect
+        for tell in told
+        if isinstance(tell, request.Tell) and tell.owner == "B"
+        for effect in successor.receive("entry", tell.message, 1.0)
+    ]
+    granted = out[-1].message
+    assert isinstance(granted, message.Grant)
+    assert granted.backend == "e1"
+    assert successor.backends["e0"].placed == {}
+
+
 def test_no_room_here_sends_the_request_where_there_is_room() -> None:
     owner = make_owner(count=0)
     elsewhere = summary.ShardSummary(
