--- a/ramptray/command/status.py
+++ b/ramptray/command/status.py
@@ -33,25 +33,30 @@
 
 def iterate_lines(reports: dict[str, dict[str, Any]]) -> Iterator[str]:
     """Yields the lines of the screen."""
-    yield f"{'VM':<20}{'zone':<18}{'generation':<12}{'log':<6}lease"
+    yield (
+        f"{'VM':<20}{'zone':<18}{'generation':<12}{'log':<6}{'log age':>8}"
+        f"{'peers':>7}  lease"
+    )
     for vm, report in reports.items():
         log = "up" if report["log_up"] else "DOWN"
         lease = "holds" if report.get("lease") else ""
         yield (
             f"{vm:<20}{report['zone']:<18}"
-            f"{rollout.get_generation(report):<12}{log:<6}{lease}"
+            f"{rollout.get_generation(report):<12}{log:<6}"
+            f"{_format_age(report['log_age_s']):>8}"
+            f"{_count_alive(report):>7}  {lease}"
         )
     yield ""
     yield (
-        f"{'shard':<34}{'owner':<20}{'waiting by tier':<18}"
-        f"{'granted':>8}{'shed':>6}{'spilled':>8}"
+        f"{'shard':<34}{'owner':<20}{'waiting by tier':<18}{'running':>8}"
+        f"{'granted':>8}{'spilled':>8}  shed in the last minute"
     )
     for vm, shard in _iterate_owned(reports):
         waiting = " ".join(map(str, shard["waiting_by_tier"]))
         yield (
             f"{shard['shard']:<34}{vm:<20}{waiting:<18}"
-            f"{shard['granted']:>8}{shard['shed']:>6}"
-            f"{shard['redirected']:>8}"
+            f"{shard['running']:>8}{shard['granted']:>8}"
+            f"{shard['redirected']:>8}  {_format_shed(shard)}"
         )
     yield ""
     yield (
@@ -68,6 +73,20 @@
             )
 
 
+def _format_age(age_s: float | None) -> str:
+    return "never" if age_s is None else f"{age_s:.0f} s"
+
+
+def _count_alive(report: dict[str, Any]) -> int:
+    return sum(member["state"] == "alive" for member in report["members"])
+
+
+def _format_shed(shard: dict[str, Any]) -> str:
+    shed = shard["shed_last_minute"]
+    parts = [f"{tier} {count}" for tier, count in shed.items() if count]
+    return ", ".join(parts) or "none"
+
+
 def _iterate_owned(
     reports: dict[str, dict[str, Any]],
 ) -> Iterator[tuple[str, dict[str, Any]]]:
--- a/ramptray/core/meter.py
+++ b/ramptray/core/meter.py
@@ -24,6 +24,11 @@
         self._sum += amount
         self._prune(now)
 
+    def get_sum(self, now: float) -> int:
+        """Returns the sum over the window."""
+        self._prune(now)
+        return self._sum
+
     def get_rate(self, now: float) -> float:
         """Returns the amount a second, or 0 where nothing was counted."""
         self._prune(now)
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -26,6 +26,9 @@
 DRAIN_WINDOW_S = 5.0
 """Span over which the rate of grants is measured, in seconds."""
 
+SHED_WINDOW_S = 60.0
+"""Span over which sheds are counted for operators, in seconds."""
+
 LEARN_S = 3.0
 """How long a new owner waits for word of the other zones, in seconds."""
 
@@ -108,6 +111,7 @@
         self._holders = candidate.HolderIndex()
         self._syncing: dict[str, set[str]] = {}
         self._born = now
+        self._shed: dict[str, meter.RateMeter] = {}
         self._drained = meter.RateMeter(DRAIN_WINDOW_S)
         self._elsewhere: dict[str, summary.ShardSummary] = {}
         self._limits = limit.Limits(rules.limits)
@@ -194,6 +198,10 @@
         """Returns the number of waiting requests of each tier."""
         return [tier.count for tier in self._queue.tiers]
 
+    def list_shed(self, now: float) -> dict[str, int]:
+        """Returns how many requests of each tier were shed lately."""
+        return {tier: shed.get_sum(now) for tier, shed in self._shed.items()}
+
     # Messages from entries.
 
     def receive(
@@ -355,7 +363,7 @@
         waiting = self._queue.make(request, entry, now)
         wait_s = self._limits.check(request.customer, waiting.cost, now)
         if wait_s > 0 and not request.spilled_from:
-            self.counters.shed += 1
+            self._count_shed(request.tier, now)
             return [
                 ToEntry(
                     entry,
@@ -445,7 +453,7 @@
         self, waiting: queue.Waiting, reason: message.Reason, now: float
     ) -> ToEntry:
         self._queue.remove(waiting)
-        self.counters.shed += 1
+        self._count_shed(waiting.request.tier, now)
         if not self._has_backend():
             reason = message.Reason.NO_BACKEND
         wait_s = self._estimate_wait(waiting, now)
@@ -457,6 +465,11 @@
 
     # Bookkeeping.
 
+    def _count_shed(self, tier: str, now: float) -> None:
+        self.counters.shed += 1
+        shed = self._shed.setdefault(tier, meter.RateMeter(SHED_WINDOW_S))
+        shed.add(1, now)
+
     def _has_backend(self) -> bool:
         return any(not b.is_lost for b in self.backends.values())
 
--- a/ramptray/scheduler/follower.py
+++ b/ramptray/scheduler/follower.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+import time
 from collections.abc import Callable
 
 import anyio
@@ -59,6 +60,7 @@
         self._on_change = on_change
         self._announced = 0
         self.log_up = False
+        self._read_at: float | None = None
         self._since_checkpoint = 0
         self._checkpoint_due = CHECKPOINT_EVERY
         self._count_from_checkpoint()
@@ -68,12 +70,20 @@
         """The bundle in force on this VM."""
         return self._acceptance.in_force
 
+    def get_log_age(self, now: float) -> float | None:
+        """Returns the seconds since the log last answered, None for never.
+
+        While nothing is published the log answers every ``WAIT_S`` seconds.
+        """
+        return None if self._read_at is None else round(now - self._read_at, 1)
+
     async def run(self) -> None:
         """Follows the log until cancelled."""
         while True:
             try:
                 await self._read_on()
                 self.log_up = True
+                self._read_at = time.monotonic()
             except platform_log.PlatformError as error:
                 self.log_up = False
                 LOG.warning("log of bundles: %s", error)
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 from ramptray.core import backend, shard
@@ -20,6 +21,7 @@
         "generation": me.generation,
         "digest": follow.in_force.envelope.digest if follow.in_force else None,
         "log_up": follow.log_up,
+        "log_age_s": follow.get_log_age(time.monotonic()),
         "asked_bytes": gossiper.asked_bytes,
         "members": [
             {
@@ -59,6 +61,10 @@
         "shard": shard_owner.shard.format(),
         "owned": owner.owns(shard_owner.shard),
         "waiting_by_tier": shard_owner.list_waiting(),
+        "running": sum(
+            len(known.placed) for known in shard_owner.backends.values()
+        ),
+        "shed_last_minute": shard_owner.list_shed(time.monotonic()),
         "enqueued": counters.enqueued,
         "granted": counters.granted,
         "shed": counters.shed,
