--- a/ramptray/bundle/text.py
+++ b/ramptray/bundle/text.py
@@ -70,9 +70,9 @@
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        raise TextError(str(path), [Mistake("", f"readable ({error})")]) from (
-            error
-        )
+        raise TextError(
+            str(path), [Mistake("", f"a readable file ({error})")]
+        ) from (error)
     match parse_model(text, kind):
         case Ok(value):
             return value
--- a/ramptray/command/bundle.py
+++ b/ramptray/command/bundle.py
@@ -132,7 +132,7 @@
     try:
         raw = file.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        mistake = text.Mistake("", f"readable ({error})")
+        mistake = text.Mistake("", f"a readable file ({error})")
         raise text.TextError(str(file), [mistake]) from error
     try:
         return msgspec.json.decode(raw.encode(), type=signature.Envelope)
