--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -16,6 +16,9 @@
 DECODE_WEIGHT_TOKENS = 16
 """Tokens of decode that count beside the first token in a placement."""
 
+LATE_WEIGHT = 2.0
+"""How much worse a second past the deadline is than one of waiting."""
+
 
 class Policy(abc.ABC):
     """Chooses a backend server, or none to keep the request waiting."""
@@ -31,6 +34,7 @@
         share: float,
         candidates: Sequence[backends.Backend],
         now: float,
+        deadline: float,
     ) -> backends.Backend | None:
         """Returns the backend server for the request, or None to wait.
 
@@ -39,6 +43,7 @@
             share: The part of each engine's places that its tier may use.
             candidates: Backend servers to choose from.
             now: The owner's clock in seconds.
+            deadline: When the answer is of no more use, on the same clock.
         """
 
 
@@ -53,6 +58,7 @@
         share: float,
         candidates: Sequence[backends.Backend],
         now: float,
+        deadline: float,
     ) -> backends.Backend | None:
         """See the base class."""
         best: backends.Backend | None = None
@@ -68,6 +74,9 @@
                 continue
             cost = candidate.estimate_first_token(uncached, now)
             cost += candidate.step_s * DECODE_WEIGHT_TOKENS
+            decode_s = candidate.step_s * request.output_tokens
+            late_s = now + cost + decode_s - deadline
+            cost += max(0.0, late_s) * LATE_WEIGHT
             if cost < best_s:
                 best, best_s = candidate, cost
         return best
@@ -88,6 +97,7 @@
         share: float,
         candidates: Sequence[backends.Backend],
         now: float,
+        deadline: float,
     ) -> backends.Backend | None:
         """See the base class."""
         usable = [found for found in candidates if found.is_open(now)]
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -294,7 +294,7 @@
             if only is None and waiting.request.prefix:
                 candidates = self._add_holders(window, waiting.request)
             chosen = self._policy.choose(
-                waiting.request, share, candidates, now
+                waiting.request, share, candidates, now, waiting.deadline
             )
             if chosen is not None:
                 for other in passed:
