--- a/bench/demo.py
+++ b/bench/demo.py
@@ -107,7 +107,8 @@
 @click.option("--stay", is_flag=True, help="Leave it up until Ctrl-C.")
 def run(seconds: float, seed: int, as_json: bool, stay: bool) -> None:
     """Starts a small deployment on loopback and sends it a mixed load."""
-    signal.signal(signal.SIGTERM, _interrupt)
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _interrupt)
     with tempfile.TemporaryDirectory(prefix="ramptray-demo-") as name:
         folder = pathlib.Path(name)
         started = deployment.Deployment(make_plan(), folder)
