--- a/bench/events.py
+++ b/bench/events.py
@@ -34,20 +34,7 @@
 
 def measure(ring_events: int) -> float:
     """Returns seconds of processor time that one request costs."""
-    plan = deployment.Plan(
-        zones={"waw-a": 1},
-        engines=[
-            deployment.EngineSpec(
-                f"e{n}", "waw-a", "assistant", "fast", 20000.0, 0.02, 16
-            )
-            for n in range(4)
-        ],
-        plain=[],
-        tiers=[("urgent", 30.0)],
-        customers={"ola": ["urgent"]},
-        controllers=False,
-        common={"ring_events": ring_events},
-    )
+    plan = slopes.make_load_plan(ring_events=ring_events)
     with deployment.run_deployment(plan) as started:
         slopes.send(started, 5, TOKENS)
         found = slopes.send(started, RATE, TOKENS)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -403,9 +403,13 @@
 TOKENS = [4, 16, 40]
 
 
-def _measure_load() -> Iterator[fit.Slope]:
-    """Processor time of entry and scheduler against requests and tokens."""
-    plan = deployment.Plan(
+def make_load_plan(**common: Any) -> deployment.Plan:
+    """Returns one VM before four quick engines.
+
+    Args:
+        **common: Further settings of every own process.
+    """
+    return deployment.Plan(
         zones={"waw-a": 1},
         engines=[
             deployment.EngineSpec(
@@ -417,7 +421,13 @@
         tiers=[("urgent", 30.0)],
         customers={"ola": ["urgent"]},
         controllers=False,
+        common=common,
     )
+
+
+def _measure_load() -> Iterator[fit.Slope]:
+    """Processor time of entry and scheduler against requests and tokens."""
+    plan = make_load_plan()
     by_rate: dict[str, list[tuple[float, float]]] = {}
     by_token: dict[str, list[tuple[float, float]]] = {}
     with deployment.run_deployment(plan) as started:
--- a/ramptray/engine/client.py
+++ b/ramptray/engine/client.py
@@ -11,6 +11,7 @@
 import httpcore
 import msgspec
 
+from ramptray import httperror
 from ramptray.engine import event
 
 CONNECT_S = 1.0
@@ -211,7 +212,7 @@
         self, method: str, url: str, path: str, **options: Any
     ) -> AsyncIterator[httpcore.Response]:
         timeouts = {"connect": CONNECT_S, "pool": CONNECT_S, "read": SILENCE_S}
-        try:
+        with httperror.turn_errors(url, NotSentError, BrokenError):
             async with self._get_pool(url).stream(
                 method,
                 url.rstrip("/") + path,
@@ -219,18 +220,6 @@
                 **options,
             ) as response:
                 yield response
-        except (
-            httpcore.ConnectError,
-            httpcore.ConnectTimeout,
-            httpcore.PoolTimeout,
-        ) as error:
-            raise NotSentError(f"{url}: {error!r}") from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            raise BrokenError(f"{url}: {error!r}") from error
 
     def _get_pool(self, url: str) -> httpcore.AsyncConnectionPool:
         if url not in self._pools:
--- a/ramptray/service/client.py
+++ b/ramptray/service/client.py
@@ -6,6 +6,8 @@
 
 import httpcore
 
+from ramptray import httperror
+
 READ_S = 60.0
 CONNECT_S = 1.0
 
@@ -68,7 +70,7 @@
             "pool": CONNECT_S,
             "read": READ_S,
         }
-        try:
+        with httperror.turn_errors(url, NotSentError, BrokenError):
             response = await self._pool.request(
                 call.method,
                 url.rstrip("/") + call.target,
@@ -76,18 +78,6 @@
                 content=call.body or None,
                 extensions={"timeout": timeouts},
             )
-        except (
-            httpcore.ConnectError,
-            httpcore.ConnectTimeout,
-            httpcore.PoolTimeout,
-        ) as error:
-            raise NotSentError(f"{url}: {error!r}") from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            raise BrokenError(f"{url}: {error!r}") from error
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers
