End a stream that was dropped for slowness by an error event

Failing test: test_a_stream_without_an_end_is_ended_by_an_error_event. Cause: an exchange that is cancelled because its caller does not read closes its items without a Finish, and the response then ended like a whole one, but for [DONE].

--- a/ramptray/caller/app.py
+++ b/ramptray/caller/app.py
@@ -141,7 +141,7 @@
             self._settings.limits.idle_write_s,
         )
         self._tasks.start_soon(served.run)
-        watched = _Watched(served, asked.info, self._metrics)
+        watched = WatchedExchange(served, asked.info, self._metrics)
         try:
             first = await _receive_or_leave(http, served)
         except anyio.get_cancelled_exc_class():
@@ -166,7 +166,7 @@
     async def _answer_whole(
         self,
         http: requests.Request,
-        watched: _Watched,
+        watched: WatchedExchange,
         first: event.Event,
     ) -> responses.Response:
         events = [first]
@@ -237,7 +237,7 @@
         return responses.PlainTextResponse(self._metrics.format())
 
 
-class _Watched:
+class WatchedExchange:
     """An exchange whose items are counted on their way to the caller."""
 
     def __init__(
@@ -267,6 +267,12 @@
                     return
                 self.note(item)
                 yield _format_event(item)
+            # Dropped, since the caller did not read: it may yet read this.
+            cut = request.Finish(
+                message.Outcome.UNKNOWN, message.Reason.CALLER_GONE
+            )
+            self.count_end(cut)
+            yield self._format_end(cut)
         finally:
             if not ended:
                 self.served.abandon()
