--- a/ramptray/caller/refusal.py
+++ b/ramptray/caller/refusal.py
@@ -27,7 +27,6 @@
     message.Reason.BACKEND_REFUSED: 503,
     message.Reason.BACKEND_LOST: 502,
     message.Reason.STREAM_BROKEN: 502,
-    message.Reason.STOPPING: 503,
 }
 
 
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -36,7 +36,6 @@
     BACKEND_REFUSED = "backend_refused"
     BACKEND_LOST = "backend_lost"
     STREAM_BROKEN = "stream_broken"
-    STOPPING = "stopping"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
