Find a customer by its key at one look, and take out what nothing reads

Read again as a whole: each request hashed its key and then looked through all customers: 67.5 us at 1,700 customers, 2.7 us at 50; with an index made once a bundle 0.58 us at both (one run, side by side).

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import hashlib
 from typing import Annotated
 
@@ -209,15 +210,15 @@
 
     def get_customer_by_key(self, key: str) -> str | None:
         """Returns the name of the customer that holds this bearer key."""
-        digest = hash_key(key)
-        return next(
-            (
-                name
-                for name, customer in self.customers.items()
-                if digest in customer.key_hashes
-            ),
-            None,
-        )
+        return self._customers_by_hash.get(hash_key(key))
+
+    @functools.cached_property
+    def _customers_by_hash(self) -> dict[str, str]:
+        return {
+            digest: name
+            for name, customer in self.customers.items()
+            for digest in customer.key_hashes
+        }
 
 
 def hash_key(key: str) -> str:
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -30,9 +30,6 @@
 MIN_SAMPLE_TOKENS = 32
 """Prefills smaller than this say little about speed and are not learned."""
 
-OVERDUE_FACTOR = 2.0
-"""An answer this many times later than expected marks the engine as slow."""
-
 SLOWER_FACTOR = 1.5
 """A reported time between tokens this much longer is believed at once."""
 
@@ -84,7 +81,6 @@
     uncached: int
     work_ahead: int
     expected_s: float
-    prefilling: bool = True
     orphaned_at: float | None = None
 
     @property
@@ -341,4 +337,3 @@
     def _finish_prefill(self, placed: Placed) -> None:
         if self.pending.pop(placed.request.request_id, None) is not None:
             self.prefill_tokens -= placed.uncached
-            placed.prefilling = False
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -64,7 +64,6 @@
         output_tokens: Estimated size of the answer.
         prefix: Chained block hashes of the prompt, the longest prefix last.
         deadline_s: Seconds left until the answer is of no more use.
-        age_s: Seconds since the entry received the request.
         spilled_from: Zones that had no room for the request.
     """
 
@@ -76,7 +75,6 @@
     output_tokens: int
     prefix: tuple[int, ...]
     deadline_s: float
-    age_s: float = 0.0
     spilled_from: tuple[str, ...] = ()
 
 
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -25,7 +25,6 @@
         request: Its facts.
         entry: The entry that has its caller.
         rank: Its tier's rank.
-        arrived: When it arrived here.
         deadline: When its answer is of no more use.
         cost: Its cost.
         passed_over: Cost of requests that went before it since it was first.
@@ -34,7 +33,6 @@
     request: message.RequestInfo
     entry: str
     rank: int
-    arrived: float
     deadline: float
     cost: int
     passed_over: int = 0
@@ -183,7 +181,6 @@
             request,
             entry,
             self._get_rank(request),
-            arrived=now,
             deadline=now + request.deadline_s,
             cost=weigh(request),
         )
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -101,7 +101,7 @@
 
         Args:
             owner: The scheduler that now owns the request's shard.
-            info: The request's facts with ages as of now.
+            info: The request's facts with its deadline as of now.
             elapsed_s: Seconds since the dispatch, if it was dispatched.
         """
         previous = self.owner
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -109,9 +109,8 @@
         self.info = info
         self.wish = wish
         self.machine = request.RequestMachine(info, wish is not None)
-        self.submitted = time.monotonic()
         self.dispatched: float | None = None
-        self.deadline = self.submitted + info.deadline_s
+        self.deadline = time.monotonic() + info.deadline_s
         self.down_since: float | None = None
         self._events = events
         # Dispatches that are refused by a backend server come back here, so
@@ -135,10 +134,9 @@
             self._effects.send_nowait(effect)
 
     def get_info(self, now: float) -> message.RequestInfo:
-        """Returns the request's facts with its ages as of now."""
+        """Returns the request's facts with its deadline as of now."""
         return dataclasses.replace(
             self.machine.info,
-            age_s=now - self.submitted,
             deadline_s=max(0.0, self.deadline - now),
         )
 
--- a/ramptray/standin/engine/main.py
+++ b/ramptray/standin/engine/main.py
@@ -124,7 +124,6 @@
         self._role = "any"
         self._fencing = -1
         self._events: list[tuple[float, str, int]] = []
-        self._exported: dict[str, tuple[int, ...]] = {}
 
     def make_app(self) -> applications.Starlette:
         """Returns the HTTP application."""
--- a/ramptray/standin/platform/main.py
+++ b/ramptray/standin/platform/main.py
@@ -8,7 +8,6 @@
 
 import dataclasses
 import hashlib
-import itertools
 import random
 import time
 from typing import Any
@@ -94,7 +93,6 @@
         self._weights_free_at = time.monotonic()
         self._weight_log: list[dict[str, Any]] = []
         self._late: list[tuple[float, str, dict[str, Any]]] = []
-        self._appends = itertools.count()
 
     def make_app(self) -> applications.Starlette:
         """Returns the HTTP application."""
