--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -63,11 +63,15 @@
 
     Attributes:
         requests_per_s: Requests a second.
-        tokens_per_s: Prompt tokens and four times the output tokens a second.
+        tokens_per_s: Prompt tokens and four times the output tokens a second;
+            on a relayed route, prompt and output tokens.
+        burst: Requests or tokens that may be used at once; None for two
+            seconds' worth of the rate.
     """
 
     requests_per_s: float | None = pydantic.Field(None, ge=1)
     tokens_per_s: float | None = pydantic.Field(None, ge=1)
+    burst: float | None = pydantic.Field(None, ge=0)
 
 
 class Customer(Model):
@@ -75,7 +79,8 @@
 
     Attributes:
         key_hashes: SHA-256 of each bearer key.
-        tiers: Tiers it may ask for; the first is used where it names none.
+        tiers: Tiers it may ask for; the first is used where it names none,
+            and for all that it sends on relayed routes.
         share: Weight within a tier.
         limits: Its limits.
     """
@@ -135,12 +140,14 @@
         kv_tokens: Tokens that fit its KV memory.
         cache_blocks: Prefix blocks of 64 tokens its cache keeps.
         checks_fencing: Whether it refuses orders with an old fencing number.
+        tokens_per_event: Tokens that an event of a stream holds.
     """
 
     max_running: int = pydantic.Field(ge=1, le=4096)
     kv_tokens: int = pydantic.Field(1_000_000, ge=1)
     cache_blocks: int = pydantic.Field(1024, ge=0)
     checks_fencing: bool = False
+    tokens_per_event: int = pydantic.Field(1, ge=1)
 
 
 class BackendServer(Model):
@@ -163,6 +170,78 @@
     role: Name = "any"
 
 
+class RouteKind(enum.Enum):
+    """How a relayed route's requests are answered, and whether they repeat.
+
+    Attributes:
+        STREAM: A series of events; repeatable only where the route resumes.
+        SAFE: One answer; may run more than once.
+        ONCE: One answer; runs at most once.
+    """
+
+    STREAM = "stream"
+    SAFE = "safe"
+    ONCE = "once"
+
+
+class Target(Model):
+    """A service that takes a share of a route's requests.
+
+    Attributes:
+        service: Name of the service.
+        weight: Its share, relative to those of the route's other targets.
+    """
+
+    service: Name
+    weight: float = pydantic.Field(1.0, ge=0)
+
+
+class Route(Model):
+    """Requests of one host and path prefix, relayed byte for byte.
+
+    Attributes:
+        host: The host that callers name.
+        path_prefix: What the path begins with; the longest prefix wins.
+        kind: How it is answered.
+        targets: The services that take its requests.
+        timeout_s: Longest time a request is held, in seconds.
+        objective_s: Time in which an answer, or its first event, is in time.
+        max_gap_s: Longest pause between events of an answer in time.
+        max_attempts: Backend servers that one request may be sent to.
+        tier: Tier of the requests of customers that have none of their own.
+        public: Whether requests need no key.
+        resumable: Whether a stream may go on at another backend server.
+    """
+
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    targets: list[Target] = pydantic.Field(min_length=1)
+    timeout_s: float = pydantic.Field(gt=0)
+    objective_s: float = pydantic.Field(gt=0)
+    max_gap_s: float | None = None
+    max_attempts: int = pydantic.Field(1, ge=1)
+    tier: Name
+    public: bool = False
+    resumable: bool = False
+
+
+class RelayLimits(Model):
+    """What a relayed caller may send, and how long it may take.
+
+    Attributes:
+        header_bytes: Largest request head.
+        body_bytes: Largest request body.
+        header_s: Seconds in which a head must have arrived.
+        idle_s: Seconds that an idle connection is kept.
+    """
+
+    header_bytes: int = pydantic.Field(16 * 1024, ge=256)
+    body_bytes: int = pydantic.Field(4 * 1024 * 1024, ge=0)
+    header_s: float = pydantic.Field(3.0, gt=0)
+    idle_s: float = pydantic.Field(15.0, gt=0)
+
+
 class Weights(Model):
     """What the weight store can bear.
 
@@ -189,6 +268,8 @@
         weights: What the weight store can bear.
         claim_window_s: How old a key that tells its age may be, in seconds;
             less than the platform's log keeps its records.
+        routes: Relayed routes, by name.
+        relay: Limits towards relayed callers.
     """
 
     generation: int = pydantic.Field(ge=1)
@@ -202,6 +283,8 @@
     backend_servers: dict[Name, BackendServer]
     weights: Weights = Weights()
     claim_window_s: float = pydantic.Field(3600.0, gt=0)
+    routes: dict[Name, Route] = {}
+    relay: RelayLimits = RelayLimits()
 
     def get_ranks(self) -> dict[str, int]:
         """Returns the rank of each tier, 0 for the most urgent."""
--- a/ramptray/command/rollout.py
+++ b/ramptray/command/rollout.py
@@ -15,7 +15,7 @@
 from ramptray.bundle import record as bundle_record
 from ramptray.command import bundle, peers
 from ramptray.command.error import CommandError
-from ramptray.platform import log as platform_log
+from ramptray.log import client as log_client
 
 POLL_S = 0.1
 PROGRESS_S = 2.0
@@ -73,7 +73,7 @@
 
 
 async def _show_in_force(given: settings.OperatorSettings) -> str:
-    reader = await _read_log(platform_log.HttpLog(given.platform), given)
+    reader = await _read_log(log_client.HttpLog(given.platform), given)
     if reader.in_force is None:
         raise CommandError("no bundle is in force yet")
     shown = msgspec.json.encode(reader.in_force.envelope)
@@ -87,7 +87,7 @@
     wait_s: float,
 ) -> None:
     began = time.monotonic()
-    log = platform_log.HttpLog(given.platform)
+    log = log_client.HttpLog(given.platform)
     reader = await _read_log(log, given)
     view = reader.log_view
     record = bundle_record.format_record(
@@ -95,7 +95,7 @@
     )
     try:
         offset = await log.append(bundle_record.STREAM, record)
-    except platform_log.PlatformError as error:
+    except log_client.PlatformError as error:
         raise CommandError(
             f"the log gave no answer ({error}); the bundle may or may not "
             "come into force. To roll the same file out again is harmless"
@@ -107,7 +107,7 @@
 
 
 async def _check_verdict(
-    log: platform_log.Log,
+    log: log_client.Log,
     given: settings.OperatorSettings,
     envelope: signature.Envelope,
 ) -> None:
@@ -137,7 +137,7 @@
 
 
 async def _read_log(
-    log: platform_log.Log, given: settings.OperatorSettings
+    log: log_client.Log, given: settings.OperatorSettings
 ) -> acceptance.Acceptance:
     reader = acceptance.Acceptance(given.trust)
     try:
@@ -150,7 +150,7 @@
                     reader.read(record.offset, parsed)
             if not page.records or reader.next_offset >= page.next_offset:
                 return reader
-    except platform_log.PlatformError as error:
+    except log_client.PlatformError as error:
         raise CommandError(f"the log gave no answer ({error})") from error
 
 
--- a/ramptray/controller/leaseholder.py
+++ b/ramptray/controller/leaseholder.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from ramptray.core import lease
-from ramptray.platform import log as platform_log
-from ramptray.platform import stream
+from ramptray.log import client as log_client
+from ramptray.log import stream
 
 LOG = logging.getLogger(__name__)
 
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        log: platform_log.Log,
+        log: log_client.Log,
         zone: str,
         state: lease.Lease,
         on_change: Callable[[bool, int], None],
@@ -49,7 +49,7 @@
             return
         try:
             await self._append(self._lease.release())
-        except platform_log.PlatformError as error:
+        except log_client.PlatformError as error:
             LOG.info("lease not released: %s", error)
 
     async def _read(self) -> None:
@@ -60,7 +60,7 @@
                 self._take(record)
             self._caught_up = page.is_last
 
-    def _take(self, record: platform_log.LogRecord) -> None:
+    def _take(self, record: log_client.LogRecord) -> None:
         try:
             parsed = msgspec.convert(record.body, lease.LeaseRecord)
         except msgspec.ValidationError as error:
@@ -79,7 +79,7 @@
                 continue
             try:
                 await self._append(record)
-            except platform_log.PlatformError as error:
+            except log_client.PlatformError as error:
                 LOG.info("lease not appended: %s", error)
 
     async def _append(self, record: lease.LeaseRecord) -> None:
--- a/ramptray/controller/main.py
+++ b/ramptray/controller/main.py
@@ -13,9 +13,9 @@
 from ramptray.bundle import acceptance
 from ramptray.controller import leaseholder, reconciler
 from ramptray.core import lease
+from ramptray.log import client as log_client
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
-from ramptray.platform import log as platform_log
 from ramptray.settings import ControllerSettings
 
 LOG = logging.getLogger(__name__)
@@ -39,7 +39,7 @@
             f"{equipment.name}/{secrets.token_hex(4)}", times, time.monotonic()
         )
         self.holder = leaseholder.LeaseHolder(
-            platform_log.HttpLog(settings.platform, settings.vm),
+            log_client.HttpLog(settings.platform, settings.vm),
             settings.zone,
             state,
             self._note_lease,
--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -32,26 +32,41 @@
     Attributes:
         requests_per_s: Requests a second.
         tokens_per_s: Cost a second, as ``queue.weigh`` counts it.
+        burst: What may be used at once; None for two seconds' worth.
     """
 
     requests_per_s: float | None = None
     tokens_per_s: float | None = None
+    burst: float | None = None
 
 
 class _Bucket:
     """A token bucket that also measures what was asked of it."""
 
-    def __init__(self, rate: float, now: float) -> None:
+    def __init__(self, rate: float, burst: float | None, now: float) -> None:
         self.share = rate
         self.rate = rate
+        self._burst = burst
         self.level = self.get_size()
         self._filled_at = now
         self._asked = meter.RateMeter(USE_WINDOW_S)
 
     def get_size(self) -> float:
         """Returns the most that may be used at once."""
+        if self._burst is not None:
+            return max(self._burst * self.rate / self.share, 1.0)
         return max(self.rate * BURST_S, 1.0)
 
+    def take_over(self, former: _Bucket) -> None:
+        """Starts with what a bucket of the same customer has left.
+
+        Without it, each change of the configuration would fill all buckets.
+        """
+        part = former.level / former.get_size()
+        self.level = min(self.get_size(), max(0.0, part) * self.get_size())
+        self._filled_at = former._filled_at
+        self._asked = former._asked
+
     def get_wait(self, amount: float, now: float) -> float:
         """Returns the seconds until the amount may be taken, 0 for now."""
         self._asked.add(int(amount), now)
@@ -72,14 +87,30 @@
 
     def __init__(self, rates: dict[str, Rate]) -> None:
         self._rates = rates
+        self._part = 1.0
         self._buckets: dict[str, list[tuple[str, _Bucket]]] = {}
+        self._former: dict[str, list[tuple[str, _Bucket]]] = {}
         self._wanted_elsewhere: frozenset[str] = frozenset()
 
     def set_rates(self, rates: dict[str, Rate]) -> None:
         """Takes the rates of the bundle in force; the same change nothing."""
         if rates != self._rates:
             self._rates = rates
-            self._buckets.clear()
+            self._former = {**self._former, **self._buckets}
+            self._buckets = {}
+
+    def set_part(self, part: float) -> None:
+        """Takes the part of every limit that this owner may hand out.
+
+        Args:
+            part: From 0 to 1; 1 where no other owner can be handing out.
+        """
+        if part == self._part:
+            return
+        self._part = part
+        for buckets in self._buckets.values():
+            for _, bucket in buckets:
+                bucket.rate = bucket.share * part
 
     def check(self, customer: str, cost: int, now: float) -> float:
         """Takes a request from the customer's buckets if it fits.
@@ -136,7 +167,7 @@
         for customer, buckets in self._buckets.items():
             part = spare.get(customer, 0.0) / wanted.get(customer, 1)
             for _, bucket in buckets:
-                bucket.rate = bucket.share * (1.0 + part)
+                bucket.rate = bucket.share * self._part * (1.0 + part)
 
     def _get_use(self, customer: str, now: float) -> float:
         return max(
@@ -152,11 +183,17 @@
                 ("tokens", rate.tokens_per_s),
             ]
             made = [
-                (kind, _Bucket(share, now))
+                (kind, _Bucket(share, rate.burst, now))
                 for kind, share in kinds
                 if share is not None
             ]
             if not made:
                 return []
+            former = dict(self._former.pop(customer, []))
+            for kind, bucket in made:
+                bucket.rate = bucket.share * self._part
+                bucket.level = bucket.get_size()
+                if kind in former:
+                    bucket.take_over(former[kind])
             self._buckets[customer] = made
         return self._buckets[customer]
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -65,6 +65,12 @@
         prefix: Chained block hashes of the prompt, the longest prefix last.
         deadline_s: Seconds left until the answer is of no more use.
         spilled_from: Zones that had no room for the request.
+        limit_tokens: What the request counts against its customer's limit;
+            None for its cost in the queue.
+        repeatable: Whether it may run more than once.
+        max_attempts: Backend servers that it may be sent to.
+        avoid: Backend servers that are not to get it (again).
+        attempt: Backend servers that it was sent to before.
     """
 
     request_id: str
@@ -76,6 +82,11 @@
     prefix: tuple[int, ...]
     deadline_s: float
     spilled_from: tuple[str, ...] = ()
+    limit_tokens: int | None = None
+    repeatable: bool = False
+    max_attempts: int = 1
+    avoid: tuple[str, ...] = ()
+    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,6 +208,20 @@
     owner: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queued:
+    """Owner to entry: this request waits here; more word will follow."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StillWaiting:
+    """Owner to entry: the owner is alive, and requests of yours wait here."""
+
+    count: int
+
+
 EntryMessage = (
     Enqueue | Running | Withdraw | Decline | FirstToken | Ended | SyncDone
 )
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -81,6 +81,7 @@
         self.claim = Claim.PENDING if needs_claim else Claim.NOT_NEEDED
         self.owner: str | None = None
         self.dispatches = 0
+        self._may_have_run = False
         self._grant: message.Grant | None = None
 
     @property
@@ -173,6 +174,51 @@
         decline = message.Decline(grant.request_id, grant.grant_id, True)
         return [Tell(self.owner or grant.owner, decline)]
 
+    def fail_attempt(
+        self,
+        ended: message.Ended,
+        not_run: bool,
+        may_repeat: bool,
+        finish: Finish,
+    ) -> list[Effect]:
+        """Ends an attempt without an answer; another one may follow.
+
+        Only a request that may run more than once, or one whose backend server
+        has said that it did not run, is ever sent to another.
+
+        Args:
+            ended: What the owner is told.
+            not_run: Whether the backend server has said that it did not run.
+            may_repeat: Whether time and the retry budget allow another attempt.
+            finish: What the caller is told where no attempt follows.
+        """
+        if self.state is not State.DISPATCHED or self._grant is None:
+            return []
+        backend = self._grant.backend
+        if not not_run:
+            self._may_have_run = True
+        safe = not_run or self.info.repeatable
+        left = self.dispatches < self.info.max_attempts
+        if not (safe and left and may_repeat):
+            outcome = message.Outcome.NOT_RUN
+            if self._may_have_run:
+                outcome = message.Outcome.UNKNOWN
+            final = dataclasses.replace(finish, outcome=outcome)
+            return self._end_dispatched(final, ended)
+        self.state = State.WAITING
+        self._grant = None
+        self.info = dataclasses.replace(
+            self.info,
+            avoid=(*self.info.avoid, backend),
+            attempt=self.dispatches,
+        )
+        if self.owner is None:
+            return []
+        return [
+            Tell(self.owner, ended),
+            Tell(self.owner, message.Enqueue(self.info)),
+        ]
+
     def complete(self, ended: message.Ended) -> list[Effect]:
         """Ends a dispatched request whose whole answer has arrived."""
         return self._end_dispatched(Finish(message.Outcome.COMPLETE), ended)
@@ -228,8 +274,10 @@
         effects: list[Effect] = self._leave_owner() if tell else []
         if self.claim in (Claim.PENDING, Claim.HELD):
             effects.append(Release())
-        finish = Finish(message.Outcome.NOT_RUN, reason, retry_after_s)
-        return [*effects, finish]
+        outcome = message.Outcome.NOT_RUN
+        if self._may_have_run:
+            outcome = message.Outcome.UNKNOWN
+        return [*effects, Finish(outcome, reason, retry_after_s)]
 
     def _leave_owner(self) -> list[Effect]:
         if self.owner is None:
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import itertools
 
@@ -97,6 +98,7 @@
         chosen: policy.Policy,
         now: float,
         hear_s: float = HEAR_S,
+        limits: limit.Limits | None = None,
     ) -> None:
         self.shard = shard
         self._hear_by = now + hear_s
@@ -114,7 +116,7 @@
         self._shed: dict[str, meter.RateMeter] = {}
         self._drained = meter.RateMeter(DRAIN_WINDOW_S)
         self._elsewhere: dict[str, summary.ShardSummary] = {}
-        self._limits = limit.Limits(rules.limits)
+        self._limits = limits or limit.Limits(rules.limits)
         self.configure(rules, infos)
 
     # Configuration and outside views.
@@ -180,6 +182,10 @@
         """Tells whether a request waits or runs here."""
         return request_id in self._queue or request_id in self._where
 
+    def is_waiting(self, request_id: str) -> bool:
+        """Tells whether a request waits here."""
+        return request_id in self._queue
+
     def wants(self, name: str) -> bool:
         """Tells whether the bundle lets a backend server get new work."""
         return name in self._wanted
@@ -294,7 +300,11 @@
             if only is None and waiting.request.prefix:
                 candidates = self._add_holders(window, waiting.request)
             chosen = self._policy.choose(
-                waiting.request, share, candidates, now, waiting.deadline
+                waiting.request,
+                share,
+                self._leave_out(candidates, waiting.request.avoid),
+                now,
+                waiting.deadline,
             )
             if chosen is not None:
                 for other in passed:
@@ -305,6 +315,17 @@
             passed.append(waiting)
         return None
 
+    def _leave_out(
+        self, candidates: list[backends.Backend], avoid: tuple[str, ...]
+    ) -> list[backends.Backend]:
+        """Returns the candidates that a request may go to.
+
+        A request that has been everywhere may go anywhere again.
+        """
+        if not avoid or not (set(self.backends) - set(avoid)):
+            return candidates
+        return [c for c in candidates if c.info.name not in avoid]
+
     def _list_candidates(self) -> list[backends.Backend]:
         if self._policy.looks_at_all:
             return list(self.backends.values())
@@ -357,12 +378,16 @@
             # Its grant was lost when the entry's link broke.
             self._syncing[entry].discard(request_id)
             self._free(request_id)
+        placed = self._get_placed(request_id)
+        if placed and placed.request.attempt < request.attempt:
+            # The word that the earlier attempt has ended was lost.
+            self._free(request_id)
         if self.holds(request_id):
             return []
         self.counters.enqueued += 1
         waiting = self._queue.make(request, entry, now)
-        wait_s = self._limits.check(request.customer, waiting.cost, now)
-        if wait_s > 0 and not request.spilled_from:
+        wait_s = self._check_limit(request, waiting.cost, now)
+        if wait_s > 0:
             self._count_shed(request.tier, now)
             return [
                 ToEntry(
@@ -376,6 +401,27 @@
         granted = self.grant(now)
         return [*granted, *self._make_room(waiting, now)]
 
+    def _check_limit(
+        self, request: message.RequestInfo, cost: int, now: float
+    ) -> float:
+        """Returns how long a request must wait for its customer's limit.
+
+        A request that was admitted before, here or elsewhere, is not counted
+        again.
+        """
+        if request.spilled_from or request.attempt:
+            return 0.0
+        counted = cost if request.limit_tokens is None else request.limit_tokens
+        return self._limits.check(request.customer, counted, now)
+
+    def _get_placed(self, request_id: str) -> backends.Placed | None:
+        backend = self._where.get(request_id)
+        return backend.placed.get(request_id) if backend else None
+
+    def list_waiting_entries(self) -> dict[str, int]:
+        """Returns how many requests of each entry wait."""
+        return collections.Counter(w.entry for w in self._queue.list_all())
+
     def _make_room(self, newest: queue.Waiting, now: float) -> list[ToEntry]:
         out: list[ToEntry] = []
         while self._queue.cost > self._rules.queue_cost:
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -11,35 +11,67 @@
 import logging
 import time
 from collections.abc import Iterable
+from typing import Protocol
 
 import anyio
 import anyio.abc
 
 from ramptray import runtime
-from ramptray import settings as settings_module
 from ramptray.bundle import acceptance, signature
-from ramptray.core import claim, membership, message, request
+from ramptray.core import claim, message, request, retry
+from ramptray.entry import owners
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
 
 LOG = logging.getLogger(__name__)
 
-TICK_S = 0.1
+TICK_S = 0.05
 INBOX = 100_000
 NO_OWNER_S = 3.0
 """How long a request waits for any scheduler before it is refused."""
 
 RETRY_AFTER_S = 1.0
 
+OWNER_SILENCE_S = 0.12
+"""How long a scheduler may leave a new request without a word, in seconds: a
+round trip and its work take a few milliseconds, a first token some hundred."""
+
+QUEUE_SILENCE_S = 0.4
+"""How long a scheduler with waiting requests may be silent, in seconds: it says
+every tenth of a second that they still wait."""
+
+
+class Home(Protocol):
+    """Where an entry stands; settings of any program that has one.
+
+    Attributes:
+        vm: Name of its VM.
+        zone: The zone whose schedulers it asks.
+        scheduler: Address of the scheduler on its VM.
+    """
+
+    @property
+    def vm(self) -> str:
+        """Name of its VM."""
+
+    @property
+    def zone(self) -> str:
+        """The zone whose schedulers it asks."""
+
+    @property
+    def scheduler(self) -> str:
+        """Address of the scheduler on its VM."""
+
 
 class Dispatcher:
     """Owns the request machines and the links to schedulers."""
 
     def __init__(
         self,
-        settings: settings_module.EntrySettings,
+        settings: Home,
         equipment: runtime.Runtime,
+        budget: retry.RetryBudget | None = None,
     ) -> None:
         self.in_force: acceptance.InForce | None = None
         self.timeline = equipment.timeline
@@ -53,9 +85,8 @@
         ](INBOX)
         self._tickets: dict[str, tickets.Ticket] = {}
         self._links: dict[str, attachment.Attachment] = {}
-        self._members: dict[str, membership.Member] = {}
-        self._others: list[membership.Member] = []
-        self._down_links: set[str] = set()
+        self._owners = owners.Owners(settings.zone, settings.scheduler)
+        self._budget = budget or retry.RetryBudget()
         self._learner = acceptance.Learner()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -129,14 +160,44 @@
                 self._perform(ticket, machine.complete(ended), now)
             case tickets.Refused(ended):
                 self._perform(ticket, machine.refuse(ended), now)
+            case tickets.AttemptFailed():
+                self._end_attempt(ticket, event, now)
             case tickets.Lost(ended, reason):
                 self._perform(ticket, machine.lose(reason, ended), now)
             case tickets.Abandoned(ended):
                 self._perform(ticket, machine.abandon(ended), now)
 
+    def _end_attempt(
+        self, ticket: tickets.Ticket, event: tickets.AttemptFailed, now: float
+    ) -> None:
+        """Lets a request go on elsewhere, as far as the budget allows it."""
+        info = ticket.machine.info
+        wanted = now < ticket.deadline and (event.not_run or info.repeatable)
+        may_repeat = (
+            wanted
+            and ticket.machine.dispatches < info.max_attempts
+            and self._budget.take(info.shard.service, now)
+        )
+        finish = request.Finish(
+            message.Outcome.UNKNOWN, event.reason, RETRY_AFTER_S
+        )
+        effects = ticket.machine.fail_attempt(
+            event.ended, event.not_run, may_repeat, finish
+        )
+        self.timeline.note(
+            "attempt_failed",
+            info.request_id,
+            backend=ticket.machine.info.avoid[-1:],
+            not_run=event.not_run,
+            reason=event.reason.value,
+            repeated=may_repeat,
+        )
+        self._perform(ticket, effects, now)
+
     def _begin(self, ticket: tickets.Ticket, now: float) -> None:
         info = ticket.info
         self._tickets[info.request_id] = ticket
+        self._budget.count_request(info.shard.service, now)
         self.timeline.note("request", info.request_id, customer=info.customer)
         if ticket.wish:
             self._send_claim(ticket)
@@ -145,13 +206,13 @@
     def _assign(self, ticket: tickets.Ticket, now: float) -> None:
         """Finds the request's owner and asks it, or notes there is none."""
         shard = ticket.machine.info.shard
-        if shard.zone != self._zone and not self._reaches(shard.zone):
+        if shard.zone != self._zone and not self._owners.reaches(shard.zone):
             # The zone it was sent on to has been cut off: it comes home.
             shard = dataclasses.replace(shard, zone=self._zone)
             ticket.machine.info = dataclasses.replace(
                 ticket.machine.info, shard=shard
             )
-        owner = self._find_owner(shard)
+        owner = self._owners.find(shard, now)
         if owner is None:
             ticket.down_since = ticket.down_since or now
             return
@@ -163,30 +224,6 @@
         effects = ticket.machine.assign(owner, ticket.get_info(now), elapsed)
         self._perform(ticket, effects, now)
 
-    def _reaches(self, zone: str) -> bool:
-        """Tells whether a scheduler of another zone can be reached."""
-        return any(
-            member.zone == zone and member.address not in self._down_links
-            for member in self._others
-        )
-
-    def _find_owner(self, shard: message.ShardKey) -> str | None:
-        """Returns the address of the scheduler to ask for a shard."""
-        for members in (
-            [m for m in self._members.values() if m.zone == shard.zone],
-            [m for m in self._others if m.zone == shard.zone],
-            self._others,
-        ):
-            usable = {
-                m.vm: m.address
-                for m in members
-                if m.address not in self._down_links
-            }
-            owner = membership.pick_owner(shard.format(), list(usable))
-            if owner is not None:
-                return usable[owner]
-        return None
-
     def _perform(
         self,
         ticket: tickets.Ticket,
@@ -196,6 +233,9 @@
         for effect in effects:
             match effect:
                 case request.Tell(owner, told):
+                    if isinstance(told, message.Enqueue):
+                        ticket.asked_at = now
+                        ticket.unheard = True
                     self._tell(owner, told)
                 case request.Dispatch(grant):
                     ticket.dispatched = now
@@ -220,7 +260,8 @@
     # Claims: they go to the claim partition's scheduler.
 
     def _claim_owner(self, key: str) -> str | None:
-        return self._find_owner(claim.get_partition_shard(self._zone, key))
+        shard = claim.get_partition_shard(self._zone, key)
+        return self._owners.find(shard, time.monotonic())
 
     def _send_claim(self, ticket: tickets.Ticket) -> None:
         assert ticket.wish is not None
@@ -265,6 +306,7 @@
     # Schedulers.
 
     def _hear(self, address: str, body: object, now: float) -> None:
+        self._owners.note_word(address, now)
         match body:
             case message.Grant(request_id):
                 self._take_grant(body, request_id, now)
@@ -272,6 +314,11 @@
                 if ticket := self._tickets.get(request_id):
                     effects = ticket.machine.receive_reject(body, address)
                     self._perform(ticket, effects, now)
+            case message.Queued(request_id):
+                if ticket := self._tickets.get(request_id):
+                    ticket.unheard = False
+            case message.StillWaiting():
+                pass  # That it was said is all there is to know.
             case message.Redirect(request_id):
                 self._redirect(address, body, now)
             case peer_message.AskTimeline(after, subject, number):
@@ -314,12 +361,10 @@
         self._perform(ticket, effects, now)
 
     def _take_view(self, view: peer_message.View, now: float) -> None:
-        self._members = {m.vm: m for m in view.members}
-        self._others = view.others
-        known = {m.address for m in (*view.members, *view.others)}
+        known = self._owners.take_view(view)
         for address in set(self._links) - known - {self._local}:
             self._links.pop(address).stop()
-            self._down_links.discard(address)
+            self._owners.forget(address)
         self._reassign_all(now)
 
     def _take_bundle(self, address: str, envelope: signature.Envelope) -> None:
@@ -358,7 +403,7 @@
 
     def _sync(self, address: str, now: float) -> None:
         """Tells a scheduler all that waits or runs with it."""
-        self._down_links.discard(address)
+        self._owners.note_up(address)
         for ticket in self._tickets.values():
             if ticket.machine.owner == address:
                 self._resend(ticket, now)
@@ -377,7 +422,7 @@
         self._perform(ticket, effects, now)
 
     def _lose_link(self, address: str, now: float) -> None:
-        self._down_links.add(address)
+        self._owners.note_down(address)
         self._reassign_all(now)
 
     def _reassign_all(self, now: float) -> None:
@@ -385,15 +430,45 @@
             owner = ticket.machine.owner
             # A request sent on to another zone stays there while it can.
             spilled = bool(ticket.machine.info.spilled_from)
-            if spilled and owner and owner not in self._down_links:
+            if spilled and owner and not self._owners.is_down(owner):
                 continue
             self._assign(ticket, now)
         for ticket in self._tickets.values():
             if ticket.machine.claim is request.Claim.PENDING:
                 self._send_claim(ticket)
 
+    def take_in_force(self, in_force: acceptance.InForce) -> None:
+        """Works by this bundle from now on."""
+        self.in_force = in_force
+
+    def _doubt_silent_owners(self, now: float) -> None:
+        """Moves what waits away from owners that say nothing."""
+        silent = {
+            ticket.machine.owner
+            for ticket in self._tickets.values()
+            if ticket.machine.state is request.State.WAITING
+            and ticket.machine.owner is not None
+            and self._is_silent(ticket, ticket.machine.owner, now)
+        }
+        doubted = [
+            owner
+            for owner in silent
+            if owner is not None and self._owners.doubt(owner, now)
+        ]
+        if doubted:
+            self._reassign_all(now)
+
+    def _is_silent(
+        self, ticket: tickets.Ticket, owner: str, now: float
+    ) -> bool:
+        if ticket.unheard:
+            return now - ticket.asked_at > OWNER_SILENCE_S
+        silence = self._owners.get_silence(owner, ticket.asked_at, now)
+        return silence > QUEUE_SILENCE_S
+
     def tick(self, now: float) -> None:
         """Ends the requests that nobody can or may serve any more."""
+        self._doubt_silent_owners(now)
         for ticket in list(self._tickets.values()):
             reason = self._find_give_up_reason(ticket, now)
             if reason is not None:
--- /dev/null
+++ b/ramptray/entry/owners.py
@@ -0,0 +1,135 @@
+"""Which scheduler an entry asks: live ones, reachable ones, silent ones."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+
+from ramptray.core import membership, message
+from ramptray.peer import message as peer_message
+
+LOG = logging.getLogger(__name__)
+
+DOUBT_S = 1.0
+"""How long a silent scheduler is not asked, in seconds: about the time in which
+the membership finds a dead one."""
+
+MAX_DOUBT_S = 8.0
+"""How long a scheduler that stays silent is not asked at most, in seconds."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Doubt:
+    """Why a scheduler is not asked for a while."""
+
+    until: float
+    length_s: float
+
+
+class Owners:
+    """Chooses the owner of a shard from what is known of the schedulers.
+
+    Args:
+        zone: The entry's own zone.
+        local: Address of the scheduler on the same VM; it is never doubted.
+    """
+
+    def __init__(self, zone: str, local: str) -> None:
+        self.others: list[membership.Member] = []
+        self._zone = zone
+        self._local = local
+        self._members: dict[str, membership.Member] = {}
+        self._down: set[str] = set()
+        self._heard: dict[str, float] = {}
+        self._doubts: dict[str, _Doubt] = {}
+
+    def take_view(self, view: peer_message.View) -> frozenset[str]:
+        """Takes a new view and returns the addresses in it."""
+        self._members = {m.vm: m for m in view.members}
+        self.others = view.others
+        return frozenset(m.address for m in (*view.members, *view.others))
+
+    def note_down(self, address: str) -> None:
+        """Notes that the link to a scheduler is broken."""
+        self._down.add(address)
+
+    def note_up(self, address: str) -> None:
+        """Notes that the link to a scheduler is open."""
+        self._down.discard(address)
+
+    def forget(self, address: str) -> None:
+        """Forgets a scheduler that is in no view any more."""
+        self._down.discard(address)
+        self._heard.pop(address, None)
+        self._doubts.pop(address, None)
+
+    def is_down(self, address: str) -> bool:
+        """Tells whether the link to a scheduler is broken."""
+        return address in self._down
+
+    def note_word(self, address: str, now: float) -> None:
+        """Notes that a scheduler has said something."""
+        self._heard[address] = now
+        if self._doubts.pop(address, None):
+            LOG.info("owner heard again", extra={"owner": address})
+
+    def get_silence(self, address: str, since: float, now: float) -> float:
+        """Returns for how long a scheduler has said nothing, in seconds.
+
+        Args:
+            address: The scheduler.
+            since: When it was asked something that it has to answer.
+            now: The entry's clock.
+        """
+        return now - max(since, self._heard.get(address, 0.0))
+
+    def doubt(self, address: str, now: float) -> bool:
+        """Asks a silent scheduler no more for a while; longer each time.
+
+        Returns:
+            Whether it was asked until now.
+        """
+        if address == self._local or self._is_doubted(address, now):
+            return False
+        former = self._doubts.get(address)
+        length_s = min(former.length_s * 2, MAX_DOUBT_S) if former else DOUBT_S
+        self._doubts[address] = _Doubt(now + length_s, length_s)
+        LOG.warning(
+            "owner is silent",
+            extra={"owner": address, "not_asked_for_s": length_s},
+        )
+        return True
+
+    def reaches(self, zone: str) -> bool:
+        """Tells whether a scheduler of another zone can be reached."""
+        return any(
+            member.zone == zone and member.address not in self._down
+            for member in self.others
+        )
+
+    def find(self, shard: message.ShardKey, now: float) -> str | None:
+        """Returns the address of the scheduler to ask for a shard.
+
+        While the owner is silent the scheduler of the same VM stands in: it
+        knows less of the others' load, but it answers at once.
+        """
+        for members in (
+            [m for m in self._members.values() if m.zone == shard.zone],
+            [m for m in self.others if m.zone == shard.zone],
+            self.others,
+        ):
+            usable = {
+                m.vm: m.address for m in members if m.address not in self._down
+            }
+            owner = membership.pick_owner(shard.format(), list(usable))
+            if owner is None:
+                continue
+            if not self._is_doubted(usable[owner], now):
+                return usable[owner]
+            if self._local not in self._down:
+                return self._local
+        return None
+
+    def _is_doubted(self, address: str, now: float) -> bool:
+        doubt = self._doubts.get(address)
+        return doubt is not None and now < doubt.until
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -67,6 +67,21 @@
     ended: message.Ended
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt has ended without an answer; another one may follow.
+
+    Attributes:
+        ended: What the owner is told.
+        not_run: Whether the backend server has said that it did not run.
+        reason: What the caller is told where no attempt follows.
+    """
+
+    ended: message.Ended
+    not_run: bool
+    reason: message.Reason
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
     """The answer cannot be had any more."""
@@ -88,6 +103,7 @@
     | Begun
     | Completed
     | Refused
+    | AttemptFailed
     | Lost
     | Abandoned
     | attachment.Up
@@ -112,6 +128,8 @@
         self.dispatched: float | None = None
         self.deadline = time.monotonic() + info.deadline_s
         self.down_since: float | None = None
+        self.asked_at = 0.0
+        self.unheard = False
         self._events = events
         # Dispatches that are refused by a backend server come back here, so
         # an exchange sees at most a few effects; it never blocks the sender.
@@ -148,6 +166,12 @@
             return request_id
         case Begun(first):
             return first.request_id
-        case Completed(ended) | Refused(ended) | Lost(ended) | Abandoned(ended):
+        case (
+            Completed(ended)
+            | Refused(ended)
+            | AttemptFailed(ended)
+            | Lost(ended)
+            | Abandoned(ended)
+        ):
             return ended.request_id
     return ""
--- /dev/null
+++ b/ramptray/log/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the append-only log service and what stands beside it."""
--- a/ramptray/platform/stream.py
+++ b/ramptray/log/stream.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ramptray.platform import log
+from ramptray.log import client as log_client
 
 LOG = logging.getLogger(__name__)
 
@@ -15,8 +15,8 @@
 
 
 async def iterate_pages(
-    source: log.Log, stream: str, wait_s: float
-) -> AsyncIterator[log.Page]:
+    source: log_client.Log, stream: str, wait_s: float
+) -> AsyncIterator[log_client.Page]:
     """Yields pages from the oldest kept record on, without end.
 
     Args:
@@ -28,7 +28,7 @@
     while True:
         try:
             page = await source.read(stream, offset, wait_s)
-        except log.PlatformError as error:
+        except log_client.PlatformError as error:
             LOG.info("%s not read: %s", stream, error)
             await anyio.sleep(RETRY_S)
             continue
--- a/ramptray/platform/vmlist.py
+++ b/ramptray/log/vmlist.py
@@ -8,7 +8,7 @@
 import httpcore
 import msgspec
 
-from ramptray.platform import log
+from ramptray.log import client as log_client
 
 TIMEOUT_S = 2.0
 NOT_MODIFIED = 304
@@ -62,23 +62,25 @@
         The list is sent only when it has changed since the last time.
 
         Raises:
-            log.PlatformError: There is no good answer.
+            log_client.PlatformError: There is no good answer.
         """
         headers = [("user-agent", self._agent)]
         if self._tag:
             headers.append(("if-none-match", self._tag))
-        response = await log.send_request(
+        response = await log_client.send_request(
             self._pool, "GET", self._url, TIMEOUT_S, headers
         )
         if response.status == NOT_MODIFIED:
             return self._vms
         if response.status != 200:
-            raise log.PlatformError(f"{self._url}: status {response.status}")
-        answer = log.decode_answer(response, self._url)
+            raise log_client.PlatformError(
+                f"{self._url}: status {response.status}"
+            )
+        answer = log_client.decode_answer(response, self._url)
         try:
             self._vms = msgspec.convert(answer, list[Vm])
         except msgspec.ValidationError as error:
-            raise log.PlatformError(f"{self._url}: {error}") from error
+            raise log_client.PlatformError(f"{self._url}: {error}") from error
         self._tag = _find_tag(response)
         return self._vms
 
--- /dev/null
+++ b/ramptray/node/__init__.py
@@ -0,0 +1,1 @@
+"""One program on each entry VM: callers' relay and scheduler together."""
--- /dev/null
+++ b/ramptray/node/main.py
@@ -0,0 +1,228 @@
+"""``ramptray-node``: callers' relay and scheduler of one VM, in one process."""
+
+from __future__ import annotations
+
+import logging
+import random
+import signal
+import time
+
+import anyio
+import anyio.abc
+import uvicorn
+from anyio.streams import stapled
+
+from ramptray import process, runtime, settings, webserver
+from ramptray.bundle import acceptance
+from ramptray.caller import metrics
+from ramptray.core import membership, retry
+from ramptray.entry import dispatcher
+from ramptray.node import readiness
+from ramptray.node import settings as node_settings
+from ramptray.peer import link as peer_link
+from ramptray.platform import config, follower, header, store
+from ramptray.platform import settings as vm_settings
+from ramptray.relay import client as relay_client
+from ramptray.relay import server as relay_server
+from ramptray.relay import service
+from ramptray.scheduler import event, gossip, hub, servant
+
+LOG = logging.getLogger(__name__)
+
+HOLD_S = 1.6
+"""How long replicas whose records went together are kept, in seconds; less than
+the two seconds in which a replica that has gone may still be sent work."""
+
+
+class Node:
+    """The tasks of one VM and what they share.
+
+    Args:
+        tuned: The product's settings.
+        given: What the platform tells this VM.
+    """
+
+    def __init__(
+        self,
+        tuned: node_settings.NodeSettings,
+        given: vm_settings.VmSettings,
+    ) -> None:
+        self._tuned = tuned
+        self._given = given
+        self._stopping = False
+        self._rng = random.Random()
+        self._equipment = runtime.make_equipment(
+            "node", given.vm, given.zone, tuned.log_events, tuned.ring_events
+        )
+        self._store = store.Store(given.store)
+        self._measures = metrics.Metrics()
+        self._dialect = header.PlatformDialect()
+        self._relay_client = relay_client.RelayClient(self._dialect)
+        self._follower = follower.Follower(
+            self._store, self._equipment.client, HOLD_S, self._take_bundle
+        )
+        self._gossiper = self._make_gossiper()
+        self._hub = hub.Hub(
+            given.peers,
+            config.DOMAIN,
+            hub.Options(tuned.policy, 0.0, True, False),
+            self._gossiper,
+            None,
+            self._equipment.timeline,
+        )
+        self._servant = servant.SchedulerServant(
+            self._hub, self._gossiper, self._follower, self._equipment.timeline
+        )
+        self._equipment.client.serve_locally(given.peers, self._servant)
+        self._desk = dispatcher.Dispatcher(
+            node_settings.Home(given.vm, config.DOMAIN, given.peers),
+            self._equipment,
+            self._make_budget(),
+        )
+        self._relay = relay_server.RelayServer(
+            self._dialect, self._make_service().serve
+        )
+
+    async def run(self, stop: process.Stop) -> None:
+        """Serves until a stop is asked for and what runs has ended."""
+        peers = peer_link.PeerServer(self._servant, self._equipment.clock, None)
+        try:
+            await peers.start(self._given.peers)
+        except peer_link.LinkError as error:
+            raise process.ProcessError(str(error)) from error
+        async with anyio.create_task_group() as tasks:
+            for task in (
+                self._hub.run,
+                self._desk.run,
+                self._gossiper.run,
+                self._follower.run,
+                self._relay_client.run,
+                self._watch_reload,
+            ):
+                tasks.start_soon(task)
+            await self._serve(tasks, stop)
+            await peers.stop()
+            await self._equipment.client.close()
+            tasks.cancel_scope.cancel()
+
+    async def _serve(
+        self, tasks: anyio.abc.TaskGroup, stop: process.Stop
+    ) -> None:
+        probes = readiness.make_app(self._is_ready, self._measures.format)
+        metrics_address = f"{self._given.ip}:{self._tuned.metrics_port}"
+        for address in (self._given.readiness, metrics_address):
+            tasks.start_soon(self._serve_probes, address, probes)
+        host, port = settings.split_address(self._given.callers)
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, backlog=webserver.BACKLOG
+        )
+        tasks.start_soon(self._accept, listener)
+        LOG.info(
+            "started",
+            extra={"address": self._given.callers, "peers": self._given.peers},
+        )
+        await stop.event.wait()
+        await self._leave()
+
+    async def _accept(
+        self, listener: stapled.MultiListener[anyio.abc.SocketStream]
+    ) -> None:
+        async with listener:
+            await listener.serve(self._relay.handle)
+
+    async def _leave(self) -> None:
+        """Ends in order: nothing that was taken in is cut."""
+        began = time.monotonic()
+        ends_at = began + self._given.grace_s - self._tuned.exit_margin_s
+        self._stopping = True
+        self._relay.state.stopping = True
+        LOG.info("stopping", extra={"active": self._relay.state.active})
+        with anyio.move_on_after(self._tuned.lame_duck_s):
+            await self._gossiper.leave()
+            await anyio.sleep(self._tuned.lame_duck_s)
+        while self._relay.state.active and time.monotonic() < ends_at:
+            await anyio.sleep(0.05)
+        LOG.info("stopped", extra={"active": self._relay.state.active})
+
+    def _is_ready(self) -> bool:
+        return self._desk.in_force is not None and not self._stopping
+
+    def _take_bundle(self, in_force: acceptance.InForce) -> None:
+        self._desk.take_in_force(in_force)
+        self._relay.state.limits = in_force.bundle.relay
+        self._hub.post(event.BundleChanged(in_force))
+        self._gossiper.membership.set_generation(
+            in_force.generation, time.monotonic()
+        )
+
+    async def _serve_probes(self, address: str, app: object) -> None:
+        server: uvicorn.Server = webserver.make_server(app)  # type: ignore[arg-type]
+        await server.serve([webserver.bind(address)])
+
+    async def _watch_reload(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                self._reload()
+
+    def _reload(self) -> None:
+        """Takes new seeds; all else of the file holds for a process's life."""
+        try:
+            given = vm_settings.read_settings(vm_settings.get_path())
+        except vm_settings.SettingsError as error:
+            LOG.error("settings not reloaded", extra={"detail": str(error)})
+            return
+        self._gossiper.add_seeds(list(given.seeds))
+        LOG.info("settings reloaded", extra={"seeds": given.seeds})
+
+    def _make_gossiper(self) -> gossip.Gossiper:
+        me = membership.Member(
+            self._given.vm, config.DOMAIN, self._given.peers, int(time.time())
+        )
+        return gossip.Gossiper(
+            me,
+            list(self._given.seeds),
+            self._equipment.client,
+            self._rng,
+            lambda view: self._hub.post(event.ViewChanged(view)),
+            lambda lowest: None,
+            self._follower.fetch,
+        )
+
+    def _make_budget(self) -> retry.RetryBudget:
+        part = self._tuned.retry_part
+        return retry.RetryBudget(
+            retry.BudgetRules(
+                self._given.retry_ratio * part,
+                self._given.retry_slack * part / self._tuned.budget_vms,
+                self._given.retry_window_s,
+            )
+        )
+
+    def _make_service(self) -> service.RelayService:
+        return service.RelayService(
+            config.DOMAIN,
+            self._desk,
+            self._relay_client,
+            self._measures,
+            self._equipment.timeline,
+        )
+
+
+async def main(tuned: node_settings.NodeSettings, stop: process.Stop) -> None:
+    """Serves until a stop is asked for and what runs has ended."""
+    try:
+        given = vm_settings.read_settings(vm_settings.get_path())
+    except vm_settings.SettingsError as error:
+        raise process.ProcessError(str(error)) from error
+    await Node(tuned, given).run(stop)
+
+
+run = process.make_program(
+    "ramptray-node",
+    node_settings.NodeSettings,
+    main,
+    "Relays callers' requests and schedules them, on one VM of a platform.",
+)
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/ramptray/node/settings.py
@@ -0,0 +1,48 @@
+"""Settings of ``ramptray-node``: what is tuned, not what a VM is told."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pydantic
+
+from ramptray.bundle import model
+
+
+class NodeSettings(model.Model):
+    """Settings of ``ramptray-node``; the VM's own come from its platform.
+
+    Attributes:
+        log_level: Least level that is logged.
+        log_events: Whether each event of the time line is also logged.
+        ring_events: Events of the time line that are kept; 0 for none.
+        metrics_port: Port of the metrics, on the VM's own IP number.
+        policy: How backend servers are chosen.
+        retry_part: Part of the deployment's retry budget that is used.
+        budget_vms: Among how many VMs the fixed part of the retry budget is
+            divided; VMs that restart count again.
+        lame_duck_s: How long a stopping VM goes on taking connections: the
+            balancer must have seen twice that it is not ready.
+        exit_margin_s: How long before the kill a stopping VM ends by itself.
+    """
+
+    log_level: str = pydantic.Field(
+        "INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
+    )
+    log_events: bool = True
+    ring_events: int = pydantic.Field(5_000, ge=0)
+    metrics_port: int = pydantic.Field(9464, ge=1, le=65535)
+    policy: str = "token"
+    retry_part: float = pydantic.Field(0.7, gt=0, le=1)
+    budget_vms: int = pydantic.Field(12, ge=1)
+    lame_duck_s: float = pydantic.Field(3.0, ge=0)
+    exit_margin_s: float = pydantic.Field(0.5, ge=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Home:
+    """Where the entry of this VM stands; see ``dispatcher.Home``."""
+
+    vm: str
+    zone: str
+    scheduler: str
--- a/ramptray/peer/attachment.py
+++ b/ramptray/peer/attachment.py
@@ -110,7 +110,7 @@
                     await opened.send(body)
                 raise peer_link.LinkError(f"{self.address}: queue overflow")
 
-    async def _read(self, opened: peer_link.Link) -> None:
+    async def _read(self, opened: peer_link.AnyLink) -> None:
         while True:
             body = await opened.receive()
             self._events.send_nowait(Said(self.address, body))
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -29,6 +29,8 @@
             core_message.Grant,
             core_message.Reject,
             core_message.Redirect,
+            core_message.Queued,
+            core_message.StillWaiting,
         ),
         (
             peer_message.Hello,
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -193,8 +193,13 @@
         self._tls = tls
         self._gate = opened_gate or gate.OpenGate()
         self._channels: dict[str, grpc.aio.Channel] = {}
+        self._servants: dict[str, Servant] = {}
         self.asked_bytes = 0
 
+    def serve_locally(self, address: str, servant: Servant) -> None:
+        """Attaches to this address without a socket: it is this process."""
+        self._servants[address] = servant
+
     async def ask(self, address: str, question: Any, timeout_s: float) -> Any:
         """Returns the peer's answer.
 
@@ -214,12 +219,18 @@
         return frame.body
 
     @contextlib.asynccontextmanager
-    async def attach(self, address: str) -> AsyncIterator[Link]:
+    async def attach(self, address: str) -> AsyncIterator[AnyLink]:
         """Opens a link; it is cut when the context ends.
 
         Raises:
             LinkError: The peer cannot be reached.
         """
+        if address in self._servants:
+            async with _attach_locally(
+                address, self._servants[address]
+            ) as opened:
+                yield opened
+            return
         # A channel of its own: closing it must not end another link's calls.
         channel = self._open_channel(address)
         try:
@@ -258,9 +269,65 @@
         )
 
 
-class Link:
+class AnyLink(abc.ABC):
     """The attaching side of a stream of messages."""
 
+    address: str
+
+    @abc.abstractmethod
+    async def send(self, body: Any) -> None:
+        """Sends a message.
+
+        Raises:
+            LinkError: The link is broken.
+        """
+
+    @abc.abstractmethod
+    async def receive(self) -> Any:
+        """Returns the next message.
+
+        Raises:
+            LinkError: The link is broken or ended.
+        """
+
+
+class LocalLink(AnyLink):
+    """A link to a servant of the same process."""
+
+    def __init__(self, address: str, session: Session, servant: Servant):
+        self.address = address
+        self._session = session
+        self._servant = servant
+
+    async def send(self, body: Any) -> None:
+        """See the base class."""
+        await self._servant.receive(self._session, body)
+
+    async def receive(self) -> Any:
+        """See the base class."""
+        try:
+            return await self._session.outgoing.receive()
+        except anyio.EndOfStream as error:
+            raise LinkError(f"{self.address}: the link was ended") from error
+
+
+@contextlib.asynccontextmanager
+async def _attach_locally(
+    address: str, servant: Servant
+) -> AsyncIterator[LocalLink]:
+    session = Session()
+    await servant.open(session)
+    try:
+        yield LocalLink(address, session, servant)
+    finally:
+        session.close()
+        with anyio.CancelScope(shield=True):
+            await servant.close(session)
+
+
+class Link(AnyLink):
+    """A link over gRPC."""
+
     def __init__(
         self,
         address: str,
@@ -274,11 +341,7 @@
         self._clock = hybrid_clock
 
     async def send(self, body: Any) -> None:
-        """Sends a message.
-
-        Raises:
-            LinkError: The link is broken.
-        """
+        """See the base class."""
         _check(self.address, self._gate)
         try:
             with _turn_cancellation(self.address):
@@ -289,11 +352,7 @@
             raise
 
     async def receive(self) -> Any:
-        """Returns the next message.
-
-        Raises:
-            LinkError: The link is broken or ended.
-        """
+        """See the base class."""
         try:
             with _turn_cancellation(self.address):
                 data = await self._call.read()
--- a/ramptray/platform/__init__.py
+++ b/ramptray/platform/__init__.py
@@ -1,1 +1,4 @@
-"""The client side of the platform: log, VM list and weight store."""
+"""Translates between ramptray and the users' platform; decides nothing.
+
+No name of the platform's wire, store or settings is known outside this package.
+"""
--- /dev/null
+++ b/ramptray/platform/config.py
@@ -0,0 +1,210 @@
+"""The operator's configuration in the store, decoded into a bundle."""
+
+from __future__ import annotations
+
+import pydantic
+
+from ramptray.bundle import model
+from ramptray.platform import settings
+
+DOMAIN = "all"
+"""Zones of a deployment are about a millisecond apart: one scheduler sees the
+backend servers of all of them, so the bundle has a single zone."""
+
+QUEUE_TOKENS = 1_000_000_000
+"""No bound on what waits but the deadlines: a request that waits in vain is
+given up by its deadline, and the queue's order sees to the rest."""
+
+KV_UNBOUNDED = 1_000_000_000
+"""KV memory of a service without engines, in tokens."""
+
+PLAIN_SLOTS = 64
+"""Requests at a time of a replica whose record does not tell its slots yet."""
+
+_KINDS = {
+    "streaming": model.RouteKind.STREAM,
+    "safe": model.RouteKind.SAFE,
+    "unsafe": model.RouteKind.ONCE,
+}
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be used; one line names the place."""
+
+
+class _Wire(pydantic.BaseModel):
+    """Base of the configuration's parts: unknown fields are passed over."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+
+class _Split(_Wire):
+    service: str
+    weight: float
+
+
+class _Route(_Wire):
+    name: str
+    host: str = pydantic.Field(alias="hostname")
+    path_prefix: str = pydantic.Field(alias="pathPrefix")
+    kind: str
+    timeout_ms: float = pydantic.Field(alias="timeoutMs")
+    # The time within which an answer, or its first event, earns full credit.
+    target_ms: float = pydantic.Field(alias="targetLatencyMs")
+    gap_ms: float | None = pydantic.Field(None, alias="targetGapMs")
+    priority: int = 0
+    service: str | None = None
+    split: list[_Split] = pydantic.Field([], alias="trafficSplit")
+    max_attempts: int = pydantic.Field(1, alias="maxAttempts")
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(_Wire):
+    slots: int
+    kv_tokens: int = pydantic.Field(KV_UNBOUNDED, alias="kvTokens")
+    # Tokens that one event of a stream holds.
+    stride: int = 1
+
+
+class _Service(_Wire):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Limits(_Wire):
+    header_bytes: int = pydantic.Field(alias="maxHeaderBytes")
+    body_bytes: int = pydantic.Field(alias="maxBodyBytes")
+    header_ms: float = pydantic.Field(alias="headerTimeoutMs")
+    idle_ms: float = pydantic.Field(alias="idleTimeoutMs")
+
+
+class _Tenant(_Wire):
+    name: str
+    keys: list[str] = pydantic.Field([], alias="apiKeys")
+    priority: int | None = None
+    # Counted in tokens or in requests, as ``unit`` says; 0 is no limit.
+    unit: str = "requests"
+    rate_per_s: float = pydantic.Field(0, alias="ratePerS")
+    burst: float = 0
+
+
+class _Config(_Wire):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits | None = None
+    tenants: list[_Tenant] = []
+
+
+def parse_config(text: str) -> model.Bundle:
+    """Returns the bundle that a configuration declares, without replicas.
+
+    Raises:
+        ConfigError: The text is no configuration that can be used.
+    """
+    try:
+        return _make_bundle(_Config.model_validate_json(text))
+    except pydantic.ValidationError as error:
+        raise ConfigError(settings.describe(error)) from error
+
+
+def _make_bundle(raw: _Config) -> model.Bundle:
+    priorities = {route.priority for route in raw.routes}
+    priorities |= {t.priority for t in raw.tenants if t.priority is not None}
+    return model.Bundle(
+        generation=raw.version,
+        # Nobody signs here: the store takes changes from operators only.
+        operators=model.Operators(
+            keys={"store": "ed25519:" + "0" * 64}, signatures_required=1
+        ),
+        zones=[DOMAIN],
+        tiers={
+            _name_tier(priority): model.Tier(order=priority, deadline_s=3600)
+            for priority in sorted(priorities or {0})
+        },
+        customers={
+            tenant.name: _make_customer(tenant)
+            for tenant in raw.tenants
+            if tenant.keys
+        },
+        services={s.name: _make_service(s) for s in raw.services},
+        engines={s.name: _make_engine(s) for s in raw.services},
+        backend_servers={},
+        routes={route.name: _make_route(route) for route in raw.routes},
+        relay=_make_limits(raw.limits),
+    )
+
+
+def _name_tier(priority: int) -> str:
+    return f"p{priority}"
+
+
+def _make_customer(tenant: _Tenant) -> model.Customer:
+    limits = model.Limits()
+    if tenant.rate_per_s > 0:
+        rate = max(1.0, tenant.rate_per_s)
+        in_tokens = tenant.unit == "tokens"
+        limits = model.Limits(
+            requests_per_s=None if in_tokens else rate,
+            tokens_per_s=rate if in_tokens else None,
+            burst=tenant.burst,
+        )
+    return model.Customer(
+        key_hashes=[model.hash_key(key) for key in tenant.keys],
+        tiers=[_name_tier(tenant.priority)]
+        if tenant.priority is not None
+        else ["p0"],
+        limits=limits,
+    )
+
+
+def _make_service(service: _Service) -> model.Service:
+    kind = model.ServiceKind.PLAIN
+    if service.engine:
+        kind = model.ServiceKind.MODEL
+    return model.Service(kind=kind, queue_tokens=QUEUE_TOKENS, headroom=0.0)
+
+
+def _make_engine(service: _Service) -> model.Engine:
+    engine = service.engine
+    if engine is None:
+        return model.Engine(max_running=PLAIN_SLOTS, kv_tokens=KV_UNBOUNDED)
+    return model.Engine(
+        max_running=engine.slots,
+        kv_tokens=engine.kv_tokens,
+        tokens_per_event=engine.stride,
+    )
+
+
+def _make_route(route: _Route) -> model.Route:
+    targets = [
+        model.Target(service=split.service, weight=split.weight)
+        for split in route.split
+    ]
+    if route.service is not None:
+        targets = [model.Target(service=route.service)]
+    return model.Route(
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=_KINDS[route.kind],
+        targets=targets,
+        timeout_s=route.timeout_ms / 1000,
+        objective_s=route.target_ms / 1000,
+        max_gap_s=None if route.gap_ms is None else route.gap_ms / 1000,
+        max_attempts=route.max_attempts,
+        tier=_name_tier(route.priority),
+        public=route.public,
+        resumable=route.resumable,
+    )
+
+
+def _make_limits(limits: _Limits | None) -> model.RelayLimits:
+    if limits is None:
+        return model.RelayLimits()
+    return model.RelayLimits(
+        header_bytes=limits.header_bytes,
+        body_bytes=limits.body_bytes,
+        header_s=limits.header_ms / 1000,
+        idle_s=limits.idle_ms / 1000,
+    )
--- /dev/null
+++ b/ramptray/platform/follower.py
@@ -0,0 +1,218 @@
+"""The tasks that follow the store and put configurations in force."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections.abc import Callable
+
+import anyio
+
+from ramptray.bundle import acceptance, model, signature
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+from ramptray.platform import config, record, replicas, store
+from ramptray.scheduler import source
+
+LOG = logging.getLogger(__name__)
+
+CONFIG_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+REPLICA_TOPIC = "keyed.servers"
+
+RETRY_S = 0.25
+"""Pause after a failed call, in seconds; it doubles up to the longest."""
+
+MAX_RETRY_S = 1.0
+"""Longest pause between two failed calls, in seconds: what the store has must
+be in force about two seconds after it answers again."""
+
+EXPIRE_EVERY_S = 0.2
+OnBundle = Callable[[acceptance.InForce], None]
+
+
+class Follower(source.BundleSource):
+    """Follows configuration and replicas, from the store and from peers.
+
+    Versions only rise: an old read, or a peer that is behind, changes nothing.
+
+    Args:
+        reader: The store.
+        client: Asks peers.
+        hold_s: See ``replicas.ReplicaBook``.
+        on_bundle: Called with each bundle that comes into force.
+    """
+
+    def __init__(
+        self,
+        reader: store.Store,
+        client: peer_link.PeerClient,
+        hold_s: float,
+        on_bundle: OnBundle,
+    ) -> None:
+        super().__init__(client)
+        self._in_force: acceptance.InForce | None = None
+        self._read_at: float | None = None
+        self._store = reader
+        self._book = replicas.ReplicaBook(hold_s)
+        self._on_bundle = on_bundle
+        self._declared: model.Bundle | None = None
+        self._text = ""
+        self._lost: set[str] = set()
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow, CONFIG_TOPIC, self._take_config)
+            tasks.start_soon(self._follow, REPLICA_TOPIC, self._take_replicas)
+            tasks.start_soon(self._expire)
+
+    @property
+    def in_force(self) -> acceptance.InForce | None:
+        """See the base class."""
+        return self._in_force
+
+    @property
+    def log_up(self) -> bool:
+        """See the base class."""
+        return not self._lost
+
+    def get_log_age(self, now: float) -> float | None:
+        """See the base class."""
+        return None if self._read_at is None else round(now - self._read_at, 1)
+
+    def take_from_peer(
+        self, address: str, told: peer_message.FetchedBundle
+    ) -> None:
+        """See the base class."""
+        if told.envelope:
+            self._take_text(told.envelope.text, f"peer {address}")
+
+    # The store.
+
+    async def _follow(
+        self, topic: str, take: Callable[[store.Changes, bool], None]
+    ) -> None:
+        """Reads a topic's newest records, then each change as it comes."""
+        offset: int | None = None
+        pause_s = RETRY_S
+        while True:
+            try:
+                offset = await self._read(topic, offset, take)
+                pause_s = RETRY_S
+                self._read_at = time.monotonic()
+                self._note_answer(topic)
+            except store.TrimmedError as error:
+                LOG.info("history was dropped: %s", error)
+                offset = None
+            except store.StoreError as error:
+                self._note_trouble(topic, error)
+                await anyio.sleep(pause_s * random.uniform(0.7, 1.3))
+                pause_s = min(pause_s * 2, MAX_RETRY_S)
+
+    async def _read(
+        self,
+        topic: str,
+        offset: int | None,
+        take: Callable[[store.Changes, bool], None],
+    ) -> int:
+        if offset is None:
+            found = await self._store.read_newest(topic)
+            take(found, True)
+        else:
+            found = await self._store.read_changes(topic, offset)
+            take(found, False)
+        return found.end
+
+    def _note_trouble(self, topic: str, error: store.StoreError) -> None:
+        self._book.note_trouble(time.monotonic())
+        if topic not in self._lost:
+            self._lost.add(topic)
+            LOG.warning(
+                "store lost", extra={"topic": topic, "detail": str(error)}
+            )
+
+    def _note_answer(self, topic: str) -> None:
+        if topic in self._lost:
+            self._lost.discard(topic)
+            self._book.note_trouble(time.monotonic())
+            LOG.info("store regained", extra={"topic": topic})
+
+    # What was read.
+
+    def _take_config(self, changes: store.Changes, whole: bool) -> None:
+        for change in changes.records:
+            if change.key == CONFIG_KEY and change.value is not None:
+                text = change.value.decode("utf-8", errors="replace")
+                self._take_text(text, "store")
+
+    def _take_text(self, text: str, origin: str) -> None:
+        try:
+            bundle = config.parse_config(text)
+        except config.ConfigError as error:
+            LOG.error(
+                "configuration passed over",
+                extra={"origin": origin, "detail": str(error)},
+            )
+            return
+        if self._declared and bundle.generation <= self._declared.generation:
+            return
+        self._declared = bundle
+        self._text = text
+        LOG.info(
+            "configuration in force",
+            extra={"generation": bundle.generation, "origin": origin},
+        )
+        self._publish()
+
+    def _take_replicas(self, changes: store.Changes, whole: bool) -> None:
+        now = time.monotonic()
+        if whole:
+            self._book.take_all(changes.records, now)
+        else:
+            self._book.take_changes(changes.records, now)
+        self._publish()
+
+    async def _expire(self) -> None:
+        while True:
+            await anyio.sleep(EXPIRE_EVERY_S)
+            if self._book.expire(time.monotonic()):
+                self._publish()
+
+    def _publish(self) -> None:
+        if self._declared is None:
+            return
+        bundle = add_replicas(self._declared, self._book.list_replicas())
+        envelope = signature.Envelope(self._text, {})
+        self._in_force = acceptance.InForce(bundle, envelope)
+        self._on_bundle(self._in_force)
+
+
+def add_replicas(
+    declared: model.Bundle, found: dict[str, record.Replica]
+) -> model.Bundle:
+    """Returns the declared bundle with its backend servers as they are now."""
+    known = {n: r for n, r in found.items() if r.service in declared.services}
+    engines = dict(declared.engines)
+    for replica in known.values():
+        engines[_name_engine(replica)] = declared.engines[
+            replica.service
+        ].model_copy(update={"max_running": replica.slots})
+    servers = {
+        name: model.BackendServer(
+            zone=config.DOMAIN,
+            service=replica.service,
+            engine=_name_engine(replica),
+            url=f"http://{replica.address}",
+            leaving=replica.leaving,
+        )
+        for name, replica in known.items()
+    }
+    return declared.model_copy(
+        update={"engines": engines, "backend_servers": servers}
+    )
+
+
+def _name_engine(replica: record.Replica) -> str:
+    return f"{replica.service}.{replica.slots}"
--- /dev/null
+++ b/ramptray/platform/header.py
@@ -0,0 +1,198 @@
+"""Requests and answers as the platform spells them in HTTP headers."""
+
+from __future__ import annotations
+
+import zlib
+
+from result import Err, Ok, Result
+
+from ramptray.relay import dialect, message
+
+_ID = b"x-request-id"
+_DEADLINE = b"x-deadline-ms"
+_KEY = b"authorization"
+_SIZES = b"x-token-count"
+"""Two numbers: tokens of the prompt, and the most that may be generated."""
+
+_LIKELY = b"x-length-hint"
+"""The caller's guess of the tokens generated; often far off."""
+
+_PARTS = b"x-prompt-prefix"
+_LAST_EVENT = b"last-event-id"
+_CUSTOMER = b"x-tenant"
+_BACKEND = b"x-expect-instance"
+"""The replica that is meant; every other one answers 421 and runs nothing."""
+
+_NOT_RUN = b"x-not-executed"
+_KEEP_ALIVE = b"keep-alive"
+
+_OF_ONE_CONNECTION = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_SET_BY_US = frozenset(
+    {
+        _BACKEND,
+        _CUSTOMER,
+        _DEADLINE,
+        _KEY,
+        _LAST_EVENT,
+        b"kv-fetch",
+        b"kv-from",
+        b"x-expect-version",
+        b"x-hold",
+        b"x-kv-backup",
+        b"x-pin-ms",
+    }
+)
+_END_TO_END = frozenset(
+    {_ID, _SIZES, _LIKELY, _PARTS, b"host", b"x-model", b"content-type"}
+)
+"""Headers that travel on even if the caller ties them to its connection."""
+
+_MISDIRECTED = 421
+_BEARER = "bearer "
+
+
+class PlatformDialect(dialect.Dialect):
+    """The platform's headers."""
+
+    def read_request(
+        self, head: message.Head
+    ) -> Result[message.CallerRequest, message.Mistake]:
+        """See the base class."""
+        names = [name.lower() for name, _ in head.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            return Err(message.Mistake(400, "two lengths of the body"))
+        if names.count(_ID) != 1:
+            return Err(message.Mistake(400, "x-request-id: exactly one wanted"))
+        values = {name.lower(): value for name, value in head.headers}
+        prompt, output = _read_sizes(values.get(_SIZES))
+        deadline = _read_int(values.get(_DEADLINE))
+        return Ok(
+            message.CallerRequest(
+                method=head.method,
+                target=head.target,
+                host=_read_host(values.get(b"host", b"")),
+                headers=_leave_out(head.headers, _SET_BY_US),
+                request_id=values[_ID].decode("latin-1"),
+                deadline_s=None if deadline is None else deadline / 1000,
+                key=_read_key(values.get(_KEY, b"")),
+                prompt_tokens=prompt,
+                output_tokens=output,
+                likely_tokens=_read_int(values.get(_LIKELY)),
+                prefix=_read_prefix(values.get(_PARTS, b"")),
+                last_event=_read_text(values.get(_LAST_EVENT)),
+            )
+        )
+
+    def make_headers(
+        self, request: message.CallerRequest, attempt: message.Attempt
+    ) -> message.Headers:
+        """See the base class."""
+        headers = [
+            *request.headers,
+            (b"X-Deadline-Ms", str(int(attempt.deadline_s * 1000)).encode()),
+            (b"X-Expect-Instance", attempt.backend.encode()),
+        ]
+        if attempt.customer:
+            headers.append((b"X-Tenant", attempt.customer.encode()))
+        if attempt.last_event is not None:
+            last = attempt.last_event.encode("latin-1")
+            headers.append((b"Last-Event-Id", last))
+        return headers
+
+    def read_answer(
+        self, status: int, headers: message.Headers
+    ) -> message.AnswerHead:
+        """See the base class."""
+        values = {name.lower(): value for name, value in headers}
+        return message.AnswerHead(
+            status=status,
+            headers=_leave_out(headers, frozenset({_NOT_RUN})),
+            request_id=_read_text(values.get(_ID)),
+            not_run=_NOT_RUN in values or status == _MISDIRECTED,
+            idle_s=_read_keep_alive(values.get(_KEEP_ALIVE, b"")),
+        )
+
+    def make_refusal_headers(
+        self, request_id: str, retry_after_s: float
+    ) -> message.Headers:
+        """See the base class."""
+        headers: message.Headers = []
+        if request_id:
+            headers.append((b"X-Request-Id", request_id.encode("latin-1")))
+        if retry_after_s > 0:
+            seconds = f"{retry_after_s:.3f}".encode()
+            headers.append((b"Retry-After", seconds))
+        return headers
+
+
+def _leave_out(
+    headers: message.Headers, further: frozenset[bytes]
+) -> message.Headers:
+    """Returns the headers that travel on."""
+    listed = b",".join(
+        value for name, value in headers if name.lower() == b"connection"
+    )
+    named = {token.strip().lower() for token in listed.split(b",")}
+    dropped = _OF_ONE_CONNECTION | further | (named - _END_TO_END)
+    return [(n, v) for n, v in headers if n.lower() not in dropped]
+
+
+def _read_host(value: bytes) -> str:
+    return value.decode("latin-1").partition(":")[0].lower()
+
+
+def _read_key(value: bytes) -> str | None:
+    text = value.decode("latin-1")
+    if not text.lower().startswith(_BEARER):
+        return None
+    return text[len(_BEARER) :].strip()
+
+
+def _read_int(value: bytes | None) -> int | None:
+    """Returns a whole number, or None for none or for something else."""
+    if value is None or not value.strip().isdigit():
+        return None
+    return int(value)
+
+
+def _read_sizes(value: bytes | None) -> tuple[int | None, int]:
+    first, _, second = (value or b"").partition(b",")
+    return _read_int(first), _read_int(second) or 0
+
+
+def _read_prefix(value: bytes) -> tuple[int, ...]:
+    """Returns chained hashes of the prompt's parts, each ID:TOKENS."""
+    chained = 0
+    hashes = []
+    for part in value.split(b","):
+        if part.strip():
+            chained = zlib.crc32(part.strip(), chained)
+            hashes.append(chained)
+    return tuple(hashes)
+
+
+def _read_text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
+
+
+def _read_keep_alive(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name.strip().lower() == b"timeout":
+            number = _read_int(seconds)
+            return None if number is None else float(number)
+    return None
--- /dev/null
+++ b/ramptray/platform/replicas.py
@@ -0,0 +1,140 @@
+"""Which replicas there are, as far as the store's records can be believed.
+
+A record goes when its replica has gone, and also when the store itself was away
+and the replica could not renew it.  Such a record is back soon after the store.
+So a replica whose record goes while the store may have been away is kept for a
+short while.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from collections.abc import Iterable
+
+from ramptray.platform import record, store
+
+LOG = logging.getLogger(__name__)
+
+TROUBLE_S = 3.0
+"""How long after an error of the store its word on gone records is doubted, in
+seconds: records that lapsed are back about two seconds after the store."""
+
+HOLD_AFTER_TROUBLE_S = 2.5
+"""How long a replica without a record is kept after such an error, in seconds:
+a record that is not back about two seconds after the store is gone for good."""
+
+MANY = 2
+"""So many records that go together may mean that the store was away unseen."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    replica: record.Replica
+    gone_at: float | None = None
+
+
+class ReplicaBook:
+    """Keeps the replicas; a plain object without sockets or a clock.
+
+    Args:
+        hold_s: How long replicas whose records went together are kept, in
+            seconds; less than the time in which a replica that has gone may
+            still be sent work.
+    """
+
+    def __init__(self, hold_s: float) -> None:
+        self._hold_s = hold_s
+        self._known: dict[str, _Known] = {}
+        self._left: set[str] = set()
+        self._trouble_at = float("-inf")
+
+    def note_trouble(self, now: float) -> None:
+        """Notes that the store did not answer."""
+        self._trouble_at = now
+
+    def list_replicas(self) -> dict[str, record.Replica]:
+        """Returns the replicas by their ids."""
+        return {name: known.replica for name, known in self._known.items()}
+
+    def take_changes(self, changes: Iterable[store.Change], now: float) -> None:
+        """Takes records in the store's order."""
+        gone = []
+        for change in changes:
+            if change.value is None:
+                gone.append(change.key)
+            else:
+                self._take(change.key, change.value)
+        self._take_gone([name for name in gone if name in self._known], now)
+
+    def take_all(self, newest: Iterable[store.Change], now: float) -> None:
+        """Takes the newest record of each replica; others have none."""
+        records = list(newest)
+        self.take_changes(records, now)
+        present = {change.key for change in records if change.value}
+        self._take_gone([n for n in self._known if n not in present], now)
+
+    def expire(self, now: float) -> bool:
+        """Drops those that were kept long enough; tells whether there are."""
+        expired = [
+            name
+            for name, known in self._known.items()
+            if known.gone_at is not None and known.gone_at <= now
+        ]
+        for name in expired:
+            self._drop(name, "its record is still missing")
+        return bool(expired)
+
+    def _take(self, name: str, value: bytes) -> None:
+        try:
+            replica = record.parse_record(value)
+        except record.RecordError as error:
+            LOG.warning(
+                "record passed over",
+                extra={"backend": name, "detail": str(error)},
+            )
+            return
+        if replica.leaving:
+            self._left.add(name)
+        elif name in self._left:
+            # An old read: a replica that leaves never comes back.
+            replica = dataclasses.replace(replica, leaving=True)
+        before = self._known.get(name)
+        self._known[name] = _Known(replica)
+        if before is None or before.replica != replica:
+            LOG.info(
+                "backend server known",
+                extra={
+                    "backend": name,
+                    "service": replica.service,
+                    "address": replica.address,
+                    "leaving": replica.leaving,
+                },
+            )
+
+    def _take_gone(self, names: list[str], now: float) -> None:
+        doubted = now - self._trouble_at < TROUBLE_S
+        for name in names:
+            known = self._known[name]
+            if known.gone_at is not None:
+                continue
+            if known.replica.leaving:
+                self._drop(name, "it was leaving")
+            elif doubted:
+                self._hold(name, now + HOLD_AFTER_TROUBLE_S)
+            elif len(names) >= MANY:
+                self._hold(name, now + self._hold_s)
+            else:
+                self._drop(name, "its record has gone")
+
+    def _hold(self, name: str, until: float) -> None:
+        self._known[name].gone_at = until
+        LOG.info(
+            "backend server kept without a record", extra={"backend": name}
+        )
+
+    def _drop(self, name: str, reason: str) -> None:
+        del self._known[name]
+        LOG.info(
+            "backend server gone", extra={"backend": name, "reason": reason}
+        )
--- /dev/null
+++ b/ramptray/platform/settings.py
@@ -0,0 +1,146 @@
+"""The settings file that the platform lays on each VM, decoded."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import tomllib
+
+import pydantic
+
+PATH_VARIABLE = "RAMPTRAY_CONFIG"
+"""Environment variable with the path of the file."""
+
+
+class SettingsError(Exception):
+    """The settings file cannot be used; one line names file and place."""
+
+
+class _Wire(pydantic.BaseModel):
+    """Base of the file's tables: unknown fields are passed over."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+
+class _Listen(_Wire):
+    front: str
+    ready: str
+    control: str
+
+
+class _Limits(_Wire):
+    cpu_share: float = pydantic.Field(1.0, alias="cpuShare")
+    cores: float = 1.0
+    memory_mb: int = pydantic.Field(alias="memoryMb")
+    max_fds: int = pydantic.Field(alias="maxFds")
+
+
+class _Bounds(_Wire):
+    grace_s: float = pydantic.Field(8.0, alias="graceS")
+    retry_ratio: float = pydantic.Field(0.2, alias="retryBudgetRatio")
+    retry_window_s: float = pydantic.Field(10.0, alias="budgetWindowS")
+    retry_slack: float = pydantic.Field(50.0, alias="retryBudgetSlack")
+
+
+class _Store(_Wire):
+    address: str
+
+
+class _File(_Wire):
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    seeds: list[str] = []
+    limits: _Limits
+    bounds: _Bounds = _Bounds()
+    platform: _Store
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmSettings:
+    """What the platform tells a VM.
+
+    Attributes:
+        vm: Name of the VM.
+        ip: Its IP number.
+        zone: Its availability zone.
+        callers: Address on which callers connect.
+        readiness: Address on which the balancer asks whether the VM is ready.
+        peers: Address on which other VMs connect.
+        seeds: Addresses of up to three VMs; they may be stale.
+        store: Address of the store.
+        cores: Processor time a second, in seconds of a core.
+        memory_mb: Memory limit in megabytes.
+        grace_s: Seconds from a planned stop's signal to the kill.
+        retry_ratio: Further attempts allowed for each request, over all VMs.
+        retry_slack: Further attempts allowed beyond that in a window.
+        retry_window_s: The window's length in seconds.
+    """
+
+    vm: str
+    ip: str
+    zone: str
+    callers: str
+    readiness: str
+    peers: str
+    seeds: tuple[str, ...]
+    store: str
+    cores: float
+    memory_mb: int
+    grace_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+
+
+def get_path() -> pathlib.Path:
+    """Returns the path of the settings file.
+
+    Raises:
+        SettingsError: The environment does not name it.
+    """
+    name = os.environ.get(PATH_VARIABLE)
+    if not name:
+        raise SettingsError(f"the variable {PATH_VARIABLE} is not set")
+    return pathlib.Path(name)
+
+
+def read_settings(path: pathlib.Path) -> VmSettings:
+    """Returns the decoded settings file.
+
+    Raises:
+        SettingsError: The file cannot be read or has a mistake.
+    """
+    try:
+        raw = _File.model_validate(tomllib.loads(path.read_text()))
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    except pydantic.ValidationError as error:
+        raise SettingsError(f"{path}: {describe(error)}") from error
+    return VmSettings(
+        vm=raw.node,
+        ip=raw.ip,
+        zone=raw.zone,
+        callers=raw.listen.front,
+        readiness=raw.listen.ready,
+        peers=raw.listen.control,
+        seeds=tuple(raw.seeds),
+        store=raw.platform.address,
+        # The share is of a core that runs ``cores`` times as fast as usual.
+        cores=raw.limits.cpu_share * raw.limits.cores,
+        memory_mb=raw.limits.memory_mb,
+        grace_s=raw.bounds.grace_s,
+        retry_ratio=raw.bounds.retry_ratio,
+        retry_slack=raw.bounds.retry_slack,
+        retry_window_s=raw.bounds.retry_window_s,
+    )
+
+
+def describe(error: pydantic.ValidationError) -> str:
+    """Returns all mistakes in one line, each with its place."""
+    return "; ".join(
+        ".".join(map(str, found["loc"])) + ": " + found["msg"]
+        for found in error.errors()
+    )
--- /dev/null
+++ b/ramptray/platform/store.py
@@ -0,0 +1,218 @@
+"""Client of the platform's store: a log with topics, some of them keyed."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import dataclasses
+import socket
+import struct
+import urllib.parse
+
+import anyio
+import httpcore
+import msgspec
+
+CALL_S = 2.0
+"""Longest time for a call that does not wait, in seconds: the store's slow days
+make an answer take some hundred milliseconds."""
+
+WAIT_S = 20.0
+"""How long a read waits for a record, in seconds; the store allows 30."""
+
+CONNECT_S = 1.0
+"""Longest time to open a connection, in seconds."""
+
+USER_TIMEOUT_MS = 3000
+"""How long sent bytes may stay unacknowledged, in milliseconds."""
+
+KEEP_ALIVE_S = 1
+"""Silence after which the kernel asks whether the store is still there, and the
+pause between such questions, in seconds; a cut says nothing of itself."""
+
+_LENGTH = struct.Struct(">I")
+_POSITIONS = struct.Struct(">QQ")
+_GONE = 410
+_OK = 200
+
+
+class StoreError(Exception):
+    """The store did not answer, or turned the call away."""
+
+
+class TrimmedError(StoreError):
+    """Records that were asked for are not kept any more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """The newest record of a key.
+
+    Attributes:
+        key: The key.
+        value: Its value; None where the key was dropped.
+    """
+
+    key: str
+    value: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Records of a keyed topic.
+
+    Attributes:
+        records: The records in order.
+        end: Offset that the next record will get.
+    """
+
+    records: list[Change]
+    end: int
+
+
+class _Item(msgspec.Struct):
+    # The store's field is named after TLS; it holds the record's key.
+    key: str = msgspec.field(name="tlsKey")
+    value: str = ""
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    end: int
+    more: bool = msgspec.field(name="hasMore", default=False)
+
+
+class Store:
+    """Reads the topics of the store.
+
+    Args:
+        address: IP number and port of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}"
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=8,
+            socket_options=[
+                (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S),
+                (
+                    socket.IPPROTO_TCP,
+                    socket.TCP_USER_TIMEOUT,
+                    USER_TIMEOUT_MS,
+                ),
+            ],
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
+
+    async def read_newest(self, topic: str) -> Changes:
+        """Returns the newest record of each key.
+
+        Raises:
+            StoreError: There is no answer.
+        """
+        records: list[Change] = []
+        after: str | None = None
+        first_end: int | None = None
+        while True:
+            query = {"topic": topic, "part": "0"}
+            if after is not None:
+                query["after"] = after
+            body = await self._get("/v1/log-newest", query, CALL_S)
+            page = _decode_newest(body)
+            # Pages are no snapshot: what changes meanwhile is read again.
+            first_end = page.end if first_end is None else first_end
+            records.extend(
+                Change(item.key, _decode_value(item.value))
+                for item in page.items
+            )
+            if not page.more or not page.items:
+                return Changes(records, first_end)
+            after = page.items[-1].key
+
+    async def read_changes(self, topic: str, offset: int) -> Changes:
+        """Returns records from an offset on, waiting if there are none.
+
+        Raises:
+            TrimmedError: Some of them are not kept any more.
+            StoreError: There is no answer.
+        """
+        query = {
+            "topic": topic,
+            "part": "0",
+            "from": str(offset),
+            "waitMs": str(int(WAIT_S * 1000)),
+        }
+        body = await self._get("/v1/log-read", query, WAIT_S + CALL_S)
+        return _decode_records(body, offset)
+
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> bytes:
+        url = f"{self._url}{path}?{urllib.parse.urlencode(query)}"
+        timeout = {
+            "connect": CONNECT_S,
+            "read": timeout_s,
+            "write": CALL_S,
+            "pool": CALL_S,
+        }
+        try:
+            with anyio.fail_after(timeout_s + CONNECT_S):
+                response = await self._pool.request(
+                    "GET", url, extensions={"timeout": timeout}
+                )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            TimeoutError,
+        ) as error:
+            raise StoreError(f"{path}: {error!r}") from error
+        if response.status == _GONE:
+            raise TrimmedError(f"{path}: status {response.status}")
+        if response.status != _OK:
+            raise StoreError(f"{path}: status {response.status}")
+        return response.content
+
+
+def _decode_newest(body: bytes) -> _Newest:
+    try:
+        return msgspec.json.decode(body, type=_Newest)
+    except msgspec.MsgspecError as error:
+        raise StoreError(f"not a page of records: {error}") from error
+
+
+def _decode_value(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except binascii.Error as error:
+        raise StoreError(f"a value is not base64: {error}") from error
+
+
+def _decode_records(body: bytes, offset: int) -> Changes:
+    """Splits the store's bytes: end, first offset kept, then records."""
+    try:
+        end, first = _POSITIONS.unpack_from(body)
+        if first > offset:
+            raise TrimmedError(f"records before {first} are gone")
+        records = []
+        at = _POSITIONS.size
+        while at < len(body):
+            (length,) = _LENGTH.unpack_from(body, at)
+            at += _LENGTH.size
+            records.append(_decode_keyed(body[at : at + length]))
+            at += length
+    except (struct.error, IndexError, UnicodeDecodeError) as error:
+        raise StoreError(f"not a series of records: {error}") from error
+    return Changes(records, offset + len(records) if records else end)
+
+
+def _decode_keyed(record: bytes) -> Change:
+    """Splits a record: length of the key (1 byte), key, value."""
+    key_end = 1 + record[0]
+    value = record[key_end:]
+    return Change(record[1:key_end].decode(), value or None)
--- /dev/null
+++ b/ramptray/relay/exchange.py
@@ -0,0 +1,255 @@
+"""The task that serves one relayed request, over one or more attempts."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import time
+from collections.abc import Callable
+
+import anyio
+
+from ramptray.bundle import model
+from ramptray.core import message as core_message
+from ramptray.core import request
+from ramptray.entry import dispatcher
+from ramptray.entry import ticket as tickets
+from ramptray.relay import client as relay_client
+from ramptray.relay import event, message, refusal
+
+MAX_HELD_BYTES = 256 * 1024
+"""Largest answer that is read whole before any of it is passed on, so that a
+failure in its middle may still be followed by another attempt."""
+
+SERVER_ERROR = 500
+OK_STATUSES = range(200, 300)
+
+
+class Reply(abc.ABC):
+    """The way back to the caller."""
+
+    @abc.abstractmethod
+    async def start(self, head: message.AnswerHead, length: int | None) -> None:
+        """Sends the head of a backend server's answer.
+
+        Args:
+            head: The answer's head.
+            length: The body's length; None where it is not known.
+        """
+
+    @abc.abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+
+    @abc.abstractmethod
+    async def finish(self) -> None:
+        """Ends the answer as a whole one."""
+
+    @abc.abstractmethod
+    async def refuse(self, refused: refusal.Refusal) -> None:
+        """Sends an answer of ramptray's own."""
+
+    @abc.abstractmethod
+    async def abort(self) -> None:
+        """Cuts the answer, so that it cannot be taken for a whole one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """What is to be served.
+
+    Attributes:
+        asked: The caller's request.
+        info: What schedulers are told of it.
+        route: Its route.
+        customer: The customer; empty on a public route without a key.
+        timeout_s: Longest time the request is held.
+        tokens_per_event: Tokens that an event of a stream holds.
+    """
+
+    asked: message.CallerRequest
+    info: core_message.RequestInfo
+    route: model.Route
+    customer: str
+    timeout_s: float
+    tokens_per_event: int
+
+
+class Exchange:
+    """Serves one request from its head to the end of its answer."""
+
+    def __init__(
+        self,
+        order: Order,
+        desk: dispatcher.Dispatcher,
+        client: relay_client.RelayClient,
+        reply: Reply,
+    ) -> None:
+        self.outcome = ""
+        self.first_s: float | None = None
+        self._order = order
+        self._desk = desk
+        self._client = client
+        self._reply = reply
+        self._began = time.monotonic()
+        self._deadline = self._began + order.timeout_s
+        self._ticket = desk.submit(order.info, None)
+        self._started = False
+        self._own_failure: message.Answer | None = None
+        self._splitter = event.EventSplitter()
+        self._sent_at = 0.0
+
+    async def run(self) -> None:
+        """Serves the request; cancelling it means that the caller has gone."""
+        try:
+            async for effect in self._ticket.effects:
+                if isinstance(effect, request.Finish):
+                    await self._end(effect)
+                    return
+                await self._attempt(effect.grant)
+        except anyio.get_cancelled_exc_class():
+            self.outcome = "caller_gone"
+            self._ticket.report(tickets.Abandoned(self._make_ended(False)))
+            raise
+
+    async def _end(self, finish: request.Finish) -> None:
+        self.outcome = finish.reason.value if finish.reason else "complete"
+        if finish.outcome is core_message.Outcome.COMPLETE:
+            return
+        if self._started:
+            await self._reply.abort()
+        elif self._own_failure is not None:
+            # What the backend server answered says more than a refusal.
+            await self._pass_whole(self._own_failure)
+        else:
+            await self._reply.refuse(refusal.make_refusal(finish))
+
+    async def _attempt(self, grant: core_message.Grant) -> None:
+        address = self._find_address(grant.backend)
+        if address is None:
+            self._ticket.report(tickets.ConnectFailed(self._request_id))
+            return
+        self._sent_at = time.monotonic()
+        try:
+            with anyio.fail_after(max(0.0, self._deadline - self._sent_at)):
+                await self._send(address, grant.backend)
+        except TimeoutError:
+            self._lose(core_message.Reason.DEADLINE)
+        except relay_client.NotSentError:
+            self._ticket.report(tickets.ConnectFailed(self._request_id))
+        except relay_client.BrokenError:
+            self._fail(False, core_message.Reason.BACKEND_LOST)
+
+    async def _send(self, address: str, backend: str) -> None:
+        """Sends the request to one backend server and passes its answer on."""
+        runs_once = not self._order.info.repeatable
+        async with self._client.use(address, runs_once) as connection:
+            attempt = message.Attempt(
+                backend,
+                self._order.customer,
+                max(0.0, self._deadline - time.monotonic()),
+                self._splitter.last_id or self._order.asked.last_event,
+            )
+            await connection.send(self._order.asked, attempt)
+            head = await connection.read_head(self._request_id)
+            await self._take_answer(connection, head)
+
+    async def _take_answer(
+        self, connection: relay_client.Connection, head: message.AnswerHead
+    ) -> None:
+        if head.not_run:
+            await connection.read_body()
+            self._fail(True, core_message.Reason.BACKEND_REFUSED)
+            return
+        is_stream = self._order.route.kind is model.RouteKind.STREAM
+        if is_stream and head.status in OK_STATUSES:
+            await self._pass_stream(connection, head)
+            return
+        body = await connection.read_body()
+        answer = message.Answer(head, body)
+        if self._started:
+            self._fail(False, core_message.Reason.STREAM_BROKEN)
+        elif head.status >= SERVER_ERROR and self._order.info.repeatable:
+            self._own_failure = answer
+            self._fail(False, core_message.Reason.BACKEND_LOST)
+        else:
+            self._note_first()
+            await self._pass_whole(answer)
+            self._complete(head.status)
+
+    async def _pass_whole(self, answer: message.Answer) -> None:
+        await self._reply.start(answer.head, len(answer.body))
+        await self._reply.write(answer.body)
+        await self._reply.finish()
+
+    async def _pass_stream(
+        self, connection: relay_client.Connection, head: message.AnswerHead
+    ) -> None:
+        """Passes each event on as it comes."""
+        async for data in connection.iterate_body():
+            whole = self._splitter.split(data)
+            if not whole:
+                continue
+            self._note_first()
+            await self._start_once(head)
+            await self._reply.write(whole)
+        await self._start_once(head)
+        if rest := self._splitter.take_rest():
+            await self._reply.write(rest)
+        await self._reply.finish()
+        self._complete(head.status)
+
+    async def _start_once(self, head: message.AnswerHead) -> None:
+        if not self._started:
+            self._started = True
+            await self._reply.start(head, None)
+
+    @property
+    def _request_id(self) -> str:
+        return self._order.info.request_id
+
+    def _find_address(self, backend: str) -> str | None:
+        """Returns where a backend server listens, if it may get new work."""
+        in_force = self._desk.in_force
+        if in_force is None:
+            return None
+        server = in_force.bundle.backend_servers.get(backend)
+        if server is None or server.leaving:
+            return None
+        return server.url.removeprefix("http://")
+
+    def _note_first(self) -> None:
+        if self.first_s is not None:
+            return
+        now = time.monotonic()
+        self.first_s = now - self._began
+        first = core_message.FirstToken(
+            self._request_id,
+            now - self._sent_at,
+            self._order.info.prompt_tokens,
+            0,
+        )
+        self._ticket.report(tickets.Begun(first))
+
+    def _complete(self, status: int) -> None:
+        ended = self._make_ended(True)
+        self._ticket.report(tickets.Completed(ended, status))
+
+    def _fail(self, not_run: bool, reason: core_message.Reason) -> None:
+        self._splitter.take_rest()
+        ended = self._make_ended(False)
+        self._ticket.report(tickets.AttemptFailed(ended, not_run, reason))
+
+    def _lose(self, reason: core_message.Reason) -> None:
+        ended = self._make_ended(False)
+        self._ticket.report(tickets.Lost(ended, reason))
+
+    def _make_ended(self, whole: bool) -> core_message.Ended:
+        decode_s = 0.0
+        if self.first_s is not None:
+            decode_s = time.monotonic() - self._began - self.first_s
+        tokens = self._splitter.count * self._order.tokens_per_event
+        return core_message.Ended(self._request_id, tokens, decode_s, whole)
+
+
+MakeExchange = Callable[[Order, Reply], Exchange]
--- /dev/null
+++ b/ramptray/relay/message.py
@@ -0,0 +1,108 @@
+"""What passes between callers, the relay and backend servers, typed."""
+
+from __future__ import annotations
+
+import dataclasses
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The head of an HTTP request as it arrived."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A caller's request, decoded.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query, unchanged.
+        host: The host the caller named, without a port.
+        headers: Headers that travel on, those of one connection left out.
+        request_id: The id that the caller gave this attempt.
+        deadline_s: Seconds the caller will wait; None where it does not say.
+        key: The bearer key; None where there is none.
+        prompt_tokens: Size of the prompt; None where it does not say.
+        output_tokens: Most tokens that may be generated.
+        likely_tokens: The caller's guess of the tokens generated.
+        prefix: Hash of each part of the prompt, in order.
+        last_event: The last event the caller has of an earlier stream.
+        body: The whole body.
+    """
+
+    method: bytes
+    target: bytes
+    host: str
+    headers: Headers
+    request_id: str
+    deadline_s: float | None
+    key: str | None
+    prompt_tokens: int | None
+    output_tokens: int
+    likely_tokens: int | None
+    prefix: tuple[int, ...]
+    last_event: str | None
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mistake:
+    """A request that cannot be served as it is.
+
+    Attributes:
+        status: HTTP status of the answer.
+        text: What is wrong with it.
+    """
+
+    status: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One sending of a request to one backend server.
+
+    Attributes:
+        backend: Name of the backend server that is meant.
+        customer: The customer whose key the caller holds.
+        deadline_s: Seconds the backend server may take.
+        last_event: Where a stream goes on; None for its beginning.
+    """
+
+    backend: str
+    customer: str
+    deadline_s: float
+    last_event: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of a backend server's answer, decoded.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers that travel on, those of one connection left out.
+        request_id: The request that it answers; None where it does not say.
+        not_run: Whether it says that the request has not run and never will.
+        idle_s: How long the connection may then stay idle, if it says so.
+    """
+
+    status: int
+    headers: Headers
+    request_id: str | None
+    not_run: bool
+    idle_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    head: AnswerHead
+    body: bytes
--- /dev/null
+++ b/ramptray/relay/server.py
@@ -0,0 +1,396 @@
+"""The callers' side of the relay: HTTP/1.1 connections, one task each."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import h11
+from result import Err, Ok
+
+from ramptray.bundle import model
+from ramptray.relay import client as relay_client
+from ramptray.relay import dialect as dialects
+from ramptray.relay import exchange, message, refusal
+
+LOG = logging.getLogger(__name__)
+
+READ_BYTES = 65536
+
+MAX_PIPELINED_BYTES = 65536
+"""Bytes of further requests that are read while one is served; beyond that the
+connection is not watched for its end."""
+
+WRITE_S = 30.0
+"""Longest time a caller may leave its answer unread, in seconds."""
+
+BODY_S = 10.0
+"""Longest time a body may take to arrive, in seconds."""
+
+REQUEST_TIMEOUT = 408
+TOO_LARGE = 413
+HEAD_TOO_LARGE = 431
+BAD_REQUEST = 400
+
+Serve = Callable[[message.CallerRequest, exchange.Reply], Awaitable[None]]
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection or cannot be written to."""
+
+
+class _BadRequestError(Exception):
+    """The bytes of a caller are no request that can be served."""
+
+    def __init__(self, mistake: message.Mistake) -> None:
+        self.mistake = mistake
+        super().__init__(mistake.text)
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """What all connections of the server share.
+
+    Attributes:
+        limits: Limits towards callers, from the bundle in force.
+        stopping: Whether a planned stop has begun: answers then say that their
+            connection closes.
+        active: Requests that are being served.
+        connections: Connections that are open.
+    """
+
+    limits: model.RelayLimits = dataclasses.field(
+        default_factory=model.RelayLimits
+    )
+    stopping: bool = False
+    active: int = 0
+    connections: int = 0
+
+
+class RelayServer:
+    """Serves callers' connections.
+
+    Args:
+        dialect: How requests are spelled.
+        serve: Serves one request.
+    """
+
+    def __init__(self, dialect: dialects.Dialect, serve: Serve) -> None:
+        self.state = State()
+        self._dialect = dialect
+        self._serve = serve
+
+    async def handle(self, stream: anyio.abc.SocketStream) -> None:
+        """Serves one connection until it ends."""
+        self.state.connections += 1
+        try:
+            relay_client.set_socket_options(stream)
+            connection = CallerConnection(
+                stream, self._dialect, self._serve, self.state
+            )
+            await connection.run()
+        except (OSError, CallerGoneError):
+            pass  # The caller has gone; nobody is left to be told.
+        except Exception:
+            # A mistake in the code costs this connection, not the others.
+            LOG.exception("connection ended by an error")
+        finally:
+            self.state.connections -= 1
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+
+class CallerConnection:
+    """One connection of a caller, with one request after the other."""
+
+    def __init__(
+        self,
+        stream: anyio.abc.SocketStream,
+        dialect: dialects.Dialect,
+        serve: Serve,
+        state: State,
+    ) -> None:
+        self._stream = stream
+        self._dialect = dialect
+        self._serve = serve
+        self._state = state
+        self._http = h11.Connection(h11.SERVER, state.limits.header_bytes)
+        self._cut = False
+
+    async def run(self) -> None:
+        """Serves requests until either side closes."""
+        while await self._serve_one():
+            self._http.start_next_cycle()
+            # The next head's limit is that of the configuration in force.
+
+    async def _serve_one(self) -> bool:
+        """Serves one request; returns whether another one may follow."""
+        try:
+            asked = await self._read_request()
+        except _BadRequestError as error:
+            await self._answer_mistake(error.mistake)
+            return False
+        if asked is None:
+            return False
+        self._state.active += 1
+        try:
+            await self._serve_watched(asked)
+        finally:
+            self._state.active -= 1
+        http = self._http
+        clean = http.our_state is h11.DONE and http.their_state is h11.DONE
+        return clean and not self._cut
+
+    async def _serve_watched(self, asked: message.CallerRequest) -> None:
+        """Serves a request and gives up as soon as the caller has gone."""
+        reply = CallerReply(self, asked)
+        gone = False
+
+        async def watch(scope: anyio.CancelScope) -> None:
+            nonlocal gone
+            if await self._wait_for_end():
+                gone = True
+                scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch, tasks.cancel_scope)
+            with contextlib.suppress(CallerGoneError):
+                await self._serve(asked, reply)
+            tasks.cancel_scope.cancel()
+        if gone:
+            raise CallerGoneError
+
+    async def _wait_for_end(self) -> bool:
+        """Returns True when the caller closes, False where it is not seen."""
+        read = 0
+        while read < MAX_PIPELINED_BYTES:
+            try:
+                data = await self._stream.receive(READ_BYTES)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return True
+            except anyio.ClosedResourceError:
+                return False
+            read += len(data)
+            self._http.receive_data(data)
+        return False
+
+    # Reading.
+
+    async def _read_request(self) -> message.CallerRequest | None:
+        """Returns the next request, or None where there is none."""
+        event = await self._read_head()
+        if event is None:
+            return None
+        head = message.Head(
+            event.method, event.target, list(event.headers.raw_items())
+        )
+        match self._dialect.read_request(head):
+            case Err(mistake):
+                raise _BadRequestError(mistake)
+            case Ok(asked):
+                pass
+        body = await self._read_body()
+        return dataclasses.replace(asked, body=body)
+
+    async def _read_head(self) -> h11.Request | None:
+        limits = self._state.limits
+        if not self._http.trailing_data[0]:
+            with anyio.move_on_after(limits.idle_s) as scope:
+                if not await self._receive():
+                    return None
+            if scope.cancelled_caught:
+                return None
+        try:
+            with anyio.fail_after(limits.header_s):
+                return await self._next_request()
+        except TimeoutError as error:
+            mistake = message.Mistake(REQUEST_TIMEOUT, "head took too long")
+            raise _BadRequestError(mistake) from error
+
+    async def _next_request(self) -> h11.Request | None:
+        while True:
+            event = self._parse_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is h11.NEED_DATA:
+                await self._receive()
+            else:
+                return None
+
+    async def _read_body(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self.send(self._http.send(go_on) or b"")
+        try:
+            with anyio.fail_after(BODY_S):
+                async for data in self._iterate_body():
+                    size += len(data)
+                    if size > self._state.limits.body_bytes:
+                        mistake = message.Mistake(TOO_LARGE, "body too large")
+                        raise _BadRequestError(mistake)
+                    parts.append(data)
+        except TimeoutError as error:
+            mistake = message.Mistake(REQUEST_TIMEOUT, "body took too long")
+            raise _BadRequestError(mistake) from error
+        return b"".join(parts)
+
+    async def _iterate_body(self) -> AsyncIterator[bytes]:
+        while True:
+            event = self._parse_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            elif event is h11.NEED_DATA:
+                if not await self._receive():
+                    raise CallerGoneError
+            else:
+                raise CallerGoneError
+
+    def _parse_event(self) -> Any:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            if status not in (BAD_REQUEST, HEAD_TOO_LARGE):
+                status = BAD_REQUEST
+            mistake = message.Mistake(status, str(error))
+            raise _BadRequestError(mistake) from error
+
+    async def _receive(self) -> bool:
+        """Reads some bytes; returns False at the end of the connection."""
+        try:
+            data = await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            data = b""
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise CallerGoneError from error
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise CallerGoneError from error
+        return bool(data)
+
+    # Writing.
+
+    async def send(self, data: bytes) -> None:
+        """Writes bytes to the caller.
+
+        Raises:
+            CallerGoneError: It has gone, or it does not read.
+        """
+        try:
+            with anyio.fail_after(WRITE_S):
+                await self._stream.send(data)
+        except (
+            TimeoutError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as error:
+            self._cut = True
+            raise CallerGoneError from error
+
+    async def send_event(self, event: Any) -> None:
+        """Writes a part of an answer.
+
+        Raises:
+            CallerGoneError: It has gone, or it does not read.
+        """
+        try:
+            data = self._http.send(event)
+        except h11.LocalProtocolError as error:
+            self._cut = True
+            raise CallerGoneError from error
+        if data:
+            await self.send(data)
+
+    async def cut(self) -> None:
+        """Closes the connection in the middle of an answer."""
+        self._cut = True
+        await anyio.aclose_forcefully(self._stream)
+
+    def get_closing_headers(self) -> message.Headers:
+        """Returns the headers that announce a close, if there is one."""
+        if self._state.stopping:
+            return [(b"Connection", b"close")]
+        return []
+
+    async def _answer_mistake(self, mistake: message.Mistake) -> None:
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        LOG.info(
+            "request refused as it is",
+            extra={"status": mistake.status, "detail": mistake.text},
+        )
+        headers = self._dialect.make_refusal_headers("", 0.0)
+        headers.append((b"Connection", b"close"))
+        refused = refusal.Refusal(mistake.status, mistake.text)
+        await send_refusal(self, refused, headers)
+
+
+class CallerReply(exchange.Reply):
+    """The way back to a caller on its connection."""
+
+    def __init__(
+        self, connection: CallerConnection, asked: message.CallerRequest
+    ) -> None:
+        self._connection = connection
+        self._asked = asked
+
+    async def start(self, head: message.AnswerHead, length: int | None) -> None:
+        """See the base class."""
+        headers = [*head.headers, *self._connection.get_closing_headers()]
+        if length is not None:
+            headers.append((b"Content-Length", str(length).encode()))
+        else:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        response = h11.Response(status_code=head.status, headers=headers)
+        await self._connection.send_event(response)
+
+    async def write(self, data: bytes) -> None:
+        """See the base class."""
+        if data:
+            await self._connection.send_event(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """See the base class."""
+        await self._connection.send_event(h11.EndOfMessage())
+
+    async def refuse(self, refused: refusal.Refusal) -> None:
+        """See the base class."""
+        dialect = self._connection._dialect
+        headers = dialect.make_refusal_headers(
+            self._asked.request_id, refused.retry_after_s
+        )
+        headers.extend(self._connection.get_closing_headers())
+        await send_refusal(self._connection, refused, headers)
+
+    async def abort(self) -> None:
+        """See the base class."""
+        await self._connection.cut()
+
+
+async def send_refusal(
+    connection: CallerConnection,
+    refused: refusal.Refusal,
+    headers: message.Headers,
+) -> None:
+    """Writes an answer of ramptray's own."""
+    body = json.dumps({"error": refused.text}).encode()
+    headers = [
+        *headers,
+        (b"Content-Type", b"application/json"),
+        (b"Content-Length", str(len(body)).encode()),
+    ]
+    response = h11.Response(status_code=refused.status, headers=headers)
+    await connection.send_event(response)
+    await connection.send_event(h11.Data(data=body))
+    await connection.send_event(h11.EndOfMessage())
--- /dev/null
+++ b/ramptray/relay/service.py
@@ -0,0 +1,169 @@
+"""Takes relayed requests in: route, key, sizes, then the exchange."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from ramptray import timeline as timelines
+from ramptray.bundle import acceptance, model
+from ramptray.caller import metrics
+from ramptray.core import message as core_message
+from ramptray.entry import dispatcher
+from ramptray.relay import client as relay_client
+from ramptray.relay import exchange, message, refusal, routing
+
+LOG = logging.getLogger(__name__)
+
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+
+PLAIN_TOKENS = 200
+"""Size assumed of a request that does not tell it, in tokens."""
+
+NOT_READY_RETRY_S = 1.0
+"""When to come back to a VM that has no configuration yet, in seconds."""
+
+
+class RelayService:
+    """Serves relayed requests by the bundle in force.
+
+    Args:
+        zone: The zone whose schedulers are asked.
+        desk: The dispatcher.
+        client: Connections to backend servers.
+        measures: Counters and histograms.
+        events: The time line.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        desk: dispatcher.Dispatcher,
+        client: relay_client.RelayClient,
+        measures: metrics.Metrics,
+        events: timelines.Timeline,
+    ) -> None:
+        self._zone = zone
+        self._desk = desk
+        self._client = client
+        self._metrics = measures
+        self._timeline = events
+        self._table = routing.RouteTable({})
+        self._of: acceptance.InForce | None = None
+
+    async def serve(
+        self, asked: message.CallerRequest, reply: exchange.Reply
+    ) -> None:
+        """Serves one request to the end of its answer."""
+        in_force = self._desk.in_force
+        if in_force is None:
+            await self._refuse(
+                asked,
+                reply,
+                refusal.Refusal(
+                    refusal.UNAVAILABLE, "not_ready", NOT_READY_RETRY_S
+                ),
+            )
+            return
+        order = self._make_order(asked, in_force)
+        if isinstance(order, refusal.Refusal):
+            await self._refuse(asked, reply, order)
+            return
+        await self._exchange(order, reply)
+
+    async def _exchange(
+        self, order: exchange.Order, reply: exchange.Reply
+    ) -> None:
+        served = exchange.Exchange(order, self._desk, self._client, reply)
+        began = time.monotonic()
+        tier = order.info.tier
+        try:
+            await served.run()
+        finally:
+            self._metrics.count_end(
+                tier, served.outcome, order.route.kind.value
+            )
+            self._metrics.record("answer", tier, time.monotonic() - began)
+            if served.first_s is not None:
+                self._metrics.record("first_event", tier, served.first_s)
+
+    async def _refuse(
+        self,
+        asked: message.CallerRequest,
+        reply: exchange.Reply,
+        refused: refusal.Refusal,
+    ) -> None:
+        generation = self._of.generation if self._of else None
+        self._timeline.note(
+            "refused",
+            asked.request_id,
+            status=refused.status,
+            reason=refused.text,
+            host=asked.host,
+            generation=generation,
+        )
+        self._metrics.count_end("", "refused", refused.text)
+        await reply.refuse(refused)
+
+    def _make_order(
+        self, asked: message.CallerRequest, in_force: acceptance.InForce
+    ) -> exchange.Order | refusal.Refusal:
+        """Returns what to serve, or why it is not served."""
+        bundle = in_force.bundle
+        if self._of is not in_force:
+            self._of = in_force
+            self._table = routing.RouteTable(bundle.routes)
+        route = self._table.find(asked.host, asked.target)
+        if route is None:
+            return refusal.Refusal(NOT_FOUND, "no_route")
+        customer = ""
+        if bundle.customers and not route.public:
+            found = bundle.get_customer_by_key(asked.key or "")
+            if found is None:
+                return refusal.Refusal(UNAUTHORIZED, "unknown_key")
+            customer = found
+        service = routing.pick_service(route, asked.request_id)
+        if service not in bundle.services:
+            return refusal.Refusal(
+                refusal.UNAVAILABLE, "no_service", NOT_READY_RETRY_S
+            )
+        return self._describe(asked, bundle, route, customer, service)
+
+    def _describe(
+        self,
+        asked: message.CallerRequest,
+        bundle: model.Bundle,
+        route: model.Route,
+        customer: str,
+        service: str,
+    ) -> exchange.Order:
+        timeout_s = route.timeout_s
+        if asked.deadline_s is not None:
+            timeout_s = min(timeout_s, asked.deadline_s)
+        declared = bundle.customers.get(customer)
+        tier = declared.tiers[0] if declared else route.tier
+        prompt = asked.prompt_tokens
+        most = (prompt or PLAIN_TOKENS) + asked.output_tokens
+        info = core_message.RequestInfo(
+            request_id=asked.request_id,
+            shard=core_message.ShardKey(self._zone, service),
+            customer=customer,
+            tier=tier,
+            prompt_tokens=PLAIN_TOKENS if prompt is None else prompt,
+            output_tokens=asked.likely_tokens or asked.output_tokens,
+            prefix=(),
+            deadline_s=timeout_s,
+            limit_tokens=most,
+            repeatable=_is_repeatable(route),
+            max_attempts=route.max_attempts,
+        )
+        engine = bundle.engines.get(service)
+        tokens = engine.tokens_per_event if engine else 1
+        return exchange.Order(asked, info, route, customer, timeout_s, tokens)
+
+
+def _is_repeatable(route: model.Route) -> bool:
+    if route.kind is model.RouteKind.STREAM:
+        return route.resumable
+    return route.kind is model.RouteKind.SAFE
--- a/ramptray/runtime.py
+++ b/ramptray/runtime.py
@@ -37,16 +37,41 @@
         program: Which program it is, in one word.
         settings: Its settings.
     """
-    name = f"{program}/{settings.vm}"
-    hybrid_clock = clock.HybridClock(wallclock.read)
-    events = timeline.Timeline(
-        name,
+    return make_equipment(
+        program,
+        settings.vm,
         settings.zone,
-        hybrid_clock,
         settings.log_events,
         settings.ring_events,
+        settings.tls,
+        settings.cut_file,
     )
-    client = peer_link.PeerClient(
-        hybrid_clock, settings.tls, gate.make_gate(settings.cut_file)
+
+
+def make_equipment(
+    program: str,
+    vm: str,
+    zone: str,
+    log_events: bool,
+    ring_events: int,
+    tls: settings_module.TlsSettings | None = None,
+    cut_file: str | None = None,
+) -> Runtime:
+    """Returns the equipment of a process.
+
+    Args:
+        program: Which program it is, in one word.
+        vm: Name of its VM.
+        zone: Its availability zone.
+        log_events: Whether each event of the time line is also logged.
+        ring_events: Events of the time line that are kept.
+        tls: Keys for the channel between own processes; None for none.
+        cut_file: See ``settings.ProcessSettings``.
+    """
+    name = f"{program}/{vm}"
+    hybrid_clock = clock.HybridClock(wallclock.read)
+    events = timeline.Timeline(
+        name, zone, hybrid_clock, log_events, ring_events
     )
+    client = peer_link.PeerClient(hybrid_clock, tls, gate.make_gate(cut_file))
     return Runtime(name, hybrid_clock, events, client)
--- a/ramptray/scheduler/claims.py
+++ b/ramptray/scheduler/claims.py
@@ -15,10 +15,10 @@
 from anyio.streams import memory
 
 from ramptray.core import claim
+from ramptray.log import client as log_client
+from ramptray.log import stream
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.platform import log as platform_log
-from ramptray.platform import stream
 
 LOG = logging.getLogger(__name__)
 
@@ -97,7 +97,7 @@
 
     def __init__(
         self,
-        log: platform_log.Log,
+        log: log_client.Log,
         on_decision: Callable[
             [peer_link.Session, peer_message.ClaimDecision], None
         ],
@@ -202,7 +202,7 @@
             body = {"records": [_format(record) for record in group]}
             try:
                 await self._log.append(partition.stream, body)
-            except platform_log.PlatformError as error:
+            except log_client.PlatformError as error:
                 # The append may yet take effect; to say it twice is harmless.
                 LOG.info("claims not appended: %s", error)
                 await anyio.sleep(RETRY_S)
--- a/ramptray/scheduler/follower.py
+++ b/ramptray/scheduler/follower.py
@@ -10,9 +10,10 @@
 import anyio
 
 from ramptray.bundle import acceptance, model, record
+from ramptray.log import client as log_client
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.platform import log as platform_log
+from ramptray.scheduler import source
 
 LOG = logging.getLogger(__name__)
 
@@ -32,7 +33,7 @@
 """Further records over which the schedulers' turns are spread."""
 
 
-class Follower:
+class Follower(source.BundleSource):
     """Follows the log, learns from peers and leaves checkpoints.
 
     Args:
@@ -45,21 +46,21 @@
 
     def __init__(
         self,
-        log: platform_log.Log,
+        log: log_client.Log,
         trust: model.Operators,
         client: peer_link.PeerClient,
         rng: random.Random,
         on_change: Callable[[acceptance.InForce], None],
     ) -> None:
+        super().__init__(client)
         self._log = log
         self._trust = trust
         self._acceptance = acceptance.Acceptance(trust)
         self._started = False
-        self._client = client
         self._rng = rng
         self._on_change = on_change
         self._announced = 0
-        self.log_up = False
+        self._log_up = False
         self._read_at: float | None = None
         self._since_checkpoint = 0
         self._checkpoint_due = CHECKPOINT_EVERY
@@ -67,9 +68,14 @@
 
     @property
     def in_force(self) -> acceptance.InForce | None:
-        """The bundle in force on this VM."""
+        """See the base class."""
         return self._acceptance.in_force
 
+    @property
+    def log_up(self) -> bool:
+        """See the base class."""
+        return self._log_up
+
     def get_log_age(self, now: float) -> float | None:
         """Returns the seconds since the log last answered, None for never.
 
@@ -82,37 +88,20 @@
         while True:
             try:
                 await self._read_on()
-                self.log_up = True
+                self._log_up = True
                 self._read_at = time.monotonic()
-            except platform_log.PlatformError as error:
-                self.log_up = False
+            except log_client.PlatformError as error:
+                self._log_up = False
                 LOG.warning("log of bundles: %s", error)
                 await anyio.sleep(RETRY_S)
 
-    async def fetch(self, address: str, generation: int) -> None:
-        """Takes a newer bundle from a peer."""
-        current = self.in_force.generation if self.in_force else 0
-        if generation <= current:
-            return
-        try:
-            answer = await self._client.ask(
-                address, peer_message.FetchBundle(current), FETCH_S
-            )
-        except peer_link.LinkError as error:
-            LOG.info("bundle from a peer: %s", error)
-            return
-        if answer.envelope and self._acceptance.learn(answer.envelope):
+    def take_from_peer(
+        self, address: str, told: peer_message.FetchedBundle
+    ) -> None:
+        """See the base class."""
+        if told.envelope and self._acceptance.learn(told.envelope):
             self._announce()
 
-    def answer(
-        self, question: peer_message.FetchBundle
-    ) -> peer_message.FetchedBundle:
-        """Returns the bundle in force if it is newer than the peer's."""
-        current = self.in_force
-        if current is None or current.generation <= question.above:
-            return peer_message.FetchedBundle(None)
-        return peer_message.FetchedBundle(current.envelope)
-
     async def _start(self) -> None:
         """Begins shortly before the log's end, where a checkpoint must be.
 
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -15,7 +15,15 @@
 
 from ramptray import timeline, wallclock
 from ramptray.bundle import acceptance
-from ramptray.core import backend, claim, membership, message, policy, shard
+from ramptray.core import (
+    backend,
+    claim,
+    limit,
+    membership,
+    message,
+    policy,
+    shard,
+)
 from ramptray.engine import client as engine_client
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
@@ -41,6 +49,24 @@
     holds_lease: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """How a hub works.
+
+    Attributes:
+        policy: Name of the policy by which backend servers are chosen.
+        hear_s: How long a new owner waits for a backend server's own word.
+        shares_limits: Whether a customer's limit holds over all services
+            together instead of for each shard.
+        tells_bundle: Whether attached processes get the bundle from here.
+    """
+
+    policy: str = policy.TokenPolicy.name
+    hear_s: float = shard.HEAR_S
+    shares_limits: bool = False
+    tells_bundle: bool = True
+
+
 class Hub:
     """Owns the shards; every change to them is one message to its inbox.
 
@@ -56,9 +82,9 @@
         self,
         address: str,
         zone: str,
-        policy_name: str,
+        options: Options,
         gossiper: gossip.Gossiper,
-        claim_desk: claims.ClaimDesk,
+        claim_desk: claims.ClaimDesk | None,
         events: timeline.Timeline,
     ) -> None:
         self.in_force: acceptance.InForce | None = None
@@ -68,9 +94,10 @@
         self.on_new_backends: Callable[[], None] = _do_nothing
         self._address = address
         self._zone = zone
-        self._policy_name = policy_name
+        self._options = options
         self._gossiper = gossiper
         self._claims = claim_desk
+        self._limits = limit.Limits({}) if options.shares_limits else None
         self._sessions: dict[peer_link.Session, Attached | None] = {}
         self._entries: dict[str, peer_link.Session] = {}
         self._leaving_listed: frozenset[str] = frozenset()
@@ -118,10 +145,14 @@
         return [a for a in self._sessions.values() if a is not None]
 
     async def _run_ticks(self) -> None:
+        ticked_at = 0.0
         while True:
+            await anyio.sleep(TICK_S)
+            now = time.monotonic()
             idle = all(owner.is_empty for owner in self.shards.values())
-            await anyio.sleep(IDLE_TICK_S if idle else TICK_S)
-            self._tick(time.monotonic())
+            if not idle or now - ticked_at >= IDLE_TICK_S:
+                ticked_at = now
+                self._tick(now)
 
     def _handle(self, told: Any, now: float) -> None:
         match told:
@@ -206,6 +237,11 @@
                 attached.generation = generation
             case peer_message.LeaseReport(held):
                 attached.holds_lease = held
+            case _ if self._claims is None:
+                LOG.warning(
+                    "no claims are kept here",
+                    extra={"message_type": type(body).__name__},
+                )
             case peer_message.ClaimKey():
                 self._claims.post(claims.Wanted(session, body))
             case peer_message.ReleaseKey():
@@ -218,7 +254,7 @@
     ) -> None:
         self._sessions[session] = Attached(hello)
         session.send(self.view)
-        if self.in_force:
+        if self.in_force and self._options.tells_bundle:
             session.send(peer_message.BundleUpdate(self.in_force.envelope))
         if hello.kind != "entry":
             session.send(peer_message.LowestGeneration(self._lowest))
@@ -252,6 +288,8 @@
         owner = self._get_shard(key, now)
         if owner is not None:
             self._send_out(owner.receive(attached.hello.name, body, now))
+            if isinstance(body, message.Enqueue):
+                self._confirm(attached, owner, body.request.request_id)
             return
         if isinstance(body, message.Enqueue):
             reject = message.Reject(
@@ -259,6 +297,16 @@
             )
             self._send_out([shard.ToEntry(attached.hello.name, reject)])
 
+    def _confirm(
+        self, attached: Attached, owner: shard.ShardOwner, request_id: str
+    ) -> None:
+        """Tells an entry that its request waits here.
+
+        An entry that hears nothing takes the owner for lost.
+        """
+        if owner.is_waiting(request_id):
+            self._tell_entry(attached.hello.name, message.Queued(request_id))
+
     def _pass_to_holder(
         self,
         attached: Attached,
@@ -276,11 +324,18 @@
 
     def _send_out(self, effects: Iterable[shard.ToEntry]) -> None:
         for effect in effects:
-            session = self._entries.get(effect.entry)
-            if session is not None:
-                session.send(effect.message)
+            self._tell_entry(effect.entry, effect.message)
             self._note(effect.message)
 
+    def _tell_entry(
+        self,
+        entry: str,
+        told: message.OwnerMessage | message.Queued | message.StillWaiting,
+    ) -> None:
+        session = self._entries.get(entry)
+        if session is not None:
+            session.send(told)
+
     def _note(self, sent: message.OwnerMessage) -> None:
         match sent:
             case message.Grant(request_id, _, name):
@@ -305,8 +360,10 @@
             self._address,
             rules.make_rules(bundle, key),
             rules.list_infos(bundle, key),
-            policy.make_policy(self._policy_name),
+            policy.make_policy(self._options.policy),
             now,
+            self._options.hear_s,
+            self._limits,
         )
         self.shards[key] = owner
         self._mark_leaving()
@@ -318,7 +375,7 @@
         bundle = in_force.bundle
         update = peer_message.BundleUpdate(in_force.envelope)
         for session, attached in self._sessions.items():
-            if attached is not None:
+            if attached is not None and self._options.tells_bundle:
                 session.send(update)
         for key, owner in list(self.shards.items()):
             if key.service not in bundle.services:
@@ -334,7 +391,9 @@
 
     def _take_view(self, view: peer_message.View) -> None:
         self.view = view
-        self._claims.post(claims.PartitionsChanged(self._list_partitions()))
+        if self._claims is not None:
+            partitions = self._list_partitions()
+            self._claims.post(claims.PartitionsChanged(partitions))
         for session, attached in self._sessions.items():
             if attached is not None:
                 session.send(view)
@@ -402,6 +461,8 @@
     def _tick(self, now: float) -> None:
         for owner in self.shards.values():
             self._send_out(owner.tick(now))
+            for entry, count in owner.list_waiting_entries().items():
+                self._tell_entry(entry, message.StillWaiting(count))
         if now - self._summaries_at >= SUMMARY_EVERY_S:
             self._summaries_at = now
             self._exchange_summaries(now)
--- a/ramptray/scheduler/main.py
+++ b/ramptray/scheduler/main.py
@@ -11,9 +11,9 @@
 from ramptray import process, runtime
 from ramptray.bundle import acceptance
 from ramptray.core import membership
+from ramptray.log import client as log_client
+from ramptray.log import vmlist
 from ramptray.peer import link as peer_link
-from ramptray.platform import log as platform_log
-from ramptray.platform import vmlist
 from ramptray.scheduler import (
     claims,
     event,
@@ -35,7 +35,7 @@
     """Serves until a stop is asked for, then leaves its zone in order."""
     equipment = runtime.make_runtime("scheduler", settings)
     client, events = equipment.client, equipment.timeline
-    log = platform_log.HttpLog(settings.platform, settings.vm)
+    log = log_client.HttpLog(settings.platform, settings.vm)
     me = membership.Member(
         settings.vm, settings.zone, settings.listen, int(time.time())
     )
@@ -63,7 +63,7 @@
     owner = hub.Hub(
         settings.listen,
         settings.zone,
-        settings.policy,
+        hub.Options(settings.policy),
         gossiper,
         desk,
         events,
--- a/ramptray/scheduler/poller.py
+++ b/ramptray/scheduler/poller.py
@@ -8,8 +8,8 @@
 
 from ramptray.bundle import model
 from ramptray.engine import client as engine_client
-from ramptray.platform import log as platform_log
-from ramptray.platform import vmlist
+from ramptray.log import client as log_client
+from ramptray.log import vmlist
 from ramptray.scheduler import event, gossip, hub
 
 LOG = logging.getLogger(__name__)
@@ -63,7 +63,7 @@
     async def _poll_vms(self) -> None:
         try:
             listed = await self._vms.fetch()
-        except platform_log.PlatformError as error:
+        except log_client.PlatformError as error:
             LOG.info("list of VMs: %s", error)
             return
         schedulers = [vm.address for vm in listed if vm.role == "entry"]
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -20,6 +20,7 @@
             name: limit.Rate(
                 _divide(customer.limits.requests_per_s, parts),
                 _divide(customer.limits.tokens_per_s, parts),
+                _divide(customer.limits.burst, parts),
             )
             for name, customer in bundle.customers.items()
             if customer.limits != model.Limits()
--- a/ramptray/scheduler/servant.py
+++ b/ramptray/scheduler/servant.py
@@ -9,7 +9,7 @@
 from ramptray import timeline
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import event, follower, gossip, hub, status
+from ramptray.scheduler import event, gossip, hub, source, status
 
 COLLECT_S = 1.0
 """How long the VM's other processes may take to send their events."""
@@ -25,7 +25,7 @@
         self,
         owner: hub.Hub,
         gossiper: gossip.Gossiper,
-        follow: follower.Follower,
+        follow: source.BundleSource,
         events: timeline.Timeline,
     ) -> None:
         self._hub = owner
--- /dev/null
+++ b/ramptray/scheduler/source.py
@@ -0,0 +1,70 @@
+"""Where a scheduler's bundle comes from, and how peers pass it on."""
+
+from __future__ import annotations
+
+import abc
+import logging
+
+from ramptray.bundle import acceptance
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+
+LOG = logging.getLogger(__name__)
+
+FETCH_S = 1.0
+"""Longest time for a peer to hand over its bundle, in seconds."""
+
+
+class BundleSource(abc.ABC):
+    """Follows what operators publish, and learns of it from peers.
+
+    Args:
+        client: Asks peers.
+    """
+
+    def __init__(self, client: peer_link.PeerClient) -> None:
+        self._client = client
+
+    @property
+    @abc.abstractmethod
+    def in_force(self) -> acceptance.InForce | None:
+        """The bundle in force on this VM."""
+
+    @property
+    @abc.abstractmethod
+    def log_up(self) -> bool:
+        """Whether the log, or the store, answers."""
+
+    @abc.abstractmethod
+    def get_log_age(self, now: float) -> float | None:
+        """Returns the seconds since it last answered, None for never."""
+
+    @abc.abstractmethod
+    def take_from_peer(
+        self, address: str, told: peer_message.FetchedBundle
+    ) -> None:
+        """Takes the bundle that a peer has handed over."""
+
+    async def fetch(self, address: str, generation: int) -> None:
+        """Takes a newer bundle from a peer."""
+        current = self.in_force.generation if self.in_force else 0
+        if generation <= current:
+            return
+        try:
+            answer = await self._client.ask(
+                address, peer_message.FetchBundle(current), FETCH_S
+            )
+        except peer_link.LinkError as error:
+            LOG.info("bundle from a peer: %s", error)
+            return
+        if answer.envelope:
+            self.take_from_peer(address, answer)
+
+    def answer(
+        self, question: peer_message.FetchBundle
+    ) -> peer_message.FetchedBundle:
+        """Returns the bundle in force if it is newer than the peer's."""
+        current = self.in_force
+        if current is None or current.generation <= question.above:
+            return peer_message.FetchedBundle(None)
+        return peer_message.FetchedBundle(current.envelope)
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 from ramptray.core import backend, shard
-from ramptray.scheduler import follower, gossip, hub
+from ramptray.scheduler import gossip, hub, source
 
 
 def make_report(
-    owner: hub.Hub, gossiper: gossip.Gossiper, follow: follower.Follower
+    owner: hub.Hub, gossiper: gossip.Gossiper, follow: source.BundleSource
 ) -> dict[str, Any]:
     """Returns what this scheduler sees, as JSON values."""
     me = gossiper.membership.me
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -8,9 +8,9 @@
 import pytest
 
 from ramptray.core import claim, message, request
+from ramptray.log import client as log_client
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.platform import log as platform_log
 from ramptray.scheduler import claims
 
 pytestmark = pytest.mark.anyio
@@ -22,7 +22,7 @@
     return "asyncio"
 
 
-class BrokenLog(platform_log.Log):
+class BrokenLog(log_client.Log):
     """A log whose appends work though their answers are lost.
 
     Nothing can be read of it.
@@ -33,12 +33,12 @@
 
     async def append(self, stream: str, body: dict[str, Any]) -> int:
         self.records.extend(body["records"])
-        raise platform_log.PlatformError("no answer")
+        raise log_client.PlatformError("no answer")
 
     async def read(
         self, stream: str, offset: int, wait_s: float
-    ) -> platform_log.Page:
-        raise platform_log.PlatformError("no answer")
+    ) -> log_client.Page:
+        raise log_client.PlatformError("no answer")
 
 
 async def test_a_desk_that_gives_up_releases_nothing_by_itself(
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -11,8 +11,8 @@
 from ramptray.bundle import acceptance
 from ramptray.bundle import record as bundle_record
 from ramptray.core import clock
+from ramptray.log import client as log_client
 from ramptray.peer import link as peer_link
-from ramptray.platform import log as platform_log
 from ramptray.scheduler import follower
 from test import test_bundle
 
@@ -25,7 +25,7 @@
     return "asyncio"
 
 
-class MemoryLog(platform_log.Log):
+class MemoryLog(log_client.Log):
     """A log in memory that counts what is read of it."""
 
     def __init__(self, records: list[acceptance.Record]) -> None:
@@ -38,18 +38,18 @@
 
     async def read(
         self, stream: str, offset: int, wait_s: float
-    ) -> platform_log.Page:
+    ) -> log_client.Page:
         found = [
-            platform_log.LogRecord(offset + place, body)
+            log_client.LogRecord(offset + place, body)
             for place, body in enumerate(self.records[offset:])
         ]
         self.read_count += len(found)
         if not found and wait_s:
             await anyio.sleep_forever()
-        return platform_log.Page(0, len(self.records), found)
+        return log_client.Page(0, len(self.records), found)
 
 
-async def follow(log: platform_log.Log) -> acceptance.InForce:
+async def follow(log: log_client.Log) -> acceptance.InForce:
     """Returns the first bundle that a fresh follower puts in force."""
     send, receive = anyio.create_memory_object_stream[acceptance.InForce](10)
     followed = follower.Follower(
