Order the queue by customer and route, and put late requests behind those in time

Ruled out: customers' limits (refused as they should), the data path (waits of 5 ms on quiet seconds). Now a tier is a pair of customer's and route's rank; a request that can begin only after its objective moves behind those in time; one that has waited 0.45 of the callers' patience is refused.

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -80,13 +80,16 @@
     Attributes:
         key_hashes: SHA-256 of each bearer key.
         tiers: Tiers it may ask for; the first is used where it names none,
-            and for all that it sends on relayed routes.
+            and for what it sends on relayed routes.
+        route_tiers: For some tiers of relayed routes, the tier that this
+            customer's requests have there instead.
         share: Weight within a tier.
         limits: Its limits.
     """
 
     key_hashes: list[KeyHash] = pydantic.Field(min_length=1)
     tiers: list[Name] = pydantic.Field(min_length=1)
+    route_tiers: dict[Name, Name] = {}
     share: float = pydantic.Field(1.0, gt=0, le=1000)
     limits: Limits = Limits()
 
@@ -207,6 +210,8 @@
         timeout_s: Longest time a request is held, in seconds.
         objective_s: Time in which an answer, or its first event, is in time.
         max_gap_s: Longest pause between events of an answer in time.
+        patience_s: How long callers wait for the beginning of an answer; None
+            for their deadline.
         max_attempts: Backend servers that one request may be sent to.
         tier: Tier of the requests of customers that have none of their own.
         public: Whether requests need no key.
@@ -220,6 +225,7 @@
     timeout_s: float = pydantic.Field(gt=0)
     objective_s: float = pydantic.Field(gt=0)
     max_gap_s: float | None = None
+    patience_s: float | None = None
     max_attempts: int = pydantic.Field(1, ge=1)
     tier: Name
     public: bool = False
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -71,6 +71,10 @@
         max_attempts: Backend servers that it may be sent to.
         avoid: Backend servers that are not to get it (again).
         attempt: Backend servers that it was sent to before.
+        objective_s: Seconds left until its answer begins too late; None where
+            there is no such objective.
+        wait_s: Seconds left that it may wait before it is refused; None for
+            until its deadline.
     """
 
     request_id: str
@@ -87,6 +91,8 @@
     max_attempts: int = 1
     avoid: tuple[str, ...] = ()
     attempt: int = 0
+    objective_s: float | None = None
+    wait_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import heapq
+import math
 
 from ramptray.core import message
 
@@ -28,6 +29,9 @@
         deadline: When its answer is of no more use.
         cost: Its cost.
         passed_over: Cost of requests that went before it since it was first.
+        late_at: When its answer begins too late; infinite where never.
+        refuse_at: When it is refused if it still waits.
+        is_late: Whether it has moved behind all that may still be in time.
     """
 
     request: message.RequestInfo
@@ -36,6 +40,9 @@
     deadline: float
     cost: int
     passed_over: int = 0
+    late_at: float = math.inf
+    refuse_at: float = math.inf
+    is_late: bool = False
 
     @property
     def is_starved(self) -> bool:
@@ -168,11 +175,37 @@
         self._ranks = ranks
         count = max(ranks.values(), default=0) + 1
         ordered = [w for tier in self.tiers for w in tier.list_all()]
+        self._tier_count = count
         self.tiers = [TierQueue() for _ in range(count)]
         for waiting in ordered:
             waiting.rank = self._get_rank(waiting.request)
+            if waiting.is_late:
+                waiting.rank = self._open_late_rank(waiting.rank)
             self.tiers[waiting.rank].push(waiting)
 
+    def demote(self, waiting: Waiting) -> None:
+        """Moves a request that is too late behind all that are not.
+
+        Among the late ones the tiers keep their order.
+        """
+        self.tiers[waiting.rank].remove(waiting)
+        waiting.is_late = True
+        waiting.rank = self._open_late_rank(waiting.rank)
+        self.tiers[waiting.rank].push(waiting)
+
+    def list_late(self, now: float) -> list[Waiting]:
+        """Returns the requests that have become late and are not moved yet."""
+        return [
+            w
+            for w in self._waiting.values()
+            if w.late_at <= now and not w.is_late
+        ]
+
+    def _open_late_rank(self, rank: int) -> int:
+        if len(self.tiers) == self._tier_count:
+            self.tiers.extend(TierQueue() for _ in range(self._tier_count))
+        return rank + self._tier_count
+
     def make(
         self, request: message.RequestInfo, entry: str, now: float
     ) -> Waiting:
@@ -183,6 +216,8 @@
             self._get_rank(request),
             deadline=now + request.deadline_s,
             cost=weigh(request),
+            late_at=_add(now, request.objective_s),
+            refuse_at=_add(now, request.wait_s),
         )
 
     def push(self, waiting: Waiting) -> None:
@@ -216,8 +251,12 @@
         return list(self._waiting.values())
 
     def list_expired(self, now: float) -> list[Waiting]:
-        """Returns the requests whose deadline has passed."""
-        return [w for w in self._waiting.values() if w.deadline <= now]
+        """Returns the requests that are not to wait any longer."""
+        return [
+            w
+            for w in self._waiting.values()
+            if min(w.deadline, w.refuse_at) <= now
+        ]
 
     def pick_victim(self) -> Waiting | None:
         """Returns the request to shed first: one of the lowest tier."""
@@ -234,4 +273,8 @@
         return any(tier.count for tier in self.tiers[rank + 1 :])
 
     def _get_rank(self, request: message.RequestInfo) -> int:
-        return self._ranks.get(request.tier, len(self.tiers) - 1)
+        return self._ranks.get(request.tier, self._tier_count - 1)
+
+
+def _add(now: float, left_s: float | None) -> float:
+    return math.inf if left_s is None else now + left_s
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -255,9 +255,11 @@
     def tick(self, now: float) -> list[ToEntry]:
         """Gives up what is past its deadline and frees lost places."""
         out = [
-            self._reject(waiting, message.Reason.DEADLINE, now)
+            self._reject(waiting, _get_expiry_reason(waiting, now), now)
             for waiting in self._queue.list_expired(now)
         ]
+        for waiting in self._queue.list_late(now):
+            self._queue.demote(waiting)
         for request_id, backend in list(self._where.items()):
             orphaned_at = backend.placed[request_id].orphaned_at
             if orphaned_at is not None and now - orphaned_at > ORPHAN_S:
@@ -293,6 +295,7 @@
     ) -> ToEntry | None:
         if not tier.count:
             return None
+        self._demote_late_heads(tier, now)
         window = self._list_candidates() if only is None else only
         passed: list[queue.Waiting] = []
         for waiting in tier.list_heads(HEADS_TRIED):
@@ -315,6 +318,16 @@
             passed.append(waiting)
         return None
 
+    def _demote_late_heads(self, tier: queue.TierQueue, now: float) -> None:
+        """Lets those pass whose answer may still begin in time."""
+        while late := [
+            waiting
+            for waiting in tier.list_heads(HEADS_TRIED)
+            if waiting.late_at <= now and not waiting.is_late
+        ]:
+            for waiting in late:
+                self._queue.demote(waiting)
+
     def _leave_out(
         self, candidates: list[backends.Backend], avoid: tuple[str, ...]
     ) -> list[backends.Backend]:
@@ -610,3 +623,10 @@
             )
             moved.orphaned_at = placed.orphaned_at
             self._where[request_id] = new
+
+
+def _get_expiry_reason(waiting: queue.Waiting, now: float) -> message.Reason:
+    """Returns why a request does not wait any longer."""
+    if waiting.deadline <= now:
+        return message.Reason.DEADLINE
+    return message.Reason.OVERLOADED
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -153,7 +153,11 @@
             case tickets.Begun(first):
                 if machine.owner:
                     self._tell(machine.owner, first)
-                self.timeline.note("first_token", first.request_id)
+                self.timeline.note(
+                    "first_token",
+                    first.request_id,
+                    elapsed_s=round(first.elapsed_s, 4),
+                )
             case tickets.Completed(ended, status):
                 if ticket.wish:
                     self._finish_claim(ticket, status)
@@ -181,6 +185,7 @@
         finish = request.Finish(
             message.Outcome.UNKNOWN, event.reason, RETRY_AFTER_S
         )
+        ticket.machine.info = ticket.get_info(now)
         effects = ticket.machine.fail_attempt(
             event.ended, event.not_run, may_repeat, finish
         )
@@ -198,7 +203,17 @@
         info = ticket.info
         self._tickets[info.request_id] = ticket
         self._budget.count_request(info.shard.service, now)
-        self.timeline.note("request", info.request_id, customer=info.customer)
+        self.timeline.note(
+            "request",
+            info.request_id,
+            customer=info.customer,
+            tier=info.tier,
+            service=info.shard.service,
+            prompt_tokens=info.prompt_tokens,
+            output_tokens=info.output_tokens,
+            deadline_s=round(info.deadline_s, 3),
+            generation=self.in_force.generation if self.in_force else None,
+        )
         if ticket.wish:
             self._send_claim(ticket)
         self._assign(ticket, now)
@@ -240,7 +255,11 @@
                 case request.Dispatch(grant):
                     ticket.dispatched = now
                     self.timeline.note(
-                        "dispatch", grant.request_id, backend=grant.backend
+                        "dispatch",
+                        grant.request_id,
+                        backend=grant.backend,
+                        owner=grant.owner,
+                        age_s=round(now - ticket.began, 4),
                     )
                     ticket.perform(effect)
                 case request.Finish(outcome, reason):
@@ -250,6 +269,9 @@
                         ticket.info.request_id,
                         outcome=outcome.value,
                         reason=reason.value if reason else None,
+                        owner=ticket.machine.owner,
+                        attempts=ticket.machine.dispatches,
+                        age_s=round(now - ticket.began, 4),
                     )
                     ticket.perform(effect)
                 case request.Release():
@@ -487,6 +509,10 @@
             if pending and granted:
                 return message.Reason.LOG_UNAVAILABLE
             return message.Reason.DEADLINE
+        wait_s = ticket.info.wait_s
+        if wait_s is not None and now - ticket.began > wait_s + OWNER_SILENCE_S:
+            # Its owner should have refused it by now.
+            return message.Reason.OVERLOADED
         down = ticket.down_since
         if down is not None and now - down > NO_OWNER_S:
             return message.Reason.NOT_READY
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -126,7 +126,8 @@
         self.wish = wish
         self.machine = request.RequestMachine(info, wish is not None)
         self.dispatched: float | None = None
-        self.deadline = time.monotonic() + info.deadline_s
+        self.began = time.monotonic()
+        self.deadline = self.began + info.deadline_s
         self.down_since: float | None = None
         self.asked_at = 0.0
         self.unheard = False
@@ -152,13 +153,20 @@
             self._effects.send_nowait(effect)
 
     def get_info(self, now: float) -> message.RequestInfo:
-        """Returns the request's facts with its deadline as of now."""
+        """Returns the request's facts with its times as of now."""
+        elapsed = now - self.began
         return dataclasses.replace(
             self.machine.info,
             deadline_s=max(0.0, self.deadline - now),
+            objective_s=_subtract(self.info.objective_s, elapsed),
+            wait_s=_subtract(self.info.wait_s, elapsed),
         )
 
 
+def _subtract(left_s: float | None, elapsed_s: float) -> float | None:
+    return None if left_s is None else max(0.0, left_s - elapsed_s)
+
+
 def get_request_id(event: Event) -> str:
     """Returns the request that an exchange's event is about."""
     match event:
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -21,6 +21,15 @@
 PLAIN_SLOTS = 64
 """Requests at a time of a replica whose record does not tell its slots yet."""
 
+STREAM_PATIENCE_S = 2.0
+"""Shortest time in which callers give up a stream without an event, seconds."""
+
+PATIENCE_OBJECTIVES = 4
+"""Callers wait at least so many times the objective for a stream's event."""
+
+PATIENCE_GAPS = 8
+"""Callers wait at least so many of the longest pauses for a stream's event."""
+
 _KINDS = {
     "streaming": model.RouteKind.STREAM,
     "safe": model.RouteKind.SAFE,
@@ -110,8 +119,7 @@
 
 
 def _make_bundle(raw: _Config) -> model.Bundle:
-    priorities = {route.priority for route in raw.routes}
-    priorities |= {t.priority for t in raw.tenants if t.priority is not None}
+    priorities = sorted({route.priority for route in raw.routes})
     return model.Bundle(
         generation=raw.version,
         # Nobody signs here: the store takes changes from operators only.
@@ -119,12 +127,9 @@
             keys={"store": "ed25519:" + "0" * 64}, signatures_required=1
         ),
         zones=[DOMAIN],
-        tiers={
-            _name_tier(priority): model.Tier(order=priority, deadline_s=3600)
-            for priority in sorted(priorities or {0})
-        },
+        tiers=_make_tiers(raw, priorities),
         customers={
-            tenant.name: _make_customer(tenant)
+            tenant.name: _make_customer(tenant, priorities)
             for tenant in raw.tenants
             if tenant.keys
         },
@@ -136,11 +141,29 @@
     )
 
 
-def _name_tier(priority: int) -> str:
-    return f"p{priority}"
+def _make_tiers(raw: _Config, priorities: list[int]) -> dict[str, model.Tier]:
+    """Returns the tiers: by the customer's rank, then by the route's.
+
+    A route's rank yields to that of the customer; among the requests of
+    customers of one rank it still decides.
+    """
+    ranks = {t.priority for t in raw.tenants if t.priority is not None}
+    pairs = sorted(
+        {(priority, priority) for priority in priorities}
+        | {(rank, priority) for rank in ranks for priority in priorities}
+        | {(0, 0)}
+    )
+    return {
+        _name_tier(*pair): model.Tier(order=order, deadline_s=3600)
+        for order, pair in enumerate(pairs)
+    }
 
 
-def _make_customer(tenant: _Tenant) -> model.Customer:
+def _name_tier(rank: int, priority: int) -> str:
+    return f"p{rank}.{priority}"
+
+
+def _make_customer(tenant: _Tenant, priorities: list[int]) -> model.Customer:
     limits = model.Limits()
     if tenant.rate_per_s > 0:
         rate = max(1.0, tenant.rate_per_s)
@@ -152,9 +175,14 @@
         )
     return model.Customer(
         key_hashes=[model.hash_key(key) for key in tenant.keys],
-        tiers=[_name_tier(tenant.priority)]
-        if tenant.priority is not None
-        else ["p0"],
+        tiers=[_name_tier(0, 0)],
+        route_tiers={
+            _name_tier(priority, priority): _name_tier(rank, priority)
+            for priority in priorities
+            for rank in [
+                priority if tenant.priority is None else tenant.priority
+            ]
+        },
         limits=limits,
     )
 
@@ -192,13 +220,25 @@
         timeout_s=route.timeout_ms / 1000,
         objective_s=route.target_ms / 1000,
         max_gap_s=None if route.gap_ms is None else route.gap_ms / 1000,
+        patience_s=_get_patience(route),
         max_attempts=route.max_attempts,
-        tier=_name_tier(route.priority),
+        tier=_name_tier(route.priority, route.priority),
         public=route.public,
         resumable=route.resumable,
     )
 
 
+def _get_patience(route: _Route) -> float | None:
+    """Returns how long callers wait for a stream's first event, in seconds."""
+    if _KINDS[route.kind] is not model.RouteKind.STREAM:
+        return None
+    return max(
+        STREAM_PATIENCE_S,
+        PATIENCE_OBJECTIVES * route.target_ms / 1000,
+        PATIENCE_GAPS * (route.gap_ms or 0.0) / 1000,
+    )
+
+
 def _make_limits(limits: _Limits | None) -> model.RelayLimits:
     if limits is None:
         return model.RelayLimits()
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -162,7 +162,15 @@
         self._text = text
         LOG.info(
             "configuration in force",
-            extra={"generation": bundle.generation, "origin": origin},
+            extra={
+                "generation": bundle.generation,
+                "origin": origin,
+                "routes": len(bundle.routes),
+                "customers": {
+                    name: min(customer.route_tiers.values(), default="")
+                    for name, customer in bundle.customers.items()
+                },
+            },
         )
         self._publish()
 
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -21,6 +21,10 @@
 PLAIN_TOKENS = 200
 """Size assumed of a request that does not tell it, in tokens."""
 
+WAIT_PART = 0.45
+"""Part of a caller's patience that its request may wait before it is refused: a
+refusal after more than half of it leaves no time to come back."""
+
 NOT_READY_RETRY_S = 1.0
 """When to come back to a VM that has no configuration yet, in seconds."""
 
@@ -142,7 +146,8 @@
         if asked.deadline_s is not None:
             timeout_s = min(timeout_s, asked.deadline_s)
         declared = bundle.customers.get(customer)
-        tier = declared.tiers[0] if declared else route.tier
+        tier = _pick_tier(declared, route)
+        patience_s = min(route.patience_s or timeout_s, timeout_s)
         prompt = asked.prompt_tokens
         most = (prompt or PLAIN_TOKENS) + asked.output_tokens
         info = core_message.RequestInfo(
@@ -157,12 +162,20 @@
             limit_tokens=most,
             repeatable=_is_repeatable(route),
             max_attempts=route.max_attempts,
+            objective_s=route.objective_s,
+            wait_s=patience_s * WAIT_PART,
         )
         engine = bundle.engines.get(service)
         tokens = engine.tokens_per_event if engine else 1
         return exchange.Order(asked, info, route, customer, timeout_s, tokens)
 
 
+def _pick_tier(customer: model.Customer | None, route: model.Route) -> str:
+    if customer is None:
+        return route.tier
+    return customer.route_tiers.get(route.tier, customer.tiers[0])
+
+
 def _is_repeatable(route: model.Route) -> bool:
     if route.kind is model.RouteKind.STREAM:
         return route.resumable
