Avoid backend servers and zones that a VM cannot reach, and probe silent owners at once

An entry now remembers silent servers and zones and tells its owner what to avoid; a silent owner is probed at once instead of in its turn.

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -163,6 +163,7 @@
         url: Where it listens.
         leaving: Whether it is to get no new work.
         role: The role that its engine is to have.
+        availability_zone: Where it stands, if ``zone`` spans several.
     """
 
     zone: Name
@@ -171,6 +172,7 @@
     url: Url
     leaving: bool = False
     role: Name = "any"
+    availability_zone: Name | None = None
 
 
 class RouteKind(enum.Enum):
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -121,11 +121,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decline:
-    """Entry to owner: this grant is not used."""
+    """Entry to owner: this grant is not used.
+
+    Attributes:
+        request_id: The request.
+        grant_id: The grant.
+        unreachable: Whether the backend server refused the connection.
+        avoid: Backend servers that the entry cannot reach.
+    """
 
     request_id: str
     grant_id: str
     unreachable: bool = False
+    avoid: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -81,6 +81,7 @@
         self.claim = Claim.PENDING if needs_claim else Claim.NOT_NEEDED
         self.owner: str | None = None
         self.dispatches = 0
+        self.tried: tuple[str, ...] = ()
         self._may_have_run = False
         self._grant: message.Grant | None = None
 
@@ -160,10 +161,14 @@
         # claim was read and did not hold, the release changes nothing.
         return [*self._leave_owner(), Release(), final]
 
-    def fail_connect(self) -> list[Effect]:
-        """Returns to waiting: the connection was refused, no byte was sent.
+    def fail_connect(self, refused: bool = True) -> list[Effect]:
+        """Returns to waiting: there is no connection, no byte was sent.
 
         The present owner is told, who may not be the one that granted.
+
+        Args:
+            refused: Whether the backend server refused the connection; else
+                it was silent, perhaps towards this VM only.
         """
         if self.state is not State.DISPATCHED or self._grant is None:
             return []
@@ -171,7 +176,9 @@
         self.state = State.WAITING
         self.dispatches -= 1
         self._grant = None
-        decline = message.Decline(grant.request_id, grant.grant_id, True)
+        decline = message.Decline(
+            grant.request_id, grant.grant_id, refused, self.info.avoid
+        )
         return [Tell(self.owner or grant.owner, decline)]
 
     def fail_attempt(
@@ -207,6 +214,7 @@
             return self._end_dispatched(final, ended)
         self.state = State.WAITING
         self._grant = None
+        self.tried = (*self.tried, backend)
         self.info = dataclasses.replace(
             self.info,
             avoid=(*self.info.avoid, backend),
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -561,10 +561,12 @@
             return
         placed = self._free(request_id)
         self.counters.declined += 1
-        if not decline.unreachable or placed is None:
+        if placed is None or not (decline.unreachable or decline.avoid):
             return
-        backend.note_unreachable(now)
-        waiting = self._queue.make(placed.request, entry, placed.started)
+        if decline.unreachable:
+            backend.note_unreachable(now)
+        request = dataclasses.replace(placed.request, avoid=decline.avoid)
+        waiting = self._queue.make(request, entry, placed.started)
         self._queue.restore(waiting)
 
     def _end(self, ended: message.Ended, now: float) -> list[backends.Backend]:
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -10,7 +10,7 @@
 import dataclasses
 import logging
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import anyio
@@ -19,7 +19,7 @@
 from ramptray import runtime
 from ramptray.bundle import acceptance, signature
 from ramptray.core import claim, message, request, retry
-from ramptray.entry import owners
+from ramptray.entry import owners, reach
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
@@ -65,7 +65,13 @@
 
 
 class Dispatcher:
-    """Owns the request machines and the links to schedulers."""
+    """Owns the request machines and the links to schedulers.
+
+    Attributes:
+        in_force: The bundle in force, if any.
+        timeline: Where events are noted.
+        on_doubt: Called with the address of a scheduler that has become silent.
+    """
 
     def __init__(
         self,
@@ -87,6 +93,9 @@
         self._links: dict[str, attachment.Attachment] = {}
         self._owners = owners.Owners(settings.zone, settings.scheduler)
         self._budget = budget or retry.RetryBudget()
+        self._reach = reach.Reach()
+        self._zones: dict[str, str] = {}
+        self.on_doubt: Callable[[str], None] = _do_nothing
         self._learner = acceptance.Learner()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -148,9 +157,13 @@
             return
         machine = ticket.machine
         match event:
-            case tickets.ConnectFailed():
-                self._perform(ticket, machine.fail_connect(), now)
+            case tickets.ConnectFailed(_, refused):
+                if not refused:
+                    self._note_silent(machine.backend, now)
+                machine.info = self._get_info(ticket, now)
+                self._perform(ticket, machine.fail_connect(refused), now)
             case tickets.Begun(first):
+                self._note_answer(machine.backend, now)
                 if machine.owner:
                     self._tell(machine.owner, first)
                 self.timeline.note(
@@ -171,6 +184,22 @@
             case tickets.Abandoned(ended):
                 self._perform(ticket, machine.abandon(ended), now)
 
+    def _note_silent(self, backend: str | None, now: float) -> None:
+        if backend is not None:
+            zone = self._zones.get(backend, "")
+            self._reach.note_silent(backend, zone, now)
+
+    def _note_answer(self, backend: str | None, now: float) -> None:
+        if backend is not None:
+            zone = self._zones.get(backend, "")
+            self._reach.note_answer(backend, zone, now)
+
+    def _get_info(
+        self, ticket: tickets.Ticket, now: float
+    ) -> message.RequestInfo:
+        """Returns a request's facts as they are now."""
+        return ticket.get_info(now, self._reach.list_avoided(self._zones, now))
+
     def _end_attempt(
         self, ticket: tickets.Ticket, event: tickets.AttemptFailed, now: float
     ) -> None:
@@ -185,7 +214,7 @@
         finish = request.Finish(
             message.Outcome.UNKNOWN, event.reason, RETRY_AFTER_S
         )
-        ticket.machine.info = ticket.get_info(now)
+        ticket.machine.info = self._get_info(ticket, now)
         effects = ticket.machine.fail_attempt(
             event.ended, event.not_run, may_repeat, finish
         )
@@ -236,7 +265,9 @@
             return
         dispatched = ticket.dispatched
         elapsed = now - dispatched if dispatched is not None else 0.0
-        effects = ticket.machine.assign(owner, ticket.get_info(now), elapsed)
+        effects = ticket.machine.assign(
+            owner, self._get_info(ticket, now), elapsed
+        )
         self._perform(ticket, effects, now)
 
     def _perform(
@@ -372,7 +403,7 @@
             return
         if ticket.machine.state is not request.State.WAITING:
             return
-        info = ticket.get_info(now)
+        info = self._get_info(ticket, now)
         info = dataclasses.replace(
             info,
             shard=dataclasses.replace(info.shard, zone=redirect.zone),
@@ -439,7 +470,7 @@
         assert owner is not None
         since = ticket.dispatched
         effects = ticket.machine.assign(
-            owner, ticket.get_info(now), now - since if since else 0.0
+            owner, self._get_info(ticket, now), now - since if since else 0.0
         )
         self._perform(ticket, effects, now)
 
@@ -462,6 +493,10 @@
     def take_in_force(self, in_force: acceptance.InForce) -> None:
         """Works by this bundle from now on."""
         self.in_force = in_force
+        self._zones = {
+            name: server.availability_zone or server.zone
+            for name, server in in_force.bundle.backend_servers.items()
+        }
 
     def _doubt_silent_owners(self, now: float) -> None:
         """Moves what waits away from owners that say nothing."""
@@ -477,6 +512,8 @@
             for owner in silent
             if owner is not None and self._owners.doubt(owner, now)
         ]
+        for owner in doubted:
+            self.on_doubt(owner)
         if doubted:
             self._reassign_all(now)
 
@@ -517,3 +554,7 @@
         if down is not None and now - down > NO_OWNER_S:
             return message.Reason.NOT_READY
         return None
+
+
+def _do_nothing(address: str) -> None:
+    """Stands in until somebody listens."""
--- /dev/null
+++ b/ramptray/entry/reach.py
@@ -0,0 +1,90 @@
+"""Which backend servers this VM cannot reach at present.
+
+A cut says nothing: connections to what is behind it just hang.  So one silent
+backend server makes its whole availability zone doubtful for a moment, unless
+another one there has answered just now.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from collections.abc import Mapping
+
+LOG = logging.getLogger(__name__)
+
+FIRST_PAUSE_S = 0.5
+"""How long a silent backend server is avoided first, in seconds."""
+
+MAX_PAUSE_S = 2.0
+"""How long it is avoided at most before it is tried again, in seconds: a try
+costs one request the time to open a connection."""
+
+FRESH_S = 0.5
+"""An answer this recent shows that its zone can be reached, in seconds."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pause:
+    until: float
+    length_s: float
+
+
+class Reach:
+    """Remembers silent backend servers and zones; a plain object."""
+
+    def __init__(self) -> None:
+        self._servers: dict[str, _Pause] = {}
+        self._zones: dict[str, _Pause] = {}
+        self._answered: dict[str, float] = {}
+
+    def note_silent(self, backend: str, zone: str, now: float) -> None:
+        """Notes that a connection to a backend server could not be opened."""
+        self._servers[backend] = _lengthen(self._servers.get(backend), now)
+        if now - self._answered.get(zone, float("-inf")) < FRESH_S:
+            return
+        former = self._zones.get(zone)
+        if former is None or former.until <= now:
+            self._zones[zone] = _lengthen(former, now)
+            LOG.warning(
+                "zone is silent",
+                extra={
+                    "silent_zone": zone,
+                    "backend": backend,
+                    "avoided_for_s": self._zones[zone].length_s,
+                },
+            )
+
+    def note_answer(self, backend: str, zone: str, now: float) -> None:
+        """Notes that a backend server has answered."""
+        self._answered[zone] = now
+        self._servers.pop(backend, None)
+        if self._zones.pop(zone, None):
+            LOG.info("zone answers again", extra={"silent_zone": zone})
+
+    def list_avoided(
+        self, zones: Mapping[str, str], now: float
+    ) -> tuple[str, ...]:
+        """Returns the backend servers that are not to be tried now.
+
+        Args:
+            zones: Availability zone of each backend server.
+            now: The entry's clock.
+        """
+        if not self._servers and not self._zones:
+            return ()
+        servers = {n for n, pause in self._servers.items() if pause.until > now}
+        silent = {z for z, pause in self._zones.items() if pause.until > now}
+        return tuple(
+            name
+            for name, zone in zones.items()
+            if name in servers or zone in silent
+        )
+
+
+def _lengthen(former: _Pause | None, now: float) -> _Pause:
+    """Returns the next pause, longer than one that has just ended."""
+    length_s = FIRST_PAUSE_S
+    if former is not None and now - former.until < MAX_PAUSE_S:
+        length_s = min(former.length_s * 2, MAX_PAUSE_S)
+    return _Pause(now + length_s, length_s)
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -35,9 +35,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectFailed:
-    """The backend server refused the connection; nothing was sent."""
+    """There was no connection to the backend server; nothing was sent.
+
+    Attributes:
+        request_id: The request.
+        refused: Whether it refused the connection; else it was silent.
+    """
 
     request_id: str
+    refused: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,14 +158,27 @@
         ):
             self._effects.send_nowait(effect)
 
-    def get_info(self, now: float) -> message.RequestInfo:
-        """Returns the request's facts with its times as of now."""
+    @property
+    def tried(self) -> tuple[str, ...]:
+        """Backend servers that have had the request."""
+        return self.machine.tried
+
+    def get_info(
+        self, now: float, unreachable: tuple[str, ...] = ()
+    ) -> message.RequestInfo:
+        """Returns the request's facts with its times as of now.
+
+        Args:
+            now: The entry's clock.
+            unreachable: Backend servers that this VM cannot reach.
+        """
         elapsed = now - self.began
         return dataclasses.replace(
             self.machine.info,
             deadline_s=max(0.0, self.deadline - now),
             objective_s=_subtract(self.info.objective_s, elapsed),
             wait_s=_subtract(self.info.wait_s, elapsed),
+            avoid=(*self.tried, *unreachable),
         )
 
 
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -10,7 +10,6 @@
 import anyio
 import anyio.abc
 import uvicorn
-from anyio.streams import stapled
 
 from ramptray import process, runtime, settings, webserver
 from ramptray.bundle import acceptance
@@ -34,6 +33,11 @@
 the two seconds in which a replica that has gone may still be sent work."""
 
 
+ACCEPT_PAUSE_S = 0.01
+"""Pause after a connection that could not be taken, in seconds, so that a lack
+of descriptors does not become a busy loop."""
+
+
 class Node:
     """The tasks of one VM and what they share.
 
@@ -100,6 +104,11 @@
                 self._watch_reload,
             ):
                 tasks.start_soon(task)
+
+            def check(address: str) -> None:
+                tasks.start_soon(self._gossiper.check, address)
+
+            self._desk.on_doubt = check
             await self._serve(tasks, stop)
             await peers.stop()
             await self._equipment.client.close()
@@ -113,9 +122,11 @@
         for address in (self._given.readiness, metrics_address):
             tasks.start_soon(self._serve_probes, address, probes)
         host, port = settings.split_address(self._given.callers)
-        listener = await anyio.create_tcp_listener(
+        opened = await anyio.create_tcp_listener(
             local_host=host, local_port=port, backlog=webserver.BACKLOG
         )
+        (listener,) = opened.listeners
+        assert isinstance(listener, anyio.abc.SocketListener)
         tasks.start_soon(self._accept, listener)
         LOG.info(
             "started",
@@ -124,11 +135,19 @@
         await stop.event.wait()
         await self._leave()
 
-    async def _accept(
-        self, listener: stapled.MultiListener[anyio.abc.SocketStream]
-    ) -> None:
-        async with listener:
-            await listener.serve(self._relay.handle)
+    async def _accept(self, listener: anyio.abc.SocketListener) -> None:
+        """Takes connections; one that fails at once costs no other."""
+        async with listener, anyio.create_task_group() as tasks:
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError as error:
+                    LOG.warning(
+                        "connection not taken", extra={"detail": repr(error)}
+                    )
+                    await anyio.sleep(ACCEPT_PAUSE_S)
+                    continue
+                tasks.start_soon(self._relay.handle, stream)
 
     async def _leave(self) -> None:
         """Ends in order: nothing that was taken in is cut."""
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -214,6 +214,7 @@
             engine=_name_engine(replica),
             url=f"http://{replica.address}",
             leaving=replica.leaving,
+            availability_zone=replica.zone,
         )
         for name, replica in known.items()
     }
--- a/ramptray/process.py
+++ b/ramptray/process.py
@@ -18,6 +18,8 @@
 import ramptray
 from ramptray.bundle import text
 
+LOG = logging.getLogger(__name__)
+
 EXIT_OK = 0
 EXIT_MISTAKE = 2
 """Settings, bundle or arguments have a mistake."""
@@ -79,6 +81,7 @@
             anyio.run(_run, main, settings)
         except* (OSError, ProcessError) as group:
             for leaf in flatten(group):
+                LOG.critical("ended by an error", exc_info=leaf)
                 click.echo(f"{name}: {leaf}", err=True)
             sys.exit(EXIT_FAILED)
 
@@ -97,8 +100,8 @@
 
 
 def set_up_logs(program: str, level: str) -> None:
-    """Sends all logs to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Sends all logs to standard output as JSON lines."""
+    handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(
         json_logger.JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -21,13 +21,14 @@
 
 LOG = logging.getLogger(__name__)
 
-CONNECT_S = 0.25
-"""Longest time to open a connection, in seconds: some hundred round trips of a
+CONNECT_S = 0.12
+"""Longest time to open a connection, in seconds: some fifty round trips of a
 deployment whose zones are about a millisecond apart."""
 
-USER_TIMEOUT_MS = 3000
+USER_TIMEOUT_MS = 600
 """How long sent bytes may stay unacknowledged, in milliseconds, before the
-connection counts as dead; a cut says nothing of itself."""
+connection counts as dead: two or three retransmissions.  A cut says nothing of
+itself."""
 
 IDLE_S = 10.0
 """How long an idle connection is kept where the backend server says nothing."""
@@ -50,7 +51,15 @@
 
 
 class NotSentError(RelayError):
-    """The connection could not be opened: no byte of the request was sent."""
+    """The connection could not be opened: no byte of the request was sent.
+
+    Attributes:
+        refused: Whether the backend server refused it; else it was silent.
+    """
+
+    def __init__(self, text: str, refused: bool) -> None:
+        self.refused = refused
+        super().__init__(text)
 
 
 class BrokenError(RelayError):
@@ -301,7 +310,8 @@
                 stream = await anyio.connect_tcp(host, int(port))
         except (OSError, TimeoutError) as error:
             self.counters.refused += 1
-            raise NotSentError(f"{address}: {error!r}") from error
+            refused = not isinstance(error, TimeoutError)
+            raise NotSentError(f"{address}: {error!r}", refused) from error
         set_socket_options(stream)
         self.counters.opened += 1
         return Connection(address, stream, self._dialect)
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -135,8 +135,9 @@
                 await self._send(address, grant.backend)
         except TimeoutError:
             self._lose(core_message.Reason.DEADLINE)
-        except relay_client.NotSentError:
-            self._ticket.report(tickets.ConnectFailed(self._request_id))
+        except relay_client.NotSentError as error:
+            failed = tickets.ConnectFailed(self._request_id, error.refused)
+            self._ticket.report(failed)
         except relay_client.BrokenError:
             self._fail(False, core_message.Reason.BACKEND_LOST)
 
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -108,6 +108,18 @@
         self._merge(gossip, time.monotonic())
         return self._make_message()
 
+    async def check(self, address: str) -> None:
+        """Probes a member at once that has been silent to somebody."""
+        member = next(
+            (m for m in self.membership.list_alive() if m.address == address),
+            None,
+        )
+        if member is None or member.address == self._me.address:
+            return
+        if not await self._probe(address):
+            self.membership.suspect(member.vm, time.monotonic())
+            self._publish()
+
     async def leave(self) -> None:
         """Tells the zone that this scheduler goes."""
         now = time.monotonic()
