Open the callers' socket before the program loads, and refuse what a stop has no time for

Three seconds after the signal idle connections now close and requests are refused as not run. After all processes are killed callers found no socket for about a second of loading: it is now opened first and they wait in its queue; probes are served on the parser alone, without uvicorn and starlette. Ruled out: the grace (cut at 7.5 of 8 s).

--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -6,17 +6,18 @@
 import random
 import signal
 import time
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import anyio
 import anyio.abc
-import uvicorn
 
-from ramptray import process, runtime, settings, webserver
+from ramptray import process, runtime
 from ramptray.bundle import acceptance
 from ramptray.caller import metrics
 from ramptray.core import membership, retry
 from ramptray.entry import dispatcher
-from ramptray.node import readiness
+from ramptray.node import probe, start
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
 from ramptray.platform import config, follower, header, store
@@ -33,6 +34,9 @@
 the two seconds in which a replica that has gone may still be sent work."""
 
 
+READY_PATH = "/v1/ready"
+METRICS_PATH = "/metrics"
+
 ACCEPT_PAUSE_S = 0.01
 """Pause after a connection that could not be taken, in seconds, so that a lack
 of descriptors does not become a busy loop."""
@@ -117,17 +121,21 @@
     async def _serve(
         self, tasks: anyio.abc.TaskGroup, stop: process.Stop
     ) -> None:
-        probes = readiness.make_app(self._is_ready, self._measures.format)
-        metrics_address = f"{self._given.ip}:{self._tuned.metrics_port}"
-        for address in (self._given.readiness, metrics_address):
-            tasks.start_soon(self._serve_probes, address, probes)
-        host, port = settings.split_address(self._given.callers)
-        opened = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, backlog=webserver.BACKLOG
+        probes = probe.ProbeServer(
+            {
+                READY_PATH: self._show_ready,
+                METRICS_PATH: self._show_metrics,
+            }
         )
-        (listener,) = opened.listeners
-        assert isinstance(listener, anyio.abc.SocketListener)
-        tasks.start_soon(self._accept, listener)
+        metrics_address = f"{self._given.ip}:{self._tuned.metrics_port}"
+        for address, handle in (
+            (self._given.callers, self._relay.handle),
+            (self._given.readiness, probes.handle),
+            (metrics_address, probes.handle),
+        ):
+            opened = start.open_socket(address)
+            listener = await anyio.abc.SocketListener.from_socket(opened)
+            tasks.start_soon(_accept, listener, handle)
         LOG.info(
             "started",
             extra={"address": self._given.callers, "peers": self._given.peers},
@@ -135,20 +143,6 @@
         await stop.event.wait()
         await self._leave()
 
-    async def _accept(self, listener: anyio.abc.SocketListener) -> None:
-        """Takes connections; one that fails at once costs no other."""
-        async with listener, anyio.create_task_group() as tasks:
-            while True:
-                try:
-                    stream = await listener.accept()
-                except OSError as error:
-                    LOG.warning(
-                        "connection not taken", extra={"detail": repr(error)}
-                    )
-                    await anyio.sleep(ACCEPT_PAUSE_S)
-                    continue
-                tasks.start_soon(self._relay.handle, stream)
-
     async def _leave(self) -> None:
         """Ends in order: nothing that was taken in is cut."""
         began = time.monotonic()
@@ -159,12 +153,20 @@
         with anyio.move_on_after(self._tuned.lame_duck_s):
             await self._gossiper.leave()
             await anyio.sleep(self._tuned.lame_duck_s)
+        self._relay.refuse_new()
         while self._relay.state.active and time.monotonic() < ends_at:
             await anyio.sleep(0.05)
         LOG.info("stopped", extra={"active": self._relay.state.active})
 
-    def _is_ready(self) -> bool:
-        return self._desk.in_force is not None and not self._stopping
+    def _show_ready(self) -> probe.Page:
+        if self._desk.in_force is None:
+            return probe.Page(probe.UNAVAILABLE, "no configuration yet\n")
+        if self._stopping:
+            return probe.Page(probe.UNAVAILABLE, "stopping\n")
+        return probe.Page(probe.OK, "ready\n")
+
+    def _show_metrics(self) -> probe.Page:
+        return probe.Page(probe.OK, self._measures.format())
 
     def _take_bundle(self, in_force: acceptance.InForce) -> None:
         self._desk.take_in_force(in_force)
@@ -174,10 +176,6 @@
             in_force.generation, time.monotonic()
         )
 
-    async def _serve_probes(self, address: str, app: object) -> None:
-        server: uvicorn.Server = webserver.make_server(app)  # type: ignore[arg-type]
-        await server.serve([webserver.bind(address)])
-
     async def _watch_reload(self) -> None:
         with anyio.open_signal_receiver(signal.SIGHUP) as signals:
             async for _ in signals:
@@ -227,6 +225,24 @@
         )
 
 
+async def _accept(
+    listener: anyio.abc.SocketListener,
+    handle: Callable[[anyio.abc.SocketStream], Coroutine[Any, Any, None]],
+) -> None:
+    """Takes connections; one that fails at once costs no other."""
+    async with listener, anyio.create_task_group() as tasks:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                LOG.warning(
+                    "connection not taken", extra={"detail": repr(error)}
+                )
+                await anyio.sleep(ACCEPT_PAUSE_S)
+                continue
+            tasks.start_soon(handle, stream)
+
+
 async def main(tuned: node_settings.NodeSettings, stop: process.Stop) -> None:
     """Serves until a stop is asked for and what runs has ended."""
     try:
@@ -242,6 +258,3 @@
     main,
     "Relays callers' requests and schedules them, on one VM of a platform.",
 )
-
-if __name__ == "__main__":
-    run()
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -9,8 +9,7 @@
 
 import pydantic
 
-PATH_VARIABLE = "RAMPTRAY_CONFIG"
-"""Environment variable with the path of the file."""
+from ramptray.platform import address
 
 
 class SettingsError(Exception):
@@ -101,9 +100,9 @@
     Raises:
         SettingsError: The environment does not name it.
     """
-    name = os.environ.get(PATH_VARIABLE)
+    name = os.environ.get(address.PATH_VARIABLE)
     if not name:
-        raise SettingsError(f"the variable {PATH_VARIABLE} is not set")
+        raise SettingsError(f"the variable {address.PATH_VARIABLE} is not set")
     return pathlib.Path(name)
 
 
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -38,6 +38,9 @@
 HEAD_TOO_LARGE = 431
 BAD_REQUEST = 400
 
+STOPPING = refusal.Refusal(refusal.UNAVAILABLE, "stopping", 0.05)
+"""Other VMs can serve the request at once."""
+
 Serve = Callable[[message.CallerRequest, exchange.Reply], Awaitable[None]]
 
 
@@ -61,6 +64,9 @@
         limits: Limits towards callers, from the bundle in force.
         stopping: Whether a planned stop has begun: answers then say that their
             connection closes.
+        refusing: Whether requests are refused: there is no time left to end
+            them before the process is killed.
+        idle: Connections that wait for a request.
         active: Requests that are being served.
         connections: Connections that are open.
     """
@@ -69,6 +75,8 @@
         default_factory=model.RelayLimits
     )
     stopping: bool = False
+    refusing: bool = False
+    idle: set[anyio.CancelScope] = dataclasses.field(default_factory=set)
     active: int = 0
     connections: int = 0
 
@@ -86,6 +94,12 @@
         self._dialect = dialect
         self._serve = serve
 
+    def refuse_new(self) -> None:
+        """Serves no further request; what is being served goes on."""
+        self.state.refusing = True
+        for scope in list(self.state.idle):
+            scope.cancel()
+
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
         """Serves one connection until it ends."""
         self.state.connections += 1
@@ -138,6 +152,9 @@
             return False
         if asked is None:
             return False
+        if self._state.refusing:
+            await CallerReply(self, asked).refuse(STOPPING)
+            return False
         self._state.active += 1
         try:
             await self._serve_watched(asked)
@@ -200,12 +217,9 @@
 
     async def _read_head(self) -> h11.Request | None:
         limits = self._state.limits
-        if not self._http.trailing_data[0]:
-            with anyio.move_on_after(limits.idle_s) as scope:
-                if not await self._receive():
-                    return None
-            if scope.cancelled_caught:
-                return None
+        pipelined = bool(self._http.trailing_data[0])
+        if not pipelined and not await self._wait_for_request(limits.idle_s):
+            return None
         try:
             with anyio.fail_after(limits.header_s):
                 return await self._next_request()
@@ -213,6 +227,17 @@
             mistake = message.Mistake(REQUEST_TIMEOUT, "head took too long")
             raise _BadRequestError(mistake) from error
 
+    async def _wait_for_request(self, idle_s: float) -> bool:
+        """Returns whether the first bytes of a request have arrived."""
+        arrived = False
+        with anyio.move_on_after(idle_s) as scope:
+            self._state.idle.add(scope)
+            try:
+                arrived = await self._receive()
+            finally:
+                self._state.idle.discard(scope)
+        return arrived
+
     async def _next_request(self) -> h11.Request | None:
         while True:
             event = self._parse_event()
