--- /dev/null
+++ b/bench/node.py
@@ -0,0 +1,288 @@
+"""A small deployment on the users' platform, of stand-ins and real VMs."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from typing import Any
+
+START_S = 20.0
+PROBE_S = 0.03
+SERVICE = "lm"
+KEY = "key-ola"
+
+CONFIG_TOPIC = "keyed.op"
+REPLICA_TOPIC = "keyed.servers"
+
+
+class NodeError(Exception):
+    """A process did not start."""
+
+
+def find_port() -> int:
+    """Returns a free port on loopback."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def make_config(version: int, **changes: Any) -> dict[str, Any]:
+    """Returns a configuration with one service and three routes."""
+    route = {
+        "hostname": "lm.example",
+        "timeoutMs": 4000,
+        "targetLatencyMs": 500,
+        "priority": 0,
+        "service": SERVICE,
+        "maxAttempts": 2,
+        "public": False,
+    }
+    config: dict[str, Any] = {
+        "version": version,
+        "routes": [
+            {**route, "name": "safe", "pathPrefix": "/safe/", "kind": "safe"},
+            {
+                **route,
+                "name": "once",
+                "pathPrefix": "/once/",
+                "kind": "unsafe",
+                "maxAttempts": 1,
+            },
+            {
+                **route,
+                "name": "stream",
+                "pathPrefix": "/stream/",
+                "kind": "streaming",
+                "resumable": True,
+                "targetGapMs": 200,
+            },
+            {
+                **route,
+                "name": "fixed",
+                "pathPrefix": "/stream-once/",
+                "kind": "streaming",
+                "resumable": False,
+                "targetGapMs": 200,
+            },
+        ],
+        "services": [{"name": SERVICE}],
+        "limits": {
+            "maxHeaderBytes": 8192,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 1000,
+            "idleTimeoutMs": 4000,
+        },
+        "tenants": [
+            {"name": "ola", "apiKeys": [KEY], "priority": 0},
+            {
+                "name": "small",
+                "apiKeys": ["key-small"],
+                "priority": 0,
+                "unit": "tokens",
+                "ratePerS": 100,
+                "burst": 1000,
+            },
+        ],
+    }
+    return {**config, **changes}
+
+
+class Platform:
+    """Store, replicas and VMs as processes; ends only what it started."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.store = f"127.0.0.1:{find_port()}"
+        self.vms: dict[str, dict[str, str]] = {}
+        self.replicas: dict[str, str] = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start_store(self) -> None:
+        """Starts the store."""
+        self._start_standin("store", "store", {"listen": self.store})
+
+    def start_replica(self, name: str, **options: Any) -> None:
+        """Starts a replica and writes its record."""
+        address = f"127.0.0.1:{find_port()}"
+        self.replicas[name] = address
+        settings = {"name": name, "listen": address, **options}
+        self._start_standin(name, "replica", settings)
+        self.write_record(name)
+
+    def start_vm(self, name: str, store: str | None = None) -> None:
+        """Starts a VM's program and waits until it answers probes."""
+        listen = {
+            kind: f"127.0.0.1:{find_port()}"
+            for kind in ("front", "ready", "control")
+        }
+        seeds = [vm["control"] for vm in self.vms.values()]
+        self.vms[name] = {**listen, "metrics": str(find_port())}
+        lines = [
+            f'node = "{name}"',
+            'ip = "127.0.0.1"',
+            'zone = "waw-a"',
+            f"seeds = {json.dumps(seeds)}",
+            "[listen]",
+            *(f'{kind} = "{address}"' for kind, address in listen.items()),
+            "[limits]",
+            "cpuShare = 1.0\ncores = 1\nmemoryMb = 300\nmaxFds = 4100",
+            "[bounds]",
+            "graceS = 8",
+            "retryBudgetSlack = 500",
+            "[platform]",
+            f'address = "{store or self.store}"',
+        ]
+        path = self.folder / f"{name}.toml"
+        path.write_text("\n".join(lines))
+        tuned = self.folder / f"{name}.json5"
+        tuned.write_text(
+            json.dumps({"metrics_port": int(self.vms[name]["metrics"])})
+        )
+        self._start(
+            name,
+            ["ramptray.node.start", "--settings", str(tuned)],
+            {"RAMPTRAY_CONFIG": str(path)},
+        )
+        self._wait_for(listen["ready"], "/v1/ready")
+
+    def set_config(self, config: dict[str, Any]) -> None:
+        """Writes a configuration."""
+        self._put(CONFIG_TOPIC, "config", json.dumps(config).encode())
+
+    def write_record(self, name: str, state: str = "ready") -> None:
+        """Writes a replica's record."""
+        record = {
+            "service": SERVICE,
+            "address": self.replicas[name],
+            "zone": "waw-a",
+            "slots": 4,
+            "state": state,
+        }
+        self._put(REPLICA_TOPIC, name, json.dumps(record).encode())
+
+    def set_faults(self, name: str, **faults: Any) -> None:
+        """Sets the faults of a replica, or of the store."""
+        address = self.replicas.get(name, self.store)
+        call(address, "PUT", "/faults", json.dumps(faults).encode())
+
+    def read_ledger(self, name: str) -> dict[str, Any]:
+        """Returns what a replica has seen."""
+        answer = call(self.replicas[name], "GET", "/ledger")
+        ledger: dict[str, Any] = json.loads(answer.body)
+        return ledger
+
+    def list_runs(self) -> list[str]:
+        """Returns the ids of all requests that any replica ran."""
+        return [
+            request_id
+            for name in self.replicas
+            for request_id in self.read_ledger(name)["runs"]
+        ]
+
+    def read_log(self, name: str) -> list[dict[str, Any]]:
+        """Returns the log lines of a process."""
+        text = (self.folder / f"{name}.log").read_text()
+        return [
+            json.loads(line)
+            for line in text.splitlines()
+            if line.startswith("{")
+        ]
+
+    def stop_all(self) -> None:
+        """Ends all processes."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.wait()
+
+    def _start_standin(
+        self, name: str, kind: str, settings: dict[str, Any]
+    ) -> None:
+        path = self.folder / f"{name}.json5"
+        path.write_text(json.dumps(settings))
+        module = f"ramptray.standin.{kind}.main"
+        self._start(name, [module, "--settings", str(path)], {})
+        self._wait_for(settings["listen"], "/ledger")
+
+    def _start(
+        self, name: str, command: list[str], variables: dict[str, str]
+    ) -> None:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", *command],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, **variables},
+            )
+
+    def _wait_for(self, address: str, path: str) -> None:
+        ends_at = time.monotonic() + START_S
+        while time.monotonic() < ends_at:
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                call(address, "GET", path)
+                return
+            time.sleep(PROBE_S)
+        raise NodeError(f"nothing answers at {address}")
+
+    def _put(self, topic: str, key: str, value: bytes) -> None:
+        call(self.store, "PUT", f"/records/{topic}/{key}", value)
+
+
+class Answer:
+    """An answer as a caller sees it."""
+
+    def __init__(self, response: http.client.HTTPResponse) -> None:
+        self.status = response.status
+        self.headers = {k.lower(): v for k, v in response.getheaders()}
+        self.whole = True
+        try:
+            self.body = response.read()
+        except http.client.IncompleteRead as error:
+            self.whole = False
+            self.body = error.partial
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    """Sends one request on a connection of its own."""
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=10)
+    try:
+        connection.request(method, path, body, headers or {})
+        return Answer(connection.getresponse())
+    finally:
+        connection.close()
+
+
+@contextlib.contextmanager
+def run_platform(vms: int = 1, replicas: int = 2) -> Iterator[Platform]:
+    """Runs a deployment with a first configuration."""
+    with tempfile.TemporaryDirectory() as name:
+        platform = Platform(pathlib.Path(name))
+        try:
+            platform.start_store()
+            platform.set_config(make_config(1))
+            for number in range(replicas):
+                platform.start_replica(f"i-{number}")
+            for number in range(vms):
+                platform.start_vm(f"vm-{number}")
+            yield platform
+        finally:
+            platform.stop_all()
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import enum
+from collections.abc import Iterable
 
 from ramptray.core import message
 
@@ -62,12 +63,14 @@
         max_running: Requests the engine batches at a time.
         kv_tokens: Tokens that fit the engine's KV memory.
         cache_blocks: Prefix blocks the engine can keep.
+        url: Where it listens; empty where the bundle tells entries.
     """
 
     name: str
     max_running: int
     kv_tokens: int
     cache_blocks: int
+    url: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,6 +159,7 @@
         "version",
         "versions",
         "loaded",
+        "has_learned",
     )
 
     def __init__(self, info: BackendInfo, hear_by: float = 0.0) -> None:
@@ -176,6 +180,7 @@
         self.loaded = True
         self.failures = 0
         self.unreachable_until = 0.0
+        self.has_learned = False
 
     @property
     def is_lost(self) -> bool:
@@ -201,6 +206,18 @@
         self.failures += 1
         self.unreachable_until = now + pause
 
+    def expect_speed_of(self, others: Iterable[Backend]) -> None:
+        """Assumes the speed of the fastest of the others until it is learned.
+
+        A backend server that is assumed to be slow would get no work, and so
+        never show that it is not.
+        """
+        known = [other for other in others if other.has_learned]
+        if not known:
+            return
+        self.prefill_rate = max(other.prefill_rate for other in known)
+        self.step_s = min(other.step_s for other in known)
+
     def choose_version(self, wanted: str) -> None:
         """Chooses the model version that new work there asks for.
 
@@ -299,6 +316,7 @@
             self.prefill_rate += LEARNING_RATE * (
                 work / elapsed - self.prefill_rate
             )
+            self.has_learned = True
 
     def end(self, ended: message.Ended) -> None:
         """Frees the request's place and learns the decode speed."""
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -189,6 +189,8 @@
         backend: Name of the backend server.
         owner: Address of the scheduler that grants.
         version: The model version to ask for; empty for none.
+        url: Where the backend server listens, for an entry that does not know
+            it; empty where the bundle tells.
     """
 
     request_id: str
@@ -196,6 +198,7 @@
     backend: str
     owner: str
     version: str = ""
+    url: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -380,6 +380,7 @@
                 chosen.info.name,
                 self._address,
                 chosen.version,
+                chosen.info.url,
             ),
         )
 
@@ -605,8 +606,10 @@
         for name, info in wanted.items():
             known = self.backends.get(name)
             if known is None or known.info != info:
-                self.backends[name] = backends.Backend(info, self._hear_by)
-                self._move_placed(known, self.backends[name])
+                new = backends.Backend(info, self._hear_by)
+                new.expect_speed_of(known for known in self.backends.values())
+                self.backends[name] = new
+                self._move_placed(known, new)
         for known in self.backends.values():
             known.choose_version(self._rules.version)
             self._pool.update(known)
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -126,9 +126,9 @@
                 continue
             if not self._is_doubted(usable[owner], now):
                 return usable[owner]
-            if self._local not in self._down:
-                return self._local
-        return None
+            break
+        # Also while the last scheduler of a deployment leaves.
+        return None if self._local in self._down else self._local
 
     def _is_doubted(self, address: str, now: float) -> bool:
         doubt = self._doubts.get(address)
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -70,6 +70,7 @@
             self._store, self._equipment.client, HOLD_S, self._take_bundle
         )
         self._gossiper = self._make_gossiper()
+        self._follower.pick_peer = self._gossiper.pick_peer
         self._hub = hub.Hub(
             given.peers,
             config.DOMAIN,
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -131,11 +131,40 @@
     above: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerTold:
+    """A backend server as a peer knows it.
+
+    Attributes:
+        name: Its name.
+        service: The service it works for.
+        address: IP number and port it listens on.
+        zone: Its availability zone.
+        slots: Requests it works on at a time.
+        leaving: Whether it is to get no new work.
+    """
+
+    name: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchedBundle:
-    """Answer to ``FetchBundle``."""
+    """Answer to ``FetchBundle``.
+
+    Attributes:
+        envelope: The bundle, if it is newer than asked.
+        servers: Backend servers that are not part of the bundle.
+        fresh: Whether they come from a store that answers the peer.
+    """
 
     envelope: signature.Envelope | None
+    servers: list[ServerTold] = dataclasses.field(default_factory=list)
+    fresh: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 import random
 import time
@@ -29,6 +30,10 @@
 be in force about two seconds after it answers again."""
 
 EXPIRE_EVERY_S = 0.2
+ASK_PEERS_EVERY_S = 0.5
+"""How often a VM that the store turns away asks a peer, in seconds: what the
+store has must be in force everywhere within about two seconds."""
+
 OnBundle = Callable[[acceptance.InForce], None]
 
 
@@ -42,6 +47,9 @@
         client: Asks peers.
         hold_s: See ``replicas.ReplicaBook``.
         on_bundle: Called with each bundle that comes into force.
+
+    Attributes:
+        pick_peer: Returns some peer's address, if there is any.
     """
 
     def __init__(
@@ -52,6 +60,7 @@
         on_bundle: OnBundle,
     ) -> None:
         super().__init__(client)
+        self.pick_peer: Callable[[], str | None] = _pick_nobody
         self._in_force: acceptance.InForce | None = None
         self._read_at: float | None = None
         self._store = reader
@@ -67,6 +76,7 @@
             tasks.start_soon(self._follow, CONFIG_TOPIC, self._take_config)
             tasks.start_soon(self._follow, REPLICA_TOPIC, self._take_replicas)
             tasks.start_soon(self._expire)
+            tasks.start_soon(self._ask_peers)
 
     @property
     def in_force(self) -> acceptance.InForce | None:
@@ -88,6 +98,24 @@
         """See the base class."""
         if told.envelope:
             self._take_text(told.envelope.text, f"peer {address}")
+        if told.fresh and REPLICA_TOPIC in self._lost:
+            self._book.take_from_peer(
+                {server.name: _read_told(server) for server in told.servers},
+                time.monotonic(),
+            )
+            self._publish()
+
+    def answer(
+        self, question: peer_message.FetchBundle
+    ) -> peer_message.FetchedBundle:
+        """See the base class."""
+        told = super().answer(question)
+        servers = [
+            _tell(name, replica)
+            for name, replica in self._book.list_replicas().items()
+        ]
+        fresh = REPLICA_TOPIC not in self._lost and self._read_at is not None
+        return dataclasses.replace(told, servers=servers, fresh=fresh)
 
     # The store.
 
@@ -139,6 +167,14 @@
             self._book.note_trouble(time.monotonic())
             LOG.info("store regained", extra={"topic": topic})
 
+    async def _ask_peers(self) -> None:
+        """Asks peers while the store turns this VM away."""
+        while True:
+            await anyio.sleep(ASK_PEERS_EVERY_S)
+            peer = self.pick_peer() if self._lost else None
+            if peer is not None:
+                await self.ask(peer)
+
     # What was read.
 
     def _take_config(self, changes: store.Changes, whole: bool) -> None:
@@ -223,5 +259,27 @@
     )
 
 
+def _tell(name: str, replica: record.Replica) -> peer_message.ServerTold:
+    return peer_message.ServerTold(
+        name,
+        replica.service,
+        replica.address,
+        replica.zone,
+        replica.slots,
+        replica.leaving,
+    )
+
+
+def _read_told(told: peer_message.ServerTold) -> record.Replica:
+    return record.Replica(
+        told.service, told.address, told.zone, told.slots, told.leaving
+    )
+
+
+def _pick_nobody() -> str | None:
+    """Stands in until the peers are known."""
+    return None
+
+
 def _name_engine(replica: record.Replica) -> str:
     return f"{replica.service}.{replica.slots}"
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -8,8 +8,8 @@
 
 from ramptray.relay import dialect, message
 
-_ID = b"x-request-id"
-_DEADLINE = b"x-deadline-ms"
+ID = b"x-request-id"
+DEADLINE = b"x-deadline-ms"
 _KEY = b"authorization"
 _SIZES = b"x-token-count"
 """Two numbers: tokens of the prompt, and the most that may be generated."""
@@ -18,12 +18,12 @@
 """The caller's guess of the tokens generated; often far off."""
 
 _PARTS = b"x-prompt-prefix"
-_LAST_EVENT = b"last-event-id"
-_CUSTOMER = b"x-tenant"
-_BACKEND = b"x-expect-instance"
+LAST_EVENT = b"last-event-id"
+CUSTOMER = b"x-tenant"
+BACKEND = b"x-expect-instance"
 """The replica that is meant; every other one answers 421 and runs nothing."""
 
-_NOT_RUN = b"x-not-executed"
+NOT_RUN = b"x-not-executed"
 _KEEP_ALIVE = b"keep-alive"
 
 _OF_ONE_CONNECTION = frozenset(
@@ -43,11 +43,11 @@
 )
 _SET_BY_US = frozenset(
     {
-        _BACKEND,
-        _CUSTOMER,
-        _DEADLINE,
+        BACKEND,
+        CUSTOMER,
+        DEADLINE,
         _KEY,
-        _LAST_EVENT,
+        LAST_EVENT,
         b"kv-fetch",
         b"kv-from",
         b"x-expect-version",
@@ -57,7 +57,7 @@
     }
 )
 _END_TO_END = frozenset(
-    {_ID, _SIZES, _LIKELY, _PARTS, b"host", b"x-model", b"content-type"}
+    {ID, _SIZES, _LIKELY, _PARTS, b"host", b"x-model", b"content-type"}
 )
 """Headers that travel on even if the caller ties them to its connection."""
 
@@ -75,25 +75,25 @@
         names = [name.lower() for name, _ in head.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             return Err(message.Mistake(400, "two lengths of the body"))
-        if names.count(_ID) != 1:
+        if names.count(ID) != 1:
             return Err(message.Mistake(400, "x-request-id: exactly one wanted"))
         values = {name.lower(): value for name, value in head.headers}
         prompt, output = _read_sizes(values.get(_SIZES))
-        deadline = _read_int(values.get(_DEADLINE))
+        deadline = _read_int(values.get(DEADLINE))
         return Ok(
             message.CallerRequest(
                 method=head.method,
                 target=head.target,
                 host=_read_host(values.get(b"host", b"")),
                 headers=_leave_out(head.headers, _SET_BY_US),
-                request_id=values[_ID].decode("latin-1"),
+                request_id=values[ID].decode("latin-1"),
                 deadline_s=None if deadline is None else deadline / 1000,
                 key=_read_key(values.get(_KEY, b"")),
                 prompt_tokens=prompt,
                 output_tokens=output,
                 likely_tokens=_read_int(values.get(_LIKELY)),
                 prefix=_read_prefix(values.get(_PARTS, b"")),
-                last_event=_read_text(values.get(_LAST_EVENT)),
+                last_event=_read_text(values.get(LAST_EVENT)),
             )
         )
 
@@ -120,9 +120,9 @@
         values = {name.lower(): value for name, value in headers}
         return message.AnswerHead(
             status=status,
-            headers=_leave_out(headers, frozenset({_NOT_RUN})),
-            request_id=_read_text(values.get(_ID)),
-            not_run=_NOT_RUN in values or status == _MISDIRECTED,
+            headers=_leave_out(headers, frozenset({NOT_RUN})),
+            request_id=_read_text(values.get(ID)),
+            not_run=NOT_RUN in values or status == _MISDIRECTED,
             idle_s=_read_keep_alive(values.get(_KEEP_ALIVE, b"")),
         )
 
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from ramptray.platform import record, store
 
@@ -74,6 +74,14 @@
         present = {change.key for change in records if change.value}
         self._take_gone([n for n in self._known if n not in present], now)
 
+    def take_from_peer(
+        self, told: Mapping[str, record.Replica], now: float
+    ) -> None:
+        """Takes what a peer knows that the store answers."""
+        for name, replica in told.items():
+            self._put(name, replica)
+        self._take_gone([n for n in self._known if n not in told], now)
+
     def expire(self, now: float) -> bool:
         """Drops those that were kept long enough; tells whether there are."""
         expired = [
@@ -94,6 +102,9 @@
                 extra={"backend": name, "detail": str(error)},
             )
             return
+        self._put(name, replica)
+
+    def _put(self, name: str, replica: record.Replica) -> None:
         if replica.leaving:
             self._left.add(name)
         elif name in self._left:
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -30,8 +30,15 @@
 """Silence after which the kernel asks whether the store is still there, and the
 pause between such questions, in seconds; a cut says nothing of itself."""
 
-_LENGTH = struct.Struct(">I")
-_POSITIONS = struct.Struct(">QQ")
+LENGTH = struct.Struct(">I")
+"""What stands before each record: its length."""
+
+POSITIONS = struct.Struct(">QQ")
+"""What stands before the records: the end, and the first offset kept."""
+
+NEWEST_PATH = "/v1/log-newest"
+READ_PATH = "/v1/log-read"
+
 _GONE = 410
 _OK = 200
 
@@ -70,14 +77,18 @@
     end: int
 
 
-class _Item(msgspec.Struct):
+class NewestItem(msgspec.Struct):
+    """The newest record of a key, on the wire."""
+
     # The store's field is named after TLS; it holds the record's key.
     key: str = msgspec.field(name="tlsKey")
     value: str = ""
 
 
-class _Newest(msgspec.Struct):
-    items: list[_Item]
+class NewestPage(msgspec.Struct):
+    """A page of newest records, on the wire."""
+
+    items: list[NewestItem]
     end: int
     more: bool = msgspec.field(name="hasMore", default=False)
 
@@ -122,7 +133,7 @@
             query = {"topic": topic, "part": "0"}
             if after is not None:
                 query["after"] = after
-            body = await self._get("/v1/log-newest", query, CALL_S)
+            body = await self._get(NEWEST_PATH, query, CALL_S)
             page = _decode_newest(body)
             # Pages are no snapshot: what changes meanwhile is read again.
             first_end = page.end if first_end is None else first_end
@@ -147,7 +158,7 @@
             "from": str(offset),
             "waitMs": str(int(WAIT_S * 1000)),
         }
-        body = await self._get("/v1/log-read", query, WAIT_S + CALL_S)
+        body = await self._get(READ_PATH, query, WAIT_S + CALL_S)
         return _decode_records(body, offset)
 
     async def _get(
@@ -179,9 +190,14 @@
         return response.content
 
 
-def _decode_newest(body: bytes) -> _Newest:
+def encode_newest(page: NewestPage) -> bytes:
+    """Returns a page as the store sends it."""
+    return msgspec.json.encode(page)
+
+
+def _decode_newest(body: bytes) -> NewestPage:
     try:
-        return msgspec.json.decode(body, type=_Newest)
+        return msgspec.json.decode(body, type=NewestPage)
     except msgspec.MsgspecError as error:
         raise StoreError(f"not a page of records: {error}") from error
 
@@ -196,14 +212,14 @@
 def _decode_records(body: bytes, offset: int) -> Changes:
     """Splits the store's bytes: end, first offset kept, then records."""
     try:
-        end, first = _POSITIONS.unpack_from(body)
+        end, first = POSITIONS.unpack_from(body)
         if first > offset:
             raise TrimmedError(f"records before {first} are gone")
         records = []
-        at = _POSITIONS.size
+        at = POSITIONS.size
         while at < len(body):
-            (length,) = _LENGTH.unpack_from(body, at)
-            at += _LENGTH.size
+            (length,) = LENGTH.unpack_from(body, at)
+            at += LENGTH.size
             records.append(_decode_keyed(body[at : at + length]))
             at += length
     except (struct.error, IndexError, UnicodeDecodeError) as error:
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -125,7 +125,7 @@
             await self._reply.refuse(refusal.make_refusal(finish))
 
     async def _attempt(self, grant: core_message.Grant) -> None:
-        address = self._find_address(grant.backend)
+        address = self._find_address(grant)
         if address is None:
             self._ticket.report(tickets.ConnectFailed(self._request_id))
             return
@@ -209,15 +209,20 @@
     def _request_id(self) -> str:
         return self._order.info.request_id
 
-    def _find_address(self, backend: str) -> str | None:
-        """Returns where a backend server listens, if it may get new work."""
+    def _find_address(self, grant: core_message.Grant) -> str | None:
+        """Returns where a backend server listens, if it may get new work.
+
+        One that this VM does not know is taken from the owner's word: the
+        owner may hear sooner of new ones.
+        """
         in_force = self._desk.in_force
         if in_force is None:
             return None
-        server = in_force.bundle.backend_servers.get(backend)
-        if server is None or server.leaving:
+        server = in_force.bundle.backend_servers.get(grant.backend)
+        if server is not None and server.leaving:
             return None
-        return server.url.removeprefix("http://")
+        url = grant.url if server is None else server.url
+        return url.removeprefix("http://") or None
 
     def _note_first(self) -> None:
         if self.first_s is not None:
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -207,6 +207,9 @@
         head = message.Head(
             event.method, event.target, list(event.headers.raw_items())
         )
+        if _measure(head) > self._state.limits.header_bytes:
+            mistake = message.Mistake(HEAD_TOO_LARGE, "head too large")
+            raise _BadRequestError(mistake)
         match self._dialect.read_request(head):
             case Err(mistake):
                 raise _BadRequestError(mistake)
@@ -403,6 +406,12 @@
         await self._connection.cut()
 
 
+def _measure(head: message.Head) -> int:
+    """Returns the size of a head in bytes, as good as it arrived."""
+    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
 async def send_refusal(
     connection: CallerConnection,
     refused: refusal.Refusal,
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -108,6 +108,15 @@
         self._merge(gossip, time.monotonic())
         return self._make_message()
 
+    def pick_peer(self) -> str | None:
+        """Returns the address of some live scheduler, or of a seed."""
+        addresses = [
+            m.address
+            for m in self.membership.list_alive()
+            if m.address != self._me.address
+        ] or self._seeds
+        return self._rng.choice(addresses) if addresses else None
+
     async def check(self, address: str) -> None:
         """Probes a member at once that has been silent to somebody."""
         member = next(
@@ -247,7 +256,11 @@
                 tuple((m.vm, m.address) for m in others),
             )
         )
-        lowest = min(m.generation for m in self.membership.list_alive())
+        # A member that leaves last has no live ones beside it.
+        lowest = min(
+            (m.generation for m in self.membership.list_alive()),
+            default=self.membership.me.generation,
+        )
         if lowest != self._lowest:
             self._lowest = lowest
             self._on_lowest(lowest)
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -45,9 +45,14 @@
 
 def make_info(bundle: model.Bundle, name: str) -> backend.BackendInfo:
     """Returns what an owner needs to know of a backend server."""
-    engine = bundle.engines[bundle.backend_servers[name].engine]
+    server = bundle.backend_servers[name]
+    engine = bundle.engines[server.engine]
     return backend.BackendInfo(
-        name, engine.max_running, engine.kv_tokens, engine.cache_blocks
+        name,
+        engine.max_running,
+        engine.kv_tokens,
+        engine.cache_blocks,
+        server.url,
     )
 
 
--- a/ramptray/scheduler/source.py
+++ b/ramptray/scheduler/source.py
@@ -48,8 +48,12 @@
     async def fetch(self, address: str, generation: int) -> None:
         """Takes a newer bundle from a peer."""
         current = self.in_force.generation if self.in_force else 0
-        if generation <= current:
-            return
+        if generation > current:
+            await self.ask(address)
+
+    async def ask(self, address: str) -> None:
+        """Takes what a peer has that is newer."""
+        current = self.in_force.generation if self.in_force else 0
         try:
             answer = await self._client.ask(
                 address, peer_message.FetchBundle(current), FETCH_S
@@ -57,8 +61,7 @@
         except peer_link.LinkError as error:
             LOG.info("bundle from a peer: %s", error)
             return
-        if answer.envelope:
-            self.take_from_peer(address, answer)
+        self.take_from_peer(address, answer)
 
     def answer(
         self, question: peer_message.FetchBundle
--- /dev/null
+++ b/ramptray/standin/replica/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the users' replicas, with the faults they may have."""
--- /dev/null
+++ b/ramptray/standin/replica/main.py
@@ -0,0 +1,262 @@
+"""``ramptray-fake-replica``: a replica that answers, fails, cuts and counts."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import logging
+
+import anyio
+import anyio.abc
+import h11
+import pydantic
+
+from ramptray import process
+from ramptray.bundle import model
+from ramptray.platform import header
+from ramptray.settings import Address, split_address
+
+LOG = logging.getLogger(__name__)
+
+READ_BYTES = 65536
+SIGNATURE = b"X-Response-Signature"
+STREAM_TYPE = b"text/event-stream"
+
+
+class FakeReplicaSettings(model.Model):
+    """Settings of the replica stand-in.
+
+    Attributes:
+        name: Its id.
+        listen: IP number and port.
+        work_s: How long an answer, or the pause between two events, takes.
+        events: Events of a stream.
+        log_level: Least level that is logged.
+    """
+
+    name: model.Name
+    listen: Address
+    work_s: float = pydantic.Field(0.01, ge=0)
+    events: int = pydantic.Field(5, ge=1)
+    log_level: str = "INFO"
+
+
+class Faults(model.Model):
+    """Faults that a test sets.
+
+    Attributes:
+        refuse: Answer that the request has not run.
+        fail: Answer with a failure of its own.
+        cut_after: Events after which streams are cut in the middle of one.
+        surplus: Send an answer to another request before each answer.
+        unframed: Answer without a length and close.
+        work_s: How long an answer, or a pause, takes from now on.
+    """
+
+    refuse: bool = False
+    fail: bool = False
+    cut_after: int | None = None
+    surplus: bool = False
+    unframed: bool = False
+    work_s: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Ledger:
+    """What the replica has seen.
+
+    Attributes:
+        runs: Ids of the requests that it ran, in order.
+        heads: Headers of each, in lower case.
+        gone: Ids of the requests whose connection closed while they ran.
+    """
+
+    runs: list[str] = dataclasses.field(default_factory=list)
+    heads: list[dict[str, str]] = dataclasses.field(default_factory=list)
+    gone: list[str] = dataclasses.field(default_factory=list)
+
+
+class Replica:
+    """Serves connections, with one request at a time on each."""
+
+    def __init__(self, settings: FakeReplicaSettings) -> None:
+        self._settings = settings
+        self._faults = Faults()
+        self._ledger = Ledger()
+
+    async def handle(self, stream: anyio.abc.SocketStream) -> None:
+        """Serves one connection until it ends."""
+        async with stream:
+            try:
+                while await self._serve_one(stream, h11.Connection(h11.SERVER)):
+                    pass
+            except (
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                h11.ProtocolError,
+            ) as error:
+                LOG.info("connection ended: %r", error)
+
+    async def _serve_one(
+        self, stream: anyio.abc.SocketStream, http: h11.Connection
+    ) -> bool:
+        request = None
+        body = b""
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    http.receive_data(await stream.receive(READ_BYTES))
+                except anyio.EndOfStream:
+                    return False
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                return False
+        assert request is not None
+        headers = {
+            name.lower().decode(): value.decode()
+            for name, value in request.headers.raw_items()
+        }
+        path = request.target.decode()
+        if path == "/faults":
+            self._faults = Faults.model_validate_json(body)
+            await _send(stream, 200, b"", [])
+            return True
+        if path == "/ledger":
+            seen = json.dumps(dataclasses.asdict(self._ledger)).encode()
+            await _send(stream, 200, seen, [])
+            return True
+        return await self._answer(stream, http, path, headers, body)
+
+    async def _answer(
+        self,
+        stream: anyio.abc.SocketStream,
+        http: h11.Connection,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> bool:
+        faults = self._faults
+        request_id = headers[header.ID.decode()]
+        own = [(b"X-Request-Id", request_id.encode())]
+        if headers.get(header.BACKEND.decode()) != self._settings.name:
+            await _send(stream, 421, b"", own)
+            return True
+        if faults.refuse:
+            not_run = (header.NOT_RUN, b"1")
+            await _send(stream, 503, b"", [*own, not_run])
+            return True
+        self._ledger.runs.append(request_id)
+        self._ledger.heads.append(headers)
+        signed = [*own, (SIGNATURE, f"{self._settings.name}.{path}".encode())]
+        if path.startswith("/stream"):
+            return await self._stream(stream, http, headers, signed)
+        try:
+            await self._work(stream, request_id)
+        except anyio.EndOfStream:
+            return False
+        if faults.surplus:
+            other = [(b"X-Request-Id", b"other"), (SIGNATURE, b"other")]
+            await stream.send(_format(200, b"surplus", other))
+        answer = json.dumps({"path": path, "bytes": len(body)}).encode()
+        if faults.unframed:
+            await stream.send(_format(200, answer, signed, framed=False))
+            return False
+        status = 500 if faults.fail else 200
+        await _send(stream, status, answer, signed)
+        return True
+
+    async def _stream(
+        self,
+        stream: anyio.abc.SocketStream,
+        http: h11.Connection,
+        headers: dict[str, str],
+        signed: list[tuple[bytes, bytes]],
+    ) -> bool:
+        head = h11.Response(
+            status_code=200,
+            headers=[
+                *signed,
+                (b"Content-Type", STREAM_TYPE),
+                (b"Transfer-Encoding", b"chunked"),
+            ],
+        )
+        await stream.send(http.send(head) or b"")
+        begin = int(headers.get(header.LAST_EVENT.decode(), "0"))
+        for number in range(begin + 1, self._settings.events + 1):
+            try:
+                await self._work(stream, headers[header.ID.decode()])
+            except anyio.EndOfStream:
+                return False
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if self._faults.cut_after == number - 1:
+                await stream.send(http.send(h11.Data(data=event[:9])) or b"")
+                return False
+            await stream.send(http.send(h11.Data(data=event)) or b"")
+        await stream.send(http.send(h11.EndOfMessage()) or b"")
+        http.start_next_cycle()
+        return True
+
+    async def _work(
+        self, stream: anyio.abc.SocketStream, request_id: str
+    ) -> None:
+        """Works for a while; notes it if the caller goes meanwhile."""
+        work_s = self._faults.work_s
+        if work_s is None:
+            work_s = self._settings.work_s
+        with anyio.move_on_after(work_s):
+            try:
+                await stream.receive(1)
+            except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
+                self._ledger.gone.append(request_id)
+                raise anyio.EndOfStream from error
+
+
+async def _send(
+    stream: anyio.abc.SocketStream,
+    status: int,
+    body: bytes,
+    headers: list[tuple[bytes, bytes]],
+) -> None:
+    await stream.send(_format(status, body, headers))
+
+
+def _format(
+    status: int,
+    body: bytes,
+    headers: list[tuple[bytes, bytes]],
+    framed: bool = True,
+) -> bytes:
+    """Returns an answer's bytes; the parser would not let faults through."""
+    lines = [f"HTTP/1.1 {status} Stand-in".encode()]
+    lines.extend(name + b": " + value for name, value in headers)
+    if framed:
+        lines.append(f"Content-Length: {len(body)}".encode())
+    return b"\r\n".join([*lines, b"", body])
+
+
+async def main(settings: FakeReplicaSettings, stop: process.Stop) -> None:
+    """Serves until a stop is asked for."""
+    replica = Replica(settings)
+    host, port = split_address(settings.listen)
+    opened = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(opened.serve, replica.handle)
+        await stop.event.wait()
+        tasks.cancel_scope.cancel()
+
+
+run = process.make_program(
+    "ramptray-fake-replica",
+    FakeReplicaSettings,
+    main,
+    "Stands in for a replica of the users' services.",
+)
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/ramptray/standin/store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the users' store: keyed topics, waiting reads, faults."""
--- /dev/null
+++ b/ramptray/standin/store/main.py
@@ -0,0 +1,150 @@
+"""``ramptray-fake-store``: the users' store as far as ramptray uses it."""
+
+from __future__ import annotations
+
+import base64
+import collections
+
+import anyio
+import pydantic
+from starlette import applications, requests, responses, routing
+
+from ramptray import process, webserver
+from ramptray.bundle import model
+from ramptray.platform import store
+from ramptray.settings import Address
+
+OK = 200
+GONE = 410
+BUSY = 503
+
+
+class FakeStoreSettings(model.Model):
+    """Settings of the store stand-in.
+
+    Attributes:
+        listen: IP number and port.
+        log_level: Least level that is logged.
+    """
+
+    listen: Address
+    log_level: str = "INFO"
+
+
+class Faults(model.Model):
+    """Faults that a test sets.
+
+    Attributes:
+        busy: Whether each call is turned away.
+        forgotten: Records before this offset are not kept any more.
+    """
+
+    busy: bool = False
+    forgotten: int = pydantic.Field(0, ge=0)
+
+
+class Topic:
+    """One keyed topic with a single part."""
+
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.changed = anyio.Event()
+
+    def append(self, key: str, value: bytes) -> None:
+        """Adds a record; an empty value drops the key."""
+        self.records.append((key, value))
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def list_newest(self) -> dict[str, tuple[bytes, int]]:
+        """Returns the newest value of each key and its offset."""
+        newest: dict[str, tuple[bytes, int]] = {}
+        for offset, (key, value) in enumerate(self.records):
+            newest.pop(key, None)
+            if value:
+                newest[key] = (value, offset)
+        return newest
+
+
+class Store:
+    """The stand-in's HTTP interface."""
+
+    def __init__(self) -> None:
+        self._faults = Faults()
+        self._topics: dict[str, Topic] = collections.defaultdict(Topic)
+
+    def make_app(self) -> applications.Starlette:
+        """Returns the HTTP application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route(store.NEWEST_PATH, self._read_newest),
+                routing.Route(store.READ_PATH, self._read),
+                routing.Route("/faults", self._set_faults, methods=["PUT"]),
+                routing.Route(
+                    "/records/{topic}/{key}", self._put, methods=["PUT"]
+                ),
+            ]
+        )
+
+    async def _put(self, http: requests.Request) -> responses.Response:
+        topic = self._topics[http.path_params["topic"]]
+        topic.append(http.path_params["key"], await http.body())
+        return responses.Response(status_code=OK)
+
+    async def _set_faults(self, http: requests.Request) -> responses.Response:
+        self._faults = Faults.model_validate_json(await http.body())
+        return responses.Response(status_code=OK)
+
+    async def _read_newest(self, http: requests.Request) -> responses.Response:
+        if self._faults.busy:
+            return responses.Response(status_code=BUSY)
+        topic = self._topics[http.query_params["topic"]]
+        page = store.NewestPage(
+            [
+                store.NewestItem(key, base64.b64encode(value).decode())
+                for key, (value, _) in topic.list_newest().items()
+            ],
+            len(topic.records),
+        )
+        return responses.Response(store.encode_newest(page))
+
+    async def _read(self, http: requests.Request) -> responses.Response:
+        topic = self._topics[http.query_params["topic"]]
+        offset = int(http.query_params["from"])
+        wait_s = int(http.query_params.get("waitMs", "0")) / 1000
+        if len(topic.records) <= offset and not self._faults.busy:
+            with anyio.move_on_after(wait_s):
+                await topic.changed.wait()
+        if self._faults.busy:
+            return responses.Response(status_code=BUSY)
+        if offset < self._faults.forgotten:
+            return responses.Response(status_code=GONE)
+        records = [
+            bytes([len(key)]) + key.encode() + value
+            for key, value in topic.records[offset:]
+        ]
+        head = store.POSITIONS.pack(len(topic.records), self._faults.forgotten)
+        body = b"".join(
+            store.LENGTH.pack(len(record)) + record for record in records
+        )
+        return responses.Response(head + body)
+
+
+async def main(settings: FakeStoreSettings, stop: process.Stop) -> None:
+    """Serves until a stop is asked for."""
+    server = webserver.make_server(Store().make_app())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [webserver.bind(settings.listen)])
+        await stop.event.wait()
+        tasks.cancel_scope.cancel()
+
+
+run = process.make_program(
+    "ramptray-fake-store",
+    FakeStoreSettings,
+    main,
+    "Stands in for the users' store.",
+)
+
+if __name__ == "__main__":
+    run()
