--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -73,8 +73,10 @@
         earned = (now - self._filled_at) * self.rate
         self.level = min(self.get_size(), self.level + earned)
         self._filled_at = now
-        # A request larger than the bucket passes when the bucket is full.
-        missing = min(amount, self.get_size()) - self.level
+        # Tokens may be overdrawn by one request: were a request admitted only
+        # where it fits, a customer near its limit would get the small ones
+        # through and never a large one.
+        missing = 1.0 - self.level if amount > 1.0 else amount - self.level
         return max(0.0, missing / self.rate)
 
     def get_use(self, now: float) -> float:
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -67,7 +67,11 @@
         self._dialect = header.PlatformDialect()
         self._relay_client = relay_client.RelayClient(self._dialect)
         self._follower = follower.Follower(
-            self._store, self._equipment.client, HOLD_S, self._take_bundle
+            self._store,
+            self._equipment.client,
+            HOLD_S,
+            given.limit_slack * tuned.limit_slack_part,
+            self._take_bundle,
         )
         self._gossiper = self._make_gossiper()
         self._follower.pick_peer = self._gossiper.pick_peer
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -106,19 +106,24 @@
     tenants: list[_Tenant] = []
 
 
-def parse_config(text: str) -> model.Bundle:
+def parse_config(text: str, extra_burst: float = 0.0) -> model.Bundle:
     """Returns the bundle that a configuration declares, without replicas.
 
+    Args:
+        text: The configuration.
+        extra_burst: Tokens by which customers may exceed their burst.
+
     Raises:
         ConfigError: The text is no configuration that can be used.
     """
     try:
-        return _make_bundle(_Config.model_validate_json(text))
+        raw = _Config.model_validate_json(text)
+        return _make_bundle(raw, extra_burst)
     except pydantic.ValidationError as error:
         raise ConfigError(settings.describe(error)) from error
 
 
-def _make_bundle(raw: _Config) -> model.Bundle:
+def _make_bundle(raw: _Config, extra_burst: float) -> model.Bundle:
     priorities = sorted({route.priority for route in raw.routes})
     return model.Bundle(
         generation=raw.version,
@@ -129,7 +134,7 @@
         zones=[DOMAIN],
         tiers=_make_tiers(raw, priorities),
         customers={
-            tenant.name: _make_customer(tenant, priorities)
+            tenant.name: _make_customer(tenant, priorities, extra_burst)
             for tenant in raw.tenants
             if tenant.keys
         },
@@ -163,7 +168,9 @@
     return f"p{rank}.{priority}"
 
 
-def _make_customer(tenant: _Tenant, priorities: list[int]) -> model.Customer:
+def _make_customer(
+    tenant: _Tenant, priorities: list[int], extra_burst: float
+) -> model.Customer:
     limits = model.Limits()
     if tenant.rate_per_s > 0:
         rate = max(1.0, tenant.rate_per_s)
@@ -171,7 +178,7 @@
         limits = model.Limits(
             requests_per_s=None if in_tokens else rate,
             tokens_per_s=rate if in_tokens else None,
-            burst=tenant.burst,
+            burst=tenant.burst + (extra_burst if in_tokens else 0.0),
         )
     return model.Customer(
         key_hashes=[model.hash_key(key) for key in tenant.keys],
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -46,6 +46,7 @@
         reader: The store.
         client: Asks peers.
         hold_s: See ``replicas.ReplicaBook``.
+        extra_burst: See ``config.parse_config``.
         on_bundle: Called with each bundle that comes into force.
 
     Attributes:
@@ -57,6 +58,7 @@
         reader: store.Store,
         client: peer_link.PeerClient,
         hold_s: float,
+        extra_burst: float,
         on_bundle: OnBundle,
     ) -> None:
         super().__init__(client)
@@ -64,6 +66,7 @@
         self._in_force: acceptance.InForce | None = None
         self._read_at: float | None = None
         self._store = reader
+        self._extra_burst = extra_burst
         self._book = replicas.ReplicaBook(hold_s)
         self._on_bundle = on_bundle
         self._declared: model.Bundle | None = None
@@ -185,7 +188,7 @@
 
     def _take_text(self, text: str, origin: str) -> None:
         try:
-            bundle = config.parse_config(text)
+            bundle = config.parse_config(text, self._extra_burst)
         except config.ConfigError as error:
             LOG.error(
                 "configuration passed over",
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -40,6 +40,8 @@
     retry_ratio: float = pydantic.Field(0.2, alias="retryBudgetRatio")
     retry_window_s: float = pydantic.Field(10.0, alias="budgetWindowS")
     retry_slack: float = pydantic.Field(50.0, alias="retryBudgetSlack")
+    # Tokens by which a customer's sum over a window may exceed its limit.
+    limit_slack: float = pydantic.Field(0.0, alias="quotaSlack")
 
 
 class _Store(_Wire):
@@ -76,6 +78,7 @@
         retry_ratio: Further attempts allowed for each request, over all VMs.
         retry_slack: Further attempts allowed beyond that in a window.
         retry_window_s: The window's length in seconds.
+        limit_slack: Tokens by which customers may exceed their limits.
     """
 
     vm: str
@@ -92,6 +95,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    limit_slack: float
 
 
 def get_path() -> pathlib.Path:
@@ -134,6 +138,7 @@
         retry_ratio=raw.bounds.retry_ratio,
         retry_slack=raw.bounds.retry_slack,
         retry_window_s=raw.bounds.retry_window_s,
+        limit_slack=raw.bounds.limit_slack,
     )
 
 
--- a/ramptray/process.py
+++ b/ramptray/process.py
@@ -4,9 +4,11 @@
 
 import dataclasses
 import logging
+import os
 import pathlib
 import signal
 import sys
+import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
@@ -84,6 +86,15 @@
                 LOG.critical("ended by an error", exc_info=leaf)
                 click.echo(f"{name}: {leaf}", err=True)
             sys.exit(EXIT_FAILED)
+        except* Exception as group:
+            for leaf in flatten(group):
+                LOG.critical("ended by a mistake in the code", exc_info=leaf)
+                traceback.print_exception(leaf)
+            sys.stdout.flush()
+            sys.stderr.flush()
+            # Without the interpreter's own end: libraries complain there about
+            # the event loop that is gone, and hide the reason.
+            os._exit(EXIT_FAILED)
 
     return command
 
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -281,11 +281,11 @@
 
     async def close_idle(self, now: float) -> None:
         """Closes the connections that are idle for too long."""
-        for address, idle in list(self._idle.items()):
+        for idle in list(self._idle.values()):
             old = [c for c in idle if now - c.idle_since >= c.idle_s]
-            self._idle[address] = [c for c in idle if c not in old]
-            if not self._idle[address]:
-                del self._idle[address]
+            # The list stays the same one: others may be taking from it.
+            for connection in old:
+                idle.remove(connection)
             for connection in old:
                 await connection.close()
 
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -111,6 +111,11 @@
             self.outcome = "caller_gone"
             self._ticket.report(tickets.Abandoned(self._make_ended(False)))
             raise
+        except Exception:
+            # Its place at the backend server must not stay taken.
+            self.outcome = "error"
+            self._ticket.report(tickets.Abandoned(self._make_ended(False)))
+            raise
 
     async def _end(self, finish: request.Finish) -> None:
         self.outcome = finish.reason.value if finish.reason else "complete"
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -16,6 +16,13 @@
 
 LOG = logging.getLogger(__name__)
 
+YOUNG_S = 4.0
+"""How long after its start a scheduler looks for the others more often, in
+seconds: until it has found them it decides by its own view alone."""
+
+YOUNG_PERIOD_S = 0.1
+"""Time between two probes of such a scheduler, in seconds."""
+
 SUMMARIES_PER_MESSAGE = 8
 CONTACTS_PER_MESSAGE = 3
 CONTACTS_PER_ZONE = 4
@@ -66,12 +73,26 @@
         self._summaries: dict[str, tuple[float, summary.ShardSummary]] = {}
         self._rounds = itertools.count(1)
         self._turn = 0
+        self._young_until = now + YOUNG_S
 
     async def run(self) -> None:
         """Probes until cancelled."""
         while True:
-            await anyio.sleep(membership.PERIOD_S * self._rng.uniform(0.8, 1.2))
+            period_s = membership.PERIOD_S
+            if time.monotonic() < self._young_until:
+                period_s = YOUNG_PERIOD_S
+            await anyio.sleep(period_s * self._rng.uniform(0.8, 1.2))
             await self._run_period()
+            if time.monotonic() < self._young_until:
+                await self._probe_seeds()
+
+    async def _probe_seeds(self) -> None:
+        """Asks the seeds that are no members yet."""
+        known = {m.address for m in self.membership.list_alive()}
+        async with anyio.create_task_group() as tasks:
+            for address in self._seeds:
+                if address not in known:
+                    tasks.start_soon(self._probe, address)
 
     @property
     def asked_bytes(self) -> int:
@@ -108,6 +129,24 @@
         self._merge(gossip, time.monotonic())
         return self._make_message()
 
+    def get_part(self) -> float:
+        """Returns the part of the live schedulers that this one knows of.
+
+        Those that it has lost may be handing out limits on the other side of a
+        cut; so may those that it has not met yet.
+        """
+        alive = sum(
+            m.state is membership.MemberState.ALIVE
+            for m in self.membership.list_all()
+        )
+        known = sum(
+            m.state is not membership.MemberState.LEFT
+            for m in self.membership.list_all()
+        )
+        if time.monotonic() < self._young_until:
+            known = max(known, len(self._seeds) + 1)
+        return max(1, alive) / max(1, known)
+
     def pick_peer(self) -> str | None:
         """Returns the address of some live scheduler, or of a seed."""
         addresses = [
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -391,6 +391,8 @@
 
     def _take_view(self, view: peer_message.View) -> None:
         self.view = view
+        if self._limits is not None:
+            self._limits.set_part(self._gossiper.get_part())
         if self._claims is not None:
             partitions = self._list_partitions()
             self._claims.post(claims.PartitionsChanged(partitions))
