Divide customers' limits over the sides of a cut with a margin

The parts may now sum to 1.3, what the limits' slack leaves, and what is left grows back with the rate.

--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -57,6 +57,12 @@
             return max(self._burst * self.rate / self.share, 1.0)
         return max(self.rate * BURST_S, 1.0)
 
+    def set_rate(self, rate: float) -> None:
+        """Takes another rate; what is left grows or shrinks with it."""
+        if self.level > 0:
+            self.level *= rate / self.rate
+        self.rate = rate
+
     def take_over(self, former: _Bucket) -> None:
         """Starts with what a bucket of the same customer has left.
 
@@ -112,7 +118,7 @@
         self._part = part
         for buckets in self._buckets.values():
             for _, bucket in buckets:
-                bucket.rate = bucket.share * part
+                bucket.set_rate(bucket.share * part)
 
     def check(self, customer: str, cost: int, now: float) -> float:
         """Takes a request from the customer's buckets if it fits.
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -23,6 +23,10 @@
 YOUNG_PERIOD_S = 0.1
 """Time between two probes of such a scheduler, in seconds."""
 
+LIMIT_MARGIN = 1.3
+"""By how much the parts of customers' limits that all sides of a cut hand out may
+exceed the whole: what the limits' bounds leave over short windows."""
+
 SUMMARIES_PER_MESSAGE = 8
 CONTACTS_PER_MESSAGE = 3
 CONTACTS_PER_ZONE = 4
@@ -130,10 +134,10 @@
         return self._make_message()
 
     def get_part(self) -> float:
-        """Returns the part of the live schedulers that this one knows of.
+        """Returns the part of customers' limits that may be handed out here.
 
-        Those that it has lost may be handing out limits on the other side of a
-        cut; so may those that it has not met yet.
+        Schedulers that were lost may be handing out theirs on the other side
+        of a cut; so may those that were not met yet.
         """
         alive = sum(
             m.state is membership.MemberState.ALIVE
@@ -145,7 +149,7 @@
         )
         if time.monotonic() < self._young_until:
             known = max(known, len(self._seeds) + 1)
-        return max(1, alive) / max(1, known)
+        return min(1.0, LIMIT_MARGIN * max(1, alive) / max(1, known))
 
     def pick_peer(self) -> str | None:
         """Returns the address of some live scheduler, or of a seed."""
