Take a stream that has just ended for a broken link, bound the log, and load less at a start

The test fails on the code before. Logs go to standard output through a handler that never blocks and counts what it leaves out.

--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -9,6 +9,7 @@
 import abc
 import asyncio
 import contextlib
+import logging
 import pathlib
 from collections.abc import AsyncIterator, Iterator
 from typing import Any
@@ -23,6 +24,8 @@
 from ramptray.core import clock
 from ramptray.peer import codec, gate
 
+LOG = logging.getLogger(__name__)
+
 SERVICE = "ramptray.Peer"
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 QUEUE_FRAMES = 10_000
@@ -46,6 +49,16 @@
 ]
 
 
+_BROKEN = (
+    grpc.aio.AioRpcError,
+    grpc.aio.UsageError,
+    grpc.RpcError,
+    # Raised by a write on a stream that has ended a moment before.
+    asyncio.InvalidStateError,
+)
+"""What the library raises when a peer has gone, in one way or another."""
+
+
 class LinkError(Exception):
     """A peer cannot be reached, or the link to it broke."""
 
@@ -150,8 +163,8 @@
                 async for body in session.outgoing:
                     await context.write(codec.encode(self._clock.tick(), body))
                 tasks.cancel_scope.cancel()
-        except* (grpc.aio.AioRpcError, grpc.aio.UsageError, grpc.RpcError):
-            pass
+        except* _BROKEN as group:
+            LOG.info("attached peer lost: %r", group.exceptions[0])
         finally:
             session.close()
             with anyio.CancelScope(shield=True):
@@ -210,10 +223,11 @@
         call: Any = self._get_channel(address).unary_unary(f"/{SERVICE}/Ask")
         data = codec.encode(self._clock.tick(), question)
         try:
-            answer = await call(data, timeout=timeout_s)
+            with _turn_cancellation(address):
+                answer = await call(data, timeout=timeout_s)
             self.asked_bytes += len(data) + len(answer)
             frame = codec.decode(answer)
-        except (grpc.aio.AioRpcError, codec.CodecError) as error:
+        except (*_BROKEN, codec.CodecError) as error:
             raise LinkError(f"{address}: {_describe(error)}") from error
         self._clock.witness(frame.clock)
         return frame.body
@@ -346,17 +360,15 @@
         try:
             with _turn_cancellation(self.address):
                 await self._call.write(codec.encode(self._clock.tick(), body))
-        except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
+        except _BROKEN as error:
             raise LinkError(f"{self.address}: {_describe(error)}") from error
-        except anyio.get_cancelled_exc_class():
-            raise
 
     async def receive(self) -> Any:
         """See the base class."""
         try:
             with _turn_cancellation(self.address):
                 data = await self._call.read()
-        except grpc.aio.AioRpcError as error:
+        except _BROKEN as error:
             raise LinkError(f"{self.address}: {_describe(error)}") from error
         _check(self.address, self._gate)
         if data is grpc.aio.EOF:
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -9,6 +9,9 @@
 from ramptray.relay import dialect, message
 
 ID = b"x-request-id"
+SIGNATURE = b"x-response-signature"
+"""Set by replicas; it travels on like all headers that are not named here."""
+
 DEADLINE = b"x-deadline-ms"
 _KEY = b"authorization"
 _SIZES = b"x-token-count"
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -10,7 +10,8 @@
 import urllib.parse
 
 import anyio
-import httpcore
+import anyio.abc
+import h11
 import msgspec
 
 CALL_S = 2.0
@@ -30,6 +31,8 @@
 """Silence after which the kernel asks whether the store is still there, and the
 pause between such questions, in seconds; a cut says nothing of itself."""
 
+READ_BYTES = 65536
+
 LENGTH = struct.Struct(">I")
 """What stands before each record: its length."""
 
@@ -38,6 +41,8 @@
 
 NEWEST_PATH = "/v1/log-newest"
 READ_PATH = "/v1/log-read"
+WAIT_FIELD = "waitMs"
+"""How long a read waits for a record, in milliseconds."""
 
 _GONE = 410
 _OK = 200
@@ -101,24 +106,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._url = f"http://{address}"
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=8,
-            socket_options=[
-                (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-                (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S),
-                (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S),
-                (
-                    socket.IPPROTO_TCP,
-                    socket.TCP_USER_TIMEOUT,
-                    USER_TIMEOUT_MS,
-                ),
-            ],
-        )
-
-    async def close(self) -> None:
-        """Closes all connections."""
-        await self._pool.aclose()
+        self._address = address
 
     async def read_newest(self, topic: str) -> Changes:
         """Returns the newest record of each key.
@@ -156,7 +144,7 @@
             "topic": topic,
             "part": "0",
             "from": str(offset),
-            "waitMs": str(int(WAIT_S * 1000)),
+            WAIT_FIELD: str(int(WAIT_S * 1000)),
         }
         body = await self._get(READ_PATH, query, WAIT_S + CALL_S)
         return _decode_records(body, offset)
@@ -164,30 +152,78 @@
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> bytes:
-        url = f"{self._url}{path}?{urllib.parse.urlencode(query)}"
-        timeout = {
-            "connect": CONNECT_S,
-            "read": timeout_s,
-            "write": CALL_S,
-            "pool": CALL_S,
-        }
+        target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
             with anyio.fail_after(timeout_s + CONNECT_S):
-                response = await self._pool.request(
-                    "GET", url, extensions={"timeout": timeout}
-                )
+                status, body = await self._call(target)
         except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
+            OSError,
             TimeoutError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            h11.RemoteProtocolError,
         ) as error:
             raise StoreError(f"{path}: {error!r}") from error
-        if response.status == _GONE:
-            raise TrimmedError(f"{path}: status {response.status}")
-        if response.status != _OK:
-            raise StoreError(f"{path}: status {response.status}")
-        return response.content
+        if status == _GONE:
+            raise TrimmedError(f"{path}: status {status}")
+        if status != _OK:
+            raise StoreError(f"{path}: status {status}")
+        return body
+
+    async def _call(self, target: str) -> tuple[int, bytes]:
+        """Sends one request on a connection of its own.
+
+        A connection that has lost an answer never says anything again, so none
+        is used twice; calls are few.
+        """
+        host, _, port = self._address.rpartition(":")
+        http = h11.Connection(h11.CLIENT)
+        request = h11.Request(
+            method="GET",
+            target=target,
+            headers=[("Host", self._address), ("Connection", "close")],
+        )
+        with anyio.fail_after(CONNECT_S):
+            stream = await anyio.connect_tcp(host, int(port))
+        async with stream:
+            _set_keep_alive(stream)
+            await stream.send(http.send(request) or b"")
+            http.send(h11.EndOfMessage())
+            return await _read_answer(http, stream)
+
+
+def _set_keep_alive(stream: anyio.abc.SocketStream) -> None:
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    for level, option, value in (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        raw.setsockopt(level, option, value)
+
+
+async def _read_answer(
+    http: h11.Connection, stream: anyio.abc.SocketStream
+) -> tuple[int, bytes]:
+    """Returns status and body of the answer."""
+    status = 0
+    parts: list[bytes] = []
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            try:
+                http.receive_data(await stream.receive(READ_BYTES))
+            except anyio.EndOfStream:
+                http.receive_data(b"")
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return status, b"".join(parts)
+        else:
+            raise StoreError("the store closed without an answer")
 
 
 def encode_newest(page: NewestPage) -> bytes:
--- a/ramptray/process.py
+++ b/ramptray/process.py
@@ -18,6 +18,7 @@
 from pythonjsonlogger import json as json_logger
 
 import ramptray
+from ramptray import logsink
 from ramptray.bundle import text
 
 LOG = logging.getLogger(__name__)
@@ -112,7 +113,7 @@
 
 def set_up_logs(program: str, level: str) -> None:
     """Sends all logs to standard output as JSON lines."""
-    handler = logging.StreamHandler(sys.stdout)
+    handler = logsink.BoundedHandler(sys.stdout.fileno())
     handler.setFormatter(
         json_logger.JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -36,9 +36,10 @@
 IDLE_MARGIN_S = 1.0
 """How much earlier than the backend server an idle connection is given up."""
 
-ONCE_IDLE_S = 1.0
+ONCE_IDLE_S = 5.0
 """How long a connection may have been idle to carry a request that may run only
-once: if it closes as the request is sent, nobody knows whether it ran."""
+once: if it closes as the request is sent, nobody knows whether it ran.  That
+takes a round trip of bad luck; a connection that is closed already is seen."""
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
--- a/ramptray/scheduler/claims.py
+++ b/ramptray/scheduler/claims.py
@@ -19,6 +19,7 @@
 from ramptray.log import stream
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
+from ramptray.scheduler import event
 
 LOG = logging.getLogger(__name__)
 
@@ -35,35 +36,6 @@
 INBOX = 100_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Wanted:
-    """An entry wants a key."""
-
-    session: peer_link.Session
-    wish: peer_message.ClaimKey
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unwanted:
-    """An entry will never dispatch an attempt."""
-
-    release: peer_message.ReleaseKey
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finished:
-    """An attempt's answer was whole."""
-
-    finish: peer_message.FinishKey
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PartitionsChanged:
-    """These partitions are this scheduler's own in its view."""
-
-    numbers: frozenset[int]
-
-
 @dataclasses.dataclass(slots=True)
 class _Pending:
     session: peer_link.Session
@@ -110,23 +82,23 @@
         self._receive: memory.MemoryObjectReceiveStream[Any] = receive
         self._tasks: anyio.abc.TaskGroup | None = None
 
-    def post(self, event: Any) -> None:
+    def post(self, told: Any) -> None:
         """Puts an event into the inbox."""
-        self._send.send_nowait(event)
+        self._send.send_nowait(told)
 
     async def run(self) -> None:
         """Handles events until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._run_ticks)
-            async for event in self._receive:
-                self._handle(event)
+            async for told in self._receive:
+                self._handle(told)
 
-    def _handle(self, event: Any) -> None:
-        match event:
-            case Wanted(session, wish):
+    def _handle(self, told: Any) -> None:
+        match told:
+            case event.Wanted(session, wish):
                 self._want(session, wish)
-            case Unwanted(release):
+            case event.Unwanted(release):
                 partition = self._get(release.key)
                 partition.pending.pop(release.attempt, None)
                 self._put(
@@ -135,7 +107,7 @@
                         claim.RecordKind.RELEASE, release.key, release.attempt
                     ),
                 )
-            case Finished(finish):
+            case event.Finished(finish):
                 self._put(
                     self._get(finish.key),
                     claim.ClaimRecord(
@@ -145,7 +117,7 @@
                         status=finish.status,
                     ),
                 )
-            case PartitionsChanged(numbers):
+            case event.PartitionsChanged(numbers):
                 self._take_partitions(numbers)
 
     def _want(
--- a/ramptray/scheduler/event.py
+++ b/ramptray/scheduler/event.py
@@ -1,17 +1,20 @@
-"""What the hub of a scheduler is told, by all other tasks."""
+"""What the hub of a scheduler, and its task for claims, are told."""
 
 from __future__ import annotations
 
 import dataclasses
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from anyio.streams import memory
 
 from ramptray.bundle import acceptance
-from ramptray.engine import client as engine_client
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 
+if TYPE_CHECKING:
+    # Loading an HTTP client is dear for a program that asks no engine.
+    from ramptray.engine import client as engine_client
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Opened:
@@ -98,3 +101,32 @@
 
     question: peer_message.AskTimeline
     answers: memory.MemoryObjectSendStream[peer_message.TimelineEvents]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """An entry wants a key."""
+
+    session: peer_link.Session
+    wish: peer_message.ClaimKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unwanted:
+    """An entry will never dispatch an attempt."""
+
+    release: peer_message.ReleaseKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """An attempt's answer was whole."""
+
+    finish: peer_message.FinishKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartitionsChanged:
+    """These partitions are this scheduler's own in its view."""
+
+    numbers: frozenset[int]
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -24,8 +24,8 @@
 """Time between two probes of such a scheduler, in seconds."""
 
 LIMIT_MARGIN = 1.3
-"""By how much the parts of customers' limits that all sides of a cut hand out may
-exceed the whole: what the limits' bounds leave over short windows."""
+"""By how much the parts of customers' limits that all sides of a cut hand out
+may exceed the whole: what the limits' bounds leave over short windows."""
 
 SUMMARIES_PER_MESSAGE = 8
 CONTACTS_PER_MESSAGE = 3
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -8,7 +8,7 @@
 import logging
 import time
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.streams import memory
@@ -24,10 +24,14 @@
     policy,
     shard,
 )
-from ramptray.engine import client as engine_client
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import claims, event, gossip, rules
+from ramptray.scheduler import event, gossip, rules
+
+if TYPE_CHECKING:
+    # Loading an HTTP client is dear for a program that asks no engine.
+    from ramptray.engine import client as engine_client
+    from ramptray.scheduler import claims
 
 LOG = logging.getLogger(__name__)
 
@@ -243,11 +247,11 @@
                     extra={"message_type": type(body).__name__},
                 )
             case peer_message.ClaimKey():
-                self._claims.post(claims.Wanted(session, body))
+                self._claims.post(event.Wanted(session, body))
             case peer_message.ReleaseKey():
-                self._claims.post(claims.Unwanted(body))
+                self._claims.post(event.Unwanted(body))
             case peer_message.FinishKey():
-                self._claims.post(claims.Finished(body))
+                self._claims.post(event.Finished(body))
 
     def _greet(
         self, session: peer_link.Session, hello: peer_message.Hello
@@ -395,7 +399,7 @@
             self._limits.set_part(self._gossiper.get_part())
         if self._claims is not None:
             partitions = self._list_partitions()
-            self._claims.post(claims.PartitionsChanged(partitions))
+            self._claims.post(event.PartitionsChanged(partitions))
         for session, attached in self._sessions.items():
             if attached is not None:
                 session.send(view)
--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -111,7 +111,7 @@
     async def _read(self, http: requests.Request) -> responses.Response:
         topic = self._topics[http.query_params["topic"]]
         offset = int(http.query_params["from"])
-        wait_s = int(http.query_params.get("waitMs", "0")) / 1000
+        wait_s = int(http.query_params.get(store.WAIT_FIELD, "0")) / 1000
         if len(topic.records) <= offset and not self._faults.busy:
             with anyio.move_on_after(wait_s):
                 await topic.changed.wait()
--- /dev/null
+++ b/test/test_adapter.py
@@ -0,0 +1,193 @@
+"""The platform's configuration, records, settings and headers, decoded."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+import pytest
+from result import Err, Ok
+
+from ramptray.bundle import model
+from ramptray.platform import config, header, record, replicas, settings, store
+from ramptray.relay import message
+from test import node
+
+
+def test_a_configuration_becomes_a_bundle() -> None:
+    bundle = config.parse_config(json.dumps(node.make_config(12)))
+    assert bundle.generation == 12
+    assert bundle.get_customer_by_key(node.KEY) == "ola"
+    stream = bundle.routes["stream"]
+    assert stream.kind is model.RouteKind.STREAM
+    assert stream.timeout_s == 4.0
+    assert stream.patience_s == 2.0
+    assert bundle.customers["small"].limits.tokens_per_s == 100
+    assert bundle.relay.idle_s == 4.0
+
+
+def test_a_customer_s_rank_goes_before_the_route_s() -> None:
+    raw = node.make_config(1)
+    raw["routes"][0]["priority"] = 2
+    raw["tenants"][0]["priority"] = 1
+    bundle = config.parse_config(json.dumps(raw))
+    tier = bundle.customers["ola"].route_tiers[bundle.routes["safe"].tier]
+    ranks = bundle.get_ranks()
+    high = bundle.customers["ola"].route_tiers[bundle.routes["once"].tier]
+    other = bundle.customers["small"].route_tiers[bundle.routes["safe"].tier]
+    assert ranks[other] < ranks[high] < ranks[tier]
+
+
+def test_a_customer_without_keys_is_left_out() -> None:
+    raw = node.make_config(1)
+    raw["tenants"][0]["apiKeys"] = []
+    bundle = config.parse_config(json.dumps(raw))
+    assert "ola" not in bundle.customers
+
+
+def test_a_mistake_in_a_configuration_names_its_place() -> None:
+    raw = node.make_config(1)
+    del raw["routes"][1]["timeoutMs"]
+    with pytest.raises(config.ConfigError, match=r"routes\.1\.timeoutMs"):
+        config.parse_config(json.dumps(raw))
+    with pytest.raises(config.ConfigError, match="JSON"):
+        config.parse_config("{")
+
+
+def test_settings_name_file_and_place_of_a_mistake(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text('node = "a"\nip = "127.0.0.1"\nzone = "z"\n')
+    with pytest.raises(settings.SettingsError, match=r"node\.toml: listen"):
+        settings.read_settings(path)
+    path.write_text("node = [")
+    with pytest.raises(settings.SettingsError, match="node.toml"):
+        settings.read_settings(path)
+
+
+def read(*headers: tuple[str, str]) -> message.CallerRequest | message.Mistake:
+    """Returns what the adapter makes of a request with these headers."""
+    head = message.Head(
+        b"POST", b"/a/", [(n.encode(), v.encode()) for n, v in headers]
+    )
+    match header.PlatformDialect().read_request(head):
+        case Ok(asked):
+            return asked
+        case Err(mistake):
+            return mistake
+
+
+def test_a_request_s_headers_are_decoded() -> None:
+    asked = read(
+        ("Host", "LM.example:80"),
+        ("X-Request-Id", "r1"),
+        ("X-Token-Count", "1460,80"),
+        ("X-Length-Hint", "33"),
+        ("X-Deadline-Ms", "1500"),
+        ("Authorization", "Bearer k"),
+        ("X-Tenant", "forged"),
+        ("Connection", "close, x-mine, x-token-count"),
+        ("X-Mine", "1"),
+    )
+    assert isinstance(asked, message.CallerRequest)
+    assert (asked.host, asked.key, asked.deadline_s) == ("lm.example", "k", 1.5)
+    assert (asked.prompt_tokens, asked.output_tokens) == (1460, 80)
+    assert asked.likely_tokens == 33
+    names = [name.lower() for name, _ in asked.headers]
+    assert names == [
+        b"host",
+        b"x-request-id",
+        b"x-token-count",
+        b"x-length-hint",
+    ]
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [("Host", "a")],
+        [("X-Request-Id", "1"), ("X-Request-Id", "2")],
+        [
+            ("X-Request-Id", "1"),
+            ("Content-Length", "1"),
+            ("Transfer-Encoding", "chunked"),
+        ],
+    ],
+)
+def test_requests_without_one_meaning_are_refused(
+    headers: list[tuple[str, str]],
+) -> None:
+    mistake = read(*headers)
+    assert isinstance(mistake, message.Mistake)
+    assert mistake.status == 400
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, [(b"X-Not-Executed", b"1")], True),
+        (421, [], True),
+        (503, [], False),
+        (500, [], False),
+    ],
+)
+def test_only_a_replica_s_word_says_not_run(
+    status: int, headers: message.Headers, not_run: bool
+) -> None:
+    answer = header.PlatformDialect().read_answer(status, headers)
+    assert answer.not_run is not_run
+
+
+def make_record(state: str = "ready") -> bytes:
+    return json.dumps(
+        {
+            "service": "lm",
+            "address": "127.0.0.1:1",
+            "zone": "z",
+            "slots": 2,
+            "state": state,
+        }
+    ).encode()
+
+
+def test_a_record_without_sense_is_told_and_passed_over() -> None:
+    with pytest.raises(record.RecordError, match="slots"):
+        record.parse_record(b'{"service": "lm", "slots": 0}')
+    book = replicas.ReplicaBook(1.6)
+    book.take_changes([store.Change("i", b"nonsense")], 0.0)
+    assert book.list_replicas() == {}
+
+
+def test_a_replica_that_leaves_never_comes_back_by_an_old_read() -> None:
+    book = replicas.ReplicaBook(1.6)
+    book.take_changes([store.Change("i", make_record("draining"))], 0.0)
+    book.take_all([store.Change("i", make_record())], 1.0)
+    assert book.list_replicas()["i"].leaving
+
+
+def test_a_single_record_that_goes_is_believed() -> None:
+    book = replicas.ReplicaBook(1.6)
+    book.take_changes([store.Change(n, make_record()) for n in "ab"], 0.0)
+    book.take_changes([store.Change("a", None)], 10.0)
+    assert set(book.list_replicas()) == {"b"}
+
+
+def test_records_that_lapsed_with_the_store_are_waited_for() -> None:
+    book = replicas.ReplicaBook(1.6)
+    book.take_changes([store.Change(n, make_record()) for n in "abc"], 0.0)
+    book.note_trouble(9.0)
+    book.take_changes([store.Change(n, None) for n in "abc"], 10.0)
+    assert set(book.list_replicas()) == {"a", "b", "c"}
+    book.take_changes([store.Change("a", make_record())], 11.0)
+    assert book.expire(13.0)
+    assert set(book.list_replicas()) == {"a"}
+
+
+def test_records_that_go_together_are_kept_for_a_moment() -> None:
+    book = replicas.ReplicaBook(1.6)
+    book.take_changes([store.Change(n, make_record()) for n in "ab"], 0.0)
+    book.take_changes([store.Change(n, None) for n in "ab"], 10.0)
+    assert not book.expire(11.5)
+    assert book.expire(11.7)
+    assert book.list_replicas() == {}
--- a/test/test_attachment.py
+++ b/test/test_attachment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
 from typing import Any
 
@@ -14,7 +15,7 @@
 from ramptray import settings
 from ramptray.command import keys
 from ramptray.core import clock
-from ramptray.peer import attachment
+from ramptray.peer import attachment, gate
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 
@@ -134,3 +135,30 @@
             await server.stop(0.0)
         tasks.cancel_scope.cancel()
     await client.close()
+
+
+class _EndedCall:
+    """A call of the library whose stream ended just before."""
+
+    async def write(self, _: bytes) -> None:
+        raise asyncio.InvalidStateError("RPC already finished.")
+
+    async def read(self) -> bytes:
+        raise asyncio.InvalidStateError("RPC already finished.")
+
+
+def test_a_stream_that_ended_just_before_breaks_only_the_link() -> None:
+    made = peer_link.Link(
+        "127.0.0.1:1",
+        _EndedCall(),
+        clock.HybridClock(lambda: 0),
+        gate.OpenGate(),
+    )
+
+    async def use() -> None:
+        with pytest.raises(peer_link.LinkError, match="already finished"):
+            await made.send(peer_message.AskStatus())
+        with pytest.raises(peer_link.LinkError, match="already finished"):
+            await made.receive()
+
+    anyio.run(use)
--- /dev/null
+++ b/test/test_logsink.py
@@ -0,0 +1,57 @@
+"""Log lines are bounded in number and never block."""
+
+from __future__ import annotations
+
+import logging
+import os
+import time
+
+from ramptray import logsink
+
+
+def make_record(level: int = logging.INFO) -> logging.LogRecord:
+    return logging.LogRecord("n", level, "", 0, "line", None, None)
+
+
+def read(descriptor: int) -> bytes:
+    try:
+        return os.read(descriptor, 1 << 20)
+    except BlockingIOError:
+        return b""
+
+
+def test_lines_beyond_the_bound_are_counted_and_told() -> None:
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    handler = logsink.BoundedHandler(writer, lines_per_s=10)
+    time.sleep(1.0 - time.monotonic() % 1.0)  # The bound is for a second.
+    for _ in range(50):
+        handler.emit(make_record())
+    handler.emit(make_record(logging.ERROR))
+    lines = read(reader).splitlines()
+    assert handler.left_out == 40
+    assert lines.count(b"line") == 11
+    time.sleep(logsink.REPORT_S)
+    handler.emit(make_record())
+    assert b"log lines left out" in read(reader)
+
+
+def test_a_reader_that_stands_still_does_not_block() -> None:
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    handler = logsink.BoundedHandler(writer, lines_per_s=10**9)
+    began = time.monotonic()
+    for _ in range(100_000):
+        handler.emit(make_record())
+    assert time.monotonic() - began < 10
+    assert handler.left_out > 0
+    read(reader)
+    handler.flush()
+    assert read(reader)
+
+
+def test_a_reader_that_has_gone_does_not_end_the_program() -> None:
+    reader, writer = os.pipe()
+    handler = logsink.BoundedHandler(writer)
+    os.close(reader)
+    handler.emit(make_record())
