Keep a replica in doubt no longer than a gone one may get work

A VM that the store had turned away doubted each record that went within three seconds of its return, and kept the replica for 2.5 s, also when the store was answering as the record went. Ruled out: a late store (the record was read 2 ms after it went), the dispatch (1 ms).

--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -167,7 +167,6 @@
     def _note_answer(self, topic: str) -> None:
         if topic in self._lost:
             self._lost.discard(topic)
-            self._book.note_trouble(time.monotonic())
             LOG.info("store regained", extra={"topic": topic})
 
     async def _ask_peers(self) -> None:
@@ -215,6 +214,8 @@
 
     def _take_replicas(self, changes: store.Changes, whole: bool) -> None:
         now = time.monotonic()
+        if REPLICA_TOPIC in self._lost:
+            self._book.note_return(now)
         if whole:
             self._book.take_all(changes.records, now)
         else:
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -20,9 +20,14 @@
 """How long after an error of the store its word on gone records is doubted, in
 seconds: records that lapsed are back about two seconds after the store."""
 
-HOLD_AFTER_TROUBLE_S = 2.5
-"""How long a replica without a record is kept after such an error, in seconds:
-a record that is not back about two seconds after the store is gone for good."""
+CATCH_UP_S = 0.5
+"""Records that are read so soon after the store is back went while it was away,
+in seconds."""
+
+HOLD_AFTER_RETURN_S = 2.2
+"""How long a replica whose record went while the store was away is kept after
+that, in seconds: a record that is not back about two seconds after the store is
+gone for good."""
 
 MANY = 2
 """So many records that go together may mean that the store was away unseen."""
@@ -38,9 +43,9 @@
     """Keeps the replicas; a plain object without sockets or a clock.
 
     Args:
-        hold_s: How long replicas whose records went together are kept, in
-            seconds; less than the time in which a replica that has gone may
-            still be sent work.
+        hold_s: How long a replica is kept whose record went in doubt while the
+            store answered, in seconds; less than the time in which a replica
+            that has gone may still be sent work.
     """
 
     def __init__(self, hold_s: float) -> None:
@@ -48,11 +53,17 @@
         self._known: dict[str, _Known] = {}
         self._left: set[str] = set()
         self._trouble_at = float("-inf")
+        self._returned_at = float("-inf")
 
     def note_trouble(self, now: float) -> None:
         """Notes that the store did not answer."""
         self._trouble_at = now
 
+    def note_return(self, now: float) -> None:
+        """Notes that the store answers again."""
+        self._trouble_at = now
+        self._returned_at = now
+
     def list_replicas(self) -> dict[str, record.Replica]:
         """Returns the replicas by their ids."""
         return {name: known.replica for name, known in self._known.items()}
@@ -131,9 +142,9 @@
                 continue
             if known.replica.leaving:
                 self._drop(name, "it was leaving")
-            elif doubted:
-                self._hold(name, now + HOLD_AFTER_TROUBLE_S)
-            elif len(names) >= MANY:
+            elif now - self._returned_at < CATCH_UP_S:
+                self._hold(name, self._returned_at + HOLD_AFTER_RETURN_S)
+            elif doubted or len(names) >= MANY:
                 self._hold(name, now + self._hold_s)
             else:
                 self._drop(name, "its record has gone")
