Leave replicas that hang, and keep work from those whose answers break off

Ruled out: the records (both stayed), the queue (dispatched within 1 ms). Kept for the callers it helps; no gain in worth is claimed.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -43,6 +43,10 @@
 MAX_UNREACHABLE_S = 8.0
 """How long a refused connection keeps new work away at most, in seconds."""
 
+EJECT_BREAKS = 3
+"""After so many answers in a row that broke off, new work stays away for a
+while: a backend server that fails at once always has room and would get all."""
+
 LOST_FAILURES = 4
 """After so many refused connections in a row nobody waits for the server."""
 
@@ -160,6 +164,7 @@
         "versions",
         "loaded",
         "has_learned",
+        "breaks",
     )
 
     def __init__(self, info: BackendInfo, hear_by: float = 0.0) -> None:
@@ -181,6 +186,7 @@
         self.failures = 0
         self.unreachable_until = 0.0
         self.has_learned = False
+        self.breaks = 0
 
     @property
     def is_lost(self) -> bool:
@@ -318,9 +324,15 @@
             )
             self.has_learned = True
 
-    def end(self, ended: message.Ended) -> None:
+    def end(self, ended: message.Ended, now: float) -> None:
         """Frees the request's place and learns the decode speed."""
         self.remove(ended.request_id)
+        if ended.broken:
+            self.breaks += 1
+            if self.breaks >= EJECT_BREAKS:
+                self.note_unreachable(now)
+        elif ended.whole:
+            self.breaks = 0
         if ended.output_tokens > 1:
             step = ended.decode_s / (ended.output_tokens - 1)
             self.step_s += LEARNING_RATE * (step - self.step_s)
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -163,6 +163,7 @@
         decode_s: Seconds from the first token to the last.
         whole: Whether the end marker arrived.
         certain: Whether the backend server has surely freed its place.
+        broken: Whether the backend server broke off or hung.
     """
 
     request_id: str
@@ -170,6 +171,7 @@
     decode_s: float
     whole: bool
     certain: bool = True
+    broken: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ramptray/core/retry.py
+++ b/ramptray/core/retry.py
@@ -43,12 +43,15 @@
         """Counts a request of a service."""
         self._requests[service].add(1, now)
 
+    def has_left(self, service: str, now: float) -> bool:
+        """Tells whether the budget has a further attempt left."""
+        requests = self._requests[service].get_sum(now)
+        allowed = self.rules.extra + self.rules.ratio * requests
+        return self._retries[service].get_sum(now) + 1 <= allowed
+
     def take(self, service: str, now: float) -> bool:
         """Takes one further attempt, if the budget has any left."""
-        allowed = self.rules.extra + self.rules.ratio * self._requests[
-            service
-        ].get_sum(now)
-        if self._retries[service].get_sum(now) + 1 > allowed:
+        if not self.has_left(service, now):
             return False
         self._retries[service].add(1, now)
         return True
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -580,7 +580,7 @@
             backend.placed[ended.request_id].orphaned_at = now
             return []
         del self._where[ended.request_id]
-        backend.end(ended)
+        backend.end(ended, now)
         self._pool.update(backend)
         return [backend]
 
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -116,6 +116,16 @@
         server = self.in_force.bundle.backend_servers.get(backend)
         return server.url if server else None
 
+    def may_repeat(self, ticket: tickets.Ticket) -> bool:
+        """Tells whether another attempt of a request would be allowed now."""
+        machine = ticket.machine
+        now = time.monotonic()
+        return (
+            now < ticket.deadline
+            and machine.dispatches < machine.info.max_attempts
+            and self._budget.has_left(machine.info.shard.service, now)
+        )
+
     def submit(
         self, info: message.RequestInfo, wish: tickets.ClaimWish | None
     ) -> tickets.Ticket:
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -21,6 +21,10 @@
 """Largest answer that is read whole before any of it is passed on, so that a
 failure in its middle may still be followed by another attempt."""
 
+HANG_OBJECTIVES = 2.0
+"""A backend server that has not begun its answer after so many times the
+route's objective is taken to hang: a place was free when the request went."""
+
 SERVER_ERROR = 500
 OK_STATUSES = range(200, 300)
 
@@ -144,7 +148,24 @@
             failed = tickets.ConnectFailed(self._request_id, error.refused)
             self._ticket.report(failed)
         except relay_client.BrokenError:
-            self._fail(False, core_message.Reason.BACKEND_LOST)
+            self._fail(False, core_message.Reason.BACKEND_LOST, broken=True)
+
+    async def _read_head(
+        self, connection: relay_client.Connection
+    ) -> message.AnswerHead:
+        """Waits for the answer's head, but not for long if others may try.
+
+        A backend server that hangs says nothing.  What may run only once has
+        to wait for it; anything else is better sent to another one.
+        """
+        order = self._order
+        if order.info.repeatable and self._desk.may_repeat(self._ticket):
+            hang_s = order.route.objective_s * HANG_OBJECTIVES
+            with anyio.move_on_after(hang_s):
+                return await connection.read_head(self._request_id)
+            if self._desk.may_repeat(self._ticket):
+                raise relay_client.BrokenError("no answer's head in time")
+        return await connection.read_head(self._request_id)
 
     async def _send(self, address: str, backend: str) -> None:
         """Sends the request to one backend server and passes its answer on."""
@@ -157,7 +178,7 @@
                 self._splitter.last_id or self._order.asked.last_event,
             )
             await connection.send(self._order.asked, attempt)
-            head = await connection.read_head(self._request_id)
+            head = await self._read_head(connection)
             await self._take_answer(connection, head)
 
     async def _take_answer(
@@ -246,9 +267,14 @@
         ended = self._make_ended(True)
         self._ticket.report(tickets.Completed(ended, status))
 
-    def _fail(self, not_run: bool, reason: core_message.Reason) -> None:
+    def _fail(
+        self,
+        not_run: bool,
+        reason: core_message.Reason,
+        broken: bool = False,
+    ) -> None:
         self._splitter.take_rest()
-        ended = self._make_ended(False)
+        ended = dataclasses.replace(self._make_ended(False), broken=broken)
         self._ticket.report(tickets.AttemptFailed(ended, not_run, reason))
 
     def _lose(self, reason: core_message.Reason) -> None:
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -7,7 +7,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ramptray.core import limit, membership, message, queue, request, retry
+from ramptray.core import (
+    backend,
+    limit,
+    membership,
+    message,
+    queue,
+    request,
+    retry,
+)
 from ramptray.entry import owners, reach
 from ramptray.peer import message as peer_message
 from ramptray.platform import header
@@ -244,3 +252,28 @@
         assert not any(c.closed for c in lent)  # type: ignore[attr-defined]
 
     anyio.run(run)
+
+
+def test_a_server_whose_answers_break_off_gets_no_work_for_a_while() -> None:
+    # hanbit-qlog, inc-a19c: a replica that reset each connection always had
+    # room, and got the next request at once.
+    server = backend.Backend(backend.BackendInfo("b", 4, 10_000, 0))
+    for number in range(backend.EJECT_BREAKS):
+        assert server.is_open(1.0)
+        info = make_info(request_id=str(number))
+        server.place(info, "e", "g", 1.0)
+        broken = message.Ended(str(number), 0, 0.0, False, broken=True)
+        server.end(broken, 1.0)
+    assert not server.is_open(1.0 + backend.UNREACHABLE_S / 2)
+    assert server.is_open(1.0 + backend.UNREACHABLE_S)
+
+
+def test_single_broken_answers_do_not_keep_work_away() -> None:
+    server = backend.Backend(backend.BackendInfo("b", 4, 10_000, 0))
+    for number in range(8):
+        server.place(make_info(request_id=str(number)), "e", "g", 1.0)
+        broken = number % 2 == 0
+        server.end(
+            message.Ended(str(number), 0, 0.0, not broken, broken=broken), 1.0
+        )
+        assert server.is_open(1.0)
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -151,6 +151,18 @@
     assert statuses == {200}
 
 
+def test_a_safe_request_leaves_a_replica_that_hangs(
+    platform: node.Platform,
+) -> None:
+    # kl-ramptray, inc-b461: a lookup stayed with a dark replica until its
+    # caller's deadline.
+    platform.set_faults("i-0", work_s=8.0)
+    for _ in range(4):
+        began = time.monotonic()
+        assert ask(platform, "/safe/").status == 200
+        assert time.monotonic() - began < 2.0
+
+
 def test_a_stream_goes_on_at_another_replica(platform: node.Platform) -> None:
     platform.set_faults("i-0", cut_after=2)
     wanted = b"".join(
--- a/test/test_scenario.py
+++ b/test/test_scenario.py
@@ -294,7 +294,7 @@
             first = message.FirstToken(info.request_id, 0.22, 400, 0)
             owner.backends[name].begin_answer(first)
             ended = message.Ended(info.request_id, 20, 0.4, True)
-            owner.backends[name].end(ended)
+            owner.backends[name].end(ended, world.now)
 
 
 @when("the slow engine answers nothing for 5 seconds")
