--- a/bench/reference.py
+++ b/bench/reference.py
@@ -14,9 +14,12 @@
 from ramptray import settings
 from ramptray.bundle import model
 from ramptray.load import plan
+from ramptray.node import settings as node_settings
 from ramptray.standin.engine import main as engine
 from ramptray.standin.platform import main as platform
+from ramptray.standin.replica import main as replica
 from ramptray.standin.service import main as service
+from ramptray.standin.store import main as store
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 
@@ -25,6 +28,7 @@
     ("ramptray-entry: limits", settings.CallerLimits),
     ("ramptray-scheduler", settings.SchedulerSettings),
     ("ramptray-controller", settings.ControllerSettings),
+    ("ramptray-node", node_settings.NodeSettings),
     ("ramptray", settings.OperatorSettings),
     ("tls, in any of these", settings.TlsSettings),
     ("ramptray-load", plan.LoadSettings),
@@ -33,6 +37,8 @@
     ("ramptray-fake-engine", engine.FakeEngineSettings),
     ("ramptray-fake-service", service.FakeServiceSettings),
     ("ramptray-fake-platform", platform.FakePlatformSettings),
+    ("ramptray-fake-store", store.FakeStoreSettings),
+    ("ramptray-fake-replica", replica.FakeReplicaSettings),
 ]
 
 BUNDLE: list[tuple[str, type[pydantic.BaseModel]]] = [
@@ -43,6 +49,9 @@
     ("customers.NAME.limits", model.Limits),
     ("services.NAME", model.Service),
     ("services.NAME.legacy", model.Legacy),
+    ("routes.NAME", model.Route),
+    ("routes.NAME.targets", model.Target),
+    ("relay", model.RelayLimits),
     ("engines.NAME", model.Engine),
     ("backend_servers.NAME", model.BackendServer),
     ("weights", model.Weights),
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -19,7 +19,7 @@
 from ramptray import runtime
 from ramptray.bundle import acceptance, signature
 from ramptray.core import claim, message, request, retry
-from ramptray.entry import owners, reach
+from ramptray.entry import claims, owners, reach
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
@@ -92,6 +92,9 @@
         self._tickets: dict[str, tickets.Ticket] = {}
         self._links: dict[str, attachment.Attachment] = {}
         self._owners = owners.Owners(settings.zone, settings.scheduler)
+        self._claims = claims.ClaimSender(
+            settings.zone, self._owners, self._tell_any
+        )
         self._budget = budget or retry.RetryBudget()
         self._reach = reach.Reach()
         self._zones: dict[str, str] = {}
@@ -183,7 +186,7 @@
                 )
             case tickets.Completed(ended, status):
                 if ticket.wish:
-                    self._finish_claim(ticket, status)
+                    self._claims.finish(ticket, status)
                 self._perform(ticket, machine.complete(ended), now)
             case tickets.Refused(ended):
                 self._perform(ticket, machine.refuse(ended), now)
@@ -254,7 +257,7 @@
             generation=self.in_force.generation if self.in_force else None,
         )
         if ticket.wish:
-            self._send_claim(ticket)
+            self._claims.send(ticket)
         self._assign(ticket, now)
 
     def _assign(self, ticket: tickets.Ticket, now: float) -> None:
@@ -316,44 +319,10 @@
                     )
                     ticket.perform(effect)
                 case request.Release():
-                    self._release_claim(ticket)
+                    self._claims.release(ticket)
                 case request.Cancel():
                     pass  # The exchange cancels the stream it owns.
 
-    # Claims: they go to the claim partition's scheduler.
-
-    def _claim_owner(self, key: str) -> str | None:
-        shard = claim.get_partition_shard(self._zone, key)
-        return self._owners.find(shard, time.monotonic())
-
-    def _send_claim(self, ticket: tickets.Ticket) -> None:
-        assert ticket.wish is not None
-        wish = ticket.wish
-        owner = self._claim_owner(wish.key)
-        if owner is not None:
-            claim_key = peer_message.ClaimKey(
-                wish.key, ticket.info.request_id, wish.digest
-            )
-            self._tell_any(owner, claim_key)
-
-    def _release_claim(self, ticket: tickets.Ticket) -> None:
-        assert ticket.wish is not None
-        owner = self._claim_owner(ticket.wish.key)
-        if owner is not None:
-            release = peer_message.ReleaseKey(
-                ticket.wish.key, ticket.info.request_id
-            )
-            self._tell_any(owner, release)
-
-    def _finish_claim(self, ticket: tickets.Ticket, status: int) -> None:
-        assert ticket.wish is not None
-        owner = self._claim_owner(ticket.wish.key)
-        if owner is not None:
-            finish = peer_message.FinishKey(
-                ticket.wish.key, ticket.info.request_id, status
-            )
-            self._tell_any(owner, finish)
-
     def _decide_claim(
         self, decision: peer_message.ClaimDecision, now: float
     ) -> None:
@@ -471,7 +440,7 @@
             if ticket.machine.owner == address:
                 self._resend(ticket, now)
             if ticket.machine.claim is request.Claim.PENDING:
-                self._send_claim(ticket)
+                self._claims.send(ticket)
         self._tell(address, message.SyncDone(self._name))
         self._reassign_all(now)
 
@@ -498,7 +467,7 @@
             self._assign(ticket, now)
         for ticket in self._tickets.values():
             if ticket.machine.claim is request.Claim.PENDING:
-                self._send_claim(ticket)
+                self._claims.send(ticket)
 
     def take_in_force(self, in_force: acceptance.InForce) -> None:
         """Works by this bundle from now on."""
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -132,11 +132,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ServerTold:
-    """A backend server as a peer knows it.
+class Replica:
+    """A backend server that tells of itself, outside the bundle.
 
     Attributes:
-        name: Its name.
         service: The service it works for.
         address: IP number and port it listens on.
         zone: Its availability zone.
@@ -144,7 +143,6 @@
         leaving: Whether it is to get no new work.
     """
 
-    name: str
     service: str
     address: str
     zone: str
@@ -158,12 +156,12 @@
 
     Attributes:
         envelope: The bundle, if it is newer than asked.
-        servers: Backend servers that are not part of the bundle.
+        replicas: Backend servers outside the bundle, by their names.
         fresh: Whether they come from a store that answers the peer.
     """
 
     envelope: signature.Envelope | None
-    servers: list[ServerTold] = dataclasses.field(default_factory=list)
+    replicas: dict[str, Replica] = dataclasses.field(default_factory=dict)
     fresh: bool = False
 
 
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -13,7 +13,7 @@
 from ramptray.bundle import acceptance, model, signature
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.platform import config, record, replicas, store
+from ramptray.platform import config, replicas, store
 from ramptray.scheduler import source
 
 LOG = logging.getLogger(__name__)
@@ -102,10 +102,7 @@
         if told.envelope:
             self._take_text(told.envelope.text, f"peer {address}")
         if told.fresh and REPLICA_TOPIC in self._lost:
-            self._book.take_from_peer(
-                {server.name: _read_told(server) for server in told.servers},
-                time.monotonic(),
-            )
+            self._book.take_from_peer(told.replicas, time.monotonic())
             self._publish()
 
     def answer(
@@ -113,12 +110,10 @@
     ) -> peer_message.FetchedBundle:
         """See the base class."""
         told = super().answer(question)
-        servers = [
-            _tell(name, replica)
-            for name, replica in self._book.list_replicas().items()
-        ]
         fresh = REPLICA_TOPIC not in self._lost and self._read_at is not None
-        return dataclasses.replace(told, servers=servers, fresh=fresh)
+        return dataclasses.replace(
+            told, replicas=self._book.list_replicas(), fresh=fresh
+        )
 
     # The store.
 
@@ -238,7 +233,7 @@
 
 
 def add_replicas(
-    declared: model.Bundle, found: dict[str, record.Replica]
+    declared: model.Bundle, found: dict[str, peer_message.Replica]
 ) -> model.Bundle:
     """Returns the declared bundle with its backend servers as they are now."""
     known = {n: r for n, r in found.items() if r.service in declared.services}
@@ -263,27 +258,10 @@
     )
 
 
-def _tell(name: str, replica: record.Replica) -> peer_message.ServerTold:
-    return peer_message.ServerTold(
-        name,
-        replica.service,
-        replica.address,
-        replica.zone,
-        replica.slots,
-        replica.leaving,
-    )
-
-
-def _read_told(told: peer_message.ServerTold) -> record.Replica:
-    return record.Replica(
-        told.service, told.address, told.zone, told.slots, told.leaving
-    )
-
-
 def _pick_nobody() -> str | None:
     """Stands in until the peers are known."""
     return None
 
 
-def _name_engine(replica: record.Replica) -> str:
+def _name_engine(replica: peer_message.Replica) -> str:
     return f"{replica.service}.{replica.slots}"
--- a/ramptray/platform/record.py
+++ b/ramptray/platform/record.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import pydantic
 
+from ramptray.peer import message as peer_message
 from ramptray.platform import settings
 
 _DRAINING = "draining"
@@ -15,25 +14,6 @@
     """A record that cannot be used; one line names the place."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Replica:
-    """What a replica says of itself.
-
-    Attributes:
-        service: The service it works for.
-        address: IP number and port it listens on.
-        zone: Its availability zone.
-        slots: Requests it works on at a time.
-        leaving: Whether it is to get no new work.
-    """
-
-    service: str
-    address: str
-    zone: str
-    slots: int
-    leaving: bool
-
-
 class _Record(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
@@ -44,7 +24,7 @@
     state: str
 
 
-def parse_record(value: bytes) -> Replica:
+def parse_record(value: bytes) -> peer_message.Replica:
     """Returns the replica that a record describes.
 
     Raises:
@@ -54,7 +34,7 @@
         raw = _Record.model_validate_json(value)
     except pydantic.ValidationError as error:
         raise RecordError(settings.describe(error)) from error
-    return Replica(
+    return peer_message.Replica(
         service=raw.service,
         address=raw.address,
         zone=raw.zone,
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -12,6 +12,7 @@
 import logging
 from collections.abc import Iterable, Mapping
 
+from ramptray.peer import message as peer_message
 from ramptray.platform import record, store
 
 LOG = logging.getLogger(__name__)
@@ -35,7 +36,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Known:
-    replica: record.Replica
+    replica: peer_message.Replica
     gone_at: float | None = None
 
 
@@ -64,7 +65,7 @@
         self._trouble_at = now
         self._returned_at = now
 
-    def list_replicas(self) -> dict[str, record.Replica]:
+    def list_replicas(self) -> dict[str, peer_message.Replica]:
         """Returns the replicas by their ids."""
         return {name: known.replica for name, known in self._known.items()}
 
@@ -86,7 +87,7 @@
         self._take_gone([n for n in self._known if n not in present], now)
 
     def take_from_peer(
-        self, told: Mapping[str, record.Replica], now: float
+        self, told: Mapping[str, peer_message.Replica], now: float
     ) -> None:
         """Takes what a peer knows that the store answers."""
         for name, replica in told.items():
@@ -115,7 +116,7 @@
             return
         self._put(name, replica)
 
-    def _put(self, name: str, replica: record.Replica) -> None:
+    def _put(self, name: str, replica: peer_message.Replica) -> None:
         if replica.leaving:
             self._left.add(name)
         elif name in self._left:
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import pathlib
 from collections.abc import Iterator
 
 import pytest
@@ -35,3 +36,33 @@
 def _no_proxy() -> None:
     """Keeps requests to loopback away from any proxy of the machine."""
     os.environ["NO_PROXY"] = "*"
+
+
+KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def read_known_red() -> dict[str, str]:
+    """Returns test id and cause of each test that is known to fail."""
+    lines = [
+        line.partition("|")
+        for line in KNOWN_RED.read_text().splitlines()
+        if line.strip() and not line.startswith("#")
+    ]
+    return {test.strip(): cause.strip() for test, _, cause in lines}
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expects the listed tests to fail; one that passes must leave the list."""
+    known = read_known_red()
+    for item in items:
+        if item.nodeid in known:
+            reason = known[item.nodeid]
+            item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
+    """Prints the tests that are passed over."""
+    for test, cause in read_known_red().items():
+        terminalreporter.write_line(f"KNOWN RED: {test}: {cause}")
--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -15,6 +15,7 @@
 from ramptray.bundle import text
 from ramptray.caller import refusal
 from ramptray.core import message
+from ramptray.node import settings as node_settings
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 
@@ -75,3 +76,10 @@
         "scheduler",
     }
     assert all(line.startswith(f"{file}: ") for line in lines)
+
+
+def test_the_deploy_file_s_settings_name_every_setting() -> None:
+    path = DOCS.parent / "deploy" / "node.json5"
+    read = text.read_model(path, node_settings.NodeSettings)
+    assert read == node_settings.NodeSettings()
+    assert read.model_fields_set == set(node_settings.NodeSettings.model_fields)
