Notice the return of the store without a record

The first read after the store's return waits for a record, so the return was noticed with the record that went three seconds later, and the replica was kept as one that had gone during the outage. After an error the next read does not wait. The test fails on the code before.

--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -147,7 +147,10 @@
             found = await self._store.read_newest(topic)
             take(found, True)
         else:
-            found = await self._store.read_changes(topic, offset)
+            # A read that waits would tell only with the next record that the
+            # store is back.
+            wait_s = 0.0 if topic in self._lost else store.WAIT_S
+            found = await self._store.read_changes(topic, offset, wait_s)
             take(found, False)
         return found.end
 
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -133,9 +133,16 @@
                 return Changes(records, first_end)
             after = page.items[-1].key
 
-    async def read_changes(self, topic: str, offset: int) -> Changes:
+    async def read_changes(
+        self, topic: str, offset: int, wait_s: float = WAIT_S
+    ) -> Changes:
         """Returns records from an offset on, waiting if there are none.
 
+        Args:
+            topic: The topic.
+            offset: Offset of the first record wanted.
+            wait_s: How long to wait for a record; 0 for not at all.
+
         Raises:
             TrimmedError: Some of them are not kept any more.
             StoreError: There is no answer.
@@ -144,9 +151,9 @@
             "topic": topic,
             "part": "0",
             "from": str(offset),
-            WAIT_FIELD: str(int(WAIT_S * 1000)),
+            WAIT_FIELD: str(int(wait_s * 1000)),
         }
-        body = await self._get(READ_PATH, query, WAIT_S + CALL_S)
+        body = await self._get(READ_PATH, query, wait_s + CALL_S)
         return _decode_records(body, offset)
 
     async def _get(
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -5,11 +5,22 @@
 import json
 import pathlib
 
+import anyio
 import pytest
 from result import Err, Ok
 
 from ramptray.bundle import model
-from ramptray.platform import config, header, record, replicas, settings, store
+from ramptray.core import clock
+from ramptray.peer import link
+from ramptray.platform import (
+    config,
+    follower,
+    header,
+    record,
+    replicas,
+    settings,
+    store,
+)
 from ramptray.relay import message
 from test import node
 
@@ -204,3 +215,46 @@
     assert not book.expire(11.5)
     assert book.expire(11.7)
     assert book.list_replicas() == {}
+
+
+class _ReturningStore(store.Store):
+    """A store that fails once and then answers each read."""
+
+    def __init__(self) -> None:
+        super().__init__("127.0.0.1:9")
+        self.waits: list[float] = []
+
+    async def read_newest(self, topic: str) -> store.Changes:
+        return store.Changes([], 5)
+
+    async def read_changes(
+        self, topic: str, offset: int, wait_s: float = store.WAIT_S
+    ) -> store.Changes:
+        self.waits.append(wait_s)
+        if len(self.waits) == 2:
+            raise store.StoreError("down")
+        await anyio.sleep(0.01)
+        return store.Changes([], offset)
+
+
+def test_the_return_of_the_store_is_noticed_without_a_record() -> None:
+    # kl-ramptray, trouble-1, seed 742343616300: the return was noticed with
+    # the first record that went three seconds later, which was then taken for
+    # one that had gone during the outage.
+    reader = _ReturningStore()
+
+    async def run() -> None:
+        followed = follower.Follower(
+            reader,
+            link.PeerClient(clock.HybridClock(lambda: 0), None),
+            1.6,
+            0.0,
+            lambda in_force: None,
+        )
+        with anyio.move_on_after(1.0):
+            await followed._follow(
+                follower.REPLICA_TOPIC, followed._take_replicas
+            )
+
+    anyio.run(run)
+    assert reader.waits[:4] == [store.WAIT_S, store.WAIT_S, 0.0, store.WAIT_S]
