Remember replicas that have gone, so that no grant brings them back

A replica that has gone is now listed as leaving for a minute, here and to peers, and such a grant is declined. Test: test_a_replica_that_has_gone_is_known_to_have_gone. Ruled out: the hold of records in doubt (dropped within 4 ms), the store.

--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -30,6 +30,10 @@
 that, in seconds: a record that is not back about two seconds after the store is
 gone for good."""
 
+FORGET_S = 60.0
+"""How long a replica that has gone is still listed as leaving, in seconds: an
+owner that the store turns away may go on granting it, and must be told no."""
+
 MANY = 2
 """So many records that go together may mean that the store was away unseen."""
 
@@ -38,6 +42,7 @@
 class _Known:
     replica: peer_message.Replica
     gone_at: float | None = None
+    forget_at: float | None = None
 
 
 class ReplicaBook:
@@ -66,7 +71,7 @@
         self._returned_at = now
 
     def list_replicas(self) -> dict[str, peer_message.Replica]:
-        """Returns the replicas by their ids."""
+        """Returns the replicas by their ids; those gone count as leaving."""
         return {name: known.replica for name, known in self._known.items()}
 
     def take_changes(self, changes: Iterable[store.Change], now: float) -> None:
@@ -77,7 +82,7 @@
                 gone.append(change.key)
             else:
                 self._take(change.key, change.value)
-        self._take_gone([name for name in gone if name in self._known], now)
+        self._take_gone(gone, now)
 
     def take_all(self, newest: Iterable[store.Change], now: float) -> None:
         """Takes the newest record of each replica; others have none."""
@@ -91,7 +96,11 @@
     ) -> None:
         """Takes what a peer knows that the store answers."""
         for name, replica in told.items():
-            self._put(name, replica)
+            if replica.leaving:
+                # Perhaps its record only lapsed: the store's word decides.
+                self._known[name] = _Known(replica, forget_at=now + FORGET_S)
+            else:
+                self._put(name, replica)
         self._take_gone([n for n in self._known if n not in told], now)
 
     def expire(self, now: float) -> bool:
@@ -102,8 +111,15 @@
             if known.gone_at is not None and known.gone_at <= now
         ]
         for name in expired:
-            self._drop(name, "its record is still missing")
-        return bool(expired)
+            self._drop(name, "its record is still missing", now)
+        forgotten = [
+            name
+            for name, known in self._known.items()
+            if known.forget_at is not None and known.forget_at <= now
+        ]
+        for name in forgotten:
+            del self._known[name]
+        return bool(expired or forgotten)
 
     def _take(self, name: str, value: bytes) -> None:
         try:
@@ -138,17 +154,17 @@
     def _take_gone(self, names: list[str], now: float) -> None:
         doubted = now - self._trouble_at < TROUBLE_S
         for name in names:
-            known = self._known[name]
-            if known.gone_at is not None:
+            known = self._known.get(name)
+            if known is None or known.gone_at or known.forget_at:
                 continue
             if known.replica.leaving:
-                self._drop(name, "it was leaving")
+                self._drop(name, "it was leaving", now)
             elif now - self._returned_at < CATCH_UP_S:
                 self._hold(name, self._returned_at + HOLD_AFTER_RETURN_S)
             elif doubted or len(names) >= MANY:
                 self._hold(name, now + self._hold_s)
             else:
-                self._drop(name, "its record has gone")
+                self._drop(name, "its record has gone", now)
 
     def _hold(self, name: str, until: float) -> None:
         self._known[name].gone_at = until
@@ -156,8 +172,9 @@
             "backend server kept without a record", extra={"backend": name}
         )
 
-    def _drop(self, name: str, reason: str) -> None:
-        del self._known[name]
+    def _drop(self, name: str, reason: str, now: float) -> None:
+        replica = dataclasses.replace(self._known[name].replica, leaving=True)
+        self._known[name] = _Known(replica, forget_at=now + FORGET_S)
         LOG.info(
             "backend server gone", extra={"backend": name, "reason": reason}
         )
