Give the product's own followers their time for a fetch back, and keep a path in the adapter

Read in the change: with the fetch moved into BundleSource the product's follower waited 1 s for a peer's bundle, where it had waited 3 s before, and its constant was read by nobody. Each source now names its own: 3 s there, 1 s on the users' platform as until now. The balancer's path stood in node/main.py; it moves to the adapter and the test of names knows it. ramptray-node behaves as before.

--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -34,7 +34,6 @@
 the two seconds in which a replica that has gone may still be sent work."""
 
 
-READY_PATH = "/v1/ready"
 METRICS_PATH = "/metrics"
 
 ACCEPT_PAUSE_S = 0.01
@@ -128,7 +127,7 @@
     ) -> None:
         probes = probe.ProbeServer(
             {
-                READY_PATH: self._show_ready,
+                vm_settings.READY_PATH: self._show_ready,
                 METRICS_PATH: self._show_metrics,
             }
         )
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -29,6 +29,10 @@
 """Longest pause between two failed calls, in seconds: what the store has must
 be in force about two seconds after it answers again."""
 
+FETCH_S = 1.0
+"""Longest time for a peer to hand over what it has, in seconds: less than the
+two seconds in which that must be in force."""
+
 EXPIRE_EVERY_S = 0.2
 ASK_PEERS_EVERY_S = 0.5
 """How often a VM that the store turns away asks a peer, in seconds: what the
@@ -61,7 +65,7 @@
         extra_burst: float,
         on_bundle: OnBundle,
     ) -> None:
-        super().__init__(client)
+        super().__init__(client, FETCH_S)
         self.pick_peer: Callable[[], str | None] = _pick_nobody
         self._in_force: acceptance.InForce | None = None
         self._read_at: float | None = None
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -11,6 +11,9 @@
 
 from ramptray.platform import address
 
+READY_PATH = "/v1/ready"
+"""Path on which the balancer asks whether the VM takes callers."""
+
 
 class SettingsError(Exception):
     """The settings file cannot be used; one line names file and place."""
--- a/ramptray/scheduler/follower.py
+++ b/ramptray/scheduler/follower.py
@@ -52,7 +52,7 @@
         rng: random.Random,
         on_change: Callable[[acceptance.InForce], None],
     ) -> None:
-        super().__init__(client)
+        super().__init__(client, FETCH_S)
         self._log = log
         self._trust = trust
         self._acceptance = acceptance.Acceptance(trust)
--- a/ramptray/scheduler/source.py
+++ b/ramptray/scheduler/source.py
@@ -11,19 +11,18 @@
 
 LOG = logging.getLogger(__name__)
 
-FETCH_S = 1.0
-"""Longest time for a peer to hand over its bundle, in seconds."""
-
 
 class BundleSource(abc.ABC):
     """Follows what operators publish, and learns of it from peers.
 
     Args:
         client: Asks peers.
+        fetch_s: Longest time for a peer to hand over its bundle, in seconds.
     """
 
-    def __init__(self, client: peer_link.PeerClient) -> None:
+    def __init__(self, client: peer_link.PeerClient, fetch_s: float) -> None:
         self._client = client
+        self._fetch_s = fetch_s
 
     @property
     @abc.abstractmethod
@@ -56,7 +55,7 @@
         current = self.in_force.generation if self.in_force else 0
         try:
             answer = await self._client.ask(
-                address, peer_message.FetchBundle(current), FETCH_S
+                address, peer_message.FetchBundle(current), self._fetch_s
             )
         except peer_link.LinkError as error:
             LOG.info("bundle from a peer: %s", error)
--- a/test/test_names.py
+++ b/test/test_names.py
@@ -30,6 +30,7 @@
     "trafficSplit",
     "uncachedTokens",
     "waitMs",
+    "/v1/ready",
     "x-deadline-ms",
     "x-expect-instance",
     "x-length-hint",
