Distrust connections into a silent zone, and send callers elsewhere from a minority side

A VM that hears at most half of the others and reaches less than half of the places tells the balancer that it is not ready, and connected callers that the connection closes. Members carry the availability zone they stand in.

Ruled out: a shorter time for unacknowledged bytes, since one lost packet of a lossy link would then end a request that may run once.

--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -57,6 +57,8 @@
         incarnation: Grows when the member refutes a suspicion or restarts.
         state: What is believed of it.
         generation: The bundle generation in force on its VM.
+        availability_zone: Where the VM stands, where several availability zones
+            form one scheduling zone; empty where ``zone`` tells.
     """
 
     vm: str
@@ -65,6 +67,7 @@
     incarnation: int
     state: MemberState = MemberState.ALIVE
     generation: int = 0
+    availability_zone: str = ""
 
     def overrides(self, other: Member) -> bool:
         """Tells whether this record is newer than the other."""
@@ -107,6 +110,16 @@
         """Returns every record, dead members included."""
         return [known.member for known in self._known.values()]
 
+    def is_minority(self) -> bool:
+        """Tells whether at most half of the members can be heard.
+
+        Those that have left by their own will do not count.
+        """
+        states = [known.member.state for known in self._known.values()]
+        heard = states.count(MemberState.ALIVE)
+        counted = len(states) - states.count(MemberState.LEFT)
+        return 2 * heard <= counted
+
     def set_generation(self, generation: int, now: float) -> None:
         """Notes the bundle generation in force on this VM."""
         if generation != self._me.generation:
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -71,6 +71,8 @@
         in_force: The bundle in force, if any.
         timeline: Where events are noted.
         on_doubt: Called with the address of a scheduler that has become silent.
+        on_silent_zone: Called with the addresses of the backend servers of a
+            zone that has become silent.
     """
 
     def __init__(
@@ -98,7 +100,9 @@
         self._budget = budget or retry.RetryBudget()
         self._reach = reach.Reach()
         self._zones: dict[str, str] = {}
+        self._vm_zones: set[str] = set()
         self.on_doubt: Callable[[str], None] = _do_nothing
+        self.on_silent_zone: Callable[[list[str]], None] = _do_nothing
         self._learner = acceptance.Learner()
         self._first_in_force = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -120,6 +124,21 @@
         server = self.in_force.bundle.backend_servers.get(backend)
         return server.url if server else None
 
+    @property
+    def reachable_part(self) -> float:
+        """Part of the backend servers' places in zones that are not silent."""
+        if self.in_force is None:
+            return 1.0
+        silent = self._reach.list_silent_zones()
+        bundle = self.in_force.bundle
+        places = [
+            (self._zones[name], bundle.engines[server.engine].max_running)
+            for name, server in bundle.backend_servers.items()
+            if not server.leaving
+        ]
+        reached = sum(count for zone, count in places if zone not in silent)
+        return reached / max(1, sum(count for _, count in places))
+
     def may_repeat(self, ticket: tickets.Ticket) -> bool:
         """Tells whether another attempt of a request would be allowed now."""
         machine = ticket.machine
@@ -210,13 +229,24 @@
     def _note_silent(self, backend: str | None, now: float) -> None:
         if backend is not None:
             zone = self._zones.get(backend, "")
-            self._reach.note_silent(backend, zone, now)
+            if self._reach.note_silent(backend, zone, now):
+                self.on_silent_zone(self._list_addresses(zone))
 
     def _note_answer(self, backend: str | None, now: float) -> None:
         if backend is not None:
             zone = self._zones.get(backend, "")
             self._reach.note_answer(backend, zone, now)
 
+    def _list_addresses(self, zone: str) -> list[str]:
+        """Returns where the backend servers of an availability zone listen."""
+        if self.in_force is None:
+            return []
+        return [
+            server.url.removeprefix("http://")
+            for name, server in self.in_force.bundle.backend_servers.items()
+            if self._zones[name] == zone
+        ]
+
     def _get_info(
         self, ticket: tickets.Ticket, now: float
     ) -> message.RequestInfo:
@@ -407,11 +437,20 @@
 
     def _take_view(self, view: peer_message.View, now: float) -> None:
         known = self._owners.take_view(view)
+        self._doubt_lost_zones(view)
         for address in set(self._links) - known - {self._local}:
             self._links.pop(address).stop()
             self._owners.forget(address)
         self._reassign_all(now)
 
+    def _doubt_lost_zones(self, view: peer_message.View) -> None:
+        """Distrusts what was open to zones whose VMs are not heard any more."""
+        heard = {m.availability_zone for m in view.members} - {""}
+        for zone in self._vm_zones - heard:
+            self._reach.note_lost_vms(zone)
+            self.on_silent_zone(self._list_addresses(zone))
+        self._vm_zones = heard
+
     def _take_bundle(self, address: str, envelope: signature.Envelope) -> None:
         if self._learner.learn(envelope):
             assert self._learner.in_force is not None
@@ -550,5 +589,5 @@
         return None
 
 
-def _do_nothing(address: str) -> None:
+def _do_nothing(told: object) -> None:
     """Stands in until somebody listens."""
--- a/ramptray/entry/reach.py
+++ b/ramptray/entry/reach.py
@@ -36,13 +36,19 @@
     def __init__(self) -> None:
         self._servers: dict[str, _Pause] = {}
         self._zones: dict[str, _Pause] = {}
+        self._doubted: set[str] = set()
         self._answered: dict[str, float] = {}
 
-    def note_silent(self, backend: str, zone: str, now: float) -> None:
-        """Notes that a connection to a backend server could not be opened."""
+    def note_silent(self, backend: str, zone: str, now: float) -> bool:
+        """Notes that a connection to a backend server could not be opened.
+
+        Returns:
+            Whether its whole zone is taken for silent from now on.
+        """
         self._servers[backend] = _lengthen(self._servers.get(backend), now)
         if now - self._answered.get(zone, float("-inf")) < FRESH_S:
-            return
+            return False
+        is_new = zone not in self._zones
         former = self._zones.get(zone)
         if former is None or former.until <= now:
             self._zones[zone] = _lengthen(former, now)
@@ -54,14 +60,29 @@
                     "avoided_for_s": self._zones[zone].length_s,
                 },
             )
+        return is_new
+
+    def note_lost_vms(self, zone: str) -> None:
+        """Notes that no VM of a zone is heard any more.
+
+        They may be down, or cut off together with the backend servers there,
+        which are still tried.
+        """
+        self._doubted.add(zone)
+        LOG.warning("no VM of a zone is heard", extra={"doubted_zone": zone})
 
     def note_answer(self, backend: str, zone: str, now: float) -> None:
         """Notes that a backend server has answered."""
         self._answered[zone] = now
         self._servers.pop(backend, None)
+        self._doubted.discard(zone)
         if self._zones.pop(zone, None):
             LOG.info("zone answers again", extra={"silent_zone": zone})
 
+    def list_silent_zones(self) -> frozenset[str]:
+        """Returns the zones that have not answered since they were lost."""
+        return frozenset(self._zones) | self._doubted
+
     def list_avoided(
         self, zones: Mapping[str, str], now: float
     ) -> tuple[str, ...]:
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -34,6 +34,10 @@
 the two seconds in which a replica that has gone may still be sent work."""
 
 
+REACHED_PART = 0.5
+"""A VM that reaches less than this part of the backend servers' places sends
+new callers elsewhere: at most one side of a cut has less than half."""
+
 METRICS_PATH = "/metrics"
 
 ACCEPT_PAUSE_S = 0.01
@@ -117,6 +121,7 @@
                 tasks.start_soon(self._gossiper.check, address)
 
             self._desk.on_doubt = check
+            self._desk.on_silent_zone = self._relay_client.distrust
             await self._serve(tasks, stop)
             await peers.stop()
             await self._equipment.client.close()
@@ -167,8 +172,29 @@
             return probe.Page(probe.UNAVAILABLE, "no configuration yet\n")
         if self._stopping:
             return probe.Page(probe.UNAVAILABLE, "stopping\n")
+        if self._note_cut():
+            return probe.Page(probe.UNAVAILABLE, "cut off from most\n")
         return probe.Page(probe.OK, "ready\n")
 
+    def _note_cut(self) -> bool:
+        """Tells whether most of the deployment is beyond reach from here.
+
+        Then callers are better served by VMs of other zones, which have more
+        engines: new ones are sent there, and those that are connected are told
+        to close.  Whoever comes all the same is served.  Losing VMs alone says
+        nothing: they may be down while all engines are at hand.
+        """
+        minority = self._gossiper.membership.is_minority()
+        part = self._desk.reachable_part
+        cut = minority and part < REACHED_PART
+        if cut != self._relay.state.diverting:
+            self._relay.state.diverting = cut
+            LOG.warning(
+                "callers sent elsewhere" if cut else "callers taken again",
+                extra={"minority": minority, "reachable_part": round(part, 2)},
+            )
+        return cut
+
     def _show_metrics(self) -> probe.Page:
         return probe.Page(probe.OK, self._measures.format())
 
@@ -197,7 +223,11 @@
 
     def _make_gossiper(self) -> gossip.Gossiper:
         me = membership.Member(
-            self._given.vm, config.DOMAIN, self._given.peers, int(time.time())
+            self._given.vm,
+            config.DOMAIN,
+            self._given.peers,
+            int(time.time()),
+            availability_zone=self._given.zone,
         )
         return gossip.Gossiper(
             me,
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -9,7 +9,7 @@
 import select
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
 import anyio
@@ -280,6 +280,16 @@
             await anyio.sleep(IDLE_MARGIN_S)
             await self.close_idle(time.monotonic())
 
+    def distrust(self, addresses: Iterable[str]) -> None:
+        """Lends no idle connection to these backend servers any more.
+
+        A connection from before a cut takes a request and says nothing, while
+        opening a new one shows soon whether there is a way.
+        """
+        for address in addresses:
+            for connection in self._idle[address]:
+                connection.idle_s = 0.0
+
     async def close_idle(self, now: float) -> None:
         """Closes the connections that are idle for too long."""
         for idle in list(self._idle.values()):
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -64,6 +64,8 @@
         limits: Limits towards callers, from the bundle in force.
         stopping: Whether a planned stop has begun: answers then say that their
             connection closes.
+        diverting: Whether callers are better served elsewhere: answers then say
+            that their connection closes.
         refusing: Whether requests are refused: there is no time left to end
             them before the process is killed.
         idle: Connections that wait for a request.
@@ -75,6 +77,7 @@
         default_factory=model.RelayLimits
     )
     stopping: bool = False
+    diverting: bool = False
     refusing: bool = False
     idle: set[anyio.CancelScope] = dataclasses.field(default_factory=set)
     active: int = 0
@@ -347,7 +350,7 @@
 
     def get_closing_headers(self) -> message.Headers:
         """Returns the headers that announce a close, if there is one."""
-        if self._state.stopping:
+        if self._state.stopping or self._state.diverting:
             return [(b"Connection", b"close")]
         return []
 
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -277,3 +277,27 @@
             message.Ended(str(number), 0, 0.0, not broken, broken=broken), 1.0
         )
         assert server.is_open(1.0)
+
+
+def test_a_zone_is_silent_until_it_answers() -> None:
+    known = reach.Reach()
+    assert known.note_silent("b", "z", 10.0)
+    assert not known.note_silent("c", "z", 10.1)
+    assert known.list_silent_zones() == {"z"}
+    known.note_answer("b", "z", 30.0)
+    assert not known.list_silent_zones()
+
+
+def test_a_connection_from_before_a_cut_is_not_lent() -> None:
+    async def run() -> None:
+        kept = client.RelayClient(header.PlatformDialect())
+        old, other = _Idle(anyio.current_time()), _Idle(anyio.current_time())
+        kept._idle["127.0.0.1:1"] = [old]  # type: ignore[list-item]
+        kept._idle["y:1"] = [other]  # type: ignore[list-item]
+        kept.distrust(["127.0.0.1:1"])
+        assert await kept._take("y:1", False) is other  # type: ignore[comparison-overlap]
+        with pytest.raises(client.NotSentError):
+            await kept._take("127.0.0.1:1", False)
+        assert old.closed
+
+    anyio.run(run)
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -13,7 +13,7 @@
 from ramptray.entry import dispatcher
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
-from ramptray.platform import config
+from ramptray.platform import config, follower
 from test import node
 
 OURS, OTHER = "127.0.0.1:1", "127.0.0.2:1"
@@ -144,3 +144,32 @@
     grant = message.Grant("r1", "g", "e", OTHER, speed=speed)
     desk.hear(attachment.Said(OTHER, grant))
     assert desk.sent[-1] == (OURS, message.SpeedLearned("e", speed))
+
+
+def test_connections_to_a_zone_whose_vms_are_lost_are_distrusted(
+    desk: Desk,
+) -> None:
+    text = json.dumps(node.make_config(1))
+    bundle = follower.add_replicas(
+        config.parse_config(text, 0.0),
+        {
+            "near": peer_message.Replica(
+                node.SERVICE, "10.0.0.1:1", "a", 4, False
+            ),
+            "far": peer_message.Replica(
+                node.SERVICE, "10.0.0.2:1", "b", 4, False
+            ),
+        },
+    )
+    desk.take_in_force(acceptance.InForce(bundle, signature.Envelope(text, {})))
+    distrusted: list[list[str]] = []
+    desk.on_silent_zone = distrusted.append
+    near = membership.Member(
+        "waw-a-vm1", "waw-a", OURS, 1, availability_zone="a"
+    )
+    far = membership.Member("far-vm", "waw-a", OTHER, 1, availability_zone="b")
+    desk.hear(attachment.Said(OURS, peer_message.View([near, far], [])))
+    assert desk.reachable_part == 1.0
+    desk.hear(attachment.Said(OURS, peer_message.View([near], [])))
+    assert distrusted == [["10.0.0.2:1"]]
+    assert desk.reachable_part == 0.5
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -130,3 +130,18 @@
     gone = min(names)
     after = {k: membership.pick_owner(k, sorted(names - {gone})) for k in keys}
     assert all(after[k] == before[k] for k in keys if before[k] != gone)
+
+
+def test_a_side_with_half_of_the_members_or_less_is_a_minority() -> None:
+    me = membership.Member("a", "z", "a:1", 1)
+    mine = membership.Membership(me, random.Random(1), 0.0)
+    others = [membership.Member(n, "z", f"{n}:1", 1) for n in "bcd"]
+    mine.merge(others, 0.0)
+    assert not mine.is_minority()
+    mine.suspect("b", 1.0)
+    assert not mine.is_minority()
+    mine.suspect("c", 1.0)
+    assert mine.is_minority()
+    left = dataclasses.replace(others[2], state=membership.MemberState.LEFT)
+    mine.merge([left], 2.0)
+    assert mine.is_minority()
