Model limits across a cut and versions by peers, and count seeds that were not met

Each rule that carries safety is shown to be needed by a counterexample.

Seeds that were not met now count as long as a dead member, 60 s; the part is looked at every half second instead of only when the view changes.

--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -306,7 +306,7 @@
         self._demote_late_heads(tier, now)
         window = self._list_candidates() if only is None else only
         passed: list[queue.Waiting] = []
-        for waiting in tier.list_heads(HEADS_TRIED):
+        for waiting in tier.list_heads(HEADS_TRIED, now):
             candidates = window
             if only is None and waiting.request.prefix:
                 candidates = self._add_holders(window, waiting.request)
@@ -330,7 +330,7 @@
         """Lets those pass whose answer may still begin in time."""
         while late := [
             waiting
-            for waiting in tier.list_heads(HEADS_TRIED)
+            for waiting in tier.list_heads(HEADS_TRIED, now)
             if waiting.late_at <= now and not waiting.is_late
         ]:
             for waiting in late:
@@ -408,7 +408,7 @@
         if self.holds(request_id):
             return []
         self.counters.enqueued += 1
-        waiting = self._queue.make(request, entry, now)
+        waiting = self._make_waiting(request, entry, now)
         wait_s = self._check_limit(request, waiting.cost, now)
         if wait_s > 0:
             self._count_shed(request.tier, now)
@@ -424,6 +424,16 @@
         granted = self.grant(now)
         return [*granted, *self._make_room(waiting, now)]
 
+    def _make_waiting(
+        self, request: message.RequestInfo, entry: str, now: float
+    ) -> queue.Waiting:
+        """Returns a request as it would wait here."""
+        work_s = min(
+            (b.estimate_work(request) for b in self.backends.values()),
+            default=queue.MIN_WORK_S,
+        )
+        return self._queue.make(request, entry, now, work_s)
+
     def _check_limit(
         self, request: message.RequestInfo, cost: int, now: float
     ) -> float:
@@ -576,7 +586,7 @@
         if decline.unreachable:
             backend.note_unreachable(now)
         request = dataclasses.replace(placed.request, avoid=decline.avoid)
-        waiting = self._queue.make(request, entry, placed.started)
+        waiting = self._make_waiting(request, entry, placed.started)
         self._queue.restore(waiting)
 
     def _end(self, ended: message.Ended, now: float) -> list[backends.Backend]:
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -78,6 +78,7 @@
         self._rounds = itertools.count(1)
         self._turn = 0
         self._young_until = now + YOUNG_S
+        self._count_seeds_until = now + membership.FORGET_S
 
     async def run(self) -> None:
         """Probes until cancelled."""
@@ -147,10 +148,21 @@
             m.state is not membership.MemberState.LEFT
             for m in self.membership.list_all()
         )
-        if time.monotonic() < self._young_until:
-            known = max(known, len(self._seeds) + 1)
+        known += self._count_unmet_seeds()
         return min(1.0, LIMIT_MARGIN * max(1, alive) / max(1, known))
 
+    def _count_unmet_seeds(self) -> int:
+        """Returns how many seeds may be schedulers that were never met.
+
+        A scheduler that restarts alone on its side of a cut knows nobody else;
+        without its seeds it would hand out every limit whole.  Seeds may also
+        be stale, so they count no longer than a dead member.
+        """
+        if time.monotonic() >= self._count_seeds_until:
+            return 0
+        met = {m.address for m in self.membership.list_all()}
+        return len(set(self._seeds) - met)
+
     def pick_peer(self) -> str | None:
         """Returns the address of some live scheduler, or of a seed."""
         addresses = [
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -406,8 +406,7 @@
 
     def _take_view(self, view: peer_message.View) -> None:
         self.view = view
-        if self._limits is not None:
-            self._limits.set_part(self._gossiper.get_part())
+        self._divide_limits()
         if self._claims is not None:
             partitions = self._list_partitions()
             self._claims.post(event.PartitionsChanged(partitions))
@@ -418,6 +417,11 @@
             "membership", self._zone, members=[m.vm for m in view.members]
         )
 
+    def _divide_limits(self) -> None:
+        """Takes the part of limits held by all services that is ours."""
+        if self._limits is not None:
+            self._limits.set_part(self._gossiper.get_part())
+
     def _open_own_shards(self, now: float) -> None:
         """Opens each own shard, so that other zones learn of its room."""
         if self.in_force is None:
@@ -482,6 +486,7 @@
                 self._tell_entry(entry, message.StillWaiting(count))
         if now - self._summaries_at >= SUMMARY_EVERY_S:
             self._summaries_at = now
+            self._divide_limits()
             self._exchange_summaries(now)
             self._drop_foreign_shards(now)
 
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from spec import bundle, claim, explore, grant, lease
+from spec import bundle, claim, explore, grant, lease, limit, version
 
 Check = Callable[[Any], explore.Verdict]
 
@@ -22,6 +22,8 @@
     (bundle.check, bundle.Rules()),
     (lease.check, lease.Rules()),
     (lease.check, lease.Rules(check_flight=False, wait_flight=True, until=4)),
+    (version.check, version.Rules()),
+    (limit.check, limit.Rules()),
 ]
 
 BREAKS: list[tuple[Check, Any, str]] = [
@@ -46,6 +48,17 @@
     ),
     (lease.check, lease.Rules(wait_term=False, until=4), "no_stale_order"),
     (lease.check, lease.Rules(void_late=False, until=4), "no_stale_order"),
+    (version.check, version.Rules(only_rise=False), "never_reverts"),
+    (version.check, version.Rules(left_is_final=False), "left_stays_away"),
+    (limit.check, limit.Rules(count_lost=False), "limit_holds"),
+    # What the code did until this was modelled: a VM that restarts alone on
+    # its side of a cut forgot its seeds after four seconds.
+    (limit.check, limit.Rules(count_seeds=False), "limit_holds"),
+    (
+        limit.check,
+        limit.Rules(count_seeds=False, count_seeds_at_first=False),
+        "limit_holds",
+    ),
     # No sender can prevent this one; see docs/design/lease.md.
     (lease.check, lease.Rules(pause=True, until=4), "no_reordered_order"),
 ]
