Take the order by response ratio within a customer's queue out again

Tried: within a tier, of one customer's requests the one goes first that has waited longest for its own work (highest response ratio), so that short requests are in time while engines are short of places.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -268,11 +268,6 @@
         base = (self.prefill_tokens + uncached) / self.prefill_rate
         return (base + self.step_s) * self.get_lateness(now)
 
-    def estimate_work(self, request: message.RequestInfo) -> float:
-        """Returns the seconds for which a request would hold its place."""
-        prefill_s = request.prompt_tokens / self.prefill_rate
-        return prefill_s + request.output_tokens * self.step_s
-
     def get_lateness(self, now: float) -> float:
         """Returns how many times slower than learned the engine now seems."""
         if not self.pending:
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from ramptray.core import backend as backends
-from ramptray.core import candidate, message, queue
+from ramptray.core import candidate, message
 
 ORPHAN_S = 30.0
 """Longest time a lost entry's request keeps its place, in seconds."""
@@ -120,13 +120,6 @@
         if known := self.backends.get(name):
             known.take_speed(speed)
 
-    def estimate_work(self, request: message.RequestInfo) -> float:
-        """Returns the seconds for which a request would hold a place."""
-        return min(
-            (known.estimate_work(request) for known in self.backends.values()),
-            default=queue.MIN_WORK_S,
-        )
-
     # Candidates for a request.
 
     def list_all(self) -> list[backends.Backend]:
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -5,7 +5,6 @@
 import collections
 import dataclasses
 import heapq
-import itertools
 import math
 
 from ramptray.core import message
@@ -14,14 +13,6 @@
 """Cost of an output token in prompt tokens: decoding is the slower part."""
 
 
-COMPARED = 32
-"""Requests of one customer that are compared to find the one to go first; a
-bound on the work of a grant."""
-
-MIN_WORK_S = 0.001
-"""Least time that a request is taken to need, in seconds."""
-
-
 def weigh(request: message.RequestInfo) -> int:
     """Returns a request's cost in prompt tokens, for queues and fairness."""
     return request.prompt_tokens + OUTPUT_WEIGHT * request.output_tokens
@@ -37,8 +28,6 @@
         rank: Its tier's rank.
         deadline: When its answer is of no more use.
         cost: Its cost.
-        since: When it began to wait.
-        work_s: Seconds for which it will probably hold its place.
         passed_over: Cost of requests that went before it since it was first.
         late_at: When its answer begins too late; infinite where never.
         refuse_at: When it is refused if it still waits.
@@ -50,8 +39,6 @@
     rank: int
     deadline: float
     cost: int
-    since: float = 0.0
-    work_s: float = MIN_WORK_S
     passed_over: int = 0
     late_at: float = math.inf
     refuse_at: float = math.inf
@@ -62,10 +49,6 @@
         """Whether no other may go before it any more."""
         return self.passed_over >= self.cost
 
-    def get_wait_ratio(self, now: float) -> float:
-        """Returns how long it has waited, in multiples of its own work."""
-        return (now - self.since) / max(self.work_s, MIN_WORK_S)
-
 
 class TierQueue:
     """The waiting requests of one tier, shared fairly among customers.
@@ -73,11 +56,6 @@
     Start-time fair queueing over customers: the one that has used the fewest
     tokens for its share goes first.  A customer that was idle starts at the
     current virtual time, so it cannot save up a claim on the whole service.
-
-    Among the requests of one customer the one goes first that has waited
-    longest for its own work: the highest response ratio.  While engines are
-    short of places, many short requests are in time for each long one that
-    waits; and a long one that has waited long enough goes before them.
     """
 
     def __init__(self) -> None:
@@ -128,7 +106,7 @@
         if len(self._used) > 4 * len(self._queues) + 64:
             self._forget_idle()
 
-    def list_heads(self, most: int, now: float) -> list[Waiting]:
+    def list_heads(self, most: int) -> list[Waiting]:
         """Returns the first request of up to ``most`` customers, in order."""
         heads: list[Waiting] = []
         taken: list[tuple[float, str]] = []
@@ -140,8 +118,7 @@
             if (used, customer) in taken:
                 continue
             taken.append((used, customer))
-            oldest = itertools.islice(self._queues[customer].values(), COMPARED)
-            heads.append(max(oldest, key=lambda w: w.get_wait_ratio(now)))
+            heads.append(next(iter(self._queues[customer].values())))
         for item in taken:
             heapq.heappush(self._heap, item)
         return heads
@@ -230,11 +207,7 @@
         return rank + self._tier_count
 
     def make(
-        self,
-        request: message.RequestInfo,
-        entry: str,
-        now: float,
-        work_s: float = MIN_WORK_S,
+        self, request: message.RequestInfo, entry: str, now: float
     ) -> Waiting:
         """Returns a request as it would wait; it does not yet."""
         return Waiting(
@@ -243,8 +216,6 @@
             self._get_rank(request),
             deadline=now + request.deadline_s,
             cost=weigh(request),
-            since=now,
-            work_s=work_s,
             late_at=_add(now, request.objective_s),
             refuse_at=_add(now, request.wait_s),
         )
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -268,7 +268,7 @@
         self._demote_late_heads(tier, now)
         window = self._list_candidates() if only is None else only
         passed: list[queue.Waiting] = []
-        for waiting in tier.list_heads(HEADS_TRIED, now):
+        for waiting in tier.list_heads(HEADS_TRIED):
             candidates = window
             if only is None and not self._policy.looks_at_all:
                 candidates = self.fleet.add_holders(window, waiting.request)
@@ -292,7 +292,7 @@
         """Lets those pass whose answer may still begin in time."""
         while late := [
             waiting
-            for waiting in tier.list_heads(HEADS_TRIED, now)
+            for waiting in tier.list_heads(HEADS_TRIED)
             if waiting.late_at <= now and not waiting.is_late
         ]:
             for waiting in late:
@@ -345,7 +345,7 @@
         if self.holds(request_id):
             return []
         self.counters.enqueued += 1
-        waiting = self._make_waiting(request, entry, now)
+        waiting = self._queue.make(request, entry, now)
         wait_s = self._check_limit(request, waiting.cost, now)
         if wait_s > 0:
             self._count_shed(request.tier, now)
@@ -361,13 +361,6 @@
         granted = self.grant(now)
         return [*granted, *self._make_room(waiting, now)]
 
-    def _make_waiting(
-        self, request: message.RequestInfo, entry: str, now: float
-    ) -> queue.Waiting:
-        """Returns a request as it would wait here."""
-        work_s = self.fleet.estimate_work(request)
-        return self._queue.make(request, entry, now, work_s)
-
     def _check_limit(
         self, request: message.RequestInfo, cost: int, now: float
     ) -> float:
@@ -512,7 +505,7 @@
         if decline.unreachable:
             backend.note_unreachable(now)
         request = dataclasses.replace(placed.request, avoid=decline.avoid)
-        waiting = self._make_waiting(request, entry, placed.started)
+        waiting = self._queue.make(request, entry, placed.started)
         self._queue.restore(waiting)
 
     def _end(self, ended: message.Ended, now: float) -> list[backends.Backend]:
