Find a cut sooner: one silent VM has others looked at, a silent owner's zone is distrusted

Now a member that does not answer has up to six others probed at once, each given 0.25 s; and an owner that is silent to a request has the connections to its zone opened anew. What an entry believes of zones and backend servers moves out of the dispatcher into entry/network.py.

--- a/ramptray/caller/app.py
+++ b/ramptray/caller/app.py
@@ -137,7 +137,7 @@
             ticket,
             exchange.ModelCall(http.url.path, msgspec.json.encode(sent)),
             self._client,
-            self._desk.find_url,
+            self._desk.network.find_url,
             self._settings.limits.idle_write_s,
         )
         self._tasks.start_soon(served.run)
--- a/ramptray/caller/plain.py
+++ b/ramptray/caller/plain.py
@@ -160,7 +160,7 @@
         self, ticket: tickets.Ticket, grant: message.Grant
     ) -> None:
         request_id = self._asked.info.request_id
-        url = self._desk.find_url(grant.backend)
+        url = self._desk.network.find_url(grant.backend)
         if url is None:
             ticket.report(tickets.ConnectFailed(request_id))
             return
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -19,7 +19,7 @@
 from ramptray import runtime
 from ramptray.bundle import acceptance, signature
 from ramptray.core import claim, message, request, retry
-from ramptray.entry import claims, owners, reach
+from ramptray.entry import claims, network, owners
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
@@ -68,11 +68,10 @@
     """Owns the request machines and the links to schedulers.
 
     Attributes:
-        in_force: The bundle in force, if any.
+        network: What is believed of the backend servers, by the bundle in
+            force.
         timeline: Where events are noted.
         on_doubt: Called with the address of a scheduler that has become silent.
-        on_silent_zone: Called with the addresses of the backend servers of a
-            zone that has become silent.
     """
 
     def __init__(
@@ -81,7 +80,7 @@
         equipment: runtime.Runtime,
         budget: retry.RetryBudget | None = None,
     ) -> None:
-        self.in_force: acceptance.InForce | None = None
+        self.network = network.Network()
         self.timeline = equipment.timeline
         self._name = equipment.name
         self._vm = settings.vm
@@ -98,47 +97,20 @@
             settings.zone, self._owners, self._tell_any
         )
         self._budget = budget or retry.RetryBudget()
-        self._reach = reach.Reach()
-        self._zones: dict[str, str] = {}
-        self._vm_zones: set[str] = set()
         self.on_doubt: Callable[[str], None] = _do_nothing
-        self.on_silent_zone: Callable[[list[str]], None] = _do_nothing
         self._learner = acceptance.Learner()
-        self._first_in_force = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
 
     @property
-    def ready(self) -> bool:
-        """Whether requests can be served."""
-        return self.in_force is not None
+    def in_force(self) -> acceptance.InForce | None:
+        """The bundle in force, if any."""
+        return self.network.in_force
 
     @property
     def request_count(self) -> int:
         """How many requests have not ended."""
         return len(self._tickets)
 
-    def find_url(self, backend: str) -> str | None:
-        """Returns where a backend server of the bundle listens."""
-        if self.in_force is None:
-            return None
-        server = self.in_force.bundle.backend_servers.get(backend)
-        return server.url if server else None
-
-    @property
-    def reachable_part(self) -> float:
-        """Part of the backend servers' places in zones that are not silent."""
-        if self.in_force is None:
-            return 1.0
-        silent = self._reach.list_silent_zones()
-        bundle = self.in_force.bundle
-        places = [
-            (self._zones[name], bundle.engines[server.engine].max_running)
-            for name, server in bundle.backend_servers.items()
-            if not server.leaving
-        ]
-        reached = sum(count for zone, count in places if zone not in silent)
-        return reached / max(1, sum(count for _, count in places))
-
     def may_repeat(self, ticket: tickets.Ticket) -> bool:
         """Tells whether another attempt of a request would be allowed now."""
         machine = ticket.machine
@@ -149,15 +121,6 @@
             and self._budget.has_left(machine.info.shard.service, now)
         )
 
-    async def wait_in_force(
-        self, longest_s: float
-    ) -> acceptance.InForce | None:
-        """Returns the bundle in force, waiting a little for the first one."""
-        if self.in_force is None:
-            with anyio.move_on_after(longest_s):
-                await self._first_in_force.wait()
-        return self.in_force
-
     def submit(
         self, info: message.RequestInfo, wish: tickets.ClaimWish | None
     ) -> tickets.Ticket:
@@ -201,11 +164,11 @@
         match event:
             case tickets.ConnectFailed(_, refused):
                 if not refused:
-                    self._note_silent(machine.backend, now)
+                    self.network.note_silent(machine.backend, now)
                 machine.info = self._get_info(ticket, now)
                 self._perform(ticket, machine.fail_connect(refused), now)
             case tickets.Begun(first):
-                self._note_answer(machine.backend, now)
+                self.network.note_answer(machine.backend, now)
                 if machine.owner:
                     self._tell(machine.owner, first)
                 self.timeline.note(
@@ -226,32 +189,11 @@
             case tickets.Abandoned(ended):
                 self._perform(ticket, machine.abandon(ended), now)
 
-    def _note_silent(self, backend: str | None, now: float) -> None:
-        if backend is not None:
-            zone = self._zones.get(backend, "")
-            if self._reach.note_silent(backend, zone, now):
-                self.on_silent_zone(self._list_addresses(zone))
-
-    def _note_answer(self, backend: str | None, now: float) -> None:
-        if backend is not None:
-            zone = self._zones.get(backend, "")
-            self._reach.note_answer(backend, zone, now)
-
-    def _list_addresses(self, zone: str) -> list[str]:
-        """Returns where the backend servers of an availability zone listen."""
-        if self.in_force is None:
-            return []
-        return [
-            server.url.removeprefix("http://")
-            for name, server in self.in_force.bundle.backend_servers.items()
-            if self._zones[name] == zone
-        ]
-
     def _get_info(
         self, ticket: tickets.Ticket, now: float
     ) -> message.RequestInfo:
         """Returns a request's facts as they are now."""
-        return ticket.get_info(now, self._reach.list_avoided(self._zones, now))
+        return ticket.get_info(now, self.network.list_avoided(now))
 
     def _end_attempt(
         self, ticket: tickets.Ticket, event: tickets.AttemptFailed, now: float
@@ -437,32 +379,19 @@
 
     def _take_view(self, view: peer_message.View, now: float) -> None:
         known = self._owners.take_view(view)
-        self._doubt_lost_zones(view)
+        self.network.take_view(view)
         for address in set(self._links) - known - {self._local}:
             self._links.pop(address).stop()
             self._owners.forget(address)
         self._reassign_all(now)
 
-    def _doubt_lost_zones(self, view: peer_message.View) -> None:
-        """Distrusts what was open to zones whose VMs are not heard any more."""
-        heard = {m.availability_zone for m in view.members} - {""}
-        for zone in self._vm_zones - heard:
-            self._reach.note_lost_vms(zone)
-            self.on_silent_zone(self._list_addresses(zone))
-        self._vm_zones = heard
-
     def _take_bundle(self, address: str, envelope: signature.Envelope) -> None:
         if self._learner.learn(envelope):
             assert self._learner.in_force is not None
-            self.take_in_force(self._learner.in_force)
-            assert self.in_force is not None
-            self.timeline.note(
-                "bundle", f"generation-{self.in_force.generation}"
-            )
-            LOG.info(
-                "bundle in force",
-                extra={"generation": self.in_force.generation},
-            )
+            self.network.take_in_force(self._learner.in_force)
+            generation = self._learner.in_force.generation
+            self.timeline.note("bundle", f"generation-{generation}")
+            LOG.info("bundle in force", extra={"generation": generation})
         if self.in_force:
             report = peer_message.InForceReport(self.in_force.generation)
             self._tell_any(address, report)
@@ -522,15 +451,6 @@
             if ticket.machine.claim is request.Claim.PENDING:
                 self._claims.send(ticket)
 
-    def take_in_force(self, in_force: acceptance.InForce) -> None:
-        """Works by this bundle from now on."""
-        self.in_force = in_force
-        self._first_in_force.set()
-        self._zones = {
-            name: server.availability_zone or server.zone
-            for name, server in in_force.bundle.backend_servers.items()
-        }
-
     def _doubt_silent_owners(self, now: float) -> None:
         """Moves what waits away from owners that say nothing."""
         silent = {
@@ -547,6 +467,9 @@
         ]
         for owner in doubted:
             self.on_doubt(owner)
+            # Perhaps its whole zone is cut off; opening a connection tells.
+            zone = self._owners.get_availability_zone(owner)
+            self.network.distrust_zone(zone)
         if doubted:
             self._reassign_all(now)
 
@@ -589,5 +512,5 @@
         return None
 
 
-def _do_nothing(told: object) -> None:
+def _do_nothing(address: str) -> None:
     """Stands in until somebody listens."""
--- /dev/null
+++ b/ramptray/entry/network.py
@@ -0,0 +1,112 @@
+"""What an entry believes of the backend servers and the zones around it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from ramptray.bundle import acceptance
+from ramptray.entry import reach
+from ramptray.peer import message as peer_message
+
+
+class Network:
+    """Joins the bundle in force with what was found out of reach.
+
+    Attributes:
+        in_force: The bundle in force, if any.
+        on_silent_zone: Called with the addresses of the backend servers of a
+            zone that has perhaps been cut off: idle connections to them may
+            take a request and never say a word.
+    """
+
+    def __init__(self) -> None:
+        self.in_force: acceptance.InForce | None = None
+        self.on_silent_zone: Callable[[list[str]], None] = _do_nothing
+        self._first_in_force = anyio.Event()
+        self._reach = reach.Reach()
+        self._zones: dict[str, str] = {}
+        self._vm_zones: set[str] = set()
+
+    def take_in_force(self, in_force: acceptance.InForce) -> None:
+        """Works by this bundle from now on."""
+        self.in_force = in_force
+        self._first_in_force.set()
+        self._zones = {
+            name: server.availability_zone or server.zone
+            for name, server in in_force.bundle.backend_servers.items()
+        }
+
+    async def wait_in_force(
+        self, longest_s: float
+    ) -> acceptance.InForce | None:
+        """Returns the bundle in force, waiting a little for the first one."""
+        if self.in_force is None:
+            with anyio.move_on_after(longest_s):
+                await self._first_in_force.wait()
+        return self.in_force
+
+    def find_url(self, backend: str) -> str | None:
+        """Returns where a backend server of the bundle listens."""
+        if self.in_force is None:
+            return None
+        server = self.in_force.bundle.backend_servers.get(backend)
+        return server.url if server else None
+
+    @property
+    def reachable_part(self) -> float:
+        """Part of the backend servers' places in zones that are not silent."""
+        if self.in_force is None:
+            return 1.0
+        silent = self._reach.list_silent_zones()
+        bundle = self.in_force.bundle
+        places = [
+            (self._zones[name], bundle.engines[server.engine].max_running)
+            for name, server in bundle.backend_servers.items()
+            if not server.leaving
+        ]
+        reached = sum(count for zone, count in places if zone not in silent)
+        return reached / max(1, sum(count for _, count in places))
+
+    def list_avoided(self, now: float) -> tuple[str, ...]:
+        """Returns the backend servers that are not to be tried now."""
+        return self._reach.list_avoided(self._zones, now)
+
+    def note_silent(self, backend: str | None, now: float) -> None:
+        """Notes that a connection to a backend server could not be opened."""
+        if backend is None:
+            return
+        zone = self._zones.get(backend, "")
+        if self._reach.note_silent(backend, zone, now):
+            self.distrust_zone(zone)
+
+    def note_answer(self, backend: str | None, now: float) -> None:
+        """Notes that a backend server has answered."""
+        if backend is not None:
+            zone = self._zones.get(backend, "")
+            self._reach.note_answer(backend, zone, now)
+
+    def take_view(self, view: peer_message.View) -> None:
+        """Distrusts the zones whose VMs are not heard any more."""
+        heard = {m.availability_zone for m in view.members} - {""}
+        for zone in self._vm_zones - heard:
+            self._reach.note_lost_vms(zone)
+            self.distrust_zone(zone)
+        self._vm_zones = heard
+
+    def distrust_zone(self, zone: str) -> None:
+        """Has connections opened anew to the backend servers of a zone."""
+        if self.in_force is None:
+            return
+        self.on_silent_zone(
+            [
+                server.url.removeprefix("http://")
+                for name, server in self.in_force.bundle.backend_servers.items()
+                if self._zones[name] == zone
+            ]
+        )
+
+
+def _do_nothing(told: list[str]) -> None:
+    """Stands in until somebody listens."""
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -100,6 +100,17 @@
         )
         return True
 
+    def get_availability_zone(self, address: str) -> str:
+        """Returns where a scheduler stands; empty where that is unknown."""
+        return next(
+            (
+                m.availability_zone
+                for m in self._members.values()
+                if m.address == address
+            ),
+            "",
+        )
+
     def reaches(self, zone: str) -> bool:
         """Tells whether a scheduler of another zone can be reached."""
         return any(
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -121,7 +121,7 @@
                 tasks.start_soon(self._gossiper.check, address)
 
             self._desk.on_doubt = check
-            self._desk.on_silent_zone = self._relay_client.distrust
+            self._desk.network.on_silent_zone = self._relay_client.distrust
             await self._serve(tasks, stop)
             await peers.stop()
             await self._equipment.client.close()
@@ -185,7 +185,7 @@
         nothing: they may be down while all engines are at hand.
         """
         minority = self._gossiper.membership.is_minority()
-        part = self._desk.reachable_part
+        part = self._desk.network.reachable_part
         cut = minority and part < REACHED_PART
         if cut != self._relay.state.diverting:
             self._relay.state.diverting = cut
@@ -199,7 +199,7 @@
         return probe.Page(probe.OK, self._measures.format())
 
     def _take_bundle(self, in_force: acceptance.InForce) -> None:
-        self._desk.take_in_force(in_force)
+        self._desk.network.take_in_force(in_force)
         self._relay.state.limits = in_force.bundle.relay
         self._hub.post(event.BundleChanged(in_force))
         self._gossiper.membership.set_generation(
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -23,6 +23,14 @@
 YOUNG_PERIOD_S = 0.1
 """Time between two probes of such a scheduler, in seconds."""
 
+ALARM_TIMEOUT_S = 0.25
+"""How long a member may take to answer when there is reason to doubt it, in
+seconds: a round trip takes some milliseconds, on a slow VM some ten."""
+
+ALARM_PROBES = 6
+"""Others that are probed at once when a member does not answer: a cut takes a
+whole zone, and one probe a period would find that out member by member."""
+
 LIMIT_MARGIN = 1.3
 """By how much the parts of customers' limits that all sides of a cut hand out
 may exceed the whole: what the limits' bounds leave over short windows."""
@@ -79,6 +87,7 @@
         self._turn = 0
         self._young_until = now + YOUNG_S
         self._count_seeds_until = now + membership.FORGET_S
+        self._alarmed = False
 
     async def run(self) -> None:
         """Probes until cancelled."""
@@ -180,9 +189,38 @@
         )
         if member is None or member.address == self._me.address:
             return
-        if not await self._probe(address):
-            self.membership.suspect(member.vm, time.monotonic())
-            self._publish()
+        if not await self._probe(address, ALARM_TIMEOUT_S):
+            await self._suspect(member)
+
+    async def _suspect(self, member: membership.Member) -> None:
+        """Takes a member for lost, and looks at others too."""
+        self.membership.suspect(member.vm, time.monotonic())
+        self._publish()
+        if self._alarmed:
+            return
+        self._alarmed = True
+        try:
+            await self._probe_others()
+        finally:
+            self._alarmed = False
+
+    async def _probe_others(self) -> None:
+        others = [
+            m
+            for m in self.membership.list_alive()
+            if m.state is membership.MemberState.ALIVE
+            and m.address != self._me.address
+        ]
+        chosen = self._rng.sample(others, min(ALARM_PROBES, len(others)))
+
+        async def probe(member: membership.Member) -> None:
+            if not await self._probe(member.address, ALARM_TIMEOUT_S):
+                self.membership.suspect(member.vm, time.monotonic())
+
+        async with anyio.create_task_group() as tasks:
+            for member in chosen:
+                tasks.start_soon(probe, member)
+        self._publish()
 
     async def leave(self) -> None:
         """Tells the zone that this scheduler goes."""
@@ -209,7 +247,7 @@
         for address in addresses:
             answered = await self._probe(address)
             if target and address == target.address and not answered:
-                self.membership.suspect(target.vm, time.monotonic())
+                await self._suspect(target)
         self._publish()
 
     def _pick_other_zone(self) -> list[str]:
@@ -222,10 +260,12 @@
         pool = contacts + strangers[:CONTACTS_PER_ZONE]
         return [self._rng.choice(pool)] if pool else []
 
-    async def _probe(self, address: str) -> bool:
+    async def _probe(
+        self, address: str, timeout_s: float = membership.PROBE_TIMEOUT_S
+    ) -> bool:
         try:
             answer = await self._client.ask(
-                address, self._make_message(), membership.PROBE_TIMEOUT_S
+                address, self._make_message(), timeout_s
             )
         except peer_link.LinkError:
             self._drop_contact(address)
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -124,17 +124,17 @@
 
         async def take_soon() -> None:
             await anyio.sleep(0.02)
-            desk.take_in_force(in_force)
+            desk.network.take_in_force(in_force)
 
         tasks.start_soon(take_soon)
-        assert await desk.wait_in_force(5.0) is in_force
+        assert await desk.network.wait_in_force(5.0) is in_force
 
 
 @pytest.mark.anyio
 async def test_a_request_does_not_wait_long_for_the_configuration(
     desk: Desk,
 ) -> None:
-    assert await desk.wait_in_force(0.01) is None
+    assert await desk.network.wait_in_force(0.01) is None
 
 
 def test_the_own_scheduler_hears_what_another_owner_has_learned(
@@ -146,9 +146,8 @@
     assert desk.sent[-1] == (OURS, message.SpeedLearned("e", speed))
 
 
-def test_connections_to_a_zone_whose_vms_are_lost_are_distrusted(
-    desk: Desk,
-) -> None:
+def watch_two_zones(desk: Desk) -> list[list[str]]:
+    """Shows a VM in each of two zones; returns what is distrusted later."""
     text = json.dumps(node.make_config(1))
     bundle = follower.add_replicas(
         config.parse_config(text, 0.0),
@@ -161,15 +160,44 @@
             ),
         },
     )
-    desk.take_in_force(acceptance.InForce(bundle, signature.Envelope(text, {})))
+    desk.network.take_in_force(
+        acceptance.InForce(bundle, signature.Envelope(text, {}))
+    )
     distrusted: list[list[str]] = []
-    desk.on_silent_zone = distrusted.append
+    desk.network.on_silent_zone = distrusted.append
     near = membership.Member(
         "waw-a-vm1", "waw-a", OURS, 1, availability_zone="a"
     )
     far = membership.Member("far-vm", "waw-a", OTHER, 1, availability_zone="b")
     desk.hear(attachment.Said(OURS, peer_message.View([near, far], [])))
-    assert desk.reachable_part == 1.0
+    return distrusted
+
+
+def test_connections_to_a_zone_whose_vms_are_lost_are_distrusted(
+    desk: Desk,
+) -> None:
+    distrusted = watch_two_zones(desk)
+    assert desk.network.reachable_part == 1.0
+    near = membership.Member(
+        "waw-a-vm1", "waw-a", OURS, 1, availability_zone="a"
+    )
     desk.hear(attachment.Said(OURS, peer_message.View([near], [])))
     assert distrusted == [["10.0.0.2:1"]]
-    assert desk.reachable_part == 0.5
+    assert desk.network.reachable_part == 0.5
+
+
+def test_connections_to_the_zone_of_a_silent_owner_are_distrusted(
+    desk: Desk,
+) -> None:
+    distrusted = watch_two_zones(desk)
+    for number in range(20):
+        desk.take_new(
+            message.RequestInfo(
+                f"n{number}",
+                message.ShardKey("waw-a", f"s{number}"),
+                *("c", "t", 1, 1, (), 60.0),
+            )
+        )
+    assert {a for a, _ in desk.get_enqueued()} == {OURS, OTHER}
+    desk.tick(1.0 + dispatcher.OWNER_SILENCE_S + 0.01)
+    assert distrusted == [["10.0.0.2:1"]]
