--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
-import itertools
 import logging
 import time
 from collections.abc import Callable, Iterable
@@ -26,7 +24,7 @@
 )
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import event, gossip, rules
+from ramptray.scheduler import event, gossip, query, rules
 
 if TYPE_CHECKING:
     # Loading an HTTP client is dear for a program that asks no engine.
@@ -110,11 +108,7 @@
         self._empty_since: dict[message.ShardKey, float] = {}
         self._summaries_at = 0.0
         self._lowest = 0
-        self._numbers = itertools.count(1)
-        self._wanted_events: dict[
-            tuple[int, peer_link.Session],
-            memory.MemoryObjectSendStream[peer_message.TimelineEvents],
-        ] = {}
+        self._queries = query.EventQueries()
         send, receive = anyio.create_memory_object_stream[Any](INBOX)
         self._send: memory.MemoryObjectSendStream[Any] = send
         self._receive: memory.MemoryObjectReceiveStream[Any] = receive
@@ -191,27 +185,13 @@
                 self._ask_for_events(told)
 
     def _ask_for_events(self, wanted: event.EventsWanted) -> None:
-        number = next(self._numbers)
-        question = dataclasses.replace(wanted.question, ticket=number)
         vm = self._gossiper.membership.me.vm
         asked = [
             session
             for session, attached in self._sessions.items()
             if attached is not None and attached.hello.vm == vm
         ]
-        # The stream closes by itself when the last answer was handed on.
-        for session in asked:
-            self._wanted_events[number, session] = wanted.answers.clone()
-            session.send(question)
-        wanted.answers.close()
-
-    def _hand_on_events(
-        self, session: peer_link.Session, events: peer_message.TimelineEvents
-    ) -> None:
-        answers = self._wanted_events.pop((events.ticket, session), None)
-        if answers is not None:
-            with contextlib.suppress(anyio.BrokenResourceError), answers:
-                answers.send_nowait(events)
+        self._queries.ask(wanted, asked)
 
     # Attached processes.
 
@@ -241,7 +221,7 @@
             ):
                 self._pass_to_holder(attached, body, now)
             case peer_message.TimelineEvents():
-                self._hand_on_events(session, body)
+                self._queries.hand_on(session, body)
             case peer_message.InForceReport(generation):
                 attached.generation = generation
             case peer_message.LeaseReport(held):
@@ -276,8 +256,7 @@
             owner.begin_sync(hello.name)
 
     def _close(self, session: peer_link.Session, now: float) -> None:
-        for key in [k for k in self._wanted_events if k[1] is session]:
-            self._wanted_events.pop(key).close()
+        self._queries.drop(session)
         attached = self._sessions.pop(session, None)
         if attached is None:
             return
