Add ramptray explain: from a request's id to its cause, in collected logs

Each decision of an owner now tells what it knew: waiting, running of places, expected speed, generation of the configuration, the part of limits that it hands out. Every log line names its process and is in UTC.

--- /dev/null
+++ b/ramptray/command/explain.py
@@ -0,0 +1,199 @@
+"""``ramptray explain``: what became of one request, from collected logs."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import itertools
+import pathlib
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+import click
+import msgspec
+
+from ramptray.command.error import CommandError
+
+AROUND_S = 5.0
+"""How long before a request changes of belief are shown, in seconds: a view
+that misled it is seldom older."""
+
+TIME = "%Y-%m-%d %H:%M:%S,%f"
+"""How log lines write the time of day, in UTC."""
+
+_PATH = click.Path(path_type=pathlib.Path)
+_FIXED = {"clock", "process", "zone", "kind", "subject"}
+_PLUMBING = {
+    "time",
+    "level",
+    "name",
+    "message",
+    "program",
+    "process",
+    "event",
+    "exc_info",
+    "taskName",
+}
+
+_BELIEFS = {"membership", "bundle"}
+"""Kinds of events that tell of a belief, not of a request."""
+
+VERDICTS: Mapping[str, str] = {
+    "customer_limit": "its customer was over its limit at the owner",
+    "overloaded": "no place at a backend server came free in time",
+    "deadline": "the time of the route or the caller was over",
+    "no_backend": "the service had no backend server left",
+    "not_ready": "the VM had no configuration, or knew no owner",
+    "no_route": "the configuration in force had no such route",
+    "unknown_key": "the configuration in force had no such key",
+    "backend_refused": "the backend server did not admit it",
+    "backend_lost": "the backend server failed, or broke the connection",
+    "stream_broken": "the answer broke off and could not be resumed",
+    "caller_gone": "the caller closed first",
+}
+"""What each reason means, in words."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One log line that may matter.
+
+    Attributes:
+        time_s: When it was written, in seconds of the writer's clock.
+        process: The process that wrote it.
+        kind: The event's kind, or the log's message.
+        subject: The request or other thing it is about; empty for none.
+        details: Further facts.
+    """
+
+    time_s: float
+    process: str
+    kind: str
+    subject: str
+    details: Mapping[str, Any]
+
+    def format(self, since_s: float) -> str:
+        """Returns the line as it is shown."""
+        facts = " ".join(
+            f"{name}={value}"
+            for name, value in self.details.items()
+            if value is not None
+        )
+        after = f"{self.time_s - since_s:>+9.3f}"
+        return f"{after}  {self.process:<28}{self.kind}  {facts}".rstrip()
+
+
+@click.command(name="explain")
+@click.argument("request_id")
+@click.option(
+    "--logs",
+    type=_PATH,
+    multiple=True,
+    required=True,
+    help="Collected log files, or folders of them.",
+)
+def command(request_id: str, logs: tuple[pathlib.Path, ...]) -> None:
+    """Shows the way of one request, and what was believed at the time.
+
+    First comes what the VMs on its way had come to believe shortly before,
+    then each decision on the request, and last why it ended.
+    """
+    lines = sorted(read_lines(list_files(logs)), key=lambda line: line.time_s)
+    own = [line for line in lines if line.subject == request_id]
+    if not own:
+        raise CommandError(f"{request_id}: no line of these logs names it")
+    since = own[0].time_s
+    click.echo("believed before:")
+    for line in find_beliefs(lines, own):
+        click.echo(line.format(since))
+    click.echo("decided:")
+    for line in own:
+        click.echo(line.format(since))
+    click.echo(f"ended: {judge(own)}")
+
+
+def list_files(given: Iterable[pathlib.Path]) -> list[pathlib.Path]:
+    """Returns files, and those of folders, in order."""
+    return list(
+        itertools.chain.from_iterable(
+            sorted(p for p in path.iterdir() if p.is_file())
+            if path.is_dir()
+            else [path]
+            for path in given
+        )
+    )
+
+
+def read_lines(files: Iterable[pathlib.Path]) -> Iterator[Line]:
+    """Yields the lines of log files; what is no JSON object is passed over."""
+    for file in files:
+        try:
+            texts = file.read_bytes().splitlines()
+        except OSError as error:
+            raise CommandError(f"{file}: {error.strerror}") from error
+        for text in texts:
+            try:
+                fields = msgspec.json.decode(text, type=dict[str, Any])
+            except msgspec.MsgspecError:
+                continue
+            line = _make_line(fields)
+            if line is not None:
+                yield line
+
+
+def find_beliefs(lines: Iterable[Line], own: list[Line]) -> list[Line]:
+    """Returns the changes of belief that may have decided on a request.
+
+    Those are of the processes on its way, from shortly before it to its end.
+    """
+    involved = {line.process for line in own}
+    begin, end = own[0].time_s - AROUND_S, own[-1].time_s
+    return [
+        line
+        for line in lines
+        if not line.subject
+        and line.process in involved
+        and begin <= line.time_s <= end
+    ]
+
+
+def judge(own: list[Line]) -> str:
+    """Returns in words why a request ended as it did."""
+    last = next(
+        (line for line in reversed(own) if line.kind in ("end", "refused")),
+        None,
+    )
+    if last is None:
+        return "its process ended first; see its last lines and the next start"
+    outcome = last.details.get("outcome", "refused")
+    reason = last.details.get("reason")
+    if reason is None:
+        return str(outcome)
+    return f"{outcome}: {VERDICTS.get(reason, reason)} ({reason})"
+
+
+def _make_line(fields: dict[str, Any]) -> Line | None:
+    event = fields.get("event")
+    if isinstance(event, dict) and "clock" in event:
+        return _make_event(event)
+    try:
+        written = datetime.datetime.strptime(str(fields.get("time")), TIME)
+    except ValueError:
+        return None
+    return Line(
+        written.replace(tzinfo=datetime.UTC).timestamp(),
+        str(fields.get("process", "")),
+        str(fields.get("message", "")),
+        "",
+        {k: v for k, v in fields.items() if k not in _PLUMBING},
+    )
+
+
+def _make_event(event: dict[str, Any]) -> Line:
+    return Line(
+        event["clock"] / 1e6,
+        str(event.get("process", "")),
+        str(event.get("kind", "")),
+        "" if event.get("kind") in _BELIEFS else str(event.get("subject", "")),
+        {k: v for k, v in event.items() if k not in _FIXED},
+    )
--- a/ramptray/command/main.py
+++ b/ramptray/command/main.py
@@ -9,7 +9,7 @@
 import ramptray
 from ramptray import process
 from ramptray.bundle import text
-from ramptray.command import bundle, keys, rollout, status, timeline
+from ramptray.command import bundle, explain, keys, rollout, status, timeline
 from ramptray.command.error import CommandError
 
 
@@ -24,6 +24,7 @@
 
 for command in (
     bundle.group,
+    explain.command,
     keys.group,
     rollout.command,
     status.command,
--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -106,11 +106,15 @@
 
 
 class Limits:
-    """The token buckets of all customers of a shard."""
+    """The token buckets of all customers of a shard.
+
+    Attributes:
+        part: The part of every limit that may be handed out here.
+    """
 
     def __init__(self, rates: dict[str, Rate]) -> None:
         self._rates = rates
-        self._part = 1.0
+        self.part = 1.0
         self._buckets: dict[str, list[tuple[str, _Bucket]]] = {}
         self._former: dict[str, list[tuple[str, _Bucket]]] = {}
         self._wanted_elsewhere: frozenset[str] = frozenset()
@@ -128,9 +132,9 @@
         Args:
             part: From 0 to 1; 1 where no other owner can be handing out.
         """
-        if part == self._part:
+        if part == self.part:
             return
-        self._part = part
+        self.part = part
         for buckets in self._buckets.values():
             for _, bucket in buckets:
                 bucket.set_rate(bucket.share * part)
@@ -190,7 +194,7 @@
         for customer, buckets in self._buckets.items():
             part = spare.get(customer, 0.0) / wanted.get(customer, 1)
             for _, bucket in buckets:
-                bucket.rate = bucket.share * self._part * (1.0 + part)
+                bucket.rate = bucket.share * self.part * (1.0 + part)
 
     def _get_use(self, customer: str, now: float) -> float:
         return max(
@@ -214,7 +218,7 @@
                 return []
             former = dict(self._former.pop(customer, []))
             for kind, bucket in made:
-                bucket.rate = bucket.share * self._part
+                bucket.rate = bucket.share * self.part
                 bucket.level = bucket.get_size()
                 if kind in former:
                     bucket.take_over(former[kind])
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -44,12 +44,31 @@
 """Longest advice on when to come back, in seconds."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Basis:
+    """What an owner knew when it decided on a request, for the logs.
+
+    Attributes:
+        waiting: Requests that waited in the shard.
+        running: Requests that ran on the backend server chosen, or on all.
+        places: How many may run there.
+        prefill_rate: Prompt tokens a second that were expected; None where no
+            backend server was chosen.
+    """
+
+    waiting: int
+    running: int
+    places: int
+    prefill_rate: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ToEntry:
     """Effect: send this message to the named entry."""
 
     entry: str
     message: message.OwnerMessage
+    basis: Basis | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -328,6 +347,12 @@
                 chosen.info.url,
                 chosen.get_speed(),
             ),
+            Basis(
+                len(self._queue),
+                len(chosen.placed),
+                chosen.info.max_running,
+                int(chosen.prefill_rate),
+            ),
         )
 
     def _enqueue(
@@ -355,6 +380,7 @@
                     message.Reject(
                         request_id, message.Reason.CUSTOMER_LIMIT, wait_s
                     ),
+                    self._make_basis(),
                 )
             ]
         self._queue.push(waiting)
@@ -441,6 +467,7 @@
             message.Redirect(
                 waiting.request.request_id, target.shard.zone, target.owner
             ),
+            self._make_basis(),
         )
 
     def _list_rooms(self, waiting: queue.Waiting) -> list[summary.ShardSummary]:
@@ -463,6 +490,15 @@
         return ToEntry(
             waiting.entry,
             message.Reject(waiting.request.request_id, reason, retry_s),
+            self._make_basis(),
+        )
+
+    def _make_basis(self) -> Basis:
+        open_ones = [b for b in self.fleet.list_all() if not b.is_lost]
+        return Basis(
+            len(self._queue),
+            sum(len(known.placed) for known in open_ones),
+            sum(known.info.max_running for known in open_ones),
         )
 
     # Bookkeeping.
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -209,6 +209,7 @@
         finish = request.Finish(
             message.Outcome.UNKNOWN, event.reason, RETRY_AFTER_S
         )
+        backend = ticket.machine.backend
         ticket.machine.info = self._get_info(ticket, now)
         effects = ticket.machine.fail_attempt(
             event.ended, event.not_run, may_repeat, finish
@@ -216,7 +217,8 @@
         self.timeline.note(
             "attempt_failed",
             info.request_id,
-            backend=ticket.machine.info.avoid[-1:],
+            backend=backend,
+            attempts=ticket.machine.dispatches,
             not_run=event.not_run,
             reason=event.reason.value,
             repeated=may_repeat,
--- a/ramptray/process.py
+++ b/ramptray/process.py
@@ -8,6 +8,7 @@
 import pathlib
 import signal
 import sys
+import time
 import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
@@ -114,18 +115,26 @@
 def set_up_logs(program: str, level: str) -> None:
     """Sends all logs to standard output as JSON lines."""
     handler = logsink.BoundedHandler(sys.stdout.fileno())
-    handler.setFormatter(
-        json_logger.JsonFormatter(
-            "%(asctime)s %(levelname)s %(name)s %(message)s",
-            rename_fields={"asctime": "time", "levelname": "level"},
-            static_fields={"program": program},
-        )
+    formatter = json_logger.JsonFormatter(
+        "%(asctime)s %(levelname)s %(name)s %(message)s",
+        rename_fields={"asctime": "time", "levelname": "level"},
+        static_fields={"program": program},
     )
+    # Lines of several VMs are compared, wherever the VMs stand.
+    formatter.converter = time.gmtime
+    handler.setFormatter(formatter)
     logging.basicConfig(level=level, handlers=[handler], force=True)
     for noisy in ("httpcore", "uvicorn.access", "asyncio"):
         logging.getLogger(noisy).setLevel(logging.WARNING)
 
 
+def name_logs(process: str) -> None:
+    """Has each further log line say which process wrote it."""
+    for handler in logging.getLogger().handlers:
+        if isinstance(handler.formatter, json_logger.JsonFormatter):
+            handler.formatter.static_fields["process"] = process
+
+
 async def _run(main: Main, settings: Any) -> None:
     stop = Stop(anyio.Event())
     async with anyio.create_task_group() as tasks:
--- a/ramptray/runtime.py
+++ b/ramptray/runtime.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 
+from ramptray import process, timeline, wallclock
 from ramptray import settings as settings_module
-from ramptray import timeline, wallclock
 from ramptray.core import clock
 from ramptray.peer import gate
 from ramptray.peer import link as peer_link
@@ -69,6 +69,7 @@
         cut_file: See ``settings.ProcessSettings``.
     """
     name = f"{program}/{vm}"
+    process.name_logs(name)
     hybrid_clock = clock.HybridClock(wallclock.read)
     events = timeline.Timeline(
         name, zone, hybrid_clock, log_events, ring_events
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -313,7 +313,7 @@
     def _send_out(self, effects: Iterable[shard.ToEntry]) -> None:
         for effect in effects:
             self._tell_entry(effect.entry, effect.message)
-            self._note(effect.message)
+            self._note(effect)
 
     def _tell_entry(
         self,
@@ -324,14 +324,26 @@
         if session is not None:
             session.send(told)
 
-    def _note(self, sent: message.OwnerMessage) -> None:
-        match sent:
+    def _note(self, effect: shard.ToEntry) -> None:
+        basis = {
+            "entry": effect.entry,
+            "generation": self.in_force.generation if self.in_force else None,
+            **(dataclasses.asdict(effect.basis) if effect.basis else {}),
+        }
+        match effect.message:
             case message.Grant(request_id, _, name):
-                self.timeline.note("grant", request_id, backend=name)
-            case message.Reject(request_id, reason):
-                self.timeline.note("shed", request_id, reason=reason.value)
+                self.timeline.note("grant", request_id, backend=name, **basis)
+            case message.Reject(request_id, reason, retry_after_s):
+                self.timeline.note(
+                    "shed",
+                    request_id,
+                    reason=reason.value,
+                    retry_after_s=round(retry_after_s, 2),
+                    limit_part=self._limits and round(self._limits.part, 2),
+                    **basis,
+                )
             case message.Redirect(request_id, zone):
-                self.timeline.note("spill", request_id, zone=zone)
+                self.timeline.note("spill", request_id, zone=zone, **basis)
 
     # Shards.
 
