Let strong VMs own shards, open links early, and gather reads of the store

The owner may be a VM with a quarter of the strongest one's processor time.

Now only VMs with three quarters of the strongest one's processor time own shards; links to owners are open before the first request; one VM of the same availability zone stands in for a silent owner, the same for all there; views go to local processes only; reads of the store pause 0.4 s after an answer, so that changes that come together cost one call.

--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -12,6 +12,7 @@
 import enum
 import math
 import random
+from collections.abc import Iterable
 
 import xxhash
 
@@ -30,6 +31,9 @@
 UPDATES_PER_MESSAGE = 6
 """Changes that one message carries at most."""
 
+STRONG_PART = 0.75
+"""VMs with this part of the strongest one's processor time may own shards."""
+
 SPREAD_FACTOR = 3
 """A change is told this many times the logarithm of the members' number."""
 
@@ -59,6 +63,8 @@
         generation: The bundle generation in force on its VM.
         availability_zone: Where the VM stands, where several availability zones
             form one scheduling zone; empty where ``zone`` tells.
+        cores: Processor time that its VM has a second, in seconds of a core; 0
+            where that is not told.
     """
 
     vm: str
@@ -68,6 +74,7 @@
     state: MemberState = MemberState.ALIVE
     generation: int = 0
     availability_zone: str = ""
+    cores: float = 0.0
 
     def overrides(self, other: Member) -> bool:
         """Tells whether this record is newer than the other."""
@@ -236,6 +243,17 @@
             self.version += 1
 
 
+def list_strongest(members: Iterable[Member]) -> list[Member]:
+    """Returns the members whose VMs are about as strong as the strongest.
+
+    An owner works for each request of its shard; where VMs are of unlike size,
+    the small ones would be short of processor time before the others.
+    """
+    known = list(members)
+    most = max((member.cores for member in known), default=0.0)
+    return [m for m in known if m.cores >= STRONG_PART * most]
+
+
 def pick_owner(key: str, candidates: list[str]) -> str | None:
     """Returns the candidate with the highest weight for a key.
 
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -385,8 +385,24 @@
         for address in set(self._links) - known - {self._local}:
             self._links.pop(address).stop()
             self._owners.forget(address)
+        self._open_owner_links(now)
         self._reassign_all(now)
 
+    def _open_owner_links(self, now: float) -> None:
+        """Opens the links to owners before the first request needs them.
+
+        Else all entries would attach in the same moment, and take the owner
+        for silent while it greets the others.
+        """
+        if self.in_force is None:
+            return
+        for name, service in self.in_force.bundle.services.items():
+            for number in range(service.shards):
+                key = message.ShardKey(self._zone, name, number)
+                owner = self._owners.find(key, now)
+                if owner is not None:
+                    self._open_link(owner)
+
     def _take_bundle(self, address: str, envelope: signature.Envelope) -> None:
         if self._learner.learn(envelope):
             assert self._learner.in_force is not None
@@ -407,16 +423,20 @@
         self._get_link(address).send(body)
 
     def _get_link(self, address: str) -> attachment.Attachment:
-        if address not in self._links:
-            hello = peer_message.Hello(self._name, self._vm, "entry")
-            owner_link = attachment.Attachment(
-                address, hello, self._client, self._send
-            )
-            self._links[address] = owner_link
-            assert self._tasks is not None
-            self._tasks.start_soon(owner_link.run)
+        self._open_link(address)
         return self._links[address]
 
+    def _open_link(self, address: str) -> None:
+        if address in self._links:
+            return
+        hello = peer_message.Hello(self._name, self._vm, "entry")
+        owner_link = attachment.Attachment(
+            address, hello, self._client, self._send
+        )
+        self._links[address] = owner_link
+        assert self._tasks is not None
+        self._tasks.start_soon(owner_link.run)
+
     def _sync(self, address: str, now: float) -> None:
         """Tells a scheduler all that waits or runs with it."""
         self._owners.note_up(address)
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import logging
+from collections.abc import Iterable
 
 from ramptray.core import membership, message
 from ramptray.peer import message as peer_message
@@ -121,26 +122,46 @@
     def find(self, shard: message.ShardKey, now: float) -> str | None:
         """Returns the address of the scheduler to ask for a shard.
 
-        While the owner is silent the scheduler of the same VM stands in: it
-        knows less of the others' load, but it answers at once.
+        While the owner is silent one of the same availability zone stands in,
+        the same for all VMs there; or else the one of the same VM, which knows
+        less of the others' load, but answers at once.
         """
         for members in (
             [m for m in self._members.values() if m.zone == shard.zone],
             [m for m in self.others if m.zone == shard.zone],
             self.others,
         ):
-            usable = {
-                m.vm: m.address for m in members if m.address not in self._down
-            }
-            owner = membership.pick_owner(shard.format(), list(usable))
+            owner = self._pick(shard, members)
             if owner is None:
                 continue
-            if not self._is_doubted(usable[owner], now):
-                return usable[owner]
+            if not self._is_doubted(owner, now):
+                return owner
             break
+        zone = self.get_availability_zone(self._local)
+        near = [
+            m
+            for m in self._members.values()
+            if m.availability_zone == zone
+            and not self._is_doubted(m.address, now)
+        ]
+        if zone and (stand_in := self._pick(shard, near)):
+            return stand_in
         # Also while the last scheduler of a deployment leaves.
         return None if self._local in self._down else self._local
 
+    def _pick(
+        self, shard: message.ShardKey, members: Iterable[membership.Member]
+    ) -> str | None:
+        """Returns the address of the owner among these members."""
+        usable = {
+            m.vm: m.address
+            for m in membership.list_strongest(
+                m for m in members if m.address not in self._down
+            )
+        }
+        owner = membership.pick_owner(shard.format(), list(usable))
+        return None if owner is None else usable[owner]
+
     def _is_doubted(self, address: str, now: float) -> bool:
         doubt = self._doubts.get(address)
         return doubt is not None and now < doubt.until
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -228,6 +228,7 @@
             self._given.peers,
             int(time.time()),
             availability_zone=self._given.zone,
+            cores=self._given.cores,
         )
         return gossip.Gossiper(
             me,
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -38,6 +38,10 @@
 """How often a VM that the store turns away asks a peer, in seconds: what the
 store has must be in force everywhere within about two seconds."""
 
+GATHER_S = 0.4
+"""Pause after each answer, in seconds, so that changes that come together cost
+one call: a fifth of the time in which a change must be in force."""
+
 OnBundle = Callable[[acceptance.InForce], None]
 
 
@@ -133,6 +137,7 @@
                 pause_s = RETRY_S
                 self._read_at = time.monotonic()
                 self._note_answer(topic)
+                await anyio.sleep(GATHER_S)
             except store.TrimmedError as error:
                 LOG.info("history was dropped: %s", error)
                 offset = None
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -126,7 +126,8 @@
 
     def owns(self, key: message.ShardKey) -> bool:
         """Tells whether this scheduler owns a shard in its own view."""
-        members = {m.vm: m.address for m in self.view.members}
+        strongest = membership.list_strongest(self.view.members)
+        members = {m.vm: m.address for m in strongest}
         owner = membership.pick_owner(key.format(), list(members))
         return owner is not None and members[owner] == self._address
 
@@ -242,7 +243,7 @@
         self, session: peer_link.Session, hello: peer_message.Hello
     ) -> None:
         self._sessions[session] = Attached(hello)
-        session.send(self.view)
+        session.send(self._choose_view(hello))
         if self.in_force and self._options.tells_bundle:
             session.send(peer_message.BundleUpdate(self.in_force.envelope))
         if hello.kind != "entry":
@@ -255,6 +256,20 @@
         for owner in self.shards.values():
             owner.begin_sync(hello.name)
 
+    def _is_local(self, hello: peer_message.Hello) -> bool:
+        """Tells whether an attached process runs on this VM."""
+        return hello.vm == self._gossiper.membership.me.vm
+
+    def _choose_view(self, hello: peer_message.Hello) -> peer_message.View:
+        """Returns what an attached process is told of the schedulers.
+
+        Each process believes the scheduler of its own VM only; a view has an
+        entry for every VM, too much to send to all of them.
+        """
+        if self._is_local(hello):
+            return self.view
+        return peer_message.View([], [])
+
     def _close(self, session: peer_link.Session, now: float) -> None:
         self._queries.drop(session)
         attached = self._sessions.pop(session, None)
@@ -402,7 +417,7 @@
             partitions = self._list_partitions()
             self._claims.post(event.PartitionsChanged(partitions))
         for session, attached in self._sessions.items():
-            if attached is not None:
+            if attached is not None and self._is_local(attached.hello):
                 session.send(view)
         self.timeline.note(
             "membership", self._zone, members=[m.vm for m in view.members]
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -164,6 +164,28 @@
     assert made.find(shard, 12.2) == OWNER
 
 
+def test_one_of_the_same_zone_stands_in_for_a_silent_owner() -> None:
+    # 89 VMs that each stand in for themselves fill the same engines.
+    shard = message.ShardKey("all", "lm")
+    zones = {f"vm{n}": "a" if n < 4 else "b" for n in range(8)}
+    members = [
+        membership.Member(
+            vm, "all", f"{vm}:1", 1, availability_zone=zone, cores=1.0 + (n % 2)
+        )
+        for n, (vm, zone) in enumerate(zones.items())
+    ]
+    made = [owners.Owners("all", f"vm{n}:1") for n in range(4)]
+    for one in made:
+        one.take_view(peer_message.View(members, []))
+    owner = made[0].find(shard, 10.0)
+    assert owner is not None
+    for one in made:
+        assert one.find(shard, 10.0) == owner
+        one.doubt(owner, 10.0)
+    (stand_in,) = {one.find(shard, 10.1) for one in made} - {owner}
+    assert stand_in in {"vm1:1", "vm3:1"}
+
+
 def test_the_local_scheduler_is_never_doubted() -> None:
     assert not make_owners().doubt(LOCAL, 1.0)
 
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -31,10 +31,14 @@
         )
         super().__init__(given, runtime.make_runtime("entry", given))
         self.sent: list[tuple[str, object]] = []
+        self.opened: list[str] = []
 
     def _tell_any(self, address: str, body: object) -> None:
         self.sent.append((address, body))
 
+    def _open_link(self, address: str) -> None:
+        self.opened.append(address)
+
     def hear(self, event: attachment.Event, now: float = 1.0) -> None:
         """Handles one event of a link."""
         self._handle(event, now)
@@ -201,3 +205,11 @@
     assert {a for a, _ in desk.get_enqueued()} == {OURS, OTHER}
     desk.tick(1.0 + dispatcher.OWNER_SILENCE_S + 0.01)
     assert distrusted == [["10.0.0.2:1"]]
+
+
+def test_the_link_to_an_owner_is_open_before_the_first_request(
+    desk: Desk,
+) -> None:
+    watch_two_zones(desk)
+    assert desk.opened
+    assert set(desk.opened) <= {OURS, OTHER}
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -145,3 +145,14 @@
     left = dataclasses.replace(others[2], state=membership.MemberState.LEFT)
     mine.merge([left], 2.0)
     assert mine.is_minority()
+
+
+def test_only_strong_vms_own_shards() -> None:
+    sizes = {"a": 0.5, "b": 2.0, "c": 2.15, "d": 1.0}
+    members = [
+        membership.Member(vm, "z", f"{vm}:1", 1, cores=cores)
+        for vm, cores in sizes.items()
+    ]
+    assert [m.vm for m in membership.list_strongest(members)] == ["b", "c"]
+    untold = [membership.Member(vm, "z", f"{vm}:1", 1) for vm in sizes]
+    assert membership.list_strongest(untold) == untold
