Resume a stream that hangs in its middle at another backend server

A stream that may be resumed now leaves its replica after a pause of four times the route's longest pause, 0.8 s at least, while attempts, time and retry budget are left. The test fails on the code before.

--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -5,7 +5,7 @@
 import abc
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
@@ -25,6 +25,14 @@
 """A backend server that has not begun its answer after so many times the
 route's objective is taken to hang: a place was free when the request went."""
 
+HANG_GAPS = 4.0
+"""A stream that pauses for so many times the route's longest pause is taken to
+hang: engines pause that long only while they read very long prompts."""
+
+MIN_HANG_GAP_S = 0.8
+"""Shortest pause after which a stream is taken to hang, in seconds: less than
+half of the two seconds after which callers give up."""
+
 SERVER_ERROR = 500
 OK_STATUSES = range(200, 300)
 
@@ -213,7 +221,8 @@
         self, connection: relay_client.Connection, head: message.AnswerHead
     ) -> None:
         """Passes each event on as it comes."""
-        async for data in connection.iterate_body():
+        body = connection.iterate_body()
+        while (data := await self._read_part(body)) is not None:
             whole = self._splitter.split(data)
             if not whole:
                 continue
@@ -226,6 +235,24 @@
         await self._reply.finish()
         self._complete(head.status)
 
+    async def _read_part(self, body: AsyncIterator[bytes]) -> bytes | None:
+        """Returns the next bytes of a stream; None at its end.
+
+        Raises:
+            BrokenError: It hangs, and may go on at another backend server.
+        """
+        with anyio.move_on_after(self._get_hang_s()):
+            return await anext(body, None)
+        raise relay_client.BrokenError("no event in time")
+
+    def _get_hang_s(self) -> float | None:
+        """Returns how long a pause is waited for; None for without end."""
+        order = self._order
+        if not order.info.repeatable or not self._desk.may_repeat(self._ticket):
+            return None
+        gap_s = order.route.max_gap_s
+        return None if gap_s is None else max(MIN_HANG_GAP_S, gap_s * HANG_GAPS)
+
     async def _start_once(self, head: message.AnswerHead) -> None:
         if not self._started:
             self._started = True
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -47,6 +47,7 @@
         refuse: Answer that the request has not run.
         fail: Answer with a failure of its own.
         cut_after: Events after which streams are cut in the middle of one.
+        hang_after: Events after which streams say nothing more.
         surplus: Send an answer to another request before each answer.
         unframed: Answer without a length and close.
         work_s: How long an answer, or a pause, takes from now on.
@@ -55,6 +56,7 @@
     refuse: bool = False
     fail: bool = False
     cut_after: int | None = None
+    hang_after: int | None = None
     surplus: bool = False
     unframed: bool = False
     work_s: float | None = None
@@ -195,6 +197,8 @@
                 await self._work(stream, headers[header.ID.decode()])
             except anyio.EndOfStream:
                 return False
+            if self._faults.hang_after == number - 1:
+                await anyio.sleep_forever()
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if self._faults.cut_after == number - 1:
                 await stream.send(http.send(h11.Data(data=event[:9])) or b"")
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -174,6 +174,25 @@
         assert answer.body == wanted
 
 
+def test_a_stream_that_hangs_goes_on_at_another_replica(
+    platform: node.Platform,
+) -> None:
+    # hanbit-qlog, trouble-1: streams stayed with replicas behind a cut until
+    # their callers gave up.
+    wanted = b"".join(
+        f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6)
+    )
+    for hanging in platform.replicas:
+        for name in platform.replicas:
+            after = 2 if name == hanging else None
+            platform.set_faults(name, hang_after=after)
+        began = time.monotonic()
+        answer = ask(platform, "/stream/", "POST", b"x")
+        assert (answer.status, answer.whole) == (200, True)
+        assert answer.body == wanted
+        assert time.monotonic() - began < 2.0
+
+
 def test_a_stream_that_cannot_go_on_is_not_ended_as_whole(
     platform: node.Platform,
 ) -> None:
