Refuse at once what its VM can reach no backend server for, and count the wait from the first

A request for which every backend server was 'avoided' might go anywhere again, and each declined grant began its wait anew.

An entry now tells apart what a request was sent to in vain from what it cannot reach. Where it reaches none, the request is refused at once, not run, with a second's advice; the wait counts from when the request was first asked for. Both tests fail before.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -89,6 +89,7 @@
     work_ahead: int
     expected_s: float
     orphaned_at: float | None = None
+    asked_at: float = 0.0
 
     @property
     def tokens(self) -> int:
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -143,15 +143,27 @@
         return [*(h for h in holders if h is not None), *window]
 
     def leave_out(
-        self, candidates: list[backends.Backend], avoid: tuple[str, ...]
+        self,
+        candidates: list[backends.Backend],
+        request: message.RequestInfo,
     ) -> list[backends.Backend]:
         """Returns the candidates that a request may go to.
 
-        A request that has been everywhere may go anywhere again.
+        A request that was sent everywhere within its entry's reach may go
+        anywhere there again.
         """
-        if not avoid or not (set(self.backends) - set(avoid)):
+        if not request.avoid and not request.silent:
             return candidates
-        return [c for c in candidates if c.info.name not in avoid]
+        left_out = set(request.avoid) | set(request.silent)
+        if not set(self.backends) - left_out:
+            left_out = set(request.silent)
+        return [c for c in candidates if c.info.name not in left_out]
+
+    def is_out_of_reach(self, request: message.RequestInfo) -> bool:
+        """Tells whether the request's entry can reach none of them."""
+        return bool(self.backends) and not (
+            set(self.backends) - set(request.silent)
+        )
 
     # Places.
 
@@ -162,9 +174,20 @@
         entry: str,
         grant_id: str,
         now: float,
+        asked_at: float | None = None,
     ) -> None:
-        """Gives a request a place."""
-        chosen.place(request, entry, grant_id, now)
+        """Gives a request a place.
+
+        Args:
+            request: The request.
+            chosen: The backend server.
+            entry: The entry that has its caller.
+            grant_id: The grant; empty where another owner gave it.
+            now: When it got the place.
+            asked_at: When it began to wait; None for at the same time.
+        """
+        placed = chosen.place(request, entry, grant_id, now)
+        placed.asked_at = now if asked_at is None else asked_at
         self._pool.update(chosen)
         self._holders.add(request.prefix, chosen.info.name)
         self._where[request.request_id] = chosen
@@ -249,6 +272,7 @@
                 placed.request, placed.entry, placed.grant_id, placed.started
             )
             moved.orphaned_at = placed.orphaned_at
+            moved.asked_at = placed.asked_at
             self._where[request_id] = new
 
     def _expect_speed(self, backend: backends.Backend) -> None:
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -69,7 +69,8 @@
             None for its cost in the queue.
         repeatable: Whether it may run more than once.
         max_attempts: Backend servers that it may be sent to.
-        avoid: Backend servers that are not to get it (again).
+        avoid: Backend servers that it was sent to in vain.
+        silent: Backend servers that its entry cannot reach at present.
         attempt: Backend servers that it was sent to before.
         objective_s: Seconds left until its answer begins too late; None where
             there is no such objective.
@@ -90,6 +91,7 @@
     repeatable: bool = False
     max_attempts: int = 1
     avoid: tuple[str, ...] = ()
+    silent: tuple[str, ...] = ()
     attempt: int = 0
     objective_s: float | None = None
     wait_s: float | None = None
@@ -127,13 +129,15 @@
         request_id: The request.
         grant_id: The grant.
         unreachable: Whether the backend server refused the connection.
-        avoid: Backend servers that the entry cannot reach.
+        avoid: Backend servers that the request was sent to in vain.
+        silent: Backend servers that the entry cannot reach at present.
     """
 
     request_id: str
     grant_id: str
     unreachable: bool = False
     avoid: tuple[str, ...] = ()
+    silent: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -28,6 +28,7 @@
         rank: Its tier's rank.
         deadline: When its answer is of no more use.
         cost: Its cost.
+        since: When it began to wait.
         passed_over: Cost of requests that went before it since it was first.
         late_at: When its answer begins too late; infinite where never.
         refuse_at: When it is refused if it still waits.
@@ -39,6 +40,7 @@
     rank: int
     deadline: float
     cost: int
+    since: float
     passed_over: int = 0
     late_at: float = math.inf
     refuse_at: float = math.inf
@@ -216,6 +218,7 @@
             self._get_rank(request),
             deadline=now + request.deadline_s,
             cost=weigh(request),
+            since=now,
             late_at=_add(now, request.objective_s),
             refuse_at=_add(now, request.wait_s),
         )
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -177,7 +177,11 @@
         self.dispatches -= 1
         self._grant = None
         decline = message.Decline(
-            grant.request_id, grant.grant_id, refused, self.info.avoid
+            grant.request_id,
+            grant.grant_id,
+            refused,
+            self.info.avoid,
+            self.info.silent,
         )
         return [Tell(self.owner or grant.owner, decline)]
 
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -40,6 +40,10 @@
 MIN_RETRY_S = 0.5
 """Shortest advice on when to come back, in seconds."""
 
+OUT_OF_REACH_RETRY_S = 1.0
+"""When to come back where an entry reaches no backend server, in seconds: by
+then the balancer has perhaps heard that other VMs are better placed."""
+
 MAX_RETRY_S = 30.0
 """Longest advice on when to come back, in seconds."""
 
@@ -218,7 +222,10 @@
             case message.Withdraw(request_id):
                 self._forget(request_id)
             case message.Decline():
-                self._take_back(entry, received, now)
+                return [
+                    *self._take_back(entry, received, now),
+                    *self.grant(now),
+                ]
             case message.FirstToken(request_id):
                 if backend := self.fleet.find(request_id):
                     self.fleet.begin_answer(received)
@@ -294,7 +301,7 @@
             chosen = self._policy.choose(
                 waiting.request,
                 share,
-                self.fleet.leave_out(candidates, waiting.request.avoid),
+                self.fleet.leave_out(candidates, waiting.request),
                 now,
                 waiting.deadline,
             )
@@ -333,7 +340,9 @@
         grant_id = f"{self._address}#{next(self._grant_ids)}"
         self._queue.remove(waiting)
         tier.charge(waiting, self._rules.shares.get(request.customer, 1.0))
-        self.fleet.place(request, chosen, waiting.entry, grant_id, now)
+        self.fleet.place(
+            request, chosen, waiting.entry, grant_id, now, waiting.since
+        )
         self._drained.add(waiting.cost, now)
         self.counters.granted += 1
         return ToEntry(
@@ -384,6 +393,8 @@
                 )
             ]
         self._queue.push(waiting)
+        if refused := self._refuse_out_of_reach(waiting, now):
+            return refused
         granted = self.grant(now)
         return [*granted, *self._make_room(waiting, now)]
 
@@ -486,7 +497,10 @@
         if not self.fleet.has_usable:
             reason = message.Reason.NO_BACKEND
         wait_s = self._estimate_wait(waiting, now)
-        retry_s = min(max(wait_s, MIN_RETRY_S), MAX_RETRY_S)
+        least_s = MIN_RETRY_S
+        if reason is message.Reason.NO_BACKEND:
+            least_s = OUT_OF_REACH_RETRY_S
+        retry_s = min(max(wait_s, least_s), MAX_RETRY_S)
         return ToEntry(
             waiting.entry,
             message.Reject(waiting.request.request_id, reason, retry_s),
@@ -525,24 +539,40 @@
 
     def _take_back(
         self, entry: str, decline: message.Decline, now: float
-    ) -> None:
+    ) -> list[ToEntry]:
+        """Frees the place of a declined grant; the request waits again."""
         request_id = decline.request_id
         backend = self.fleet.find(request_id)
         if backend is None:
-            return
+            return []
         # What an entry told of as running has no grant of this owner.
         known = backend.placed[request_id].grant_id
         if known not in ("", decline.grant_id):
-            return
+            return []
         placed = self.fleet.free(request_id)
         self.counters.declined += 1
-        if placed is None or not (decline.unreachable or decline.avoid):
-            return
+        failed = decline.unreachable or decline.avoid or decline.silent
+        if placed is None or not failed:
+            return []
         if decline.unreachable:
             backend.note_unreachable(now)
-        request = dataclasses.replace(placed.request, avoid=decline.avoid)
-        waiting = self._queue.make(request, entry, placed.started)
+        request = dataclasses.replace(
+            placed.request, avoid=decline.avoid, silent=decline.silent
+        )
+        waiting = self._queue.make(request, entry, placed.asked_at)
         self._queue.restore(waiting)
+        return self._refuse_out_of_reach(waiting, now)
+
+    def _refuse_out_of_reach(
+        self, waiting: queue.Waiting, now: float
+    ) -> list[ToEntry]:
+        """Gives up a request whose entry can reach no backend server.
+
+        Its caller may come back to another VM.
+        """
+        if not self.fleet.is_out_of_reach(waiting.request):
+            return []
+        return [self._turn_away(waiting, now, message.Reason.NO_BACKEND)]
 
     def _end(self, ended: message.Ended, now: float) -> list[backends.Backend]:
         """Returns the backend server that has got room, if any."""
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -164,13 +164,13 @@
         return self.machine.tried
 
     def get_info(
-        self, now: float, unreachable: tuple[str, ...] = ()
+        self, now: float, silent: tuple[str, ...] = ()
     ) -> message.RequestInfo:
         """Returns the request's facts with its times as of now.
 
         Args:
             now: The entry's clock.
-            unreachable: Backend servers that this VM cannot reach.
+            silent: Backend servers that this VM cannot reach.
         """
         elapsed = now - self.began
         return dataclasses.replace(
@@ -178,7 +178,8 @@
             deadline_s=max(0.0, self.deadline - now),
             objective_s=_subtract(self.info.objective_s, elapsed),
             wait_s=_subtract(self.info.wait_s, elapsed),
-            avoid=(*self.tried, *unreachable),
+            avoid=self.tried,
+            silent=silent,
         )
 
 
--- a/test/test_speed.py
+++ b/test/test_speed.py
@@ -71,3 +71,41 @@
     speed = message.Speed(40_000.0, 0.006)
     owner.receive("entry", message.SpeedLearned("b0", speed), 1.0)
     assert owner.fleet.backends["b0"].get_speed() == speed
+
+
+def decline(
+    owner: shard.ShardOwner, granted: message.Grant, now: float, *silent: str
+) -> list[shard.ToEntry]:
+    """Tells an owner that its grant led to a silent backend server."""
+    told = message.Decline(
+        granted.request_id, granted.grant_id, False, (), silent
+    )
+    return owner.receive("entry", told, now)
+
+
+def test_a_request_is_not_granted_what_its_entry_cannot_reach() -> None:
+    # hanbit-qlog, inc-b14f: in a cut zone a request went to and fro between
+    # two backend servers beyond the cut until its caller gave up.
+    owner = make_owner(2)
+    (again,) = decline(owner, ask(owner, "a"), 1.1, "b0")
+    granted = again.message
+    assert isinstance(granted, message.Grant)
+    assert granted.backend == "b1"
+    (refused,) = decline(owner, granted, 1.2, "b0", "b1")
+    assert isinstance(refused.message, message.Reject)
+    assert refused.message.reason is message.Reason.NO_BACKEND
+
+
+def test_a_declined_grant_does_not_lengthen_the_wait() -> None:
+    owner = make_owner(2)
+    info = message.RequestInfo("a", KEY, "c", "t", 10, 10, (), 60.0, wait_s=1.0)
+    (out,) = owner.receive("entry", message.Enqueue(info), 1.0)
+    for now in (1.9, 1.95):
+        assert isinstance(out.message, message.Grant)
+        (out,) = decline(owner, out.message, now, "b0")
+    assert isinstance(out.message, message.Grant)
+    for known in owner.fleet.list_all():
+        known.note_unreachable(2.0)
+    assert decline(owner, out.message, 2.05, "b0") == []
+    (refused,) = owner.tick(2.1)
+    assert isinstance(refused.message, message.Reject)
