Leave a stream that hangs only where another attempt is allowed at that moment

Read in the change: the retry budget was asked before the pause and not after it, so a stream could be broken off with nobody to go on with it. As for an answer's head, it is asked again after the pause; without budget the stream is waited for as before.

--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -165,14 +165,22 @@
         Raises:
             BrokenError: It ends early.
         """
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                self._whole = True
-                return
-            if not isinstance(event, h11.Data):
-                raise BrokenError(f"{self.address}: the answer ended early")
-            yield bytes(event.data)
+        while (part := await self.read_part()) is not None:
+            yield part
+
+    async def read_part(self) -> bytes | None:
+        """Returns the next bytes of the answer's body; None at its end.
+
+        Raises:
+            BrokenError: It ends early.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.EndOfMessage):
+            self._whole = True
+            return None
+        if not isinstance(event, h11.Data):
+            raise BrokenError(f"{self.address}: the answer ended early")
+        return bytes(event.data)
 
     async def read_body(self) -> bytes:
         """Returns the whole body of the answer.
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -5,7 +5,7 @@
 import abc
 import dataclasses
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import anyio
 
@@ -221,8 +221,7 @@
         self, connection: relay_client.Connection, head: message.AnswerHead
     ) -> None:
         """Passes each event on as it comes."""
-        body = connection.iterate_body()
-        while (data := await self._read_part(body)) is not None:
+        while (data := await self._read_part(connection)) is not None:
             whole = self._splitter.split(data)
             if not whole:
                 continue
@@ -235,15 +234,19 @@
         await self._reply.finish()
         self._complete(head.status)
 
-    async def _read_part(self, body: AsyncIterator[bytes]) -> bytes | None:
+    async def _read_part(
+        self, connection: relay_client.Connection
+    ) -> bytes | None:
         """Returns the next bytes of a stream; None at its end.
 
         Raises:
             BrokenError: It hangs, and may go on at another backend server.
         """
         with anyio.move_on_after(self._get_hang_s()):
-            return await anext(body, None)
-        raise relay_client.BrokenError("no event in time")
+            return await connection.read_part()
+        if self._desk.may_repeat(self._ticket):
+            raise relay_client.BrokenError("no event in time")
+        return await connection.read_part()
 
     def _get_hang_s(self) -> float | None:
         """Returns how long a pause is waited for; None for without end."""
