Tell a lost read of the store from a topic in which nothing changes

Cause: after a change of the configuration no VM called for it for 23 s, and neither logs nor metrics could tell a read that will never be answered from a store that has nothing new: a read underway left no line and no figure.

No logic is changed.

Ruled out from the record: versions passed over (no such line), versions in force and not used (no line after generation 14).

--- a/ramptray/caller/metrics.py
+++ b/ramptray/caller/metrics.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterator
+import dataclasses
+from collections.abc import Iterable, Iterator, Mapping
 
 from hdrh import histogram
 
@@ -12,6 +13,21 @@
 _QUANTILES = (50.0, 95.0, 99.0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gauge:
+    """A value that is measured when the metrics are asked for.
+
+    Attributes:
+        name: Its name without the product's prefix.
+        labels: What tells it apart from others of its name.
+        value: The value, in the unit that the name ends with.
+    """
+
+    name: str
+    labels: Mapping[str, str]
+    value: float
+
+
 class Metrics:
     """Counters and histograms, by tier."""
 
@@ -66,3 +82,16 @@
                 yield f"{metric}{{{labels}}} {value}"
             count = found.get_total_count()
             yield f'{metric}_count{{tier="{tier}"}} {count}'
+
+
+def format_gauges(gauges: Iterable[Gauge]) -> str:
+    """Returns gauges in the Prometheus text format."""
+    lines = []
+    for gauge in sorted(gauges, key=lambda gauge: gauge.name):
+        type_line = f"# TYPE ramptray_{gauge.name} gauge"
+        if type_line not in lines:
+            lines.append(type_line)
+        labels = ",".join(f'{k}="{v}"' for k, v in gauge.labels.items())
+        braced = f"{{{labels}}}" if labels else ""
+        lines.append(f"ramptray_{gauge.name}{braced} {gauge.value}")
+    return "".join(f"{line}\n" for line in lines)
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -201,7 +201,9 @@
         return cut
 
     def _show_metrics(self) -> probe.Page:
-        return probe.Page(probe.OK, self._measures.format())
+        gauges = self._follower.list_gauges(time.monotonic())
+        text = self._measures.format() + metrics.format_gauges(gauges)
+        return probe.Page(probe.OK, text)
 
     def _take_bundle(self, in_force: acceptance.InForce) -> None:
         self._desk.network.take_in_force(in_force)
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -11,6 +11,7 @@
 import anyio
 
 from ramptray.bundle import acceptance, model, signature
+from ramptray.caller import metrics
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.platform import config, replicas, settings, store
@@ -43,6 +44,24 @@
 together cost one call: a fifth of the time in which a change must be in
 force."""
 
+
+@dataclasses.dataclass(slots=True)
+class _ReadState:
+    """What is known of the reads of one topic.
+
+    Attributes:
+        end: Offset up to which records were read; None before the first.
+        asked_at: When the read underway was sent, None between reads.
+        answered_at: When the last answer came, None before the first.
+        lost_at: Since when the store does not answer, None while it does.
+    """
+
+    end: int | None = None
+    asked_at: float | None = None
+    answered_at: float | None = None
+    lost_at: float | None = None
+
+
 OnBundle = Callable[[acceptance.InForce], None]
 
 
@@ -81,6 +100,9 @@
         self._declared: model.Bundle | None = None
         self._text = ""
         self._lost: set[str] = set()
+        self._reads = {
+            topic: _ReadState() for topic in (CONFIG_TOPIC, REPLICA_TOPIC)
+        }
 
     async def run(self) -> None:
         """Follows until cancelled."""
@@ -124,6 +146,35 @@
             told, replicas=self._book.list_replicas(), fresh=fresh
         )
 
+    def list_gauges(self, now: float) -> list[metrics.Gauge]:
+        """Returns how far and how old the reads of the store are.
+
+        An old read underway beside an old answer is a read that was lost; an
+        old answer alone is a topic in which nothing changes.
+        """
+        gauges: list[metrics.Gauge] = []
+        for topic, read in self._reads.items():
+            # No read underway, and no outage, is an age of 0; no answer yet
+            # has no age.
+            ages = {
+                "store_read_underway_seconds": _measure_age(read.asked_at, now),
+                "store_lost_seconds": _measure_age(read.lost_at, now),
+            }
+            values = {name: age or 0.0 for name, age in ages.items()}
+            if read.answered_at is not None:
+                age_s = round(now - read.answered_at, 3)
+                values["store_answer_age_seconds"] = age_s
+            if read.end is not None:
+                values["store_end"] = read.end
+            gauges.extend(
+                metrics.Gauge(name, {"topic": topic}, value)
+                for name, value in values.items()
+            )
+        if self._declared:
+            generation = self._declared.generation
+            gauges.append(metrics.Gauge("generation", {}, generation))
+        return gauges
+
     # The store.
 
     async def _follow(
@@ -134,7 +185,9 @@
         pause_s = RETRY_S
         while True:
             try:
+                self._reads[topic].asked_at = time.monotonic()
                 found = await self._read(topic, offset, take)
+                self._note_read(topic, offset, found)
                 offset = found.end
                 pause_s = RETRY_S
                 self._read_at = time.monotonic()
@@ -166,18 +219,50 @@
             take(found, False)
         return found
 
+    def _note_read(
+        self, topic: str, offset: int | None, found: store.Changes
+    ) -> None:
+        now = time.monotonic()
+        read = self._reads[topic]
+        LOG.info(
+            "store read",
+            extra={
+                "topic": topic,
+                "offset": offset,
+                "end": found.end,
+                "records": len(found.records),
+                "waited_s": _measure_age(read.asked_at, now),
+            },
+        )
+        read.end = found.end
+        read.asked_at = None
+        read.answered_at = now
+
     def _note_trouble(self, topic: str, error: store.StoreError) -> None:
-        self._book.note_trouble(time.monotonic())
+        now = time.monotonic()
+        self._book.note_trouble(now)
+        read = self._reads[topic]
         if topic not in self._lost:
             self._lost.add(topic)
             LOG.warning(
-                "store lost", extra={"topic": topic, "detail": str(error)}
+                "store lost",
+                extra={
+                    "topic": topic,
+                    "detail": str(error),
+                    "waited_s": _measure_age(read.asked_at, now),
+                    "answer_age_s": _measure_age(read.answered_at, now),
+                },
             )
+            read.lost_at = now
+        read.asked_at = None
 
     def _note_answer(self, topic: str) -> None:
         if topic in self._lost:
             self._lost.discard(topic)
-            LOG.info("store regained", extra={"topic": topic})
+            read = self._reads[topic]
+            away_s = _measure_age(read.lost_at, time.monotonic())
+            LOG.info("store regained", extra={"topic": topic, "away_s": away_s})
+            read.lost_at = None
 
     async def _ask_peers(self) -> None:
         """Asks peers while the store turns this VM away."""
@@ -273,6 +358,11 @@
     )
 
 
+def _measure_age(since: float | None, now: float) -> float | None:
+    """Returns the seconds since a moment, None where there was none."""
+    return None if since is None else round(now - since, 3)
+
+
 def _pick_nobody() -> str | None:
     """Stands in until the peers are known."""
     return None
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -293,6 +293,10 @@
     port = platform.vms["vm-0"]["metrics"]
     page = node.call(f"127.0.0.1:{port}", "GET", "/metrics")
     assert b"ramptray_requests_ended_total" in page.body
+    # What tells a read that was lost from a topic in which nothing changes.
+    for name in (b"read_underway", b"answer_age"):
+        line = b"ramptray_store_" + name + b'_seconds{topic="keyed.op"} '
+        assert line in page.body
 
 
 def test_a_vm_without_a_configuration_says_so() -> None:
