--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -36,10 +36,13 @@
 
     Attributes:
         busy: Whether each call is turned away.
+        silent: Whether calls that arrive now never get an answer, also not
+            later; those that wait already are answered.
         forgotten: Records before this offset are not kept any more.
     """
 
     busy: bool = False
+    silent: bool = False
     forgotten: int = pydantic.Field(0, ge=0)
 
 
@@ -96,6 +99,8 @@
         return responses.Response(status_code=OK)
 
     async def _read_newest(self, http: requests.Request) -> responses.Response:
+        if self._faults.silent:
+            await _wait_until_gone(http)
         if self._faults.busy:
             return responses.Response(status_code=BUSY)
         topic = self._topics[http.query_params["topic"]]
@@ -112,6 +117,8 @@
         topic = self._topics[http.query_params["topic"]]
         offset = int(http.query_params["from"])
         wait_s = int(http.query_params.get(store.WAIT_FIELD, "0")) / 1000
+        if self._faults.silent:
+            await _wait_until_gone(http)
         if len(topic.records) <= offset and not self._faults.busy:
             with anyio.move_on_after(wait_s):
                 await topic.changed.wait()
@@ -130,6 +137,13 @@
         return responses.Response(head + body)
 
 
+async def _wait_until_gone(http: requests.Request) -> None:
+    """Leaves a call without an answer; its connection stays open."""
+    message = await http.receive()
+    while message["type"] != "http.disconnect":
+        message = await http.receive()
+
+
 async def main(settings: FakeStoreSettings, stop: process.Stop) -> None:
     """Serves until a stop is asked for."""
     server = webserver.make_server(Store().make_app())
