Let the last record of a key in an answer decide

The records of an answer are applied in their order; those that went at its end are judged after them. The same order for peers' and whole reads was looked at: both list each key once.

--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -76,13 +76,16 @@
 
     def take_changes(self, changes: Iterable[store.Change], now: float) -> None:
         """Takes records in the store's order."""
-        gone = []
+        # The last record of a key decides: taking all that went after all that
+        # came lost live replicas for good whose records came back at once.
+        gone: dict[str, None] = {}
         for change in changes:
             if change.value is None:
-                gone.append(change.key)
+                gone[change.key] = None
             else:
+                gone.pop(change.key, None)
                 self._take(change.key, change.value)
-        self._take_gone(gone, now)
+        self._take_gone(list(gone), now)
 
     def take_all(self, newest: Iterable[store.Change], now: float) -> None:
         """Takes the newest record of each replica; others have none."""
