Add the failing tests of speeds that become zero

A line bent by noise halves its slope at each answer without a floor, and the factor of an engine drifts off as far; a rate below 0.05 is told as 0, on which another owner would end.

--- a/test/test_speed.py
+++ b/test/test_speed.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ramptray.core import backend, message, policy, shard
+from ramptray.core import backend, message, policy, shard, speed
 
 KEY = message.ShardKey("all", "lm")
 RULES = shard.ShardRules({"t": 0}, 1_000_000, 0.0, {}, {})
@@ -109,3 +109,33 @@
     assert decline(owner, out.message, 2.05, "b0") == []
     (refused,) = owner.tick(2.1)
     assert isinstance(refused.message, message.Reject)
+
+
+def test_long_prompts_that_seem_quicker_than_short_ones_end_nothing() -> None:
+    # On a day on which connections fell silent again and again three owners
+    # ended with "ZeroDivisionError: float division by zero" where they tell a
+    # speed.  Each answer that makes long prompts seem quicker than short ones
+    # halves the time for a prompt token; here it is 0 after 1,043 answers.
+    learned = speed.EngineSpeed(speed.Line())
+    for number in range(20_000):
+        if number % 2:
+            learned.learn_first(100, 0.3)
+        else:
+            learned.learn_first(4000, 0.05)
+        told = learned.tell()
+    assert told is not None
+    assert told.prefill_rate > 0
+    # Both parts stay near what was seen instead of drifting apart.
+    assert 0.04 < told.fixed_s + 100 / told.prefill_rate < 0.4
+
+
+def test_a_speed_that_is_told_can_always_be_taken() -> None:
+    learned = speed.EngineSpeed(speed.Line())
+    for _ in range(50):
+        learned.learn_first(1, 60.0)
+        learned.learn_first(2, 120.0)
+    told = learned.tell()
+    assert told is not None
+    other = speed.EngineSpeed(speed.Line())
+    other.take(told)
+    assert other.tell() is not None
