Keep learned speeds away from zero and within reach of each other

The slope of the shared line gets a floor of 1 us a token, an engine's factor stays within 100 times of the line, and no rate below 0.1 tokens a second is told.

--- a/ramptray/core/speed.py
+++ b/ramptray/core/speed.py
@@ -67,6 +67,18 @@
 """Shortest time that is taken for a measurement, in seconds."""
 
 
+LEAST_TOKEN_S = 1e-6
+"""Least time for a prompt token of the line, in seconds: twenty times less than
+a fast engine's.  Without it noise halved the time until it was 0."""
+
+MAX_FACTOR = 100.0
+"""An engine counts as at most so many times slower or faster than the line.
+Without it the line and all factors drifted apart until they were 0."""
+
+LEAST_RATE = 0.1
+"""Least rate that is told, in prompt tokens a second: 0 cannot be taken."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Fit:
     """Weighted sums from which a straight line is fitted by least squares."""
@@ -137,7 +149,7 @@
         if slope is None:
             return
         # Neither part can be negative; a line that says so is bent by noise.
-        self.token_s = max(slope, self.token_s / SURPRISE)
+        self.token_s = max(slope, self.token_s / SURPRISE, LEAST_TOKEN_S)
         rest = self._fit.ys - self.token_s * self._fit.xs
         self.fixed_s = max(rest / self._fit.count, 0.0)
 
@@ -207,11 +219,11 @@
         expected_s = self.factor * self.line.estimate(tokens)
         ratio = max(seconds, MIN_SPAN_S) / expected_s
         if not self.is_learned:
-            self.factor *= ratio
+            self._set_factor(self.factor * ratio)
             self.is_learned = True
             return
         ratio = min(max(ratio, 1 / MAX_RATIO), MAX_RATIO)
-        self.factor *= math.pow(ratio, self._weigh(ratio))
+        self._set_factor(self.factor * math.pow(ratio, self._weigh(ratio)))
         self.line.learn(tokens, seconds / self.factor)
 
     def learn_step(self, tokens: int, seconds: float) -> None:
@@ -234,9 +246,8 @@
     def take(self, speed: message.Speed) -> None:
         """Takes what another owner has learned."""
         self.line.take(speed)
-        self.factor = speed.estimate(PRIOR_TOKENS) / self.line.estimate(
-            PRIOR_TOKENS
-        )
+        expected_s = self.line.estimate(PRIOR_TOKENS)
+        self._set_factor(speed.estimate(PRIOR_TOKENS) / expected_s)
         self.own_step_s = speed.step_s
         self.is_learned = True
 
@@ -245,11 +256,14 @@
         if not self.is_learned:
             return None
         return message.Speed(
-            round(1 / self.token_s, 1),
+            max(round(1 / self.token_s, 1), LEAST_RATE),
             round(self.step_s, 6),
             round(self.fixed_s, 6),
         )
 
+    def _set_factor(self, factor: float) -> None:
+        self.factor = min(max(factor, 1 / MAX_FACTOR), MAX_FACTOR)
+
     def _weigh(self, ratio: float) -> float:
         """Returns the weight of a first token that was so many times off."""
         direction = (
