Bring the new replica of a test into use by work that fills the others

Cause: test_a_replica_that_leaves_gets_no_new_work waited for a new replica to get one of many requests sent one after the other; on a loaded machine one that had turned out a little faster got all of some 130 (2 of 12 runs failed, four at once). The test now sends work for all places at once until the new one has run some; what it checks is unchanged.

--- a/test/node.py
+++ b/test/node.py
@@ -20,6 +20,8 @@
 PROBE_S = 0.03
 SERVICE = "lm"
 KEY = "key-ola"
+SLOTS = 4
+"""Requests that a replica works on at a time."""
 
 CONFIG_TOPIC = "keyed.op"
 REPLICA_TOPIC = "keyed.servers"
@@ -165,7 +167,7 @@
             "service": SERVICE,
             "address": self.replicas[name],
             "zone": "waw-a",
-            "slots": 4,
+            "slots": SLOTS,
             "state": state,
         }
         self._put(REPLICA_TOPIC, name, json.dumps(record).encode())
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -9,6 +9,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
+from concurrent import futures
 
 import pytest
 
@@ -255,16 +256,34 @@
     assert float(answers[-1].headers["retry-after"]) > 0
 
 
+def fill_replicas(started: node.Platform, last: str) -> None:
+    """Sends so much work at once that also the last replica gets some.
+
+    Requests sent one after the other may all go to one that is a little faster;
+    what was learned first, and so which one that is, depends on chance.
+    """
+    for name in started.replicas:
+        started.set_faults(name, work_s=0.3)
+    at_once = node.SLOTS * len(started.replicas)
+
+    def is_used() -> bool:
+        with futures.ThreadPoolExecutor(at_once) as pool:
+            asked = [
+                pool.submit(ask, started, "/safe/") for _ in range(at_once)
+            ]
+            assert all(one.result().status in (200, 503) for one in asked)
+        return bool(started.read_ledger(last)["runs"])
+
+    wait_until(is_used)
+    for name in started.replicas:
+        started.set_faults(name)
+
+
 def test_a_replica_that_leaves_gets_no_new_work(
     platform: node.Platform,
 ) -> None:
     platform.start_replica("i-leaving")
-    wait_until(
-        lambda: (
-            ask(platform, "/safe/").status == 200
-            and bool(platform.read_ledger("i-leaving")["runs"])
-        )
-    )
+    fill_replicas(platform, "i-leaving")
     platform.write_record("i-leaving", "draining")
     time.sleep(0.5)
     before = len(platform.read_ledger("i-leaving")["runs"])
