--- a/bench/soak.py
+++ b/bench/soak.py
@@ -441,8 +441,12 @@
         sent = dict(self._changes)
         for look in self._looks:
             calm = self._is_calm(look.at)
-            if calm and look.at - sent[look.version] > APPLY_S:
-                kept.judge(look.status != http.client.NOT_FOUND, f"{look}")
+            age_s = look.at - sent[look.version]
+            if calm and age_s > APPLY_S:
+                at = f"{look.at - self._changes[0][1]:.2f}"
+                detail = f"{look.vm} at {at}: version {look.version}"
+                found = look.status != http.client.NOT_FOUND
+                kept.judge(found, f"{detail} of age {age_s:.2f} s")
         return kept
 
     def _is_calm(self, at: float) -> bool:
@@ -525,10 +529,18 @@
 
 
 def run_soak(
-    vms: int, seed: int, seconds: float
+    vms: int, seed: int, seconds: float, keep: pathlib.Path | None = None
 ) -> tuple[list[promise.Promise], list[str]]:
-    """Runs one soak and returns its promises and its faults."""
-    with tempfile.TemporaryDirectory() as name:
+    """Runs one soak and returns its promises and its faults.
+
+    Args:
+        vms: How many VMs.
+        seed: Seed of faults and load.
+        seconds: How long it lasts.
+        keep: Folder for the programs' logs; None if they are not kept.
+    """
+    with tempfile.TemporaryDirectory() as made:
+        name = keep or made
         platform = node.Platform(pathlib.Path(name))
         soak = Soak(platform, vms, seed, seconds)
         try:
@@ -543,11 +555,26 @@
 @click.option("--vms", default=3, help="How many VMs.")
 @click.option("--seconds", default=30.0, help="How long each run lasts.")
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
-def command(seed: int, runs: int, vms: int, seconds: float, show: bool) -> None:
+@click.option(
+    "--keep",
+    type=click.Path(path_type=pathlib.Path, file_okay=False),
+    help="Folder to keep the programs' logs in, one folder a seed.",
+)
+def command(
+    seed: int,
+    runs: int,
+    vms: int,
+    seconds: float,
+    show: bool,
+    keep: pathlib.Path | None,
+) -> None:
     """Random faults from outside, judged by callers and replicas."""
     failed = []
     for each in range(seed, seed + runs):
-        promises, faults = run_soak(vms, each, seconds)
+        logs = keep / str(each) if keep else None
+        if logs:
+            logs.mkdir(parents=True, exist_ok=True)
+        promises, faults = run_soak(vms, each, seconds, logs)
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
         for kept in promises if show else broken:
