--- a/bench/main.py
+++ b/bench/main.py
@@ -4,8 +4,9 @@
 
 import click
 
-from bench import decide, events, faults, policies, reference, slopes, soak
+from bench import decide, events, faults, policies, reference, slopes
 from bench.replay import main as replay
+from test import soak
 
 
 @click.group(name="bench")
--- a/bench/soak.py
+++ b/test/soak.py
@@ -22,7 +22,8 @@
 
 import click
 
-from bench import node, promise, proxy
+from bench import promise, proxy
+from test import node
 
 CALM_S = 4.0
 """Time after the last fault from which changes must be in force, in seconds."""
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -9,7 +9,6 @@
 import pytest
 from result import Err, Ok
 
-from bench import node
 from ramptray.bundle import model
 from ramptray.platform import (
     config,
@@ -22,6 +21,7 @@
     topic,
 )
 from ramptray.relay import message
+from test import node
 
 
 def test_a_configuration_becomes_a_bundle() -> None:
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -7,7 +7,6 @@
 import anyio
 import pytest
 
-from bench import node
 from ramptray import runtime, settings
 from ramptray.bundle import acceptance, signature
 from ramptray.core import membership, message
@@ -15,6 +14,7 @@
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
 from ramptray.platform import config, follower
+from test import node
 
 OURS, OTHER = "127.0.0.1:1", "127.0.0.2:1"
 
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -13,9 +13,8 @@
 import pytest
 from click.testing import CliRunner
 
-from bench import node
 from ramptray.command import main
-from test import test_node
+from test import node, test_node
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
 
--- a/test/test_gone.py
+++ b/test/test_gone.py
@@ -9,8 +9,7 @@
 
 import pytest
 
-from bench import node
-from test import test_node
+from test import node, test_node
 
 LEFT_S = 0.5
 """How long after callers have left their requests may still arrive, seconds."""
--- a/test/test_lost_read.py
+++ b/test/test_lost_read.py
@@ -22,7 +22,7 @@
 
 import pytest
 
-from bench import node
+from test import node
 from test.test_node import ask, wait_until
 
 LEARN_S = 3.0
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from bench import node
 from ramptray.platform import address
+from test import node
 
 NUMBERS = itertools.count(1)
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bench import soak
+from test import soak
 
 VMS = 3
 SECONDS = 36.0
