--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -52,21 +52,27 @@
 
     Args:
         target: IP number and port of the program behind it.
+        bytes_per_s: What the link to the program carries towards its callers;
+            0 for as much as comes.
 
     Attributes:
         address: Where it listens.
+        passed_bytes: What has passed towards callers.
         delay_s: How long each piece is held back, in seconds.
         cut: Whether nothing passes: neither way, nor on new connections.
         cut_answers: The same for what comes from the program behind it.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, bytes_per_s: float = 0.0) -> None:
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._listener = socket.create_server((host, 0))
         self._listener.setblocking(False)
         self.address = f"{host}:{self._listener.getsockname()[1]}"
         self.delay_s = 0.0
+        self.passed_bytes = 0
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0
         self.cut = False
         self.cut_answers = False
         self._reset = threading.Event()
@@ -153,9 +159,20 @@
             self._selector.unregister(side)
             return
         due = time.monotonic() + self.delay_s
+        if answers:
+            due = max(due, self._occupy(len(data)))
+            self.passed_bytes += len(data)
         self._held.append((due, pair, pair.get_other(side), data))
         self._send_held()
 
+    def _occupy(self, count: int) -> float:
+        """Returns when the link has carried so many bytes more."""
+        if not self._bytes_per_s:
+            return 0.0
+        begins_at = max(self._free_at, time.monotonic())
+        self._free_at = begins_at + count / self._bytes_per_s
+        return self._free_at
+
     def _send_held(self) -> None:
         now = time.monotonic()
         due = [held for held in self._held if held[0] <= now]
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -182,7 +182,7 @@
             WAIT_FIELD: str(int(wait_s * 1000)),
         }
         body = await self._get(READ_PATH, query, timeout_s, on_bytes)
-        return _decode_records(body, offset)
+        return decode_records(body, offset)
 
     async def _get(
         self,
@@ -292,7 +292,7 @@
         raise StoreError(f"a value is not base64: {error}") from error
 
 
-def _decode_records(body: bytes, offset: int) -> Changes:
+def decode_records(body: bytes, offset: int) -> Changes:
     """Splits the store's bytes: end, first offset kept, then records."""
     try:
         end, first = POSITIONS.unpack_from(body)
--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -75,6 +75,7 @@
     def __init__(self) -> None:
         self._faults = Faults()
         self._topics: dict[str, Topic] = collections.defaultdict(Topic)
+        self._calls = 0
 
     def make_app(self) -> applications.Starlette:
         """Returns the HTTP application."""
@@ -83,6 +84,7 @@
                 routing.Route(store.NEWEST_PATH, self._read_newest),
                 routing.Route(store.READ_PATH, self._read),
                 routing.Route("/faults", self._set_faults, methods=["PUT"]),
+                routing.Route("/ledger", self._show_ledger),
                 routing.Route(
                     "/records/{topic}/{key}", self._put, methods=["PUT"]
                 ),
@@ -98,7 +100,12 @@
         self._faults = Faults.model_validate_json(await http.body())
         return responses.Response(status_code=OK)
 
+    async def _show_ledger(self, http: requests.Request) -> responses.Response:
+        """Returns how many calls VMs have made."""
+        return responses.JSONResponse({"calls": self._calls})
+
     async def _read_newest(self, http: requests.Request) -> responses.Response:
+        self._calls += 1
         if self._faults.silent:
             await _wait_until_gone(http)
         if self._faults.busy:
@@ -114,6 +121,7 @@
         return responses.Response(store.encode_newest(page))
 
     async def _read(self, http: requests.Request) -> responses.Response:
+        self._calls += 1
         topic = self._topics[http.query_params["topic"]]
         offset = int(http.query_params["from"])
         wait_s = int(http.query_params.get(store.WAIT_FIELD, "0")) / 1000
--- a/test/node.py
+++ b/test/node.py
@@ -123,6 +123,17 @@
         self._start_standin(name, "replica", settings)
         self.write_record(name)
 
+    def move_replica(self, name: str, **options: Any) -> None:
+        """Starts a replica again under its name, at another address.
+
+        The former run is left as it is; its address stays what it was.
+        """
+        self.processes[f"{name}-former"] = self.processes[name]
+        address = f"127.0.0.1:{find_port()}"
+        self.replicas[name] = address
+        settings = {"name": name, "listen": address, **options}
+        self._start_standin(name, "replica", settings)
+
     def start_vm(self, name: str, store: str | None = None) -> None:
         """Starts a VM's program and waits until it answers probes."""
         listen = {
@@ -171,15 +182,25 @@
         """Writes a configuration."""
         self._put(CONFIG_TOPIC, "config", json.dumps(config).encode())
 
-    def write_record(self, name: str, state: str = "ready") -> None:
-        """Writes a replica's record."""
-        record = {
+    def write_record(
+        self, name: str, state: str = "ready", born: int | None = None
+    ) -> None:
+        """Writes a replica's record.
+
+        Args:
+            name: The replica.
+            state: What it says of itself.
+            born: When it started, in Unix milliseconds; None for not told.
+        """
+        record: dict[str, Any] = {
             "service": SERVICE,
             "address": self.announced.get(name, self.replicas[name]),
             "zone": "waw-a",
             "slots": SLOTS,
             "state": state,
         }
+        if born is not None:
+            record["born"] = born
         self._put(REPLICA_TOPIC, name, json.dumps(record).encode())
 
     def set_faults(self, name: str, **faults: Any) -> None:
@@ -193,6 +214,10 @@
         ledger: dict[str, Any] = json.loads(answer.body)
         return ledger
 
+    def count_store_calls(self) -> int:
+        """Returns how many calls VMs have made to the store."""
+        return int(json.loads(call(self.store, "GET", "/ledger").body)["calls"])
+
     def list_runs(self) -> list[str]:
         """Returns the ids of all requests that any replica ran."""
         return [
--- /dev/null
+++ b/test/test_slow_links.py
@@ -0,0 +1,92 @@
+"""What a VM must carry to learn of a change, by how much has changed.
+
+Each VM read each version of the configuration whole, and a VM that was behind
+read every version in between.  With 1,317 routes that is 0.4 MB a version: on
+VMs with links of 5 Mbit/s changes came into force seconds late ("configuration
+in force" on the slow VMs up to 4 s after the others).
+"""
+
+from __future__ import annotations
+
+import functools
+import json
+import time
+from typing import Any
+
+from bench import proxy
+from test import node
+from test.test_node import ask, wait_until
+
+ROUTES = 1317
+LINK_BYTES_PER_S = 5_000_000 / 8
+CHANGES = 8
+CHANGE_EVERY_S = 0.25
+IN_FORCE_S = 1.5
+"""Time from a change until it is in force on every calm VM, in seconds."""
+
+
+def make_config(version: int) -> dict[str, Any]:
+    """Returns a large configuration with a route that names its version."""
+    config = node.make_config(version)
+    config["routes"][0]["pathPrefix"] = f"/v{version}/"
+    config["routes"].extend(
+        {
+            **config["routes"][1],
+            "name": f"r-{number}",
+            "pathPrefix": f"/filler-{number}/{number * 7919}/",
+            "maxAttempts": 1,
+        }
+        for number in range(ROUTES)
+    )
+    return config
+
+
+def is_served(started: node.Platform, vm: str, version: int) -> bool:
+    return ask(started, f"/v{version}/", vm=vm).status == 200
+
+
+def start_slow_vm(started: node.Platform) -> proxy.Proxy:
+    """Starts a VM whose link to the store carries 5 Mbit/s."""
+    slow = proxy.Proxy(started.store, bytes_per_s=LINK_BYTES_PER_S)
+    started.start_vm("vm-slow", slow.address)
+    return slow
+
+
+def test_changes_in_a_row_are_in_force_in_time_on_a_slow_link() -> None:
+    with node.run_platform(vms=2) as started:
+        slow = start_slow_vm(started)
+        started.set_config(make_config(2))
+        for vm in started.vms:
+            wait_until(functools.partial(is_served, started, vm, 2), 12.0)
+        size = len(json.dumps(make_config(2)))
+        passed = slow.passed_bytes
+        written: dict[int, float] = {}
+        for version in range(3, 3 + CHANGES):
+            started.set_config(make_config(version))
+            written[version] = time.monotonic()
+            time.sleep(CHANGE_EVERY_S)
+        last = max(written)
+        for vm in started.vms:
+            left_s = max(0.05, written[last] + IN_FORCE_S - time.monotonic())
+            wait_until(functools.partial(is_served, started, vm, last), left_s)
+        assert slow.passed_bytes - passed < size
+        slow.close()
+
+
+def test_calls_to_the_store_hardly_grow_with_the_vms() -> None:
+    counts = {}
+    for vms in (3, 9):
+        with node.run_platform(vms=vms) as started:
+            for vm in started.vms:
+                wait_until(functools.partial(is_served_first, started, vm))
+            time.sleep(2.0)
+            before = started.count_store_calls()
+            for version in range(2, 7):
+                started.set_config(node.make_config(version))
+                time.sleep(0.6)
+            counts[vms] = started.count_store_calls() - before
+    assert counts[9] <= 1.3 * counts[3]
+
+
+def is_served_first(started: node.Platform, vm: str) -> bool:
+    return ask(started, "/safe/", vm=vm).status == 200
