--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -70,11 +70,13 @@
         runs: Ids of the requests that it ran, in order.
         heads: Headers of each, in lower case.
         gone: Ids of the requests whose connection closed while they ran.
+        refused: Ids of the requests that it turned away.
     """
 
     runs: list[str] = dataclasses.field(default_factory=list)
     heads: list[dict[str, str]] = dataclasses.field(default_factory=list)
     gone: list[str] = dataclasses.field(default_factory=list)
+    refused: list[str] = dataclasses.field(default_factory=list)
 
 
 class Replica:
@@ -150,6 +152,7 @@
             return True
         if faults.refuse:
             not_run = (header.NOT_RUN, b"1")
+            self._ledger.refused.append(request_id)
             await _send(stream, 503, b"", [*own, not_run])
             return True
         self._ledger.runs.append(request_id)
--- a/test/node.py
+++ b/test/node.py
@@ -110,6 +110,7 @@
         self.replicas: dict[str, str] = {}
         self.announced: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.bounds: dict[str, float] = {"graceS": 8, "retryBudgetSlack": 500}
 
     def start_store(self) -> None:
         """Starts the store."""
@@ -152,8 +153,7 @@
             "[limits]",
             "cpuShare = 1.0\ncores = 1\nmemoryMb = 300\nmaxFds = 4100",
             "[bounds]",
-            "graceS = 8",
-            "retryBudgetSlack = 500",
+            *(f"{key} = {bound}" for key, bound in self.bounds.items()),
             "[platform]",
             f'address = "{store or self.store}"',
         ]
@@ -309,10 +309,21 @@
 
 
 @contextlib.contextmanager
-def run_platform(vms: int = 1, replicas: int = 2) -> Iterator[Platform]:
-    """Runs a deployment with a first configuration."""
+def run_platform(
+    vms: int = 1,
+    replicas: int = 2,
+    bounds: dict[str, float] | None = None,
+) -> Iterator[Platform]:
+    """Runs a deployment with a first configuration.
+
+    Args:
+        vms: How many VMs.
+        replicas: How many replicas.
+        bounds: Bounds of the VMs' settings that differ from the usual ones.
+    """
     with tempfile.TemporaryDirectory() as name:
         platform = Platform(pathlib.Path(name))
+        platform.bounds.update(bounds or {})
         try:
             platform.start_store()
             platform.set_config(make_config(1))
--- /dev/null
+++ b/test/test_hang.py
@@ -0,0 +1,51 @@
+"""A stream that hangs while there is no budget for another attempt.
+
+Open connections fell silent.  Streams on them were left after 0.8 s where the
+budget of further attempts allowed another one at that moment; where it was used
+up just then, they were waited for until the callers' deadlines, fifteen seconds
+later ("first_token" at 12.9 s, then nothing until "end" with "caller_gone" at
+27.7 s), though there was budget again two seconds later.
+"""
+
+from __future__ import annotations
+
+import time
+
+from test import node
+from test.test_node import ask, wait_until
+
+WINDOW_S = 2.0
+"""Window of the budget of further attempts, in seconds."""
+
+SOON_S = 3.6
+"""Time in which a stream that hangs must end, in seconds: less than the four
+seconds that its route allows."""
+
+
+def test_a_stream_that_hangs_goes_on_when_there_is_budget_again() -> None:
+    # One further attempt in each window.
+    bounds = {
+        "retryBudgetRatio": 0.0,
+        "retryBudgetSlack": 20,
+        "budgetWindowS": WINDOW_S,
+    }
+    with node.run_platform(replicas=1, bounds=bounds) as started:
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        started.set_faults("i-0", hang_after=2)
+        started.start_replica("i-1", work_s=0.5)
+        time.sleep(0.5)
+        spend_budget(started)
+        began = time.monotonic()
+        answer = ask(started, "/stream/", "POST", b"x")
+        assert answer.whole
+        assert answer.body.count(b"id: ") == 5
+        assert time.monotonic() - began < SOON_S
+
+
+def spend_budget(started: node.Platform) -> None:
+    """Lets a request have the one further attempt that there is."""
+    started.set_faults("i-1", fail=True)
+    started.set_faults("i-0", fail=True)
+    ask(started, "/safe/")
+    started.set_faults("i-1", work_s=0.01)
+    started.set_faults("i-0", hang_after=2)
