Learn of refusals, and leave hanging streams and dead connections sooner

Refusals: an owner learned nothing from a server that turns requests away, so it went on sending it its part, and callers were told to return in 1 s, later than an answer in time may begin. Streams that hang: whether another attempt is allowed was asked once; while the budget was used up just then, nobody asked again before the caller's deadline. Dead connections: nothing but the user timeout of unacknowledged bytes found them, so an answer that was awaited on one never came.

Now an owner keeps the part of requests that a server turns away, forgotten within two seconds, and counts it in the cost of a place; after a failed attempt callers are told to return at once, since the owner decides anew by then; a request that hangs looks again every 0.25 s; the kernel asks on silent connections, and where two servers hang within a second all idle connections are opened anew.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import enum
+import math
 import statistics
 from collections.abc import Iterable
 
@@ -46,6 +47,14 @@
 """After so many answers in a row that broke off, new work stays away for a
 while: a backend server that fails at once always has room and would get all."""
 
+REFUSAL_WEIGHT = 0.3
+"""Weight of the newest answer in the part of requests that a server turns away:
+one that refuses half is known after two or three."""
+
+REFUSAL_FORGET_S = 2.0
+"""Time in which two thirds of that part are forgotten, in seconds: a server
+that has recovered gets work again within the time of a few answers."""
+
 LOST_FAILURES = 4
 """After so many refused connections in a row nobody waits for the server."""
 
@@ -165,6 +174,8 @@
         "loaded",
         "first_at",
         "breaks",
+        "_refused_part",
+        "_refused_at",
     )
 
     def __init__(
@@ -191,6 +202,8 @@
         self.unreachable_until = 0.0
         self.first_at = float("-inf")
         self.breaks = 0
+        self._refused_part = 0.0
+        self._refused_at = 0.0
 
     @property
     def is_lost(self) -> bool:
@@ -358,6 +371,18 @@
         self.cache.add(request.prefix)
         return placed
 
+    def get_refused_part(self, now: float) -> float:
+        """Returns the part of requests that it probably turns away now."""
+        if not self._refused_part:
+            return 0.0
+        age_s = now - self._refused_at
+        return self._refused_part * math.exp(-age_s / REFUSAL_FORGET_S)
+
+    def _note_refusal(self, refused: bool, now: float) -> None:
+        part = self.get_refused_part(now)
+        self._refused_part = part + REFUSAL_WEIGHT * (refused - part)
+        self._refused_at = now
+
     def begin_answer(self, first: message.FirstToken, now: float) -> None:
         """Learns the speed with prompts from a first token.
 
@@ -379,7 +404,9 @@
     def end(self, ended: message.Ended, now: float) -> None:
         """Frees the request's place and learns the decode speed."""
         self.remove(ended.request_id)
-        if ended.broken:
+        if ended.refused or ended.whole:
+            self._note_refusal(ended.refused, now)
+        if ended.broken or ended.refused:
             self.breaks += 1
             if self.breaks >= EJECT_BREAKS:
                 self.note_unreachable(now)
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -193,6 +193,7 @@
         broken: Whether the backend server broke off or hung.
         first_tokens: Tokens that the first event held, which took no time
             within ``decode_s``.
+        refused: Whether the backend server said that it did not run it.
     """
 
     request_id: str
@@ -202,6 +203,7 @@
     certain: bool = True
     broken: bool = False
     first_tokens: int = 1
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -18,6 +18,13 @@
 DECODE_WEIGHT_TOKENS = 16
 """Tokens of decode that count beside the first token in a placement."""
 
+REFUSED_S = 1.0
+"""What a refusal by a backend server costs a request, in seconds: about what
+its caller loses that has to come back.
+
+Load pattern: some servers turn much of their work away while their places look
+free; without this they go on getting their part of it."""
+
 LATE_WEIGHT = 2.0
 """How much worse a second past the deadline is than one of waiting."""
 
@@ -135,6 +142,7 @@
             if self._holds_up(request, candidate, uncached):
                 return None
         cost = first_s + candidate.step_s * DECODE_WEIGHT_TOKENS
+        cost += candidate.get_refused_part(now) * REFUSED_S
         decode_s = candidate.step_s * request.output_tokens
         late_s = now + cost + decode_s - demand.deadline
         return cost + max(0.0, late_s) * LATE_WEIGHT
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -32,6 +32,13 @@
 """How long a request waits for any scheduler before it is refused."""
 
 RETRY_AFTER_S = 1.0
+"""When to come back to a VM that finds nobody to ask, in seconds."""
+
+ATTEMPT_RETRY_S = 0.05
+"""When to come back after the last attempt of a request has failed, in seconds:
+the owner knows of the failure by then and decides anew, or says itself how long
+its queue takes.  With a second, as many as one in six answers began too late
+while servers turned requests away."""
 
 OWNER_SILENCE_S = 0.12
 """How long a scheduler may leave a new request without a word, in seconds: a
@@ -215,7 +222,7 @@
             and self._budget.take(info.shard.service, now)
         )
         finish = request.Finish(
-            message.Outcome.UNKNOWN, event.reason, RETRY_AFTER_S
+            message.Outcome.UNKNOWN, event.reason, ATTEMPT_RETRY_S
         )
         backend = ticket.machine.backend
         ticket.machine.info = self._get_info(ticket, now)
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -42,6 +42,17 @@
 once: if it closes as the request is sent, nobody knows whether it ran.  That
 takes a round trip of bad luck; a connection that is closed already is seen."""
 
+HUNG_S = 1.0
+"""Backend servers that hang within this time, in seconds, hang together."""
+
+HUNG_TOGETHER = 2
+"""So many that hang together may be sound behind silent connections."""
+
+KEEP_ALIVE_S = 1
+"""Silence after which the kernel asks whether the other end is still there, in
+seconds, the least that it can: a connection that fell silent while it was idle,
+or while an answer was awaited, is seen after twice that instead of never."""
+
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
 MAX_SURPLUS = 4
@@ -87,6 +98,10 @@
         return self.backend == other.backend and self.run != other.run
 
 
+class HungError(BrokenError):
+    """Nothing came for so long that the connection may be a dead one."""
+
+
 class Connection:
     """One connection to a backend server, with one request at a time."""
 
@@ -276,6 +291,7 @@
         self._dialect = dialect
         self._idle: dict[str, list[Connection]] = collections.defaultdict(list)
         self._lent: set[Connection] = set()
+        self._hung_at: dict[str, float] = {}
 
     @contextlib.asynccontextmanager
     async def use(
@@ -296,6 +312,9 @@
         try:
             yield connection
             kept = connection.reusable
+        except HungError:
+            self._note_hang(target, time.monotonic())
+            raise
         finally:
             self._lent.discard(connection)
             if kept:
@@ -342,6 +361,18 @@
             for connection in self._idle[address]:
                 connection.idle_s = 0.0
 
+    def _note_hang(self, target: Target, now: float) -> None:
+        """Distrusts idle connections beside one on which nothing came.
+
+        Open connections may fall silent in numbers.  Where several backend
+        servers hang at once the connections are the likelier reason.
+        """
+        self._hung_at[target.address] = now
+        hung = {a: at for a, at in self._hung_at.items() if now - at < HUNG_S}
+        self._hung_at = hung
+        many = len(hung) >= HUNG_TOGETHER
+        self.distrust(list(self._idle) if many else [target.address])
+
     async def probe(self, url: str) -> bool:
         """Tells whether there is a way to a backend server.
 
@@ -401,5 +432,11 @@
 def set_socket_options(stream: anyio.abc.SocketStream) -> None:
     """Makes a connection notice within seconds that its peer is cut off."""
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_S),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_S),
+    ):
+        raw.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -5,7 +5,8 @@
 import abc
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import anyio
 
@@ -33,9 +34,15 @@
 """Shortest pause after which a stream is taken to hang, in seconds: less than
 half of the two seconds after which callers give up."""
 
+BUDGET_LOOK_S = 0.25
+"""How often a request that hangs looks whether another attempt is allowed by
+now, in seconds: the budget of further attempts fills up all the time."""
+
 SERVER_ERROR = 500
 OK_STATUSES = range(200, 300)
 
+ReadT = TypeVar("ReadT")
+
 
 class Reply(abc.ABC):
     """The way back to the caller."""
@@ -172,13 +179,33 @@
         to wait for it; anything else is better sent to another one.
         """
         order = self._order
-        if order.info.repeatable and self._desk.may_repeat(self._ticket):
+        hang_s = None
+        if order.info.repeatable:
             hang_s = order.route.objective_s * HANG_OBJECTIVES
+        return await self._read_unless_hung(
+            lambda: connection.read_head(self._request_id), hang_s
+        )
+
+    async def _read_unless_hung(
+        self, read: Callable[[], Awaitable[ReadT]], hang_s: float | None
+    ) -> ReadT:
+        """Returns what is read, but leaves a server that hangs.
+
+        Args:
+            read: Reads; it may be cancelled and called again.
+            hang_s: After how long the server is taken to hang, in seconds;
+                None for never.
+
+        Raises:
+            HungError: It hangs, and another attempt is allowed.
+        """
+        while hang_s is not None:
             with anyio.move_on_after(hang_s):
-                return await connection.read_head(self._request_id)
+                return await read()
             if self._desk.may_repeat(self._ticket):
-                raise relay_client.BrokenError("no answer's head in time")
-        return await connection.read_head(self._request_id)
+                raise relay_client.HungError("nothing came in time")
+            hang_s = BUDGET_LOOK_S
+        return await read()
 
     async def _send(self, target: relay_client.Target) -> None:
         """Sends the request to one backend server and passes its answer on."""
@@ -245,18 +272,16 @@
         """Returns the next bytes of a stream; None at its end.
 
         Raises:
-            BrokenError: It hangs, and may go on at another backend server.
+            HungError: It hangs, and may go on at another backend server.
         """
-        with anyio.move_on_after(self._get_hang_s()):
-            return await connection.read_part()
-        if self._desk.may_repeat(self._ticket):
-            raise relay_client.BrokenError("no event in time")
-        return await connection.read_part()
+        return await self._read_unless_hung(
+            connection.read_part, self._get_hang_s()
+        )
 
     def _get_hang_s(self) -> float | None:
         """Returns how long a pause is waited for; None for without end."""
         order = self._order
-        if not order.info.repeatable or not self._desk.may_repeat(self._ticket):
+        if not order.info.repeatable:
             return None
         gap_s = order.route.max_gap_s
         return None if gap_s is None else max(MIN_HANG_GAP_S, gap_s * HANG_GAPS)
@@ -305,7 +330,9 @@
         broken: bool = False,
     ) -> None:
         self._splitter.take_rest()
-        ended = dataclasses.replace(self._make_ended(False), broken=broken)
+        ended = dataclasses.replace(
+            self._make_ended(False), broken=broken, refused=not_run
+        )
         self._ticket.report(tickets.AttemptFailed(ended, not_run, reason))
 
     def _lose(self, reason: core_message.Reason) -> None:
