Let a cancelled question end nothing but itself

Cause: a scope that is cancelled while the channel waits gets the channel's own cancellation back, does not know it for its own, and passes it on; it then ends every task of the group beside it, without an error and without a log line. On a VM that is the task that hands requests to schedulers: from then on callers wait until their deadlines.

Found while VMs began to ask one another for changes: on small VMs (0.12 cores, 19 of them) requests were taken until 1.5 to 2.4 s on nine of 19, unknown routes were refused to the end; 187 requests ended by their callers' deadlines.

Ruled out: processor time (0.037 of 0.12 cores), links, the callers' socket. test_a_cancelled_question_leaves_the_tasks_beside_it_alone failed before.

--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -11,11 +11,12 @@
 import contextlib
 import logging
 import pathlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import grpc
 import grpc.aio
 from anyio.streams import memory
@@ -223,7 +224,7 @@
         call: Any = self._get_channel(address).unary_unary(f"/{SERVICE}/Ask")
         data = codec.encode(self._clock.tick(), question)
         try:
-            with _turn_cancellation(address):
+            async with _turn_cancellation(address):
                 answer = await call(data, timeout=timeout_s)
             self.asked_bytes += len(data) + len(answer)
             frame = codec.decode(answer)
@@ -358,7 +359,7 @@
         """See the base class."""
         _check(self.address, self._gate)
         try:
-            with _turn_cancellation(self.address):
+            async with _turn_cancellation(self.address):
                 await self._call.write(codec.encode(self._clock.tick(), body))
         except _BROKEN as error:
             raise LinkError(f"{self.address}: {_describe(error)}") from error
@@ -366,7 +367,7 @@
     async def receive(self) -> Any:
         """See the base class."""
         try:
-            with _turn_cancellation(self.address):
+            async with _turn_cancellation(self.address):
                 data = await self._call.read()
         except _BROKEN as error:
             raise LinkError(f"{self.address}: {_describe(error)}") from error
@@ -381,16 +382,20 @@
         return frame.body
 
 
-@contextlib.contextmanager
-def _turn_cancellation(address: str) -> Iterator[None]:
+@contextlib.asynccontextmanager
+async def _turn_cancellation(address: str) -> AsyncIterator[None]:
     """Turns a call's own cancellation into an error of the link.
 
     grpc raises ``CancelledError`` when a call was cancelled, by whomever.  To
     the task it looks like its own cancellation, and it would end unnoticed.
+    Where a scope was cancelled, grpc raises another error than the scope's:
+    the scope does not know it, and it would end the tasks beside this one.
     """
     try:
         yield
     except asyncio.CancelledError as error:
+        # Raises the scope's own error, if a scope was cancelled.
+        await anyio.lowlevel.checkpoint_if_cancelled()
         task = asyncio.current_task()
         if task is not None and task.cancelling():
             raise
