--- a/ramptray/log/mirror.py
+++ b/ramptray/log/mirror.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from ramptray.bundle import delta
-from ramptray.log import keyed
+from ramptray.log import keyedstream
 from ramptray.peer import message as peer_message
 
 KEPT_VALUES = 8
@@ -52,7 +52,7 @@
 
     def __init__(self) -> None:
         self.end: int | None = None
-        self._newest: dict[str, keyed.Change] = {}
+        self._newest: dict[str, keyedstream.Change] = {}
         self._former: dict[str, collections.deque[_Version]] = {}
         self._dropped: dict[str, int] = {}
         # Who holds less than up to here is told all: drops may be unknown.
@@ -61,7 +61,7 @@
             collections.OrderedDict()
         )
 
-    def take(self, changes: keyed.Changes, whole: bool) -> None:
+    def take(self, changes: keyedstream.Changes, whole: bool) -> None:
         """Takes records in their order.
 
         Args:
@@ -103,7 +103,7 @@
         records.sort(key=lambda record: record.position)
         return peer_message.StreamNews(stream, start, records, end, whole)
 
-    def unpack(self, news: peer_message.StreamNews) -> keyed.Changes:
+    def unpack(self, news: peer_message.StreamNews) -> keyedstream.Changes:
         """Returns the records that a peer told.
 
         Raises:
@@ -115,11 +115,11 @@
         last = max((r.position for r in news.records), default=-1)
         if news.end > held and not news.whole and last != news.end - 1:
             raise MirrorError(f"the last record before {news.end} is missing")
-        return keyed.Changes(
+        return keyedstream.Changes(
             [self._unpack(record) for record in news.records], news.end
         )
 
-    def _take(self, change: keyed.Change) -> None:
+    def _take(self, change: keyedstream.Change) -> None:
         before = self._newest.pop(change.key, None)
         self._dropped.pop(change.key, None)
         if change.value is None:
@@ -140,7 +140,7 @@
             kept.append(version)
 
     def _pack(
-        self, change: keyed.Change, start: int
+        self, change: keyedstream.Change, start: int
     ) -> peer_message.StreamRecord:
         value = change.value or b""
         if len(value) < LARGE_BYTES:
@@ -168,17 +168,17 @@
             xxhash.xxh3_64_intdigest(value),
         )
 
-    def _unpack(self, record: peer_message.StreamRecord) -> keyed.Change:
+    def _unpack(self, record: peer_message.StreamRecord) -> keyedstream.Change:
         packed = record.value
         if packed is None or record.digest is None:
-            return keyed.Change(record.key, packed, record.position)
+            return keyedstream.Change(record.key, packed, record.position)
         try:
             value = delta.unpack(self._find(record), packed)
         except delta.DeltaError as error:
             raise MirrorError(f"{record.key}: {error}") from error
         if xxhash.xxh3_64_intdigest(value) != record.digest:
             raise MirrorError(f"{record.key}: another digest than told")
-        return keyed.Change(record.key, value, record.position)
+        return keyedstream.Change(record.key, value, record.position)
 
     def _find(self, record: peer_message.StreamRecord) -> bytes:
         """Returns the value that a record is a difference to."""
--- a/ramptray/log/reader.py
+++ b/ramptray/log/reader.py
@@ -65,6 +65,8 @@
 older versions 93 and 87 requests were refused or served too late with repeats,
 6 without (88 VMs, 1,317 routes, the same load played again)."""
 
+LOG_ORIGIN = "log"
+
 PageT = TypeVar("PageT")
 
 
@@ -98,6 +100,7 @@
         answered_at: When it last answered, or another VM told of its answer;
             None before the first time.
         fresh_at: When the log had no more than what is known here.
+        origin: Who told what is taken at present: the log, or a peer.
         on_news: Called when others may not have read what is known here.
         on_answer: Called with each answer of the log.
     """
@@ -113,6 +116,7 @@
         self.lost = False
         self.answered_at: float | None = None
         self.fresh_at = float("-inf")
+        self.origin = LOG_ORIGIN
         self.on_news: Callable[[], None] = _tell_nobody
         self.on_answer: Callable[[], None] = _tell_nobody
         self._longest_wait_s = longest_wait_s
@@ -236,7 +240,7 @@
         return self._end
 
     async def take_told(
-        self, page: PageT, whole: bool, fresh_at: float
+        self, page: PageT, whole: bool, fresh_at: float, peer: str
     ) -> None:
         """Takes what another VM has read.
 
@@ -244,11 +248,13 @@
             page: The records.
             whole: Whether they are all there are.
             fresh_at: When the log had no more than that.
+            peer: Address of the other VM.
         """
         end = self.get_end(page)
         if end < (self._end or 0):
             return
         if self._end is None or end > self._end:
+            self.origin = f"peer {peer}"
             await self.take(page, whole)
             self._end = end
             self._told = max(self._told, end)
@@ -321,6 +327,7 @@
         if self.get_end(found) < (self._end or 0) and self.count_records(found):
             # Another VM told more while the answer was on its way.
             return None
+        self.origin = LOG_ORIGIN
         await self.take(found, offset is None)
         self._note_answer(offset, found)
         return found
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -212,7 +212,7 @@
         for change in changes.records:
             if change.key == CONFIG_KEY and change.value is not None:
                 text = change.value.decode("utf-8", errors="replace")
-                self._take_text(text, "store")
+                self._take_text(text, self._config.origin)
 
     def _take_text(self, text: str, origin: str) -> None:
         try:
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from ramptray.log import error as log_error
-from ramptray.log import keyed
+from ramptray.log import keyedstream
 from ramptray.log import reader as log_reader
 
 WAIT_S = 28.0
@@ -64,8 +64,8 @@
     """Records that were asked for are not kept any more."""
 
 
-Change = keyed.Change
-Changes = keyed.Changes
+Change = keyedstream.Change
+Changes = keyedstream.Changes
 
 
 class NewestItem(msgspec.Struct):
--- a/ramptray/scheduler/feed.py
+++ b/ramptray/scheduler/feed.py
@@ -18,7 +18,7 @@
 import anyio.abc
 
 from ramptray.core import membership, tree
-from ramptray.log import keyed
+from ramptray.log import keyedstream
 from ramptray.log import mirror as mirrors
 from ramptray.log import reader as log_reader
 from ramptray.peer import link as peer_link
@@ -65,7 +65,7 @@
 deployment starts for the first time, in seconds: no caller waits yet, and each
 VM reading the log would be most of a quiet day's calls."""
 
-Reader = log_reader.StreamReader[keyed.Changes]
+Reader = log_reader.StreamReader[keyedstream.Changes]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -280,7 +280,7 @@
         self._damaged.discard(news.stream)
         self.on_trouble(Trouble(news.trouble_s, news.returned_s))
         fresh_at = received_at - max(0.0, news.age_s)
-        await each.reader.take_told(changes, news.whole, fresh_at)
+        await each.reader.take_told(changes, news.whole, fresh_at, address)
         is_new = fresh_at > self._told_at[news.stream]
         self._told_at[news.stream] = max(self._told_at[news.stream], fresh_at)
         self._wake()
--- a/test/test_feed.py
+++ b/test/test_feed.py
@@ -11,7 +11,7 @@
 import pytest
 
 from ramptray.core import clock, membership
-from ramptray.log import error, keyed, mirror, reader
+from ramptray.log import error, keyedstream, mirror, reader
 from ramptray.peer import link
 from ramptray.peer import message as peer_message
 from ramptray.scheduler import feed
@@ -36,27 +36,29 @@
     """
 
     def __init__(self) -> None:
-        self.records: list[keyed.Change] = []
+        self.records: list[keyedstream.Change] = []
         self.calls: list[str] = []
         self.refused: set[str] = set()
         self._changed = anyio.Event()
 
     def write(self, key: str, value: bytes | None) -> None:
-        self.records.append(keyed.Change(key, value, len(self.records)))
+        self.records.append(keyedstream.Change(key, value, len(self.records)))
         self._changed.set()
         self._changed = anyio.Event()
 
-    async def read(self, vm: str, offset: int, wait_s: float) -> keyed.Changes:
+    async def read(
+        self, vm: str, offset: int, wait_s: float
+    ) -> keyedstream.Changes:
         self.calls.append(vm)
         if vm in self.refused:
             raise error.LogError("turned away")
         if offset >= len(self.records):
             with anyio.move_on_after(wait_s):
                 await self._changed.wait()
-        return keyed.Changes(self.records[offset:], len(self.records))
+        return keyedstream.Changes(self.records[offset:], len(self.records))
 
 
-class Reader(reader.StreamReader[keyed.Changes]):
+class Reader(reader.StreamReader[keyedstream.Changes]):
     """Reads the stream for one VM."""
 
     def __init__(self, vm: str, log: Log) -> None:
@@ -65,21 +67,21 @@
         self._vm = vm
         self._log = log
 
-    async def read_first(self) -> keyed.Changes:
+    async def read_first(self) -> keyedstream.Changes:
         return await self._log.read(self._vm, 0, 0.0)
 
     async def read_on(
         self, offset: int, wait_s: float, timeout_s: float
-    ) -> keyed.Changes:
+    ) -> keyedstream.Changes:
         return await self._log.read(self._vm, offset, wait_s)
 
-    async def take(self, page: keyed.Changes, first: bool) -> None:
+    async def take(self, page: keyedstream.Changes, first: bool) -> None:
         self.mirror.take(page, first)
 
-    def get_end(self, page: keyed.Changes) -> int:
+    def get_end(self, page: keyedstream.Changes) -> int:
         return page.end
 
-    def count_records(self, page: keyed.Changes) -> int:
+    def count_records(self, page: keyedstream.Changes) -> int:
         return len(page.records)
 
 
--- a/test/test_mirror.py
+++ b/test/test_mirror.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ramptray.log import keyed, mirror
+from ramptray.log import keyedstream, mirror
 from ramptray.peer import codec
 from ramptray.peer import message as peer_message
 
@@ -20,9 +20,9 @@
     return json.dumps({"version": version, "routes": routes}).encode()
 
 
-def make_mirror(*changes: keyed.Change) -> mirror.Mirror:
+def make_mirror(*changes: keyedstream.Change) -> mirror.Mirror:
     made = mirror.Mirror()
-    made.take(keyed.Changes(list(changes), len(changes)), True)
+    made.take(keyedstream.Changes(list(changes), len(changes)), True)
     return made
 
 
@@ -49,36 +49,38 @@
 
 
 def test_a_change_of_a_large_value_is_told_as_its_difference() -> None:
-    teller = make_mirror(keyed.Change("config", make_large(1), 0))
+    teller = make_mirror(keyedstream.Change("config", make_large(1), 0))
     asker = mirror.Mirror()
     first = pass_on(teller, asker)
     assert count_bytes(first) < len(make_large(1)) / 3
     for version in range(2, 5):
-        change = keyed.Change("config", make_large(version), version - 1)
-        teller.take(keyed.Changes([change], version), False)
+        change = keyedstream.Change("config", make_large(version), version - 1)
+        teller.take(keyedstream.Changes([change], version), False)
     # Three versions later: still the difference of the newest alone.
     assert count_bytes(pass_on(teller, asker)) < 400
     assert read_all(asker) == {"config": make_large(4)}
 
 
 def test_who_is_too_far_behind_is_told_the_value_whole() -> None:
-    teller = make_mirror(keyed.Change("config", make_large(1), 0))
+    teller = make_mirror(keyedstream.Change("config", make_large(1), 0))
     asker = mirror.Mirror()
     pass_on(teller, asker)
     for version in range(2, 4 + mirror.KEPT_VALUES):
-        change = keyed.Change("config", make_large(version), version - 1)
-        teller.take(keyed.Changes([change], version), False)
+        change = keyedstream.Change("config", make_large(version), version - 1)
+        teller.take(keyedstream.Changes([change], version), False)
     pass_on(teller, asker)
     assert read_all(asker) == read_all(teller)
 
 
 def test_dropped_keys_are_told() -> None:
     teller = make_mirror(
-        *(keyed.Change(k, b"v", n) for n, k in enumerate("ab"))
+        *(keyedstream.Change(k, b"v", n) for n, k in enumerate("ab"))
     )
     asker = mirror.Mirror()
     pass_on(teller, asker)
-    teller.take(keyed.Changes([keyed.Change("a", None, 2)], 3), False)
+    teller.take(
+        keyedstream.Changes([keyedstream.Change("a", None, 2)], 3), False
+    )
     told = pass_on(teller, asker)
     assert [(r.key, r.value) for r in told.records] == [("a", None)]
     assert read_all(asker) == {"b": b"v"}
@@ -86,22 +88,22 @@
 
 def test_drops_that_are_not_remembered_are_not_missed() -> None:
     teller = make_mirror(
-        *(keyed.Change(k, b"v", n) for n, k in enumerate("ab"))
+        *(keyedstream.Change(k, b"v", n) for n, k in enumerate("ab"))
     )
     asker = mirror.Mirror()
     pass_on(teller, asker)
     count = 2
     for number in range(mirror.KEPT_DROPS + 5):
         key = "a" if number == 0 else f"k{number}"
-        change = keyed.Change(key, None, count)
-        teller.take(keyed.Changes([change], count + 1), False)
+        change = keyedstream.Change(key, None, count)
+        teller.take(keyedstream.Changes([change], count + 1), False)
         count += 1
     assert pass_on(teller, asker).whole
     assert read_all(asker) == {"b": b"v"}
 
 
 def test_a_damaged_value_is_not_taken() -> None:
-    teller = make_mirror(keyed.Change("config", make_large(1), 0))
+    teller = make_mirror(keyedstream.Change("config", make_large(1), 0))
     news = teller.tell("s", -1)
     (record,) = news.records
     assert record.value is not None
@@ -117,7 +119,7 @@
 
 
 def test_news_that_leave_records_out_are_not_taken() -> None:
-    asker = make_mirror(keyed.Change("a", b"1", 0))
+    asker = make_mirror(keyedstream.Change("a", b"1", 0))
     ahead = peer_message.StreamNews("s", 5, [], 9, False)
     with pytest.raises(mirror.MirrorError, match="not held"):
         asker.unpack(ahead)
@@ -146,6 +148,6 @@
             pass_on(teller, asker)
             assert read_all(asker) == read_all(teller)
             continue
-        change = keyed.Change(step[0], step[1], count)
+        change = keyedstream.Change(step[0], step[1], count)
         count += 1
-        teller.take(keyed.Changes([change], count), False)
+        teller.take(keyedstream.Changes([change], count), False)
