--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -308,6 +308,29 @@
         return store.Changes([], offset)
 
 
+class _LateStore(store.Store):
+    """A store whose last bytes come as the call is given up."""
+
+    async def _call(
+        self, target: str, on_bytes: Callable[[], None]
+    ) -> tuple[int, bytes]:
+        try:
+            await anyio.sleep_forever()
+        finally:
+            on_bytes()
+
+
+def test_bytes_that_come_as_a_call_is_given_up_end_no_program() -> None:
+    # Bytes move the end of a call, so that a large answer on a slow link is not
+    # given up.  Where they came in the moment of the end, the call neither had
+    # an answer nor was it told to have taken too long, and the program ended
+    # with "cannot access local variable 'status'" (bin/bench soak, seeds 103
+    # and 105 with 4 VMs).
+    late = _LateStore("127.0.0.1:9")
+    with pytest.raises(store.StoreTimeoutError):
+        anyio.run(late.read_changes, "topic", 0, 0.0, 0.05)
+
+
 def test_the_return_of_the_store_is_noticed_without_a_record() -> None:
     # kl-ramptray, trouble-1, seed 742343616300: the return was noticed with
     # the first record that went three seconds later, which was then taken for
