Tell a call to the store that got no answer by its answer, not by its deadline

Cause: bytes of an answer move a call's deadline; where they came in the moment in which it was given up, it counted as in time and without an answer, and the program ended. The test failed before, and seed 103 stays in test_soak.py.

--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -174,17 +174,18 @@
         on_bytes: OnBytes,
     ) -> bytes:
         target = f"{path}?{urllib.parse.urlencode(query)}"
+        answer: tuple[int, bytes] | None = None
         try:
-            with anyio.fail_after(timeout_s) as scope:
+            with anyio.move_on_after(timeout_s) as scope:
 
                 def extend() -> None:
                     stalls_at = anyio.current_time() + log_reader.STALL_S
                     scope.deadline = max(scope.deadline, stalls_at)
                     on_bytes()
 
-                status, body = await self._call(target, extend)
+                answer = await self._call(target, extend)
         except TimeoutError as error:
-            raise StoreTimeoutError(f"{path}: no answer in time") from error
+            raise StoreTimeoutError(f"{path}: no connection") from error
         except (
             OSError,
             anyio.BrokenResourceError,
@@ -192,6 +193,10 @@
             h11.RemoteProtocolError,
         ) as error:
             raise StoreError(f"{path}: {error!r}") from error
+        if answer is None:
+            # Not told by the scope's deadline: late bytes may have moved it.
+            raise StoreTimeoutError(f"{path}: no answer in time")
+        status, body = answer
         if status == _GONE:
             raise TrimmedError(f"{path}: status {status}")
         if status != _OK:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -9,21 +9,23 @@
 
 from test import soak
 
-VMS = 3
 SECONDS = 36.0
 
 
 @pytest.mark.parametrize(
-    "seed",
+    ("seed", "vms"),
     [
         # All VMs' reads were lost in a silent store: no change came into force
         # in the calm after it ("a change is in force soon on a calm VM": 42 of
         # 93 looks found an older one).
-        4,
+        (4, 3),
+        # Bytes of the store came as a call was given up, and the program ended;
+        # seed 105 broke the same way.
+        (103, 4),
     ],
 )
-def test_the_promises_are_kept_under_random_faults(seed: int) -> None:
-    promises, faults = soak.run_soak(VMS, seed, SECONDS)
+def test_the_promises_are_kept_under_random_faults(seed: int, vms: int) -> None:
+    promises, faults = soak.run_soak(vms, seed, SECONDS)
     shown = "\n".join([kept.format() for kept in promises] + faults)
     assert not any(kept.violations for kept in promises), shown
     assert all(kept.chances for kept in promises[:6]), shown
