--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -318,6 +318,7 @@
             await anyio.sleep_forever()
         finally:
             on_bytes()
+        raise AssertionError("never ends by itself")
 
 
 def test_bytes_that_come_as_a_call_is_given_up_end_no_program() -> None:
