--- a/ramptray/core/tree.py
+++ b/ramptray/core/tree.py
@@ -28,8 +28,8 @@
 and none has to tell more than a dozen."""
 
 SOURCES = 2
-"""VMs that each VM follows at a time: while one is frozen or cut off, the other
-goes on telling."""
+"""VMs that each VM may follow: while the first is frozen or cut off, the other
+is asked."""
 
 READ_KEY = "read"
 """Key by which VMs that are alike are put in an order."""
@@ -41,7 +41,7 @@
 
     Attributes:
         reads: Whether it reads the log for the others.
-        sources: Addresses of the VMs that it follows, the nearest first.
+        sources: Addresses of the VMs that it follows, the first one first.
         turn: When it reads the log itself if nobody tells it anything, counted
             over the VMs of its zone: all at once would be too much.
     """
--- a/ramptray/scheduler/feed.py
+++ b/ramptray/scheduler/feed.py
@@ -50,6 +50,11 @@
 MAX_TURN_S = 2.0
 """Longest time that such a VM leaves to those before it, in seconds."""
 
+OVERDUE_S = 1.2
+"""Age of what is known from which on the second source is asked too, in
+seconds: the first one tells once a second.  Asking both all the time would
+double the questions of an idle VM."""
+
 FRESHER_S = 0.5
 """By how much knowledge must be younger to be told without a record, in
 seconds: readers learn the log's state once a second."""
@@ -130,6 +135,7 @@
         self._patient_until = time.monotonic() + FIRST_START_S * bool(waits)
         self._told_at = dict.fromkeys(self._streams, float("-inf"))
         self._wanted: frozenset[str] = frozenset()
+        self._first = ""
         self._followed: set[str] = set()
         self._damaged: set[str] = set()
         self._changed = anyio.Event()
@@ -216,6 +222,7 @@
         if self._place is not None:
             wanted = self._place.sources
         self._wanted = frozenset(wanted)
+        self._first = next(iter(wanted), "")
         for address in self._wanted - self._followed:
             self._followed.add(address)
             tasks.start_soon(self._follow, address)
@@ -223,11 +230,17 @@
     async def _follow(self, address: str) -> None:
         """Follows a VM as long as that is wanted.
 
+        Those beside the first one are asked while it tells nothing.
+
         The last question is not cancelled: that would leave the channel's own
         cancellation behind, which no scope here takes for its own.
         """
         while address in self._wanted:
-            if not await self.ask(address, WAIT_S):
+            told_at = min(self._told_at.values())
+            is_overdue = time.monotonic() - told_at > OVERDUE_S
+            if address != self._first and not is_overdue:
+                await anyio.sleep(CHECK_S)
+            elif not await self.ask(address, WAIT_S):
                 await anyio.sleep(PAUSE_S)
         self._followed.discard(address)
 
