Drop what is no longer asked of peers on the users' platform

VMs tell one another records of the store now, so bundles carry no replicas any more and the book takes no peer's list. Two tests hear a peer by its records instead, with the same claims.

--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -174,13 +174,9 @@
 
     Attributes:
         envelope: The bundle, if it is newer than asked.
-        replicas: Backend servers outside the bundle, by their names.
-        fresh: Whether they come from a store that answers the peer.
     """
 
     envelope: signature.Envelope | None
-    replicas: dict[str, Replica] = dataclasses.field(default_factory=dict)
-    fresh: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 import time
 from collections.abc import Callable, Collection, Iterable, Mapping
@@ -169,20 +168,6 @@
         """See the base class."""
         if told.envelope:
             self._take_text(told.envelope.text, f"peer {address}")
-        if told.fresh and self._replicas.lost:
-            self._book.take_from_peer(told.replicas, time.monotonic())
-            self._publish()
-
-    def answer(
-        self, question: peer_message.FetchBundle
-    ) -> peer_message.FetchedBundle:
-        """See the base class."""
-        told = super().answer(question)
-        reader = self._replicas
-        fresh = not reader.lost and reader.answered_at is not None
-        return dataclasses.replace(
-            told, replicas=self._book.list_replicas(), fresh=fresh
-        )
 
     def list_gauges(self, now: float) -> list[metrics.Gauge]:
         """Returns the reads of the store and the generation in force."""
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -133,21 +133,6 @@
         ]
         self._take_gone(dict.fromkeys(missing, -1), now)
 
-    def take_from_peer(
-        self, told: Mapping[str, peer_message.Replica], now: float
-    ) -> None:
-        """Takes what a peer knows that the store answers."""
-        for name, replica in told.items():
-            if self._is_overtaken(name, replica):
-                continue
-            if replica.leaving:
-                # Perhaps its record only lapsed: the store's word decides.
-                self._known[name] = _Known(replica, forget_at=now + FORGET_S)
-            else:
-                self._put(name, replica)
-        missing = [n for n in self._known if n not in told]
-        self._take_gone(dict.fromkeys(missing, -1), now)
-
     def expire(self, now: float) -> bool:
         """Drops those that were kept long enough; tells whether there are."""
         expired = [
--- a/test/test_replicas.py
+++ b/test/test_replicas.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 
 from ramptray.core import message, policy, shard
+from ramptray.log import mirror
 from ramptray.platform import config, follower, replicas, store
 from ramptray.scheduler import rules
 from test import node
@@ -99,18 +100,24 @@
 def test_a_peer_that_knows_the_run_before_only_changes_nothing() -> None:
     book = make_book(("i", make_record(born=SECOND)))
     before = book.list_replicas()
-    behind = make_book(("i", make_record(state="draining")))
-    book.take_from_peer(behind.list_replicas(), 1.0)
+    hear(book, make_record(state="draining"))
     assert book.list_replicas() == before
 
 
 def test_a_peer_s_word_on_a_new_run_ends_the_leaving_of_the_old_one() -> None:
     book = make_book(("i", make_record(state="draining")))
-    ahead = make_book(("i", make_record(born=SECOND)))
-    book.take_from_peer(ahead.list_replicas(), 1.0)
+    hear(book, make_record(born=SECOND))
     assert list_candidates(book) == {"i"}
 
 
+def hear(book: replicas.ReplicaBook, value: bytes) -> None:
+    """Lets a book take all that a peer holds: one record."""
+    peer = mirror.Mirror()
+    peer.take(store.Changes([store.Change("i", value)], 1), True)
+    told = mirror.Mirror().unpack(peer.tell("topic", -1))
+    book.take_all(told.records, 1.0)
+
+
 # What an owner has learned of the run before.
 
 
