--- a/ramptray/log/mirror.py
+++ b/ramptray/log/mirror.py
@@ -191,8 +191,3 @@
             if version.position == record.base:
                 return version.value
         raise MirrorError(f"{record.key}: the record it rests on is not held")
-
-
-def is_newer(news: peer_message.StreamNews, ends: dict[str, int]) -> bool:
-    """Tells whether somebody who holds so much of the streams lacks records."""
-    return news.end > ends.get(news.stream, -1)
--- a/ramptray/log/reader.py
+++ b/ramptray/log/reader.py
@@ -66,6 +66,7 @@
 6 without (88 VMs, 1,317 routes, the same load played again)."""
 
 LOG_ORIGIN = "log"
+"""What log lines name as the origin of what the log itself told."""
 
 PageT = TypeVar("PageT")
 
