--- a/test/test_hang.py
+++ b/test/test_hang.py
@@ -4,8 +4,8 @@
 budget of further attempts allowed another one at that moment; where it was used
 up just then, nobody looked again, and they were waited for until the callers'
 deadlines, though there was budget again two seconds later.  A stream of such a
-day fits it ("first_token" at 12.9 s, then nothing until "end" with "caller_gone"
-at 27.7 s); its budget was not logged.
+day fits it ("first_token" at 12.9 s, then nothing until its "end" with
+"caller_gone" at 27.7 s); its budget was not logged.
 """
 
 from __future__ import annotations
