--- a/ramptray/core/tree.py
+++ b/ramptray/core/tree.py
@@ -24,8 +24,9 @@
 """VMs of each zone that follow VMs of other zones: one may be lost."""
 
 FANOUT = 6
-"""VMs that follow one VM in the first place: 200 VMs are told in three steps,
-and none has to tell more than a dozen."""
+"""VMs of its own zone that follow one VM in the first place.  Worked out for
+five zones: 78, 195 and 414 VMs are told in three steps, and none has more than
+14 followers, the heads of other zones included."""
 
 SOURCES = 2
 """VMs that each VM may follow: while the first is frozen or cut off, the other
