--- a/test/test_stopped_link.py
+++ b/test/test_stopped_link.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -37,51 +39,61 @@
         await anyio.sleep_forever()
 
 
-async def test_a_stopped_link_leaves_the_tasks_beside_it_alone() -> None:
+@contextlib.asynccontextmanager
+async def serve(
+    servant: peer_link.Servant,
+) -> AsyncIterator[tuple[str, peer_link.PeerClient]]:
+    """Serves a peer; yields its address and a client for it."""
     hybrid_clock = clock.HybridClock(lambda: 0)
     address = f"127.0.0.1:{node.find_port()}"
-    server = peer_link.PeerServer(Greeter(), hybrid_clock, None)
+    server = peer_link.PeerServer(servant, hybrid_clock, None)
     await server.start(address)
     client = peer_link.PeerClient(hybrid_clock, None)
+    try:
+        yield address, client
+    finally:
+        await client.close()
+        await server.stop()
+
+
+async def count_beats() -> int:
+    """Returns how often a task beside the others goes on."""
+    beats = 0
+    for _ in range(5):
+        await anyio.sleep(0.05)
+        beats += 1
+    return beats
+
+
+async def test_a_stopped_link_leaves_the_tasks_beside_it_alone() -> None:
     send, receive = anyio.create_memory_object_stream[Any](100)
     beats = 0
-    with anyio.fail_after(10.0):
-        async with anyio.create_task_group() as tasks:
-            link = attachment.Attachment(address, HELLO, client, send)
-            tasks.start_soon(link.run)
-            assert isinstance(await receive.receive(), attachment.Up)
-            link.stop()
-            for _ in range(5):
-                await anyio.sleep(0.05)
-                beats += 1
-            tasks.cancel_scope.cancel()
+    async with serve(Greeter()) as (address, client):
+        with anyio.fail_after(10.0):
+            async with anyio.create_task_group() as tasks:
+                link = attachment.Attachment(address, HELLO, client, send)
+                tasks.start_soon(link.run)
+                assert isinstance(await receive.receive(), attachment.Up)
+                link.stop()
+                beats = await count_beats()
+                tasks.cancel_scope.cancel()
     assert beats == 5
-    await client.close()
-    await server.stop()
 
 
 async def test_a_cancelled_question_leaves_the_tasks_beside_it_alone() -> None:
-    hybrid_clock = clock.HybridClock(lambda: 0)
-    address = f"127.0.0.1:{node.find_port()}"
-    server = peer_link.PeerServer(Slow(), hybrid_clock, None)
-    await server.start(address)
-    client = peer_link.PeerClient(hybrid_clock, None)
     scope = anyio.CancelScope()
     beats = 0
-
-    async def ask() -> None:
-        with scope:
-            await client.ask(address, peer_message.AskStatus(), 5.0)
-
-    with anyio.fail_after(10.0):
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(ask)
-            await anyio.sleep(0.3)
-            scope.cancel()
-            for _ in range(5):
-                await anyio.sleep(0.05)
-                beats += 1
-            tasks.cancel_scope.cancel()
+    async with serve(Slow()) as (address, client):
+
+        async def ask() -> None:
+            with scope:
+                await client.ask(address, peer_message.AskStatus(), 5.0)
+
+        with anyio.fail_after(10.0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.3)
+                scope.cancel()
+                beats = await count_beats()
+                tasks.cancel_scope.cancel()
     assert beats == 5
-    await client.close()
-    await server.stop()
