Have the soak ask beyond a customer's limit, so that each run judges refusals

Nothing was broken: whether a VM refuses at all was left to how faults and load met. A customer now presses beyond its limit at each VM throughout, 600 tokens every 0.3 s against 100 a second, so refusals come whatever the faults are.

--- a/test/node.py
+++ b/test/node.py
@@ -20,6 +20,8 @@
 PROBE_S = 0.03
 SERVICE = "lm"
 KEY = "key-ola"
+LIMITED_KEY = "key-small"
+"""Key of a customer that may send 100 tokens a second, and 1,000 at once."""
 HOST = "lm.example"
 SLOTS = 4
 """Requests that a replica works on at a time."""
@@ -89,7 +91,7 @@
             {"name": "ola", "apiKeys": [KEY], "priority": 0},
             {
                 "name": "small",
-                "apiKeys": ["key-small"],
+                "apiKeys": [LIMITED_KEY],
                 "priority": 0,
                 "unit": "tokens",
                 "ratePerS": 100,
--- a/test/soak.py
+++ b/test/soak.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import dataclasses
 import http.client
 import itertools
@@ -19,7 +20,8 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
 
 import click
 
@@ -56,6 +58,14 @@
 KINDS = {"/safe/": "GET", "/once/": "POST", "/stream/": "POST"}
 """Routes that are asked, and the method for each."""
 
+PRESSED_PATH = "/once/"
+PRESSED_TOKENS = "300,300"
+"""Tokens in and out of each request of the customer that presses beyond its
+limit: VMs refuse it in every run, whatever the faults, so that "not run" is
+judged in every run."""
+
+PRESS_EVERY_S = 0.3
+
 NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
 
@@ -189,6 +199,7 @@
         tasks: list[Callable[[], None]] = [self._make_changes, self._harm]
         for name in self._names:
             tasks.append(lambda vm=name: self._look(vm))  # type: ignore[misc]
+            tasks.append(lambda vm=name: self._press(vm))  # type: ignore[misc]
             for path in KINDS:
                 tasks.append(
                     lambda vm=name, on=path: self._call(vm, on)  # type: ignore[misc]
@@ -221,6 +232,22 @@
             self._asks.append(ask)
             time.sleep(0.05)
 
+    def _press(self, vm: str) -> None:
+        """Asks for more than the customer may have."""
+        more = {
+            "Authorization": f"Bearer {node.LIMITED_KEY}",
+            "X-Token-Count": PRESSED_TOKENS,
+        }
+        while not self._is_over():
+            time.sleep(PRESS_EVERY_S)
+            name = f"q{next(self._numbers)}"
+            ask = Ask(name, PRESSED_PATH, vm, time.monotonic())
+            connection = self._connect(vm)
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                ask = _send(connection, ask, more)
+            connection.close()
+            self._asks.append(ask)
+
     def _look(self, vm: str) -> None:
         newest_turn = itertools.cycle((True, False))
         while not self._is_over():
@@ -491,9 +518,18 @@
     """Ends a fault that is over with its beginning."""
 
 
-def _send(connection: http.client.HTTPConnection, ask: Ask) -> Ask:
+def _send(
+    connection: http.client.HTTPConnection,
+    ask: Ask,
+    more: Mapping[str, str] = MappingProxyType({}),
+) -> Ask:
     """Sends a request and returns it with what came back.
 
+    Args:
+        connection: Where to.
+        ask: The request.
+        more: Headers that it has instead of the usual ones, or beside them.
+
     Raises:
         OSError: The connection broke before an answer.
         http.client.HTTPException: What came is no answer.
@@ -504,6 +540,7 @@
         "X-Request-Id": ask.name,
         "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
         "Authorization": f"Bearer {node.KEY}",
+        **more,
     }
     body = ask.name.encode() if method == "POST" else None
     connection.request(method, ask.path, body, headers)
