--- a/ramptray/bundle/acceptance.py
+++ b/ramptray/bundle/acceptance.py
@@ -7,23 +7,21 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
 from result import Err, Ok
 
 from ramptray.bundle import delta, model, signature, text
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rollout:
+class Rollout(msgspec.Struct, frozen=True):
     """A record by which operators put a bundle in force."""
 
     envelope: signature.Envelope
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Checkpoint:
+class Checkpoint(msgspec.Struct, frozen=True):
     """A record of the bundle in force after reading up to an offset.
 
     Attributes:
@@ -35,8 +33,7 @@
     through_offset: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DeltaRollout:
+class DeltaRollout(msgspec.Struct, frozen=True):
     """A rollout that carries only the difference to the bundle it replaces.
 
     Attributes:
@@ -67,8 +64,7 @@
     CHECKPOINT = "checkpoint"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InForce:
+class InForce(msgspec.Struct, frozen=True):
     """A bundle in force."""
 
     bundle: model.Bundle
--- a/ramptray/bundle/record.py
+++ b/ramptray/bundle/record.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import Any
 
 import msgspec
@@ -35,7 +34,7 @@
 def format_record(record: acceptance.Record) -> dict[str, Any]:
     """Returns a record as it stands in the log."""
     if isinstance(record, acceptance.DeltaRollout):
-        return dataclasses.asdict(record)
+        return msgspec.structs.asdict(record)
     body: dict[str, Any] = {
         "text": record.envelope.text,
         "signatures": record.envelope.signatures,
--- a/ramptray/bundle/signature.py
+++ b/ramptray/bundle/signature.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import dataclasses
 import hashlib
 
+import msgspec
 from cryptography import exceptions
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
 PREFIX = "ed25519:"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Envelope:
+class Envelope(msgspec.Struct, frozen=True):
     """A bundle's text with its signatures.
 
     Attributes:
@@ -52,7 +51,7 @@
         ValueError: The text is not a private key.
     """
     signature = _load(private_key).sign(envelope.text.encode()).hex()
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         envelope, signatures={**envelope.signatures, operator: signature}
     )
 
--- a/ramptray/bundle/text.py
+++ b/ramptray/bundle/text.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import pathlib
 from typing import Any, TypeVar
 
+import msgspec
 import pydantic
 import pyjson5
 from result import Err, Ok, Result
@@ -16,8 +16,7 @@
 ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Mistake:
+class Mistake(msgspec.Struct, frozen=True):
     """One mistake in a file that a person wrote.
 
     Attributes:
--- a/ramptray/caller/answer.py
+++ b/ramptray/caller/answer.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 
+import msgspec
 from starlette import responses
 
 from ramptray.entry import ticket as tickets
@@ -18,8 +18,7 @@
 REPLAYED_HEADER = "x-ramptray-replayed"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HeldAnswer:
+class HeldAnswer(msgspec.Struct, frozen=True):
     """A whole answer to a request with an idempotency key.
 
     Attributes:
--- a/ramptray/caller/intake.py
+++ b/ramptray/caller/intake.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import anyio
+import msgspec
 from result import Err, Ok, Result
 from starlette import requests, responses
 
@@ -18,8 +17,7 @@
 RETRY_AFTER_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Intake:
+class Intake(msgspec.Struct, frozen=True):
     """A request whose sender and body are known.
 
     Attributes:
@@ -47,7 +45,7 @@
     body = await _read_body(http, limits)
     if isinstance(body, caller_request.Mistake):
         return Err(refusal.answer_mistake(body))
-    return Ok(dataclasses.replace(intake, body=body))
+    return Ok(msgspec.structs.replace(intake, body=body))
 
 
 def identify(
--- a/ramptray/caller/metrics.py
+++ b/ramptray/caller/metrics.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 from collections.abc import Iterable, Iterator, Mapping
 
+import msgspec
 from hdrh import histogram
 
 HIGHEST_US = 3_600_000_000
@@ -13,8 +13,7 @@
 _QUANTILES = (50.0, 95.0, 99.0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Gauge:
+class Gauge(msgspec.Struct, frozen=True):
     """A value that is measured when the metrics are asked for.
 
     Attributes:
--- a/ramptray/caller/request.py
+++ b/ramptray/caller/request.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import hashlib
 import uuid
 from collections.abc import Mapping
@@ -31,8 +30,7 @@
 """What a call to a plain service counts as, in tokens."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Mistake:
+class Mistake(msgspec.Struct, frozen=True):
     """Why a request cannot be taken as it is."""
 
     status: int
@@ -41,8 +39,7 @@
     outcome: message.Outcome = message.Outcome.NOT_RUN
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Asked:
+class Asked(msgspec.Struct, frozen=True):
     """A request that can be taken.
 
     Attributes:
@@ -161,7 +158,7 @@
     if deadline_s is None:
         text = f"{DEADLINE_HEADER}: expected a positive number of seconds"
         return Err(Mistake(400, "invalid_value", text))
-    info = dataclasses.replace(info, tier=tier, deadline_s=deadline_s)
+    info = msgspec.structs.replace(info, tier=tier, deadline_s=deadline_s)
     key = headers.get(KEY_HEADER)
     if key is None:
         return Ok(Asked(info, None))
--- a/ramptray/command/explain.py
+++ b/ramptray/command/explain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import datetime
 import itertools
 import pathlib
@@ -54,8 +53,7 @@
 """What each reason means, in words."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Line:
+class Line(msgspec.Struct, frozen=True):
     """One log line that may matter.
 
     Attributes:
--- a/ramptray/command/losses.py
+++ b/ramptray/command/losses.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import enum
 import itertools
 import pathlib
 from collections.abc import Iterable, Mapping
 
 import click
+import msgspec
 
 from ramptray.command import explain
 from ramptray.command.error import CommandError
@@ -54,8 +54,7 @@
 """Causes by the reason that an ``end`` line tells."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Loss:
+class Loss(msgspec.Struct, frozen=True):
     """What became of one request.
 
     Attributes:
--- a/ramptray/controller/leaseholder.py
+++ b/ramptray/controller/leaseholder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 import time
 from collections.abc import Callable
@@ -83,7 +82,7 @@
                 LOG.info("lease not appended: %s", error)
 
     async def _append(self, record: lease.LeaseRecord) -> None:
-        await self._log.append(self._stream, dataclasses.asdict(record))
+        await self._log.append(self._stream, msgspec.to_builtins(record))
 
     def _report(self) -> None:
         held = self._lease.holds(time.monotonic())
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import enum
 import math
 import statistics
 from collections.abc import Iterable
 
+import msgspec
+
 from ramptray.core import message
 from ramptray.core import speed as speeds
 
@@ -66,8 +67,7 @@
     LEAVING = "leaving"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BackendInfo:
+class BackendInfo(msgspec.Struct, frozen=True):
     """What the bundle says of a backend server.
 
     Attributes:
@@ -87,8 +87,7 @@
     run: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class Placed:
+class Placed(msgspec.Struct):
     """A request that occupies a place on a backend server."""
 
     request: message.RequestInfo
--- a/ramptray/core/claim.py
+++ b/ramptray/core/claim.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
 import xxhash
 
 from ramptray.core import message, request
@@ -40,8 +40,7 @@
     DONE = "done"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimRecord:
+class ClaimRecord(msgspec.Struct, frozen=True):
     """One fact in a claim stream.
 
     Attributes:
@@ -59,13 +58,12 @@
     status: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class _KeyState:
+class _KeyState(msgspec.Struct):
     holder: str | None = None
     digest: str = ""
     status: int = 0
     done: bool = False
-    released: set[str] = dataclasses.field(default_factory=set)
+    released: set[str] = msgspec.field(default_factory=set)
 
 
 class ClaimLedger:
--- a/ramptray/core/lease.py
+++ b/ramptray/core/lease.py
@@ -14,15 +14,15 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 
+import msgspec
+
 DRIFT = 0.05
 """By which part a clock may run faster than another."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseRecord:
+class LeaseRecord(msgspec.Struct, frozen=True):
     """A record of a zone's lease stream.
 
     Attributes:
@@ -38,8 +38,7 @@
     released: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseTimes:
+class LeaseTimes(msgspec.Struct, frozen=True):
     """How long things take, in seconds.
 
     Attributes:
--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -20,9 +20,10 @@
 
 import collections
 import contextlib
-import dataclasses
 from collections.abc import Iterable
 
+import msgspec
+
 from ramptray.core import meter
 
 BURST_S = 2.0
@@ -53,8 +54,7 @@
 """Customers whose use is told to other zones."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rate:
+class Rate(msgspec.Struct, frozen=True):
     """A customer's limit in one zone; None where there is none.
 
     Attributes:
@@ -72,8 +72,7 @@
     span_total: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Shape:
+class _Shape(msgspec.Struct, frozen=True):
     """How a bucket fills and empties.
 
     Attributes:
--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import math
 import random
 from collections.abc import Iterable
 
+import msgspec
 import xxhash
 
 PERIOD_S = 0.5
@@ -50,8 +50,7 @@
 _ORDER = {state: place for place, state in enumerate(MemberState)}
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True):
     """A scheduler as its zone knows it.
 
     Attributes:
@@ -85,8 +84,7 @@
         return mine > theirs
 
 
-@dataclasses.dataclass(slots=True)
-class _Known:
+class _Known(msgspec.Struct):
     member: Member
     since: float
     told: int = 0
@@ -184,7 +182,7 @@
         """Notes that a member did not answer a probe."""
         known = self._known.get(vm)
         if known and known.member.state is MemberState.ALIVE:
-            suspected = dataclasses.replace(
+            suspected = msgspec.structs.replace(
                 known.member, state=MemberState.SUSPECT
             )
             self._put(suspected, now)
@@ -195,7 +193,9 @@
             state = known.member.state
             if state is MemberState.SUSPECT and now - known.since > SUSPECT_S:
                 self._put(
-                    dataclasses.replace(known.member, state=MemberState.DEAD),
+                    msgspec.structs.replace(
+                        known.member, state=MemberState.DEAD
+                    ),
                     now,
                 )
             gone = state in (MemberState.DEAD, MemberState.LEFT)
@@ -226,7 +226,7 @@
         generation: int | None = None,
     ) -> None:
         me = self._me
-        self._me = dataclasses.replace(
+        self._me = msgspec.structs.replace(
             me,
             incarnation=me.incarnation if incarnation is None else incarnation,
             state=me.state if state is None else state,
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class Outcome(enum.Enum):
     """What a caller may believe about its request."""
@@ -38,8 +39,7 @@
     STREAM_BROKEN = "stream_broken"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShardKey:
+class ShardKey(msgspec.Struct, frozen=True):
     """The unit of ownership: part of a service within an availability zone."""
 
     zone: str
@@ -60,8 +60,7 @@
         return self.zone if shares_limits else self.format()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestInfo:
+class RequestInfo(msgspec.Struct, frozen=True):
     """What a scheduler knows of a request; never its body.
 
     Attributes:
@@ -111,15 +110,13 @@
     event_tokens: int = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Enqueue:
+class Enqueue(msgspec.Struct, frozen=True):
     """Entry to owner: this request waits for a grant."""
 
     request: RequestInfo
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Running:
+class Running(msgspec.Struct, frozen=True):
     """Entry to a new owner: this request already runs on a backend server.
 
     Attributes:
@@ -137,15 +134,13 @@
     run: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Withdraw:
+class Withdraw(msgspec.Struct, frozen=True):
     """Entry to owner: forget this request, it no longer waits or runs here."""
 
     request_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Decline:
+class Decline(msgspec.Struct, frozen=True):
     """Entry to owner: this grant is not used.
 
     Attributes:
@@ -163,8 +158,7 @@
     silent: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FirstToken:
+class FirstToken(msgspec.Struct, frozen=True):
     """Entry to owner: the answer has begun.
 
     Attributes:
@@ -180,8 +174,7 @@
     cached_tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ended:
+class Ended(msgspec.Struct, frozen=True):
     """Entry to owner: the request has left its backend server.
 
     Attributes:
@@ -206,15 +199,13 @@
     refused: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SyncDone:
+class SyncDone(msgspec.Struct, frozen=True):
     """Entry to owner: everything that waits or runs here has been sent."""
 
     entry: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Speed:
+class Speed(msgspec.Struct, frozen=True):
     """How fast a backend server works, as an owner has learned it.
 
     Attributes:
@@ -232,8 +223,7 @@
         return self.fixed_s + tokens / self.prefill_rate
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SpeedLearned:
+class SpeedLearned(msgspec.Struct, frozen=True):
     """Entry to the scheduler of its own VM: what another owner has learned.
 
     That scheduler may own the shard next, and would otherwise learn anew.
@@ -249,8 +239,7 @@
     run: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
+class Grant(msgspec.Struct, frozen=True):
     """Owner to entry: dispatch this request to this backend server.
 
     Attributes:
@@ -277,8 +266,7 @@
     run: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reject:
+class Reject(msgspec.Struct, frozen=True):
     """Owner to entry: this request is given up; answer the caller now."""
 
     request_id: str
@@ -286,8 +274,7 @@
     retry_after_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Redirect:
+class Redirect(msgspec.Struct, frozen=True):
     """Owner to entry: no room here; ask the owner in another zone.
 
     Attributes:
@@ -301,15 +288,13 @@
     owner: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Queued:
+class Queued(msgspec.Struct, frozen=True):
     """Owner to entry: this request waits here; more word will follow."""
 
     request_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StillWaiting:
+class StillWaiting(msgspec.Struct, frozen=True):
     """Owner to entry: the owner is alive, and requests of yours wait here."""
 
     count: int
--- a/ramptray/core/placement.py
+++ b/ramptray/core/placement.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class OrderKind(enum.Enum):
     """What an engine can be told to do."""
@@ -18,8 +19,7 @@
     ROLE = "role"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
+class Order(msgspec.Struct, frozen=True):
     """An order to one engine.
 
     Attributes:
@@ -33,8 +33,7 @@
     argument: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Wish:
+class Wish(msgspec.Struct, frozen=True):
     """What the bundle declares for an engine.
 
     Attributes:
@@ -46,8 +45,7 @@
     role: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineState:
+class EngineState(msgspec.Struct, frozen=True):
     """What an engine says of itself.
 
     Attributes:
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import abc
-import dataclasses
 import itertools
 import math
 from collections.abc import Callable, Sequence
 
+import msgspec
+
 from ramptray.core import backend as backends
 from ramptray.core import message
 
@@ -37,8 +38,7 @@
 engine's speed holds."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Demand:
+class Demand(msgspec.Struct, frozen=True):
     """What is to be placed.
 
     Attributes:
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import heapq
 import math
 
+import msgspec
+
 from ramptray.core import message
 
 OUTPUT_WEIGHT = 4
@@ -18,8 +19,7 @@
     return request.prompt_tokens + OUTPUT_WEIGHT * request.output_tokens
 
 
-@dataclasses.dataclass(slots=True)
-class Waiting:
+class Waiting(msgspec.Struct):
     """A request in the queue.
 
     Attributes:
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 from ramptray.core import message
 
 
@@ -30,23 +31,20 @@
     LOST = "lost"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True):
     """Effect: send the request's body to this backend server, once."""
 
     grant: message.Grant
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tell:
+class Tell(msgspec.Struct, frozen=True):
     """Effect: send this message to the named scheduler."""
 
     owner: str
     message: message.EntryMessage
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finish:
+class Finish(msgspec.Struct, frozen=True):
     """Effect: give the caller its final outcome."""
 
     outcome: message.Outcome
@@ -54,13 +52,11 @@
     retry_after_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Release:
+class Release(msgspec.Struct, frozen=True):
     """Effect: the claim on the idempotency key is no longer needed."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Cancel:
+class Cancel(msgspec.Struct, frozen=True):
     """Effect: cancel the stream on the backend server."""
 
     backend: str
@@ -216,12 +212,12 @@
             outcome = message.Outcome.NOT_RUN
             if self._may_have_run:
                 outcome = message.Outcome.UNKNOWN
-            final = dataclasses.replace(finish, outcome=outcome)
+            final = msgspec.structs.replace(finish, outcome=outcome)
             return self._end_dispatched(final, ended)
         self.state = State.WAITING
         self._grant = None
         self.tried = (*self.tried, backend)
-        self.info = dataclasses.replace(
+        self.info = msgspec.structs.replace(
             self.info,
             avoid=(*self.info.avoid, backend),
             attempt=self.dispatches,
--- a/ramptray/core/retry.py
+++ b/ramptray/core/retry.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
+
+import msgspec
 
 from ramptray.core import meter
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BudgetRules:
+class BudgetRules(msgspec.Struct, frozen=True):
     """The budget of one VM for one service.
 
     Attributes:
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import itertools
 import math
 from collections.abc import Mapping
 
+import msgspec
+
 from ramptray.core import backend as backends
 from ramptray.core import (
     fleet,
@@ -50,8 +51,7 @@
 """Longest advice on when to come back, in seconds."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Basis:
+class Basis(msgspec.Struct, frozen=True):
     """What an owner knew when it decided on a request, for the logs.
 
     Attributes:
@@ -73,8 +73,7 @@
     left_s: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ToEntry:
+class ToEntry(msgspec.Struct, frozen=True):
     """Effect: send this message to the named entry."""
 
     entry: str
@@ -82,8 +81,7 @@
     basis: Basis | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShardRules:
+class ShardRules(msgspec.Struct, frozen=True):
     """What the bundle says about a shard.
 
     Attributes:
@@ -103,8 +101,7 @@
     version: str = ""
 
 
-@dataclasses.dataclass(slots=True)
-class Counters:
+class Counters(msgspec.Struct):
     """What the shard has done since its owner took over."""
 
     enqueued: int = 0
@@ -667,7 +664,7 @@
             return []
         if decline.unreachable:
             backend.note_unreachable(now)
-        request = dataclasses.replace(
+        request = msgspec.structs.replace(
             placed.request, avoid=decline.avoid, silent=decline.silent
         )
         waiting = self._queue.make(request, entry, placed.asked_at)
--- a/ramptray/core/speed.py
+++ b/ramptray/core/speed.py
@@ -13,9 +13,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 
+import msgspec
+
 from ramptray.core import message
 
 DEFAULT_FIXED_S = 0.03
@@ -79,8 +80,7 @@
 """Least rate that is told, in prompt tokens a second: 0 cannot be taken."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Fit:
+class _Fit(msgspec.Struct):
     """Weighted sums from which a straight line is fitted by least squares."""
 
     count: float = 0.0
@@ -172,8 +172,7 @@
         self._fit.add(tokens, seconds, weight)
 
 
-@dataclasses.dataclass(slots=True)
-class EngineSpeed:
+class EngineSpeed(msgspec.Struct):
     """What is known of one engine's speed.
 
     Attributes:
--- a/ramptray/core/summary.py
+++ b/ramptray/core/summary.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from ramptray.core import message
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShardSummary:
+class ShardSummary(msgspec.Struct, frozen=True):
     """What other zones need to know of a shard, to send requests there.
 
     Attributes:
@@ -27,7 +26,7 @@
     waiting: tuple[int, ...]
     has_backend: bool
     version: int
-    uses: dict[str, float] = dataclasses.field(default_factory=dict)
+    uses: dict[str, float] = msgspec.field(default_factory=dict)
 
     def has_room(self, rank: int, cost: int) -> bool:
         """Tells whether a request of this tier would be kept there."""
--- a/ramptray/core/tree.py
+++ b/ramptray/core/tree.py
@@ -11,9 +11,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Iterable
 
+import msgspec
+
 from ramptray.core import membership
 
 READERS = 2
@@ -36,8 +37,7 @@
 """Key by which VMs that are alike are put in an order."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
+class Place(msgspec.Struct, frozen=True):
     """A VM's place among those that follow the log.
 
     Attributes:
--- a/ramptray/engine/client.py
+++ b/ramptray/engine/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 from collections.abc import AsyncIterator
 from typing import Any, TypeVar
 
@@ -59,8 +58,7 @@
     """The engine does not know the stream (any more)."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True):
     """An engine's lagging word on itself.
 
     Attributes:
@@ -78,8 +76,7 @@
     step_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CacheEvents:
+class CacheEvents(msgspec.Struct, frozen=True):
     """Changes of an engine's prefix cache, late and with gaps.
 
     Attributes:
--- a/ramptray/engine/event.py
+++ b/ramptray/engine/event.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 END_DATA = "[DONE]"
 """Data of the event that marks the end of a whole answer."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Event:
+class Event(msgspec.Struct, frozen=True):
     """One server-sent event.
 
     Attributes:
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 import time
 from collections.abc import Callable, Iterable
@@ -15,6 +14,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from ramptray import runtime
 from ramptray.bundle import acceptance, signature
@@ -266,8 +266,8 @@
         shard = ticket.machine.info.shard
         if shard.zone != self._zone and not self._owners.reaches(shard.zone):
             # The zone it was sent on to has been cut off: it comes home.
-            shard = dataclasses.replace(shard, zone=self._zone)
-            ticket.machine.info = dataclasses.replace(
+            shard = msgspec.structs.replace(shard, zone=self._zone)
+            ticket.machine.info = msgspec.structs.replace(
                 ticket.machine.info, shard=shard
             )
         owner = self._owners.find(shard, now)
@@ -389,9 +389,9 @@
         if ticket.machine.state is not request.State.WAITING:
             return
         info = self._get_info(ticket, now)
-        info = dataclasses.replace(
+        info = msgspec.structs.replace(
             info,
-            shard=dataclasses.replace(info.shard, zone=redirect.zone),
+            shard=msgspec.structs.replace(info.shard, zone=redirect.zone),
             spilled_from=(*info.spilled_from, info.shard.zone),
         )
         self.timeline.note("redirect", info.request_id, zone=redirect.zone)
--- a/ramptray/entry/exchange.py
+++ b/ramptray/entry/exchange.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 from collections.abc import AsyncIterator, Callable
 
@@ -48,8 +47,7 @@
 Item = event.Event | request.Finish
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ModelCall:
+class ModelCall(msgspec.Struct, frozen=True):
     """What is sent to the engine.
 
     Attributes:
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 from collections.abc import Iterable
 
+import msgspec
+
 from ramptray.core import membership, message
 from ramptray.peer import message as peer_message
 
@@ -19,8 +20,7 @@
 """How long a scheduler that stays silent is not asked at most, in seconds."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Doubt:
+class _Doubt(msgspec.Struct, frozen=True):
     """Why a scheduler is not asked for a while."""
 
     until: float
--- a/ramptray/entry/reach.py
+++ b/ramptray/entry/reach.py
@@ -8,10 +8,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 from collections.abc import Mapping
 
+import msgspec
+
 LOG = logging.getLogger(__name__)
 
 FIRST_PAUSE_S = 0.5
@@ -25,8 +26,7 @@
 """An answer this recent shows that its zone can be reached, in seconds."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Pause:
+class _Pause(msgspec.Struct, frozen=True):
     until: float
     length_s: float
 
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 import time
 
 import anyio
+import msgspec
 from anyio.streams import memory
 
 from ramptray.core import message, request
 from ramptray.peer import attachment
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimWish:
+class ClaimWish(msgspec.Struct, frozen=True):
     """What is claimed for a request that may not be repeated.
 
     Attributes:
@@ -26,15 +25,13 @@
     digest: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Submitted:
+class Submitted(msgspec.Struct, frozen=True):
     """A new request."""
 
     ticket: Ticket
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConnectFailed:
+class ConnectFailed(msgspec.Struct, frozen=True):
     """There was no connection to the backend server; nothing was sent.
 
     Attributes:
@@ -46,15 +43,13 @@
     refused: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Begun:
+class Begun(msgspec.Struct, frozen=True):
     """The first token has arrived."""
 
     first: message.FirstToken
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Completed:
+class Completed(msgspec.Struct, frozen=True):
     """The whole answer has arrived.
 
     Attributes:
@@ -66,15 +61,13 @@
     status: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """The backend server says that it did not admit the request."""
 
     ended: message.Ended
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptFailed:
+class AttemptFailed(msgspec.Struct, frozen=True):
     """An attempt has ended without an answer; another one may follow.
 
     Attributes:
@@ -88,16 +81,14 @@
     reason: message.Reason
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lost:
+class Lost(msgspec.Struct, frozen=True):
     """The answer cannot be had any more."""
 
     ended: message.Ended
     reason: message.Reason
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Abandoned:
+class Abandoned(msgspec.Struct, frozen=True):
     """The caller has gone."""
 
     ended: message.Ended
@@ -173,7 +164,7 @@
             silent: Backend servers that this VM cannot reach.
         """
         elapsed = now - self.began
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             self.machine.info,
             deadline_s=max(0.0, self.deadline - now),
             objective_s=_subtract(self.info.objective_s, elapsed),
--- a/ramptray/load/main.py
+++ b/ramptray/load/main.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import pathlib
 import sys
 import time
@@ -78,7 +77,7 @@
     """Writes each request's end as a JSON line."""
     with path.open("wb") as file:
         for hit in hits:
-            fields = {**dataclasses.asdict(hit), "useful": hit.useful}
+            fields = {**msgspec.to_builtins(hit), "useful": hit.useful}
             fields.pop("gaps")
             file.write(msgspec.json.encode(fields) + b"\n")
 
--- a/ramptray/load/plan.py
+++ b/ramptray/load/plan.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import math
 import random
 import uuid
 
+import msgspec
 import pydantic
 
 from ramptray.bundle import model
@@ -96,8 +96,7 @@
     log_level: str = "WARNING"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Shot:
+class Shot(msgspec.Struct, frozen=True):
     """One request to be sent.
 
     Attributes:
@@ -127,7 +126,7 @@
     ]
     shots.sort(key=lambda shot: shot.at_s)
     return [
-        dataclasses.replace(shot, number=number)
+        msgspec.structs.replace(shot, number=number)
         for number, shot in enumerate(shots)
     ]
 
--- a/ramptray/load/report.py
+++ b/ramptray/load/report.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 from collections.abc import Iterable
 from typing import Any
 
+import msgspec
 from hdrh import histogram
 
 from ramptray.load import shooter
@@ -14,8 +14,7 @@
 _HIGHEST_US = 600_000_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TierReport:
+class TierReport(msgspec.Struct, frozen=True):
     """What became of one tier's requests.
 
     Attributes:
@@ -87,7 +86,7 @@
     wasted = sum(ledger["wasted_prefill_tokens"] for ledger in ledgers)
     cached = sum(ledger["cached_tokens"] for ledger in ledgers)
     return {
-        "tiers": [dataclasses.asdict(report) for report in reports],
+        "tiers": [msgspec.to_builtins(report) for report in reports],
         "prefill_tokens": prefill,
         "wasted_prefill_tokens": wasted,
         "wasted_prefill_share": wasted / prefill if prefill else 0.0,
--- a/ramptray/load/shooter.py
+++ b/ramptray/load/shooter.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 import time
 from collections.abc import Iterator
@@ -24,8 +23,7 @@
 RESEND_PAUSE_S = 0.5
 
 
-@dataclasses.dataclass(slots=True)
-class Hit:
+class Hit(msgspec.Struct):
     """What became of one request.
 
     Attributes:
@@ -64,9 +62,9 @@
     tokens: int = 0
     first_token_s: float | None = None
     total_s: float = 0.0
-    gaps: list[float] = dataclasses.field(default_factory=list)
+    gaps: list[float] = msgspec.field(default_factory=list)
     entry: str = ""
-    attempts: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    attempts: list[tuple[str, str]] = msgspec.field(default_factory=list)
 
     @property
     def useful(self) -> bool:
--- a/ramptray/log/client.py
+++ b/ramptray/log/client.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import abc
-import dataclasses
 from typing import Any
 
 import anyio
@@ -28,16 +27,14 @@
     """The platform did not answer in time."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LogRecord:
+class LogRecord(msgspec.Struct, frozen=True):
     """One record of a stream."""
 
     offset: int
     body: dict[str, Any]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Page:
+class Page(msgspec.Struct, frozen=True):
     """Part of a stream.
 
     Attributes:
--- a/ramptray/log/keyedstream.py
+++ b/ramptray/log/keyedstream.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """The newest record of a key.
 
     Attributes:
@@ -20,8 +19,7 @@
     position: int = -1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
+class Changes(msgspec.Struct, frozen=True):
     """Records of a keyed stream.
 
     Attributes:
--- a/ramptray/log/mirror.py
+++ b/ramptray/log/mirror.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 
+import msgspec
 import xxhash
 
 from ramptray.bundle import delta
@@ -35,8 +35,7 @@
     """What a peer told does not fit to what is held, or is damaged."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Version:
+class _Version(msgspec.Struct, frozen=True):
     """A value of a key, and its offset."""
 
     position: int
--- a/ramptray/log/reader.py
+++ b/ramptray/log/reader.py
@@ -11,7 +11,6 @@
 
 import abc
 import contextlib
-import dataclasses
 import logging
 import random
 import time
@@ -19,6 +18,7 @@
 from typing import Generic, TypeVar
 
 import anyio
+import msgspec
 
 from ramptray.caller import metrics
 from ramptray.log import error as log_error
@@ -71,8 +71,7 @@
 PageT = TypeVar("PageT")
 
 
-@dataclasses.dataclass(slots=True)
-class _Underway:
+class _Underway(msgspec.Struct):
     """A read that waits.
 
     Attributes:
--- a/ramptray/log/vmlist.py
+++ b/ramptray/log/vmlist.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
 import httpcore
@@ -21,8 +20,7 @@
     LEAVING = "leaving"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Vm:
+class Vm(msgspec.Struct, frozen=True):
     """A VM in the platform's list.
 
     Attributes:
--- a/ramptray/node/probe.py
+++ b/ramptray/node/probe.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
 
 import anyio
 import anyio.abc
 import h11
+import msgspec
 
 READ_BYTES = 8192
 
@@ -23,8 +23,7 @@
 UNAVAILABLE = 503
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Page:
+class Page(msgspec.Struct, frozen=True):
     """What is answered on one path.
 
     Attributes:
--- a/ramptray/node/settings.py
+++ b/ramptray/node/settings.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+import msgspec
 import pydantic
 
 from ramptray.bundle import model
@@ -39,8 +38,7 @@
     exit_margin_s: float = pydantic.Field(0.5, ge=0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Home:
+class Home(msgspec.Struct, frozen=True):
     """Where the entry of this VM stands; see ``dispatcher.Home``."""
 
     vm: str
--- a/ramptray/peer/attachment.py
+++ b/ramptray/peer/attachment.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 import logging
 from typing import Any
 
 import anyio
+import msgspec
 from anyio.streams import memory
 
 from ramptray.peer import link as peer_link
@@ -19,22 +19,19 @@
 QUEUE_MESSAGES = 50_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Up:
+class Up(msgspec.Struct, frozen=True):
     """The link to a scheduler is open and nothing was sent on it yet."""
 
     address: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Down:
+class Down(msgspec.Struct, frozen=True):
     """The link to a scheduler is broken; what was queued is dropped."""
 
     address: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Said:
+class Said(msgspec.Struct, frozen=True):
     """A scheduler has sent a message."""
 
     address: str
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 from typing import Any
 
@@ -69,8 +68,7 @@
     """Bytes from a peer that are not a message."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Frame:
+class Frame(msgspec.Struct, frozen=True):
     """A decoded message with its sender's clock."""
 
     clock: int
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import Any
 
+import msgspec
+
 from ramptray.bundle import signature
 from ramptray.core import membership, summary
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hello:
+class Hello(msgspec.Struct, frozen=True):
     """Entry or controller to scheduler: who attaches."""
 
     name: str
@@ -18,8 +18,7 @@
     kind: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class View:
+class View(msgspec.Struct, frozen=True):
     """Scheduler to an attached process: the schedulers it may use.
 
     Attributes:
@@ -31,37 +30,32 @@
     others: list[membership.Member]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LowestGeneration:
+class LowestGeneration(msgspec.Struct, frozen=True):
     """Scheduler to controller: the zone's VMs all work by this or newer."""
 
     generation: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BundleUpdate:
+class BundleUpdate(msgspec.Struct, frozen=True):
     """Scheduler to an attached process: the bundle in force."""
 
     envelope: signature.Envelope
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InForceReport:
+class InForceReport(msgspec.Struct, frozen=True):
     """Attached process to scheduler: the generation it works by."""
 
     generation: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseReport:
+class LeaseReport(msgspec.Struct, frozen=True):
     """Controller to scheduler: whether it holds its zone's lease."""
 
     held: bool
     fencing: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimKey:
+class ClaimKey(msgspec.Struct, frozen=True):
     """Entry to scheduler: claim an idempotency key for an attempt.
 
     Attributes:
@@ -75,16 +69,14 @@
     digest: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReleaseKey:
+class ReleaseKey(msgspec.Struct, frozen=True):
     """Entry to scheduler: the attempt will never dispatch."""
 
     key: str
     attempt: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FinishKey:
+class FinishKey(msgspec.Struct, frozen=True):
     """Entry to scheduler: the attempt's answer was whole."""
 
     key: str
@@ -92,8 +84,7 @@
     status: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimDecision:
+class ClaimDecision(msgspec.Struct, frozen=True):
     """Scheduler to entry: what the log says of a claim.
 
     Attributes:
@@ -107,8 +98,7 @@
     status: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Gossip:
+class Gossip(msgspec.Struct, frozen=True):
     """Scheduler to scheduler, and back: liveness and recent changes.
 
     Attributes:
@@ -123,18 +113,16 @@
     updates: list[membership.Member]
     summaries: list[summary.ShardSummary]
     contacts: list[membership.Member]
-    ends: dict[str, int] = dataclasses.field(default_factory=dict)
+    ends: dict[str, int] = msgspec.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FetchBundle:
+class FetchBundle(msgspec.Struct, frozen=True):
     """Scheduler to scheduler: send your bundle in force if it is newer."""
 
     above: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Replica:
+class Replica(msgspec.Struct, frozen=True):
     """A backend server that tells of itself, outside the bundle.
 
     Attributes:
@@ -168,8 +156,7 @@
         return self.run < other.run
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FetchedBundle:
+class FetchedBundle(msgspec.Struct, frozen=True):
     """Answer to ``FetchBundle``.
 
     Attributes:
@@ -179,8 +166,7 @@
     envelope: signature.Envelope | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamRecord:
+class StreamRecord(msgspec.Struct, frozen=True):
     """A record of a keyed stream.
 
     Attributes:
@@ -200,8 +186,7 @@
     digest: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamNews:
+class StreamNews(msgspec.Struct, frozen=True):
     """What somebody lacks of a keyed stream.
 
     Attributes:
@@ -226,8 +211,7 @@
     returned_s: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FollowStreams:
+class FollowStreams(msgspec.Struct, frozen=True):
     """VM to VM: tell what the log's streams have beyond these offsets.
 
     Attributes:
@@ -242,27 +226,23 @@
     wait_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ToldStreams:
+class ToldStreams(msgspec.Struct, frozen=True):
     """Answer to ``FollowStreams``; streams that are not held are left out."""
 
     news: list[StreamNews]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AskStatus:
+class AskStatus(msgspec.Struct, frozen=True):
     """Operator's command to scheduler: what do you see."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Status:
+class Status(msgspec.Struct, frozen=True):
     """Answer to ``AskStatus``: a report ready to be shown as JSON."""
 
     report: dict[str, Any]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AskTimeline:
+class AskTimeline(msgspec.Struct, frozen=True):
     """Operator's command to scheduler, or scheduler to an attached process.
 
     Attributes:
@@ -276,8 +256,7 @@
     ticket: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TimelineEvents:
+class TimelineEvents(msgspec.Struct, frozen=True):
     """Answer to ``AskTimeline``.
 
     Attributes:
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import Any
 
 import msgspec
@@ -113,8 +112,7 @@
 NO_TERMS = settings.LimitTerms()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Decoded:
+class _Decoded(msgspec.Struct, frozen=True):
     """A route as it was declared, and what became of it.
 
     Attributes:
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -8,10 +8,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 from collections.abc import Collection, Iterable, Mapping
 
+import msgspec
+
 from ramptray.peer import message as peer_message
 from ramptray.platform import record, store
 from ramptray.scheduler import feed
@@ -39,8 +40,7 @@
 """So many records that go together may mean that the store was away unseen."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Known:
+class _Known(msgspec.Struct):
     replica: peer_message.Replica
     gone_at: float | None = None
     forget_at: float | None = None
@@ -175,7 +175,7 @@
         known = self._known.get(name)
         if known is None or known.replica.position > position >= 0:
             return
-        unused = dataclasses.replace(
+        unused = msgspec.structs.replace(
             known.replica, leaving=True, position=position
         )
         self._known[name] = _Known(unused)
@@ -190,7 +190,7 @@
             self._left[name] = replica.run
         elif self._left.get(name) == replica.run:
             # An old read: a run that leaves never comes back.
-            replica = dataclasses.replace(replica, leaving=True)
+            replica = msgspec.structs.replace(replica, leaving=True)
         before = self._known.get(name)
         self._known[name] = _Known(replica)
         if before is None or not _is_alike(before.replica, replica):
@@ -223,7 +223,7 @@
             if known.replica.position > position >= 0:
                 continue
             if position >= 0:
-                known.replica = dataclasses.replace(
+                known.replica = msgspec.structs.replace(
                     known.replica, position=position
                 )
             if known.replica.leaving:
@@ -242,7 +242,9 @@
         )
 
     def _drop(self, name: str, reason: str, now: float) -> None:
-        replica = dataclasses.replace(self._known[name].replica, leaving=True)
+        replica = msgspec.structs.replace(
+            self._known[name].replica, leaving=True
+        )
         self._known[name] = _Known(replica, forget_at=now + FORGET_S)
         LOG.info(
             "backend server gone", extra={"backend": name, "reason": reason}
@@ -256,4 +258,4 @@
 
 def _is_alike(one: peer_message.Replica, other: peer_message.Replica) -> bool:
     """Tells whether two words differ in their places in the store at most."""
-    return one == dataclasses.replace(other, position=one.position)
+    return one == msgspec.structs.replace(other, position=one.position)
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import os
 import pathlib
 import tomllib
 
+import msgspec
 import pydantic
 
 from ramptray.platform import address
@@ -70,8 +70,7 @@
     platform: _Store
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LimitTerms:
+class LimitTerms(msgspec.Struct, frozen=True):
     """How what customers send is summed against their limits.
 
     Attributes:
@@ -86,8 +85,7 @@
     slack: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class VmSettings:
+class VmSettings(msgspec.Struct, frozen=True):
     """What the platform tells a VM.
 
     Attributes:
--- a/ramptray/process.py
+++ b/ramptray/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 import os
 import pathlib
@@ -15,6 +14,7 @@
 
 import anyio
 import click
+import msgspec
 import pydantic
 from pythonjsonlogger import json as json_logger
 
@@ -38,8 +38,7 @@
     """A failure that ends the program, said in one line."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stop:
+class Stop(msgspec.Struct, frozen=True):
     """Tells the tasks of a process that a planned stop was asked for."""
 
     event: anyio.Event
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -4,7 +4,6 @@
 
 import collections
 import contextlib
-import dataclasses
 import itertools
 import logging
 import select
@@ -16,6 +15,7 @@
 import anyio
 import anyio.abc
 import h11
+import msgspec
 
 from ramptray.relay import dialect as dialects
 from ramptray.relay import message
@@ -79,8 +79,7 @@
     """The connection broke, or its bytes are no answer, after the request."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True):
     """Whom a request is sent to.
 
     Attributes:
@@ -274,8 +273,7 @@
             raise BrokenError(f"{self.address}: {error!r}") from error
 
 
-@dataclasses.dataclass(slots=True)
-class Counters:
+class Counters(msgspec.Struct):
     """What the client has done since its start."""
 
     opened: int = 0
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import abc
-import dataclasses
 import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import anyio
+import msgspec
 
 from ramptray.bundle import model
 from ramptray.core import message as core_message
@@ -73,8 +73,7 @@
         """Cuts the answer, so that it cannot be taken for a whole one."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
+class Order(msgspec.Struct, frozen=True):
     """What is to be served.
 
     Attributes:
@@ -330,7 +329,7 @@
         broken: bool = False,
     ) -> None:
         self._splitter.take_rest()
-        ended = dataclasses.replace(
+        ended = msgspec.structs.replace(
             self._make_ended(False), broken=broken, refused=not_run
         )
         self._ticket.report(tickets.AttemptFailed(ended, not_run, reason))
--- a/ramptray/relay/message.py
+++ b/ramptray/relay/message.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 Headers = list[tuple[bytes, bytes]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Head:
+class Head(msgspec.Struct, frozen=True):
     """The head of an HTTP request as it arrived."""
 
     method: bytes
@@ -16,8 +15,7 @@
     headers: Headers
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerRequest:
+class CallerRequest(msgspec.Struct, frozen=True):
     """A caller's request, decoded.
 
     Attributes:
@@ -51,8 +49,7 @@
     body: bytes = b""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Mistake:
+class Mistake(msgspec.Struct, frozen=True):
     """A request that cannot be served as it is.
 
     Attributes:
@@ -64,8 +61,7 @@
     text: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Attempt:
+class Attempt(msgspec.Struct, frozen=True):
     """One sending of a request to one backend server.
 
     Attributes:
@@ -81,8 +77,7 @@
     last_event: str | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct, frozen=True):
     """The head of a backend server's answer, decoded.
 
     Attributes:
@@ -100,8 +95,7 @@
     idle_s: float | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """A whole answer."""
 
     head: AnswerHead
--- a/ramptray/relay/refusal.py
+++ b/ramptray/relay/refusal.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from ramptray.core import message as core_message
 from ramptray.core import request
@@ -13,8 +13,7 @@
 TOO_MANY = 429
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """An answer that ramptray gives itself.
 
     Attributes:
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 import json
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -12,6 +11,7 @@
 import anyio
 import anyio.abc
 import h11
+import msgspec
 from result import Err, Ok
 
 from ramptray.bundle import model
@@ -56,8 +56,7 @@
         super().__init__(mistake.text)
 
 
-@dataclasses.dataclass(slots=True)
-class State:
+class State(msgspec.Struct):
     """What all connections of the server share.
 
     Attributes:
@@ -73,13 +72,11 @@
         connections: Connections that are open.
     """
 
-    limits: model.RelayLimits = dataclasses.field(
-        default_factory=model.RelayLimits
-    )
+    limits: model.RelayLimits = msgspec.field(default_factory=model.RelayLimits)
     stopping: bool = False
     diverting: bool = False
     refusing: bool = False
-    idle: set[anyio.CancelScope] = dataclasses.field(default_factory=set)
+    idle: set[anyio.CancelScope] = msgspec.field(default_factory=set)
     active: int = 0
     connections: int = 0
 
@@ -219,7 +216,7 @@
             case Ok(asked):
                 pass
         body = await self._read_body()
-        return dataclasses.replace(asked, body=body)
+        return msgspec.structs.replace(asked, body=body)
 
     async def _read_head(self) -> h11.Request | None:
         limits = self._state.limits
--- a/ramptray/runtime.py
+++ b/ramptray/runtime.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from ramptray import process, timeline, wallclock
 from ramptray import settings as settings_module
@@ -11,8 +11,7 @@
 from ramptray.peer import link as peer_link
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Runtime:
+class Runtime(msgspec.Struct, frozen=True):
     """Clock, time line and channels of one process.
 
     Attributes:
--- a/ramptray/scheduler/claims.py
+++ b/ramptray/scheduler/claims.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-import enum
 import logging
 import time
 from collections.abc import Callable
@@ -36,8 +34,7 @@
 INBOX = 100_000
 
 
-@dataclasses.dataclass(slots=True)
-class _Pending:
+class _Pending(msgspec.Struct):
     session: peer_link.Session
     wish: peer_message.ClaimKey
     since: float
@@ -66,21 +63,16 @@
         self._take_page(page)
 
 
-@dataclasses.dataclass(slots=True)
-class Partition:
+class Partition(msgspec.Struct):
     """One claim stream as this scheduler has read it."""
 
     number: int
     reader: ClaimReader
-    ledger: claim.ClaimLedger = dataclasses.field(
-        default_factory=claim.ClaimLedger
-    )
-    pending: dict[str, _Pending] = dataclasses.field(default_factory=dict)
-    outbox: list[claim.ClaimRecord] = dataclasses.field(default_factory=list)
-    scope: anyio.CancelScope = dataclasses.field(
-        default_factory=anyio.CancelScope
-    )
-    wake: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    ledger: claim.ClaimLedger = msgspec.field(default_factory=claim.ClaimLedger)
+    pending: dict[str, _Pending] = msgspec.field(default_factory=dict)
+    outbox: list[claim.ClaimRecord] = msgspec.field(default_factory=list)
+    scope: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
+    wake: anyio.Event = msgspec.field(default_factory=anyio.Event)
 
 
 class ClaimDesk:
@@ -272,8 +264,5 @@
 
 
 def _format(record: claim.ClaimRecord) -> dict[str, Any]:
-    fields = dataclasses.asdict(record)
-    return {
-        name: value.value if isinstance(value, enum.Enum) else value
-        for name, value in fields.items()
-    }
+    fields: dict[str, Any] = msgspec.to_builtins(record)
+    return fields
--- a/ramptray/scheduler/event.py
+++ b/ramptray/scheduler/event.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 from anyio.streams import memory
 
 from ramptray.bundle import acceptance
@@ -16,82 +16,71 @@
     from ramptray.engine import client as engine_client
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Opened:
+class Opened(msgspec.Struct, frozen=True):
     """A process has attached."""
 
     session: peer_link.Session
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Closed:
+class Closed(msgspec.Struct, frozen=True):
     """An attached process has gone."""
 
     session: peer_link.Session
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
+class Received(msgspec.Struct, frozen=True):
     """An attached process has sent a message."""
 
     session: peer_link.Session
     body: Any
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BundleChanged:
+class BundleChanged(msgspec.Struct, frozen=True):
     """Another bundle is in force."""
 
     in_force: acceptance.InForce
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ViewChanged:
+class ViewChanged(msgspec.Struct, frozen=True):
     """The zone's membership, or what is known of other zones, has changed."""
 
     view: peer_message.View
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LowestChanged:
+class LowestChanged(msgspec.Struct, frozen=True):
     """All VMs of the zone now work by this generation or a newer one."""
 
     generation: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reported:
+class Reported(msgspec.Struct, frozen=True):
     """An engine's load report has arrived, or none did."""
 
     backend: str
     report: engine_client.LoadReport | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CacheChanged:
+class CacheChanged(msgspec.Struct, frozen=True):
     """An engine's cache events have arrived."""
 
     backend: str
     events: engine_client.CacheEvents
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeavingListed:
+class LeavingListed(msgspec.Struct, frozen=True):
     """The platform's list names these backend servers as leaving."""
 
     names: frozenset[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Decided:
+class Decided(msgspec.Struct, frozen=True):
     """The log has decided on a claim."""
 
     session: peer_link.Session
     decision: peer_message.ClaimDecision
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EventsWanted:
+class EventsWanted(msgspec.Struct, frozen=True):
     """An operator asks for the events of this VM's processes.
 
     Attributes:
@@ -103,30 +92,26 @@
     answers: memory.MemoryObjectSendStream[peer_message.TimelineEvents]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Wanted:
+class Wanted(msgspec.Struct, frozen=True):
     """An entry wants a key."""
 
     session: peer_link.Session
     wish: peer_message.ClaimKey
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unwanted:
+class Unwanted(msgspec.Struct, frozen=True):
     """An entry will never dispatch an attempt."""
 
     release: peer_message.ReleaseKey
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finished:
+class Finished(msgspec.Struct, frozen=True):
     """An attempt's answer was whole."""
 
     finish: peer_message.FinishKey
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PartitionsChanged:
+class PartitionsChanged(msgspec.Struct, frozen=True):
     """These partitions are this scheduler's own in its view."""
 
     numbers: frozenset[int]
--- a/ramptray/scheduler/feed.py
+++ b/ramptray/scheduler/feed.py
@@ -9,13 +9,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 import time
 from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 import anyio.abc
+import msgspec
 
 from ramptray.core import membership, tree
 from ramptray.log import keyedstream
@@ -73,8 +73,7 @@
 Reader = log_reader.StreamReader[keyedstream.Changes]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Trouble:
+class Trouble(msgspec.Struct, frozen=True):
     """How the log has failed whoever reads it.
 
     Attributes:
@@ -86,8 +85,7 @@
     returned_s: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stream:
+class Stream(msgspec.Struct, frozen=True):
     """A stream that is followed.
 
     Attributes:
@@ -160,7 +158,7 @@
         self._place = place
         LOG.info(
             "place in the distribution",
-            extra=dataclasses.asdict(place) if place else {"alone": True},
+            extra=msgspec.to_builtins(place) if place else {"alone": True},
         )
 
     # Telling others.
@@ -180,7 +178,7 @@
             if each.reader.end is None:
                 continue
             news = each.mirror.tell(name, asked.ends.get(name, -1))
-            news = dataclasses.replace(
+            news = msgspec.structs.replace(
                 news,
                 age_s=now - each.reader.fresh_at,
                 trouble_s=trouble.ago_s,
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 import time
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import msgspec
 from anyio.streams import memory
 
 from ramptray import timeline, wallclock
@@ -42,8 +42,7 @@
 INBOX = 200_000
 
 
-@dataclasses.dataclass(slots=True)
-class Attached:
+class Attached(msgspec.Struct):
     """What is known of an attached process."""
 
     hello: peer_message.Hello
@@ -51,8 +50,7 @@
     holds_lease: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Options:
+class Options(msgspec.Struct, frozen=True):
     """How a hub works.
 
     Attributes:
@@ -345,7 +343,7 @@
         basis = {
             "entry": effect.entry,
             "generation": self.in_force.generation if self.in_force else None,
-            **(dataclasses.asdict(effect.basis) if effect.basis else {}),
+            **(msgspec.to_builtins(effect.basis) if effect.basis else {}),
         }
         match effect.message:
             case message.Grant(request_id, _, name):
--- a/ramptray/scheduler/query.py
+++ b/ramptray/scheduler/query.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 import itertools
 from collections.abc import Iterable
 
 import anyio
+import msgspec
 from anyio.streams import memory
 
 from ramptray.peer import link as peer_link
@@ -32,7 +32,7 @@
     ) -> None:
         """Asks some attached processes."""
         number = next(self._numbers)
-        question = dataclasses.replace(wanted.question, ticket=number)
+        question = msgspec.structs.replace(wanted.question, ticket=number)
         for session in asked:
             self._open[number, session] = wanted.answers.clone()
             session.send(question)
--- a/ramptray/service/client.py
+++ b/ramptray/service/client.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import httpcore
+import msgspec
 
 from ramptray import httperror
 
@@ -24,8 +23,7 @@
     """The connection broke after the call was sent; it may have run."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
+class Call(msgspec.Struct, frozen=True):
     """A call to a plain service.
 
     Attributes:
@@ -41,8 +39,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """A whole answer of a plain service."""
 
     status: int
--- a/ramptray/standin/engine/batch.py
+++ b/ramptray/standin/engine/batch.py
@@ -8,18 +8,18 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import hashlib
 import random
 
+import msgspec
+
 from ramptray.core import prefix
 
 CHUNK_TOKENS = 256
 """Prompt tokens that one step computes at most, where nothing else is said."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Speed:
+class Speed(msgspec.Struct, frozen=True):
     """How fast an engine is.
 
     Attributes:
@@ -35,8 +35,7 @@
     chunk_tokens: int = CHUNK_TOKENS
 
 
-@dataclasses.dataclass(slots=True)
-class Sequence:
+class Sequence(msgspec.Struct):
     """A request in the engine."""
 
     request_id: str
@@ -111,8 +110,7 @@
         self._blocks.clear()
 
 
-@dataclasses.dataclass(slots=True)
-class Ledger:
+class Ledger(msgspec.Struct):
     """What the engine has seen, for tests to judge promises by.
 
     Attributes:
@@ -126,16 +124,14 @@
         orders: Orders, with whether they were stale or refused.
     """
 
-    dispatches: list[tuple[str, float]] = dataclasses.field(
-        default_factory=list
-    )
-    completed: list[str] = dataclasses.field(default_factory=list)
+    dispatches: list[tuple[str, float]] = msgspec.field(default_factory=list)
+    completed: list[str] = msgspec.field(default_factory=list)
     prefill_tokens: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
     wasted_prefill_tokens: int = 0
     cancelled_output_tokens: int = 0
-    orders: list[dict[str, object]] = dataclasses.field(default_factory=list)
+    orders: list[dict[str, object]] = msgspec.field(default_factory=list)
 
 
 class Batch:
--- a/ramptray/standin/engine/main.py
+++ b/ramptray/standin/engine/main.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import random
 import time
 from collections.abc import AsyncIterator
@@ -83,8 +82,7 @@
     refuse: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class Stream:
+class Stream(msgspec.Struct):
     """A sequence with its events, kept for resuming."""
 
     sequence: batch.Sequence
@@ -92,7 +90,7 @@
     version: str
     events: list[str]
     ended_at: float | None = None
-    changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
 
 
 class ConnectionCutError(Exception):
@@ -412,7 +410,7 @@
     async def _show_ledger(
         self, request: requests.Request
     ) -> responses.Response:
-        return responses.JSONResponse(dataclasses.asdict(self.batch.ledger))
+        return responses.JSONResponse(msgspec.to_builtins(self.batch.ledger))
 
     def _drop_old_streams(self, now: float) -> None:
         self._streams = {
--- a/ramptray/standin/platform/main.py
+++ b/ramptray/standin/platform/main.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import hashlib
 import random
 import time
 from typing import Any
 
 import anyio
+import msgspec
 import pydantic
 from starlette import applications, requests, responses, routing
 
@@ -65,12 +65,11 @@
     retain_records: int | None = None
 
 
-@dataclasses.dataclass
-class Stream:
+class Stream(msgspec.Struct):
     """One stream of the log."""
 
     first: int = 0
-    records: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    records: list[dict[str, Any]] = msgspec.field(default_factory=list)
 
     @property
     def next_offset(self) -> int:
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 import logging
 
 import anyio
 import anyio.abc
 import h11
+import msgspec
 import pydantic
 
 from ramptray import process
@@ -62,8 +62,7 @@
     work_s: float | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class Ledger:
+class Ledger(msgspec.Struct):
     """What the replica has seen.
 
     Attributes:
@@ -73,10 +72,10 @@
         refused: Ids of the requests that it turned away.
     """
 
-    runs: list[str] = dataclasses.field(default_factory=list)
-    heads: list[dict[str, str]] = dataclasses.field(default_factory=list)
-    gone: list[str] = dataclasses.field(default_factory=list)
-    refused: list[str] = dataclasses.field(default_factory=list)
+    runs: list[str] = msgspec.field(default_factory=list)
+    heads: list[dict[str, str]] = msgspec.field(default_factory=list)
+    gone: list[str] = msgspec.field(default_factory=list)
+    refused: list[str] = msgspec.field(default_factory=list)
 
 
 class Replica:
@@ -131,7 +130,7 @@
             await _send(stream, 200, b"", [])
             return True
         if path == "/ledger":
-            seen = json.dumps(dataclasses.asdict(self._ledger)).encode()
+            seen = json.dumps(msgspec.to_builtins(self._ledger)).encode()
             await _send(stream, 200, seen, [])
             return True
         return await self._answer(stream, http, path, headers, body)
--- a/ramptray/standin/service/main.py
+++ b/ramptray/standin/service/main.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 from typing import Any
 
 import anyio
+import msgspec
 import pydantic
 from starlette import applications, requests, responses, routing
 
@@ -51,14 +51,11 @@
     """Raised to make the web server cut a connection."""
 
 
-@dataclasses.dataclass(slots=True)
-class Ledger:
+class Ledger(msgspec.Struct):
     """What the service has run."""
 
-    dispatches: list[tuple[str, float]] = dataclasses.field(
-        default_factory=list
-    )
-    runs_by_key: dict[str, int] = dataclasses.field(default_factory=dict)
+    dispatches: list[tuple[str, float]] = msgspec.field(default_factory=list)
+    runs_by_key: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class Service:
@@ -129,7 +126,7 @@
     async def _show_ledger(
         self, request: requests.Request
     ) -> responses.Response:
-        report: dict[str, Any] = dataclasses.asdict(self._ledger)
+        report: dict[str, Any] = msgspec.to_builtins(self._ledger)
         return responses.JSONResponse(report)
 
 
--- a/test/test_bundle.py
+++ b/test/test_bundle.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -78,9 +78,9 @@
     assert reader.read(0, record) is acceptance.Verdict.WRONG_BASE
     reader.read(1, acceptance.Rollout(FIRST))
     last = "1" if FIRST.digest.endswith("0") else "0"
-    forged = dataclasses.replace(record, digest=FIRST.digest[:-1] + last)
+    forged = msgspec.structs.replace(record, digest=FIRST.digest[:-1] + last)
     assert reader.read(2, forged) is acceptance.Verdict.INVALID
-    broken = dataclasses.replace(record, delta="AAAA", digest="sha256:0")
+    broken = msgspec.structs.replace(record, delta="AAAA", digest="sha256:0")
     assert reader.read(3, broken) is acceptance.Verdict.INVALID
 
 
@@ -95,7 +95,7 @@
     alone = make_signed(make_body(1, None), "anna")
     verdict = reader.read(0, acceptance.Rollout(alone))
     assert verdict is acceptance.Verdict.BAD_SIGNATURE
-    moved = dataclasses.replace(FIRST, text=FIRST.text + " ")
+    moved = msgspec.structs.replace(FIRST, text=FIRST.text + " ")
     verdict = reader.read(1, acceptance.Rollout(moved))
     assert verdict is acceptance.Verdict.BAD_SIGNATURE
     assert reader.in_force is None
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -96,7 +96,7 @@
 def test_a_restarted_member_overrides_its_former_life() -> None:
     zone = Zone(2, loss=0.0)
     zone.run(10)
-    reborn = dataclasses.replace(
+    reborn = msgspec.structs.replace(
         zone.views["vm4"].me, incarnation=9, address="10.9.9.9:1"
     )
     zone.views["vm4"] = membership.Membership(
@@ -142,7 +142,7 @@
     assert not mine.is_minority()
     mine.suspect("c", 1.0)
     assert mine.is_minority()
-    left = dataclasses.replace(others[2], state=membership.MemberState.LEFT)
+    left = msgspec.structs.replace(others[2], state=membership.MemberState.LEFT)
     mine.merge([left], 2.0)
     assert mine.is_minority()
 
--- a/test/test_mirror.py
+++ b/test/test_mirror.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -108,12 +108,12 @@
     (record,) = news.records
     assert record.value is not None
     for damaged in (
-        dataclasses.replace(record, value=record.value[:-9]),
-        dataclasses.replace(record, value=b"junk"),
-        dataclasses.replace(record, digest=7),
-        dataclasses.replace(record, base=5),
+        msgspec.structs.replace(record, value=record.value[:-9]),
+        msgspec.structs.replace(record, value=b"junk"),
+        msgspec.structs.replace(record, digest=7),
+        msgspec.structs.replace(record, base=5),
     ):
-        told = dataclasses.replace(news, records=[damaged])
+        told = msgspec.structs.replace(news, records=[damaged])
         with pytest.raises(mirror.MirrorError):
             mirror.Mirror().unpack(told)
 
--- a/test/test_shard.py
+++ b/test/test_shard.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+import msgspec
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -304,7 +303,7 @@
 def test_no_room_here_sends_the_request_where_there_is_room() -> None:
     owner = make_owner(count=0)
     elsewhere = summary.ShardSummary(
-        dataclasses.replace(KEY, zone="waw-b"),
+        msgspec.structs.replace(KEY, zone="waw-b"),
         "127.0.0.2:1",
         4000,
         (0, 0, 0),
--- a/test/test_waiting.py
+++ b/test/test_waiting.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from ramptray.core import backend, message, policy, shard
@@ -58,7 +57,7 @@
     """Takes every place of a backend server; returns the requests' names."""
     names = [f"{name}-{number}" for number in range(PLACES)]
     for taken in names:
-        info = dataclasses.replace(SHORT, request_id=taken)
+        info = msgspec.structs.replace(SHORT, request_id=taken)
         owner.fleet.place(info, owner.fleet.backends[name], "entry", "", 0.5)
         first = message.FirstToken(taken, 0.1, 300, 0)
         owner.fleet.begin_answer(first, 0.6)
@@ -88,7 +87,7 @@
     # side are not kept for them.
     owner = make_owner(near=FAST, far=FAST)
     fill(owner, "near")
-    cut_off = dataclasses.replace(LONG, silent=("far",))
+    cut_off = msgspec.structs.replace(LONG, silent=("far",))
     assert send(owner, cut_off) == []
     assert send(owner, SHORT, 1.01) == ["far"]
 
@@ -97,23 +96,25 @@
     # cmp-flotta, scale-1: behind a cut, requests waited for the fast engines
     # on the other side while the slow one on theirs had places.
     owner = make_owner(fast=FAST, slow=SLOW)
-    cut_off = dataclasses.replace(LONG, silent=("fast",))
+    cut_off = msgspec.structs.replace(LONG, silent=("fast",))
     assert send(owner, cut_off) == ["slow"]
 
 
 def test_a_request_that_is_late_anywhere_takes_what_there_is() -> None:
     owner = make_owner(fast=FAST, slow=SLOW)
     fill(owner, "fast")
-    assert send(owner, dataclasses.replace(LONG, objective_s=0.05)) == ["slow"]
+    assert send(owner, msgspec.structs.replace(LONG, objective_s=0.05)) == [
+        "slow"
+    ]
 
 
 def test_a_long_prompt_does_not_hold_up_the_answers_beside_it() -> None:
     owner = make_owner(slow=SLOW)
-    beside = dataclasses.replace(SHORT, max_gap_s=0.25, event_tokens=6)
+    beside = msgspec.structs.replace(SHORT, max_gap_s=0.25, event_tokens=6)
     assert send(owner, beside) == ["slow"]
     first = message.FirstToken("short", 0.15, 300, 0)
     owner.receive("entry", first, 1.15)
-    patient = dataclasses.replace(
+    patient = msgspec.structs.replace(
         LONG, objective_s=2.0, max_gap_s=0.25, event_tokens=6
     )
     assert send(owner, patient, 1.2) == []
@@ -124,7 +125,7 @@
 def test_late_requests_let_those_in_time_pass() -> None:
     owner = make_owner(fast=FAST)
     running = fill(owner, "fast")
-    late = dataclasses.replace(
+    late = msgspec.structs.replace(
         SHORT, request_id="late", objective_s=0.2, attempt=1
     )
     assert send(owner, late, 1.0) == []
@@ -137,7 +138,7 @@
 
 def test_answers_of_one_event_teach_no_pace() -> None:
     owner = make_owner(fast=FAST)
-    info = dataclasses.replace(SHORT, event_tokens=6)
+    info = msgspec.structs.replace(SHORT, event_tokens=6)
     assert send(owner, info) == ["fast"]
     owner.receive("entry", message.FirstToken("short", 0.04, 300, 0), 1.04)
     ended = message.Ended("short", 6, 0.0, True, first_tokens=6)
@@ -150,7 +151,7 @@
     known = owner.fleet.backends["fast"]
     before = known.speed.factor
     first, second = (
-        dataclasses.replace(LONG, request_id=name, prompt_tokens=10_000)
+        msgspec.structs.replace(LONG, request_id=name, prompt_tokens=10_000)
         for name in ("a", "b")
     )
     assert send(owner, first, 1.0) == send(owner, second, 1.0) == ["fast"]
@@ -164,7 +165,7 @@
     known = owner.fleet.backends["fast"]
     for number in range(2):
         now = 1.0 + number
-        info = dataclasses.replace(SHORT, request_id=f"r{number}")
+        info = msgspec.structs.replace(SHORT, request_id=f"r{number}")
         assert send(owner, info, now) == ["fast"]
         first = message.FirstToken(f"r{number}", 0.2, 300, 0)
         owner.receive("entry", first, now + 0.2)
@@ -181,7 +182,7 @@
     for number in range(40):
         now = 1.0 + number
         tokens = (100, 700, 3000)[number % 3]
-        info = dataclasses.replace(
+        info = msgspec.structs.replace(
             SHORT, request_id=f"r{number}", prompt_tokens=tokens
         )
         assert send(owner, info, now) == ["fast"]
@@ -201,7 +202,7 @@
     owner = make_owner(fast=FAST)
     owner.receive("lost", message.Enqueue(SHORT), 1.0)
     owner.lose_entry("lost", 1.5)
-    again = dataclasses.replace(SHORT, request_id="again")
+    again = msgspec.structs.replace(SHORT, request_id="again")
     assert send(owner, again, 1.6) == ["fast"]
 
 
@@ -209,7 +210,7 @@
     owner = make_owner(fast=FAST)
     known = owner.fleet.backends["fast"]
     owner.receive("lost", message.Enqueue(SHORT), 1.0)
-    again = dataclasses.replace(SHORT, request_id="again")
+    again = msgspec.structs.replace(SHORT, request_id="again")
     assert send(owner, again, 1.1) == ["fast"]
     owner.receive("entry", message.FirstToken("again", 0.04, 300, 0), 1.14)
     assert known.get_lateness(2.0) == 1.0
@@ -219,7 +220,7 @@
     # cmp-flotta, scale-1: who was refused had waited for three objectives.
     owner = make_owner(fast=FAST)
     fill(owner, "fast")
-    late = dataclasses.replace(SHORT, request_id="late", objective_s=0.2)
+    late = msgspec.structs.replace(SHORT, request_id="late", objective_s=0.2)
     assert send(owner, late, 1.0) == []
     assert owner.tick(1.3) == []  # Nobody else waits.
     assert send(owner, SHORT, 1.31) == []
@@ -248,7 +249,7 @@
     owner = make_owner(fast=FAST)
     now = 1.0
     for number in range(40):  # The pace at which the shard serves.
-        info = dataclasses.replace(SHORT, request_id=f"r{number}")
+        info = msgspec.structs.replace(SHORT, request_id=f"r{number}")
         assert send(owner, info, now) == ["fast"]
         first = message.FirstToken(info.request_id, 0.04, 300, 0)
         owner.receive("entry", first, now + 0.04)
@@ -258,7 +259,9 @@
         now += 0.1
     fill(owner, "fast")
     for number in range(80):
-        info = dataclasses.replace(SHORT, request_id=f"w{number}", wait_s=0.2)
+        info = msgspec.structs.replace(
+            SHORT, request_id=f"w{number}", wait_s=0.2
+        )
         assert send(owner, info, now) == []
     told = [
         effect.message.retry_after_s
