--- a/bench/reference.py
+++ b/bench/reference.py
@@ -6,10 +6,9 @@
 import pathlib
 import re
 from collections.abc import Iterator
-from typing import Any
 
 import click
-import pydantic
+import msgspec
 
 from ramptray import settings
 from ramptray.bundle import model
@@ -23,7 +22,7 @@
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 
-SETTINGS: list[tuple[str, type[pydantic.BaseModel]]] = [
+SETTINGS: list[tuple[str, type[msgspec.Struct]]] = [
     ("ramptray-entry", settings.EntrySettings),
     ("ramptray-entry: limits", settings.CallerLimits),
     ("ramptray-scheduler", settings.SchedulerSettings),
@@ -41,7 +40,7 @@
     ("ramptray-fake-replica", replica.FakeReplicaSettings),
 ]
 
-BUNDLE: list[tuple[str, type[pydantic.BaseModel]]] = [
+BUNDLE: list[tuple[str, type[msgspec.Struct]]] = [
     ("the bundle", model.Bundle),
     ("operators", model.Operators),
     ("tiers.NAME", model.Tier),
@@ -71,7 +70,7 @@
         click.echo(f"{path}: written")
 
 
-def make_tables(parts: list[tuple[str, type[pydantic.BaseModel]]]) -> str:
+def make_tables(parts: list[tuple[str, type[msgspec.Struct]]]) -> str:
     """Returns the tables of a page, with the mark before them."""
     tables = [f"{MARK}\n"]
     for title, kind in parts:
@@ -81,22 +80,24 @@
     return "".join(tables)
 
 
-def _iterate_rows(kind: type[pydantic.BaseModel]) -> Iterator[str]:
+def _iterate_rows(kind: type[msgspec.Struct]) -> Iterator[str]:
     meanings = _read_meanings(kind)
-    for name, field in kind.model_fields.items():
-        default = "needed" if field.is_required() else _show(field)
-        meaning = meanings.get(name, "")
-        yield f"| `{name}` | {default} | {meaning} |\n"
+    for field in msgspec.structs.fields(kind):
+        default = "needed" if field.required else _show(field)
+        meaning = meanings.get(field.name, "")
+        yield f"| `{field.name}` | {default} | {meaning} |\n"
 
 
-def _show(field: Any) -> str:
-    value = field.get_default(call_default_factory=True)
-    if isinstance(value, pydantic.BaseModel):
+def _show(field: msgspec.structs.FieldInfo) -> str:
+    value = field.default
+    if value is msgspec.NODEFAULT:
+        value = field.default_factory()  # type: ignore[operator,misc]
+    if isinstance(value, msgspec.Struct):
         return "see below"
     return f"`{getattr(value, 'value', value)}`"
 
 
-def _read_meanings(kind: type[pydantic.BaseModel]) -> dict[str, str]:
+def _read_meanings(kind: type[msgspec.Struct]) -> dict[str, str]:
     """Returns the attributes that a model's doc comments describe."""
     meanings: dict[str, str] = {}
     for base in reversed(kind.__mro__):
--- a/bench/replay/pattern.py
+++ b/bench/replay/pattern.py
@@ -4,12 +4,13 @@
 
 import enum
 import pathlib
-from typing import Literal
+from typing import Annotated, Literal
 
-import pydantic
+import msgspec
 import pyjson5
+from result import Err, Ok
 
-from ramptray.bundle import model
+from ramptray.bundle import model, validation
 
 FOLDER = pathlib.Path(__file__).parent.parent / "pattern"
 """Where the patterns stand that are shipped."""
@@ -19,7 +20,7 @@
     """A pattern cannot be used; one line names the file and the place."""
 
 
-class Kind(model.Model):
+class Kind(model.Model, frozen=True, kw_only=True):
     """Requests of one kind.
 
     Attributes:
@@ -42,24 +43,24 @@
     """
 
     tier: str
-    per_s: float = pydantic.Field(gt=0)
-    prompt_tokens: float = pydantic.Field(ge=1)
-    prompt_spread: float = pydantic.Field(1.0, ge=0)
-    max_prompt_tokens: int = pydantic.Field(100_000, ge=1)
-    output_tokens: float = pydantic.Field(ge=1)
-    output_spread: float = pydantic.Field(1.0, ge=0)
-    max_output_tokens: int = pydantic.Field(4000, ge=1)
-    guess_spread: float = pydantic.Field(0.5, ge=0)
-    objective_s: float = pydantic.Field(gt=0)
-    max_gap_s: float = pydantic.Field(0.25, gt=0)
-    patience_s: float = pydantic.Field(2.0, gt=0)
-    timeout_s: float = pydantic.Field(gt=0)
-    worth: float = pydantic.Field(gt=0)
-    late_part: float = pydantic.Field(0.1, ge=0, le=1)
-    tries: int = pydantic.Field(2, ge=1)
-
-
-class Engines(model.Model):
+    per_s: model.PositiveFloat
+    prompt_tokens: Annotated[float, msgspec.Meta(ge=1)]
+    prompt_spread: model.NonNegativeFloat = 1.0
+    max_prompt_tokens: model.PositiveInt = 100_000
+    output_tokens: Annotated[float, msgspec.Meta(ge=1)]
+    output_spread: model.NonNegativeFloat = 1.0
+    max_output_tokens: model.PositiveInt = 4000
+    guess_spread: model.NonNegativeFloat = 0.5
+    objective_s: model.PositiveFloat
+    max_gap_s: model.PositiveFloat = 0.25
+    patience_s: model.PositiveFloat = 2.0
+    timeout_s: model.PositiveFloat
+    worth: model.PositiveFloat
+    late_part: model.Part = 0.1
+    tries: model.PositiveInt = 2
+
+
+class Engines(model.Model, frozen=True, kw_only=True):
     """Engines of one speed.
 
     Attributes:
@@ -73,14 +74,14 @@
         event_tokens: Tokens that an event of an answer holds.
     """
 
-    count: int = pydantic.Field(ge=1)
-    places: int = pydantic.Field(ge=1)
-    prefill_tokens_per_s: float = pydantic.Field(gt=0)
-    fixed_s: float = pydantic.Field(0.0, ge=0)
-    step_s: float = pydantic.Field(gt=0)
-    step_growth: float = pydantic.Field(0.0, ge=0)
-    chunk_tokens: int = pydantic.Field(1024, ge=1)
-    event_tokens: int = pydantic.Field(6, ge=1)
+    count: model.PositiveInt
+    places: model.PositiveInt
+    prefill_tokens_per_s: model.PositiveFloat
+    fixed_s: model.NonNegativeFloat = 0.0
+    step_s: model.PositiveFloat
+    step_growth: model.NonNegativeFloat = 0.0
+    chunk_tokens: model.PositiveInt = 1024
+    event_tokens: model.PositiveInt = 6
 
 
 class Trouble(enum.Enum):
@@ -94,7 +95,7 @@
     RESTART = "restart"
 
 
-class Event(model.Model):
+class Event(model.Model, frozen=True, kw_only=True):
     """Something that happens for a while.
 
     Attributes:
@@ -110,17 +111,17 @@
     """
 
     kind: Trouble
-    at_s: float = pydantic.Field(ge=0)
-    for_s: float = pydantic.Field(gt=0)
-    times: float = pydantic.Field(1.0, gt=0)
-    engines: int = pydantic.Field(0, ge=0)
+    at_s: model.NonNegativeFloat
+    for_s: model.PositiveFloat
+    times: model.PositiveFloat = 1.0
+    engines: model.Count = 0
 
     def covers(self, now: float) -> bool:
         """Tells whether it goes on at this moment."""
         return self.at_s <= now < self.at_s + self.for_s
 
 
-class Customers(model.Model):
+class Customers(model.Model, frozen=True, kw_only=True):
     """Who asks.
 
     Attributes:
@@ -130,13 +131,13 @@
         span_total: Tokens in any such span.
     """
 
-    count: int = pydantic.Field(4, ge=1)
-    tokens_per_s: float | None = pydantic.Field(None, gt=0)
-    span_s: float | None = pydantic.Field(None, gt=0)
-    span_total: float = pydantic.Field(0.0, ge=0)
+    count: model.PositiveInt = 4
+    tokens_per_s: model.PositiveFloat | None = None
+    span_s: model.PositiveFloat | None = None
+    span_total: model.NonNegativeFloat = 0.0
 
 
-class Pattern(model.Model):
+class Pattern(model.Model, frozen=True, kw_only=True):
     """A load pattern.
 
     Attributes:
@@ -150,7 +151,7 @@
     """
 
     says: str
-    length_s: float = pydantic.Field(gt=0, le=600)
+    length_s: Annotated[float, msgspec.Meta(gt=0, le=600)]
     kinds: dict[str, Kind]
     engines: list[Engines]
     customers: Customers = Customers()
@@ -175,14 +176,12 @@
     fields = _read_fields(path)
     if base := fields.get("base"):
         fields = {**_read_fields(FOLDER / f"{base}.json5"), **fields}
-    try:
-        return Pattern.model_validate(fields)
-    except pydantic.ValidationError as error:
-        mistakes = "; ".join(
-            ".".join(map(str, found["loc"])) + ": " + found["msg"]
-            for found in error.errors()
-        )
-        raise PatternError(f"{path}: {mistakes}") from error
+    match validation.convert(fields, Pattern):
+        case Ok(pattern):
+            return pattern
+        case Err(mistakes):
+            told = validation.format_mistakes(mistakes)
+            raise PatternError(f"{path}: {told}")
 
 
 def _read_fields(path: pathlib.Path) -> dict[str, object]:
--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -9,31 +9,36 @@
 import enum
 import functools
 import hashlib
-from typing import Annotated
-
-import pydantic
-
-Name = Annotated[
-    str, pydantic.StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
-]
-KeyHash = Annotated[
-    str, pydantic.StringConstraints(pattern=r"^sha256:[0-9a-f]{64}$")
-]
-PublicKey = Annotated[
-    str, pydantic.StringConstraints(pattern=r"^ed25519:[0-9a-f]{64}$")
-]
-Url = Annotated[
-    str, pydantic.StringConstraints(pattern=r"^https?://[^\s/]+(/\S*)?$")
-]
-
-
-class Model(pydantic.BaseModel):
-    """Base of all models of the bundle: unknown fields are mistakes."""
-
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+from typing import Annotated, Literal
+
+import msgspec
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}\Z")]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^sha256:[0-9a-f]{64}\Z")]
+PublicKey = Annotated[str, msgspec.Meta(pattern=r"^ed25519:[0-9a-f]{64}\Z")]
+Url = Annotated[str, msgspec.Meta(pattern=r"^https?://[^\s/]+(/\S*)?\Z")]
+LogLevel = Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+EnginePlaces = Annotated[int, msgspec.Meta(ge=1, le=4096)]
+HeaderBytes = Annotated[int, msgspec.Meta(ge=256)]
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
+Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+
+class Model(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Base of all models: unknown fields are mistakes.
+
+    Only what is read from a file is checked, by ``text``; what the code makes
+    itself is not.
+    """
 
 
-class Operators(Model):
+class Operators(Model, frozen=True, kw_only=True):
     """Who may sign the next bundle.
 
     Attributes:
@@ -41,11 +46,11 @@
         signatures_required: How many of them must sign.
     """
 
-    keys: dict[Name, PublicKey] = pydantic.Field(min_length=1)
-    signatures_required: int = pydantic.Field(1, ge=1)
+    keys: Annotated[dict[Name, PublicKey], msgspec.Meta(min_length=1)]
+    signatures_required: PositiveInt = 1
 
 
-class Tier(Model):
+class Tier(Model, frozen=True, kw_only=True):
     """A class of requests; the lowest order goes first.
 
     Attributes:
@@ -54,11 +59,11 @@
             request names its own deadline.
     """
 
-    order: int = pydantic.Field(ge=0)
-    deadline_s: float = pydantic.Field(gt=0, le=86400)
+    order: Count
+    deadline_s: Annotated[float, msgspec.Meta(gt=0, le=86400)]
 
 
-class Limits(Model):
+class Limits(Model, frozen=True, kw_only=True):
     """A customer's limits for each service, over all zones.
 
     Attributes:
@@ -72,14 +77,14 @@
         span_total: Most requests or tokens in any such span.
     """
 
-    requests_per_s: float | None = pydantic.Field(None, ge=1)
-    tokens_per_s: float | None = pydantic.Field(None, ge=1)
-    burst: float | None = pydantic.Field(None, ge=0)
-    span_s: float | None = pydantic.Field(None, gt=0)
-    span_total: float = pydantic.Field(0.0, ge=0)
+    requests_per_s: Annotated[float, msgspec.Meta(ge=1)] | None = None
+    tokens_per_s: Annotated[float, msgspec.Meta(ge=1)] | None = None
+    burst: NonNegativeFloat | None = None
+    span_s: PositiveFloat | None = None
+    span_total: NonNegativeFloat = 0.0
 
 
-class Customer(Model):
+class Customer(Model, frozen=True, kw_only=True):
     """A customer, known by the hashes of its keys.
 
     Attributes:
@@ -92,10 +97,10 @@
         limits: Its limits.
     """
 
-    key_hashes: list[KeyHash] = pydantic.Field(min_length=1)
-    tiers: list[Name] = pydantic.Field(min_length=1)
+    key_hashes: Annotated[list[Digest], msgspec.Meta(min_length=1)]
+    tiers: Annotated[list[Name], msgspec.Meta(min_length=1)]
     route_tiers: dict[Name, Name] = {}
-    share: float = pydantic.Field(1.0, gt=0, le=1000)
+    share: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
     limits: Limits = Limits()
 
 
@@ -106,7 +111,7 @@
     PLAIN = "plain"
 
 
-class Legacy(Model):
+class Legacy(Model, frozen=True, kw_only=True):
     """The old script that still takes part of a service's requests.
 
     Attributes:
@@ -115,10 +120,10 @@
     """
 
     url: Url
-    percent: float = pydantic.Field(ge=0, le=100)
+    percent: Annotated[float, msgspec.Meta(ge=0, le=100)]
 
 
-class Service(Model):
+class Service(Model, frozen=True, kw_only=True):
     """A model or plain service that callers name.
 
     Attributes:
@@ -133,14 +138,16 @@
 
     kind: ServiceKind
     version: str = "1"
-    queue_tokens: int = pydantic.Field(200_000, ge=1)
-    headroom: float = pydantic.Field(0.1, ge=0, le=0.9)
-    shards: int = pydantic.Field(1, ge=1, le=64)
-    repeatable_methods: list[str] = ["GET", "HEAD", "OPTIONS"]
+    queue_tokens: PositiveInt = 200_000
+    headroom: Annotated[float, msgspec.Meta(ge=0, le=0.9)] = 0.1
+    shards: Annotated[int, msgspec.Meta(ge=1, le=64)] = 1
+    repeatable_methods: list[str] = msgspec.field(
+        default_factory=lambda: ["GET", "HEAD", "OPTIONS"]
+    )
     legacy: Legacy | None = None
 
 
-class Engine(Model):
+class Engine(Model, frozen=True, kw_only=True):
     """A kind of engine.
 
     Attributes:
@@ -151,14 +158,14 @@
         tokens_per_event: Tokens that an event of a stream holds.
     """
 
-    max_running: int = pydantic.Field(ge=1, le=4096)
-    kv_tokens: int = pydantic.Field(1_000_000, ge=1)
-    cache_blocks: int = pydantic.Field(1024, ge=0)
+    max_running: EnginePlaces
+    kv_tokens: PositiveInt = 1_000_000
+    cache_blocks: Count = 1024
     checks_fencing: bool = False
-    tokens_per_event: int = pydantic.Field(1, ge=1)
+    tokens_per_event: PositiveInt = 1
 
 
-class BackendServer(Model):
+class BackendServer(Model, frozen=True, kw_only=True):
     """A replica of a model or plain service.
 
     Attributes:
@@ -198,7 +205,7 @@
     ONCE = "once"
 
 
-class Target(Model):
+class Target(Model, frozen=True, kw_only=True):
     """A service that takes a share of a route's requests.
 
     Attributes:
@@ -207,10 +214,10 @@
     """
 
     service: Name
-    weight: float = pydantic.Field(1.0, ge=0)
+    weight: NonNegativeFloat = 1.0
 
 
-class Route(Model):
+class Route(Model, frozen=True, kw_only=True):
     """Requests of one host and path prefix, relayed byte for byte.
 
     Attributes:
@@ -232,18 +239,18 @@
     host: str
     path_prefix: str
     kind: RouteKind
-    targets: list[Target] = pydantic.Field(min_length=1)
-    timeout_s: float = pydantic.Field(gt=0)
-    objective_s: float = pydantic.Field(gt=0)
+    targets: Annotated[list[Target], msgspec.Meta(min_length=1)]
+    timeout_s: PositiveFloat
+    objective_s: PositiveFloat
     max_gap_s: float | None = None
     patience_s: float | None = None
-    max_attempts: int = pydantic.Field(1, ge=1)
+    max_attempts: PositiveInt = 1
     tier: Name
     public: bool = False
     resumable: bool = False
 
 
-class RelayLimits(Model):
+class RelayLimits(Model, frozen=True, kw_only=True):
     """What a relayed caller may send, and how long it may take.
 
     Attributes:
@@ -253,23 +260,23 @@
         idle_s: Seconds that an idle connection is kept.
     """
 
-    header_bytes: int = pydantic.Field(16 * 1024, ge=256)
-    body_bytes: int = pydantic.Field(4 * 1024 * 1024, ge=0)
-    header_s: float = pydantic.Field(3.0, gt=0)
-    idle_s: float = pydantic.Field(15.0, gt=0)
+    header_bytes: HeaderBytes = 16 * 1024
+    body_bytes: Count = 4 * 1024 * 1024
+    header_s: PositiveFloat = 3.0
+    idle_s: PositiveFloat = 15.0
 
 
-class Weights(Model):
+class Weights(Model, frozen=True, kw_only=True):
     """What the weight store can bear.
 
     Attributes:
         loads_at_once: Engines of one zone that may load at a time.
     """
 
-    loads_at_once: int = pydantic.Field(2, ge=1)
+    loads_at_once: PositiveInt = 2
 
 
-class Bundle(Model):
+class Bundle(Model, frozen=True, kw_only=True, dict=True):
     """All that operators declare.
 
     Attributes:
@@ -289,17 +296,17 @@
         relay: Limits towards relayed callers.
     """
 
-    generation: int = pydantic.Field(ge=1)
-    base: str | None = pydantic.Field(None, pattern=r"^sha256:[0-9a-f]{64}$")
+    generation: PositiveInt
+    base: Digest | None = None
     operators: Operators
-    zones: list[Name] = pydantic.Field(min_length=1)
-    tiers: dict[Name, Tier] = pydantic.Field(min_length=1)
+    zones: Annotated[list[Name], msgspec.Meta(min_length=1)]
+    tiers: Annotated[dict[Name, Tier], msgspec.Meta(min_length=1)]
     customers: dict[Name, Customer]
     services: dict[Name, Service]
     engines: dict[Name, Engine]
     backend_servers: dict[Name, BackendServer]
     weights: Weights = Weights()
-    claim_window_s: float = pydantic.Field(3600.0, gt=0)
+    claim_window_s: PositiveFloat = 3600.0
     routes: dict[Name, Route] = {}
     relay: RelayLimits = RelayLimits()
 
--- a/ramptray/bundle/signature.py
+++ b/ramptray/bundle/signature.py
@@ -1,12 +1,18 @@
-"""Signed bundles: Ed25519 over the exact text that the operator saw."""
+"""Signed bundles: Ed25519 over the exact text that the operator saw.
+
+The library that signs is loaded by the first signature: VMs on a platform whose
+store takes changes from operators only see none, and start sooner without it.
+"""
 
 from __future__ import annotations
 
 import hashlib
+from typing import TYPE_CHECKING
 
 import msgspec
-from cryptography import exceptions
-from cryptography.hazmat.primitives.asymmetric import ed25519
+
+if TYPE_CHECKING:
+    from cryptography.hazmat.primitives.asymmetric import ed25519
 
 PREFIX = "ed25519:"
 
@@ -30,9 +36,10 @@
 
 def make_private_key() -> str:
     """Returns a new private key in its text form."""
-    return (
-        PREFIX + ed25519.Ed25519PrivateKey.generate().private_bytes_raw().hex()
-    )
+    from cryptography.hazmat.primitives.asymmetric import ed25519
+
+    private = ed25519.Ed25519PrivateKey.generate()
+    return PREFIX + private.private_bytes_raw().hex()
 
 
 def get_public_key(private_key: str) -> str:
@@ -65,11 +72,16 @@
 
 
 def _load(private_key: str) -> ed25519.Ed25519PrivateKey:
+    from cryptography.hazmat.primitives.asymmetric import ed25519
+
     raw = bytes.fromhex(private_key.strip().removeprefix(PREFIX))
     return ed25519.Ed25519PrivateKey.from_private_bytes(raw)
 
 
 def _verify(text: str, signature: str, key: str) -> bool:
+    from cryptography import exceptions
+    from cryptography.hazmat.primitives.asymmetric import ed25519
+
     raw = bytes.fromhex(key.removeprefix(PREFIX))
     public = ed25519.Ed25519PublicKey.from_public_bytes(raw)
     try:
--- a/ramptray/bundle/text.py
+++ b/ramptray/bundle/text.py
@@ -7,29 +7,13 @@
 from typing import Any, TypeVar
 
 import msgspec
-import pydantic
 import pyjson5
 from result import Err, Ok, Result
 
-from ramptray.bundle import model
+from ramptray.bundle import model, validation
+from ramptray.bundle.validation import Mistake
 
-ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
-
-
-class Mistake(msgspec.Struct, frozen=True):
-    """One mistake in a file that a person wrote.
-
-    Attributes:
-        path: Path to the field, dots between keys; empty for the whole file.
-        expected: What was expected there.
-    """
-
-    path: str
-    expected: str
-
-    def format(self, file: str) -> str:
-        """Returns the line shown to the person."""
-        return f"{file}: {self.path or '(whole file)'}: {self.expected}"
+ModelT = TypeVar("ModelT", bound=msgspec.Struct)
 
 
 class TextError(Exception):
@@ -49,15 +33,7 @@
         return Err(
             [Mistake("", f"JSON with comments ({_locate(error, text)})")]
         )
-    try:
-        return Ok(kind.model_validate(data))
-    except pydantic.ValidationError as error:
-        return Err(
-            [
-                Mistake(".".join(str(p) for p in e["loc"]), _describe(e))
-                for e in error.errors()
-            ]
-        )
+    return validation.convert(data, kind)
 
 
 def read_model(path: pathlib.Path, kind: type[ModelT]) -> ModelT:
@@ -155,12 +131,6 @@
     ]
 
 
-def _describe(error: Any) -> str:
-    given = error.get("input")
-    shown = "" if isinstance(given, dict | list) else f" (found {given!r})"
-    return f"{error['msg']}{shown}"
-
-
 def _locate(error: pyjson5.Json5Exception, text: str) -> str:
     reason = str(error.args[0]) if error.args else str(error)
     digits = "".join(c if c.isdigit() else " " for c in reason).split()
--- /dev/null
+++ b/ramptray/bundle/validation.py
@@ -0,0 +1,124 @@
+"""Checks plain data against a type, naming every mistake with its place."""
+
+from __future__ import annotations
+
+import itertools
+import types
+import typing
+from collections.abc import Iterator
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+T = TypeVar("T")
+
+
+class Mistake(msgspec.Struct, frozen=True):
+    """One mistake in what a person or another program wrote.
+
+    Attributes:
+        path: Path to the field, dots between keys; empty for the whole.
+        expected: What was expected there.
+    """
+
+    path: str
+    expected: str
+
+    def format(self, file: str) -> str:
+        """Returns the line shown to the person."""
+        return f"{file}: {self.path or '(whole file)'}: {self.expected}"
+
+
+def convert(
+    data: Any, kind: type[T], strict: bool = True
+) -> Result[T, list[Mistake]]:
+    """Returns data as an object of a type, or all mistakes that it has.
+
+    Args:
+        data: Plain data, as read from JSON or TOML.
+        kind: The type.
+        strict: Whether a number as text is a mistake.
+    """
+    try:
+        return Ok(msgspec.convert(data, kind, strict=strict))
+    except msgspec.ValidationError:
+        # The library names the first mistake only.
+        return Err(list(_iterate(data, kind, strict, "")))
+
+
+def format_mistakes(mistakes: list[Mistake]) -> str:
+    """Returns all mistakes in one line, each with its place."""
+    return "; ".join(f"{m.path}: {m.expected}" for m in mistakes)
+
+
+def _iterate(
+    data: Any, kind: Any, strict: bool, path: str
+) -> Iterator[Mistake]:
+    """Yields the mistakes in the parts, or else the one of the whole."""
+    parts = list(_iterate_parts(data, kind, strict, path))
+    if parts:
+        yield from parts
+        return
+    try:
+        msgspec.convert(data, kind, strict=strict)
+    except msgspec.ValidationError as error:
+        yield Mistake(path, f"{error}{_show(data)}")
+
+
+def _iterate_parts(
+    data: Any, kind: Any, strict: bool, path: str
+) -> Iterator[Mistake]:
+    bare = _strip(kind, data)
+    arguments = typing.get_args(bare)
+    if isinstance(bare, type) and issubclass(bare, msgspec.Struct):
+        if isinstance(data, dict):
+            yield from _iterate_fields(data, bare, strict, path)
+    elif typing.get_origin(bare) is list and isinstance(data, list):
+        for number, item in enumerate(data):
+            place = _join(path, number)
+            yield from _iterate(item, arguments[0], strict, place)
+    elif typing.get_origin(bare) is dict and isinstance(data, dict):
+        for name, value in data.items():
+            place = _join(path, name)
+            yield from itertools.chain(
+                _iterate(name, arguments[0], strict, place),
+                _iterate(value, arguments[1], strict, place),
+            )
+
+
+def _iterate_fields(
+    data: dict[str, Any], kind: type[msgspec.Struct], strict: bool, path: str
+) -> Iterator[Mistake]:
+    hints = typing.get_type_hints(kind, include_extras=True)
+    fields = {
+        field.encode_name: field for field in msgspec.structs.fields(kind)
+    }
+    for name, field in fields.items():
+        place = _join(path, name)
+        if name in data:
+            yield from _iterate(data[name], hints[field.name], strict, place)
+        elif field.required:
+            yield Mistake(place, "a field that is needed")
+    if kind.__struct_config__.forbid_unknown_fields:
+        for name in data:
+            if name not in fields:
+                yield Mistake(_join(path, name), "no such field is known")
+
+
+def _strip(kind: Any, data: Any) -> Any:
+    """Returns a type without constraints, and that which data is meant for."""
+    if typing.get_origin(kind) is Annotated:
+        return _strip(typing.get_args(kind)[0], data)
+    if typing.get_origin(kind) in (typing.Union, types.UnionType):
+        wanted = [k for k in typing.get_args(kind) if k is not type(None)]
+        return kind if data is None else _strip(wanted[0], data)
+    return kind
+
+
+def _join(path: str, part: object) -> str:
+    return f"{path}.{part}" if path else str(part)
+
+
+def _show(data: Any) -> str:
+    return "" if isinstance(data, dict | list) else f" (found {data!r})"
--- a/ramptray/command/bundle.py
+++ b/ramptray/command/bundle.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Err, Ok
 
-from ramptray.bundle import model, signature, text
+from ramptray.bundle import model, signature, text, validation
 from ramptray.command import keys
 from ramptray.command.error import CommandError
 
@@ -55,8 +55,10 @@
     """Shows what differs between two bundles, comments aside."""
     lines = [
         msgspec.json.format(
-            parse(file, read_envelope(file)).model_dump_json(), indent=1
-        ).splitlines()
+            msgspec.json.encode(parse(file, read_envelope(file))), indent=1
+        )
+        .decode()
+        .splitlines()
         for file in (old, new)
     ]
     for line in difflib.unified_diff(
@@ -132,7 +134,7 @@
     try:
         raw = file.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        mistake = text.Mistake("", f"a readable file ({error})")
+        mistake = validation.Mistake("", f"a readable file ({error})")
         raise text.TextError(str(file), [mistake]) from error
     try:
         return msgspec.json.decode(raw.encode(), type=signature.Envelope)
@@ -164,12 +166,12 @@
     Raises:
         text.TextError: It does not.
     """
-    mistakes: list[text.Mistake] = []
+    mistakes: list[validation.Mistake] = []
     if bundle.generation != base_bundle.generation + 1:
         expected = f"{base_bundle.generation + 1}, found {bundle.generation}"
-        mistakes.append(text.Mistake("generation", expected))
+        mistakes.append(validation.Mistake("generation", expected))
     if bundle.base != base.digest:
-        mistakes.append(text.Mistake("base", f"{base.digest}"))
+        mistakes.append(validation.Mistake("base", f"{base.digest}"))
     if mistakes:
         raise text.TextError(str(file), mistakes)
 
--- a/ramptray/load/plan.py
+++ b/ramptray/load/plan.py
@@ -6,9 +6,9 @@
 import math
 import random
 import uuid
+from typing import Annotated
 
 import msgspec
-import pydantic
 
 from ramptray.bundle import model
 from ramptray.core import prefix
@@ -23,7 +23,7 @@
     PLAIN = "plain"
 
 
-class Burst(model.Model):
+class Burst(model.Model, frozen=True, kw_only=True):
     """A time of higher rates.
 
     Attributes:
@@ -32,12 +32,12 @@
         factor: By how much all rates grow.
     """
 
-    at_s: float = pydantic.Field(ge=0)
-    for_s: float = pydantic.Field(gt=0)
-    factor: float = pydantic.Field(gt=0)
+    at_s: model.NonNegativeFloat
+    for_s: model.PositiveFloat
+    factor: model.PositiveFloat
 
 
-class LoadClass(model.Model):
+class LoadClass(model.Model, frozen=True, kw_only=True):
     """A class of like requests.
 
     Attributes:
@@ -61,18 +61,18 @@
     tier: model.Name
     service: model.Name
     kind: Kind = Kind.CHAT
-    rate_per_s: float = pydantic.Field(gt=0)
+    rate_per_s: model.PositiveFloat
     prompt_tokens: tuple[int, int] = (16, 64)
-    shared_tokens: int = pydantic.Field(0, ge=0)
-    groups: int = pydantic.Field(1, ge=1)
+    shared_tokens: model.Count = 0
+    groups: model.PositiveInt = 1
     max_tokens: tuple[int, int] = (8, 32)
-    deadline_s: float = pydantic.Field(30.0, gt=0)
+    deadline_s: model.PositiveFloat = 30.0
     repeatable: bool = True
     stream: bool = True
-    resends: int = pydantic.Field(0, ge=0)
+    resends: model.Count = 0
 
 
-class LoadSettings(model.Model):
+class LoadSettings(model.Model, frozen=True, kw_only=True):
     """Settings of ``ramptray-load``.
 
     Attributes:
@@ -86,12 +86,12 @@
         log_level: Least level that is logged.
     """
 
-    entries: list[model.Url] = pydantic.Field(min_length=1)
+    entries: Annotated[list[model.Url], msgspec.Meta(min_length=1)]
     keys: dict[model.Name, str]
     engines: list[model.Url] = []
     seed: int = 1
-    duration_s: float = pydantic.Field(10.0, gt=0)
-    classes: list[LoadClass] = pydantic.Field(min_length=1)
+    duration_s: model.PositiveFloat = 10.0
+    classes: Annotated[list[LoadClass], msgspec.Meta(min_length=1)]
     bursts: list[Burst] = []
     log_level: str = "WARNING"
 
--- a/ramptray/node/settings.py
+++ b/ramptray/node/settings.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
-import pydantic
 
 from ramptray.bundle import model
 
 
-class NodeSettings(model.Model):
+class NodeSettings(model.Model, frozen=True, kw_only=True):
     """Settings of ``ramptray-node``; the VM's own come from its platform.
 
     Attributes:
@@ -25,17 +26,15 @@
         exit_margin_s: How long before the kill a stopping VM ends by itself.
     """
 
-    log_level: str = pydantic.Field(
-        "INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
-    )
+    log_level: model.LogLevel = "INFO"
     log_events: bool = True
-    ring_events: int = pydantic.Field(5_000, ge=0)
-    metrics_port: int = pydantic.Field(9464, ge=1, le=65535)
+    ring_events: model.Count = 5_000
+    metrics_port: model.Port = 9464
     policy: str = "token"
-    retry_part: float = pydantic.Field(0.7, gt=0, le=1)
-    budget_vms: int = pydantic.Field(12, ge=1)
-    lame_duck_s: float = pydantic.Field(3.0, ge=0)
-    exit_margin_s: float = pydantic.Field(0.5, ge=0)
+    retry_part: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.7
+    budget_vms: model.PositiveInt = 12
+    lame_duck_s: model.NonNegativeFloat = 3.0
+    exit_margin_s: model.NonNegativeFloat = 0.5
 
 
 class Home(msgspec.Struct, frozen=True):
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
-import pydantic
+from result import Err, Ok
 
-from ramptray.bundle import model
+from ramptray.bundle import model, validation
 from ramptray.platform import settings
 
 DOMAIN = "all"
@@ -44,65 +44,69 @@
     """A configuration that cannot be used; one line names the place."""
 
 
-class _Wire(pydantic.BaseModel):
+class _Wire(msgspec.Struct, frozen=True, kw_only=True):
     """Base of the configuration's parts: unknown fields are passed over."""
 
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
+class _Split(_Wire, frozen=True, kw_only=True):
+    service: model.Name
+    weight: model.NonNegativeFloat
 
-class _Split(_Wire):
-    service: str
-    weight: float
 
-
-class _Route(_Wire):
-    name: str
-    host: str = pydantic.Field(alias="hostname")
-    path_prefix: str = pydantic.Field(alias="pathPrefix")
-    kind: str
-    timeout_ms: float = pydantic.Field(alias="timeoutMs")
+class _Route(_Wire, frozen=True, kw_only=True):
+    name: model.Name
+    host: str = msgspec.field(name="hostname")
+    path_prefix: str = msgspec.field(name="pathPrefix")
+    kind: Literal["streaming", "safe", "unsafe"]
+    timeout_ms: model.PositiveFloat = msgspec.field(name="timeoutMs")
     # The time within which an answer, or its first event, earns full credit.
-    target_ms: float = pydantic.Field(alias="targetLatencyMs")
-    gap_ms: float | None = pydantic.Field(None, alias="targetGapMs")
+    target_ms: model.PositiveFloat = msgspec.field(name="targetLatencyMs")
+    gap_ms: float | None = msgspec.field(name="targetGapMs", default=None)
     priority: int = 0
-    service: str | None = None
-    split: list[_Split] = pydantic.Field([], alias="trafficSplit")
-    max_attempts: int = pydantic.Field(1, alias="maxAttempts")
+    service: model.Name | None = None
+    split: list[_Split] = msgspec.field(
+        name="trafficSplit", default_factory=list
+    )
+    max_attempts: model.PositiveInt = msgspec.field(
+        name="maxAttempts", default=1
+    )
     public: bool = False
     resumable: bool = False
 
 
-class _Engine(_Wire):
-    slots: int
-    kv_tokens: int = pydantic.Field(KV_UNBOUNDED, alias="kvTokens")
+class _Engine(_Wire, frozen=True, kw_only=True):
+    slots: model.EnginePlaces
+    kv_tokens: model.PositiveInt = msgspec.field(
+        name="kvTokens", default=KV_UNBOUNDED
+    )
     # Tokens that one event of a stream holds.
-    stride: int = 1
+    stride: model.PositiveInt = 1
 
 
-class _Service(_Wire):
-    name: str
+class _Service(_Wire, frozen=True, kw_only=True):
+    name: model.Name
     engine: _Engine | None = None
 
 
-class _Limits(_Wire):
-    header_bytes: int = pydantic.Field(alias="maxHeaderBytes")
-    body_bytes: int = pydantic.Field(alias="maxBodyBytes")
-    header_ms: float = pydantic.Field(alias="headerTimeoutMs")
-    idle_ms: float = pydantic.Field(alias="idleTimeoutMs")
+class _Limits(_Wire, frozen=True, kw_only=True):
+    header_bytes: model.HeaderBytes = msgspec.field(name="maxHeaderBytes")
+    body_bytes: model.Count = msgspec.field(name="maxBodyBytes")
+    header_ms: model.PositiveFloat = msgspec.field(name="headerTimeoutMs")
+    idle_ms: model.PositiveFloat = msgspec.field(name="idleTimeoutMs")
 
 
-class _Tenant(_Wire):
-    name: str
-    keys: list[str] = pydantic.Field([], alias="apiKeys")
+class _Tenant(_Wire, frozen=True, kw_only=True):
+    name: model.Name
+    keys: list[str] = msgspec.field(name="apiKeys", default_factory=list)
     priority: int | None = None
     # Counted in tokens or in requests, as ``unit`` says; 0 is no limit.
     unit: str = "requests"
-    rate_per_s: float = pydantic.Field(0, alias="ratePerS")
-    burst: float = 0
+    rate_per_s: float = msgspec.field(name="ratePerS", default=0.0)
+    burst: model.NonNegativeFloat = 0.0
 
 
-class _Config(_Wire):
-    version: int
+class _Config(_Wire, frozen=True, kw_only=True):
+    version: model.PositiveInt
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits | None = None
@@ -147,24 +151,27 @@
         Raises:
             ConfigError: The text is no configuration that can be used.
         """
+        fields = _read_fields(text)
         try:
-            return self._parse_changed(text)
-        except (msgspec.MsgspecError, pydantic.ValidationError, TypeError):
-            # Decoded whole, so that the mistake is told with its place.
+            return self._parse_changed(fields)
+        except msgspec.ValidationError as error:
             self._decoded = {}
-        try:
-            raw = _Config.model_validate_json(text)
-            routes = {r.name: _make_route(r) for r in raw.routes}
-            return _make_bundle(raw, raw.routes, routes, self._terms)
-        except pydantic.ValidationError as error:
-            raise ConfigError(settings.describe(error)) from error
-
-    def _parse_changed(self, text: str) -> model.Bundle:
-        fields = msgspec.json.decode(text, type=dict[str, Any])
+            # Checked whole, so that each mistake is told with its place.
+            match validation.convert(fields, _Config, strict=False):
+                case Err(mistakes):
+                    told = validation.format_mistakes(mistakes)
+                    raise ConfigError(told) from error
+                case Ok(_):
+                    raise ConfigError(str(error)) from error
+
+    def _parse_changed(self, fields: dict[str, Any]) -> model.Bundle:
         declared = msgspec.convert(
-            fields.pop("routes", []), type=list[dict[str, Any]]
+            fields.get("routes", []), type=list[dict[str, Any]]
         )
-        raw = _Config.model_validate(fields)
+        others = {
+            name: value for name, value in fields.items() if name != "routes"
+        }
+        raw = msgspec.convert(others, _Config, strict=False)
         decoded = [self._decode(each) for each in declared]
         self._decoded = {each.wire.name: each for each in decoded}
         return _make_bundle(
@@ -178,10 +185,17 @@
         known = self._decoded.get(str(declared.get("name")))
         if known is not None and known.declared == declared:
             return known
-        wire = _Route.model_validate(declared)
+        wire = msgspec.convert(declared, _Route, strict=False)
         return _Decoded(declared, wire, _make_route(wire))
 
 
+def _read_fields(text: str) -> dict[str, Any]:
+    try:
+        return msgspec.json.decode(text, type=dict[str, Any])
+    except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
+        raise ConfigError(f"no JSON object: {error}") from error
+
+
 def parse_config(
     text: str, terms: settings.LimitTerms = NO_TERMS
 ) -> model.Bundle:
@@ -281,8 +295,8 @@
         return limits
     total = (rate * terms.span_s + tenant.burst) * (1 + terms.excess)
     slack = terms.slack if in_tokens else 0.0
-    return limits.model_copy(
-        update={"span_s": terms.span_s, "span_total": total + slack}
+    return msgspec.structs.replace(
+        limits, span_s=terms.span_s, span_total=total + slack
     )
 
 
@@ -311,6 +325,8 @@
     ]
     if route.service is not None:
         targets = [model.Target(service=route.service)]
+    if not targets:
+        raise ConfigError(f"routes: {route.name} leads to no service")
     return model.Route(
         host=route.host,
         path_prefix=route.path_prefix,
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 import anyio
+import msgspec
 
 from ramptray.bundle import acceptance, model, signature
 from ramptray.caller import metrics
@@ -266,9 +267,9 @@
     known = {n: r for n, r in found.items() if r.service in declared.services}
     engines = dict(declared.engines)
     for replica in known.values():
-        engines[_name_engine(replica)] = declared.engines[
-            replica.service
-        ].model_copy(update={"max_running": replica.slots})
+        engines[_name_engine(replica)] = msgspec.structs.replace(
+            declared.engines[replica.service], max_running=replica.slots
+        )
     servers = {
         name: model.BackendServer(
             zone=config.DOMAIN,
@@ -281,8 +282,8 @@
         )
         for name, replica in known.items()
     }
-    return declared.model_copy(
-        update={"engines": engines, "backend_servers": servers}
+    return msgspec.structs.replace(
+        declared, engines=engines, backend_servers=servers
     )
 
 
--- a/ramptray/platform/record.py
+++ b/ramptray/platform/record.py
@@ -12,10 +12,9 @@
 from collections.abc import Collection
 from typing import Annotated
 
-import pydantic
+import msgspec
 
 from ramptray.peer import message as peer_message
-from ramptray.platform import settings
 
 MOST_SLOTS = 100_000
 """Requests at a time of any replica; a larger number is a mistake, and would
@@ -26,6 +25,11 @@
 exact in every program that writes records."""
 
 
+ERROR_CHARS = 200
+"""Longest account of a mistake: it repeats what the record holds, and is
+logged."""
+
+
 class RecordError(Exception):
     """A record that cannot be used; one line names the place."""
 
@@ -38,27 +42,24 @@
 _KEY = re.compile(r"[!-~]+")
 """Names of replicas: they stand in headers."""
 
-_Text = Annotated[str, pydantic.Field(strict=True, min_length=1)]
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
 _Address = Annotated[
     str,
-    pydantic.Field(
-        strict=True,
-        pattern=r"^[0-9A-Za-z.-]+:0*([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}"
-        r"|65[0-4]\d{2}|655[0-2]\d|6553[0-5])$",
+    msgspec.Meta(
+        pattern=r"^[0-9A-Za-z.-]+:0*([1-9][0-9]{0,3}|[1-5][0-9]{4}"
+        r"|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])\Z",
     ),
 ]
 
 
-class _Record(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
-
+class _Record(msgspec.Struct, frozen=True, kw_only=True):
     service: _Text
     address: _Address
     zone: _Text
-    slots: int = pydantic.Field(strict=True, ge=1, le=MOST_SLOTS)
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
     state: _State
-    started_ms: int = pydantic.Field(
-        0, alias="born", strict=True, ge=0, le=MOST_MS
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=MOST_MS)] = msgspec.field(
+        name="born", default=0
     )
 
 
@@ -82,9 +83,9 @@
     if not _KEY.fullmatch(name):
         raise RecordError("its name cannot stand in a header")
     try:
-        raw = _Record.model_validate_json(value)
-    except pydantic.ValidationError as error:
-        raise RecordError(settings.describe(error)) from error
+        raw = msgspec.json.decode(value.decode(), type=_Record)
+    except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
+        raise RecordError(str(error)[:ERROR_CHARS]) from error
     if zones and raw.zone not in zones:
         raise RecordError(f"zone: {raw.zone} is not known")
     return peer_message.Replica(
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -7,8 +7,9 @@
 import tomllib
 
 import msgspec
-import pydantic
+from result import Err, Ok
 
+from ramptray.bundle import validation
 from ramptray.platform import address
 
 READY_PATH = "/v1/ready"
@@ -19,44 +20,42 @@
     """The settings file cannot be used; one line names file and place."""
 
 
-class _Wire(pydantic.BaseModel):
+class _Wire(msgspec.Struct, frozen=True, kw_only=True):
     """Base of the file's tables: unknown fields are passed over."""
 
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
-
-class _Listen(_Wire):
+class _Listen(_Wire, frozen=True, kw_only=True):
     front: str
     ready: str
     control: str
 
 
-class _Limits(_Wire):
-    cpu_share: float = pydantic.Field(1.0, alias="cpuShare")
+class _Limits(_Wire, frozen=True, kw_only=True):
+    cpu_share: float = msgspec.field(name="cpuShare", default=1.0)
     cores: float = 1.0
-    memory_mb: int = pydantic.Field(alias="memoryMb")
-    link_mbps: float = pydantic.Field(0.0, alias="linkMbps")
-    max_fds: int = pydantic.Field(alias="maxFds")
+    memory_mb: int = msgspec.field(name="memoryMb")
+    link_mbps: float = msgspec.field(name="linkMbps", default=0.0)
+    max_fds: int = msgspec.field(name="maxFds")
 
 
-class _Bounds(_Wire):
-    grace_s: float = pydantic.Field(8.0, alias="graceS")
-    retry_ratio: float = pydantic.Field(0.2, alias="retryBudgetRatio")
-    retry_window_s: float = pydantic.Field(10.0, alias="budgetWindowS")
-    retry_slack: float = pydantic.Field(50.0, alias="retryBudgetSlack")
+class _Bounds(_Wire, frozen=True, kw_only=True):
+    grace_s: float = msgspec.field(name="graceS", default=8.0)
+    retry_ratio: float = msgspec.field(name="retryBudgetRatio", default=0.2)
+    retry_window_s: float = msgspec.field(name="budgetWindowS", default=10.0)
+    retry_slack: float = msgspec.field(name="retryBudgetSlack", default=50.0)
     # Span over which what a customer sends is summed, in seconds.
-    limit_span_s: float = pydantic.Field(0.0, alias="quotaWindowS")
+    limit_span_s: float = msgspec.field(name="quotaWindowS", default=0.0)
     # Part by which the sum over a span may exceed what rate and burst allow.
-    limit_excess: float = pydantic.Field(0.0, alias="quotaOverage")
+    limit_excess: float = msgspec.field(name="quotaOverage", default=0.0)
     # Tokens by which it may exceed that in addition.
-    limit_slack: float = pydantic.Field(0.0, alias="quotaSlack")
+    limit_slack: float = msgspec.field(name="quotaSlack", default=0.0)
 
 
-class _Store(_Wire):
+class _Store(_Wire, frozen=True, kw_only=True):
     address: str
 
 
-class _File(_Wire):
+class _File(_Wire, frozen=True, kw_only=True):
     node: str
     ip: str
     zone: str
@@ -149,11 +148,18 @@
         SettingsError: The file cannot be read or has a mistake.
     """
     try:
-        raw = _File.model_validate(tomllib.loads(path.read_text()))
+        fields = tomllib.loads(path.read_text())
     except (OSError, tomllib.TOMLDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
-    except pydantic.ValidationError as error:
-        raise SettingsError(f"{path}: {describe(error)}") from error
+    match validation.convert(fields, _File, strict=False):
+        case Ok(raw):
+            return _make_settings(raw)
+        case Err(mistakes):
+            told = validation.format_mistakes(mistakes)
+            raise SettingsError(f"{path}: {told}")
+
+
+def _make_settings(raw: _File) -> VmSettings:
     return VmSettings(
         vm=raw.node,
         ip=raw.ip,
@@ -179,11 +185,3 @@
             raw.bounds.limit_slack,
         ),
     )
-
-
-def describe(error: pydantic.ValidationError) -> str:
-    """Returns all mistakes in one line, each with its place."""
-    return "; ".join(
-        ".".join(map(str, found["loc"])) + ": " + found["msg"]
-        for found in error.errors()
-    )
--- a/ramptray/process.py
+++ b/ramptray/process.py
@@ -15,7 +15,6 @@
 import anyio
 import click
 import msgspec
-import pydantic
 from pythonjsonlogger import json as json_logger
 
 import ramptray
@@ -31,7 +30,7 @@
 EXIT_FAILED = 1
 """The work could not be done."""
 
-SettingsT = TypeVar("SettingsT", bound=pydantic.BaseModel)
+SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
 
 
 class ProcessError(Exception):
--- a/ramptray/settings.py
+++ b/ramptray/settings.py
@@ -4,16 +4,16 @@
 
 from typing import Annotated
 
-import pydantic
+import msgspec
 
 from ramptray.bundle import model
 
 Address = Annotated[
-    str, pydantic.StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+    str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")
 ]
 
 
-class TlsSettings(model.Model):
+class TlsSettings(model.Model, frozen=True, kw_only=True):
     """Mutual TLS between ramptray's own processes.
 
     Attributes:
@@ -29,7 +29,7 @@
     server_name: str = "ramptray"
 
 
-class ProcessSettings(model.Model):
+class ProcessSettings(model.Model, frozen=True, kw_only=True):
     """What every program needs to know of itself.
 
     Attributes:
@@ -47,16 +47,14 @@
     vm: model.Name
     zone: model.Name
     listen: Address
-    log_level: str = pydantic.Field(
-        "INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
-    )
+    log_level: model.LogLevel = "INFO"
     tls: TlsSettings | None = None
     log_events: bool = False
-    ring_events: int = pydantic.Field(20_000, ge=0)
+    ring_events: model.Count = 20_000
     cut_file: str | None = None
 
 
-class CallerLimits(model.Model):
+class CallerLimits(model.Model, frozen=True, kw_only=True):
     """What one caller may ask of an entry's memory and patience.
 
     Attributes:
@@ -67,14 +65,14 @@
         idle_write_s: Seconds a caller may leave its answer unread.
     """
 
-    body_bytes: int = pydantic.Field(4 * 1024 * 1024, ge=1024)
-    header_bytes: int = pydantic.Field(32 * 1024, ge=1024)
-    requests: int = pydantic.Field(2000, ge=1)
-    body_s: float = pydantic.Field(30.0, gt=0)
-    idle_write_s: float = pydantic.Field(60.0, gt=0)
+    body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 4 * 1024 * 1024
+    header_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 32 * 1024
+    requests: model.PositiveInt = 2000
+    body_s: model.PositiveFloat = 30.0
+    idle_write_s: model.PositiveFloat = 60.0
 
 
-class EntrySettings(ProcessSettings):
+class EntrySettings(ProcessSettings, frozen=True, kw_only=True):
     """Settings of ``ramptray-entry``.
 
     Attributes:
@@ -85,10 +83,10 @@
 
     scheduler: Address
     limits: CallerLimits = CallerLimits()
-    drain_s: float = pydantic.Field(600.0, gt=0)
+    drain_s: model.PositiveFloat = 600.0
 
 
-class SchedulerSettings(ProcessSettings):
+class SchedulerSettings(ProcessSettings, frozen=True, kw_only=True):
     """Settings of ``ramptray-scheduler``.
 
     Attributes:
@@ -103,10 +101,10 @@
     seeds: list[Address] = []
     trust: model.Operators
     policy: str = "token"
-    report_every_s: float = pydantic.Field(1.0, ge=0.05)
+    report_every_s: Annotated[float, msgspec.Meta(ge=0.05)] = 1.0
 
 
-class ControllerSettings(ProcessSettings):
+class ControllerSettings(ProcessSettings, frozen=True, kw_only=True):
     """Settings of ``ramptray-controller``.
 
     Attributes:
@@ -117,10 +115,10 @@
 
     scheduler: Address
     platform: model.Url
-    order_timeout_s: float = pydantic.Field(2.0, gt=0)
+    order_timeout_s: model.PositiveFloat = 2.0
 
 
-class OperatorSettings(model.Model):
+class OperatorSettings(model.Model, frozen=True, kw_only=True):
     """Settings of the operators' command ``ramptray``.
 
     Attributes:
@@ -131,7 +129,7 @@
     """
 
     platform: model.Url
-    schedulers: list[Address] = pydantic.Field(min_length=1)
+    schedulers: Annotated[list[Address], msgspec.Meta(min_length=1)]
     trust: model.Operators
     tls: TlsSettings | None = None
 
--- a/ramptray/standin/engine/main.py
+++ b/ramptray/standin/engine/main.py
@@ -10,7 +10,6 @@
 
 import anyio
 import msgspec
-import pydantic
 from starlette import applications, requests, responses, routing
 
 from ramptray import process, webserver
@@ -26,7 +25,7 @@
 DEFAULT_MAX_TOKENS = 64
 
 
-class FakeEngineSettings(model.Model):
+class FakeEngineSettings(model.Model, frozen=True, kw_only=True):
     """Settings of the engine stand-in.
 
     Attributes:
@@ -49,22 +48,22 @@
 
     name: model.Name
     listen: Address
-    prefill_tokens_per_s: float = pydantic.Field(4000.0, gt=0)
-    step_s: float = pydantic.Field(0.02, gt=0)
-    step_growth: float = pydantic.Field(0.05, ge=0)
-    max_running: int = pydantic.Field(8, ge=1)
-    cache_blocks: int = pydantic.Field(512, ge=0)
-    report_lag_s: float = pydantic.Field(1.0, ge=0)
-    cache_event_lag_s: float = pydantic.Field(0.5, ge=0)
-    cache_event_loss: float = pydantic.Field(0.05, ge=0, le=1)
+    prefill_tokens_per_s: model.PositiveFloat = 4000.0
+    step_s: model.PositiveFloat = 0.02
+    step_growth: model.NonNegativeFloat = 0.05
+    max_running: model.PositiveInt = 8
+    cache_blocks: model.Count = 512
+    report_lag_s: model.NonNegativeFloat = 1.0
+    cache_event_lag_s: model.NonNegativeFloat = 0.5
+    cache_event_loss: model.Part = 0.05
     checks_fencing: bool = False
     versions: list[str] = []
-    load_s: float = pydantic.Field(0.2, ge=0)
+    load_s: model.NonNegativeFloat = 0.2
     seed: int = 1
     log_level: str = "INFO"
 
 
-class Faults(model.Model):
+class Faults(model.Model, frozen=True, kw_only=True):
     """Faults and signs that a test sets.
 
     Attributes:
@@ -75,7 +74,7 @@
         refuse: Whether it admits nothing.
     """
 
-    slowdown: float = pydantic.Field(1.0, gt=0)
+    slowdown: model.PositiveFloat = 1.0
     crash_s: float | None = None
     leaving: bool = False
     break_streams: bool = False
@@ -393,8 +392,8 @@
         self, request: requests.Request
     ) -> responses.Response:
         try:
-            self._faults = Faults.model_validate(await request.json())
-        except pydantic.ValidationError as error:
+            self._faults = msgspec.convert(await request.json(), Faults)
+        except msgspec.ValidationError as error:
             return responses.JSONResponse({"error": str(error)}, 400)
         self.batch.slowdown = self._faults.slowdown
         if self._faults.break_streams:
--- a/ramptray/standin/platform/main.py
+++ b/ramptray/standin/platform/main.py
@@ -13,7 +13,6 @@
 
 import anyio
 import msgspec
-import pydantic
 from starlette import applications, requests, responses, routing
 
 from ramptray import process, webserver
@@ -23,7 +22,7 @@
 POLL_S = 0.02
 
 
-class FakePlatformSettings(model.Model):
+class FakePlatformSettings(model.Model, frozen=True, kw_only=True):
     """Settings of the platform stand-in.
 
     Attributes:
@@ -38,14 +37,14 @@
 
     listen: Address
     seed: int = 1
-    retain_records: int = pydantic.Field(100_000, ge=1)
-    appends_per_s: float = pydantic.Field(400.0, gt=0)
-    list_lag_s: float = pydantic.Field(1.0, ge=0)
-    weight_bytes_per_s: float = pydantic.Field(1e9, gt=0)
+    retain_records: model.PositiveInt = 100_000
+    appends_per_s: model.PositiveFloat = 400.0
+    list_lag_s: model.NonNegativeFloat = 1.0
+    weight_bytes_per_s: model.PositiveFloat = 1e9
     log_level: str = "INFO"
 
 
-class Faults(model.Model):
+class Faults(model.Model, frozen=True, kw_only=True):
     """Faults that a test sets.
 
     Attributes:
@@ -193,8 +192,8 @@
         self, request: requests.Request
     ) -> responses.Response:
         try:
-            self._faults = Faults.model_validate(await request.json())
-        except pydantic.ValidationError as error:
+            self._faults = msgspec.convert(await request.json(), Faults)
+        except msgspec.ValidationError as error:
             return responses.JSONResponse({"error": str(error)}, 400)
         for stream in self._streams.values():
             self._trim(stream)
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -9,7 +9,6 @@
 import anyio.abc
 import h11
 import msgspec
-import pydantic
 
 from ramptray import process
 from ramptray.bundle import model
@@ -22,7 +21,7 @@
 STREAM_TYPE = b"text/event-stream"
 
 
-class FakeReplicaSettings(model.Model):
+class FakeReplicaSettings(model.Model, frozen=True, kw_only=True):
     """Settings of the replica stand-in.
 
     Attributes:
@@ -35,12 +34,12 @@
 
     name: model.Name
     listen: Address
-    work_s: float = pydantic.Field(0.01, ge=0)
-    events: int = pydantic.Field(5, ge=1)
+    work_s: model.NonNegativeFloat = 0.01
+    events: model.PositiveInt = 5
     log_level: str = "INFO"
 
 
-class Faults(model.Model):
+class Faults(model.Model, frozen=True, kw_only=True):
     """Faults that a test sets.
 
     Attributes:
@@ -126,7 +125,7 @@
         }
         path = request.target.decode()
         if path == "/faults":
-            self._faults = Faults.model_validate_json(body)
+            self._faults = msgspec.json.decode(body, type=Faults)
             await _send(stream, 200, b"", [])
             return True
         if path == "/ledger":
--- a/ramptray/standin/service/main.py
+++ b/ramptray/standin/service/main.py
@@ -7,7 +7,6 @@
 
 import anyio
 import msgspec
-import pydantic
 from starlette import applications, requests, responses, routing
 
 from ramptray import process, webserver
@@ -15,7 +14,7 @@
 from ramptray.settings import Address
 
 
-class FakeServiceSettings(model.Model):
+class FakeServiceSettings(model.Model, frozen=True, kw_only=True):
     """Settings of the plain service stand-in.
 
     Attributes:
@@ -27,11 +26,11 @@
 
     name: model.Name
     listen: Address
-    work_s: float = pydantic.Field(0.01, ge=0)
+    work_s: model.NonNegativeFloat = 0.01
     log_level: str = "INFO"
 
 
-class Faults(model.Model):
+class Faults(model.Model, frozen=True, kw_only=True):
     """Faults that a test sets.
 
     Attributes:
@@ -120,7 +119,7 @@
     async def _set_faults(
         self, request: requests.Request
     ) -> responses.Response:
-        self._faults = Faults.model_validate(await request.json())
+        self._faults = msgspec.convert(await request.json(), Faults)
         return responses.JSONResponse({})
 
     async def _show_ledger(
--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -6,7 +6,7 @@
 import collections
 
 import anyio
-import pydantic
+import msgspec
 from starlette import applications, requests, responses, routing
 
 from ramptray import process, webserver
@@ -19,7 +19,7 @@
 BUSY = 503
 
 
-class FakeStoreSettings(model.Model):
+class FakeStoreSettings(model.Model, frozen=True, kw_only=True):
     """Settings of the store stand-in.
 
     Attributes:
@@ -31,7 +31,7 @@
     log_level: str = "INFO"
 
 
-class Faults(model.Model):
+class Faults(model.Model, frozen=True, kw_only=True):
     """Faults that a test sets.
 
     Attributes:
@@ -43,7 +43,7 @@
 
     busy: bool = False
     silent: bool = False
-    forgotten: int = pydantic.Field(0, ge=0)
+    forgotten: model.Count = 0
 
 
 class Topic:
@@ -97,7 +97,7 @@
         return responses.Response(status_code=OK)
 
     async def _set_faults(self, http: requests.Request) -> responses.Response:
-        self._faults = Faults.model_validate_json(await http.body())
+        self._faults = msgspec.json.decode(await http.body(), type=Faults)
         return responses.Response(status_code=OK)
 
     async def _show_ledger(self, http: requests.Request) -> responses.Response:
--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -7,7 +7,8 @@
 import subprocess
 import sys
 
-import pydantic
+import msgspec
+import pyjson5
 import pytest
 
 from bench import reference
@@ -41,6 +42,16 @@
             assert (page.parent / link).exists(), f"{page}: {link}"
 
 
+def list_named(path: pathlib.Path) -> set[str]:
+    """Returns the settings that a file names."""
+    return set(pyjson5.decode(path.read_text()))
+
+
+def list_fields(kind: type[msgspec.Struct]) -> set[str]:
+    """Returns the settings that there are."""
+    return {field.name for field in msgspec.structs.fields(kind)}
+
+
 @pytest.mark.parametrize(
     ("name", "kind"),
     [
@@ -51,11 +62,11 @@
     ],
 )
 def test_examples_name_every_setting(
-    name: str, kind: type[pydantic.BaseModel]
+    name: str, kind: type[msgspec.Struct]
 ) -> None:
     path = DOCS.parent / "example" / f"{name}.json5"
-    read = text.read_model(path, kind)
-    assert read.model_fields_set == set(kind.model_fields)
+    text.read_model(path, kind)
+    assert list_named(path) == list_fields(kind)
 
 
 def test_a_settings_mistake_is_one_line_each_with_its_place(
@@ -82,4 +93,4 @@
     path = DOCS.parent / "deploy" / "node.json5"
     read = text.read_model(path, node_settings.NodeSettings)
     assert read == node_settings.NodeSettings()
-    assert read.model_fields_set == set(node_settings.NodeSettings.model_fields)
+    assert list_named(path) == list_fields(node_settings.NodeSettings)
