Probe neighbours only, list all members to newcomers, and stop looking once all are found

Seen on 195 VMs: 528 open descriptors a VM, since each VM probes all others in turn and keeps each connection; a VM that starts asks ten times a second for four seconds whoever it has found; the three seeds are asked by all others beside that. And a VM that restarts among many that are settled is told changes only, of which there are none: by our own count it knew few of 195 after ten probes and took itself for an owner meanwhile. Now members stand on a ring and each probes those 1, 2, 4, 8 ... places ahead (sixteen others or fewer: all, as before). A newcomer has all members listed, 48 an answer; a digest of the living members tells whoever missed a change, and it has them listed anew. Eight answers without a new member end the quick search. Seeds that are members are not asked beside that. Channels on which nothing was asked for 15 s are closed. A message carries twelve changes instead of six. Wire: fields with defaults, so older VMs understand it.

--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+import heapq
 import math
 import random
 from collections.abc import Iterable
@@ -28,12 +29,28 @@
 FORGET_S = 60.0
 """How long a dead member's record is kept, in seconds."""
 
-UPDATES_PER_MESSAGE = 6
-"""Changes that one message carries at most."""
+UPDATES_PER_MESSAGE = 12
+"""Changes that one message carries at most, some 2 KB.  After a fifth of 195
+members goes at once, all others agree on it after 20 rounds of probes; with
+six changes a message one of 156 was still wrong after 60 (in one process)."""
+
+PAGE_MEMBERS = 48
+"""Members that one answer lists for whoever does not know all of them yet: some
+7 KB, a few milliseconds on a link of 10 Mbit/s."""
+
+DIFFERENT_ANSWERS = 8
+"""Answers in a row by peers that know other members, after which all are listed
+anew: changes on their way take fewer."""
+
+FEW_MEMBERS = 16
+"""Up to so many others, a member probes all; of more, only its neighbours."""
 
 STRONG_PART = 0.75
 """VMs with this part of the strongest one's processor time may own shards."""
 
+RING_PLACES = 2**64
+"""Places of the ring on which members have their neighbours."""
+
 SPREAD_FACTOR = 3
 """A change is told this many times the logarithm of the members' number."""
 
@@ -91,7 +108,14 @@
 
 
 class Membership:
-    """One scheduler's view of its zone."""
+    """One scheduler's view of its zone.
+
+    Attributes:
+        version: Grows with each change of who is alive and where.
+        digest: The same for two views with the same living members.
+        wanted_after: Name after which the next members are to be listed by
+            whoever is probed; None if all were.
+    """
 
     def __init__(self, me: Member, rng: random.Random, now: float) -> None:
         self._me = me
@@ -99,6 +123,9 @@
         self._known: dict[str, _Known] = {me.vm: _Known(me, now)}
         self._round: list[str] = []
         self.version = 1
+        self.wanted_after: str | None = ""
+        self.digest = _digest(me)
+        self._different = 0
 
     @property
     def me(self) -> Member:
@@ -137,21 +164,63 @@
         self._set_me(state=MemberState.LEFT, now=now)
 
     def pick_target(self) -> Member | None:
-        """Returns the next member to probe: each once in a random round."""
+        """Returns the next neighbour: each once in a random round."""
         while self._round:
             known = self._known.get(self._round.pop())
             if known and self._may_probe(known.member):
                 return known.member
-        self._round = [
-            vm
-            for vm, known in self._known.items()
-            if self._may_probe(known.member)
-        ]
+        self._round = [member.vm for member in self.list_neighbours()]
         self._rng.shuffle(self._round)
         if not self._round:
             return None
         return self._known[self._round.pop()].member
 
+    def list_neighbours(self) -> list[Member]:
+        """Returns the members that this one probes.
+
+        Load pattern: hundreds of VMs.  If each probed all in turn, each would
+        hold a connection to every other one.  Members stand on a ring in a
+        random order; each probes those 1, 2, 4, 8 ... places ahead, so it has
+        as many neighbours on either side as the logarithm of their number, and
+        news pass all of them in as many steps.
+        """
+        others = [
+            known.member
+            for known in self._known.values()
+            if self._may_probe(known.member)
+        ]
+        if len(others) <= FEW_MEMBERS:
+            return others
+        mine = _place_on_ring(self._me.vm)
+        others.sort(key=lambda m: (_place_on_ring(m.vm) - mine) % RING_PLACES)
+        steps = range(len(others).bit_length())
+        return [others[2**step - 1] for step in steps]
+
+    def list_page(self, after: str) -> list[Member]:
+        """Returns members that are alive, in the order of their names.
+
+        Args:
+            after: Name after which the list begins.
+        """
+        later = [member for member in self.list_alive() if member.vm > after]
+        return heapq.nsmallest(PAGE_MEMBERS, later, key=lambda m: m.vm)
+
+    def take_page(self, page: list[Member], now: float) -> None:
+        """Takes the members that were listed when that was asked for."""
+        self.merge(page, now)
+        whole = len(page) < PAGE_MEMBERS
+        self.wanted_after = None if whole else page[-1].vm
+
+    def compare(self, digest: int) -> None:
+        """Has all members listed anew if others go on to know other ones.
+
+        Changes are told some times only, so a member may miss one for good.
+        """
+        self._different = 0 if digest == self.digest else self._different + 1
+        if self._different >= DIFFERENT_ANSWERS:
+            self._different = 0
+            self.wanted_after = ""
+
     def pick_updates(self) -> list[Member]:
         """Returns the changes to tell next, the least told ones first."""
         most = SPREAD_FACTOR * math.ceil(math.log2(len(self._known) + 1))
@@ -200,6 +269,7 @@
                 )
             gone = state in (MemberState.DEAD, MemberState.LEFT)
             if gone and vm != self._me.vm and now - known.since > FORGET_S:
+                # Its digest went when it did.
                 del self._known[vm]
 
     def _may_probe(self, member: Member) -> bool:
@@ -238,6 +308,7 @@
         known = self._known.get(member.vm)
         old = known.member if known else None
         self._known[member.vm] = _Known(member, now)
+        self.digest ^= _digest(member) ^ (_digest(old) if old else 0)
         if old is None or (old.state, old.address) != (
             member.state,
             member.address,
@@ -291,5 +362,17 @@
     return xxhash.xxh3_64_intdigest(name.encode()) % shards
 
 
+def _place_on_ring(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def _digest(member: Member) -> int:
+    """Returns a living member's part of the digest; 0 for others."""
+    if member.state not in (MemberState.ALIVE, MemberState.SUSPECT):
+        return 0
+    text = f"{member.vm}|{member.incarnation}|{member.address}"
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 def _weigh(key: str, name: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}|{name}".encode())
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -11,7 +11,8 @@
 import contextlib
 import logging
 import pathlib
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 import anyio
@@ -19,6 +20,7 @@
 import anyio.lowlevel
 import grpc
 import grpc.aio
+import msgspec
 from anyio.streams import memory
 
 from ramptray import settings
@@ -29,6 +31,11 @@
 
 SERVICE = "ramptray.Peer"
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+IDLE_S = 15.0
+"""How long a channel is kept on which nothing is asked, in seconds: neighbours
+are probed every four seconds, and the others of hundreds only by chance.  A
+connection to each would cost descriptors and memory on either side."""
+
 QUEUE_FRAMES = 10_000
 """Frames that may wait for a slow peer before its link is cut."""
 
@@ -194,6 +201,32 @@
         return codec.encode(self._clock.tick(), answer)
 
 
+class _Shared(msgspec.Struct):
+    """The channel that all questions to one peer share.
+
+    Attributes:
+        channel: The channel.
+        ask: Sends a question on it.
+        underway: Questions that wait for their answer.
+        used_at: When the last one ended.
+    """
+
+    channel: grpc.aio.Channel
+    ask: Any
+    underway: int = 0
+    used_at: float = 0.0
+
+    @contextlib.contextmanager
+    def use(self) -> Iterator[None]:
+        """Counts a question while it is underway."""
+        self.underway += 1
+        try:
+            yield
+        finally:
+            self.underway -= 1
+            self.used_at = time.monotonic()
+
+
 class PeerClient:
     """Opens links to serving peers; questions share a channel an address."""
 
@@ -206,7 +239,7 @@
         self._clock = hybrid_clock
         self._tls = tls
         self._gate = opened_gate or gate.OpenGate()
-        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._channels: dict[str, _Shared] = {}
         self._servants: dict[str, Servant] = {}
         self.asked_bytes = 0
 
@@ -221,11 +254,12 @@
             LinkError: There was no answer in time.
         """
         _check(address, self._gate)
-        call: Any = self._get_channel(address).unary_unary(f"/{SERVICE}/Ask")
+        shared = self._share_channel(address)
         data = codec.encode(self._clock.tick(), question)
         try:
-            async with _turn_cancellation(address):
-                answer = await call(data, timeout=timeout_s)
+            with shared.use():
+                async with _turn_cancellation(address):
+                    answer = await shared.ask(data, timeout=timeout_s)
             self.asked_bytes += len(data) + len(answer)
             frame = codec.decode(answer)
         except (*_BROKEN, codec.CodecError) as error:
@@ -259,18 +293,36 @@
 
     async def close(self) -> None:
         """Closes all channels."""
-        for channel in self._channels.values():
-            await channel.close()
+        for shared in self._channels.values():
+            await shared.channel.close()
         self._channels.clear()
 
+    @property
+    def channel_count(self) -> int:
+        """How many peers there is a channel to for questions."""
+        return len(self._channels)
+
+    async def close_idle(self, now: float) -> None:
+        """Closes channels on which nothing was asked for a while.
+
+        Args:
+            now: The time, in seconds.
+        """
+        for address, shared in list(self._channels.items()):
+            if not shared.underway and now - shared.used_at > IDLE_S:
+                await self.forget(address)
+
     async def forget(self, address: str) -> None:
         """Closes the channel to a peer that has gone for good."""
-        if channel := self._channels.pop(address, None):
-            await channel.close()
+        if shared := self._channels.pop(address, None):
+            await shared.channel.close()
 
-    def _get_channel(self, address: str) -> grpc.aio.Channel:
+    def _share_channel(self, address: str) -> _Shared:
         if address not in self._channels:
-            self._channels[address] = self._open_channel(address)
+            channel = self._open_channel(address)
+            self._channels[address] = _Shared(
+                channel, channel.unary_unary(f"/{SERVICE}/Ask")
+            )
         return self._channels[address]
 
     def _open_channel(self, address: str) -> grpc.aio.Channel:
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -107,6 +107,11 @@
         summaries: Shards of any zone, newest known.
         contacts: Live schedulers of other zones.
         ends: How far each stream of the log, by its name, is known to reach.
+        digest: The same for senders that know the same living members; 0 for
+            not told.
+        wanted_after: Name after which the sender wants members listed; None
+            if it does not.
+        page: The members that were wanted so.
     """
 
     sender: membership.Member
@@ -114,6 +119,9 @@
     summaries: list[summary.ShardSummary]
     contacts: list[membership.Member]
     ends: dict[str, int] = msgspec.field(default_factory=dict)
+    digest: int = 0
+    wanted_after: str | None = None
+    page: list[membership.Member] | None = None
 
 
 class FetchBundle(msgspec.Struct, frozen=True):
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -9,11 +9,13 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import msgspec
 
-from ramptray.core import membership, message, summary
+from ramptray.core import membership
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import source
+from ramptray.scheduler import contact as contact_book
+from ramptray.scheduler import source, summaries
 
 LOG = logging.getLogger(__name__)
 
@@ -24,6 +26,10 @@
 YOUNG_PERIOD_S = 0.1
 """Time between two probes of such a scheduler, in seconds."""
 
+SETTLED_PROBES = 8
+"""Answered probes in a row that brought no new member, after which a scheduler
+has found the others: as many as it has neighbours among two hundred."""
+
 ALARM_TIMEOUT_S = 0.25
 """How long a member may take to answer when there is reason to doubt it, in
 seconds: a round trip takes some milliseconds, on a slow VM some ten."""
@@ -39,11 +45,7 @@
 LEAVE_TO = 3
 """Members that a scheduler tells that it goes; they tell the others."""
 
-SUMMARIES_PER_MESSAGE = 8
 CONTACTS_PER_MESSAGE = 3
-CONTACTS_PER_ZONE = 4
-"""Schedulers of each other zone that are remembered."""
-
 OTHER_ZONE_EVERY = 3
 """Every so many periods a scheduler of another zone is asked."""
 
@@ -52,8 +54,8 @@
 know, they tell as many each: 111 to 116 of 120 knew within 0.3 s, and only the
 2 that began with a probe a period (gossipers in one process, ten seeds)."""
 
-SUMMARY_STALE_S = 8.0
-"""A shard's summary older than this is not acted on."""
+STRANGERS = 4
+"""Seeds among which one is chosen to be asked, since it may be beyond a cut."""
 
 
 class Gossiper:
@@ -96,11 +98,11 @@
             follow.set_on_news(lambda: self._news.set())
         self._version = 0
         self._lowest = 0
-        self._contacts: dict[str, dict[str, membership.Member]] = {}
-        self._summaries: dict[str, tuple[float, summary.ShardSummary]] = {}
+        self._contacts = contact_book.Contacts(me.zone)
+        self.summaries = summaries.Summaries()
         self._rounds = itertools.count(1)
-        self._turn = 0
         self._young_until = now + YOUNG_S
+        self._settled = 0
         self._count_seeds_until = now + membership.FORGET_S
         self._alarmed = False
 
@@ -116,26 +118,29 @@
             await self._news.wait()
             self._news = anyio.Event()
             async with anyio.create_task_group() as tasks:
-                for address in self._pick_others(SPREAD_TO):
+                for address in self._pick_neighbours(SPREAD_TO):
                     tasks.start_soon(self._probe, address)
 
-    def _pick_others(self, count: int) -> list[str]:
-        others = [
-            m.address
-            for m in self.membership.list_alive()
-            if m.address != self._me.address
-        ]
+    def _pick_neighbours(self, count: int) -> list[str]:
+        others = [m.address for m in self.membership.list_neighbours()]
         return self._rng.sample(others, min(count, len(others)))
 
     async def _run_periods(self) -> None:
         while True:
             period_s = membership.PERIOD_S
-            if time.monotonic() < self._young_until:
+            if self._is_young():
                 period_s = YOUNG_PERIOD_S
             await anyio.sleep(period_s * self._rng.uniform(0.8, 1.2))
             await self._run_period()
-            if time.monotonic() < self._young_until:
+            if self._is_young():
                 await self._probe_seeds()
+            await self._client.close_idle(time.monotonic())
+
+    def _is_young(self) -> bool:
+        """Tells whether this scheduler still looks for the others."""
+        if self._settled >= SETTLED_PROBES:
+            return False
+        return time.monotonic() < self._young_until
 
     async def _probe_seeds(self) -> None:
         """Asks the seeds that are no members yet."""
@@ -155,30 +160,14 @@
         known = {*self._seeds, self._me.address}
         self._seeds.extend(a for a in addresses if a not in known)
 
-    def set_summaries(
-        self, summaries: list[summary.ShardSummary], now: float
-    ) -> None:
-        """Takes the summaries of this scheduler's own shards."""
-        for mine in summaries:
-            self._summaries[mine.shard.format()] = (now, mine)
-
-    def list_elsewhere(
-        self, key: message.ShardKey, now: float
-    ) -> list[summary.ShardSummary]:
-        """Returns fresh summaries of the same shard in the other zones."""
-        return [
-            found
-            for seen, found in self._summaries.values()
-            if found.shard != key
-            and found.shard.service == key.service
-            and found.shard.number == key.number
-            and now - seen < SUMMARY_STALE_S
-        ]
-
     def receive(self, gossip: peer_message.Gossip) -> peer_message.Gossip:
         """Takes a peer's probe and returns the answer."""
         self._merge(gossip, time.monotonic())
-        return self._make_message()
+        answer = self._make_message()
+        if gossip.wanted_after is None:
+            return answer
+        page = self.membership.list_page(gossip.wanted_after)
+        return msgspec.structs.replace(answer, page=page)
 
     def get_part(self, stands_in: bool = False) -> float:
         """Returns the part of customers' limits that may be handed out here.
@@ -269,7 +258,7 @@
         """Tells the zone that this scheduler goes."""
         now = time.monotonic()
         self.membership.leave(now)
-        for address in self._pick_others(LEAVE_TO):
+        for address in self._pick_neighbours(LEAVE_TO):
             await self._probe(address)
         self._publish()
 
@@ -288,13 +277,15 @@
         self._publish()
 
     def _pick_other_zone(self) -> list[str]:
-        contacts = [
-            member.address
-            for members in self._contacts.values()
-            for member in members.values()
-        ]
-        strangers = [s for s in self._seeds if s not in contacts]
-        pool = contacts + strangers[:CONTACTS_PER_ZONE]
+        """Returns one contact, or one seed that is no member now.
+
+        Seeds that are members are probed as such: asked by every scheduler of
+        a large zone beside that, they would do little else.
+        """
+        met = [member.address for member in self._contacts.list_all()]
+        known = {m.address for m in self.membership.list_alive()}.union(met)
+        strangers = [seed for seed in self._seeds if seed not in known]
+        pool = met + strangers[:STRANGERS]
         return [self._rng.choice(pool)] if pool else []
 
     async def _probe(
@@ -302,89 +293,55 @@
     ) -> bool:
         try:
             answer = await self._client.ask(
-                address, self._make_message(), timeout_s
+                address, self._make_question(), timeout_s
             )
         except peer_link.LinkError:
-            self._drop_contact(address)
+            self._contacts.drop(address)
             return False
-        self._merge(answer, time.monotonic())
+        self._take_answer(answer)
         sender = answer.sender
         if sender.generation > self.membership.me.generation:
             await self._on_newer(sender.address, sender.generation)
         return True
 
+    def _take_answer(self, answer: peer_message.Gossip) -> None:
+        known = self.membership.version
+        now = time.monotonic()
+        self._merge(answer, now)
+        if answer.page is not None:
+            self.membership.take_page(answer.page, now)
+        elif answer.digest:
+            self.membership.compare(answer.digest)
+        is_same = self.membership.version == known
+        self._settled = self._settled + 1 if is_same else 0
+
     def _merge(self, gossip: peer_message.Gossip, now: float) -> None:
         self.membership.merge([gossip.sender, *gossip.updates], now)
         if self._follow and gossip.ends:
             self._follow.take_ends(gossip.ends)
         for contact in [gossip.sender, *gossip.contacts]:
-            self._note_contact(contact)
-        for told in gossip.summaries:
-            key = told.shard.format()
-            known = self._summaries.get(key)
-            if known is None or told.version > known[1].version:
-                self._summaries[key] = (now, told)
-
-    def _note_contact(self, member: membership.Member) -> None:
-        if member.zone == self._me.zone:
-            return
-        contacts = self._contacts.setdefault(member.zone, {})
-        gone = member.state is not membership.MemberState.ALIVE
-        if gone:
-            contacts.pop(member.vm, None)
-            return
-        known = contacts.get(member.vm)
-        if known is None or member.overrides(known):
-            contacts[member.vm] = member
-        while len(contacts) > CONTACTS_PER_ZONE:
-            contacts.pop(next(iter(contacts)))
-
-    def _drop_contact(self, address: str) -> None:
-        for contacts in self._contacts.values():
-            for vm, member in list(contacts.items()):
-                if member.address == address:
-                    del contacts[vm]
+            self._contacts.note(contact)
+        self.summaries.merge(gossip.summaries, now)
 
     def _make_message(self) -> peer_message.Gossip:
-        contacts = [
-            member
-            for members in self._contacts.values()
-            for member in members.values()
-        ]
-        count = min(CONTACTS_PER_MESSAGE, len(contacts))
+        contacts = self._contacts.list_all()
+        told = min(CONTACTS_PER_MESSAGE, len(contacts))
         return peer_message.Gossip(
             self.membership.me,
             self.membership.pick_updates(),
-            self._pick_summaries(),
-            self._rng.sample(contacts, count),
+            self.summaries.pick(time.monotonic()),
+            self._rng.sample(contacts, told),
             self._follow.list_ends() if self._follow else {},
+            self.membership.digest,
         )
 
-    def _pick_summaries(self) -> list[summary.ShardSummary]:
-        """Returns the next few summaries, each of them in its turn."""
-        now = time.monotonic()
-        fresh = [
-            found
-            for seen, found in self._summaries.values()
-            if now - seen < SUMMARY_STALE_S
-        ]
-        if not fresh:
-            return []
-        start = self._turn % len(fresh)
-        self._turn += SUMMARIES_PER_MESSAGE
-        ring = itertools.islice(itertools.cycle(fresh), start, None)
-        count = min(SUMMARIES_PER_MESSAGE, len(fresh))
-        return list(itertools.islice(ring, count))
+    def _make_question(self) -> peer_message.Gossip:
+        return msgspec.structs.replace(
+            self._make_message(), wanted_after=self.membership.wanted_after
+        )
 
     def _publish(self) -> None:
-        others = sorted(
-            (
-                member
-                for members in self._contacts.values()
-                for member in members.values()
-            ),
-            key=lambda member: member.vm,
-        )
+        others = sorted(self._contacts.list_all(), key=lambda m: m.vm)
         signature = hash(
             (
                 self.membership.version,
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -504,9 +504,11 @@
             for key, owner in self.shards.items()
             if self.owns(key)
         ]
-        self._gossiper.set_summaries(mine, now)
+        self._gossiper.summaries.put(mine, now)
         for key, owner in self.shards.items():
-            owner.set_elsewhere(self._gossiper.list_elsewhere(key, now))
+            owner.set_elsewhere(
+                self._gossiper.summaries.list_elsewhere(key, now)
+            )
 
     def _drop_foreign_shards(self, now: float) -> None:
         for key, owner in list(self.shards.items()):
--- /dev/null
+++ b/ramptray/scheduler/summaries.py
@@ -0,0 +1,64 @@
+"""Summaries of the shards of all zones, as schedulers tell them each other."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterable
+
+from ramptray.core import message, summary
+
+SUMMARIES_PER_MESSAGE = 8
+
+STALE_S = 8.0
+"""A shard's summary older than this is not acted on, in seconds."""
+
+
+class Summaries:
+    """The newest summary of each shard that was heard of."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, tuple[float, summary.ShardSummary]] = {}
+        self._turn = 0
+
+    def put(self, own: Iterable[summary.ShardSummary], now: float) -> None:
+        """Takes the summaries of this scheduler's own shards."""
+        for mine in own:
+            self._known[mine.shard.format()] = (now, mine)
+
+    def merge(self, told: Iterable[summary.ShardSummary], now: float) -> None:
+        """Takes what a peer told, as far as it is newer."""
+        for other in told:
+            key = other.shard.format()
+            known = self._known.get(key)
+            if known is None or other.version > known[1].version:
+                self._known[key] = (now, other)
+
+    def list_elsewhere(
+        self, key: message.ShardKey, now: float
+    ) -> list[summary.ShardSummary]:
+        """Returns fresh summaries of the same shard in the other zones."""
+        return [
+            found
+            for found in self._list_fresh(now)
+            if found.shard != key
+            and found.shard.service == key.service
+            and found.shard.number == key.number
+        ]
+
+    def pick(self, now: float) -> list[summary.ShardSummary]:
+        """Returns the next few summaries, each of them in its turn."""
+        fresh = self._list_fresh(now)
+        if not fresh:
+            return []
+        start = self._turn % len(fresh)
+        self._turn += SUMMARIES_PER_MESSAGE
+        ring = itertools.islice(itertools.cycle(fresh), start, None)
+        count = min(SUMMARIES_PER_MESSAGE, len(fresh))
+        return list(itertools.islice(ring, count))
+
+    def _list_fresh(self, now: float) -> list[summary.ShardSummary]:
+        return [
+            found
+            for seen, found in self._known.values()
+            if now - seen < STALE_S
+        ]
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -250,3 +250,51 @@
         made._publish()
     left = {vm for vm, (_, f) in watching.items() if f.watching} - watchers
     assert len(left) == source.WATCHERS
+
+
+def test_a_settled_scheduler_probes_no_more_often_than_others() -> None:
+    peers = Peers(set())
+    made = make_gossiper(["b:1"], client=peers)
+
+    async def run() -> None:
+        with anyio.move_on_after(gossip.YOUNG_PERIOD_S * 30):
+            await made.run()
+
+    anyio.run(run)
+    # Each of the first probes may bring a member, the next ones brought none;
+    # for all of its first four seconds it would have been thirty.
+    assert len(peers.asked) <= 2 * gossip.SETTLED_PROBES
+
+
+def test_seeds_that_are_members_are_probed_as_members_only() -> None:
+    # Of 195 members each asked one of three seeds every 1.5 s beside its
+    # probes: 43 questions a second for each of the three.
+    peers = Peers(set())
+    made = make_gossiper(["b:1"], client=peers)
+    others = [membership.Member(f"m{n}", "z", f"m{n}:1", 1) for n in range(40)]
+    seed = membership.Member("b", "z", "b:1", 1)
+    made.membership.merge([*others, seed], time.monotonic())
+    neighbours = {m.address for m in made.membership.list_neighbours()}
+
+    async def run() -> None:
+        for _ in range(4 * gossip.OTHER_ZONE_EVERY):
+            await made._run_period()
+
+    anyio.run(run)
+    assert set(peers.asked) <= neighbours
+    assert "b:1" not in neighbours
+
+
+def test_a_scheduler_asks_for_all_members_and_lists_them() -> None:
+    made = make_gossiper([])
+    asked = made._make_question()
+    assert asked.wanted_after == ""
+    names = sorted(f"m{n}" for n in range(60))
+    others = [membership.Member(n, "z", f"{n}:1", 1) for n in names]
+    lister = make_gossiper([], vm="l")
+    lister.membership.merge(others, time.monotonic())
+    for _ in range(2):
+        made._take_answer(lister.receive(made._make_question()))
+    known = {member.vm for member in made.membership.list_alive()}
+    assert known == {*names, "a", "l"}
+    assert made._make_question().wanted_after is None
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 
 import msgspec
@@ -12,16 +13,18 @@
 
 ZONE = "waw-a"
 COUNT = 9
+MANY = 195
 
 
 class Zone:
     """Members that probe one another in rounds, over lossy links."""
 
-    def __init__(self, seed: int, loss: float) -> None:
+    def __init__(self, seed: int, loss: float, count: int = COUNT) -> None:
         self.rng = random.Random(seed)
         self.loss = loss
         self.now = 0.0
-        self.up = {f"vm{n}" for n in range(COUNT)}
+        self.up = {f"vm{n}" for n in range(count)}
+        self.probed: dict[str, set[str]] = collections.defaultdict(set)
         self.views = {
             vm: membership.Membership(
                 membership.Member(vm, ZONE, f"10.0.0.{n}:1", 1),
@@ -47,13 +50,23 @@
         target = view.pick_target()
         if target is None:
             return
+        self.probed[vm].add(target.vm)
         lost = self.rng.random() < self.loss
         if lost or target.vm not in self.up:
             view.suspect(target.vm, self.now)
             return
-        other = self.views[target.vm]
+        self.exchange(vm, target.vm)
+
+    def exchange(self, vm: str, other_vm: str) -> None:
+        """Has one member ask another that answers."""
+        view, other = self.views[vm], self.views[other_vm]
+        wanted_after = view.wanted_after
         other.merge([view.me, *view.pick_updates()], self.now)
         view.merge([other.me, *other.pick_updates()], self.now)
+        if wanted_after is not None:
+            view.take_page(other.list_page(wanted_after), self.now)
+        else:
+            view.compare(other.digest)
 
     def get_alive(self, vm: str) -> set[str]:
         return {member.vm for member in self.views[vm].list_alive()}
@@ -156,3 +169,59 @@
     assert [m.vm for m in membership.list_strongest(members)] == ["b", "c"]
     untold = [membership.Member(vm, "z", f"{vm}:1", 1) for vm in sizes]
     assert membership.list_strongest(untold) == untold
+
+
+def make_settled() -> Zone:
+    """Returns many members that have known each other for long."""
+    zone = Zone(3, loss=0.0, count=MANY)
+    everyone = [view.me for view in zone.views.values()]
+    for view in zone.views.values():
+        view.merge(everyone, 0.0)
+    zone.run(60)
+    return zone
+
+
+def test_many_members_probe_as_few_as_the_logarithm_of_their_number() -> None:
+    zone = make_settled()
+    assert max(map(len, zone.probed.values())) <= MANY.bit_length()
+    probing = collections.Counter(
+        target for targets in zone.probed.values() for target in targets
+    )
+    assert max(probing.values()) <= MANY.bit_length()
+
+
+def test_a_member_that_restarts_among_many_soon_knows_all() -> None:
+    # It was told changes only, and of many that are settled there are none: it
+    # knew 9 of 195 after ten probes, and took itself for the owner meanwhile.
+    zone = make_settled()
+    reborn = msgspec.structs.replace(zone.views["vm4"].me, incarnation=9)
+    zone.views["vm4"] = membership.Membership(
+        reborn, random.Random(5), zone.now
+    )
+    zone.views["vm4"].merge([zone.views["vm0"].me], zone.now)
+    for _ in range(10):
+        zone.probe("vm4")
+    assert zone.get_alive("vm4") == zone.up
+
+
+def test_all_of_many_agree_after_a_fifth_has_gone() -> None:
+    zone = make_settled()
+    zone.up -= {f"vm{n}" for n in range(0, MANY, 5)}
+    zone.run(30)
+    assert all(zone.get_alive(vm) == zone.up for vm in zone.up)
+
+
+def test_halves_of_many_that_could_not_reach_each_other_meet_again() -> None:
+    zone = make_settled()
+    half = {f"vm{n}" for n in range(0, MANY, 2)}
+    others = zone.up - half
+    for side in (half, others):
+        zone.up = side
+        zone.run(40)
+    zone.up = half | others
+    assert not zone.get_alive(min(half)) & others
+    for _ in range(20):
+        # A seed that counts as dead is still asked.
+        zone.exchange(min(half), min(others))
+        zone.run(3)
+    assert all(zone.get_alive(vm) == zone.up for vm in zone.up)
