Have the soak restart replicas under their names, and split it by its jobs

The soak killed no replicas. What replicas run is read from their logs, which a kill does not take away.

--- /dev/null
+++ b/test/harm.py
@@ -0,0 +1,214 @@
+"""Faults that a soak brings about from outside, in bouts, by a seed."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from collections.abc import Callable
+
+from bench import proxy
+from test import node, verdict
+
+CALM_SPELL_S = verdict.CALM_S + 2 * verdict.APPLY_S
+"""Pause between two bouts of faults, in seconds: in its last part promises that
+hold for calm VMs only are judged."""
+
+FAULTS_AT_ONCE = 3
+
+SLOW_CLOCK_MS = 60_000
+"""By how much the clock of a replica may be set back at its restart."""
+
+Draw = tuple[str, Callable[[], None], Callable[[], None]]
+"""A fault: its name, what brings it about and what ends it."""
+
+
+class Harm:
+    """Harms store, links, VMs and replicas.
+
+    Args:
+        started: The deployment.
+        rng: Chooses.
+        stores: What stands between each VM and the store.
+        proxies: What stands before each replica.
+        record: Takes what was done.
+        restarts: Whether replicas also start again under their names.
+
+    Attributes:
+        lives: How often each VM was started again.
+    """
+
+    def __init__(
+        self,
+        started: node.Platform,
+        rng: random.Random,
+        stores: dict[str, proxy.Proxy],
+        proxies: dict[str, proxy.Proxy],
+        record: verdict.Record,
+        restarts: bool,
+    ) -> None:
+        self._platform = started
+        self._rng = rng
+        self._stores = stores
+        self._proxies = proxies
+        self._record = record
+        self._restarts = restarts
+        self._names = list(stores)
+        self._paused: set[str] = set()
+        self._born: dict[str, int] = {}
+        self.lives = dict.fromkeys(self._names, 0)
+
+    def run(self, ends_at: float) -> None:
+        """Brings about faults in bouts, each followed by a calm spell."""
+        while time.monotonic() < ends_at:
+            left_s = ends_at - time.monotonic()
+            bout_s = min(self._rng.uniform(3.0, 9.0), left_s - CALM_SPELL_S)
+            self._bring_about(time.monotonic() + bout_s)
+            time.sleep(min(CALM_SPELL_S, max(0.0, left_s)))
+
+    def _bring_about(self, last_at: float) -> None:
+        """Brings faults about, some at a time, until all have ended."""
+        running: list[tuple[float, Callable[[], None], verdict.Fault]] = []
+        while time.monotonic() < last_at or running:
+            now = time.monotonic()
+            for due, end, fault in list(running):
+                if due <= now:
+                    end()
+                    fault.ended = time.monotonic()
+                    running.remove((due, end, fault))
+            if now < last_at and len(running) < FAULTS_AT_ONCE:
+                name, begin, end = self._draw_fault()
+                fault = verdict.Fault(name, now, float("inf"))
+                self._record.faults.append(fault)
+                begin()
+                running.append((now + self._rng.uniform(0.2, 3.0), end, fault))
+            time.sleep(self._rng.uniform(0.05, 0.8))
+
+    def _draw_fault(
+        self,
+    ) -> Draw:
+        draws = [
+            self._draw_store_fault,
+            self._draw_link_fault,
+            self._draw_link_fault,
+            self._draw_vm_fault,
+            self._draw_replica_fault,
+        ]
+        if self._restarts:
+            draws.append(self._draw_restart)
+        return self._rng.choice(draws)()
+
+    def _draw_store_fault(
+        self,
+    ) -> Draw:
+        kind = self._rng.choice(["silent", "busy"])
+
+        def begin() -> None:
+            self._platform.set_faults("store", **{kind: True})
+
+        return (
+            f"store {kind}",
+            begin,
+            lambda: self._platform.set_faults("store"),
+        )
+
+    def _draw_link_fault(
+        self,
+    ) -> Draw:
+        pool = {**self._stores, **self._proxies}
+        name = self._rng.choice(sorted(pool))
+        made = pool[name]
+        kind = self._rng.choice(
+            ["reset", "silence", "cut", "cut_answers", "delay"]
+        )
+        if kind == "reset":
+            return f"reset {name}", made.reset, _do_nothing
+        if kind == "silence":
+            return f"silence {name}", made.silence, _do_nothing
+        if kind == "delay":
+            return (
+                f"delay {name}",
+                lambda: setattr(made, "delay_s", 0.1),
+                lambda: setattr(made, "delay_s", 0.0),
+            )
+        return (
+            f"{kind} {name}",
+            lambda: setattr(made, kind, True),
+            lambda: setattr(made, kind, False),
+        )
+
+    def _draw_vm_fault(
+        self,
+    ) -> Draw:
+        vm = self._rng.choice(self._names)
+        kind = self._rng.choice(["pause", "kill", "stop"])
+        if vm in self._paused:
+            return "none", _do_nothing, _do_nothing
+        self._paused.add(vm)
+        process = self._platform.processes[vm]
+        if kind == "pause":
+
+            def resume() -> None:
+                process.send_signal(signal.SIGCONT)
+                self._paused.discard(vm)
+
+            return (
+                f"pause {vm}",
+                lambda: process.send_signal(signal.SIGSTOP),
+                resume,
+            )
+        wanted = signal.SIGKILL if kind == "kill" else signal.SIGTERM
+
+        def restart() -> None:
+            process.wait()
+            self.lives[vm] += 1
+            self._platform.restart_vm(vm)
+            self._paused.discard(vm)
+
+        return f"{kind} {vm}", lambda: process.send_signal(wanted), restart
+
+    def _draw_replica_fault(
+        self,
+    ) -> Draw:
+        name = self._rng.choice(sorted(self._proxies))
+        kind = self._rng.choice(["fail", "refuse", "surplus", "leave"])
+        if kind == "leave" and not self._record.leaves:
+
+            def leave() -> None:
+                self._platform.write_record(
+                    name, "draining", self._born.get(name)
+                )
+                leave = verdict.Leave(name, time.monotonic())
+                self._record.leaves.append(leave)
+
+            return f"leave {name}", leave, _do_nothing
+        kind = "refuse" if kind == "leave" else kind
+        return (
+            f"{kind} {name}",
+            lambda: self._platform.set_faults(name, **{kind: True}),
+            lambda: self._platform.set_faults(name),
+        )
+
+    def _draw_restart(self) -> Draw:
+        """Draws a replica that is killed and starts again under its name."""
+        name = self._rng.choice(sorted(self._proxies))
+        set_back = self._rng.random() < 0.3
+        process = self._platform.processes[name]
+        if process.poll() is not None:
+            return "none", _do_nothing, _do_nothing
+
+        def restart() -> None:
+            process.wait()
+            self._platform.restart_replica(name)
+            now_ms = int(time.time() * 1000)
+            self._born[name] = now_ms - SLOW_CLOCK_MS * set_back
+            self._platform.write_record(name, "ready", self._born[name])
+            for leave in self._record.leaves:
+                if leave.name == name:
+                    leave.until = min(leave.until, time.monotonic())
+
+        return f"restart {name}", process.kill, restart
+
+
+def _do_nothing() -> None:
+    """Ends a fault that is over with its beginning."""
--- a/test/node.py
+++ b/test/node.py
@@ -126,6 +126,25 @@
         self._start_standin(name, "replica", settings)
         self.write_record(name)
 
+    def restart_replica(self, name: str) -> None:
+        """Starts a replica again that has ended, with the settings it had."""
+        self._start(
+            name,
+            [
+                "ramptray.standin.replica.main",
+                "--settings",
+                str(self.folder / f"{name}.json5"),
+            ],
+            {},
+        )
+        self._wait_for(self.replicas[name], "/ledger")
+
+    def iterate_runs(self, name: str) -> Iterator[str]:
+        """Yields the ids of what a replica ran, over all its starts."""
+        for line in self.read_log(name):
+            if line["message"] == "running":
+                yield line["request_id"]
+
     def move_replica(self, name: str, **options: Any) -> None:
         """Starts a replica again under its name, at another address.
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bench import promise
 from test import soak
 
 SECONDS = 36.0
@@ -25,7 +26,15 @@
     ],
 )
 def test_the_promises_are_kept_under_random_faults(seed: int, vms: int) -> None:
-    promises, faults = soak.run_soak(vms, seed, SECONDS)
+    judge(*soak.run_soak(vms, seed, SECONDS))
+
+
+def test_the_promises_are_kept_while_replicas_start_again() -> None:
+    judge(*soak.run_soak(3, 202, SECONDS, restarts=True))
+
+
+def judge(promises: list[promise.Promise], faults: list[str]) -> None:
+    """Fails where a promise was broken, or could not be judged."""
     shown = "\n".join([kept.format() for kept in promises] + faults)
     assert not any(kept.violations for kept in promises), shown
     assert all(kept.chances for kept in promises[:6]), shown
