--- a/bench/main.py
+++ b/bench/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from bench import decide, events, faults, policies, reference, slopes
+from bench import decide, events, faults, policies, reference, slopes, start
 from bench.replay import main as replay
 from test import soak
 
@@ -23,6 +23,7 @@
     replay.command,
     slopes.command,
     soak.command,
+    start.command,
 ):
     run.add_command(command)
 
--- a/test/node.py
+++ b/test/node.py
@@ -113,6 +113,8 @@
         self.announced: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.bounds: dict[str, float] = {"graceS": 8, "retryBudgetSlack": 500}
+        # The checkout whose program VMs run; None for the one at work.
+        self.tree: pathlib.Path | None = None
 
     def start_store(self) -> None:
         """Starts the store."""
@@ -206,6 +208,7 @@
                 str(self.folder / f"{name}.json5"),
             ],
             {"RAMPTRAY_CONFIG": str(self.folder / f"{name}.toml")},
+            self.tree,
         )
 
     def set_config(self, config: dict[str, Any]) -> None:
@@ -283,7 +286,11 @@
         self._wait_for(settings["listen"], "/ledger")
 
     def _start(
-        self, name: str, command: list[str], variables: dict[str, str]
+        self,
+        name: str,
+        command: list[str],
+        variables: dict[str, str],
+        tree: pathlib.Path | None = None,
     ) -> None:
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
@@ -292,6 +299,7 @@
                 stderr=log,
                 stdin=subprocess.DEVNULL,
                 env={**os.environ, **variables},
+                cwd=tree,
             )
 
     def _wait_for(self, address: str, path: str) -> None:
