--- a/ramptray/process.py
+++ b/ramptray/process.py
@@ -15,7 +15,7 @@
 import anyio
 import click
 import msgspec
-from pythonjsonlogger import json as json_logger
+from pythonjsonlogger import msgspec as json_logger
 
 import ramptray
 from ramptray import logsink
@@ -113,7 +113,7 @@
 def set_up_logs(program: str, level: str) -> None:
     """Sends all logs to standard output as JSON lines."""
     handler = logsink.BoundedHandler(sys.stdout.fileno())
-    formatter = json_logger.JsonFormatter(
+    formatter = json_logger.MsgspecFormatter(
         "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level"},
         static_fields={"program": program},
@@ -129,7 +129,7 @@
 def name_logs(process: str) -> None:
     """Has each further log line say which process wrote it."""
     for handler in logging.getLogger().handlers:
-        if isinstance(handler.formatter, json_logger.JsonFormatter):
+        if isinstance(handler.formatter, json_logger.MsgspecFormatter):
             handler.formatter.static_fields["process"] = process
 
 
--- a/test/harm.py
+++ b/test/harm.py
@@ -56,6 +56,7 @@
         self._names = list(stores)
         self._paused: set[str] = set()
         self._born: dict[str, int] = {}
+        self._down: set[str] = set()
         self.lives = dict.fromkeys(self._names, 0)
 
     def run(self, ends_at: float) -> None:
@@ -172,6 +173,8 @@
     ) -> Draw:
         name = self._rng.choice(sorted(self._proxies))
         kind = self._rng.choice(["fail", "refuse", "surplus", "leave"])
+        if name in self._down:
+            return "none", _do_nothing, _do_nothing
         if kind == "leave" and not self._record.leaves:
 
             def leave() -> None:
@@ -185,21 +188,28 @@
         kind = "refuse" if kind == "leave" else kind
         return (
             f"{kind} {name}",
-            lambda: self._platform.set_faults(name, **{kind: True}),
-            lambda: self._platform.set_faults(name),
+            lambda: self._set_faults(name, **{kind: True}),
+            lambda: self._set_faults(name),
         )
 
+    def _set_faults(self, name: str, **faults: bool) -> None:
+        """Sets a replica's faults; one that is down loses them anyway."""
+        if name not in self._down:
+            self._platform.set_faults(name, **faults)
+
     def _draw_restart(self) -> Draw:
         """Draws a replica that is killed and starts again under its name."""
         name = self._rng.choice(sorted(self._proxies))
         set_back = self._rng.random() < 0.3
         process = self._platform.processes[name]
-        if process.poll() is not None:
+        if name in self._down:
             return "none", _do_nothing, _do_nothing
+        self._down.add(name)
 
         def restart() -> None:
             process.wait()
             self._platform.restart_replica(name)
+            self._down.discard(name)
             now_ms = int(time.time() * 1000)
             self._born[name] = now_ms - SLOW_CLOCK_MS * set_back
             self._platform.write_record(name, "ready", self._born[name])
--- a/test/soak.py
+++ b/test/soak.py
@@ -16,9 +16,9 @@
 import random
 import sys
 import tempfile
-import threading
 import time
 from collections.abc import Callable, Mapping
+from concurrent import futures
 from types import MappingProxyType
 
 import click
@@ -137,11 +137,10 @@
                 tasks.append(
                     lambda vm=name, on=path: self._call(vm, on)  # type: ignore[misc]
                 )
-        threads = [threading.Thread(target=task) for task in tasks]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
+        with futures.ThreadPoolExecutor(len(tasks)) as threads:
+            for done in [threads.submit(task) for task in tasks]:
+                # A thread that broke would leave the run without its part.
+                done.result()
 
     def _is_over(self) -> bool:
         return time.monotonic() >= self._ends_at
