Tell no generations and no summaries of shards where nobody acts on them

Each change of the configuration is a new generation in force at each VM, each of those a change of a member, and each VM told every other's 24 times: messages between VMs were full all the time. And each message carried summaries of shards with the use of every customer's limit, which only schedulers of other zones need; the users' platform is one zone. VMs on the platform now tell their own generation only, to those that they probe. Where controllers wait for the lowest generation, it is spread as before. Counted in one process: 60 others with a new generation, 1,098 changes told by one member before, none now.

--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -110,6 +110,15 @@
 class Membership:
     """One scheduler's view of its zone.
 
+    Args:
+        me: This scheduler's own record.
+        rng: Chooses whom to probe.
+        now: The time, in seconds.
+        spreads_generations: Whether each member hears of the bundle generation
+            in force at every other one.  If not, only those that probe each
+            other do: among hundreds, each change of the bundle would be as many
+            changes of members, told by each of them some twenty times.
+
     Attributes:
         version: Grows with each change of who is alive and where.
         digest: The same for two views with the same living members.
@@ -117,9 +126,16 @@
             whoever is probed; None if all were.
     """
 
-    def __init__(self, me: Member, rng: random.Random, now: float) -> None:
+    def __init__(
+        self,
+        me: Member,
+        rng: random.Random,
+        now: float,
+        spreads_generations: bool = True,
+    ) -> None:
         self._me = me
         self._rng = rng
+        self._spreads_generations = spreads_generations
         self._known: dict[str, _Known] = {me.vm: _Known(me, now)}
         self._round: list[str] = []
         self.version = 1
@@ -307,7 +323,10 @@
     def _put(self, member: Member, now: float) -> None:
         known = self._known.get(member.vm)
         old = known.member if known else None
-        self._known[member.vm] = _Known(member, now)
+        told = 0
+        if known and not self._spreads_generations:
+            told = known.told * _differs_by_generation(known.member, member)
+        self._known[member.vm] = _Known(member, now, told)
         self.digest ^= _digest(member) ^ (_digest(old) if old else 0)
         if old is None or (old.state, old.address) != (
             member.state,
@@ -366,6 +385,10 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
+def _differs_by_generation(one: Member, other: Member) -> bool:
+    return one == msgspec.structs.replace(other, generation=one.generation)
+
+
 def _digest(member: Member) -> int:
     """Returns a living member's part of the digest; 0 for others."""
     if member.state not in (MemberState.ALIVE, MemberState.SUSPECT):
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -258,6 +258,7 @@
             lambda lowest: None,
             self._follower.fetch,
             self._follower,
+            spreads_generations=False,
         )
 
     def _make_budget(self) -> retry.RetryBudget:
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -70,6 +70,7 @@
         on_lowest: Called when the zone's lowest generation has changed.
         on_newer: Called with a peer that has a newer bundle in force.
         follow: What follows the log, if streams are watched for all.
+        spreads_generations: See ``membership.Membership``.
     """
 
     def __init__(
@@ -82,9 +83,12 @@
         on_lowest: Callable[[int], None],
         on_newer: Callable[[str, int], Awaitable[None]],
         follow: source.BundleSource | None = None,
+        spreads_generations: bool = True,
     ) -> None:
         now = time.monotonic()
-        self.membership = membership.Membership(me, rng, now)
+        self.membership = membership.Membership(
+            me, rng, now, spreads_generations
+        )
         self._me = me
         self._seeds = [s for s in seeds if s != me.address]
         self._client = client
@@ -329,7 +333,8 @@
         return peer_message.Gossip(
             self.membership.me,
             self.membership.pick_updates(),
-            self.summaries.pick(time.monotonic()),
+            # They are for schedulers of other zones.
+            self.summaries.pick(time.monotonic()) if contacts else [],
             self._rng.sample(contacts, told),
             self._follow.list_ends() if self._follow else {},
             self.membership.digest,
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -11,7 +11,7 @@
 import pytest
 
 from ramptray.bundle import acceptance
-from ramptray.core import clock, membership
+from ramptray.core import clock, membership, message, summary
 from ramptray.peer import link
 from ramptray.peer import message as peer_message
 from ramptray.scheduler import gossip, source
@@ -298,3 +298,14 @@
     known = {member.vm for member in made.membership.list_alive()}
     assert known == {*names, "a", "l"}
     assert made._make_question().wanted_after is None
+
+
+def test_summaries_are_told_only_where_there_are_other_zones() -> None:
+    made = make_gossiper([])
+    key = message.ShardKey("z", "lm", 0)
+    own = summary.ShardSummary(key, "a:1", 1, (0,), True, 1)
+    made.summaries.put([own], time.monotonic())
+    assert made._make_message().summaries == []
+    other = membership.Member("b", "y", "b:1", 1)
+    made.receive(peer_message.Gossip(other, [], [], []))
+    assert made._make_message().summaries == [own]
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -226,3 +226,30 @@
         zone.exchange(min(half), min(others))
         zone.run(3)
     assert all(zone.get_alive(vm) == zone.up for vm in zone.up)
+
+
+def count_told(spreads_generations: bool) -> int:
+    """Returns how many changes a settled member tells after new bundles."""
+    mine = membership.Member("a", ZONE, "a:1", 1)
+    view = membership.Membership(
+        mine, random.Random(1), 0.0, spreads_generations
+    )
+    others = [membership.Member(f"m{n}", ZONE, f"m{n}:1", 1) for n in range(60)]
+    view.merge(others, 0.0)
+    while view.pick_updates():
+        pass
+    view.set_generation(2, 1.0)
+    newer = [msgspec.structs.replace(other, generation=2) for other in others]
+    view.merge(newer, 1.0)
+    assert all(member.generation == 2 for member in view.list_alive())
+    told = 0
+    while updates := view.pick_updates():
+        told += len(updates)
+    return told
+
+
+def test_generations_are_spread_only_where_somebody_acts_on_them() -> None:
+    # A change of the bundle was a change of each of 60 members, and each of
+    # them told others of all 60 eighteen times.
+    assert count_told(spreads_generations=True) == 61 * 18
+    assert count_told(spreads_generations=False) == 0
