--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -17,9 +17,10 @@
 from ramptray.caller import metrics
 from ramptray.core import membership, retry
 from ramptray.entry import dispatcher, prober
-from ramptray.node import probe, start
+from ramptray.node import listener, probe
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
+from ramptray.peer import server as peer_server
 from ramptray.platform import config, follower, header, store
 from ramptray.platform import settings as vm_settings
 from ramptray.relay import client as relay_client
@@ -118,7 +119,9 @@
 
     async def run(self, stop: process.Stop) -> None:
         """Serves until a stop is asked for and what runs has ended."""
-        peers = peer_link.PeerServer(self._servant, self._equipment.clock, None)
+        peers = peer_server.PeerServer(
+            self._servant, self._equipment.clock, None
+        )
         try:
             await peers.start(self._given.peers)
         except peer_link.LinkError as error:
@@ -167,9 +170,9 @@
             (self._given.readiness, probes.handle),
             (metrics_address, probes.handle),
         ):
-            opened = start.open_socket(address)
-            listener = await anyio.abc.SocketListener.from_socket(opened)
-            tasks.start_soon(_accept, listener, handle)
+            opened = listener.open_socket(address)
+            taken = await anyio.abc.SocketListener.from_socket(opened)
+            tasks.start_soon(_accept, taken, handle)
         LOG.info(
             "started",
             extra={"address": self._given.callers, "peers": self._given.peers},
@@ -282,14 +285,14 @@
 
 
 async def _accept(
-    listener: anyio.abc.SocketListener,
+    opened: anyio.abc.SocketListener,
     handle: Callable[[anyio.abc.SocketStream], Coroutine[Any, Any, None]],
 ) -> None:
     """Takes connections; one that fails at once costs no other."""
-    async with listener, anyio.create_task_group() as tasks:
+    async with opened, anyio.create_task_group() as tasks:
         while True:
             try:
-                stream = await listener.accept()
+                stream = await opened.accept()
             except OSError as error:
                 LOG.warning(
                     "connection not taken", extra={"detail": repr(error)}
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import logging
-import pathlib
 import time
 from collections.abc import AsyncIterator, Iterator
 from typing import Any
@@ -25,7 +24,7 @@
 
 from ramptray import settings
 from ramptray.core import clock
-from ramptray.peer import codec, gate
+from ramptray.peer import codec, credentials, gate
 
 LOG = logging.getLogger(__name__)
 
@@ -39,7 +38,7 @@
 QUEUE_FRAMES = 10_000
 """Frames that may wait for a slow peer before its link is cut."""
 
-_OPTIONS = [
+OPTIONS = [
     ("grpc.max_receive_message_length", MAX_FRAME_BYTES),
     ("grpc.max_send_message_length", MAX_FRAME_BYTES),
     ("grpc.keepalive_time_ms", 1000),
@@ -55,9 +54,10 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.use_local_subchannel_pool", 1),
 ]
+"""How channels are kept: both ends find a silent peer within 2.5 s."""
 
 
-_BROKEN = (
+BROKEN = (
     grpc.aio.AioRpcError,
     grpc.aio.UsageError,
     grpc.RpcError,
@@ -114,93 +114,6 @@
         """Returns the answer to one question."""
 
 
-class PeerServer:
-    """Serves peers over gRPC."""
-
-    def __init__(
-        self,
-        servant: Servant,
-        hybrid_clock: clock.HybridClock,
-        tls: settings.TlsSettings | None,
-    ) -> None:
-        self._servant = servant
-        self._clock = hybrid_clock
-        self._tls = tls
-        self._server: grpc.aio.Server | None = None
-
-    async def start(self, address: str) -> None:
-        """Starts to serve.
-
-        Raises:
-            LinkError: The address cannot be had.
-        """
-        self._server = grpc.aio.server(options=_OPTIONS)
-        handlers: dict[str, Any] = {
-            "Attach": grpc.stream_stream_rpc_method_handler(self._attach),
-            "Ask": grpc.unary_unary_rpc_method_handler(self._ask),
-        }
-        self._server.add_generic_rpc_handlers(
-            (grpc.method_handlers_generic_handler(SERVICE, handlers),)
-        )
-        try:
-            if self._tls:
-                self._server.add_secure_port(
-                    address, _make_server_credentials(self._tls)
-                )
-            else:
-                self._server.add_insecure_port(address)
-        except RuntimeError as error:
-            raise LinkError(f"cannot listen on {address}: {error}") from error
-        await self._server.start()
-
-    async def stop(self, grace_s: float = 0.5) -> None:
-        """Stops serving; open streams end after the grace."""
-        if self._server:
-            await self._server.stop(grace_s)
-
-    async def _attach(
-        self,
-        frames: AsyncIterator[bytes],
-        context: grpc.aio.ServicerContext[bytes, bytes],
-    ) -> None:
-        session = Session()
-        await self._servant.open(session)
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._read, session, frames)
-                async for body in session.outgoing:
-                    await context.write(codec.encode(self._clock.tick(), body))
-                tasks.cancel_scope.cancel()
-        except* _BROKEN as group:
-            LOG.info("attached peer lost: %r", group.exceptions[0])
-        finally:
-            session.close()
-            with anyio.CancelScope(shield=True):
-                await self._servant.close(session)
-
-    async def _read(
-        self, session: Session, frames: AsyncIterator[bytes]
-    ) -> None:
-        try:
-            async for data in frames:
-                frame = codec.decode(data)
-                self._clock.witness(frame.clock)
-                await self._servant.receive(session, frame.body)
-        finally:
-            session.close()
-
-    async def _ask(
-        self, data: bytes, context: grpc.aio.ServicerContext[bytes, bytes]
-    ) -> bytes:
-        try:
-            frame = codec.decode(data)
-        except codec.CodecError as error:
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
-        self._clock.witness(frame.clock)
-        answer = await self._servant.answer(frame.body)
-        return codec.encode(self._clock.tick(), answer)
-
-
 class _Shared(msgspec.Struct):
     """The channel that all questions to one peer share.
 
@@ -262,7 +175,7 @@
                     answer = await shared.ask(data, timeout=timeout_s)
             self.asked_bytes += len(data) + len(answer)
             frame = codec.decode(answer)
-        except (*_BROKEN, codec.CodecError) as error:
+        except (*BROKEN, codec.CodecError) as error:
             raise LinkError(f"{address}: {_describe(error)}") from error
         self._clock.witness(frame.clock)
         return frame.body
@@ -327,12 +240,12 @@
 
     def _open_channel(self, address: str) -> grpc.aio.Channel:
         if not self._tls:
-            return grpc.aio.insecure_channel(address, options=_OPTIONS)
+            return grpc.aio.insecure_channel(address, options=OPTIONS)
         name = ("grpc.ssl_target_name_override", self._tls.server_name)
         return grpc.aio.secure_channel(
             address,
-            _make_client_credentials(self._tls),
-            options=[*_OPTIONS, name],
+            credentials.make_client_credentials(self._tls),
+            options=[*OPTIONS, name],
         )
 
 
@@ -413,7 +326,7 @@
         try:
             async with _turn_cancellation(self.address):
                 await self._call.write(codec.encode(self._clock.tick(), body))
-        except _BROKEN as error:
+        except BROKEN as error:
             raise LinkError(f"{self.address}: {_describe(error)}") from error
 
     async def receive(self) -> Any:
@@ -421,7 +334,7 @@
         try:
             async with _turn_cancellation(self.address):
                 data = await self._call.read()
-        except _BROKEN as error:
+        except BROKEN as error:
             raise LinkError(f"{self.address}: {_describe(error)}") from error
         _check(self.address, self._gate)
         if data is grpc.aio.EOF:
@@ -463,29 +376,3 @@
     if isinstance(error, grpc.aio.AioRpcError):
         return f"{error.code().name}: {error.details()}"
     return str(error)
-
-
-def _read_keys(tls: settings.TlsSettings) -> tuple[bytes, bytes, bytes]:
-    names = (tls.key_file, tls.certificate_file, tls.authority_file)
-    key, certificate, authority = (
-        pathlib.Path(name).read_bytes() for name in names
-    )
-    return key, certificate, authority
-
-
-def _make_server_credentials(
-    tls: settings.TlsSettings,
-) -> grpc.ServerCredentials:
-    key, certificate, authority = _read_keys(tls)
-    return grpc.ssl_server_credentials(
-        [(key, certificate)],
-        root_certificates=authority,
-        require_client_auth=True,
-    )
-
-
-def _make_client_credentials(
-    tls: settings.TlsSettings,
-) -> grpc.ChannelCredentials:
-    key, certificate, authority = _read_keys(tls)
-    return grpc.ssl_channel_credentials(authority, key, certificate)
--- /dev/null
+++ b/ramptray/peer/server.py
@@ -0,0 +1,106 @@
+"""The serving side of the channel between ramptray's processes."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+import grpc
+import grpc.aio
+
+from ramptray import settings
+from ramptray.core import clock
+from ramptray.peer import codec, credentials, link
+
+LOG = logging.getLogger(__name__)
+
+
+class PeerServer:
+    """Serves peers over gRPC."""
+
+    def __init__(
+        self,
+        servant: link.Servant,
+        hybrid_clock: clock.HybridClock,
+        tls: settings.TlsSettings | None,
+    ) -> None:
+        self._servant = servant
+        self._clock = hybrid_clock
+        self._tls = tls
+        self._server: grpc.aio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Starts to serve.
+
+        Raises:
+            link.LinkError: The address cannot be had.
+        """
+        self._server = grpc.aio.server(options=link.OPTIONS)
+        handlers: dict[str, Any] = {
+            "Attach": grpc.stream_stream_rpc_method_handler(self._attach),
+            "Ask": grpc.unary_unary_rpc_method_handler(self._ask),
+        }
+        self._server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(link.SERVICE, handlers),)
+        )
+        try:
+            if self._tls:
+                self._server.add_secure_port(
+                    address, credentials.make_server_credentials(self._tls)
+                )
+            else:
+                self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise link.LinkError(
+                f"cannot listen on {address}: {error}"
+            ) from error
+        await self._server.start()
+
+    async def stop(self, grace_s: float = 0.5) -> None:
+        """Stops serving; open streams end after the grace."""
+        if self._server:
+            await self._server.stop(grace_s)
+
+    async def _attach(
+        self,
+        frames: AsyncIterator[bytes],
+        context: grpc.aio.ServicerContext[bytes, bytes],
+    ) -> None:
+        session = link.Session()
+        await self._servant.open(session)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._read, session, frames)
+                async for body in session.outgoing:
+                    await context.write(codec.encode(self._clock.tick(), body))
+                tasks.cancel_scope.cancel()
+        except* link.BROKEN as group:
+            LOG.info("attached peer lost: %r", group.exceptions[0])
+        finally:
+            session.close()
+            with anyio.CancelScope(shield=True):
+                await self._servant.close(session)
+
+    async def _read(
+        self, session: link.Session, frames: AsyncIterator[bytes]
+    ) -> None:
+        try:
+            async for data in frames:
+                frame = codec.decode(data)
+                self._clock.witness(frame.clock)
+                await self._servant.receive(session, frame.body)
+        finally:
+            session.close()
+
+    async def _ask(
+        self, data: bytes, context: grpc.aio.ServicerContext[bytes, bytes]
+    ) -> bytes:
+        try:
+            frame = codec.decode(data)
+        except codec.CodecError as error:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        self._clock.witness(frame.clock)
+        answer = await self._servant.answer(frame.body)
+        return codec.encode(self._clock.tick(), answer)
--- a/ramptray/scheduler/main.py
+++ b/ramptray/scheduler/main.py
@@ -14,6 +14,7 @@
 from ramptray.log import client as log_client
 from ramptray.log import vmlist
 from ramptray.peer import link as peer_link
+from ramptray.peer import server as peer_server
 from ramptray.scheduler import (
     claims,
     event,
@@ -75,7 +76,7 @@
         vmlist.VmList(settings.platform, settings.zone, settings.vm),
         settings.report_every_s,
     )
-    server = peer_link.PeerServer(
+    server = peer_server.PeerServer(
         servant.SchedulerServant(owner, gossiper, follow, events),
         equipment.clock,
         settings.tls,
--- a/test/test_attachment.py
+++ b/test/test_attachment.py
@@ -18,6 +18,7 @@
 from ramptray.peer import attachment, gate
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
+from ramptray.peer import server as peer_server
 
 pytestmark = pytest.mark.anyio
 HELLO = peer_message.Hello("entry/vm", "vm", "entry")
@@ -71,7 +72,7 @@
 ) -> None:
     address = deployment.pick_address()
     ours, theirs = tmp_path / "ours", tmp_path / "theirs"
-    server = peer_link.PeerServer(
+    server = peer_server.PeerServer(
         Greeter(), make_clock(), make_tls(ours, "scheduler")
     )
     await server.start(address)
@@ -104,7 +105,7 @@
 ):
     address = deployment.pick_address()
     greeter = Greeter()
-    server = peer_link.PeerServer(greeter, make_clock(), None)
+    server = peer_server.PeerServer(greeter, make_clock(), None)
     await server.start(address)
     client = peer_link.PeerClient(make_clock(), None)
     send, events = anyio.create_memory_object_stream[attachment.Event](1000)
@@ -129,7 +130,7 @@
         link = attachment.Attachment(address, HELLO, client, send)
         tasks.start_soon(link.run)
         for _ in range(2):
-            server = peer_link.PeerServer(Greeter(), make_clock(), None)
+            server = peer_server.PeerServer(Greeter(), make_clock(), None)
             await server.start(address)
             await wait_up(events)
             await server.stop(0.0)
--- a/test/test_stopped_link.py
+++ b/test/test_stopped_link.py
@@ -21,6 +21,7 @@
 from ramptray.peer import attachment
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
+from ramptray.peer import server as peer_server
 from test import node
 from test.test_attachment import HELLO, Greeter
 
@@ -46,7 +47,7 @@
     """Serves a peer; yields its address and a client for it."""
     hybrid_clock = clock.HybridClock(lambda: 0)
     address = f"127.0.0.1:{node.find_port()}"
-    server = peer_link.PeerServer(servant, hybrid_clock, None)
+    server = peer_server.PeerServer(servant, hybrid_clock, None)
     await server.start(address)
     client = peer_link.PeerClient(hybrid_clock, None)
     try:
