--- a/ramptray/log/reader.py
+++ b/ramptray/log/reader.py
@@ -14,7 +14,7 @@
 import logging
 import random
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Iterator
 from typing import Generic, TypeVar
 
 import anyio
@@ -22,6 +22,7 @@
 
 from ramptray.caller import metrics
 from ramptray.log import error as log_error
+from ramptray.log import repetition
 
 LOG = logging.getLogger(__name__)
 
@@ -47,10 +48,6 @@
 """How much longer than it waits a read may take, in seconds: on the slowest
 days of the log an answer takes 0.4 s."""
 
-REPEAT_S = 0.8
-"""Time after which a call that need not wait is repeated, in seconds: twice
-what an answer takes on the slowest days of the log."""
-
 CALL_S = 3.0
 """Longest time for a call that need not wait, in seconds.  It is repeated long
 before, so this only bounds how many are underway."""
@@ -59,12 +56,6 @@
 """Time after which a read that waits would have been answered if there were
 records, in seconds: what a slow log takes."""
 
-STALL_S = 1.0
-"""An answer of which bytes came within this time is on its way, in seconds.  A
-large one takes long on a slow link, and repeating it makes the link slower: by
-older versions 93 and 87 requests were refused or served too late with repeats,
-6 without (88 VMs, 1,317 routes, the same load played again)."""
-
 LOG_ORIGIN = "log"
 """What log lines name as the origin of what the log itself told."""
 
@@ -127,7 +118,7 @@
         self._end: int | None = None
         self._told = 0
         self._told_at = 0.0
-        self._progress_at = float("-inf")
+        self._calls = repetition.Repetition[PageT](self._note_trouble)
         self._doubted = False
         self._asked_at: float | None = None
         self._lost_at = 0.0
@@ -175,7 +166,7 @@
 
     def note_progress(self) -> None:
         """Notes that bytes of an answer have come."""
-        self._progress_at = time.monotonic()
+        self._calls.note_progress()
 
     @property
     def known_end(self) -> int:
@@ -283,14 +274,10 @@
         if underway is None or self._told <= (self._end or 0):
             return
         due_since = max(underway.sent_at, self._told_at)
-        if time.monotonic() - due_since < SETTLED_S or self._is_arriving():
+        if time.monotonic() - due_since < SETTLED_S or self._calls.is_arriving:
             return
         self._doubt("there are records that it should have told")
 
-    def _is_arriving(self) -> bool:
-        """Tells whether an answer is on its way, if a slow one."""
-        return time.monotonic() - self._progress_at < STALL_S
-
     def list_gauges(self, now: float) -> list[metrics.Gauge]:
         """Returns how far and how old the reads of the stream are.
 
@@ -320,9 +307,11 @@
         """Returns the next records; None if the read was given up."""
         offset = self._end
         if offset is None:
-            found = await self._ask(self.read_first)
+            found = await self._calls.ask(self.read_first)
         elif self.lost or self._doubted:
-            found = await self._ask(lambda: self.read_on(offset, 0.0, CALL_S))
+            found = await self._calls.ask(
+                lambda: self.read_on(offset, 0.0, CALL_S)
+            )
         else:
             waited = await self._wait(offset)
             if waited is None:
@@ -355,46 +344,6 @@
             finally:
                 self._underway = None
 
-    async def _ask(self, call: Callable[[], Awaitable[PageT]]) -> PageT:
-        """Repeats a call that need not wait until one of them answers.
-
-        A call that a silent log took is never answered, also when the log is
-        back; a slow log answers the earlier ones, so they go on.
-
-        Raises:
-            log_error.LogError: The log turned a call away.
-        """
-        send, receive = anyio.create_memory_object_stream[
-            PageT | log_error.LogError
-        ](1)
-
-        async def attempt() -> None:
-            try:
-                outcome: PageT | log_error.LogError = await call()
-            except log_error.LogTimeoutError as error:
-                # Whoever waits has logged "log lost" and repeats the call.
-                LOG.debug("call given up: %s", error)
-                return
-            except log_error.LogError as error:
-                outcome = error
-            with contextlib.suppress(anyio.WouldBlock):
-                send.send_nowait(outcome)
-
-        self._progress_at = float("-inf")
-        async with send, receive, anyio.create_task_group() as tasks:
-            while True:
-                if not self._is_arriving():
-                    tasks.start_soon(attempt)
-                with anyio.move_on_after(REPEAT_S):
-                    outcome = await receive.receive()
-                    break
-                if not self._is_arriving():
-                    self._note_trouble(f"no answer within {REPEAT_S} s")
-            tasks.cancel_scope.cancel()
-        if isinstance(outcome, log_error.LogError):
-            raise outcome
-        return outcome
-
     async def _gather(self) -> None:
         await anyio.sleep(self._gather_s)
         if self._watching:
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from ramptray.log import error as log_error
-from ramptray.log import keyedstream
+from ramptray.log import keyedstream, repetition
 from ramptray.log import reader as log_reader
 
 WAIT_S = 28.0
@@ -179,7 +179,7 @@
             with anyio.move_on_after(timeout_s) as scope:
 
                 def extend() -> None:
-                    stalls_at = anyio.current_time() + log_reader.STALL_S
+                    stalls_at = anyio.current_time() + repetition.STALL_S
                     scope.deadline = max(scope.deadline, stalls_at)
                     on_bytes()
 
--- a/test/test_reader.py
+++ b/test/test_reader.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from ramptray.log import client, error, reader
+from ramptray.log import client, error, reader, repetition
 
 pytestmark = pytest.mark.anyio
 LONGEST_WAIT_S = 20.0
@@ -180,7 +180,7 @@
     followed = Reader(log)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(followed.run)
-        await anyio.sleep(3 * reader.REPEAT_S - 0.1)
+        await anyio.sleep(3 * repetition.REPEAT_S - 0.1)
         assert followed.lost
         log.silent = False
         await followed.wait_for(0, 0.3)
@@ -192,7 +192,7 @@
 
 async def test_a_log_slower_than_the_repeats_is_read_all_the_same() -> None:
     log = Log()
-    log.delay_s = 2 * reader.REPEAT_S
+    log.delay_s = 2 * repetition.REPEAT_S
     followed = Reader(log)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(followed.run)
@@ -209,12 +209,12 @@
     log = Log()
     followed = Reader(log)
     log.on_bytes = followed.note_progress
-    log.delay_s = 3 * reader.REPEAT_S
+    log.delay_s = 3 * repetition.REPEAT_S
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(followed.run)
-        await anyio.sleep(2 * reader.REPEAT_S)
+        await anyio.sleep(2 * repetition.REPEAT_S)
         assert not followed.lost
-        await followed.wait_for(0, 2 * reader.REPEAT_S)
+        await followed.wait_for(0, 2 * repetition.REPEAT_S)
         await anyio.sleep(0.1)
         # One call for each answer, and the read that waits for the next.
         assert len(log.calls) == 2
