Keep what was found out of logged mistakes: it may be a customer's key

The value is now shown to whoever checks a file on the command line only. Tests for that and for routes that make no sense.

--- a/ramptray/bundle/validation.py
+++ b/ramptray/bundle/validation.py
@@ -20,14 +20,18 @@
     Attributes:
         path: Path to the field, dots between keys; empty for the whole.
         expected: What was expected there.
+        found: What was found instead; empty where that is long.  It may hold a
+            secret, so it is shown to the file's author only, and never logged.
     """
 
     path: str
     expected: str
+    found: str = ""
 
     def format(self, file: str) -> str:
         """Returns the line shown to the person."""
-        return f"{file}: {self.path or '(whole file)'}: {self.expected}"
+        shown = f" (found {self.found})" if self.found else ""
+        return f"{file}: {self.path or '(whole file)'}: {self.expected}{shown}"
 
 
 def convert(
@@ -48,7 +52,7 @@
 
 
 def format_mistakes(mistakes: list[Mistake]) -> str:
-    """Returns all mistakes in one line, each with its place."""
+    """Returns all mistakes in one line for a log, each with its place."""
     return "; ".join(f"{m.path}: {m.expected}" for m in mistakes)
 
 
@@ -63,7 +67,8 @@
     try:
         msgspec.convert(data, kind, strict=strict)
     except msgspec.ValidationError as error:
-        yield Mistake(path, f"{error}{_show(data)}")
+        found = "" if isinstance(data, dict | list) else repr(data)
+        yield Mistake(path, str(error), found)
 
 
 def _iterate_parts(
@@ -107,7 +112,11 @@
 
 
 def _strip(kind: Any, data: Any) -> Any:
-    """Returns a type without constraints, and that which data is meant for."""
+    """Returns the bare type that data is meant for.
+
+    Constraints are left out, and of a type that may also be None the other one
+    is taken.
+    """
     if typing.get_origin(kind) is Annotated:
         return _strip(typing.get_args(kind)[0], data)
     if typing.get_origin(kind) in (typing.Union, types.UnionType):
@@ -118,7 +127,3 @@
 
 def _join(path: str, part: object) -> str:
     return f"{path}.{part}" if path else str(part)
-
-
-def _show(data: Any) -> str:
-    return "" if isinstance(data, dict | list) else f" (found {data!r})"
--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -43,7 +43,8 @@
 anew: changes on their way take fewer."""
 
 FEW_MEMBERS = 16
-"""Up to so many others, a member probes all; of more, only its neighbours."""
+"""Up to so many others, a member probes all, for a quicker word of losses where
+connections are few; of more, only its neighbours."""
 
 STRONG_PART = 0.75
 """VMs with this part of the strongest one's processor time may own shards."""
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -67,6 +67,42 @@
         config.parse_config("{")
 
 
+def test_a_mistake_in_a_customer_s_keys_does_not_tell_the_key() -> None:
+    raw = node.make_config(1)
+    raw["tenants"][0]["apiKeys"] = "secret-key"
+    with pytest.raises(
+        config.ConfigError, match=r"tenants\.0\.apiKeys"
+    ) as told:
+        config.parse_config(json.dumps(raw))
+    assert "secret" not in str(told.value)
+
+
+@pytest.mark.parametrize(
+    ("place", "value"),
+    [
+        ("kind", "unheard of"),
+        ("timeoutMs", 0),
+        ("maxAttempts", 0),
+        ("pathPrefix", 7),
+        ("name", ""),
+    ],
+)
+def test_a_route_that_makes_no_sense_names_its_place(
+    place: str, value: object
+) -> None:
+    raw = node.make_config(1)
+    raw["routes"][2][place] = value
+    with pytest.raises(config.ConfigError, match=rf"routes\.2\.{place}"):
+        config.parse_config(json.dumps(raw))
+
+
+def test_a_route_that_leads_nowhere_is_a_mistake() -> None:
+    raw = node.make_config(1)
+    del raw["routes"][2]["service"]
+    with pytest.raises(config.ConfigError, match="stream leads to no service"):
+        config.parse_config(json.dumps(raw))
+
+
 def test_only_what_has_changed_in_a_configuration_is_made_anew() -> None:
     parser = config.ConfigParser()
     raw = node.make_config(1)
