Say what checks models, and what closing a channel means now

Two doc comments had been overtaken: models are checked by bundle/validation.py, and channels are closed when idle too, not only to peers that have gone. No code changed.

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -33,8 +33,8 @@
 ):
     """Base of all models: unknown fields are mistakes.
 
-    Only what is read from a file is checked, by ``text``; what the code makes
-    itself is not.
+    Only what is read is checked, by ``validation``; what the code makes itself
+    is not.
     """
 
 
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -226,7 +226,7 @@
                 await self.forget(address)
 
     async def forget(self, address: str) -> None:
-        """Closes the channel to a peer that has gone for good."""
+        """Closes the channel to a peer; the next question opens another."""
         if shared := self._channels.pop(address, None):
             await shared.channel.close()
 
