Tell in the logs what a failed request held and what became of its backend server

The logs could not tell three hypotheses apart: a content that ends what runs it, backend servers that end for reasons of their own, connections that break while the server lives. Now 'request' and 'attempt_failed' name a keyed digest of customer, method, host, path and body, and a broken attempt says what the connection said, after how long, and what a new connection was told. No decision reads any of it. A look costs one connection for each broken attempt, 60 ms at most.

--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -87,6 +87,8 @@
         max_gap_s: Longest pause between two events of an answer in time, in
             seconds; None where there is no such limit.
         event_tokens: Tokens that an event of its answer holds.
+        content: The same for requests of the same customer, path and body;
+            empty where that is not told.
     """
 
     request_id: str
@@ -108,6 +110,7 @@
     wait_s: float | None = None
     max_gap_s: float | None = None
     event_tokens: int = 1
+    content: str = ""
 
 
 class Enqueue(msgspec.Struct, frozen=True):
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -238,6 +238,8 @@
             not_run=event.not_run,
             reason=event.reason.value,
             repeated=may_repeat,
+            content=info.content or None,
+            **(msgspec.to_builtins(event.fault) if event.fault else {}),
         )
         self._perform(ticket, effects, now)
 
@@ -255,6 +257,7 @@
             prompt_tokens=info.prompt_tokens,
             output_tokens=info.output_tokens,
             deadline_s=round(info.deadline_s, 3),
+            content=info.content or None,
             generation=self.in_force.generation if self.in_force else None,
         )
         if ticket.wish:
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -67,6 +67,23 @@
     ended: message.Ended
 
 
+class Fault(msgspec.Struct, frozen=True):
+    """How an attempt broke.
+
+    Attributes:
+        detail: What the connection said.
+        presence: What a new connection to the backend server then said; empty
+            where none was tried.
+        after_s: Seconds since the request was sent.
+        events: Events of its answer that had arrived.
+    """
+
+    detail: str
+    presence: str
+    after_s: float
+    events: int
+
+
 class AttemptFailed(msgspec.Struct, frozen=True):
     """An attempt has ended without an answer; another one may follow.
 
@@ -74,11 +91,13 @@
         ended: What the owner is told.
         not_run: Whether the backend server has said that it did not run.
         reason: What the caller is told where no attempt follows.
+        fault: What was seen of the fault, for the logs.
     """
 
     ended: message.Ended
     not_run: bool
     reason: message.Reason
+    fault: Fault | None = None
 
 
 class Lost(msgspec.Struct, frozen=True):
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -281,6 +281,7 @@
             self._relay_client,
             self._measures,
             self._equipment.timeline,
+            self._tuned.content_key.encode(),
         )
 
 
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -16,7 +16,7 @@
 from ramptray.entry import dispatcher
 from ramptray.entry import ticket as tickets
 from ramptray.relay import client as relay_client
-from ramptray.relay import event, message, refusal
+from ramptray.relay import event, message, presence, refusal
 
 MAX_HELD_BYTES = 256 * 1024
 """Largest answer that is read whole before any of it is passed on, so that a
@@ -166,8 +166,24 @@
         except relay_client.NotSentError as error:
             failed = tickets.ConnectFailed(self._request_id, error.refused)
             self._ticket.report(failed)
-        except relay_client.BrokenError:
-            self._fail(False, core_message.Reason.BACKEND_LOST, broken=True)
+        except relay_client.BrokenError as error:
+            fault = await self._examine(target, error)
+            self._fail(False, core_message.Reason.BACKEND_LOST, fault)
+
+    async def _examine(
+        self, target: relay_client.Target, error: relay_client.BrokenError
+    ) -> tickets.Fault:
+        """Finds out what became of a backend server that broke off."""
+        after_s = time.monotonic() - self._sent_at
+        seen = ""
+        if not isinstance(error, relay_client.HungError):
+            seen = (await presence.look(target.address)).value
+        return tickets.Fault(
+            str(error),
+            seen,
+            round(after_s, 4),
+            self._splitter.count - self._events_before,
+        )
 
     async def _read_head(
         self, connection: relay_client.Connection
@@ -326,13 +342,23 @@
         self,
         not_run: bool,
         reason: core_message.Reason,
-        broken: bool = False,
+        fault: tickets.Fault | None = None,
     ) -> None:
+        """Reports that the attempt has failed.
+
+        Args:
+            not_run: Whether the backend server has said that it did not run.
+            reason: What the caller is told where no attempt follows.
+            fault: How the backend server broke off or hung, if it did.
+        """
         self._splitter.take_rest()
         ended = msgspec.structs.replace(
-            self._make_ended(False), broken=broken, refused=not_run
+            self._make_ended(False),
+            broken=fault is not None,
+            refused=not_run,
         )
-        self._ticket.report(tickets.AttemptFailed(ended, not_run, reason))
+        failed = tickets.AttemptFailed(ended, not_run, reason, fault)
+        self._ticket.report(failed)
 
     def _lose(self, reason: core_message.Reason) -> None:
         ended = self._make_ended(False)
--- /dev/null
+++ b/ramptray/relay/presence.py
@@ -0,0 +1,55 @@
+"""Finds out what became of a backend server whose connection has broken."""
+
+from __future__ import annotations
+
+import enum
+import socket
+
+import anyio
+
+LOOK_S = 0.06
+"""How long a look may take, in seconds: an address where nothing listens says
+so within a round trip of some milliseconds, on a slow VM some ten."""
+
+
+class Presence(enum.Enum):
+    """What a new connection says of a backend server.
+
+    Attributes:
+        GONE: Nothing listens at its address: its program has ended.
+        THERE: It takes connections.
+        SILENT: It says nothing: it, its machine or the way there is lost.
+    """
+
+    GONE = "gone"
+    THERE = "there"
+    SILENT = "silent"
+
+
+async def look(address: str) -> Presence:
+    """Opens a connection to a backend server and closes it again.
+
+    A reset, a fault of the network and a program that has ended look alike on
+    the connection that broke; a new one tells them apart.
+
+    Args:
+        address: IP number and port of the backend server.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        with anyio.fail_after(LOOK_S):
+            stream = await anyio.connect_tcp(host, int(port))
+    except (TimeoutError, socket.gaierror):
+        return Presence.SILENT
+    except OSError as error:
+        return _judge(error)
+    await anyio.aclose_forcefully(stream)
+    return Presence.THERE
+
+
+def _judge(error: OSError) -> Presence:
+    """Returns what a failed connection says; anyio hides the cause in it."""
+    causes = [error, error.__cause__, error.__context__]
+    if any(isinstance(cause, ConnectionRefusedError) for cause in causes):
+        return Presence.GONE
+    return Presence.SILENT
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -11,7 +11,7 @@
 from ramptray.core import message as core_message
 from ramptray.entry import dispatcher
 from ramptray.relay import client as relay_client
-from ramptray.relay import exchange, message, refusal, routing
+from ramptray.relay import content, exchange, message, refusal, routing
 
 LOG = logging.getLogger(__name__)
 
@@ -44,6 +44,7 @@
         client: Connections to backend servers.
         measures: Counters and histograms.
         events: The time line.
+        content_key: Secret that goes into the digests of contents.
     """
 
     def __init__(
@@ -53,7 +54,9 @@
         client: relay_client.RelayClient,
         measures: metrics.Metrics,
         events: timelines.Timeline,
+        content_key: bytes = b"",
     ) -> None:
+        self._content_key = content_key
         self._zone = zone
         self._desk = desk
         self._client = client
@@ -175,6 +178,7 @@
             wait_s=patience_s * WAIT_PART,
             max_gap_s=route.max_gap_s,
             event_tokens=event_tokens,
+            content=content.make_digest(asked, customer, self._content_key),
         )
         return exchange.Order(
             asked, info, route, customer, timeout_s, event_tokens
