Add a test of a request that ends what runs it, which fails

Three VMs before four replicas that end on a marked body and start again; the same request is sent again and again to one VM after the other.

--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import os
 
 import anyio
 import anyio.abc
@@ -20,6 +21,11 @@
 READ_BYTES = 65536
 STREAM_TYPE = b"text/event-stream"
 
+CRASH_S = 0.08
+"""How long a request that ends this program runs before, in seconds."""
+
+CRASH_STATUS = 70
+
 
 class FakeReplicaSettings(model.Model, frozen=True, kw_only=True):
     """Settings of the replica stand-in.
@@ -29,6 +35,8 @@
         listen: IP number and port.
         work_s: How long an answer, or the pause between two events, takes.
         events: Events of a stream.
+        crash_on: Part of a body that ends this program soon after it has begun
+            to run the request; empty for none.
         log_level: Least level that is logged.
     """
 
@@ -36,6 +44,7 @@
     listen: Address
     work_s: model.NonNegativeFloat = 0.01
     events: model.PositiveInt = 5
+    crash_on: str = ""
     log_level: str = "INFO"
 
 
@@ -157,6 +166,10 @@
         LOG.info("running", extra={"request_id": request_id})
         self._ledger.runs.append(request_id)
         self._ledger.heads.append(headers)
+        if self._settings.crash_on and self._settings.crash_on in body.decode(
+            errors="replace"
+        ):
+            await self._crash(request_id)
         signed = [
             *own,
             (header.SIGNATURE, f"{self._settings.name}.{path}".encode()),
@@ -178,6 +191,12 @@
         await _send(stream, status, answer, signed)
         return True
 
+    async def _crash(self, request_id: str) -> None:
+        """Ends this program with all that runs in it."""
+        await anyio.sleep(CRASH_S)
+        LOG.error("crashed", extra={"request_id": request_id})
+        os._exit(CRASH_STATUS)
+
     async def _stream(
         self,
         stream: anyio.abc.SocketStream,
--- /dev/null
+++ b/test/test_poison.py
@@ -0,0 +1,143 @@
+"""A request that ends each backend server that begins to run it.
+
+Its caller sent it again and again, each try under an id of its own and to any
+VM; each took up to two replicas with it, and with them all that ran there.
+Nothing knew that the tries held the same, so 8 more followed after the third
+replica had ended, and 16 replicas ended in all.  What settled it:
+
+    attempt_failed backend=i-0 content=2f0e... presence=gone after_s=0.081
+    attempt_failed backend=i-1 content=2f0e... presence=gone after_s=0.082
+    attempt_failed backend=i-2 content=2f0e... presence=gone after_s=0.082
+
+on different VMs, while requests of other contents that had run beside it on
+one of them were answered by the next.
+"""
+
+from __future__ import annotations
+
+import itertools
+import math
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from test import node
+from test.test_node import ask, wait_until
+
+MARK = "ends what runs it"
+BODY = b'{"prompt": "ends what runs it"}'
+
+REPLICAS = 4
+VMS = 3
+
+KNOWN_S = 1.0
+"""Within this time, in seconds, of the third replica's end each VM knows: half
+of the shortest time that a deployment allows for it."""
+
+LATE_TRIES = 3
+"""Tries that may reach replicas after that."""
+
+PAUSE_S = 0.25
+"""Pause between two tries, in seconds."""
+
+LATE_NEEDED = 4 * LATE_TRIES
+"""Tries after that, so that they tell something."""
+
+LONGEST_S = 30.0
+"""Time within which that many are sent, in seconds."""
+
+
+class Supervisor:
+    """Starts replicas again that have ended, a moment later."""
+
+    def __init__(self, started: node.Platform) -> None:
+        self._started = started
+        self._over = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self.ended_at: list[float] = []
+
+    def __enter__(self) -> Supervisor:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._over.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._over.wait(0.02):
+            for name in self._started.replicas:
+                if self._started.processes[name].poll() is None:
+                    continue
+                self.ended_at.append(time.monotonic())
+                self._over.wait(0.3)
+                self._started.restart_replica(name)
+                born = int(time.time() * 1000)
+                self._started.write_record(name, born=born)
+
+
+@pytest.fixture
+def started() -> Iterator[node.Platform]:
+    with node.run_platform(vms=VMS, replicas=0) as platform:
+        for number in range(REPLICAS):
+            platform.start_replica(
+                f"i-{number}", crash_on=MARK, work_s=0.02, events=4
+            )
+        wait_until(lambda: ask(platform, "/safe/").status == 200)
+        yield platform
+
+
+def get_known_at(supervisor: Supervisor) -> float:
+    """Returns from when on VMs must know; infinity for not yet."""
+    if len(supervisor.ended_at) < 3:
+        return math.inf
+    return supervisor.ended_at[2] + KNOWN_S
+
+
+def count_late_tries(
+    started: node.Platform, supervisor: Supervisor, sent: dict[str, float]
+) -> int:
+    """Returns how many tries ran that were sent once each VM must know."""
+    known_at = get_known_at(supervisor)
+    ran = {
+        request_id
+        for name in started.replicas
+        for request_id in started.iterate_runs(name)
+    }
+    late = [name for name, at in sent.items() if at > known_at]
+    assert len(late) >= LATE_NEEDED, "too few tries to tell"
+    return len(ran & set(late))
+
+
+def send_tries(
+    started: node.Platform, path: str, supervisor: Supervisor
+) -> dict[str, float]:
+    """Sends the request again and again to one VM after the other.
+
+    Returns:
+        The id of each try and when it was sent.
+    """
+    sent: dict[str, float] = {}
+    ends_at = time.monotonic() + LONGEST_S
+    for number in itertools.count():
+        known_at = get_known_at(supervisor)
+        late = sum(at > known_at for at in sent.values())
+        if late >= LATE_NEEDED or time.monotonic() > ends_at:
+            break
+        name = f"try-{number}"
+        sent[name] = time.monotonic()
+        vm = f"vm-{number % VMS}"
+        ask(started, path, "POST", BODY, vm, X_Request_Id=name)
+        time.sleep(PAUSE_S)
+    return sent
+
+
+@pytest.mark.parametrize("path", ["/safe/", "/once/", "/stream/"])
+def test_a_request_that_ends_what_runs_it_is_soon_sent_no_more(
+    started: node.Platform, path: str
+) -> None:
+    with Supervisor(started) as supervisor:
+        sent = send_tries(started, path, supervisor)
+    assert count_late_tries(started, supervisor, sent) <= LATE_TRIES
