Block a content once three moments tell that it ends the backend servers that run it

Cause: a request was known by its id alone. Nothing tied a caller's next try, with the same customer, path and body, to what the one before had done, on this VM or another, so each try could end max_attempts backend servers more. The class: state that is kept by try where it belongs to what is tried. Ruled out by the new log lines: backend servers that end on their own (the same content was on each of them, others were answered by the next one), sound ones behind broken connections (nothing listened there any more).

Now the owner, which knows who ran where, keeps a crash as a moment with the contents that were there. What ended well is innocent; crashes of one moment count only for who was on each; who has answered for a second is a bystander; suspects are kept apart. Three moments (six for a content that has ended well before, five where several met the very same) block a content for 600 s, twice as long each time. Owners tell entries, entries tell the owners they attach to. Refused at once with 503 (not run) and Retry-After of what is left, or 502 where a try had run.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -98,6 +98,7 @@
     expected_s: float
     orphaned_at: float | None = None
     asked_at: float = 0.0
+    answers_since: float | None = None
 
     @property
     def tokens(self) -> int:
@@ -393,6 +394,7 @@
         if placed is None:
             return
         self.failures = 0
+        placed.answers_since = now
         self._forget_earlier(placed)
         free_at = self.first_at - self.speed.fixed_s
         begun_at = max(now - first.elapsed_s, free_at)
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -306,6 +306,7 @@
             )
             moved.orphaned_at = placed.orphaned_at
             moved.asked_at = placed.asked_at
+            moved.answers_since = placed.answers_since
             self._where[request_id] = new
 
     def _expect_speed(self, backend: backends.Backend) -> None:
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -37,6 +37,7 @@
     BACKEND_REFUSED = "backend_refused"
     BACKEND_LOST = "backend_lost"
     STREAM_BROKEN = "stream_broken"
+    BLOCKED = "blocked_content"
 
 
 class ShardKey(msgspec.Struct, frozen=True):
@@ -190,6 +191,8 @@
         first_tokens: Tokens that the first event held, which took no time
             within ``decode_s``.
         refused: Whether the backend server said that it did not run it.
+        gone: Whether nothing listened at the backend server's address any more
+            as the answer broke off.
     """
 
     request_id: str
@@ -200,6 +203,7 @@
     broken: bool = False
     first_tokens: int = 1
     refused: bool = False
+    gone: bool = False
 
 
 class SyncDone(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/ramptray/core/separation.py
@@ -0,0 +1,45 @@
+"""Keeps requests apart that may end the backend server they run on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ramptray.core import backend as backends
+from ramptray.core import message
+
+IsSuspect = Callable[[str], bool]
+
+
+def suspect_nobody(content: str) -> bool:
+    """Stands in where nothing is known of contents."""
+    return False
+
+
+def keep_apart(
+    candidates: list[backends.Backend],
+    request: message.RequestInfo,
+    is_suspect: IsSuspect,
+) -> list[backends.Backend]:
+    """Returns the candidates on which no other suspect runs, if there are any.
+
+    Load pattern: a backend server has ended, and all that ran there is sent on
+    at once.  Sent on together, culprit and bystanders meet the next crash
+    together too, and nothing tells them apart.
+
+    Args:
+        candidates: The backend servers that the request may go to.
+        request: The request.
+        is_suspect: Tells whether anything speaks against a content.
+    """
+    if not is_suspect(request.content):
+        return candidates
+    apart = [
+        candidate
+        for candidate in candidates
+        if not any(
+            placed.request.content != request.content
+            and is_suspect(placed.request.content)
+            for placed in candidate.placed.values()
+        )
+    ]
+    return apart or candidates
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -21,6 +21,7 @@
     meter,
     policy,
     queue,
+    separation,
     summary,
 )
 
@@ -125,6 +126,7 @@
         hear_s: float = HEAR_S,
         limits: limit.Limits | None = None,
         speeds: Mapping[str, message.SpeedLearned] | None = None,
+        is_suspect: separation.IsSuspect = separation.suspect_nobody,
     ) -> None:
         self.shard = shard
         self.counters = Counters()
@@ -140,6 +142,7 @@
         self._refused = meter.RateMeter(DRAIN_WINDOW_S)
         self._elsewhere: dict[str, summary.ShardSummary] = {}
         self._limits = limits or limit.Limits(rules.limits)
+        self._is_suspect = is_suspect
         self.configure(rules, infos)
 
     # Configuration and outside views.
@@ -245,6 +248,26 @@
                 return []
         return self.grant(now)
 
+    def refuse_waiting(self, content: str, left_s: float) -> list[ToEntry]:
+        """Refuses what waits with a content that is blocked from now on."""
+        found = [
+            waiting
+            for waiting in self._queue.list_all()
+            if waiting.request.content == content
+        ]
+        for waiting in found:
+            self._queue.remove(waiting)
+        return [
+            ToEntry(
+                waiting.entry,
+                message.Reject(
+                    waiting.request.request_id, message.Reason.BLOCKED, left_s
+                ),
+                self._make_basis(),
+            )
+            for waiting in found
+        ]
+
     def begin_sync(self, entry: str) -> None:
         """Notes that an entry has attached and will tell all it has."""
         self._syncing[entry] = self.fleet.list_of_entry(entry)
@@ -360,7 +383,7 @@
             chosen = self._policy.choose(
                 self._make_demand(waiting, share, now),
                 self._leave_to_others(
-                    self.fleet.leave_out(candidates, waiting.request), ahead
+                    self._list_fit(candidates, waiting.request), ahead
                 ),
             )
             if chosen is not None:
@@ -372,6 +395,13 @@
             passed.append(waiting)
         return None
 
+    def _list_fit(
+        self, candidates: list[backends.Backend], request: message.RequestInfo
+    ) -> list[backends.Backend]:
+        """Returns the candidates that a request should go to."""
+        usable = self.fleet.leave_out(candidates, request)
+        return separation.keep_apart(usable, request, self._is_suspect)
+
     def _leave_to_others(
         self,
         candidates: list[backends.Backend],
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -18,8 +18,8 @@
 
 from ramptray import runtime
 from ramptray.bundle import acceptance, signature
-from ramptray.core import claim, message, request, retry
-from ramptray.entry import claims, network, owners
+from ramptray.core import blocklist, claim, message, request, retry
+from ramptray.entry import blocked, claims, network, owners
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
@@ -88,6 +88,7 @@
         equipment: runtime.Runtime,
         budget: retry.RetryBudget | None = None,
         shares_limits: bool = False,
+        blocks: blocklist.Blocklist | None = None,
     ) -> None:
         self.network = network.Network()
         self.timeline = equipment.timeline
@@ -107,6 +108,11 @@
         self._claims = claims.ClaimSender(
             settings.zone, self._owners, self._tell_any
         )
+        self._blocked = blocked.BlockedContents(
+            blocklist.Blocklist() if blocks is None else blocks,
+            self._tell_any,
+            lambda: list(self._links),
+        )
         self._budget = budget or retry.RetryBudget()
         self.on_doubt: Callable[[str], None] = _do_nothing
         self._learner = acceptance.Learner()
@@ -216,7 +222,11 @@
     ) -> None:
         """Lets a request go on elsewhere, as far as the budget allows it."""
         info = ticket.machine.info
-        wanted = now < ticket.deadline and (event.not_run or info.repeatable)
+        wanted = (
+            now < ticket.deadline
+            and (event.not_run or info.repeatable)
+            and not self._blocked.get_left(info.content, now)
+        )
         may_repeat = (
             wanted
             and ticket.machine.dispatches < info.max_attempts
@@ -260,10 +270,19 @@
             content=info.content or None,
             generation=self.in_force.generation if self.in_force else None,
         )
+        if left_s := self._blocked.get_left(info.content, now):
+            self._refuse_blocked(ticket, left_s, now)
+            return
         if ticket.wish:
             self._claims.send(ticket)
         self._assign(ticket, now)
 
+    def _refuse_blocked(
+        self, ticket: tickets.Ticket, left_s: float, now: float
+    ) -> None:
+        effects = ticket.machine.give_up(message.Reason.BLOCKED, left_s)
+        self._perform(ticket, effects, now)
+
     def _assign(self, ticket: tickets.Ticket, now: float) -> None:
         """Finds the request's owner and asks it, or notes there is none."""
         shard = ticket.machine.info.shard
@@ -363,6 +382,8 @@
                 self._tell_any(address, answer)
             case peer_message.ClaimDecision():
                 self._decide_claim(body, now)
+            case peer_message.BlockedContents():
+                self._blocked.take(address, body)
             case peer_message.View() if address == self._local:
                 self._take_view(body, now)
             case peer_message.BundleUpdate(envelope):
@@ -462,6 +483,7 @@
     def _sync(self, address: str, now: float) -> None:
         """Tells a scheduler all that waits or runs with it."""
         self._owners.note_up(address)
+        self._blocked.tell_all(address, now)
         for ticket in self._tickets.values():
             if ticket.machine.owner == address:
                 self._resend(ticket, now)
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -15,7 +15,7 @@
 from ramptray import process, runtime
 from ramptray.bundle import acceptance
 from ramptray.caller import metrics
-from ramptray.core import membership, retry
+from ramptray.core import blocklist, membership, retry
 from ramptray.entry import dispatcher, prober
 from ramptray.node import listener, probe
 from ramptray.node import settings as node_settings
@@ -90,6 +90,7 @@
             given.limit_terms,
             self._take_bundle,
         )
+        self._blocks = blocklist.Blocklist()
         self._gossiper = self._make_gossiper()
         self._follower.pick_peer = self._gossiper.pick_peer
         self._hub = hub.Hub(
@@ -99,6 +100,7 @@
             self._gossiper,
             None,
             self._equipment.timeline,
+            self._blocks,
         )
         self._servant = servant.SchedulerServant(
             self._hub, self._gossiper, self._follower, self._equipment.timeline
@@ -109,6 +111,7 @@
             self._equipment,
             self._make_budget(),
             shares_limits=True,
+            blocks=self._blocks,
         )
         self._prober = prober.Prober(
             self._desk.network, self._relay_client.probe
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -52,6 +52,9 @@
             peer_message.Status,
             peer_message.AskTimeline,
             peer_message.TimelineEvents,
+            peer_message.BlockedContents,
+            peer_message.ListBlocks,
+            peer_message.LiftBlock,
         ),
     )
 }
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ramptray.bundle import signature
-from ramptray.core import membership, summary
+from ramptray.core import blocklist, membership, summary
 
 
 class Hello(msgspec.Struct, frozen=True):
@@ -240,6 +240,25 @@
     news: list[StreamNews]
 
 
+class BlockedContents(msgspec.Struct, frozen=True):
+    """Scheduler to entry and back: contents that end backend servers.
+
+    Also the answer to ``ListBlocks`` and ``LiftBlock``.
+    """
+
+    blocks: list[blocklist.BlockNews]
+
+
+class ListBlocks(msgspec.Struct, frozen=True):
+    """Operator's command to scheduler: which contents are blocked."""
+
+
+class LiftBlock(msgspec.Struct, frozen=True):
+    """Operator's command to scheduler: serve a content again."""
+
+    content: str
+
+
 class AskStatus(msgspec.Struct, frozen=True):
     """Operator's command to scheduler: what do you see."""
 
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -40,6 +40,7 @@
 
 SERVER_ERROR = 500
 OK_STATUSES = range(200, 300)
+_GONE = presence.Presence.GONE.value
 
 ReadT = TypeVar("ReadT")
 
@@ -356,6 +357,7 @@
             self._make_ended(False),
             broken=fault is not None,
             refused=not_run,
+            gone=fault is not None and fault.presence == _GONE,
         )
         failed = tickets.AttemptFailed(ended, not_run, reason, fault)
         self._ticket.report(failed)
--- a/ramptray/relay/presence.py
+++ b/ramptray/relay/presence.py
@@ -12,6 +12,11 @@
 so within a round trip of some milliseconds, on a slow VM some ten."""
 
 
+CLOSING_S = 0.02
+"""How long a new connection is watched, in seconds: of a program that ends the
+kernel closes one socket after the other, perhaps the listening one last."""
+
+
 class Presence(enum.Enum):
     """What a new connection says of a backend server.
 
@@ -35,6 +40,14 @@
     Args:
         address: IP number and port of the backend server.
     """
+    seen = await _try_to_connect(address)
+    if seen is None:
+        seen = await _try_to_connect(address)
+    return seen or Presence.SILENT
+
+
+async def _try_to_connect(address: str) -> Presence | None:
+    """Returns what a connection says; None where it was closed at once."""
     host, _, port = address.rpartition(":")
     try:
         with anyio.fail_after(LOOK_S):
@@ -43,7 +56,13 @@
         return Presence.SILENT
     except OSError as error:
         return _judge(error)
-    await anyio.aclose_forcefully(stream)
+    try:
+        with anyio.move_on_after(CLOSING_S):
+            await stream.receive(1)
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return None
+    finally:
+        await anyio.aclose_forcefully(stream)
     return Presence.THERE
 
 
--- /dev/null
+++ b/ramptray/scheduler/guard.py
@@ -0,0 +1,115 @@
+"""Keeps contents that end backend servers away from them, for all shards."""
+
+from __future__ import annotations
+
+import logging
+
+from ramptray import timeline
+from ramptray.core import backend, blocklist, message, shard, suspicion
+
+LOG = logging.getLogger(__name__)
+
+
+class Guard:
+    """Learns from requests that ended, and refuses those that are blocked.
+
+    Args:
+        blocks: The blocked contents that this VM knows of.
+        events: Where decisions are noted.
+
+    Attributes:
+        blocks: The same.
+        evidence: What speaks for and against contents.
+    """
+
+    def __init__(
+        self, blocks: blocklist.Blocklist, events: timeline.Timeline
+    ) -> None:
+        self.blocks = blocks
+        self.evidence = suspicion.Evidence(blocks)
+        self._timeline = events
+
+    def check(
+        self, request: message.RequestInfo, now: float
+    ) -> message.Reject | None:
+        """Returns the refusal of a request whose content is blocked."""
+        left_s = self.blocks.get_left(request.content, now)
+        if left_s <= 0:
+            return None
+        return message.Reject(
+            request.request_id, message.Reason.BLOCKED, left_s
+        )
+
+    def note_ended(
+        self, owner: shard.ShardOwner, ended: message.Ended, now: float
+    ) -> bool:
+        """Learns from a request before its place is freed.
+
+        Returns:
+            Whether contents were blocked.
+        """
+        placed = owner.fleet.get_placed(ended.request_id)
+        known = owner.fleet.find(ended.request_id)
+        if placed is None or known is None:
+            return False
+        if ended.whole:
+            content = placed.request.content
+            return self._tell(self.evidence.note_whole(content, now), now)
+        if not ended.gone or known.state is backend.BackendState.LEAVING:
+            # Whoever leaves ends as planned, with whatever is left there.
+            return False
+        return self._note_crash(known, now)
+
+    def note_declined(self, decline: message.Decline) -> None:
+        """Learns that a request had not reached a backend server."""
+        if decline.unreachable:
+            self.evidence.note_absence(decline.request_id)
+
+    def _note_crash(self, known: backend.Backend, now: float) -> bool:
+        runners = {
+            request_id: suspicion.Runner(
+                request_id,
+                placed.request.content,
+                None
+                if placed.answers_since is None
+                else now - placed.answers_since,
+            )
+            for request_id, placed in known.placed.items()
+        }
+        crash = suspicion.Crash(known.info.name, known.info.run, now, runners)
+        if self.evidence.has_ended(crash):
+            return False
+        verdicts = self.evidence.note_crash(crash)
+        self._timeline.note(
+            "crash",
+            known.info.name,
+            run=known.info.run,
+            runners=[
+                {
+                    "request": runner.request_id,
+                    "content": runner.content,
+                    "answered_s": runner.answered_s,
+                    "count": self.evidence.get_count(runner.content),
+                }
+                for runner in runners.values()
+            ],
+        )
+        return self._tell(verdicts, now)
+
+    def _tell(self, verdicts: list[suspicion.Verdict], now: float) -> bool:
+        for verdict in verdicts:
+            block = verdict.block
+            LOG.warning(
+                "content blocked",
+                extra={
+                    "content": block.content,
+                    "times": block.level,
+                    "left_s": round(block.until - now, 1),
+                    "count": verdict.count,
+                    "backends": verdict.backends,
+                    "request_ids": verdict.request_ids,
+                    "tied": verdict.tied,
+                    "origin": "crashes",
+                },
+            )
+        return bool(verdicts)
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -15,6 +15,7 @@
 from ramptray.bundle import acceptance
 from ramptray.core import (
     backend,
+    blocklist,
     claim,
     limit,
     membership,
@@ -22,9 +23,10 @@
     policy,
     shard,
 )
+from ramptray.entry import blocked
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import event, gossip, query, rules
+from ramptray.scheduler import event, gossip, guard, query, rules
 
 if TYPE_CHECKING:
     # Loading an HTTP client is dear for a program that asks no engine.
@@ -86,7 +88,11 @@
         gossiper: gossip.Gossiper,
         claim_desk: claims.ClaimDesk | None,
         events: timeline.Timeline,
+        blocks: blocklist.Blocklist | None = None,
     ) -> None:
+        self.blocks = blocklist.Blocklist() if blocks is None else blocks
+        self.blocks.on_change(self._spread_blocks)
+        self._guard = guard.Guard(self.blocks, events)
         self.in_force: acceptance.InForce | None = None
         self.timeline = events
         self.shards: dict[message.ShardKey, shard.ShardOwner] = {}
@@ -227,6 +233,9 @@
                 self._pass_to_holder(attached, body, now)
             case peer_message.TimelineEvents():
                 self._queries.hand_on(session, body)
+            case peer_message.BlockedContents(blocks):
+                new = self.blocks.take(blocks, now)
+                blocked.log_taken(new, attached.hello.name)
             case peer_message.InForceReport(generation):
                 attached.generation = generation
             case peer_message.LeaseReport(held):
@@ -253,6 +262,9 @@
         if hello.kind != "entry":
             session.send(peer_message.LowestGeneration(self._lowest))
             return
+        if len(self.blocks):
+            news = self.blocks.list_news(time.monotonic())
+            session.send(peer_message.BlockedContents(news))
         previous = self._entries.get(hello.name)
         self._entries[hello.name] = session
         if previous is not None:
@@ -292,6 +304,11 @@
         body: message.EntryMessage,
         now: float,
     ) -> None:
+        if isinstance(body, message.Enqueue):
+            reject = self._guard.check(body.request, now)
+            if reject is not None:
+                self._send_out([shard.ToEntry(attached.hello.name, reject)])
+                return
         owner = self._get_shard(key, now)
         self._has_work.set()
         if owner is not None:
@@ -326,10 +343,39 @@
     ) -> None:
         for owner in self.shards.values():
             if owner.holds(body.request_id):
+                self._learn(owner, body, now)
                 out = owner.receive(attached.hello.name, body, now)
                 self._send_out(out)
                 return
 
+    def _learn(
+        self,
+        owner: shard.ShardOwner,
+        body: message.Withdraw
+        | message.Decline
+        | message.FirstToken
+        | message.Ended,
+        now: float,
+    ) -> None:
+        """Learns what requests do to backend servers."""
+        match body:
+            case message.Decline():
+                self._guard.note_declined(body)
+            case message.Ended():
+                self._guard.note_ended(owner, body, now)
+
+    def _spread_blocks(self, news: list[blocklist.BlockNews]) -> None:
+        """Tells the entries, and refuses what waits here."""
+        told = peer_message.BlockedContents(news)
+        for session, attached in self._sessions.items():
+            if attached is not None and attached.hello.kind == "entry":
+                session.send(told)
+        for each in news:
+            if each.lifted:
+                continue
+            for owner in self.shards.values():
+                self._send_out(owner.refuse_waiting(each.content, each.left_s))
+
     def _send_out(self, effects: Iterable[shard.ToEntry]) -> None:
         for effect in effects:
             self._tell_entry(effect.entry, effect.message)
@@ -385,6 +431,7 @@
             self._options.hear_s,
             self._limits,
             self._speeds,
+            self._guard.evidence.is_suspect,
         )
         self.shards[key] = owner
         self._mark_leaving()
--- a/ramptray/scheduler/servant.py
+++ b/ramptray/scheduler/servant.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import anyio
@@ -67,10 +68,19 @@
                         self._hub, self._gossiper, self._follower
                     )
                 )
+            case peer_message.ListBlocks():
+                return self._list_blocks()
+            case peer_message.LiftBlock(content):
+                self._hub.blocks.lift(content, time.monotonic())
+                return self._list_blocks()
             case peer_message.AskTimeline():
                 return await self._collect_events(question)
         raise ValueError(f"no question: {type(question).__name__}")
 
+    def _list_blocks(self) -> peer_message.BlockedContents:
+        news = self._hub.blocks.list_news(time.monotonic())
+        return peer_message.BlockedContents(news)
+
     async def _collect_events(
         self, question: peer_message.AskTimeline
     ) -> peer_message.TimelineEvents:
