Clear who has answered for half a second, and measure the chance of blaming an innocent

Clearing contents that answered long on the very server that ended, and a higher need for what has ended well, do it; blaming who had answered long where nobody else was there is gone.

--- a/ramptray/core/suspicion.py
+++ b/ramptray/core/suspicion.py
@@ -29,9 +29,9 @@
 """Longest span of crashes that follow one another as one moment, in seconds:
 one culprit sent on at once ends the next some 0.1 s later."""
 
-INNOCENT_AFTER_S = 1.0
-"""Who has answered for so long, in seconds, as the backend server ends is taken
-for a bystander if others are there: a culprit acts as it begins."""
+INNOCENT_AFTER_S = 0.5
+"""Who has answered for so long, in seconds, as the backend server ends is a
+bystander: a culprit acts as it begins."""
 
 FORGET_S = 600.0
 """How long a crash speaks against whom it met, in seconds: callers that try
@@ -57,8 +57,9 @@
 is sent on once or twice; to refuse an innocent one is worse for its caller than
 one crash more is for the others."""
 
-NEEDED_OF_SOUND = 6
-"""The same for a content that has ended well before."""
+NEEDED_OF_SOUND = 10
+"""The same for a content that has ended well before: one that many ask for is
+at each backend server that ends, and while most do, few of it end well."""
 
 NEEDED_OF_TIED = 5
 """The same for several contents that met the very same crashes, which are then
@@ -90,13 +91,17 @@
 
     def list_suspects(self) -> set[str]:
         """Returns the contents of which one may have ended it."""
-        late = {
+        everybody = {runner.content for runner in self.runners.values()}
+        return everybody - self.list_innocents() - {""}
+
+    def list_innocents(self) -> set[str]:
+        """Returns the contents that had answered for so long."""
+        return {
             runner.content
             for runner in self.runners.values()
-            if runner.answered_s is None or runner.answered_s < INNOCENT_AFTER_S
+            if runner.answered_s is not None
+            and runner.answered_s >= INNOCENT_AFTER_S
         }
-        everybody = {runner.content for runner in self.runners.values()}
-        return (late or everybody) - {""}
 
 
 class Moment:
@@ -192,6 +197,8 @@
         self._forget_old(crash.at)
         if self._is_explained(crash):
             return []
+        for content in crash.list_innocents():
+            self._clear(content)
         for moment in self._moments:
             if moment.takes(crash):
                 moment.crashes.append(crash)
@@ -212,18 +219,21 @@
         """Notes that a request has ended well; returns who is found out."""
         if not content:
             return []
+        if self.blocks.lift(content, now):
+            # It ran beside others that it was taken for, and has ended well.
+            return []
+        self._clear(content)
+        return self._judge(now) if content in self._counts else []
+
+    def _clear(self, content: str) -> None:
+        """Notes that a content is innocent of what has been seen so far."""
         self._sound[content] = None
         self._sound.move_to_end(content)
         while len(self._sound) > MAX_SOUND:
             self._sound.popitem(last=False)
-        if self.blocks.lift(content, now):
-            # It ran beside others that it was taken for, and has ended well.
-            return []
-        if content not in self._counts:
-            return []
-        for moment in self._moments:
-            moment.clear(content)
-        return self._judge(now)
+        if content in self._counts:
+            for moment in self._moments:
+                moment.clear(content)
 
     def has_ended(self, crash: Crash) -> bool:
         """Tells whether this run of the backend server is known to have ended.
--- /dev/null
+++ b/test/test_suspicion.py
@@ -0,0 +1,267 @@
+"""Who is blamed for a backend server that has ended, and who is not."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from ramptray.core import backend, blocklist, message, separation, suspicion
+from test import crashes
+
+NUMBERS = itertools.count(1)
+
+
+def crash(
+    at: float,
+    *contents: str,
+    backend: str = "",
+    answered_s: float | None = None,
+) -> suspicion.Crash:
+    """Returns the end of a backend server that ran these contents."""
+    runners = {}
+    for content in contents:
+        name = f"r{next(NUMBERS)}"
+        runners[name] = suspicion.Runner(name, content, answered_s)
+    return suspicion.Crash(
+        backend or f"b{next(NUMBERS)}", next(NUMBERS), at, runners
+    )
+
+
+def make_evidence() -> suspicion.Evidence:
+    return suspicion.Evidence(blocklist.Blocklist())
+
+
+def list_blocked(
+    evidence: suspicion.Evidence, now: float, contents: str
+) -> list[str]:
+    return [c for c in contents if evidence.blocks.get_left(c, now) > 0]
+
+
+def test_the_content_that_was_there_each_time_is_blocked() -> None:
+    evidence = make_evidence()
+    assert not evidence.note_crash(crash(1.0, "p", "a", "b"))
+    assert not evidence.note_crash(crash(1.2, "p", "a", "c"))
+    (verdict,) = evidence.note_crash(crash(1.4, "p", "c"))
+    assert (verdict.block.content, verdict.count) == ("p", 3)
+    assert len(verdict.backends) == len(verdict.request_ids) == 3
+    assert list_blocked(evidence, 1.5, "pabc") == ["p"]
+    assert not any(evidence.is_suspect(content) for content in "abc")
+
+
+def test_each_request_that_was_there_tells_of_the_same_crash() -> None:
+    evidence = make_evidence()
+    seen = crash(1.0, "p", backend="b")
+    for later in (0.0, 0.1, 0.5):
+        again = suspicion.Crash("b", seen.run, 1.0 + later, seen.runners)
+        assert not evidence.note_crash(again)
+    assert evidence.get_count("p") == 1
+
+
+def test_a_backend_server_without_runs_counts_again_once_it_can_be_back() -> (
+    None
+):
+    evidence = make_evidence()
+    runners = crash(0.0, "p").runners
+    for at in (1.0, 1.5, 2.5):
+        evidence.note_crash(suspicion.Crash("b", 0, at, runners))
+    assert evidence.get_count("p") == 2
+
+
+def test_who_ends_well_is_innocent() -> None:
+    evidence = make_evidence()
+    evidence.note_crash(crash(1.0, "a", "x"))
+    evidence.note_crash(crash(2.0, "a", "y"))
+    evidence.note_whole("a", 2.5)
+    assert not evidence.is_suspect("a")
+    assert not evidence.note_crash(crash(3.0, "a", "z"))
+
+
+def test_a_content_that_has_ended_well_needs_more() -> None:
+    evidence = make_evidence()
+    evidence.note_whole("a", 0.0)
+    verdicts = [
+        evidence.note_crash(crash(float(at), "a", str(at)))
+        for at in range(1, suspicion.NEEDED_OF_SOUND + 1)
+    ]
+    assert [bool(found) for found in verdicts] == [
+        *[False] * (suspicion.NEEDED_OF_SOUND - 1),
+        True,
+    ]
+
+
+def test_backend_servers_that_end_together_blame_only_who_is_on_each() -> None:
+    evidence = make_evidence()
+    for wave in (1.0, 5.0, 9.0, 13.0):
+        evidence.note_crash(crash(wave, "a", "x"))
+        evidence.note_crash(crash(wave + 0.01, "b", "x"))
+        evidence.note_crash(crash(wave + 0.03, "a", "y"))
+    assert list_blocked(evidence, 14.0, "abxy") == []
+
+
+def test_a_wave_counts_once_for_who_is_on_each() -> None:
+    evidence = make_evidence()
+    for step in range(8):
+        evidence.note_crash(crash(1.0 + step * 0.01, "popular", str(step)))
+    assert evidence.get_count("popular") == 1
+
+
+def test_who_has_answered_for_long_is_a_bystander() -> None:
+    evidence = make_evidence()
+    for at in (1.0, 2.0, 3.0):
+        seen = crash(at, "p")
+        seen.runners["old"] = suspicion.Runner("old", "a", 3.0)
+        evidence.note_crash(seen)
+    assert list_blocked(evidence, 3.1, "pa") == ["p"]
+
+
+def test_contents_that_nothing_tells_apart_wait_for_more() -> None:
+    evidence = make_evidence()
+    for at in range(suspicion.NEEDED_OF_TIED - 1):
+        assert not evidence.note_crash(crash(float(at), "p", "a"))
+    evidence.note_whole("a", 9.0)
+    assert list_blocked(evidence, 9.1, "pa") == ["p"]
+
+
+def test_contents_that_stay_tied_are_all_blocked_in_the_end() -> None:
+    evidence = make_evidence()
+    for at in range(suspicion.NEEDED_OF_TIED):
+        evidence.note_crash(crash(float(at), "p", "a"))
+    assert list_blocked(evidence, 9.0, "pa") == ["p", "a"]
+    # One that was sent before it was blocked shows that it is innocent.
+    evidence.note_whole("a", 9.5)
+    assert list_blocked(evidence, 10.0, "pa") == ["p"]
+
+
+def test_a_blocked_content_explains_what_it_still_does() -> None:
+    evidence = make_evidence()
+    for at in (1.0, 2.0, 3.0):
+        evidence.note_crash(crash(at, "p"))
+    assert not evidence.note_crash(crash(3.1, "p", "a"))
+    assert not evidence.is_suspect("a")
+    (block,) = evidence.blocks.iterate()
+    assert block.level == 1
+
+
+def test_a_block_ends_and_one_crash_more_brings_it_back_for_longer() -> None:
+    evidence = make_evidence()
+    for at in (1.0, 2.0, 3.0):
+        evidence.note_crash(crash(at, "p"))
+    over = 3.0 + blocklist.FIRST_BLOCK_S
+    assert evidence.blocks.get_left("p", over - 0.1) > 0
+    assert evidence.blocks.get_left("p", over) == 0
+    evidence.note_crash(crash(over + 1.0, "p", "a"))
+    left_s = evidence.blocks.get_left("p", over + 1.0)
+    assert left_s == pytest.approx(2 * blocklist.FIRST_BLOCK_S)
+
+
+def test_who_had_not_arrived_yet_is_not_counted() -> None:
+    evidence = make_evidence()
+    seen = crash(1.0, "p", "a")
+    evidence.note_crash(seen)
+    absent = next(r for r in seen.runners.values() if r.content == "a")
+    evidence.note_absence(absent.request_id)
+    assert (evidence.get_count("p"), evidence.get_count("a")) == (1, 0)
+
+
+def test_requests_without_a_content_are_never_blamed() -> None:
+    evidence = make_evidence()
+    for at in range(9):
+        assert not evidence.note_crash(crash(float(at), "", ""))
+        assert not evidence.note_whole("", float(at))
+
+
+def test_memory_is_bounded_under_many_contents() -> None:
+    evidence = make_evidence()
+    for number in range(20_000):
+        evidence.note_whole(f"c{number}", number / 10_000)
+    for number in range(2_000):
+        evidence.note_crash(crash(3.0 + number, f"c{number}", f"d{number}"))
+    assert len(evidence._sound) <= suspicion.MAX_SOUND
+    assert len(evidence._moments) <= suspicion.MAX_MOMENTS
+    assert len(evidence._counts) <= 2 * suspicion.MAX_MOMENTS
+    assert len(evidence._ended_at) <= suspicion.MAX_ENDED
+
+
+def test_lists_of_blocks_merge_in_any_order() -> None:
+    first, second = blocklist.Blocklist(), blocklist.Blocklist()
+    first.block("p", 3, 0.0)
+    second.take(first.list_news(10.0), 10.0)
+    assert second.get_left("p", 10.0) == pytest.approx(590.0)
+    assert first.lift("p", 20.0)
+    lifted = first.list_news(20.0)
+    older = second.list_news(20.0)
+    assert [b.lifted for b in second.take(lifted, 20.0)] == [True]
+    assert first.take(older, 20.0) == []
+    assert second.get_left("p", 20.0) == first.get_left("p", 20.0) == 0
+    second.block("p", 1, 30.0)
+    first.take(second.list_news(30.0), 30.0)
+    assert first.get_left("p", 30.0) == pytest.approx(1200.0)
+
+
+def test_suspects_are_kept_apart_where_there_is_room() -> None:
+    def make_info(name: str, content: str) -> message.RequestInfo:
+        shard = message.ShardKey("z", "s")
+        return message.RequestInfo(
+            name, shard, "c", "t", 10, 10, (), 9.0, content=content
+        )
+
+    servers = [
+        backend.Backend(backend.BackendInfo(name, 4, 10_000, 0))
+        for name in ("one", "two")
+    ]
+    servers[0].place(make_info("1", "p"), "e", "g", 0.0)
+    suspects = {"p", "a"}
+
+    def choose(content: str) -> list[str]:
+        fit = separation.keep_apart(
+            servers, make_info("2", content), suspects.__contains__
+        )
+        return [server.info.name for server in fit]
+
+    assert choose("innocent") == ["one", "two"]
+    assert choose("a") == ["two"]
+    assert choose("p") == ["one", "two"]
+    servers[1].place(make_info("3", "p"), "e", "g", 0.0)
+    assert choose("a") == ["one", "two"]
+
+
+SEEDS = range(5)
+
+CALM = crashes.Load(wave_every_s=5.0)
+HARSH = crashes.Load(wave_every_s=1.0)
+LONG = crashes.Load(wave_every_s=3.0, longest_s=12.0, asked_per_s=8.0)
+
+MOST_REFUSED = 1 / 10_000
+"""Part of innocent requests that may be refused while most backend servers
+crash from outside every second."""
+
+
+def play(load: crashes.Load) -> list[crashes.World]:
+    worlds = [crashes.World(load, seed) for seed in SEEDS]
+    for world in worlds:
+        world.play(120.0)
+    return worlds
+
+
+@pytest.mark.parametrize("load", [CALM, LONG])
+def test_waves_of_crashes_from_outside_block_nobody(load: crashes.Load) -> None:
+    assert not any(world.list_blocked() for world in play(load))
+
+
+def test_hardly_anybody_is_blocked_while_everything_crashes() -> None:
+    worlds = play(HARSH)
+    asked = sum(world.asked for world in worlds)
+    blocked = sum(len(world.list_blocked()) for world in worlds)
+    assert blocked <= asked * MOST_REFUSED
+
+
+@pytest.mark.parametrize("wave_every_s", [1.0, 8.0])
+def test_a_culprit_among_bystanders_and_waves_is_found(
+    wave_every_s: float,
+) -> None:
+    load = crashes.Load(wave_every_s=wave_every_s, culprit_every_s=0.5)
+    for world in play(load):
+        assert world.list_blocked() == {crashes.CULPRIT}
+        # Three moments settle it; some crashes share theirs with a wave.
+        assert world.crashes_of_culprit <= 2 * suspicion.NEEDED
