Add tests of blocks that outlive VMs, two of which fail

A VM that has just started knows no block until it has found the others, and after a restart of all VMs nobody knows any: the request ran again (502). That the one that found it out is gone is covered: the others refuse it.

--- a/test/node.py
+++ b/test/node.py
@@ -198,6 +198,11 @@
         self.restart_vm(name)
         self._wait_for(listen["ready"], "/v1/ready")
 
+    def kill_vm(self, name: str) -> None:
+        """Ends a VM's program at once."""
+        self.processes[name].send_signal(signal.SIGKILL)
+        self.processes[name].wait()
+
     def restart_vm(self, name: str) -> None:
         """Starts a VM's program with the settings that it has."""
         self._start(
--- a/test/test_poison.py
+++ b/test/test_poison.py
@@ -19,7 +19,7 @@
 import math
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import pytest
 
@@ -141,3 +141,74 @@
     with Supervisor(started) as supervisor:
         sent = send_tries(started, path, supervisor)
     assert count_late_tries(started, supervisor, sent) <= LATE_TRIES
+
+
+def block(started: node.Platform) -> None:
+    """Sends the request until it is refused, and restarts what has ended."""
+    with Supervisor(started):
+        for number in itertools.count():
+            assert number < 20, "not blocked"
+            vm = f"vm-{number % VMS}"
+            if ask(started, "/safe/", "POST", BODY, vm).status == 503:
+                break
+            time.sleep(PAUSE_S)
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        time.sleep(PAUSE_S)
+
+
+def find_finder(started: node.Platform) -> str:
+    """Returns the VM whose scheduler found the request out."""
+    return next(
+        name
+        for name in started.vms
+        for line in started.read_log(name)
+        if line["message"] == "content blocked" and line["origin"] == "crashes"
+    )
+
+
+def is_serving(started: node.Platform, vms: Iterable[str]) -> bool:
+    """Tells whether VMs serve, also while some are about to start."""
+    try:
+        return all(ask(started, "/safe/", vm=vm).status == 200 for vm in vms)
+    except OSError:
+        return False
+
+
+def check_not_run(started: node.Platform, vms: Iterable[str]) -> None:
+    """Checks that VMs refuse the request and say truly that it did not run."""
+    for vm in vms:
+        name = f"after-{vm}"
+        answer = ask(started, "/safe/", "POST", BODY, vm, X_Request_Id=name)
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 60
+        assert name not in set(started.list_runs())
+
+
+def test_a_vm_that_starts_again_knows_at_once(started: node.Platform) -> None:
+    block(started)
+    restarted = next(n for n in started.vms if n != find_finder(started))
+    started.kill_vm(restarted)
+    started.restart_vm(restarted)
+    wait_until(lambda: is_serving(started, [restarted]))
+    check_not_run(started, [restarted])
+
+
+def test_the_others_know_when_the_one_that_found_out_is_gone(
+    started: node.Platform,
+) -> None:
+    block(started)
+    finder = find_finder(started)
+    started.kill_vm(finder)
+    left = [name for name in started.vms if name != finder]
+    wait_until(lambda: is_serving(started, left))
+    check_not_run(started, left)
+
+
+def test_a_block_outlives_a_restart_of_all_vms(started: node.Platform) -> None:
+    block(started)
+    for name in started.vms:
+        started.kill_vm(name)
+    for name in started.vms:
+        started.restart_vm(name)
+    wait_until(lambda: is_serving(started, started.vms))
+    check_not_run(started, started.vms)
