Keep blocks in the platform's store, and let operators see and lift them

Cause of both failing tests: blocks lived on VMs only. Now the VM that decides writes each block under its content, with pauses for up to a minute while the store is away, and a VM that starts reads them once (not at the very first start of all).

--- /dev/null
+++ b/ramptray/command/blocked.py
@@ -0,0 +1,101 @@
+"""``ramptray blocked``: contents that no backend server is given any more."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Iterable, Iterator
+
+import anyio
+import click
+import msgspec
+
+from ramptray import settings
+from ramptray.command import peers
+from ramptray.command.error import CommandError
+from ramptray.core import blocklist
+from ramptray.peer import message as peer_message
+
+
+@click.command(name="blocked")
+@click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(path_type=pathlib.Path),
+    envvar="RAMPTRAY_SETTINGS",
+    help="The operator's settings; not needed with --scheduler.",
+)
+@click.option(
+    "--scheduler",
+    "schedulers",
+    multiple=True,
+    help="IP number and port of a scheduler, instead of settings.",
+)
+@click.option("--lift", "content", default="", help="Serve a content again.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def command(
+    settings_file: pathlib.Path | None,
+    schedulers: tuple[str, ...],
+    content: str,
+    as_json: bool,
+) -> None:
+    """Shows the contents that ended backend servers, or lifts a block.
+
+    A content is named by a digest, which "request" and "content blocked" lines
+    of the logs hold too.
+    """
+    tls = None
+    if not schedulers:
+        if settings_file is None:
+            raise CommandError("name --settings or --scheduler")
+        given = peers.read_settings(settings_file)
+        schedulers, tls = tuple(given.schedulers), given.tls
+    blocks = anyio.run(_ask, schedulers, tls, content)
+    if content and content not in {block.content for block in blocks}:
+        raise CommandError(f"{content} is not blocked")
+    if as_json:
+        click.echo(msgspec.json.encode(blocks).decode())
+        return
+    for line in iterate_lines(blocks):
+        click.echo(line)
+
+
+def iterate_lines(blocks: Iterable[blocklist.BlockNews]) -> Iterator[str]:
+    """Yields a line for each block."""
+    yield f"{'content':<26}{'left':>8}{'times':>7}{'crashes':>9}  state"
+    for block in blocks:
+        state = "lifted" if block.lifted else "blocked"
+        if not block.lifted and block.left_s <= 0:
+            state = "may be tried"
+        yield (
+            f"{block.content:<26}{block.left_s:>7.0f}s{block.level:>7}"
+            f"{block.crashes:>9}  {state}"
+        )
+
+
+async def _ask(
+    schedulers: tuple[str, ...], tls: settings.TlsSettings | None, content: str
+) -> list[blocklist.BlockNews]:
+    """Returns the blocks that any scheduler knows, longest first.
+
+    Raises:
+        CommandError: No scheduler answers.
+    """
+    question: object = peer_message.ListBlocks()
+    if content:
+        question = peer_message.LiftBlock(content)
+    async with peers.open_schedulers(schedulers, tls) as found:
+        reports = await found.find_reports()
+        addresses = [report["address"] for report in reports.values()]
+        answers = await found.ask_all(question, addresses)
+    if not answers:
+        raise CommandError("no scheduler answers")
+    merged: dict[str, blocklist.BlockNews] = {}
+    for answer in answers.values():
+        for block in answer.blocks:
+            known = merged.get(block.content)
+            if known is None or (block.level, block.lifted) > (
+                known.level,
+                known.lifted,
+            ):
+                merged[block.content] = block
+    return sorted(merged.values(), key=lambda block: -block.left_s)
--- a/ramptray/command/explain.py
+++ b/ramptray/command/explain.py
@@ -47,6 +47,7 @@
     "unknown_key": "the configuration in force had no such key",
     "backend_refused": "the backend server did not admit it",
     "backend_lost": "the backend server failed, or broke the connection",
+    "blocked_content": "its content has ended the backend servers that ran it",
     "stream_broken": "the answer broke off and could not be resumed",
     "caller_gone": "the caller closed first",
 }
--- a/ramptray/command/main.py
+++ b/ramptray/command/main.py
@@ -10,6 +10,7 @@
 from ramptray import process
 from ramptray.bundle import text
 from ramptray.command import (
+    blocked,
     bundle,
     explain,
     keys,
@@ -31,6 +32,7 @@
 
 
 for command in (
+    blocked.command,
     bundle.group,
     explain.command,
     keys.group,
--- a/ramptray/command/peers.py
+++ b/ramptray/command/peers.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import pathlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
 import anyio
@@ -38,12 +38,12 @@
 
 
 class Peers:
-    """All schedulers that can be found from the settings."""
+    """All schedulers that can be found from a few of them."""
 
     def __init__(
-        self, given: settings.OperatorSettings, client: peer_link.PeerClient
+        self, schedulers: Iterable[str], client: peer_link.PeerClient
     ) -> None:
-        self._given = given
+        self._schedulers = frozenset(schedulers)
         self._client = client
 
     async def ask_all(
@@ -70,7 +70,7 @@
         """
         reports: dict[str, dict[str, Any]] = {}
         asked: set[str] = set()
-        wanted = set(self._given.schedulers)
+        wanted = set(self._schedulers)
         while wanted:
             asked |= wanted
             answers = await self.ask_all(
@@ -93,8 +93,17 @@
     given: settings.OperatorSettings,
 ) -> AsyncIterator[Peers]:
     """Opens the channels to a deployment's schedulers."""
-    client = peer_link.PeerClient(clock.HybridClock(wallclock.read), given.tls)
+    async with open_schedulers(given.schedulers, given.tls) as found:
+        yield found
+
+
+@contextlib.asynccontextmanager
+async def open_schedulers(
+    schedulers: Iterable[str], tls: settings.TlsSettings | None = None
+) -> AsyncIterator[Peers]:
+    """Opens the channels to schedulers that are known by their addresses."""
+    client = peer_link.PeerClient(clock.HybridClock(wallclock.read), tls)
     try:
-        yield Peers(given, client)
+        yield Peers(schedulers, client)
     finally:
         await client.close()
--- a/ramptray/core/blocklist.py
+++ b/ramptray/core/blocklist.py
@@ -81,6 +81,7 @@
     def __init__(self) -> None:
         self._blocks: dict[str, Block] = {}
         self._listeners: list[OnBlocks] = []
+        self._decision_listeners: list[OnBlocks] = []
 
     def __len__(self) -> int:
         return len(self._blocks)
@@ -89,6 +90,10 @@
         """Has a listener told of whatever is new."""
         self._listeners.append(listener)
 
+    def on_decision(self, listener: OnBlocks) -> None:
+        """Has a listener told of what is decided here."""
+        self._decision_listeners.append(listener)
+
     def get_left(self, content: str, now: float) -> float:
         """Returns for how many seconds a content stays blocked; 0 if it is not.
 
@@ -101,6 +106,10 @@
             return 0.0
         return found.until - now
 
+    def count_in_force(self, now: float) -> int:
+        """Returns how many contents are blocked."""
+        return sum(not block.is_over(now) for block in self._blocks.values())
+
     def is_known(self, content: str) -> bool:
         """Tells whether a content is or was blocked, and nobody lifted that."""
         found = self._blocks.get(content)
@@ -112,7 +121,7 @@
         level = former.level + 1 if former else 1
         span_s = min(FIRST_BLOCK_S * 2 ** (level - 1), MAX_BLOCK_S)
         made = Block(content, level, now + span_s, crashes)
-        self._keep([made], now)
+        self._decide(made, now)
         return made
 
     def lift(self, content: str, now: float) -> bool:
@@ -120,7 +129,7 @@
         found = self._blocks.get(content)
         if found is None or found.is_over(now):
             return False
-        self._keep([msgspec.structs.replace(found, lifted=True)], now)
+        self._decide(msgspec.structs.replace(found, lifted=True), now)
         return True
 
     def take(self, told: Iterable[BlockNews], now: float) -> list[Block]:
@@ -146,6 +155,11 @@
         """Yields all blocks, also those that are over."""
         yield from self._blocks.values()
 
+    def _decide(self, block: Block, now: float) -> None:
+        self._keep([block], now)
+        for listener in self._decision_listeners:
+            listener([_make_news(block, now)])
+
     def _keep(self, blocks: list[Block], now: float) -> None:
         if not blocks:
             return
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -21,12 +21,13 @@
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
 from ramptray.peer import server as peer_server
+from ramptray.platform import blocks as platform_blocks
 from ramptray.platform import config, follower, header, store
 from ramptray.platform import settings as vm_settings
 from ramptray.relay import client as relay_client
 from ramptray.relay import server as relay_server
 from ramptray.relay import service
-from ramptray.scheduler import event, gossip, hub, servant
+from ramptray.scheduler import event, gossip, hub, keeper, servant
 
 LOG = logging.getLogger(__name__)
 
@@ -91,6 +92,11 @@
             self._take_bundle,
         )
         self._blocks = blocklist.Blocklist()
+        self._keeper = keeper.BlockKeeper(
+            platform_blocks.TopicBlockLog(self._store),
+            self._blocks,
+            loads=not given.first_start,
+        )
         self._gossiper = self._make_gossiper()
         self._follower.pick_peer = self._gossiper.pick_peer
         self._hub = hub.Hub(
@@ -137,6 +143,7 @@
                 self._follower.run,
                 self._relay_client.run,
                 self._prober.run,
+                self._keeper.run,
                 self._watch_reload,
             ):
                 tasks.start_soon(task)
@@ -227,7 +234,12 @@
         return cut
 
     def _show_metrics(self) -> probe.Page:
-        gauges = self._follower.list_gauges(time.monotonic())
+        now = time.monotonic()
+        blocked = self._blocks.count_in_force(now)
+        gauges = [
+            *self._follower.list_gauges(now),
+            metrics.Gauge("blocked_contents", {}, blocked),
+        ]
         text = self._measures.format() + metrics.format_gauges(gauges)
         return probe.Page(probe.OK, text)
 
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -42,6 +42,7 @@
 
 NEWEST_PATH = "/v1/log-newest"
 READ_PATH = "/v1/log-read"
+APPEND_PATH = "/v1/log-append"
 WAIT_FIELD = "waitMs"
 """How long a read waits for a record, in milliseconds."""
 
@@ -93,7 +94,7 @@
 
 
 class Store:
-    """Reads the topics of the store.
+    """Reads the topics of the store, and adds records to them.
 
     Args:
         address: IP number and port of the store.
@@ -121,7 +122,7 @@
             query = {"topic": topic, "part": "0"}
             if after is not None:
                 query["after"] = after
-            body = await self._get(
+            body = await self._ask(
                 NEWEST_PATH, query, log_reader.CALL_S, on_bytes
             )
             page = _decode_newest(body)
@@ -163,16 +164,41 @@
             "from": str(offset),
             WAIT_FIELD: str(int(wait_s * 1000)),
         }
-        body = await self._get(READ_PATH, query, timeout_s, on_bytes)
+        body = await self._ask(READ_PATH, query, timeout_s, on_bytes)
         return decode_records(body, offset)
 
-    async def _get(
+    async def append(self, topic: str, key: str, value: bytes) -> None:
+        """Adds a record to a keyed topic.
+
+        Raises:
+            StoreError: It may not have been added.
+        """
+        record = bytes([len(key)]) + key.encode() + value
+        await self._ask(
+            APPEND_PATH,
+            {"topic": topic, "part": "0"},
+            log_reader.CALL_S,
+            _note_nothing,
+            LENGTH.pack(len(record)) + record,
+        )
+
+    async def _ask(
         self,
         path: str,
         query: dict[str, str],
         timeout_s: float,
         on_bytes: OnBytes,
+        sent: bytes | None = None,
     ) -> bytes:
+        """Makes one call; returns the body of its answer.
+
+        Args:
+            path: The call.
+            query: Its parameters.
+            timeout_s: How long the answer may take to begin, in seconds.
+            on_bytes: Called whenever bytes of the answer have come.
+            sent: The body of a call that writes; None for one that reads.
+        """
         target = f"{path}?{urllib.parse.urlencode(query)}"
         answer: tuple[int, bytes] | None = None
         try:
@@ -183,7 +209,7 @@
                     scope.deadline = max(scope.deadline, stalls_at)
                     on_bytes()
 
-                answer = await self._call(target, extend)
+                answer = await self._call(target, extend, sent)
         except TimeoutError as error:
             raise StoreTimeoutError(f"{path}: no connection") from error
         except (
@@ -203,7 +229,9 @@
             raise StoreError(f"{path}: status {status}")
         return body
 
-    async def _call(self, target: str, on_bytes: OnBytes) -> tuple[int, bytes]:
+    async def _call(
+        self, target: str, on_bytes: OnBytes, sent: bytes | None
+    ) -> tuple[int, bytes]:
         """Sends one request on a connection of its own.
 
         A connection that has lost an answer never says anything again, so none
@@ -211,17 +239,23 @@
         """
         host, _, port = self._address.rpartition(":")
         http = h11.Connection(h11.CLIENT)
+        headers = [("Host", self._address), ("Connection", "close")]
+        if sent is not None:
+            headers.append(("Content-Length", str(len(sent))))
         request = h11.Request(
-            method="GET",
+            method="GET" if sent is None else "POST",
             target=target,
-            headers=[("Host", self._address), ("Connection", "close")],
+            headers=headers,
         )
         with anyio.fail_after(CONNECT_S):
             stream = await anyio.connect_tcp(host, int(port))
         async with stream:
             _set_keep_alive(stream)
-            await stream.send(http.send(request) or b"")
-            http.send(h11.EndOfMessage())
+            data = http.send(request) or b""
+            if sent is not None:
+                data += http.send(h11.Data(data=sent)) or b""
+            data += http.send(h11.EndOfMessage()) or b""
+            await stream.send(data)
             return await _read_answer(http, stream, on_bytes)
 
 
--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -83,6 +83,9 @@
             routes=[
                 routing.Route(store.NEWEST_PATH, self._read_newest),
                 routing.Route(store.READ_PATH, self._read),
+                routing.Route(
+                    store.APPEND_PATH, self._append, methods=["POST"]
+                ),
                 routing.Route("/faults", self._set_faults, methods=["PUT"]),
                 routing.Route("/ledger", self._show_ledger),
                 routing.Route(
@@ -96,6 +99,24 @@
         topic.append(http.path_params["key"], await http.body())
         return responses.Response(status_code=OK)
 
+    async def _append(self, http: requests.Request) -> responses.Response:
+        self._calls += 1
+        if self._faults.silent:
+            await _wait_until_gone(http)
+        if self._faults.busy:
+            return responses.Response(status_code=BUSY)
+        topic = self._topics[http.query_params["topic"]]
+        body = await http.body()
+        offset = len(topic.records)
+        while body:
+            (length,) = store.LENGTH.unpack_from(body)
+            record = body[store.LENGTH.size :][:length]
+            body = body[store.LENGTH.size + length :]
+            key_end = 1 + record[0]
+            topic.append(record[1:key_end].decode(), record[key_end:])
+        told = {"offset": offset, "end": len(topic.records)}
+        return responses.JSONResponse(told)
+
     async def _set_faults(self, http: requests.Request) -> responses.Response:
         self._faults = msgspec.json.decode(await http.body(), type=Faults)
         return responses.Response(status_code=OK)
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -348,7 +348,10 @@
     """A store whose last bytes come as the call is given up."""
 
     async def _call(
-        self, target: str, on_bytes: Callable[[], None]
+        self,
+        target: str,
+        on_bytes: Callable[[], None],
+        sent: bytes | None,
     ) -> tuple[int, bytes]:
         try:
             await anyio.sleep_forever()
--- a/test/test_poison.py
+++ b/test/test_poison.py
@@ -16,7 +16,10 @@
 from __future__ import annotations
 
 import itertools
+import json
 import math
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Iterable, Iterator
@@ -184,6 +187,37 @@
         assert name not in set(started.list_runs())
 
 
+def run_command(started: node.Platform, *words: str) -> str:
+    """Runs the operators' command against one VM."""
+    scheduler = started.vms["vm-0"]["control"]
+    program = "from ramptray.command import main; main.run()"
+    command = [sys.executable, "-c", program, "blocked"]
+    done = subprocess.run(
+        [*command, "--scheduler", scheduler, *words],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return done.stdout
+
+
+def test_an_operator_sees_blocks_and_lifts_them(
+    started: node.Platform,
+) -> None:
+    block(started)
+    (found,) = json.loads(run_command(started, "--json"))
+    assert found["crashes"] >= 3
+    metrics = node.call(
+        f"127.0.0.1:{started.vms['vm-1']['metrics']}", "GET", "/metrics"
+    )
+    assert b"ramptray_blocked_contents 1" in metrics.body
+    assert "lifted" in run_command(started, "--lift", found["content"])
+    with Supervisor(started):
+        wait_until(
+            lambda: ask(started, "/safe/", "POST", BODY, "vm-2").status == 502
+        )
+
+
 def test_a_vm_that_starts_again_knows_at_once(started: node.Platform) -> None:
     block(started)
     restarted = next(n for n in started.vms if n != find_finder(started))
