--- a/test/harm.py
+++ b/test/harm.py
@@ -93,8 +93,9 @@
             self._draw_link_fault,
             self._draw_link_fault,
             self._draw_vm_fault,
-            self._draw_replica_fault,
         ]
+        if self._proxies:
+            draws.append(self._draw_replica_fault)
         if self._restarts:
             draws.append(self._draw_restart)
         return self._rng.choice(draws)()
--- a/test/soak.py
+++ b/test/soak.py
@@ -24,7 +24,7 @@
 import click
 
 from bench import promise, proxy
-from test import harm, node, verdict
+from test import crashing, harm, node, verdict
 
 CHANGE_EVERY_S = 1.3
 KEPT_VERSIONS = 20
@@ -55,6 +55,8 @@
         seed: Seed of faults and load.
         seconds: How long it lasts.
         restarts: Whether replicas also start again under their names.
+        crashes: Whether a request is sent that ends what runs it.  Replicas
+            then have nothing before them: a proxy would go on listening.
     """
 
     def __init__(
@@ -64,7 +66,10 @@
         seed: int,
         seconds: float,
         restarts: bool,
+        crashes: bool = False,
     ) -> None:
+        self._crashes = crashes
+        self._supervisor = crashing.Supervisor(started)
         self._platform = started
         self._seconds = seconds
         self._names = [f"vm-{number}" for number in range(vms)]
@@ -73,6 +78,7 @@
         self.record = verdict.Record()
         self._stores: dict[str, proxy.Proxy] = {}
         self._proxies: dict[str, proxy.Proxy] = {}
+        self._tries = crashing.Tries(started, self._names)
         self._start()
         self._harm = harm.Harm(
             started,
@@ -86,7 +92,11 @@
     def perform(self) -> list[promise.Promise]:
         """Runs load and faults, and returns what was kept and broken."""
         try:
-            self._run()
+            if self._crashes:
+                with self._supervisor:
+                    self._run()
+            else:
+                self._run()
             return self._judge()
         finally:
             for made in (*self._stores.values(), *self._proxies.values()):
@@ -100,6 +110,9 @@
         self._change()
         for number in range(3):
             name = f"i-{number}"
+            if self._crashes:
+                started.start_replica(name, crash_on=crashing.MARK)
+                continue
             started.start_replica(name)
             made = proxy.Proxy(started.replicas[name])
             self._proxies[name] = made
@@ -130,6 +143,8 @@
             self._make_changes,
             lambda: self._harm.run(self._ends_at),
         ]
+        if self._crashes:
+            tasks.append(lambda: self._tries.run(self._is_over))
         for name in self._names:
             tasks.append(lambda vm=name: self._look(vm))  # type: ignore[misc]
             tasks.append(lambda vm=name: self._press(vm))  # type: ignore[misc]
@@ -222,8 +237,33 @@
             name: list(self._platform.iterate_runs(name))
             for name in self._platform.replicas
         }
-        judge = verdict.Verdict(self.record, runs)
-        return [*judge.judge(), self._judge_processes()]
+        if self._crashes:
+            # Its tries were asked for, too; what they got is judged apart.
+            tried = self._tries.sent
+            others = {
+                name: [run for run in ran if run not in tried]
+                for name, ran in runs.items()
+            }
+        judge = verdict.Verdict(self.record, others if self._crashes else runs)
+        return [
+            *judge.judge(),
+            self._judge_processes(),
+            *self._judge_crashes(judge, runs),
+        ]
+
+    def _judge_crashes(
+        self, judge: verdict.Verdict, runs: Mapping[str, list[str]]
+    ) -> list[promise.Promise]:
+        if not self._crashes:
+            return []
+        ran = set(itertools.chain.from_iterable(runs.values()))
+        innocent = promise.Promise("nothing else is blocked")
+        for ask in self.record.asks:
+            innocent.judge(crashing.BLOCKED not in ask.body, f"{ask}")
+        tries = crashing.judge_tries(
+            self._tries, self._supervisor, ran, judge.is_calm
+        )
+        return [tries, innocent]
 
     def _judge_processes(self) -> promise.Promise:
         kept = promise.Promise("no program ends by itself")
@@ -279,6 +319,7 @@
     seconds: float,
     keep: pathlib.Path | None = None,
     restarts: bool = False,
+    crashes: bool = False,
 ) -> tuple[list[promise.Promise], list[str]]:
     """Runs one soak and returns its promises and its faults.
 
@@ -288,12 +329,13 @@
         seconds: How long it lasts.
         keep: Folder for the programs' logs; None if they are not kept.
         restarts: Whether replicas also start again under their names.
+        crashes: Whether a request is sent that ends what runs it.
     """
     with tempfile.TemporaryDirectory() as made:
         name = keep or made
         platform = node.Platform(pathlib.Path(name))
         try:
-            soak = Soak(platform, vms, seed, seconds, restarts)
+            soak = Soak(platform, vms, seed, seconds, restarts, crashes)
             return soak.perform(), list(soak.record.list_faults())
         finally:
             platform.stop_all()
@@ -307,6 +349,9 @@
 @click.option(
     "--restarts", is_flag=True, help="Replicas also start again, killed."
 )
+@click.option(
+    "--crashes", is_flag=True, help="A request ends the replicas that run it."
+)
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
 @click.option(
     "--keep",
@@ -319,6 +364,7 @@
     vms: int,
     seconds: float,
     restarts: bool,
+    crashes: bool,
     show: bool,
     keep: pathlib.Path | None,
 ) -> None:
@@ -328,7 +374,7 @@
         logs = keep / str(each) if keep else None
         if logs:
             logs.mkdir(parents=True, exist_ok=True)
-        promises, faults = run_soak(vms, each, seconds, logs, restarts)
+        promises, faults = run_soak(vms, each, seconds, logs, restarts, crashes)
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
         for kept in promises if show else broken:
--- a/test/test_poison.py
+++ b/test/test_poison.py
@@ -17,34 +17,20 @@
 
 import itertools
 import json
-import math
 import subprocess
 import sys
-import threading
 import time
 from collections.abc import Iterable, Iterator
 
 import pytest
 
 from test import node
+from test.crashing import BODY, LATE_TRIES, MARK, PAUSE_S, Supervisor
 from test.test_node import ask, wait_until
 
-MARK = "ends what runs it"
-BODY = b'{"prompt": "ends what runs it"}'
-
 REPLICAS = 4
 VMS = 3
 
-KNOWN_S = 1.0
-"""Within this time, in seconds, of the third replica's end each VM knows: half
-of the shortest time that a deployment allows for it."""
-
-LATE_TRIES = 3
-"""Tries that may reach replicas after that."""
-
-PAUSE_S = 0.25
-"""Pause between two tries, in seconds."""
-
 LATE_NEEDED = 4 * LATE_TRIES
 """Tries after that, so that they tell something."""
 
@@ -52,35 +38,6 @@
 """Time within which that many are sent, in seconds."""
 
 
-class Supervisor:
-    """Starts replicas again that have ended, a moment later."""
-
-    def __init__(self, started: node.Platform) -> None:
-        self._started = started
-        self._over = threading.Event()
-        self._thread = threading.Thread(target=self._run)
-        self.ended_at: list[float] = []
-
-    def __enter__(self) -> Supervisor:
-        self._thread.start()
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        self._over.set()
-        self._thread.join()
-
-    def _run(self) -> None:
-        while not self._over.wait(0.02):
-            for name in self._started.replicas:
-                if self._started.processes[name].poll() is None:
-                    continue
-                self.ended_at.append(time.monotonic())
-                self._over.wait(0.3)
-                self._started.restart_replica(name)
-                born = int(time.time() * 1000)
-                self._started.write_record(name, born=born)
-
-
 @pytest.fixture
 def started() -> Iterator[node.Platform]:
     with node.run_platform(vms=VMS, replicas=0) as platform:
@@ -92,18 +49,11 @@
         yield platform
 
 
-def get_known_at(supervisor: Supervisor) -> float:
-    """Returns from when on VMs must know; infinity for not yet."""
-    if len(supervisor.ended_at) < 3:
-        return math.inf
-    return supervisor.ended_at[2] + KNOWN_S
-
-
 def count_late_tries(
     started: node.Platform, supervisor: Supervisor, sent: dict[str, float]
 ) -> int:
     """Returns how many tries ran that were sent once each VM must know."""
-    known_at = get_known_at(supervisor)
+    known_at = supervisor.get_known_at()
     ran = {
         request_id
         for name in started.replicas
@@ -125,7 +75,7 @@
     sent: dict[str, float] = {}
     ends_at = time.monotonic() + LONGEST_S
     for number in itertools.count():
-        known_at = get_known_at(supervisor)
+        known_at = supervisor.get_known_at()
         late = sum(at > known_at for at in sent.values())
         if late >= LATE_NEEDED or time.monotonic() > ends_at:
             break
--- a/test/verdict.py
+++ b/test/verdict.py
@@ -187,7 +187,7 @@
         kept = promise.Promise("a change is in force soon on a calm VM")
         sent = dict(self._record.changes)
         for look in self._record.looks:
-            calm = self._is_calm(look.at)
+            calm = self.is_calm(look.at)
             age_s = look.at - sent[look.version]
             if calm and age_s > APPLY_S:
                 at = f"{look.at - self._record.changes[0][1]:.2f}"
@@ -196,7 +196,8 @@
                 kept.judge(found, f"{detail} of age {age_s:.2f} s")
         return kept
 
-    def _is_calm(self, at: float) -> bool:
+    def is_calm(self, at: float) -> bool:
+        """Tells whether no fault was near a moment."""
         return all(
             fault.ended + CALM_S < at or fault.began > at
             for fault in self._record.faults
@@ -209,7 +210,7 @@
             for run in self._runs[leave.name]:
                 at = sent.get(run, 0.0)
                 late = leave.since + APPLY_S < at < leave.until
-                if late and self._is_calm(at):
+                if late and self.is_calm(at):
                     kept.judge(False, f"{run} on {leave.name}")
             kept.judge(True, leave.name)
         return kept
