--- a/test/soak.py
+++ b/test/soak.py
@@ -237,14 +237,12 @@
             name: list(self._platform.iterate_runs(name))
             for name in self._platform.replicas
         }
-        if self._crashes:
-            # Its tries were asked for, too; what they got is judged apart.
-            tried = self._tries.sent
-            others = {
-                name: [run for run in ran if run not in tried]
-                for name, ran in runs.items()
-            }
-        judge = verdict.Verdict(self.record, others if self._crashes else runs)
+        # Tries that end what runs them are judged apart.
+        others = {
+            name: [run for run in ran if run not in self._tries.sent]
+            for name, ran in runs.items()
+        }
+        judge = verdict.Verdict(self.record, others)
         return [
             *judge.judge(),
             self._judge_processes(),
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -33,6 +33,14 @@
     judge(*soak.run_soak(3, 202, SECONDS, restarts=True))
 
 
+def test_the_promises_are_kept_beside_a_request_that_ends_what_runs_it() -> (
+    None
+):
+    promises, faults = soak.run_soak(3, 1, SECONDS, crashes=True)
+    judge(promises, faults)
+    assert all(kept.chances for kept in promises[-2:])
+
+
 def judge(promises: list[promise.Promise], faults: list[str]) -> None:
     """Fails where a promise was broken, or could not be judged."""
     shown = "\n".join([kept.format() for kept in promises] + faults)
