Add a test of a request given up between two attempts, which fails

Traced from the test that failed once beside load: a stream that hung for longer than requests may wait (1.35 s) is sent on, and whether it has waited for too long is looked at every 50 ms; where that falls between the end of its attempt and the next grant it is cut (answer.whole false).

--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -11,6 +11,7 @@
 from ramptray.bundle import acceptance, signature
 from ramptray.core import membership, message
 from ramptray.entry import dispatcher
+from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
 from ramptray.platform import config, follower
@@ -213,3 +214,38 @@
     watch_two_zones(desk)
     assert desk.opened
     assert set(desk.opened) <= {OURS, OTHER}
+
+
+def test_a_request_that_is_sent_on_late_is_not_given_up_before_its_owner_spoke(
+    desk: Desk,
+) -> None:
+    # A stream hung for longer than requests may wait.  Between the end of its
+    # first attempt and the owner's next grant, a millisecond apart on a calm
+    # VM, the entry looked whether it had waited for too long, and cut it:
+    # "answer.whole" was false, once, in a run of all tests beside load.
+    info = message.RequestInfo(
+        "r2",
+        message.ShardKey("waw-a", "s"),
+        "c",
+        "t",
+        1,
+        1,
+        (),
+        60.0,
+        repeatable=True,
+        max_attempts=2,
+        wait_s=1.35,
+    )
+    ticket = desk.submit(info, None)
+    now = ticket.began
+    desk._handle(desk._receive.receive_nowait(), now)
+    desk.hear(attachment.Said(OURS, message.Grant("r2", "g", "e", OURS)), now)
+    ended = message.Ended("r2", 2, 1.6, False, broken=True)
+    failed = tickets.AttemptFailed(ended, False, message.Reason.BACKEND_LOST)
+    desk._handle(failed, now + 1.6)
+    assert desk.request_count == 2
+    desk.tick(now + 1.6 + dispatcher.OWNER_SILENCE_S / 2)
+    assert desk.request_count == 2
+    # An owner that says nothing is not waited for.
+    desk.tick(now + 1.6 + dispatcher.OWNER_SILENCE_S * 2)
+    assert desk.request_count == 1
