Count the wait for a further attempt from when its owner was asked

Cause and class: a limit that was meant for the first attempt, counted from the request's beginning for each.

--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -569,9 +569,12 @@
                 return message.Reason.LOG_UNAVAILABLE
             return message.Reason.DEADLINE
         wait_s = ticket.info.wait_s
-        if wait_s is not None and now - ticket.began > wait_s + OWNER_SILENCE_S:
-            # Its owner should have refused it by now.
-            return message.Reason.OVERLOADED
+        if wait_s is not None:
+            # Of a further attempt the owner has only just been told.
+            due = max(ticket.began + wait_s, ticket.asked_at)
+            if now > due + OWNER_SILENCE_S:
+                # Its owner should have refused it by now.
+                return message.Reason.OVERLOADED
         down = ticket.down_since
         if down is not None and now - down > NO_OWNER_S:
             return message.Reason.NOT_READY
