--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -43,6 +43,10 @@
 NEWEST_PATH = "/v1/log-newest"
 READ_PATH = "/v1/log-read"
 APPEND_PATH = "/v1/log-append"
+GENERATION_HEADER = "Store-Era"
+"""Which copy of itself the store speaks from; it rises by one each time that it
+comes back from an older one."""
+
 WAIT_FIELD = "waitMs"
 """How long a read waits for a record, in milliseconds."""
 
--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -46,6 +46,16 @@
     forgotten: model.Count = 0
 
 
+class Loss(model.Model, frozen=True, kw_only=True):
+    """What a store that comes back from an older copy has lost.
+
+    Attributes:
+        records: The newest records of each topic, so many.
+    """
+
+    records: model.Count
+
+
 class Topic:
     """One keyed topic with a single part."""
 
@@ -53,6 +63,12 @@
         self.records: list[tuple[str, bytes]] = []
         self.changed = anyio.Event()
 
+    def lose(self, count: int) -> None:
+        """Drops the newest records; their offsets are given out again."""
+        del self.records[max(0, len(self.records) - count) :]
+        self.changed.set()
+        self.changed = anyio.Event()
+
     def append(self, key: str, value: bytes) -> None:
         """Adds a record; an empty value drops the key."""
         self.records.append((key, value))
@@ -76,6 +92,7 @@
         self._faults = Faults()
         self._topics: dict[str, Topic] = collections.defaultdict(Topic)
         self._calls = 0
+        self._era = 1
 
     def make_app(self) -> applications.Starlette:
         """Returns the HTTP application."""
@@ -87,6 +104,7 @@
                     store.APPEND_PATH, self._append, methods=["POST"]
                 ),
                 routing.Route("/faults", self._set_faults, methods=["PUT"]),
+                routing.Route("/loss", self._lose, methods=["PUT"]),
                 routing.Route("/ledger", self._show_ledger),
                 routing.Route(
                     "/records/{topic}/{key}", self._put, methods=["PUT"]
@@ -117,6 +135,14 @@
         told = {"offset": offset, "end": len(topic.records)}
         return responses.JSONResponse(told)
 
+    async def _lose(self, http: requests.Request) -> responses.Response:
+        """Comes back from a copy that lacks the newest records."""
+        loss = msgspec.json.decode(await http.body(), type=Loss)
+        self._era += 1
+        for topic in self._topics.values():
+            topic.lose(loss.records)
+        return responses.Response(status_code=OK)
+
     async def _set_faults(self, http: requests.Request) -> responses.Response:
         self._faults = msgspec.json.decode(await http.body(), type=Faults)
         return responses.Response(status_code=OK)
@@ -139,7 +165,12 @@
             ],
             len(topic.records),
         )
-        return responses.Response(store.encode_newest(page))
+        return self._answer(store.encode_newest(page))
+
+    def _answer(self, body: bytes) -> responses.Response:
+        return responses.Response(
+            body, headers={store.GENERATION_HEADER: str(self._era)}
+        )
 
     async def _read(self, http: requests.Request) -> responses.Response:
         self._calls += 1
@@ -148,12 +179,13 @@
         wait_s = int(http.query_params.get(store.WAIT_FIELD, "0")) / 1000
         if self._faults.silent:
             await _wait_until_gone(http)
-        if len(topic.records) <= offset and not self._faults.busy:
+        era = self._era
+        if len(topic.records) == offset and not self._faults.busy:
             with anyio.move_on_after(wait_s):
                 await topic.changed.wait()
-        if self._faults.busy:
+        if self._faults.busy or era != self._era:
             return responses.Response(status_code=BUSY)
-        if offset < self._faults.forgotten:
+        if not self._faults.forgotten <= offset <= len(topic.records):
             return responses.Response(status_code=GONE)
         records = [
             bytes([len(key)]) + key.encode() + value
@@ -163,7 +195,7 @@
         body = b"".join(
             store.LENGTH.pack(len(record)) + record for record in records
         )
-        return responses.Response(head + body)
+        return self._answer(head + body)
 
 
 async def _wait_until_gone(http: requests.Request) -> None:
