Put the store's generation before each offset, so that no offset stands twice

Cause: a place in a stream was an offset alone. A store that comes back from an older copy gives offsets out again; readers went on from theirs and passed over what now stood below it, and VMs that were told by others held a lower end for old. Now platform/place.py puts the generation that the store names in each answer before the offset; an answer of another generation than the place that was asked for has the topic read anew, one of a generation that is over is dropped, mirrors tell whole what followers hold of an earlier one, replicas without a record are kept as after an outage, and blocks are written again. The test that nobody goes back now writes the replicas' records again, as replicas do: it had let them lapse and asked for an answer all the same.

--- a/ramptray/caller/refusal.py
+++ b/ramptray/caller/refusal.py
@@ -27,6 +27,7 @@
     message.Reason.BACKEND_REFUSED: 503,
     message.Reason.BACKEND_LOST: 502,
     message.Reason.STREAM_BROKEN: 502,
+    message.Reason.BLOCKED: 503,
 }
 
 
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -97,6 +97,7 @@
             self._blocks,
             loads=not given.first_start,
         )
+        self._store.on_older_copy(self._keeper.save_again)
         self._gossiper = self._make_gossiper()
         self._follower.pick_peer = self._gossiper.pick_peer
         self._hub = hub.Hub(
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -97,6 +97,7 @@
         )
         self._feed.get_trouble = self._book.get_trouble
         self._feed.on_trouble = self._take_trouble
+        reader.on_older_copy(self._note_older_copy)
 
     async def run(self) -> None:
         """Follows until cancelled."""
@@ -250,6 +251,13 @@
     def _note_trouble(self) -> None:
         self._book.note_trouble(time.monotonic())
 
+    def _note_older_copy(self) -> None:
+        """Keeps replicas whose records are lost as long as after an outage.
+
+        Whoever wrote records that are lost writes them again.
+        """
+        self._book.note_return(time.monotonic())
+
     def _is_unsettled(self) -> bool:
         """Tells whether a moment is near at which something is due."""
         return self._book.is_waiting or any(
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -4,10 +4,11 @@
 
 import base64
 import binascii
+import logging
 import socket
 import struct
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 import anyio.abc
@@ -17,6 +18,9 @@
 from ramptray.log import error as log_error
 from ramptray.log import keyedstream, repetition
 from ramptray.log import reader as log_reader
+from ramptray.platform import place
+
+LOG = logging.getLogger(__name__)
 
 WAIT_S = 28.0
 """How long a read waits for a record, in seconds; the store allows 30.  Lost
@@ -90,6 +94,21 @@
     more: bool = msgspec.field(name="hasMore", default=False)
 
 
+class Reply(msgspec.Struct, frozen=True):
+    """An answer of the store.
+
+    Attributes:
+        status: HTTP status.
+        generation: The generation that the store spoke from; 0 where it does
+            not tell.
+        body: The body.
+    """
+
+    status: int
+    generation: int
+    body: bytes
+
+
 OnBytes = Callable[[], None]
 
 
@@ -100,12 +119,23 @@
 class Store:
     """Reads the topics of the store, and adds records to them.
 
+    Places in topics are those of ``platform.place``.
+
     Args:
         address: IP number and port of the store.
+
+    Attributes:
+        generation: The latest generation that the store has spoken from.
     """
 
     def __init__(self, address: str) -> None:
+        self.generation = 0
         self._address = address
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_older_copy(self, listener: Callable[[], None]) -> None:
+        """Has a listener told when the store is back from an older copy."""
+        self._listeners.append(listener)
 
     async def read_newest(
         self, topic: str, on_bytes: OnBytes = _note_nothing
@@ -122,18 +152,27 @@
         records: list[Change] = []
         after: str | None = None
         first_end: int | None = None
+        generation: int | None = None
         while True:
             query = {"topic": topic, "part": "0"}
             if after is not None:
                 query["after"] = after
-            body = await self._ask(
+            reply = await self._ask(
                 NEWEST_PATH, query, log_reader.CALL_S, on_bytes
             )
-            page = _decode_newest(body)
+            if generation not in (None, reply.generation):
+                raise StoreError("the store came back older between two pages")
+            generation = reply.generation
+            page = _decode_newest(reply.body)
             # Pages are no snapshot: what changes meanwhile is read again.
-            first_end = page.end if first_end is None else first_end
+            end = place.make_place(generation, page.end)
+            first_end = end if first_end is None else first_end
             records.extend(
-                Change(item.key, _decode_value(item.value), item.offset)
+                Change(
+                    item.key,
+                    _decode_value(item.value),
+                    place.make_place(generation, item.offset),
+                )
                 for item in page.items
             )
             if not page.more or not page.items:
@@ -152,24 +191,28 @@
 
         Args:
             topic: The topic.
-            offset: Offset of the first record wanted.
+            offset: Place of the first record wanted.
             wait_s: How long to wait for a record; 0 for not at all.
             timeout_s: How long the answer may take to begin, in seconds.
             on_bytes: Called whenever bytes of the answer have come.
 
         Raises:
-            TrimmedError: Some of them are not kept any more.
+            TrimmedError: Some of them are not kept any more, or the place is of
+                an earlier generation.
             StoreTimeoutError: There is no answer in time.
             StoreError: The store turned the call away.
         """
         query = {
             "topic": topic,
             "part": "0",
-            "from": str(offset),
+            "from": str(place.get_offset(offset)),
             WAIT_FIELD: str(int(wait_s * 1000)),
         }
-        body = await self._ask(READ_PATH, query, timeout_s, on_bytes)
-        return decode_records(body, offset)
+        reply = await self._ask(READ_PATH, query, timeout_s, on_bytes)
+        if reply.generation != place.get_generation(offset):
+            # What stands at that offset now is not what follows.
+            raise TrimmedError(f"the store is back from an older copy: {topic}")
+        return decode_records(reply.body, offset)
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
         """Adds a record to a keyed topic.
@@ -193,8 +236,8 @@
         timeout_s: float,
         on_bytes: OnBytes,
         sent: bytes | None = None,
-    ) -> bytes:
-        """Makes one call; returns the body of its answer.
+    ) -> Reply:
+        """Makes one call; returns its answer.
 
         Args:
             path: The call.
@@ -204,7 +247,7 @@
             sent: The body of a call that writes; None for one that reads.
         """
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        answer: tuple[int, bytes] | None = None
+        reply: Reply | None = None
         try:
             with anyio.move_on_after(timeout_s) as scope:
 
@@ -213,7 +256,7 @@
                     scope.deadline = max(scope.deadline, stalls_at)
                     on_bytes()
 
-                answer = await self._call(target, extend, sent)
+                reply = await self._call(target, extend, sent)
         except TimeoutError as error:
             raise StoreTimeoutError(f"{path}: no connection") from error
         except (
@@ -223,19 +266,36 @@
             h11.RemoteProtocolError,
         ) as error:
             raise StoreError(f"{path}: {error!r}") from error
-        if answer is None:
+        if reply is None:
             # Not told by the scope's deadline: late bytes may have moved it.
             raise StoreTimeoutError(f"{path}: no answer in time")
-        status, body = answer
-        if status == _GONE:
-            raise TrimmedError(f"{path}: status {status}")
-        if status != _OK:
-            raise StoreError(f"{path}: status {status}")
-        return body
+        self._note_generation(path, reply.generation)
+        if reply.status == _GONE:
+            raise TrimmedError(f"{path}: status {reply.status}")
+        if reply.status != _OK:
+            raise StoreError(f"{path}: status {reply.status}")
+        return reply
+
+    def _note_generation(self, path: str, generation: int) -> None:
+        """Takes the generation of an answer.
+
+        Raises:
+            StoreError: The answer is of a generation that is over.
+        """
+        if generation < self.generation:
+            raise StoreError(f"{path}: an answer of an earlier generation")
+        former, self.generation = self.generation, generation
+        if former and generation > former:
+            LOG.warning(
+                "store is back from an older copy",
+                extra={"generation": generation, "former": former},
+            )
+            for listener in self._listeners:
+                listener()
 
     async def _call(
         self, target: str, on_bytes: OnBytes, sent: bytes | None
-    ) -> tuple[int, bytes]:
+    ) -> Reply:
         """Sends one request on a connection of its own.
 
         A connection that has lost an answer never says anything again, so none
@@ -276,9 +336,9 @@
 
 async def _read_answer(
     http: h11.Connection, stream: anyio.abc.SocketStream, on_bytes: OnBytes
-) -> tuple[int, bytes]:
-    """Returns status and body of the answer."""
+) -> Reply:
     status = 0
+    generation = 0
     parts: list[bytes] = []
     while True:
         event = http.next_event()
@@ -290,14 +350,29 @@
                 http.receive_data(b"")
         elif isinstance(event, h11.Response):
             status = event.status_code
+            generation = _read_generation(event.headers)
         elif isinstance(event, h11.Data):
             parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            return status, b"".join(parts)
+            return Reply(status, generation, b"".join(parts))
         else:
             raise StoreError("the store closed without an answer")
 
 
+def _read_generation(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Returns the generation that an answer names.
+
+    Raises:
+        StoreError: It names none that makes sense.
+    """
+    text = dict(headers).get(GENERATION_HEADER.lower().encode())
+    if text is None:
+        return 0
+    if not text.isdigit() or int(text) > place.MAX_GENERATION:
+        raise StoreError(f"not a generation: {text!r}")
+    return int(text)
+
+
 def encode_newest(page: NewestPage) -> bytes:
     """Returns a page as the store sends it."""
     return msgspec.json.encode(page)
@@ -327,8 +402,9 @@
     """
     try:
         end, first = POSITIONS.unpack_from(body)
-        if first > offset:
+        if first > place.get_offset(offset):
             raise TrimmedError(f"records before {first} are gone")
+        end = place.make_place(place.get_generation(offset), end)
         records: list[Change] = []
         at = POSITIONS.size
         while at < len(body):
--- a/ramptray/scheduler/keeper.py
+++ b/ramptray/scheduler/keeper.py
@@ -64,6 +64,10 @@
         async for news in self._receive:
             await self._save(news)
 
+    def save_again(self) -> None:
+        """Saves all blocks, as the log may have lost some."""
+        self._note(self._blocks.list_news(time.monotonic()))
+
     def _note(self, news: list[blocklist.BlockNews]) -> None:
         for each in news:
             try:
--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -122,7 +122,7 @@
         if self._faults.silent:
             await _wait_until_gone(http)
         if self._faults.busy:
-            return responses.Response(status_code=BUSY)
+            return self._answer(status=BUSY)
         topic = self._topics[http.query_params["topic"]]
         body = await http.body()
         offset = len(topic.records)
@@ -133,7 +133,7 @@
             key_end = 1 + record[0]
             topic.append(record[1:key_end].decode(), record[key_end:])
         told = {"offset": offset, "end": len(topic.records)}
-        return responses.JSONResponse(told)
+        return self._answer(msgspec.json.encode(told))
 
     async def _lose(self, http: requests.Request) -> responses.Response:
         """Comes back from a copy that lacks the newest records."""
@@ -156,7 +156,7 @@
         if self._faults.silent:
             await _wait_until_gone(http)
         if self._faults.busy:
-            return responses.Response(status_code=BUSY)
+            return self._answer(status=BUSY)
         topic = self._topics[http.query_params["topic"]]
         page = store.NewestPage(
             [
@@ -167,10 +167,12 @@
         )
         return self._answer(store.encode_newest(page))
 
-    def _answer(self, body: bytes) -> responses.Response:
-        return responses.Response(
-            body, headers={store.GENERATION_HEADER: str(self._era)}
-        )
+    def _answer(
+        self, body: bytes = b"", status: int = OK
+    ) -> responses.Response:
+        """Returns an answer that names the copy the store speaks from."""
+        named = {store.GENERATION_HEADER: str(self._era)}
+        return responses.Response(body, status, named)
 
     async def _read(self, http: requests.Request) -> responses.Response:
         self._calls += 1
@@ -184,9 +186,9 @@
             with anyio.move_on_after(wait_s):
                 await topic.changed.wait()
         if self._faults.busy or era != self._era:
-            return responses.Response(status_code=BUSY)
+            return self._answer(status=BUSY)
         if not self._faults.forgotten <= offset <= len(topic.records):
-            return responses.Response(status_code=GONE)
+            return self._answer(status=GONE)
         records = [
             bytes([len(key)]) + key.encode() + value
             for key, value in topic.records[offset:]
--- a/test/node.py
+++ b/test/node.py
@@ -252,6 +252,11 @@
         ledger: dict[str, Any] = json.loads(answer.body)
         return ledger
 
+    def lose_records(self, count: int) -> None:
+        """Has the store come back without the newest records of each topic."""
+        loss = json.dumps({"records": count}).encode()
+        call(self.store, "PUT", "/loss", loss)
+
     def count_store_calls(self) -> int:
         """Returns how many calls VMs have made to the store."""
         return int(json.loads(call(self.store, "GET", "/ledger").body)["calls"])
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -352,7 +352,7 @@
         target: str,
         on_bytes: Callable[[], None],
         sent: bytes | None,
-    ) -> tuple[int, bytes]:
+    ) -> store.Reply:
         try:
             await anyio.sleep_forever()
         finally:
--- a/test/test_older_store.py
+++ b/test/test_older_store.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import json
 import time
 from collections.abc import Iterator
 
@@ -38,16 +37,6 @@
     )
 
 
-def lose(started: node.Platform, records: int) -> None:
-    """Has the store come back without its newest records."""
-    node.call(
-        started.store,
-        "PUT",
-        "/loss",
-        json.dumps({"records": records}).encode(),
-    )
-
-
 @pytest.fixture
 def started() -> Iterator[node.Platform]:
     with node.run_platform(vms=VMS, replicas=2) as platform:
@@ -62,7 +51,7 @@
 def test_a_change_at_an_offset_given_out_again_is_in_force_in_time(
     started: node.Platform,
 ) -> None:
-    lose(started, 1)
+    started.lose_records(1)
     # Version 4 stands where version 3 stood, and other records behind it.
     started.set_config(make_config(4))
     written = time.monotonic()
@@ -73,7 +62,11 @@
 
 
 def test_nobody_goes_back_with_the_store(started: node.Platform) -> None:
-    lose(started, 2)
+    started.lose_records(2)
+    time.sleep(0.5)
+    for name in started.replicas:
+        # They write again what was lost, as the operator does.
+        started.write_record(name)
     ends_at = time.monotonic() + IN_FORCE_S
     while time.monotonic() < ends_at:
         assert is_in_force(started, 3)
@@ -84,10 +77,10 @@
 
 def test_two_losses_in_a_row_are_lived_through(started: node.Platform) -> None:
     for version in (4, 5):
-        lose(started, 1)
+        started.lose_records(1)
         started.set_config(make_config(version))
         started._put(node.CONFIG_TOPIC, "other", b"{}")
-        lose(started, 2)
+        started.lose_records(2)
         started.set_config(make_config(version))
         started._put(node.CONFIG_TOPIC, "other", b"{}")
         started._put(node.CONFIG_TOPIC, "other", b"[]")
@@ -100,7 +93,7 @@
 def test_replicas_whose_records_are_lost_are_kept_until_they_are_back(
     started: node.Platform,
 ) -> None:
-    lose(started, 2)
+    started.lose_records(2)
     time.sleep(0.3)
     for name in started.replicas:
         assert ask(started, "/safe/").status == 200
--- a/test/test_poison.py
+++ b/test/test_poison.py
@@ -188,11 +188,29 @@
     check_not_run(started, left)
 
 
-def test_a_block_outlives_a_restart_of_all_vms(started: node.Platform) -> None:
-    block(started)
+def restart_all(started: node.Platform) -> None:
     for name in started.vms:
         started.kill_vm(name)
     for name in started.vms:
         started.restart_vm(name)
     wait_until(lambda: is_serving(started, started.vms))
+
+
+def test_a_block_outlives_a_restart_of_all_vms(started: node.Platform) -> None:
+    block(started)
+    restart_all(started)
+    check_not_run(started, started.vms)
+
+
+def test_a_block_outlives_a_store_that_comes_back_older(
+    started: node.Platform,
+) -> None:
+    block(started)
+    started.lose_records(1)
+    # What replicas and the operator wrote, they write again.
+    started.set_config(node.make_config(2))
+    for name in started.replicas:
+        started.write_record(name, born=int(time.time() * 1000))
+    time.sleep(2.0)
+    restart_all(started)
     check_not_run(started, started.vms)
