--- /dev/null
+++ b/test/test_suspension.py
@@ -0,0 +1,69 @@
+"""A VM that is suspended for seconds: its steady clock stands still meanwhile.
+
+After ten seconds away a VM took connections, grants and what it had been told
+for as fresh as before: all ages were measured by a clock that does not count
+the time away.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import time
+
+import anyio
+import pytest
+
+from ramptray.platform import header
+from ramptray.relay import client
+
+ROOT = pathlib.Path(__file__).parent.parent / "ramptray"
+READERS = {"steadyclock.py"}
+"""Modules that may read a clock which counts seconds."""
+
+AWAY_S = 30.0
+
+
+@pytest.mark.parametrize(
+    "reading", ["time.monotonic", "perf_counter", "loop.time()", "CLOCK_"]
+)
+def test_ages_are_measured_by_one_clock(reading: str) -> None:
+    found = [
+        str(path.relative_to(ROOT))
+        for path in ROOT.rglob("*.py")
+        if path.name not in READERS and reading in path.read_text()
+    ]
+    assert found == []
+
+
+class _Idle:
+    """A connection that was idle as the VM was suspended."""
+
+    def __init__(self, idle_since: float) -> None:
+        self.target = client.Target("127.0.0.1:1")
+        self.idle_since = idle_since
+        self.idle_s = 5.0
+        self.closed = False
+
+    def is_quiet(self) -> bool:
+        return True
+
+    async def close(self) -> None:
+        self.closed = True
+
+
+def test_a_connection_from_before_a_suspension_is_not_lent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    steady = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: steady)
+    monkeypatch.setattr(time, "clock_gettime", lambda clock: steady + AWAY_S)
+    idle = _Idle(steady)
+
+    async def run() -> None:
+        kept = client.RelayClient(header.PlatformDialect())
+        kept._idle["127.0.0.1:1"] = [idle]  # type: ignore[list-item]
+        with pytest.raises(client.NotSentError):
+            await kept._take(client.Target("127.0.0.1:1"), False)
+
+    anyio.run(run)
+    assert idle.closed
