--- a/ramptray/caller/app.py
+++ b/ramptray/caller/app.py
@@ -5,7 +5,6 @@
 import itertools
 import logging
 import secrets
-import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -16,6 +15,7 @@
 from starlette import applications, requests, responses, routing
 
 from ramptray import settings as settings_module
+from ramptray import steadyclock
 from ramptray.bundle import model
 from ramptray.caller import (
     answer,
@@ -249,7 +249,7 @@
         self.served = served
         self._tier = info.tier
         self._metrics = measures
-        self._began = time.monotonic()
+        self._began = steadyclock.read()
         self._last: float | None = None
         self._tokens = 0
 
@@ -279,7 +279,7 @@
 
     def note(self, item: event.Event) -> None:
         """Measures one event."""
-        now = time.monotonic()
+        now = steadyclock.read()
         if self._last is None:
             self._metrics.record("first_token", self._tier, now - self._began)
         else:
@@ -294,7 +294,7 @@
         if finish.outcome is message.Outcome.COMPLETE:
             self._metrics.count_tokens(self._tier, self._tokens)
             self._metrics.record(
-                "answer", self._tier, time.monotonic() - self._began
+                "answer", self._tier, steadyclock.read() - self._began
             )
 
     def _format_end(self, finish: request.Finish) -> str:
--- a/ramptray/caller/plain.py
+++ b/ramptray/caller/plain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import anyio
@@ -11,6 +10,7 @@
 from starlette import requests, responses
 
 from ramptray import settings as settings_module
+from ramptray import steadyclock
 from ramptray.bundle import model
 from ramptray.caller import answer, intake, metrics, refusal
 from ramptray.caller import request as caller_request
@@ -91,7 +91,7 @@
             assert service.legacy is not None
             return await self._call_legacy(service.legacy.url, asked, call)
         served = PlainExchange(self._desk, self._client, asked, call)
-        began = time.monotonic()
+        began = steadyclock.read()
         # Once dispatched, the call runs to its end even if the caller goes.
         with anyio.CancelScope(shield=True):
             outcome = await served.run()
@@ -101,7 +101,7 @@
             self._metrics.count_end(tier, outcome.outcome.value, reason)
             return refusal.make_response(outcome, asked.info.request_id)
         self._metrics.count_end(tier, message.Outcome.COMPLETE.value, "")
-        self._metrics.record("answer", tier, time.monotonic() - began)
+        self._metrics.record("answer", tier, steadyclock.read() - began)
         response = _pass_back(outcome, asked.info.request_id)
         self._answers.hold(asked.wish, response)
         return response
@@ -164,7 +164,7 @@
         if url is None:
             ticket.report(tickets.ConnectFailed(request_id))
             return
-        began = time.monotonic()
+        began = steadyclock.read()
         try:
             self._answer = await self._client.call(url, self._call)
         except service_client.NotSentError:
@@ -173,7 +173,7 @@
             ended = message.Ended(request_id, 0, 0.0, False, certain=False)
             ticket.report(tickets.Lost(ended, message.Reason.BACKEND_LOST))
         else:
-            elapsed = time.monotonic() - began
+            elapsed = steadyclock.read() - began
             first = message.FirstToken(request_id, elapsed, 0, 0)
             ticket.report(tickets.Begun(first))
             ended = message.Ended(request_id, 0, 0.0, True)
--- a/ramptray/command/rollout.py
+++ b/ramptray/command/rollout.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import pathlib
-import time
 from typing import Any
 
 import anyio
 import click
 import msgspec
 
-from ramptray import settings
+from ramptray import settings, steadyclock
 from ramptray.bundle import acceptance, signature
 from ramptray.bundle import record as bundle_record
 from ramptray.command import bundle, peers
@@ -86,7 +85,7 @@
     generation: int,
     wait_s: float,
 ) -> None:
-    began = time.monotonic()
+    began = steadyclock.read()
     log = log_client.HttpLog(given.platform)
     reader = await _read_log(log, given)
     view = reader.log_view
@@ -163,12 +162,12 @@
         CommandError: Some do not in time.
     """
     seen: dict[str, float] = {}
-    shown_at = time.monotonic()
+    shown_at = steadyclock.read()
     while True:
         reports = await found.find_reports()
         for vm, report in reports.items():
             if vm not in seen and get_generation(report) >= generation:
-                seen[vm] = time.monotonic() - began
+                seen[vm] = steadyclock.read() - began
                 click.echo(
                     f"{vm:<24} generation {get_generation(report)}  "
                     f"{seen[vm]:.2f} s"
@@ -177,15 +176,15 @@
         if reports and not late:
             click.echo(f"in force on {len(seen)} VMs")
             return
-        if time.monotonic() - began > wait_s:
+        if steadyclock.read() - began > wait_s:
             names = ", ".join(late) or "no scheduler answers"
             raise CommandError(
                 f"accepted, but after {wait_s:g} s not yet in force on: "
                 f"{names}; it will come into force there when they can be "
                 "reached"
             )
-        if time.monotonic() - shown_at > PROGRESS_S:
-            shown_at = time.monotonic()
+        if steadyclock.read() - shown_at > PROGRESS_S:
+            shown_at = steadyclock.read()
             click.echo(f"waiting for {', '.join(late)}", err=True)
         await anyio.sleep(POLL_S)
 
--- a/ramptray/controller/leaseholder.py
+++ b/ramptray/controller/leaseholder.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable
 
 import anyio
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.core import lease
 from ramptray.log import client as log_client
 from ramptray.log import stream
@@ -44,7 +44,7 @@
 
     async def release(self) -> None:
         """Gives the lease up at a planned stop, if it is held."""
-        if not self._lease.holds(time.monotonic()):
+        if not self._lease.holds(steadyclock.read()):
             return
         try:
             await self._append(self._lease.release())
@@ -54,7 +54,7 @@
     async def _read(self) -> None:
         pages = stream.iterate_pages(self._log, self._stream, READ_WAIT_S)
         async for page in pages:
-            self._lease.skip_to(page.first_retained, time.monotonic())
+            self._lease.skip_to(page.first_retained, steadyclock.read())
             for record in page.records:
                 self._take(record)
             self._caught_up = page.is_last
@@ -65,7 +65,7 @@
         except msgspec.ValidationError as error:
             LOG.warning("record is no lease: %s", error)
             return
-        self._lease.read(record.offset, parsed, time.monotonic())
+        self._lease.read(record.offset, parsed, steadyclock.read())
 
     async def _write(self) -> None:
         while True:
@@ -73,7 +73,7 @@
             self._report()
             if not self._caught_up:
                 continue
-            record = self._lease.make_record(time.monotonic())
+            record = self._lease.make_record(steadyclock.read())
             if record is None:
                 continue
             try:
@@ -85,7 +85,7 @@
         await self._log.append(self._stream, msgspec.to_builtins(record))
 
     def _report(self) -> None:
-        held = self._lease.holds(time.monotonic())
+        held = self._lease.holds(steadyclock.read())
         if held != self._held:
             self._held = held
             LOG.info("lease", extra={"held": held})
--- a/ramptray/controller/main.py
+++ b/ramptray/controller/main.py
@@ -4,12 +4,11 @@
 
 import logging
 import secrets
-import time
 
 import anyio
 from starlette import applications, requests, responses, routing
 
-from ramptray import process, runtime, webserver
+from ramptray import process, runtime, steadyclock, webserver
 from ramptray.bundle import acceptance
 from ramptray.controller import leaseholder, reconciler
 from ramptray.core import lease
@@ -36,7 +35,9 @@
         times = lease.LeaseTimes(TERM_S, settings.order_timeout_s)
         # The name tells lives apart: a restarted controller is another holder.
         state = lease.Lease(
-            f"{equipment.name}/{secrets.token_hex(4)}", times, time.monotonic()
+            f"{equipment.name}/{secrets.token_hex(4)}",
+            times,
+            steadyclock.read(),
         )
         self.holder = leaseholder.LeaseHolder(
             log_client.HttpLog(settings.platform, settings.vm),
--- a/ramptray/controller/reconciler.py
+++ b/ramptray/controller/reconciler.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import logging
-import time
 
 import anyio
 
-from ramptray import timeline
+from ramptray import steadyclock, timeline
 from ramptray.bundle import acceptance, model
 from ramptray.core import lease, placement
 from ramptray.engine import client as engine_client
@@ -56,7 +55,7 @@
         """Reconciles until cancelled."""
         while True:
             await anyio.sleep(EVERY_S)
-            now = time.monotonic()
+            now = steadyclock.read()
             if not self._lease.holds(now):
                 self._held_since = None
                 continue
@@ -107,7 +106,7 @@
 
     async def _send(self, url: str, order: placement.Order) -> None:
         """Gives one order, if the lease still covers its flight."""
-        if not self._lease.may_order(time.monotonic()):
+        if not self._lease.may_order(steadyclock.read()):
             return
         fencing = self._lease.fencing
         try:
--- a/ramptray/entry/blocked.py
+++ b/ramptray/entry/blocked.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable, Iterable
 
+from ramptray import steadyclock
 from ramptray.core import blocklist
 from ramptray.peer import message as peer_message
 
@@ -49,7 +49,7 @@
 
     def take(self, address: str, told: peer_message.BlockedContents) -> bool:
         """Takes what a scheduler tells; tells whether any of it is new."""
-        new = self._blocks.take(told.blocks, time.monotonic())
+        new = self._blocks.take(told.blocks, steadyclock.read())
         log_taken(new, address)
         return bool(new)
 
--- a/ramptray/entry/claims.py
+++ b/ramptray/entry/claims.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
+from ramptray import steadyclock
 from ramptray.core import claim, message
 from ramptray.entry import owners
 from ramptray.entry import ticket as tickets
@@ -57,6 +57,6 @@
 
     def _tell_owner(self, key: str, body: object) -> None:
         shard: message.ShardKey = claim.get_partition_shard(self._zone, key)
-        owner = self._owners.find(shard, time.monotonic())
+        owner = self._owners.find(shard, steadyclock.read())
         if owner is not None:
             self._tell(owner, body)
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -16,7 +15,7 @@
 import anyio.abc
 import msgspec
 
-from ramptray import runtime
+from ramptray import runtime, steadyclock
 from ramptray.bundle import acceptance, signature
 from ramptray.core import blocklist, claim, message, request, retry
 from ramptray.entry import blocked, claims, network, owners
@@ -132,7 +131,7 @@
     def may_repeat(self, ticket: tickets.Ticket) -> bool:
         """Tells whether another attempt of a request would be allowed now."""
         machine = ticket.machine
-        now = time.monotonic()
+        now = steadyclock.read()
         return (
             now < ticket.deadline
             and machine.dispatches < machine.info.max_attempts
@@ -154,7 +153,7 @@
             self._get_link(self._local)
             tasks.start_soon(self._run_ticks)
             async for event in self._receive:
-                self._handle(event, time.monotonic())
+                self._handle(event, steadyclock.read())
 
     async def _run_ticks(self) -> None:
         while True:
@@ -163,7 +162,7 @@
                 self._has_work = anyio.Event()
                 await self._has_work.wait()
             await anyio.sleep(TICK_S)
-            self.tick(time.monotonic())
+            self.tick(steadyclock.read())
 
     def _handle(self, event: tickets.Event, now: float) -> None:
         match event:
--- a/ramptray/entry/exchange.py
+++ b/ramptray/entry/exchange.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import AsyncIterator, Callable
 
 import anyio
 import msgspec
 from anyio.streams import memory
 
+from ramptray import steadyclock
 from ramptray.core import message, request
 from ramptray.engine import client as engine_client
 from ramptray.engine import event
@@ -118,7 +118,7 @@
         if url is None:
             self._ticket.report(tickets.ConnectFailed(self.request_id))
             return
-        self._dispatched_at = time.monotonic()
+        self._dispatched_at = steadyclock.read()
         self._url = url
         try:
             async with self._client.dispatch(
@@ -154,8 +154,8 @@
         An engine with a long queue is silent for long; a request that waits
         there is not lost before its deadline.
         """
-        gives_up_at = time.monotonic() + RESUME_S
-        while time.monotonic() < gives_up_at:
+        gives_up_at = steadyclock.read() + RESUME_S
+        while steadyclock.read() < gives_up_at:
             try:
                 async with self._client.resume(
                     url, self.request_id, self._position
@@ -167,7 +167,7 @@
                 self._lose(message.Reason.BACKEND_LOST)
                 return
             except engine_client.NotSentError:
-                gives_up_at = min(gives_up_at, time.monotonic() + RESUME_S)
+                gives_up_at = min(gives_up_at, steadyclock.read() + RESUME_S)
                 await anyio.sleep(RESUME_PAUSE_S)
             except (engine_client.EngineError, StreamEndedError):
                 await anyio.sleep(RESUME_PAUSE_S)
@@ -194,7 +194,7 @@
         self._tokens += 1
         if self._first_at is not None:
             return
-        self._first_at = time.monotonic()
+        self._first_at = steadyclock.read()
         usage = _read_usage(found.data)
         cached = usage.prompt_tokens_details.get("cached_tokens", 0)
         first = message.FirstToken(
@@ -216,7 +216,7 @@
 
     def _make_ended(self, whole: bool, certain: bool = True) -> message.Ended:
         began = self._first_at
-        decode_s = time.monotonic() - began if began is not None else 0.0
+        decode_s = steadyclock.read() - began if began is not None else 0.0
         # The last chunk carries the reason of the end and no token.
         tokens = max(0, self._tokens - 1) if whole else self._tokens
         return message.Ended(self.request_id, tokens, decode_s, whole, certain)
--- a/ramptray/entry/prober.py
+++ b/ramptray/entry/prober.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import itertools
-import time
 from collections.abc import Awaitable, Callable
 
 import anyio
 
+from ramptray import steadyclock
 from ramptray.entry import network as networks
 
 PROBE_EVERY_S = 0.25
@@ -40,4 +40,4 @@
 
     async def _probe_one(self, backend: str, url: str) -> None:
         if await self._probe(url):
-            self._network.note_answer(backend, time.monotonic())
+            self._network.note_answer(backend, steadyclock.read())
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import contextlib
-import time
 
 import anyio
 import msgspec
 from anyio.streams import memory
 
+from ramptray import steadyclock
 from ramptray.core import message, request
 from ramptray.peer import attachment
 
@@ -142,7 +142,7 @@
         self.wish = wish
         self.machine = request.RequestMachine(info, wish is not None)
         self.dispatched: float | None = None
-        self.began = time.monotonic()
+        self.began = steadyclock.read()
         self.deadline = self.began + info.deadline_s
         self.down_since: float | None = None
         self.asked_at = 0.0
--- a/ramptray/load/main.py
+++ b/ramptray/load/main.py
@@ -4,7 +4,6 @@
 
 import pathlib
 import sys
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -14,7 +13,7 @@
 import msgspec
 
 import ramptray
-from ramptray import process
+from ramptray import process, steadyclock
 from ramptray.bundle import text
 from ramptray.load import plan, report, shooter
 
@@ -33,16 +32,16 @@
     schedule = plan.make_schedule(settings)
     hits: list[shooter.Hit] = []
     gun = shooter.Shooter(settings)
-    began = time.monotonic()
+    began = steadyclock.read()
 
     async def send(shot: plan.Shot) -> None:
-        hits.append(await gun.shoot(shot, time.monotonic() - began))
+        hits.append(await gun.shoot(shot, steadyclock.read() - began))
 
     async def show_progress() -> None:
         while True:
             await anyio.sleep(PROGRESS_S)
             useful = sum(hit.useful for hit in hits)
-            spent = time.monotonic() - began
+            spent = steadyclock.read() - began
             show(
                 f"{spent:5.0f} s  {len(hits)}/{len(schedule)} ended, "
                 f"{useful} useful"
@@ -52,7 +51,7 @@
         progress.start_soon(show_progress)
         async with anyio.create_task_group() as tasks:
             for shot in schedule:
-                wait_s = shot.at_s - (time.monotonic() - began)
+                wait_s = shot.at_s - (steadyclock.read() - began)
                 if wait_s > 0:
                     await anyio.sleep(wait_s)
                 tasks.start_soon(send, shot)
--- a/ramptray/load/shooter.py
+++ b/ramptray/load/shooter.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -11,6 +10,7 @@
 import httpcore
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.engine import event
 from ramptray.load import plan
 from ramptray.standin.engine import batch, main
@@ -93,7 +93,7 @@
             shot.kind.deadline_s,
             shot.key,
         )
-        began = time.monotonic()
+        began = steadyclock.read()
         for _ in range(shot.kind.resends + 1):
             hit.outcome, hit.reason = "broken", ""
             with anyio.move_on_after(shot.kind.deadline_s) as patience:
@@ -105,7 +105,7 @@
                 break
             if shot.kind.resends:
                 await anyio.sleep(RESEND_PAUSE_S)
-        hit.total_s = time.monotonic() - began
+        hit.total_s = steadyclock.read() - began
         return hit
 
     async def _try(self, shot: plan.Shot, hit: Hit, began: float) -> None:
@@ -176,7 +176,7 @@
             piece = chunk["choices"][0]["delta"].get("content")
             if not piece:
                 continue
-            now = time.monotonic()
+            now = steadyclock.read()
             if hit.first_token_s is None:
                 hit.first_token_s = now - began
             else:
--- a/ramptray/log/reader.py
+++ b/ramptray/log/reader.py
@@ -13,13 +13,13 @@
 import contextlib
 import logging
 import random
-import time
 from collections.abc import Callable, Iterator
 from typing import Generic, TypeVar
 
 import anyio
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.caller import metrics
 from ramptray.log import error as log_error
 from ramptray.log import repetition
@@ -181,7 +181,7 @@
                 self._asked_at = None
                 await self._watched.wait()
             try:
-                self._asked_at = time.monotonic()
+                self._asked_at = steadyclock.read()
                 found = await self._read()
             except log_error.LogTrimmedError as error:
                 LOG.info("history was dropped: %s", error)
@@ -255,7 +255,7 @@
             self._told = max(self._told, end)
             self.on_news()
         self.fresh_at = max(self.fresh_at, fresh_at)
-        self.answered_at = time.monotonic()
+        self.answered_at = steadyclock.read()
         if not self._watching:
             self.lost = False
 
@@ -264,7 +264,7 @@
         if self._end is None or end <= self.known_end:
             return
         if self._told <= self._end:
-            self._told_at = time.monotonic()
+            self._told_at = steadyclock.read()
         self._told = end
         self.on_news()
 
@@ -274,7 +274,10 @@
         if underway is None or self._told <= (self._end or 0):
             return
         due_since = max(underway.sent_at, self._told_at)
-        if time.monotonic() - due_since < SETTLED_S or self._calls.is_arriving:
+        if (
+            steadyclock.read() - due_since < SETTLED_S
+            or self._calls.is_arriving
+        ):
             return
         self._doubt("there are records that it should have told")
 
@@ -338,7 +341,7 @@
     @contextlib.contextmanager
     def _note_underway(self) -> Iterator[None]:
         with anyio.CancelScope() as scope:
-            self._underway = _Underway(time.monotonic(), scope)
+            self._underway = _Underway(steadyclock.read(), scope)
             try:
                 yield
             finally:
@@ -362,7 +365,7 @@
                 "reason": reason,
                 "end": self._end,
                 "told": self._told,
-                "waited_s": _round_age(self._asked_at, time.monotonic()),
+                "waited_s": _round_age(self._asked_at, steadyclock.read()),
             },
         )
         if self._underway:
@@ -372,7 +375,7 @@
         self.note_trouble()
         if self.lost:
             return
-        now = time.monotonic()
+        now = steadyclock.read()
         self.lost = True
         self._lost_at = now
         LOG.warning(
@@ -386,7 +389,7 @@
         )
 
     def _note_answer(self, offset: int | None, found: PageT) -> None:
-        now = time.monotonic()
+        now = steadyclock.read()
         end = self.get_end(found)
         records = self.count_records(found)
         if records or self._doubted or self.lost:
--- a/ramptray/log/repetition.py
+++ b/ramptray/log/repetition.py
@@ -8,12 +8,12 @@
 
 import contextlib
 import logging
-import time
 from collections.abc import Awaitable, Callable
 from typing import Generic, TypeVar
 
 import anyio
 
+from ramptray import steadyclock
 from ramptray.log import error as log_error
 
 LOG = logging.getLogger(__name__)
@@ -44,12 +44,12 @@
 
     def note_progress(self) -> None:
         """Notes that bytes of an answer have come."""
-        self._progress_at = time.monotonic()
+        self._progress_at = steadyclock.read()
 
     @property
     def is_arriving(self) -> bool:
         """Whether an answer is on its way, if a slow one."""
-        return time.monotonic() - self._progress_at < STALL_S
+        return steadyclock.read() - self._progress_at < STALL_S
 
     async def ask(self, call: Callable[[], Awaitable[AnswerT]]) -> AnswerT:
         """Repeats a call until one of them answers.
--- a/ramptray/logsink.py
+++ b/ramptray/logsink.py
@@ -5,7 +5,8 @@
 import errno
 import logging
 import os
-import time
+
+from ramptray import steadyclock
 
 LINES_PER_S = 500
 """Lines a second below warnings: five a request at a hundred requests a second,
@@ -73,7 +74,7 @@
         self.flush()
 
     def _may_write(self, record: logging.LogRecord) -> bool:
-        now = time.monotonic()
+        now = steadyclock.read()
         if int(now) != self._second:
             self._second = int(now)
             self._lines = 0
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -12,12 +12,12 @@
 import anyio
 import anyio.abc
 
-from ramptray import process, runtime
+from ramptray import process, runtime, steadyclock
 from ramptray.bundle import acceptance
 from ramptray.caller import metrics
 from ramptray.core import blocklist, membership, retry
 from ramptray.entry import dispatcher, prober
-from ramptray.node import listener, probe
+from ramptray.node import listener, probe, suspension
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
 from ramptray.peer import server as peer_server
@@ -145,6 +145,7 @@
                 self._relay_client.run,
                 self._prober.run,
                 self._keeper.run,
+                suspension.SuspensionWatch(self._return_from_suspension).run,
                 self._watch_reload,
             ):
                 tasks.start_soon(task)
@@ -193,7 +194,7 @@
 
     async def _leave(self) -> None:
         """Ends in order: nothing that was taken in is cut."""
-        began = time.monotonic()
+        began = steadyclock.read()
         ends_at = began + self._given.grace_s - self._tuned.exit_margin_s
         self._stopping = True
         self._relay.state.stopping = True
@@ -202,7 +203,7 @@
             await self._gossiper.leave()
             await anyio.sleep(self._tuned.lame_duck_s)
         self._relay.refuse_new()
-        while self._relay.state.active and time.monotonic() < ends_at:
+        while self._relay.state.active and steadyclock.read() < ends_at:
             await anyio.sleep(0.05)
         LOG.info("stopped", extra={"active": self._relay.state.active})
 
@@ -235,7 +236,7 @@
         return cut
 
     def _show_metrics(self) -> probe.Page:
-        now = time.monotonic()
+        now = steadyclock.read()
         blocked = self._blocks.count_in_force(now)
         gauges = [
             *self._follower.list_gauges(now),
@@ -249,9 +250,17 @@
         self._relay.state.limits = in_force.bundle.relay
         self._hub.post(event.BundleChanged(in_force))
         self._gossiper.membership.set_generation(
-            in_force.generation, time.monotonic()
+            in_force.generation, steadyclock.read()
         )
 
+    def _return_from_suspension(self, away_s: float) -> None:
+        """Has everything looked at anew that may have gone meanwhile.
+
+        Connections were likely given up at their other ends.
+        """
+        self._relay_client.distrust_all()
+        self._follower.look()
+
     async def _watch_reload(self) -> None:
         with anyio.open_signal_receiver(signal.SIGHUP) as signals:
             async for _ in signals:
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import logging
-import time
 from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
@@ -22,7 +21,7 @@
 import msgspec
 from anyio.streams import memory
 
-from ramptray import settings
+from ramptray import settings, steadyclock
 from ramptray.core import clock
 from ramptray.peer import codec, credentials, gate
 
@@ -137,7 +136,7 @@
             yield
         finally:
             self.underway -= 1
-            self.used_at = time.monotonic()
+            self.used_at = steadyclock.read()
 
 
 class PeerClient:
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 import anyio
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.bundle import acceptance, model, signature
 from ramptray.caller import metrics
 from ramptray.core import membership
@@ -147,6 +147,11 @@
         """See the base class."""
         self._feed.take_members(alive)
 
+    def look(self) -> None:
+        """Has this VM look at once at what it follows and what it knows."""
+        self._hurry.set()
+        self._feed.look()
+
     async def tell_streams(
         self, asked: peer_message.FollowStreams
     ) -> peer_message.ToldStreams:
@@ -164,7 +169,7 @@
         await self._feed.ask(address)
 
     def _take_trouble(self, told: feed.Trouble) -> None:
-        self._book.take_trouble(told, time.monotonic())
+        self._book.take_trouble(told, steadyclock.read())
 
     def set_on_news(self, on_news: Callable[[], None]) -> None:
         """See the base class."""
@@ -236,7 +241,7 @@
         self._publish()
 
     def _take_replicas(self, changes: store.Changes, whole: bool) -> None:
-        now = time.monotonic()
+        now = steadyclock.read()
         if self._replicas.lost:
             self._book.note_return(now)
         if whole:
@@ -249,14 +254,14 @@
             self._publish()
 
     def _note_trouble(self) -> None:
-        self._book.note_trouble(time.monotonic())
+        self._book.note_trouble(steadyclock.read())
 
     def _note_older_copy(self) -> None:
         """Keeps replicas whose records are lost as long as after an outage.
 
         Whoever wrote records that are lost writes them again.
         """
-        self._book.note_return(time.monotonic())
+        self._book.note_return(steadyclock.read())
 
     def _is_unsettled(self) -> bool:
         """Tells whether a moment is near at which something is due."""
@@ -273,7 +278,7 @@
                     await self._hurry.wait()
             for reader in self._readers:
                 reader.check_underway()
-            if self._book.expire(time.monotonic()):
+            if self._book.expire(steadyclock.read()):
                 self._publish()
 
     def _publish(self) -> None:
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -8,7 +8,6 @@
 import logging
 import select
 import socket
-import time
 from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
@@ -17,6 +16,7 @@
 import h11
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.relay import dialect as dialects
 from ramptray.relay import message
 
@@ -311,13 +311,13 @@
             yield connection
             kept = connection.reusable
         except HungError:
-            self._note_hang(target, time.monotonic())
+            self._note_hang(target, steadyclock.read())
             raise
         finally:
             self._lent.discard(connection)
             if kept:
                 connection.begin_next()
-                connection.idle_since = time.monotonic()
+                connection.idle_since = steadyclock.read()
                 self._idle[target.address].append(connection)
             else:
                 with anyio.CancelScope(shield=True):
@@ -347,7 +347,7 @@
         """Closes connections that have been idle for long, until cancelled."""
         while True:
             await anyio.sleep(IDLE_MARGIN_S)
-            await self.close_idle(time.monotonic())
+            await self.close_idle(steadyclock.read())
 
     def distrust(self, addresses: Iterable[str]) -> None:
         """Lends no idle connection to these backend servers any more.
@@ -359,6 +359,10 @@
             for connection in self._idle[address]:
                 connection.idle_s = 0.0
 
+    def distrust_all(self) -> None:
+        """Lends no idle connection any more."""
+        self.distrust(list(self._idle))
+
     def _note_hang(self, target: Target, now: float) -> None:
         """Distrusts idle connections beside one on which nothing came.
 
@@ -381,7 +385,7 @@
             connection = await self._open(Target(address))
         except NotSentError as error:
             return error.refused
-        connection.idle_since = time.monotonic()
+        connection.idle_since = steadyclock.read()
         self._idle[address].append(connection)
         return True
 
@@ -396,7 +400,7 @@
                 await connection.close()
 
     async def _take(self, target: Target, runs_once: bool) -> Connection:
-        now = time.monotonic()
+        now = steadyclock.read()
         idle = self._idle[target.address]
         while idle:
             connection = idle.pop()
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import abc
-import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import anyio
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.bundle import model
 from ramptray.core import message as core_message
 from ramptray.core import request
@@ -110,7 +110,7 @@
         self._desk = desk
         self._client = client
         self._reply = reply
-        self._began = time.monotonic()
+        self._began = steadyclock.read()
         self._deadline = self._began + order.timeout_s
         self._ticket = desk.submit(order.info, None)
         self._started = False
@@ -156,7 +156,7 @@
         if target is None:
             self._ticket.report(tickets.ConnectFailed(self._request_id))
             return
-        self._sent_at = time.monotonic()
+        self._sent_at = steadyclock.read()
         self._begun_at = None
         self._events_before = self._splitter.count
         try:
@@ -175,7 +175,7 @@
         self, target: relay_client.Target, error: relay_client.BrokenError
     ) -> tickets.Fault:
         """Finds out what became of a backend server that broke off."""
-        after_s = time.monotonic() - self._sent_at
+        after_s = steadyclock.read() - self._sent_at
         seen = ""
         if not isinstance(error, relay_client.HungError):
             seen = (await presence.look(target.address)).value
@@ -230,7 +230,7 @@
             attempt = message.Attempt(
                 target.backend,
                 self._order.customer,
-                max(0.0, self._deadline - time.monotonic()),
+                max(0.0, self._deadline - steadyclock.read()),
                 self._splitter.last_id or self._order.asked.last_event,
             )
             await connection.send(self._order.asked, attempt)
@@ -324,7 +324,7 @@
     def _note_first(self) -> None:
         if self._begun_at is not None:
             return
-        now = self._begun_at = time.monotonic()
+        now = self._begun_at = steadyclock.read()
         if self.first_s is None:
             self.first_s = now - self._began
         first = core_message.FirstToken(
@@ -369,7 +369,7 @@
     def _make_ended(self, whole: bool) -> core_message.Ended:
         decode_s = 0.0
         if self._begun_at is not None:
-            decode_s = time.monotonic() - self._begun_at
+            decode_s = steadyclock.read() - self._begun_at
         first_tokens = self._order.tokens_per_event
         tokens = (self._splitter.count - self._events_before) * first_tokens
         return core_message.Ended(
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import logging
-import time
 
+from ramptray import steadyclock
 from ramptray import timeline as timelines
 from ramptray.bundle import acceptance, model
 from ramptray.caller import metrics
@@ -89,7 +89,7 @@
         self, order: exchange.Order, reply: exchange.Reply
     ) -> None:
         served = exchange.Exchange(order, self._desk, self._client, reply)
-        began = time.monotonic()
+        began = steadyclock.read()
         tier = order.info.tier
         try:
             await served.run()
@@ -97,7 +97,7 @@
             self._metrics.count_end(
                 tier, served.outcome, order.route.kind.value
             )
-            self._metrics.record("answer", tier, time.monotonic() - began)
+            self._metrics.record("answer", tier, steadyclock.read() - began)
             if served.first_s is not None:
                 self._metrics.record("first_event", tier, served.first_s)
 
--- a/ramptray/scheduler/claims.py
+++ b/ramptray/scheduler/claims.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +11,7 @@
 import msgspec
 from anyio.streams import memory
 
+from ramptray import steadyclock
 from ramptray.core import claim
 from ramptray.log import client as log_client
 from ramptray.log import pages
@@ -140,7 +140,7 @@
             known.session = session
             return
         partition.pending[wish.attempt] = _Pending(
-            session, wish, time.monotonic()
+            session, wish, steadyclock.read()
         )
         self._put(partition, _make_claim(wish))
 
@@ -241,7 +241,7 @@
     async def _run_ticks(self) -> None:
         while True:
             await anyio.sleep(TICK_S)
-            overdue = time.monotonic() - DOWN_S
+            overdue = steadyclock.read() - DOWN_S
             for partition in list(self._partitions.values()):
                 partition.reader.check_underway()
                 for pending in list(partition.pending.values()):
--- a/ramptray/scheduler/feed.py
+++ b/ramptray/scheduler/feed.py
@@ -10,13 +10,13 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 import anyio.abc
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.core import membership, tree
 from ramptray.log import keyedstream
 from ramptray.log import mirror as mirrors
@@ -143,7 +143,7 @@
         self._seeds = tuple(s for s in named if s != me.address)
         waits = first_start and me.address not in named and self._seeds
         # Until then nobody misses what is not known yet.
-        self._patient_until = time.monotonic() + FIRST_START_S * bool(waits)
+        self._patient_until = steadyclock.read() + FIRST_START_S * bool(waits)
         self._told_at = dict.fromkeys(self._streams, float("-inf"))
         self._wanted: frozenset[str] = frozenset()
         self._first = ""
@@ -159,7 +159,7 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 self._follow_sources(tasks)
-                now = time.monotonic()
+                now = steadyclock.read()
                 self._choose_watching(now)
                 await self._pause(self._get_next_due() - now)
 
@@ -198,11 +198,11 @@
         self, asked: peer_message.FollowStreams
     ) -> peer_message.ToldStreams:
         """Returns what another VM lacks, as soon as there is anything."""
-        known_at = time.monotonic() - asked.known_s
+        known_at = steadyclock.read() - asked.known_s
         with anyio.move_on_after(asked.wait_s):
             while not self._has_news(asked, known_at):
                 await self._changed.wait()
-        now = time.monotonic()
+        now = steadyclock.read()
         trouble = self.get_trouble(now)
         told = []
         for name, each in self._streams.items():
@@ -274,7 +274,7 @@
 
     def _get_overdue_in(self) -> float:
         """Returns in how many seconds the first source has told too little."""
-        now = time.monotonic()
+        now = steadyclock.read()
         told_at = min(self._told_at.values())
         due = told_at + OVERDUE_S
         lack_s = self._get_lack_s(now)
@@ -302,7 +302,7 @@
         except peer_link.LinkError as error:
             LOG.debug("no news from another VM: %s", error)
             return False
-        received_at = time.monotonic()
+        received_at = steadyclock.read()
         taken = [
             await self._take(address, news, received_at) for news in told.news
         ]
@@ -317,7 +317,7 @@
         }
         # What this VM reads itself says nothing of those that it follows.
         told_at = min(self._told_at.values())
-        known_s = min(time.monotonic() - told_at, LONG_S)
+        known_s = min(steadyclock.read() - told_at, LONG_S)
         return peer_message.FollowStreams(ends, known_s, wait_s)
 
     async def _take(
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -5,12 +5,12 @@
 import itertools
 import logging
 import random
-import time
 from collections.abc import Awaitable, Callable
 
 import anyio
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.core import membership
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
@@ -85,7 +85,7 @@
         follow: source.BundleSource | None = None,
         spreads_generations: bool = True,
     ) -> None:
-        now = time.monotonic()
+        now = steadyclock.read()
         self.membership = membership.Membership(
             me, rng, now, spreads_generations
         )
@@ -138,13 +138,13 @@
             await self._run_period()
             if self._is_young():
                 await self._probe_seeds()
-            await self._client.close_idle(time.monotonic())
+            await self._client.close_idle(steadyclock.read())
 
     def _is_young(self) -> bool:
         """Tells whether this scheduler still looks for the others."""
         if self._settled >= SETTLED_PROBES:
             return False
-        return time.monotonic() < self._young_until
+        return steadyclock.read() < self._young_until
 
     async def _probe_seeds(self) -> None:
         """Asks the seeds that are no members yet."""
@@ -166,7 +166,7 @@
 
     def receive(self, gossip: peer_message.Gossip) -> peer_message.Gossip:
         """Takes a peer's probe and returns the answer."""
-        self._merge(gossip, time.monotonic())
+        self._merge(gossip, steadyclock.read())
         answer = self._make_message()
         if gossip.wanted_after is None:
             return answer
@@ -203,7 +203,7 @@
         without its seeds it would hand out every limit whole.  Seeds may also
         be stale, so they count no longer than a dead member.
         """
-        if time.monotonic() >= self._count_seeds_until:
+        if steadyclock.read() >= self._count_seeds_until:
             return 0
         met = {m.address for m in self.membership.list_all()}
         return len(set(self._seeds) - met)
@@ -230,7 +230,7 @@
 
     async def _suspect(self, member: membership.Member) -> None:
         """Takes a member for lost, and looks at others too."""
-        self.membership.suspect(member.vm, time.monotonic())
+        self.membership.suspect(member.vm, steadyclock.read())
         self._publish()
         if self._alarmed:
             return
@@ -251,7 +251,7 @@
 
         async def probe(member: membership.Member) -> None:
             if not await self._probe(member.address, ALARM_TIMEOUT_S):
-                self.membership.suspect(member.vm, time.monotonic())
+                self.membership.suspect(member.vm, steadyclock.read())
 
         async with anyio.create_task_group() as tasks:
             for member in chosen:
@@ -260,14 +260,14 @@
 
     async def leave(self) -> None:
         """Tells the zone that this scheduler goes."""
-        now = time.monotonic()
+        now = steadyclock.read()
         self.membership.leave(now)
         for address in self._pick_neighbours(LEAVE_TO):
             await self._probe(address)
         self._publish()
 
     async def _run_period(self) -> None:
-        self.membership.tick(time.monotonic())
+        self.membership.tick(steadyclock.read())
         target = self.membership.pick_target()
         addresses = [target.address] if target else []
         if not target and self._seeds:
@@ -310,7 +310,7 @@
 
     def _take_answer(self, answer: peer_message.Gossip) -> None:
         known = self.membership.version
-        now = time.monotonic()
+        now = steadyclock.read()
         self._merge(answer, now)
         if answer.page is not None:
             self.membership.take_page(answer.page, now)
@@ -334,7 +334,7 @@
             self.membership.me,
             self.membership.pick_updates(),
             # They are for schedulers of other zones.
-            self.summaries.pick(time.monotonic()) if contacts else [],
+            self.summaries.pick(steadyclock.read()) if contacts else [],
             self._rng.sample(contacts, told),
             self._follow.list_ends() if self._follow else {},
             self.membership.digest,
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
@@ -11,7 +10,7 @@
 import msgspec
 from anyio.streams import memory
 
-from ramptray import timeline, wallclock
+from ramptray import steadyclock, timeline, wallclock
 from ramptray.bundle import acceptance
 from ramptray.core import (
     backend,
@@ -128,7 +127,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_ticks)
             async for told in self._receive:
-                self._handle(told, time.monotonic())
+                self._handle(told, steadyclock.read())
 
     def owns(self, key: message.ShardKey) -> bool:
         """Tells whether this scheduler owns a shard in its own view."""
@@ -162,7 +161,7 @@
                 with anyio.move_on_after(IDLE_TICK_S):
                     await self._has_work.wait()
             await anyio.sleep(TICK_S)
-            self._tick(time.monotonic())
+            self._tick(steadyclock.read())
 
     def _handle(self, told: Any, now: float) -> None:
         match told:
@@ -263,7 +262,7 @@
             session.send(peer_message.LowestGeneration(self._lowest))
             return
         if len(self.blocks):
-            news = self.blocks.list_news(time.monotonic())
+            news = self.blocks.list_news(steadyclock.read())
             session.send(peer_message.BlockedContents(news))
         previous = self._entries.get(hello.name)
         self._entries[hello.name] = session
--- a/ramptray/scheduler/keeper.py
+++ b/ramptray/scheduler/keeper.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.streams import memory
 
+from ramptray import steadyclock
 from ramptray.core import blocklist
 from ramptray.log import blocklog
 from ramptray.log import error as log_error
@@ -66,7 +67,7 @@
 
     def save_again(self) -> None:
         """Saves all blocks, as the log may have lost some."""
-        self._note(self._blocks.list_news(time.monotonic()))
+        self._note(self._blocks.list_news(steadyclock.read()))
 
     def _note(self, news: list[blocklist.BlockNews]) -> None:
         for each in news:
@@ -100,7 +101,7 @@
             )
             for stored in found
         ]
-        new = self._blocks.take(news, time.monotonic())
+        new = self._blocks.take(news, steadyclock.read())
         LOG.info("blocks read", extra={"found": len(news), "new": len(new)})
 
     async def _save(self, news: blocklist.BlockNews) -> None:
--- a/ramptray/scheduler/main.py
+++ b/ramptray/scheduler/main.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from ramptray import process, runtime
+from ramptray import process, runtime, steadyclock
 from ramptray.bundle import acceptance
 from ramptray.core import membership
 from ramptray.log import client as log_client
@@ -109,7 +109,7 @@
     gossiper: gossip.Gossiper,
 ) -> None:
     owner.post(event.BundleChanged(in_force))
-    gossiper.membership.set_generation(in_force.generation, time.monotonic())
+    gossiper.membership.set_generation(in_force.generation, steadyclock.read())
 
 
 run = process.make_program(
--- a/ramptray/scheduler/servant.py
+++ b/ramptray/scheduler/servant.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any
 
 import anyio
 
-from ramptray import timeline
+from ramptray import steadyclock, timeline
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.scheduler import event, gossip, hub, source, status
@@ -71,14 +70,14 @@
             case peer_message.ListBlocks():
                 return self._list_blocks()
             case peer_message.LiftBlock(content):
-                self._hub.blocks.lift(content, time.monotonic())
+                self._hub.blocks.lift(content, steadyclock.read())
                 return self._list_blocks()
             case peer_message.AskTimeline():
                 return await self._collect_events(question)
         raise ValueError(f"no question: {type(question).__name__}")
 
     def _list_blocks(self) -> peer_message.BlockedContents:
-        news = self._hub.blocks.list_news(time.monotonic())
+        news = self._hub.blocks.list_news(steadyclock.read())
         return peer_message.BlockedContents(news)
 
     async def _collect_events(
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any
 
+from ramptray import steadyclock
 from ramptray.core import backend, shard
 from ramptray.scheduler import gossip, hub, source
 
@@ -21,7 +21,7 @@
         "generation": me.generation,
         "digest": follow.in_force.envelope.digest if follow.in_force else None,
         "log_up": follow.log_up,
-        "log_age_s": follow.get_log_age(time.monotonic()),
+        "log_age_s": follow.get_log_age(steadyclock.read()),
         "asked_bytes": gossiper.asked_bytes,
         "members": [
             {
@@ -64,7 +64,7 @@
         "running": sum(
             len(known.placed) for known in shard_owner.fleet.backends.values()
         ),
-        "shed_last_minute": shard_owner.list_shed(time.monotonic()),
+        "shed_last_minute": shard_owner.list_shed(steadyclock.read()),
         "enqueued": counters.enqueued,
         "granted": counters.granted,
         "shed": counters.shed,
--- a/ramptray/standin/engine/main.py
+++ b/ramptray/standin/engine/main.py
@@ -12,7 +12,7 @@
 import msgspec
 from starlette import applications, requests, responses, routing
 
-from ramptray import process, webserver
+from ramptray import process, steadyclock, webserver
 from ramptray.bundle import model
 from ramptray.core import prefix
 from ramptray.settings import Address
@@ -156,7 +156,7 @@
     async def report(self) -> None:
         """Samples the load, so that the report can lag."""
         while True:
-            now = time.monotonic()
+            now = steadyclock.read()
             self._reports.append((now, self._sample()))
             oldest = now - self.settings.report_lag_s - 1
             while self._reports[0][0] < oldest:
@@ -184,7 +184,7 @@
             return responses.JSONResponse({"error": "not loaded"}, 404)
         if request_id in self._streams:
             return responses.JSONResponse({"error": "known request"}, 409)
-        self.batch.ledger.dispatches.append((request_id, time.monotonic()))
+        self.batch.ledger.dispatches.append((request_id, steadyclock.read()))
         chat = request.url.path.endswith("/chat/completions")
         prompt = render_prompt(body)
         max_tokens = int(body.get("max_tokens") or DEFAULT_MAX_TOKENS)
@@ -244,7 +244,7 @@
         if sequence.done:
             self._put_event(stream, self._make_chunk(stream, None))
             self._put_event(stream, "[DONE]")
-            stream.ended_at = time.monotonic()
+            stream.ended_at = steadyclock.read()
         changed, stream.changed = stream.changed, anyio.Event()
         changed.set()
 
@@ -289,7 +289,7 @@
         }
 
     async def _report(self, request: requests.Request) -> responses.Response:
-        seen = time.monotonic() - self.settings.report_lag_s
+        seen = steadyclock.read() - self.settings.report_lag_s
         old = [sample for at, sample in self._reports if at <= seen]
         return responses.JSONResponse(old[-1] if old else self._sample())
 
@@ -297,7 +297,7 @@
         self, request: requests.Request
     ) -> responses.Response:
         after = int(request.query_params.get("after", 0))
-        seen = time.monotonic() - self.settings.cache_event_lag_s
+        seen = steadyclock.read() - self.settings.cache_event_lag_s
         ripe = [event for event in self._events if event[0] <= seen]
         asked = ripe[after:][:500]
         return responses.JSONResponse(
@@ -309,7 +309,7 @@
         )
 
     def _note_cache_changes(self) -> None:
-        now = time.monotonic()
+        now = steadyclock.read()
         self._events.extend(
             (now, kind, block)
             for kind, block in self.batch.cache_changes
@@ -330,7 +330,7 @@
                 **order,
                 "stale": stale,
                 "refused": refused,
-                "at": time.monotonic(),
+                "at": steadyclock.read(),
             }
         )
         if refused:
@@ -339,7 +339,7 @@
         match order.get("order"):
             case "load":
                 self._loading[argument] = (
-                    time.monotonic() + self.settings.load_s
+                    steadyclock.read() + self.settings.load_s
                 )
             case "unload":
                 self._versions.discard(argument)
--- a/ramptray/standin/platform/main.py
+++ b/ramptray/standin/platform/main.py
@@ -8,14 +8,13 @@
 
 import hashlib
 import random
-import time
 from typing import Any
 
 import anyio
 import msgspec
 from starlette import applications, requests, responses, routing
 
-from ramptray import process, webserver
+from ramptray import process, steadyclock, webserver
 from ramptray.bundle import model
 from ramptray.settings import Address
 
@@ -87,8 +86,8 @@
         self._vms: list[dict[str, Any]] = []
         self._vm_history: list[tuple[float, list[dict[str, Any]]]] = []
         self._budget = settings.appends_per_s
-        self._budget_at = time.monotonic()
-        self._weights_free_at = time.monotonic()
+        self._budget_at = steadyclock.read()
+        self._weights_free_at = steadyclock.read()
         self._weight_log: list[dict[str, Any]] = []
         self._late: list[tuple[float, str, dict[str, Any]]] = []
 
@@ -110,7 +109,7 @@
         """Lets late appends take effect."""
         while True:
             await anyio.sleep(POLL_S)
-            now = time.monotonic()
+            now = steadyclock.read()
             due = [late for late in self._late if late[0] <= now]
             self._late = [late for late in self._late if late[0] > now]
             for _, name, body in due:
@@ -123,7 +122,7 @@
         body = await request.json()
         chance = self._rng.random()
         if chance < self._faults.late_append:
-            due = time.monotonic() + self._faults.late_s
+            due = steadyclock.read() + self._faults.late_s
             self._late.append((due, name, body))
             return responses.Response(status_code=503)
         offset = self._store(name, body)
@@ -134,9 +133,9 @@
     async def _read(self, request: requests.Request) -> responses.Response:
         name = request.path_params["name"]
         start = int(request.query_params.get("from", 0))
-        ends = time.monotonic() + float(request.query_params.get("wait", 0))
+        ends = steadyclock.read() + float(request.query_params.get("wait", 0))
         stream = self._streams.setdefault(name, Stream())
-        while stream.next_offset <= start and time.monotonic() < ends:
+        while stream.next_offset <= start and steadyclock.read() < ends:
             if self._is_down_for(request):
                 break
             await anyio.sleep(POLL_S)
@@ -157,7 +156,7 @@
 
     async def _list_vms(self, request: requests.Request) -> responses.Response:
         zone = request.query_params.get("zone")
-        seen = time.monotonic() - self._settings.list_lag_s
+        seen = steadyclock.read() - self._settings.list_lag_s
         known = [vms for at, vms in self._vm_history if at <= seen]
         vms = known[-1] if known else []
         found = [vm for vm in vms if zone in (None, vm["zone"])]
@@ -167,14 +166,14 @@
         return responses.JSONResponse(found, headers={"etag": tag})
 
     async def _set_vms(self, request: requests.Request) -> responses.Response:
-        self._vm_history.append((time.monotonic(), await request.json()))
+        self._vm_history.append((steadyclock.read(), await request.json()))
         return responses.JSONResponse({})
 
     async def _fetch_weights(
         self, request: requests.Request
     ) -> responses.Response:
         size = float(request.query_params.get("bytes", 0))
-        now = time.monotonic()
+        now = steadyclock.read()
         start = max(now, self._weights_free_at)
         self._weights_free_at = start + size / self._settings.weight_bytes_per_s
         self._weight_log.append(
@@ -218,7 +217,7 @@
             stream.first += surplus
 
     def _take_budget(self) -> bool:
-        now = time.monotonic()
+        now = steadyclock.read()
         rate = self._settings.appends_per_s
         earned = (now - self._budget_at) * rate
         self._budget = min(rate, self._budget + earned)
--- a/ramptray/standin/service/main.py
+++ b/ramptray/standin/service/main.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any
 
 import anyio
 import msgspec
 from starlette import applications, requests, responses, routing
 
-from ramptray import process, webserver
+from ramptray import process, steadyclock, webserver
 from ramptray.bundle import model
 from ramptray.settings import Address
 
@@ -84,7 +83,7 @@
             return responses.JSONResponse({"error": "not admitted"}, 503)
         request_id = request.headers.get("x-request-id", "")
         key = request.headers.get("idempotency-key", "")
-        self._ledger.dispatches.append((request_id, time.monotonic()))
+        self._ledger.dispatches.append((request_id, steadyclock.read()))
         if key:
             runs = self._ledger.runs_by_key
             runs[key] = runs.get(key, 0) + 1
--- a/test/test_channels.py
+++ b/test/test_channels.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import time
-
 import anyio
 import pytest
 
+from ramptray import steadyclock
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from test.test_attachment import Greeter
@@ -27,7 +26,7 @@
     # probed: 479 to 528 open descriptors a VM.
     async with serve(Greeter()) as (address, client):
         await client.ask(address, QUESTION, 5.0)
-        now = time.monotonic()
+        now = steadyclock.read()
         await client.close_idle(now + peer_link.IDLE_S / 2)
         assert client.channel_count == 1
         await client.close_idle(now + peer_link.IDLE_S * 2)
@@ -42,6 +41,6 @@
     ):
         tasks.start_soon(client.ask, address, QUESTION, 60.0)
         await anyio.sleep(0.3)
-        await client.close_idle(time.monotonic() + peer_link.IDLE_S * 2)
+        await client.close_idle(steadyclock.read() + peer_link.IDLE_S * 2)
         assert client.channel_count == 1
         tasks.cancel_scope.cancel()
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import anyio
 import pytest
 
+from ramptray import steadyclock
 from ramptray.bundle import acceptance
 from ramptray.core import clock, membership, message, summary
 from ramptray.peer import link
@@ -63,11 +63,11 @@
 ) -> None:
     # Found by spec/limit.py: after its first seconds a scheduler that had
     # restarted alone on its side of a cut handed out every limit whole.
-    started = time.monotonic()
+    started = steadyclock.read()
     made = make_gossiper(["a:1", "b:1", "c:1"])
     for later_s in (0.0, gossip.YOUNG_S + 1.0):
         now = started + later_s
-        monkeypatch.setattr(time, "monotonic", lambda at=now: at)
+        monkeypatch.setattr(steadyclock, "read", lambda at=now: at)
         part = gossip.LIMIT_MARGIN / 3
         assert made.get_part() == pytest.approx(part)
 
@@ -75,7 +75,7 @@
 def test_seeds_that_were_met_are_not_counted_twice() -> None:
     made = make_gossiper(["b:1", "c:1"])
     met = [membership.Member(n, "z", f"{n}:1", 1) for n in "bc"]
-    made.membership.merge(met, time.monotonic())
+    made.membership.merge(met, steadyclock.read())
     assert made.get_part() == 1.0
 
 
@@ -83,15 +83,15 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     made = make_gossiper(["b:1", "c:1"])
-    later = time.monotonic() + membership.FORGET_S
-    monkeypatch.setattr(time, "monotonic", lambda: later)
+    later = steadyclock.read() + membership.FORGET_S
+    monkeypatch.setattr(steadyclock, "read", lambda: later)
     assert made.get_part() == 1.0
 
 
 def test_one_silent_member_has_the_others_looked_at() -> None:
     made = make_gossiper([], silent={"b:1", "c:1"})
     others = [membership.Member(n, "z", f"{n}:1", 1) for n in "bcd"]
-    made.membership.merge(others, time.monotonic())
+    made.membership.merge(others, steadyclock.read())
     anyio.run(made.check, "b:1")
     states = {m.vm: m.state for m in made.membership.list_all()}
     suspected = [
@@ -171,7 +171,7 @@
         """See the base class."""
         if ends["s"] > self.ends["s"]:
             self.ends = dict(ends)
-            self.knows_at = time.monotonic()
+            self.knows_at = steadyclock.read()
             self.on_news()
 
 
@@ -214,7 +214,7 @@
             for made in network.peers.values():
                 tasks.start_soon(made.run)
             await anyio.sleep(0.05)
-            began = time.monotonic()
+            began = steadyclock.read()
             for name in names[: source.WATCHERS]:
                 lost[name].ends = {"s": 6}
                 lost[name].on_news()
@@ -273,7 +273,7 @@
     made = make_gossiper(["b:1"], client=peers)
     others = [membership.Member(f"m{n}", "z", f"m{n}:1", 1) for n in range(40)]
     seed = membership.Member("b", "z", "b:1", 1)
-    made.membership.merge([*others, seed], time.monotonic())
+    made.membership.merge([*others, seed], steadyclock.read())
     neighbours = {m.address for m in made.membership.list_neighbours()}
 
     async def run() -> None:
@@ -292,7 +292,7 @@
     names = sorted(f"m{n}" for n in range(60))
     others = [membership.Member(n, "z", f"{n}:1", 1) for n in names]
     lister = make_gossiper([], vm="l")
-    lister.membership.merge(others, time.monotonic())
+    lister.membership.merge(others, steadyclock.read())
     for _ in range(2):
         made._take_answer(lister.receive(made._make_question()))
     known = {member.vm for member in made.membership.list_alive()}
@@ -304,7 +304,7 @@
     made = make_gossiper([])
     key = message.ShardKey("z", "lm", 0)
     own = summary.ShardSummary(key, "a:1", 1, (0,), True, 1)
-    made.summaries.put([own], time.monotonic())
+    made.summaries.put([own], steadyclock.read())
     assert made._make_message().summaries == []
     other = membership.Member("b", "y", "b:1", 1)
     made.receive(peer_message.Gossip(other, [], [], []))
--- a/test/test_logsink.py
+++ b/test/test_logsink.py
@@ -6,7 +6,7 @@
 import os
 import time
 
-from ramptray import logsink
+from ramptray import logsink, steadyclock
 
 
 def make_record(level: int = logging.INFO) -> logging.LogRecord:
@@ -24,7 +24,7 @@
     reader, writer = os.pipe()
     os.set_blocking(reader, False)
     handler = logsink.BoundedHandler(writer, lines_per_s=10)
-    time.sleep(1.0 - time.monotonic() % 1.0)  # The bound is for a second.
+    time.sleep(1.0 - steadyclock.read() % 1.0)  # The bound is for a second.
     for _ in range(50):
         handler.emit(make_record())
     handler.emit(make_record(logging.ERROR))
@@ -40,10 +40,10 @@
     reader, writer = os.pipe()
     os.set_blocking(reader, False)
     handler = logsink.BoundedHandler(writer, lines_per_s=10**9)
-    began = time.monotonic()
+    began = steadyclock.read()
     for _ in range(100_000):
         handler.emit(make_record())
-    assert time.monotonic() - began < 10
+    assert steadyclock.read() - began < 10
     assert handler.left_out > 0
     read(reader)
     handler.flush()
--- a/test/test_suspension.py
+++ b/test/test_suspension.py
@@ -13,6 +13,7 @@
 import anyio
 import pytest
 
+from ramptray.node import suspension
 from ramptray.platform import header
 from ramptray.relay import client
 
@@ -24,7 +25,8 @@
 
 
 @pytest.mark.parametrize(
-    "reading", ["time.monotonic", "perf_counter", "loop.time()", "CLOCK_"]
+    "reading",
+    ["time.monotonic", "perf_counter", "loop.time()", "clock_gettime"],
 )
 def test_ages_are_measured_by_one_clock(reading: str) -> None:
     found = [
@@ -67,3 +69,20 @@
 
     anyio.run(run)
     assert idle.closed
+
+
+def test_a_vm_notices_that_it_was_suspended() -> None:
+    running, away = 100.0, 0.0
+    told: list[float] = []
+
+    watch = suspension.SuspensionWatch(
+        told.append, lambda: running + away, lambda: running
+    )
+    running += 50.0
+    watch.look()
+    assert told == []
+    running, away = running + 0.1, away + AWAY_S
+    watch.look()
+    assert told == [pytest.approx(AWAY_S)]
+    watch.look()
+    assert len(told) == 1
