Read the kept blocks again when a backend server has ended under requests

Beyond a cut between VMs nobody hears of a block, but the store may still be reached from both sides: an owner there would have to see three crashes of its own. Now the first one has the kept blocks read, at most once a second (test_keeper.py: two reads at most in a wave of fifty crashes).

--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -109,6 +109,7 @@
             self._equipment.timeline,
             self._blocks,
         )
+        self._hub.guard.on_crash = self._keeper.read_soon
         self._servant = servant.SchedulerServant(
             self._hub, self._gossiper, self._follower, self._equipment.timeline
         )
--- a/ramptray/scheduler/guard.py
+++ b/ramptray/scheduler/guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from ramptray import timeline
 from ramptray.core import backend, blocklist, message, shard, suspicion
@@ -20,6 +21,7 @@
     Attributes:
         blocks: The same.
         evidence: What speaks for and against contents.
+        on_crash: Called when a backend server has ended under requests.
     """
 
     def __init__(
@@ -27,6 +29,7 @@
     ) -> None:
         self.blocks = blocks
         self.evidence = suspicion.Evidence(blocks)
+        self.on_crash: Callable[[], None] = _do_nothing
         self._timeline = events
 
     def check(
@@ -80,6 +83,7 @@
         if self.evidence.has_ended(crash):
             return False
         verdicts = self.evidence.note_crash(crash)
+        self.on_crash()
         self._timeline.note(
             "crash",
             known.info.name,
@@ -113,3 +117,7 @@
                 },
             )
         return bool(verdicts)
+
+
+def _do_nothing() -> None:
+    """Stands in until somebody listens."""
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -75,6 +75,7 @@
         in_force: The bundle in force, if any.
         timeline: Where events are noted.
         shards: The shards that are open here.
+        guard: Keeps contents that end backend servers away from them.
         view: The schedulers of this zone and some of the others.
         on_new_backends: Called when backend servers should be asked at once.
     """
@@ -91,7 +92,7 @@
     ) -> None:
         self.blocks = blocklist.Blocklist() if blocks is None else blocks
         self.blocks.on_change(self._spread_blocks)
-        self._guard = guard.Guard(self.blocks, events)
+        self.guard = guard.Guard(self.blocks, events)
         self.in_force: acceptance.InForce | None = None
         self.timeline = events
         self.shards: dict[message.ShardKey, shard.ShardOwner] = {}
@@ -304,7 +305,7 @@
         now: float,
     ) -> None:
         if isinstance(body, message.Enqueue):
-            reject = self._guard.check(body.request, now)
+            reject = self.guard.check(body.request, now)
             if reject is not None:
                 self._send_out([shard.ToEntry(attached.hello.name, reject)])
                 return
@@ -359,9 +360,9 @@
         """Learns what requests do to backend servers."""
         match body:
             case message.Decline():
-                self._guard.note_declined(body)
+                self.guard.note_declined(body)
             case message.Ended():
-                self._guard.note_ended(owner, body, now)
+                self.guard.note_ended(owner, body, now)
 
     def _spread_blocks(self, news: list[blocklist.BlockNews]) -> None:
         """Tells the entries, and refuses what waits here."""
@@ -430,7 +431,7 @@
             self._options.hear_s,
             self._limits,
             self._speeds,
-            self._guard.evidence.is_suspect,
+            self.guard.evidence.is_suspect,
         )
         self.shards[key] = owner
         self._mark_leaving()
--- a/ramptray/scheduler/keeper.py
+++ b/ramptray/scheduler/keeper.py
@@ -24,6 +24,10 @@
 MAX_PAUSE_S = 15.0
 """Pauses between two tries, in seconds; each is twice the one before."""
 
+READ_EVERY_S = 1.0
+"""Shortest time between two reads that crashes ask for, in seconds: in a wave
+of them one is enough, and each call to the platform's store has a price."""
+
 PENDING = 256
 """Blocks that may wait to be kept; more at once are no single requests."""
 
@@ -56,12 +60,29 @@
         )
         self._send: memory.MemoryObjectSendStream[blocklist.BlockNews] = send
         self._receive = receive
+        self._wanted = anyio.Event()
         blocks.on_decision(self._note)
 
     async def run(self) -> None:
-        """Loads, then saves until cancelled."""
-        if self._loads:
-            await self._load()
+        """Loads, then saves and reads again until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._save_all)
+            if self._loads:
+                await self._load()
+            while True:
+                await self._wanted.wait()
+                self._wanted = anyio.Event()
+                await self._load(1)
+                await anyio.sleep(READ_EVERY_S)
+
+    def read_soon(self) -> None:
+        """Has the log read, since a backend server has ended.
+
+        Beyond a cut, or before a restart, somebody may have found out why.
+        """
+        self._wanted.set()
+
+    async def _save_all(self) -> None:
         async for news in self._receive:
             await self._save(news)
 
@@ -76,9 +97,9 @@
             except anyio.WouldBlock:
                 LOG.warning("block not kept", extra={"content": each.content})
 
-    async def _load(self) -> None:
+    async def _load(self, tries: int = TRIES) -> None:
         pause_s = FIRST_PAUSE_S
-        for _ in range(TRIES):
+        for _ in range(tries):
             try:
                 found = await self._kept.load()
             except log_error.LogError as error:
--- /dev/null
+++ b/test/test_keeper.py
@@ -0,0 +1,107 @@
+"""Blocks that VMs which do not hear one another tell each other by the log."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+import pytest
+
+from ramptray import steadyclock
+from ramptray.core import blocklist
+from ramptray.log import blocklog, error
+from ramptray.scheduler import keeper
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Log(blocklog.BlockLog):
+    """Keeps blocks in memory.
+
+    Attributes:
+        reads: How often it was read.
+        is_down: Whether it answers nothing.
+    """
+
+    def __init__(self) -> None:
+        self.kept: dict[str, blocklog.StoredBlock] = {}
+        self.reads = 0
+        self.is_down = False
+
+    async def save(self, block: blocklog.StoredBlock) -> None:
+        if self.is_down:
+            raise error.LogError("down")
+        self.kept[block.content] = block
+
+    async def load(self) -> list[blocklog.StoredBlock]:
+        self.reads += 1
+        if self.is_down:
+            raise error.LogError("down")
+        return list(self.kept.values())
+
+
+class Vm:
+    """What a VM knows and who keeps it."""
+
+    def __init__(self, log: Log, loads: bool = False) -> None:
+        self.blocks = blocklist.Blocklist()
+        self.keeper = keeper.BlockKeeper(log, self.blocks, loads)
+
+    def knows(self, content: str) -> bool:
+        return self.blocks.get_left(content, steadyclock.read()) > 0
+
+
+@contextlib.asynccontextmanager
+async def run(*vms: Vm) -> AsyncIterator[None]:
+    async with anyio.create_task_group() as tasks:
+        for vm in vms:
+            tasks.start_soon(vm.keeper.run)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+async def wait_for(check: Callable[[], bool]) -> None:
+    with anyio.fail_after(2.0):
+        while not check():
+            await anyio.sleep(0.01)
+
+
+async def test_a_vm_beyond_a_cut_learns_of_a_block_with_its_first_crash() -> (
+    None
+):
+    log = Log()
+    here, beyond = Vm(log), Vm(log)
+    async with run(here, beyond):
+        here.blocks.block("p", 3, steadyclock.read())
+        await wait_for(lambda: "p" in log.kept)
+        assert not beyond.knows("p")
+        beyond.keeper.read_soon()
+        await wait_for(lambda: beyond.knows("p"))
+
+
+async def test_waves_of_crashes_read_the_log_seldom() -> None:
+    log = Log()
+    vm = Vm(log)
+    async with run(vm):
+        for _ in range(50):
+            vm.keeper.read_soon()
+            await anyio.sleep(0.01)
+    assert log.reads <= 2
+
+
+async def test_a_block_is_kept_once_the_log_is_back() -> None:
+    log = Log()
+    log.is_down = True
+    vm = Vm(log, loads=True)
+    async with run(vm):
+        vm.blocks.block("p", 3, steadyclock.read())
+        await anyio.sleep(0.3)
+        log.is_down = False
+        await wait_for(lambda: "p" in log.kept)
+        assert vm.knows("p")
