--- /dev/null
+++ b/ramptray/relay/connection.py
@@ -0,0 +1,291 @@
+"""A connection to a backend server, with one request at a time."""
+
+from __future__ import annotations
+
+import logging
+import select
+import socket
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+import anyio.abc
+import h11
+import msgspec
+
+from ramptray.relay import dialect as dialects
+from ramptray.relay import message
+
+LOG = logging.getLogger(__name__)
+
+CONNECT_S = 0.12
+"""Longest time to open a connection, in seconds: some fifty round trips of a
+deployment whose zones are about a millisecond apart."""
+
+USER_TIMEOUT_MS = 600
+"""How long sent bytes may stay unacknowledged, in milliseconds, before the
+connection counts as dead: two or three retransmissions.  A cut says nothing of
+itself."""
+
+IDLE_S = 10.0
+"""How long an idle connection is kept where the backend server says nothing."""
+
+IDLE_MARGIN_S = 1.0
+"""How much earlier than the backend server an idle connection is given up."""
+
+KEEP_ALIVE_S = 1
+"""Silence after which the kernel asks whether the other end is still there, in
+seconds, the least that it can: a connection that fell silent while it was idle,
+or while an answer was awaited, is seen after twice that instead of never."""
+
+READ_BYTES = 65536
+MAX_HEAD_BYTES = 65536
+MAX_SURPLUS = 4
+"""Answers to other requests that are skipped at most."""
+
+
+class RelayError(Exception):
+    """Base of the errors of a backend server's connection."""
+
+
+class NotSentError(RelayError):
+    """The connection could not be opened: no byte of the request was sent.
+
+    Attributes:
+        refused: Whether the backend server refused it; else it was silent.
+    """
+
+    def __init__(self, text: str, refused: bool) -> None:
+        self.refused = refused
+        super().__init__(text)
+
+
+class BrokenError(RelayError):
+    """The connection broke, or its bytes are no answer, after the request."""
+
+
+class Target(msgspec.Struct, frozen=True):
+    """Whom a request is sent to.
+
+    Attributes:
+        address: IP number and port of the backend server.
+        backend: Its name; empty where any program at that address will do.
+        run: Which of its runs; see ``core.message.Grant``.
+    """
+
+    address: str
+    backend: str = ""
+    run: int = 0
+
+    def is_former(self, other: Target) -> bool:
+        """Tells whether this is another run of the same backend server."""
+        return self.backend == other.backend and self.run != other.run
+
+
+class HungError(BrokenError):
+    """Nothing came for so long that the connection may be a dead one."""
+
+
+class Connection:
+    """One connection to a backend server, with one request at a time."""
+
+    def __init__(
+        self,
+        target: Target,
+        stream: anyio.abc.SocketStream,
+        dialect: dialects.Dialect,
+    ) -> None:
+        self.target = target
+        self.address = target.address
+        self.idle_since = 0.0
+        self.idle_s = IDLE_S
+        self._stream = stream
+        self._dialect = dialect
+        self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._method = b"GET"
+        self._whole = False
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the last exchange left the connection clean."""
+        http = self._http
+        return (
+            self._whole
+            and http.our_state is h11.DONE
+            and http.their_state is h11.DONE
+            and not http.trailing_data[0]
+        )
+
+    def is_quiet(self) -> bool:
+        """Tells whether nothing has arrived while the connection was idle.
+
+        Bytes that nobody asked for, an end or an error make it useless.
+        """
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLIN | select.POLLHUP)
+        return not poll.poll(0)
+
+    async def send(
+        self, request: message.CallerRequest, attempt: message.Attempt
+    ) -> None:
+        """Sends a whole request.
+
+        Raises:
+            BrokenError: The connection broke; the request may have arrived.
+        """
+        headers = self._dialect.make_headers(request, attempt)
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            length = str(len(request.body)).encode()
+            headers.append((b"Content-Length", length))
+        self._method = request.method
+        self._whole = False
+        try:
+            head = h11.Request(
+                method=request.method, target=request.target, headers=headers
+            )
+            data = self._http.send(head) or b""
+            data += self._http.send(h11.Data(data=request.body)) or b""
+            data += self._http.send(h11.EndOfMessage()) or b""
+            await self._stream.send(data)
+        except (
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            h11.LocalProtocolError,
+        ) as error:
+            raise BrokenError(f"{self.address}: {error!r}") from error
+
+    async def read_head(self, request_id: str) -> message.AnswerHead:
+        """Returns the head of the answer to this request.
+
+        Answers to other requests that come in its place are skipped.
+
+        Raises:
+            BrokenError: There is no answer.
+        """
+        for _ in range(MAX_SURPLUS):
+            event = await self._next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = await self._next_event()
+            if not isinstance(event, h11.Response):
+                raise BrokenError(f"{self.address}: no answer's head")
+            head = self._dialect.read_answer(
+                event.status_code, list(event.headers.raw_items())
+            )
+            if head.request_id in (None, request_id):
+                if head.idle_s is not None:
+                    self.idle_s = max(0.0, head.idle_s - IDLE_MARGIN_S)
+                return head
+            await self._skip_surplus(head)
+        raise BrokenError(f"{self.address}: only answers to other requests")
+
+    async def iterate_body(self) -> AsyncIterator[bytes]:
+        """Yields the answer's body as it arrives.
+
+        Raises:
+            BrokenError: It ends early.
+        """
+        while (part := await self.read_part()) is not None:
+            yield part
+
+    async def read_part(self) -> bytes | None:
+        """Returns the next bytes of the answer's body; None at its end.
+
+        Raises:
+            BrokenError: It ends early.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.EndOfMessage):
+            self._whole = True
+            return None
+        if not isinstance(event, h11.Data):
+            raise BrokenError(f"{self.address}: the answer ended early")
+        return bytes(event.data)
+
+    async def read_body(self) -> bytes:
+        """Returns the whole body of the answer.
+
+        Raises:
+            BrokenError: It ends early.
+        """
+        return b"".join([part async for part in self.iterate_body()])
+
+    async def close(self) -> None:
+        """Closes the connection at once."""
+        await anyio.aclose_forcefully(self._stream)
+
+    def begin_next(self) -> None:
+        """Makes ready for the next request."""
+        self._http.start_next_cycle()
+
+    async def _skip_surplus(self, head: message.AnswerHead) -> None:
+        """Reads an answer to another request to its end, and starts anew."""
+        LOG.info(
+            "skipped an answer to another request",
+            extra={"backend": self.address, "request_id": head.request_id},
+        )
+        await self.read_body()
+        self._whole = False
+        rest, ended = self._http.trailing_data
+        if ended:
+            raise BrokenError(f"{self.address}: closed after a surplus answer")
+        self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        # The parser only reads an answer where it has seen a request.
+        again = h11.Request(
+            method=self._method, target=b"/", headers=[(b"Host", b"-")]
+        )
+        self._http.send(again)
+        self._http.send(h11.EndOfMessage())
+        if rest:
+            self._http.receive_data(rest)
+
+    async def _next_event(self) -> Any:
+        while True:
+            try:
+                event = self._http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._http.receive_data(await self._receive())
+            except h11.RemoteProtocolError as error:
+                raise BrokenError(f"{self.address}: {error}") from error
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return b""
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise BrokenError(f"{self.address}: {error!r}") from error
+
+
+async def open_connection(
+    target: Target, dialect: dialects.Dialect
+) -> Connection:
+    """Opens a connection to a backend server.
+
+    Raises:
+        NotSentError: It could not be opened.
+    """
+    address = target.address
+    host, _, port = address.rpartition(":")
+    try:
+        with anyio.fail_after(CONNECT_S):
+            stream = await anyio.connect_tcp(host, int(port))
+    except (OSError, TimeoutError) as error:
+        refused = not isinstance(error, TimeoutError)
+        raise NotSentError(f"{address}: {error!r}", refused) from error
+    set_socket_options(stream)
+    return Connection(target, stream, dialect)
+
+
+def set_socket_options(stream: anyio.abc.SocketStream) -> None:
+    """Makes a connection notice within seconds that its peer is cut off."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_S),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_S),
+    ):
+        raw.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -16,6 +16,7 @@
 from ramptray.entry import dispatcher
 from ramptray.entry import ticket as tickets
 from ramptray.relay import client as relay_client
+from ramptray.relay import connection as connections
 from ramptray.relay import event, message, presence, refusal
 
 MAX_HELD_BYTES = 256 * 1024
@@ -164,20 +165,20 @@
                 await self._send(target)
         except TimeoutError:
             self._lose(core_message.Reason.DEADLINE)
-        except relay_client.NotSentError as error:
+        except connections.NotSentError as error:
             failed = tickets.ConnectFailed(self._request_id, error.refused)
             self._ticket.report(failed)
-        except relay_client.BrokenError as error:
+        except connections.BrokenError as error:
             fault = await self._examine(target, error)
             self._fail(False, core_message.Reason.BACKEND_LOST, fault)
 
     async def _examine(
-        self, target: relay_client.Target, error: relay_client.BrokenError
+        self, target: connections.Target, error: connections.BrokenError
     ) -> tickets.Fault:
         """Finds out what became of a backend server that broke off."""
         after_s = steadyclock.read() - self._sent_at
         seen = ""
-        if not isinstance(error, relay_client.HungError):
+        if not isinstance(error, connections.HungError):
             seen = (await presence.look(target.address)).value
         return tickets.Fault(
             str(error),
@@ -187,7 +188,7 @@
         )
 
     async def _read_head(
-        self, connection: relay_client.Connection
+        self, connection: connections.Connection
     ) -> message.AnswerHead:
         """Waits for the answer's head, but not for long if others may try.
 
@@ -219,11 +220,11 @@
             with anyio.move_on_after(hang_s):
                 return await read()
             if self._desk.may_repeat(self._ticket):
-                raise relay_client.HungError("nothing came in time")
+                raise connections.HungError("nothing came in time")
             hang_s = BUDGET_LOOK_S
         return await read()
 
-    async def _send(self, target: relay_client.Target) -> None:
+    async def _send(self, target: connections.Target) -> None:
         """Sends the request to one backend server and passes its answer on."""
         runs_once = not self._order.info.repeatable
         async with self._client.use(target, runs_once) as connection:
@@ -238,7 +239,7 @@
             await self._take_answer(connection, head)
 
     async def _take_answer(
-        self, connection: relay_client.Connection, head: message.AnswerHead
+        self, connection: connections.Connection, head: message.AnswerHead
     ) -> None:
         if head.not_run:
             await connection.read_body()
@@ -266,7 +267,7 @@
         await self._reply.finish()
 
     async def _pass_stream(
-        self, connection: relay_client.Connection, head: message.AnswerHead
+        self, connection: connections.Connection, head: message.AnswerHead
     ) -> None:
         """Passes each event on as it comes."""
         while (data := await self._read_part(connection)) is not None:
@@ -283,7 +284,7 @@
         self._complete(head.status)
 
     async def _read_part(
-        self, connection: relay_client.Connection
+        self, connection: connections.Connection
     ) -> bytes | None:
         """Returns the next bytes of a stream; None at its end.
 
@@ -313,13 +314,13 @@
 
     def _find_target(
         self, grant: core_message.Grant
-    ) -> relay_client.Target | None:
+    ) -> connections.Target | None:
         """Returns whom a grant sends to, None where that may get no work."""
         url = self._desk.network.pick_url(grant)
         if url is None:
             return None
         address = url.removeprefix("http://")
-        return relay_client.Target(address, grant.backend, grant.run)
+        return connections.Target(address, grant.backend, grant.run)
 
     def _note_first(self) -> None:
         if self._begun_at is not None:
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -15,7 +15,7 @@
 from result import Err, Ok
 
 from ramptray.bundle import model
-from ramptray.relay import client as relay_client
+from ramptray.relay import connection as connections
 from ramptray.relay import dialect as dialects
 from ramptray.relay import exchange, message, refusal
 
@@ -104,7 +104,7 @@
         """Serves one connection until it ends."""
         self.state.connections += 1
         try:
-            relay_client.set_socket_options(stream)
+            connections.set_socket_options(stream)
             connection = CallerConnection(
                 stream, self._dialect, self._serve, self.state
             )
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -19,7 +19,7 @@
 from ramptray.entry import owners, reach
 from ramptray.peer import message as peer_message
 from ramptray.platform import header
-from ramptray.relay import client, event
+from ramptray.relay import client, connection, event
 
 OWNER, LOCAL = "10.0.0.2:1", "10.0.0.1:1"
 SHARD = message.ShardKey("all", "lm")
@@ -242,7 +242,7 @@
     """An idle connection whose end takes a moment."""
 
     def __init__(self, idle_since: float) -> None:
-        self.target = client.Target("")
+        self.target = connection.Target("")
         self.idle_since = idle_since
         self.idle_s = 5.0
         self.closed = False
@@ -264,7 +264,7 @@
         lent: list[object] = []
 
         async def take() -> None:
-            lent.append(await kept._take(client.Target("x:1"), False))
+            lent.append(await kept._take(connection.Target("x:1"), False))
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(take)
@@ -317,10 +317,10 @@
         kept._idle["127.0.0.1:1"] = [old]  # type: ignore[list-item]
         kept._idle["y:1"] = [other]  # type: ignore[list-item]
         kept.distrust(["127.0.0.1:1"])
-        lent: object = await kept._take(client.Target("y:1"), False)
+        lent: object = await kept._take(connection.Target("y:1"), False)
         assert lent is other
-        with pytest.raises(client.NotSentError):
-            await kept._take(client.Target("127.0.0.1:1"), False)
+        with pytest.raises(connection.NotSentError):
+            await kept._take(connection.Target("127.0.0.1:1"), False)
         assert old.closed
 
     anyio.run(run)
--- a/test/test_suspension.py
+++ b/test/test_suspension.py
@@ -15,7 +15,7 @@
 
 from ramptray.node import suspension
 from ramptray.platform import header
-from ramptray.relay import client
+from ramptray.relay import client, connection
 
 ROOT = pathlib.Path(__file__).parent.parent / "ramptray"
 READERS = {"steadyclock.py"}
@@ -41,7 +41,7 @@
     """A connection that was idle as the VM was suspended."""
 
     def __init__(self, idle_since: float) -> None:
-        self.target = client.Target("127.0.0.1:1")
+        self.target = connection.Target("127.0.0.1:1")
         self.idle_since = idle_since
         self.idle_s = 5.0
         self.closed = False
@@ -64,8 +64,8 @@
     async def run() -> None:
         kept = client.RelayClient(header.PlatformDialect())
         kept._idle["127.0.0.1:1"] = [idle]  # type: ignore[list-item]
-        with pytest.raises(client.NotSentError):
-            await kept._take(client.Target("127.0.0.1:1"), False)
+        with pytest.raises(connection.NotSentError):
+            await kept._take(connection.Target("127.0.0.1:1"), False)
 
     anyio.run(run)
     assert idle.closed
