--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -18,7 +18,7 @@
 from ramptray import runtime, steadyclock
 from ramptray.bundle import acceptance, signature
 from ramptray.core import blocklist, claim, message, request, retry
-from ramptray.entry import blocked, claims, network, owners
+from ramptray.entry import blocked, claims, network, owners, patience
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
@@ -27,9 +27,6 @@
 
 TICK_S = 0.05
 INBOX = 100_000
-NO_OWNER_S = 3.0
-"""How long a request waits for any scheduler before it is refused."""
-
 RETRY_AFTER_S = 1.0
 """When to come back to a VM that finds nobody to ask, in seconds."""
 
@@ -40,14 +37,6 @@
 and 46 of 312 answers were late with a second, 11 and 26 with this and refusals
 that owners learn of (the same load played twice, one run each)."""
 
-OWNER_SILENCE_S = 0.12
-"""How long a scheduler may leave a new request without a word, in seconds: a
-round trip and its work take a few milliseconds, a first token some hundred."""
-
-QUEUE_SILENCE_S = 0.4
-"""How long a scheduler with waiting requests may be silent, in seconds: it says
-every tenth of a second that they still wait."""
-
 
 class Home(Protocol):
     """Where an entry stands; settings of any program that has one.
@@ -523,7 +512,9 @@
             for ticket in self._tickets.values()
             if ticket.machine.state is request.State.WAITING
             and ticket.machine.owner is not None
-            and self._is_silent(ticket, ticket.machine.owner, now)
+            and patience.is_silent(
+                ticket, self._owners, ticket.machine.owner, now
+            )
         }
         doubted = [
             owner
@@ -538,47 +529,15 @@
         if doubted:
             self._reassign_all(now)
 
-    def _is_silent(
-        self, ticket: tickets.Ticket, owner: str, now: float
-    ) -> bool:
-        if ticket.unheard:
-            return now - ticket.asked_at > OWNER_SILENCE_S
-        silence = self._owners.get_silence(owner, ticket.asked_at, now)
-        return silence > QUEUE_SILENCE_S
-
     def tick(self, now: float) -> None:
         """Ends the requests that nobody can or may serve any more."""
         self._doubt_silent_owners(now)
         for ticket in list(self._tickets.values()):
-            reason = self._find_give_up_reason(ticket, now)
+            reason = patience.find_give_up_reason(ticket, now)
             if reason is not None:
                 effects = ticket.machine.give_up(reason, RETRY_AFTER_S)
                 self._perform(ticket, effects, now)
 
-    @staticmethod
-    def _find_give_up_reason(
-        ticket: tickets.Ticket, now: float
-    ) -> message.Reason | None:
-        if ticket.machine.state is not request.State.WAITING:
-            return None
-        if now >= ticket.deadline:
-            pending = ticket.machine.claim is request.Claim.PENDING
-            granted = ticket.machine.grant is not None
-            if pending and granted:
-                return message.Reason.LOG_UNAVAILABLE
-            return message.Reason.DEADLINE
-        wait_s = ticket.info.wait_s
-        if wait_s is not None:
-            # Of a further attempt the owner has only just been told.
-            due = max(ticket.began + wait_s, ticket.asked_at)
-            if now > due + OWNER_SILENCE_S:
-                # Its owner should have refused it by now.
-                return message.Reason.OVERLOADED
-        down = ticket.down_since
-        if down is not None and now - down > NO_OWNER_S:
-            return message.Reason.NOT_READY
-        return None
-
 
 def _do_nothing(address: str) -> None:
     """Stands in until somebody listens."""
--- /dev/null
+++ b/ramptray/entry/patience.py
@@ -0,0 +1,60 @@
+"""How long an entry waits for schedulers before it gives a request up."""
+
+from __future__ import annotations
+
+from ramptray.core import message, request
+from ramptray.entry import owners
+from ramptray.entry import ticket as tickets
+
+NO_OWNER_S = 3.0
+"""How long a request waits for any scheduler before it is refused."""
+
+OWNER_SILENCE_S = 0.12
+"""How long a scheduler may leave a new request without a word, in seconds: a
+round trip and its work take a few milliseconds, a first token some hundred."""
+
+QUEUE_SILENCE_S = 0.4
+"""How long a scheduler with waiting requests may be silent, in seconds: it says
+every tenth of a second that they still wait."""
+
+
+def is_silent(
+    ticket: tickets.Ticket, known: owners.Owners, owner: str, now: float
+) -> bool:
+    """Tells whether a request's owner has said nothing for too long.
+
+    Args:
+        ticket: The request.
+        known: What is known of owners.
+        owner: Address of its owner.
+        now: The entry's clock.
+    """
+    if ticket.unheard:
+        return now - ticket.asked_at > OWNER_SILENCE_S
+    silence = known.get_silence(owner, ticket.asked_at, now)
+    return silence > QUEUE_SILENCE_S
+
+
+def find_give_up_reason(
+    ticket: tickets.Ticket, now: float
+) -> message.Reason | None:
+    """Returns why a waiting request is given up; None where it is not."""
+    if ticket.machine.state is not request.State.WAITING:
+        return None
+    if now >= ticket.deadline:
+        pending = ticket.machine.claim is request.Claim.PENDING
+        granted = ticket.machine.grant is not None
+        if pending and granted:
+            return message.Reason.LOG_UNAVAILABLE
+        return message.Reason.DEADLINE
+    wait_s = ticket.info.wait_s
+    if wait_s is not None:
+        # Of a further attempt the owner has only just been told.
+        due = max(ticket.began + wait_s, ticket.asked_at)
+        if now > due + OWNER_SILENCE_S:
+            # Its owner should have refused it by now.
+            return message.Reason.OVERLOADED
+    down = ticket.down_since
+    if down is not None and now - down > NO_OWNER_S:
+        return message.Reason.NOT_READY
+    return None
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
 import logging
 import socket
-import struct
 import urllib.parse
 from collections.abc import Callable, Iterable
 
@@ -18,7 +15,7 @@
 from ramptray.log import error as log_error
 from ramptray.log import keyedstream, repetition
 from ramptray.log import reader as log_reader
-from ramptray.platform import place
+from ramptray.platform import page, place
 
 LOG = logging.getLogger(__name__)
 
@@ -38,12 +35,6 @@
 
 READ_BYTES = 65536
 
-LENGTH = struct.Struct(">I")
-"""What stands before each record: its length."""
-
-POSITIONS = struct.Struct(">QQ")
-"""What stands before the records: the end, and the first offset kept."""
-
 NEWEST_PATH = "/v1/log-newest"
 READ_PATH = "/v1/log-read"
 APPEND_PATH = "/v1/log-append"
@@ -54,46 +45,22 @@
 WAIT_FIELD = "waitMs"
 """How long a read waits for a record, in milliseconds."""
 
-UNREADABLE = b"\x00"
-"""Stands for a value of which the bytes make no sense."""
-
 _GONE = 410
 _OK = 200
 
 
-class StoreError(log_error.LogError):
-    """The store did not answer, or turned the call away."""
+StoreError = page.StoreError
+TrimmedError = page.TrimmedError
 
 
 class StoreTimeoutError(StoreError, log_error.LogTimeoutError):
     """The store did not answer in time."""
 
 
-class TrimmedError(StoreError, log_error.LogTrimmedError):
-    """Records that were asked for are not kept any more."""
-
-
 Change = keyedstream.Change
 Changes = keyedstream.Changes
 
 
-class NewestItem(msgspec.Struct):
-    """The newest record of a key, on the wire."""
-
-    # The store's field is named after TLS; it holds the record's key.
-    key: str = msgspec.field(name="tlsKey")
-    value: str = ""
-    offset: int = -1
-
-
-class NewestPage(msgspec.Struct):
-    """A page of newest records, on the wire."""
-
-    items: list[NewestItem]
-    end: int
-    more: bool = msgspec.field(name="hasMore", default=False)
-
-
 class Reply(msgspec.Struct, frozen=True):
     """An answer of the store.
 
@@ -163,21 +130,21 @@
             if generation not in (None, reply.generation):
                 raise StoreError("the store came back older between two pages")
             generation = reply.generation
-            page = _decode_newest(reply.body)
+            found = page.decode_newest(reply.body)
             # Pages are no snapshot: what changes meanwhile is read again.
-            end = place.make_place(generation, page.end)
+            end = place.make_place(generation, found.end)
             first_end = end if first_end is None else first_end
             records.extend(
                 Change(
                     item.key,
-                    _decode_value(item.value),
+                    page.decode_value(item.value),
                     place.make_place(generation, item.offset),
                 )
-                for item in page.items
+                for item in found.items
             )
-            if not page.more or not page.items:
+            if not found.more or not found.items:
                 return Changes(records, first_end)
-            after = page.items[-1].key
+            after = found.items[-1].key
 
     async def read_changes(
         self,
@@ -212,7 +179,7 @@
         if reply.generation != place.get_generation(offset):
             # What stands at that offset now is not what follows.
             raise TrimmedError(f"the store is back from an older copy: {topic}")
-        return decode_records(reply.body, offset)
+        return page.decode_records(reply.body, offset)
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
         """Adds a record to a keyed topic.
@@ -226,7 +193,7 @@
             {"topic": topic, "part": "0"},
             log_reader.CALL_S,
             _note_nothing,
-            LENGTH.pack(len(record)) + record,
+            page.LENGTH.pack(len(record)) + record,
         )
 
     async def _ask(
@@ -371,60 +338,3 @@
     if not text.isdigit() or int(text) > place.MAX_GENERATION:
         raise StoreError(f"not a generation: {text!r}")
     return int(text)
-
-
-def encode_newest(page: NewestPage) -> bytes:
-    """Returns a page as the store sends it."""
-    return msgspec.json.encode(page)
-
-
-def _decode_newest(body: bytes) -> NewestPage:
-    try:
-        return msgspec.json.decode(body, type=NewestPage)
-    except msgspec.MsgspecError as error:
-        raise StoreError(f"not a page of records: {error}") from error
-
-
-def _decode_value(text: str) -> bytes:
-    try:
-        return base64.b64decode(text, validate=True)
-    except binascii.Error:
-        # Whoever reads the value says so; the other items hold.
-        return UNREADABLE
-
-
-def decode_records(body: bytes, offset: int) -> Changes:
-    """Splits the store's bytes: end, first offset kept, then records.
-
-    Raises:
-        TrimmedError: Records from the offset on are not kept any more.
-        StoreError: The bytes are not a series of records.
-    """
-    try:
-        end, first = POSITIONS.unpack_from(body)
-        if first > place.get_offset(offset):
-            raise TrimmedError(f"records before {first} are gone")
-        end = place.make_place(place.get_generation(offset), end)
-        records: list[Change] = []
-        at = POSITIONS.size
-        while at < len(body):
-            (length,) = LENGTH.unpack_from(body, at)
-            at += LENGTH.size
-            position = offset + len(records)
-            records.append(_decode_keyed(body[at : at + length], position))
-            at += length
-    except struct.error as error:
-        raise StoreError(f"not a series of records: {error}") from error
-    return Changes(records, offset + len(records) if records else end)
-
-
-def _decode_keyed(record: bytes, position: int) -> Change:
-    """Splits a record: length of the key (1 byte), key, value.
-
-    One that cannot be split stands for no key, so that the others hold.
-    """
-    key_end = 1 + record[0] if record else 1
-    key = record[1:key_end].decode(errors="replace")
-    if len(record) < key_end:
-        return Change("", None, position)
-    return Change(key, record[key_end:] or None, position)
--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -11,7 +11,7 @@
 
 from ramptray import process, webserver
 from ramptray.bundle import model
-from ramptray.platform import store
+from ramptray.platform import page, store
 from ramptray.settings import Address
 
 OK = 200
@@ -127,9 +127,9 @@
         body = await http.body()
         offset = len(topic.records)
         while body:
-            (length,) = store.LENGTH.unpack_from(body)
-            record = body[store.LENGTH.size :][:length]
-            body = body[store.LENGTH.size + length :]
+            (length,) = page.LENGTH.unpack_from(body)
+            record = body[page.LENGTH.size :][:length]
+            body = body[page.LENGTH.size + length :]
             key_end = 1 + record[0]
             topic.append(record[1:key_end].decode(), record[key_end:])
         told = {"offset": offset, "end": len(topic.records)}
@@ -158,14 +158,14 @@
         if self._faults.busy:
             return self._answer(status=BUSY)
         topic = self._topics[http.query_params["topic"]]
-        page = store.NewestPage(
+        newest = page.NewestPage(
             [
-                store.NewestItem(key, base64.b64encode(value).decode(), offset)
+                page.NewestItem(key, base64.b64encode(value).decode(), offset)
                 for key, (value, offset) in topic.list_newest().items()
             ],
             len(topic.records),
         )
-        return self._answer(store.encode_newest(page))
+        return self._answer(page.encode_newest(newest))
 
     def _answer(
         self, body: bytes = b"", status: int = OK
@@ -193,9 +193,9 @@
             bytes([len(key)]) + key.encode() + value
             for key, value in topic.records[offset:]
         ]
-        head = store.POSITIONS.pack(len(topic.records), self._faults.forgotten)
+        head = page.POSITIONS.pack(len(topic.records), self._faults.forgotten)
         body = b"".join(
-            store.LENGTH.pack(len(record)) + record for record in records
+            page.LENGTH.pack(len(record)) + record for record in records
         )
         return self._answer(head + body)
 
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -10,7 +10,7 @@
 from ramptray import runtime, settings
 from ramptray.bundle import acceptance, signature
 from ramptray.core import membership, message
-from ramptray.entry import dispatcher
+from ramptray.entry import dispatcher, patience
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
@@ -104,9 +104,9 @@
 ) -> None:
     desk.hear(attachment.Down(OURS))
     desk.hear(attachment.Down(OTHER), now=2.0)
-    desk.tick(2.0 + dispatcher.NO_OWNER_S - 0.1)
+    desk.tick(2.0 + patience.NO_OWNER_S - 0.1)
     assert desk.request_count == 1
-    desk.tick(2.0 + dispatcher.NO_OWNER_S + 0.1)
+    desk.tick(2.0 + patience.NO_OWNER_S + 0.1)
     assert desk.request_count == 0
 
 
@@ -204,7 +204,7 @@
             )
         )
     assert {a for a, _ in desk.get_enqueued()} == {OURS, OTHER}
-    desk.tick(1.0 + dispatcher.OWNER_SILENCE_S + 0.01)
+    desk.tick(1.0 + patience.OWNER_SILENCE_S + 0.01)
     assert distrusted == [["10.0.0.2:1"]]
 
 
@@ -244,8 +244,8 @@
     failed = tickets.AttemptFailed(ended, False, message.Reason.BACKEND_LOST)
     desk._handle(failed, now + 1.6)
     assert desk.request_count == 2
-    desk.tick(now + 1.6 + dispatcher.OWNER_SILENCE_S / 2)
+    desk.tick(now + 1.6 + patience.OWNER_SILENCE_S / 2)
     assert desk.request_count == 2
     # An owner that says nothing is not waited for.
-    desk.tick(now + 1.6 + dispatcher.OWNER_SILENCE_S * 2)
+    desk.tick(now + 1.6 + patience.OWNER_SILENCE_S * 2)
     assert desk.request_count == 1
--- a/test/test_replicas.py
+++ b/test/test_replicas.py
@@ -18,7 +18,7 @@
 
 from ramptray.core import message, policy, shard
 from ramptray.log import mirror
-from ramptray.platform import config, follower, replicas, store
+from ramptray.platform import config, follower, page, replicas, store
 from ramptray.scheduler import rules
 from test import node
 
@@ -307,11 +307,11 @@
 
 @pytest.mark.parametrize("record", [b"", b"\x05ab", b"\x02\xff\xfe{}"])
 def test_a_key_that_cannot_be_read_hides_no_other(record: bytes) -> None:
-    body = store.POSITIONS.pack(2, 0)
+    body = page.POSITIONS.pack(2, 0)
     for each in (record, b"\x01j" + make_record()):
-        body += store.LENGTH.pack(len(each)) + each
+        body += page.LENGTH.pack(len(each)) + each
     book = make_book(("ab", make_record()))
-    changes = store.decode_records(body, 0)
+    changes = page.decode_records(body, 0)
     book.take_changes(changes.records, 1.0)
     assert changes.end == 2
     assert list_candidates(book) == {"ab", "j"}
@@ -371,11 +371,11 @@
         *((f"odd-{number}", value) for number, value in enumerate(odd)),
         ("other", make_record()),
     ]
-    body = store.POSITIONS.pack(len(records), 0)
+    body = page.POSITIONS.pack(len(records), 0)
     for name, value in records:
         record = bytes([len(name)]) + name.encode() + value
-        body += store.LENGTH.pack(len(record)) + record
-    changes = store.decode_records(body, 0).records
+        body += page.LENGTH.pack(len(record)) + record
+    changes = page.decode_records(body, 0).records
     if whole:
         changes = [*changes, store.Change("good", make_record())]
         book.take_all(changes, 1.0)
