Keep a reason to look that comes while a VM pauses

Cause: the pause took the event to wait for after its first 0.1 s, and a reason that came within them had set the one before. The class: a wake-up that is armed too late. Records that had been missing were then looked at up to a second later, as late as the VM reads them for itself. A block that is lifted because a run ended well is logged.

--- a/ramptray/scheduler/feed.py
+++ b/ramptray/scheduler/feed.py
@@ -174,9 +174,11 @@
         So an idle VM is woken for this some four times a second instead of
         twenty: there are hundreds, and they do little else.
         """
+        # A reason that comes during the short pause counts as well.
+        looked = self._looked
         await anyio.sleep(CHECK_S)
         with anyio.move_on_after(min(due_s, IDLE_CHECK_S) - CHECK_S):
-            await self._looked.wait()
+            await looked.wait()
 
     def take_members(self, members: Iterable[membership.Member]) -> None:
         """Takes the VMs that are alive."""
--- a/ramptray/scheduler/guard.py
+++ b/ramptray/scheduler/guard.py
@@ -69,6 +69,11 @@
             return
         if ended.whole:
             content = placed.request.content
+            if self.blocks.get_left(content, now):
+                LOG.warning(
+                    "block lifted",
+                    extra={"content": content, "origin": "it ended well"},
+                )
             self._tell(self.evidence.note_whole(content, now), now)
             return
         if not ended.gone or known.state is backend.BackendState.LEAVING:
--- a/test/test_feed.py
+++ b/test/test_feed.py
@@ -256,22 +256,15 @@
 
 
 async def test_a_reason_to_look_is_not_lost_while_a_vm_pauses() -> None:
-    # Failed once in a run of all tests as the one above: a VM that had looked
-    # less than 0.1 s before missed the next reason, and looked a second later.
-    async with run(3) as deployment:
-        (follower,) = set(deployment.vms) - set(deployment.list_readers())
-        vm = deployment.vms[follower]
-        deployment.frozen = {vm.feed._first.partition(":")[0]}
-        vm.feed.look()
+    # The test above failed once in a run of all: a VM that had looked less than
+    # 0.1 s before missed the next reason, and looked again a second later.
+    paused = Deployment(["a1"]).vms["a1"].feed
+    began = time.monotonic()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(paused._pause, feed.IDLE_CHECK_S)
         await anyio.sleep(feed.CHECK_S / 5)
-        deployment.log.calls.clear()
-        deployment.log.write("a", b"2")
-        vm.reader.note_told(2)
-        vm.feed.look()
-        with anyio.fail_after(TAKE_OVER_S):
-            while not vm.knows(2):
-                await anyio.sleep(0.01)
-        assert follower not in deployment.log.calls
+        paused.look()
+    assert time.monotonic() - began < feed.IDLE_CHECK_S / 2
 
 
 async def test_a_vm_that_nobody_tells_reads_for_itself() -> None:
