Count a crash once, also where a VM that stood still tells late of it

Read in the change, with a test: replicas of the users' platform tell no runs, so a report more than a second after the first one counted as a second crash of the same replica, against whoever a VM that had stood still had running there. Reports of requests that were sent before the known end now belong to it. A content whose block is lifted because a run ended well also counts as one that has ended well.

--- a/ramptray/core/suspicion.py
+++ b/ramptray/core/suspicion.py
@@ -73,11 +73,13 @@
     Attributes:
         request_id: The request.
         content: Its content; empty where that is not told.
+        sent_at: When it was sent there, by the owner's clock.
         answered_s: Seconds since its answer began; None where it had not.
     """
 
     request_id: str
     content: str
+    sent_at: float
     answered_s: float | None
 
 
@@ -131,14 +133,6 @@
         of_each = [crash.list_suspects() for crash in self.crashes]
         return set.intersection(*of_each) - self._cleared
 
-    def list_contents(self) -> set[str]:
-        """Returns all contents that were there."""
-        return {
-            runner.content
-            for crash in self.crashes
-            for runner in crash.runners.values()
-        }
-
 
 class Verdict(msgspec.Struct, frozen=True):
     """A content that is blocked from now on, and why.
@@ -199,10 +193,8 @@
             return []
         for content in crash.list_innocents():
             self._clear(content)
-        for moment in self._moments:
-            if moment.takes(crash):
-                moment.crashes.append(crash)
-                break
+        if self._moments and self._moments[-1].takes(crash):
+            self._moments[-1].crashes.append(crash)
         else:
             self._moments.append(Moment(crash))
         return self._judge(crash.at)
@@ -219,9 +211,8 @@
         """Notes that a request has ended well; returns who is found out."""
         if not content:
             return []
-        if self.blocks.lift(content, now):
-            # It ran beside others that it was taken for, and has ended well.
-            return []
+        # A run that was sent before it was blocked has shown it innocent.
+        self.blocks.lift(content, now)
         self._clear(content)
         return self._judge(now) if content in self._counts else []
 
@@ -239,12 +230,15 @@
         """Tells whether this run of the backend server is known to have ended.
 
         One that does not tell its runs may end again once it had the time to
-        start.
+        start, under requests that were sent to it since.  A VM that stood still
+        tells late of those that were sent before.
         """
         ended_at = self._ended_at.get((crash.backend, crash.run))
         if ended_at is None:
             return False
-        return crash.run != 0 or crash.at - ended_at < RESTART_S
+        if crash.run != 0 or crash.at - ended_at < RESTART_S:
+            return True
+        return all(r.sent_at <= ended_at for r in crash.runners.values())
 
     def _note_end(self, crash: Crash) -> None:
         self._ended_at[crash.backend, crash.run] = crash.at
@@ -277,14 +271,14 @@
         # Those that another VM has found out explain what was seen here.
         self._settle(c for c in self._counts if self.blocks.get_left(c, now))
         self._count()
-        while found := self._find_guilty():
+        while found := self._find_culprits():
             for content in found:
                 verdicts.append(self._block(content, now, len(found) > 1))
             self._settle(found)
             self._count()
         return verdicts
 
-    def _find_guilty(self) -> list[str]:
+    def _find_culprits(self) -> list[str]:
         """Returns the contents to block: several that cannot be told apart."""
         if again := [c for c in self._counts if self.blocks.is_known(c)]:
             # It was blocked before, and has done it again.
@@ -318,9 +312,9 @@
         backends = tuple(crash.backend for crash in crashes)
         return Verdict(made, count, backends, tuple(ids), tied)
 
-    def _settle(self, guilty: Iterable[str]) -> None:
+    def _settle(self, culprits: Iterable[str]) -> None:
         """Drops the moments that are explained."""
-        found = set(guilty)
+        found = set(culprits)
         left = [m for m in self._moments if not found & m.list_suspects()]
         self._moments.clear()
         self._moments.extend(left)
--- a/ramptray/scheduler/guard.py
+++ b/ramptray/scheduler/guard.py
@@ -86,6 +86,7 @@
             request_id: suspicion.Runner(
                 request_id,
                 placed.request.content,
+                placed.started,
                 None
                 if placed.answers_since is None
                 else now - placed.answers_since,
--- a/test/crashes.py
+++ b/test/crashes.py
@@ -156,6 +156,7 @@
             run.name: suspicion.Runner(
                 run.name,
                 run.content,
+                run.began,
                 now - run.answers_at if now >= run.answers_at else None,
             )
             for run in runs
--- a/test/test_suspicion.py
+++ b/test/test_suspicion.py
@@ -22,7 +22,7 @@
     runners = {}
     for content in contents:
         name = f"r{next(NUMBERS)}"
-        runners[name] = suspicion.Runner(name, content, answered_s)
+        runners[name] = suspicion.Runner(name, content, at, answered_s)
     return suspicion.Crash(
         backend or f"b{next(NUMBERS)}", next(NUMBERS), at, runners
     )
@@ -62,12 +62,20 @@
     None
 ):
     evidence = make_evidence()
-    runners = crash(0.0, "p").runners
     for at in (1.0, 1.5, 2.5):
+        runners = crash(at, "p").runners
         evidence.note_crash(suspicion.Crash("b", 0, at, runners))
     assert evidence.get_count("p") == 2
 
 
+def test_a_vm_that_tells_late_of_a_crash_tells_of_no_second_one() -> None:
+    evidence = make_evidence()
+    evidence.note_crash(suspicion.Crash("b", 0, 1.0, crash(0.9, "p").runners))
+    late = crash(0.8, "a").runners
+    evidence.note_crash(suspicion.Crash("b", 0, 6.0, late))
+    assert (evidence.get_count("p"), evidence.get_count("a")) == (1, 0)
+
+
 def test_who_ends_well_is_innocent() -> None:
     evidence = make_evidence()
     evidence.note_crash(crash(1.0, "a", "x"))
@@ -110,7 +118,7 @@
     evidence = make_evidence()
     for at in (1.0, 2.0, 3.0):
         seen = crash(at, "p")
-        seen.runners["old"] = suspicion.Runner("old", "a", 3.0)
+        seen.runners["old"] = suspicion.Runner("old", "a", 0.0, 3.0)
         evidence.note_crash(seen)
     assert list_blocked(evidence, 3.1, "pa") == ["p"]
 
@@ -131,6 +139,7 @@
     # One that was sent before it was blocked shows that it is innocent.
     evidence.note_whole("a", 9.5)
     assert list_blocked(evidence, 10.0, "pa") == ["p"]
+    assert not evidence.is_suspect("a")
 
 
 def test_a_blocked_content_explains_what_it_still_does() -> None:
