--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -11,7 +11,17 @@
 
 import pytest
 
-from spec import bundle, claim, explore, grant, lease, limit, run, version
+from spec import (
+    bundle,
+    claim,
+    explore,
+    generation,
+    grant,
+    lease,
+    limit,
+    run,
+    version,
+)
 
 Check = Callable[[Any], explore.Verdict]
 
@@ -25,6 +35,7 @@
     (version.check, version.Rules()),
     (limit.check, limit.Rules()),
     (run.check, run.Rules()),
+    (generation.check, generation.Rules()),
 ]
 
 BREAKS: list[tuple[Check, Any, str]] = [
@@ -56,6 +67,17 @@
     # What the code did until this was modelled: a replica that had left and
     # started again under its name was never used again.
     (run.check, run.Rules(runs_apart=False), "new_run_is_used"),
+    # What the code did until this was modelled: a place was an offset alone.
+    (
+        generation.check,
+        generation.Rules(places_are_pairs=False),
+        "at_the_end_knows_the_newest",
+    ),
+    (
+        generation.check,
+        generation.Rules(reads_anew=False),
+        "at_the_end_knows_the_newest",
+    ),
     (limit.check, limit.Rules(count_lost=False), "limit_holds"),
     # What the code did until this was modelled: a VM that restarts alone on
     # its side of a cut forgot its seeds after four seconds.
