Send nothing to evacuated zones, and warm cold backend servers up slowly

Cause: nothing read the operator's orders to evacuate a zone, nor how long a backend server that has started stays cold.

Ruled out: leaving it to the owner alone. An entry that knows the order declines grants of an owner that does not know it yet, as with servers that leave. An order that is missing after a read of everything is kept for 3 s, since a store that came back from an older copy lacks it until it is written again; a record that takes it back ends it at once.

Cold servers get no more than they say they bear in any second, counted by the owner, times the owner's part of limits where there may be others.

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -156,6 +156,8 @@
         cache_blocks: Prefix blocks of 64 tokens its cache keeps.
         checks_fencing: Whether it refuses orders with an old fencing number.
         tokens_per_event: Tokens that an event of a stream holds.
+        warm_up_per_s: Requests a second that it bears until it is warm; 0 where
+            it needs no warming up.
     """
 
     max_running: EnginePlaces
@@ -163,6 +165,7 @@
     cache_blocks: Count = 1024
     checks_fencing: bool = False
     tokens_per_event: PositiveInt = 1
+    warm_up_per_s: NonNegativeFloat = 0.0
 
 
 class BackendServer(Model, frozen=True, kw_only=True):
@@ -178,6 +181,8 @@
         availability_zone: Where it stands, if ``zone`` spans several.
         run: Which of its runs this is, where it tells of itself: a larger
             number is a later one, which knows nothing of those before.
+        warm_at: When it is warm, on the steady clock of the VM that holds the
+            bundle.
     """
 
     zone: Name
@@ -189,6 +194,7 @@
     # Only compared, never parsed: platforms name their zones as they like.
     availability_zone: str | None = None
     run: int = 0
+    warm_at: float = 0.0
 
 
 class RouteKind(enum.Enum):
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ramptray.core import message
+from ramptray.core import message, warmup
 from ramptray.core import speed as speeds
 
 BLOCK_TOKENS = 64
@@ -77,6 +77,9 @@
         cache_blocks: Prefix blocks the engine can keep.
         url: Where it listens; empty where the bundle tells entries.
         run: Which of its runs this is, see ``message.Grant``.
+        warm_up_per_s: Requests a second that it bears until it is warm; 0 where
+            it needs no warming up.
+        warm_at: When it is warm, on the owner's clock.
     """
 
     name: str
@@ -85,6 +88,12 @@
     cache_blocks: int
     url: str = ""
     run: int = 0
+    warm_up_per_s: float = 0.0
+    warm_at: float = 0.0
+
+    def is_alike(self, other: BackendInfo) -> bool:
+        """Tells whether two differ at most in when the server is warm."""
+        return self == msgspec.structs.replace(other, warm_at=self.warm_at)
 
 
 class Placed(msgspec.Struct):
@@ -174,6 +183,7 @@
         "loaded",
         "first_at",
         "breaks",
+        "_warm_up",
         "_refused_part",
         "_refused_at",
     )
@@ -202,6 +212,7 @@
         self.unreachable_until = 0.0
         self.first_at = float("-inf")
         self.breaks = 0
+        self._warm_up = warmup.WarmUp(info.warm_up_per_s)
         self._refused_part = 0.0
         self._refused_at = 0.0
 
@@ -273,6 +284,15 @@
         active = self.state is BackendState.ACTIVE and self.loaded
         return active and now >= max(self.unreachable_until, self.hear_by)
 
+    def has_warm_up_room(self, now: float, part: float) -> bool:
+        """Tells whether its warming up allows one more request now.
+
+        Args:
+            now: The owner's clock in seconds.
+            part: The part of its rate that this owner hands out.
+        """
+        return now >= self.info.warm_at or self._warm_up.has_room(now, part)
+
     def count_uncached(self, request: message.RequestInfo) -> int:
         """Returns the prompt tokens that the engine would have to compute."""
         held = self.cache.count(request.prefix) * BLOCK_TOKENS
@@ -368,6 +388,7 @@
         self.placed[request.request_id] = placed
         self.pending[request.request_id] = placed
         self.held_tokens += placed.tokens
+        self._warm_up.note(now)
         self.cache.add(request.prefix)
         return placed
 
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -72,8 +72,10 @@
         self._wanted = frozenset(wanted)
         for name, info in wanted.items():
             known = self.backends.get(name)
-            if known is None or known.info != info:
+            if known is None or not known.info.is_alike(info):
                 self._renew(info, known)
+            else:
+                known.info = info
         for known in self.backends.values():
             known.choose_version(version)
             self._pool.update(known)
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -47,6 +47,7 @@
         now: The owner's clock in seconds.
         deadline: When the answer is of no more use, on the same clock.
         late_at: When the answer begins too late; infinite where never.
+        part: The part of limits held over all owners that is this owner's.
         is_late: Whether it can begin in time nowhere any more.
     """
 
@@ -56,6 +57,7 @@
     deadline: float
     late_at: float = math.inf
     is_late: bool = False
+    part: float = 1.0
 
     @property
     def has_objective(self) -> bool:
@@ -128,6 +130,8 @@
         request, now = demand.request, demand.now
         if not candidate.is_open(now):
             return None
+        if not candidate.has_warm_up_room(now, demand.part):
+            return None
         limit = max(1, int(candidate.info.max_running * demand.share))
         if len(candidate.placed) + candidate.foreign >= limit:
             return None
@@ -173,7 +177,12 @@
         self, demand: Demand, candidates: Sequence[backends.Backend]
     ) -> backends.Backend | None:
         """See the base class."""
-        usable = [found for found in candidates if found.is_open(demand.now)]
+        usable = [
+            found
+            for found in candidates
+            if found.is_open(demand.now)
+            and found.has_warm_up_room(demand.now, demand.part)
+        ]
         return self.pick(usable) if usable else None
 
 
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -340,9 +340,8 @@
                 break
         return out
 
-    @staticmethod
     def _make_demand(
-        waiting: queue.Waiting, share: float, now: float
+        self, waiting: queue.Waiting, share: float, now: float
     ) -> policy.Demand:
         return policy.Demand(
             waiting.request,
@@ -351,6 +350,7 @@
             waiting.deadline,
             waiting.late_at,
             waiting.is_late,
+            self._limits.part,
         )
 
     def _grant_one(
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -143,6 +143,8 @@
             where it does not tell.  A later run knows nothing of this one.
         position: Where the store keeps its word: what stands later is newer;
             -1 where that is not known.
+        warm_in_s: Seconds after its word in which it is warm.
+        warm_at: When it is warm, on this VM's steady clock.
     """
 
     service: str
@@ -152,6 +154,8 @@
     leaving: bool
     run: int = 0
     position: int = -1
+    warm_in_s: float = 0.0
+    warm_at: float = 0.0
 
     def is_older(self, other: Replica) -> bool:
         """Tells whether this word was overtaken by the other.
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -86,6 +86,9 @@
 class _Service(_Wire, frozen=True, kw_only=True):
     name: model.Name
     engine: _Engine | None = None
+    warm_up_per_s: model.NonNegativeFloat = msgspec.field(
+        name="coldPerS", default=0.0
+    )
 
 
 class _Limits(_Wire, frozen=True, kw_only=True):
@@ -310,11 +313,16 @@
 def _make_engine(service: _Service) -> model.Engine:
     engine = service.engine
     if engine is None:
-        return model.Engine(max_running=PLAIN_SLOTS, kv_tokens=KV_UNBOUNDED)
+        return model.Engine(
+            max_running=PLAIN_SLOTS,
+            kv_tokens=KV_UNBOUNDED,
+            warm_up_per_s=service.warm_up_per_s,
+        )
     return model.Engine(
         max_running=engine.slots,
         kv_tokens=engine.kv_tokens,
         tokens_per_event=engine.stride,
+        warm_up_per_s=service.warm_up_per_s,
     )
 
 
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -14,7 +14,14 @@
 from ramptray.core import membership
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.platform import config, replicas, settings, store, topic
+from ramptray.platform import (
+    config,
+    evacuation,
+    replicas,
+    settings,
+    store,
+    topic,
+)
 from ramptray.scheduler import feed, source
 
 LOG = logging.getLogger(__name__)
@@ -77,6 +84,7 @@
         self._in_force: acceptance.InForce | None = None
         self._parser = config.ConfigParser(terms)
         self._book = replicas.ReplicaBook(hold_s, zones)
+        self._evacuations = evacuation.EvacuationBook()
         self._on_bundle = on_bundle
         self._declared: model.Bundle | None = None
         self._text = ""
@@ -208,6 +216,9 @@
     # What was read.
 
     def _take_config(self, changes: store.Changes, whole: bool) -> None:
+        now = steadyclock.read()
+        if self._evacuations.take(changes.records, whole, now):
+            self._publish()
         for change in changes.records:
             if change.key == CONFIG_KEY and change.value is not None:
                 text = change.value.decode("utf-8", errors="replace")
@@ -265,8 +276,10 @@
 
     def _is_unsettled(self) -> bool:
         """Tells whether a moment is near at which something is due."""
-        return self._book.is_waiting or any(
-            reader.lacks_records for reader in self._readers
+        return (
+            self._book.is_waiting
+            or self._evacuations.is_waiting
+            or any(reader.lacks_records for reader in self._readers)
         )
 
     async def _tick(self) -> None:
@@ -278,22 +291,35 @@
                     await self._hurry.wait()
             for reader in self._readers:
                 reader.check_underway()
-            if self._book.expire(steadyclock.read()):
+            now = steadyclock.read()
+            replicas_gone = self._book.expire(now)
+            evacuations_ended = self._evacuations.expire(now)
+            if replicas_gone or evacuations_ended:
                 self._publish()
 
     def _publish(self) -> None:
         if self._declared is None:
             return
-        bundle = add_replicas(self._declared, self._book.list_replicas())
+        bundle = add_replicas(
+            self._declared, self._book.list_replicas(), self._evacuations.zones
+        )
         envelope = signature.Envelope(self._text, {})
         self._in_force = acceptance.InForce(bundle, envelope)
         self._on_bundle(self._in_force)
 
 
 def add_replicas(
-    declared: model.Bundle, found: dict[str, peer_message.Replica]
+    declared: model.Bundle,
+    found: dict[str, peer_message.Replica],
+    evacuated: Collection[str] = (),
 ) -> model.Bundle:
-    """Returns the declared bundle with its backend servers as they are now."""
+    """Returns the declared bundle with its backend servers as they are now.
+
+    Args:
+        declared: The bundle.
+        found: The replicas.
+        evacuated: Availability zones whose backend servers get no new work.
+    """
     known = {n: r for n, r in found.items() if r.service in declared.services}
     engines = dict(declared.engines)
     for replica in known.values():
@@ -306,9 +332,10 @@
             service=replica.service,
             engine=_name_engine(replica),
             url=f"http://{replica.address}",
-            leaving=replica.leaving,
+            leaving=replica.leaving or replica.zone in evacuated,
             availability_zone=replica.zone,
             run=replica.run,
+            warm_at=replica.warm_at,
         )
         for name, replica in known.items()
     }
--- a/ramptray/platform/record.py
+++ b/ramptray/platform/record.py
@@ -61,6 +61,9 @@
     started_ms: Annotated[int, msgspec.Meta(ge=0, le=MOST_MS)] = msgspec.field(
         name="born", default=0
     )
+    warm_in_ms: Annotated[float, msgspec.Meta(ge=0, le=MOST_MS)] = (
+        msgspec.field(name="coldMs", default=0.0)
+    )
 
 
 def parse_record(
@@ -96,4 +99,5 @@
         leaving=raw.state is _State.DRAINING,
         run=raw.started_ms,
         position=position,
+        warm_in_s=raw.warm_in_ms / 1000,
     )
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -108,7 +108,7 @@
                 gone[change.key] = change.position
             else:
                 gone.pop(change.key, None)
-                self._take(change.key, change.value, change.position)
+                self._take(change, now)
         self._take_gone(gone, now)
 
     def take_all(
@@ -156,16 +156,37 @@
             del self._known[name]
         return bool(expired or forgotten)
 
-    def _take(self, name: str, value: bytes, position: int) -> None:
+    def _take(self, change: store.Change, now: float) -> None:
+        name, position = change.key, change.position
         try:
-            replica = record.parse_record(value, name, position, self._zones)
+            replica = record.parse_record(
+                change.value or b"", name, position, self._zones
+            )
         except record.RecordError as error:
             self._pass_over(name, str(error), position)
             return
+        if replica.warm_in_s:
+            replica = self._set_warm_at(name, replica, now)
         self._unusable.pop(name, None)
         if not self._is_overtaken(name, replica):
             self._put(name, replica)
 
+    def _set_warm_at(
+        self, name: str, replica: peer_message.Replica, now: float
+    ) -> peer_message.Replica:
+        """Returns a replica with the time at which it is warm.
+
+        The same word that is read again tells nothing new.
+        """
+        warm_at = now + replica.warm_in_s
+        known = self._known.get(name)
+        if (
+            known is not None
+            and known.replica.position == replica.position >= 0
+        ):
+            warm_at = known.replica.warm_at
+        return msgspec.structs.replace(replica, warm_at=warm_at)
+
     def _pass_over(self, name: str, detail: str, position: int) -> None:
         """Uses a replica no more whose record makes no sense.
 
@@ -207,6 +228,7 @@
                     "address": replica.address,
                     "leaving": replica.leaving,
                     "run": replica.run,
+                    "warm_in_s": replica.warm_in_s,
                     "new_run": before and before.replica.run != replica.run,
                 },
             )
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -56,6 +56,8 @@
         engine.cache_blocks,
         server.url,
         server.run,
+        engine.warm_up_per_s,
+        server.warm_at,
     )
 
 
--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -107,7 +107,7 @@
                 routing.Route("/loss", self._lose, methods=["PUT"]),
                 routing.Route("/ledger", self._show_ledger),
                 routing.Route(
-                    "/records/{topic}/{key}", self._put, methods=["PUT"]
+                    "/records/{topic}/{key:path}", self._put, methods=["PUT"]
                 ),
             ]
         )
--- a/test/node.py
+++ b/test/node.py
@@ -220,8 +220,16 @@
         """Writes a configuration."""
         self._put(CONFIG_TOPIC, "config", json.dumps(config).encode())
 
+    def set_order(self, name: str, stands: bool = True) -> None:
+        """Writes an operator's order, or takes it back."""
+        self._put(CONFIG_TOPIC, name, b"{}" if stands else b"")
+
     def write_record(
-        self, name: str, state: str = "ready", born: int | None = None
+        self,
+        name: str,
+        state: str = "ready",
+        born: int | None = None,
+        zone: str = "waw-a",
     ) -> None:
         """Writes a replica's record.
 
@@ -229,11 +237,12 @@
             name: The replica.
             state: What it says of itself.
             born: When it started, in Unix milliseconds; None for not told.
+            zone: Its availability zone.
         """
         record: dict[str, Any] = {
             "service": SERVICE,
             "address": self.announced.get(name, self.replicas[name]),
-            "zone": "waw-a",
+            "zone": zone,
             "slots": SLOTS,
             "state": state,
         }
--- /dev/null
+++ b/test/test_warm_up.py
@@ -0,0 +1,123 @@
+"""Backend servers that come back cold bear little until they are warm."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+
+from ramptray.core import limit, message, policy, shard, warmup
+from ramptray.platform import config, follower, replicas, store
+from ramptray.scheduler import rules
+from test import node, test_replicas
+
+RATE = 5.0
+COLD_S = 3.0
+SERVERS = 2
+
+
+def make_owner(part: float = 1.0, cold_s: float = COLD_S) -> shard.ShardOwner:
+    """Returns an owner of servers whose records say that they are cold."""
+    service = {"name": node.SERVICE, "coldPerS": RATE, "coldS": COLD_S}
+    declared = config.parse_config(
+        json.dumps(node.make_config(1, services=[service]))
+    )
+    book = replicas.ReplicaBook(1.6)
+    record = test_replicas.make_record(coldMs=cold_s * 1000, slots=100)
+    for number in range(SERVERS):
+        book.take_changes([store.Change(f"i{number}", record)], 0.0)
+    bundle = follower.add_replicas(declared, book.list_replicas())
+    limits = limit.Limits({})
+    limits.set_part(part)
+    return shard.ShardOwner(
+        test_replicas.SHARD,
+        "owner:1",
+        rules.make_rules(bundle, test_replicas.SHARD),
+        rules.list_infos(bundle, test_replicas.SHARD),
+        policy.TokenPolicy(),
+        0.0,
+        0.0,
+        limits,
+    )
+
+
+def make_request(number: int) -> message.Enqueue:
+    return message.Enqueue(
+        message.RequestInfo(
+            f"r{number}",
+            test_replicas.SHARD,
+            "ola",
+            "p0.0",
+            prompt_tokens=10,
+            output_tokens=10,
+            prefix=(),
+            deadline_s=100.0,
+        )
+    )
+
+
+def count_grants(owner: shard.ShardOwner, until_s: float) -> list[float]:
+    """Plays 50 requests at once; returns when each was granted."""
+    out = [
+        effect
+        for number in range(50)
+        for effect in owner.receive("e", make_request(number), 0.0)
+    ]
+    granted = [0.0 for e in out if isinstance(e.message, message.Grant)]
+    for tick in range(1, int(until_s * 10) + 1):
+        now = tick / 10
+        granted += [
+            now
+            for effect in owner.tick(now)
+            if isinstance(effect.message, message.Grant)
+        ]
+    return granted
+
+
+@pytest.mark.parametrize("part", [1.0, 0.5, 0.1])
+def test_cold_servers_get_no_more_than_they_bear(part: float) -> None:
+    granted = count_grants(make_owner(part), COLD_S - 0.1)
+    for start in granted:
+        within = [at for at in granted if start <= at < start + 1.0]
+        assert len(within) <= max(1.0, RATE * part) * SERVERS
+    assert len(granted) >= SERVERS
+
+
+def test_all_owners_together_keep_to_what_a_cold_server_bears() -> None:
+    parts = (0.4, 0.4, 0.2)
+    in_one_s = sum(len(count_grants(make_owner(part), 0.9)) for part in parts)
+    assert in_one_s <= RATE * SERVERS
+
+
+def test_a_server_that_has_warmed_up_gets_all_it_has_places_for() -> None:
+    granted = count_grants(make_owner(), COLD_S)
+    assert len(granted) == 50
+
+
+def test_the_same_word_read_again_does_not_make_a_server_cold_again() -> None:
+    book = replicas.ReplicaBook(1.6)
+    change = store.Change("i", test_replicas.make_record(coldMs=3000), 7)
+    book.take_changes([change], 0.0)
+    book.take_all([change], 10.0, 8)
+    assert book.list_replicas()["i"].warm_at == COLD_S
+
+
+def test_a_server_that_turns_cold_again_keeps_what_was_learned_of_it() -> None:
+    owner = make_owner(cold_s=0.0)
+    known = owner.fleet.backends["i0"]
+    infos = [
+        msgspec.structs.replace(b.info, warm_at=9.0)
+        for b in owner.fleet.list_all()
+    ]
+    owner.fleet.configure(infos, f"{node.SERVICE}@1")
+    assert owner.fleet.backends["i0"] is known
+    assert known.info.warm_at == 9.0
+
+
+def test_a_small_part_is_one_request_in_several_windows() -> None:
+    warming = warmup.WarmUp(2.0)
+    warming.note(0.0)
+    assert not warming.has_room(2.4, 0.2)
+    assert warming.has_room(2.6, 0.2)
+    assert not warming.has_room(2.6, 0.0)
