Place requests by the parts of their prompts that a server has read

The view of an engine's cache counts tokens instead of equal blocks, as large as the memory that running requests share with it, and the cost of a place counts what is not held, as it did for the product's own engines. A prompt that takes as long as if nothing had been held was not held: its parts are forgotten and the engine's speed is learned from its whole size.

Ways: nothing (as it stood) and the cost by expected cached tokens. Affinity by a hash of the first part with bounded load was not tried.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import itertools
 import math
 import statistics
 from collections.abc import Iterable
@@ -116,26 +117,51 @@
 
 
 class PrefixCache:
-    """What an engine's prefix cache probably holds, least recent first out."""
+    """What an engine's prefix cache probably holds, least recent first out.
 
-    def __init__(self, blocks: int) -> None:
-        self._limit = blocks
-        self._blocks: collections.OrderedDict[int, None] = (
+    Args:
+        tokens: Tokens that it can keep.
+    """
+
+    def __init__(self, tokens: int) -> None:
+        self._limit = tokens
+        self._held = 0
+        self._blocks: collections.OrderedDict[int, int] = (
             collections.OrderedDict()
         )
 
-    def add(self, prefix: tuple[int, ...]) -> None:
-        """Notes that the engine has computed these blocks."""
-        for block in prefix:
-            self._blocks[block] = None
+    def add(self, prefix: tuple[int, ...], sizes: tuple[int, ...] = ()) -> None:
+        """Notes that the engine has computed these blocks.
+
+        Args:
+            prefix: The blocks.
+            sizes: Tokens of each; empty for the usual number.
+        """
+        # The last block first, so that it also gives way first: those behind a
+        # block that is gone are of no use.
+        for block, size in reversed(list(_pair(prefix, sizes))):
+            self._held += size - self._blocks.get(block, 0)
+            self._blocks[block] = size
             self._blocks.move_to_end(block)
-        while len(self._blocks) > self._limit:
-            self._blocks.popitem(last=False)
+        while self._held > self._limit:
+            self._held -= self._blocks.popitem(last=False)[1]
 
     def drop(self, blocks: tuple[int, ...]) -> None:
         """Notes that the engine has evicted these blocks."""
         for block in blocks:
-            self._blocks.pop(block, None)
+            self._held -= self._blocks.pop(block, 0)
+
+    def count_tokens(
+        self, prefix: tuple[int, ...], sizes: tuple[int, ...] = ()
+    ) -> int:
+        """Returns how many leading tokens of a prompt are held.
+
+        Args:
+            prefix: The prompt's blocks.
+            sizes: Tokens of each; empty for the usual number.
+        """
+        count = self.count(prefix)
+        return sum(sizes[:count]) if sizes else count * BLOCK_TOKENS
 
     def count(self, prefix: tuple[int, ...]) -> int:
         """Returns how many leading blocks are held, by binary search.
@@ -155,6 +181,13 @@
         return low
 
 
+def _pair(
+    prefix: tuple[int, ...], sizes: tuple[int, ...]
+) -> Iterable[tuple[int, int]]:
+    """Returns each block with the tokens that it covers."""
+    return zip(prefix, sizes or itertools.repeat(BLOCK_TOKENS), strict=False)
+
+
 class Backend:
     """What the owner believes of one backend server.
 
@@ -202,7 +235,7 @@
         self.prefill_tokens = 0
         self.held_tokens = 0
         self.speed = speeds.EngineSpeed(line or speeds.Line())
-        self.cache = PrefixCache(info.cache_blocks)
+        self.cache = PrefixCache(info.cache_blocks * BLOCK_TOKENS)
         self.foreign = 0
         self.report_running: int | None = None
         self.versions: tuple[str, ...] = ()
@@ -295,7 +328,7 @@
 
     def count_uncached(self, request: message.RequestInfo) -> int:
         """Returns the prompt tokens that the engine would have to compute."""
-        held = self.cache.count(request.prefix) * BLOCK_TOKENS
+        held = self.cache.count_tokens(request.prefix, request.prefix_tokens)
         return max(1, request.prompt_tokens - held)
 
     def estimate_first_token(self, uncached: int, now: float) -> float:
@@ -389,7 +422,7 @@
         self.pending[request.request_id] = placed
         self.held_tokens += placed.tokens
         self._warm_up.note(now)
-        self.cache.add(request.prefix)
+        self.cache.add(request.prefix, request.prefix_tokens)
         return placed
 
     def get_refused_part(self, now: float) -> float:
@@ -421,7 +454,26 @@
         begun_at = max(now - first.elapsed_s, free_at)
         self._finish_prefill(placed)
         self.first_at = now
-        self.speed.learn_first(first.prefilled_tokens, now - begun_at)
+        took_s = now - begun_at
+        prefilled = first.prefilled_tokens
+        if prefilled is None:
+            prefilled = self._guess_prefilled(placed, took_s)
+        self.speed.learn_first(prefilled, took_s)
+
+    def _guess_prefilled(self, placed: Placed, took_s: float) -> int:
+        """Returns how much of a prompt was computed, by the time it took.
+
+        What was believed to be cached may have given way meanwhile, or never
+        have arrived.
+        """
+        whole = placed.request.prompt_tokens
+        if placed.uncached >= whole:
+            return whole
+        middle_s = self.estimate_alone((placed.uncached + whole) // 2)
+        if took_s <= middle_s:
+            return placed.uncached
+        self.cache.drop(placed.request.prefix)
+        return whole
 
     def end(self, ended: message.Ended, now: float) -> None:
         """Frees the request's place and learns the decode speed."""
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -90,6 +90,8 @@
         event_tokens: Tokens that an event of its answer holds.
         content: The same for requests of the same customer, path and body;
             empty where that is not told.
+        prefix_tokens: Tokens that each block of the prefix covers; empty where
+            all cover the usual number.
     """
 
     request_id: str
@@ -112,6 +114,7 @@
     max_gap_s: float | None = None
     event_tokens: int = 1
     content: str = ""
+    prefix_tokens: tuple[int, ...] = ()
 
 
 class Enqueue(msgspec.Struct, frozen=True):
@@ -168,13 +171,14 @@
     Attributes:
         request_id: The request.
         elapsed_s: Seconds from the dispatch to the first token.
-        prefilled_tokens: Prompt tokens the engine had to compute.
+        prefilled_tokens: Prompt tokens the engine had to compute; None where it
+            does not tell.
         cached_tokens: Prompt tokens found in the engine's prefix cache.
     """
 
     request_id: str
     elapsed_s: float
-    prefilled_tokens: int
+    prefilled_tokens: int | None
     cached_tokens: int
 
 
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -21,6 +21,10 @@
 """The caller's guess of the tokens generated; often far off."""
 
 _PARTS = b"x-prompt-prefix"
+_MODEL = b"x-model"
+MAX_PARTS = 64
+"""Parts of a prompt that are looked at; the rest is told to nobody else."""
+
 LAST_EVENT = b"last-event-id"
 CUSTOMER = b"x-tenant"
 BACKEND = b"x-expect-instance"
@@ -60,7 +64,7 @@
     }
 )
 _END_TO_END = frozenset(
-    {ID, _SIZES, _LIKELY, _PARTS, b"host", b"x-model", b"content-type"}
+    {ID, _SIZES, _LIKELY, _PARTS, b"host", _MODEL, b"content-type"}
 )
 """Headers that travel on even if the caller ties them to its connection."""
 
@@ -82,6 +86,9 @@
             return Err(message.Mistake(400, "x-request-id: exactly one wanted"))
         values = {name.lower(): value for name, value in head.headers}
         prompt, output = _read_sizes(values.get(_SIZES))
+        prefix, prefix_tokens = _read_prefix(
+            values.get(_PARTS, b""), values.get(_MODEL, b"")
+        )
         deadline = _read_int(values.get(DEADLINE))
         return Ok(
             message.CallerRequest(
@@ -95,7 +102,8 @@
                 prompt_tokens=prompt,
                 output_tokens=output,
                 likely_tokens=_read_int(values.get(_LIKELY)),
-                prefix=_read_prefix(values.get(_PARTS, b"")),
+                prefix=prefix,
+                prefix_tokens=prefix_tokens,
                 last_event=_read_text(values.get(LAST_EVENT)),
             )
         )
@@ -177,15 +185,28 @@
     return _read_int(first), _read_int(second) or 0
 
 
-def _read_prefix(value: bytes) -> tuple[int, ...]:
-    """Returns chained hashes of the prompt's parts, each ID:TOKENS."""
-    chained = 0
-    hashes = []
-    for part in value.split(b","):
-        if part.strip():
-            chained = zlib.crc32(part.strip(), chained)
-            hashes.append(chained)
-    return tuple(hashes)
+def _read_prefix(
+    value: bytes, model: bytes
+) -> tuple[tuple[int, ...], tuple[int, ...]]:
+    """Returns the prompt's parts, each ID:TOKENS, for one model's weights.
+
+    What follows a part that makes no sense is left out: a part counts only
+    behind all those before it.
+
+    Returns:
+        The chained hash of each part, and its tokens.
+    """
+    chained = zlib.crc32(model)
+    hashes: list[int] = []
+    sizes: list[int] = []
+    for part in value.split(b",")[:MAX_PARTS]:
+        tokens = _read_int(part.rpartition(b":")[2])
+        if tokens is None:
+            break
+        chained = zlib.crc32(part.strip(), chained)
+        hashes.append(chained)
+        sizes.append(tokens)
+    return tuple(hashes), tuple(sizes)
 
 
 def _read_text(value: bytes | None) -> str | None:
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -336,7 +336,7 @@
         first = core_message.FirstToken(
             self._request_id,
             now - self._sent_at,
-            self._order.info.prompt_tokens,
+            None,
             0,
         )
         self._ticket.report(tickets.Begun(first))
--- a/ramptray/relay/message.py
+++ b/ramptray/relay/message.py
@@ -29,7 +29,8 @@
         prompt_tokens: Size of the prompt; None where it does not say.
         output_tokens: Most tokens that may be generated.
         likely_tokens: The caller's guess of the tokens generated.
-        prefix: Hash of each part of the prompt, in order.
+        prefix: Chained hash of each part of the prompt, in order.
+        prefix_tokens: Tokens of each part.
         last_event: The last event the caller has of an earlier stream.
         body: The whole body.
     """
@@ -45,6 +46,7 @@
     output_tokens: int
     likely_tokens: int | None
     prefix: tuple[int, ...]
+    prefix_tokens: tuple[int, ...]
     last_event: str | None
     body: bytes = b""
 
