Show rollouts of releases with their evidence and reason in ramptray status

Operators saw a rollout's state in the store only. The screen now has a line for each: release, owner, state, requests that it got, answers, failures, why.

--- a/ramptray/command/status.py
+++ b/ramptray/command/status.py
@@ -72,6 +72,32 @@
                 f"{server['step_s'] * 1000:>6.1f} ms"
             )
 
+    yield from _iterate_rollouts(reports)
+
+
+def _iterate_rollouts(reports: dict[str, dict[str, Any]]) -> Iterator[str]:
+    """Yields a line for each release that is rolled out, if there are any."""
+    found = [
+        (vm, shard, shard["rollout"])
+        for vm, shard in _iterate_owned(reports)
+        if shard.get("rollout")
+    ]
+    if not found:
+        return
+    yield ""
+    yield (
+        f"{'release rolled out':<34}{'owner':<20}{'state':<13}"
+        f"{'requests':>10}{'of':>8}{'answers':>9}{'failed':>8}  why"
+    )
+    for vm, shard, told in found:
+        name = f"{shard['shard']} {told['release']}"
+        yield (
+            f"{name:<34}{vm:<20}{told['state']:<13}"
+            f"{told['sent_new']:>10}{told['sent']:>8}"
+            f"{told['answers_new']:>9}{told['failures_new']:>8}"
+            f"  {told['reason']}"
+        )
+
 
 def _format_age(age_s: float | None) -> str:
     return "never" if age_s is None else f"{age_s:.0f} s"
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ramptray import steadyclock
-from ramptray.core import backend, shard
+from ramptray.core import backend, rollout, shard
 from ramptray.scheduler import gossip, hub, source
 
 
@@ -70,6 +70,7 @@
         "shed": counters.shed,
         "redirected": counters.redirected,
         "declined": counters.declined,
+        "rollout": _describe_rollout(shard_owner.rollout),
         "backend_servers": [
             _describe_backend(known)
             for known in shard_owner.fleet.backends.values()
@@ -77,6 +78,20 @@
     }
 
 
+def _describe_rollout(found: rollout.Rollout | None) -> dict[str, Any] | None:
+    if found is None:
+        return None
+    return {
+        "release": found.order.release,
+        "state": found.state.value,
+        "reason": found.reason,
+        "sent_new": found.sent_new,
+        "sent": found.sent,
+        "answers_new": found.answers_new,
+        "failures_new": found.failures_new,
+    }
+
+
 def _describe_backend(known: backend.Backend) -> dict[str, Any]:
     return {
         "name": known.info.name,
--- a/test/test_rollout.py
+++ b/test/test_rollout.py
@@ -11,12 +11,13 @@
 import pytest
 
 from bench import rollouts as simulation
+from ramptray.command import status as status_command
 from ramptray.core import backend, message, policy, rollout, shard
 from ramptray.log import error as log_error
 from ramptray.log import verdictlog
 from ramptray.platform import rollout as platform_rollout
 from ramptray.platform import settings, store
-from ramptray.scheduler import rollouts
+from ramptray.scheduler import rollouts, status
 from test import node, test_node
 
 ORDER = rollout.Order("lm", "v2", 10.0, 0.0)
@@ -174,6 +175,38 @@
     assert got[:200].count("v2") <= 0.1 * 200 + 10
 
 
+def test_operators_see_state_evidence_and_reason() -> None:
+    owner = make_owner()
+    for number in range(300):
+        serve(owner, number, "v2")
+    report = {
+        "zone": "z",
+        "generation": 1,
+        "log_up": True,
+        "log_age_s": 1.0,
+        "members": [],
+        "attached": [],
+        "digest": None,
+        "shards": [
+            {
+                "shard": "all/lm/0",
+                "owned": True,
+                "waiting_by_tier": [0],
+                "running": 0,
+                "granted": 300,
+                "redirected": 0,
+                "shed_last_minute": {},
+                "backend_servers": [],
+                "rollout": status._describe_rollout(owner.rollout),
+            }
+        ],
+    }
+    line = list(status_command.iterate_lines({"vm": report}))[-1]
+    assert "v2" in line
+    assert "rolled_back" in line
+    assert "fails more often on all routes" in line
+
+
 # What VMs tell one another, and what the log keeps.
 
 
@@ -279,8 +312,8 @@
     while time.monotonic() < ends_at:
         vm = f"vm-{len(statuses) % 2}"
         statuses.append(test_node.ask(started, "/safe/", vm=vm).status)
-        status = started.read_status("rollout/lm")
-        if status and status["state"] != "running":
+        told = started.read_status("rollout/lm")
+        if told and told["state"] != "running":
             break
     return statuses
 
@@ -289,8 +322,8 @@
     started: node.Platform,
 ) -> None:
     roll_out(started, 6.0, fails=True)
-    status = started.read_status("rollout/lm")
-    assert status == {"state": "rolled_back", "targetVersion": "v2"}
+    told = started.read_status("rollout/lm")
+    assert told == {"state": "rolled_back", "targetVersion": "v2"}
     before = len(started.read_ledger("i-1")["runs"])
     assert before <= 30
     statuses = {test_node.ask(started, "/safe/").status for _ in range(20)}
@@ -303,8 +336,8 @@
 ) -> None:
     statuses = roll_out(started, 5.0)
     assert set(statuses) == {200}
-    status = started.read_status("rollout/lm")
-    assert status == {"state": "completed", "targetVersion": "v2"}
+    told = started.read_status("rollout/lm")
+    assert told == {"state": "completed", "targetVersion": "v2"}
     before = len(started.read_ledger("i-0")["runs"])
     assert {test_node.ask(started, "/safe/").status for _ in range(20)} == {200}
     assert len(started.read_ledger("i-0")["runs"]) == before
