Leave later releases to themselves, and drop what a caller does not read

A rollout that was completed kept every release but its own from getting work, so a later release without an order would have got nothing: it keeps those away that it replaced. A connection that is ended while its peer does not read is closed at once instead of waiting for it; unread bytes are bounded at 64 KiB a connection instead of 256 KiB, as some hundred callers share 200 MB.

--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -160,7 +160,8 @@
 
 def _choose(decided: rollout.Rollout) -> bool:
     """Returns whether the new release gets a request, as an owner chooses."""
-    return decided.may_send(True, 1.0)
+    decided.may_send("v1", 1.0)
+    return decided.may_send("v2", 1.0)
 
 
 def _answer(
--- a/ramptray/core/release.py
+++ b/ramptray/core/release.py
@@ -66,7 +66,7 @@
         return [
             candidate
             for candidate in candidates
-            if self.rollout.may_send(self._is_new(candidate), part)
+            if self.rollout.may_send(candidate.info.release, part)
         ]
 
     def choose(
--- a/ramptray/core/rollout.py
+++ b/ramptray/core/rollout.py
@@ -306,17 +306,24 @@
         self._ramp_answers: int | None = None
         self._drain_answers: int | None = None
         self._stage_at = 0.0
+        # The releases that it is to replace.
+        self._old: set[str] = set()
 
-    def may_send(self, is_new: bool, part: float) -> bool:
-        """Tells whether a request may be granted to one of the releases.
+    def may_send(self, release: str, part: float) -> bool:
+        """Tells whether a request may be granted to a release.
 
         Args:
-            is_new: Whether to the one that is rolled out.
+            release: The release.
             part: The part of what is shared by all owners that is this one's.
         """
-        if self.state is State.COMPLETED or self._drain_answers is not None:
-            return is_new
+        is_new = release == self.order.release
+        if self.state is State.COMPLETED:
+            # Releases that come later are none of this rollout's.
+            return release not in self._old
         if not is_new:
+            self._old.add(release)
+            return self._drain_answers is None
+        if self._drain_answers is not None:
             return True
         if self.state is State.ROLLED_BACK:
             return False
--- a/ramptray/relay/stream.py
+++ b/ramptray/relay/stream.py
@@ -18,7 +18,7 @@
 
 from ramptray import steadyclock
 
-MAX_UNREAD_BYTES = 256 * 1024
+MAX_UNREAD_BYTES = 64 * 1024
 """Bytes that may wait to be read; beyond it the peer is held up."""
 
 USER_TIMEOUT_MS = 600
@@ -181,8 +181,13 @@
             _wake(self._writer)
 
     def finish(self) -> None:
-        """Closes the connection; what was written still goes out."""
-        if not self._closed:
+        """Closes the connection; what was written still goes out.
+
+        A peer that does not read what was written is not waited for.
+        """
+        if self._writing_paused:
+            self.close()
+        elif not self._closed:
             self._closed = True
             self._get_transport().close()
 
--- a/test/test_rollout.py
+++ b/test/test_rollout.py
@@ -64,6 +64,7 @@
 def complete() -> rollout.Rollout:
     """Returns a rollout that has been completed."""
     made = make_sound()
+    made.may_send("v1", 1.0)
     for now in (6.0, 8.0, 9.5):
         made.decide(PLACES, now)
     assert made.state is rollout.State.COMPLETED
@@ -75,31 +76,43 @@
     busy = rollout.Places(10, 10, 1)
     for now in (6.0, 8.0, 9.5):
         assert made.decide(busy, now) is rollout.State.RUNNING
-    assert not made.may_send(False, 1.0)
+    assert not made.may_send("v1", 1.0)
     assert made.decide(PLACES, 10.0) is rollout.State.COMPLETED
-    assert made.may_send(True, 1.0)
-    assert not made.may_send(False, 1.0)
+    assert made.may_send("v2", 1.0)
+    assert not made.may_send("v1", 1.0)
+
+
+def test_a_later_release_is_none_of_a_completed_rollout_s() -> None:
+    made = make_sound()
+    for now in (6.0, 8.0, 9.5):
+        assert made.may_send("v1", 1.0) is (now < 9.5)
+        made.decide(PLACES, now)
+    assert made.state is rollout.State.COMPLETED
+    assert [r for r in ("v1", "v2", "v3") if made.may_send(r, 1.0)] == [
+        "v2",
+        "v3",
+    ]
 
 
 def test_a_release_without_places_for_the_traffic_is_not_promoted() -> None:
     made = make_sound()
     assert made.decide(rollout.Places(2, 10, 0), 9.9) is rollout.State.RUNNING
-    assert made.may_send(False, 1.0)
+    assert made.may_send("v1", 1.0)
 
 
 def test_a_release_that_turns_bad_as_it_is_promoted_is_rolled_back() -> None:
     made = make_sound()
     for now in (6.0, 8.0):
         made.decide(rollout.Places(10, 10, 5), now)
-    assert not made.may_send(False, 1.0)
+    assert not made.may_send("v1", 1.0)
     failures = 0
     while made.state is rollout.State.RUNNING:
         made.take(answer(True, failed=True))
         failures += 1
     assert failures < 10
     assert made.state is rollout.State.ROLLED_BACK
-    assert not made.may_send(True, 1.0)
-    assert made.may_send(False, 1.0)
+    assert not made.may_send("v2", 1.0)
+    assert made.may_send("v1", 1.0)
 
 
 def test_a_final_state_is_never_taken_back() -> None:
