--- a/bench/request.py
+++ b/bench/request.py
@@ -4,10 +4,8 @@
 
 import contextlib
 import http.client
-import json
 import os
 import pathlib
-import statistics
 import tempfile
 import time
 from collections.abc import Iterator
@@ -15,6 +13,7 @@
 
 import click
 
+from bench import checkout
 from test import node, test_node
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -61,27 +60,15 @@
 @click.command(name="request")
 @click.option("--runs", default=3, help="How many runs of each tree.")
 @click.option("--requests", default=400, help="Requests of each kind a run.")
-@click.option(
-    "--tree",
-    "trees",
-    multiple=True,
-    type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
-    help="A checkout to measure, again for more; this one by default.",
-)
+@checkout.TREES_OPTION
 def command(runs: int, requests: int, trees: tuple[pathlib.Path, ...]) -> None:
     """Sends requests one after the other through two VMs on loopback."""
-    measured = trees or (pathlib.Path.cwd(),)
-    found: dict[str, list[Cost]] = {str(tree): [] for tree in measured}
+    measured = checkout.list_trees(trees)
+    found: dict[pathlib.Path, list[Cost]] = {t: [] for t in measured}
     for _ in range(runs):
         for tree in measured:
-            found[str(tree)].append(measure(tree.resolve(), requests))
-    for name, costs in found.items():
-        medians = [
-            round(statistics.median(values), 2)
-            for values in zip(*costs, strict=True)
-        ]
-        report = dict(zip(Cost._fields, medians, strict=True))
-        click.echo(json.dumps({"tree": name, "runs": runs, **report}))
+            found[tree].append(measure(tree, requests))
+    checkout.report(found, runs, 2)
 
 
 def measure(tree: pathlib.Path, requests: int) -> Cost:
--- a/bench/start.py
+++ b/bench/start.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import json
 import os
 import pathlib
-import statistics
 import tempfile
 import time
 from typing import NamedTuple
 
 import click
 
+from bench import checkout
 from test import node
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -40,34 +39,22 @@
 
 @click.command(name="start")
 @click.option("--runs", default=20, help="How many starts of each tree.")
-@click.option(
-    "--tree",
-    "trees",
-    multiple=True,
-    type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
-    help="A checkout to measure, again for more; this one by default.",
-)
+@checkout.TREES_OPTION
 def command(runs: int, trees: tuple[pathlib.Path, ...]) -> None:
     """Starts one VM again and again, beside a store and a replica."""
-    measured = trees or (pathlib.Path.cwd(),)
+    measured = checkout.list_trees(trees)
     # Compiled modules of one checkout must not be taken for another one's.
     os.environ.pop("PYTHONDONTWRITEBYTECODE", None)
     with tempfile.TemporaryDirectory() as compiled:
         os.environ["PYTHONPYCACHEPREFIX"] = compiled
-        found: dict[str, list[Start]] = {str(tree): [] for tree in measured}
+        found: dict[pathlib.Path, list[Start]] = {t: [] for t in measured}
         for number in range(runs + 1):
             for tree in measured:
-                start = measure_start(tree.resolve())
+                start = measure_start(tree)
                 if number:
                     # The first one compiles.
-                    found[str(tree)].append(start)
-    for name, starts in found.items():
-        medians = [
-            round(statistics.median(values), 3)
-            for values in zip(*starts, strict=True)
-        ]
-        report = dict(zip(Start._fields, medians, strict=True))
-        click.echo(json.dumps({"tree": name, "runs": runs, **report}))
+                    found[tree].append(start)
+    checkout.report(found, runs, 3)
 
 
 def measure_start(tree: pathlib.Path) -> Start:
