Give each owner its own order of equal backend servers

Cause: after a restart of everything each VM owns everything until it has found the others, and knows nothing of any server's speed. Equal costs went to the first in the bundle's order, the same on all VMs: of sixty such owners all sixty chose the same of forty idle servers with four places (test_waiting.py, which fails before). Ordered by a hash of the owner's address and the server's name they choose at least 25 different ones.

--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 
 import msgspec
+import xxhash
 
 from ramptray.core import backend as backends
 from ramptray.core import (
@@ -160,7 +161,18 @@
         self._rules = rules
         self._queue.set_ranks(rules.ranks)
         self._limits.set_rates(rules.limits)
-        self.fleet.configure(infos, rules.version)
+        self.fleet.configure(
+            sorted(infos, key=self._make_place_key), rules.version
+        )
+
+    def _make_place_key(self, info: backends.BackendInfo) -> int:
+        """Returns a backend server's place in this owner's own order.
+
+        Load pattern: all VMs start at once, and each owns everything until it
+        has found the others.  In one order for all they would fill the same
+        few backend servers first.
+        """
+        return xxhash.xxh3_64_intdigest(f"{self._address}/{info.name}".encode())
 
     def correct_load(
         self,
--- a/test/test_waiting.py
+++ b/test/test_waiting.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import msgspec
 import pytest
 
@@ -271,3 +273,23 @@
     assert len(told) == 80
     assert max(told) > 5.0  # Ten a second were served.
     assert max(told) <= shard.MAX_RETRY_S
+
+
+def test_owners_that_start_at_once_do_not_all_choose_the_same_server() -> None:
+    # Each of sixty VMs owns everything until it has found the others; forty
+    # idle servers, of which nothing is known, have four places each.
+    chosen: collections.Counter[str] = collections.Counter()
+    for vm in range(60):
+        owner = shard.ShardOwner(
+            KEY,
+            f"10.0.0.{vm}:1",
+            shard.ShardRules({"urgent": 0, "normal": 1}, 10**9, 0.0, {}, {}),
+            [backend.BackendInfo(f"e{n}", 4, 10**6, 0) for n in range(40)],
+            policy.make_policy(),
+            0.0,
+            hear_s=0.0,
+        )
+        chosen.update(send(owner, SHORT))
+    assert chosen.total() == 60
+    assert max(chosen.values()) <= 6
+    assert len(chosen) >= 25
