--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -116,10 +116,11 @@
         )
         self._hub.guard.on_crash = self._keeper.read_soon
         self._verdict_keeper = rollouts.VerdictKeeper(
-            platform_rollout.TopicVerdictLog(self._store), self._hub.verdicts
+            platform_rollout.TopicVerdictLog(self._store),
+            self._hub.rollouts.verdicts,
         )
-        self._hub.on_verdict = self._verdict_keeper.keep
-        self._gossiper.verdicts = self._hub.verdicts
+        self._hub.rollouts.on_verdict = self._verdict_keeper.keep
+        self._gossiper.verdicts = self._hub.rollouts.verdicts
         self._servant = servant.SchedulerServant(
             self._hub, self._gossiper, self._follower, self._equipment.timeline
         )
--- a/ramptray/platform/rollout.py
+++ b/ramptray/platform/rollout.py
@@ -109,7 +109,9 @@
         """See the base class."""
         found = await self._store.read_newest(STATUS_TOPIC)
         kept = _find(found.records, verdict)
-        if kept is not None and kept.state.is_final:
+        if kept is not None and (
+            kept.state.is_final or kept.state is verdict.state
+        ):
             return kept
         status = _Status(state=verdict.state, release=verdict.release)
         await self._store.append(
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -19,7 +19,6 @@
     membership,
     message,
     policy,
-    rollout,
     shard,
 )
 from ramptray.entry import blocked
@@ -80,8 +79,7 @@
         guard: Keeps contents that end backend servers away from them.
         view: The schedulers of this zone and some of the others.
         on_new_backends: Called when backend servers should be asked at once.
-        verdicts: What is known of decided rollouts.
-        on_verdict: Called with what is decided on a rollout here.
+        rollouts: Applies the rollouts of releases to the shards.
     """
 
     def __init__(
@@ -102,9 +100,7 @@
         self.shards: dict[message.ShardKey, shard.ShardOwner] = {}
         self.view = peer_message.View([], [])
         self.on_new_backends: Callable[[], None] = _do_nothing
-        self.verdicts = rollouts.VerdictBook()
-        self.verdicts.on_change(self._take_verdict)
-        self.on_verdict: Callable[[rollout.Verdict], None] = _ignore_verdict
+        self.rollouts = rollouts.RolloutDesk(lambda: self.shards.values())
         self._address = address
         self._zone = zone
         self._options = options
@@ -424,7 +420,7 @@
             self.guard.evidence.is_suspect,
         )
         self.shards[key] = owner
-        self._set_rollout(key, owner)
+        self._apply_rollout(key, owner)
         self._mark_leaving()
         self.on_new_backends()
         return owner
@@ -448,48 +444,18 @@
             owner.configure(
                 rules.make_rules(bundle, key), rules.list_infos(bundle, key)
             )
-            self._set_rollout(key, owner)
+            self._apply_rollout(key, owner)
         self._mark_leaving()
         self.on_new_backends()
         self.timeline.note("bundle", f"generation-{bundle.generation}")
         LOG.info("bundle in force", extra={"generation": bundle.generation})
 
-    def _set_rollout(
+    def _apply_rollout(
         self, key: message.ShardKey, owner: shard.ShardOwner
     ) -> None:
         assert self.in_force is not None
         order = rules.make_rollout(self.in_force.bundle, key)
-        owner.releases.set_order(order, self.verdicts.get(key.service))
-        if order is not None and self.owns(key):
-            self._tell_verdict(owner)
-
-    def _decide_rollout(
-        self, key: message.ShardKey, owner: shard.ShardOwner, now: float
-    ) -> None:
-        """Goes on with a rollout.
-
-        A bad release is given up by whoever finds out.  A good one is promoted
-        by the owner only: who stands in sees a part of what runs.
-        """
-        if owner.releases.rollout is None:
-            return
-        if self.owns(key):
-            owner.releases.decide(now)
-        self._tell_verdict(owner)
-
-    def _tell_verdict(self, owner: shard.ShardOwner) -> None:
-        found = owner.releases.rollout
-        assert found is not None
-        verdict = found.tell()
-        if verdict.goes_before(self.verdicts.get(verdict.service)):
-            self.verdicts.take([verdict])
-            self.on_verdict(verdict)
-
-    def _take_verdict(self, verdict: rollout.Verdict) -> None:
-        for owner in self.shards.values():
-            found = owner.releases.rollout
-            if found and owner.shard.service == verdict.service:
-                found.learn(verdict)
+        self.rollouts.apply(owner, order, self.owns(key))
 
     def _take_view(self, view: peer_message.View) -> None:
         former = {m.vm for m in self.view.members}
@@ -578,7 +544,7 @@
 
     def _tick(self, now: float) -> None:
         for key, owner in self.shards.items():
-            self._decide_rollout(key, owner, now)
+            self.rollouts.go_on(owner, self.owns(key), now)
             self._send_out(owner.tick(now))
             for entry, count in owner.list_waiting_entries().items():
                 if now - self._told_at.get(entry, 0.0) >= STILL_WAITING_S:
@@ -612,9 +578,5 @@
                 del self._empty_since[key]
 
 
-def _ignore_verdict(verdict: rollout.Verdict) -> None:
-    """Stands in until somebody listens."""
-
-
 def _do_nothing() -> None:
     """Stands in until somebody listens."""
--- a/ramptray/scheduler/rollouts.py
+++ b/ramptray/scheduler/rollouts.py
@@ -8,7 +8,7 @@
 import anyio
 import msgspec
 
-from ramptray.core import rollout
+from ramptray.core import rollout, shard
 from ramptray.log import error as log_error
 from ramptray.log import verdictlog
 
@@ -52,6 +52,71 @@
                 listener(verdict)
 
 
+class RolloutDesk:
+    """Applies rollouts to the shards that are open here.
+
+    Args:
+        list_owners: Returns the owners of the open shards.
+
+    Attributes:
+        verdicts: What is known of decided rollouts.
+        on_verdict: Called with what is decided here.
+    """
+
+    def __init__(
+        self, list_owners: Callable[[], Iterable[shard.ShardOwner]]
+    ) -> None:
+        self.verdicts = VerdictBook()
+        self.verdicts.on_change(self._take_verdict)
+        self.on_verdict: Callable[[rollout.Verdict], None] = _ignore_verdict
+        self._list_owners = list_owners
+
+    def apply(
+        self,
+        owner: shard.ShardOwner,
+        order: rollout.Order | None,
+        is_owned: bool,
+    ) -> None:
+        """Takes the order that is in force for a shard's service.
+
+        Args:
+            owner: The shard.
+            order: The order, None where there is none.
+            is_owned: Whether this scheduler owns the shard, instead of standing
+                in for its owner.
+        """
+        known = self.verdicts.get(owner.shard.service)
+        owner.releases.set_order(order, known)
+        if is_owned:
+            self._tell(owner)
+
+    def go_on(
+        self, owner: shard.ShardOwner, is_owned: bool, now: float
+    ) -> None:
+        """Goes on with a shard's rollout, if there is one.
+
+        A bad release is given up by whoever finds out.  A good one is promoted
+        by the owner only: who stands in sees a part of what runs.
+        """
+        if is_owned:
+            owner.releases.decide(now)
+        self._tell(owner)
+
+    def _tell(self, owner: shard.ShardOwner) -> None:
+        if owner.releases.rollout is None:
+            return
+        verdict = owner.releases.rollout.tell()
+        if verdict.goes_before(self.verdicts.get(verdict.service)):
+            self.verdicts.take([verdict])
+            self.on_verdict(verdict)
+
+    def _take_verdict(self, verdict: rollout.Verdict) -> None:
+        for owner in self._list_owners():
+            found = owner.releases.rollout
+            if found and owner.shard.service == verdict.service:
+                found.learn(verdict)
+
+
 class VerdictKeeper:
     """Keeps what this VM decides, as soon as the log takes it.
 
@@ -96,3 +161,7 @@
             del self._wanted[service]
         LOG.info("verdict kept", extra=msgspec.to_builtins(kept))
         self._book.take([msgspec.structs.replace(kept, is_kept=True)])
+
+
+def _ignore_verdict(verdict: rollout.Verdict) -> None:
+    """Stands in until somebody listens."""
