--- a/ramptray/core/rollout.py
+++ b/ramptray/core/rollout.py
@@ -342,7 +342,7 @@
         self.failures_new += answer.is_new and answer.failed
         # What is bad on one route only is found there, what is bad on all of
         # them sooner by all answers together.
-        for name in {answer.route, ALL_ROUTES}:
+        for name in dict.fromkeys((answer.route, ALL_ROUTES)):
             route = self._routes.setdefault(name, _Route())
             route.take(answer)
             fault = route.find_fault()
