--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -149,6 +149,7 @@
         self._elsewhere: dict[str, summary.ShardSummary] = {}
         self._limits = limits or limit.Limits(rules.limits)
         self._is_suspect = is_suspect
+        self._place_keys: dict[str, int] = {}
         self.releases = release.ReleaseGate(self.fleet, chosen, self._limits)
         self.configure(rules, infos)
 
@@ -172,7 +173,11 @@
         has found the others.  In one order for all they would fill the same
         few backend servers first.
         """
-        return xxhash.xxh3_64_intdigest(f"{self._address}/{info.name}".encode())
+        # Each configuration orders thousands of servers anew.
+        if info.name not in self._place_keys:
+            key = f"{self._address}/{info.name}".encode()
+            self._place_keys[info.name] = xxhash.xxh3_64_intdigest(key)
+        return self._place_keys[info.name]
 
     def correct_load(
         self,
