Take the fields of log lines from the formatter, and drop what is left over

Found by reading the change once more. The sink kept a copy of the fields that the formatter holds; a property of the socket was used nowhere; a comment still said how often an owner spoke before; a question whose frame holds no single message left the errors of the link.

--- a/ramptray/entry/patience.py
+++ b/ramptray/entry/patience.py
@@ -15,7 +15,7 @@
 
 QUEUE_SILENCE_S = 0.4
 """How long a scheduler with waiting requests may be silent, in seconds: it says
-every tenth of a second that they still wait."""
+more than twice in that time that they still wait."""
 
 
 def is_silent(
--- a/ramptray/logsink.py
+++ b/ramptray/logsink.py
@@ -37,15 +37,11 @@
         descriptor: Where the lines go.
         lines_per_s: Lines a second that are written at most, warnings and
             errors aside.
-
-    Attributes:
-        fields: Fields that each line of an event has.
     """
 
     def __init__(self, descriptor: int, lines_per_s: int = LINES_PER_S) -> None:
         super().__init__()
         self.left_out = 0
-        self.fields: dict[str, str] = {}
         self._descriptor = descriptor
         self._lines_per_s = lines_per_s
         self._pending = bytearray()
@@ -106,7 +102,7 @@
             "name": name,
             "message": text,
             "event": event,
-            **self.fields,
+            **getattr(self.formatter, "static_fields", {}),
         }
         self._write(self._encoder.encode(line) + b"\n", False)
 
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -178,10 +178,11 @@
                     answer = await shared.ask(data, timeout=timeout_s)
             self.asked_bytes += len(data) + len(answer)
             frame = codec.decode(answer)
+            body = frame.body
         except (*BROKEN, codec.CodecError) as error:
             raise LinkError(f"{address}: {_describe(error)}") from error
         self._clock.witness(frame.clock)
-        return frame.body
+        return body
 
     @contextlib.asynccontextmanager
     async def attach(self, address: str) -> AsyncIterator[AnyLink]:
--- a/ramptray/peer/server.py
+++ b/ramptray/peer/server.py
@@ -103,8 +103,9 @@
     ) -> bytes:
         try:
             frame = codec.decode(data)
+            question = frame.body
         except codec.CodecError as error:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         self._clock.witness(frame.clock)
-        answer = await self._servant.answer(frame.body)
+        answer = await self._servant.answer(question)
         return codec.encode(self._clock.tick(), answer)
--- a/ramptray/process.py
+++ b/ramptray/process.py
@@ -122,7 +122,6 @@
     # Lines of several VMs are compared, wherever the VMs stand.
     formatter.converter = time.gmtime
     handler.setFormatter(formatter)
-    handler.fields["program"] = program
     logging.basicConfig(level=level, handlers=[handler], force=True)
     for noisy in ("httpcore", "uvicorn.access", "asyncio"):
         logging.getLogger(noisy).setLevel(logging.WARNING)
@@ -133,8 +132,6 @@
     for handler in logging.getLogger().handlers:
         if isinstance(handler.formatter, json_logger.MsgspecFormatter):
             handler.formatter.static_fields["process"] = process
-        if isinstance(handler, logsink.BoundedHandler):
-            handler.fields["process"] = process
 
 
 async def _run(main: Main, settings: Any) -> None:
--- a/ramptray/relay/stream.py
+++ b/ramptray/relay/stream.py
@@ -110,11 +110,6 @@
         """Whether nothing more can come, but for what waits to be read."""
         return self._ended
 
-    @property
-    def has_unread(self) -> bool:
-        """Whether bytes wait to be read."""
-        return bool(self._unread)
-
     def get_socket(self) -> socket.socket | None:
         """Returns the socket, None where it is closed."""
         found: socket.socket | None = self._get_transport().get_extra_info(
