Let a bundle carry a rollout's order as it is

model.Rollout held the fields of rollout.Order once more, and two functions only copied one into the other and back. Behaviour is the same: a shard exists only for a service that is declared, so orders for others are of no effect.

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from ramptray.core import rollout
+
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}\Z")]
 Digest = Annotated[str, msgspec.Meta(pattern=r"^sha256:[0-9a-f]{64}\Z")]
 PublicKey = Annotated[str, msgspec.Meta(pattern=r"^ed25519:[0-9a-f]{64}\Z")]
@@ -199,25 +201,6 @@
     release: str = ""
 
 
-class Rollout(Model, frozen=True, kw_only=True):
-    """An order to move a service's traffic to another release.
-
-    Attributes:
-        release: The release.
-        length_s: Time within which that is to be decided, in seconds.
-        began_at: When the order was learned of, on the steady clock of the VM
-            that holds the bundle.
-        share: Part of the service's requests that a bad release may get.
-        slack: Requests that it may get beyond that.
-    """
-
-    release: str
-    length_s: PositiveFloat
-    began_at: float
-    share: NonNegativeFloat = 0.1
-    slack: NonNegativeFloat = 0.0
-
-
 class RouteKind(enum.Enum):
     """How a relayed route's requests are answered, and whether they repeat.
 
@@ -337,7 +320,7 @@
     claim_window_s: PositiveFloat = 3600.0
     routes: dict[Name, Route] = {}
     relay: RelayLimits = RelayLimits()
-    rollouts: dict[Name, Rollout] = {}
+    rollouts: dict[Name, rollout.Order] = {}
 
     def get_ranks(self) -> dict[str, int]:
         """Returns the rank of each tier, 0 for the most urgent."""
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -12,7 +12,6 @@
 from ramptray.bundle import acceptance, model, signature
 from ramptray.caller import metrics
 from ramptray.core import membership
-from ramptray.core import rollout as core_rollout
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.platform import (
@@ -310,7 +309,8 @@
         bundle = add_replicas(
             self._declared, self._book.list_replicas(), self._evacuations.zones
         )
-        bundle = add_rollouts(bundle, self._rollouts.list_orders())
+        orders = self._rollouts.list_orders()
+        bundle = msgspec.structs.replace(bundle, rollouts=orders)
         envelope = signature.Envelope(self._text, {})
         self._in_force = acceptance.InForce(bundle, envelope)
         self._on_bundle(self._in_force)
@@ -353,24 +353,6 @@
     )
 
 
-def add_rollouts(
-    declared: model.Bundle, orders: Mapping[str, core_rollout.Order]
-) -> model.Bundle:
-    """Returns the declared bundle with the rollouts of its services."""
-    ordered = {
-        service: model.Rollout(
-            release=order.release,
-            length_s=order.length_s,
-            began_at=order.began_at,
-            share=order.share,
-            slack=order.slack,
-        )
-        for service, order in orders.items()
-        if service in declared.services
-    }
-    return msgspec.structs.replace(declared, rollouts=ordered)
-
-
 def _pick_nobody() -> str | None:
     """Stands in until the peers are known."""
     return None
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -454,7 +454,7 @@
         self, key: message.ShardKey, owner: shard.ShardOwner
     ) -> None:
         assert self.in_force is not None
-        order = rules.make_rollout(self.in_force.bundle, key)
+        order = self.in_force.bundle.rollouts.get(key.service)
         self.rollouts.apply(owner, order, self.owns(key))
 
     def _take_view(self, view: peer_message.View) -> None:
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ramptray.bundle import model
-from ramptray.core import backend, limit, membership, message, rollout, shard
+from ramptray.core import backend, limit, membership, message, shard
 
 
 def make_rules(bundle: model.Bundle, key: message.ShardKey) -> shard.ShardRules:
@@ -45,23 +45,6 @@
     ]
 
 
-def make_rollout(
-    bundle: model.Bundle, key: message.ShardKey
-) -> rollout.Order | None:
-    """Returns the rollout of a shard's service, if one is ordered."""
-    ordered = bundle.rollouts.get(key.service)
-    if ordered is None:
-        return None
-    return rollout.Order(
-        key.service,
-        ordered.release,
-        ordered.length_s,
-        ordered.began_at,
-        ordered.share,
-        ordered.slack,
-    )
-
-
 def make_info(bundle: model.Bundle, name: str) -> backend.BackendInfo:
     """Returns what an owner needs to know of a backend server."""
     server = bundle.backend_servers[name]
