Tell a whole stream packed, and packed once for all who ask

A VM that has just started is told all records: 793 KB for 3,000 servers (in one process), encoded anew for each asker, while an answer may take 0.4 s more than it waits, which is 200 KB at 5 Mbit/s; so VMs on slow links could never be told, asked on and were sent it all again. Packed together it is 86 KB, packed once as long as nothing changes.

Ruled out as the largest part: putting a bundle of 3,000 servers in force, 11 ms with both shards open.

--- a/ramptray/log/mirror.py
+++ b/ramptray/log/mirror.py
@@ -31,6 +31,10 @@
 """Packed values that are kept: VMs that follow mostly ask for the same ones."""
 
 
+_RECORDS_ENCODER = msgspec.msgpack.Encoder()
+_RECORDS_DECODER = msgspec.msgpack.Decoder(list[peer_message.StreamRecord])
+
+
 class MirrorError(Exception):
     """What a peer told does not fit to what is held, or is damaged."""
 
@@ -56,6 +60,8 @@
         self._dropped: dict[str, int] = {}
         # Who holds less than up to here is told all: drops may be unknown.
         self._whole_before = 0
+        # All records, packed, and the end up to which they are.
+        self._whole: tuple[int, bytes] | None = None
         self._packed: collections.OrderedDict[tuple[str, int, int], bytes] = (
             collections.OrderedDict()
         )
@@ -87,20 +93,23 @@
             start: Offset of the first record that is lacked; -1 for all.
         """
         end = self.end or 0
-        whole = start < self._whole_before
+        if start < self._whole_before:
+            packed = self._pack_whole(end)
+            return peer_message.StreamNews(
+                stream, start, [], end, True, packed=packed
+            )
         records = [
-            self._pack(change, -1 if whole else start)
+            self._pack(change, start)
             for change in self._newest.values()
-            if whole or change.position >= start
+            if change.position >= start
         ]
-        if not whole:
-            records.extend(
-                peer_message.StreamRecord(key, position, None)
-                for key, position in self._dropped.items()
-                if position >= start
-            )
+        records.extend(
+            peer_message.StreamRecord(key, position, None)
+            for key, position in self._dropped.items()
+            if position >= start
+        )
         records.sort(key=lambda record: record.position)
-        return peer_message.StreamNews(stream, start, records, end, whole)
+        return peer_message.StreamNews(stream, start, records, end, False)
 
     def unpack(self, news: peer_message.StreamNews) -> keyedstream.Changes:
         """Returns the records that a peer told.
@@ -111,6 +120,11 @@
         held = -1 if self.end is None else self.end
         if not news.whole and news.start > held:
             raise MirrorError(f"records before {news.start} are not held")
+        if news.packed is not None:
+            records = _unpack_whole(news.packed)
+            return keyedstream.Changes(
+                [self._unpack(record) for record in records], news.end
+            )
         last = max((r.position for r in news.records), default=-1)
         if news.end > held and not news.whole and last != news.end - 1:
             raise MirrorError(f"the last record before {news.end} is missing")
@@ -138,6 +152,20 @@
         if not kept or kept[-1].position != version.position:
             kept.append(version)
 
+    def _pack_whole(self, end: int) -> bytes:
+        """Returns all records in one piece.
+
+        Load pattern: hundreds of VMs start at once and ask the same few for
+        thousands of records.  Packed together they are a tenth of the bytes,
+        and they are packed once for all who ask.
+        """
+        if self._whole is None or self._whole[0] != end:
+            records = [self._pack(c, -1) for c in self._newest.values()]
+            records.sort(key=lambda record: record.position)
+            packed = delta.pack(b"", _RECORDS_ENCODER.encode(records))
+            self._whole = (end, packed)
+        return self._whole[1]
+
     def _pack(
         self, change: keyedstream.Change, start: int
     ) -> peer_message.StreamRecord:
@@ -190,3 +218,15 @@
             if version.position == record.base:
                 return version.value
         raise MirrorError(f"{record.key}: the record it rests on is not held")
+
+
+def _unpack_whole(packed: bytes) -> list[peer_message.StreamRecord]:
+    """Returns the records of a whole stream.
+
+    Raises:
+        MirrorError: They are damaged.
+    """
+    try:
+        return _RECORDS_DECODER.decode(delta.unpack(b"", packed))
+    except (delta.DeltaError, msgspec.MsgspecError) as error:
+        raise MirrorError(f"the whole stream: {error}") from error
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -215,6 +215,8 @@
         trouble_s: How long ago it last did not answer whoever read it, in
             seconds; None for never.
         returned_s: How long ago it answered again after that; likewise.
+        packed: The records of a whole stream, encoded and packed together; None
+            where they stand in ``records``.
     """
 
     stream: str
@@ -225,6 +227,7 @@
     age_s: float = 0.0
     trouble_s: float | None = None
     returned_s: float | None = None
+    packed: bytes | None = None
 
 
 class FollowStreams(msgspec.Struct, frozen=True):
