Log and count the request limits that backend servers name

The timeline of the exceeded server limit could not be told apart from its hypotheses: no log line or metric held the limit. Answers' heads now decode it, each VM logs a change of it with the request in whose answer it stood, and two metrics count limited servers and invalid values. Grants are decided as before.

--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -18,7 +18,14 @@
 from ramptray import mailbox, runtime, steadyclock
 from ramptray.bundle import acceptance, signature
 from ramptray.core import blocklist, claim, message, request, retry
-from ramptray.entry import blocked, claims, network, owners, patience
+from ramptray.entry import (
+    blocked,
+    claims,
+    network,
+    owners,
+    patience,
+    server_limits,
+)
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
@@ -78,6 +85,7 @@
         network: What is believed of the backend servers, by the bundle in
             force.
         timeline: Where events are noted.
+        server_limits: The request limits that backend servers name.
         on_doubt: Called with the address of a scheduler that has become silent.
     """
 
@@ -112,6 +120,7 @@
             self._tell_any,
             lambda: list(self._links),
         )
+        self.server_limits = server_limits.ServerLimits()
         self._budget = budget or retry.RetryBudget()
         self.on_doubt: Callable[[str], None] = _do_nothing
         self._learner = acceptance.Learner()
@@ -190,6 +199,8 @@
                     self.network.note_silent(machine.backend, now)
                 machine.info = self._get_info(ticket, now)
                 self._perform(ticket, machine.fail_connect(refused), now)
+            case tickets.HeadReceived():
+                self.server_limits.observe(event)
             case tickets.Begun(first):
                 self.network.note_answer(machine.backend, now)
                 if machine.owner:
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -253,6 +253,10 @@
         gauges = [
             *self._follower.list_gauges(now),
             metrics.Gauge("blocked_contents", {}, blocked),
+            metrics.Gauge("limited_servers", {}, len(self._desk.server_limits)),
+            metrics.Gauge(
+                "invalid_server_limits", {}, self._dialect.invalid_limits
+            ),
         ]
         text = self._measures.format() + metrics.format_gauges(gauges)
         return probe.Page(probe.OK, text)
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import logging
+import re
 import zlib
 
 from result import Err, Ok, Result
 
 from ramptray.relay import dialect, message
 
+LOG = logging.getLogger(__name__)
+
 ID = b"x-request-id"
 SIGNATURE = b"x-response-signature"
 """Set by replicas; it travels on like all headers that are not named here."""
@@ -31,6 +35,10 @@
 """The replica that is meant; every other one answers 421 and runs nothing."""
 
 NOT_RUN = b"x-not-executed"
+LIMIT = b"server-limit"
+"""Requests a second that the replica accepts from all VMs together."""
+
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _KEEP_ALIVE = b"keep-alive"
 
 _OF_ONE_CONNECTION = frozenset(
@@ -73,7 +81,14 @@
 
 
 class PlatformDialect(dialect.Dialect):
-    """The platform's headers."""
+    """The platform's headers.
+
+    Attributes:
+        invalid_limits: Answers whose request limit could not be decoded.
+    """
+
+    def __init__(self) -> None:
+        self.invalid_limits = 0
 
     def read_request(
         self, head: message.Head
@@ -135,8 +150,29 @@
             request_id=_read_text(values.get(ID)),
             not_run=NOT_RUN in values or status == _MISDIRECTED,
             idle_s=_read_keep_alive(values.get(_KEEP_ALIVE, b"")),
+            limit_per_s=self._read_limit(headers),
         )
 
+    def _read_limit(self, headers: message.Headers) -> float | None:
+        """Returns the request limit in an answer; None for none or invalid."""
+        found = [value for name, value in headers if name.lower() == LIMIT]
+        if not found:
+            return None
+        value = found[0].strip()
+        if len(found) == 1 and _DECIMAL.fullmatch(value):
+            return float(value)
+        self.invalid_limits += 1
+        # One line for each doubling bounds the log.
+        if self.invalid_limits.bit_count() == 1:
+            LOG.warning(
+                "invalid request limit ignored",
+                extra={
+                    "values": [v[:32].decode("latin-1") for v in found[:4]],
+                    "count": self.invalid_limits,
+                },
+            )
+        return None
+
     def make_refusal_headers(
         self, request_id: str, retry_after_s: float
     ) -> message.Headers:
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -245,6 +245,14 @@
             )
             await connection.send(self._order.asked, attempt)
             head = await self._read_head(connection)
+            self._ticket.report(
+                tickets.HeadReceived(
+                    self._request_id,
+                    target.backend,
+                    target.run,
+                    head.limit_per_s,
+                )
+            )
             await self._take_answer(connection, head)
 
     async def _take_answer(
--- a/ramptray/relay/message.py
+++ b/ramptray/relay/message.py
@@ -88,6 +88,8 @@
         request_id: The request that it answers; None where it does not say.
         not_run: Whether it says that the request has not run and never will.
         idle_s: How long the connection may then stay idle, if it says so.
+        limit_per_s: Requests a second that the backend server accepts from
+            all VMs together; None where it names no limit.
     """
 
     status: int
@@ -95,6 +97,7 @@
     request_id: str | None
     not_run: bool
     idle_s: float | None
+    limit_per_s: float | None = None
 
 
 class Answer(msgspec.Struct, frozen=True):
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -207,6 +207,43 @@
     assert answer.not_run is not_run
 
 
+def read_limit(*values: bytes) -> float | None:
+    headers = [(b"Server-Limit", value) for value in values]
+    return header.PlatformDialect().read_answer(200, headers).limit_per_s
+
+
+@pytest.mark.parametrize("value", [b"2", b"1.1", b"0.25", b" 12.5 ", b"0"])
+def test_the_request_limit_of_an_answer_is_decoded(value: bytes) -> None:
+    assert read_limit(value) == float(value)
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        (b"",),
+        (b"-1",),
+        (b"1e3",),
+        (b"inf",),
+        (b"nan",),
+        (b"2 a second",),
+        (b"9" * 400,),
+        (b"2", b"2"),
+        (b"2, 3",),
+    ],
+)
+def test_an_invalid_request_limit_is_counted_and_ignored(
+    values: tuple[bytes, ...], caplog: pytest.LogCaptureFixture
+) -> None:
+    headers = [(b"server-limit", value) for value in values]
+    dialect = header.PlatformDialect()
+    for _ in range(100):
+        answer = dialect.read_answer(200, headers)
+        assert answer.limit_per_s is None
+        assert answer.headers == headers
+    assert dialect.invalid_limits == 100
+    assert 0 < len(caplog.records) <= 8
+
+
 def make_record(state: str = "ready") -> bytes:
     return json.dumps(
         {
