Reproduce a server limit that all VMs together exceed

Three VMs before two replicas; one names 1 request a second. Each VM logs the limit it read ("server limit changed") and goes on, with one owner that grants: the limit is not applied anywhere.

--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+import time
 
 import anyio
 import anyio.abc
@@ -59,6 +60,7 @@
         surplus: Send an answer to another request before each answer.
         unframed: Answer without a length and close.
         work_s: How long an answer, or a pause, takes from now on.
+        limits: Values of the request limit header, one header for each.
     """
 
     refuse: bool = False
@@ -68,6 +70,7 @@
     surplus: bool = False
     unframed: bool = False
     work_s: float | None = None
+    limits: tuple[str, ...] = ()
 
 
 class Ledger(msgspec.Struct):
@@ -78,12 +81,15 @@
         heads: Headers of each, in lower case.
         gone: Ids of the requests whose connection closed while they ran.
         refused: Ids of the requests that it turned away.
+        arrived: When each request arrived, run or not, on the machine's
+            monotonic clock in seconds.
     """
 
     runs: list[str] = msgspec.field(default_factory=list)
     heads: list[dict[str, str]] = msgspec.field(default_factory=list)
     gone: list[str] = msgspec.field(default_factory=list)
     refused: list[str] = msgspec.field(default_factory=list)
+    arrived: list[float] = msgspec.field(default_factory=list)
 
 
 class Replica:
@@ -154,6 +160,8 @@
         faults = self._faults
         request_id = headers[header.ID.decode()]
         own = [(header.ID, request_id.encode())]
+        own += [(header.LIMIT, value.encode()) for value in faults.limits]
+        self._ledger.arrived.append(time.monotonic())
         if headers.get(header.BACKEND.decode()) != self._settings.name:
             await _send(stream, 421, b"", own)
             return True
--- /dev/null
+++ b/test/test_server_limit.py
@@ -0,0 +1,96 @@
+"""A request limit that a backend server names holds over all VMs together."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from test import node
+from test.test_node import ask, wait_until
+
+VMS = 3
+LIMITED, OTHER = "i-0", "i-1"
+RATE = 1.0
+WINDOW_S = 4.0
+ALLOWED = 1.5 * RATE * WINDOW_S + 5
+
+KNOWN_AFTER_S = 1.5
+"""Time after which every VM must apply a limit, in seconds."""
+
+LOAD_S = 10.0
+PAUSE_S = 0.1
+"""Pause between two requests of a sender, in seconds."""
+
+
+@pytest.fixture(scope="module")
+def started() -> Iterator[node.Platform]:
+    with node.run_platform(vms=VMS, replicas=2) as platform:
+        for number in range(VMS):
+            vm = f"vm-{number}"
+            wait_until(lambda: ask(platform, "/safe/", vm=vm).status == 200)  # noqa: B023
+        yield platform
+
+
+class Load:
+    """Sends requests to all VMs at once until it is stopped."""
+
+    def __init__(self, started: node.Platform, path: str) -> None:
+        self.statuses: list[int] = []
+        self._started = started
+        self._path = path
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._send, args=(vm,))
+            for vm in started.vms
+            for _ in range(2)
+        ]
+
+    def __enter__(self) -> Load:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _send(self, vm: str) -> None:
+        while not self._stopped.wait(PAUSE_S):
+            answer = ask(self._started, self._path, vm=vm)
+            self.statuses.append(answer.status)
+
+
+def count_most(times: list[float], window_s: float) -> int:
+    """Returns the most arrivals in any window of that length."""
+    return max(
+        (
+            sum(start <= at < start + window_s for at in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+def list_arrivals(
+    started: node.Platform, name: str, since: float
+) -> list[float]:
+    """Returns when requests arrived at a replica since a moment."""
+    arrived: list[float] = started.read_ledger(name)["arrived"]
+    return [at for at in arrived if at >= since]
+
+
+@pytest.mark.parametrize("path", ["/safe/", "/once/", "/stream/"])
+def test_a_named_limit_is_not_exceeded_by_all_vms_together(
+    started: node.Platform, path: str
+) -> None:
+    with Load(started, path) as load:
+        started.set_faults(LIMITED, limits=[str(RATE)])
+        known_at = time.monotonic() + KNOWN_AFTER_S
+        time.sleep(LOAD_S)
+    arrivals = list_arrivals(started, LIMITED, known_at)
+    assert 2 <= count_most(arrivals, WINDOW_S) <= ALLOWED
+    assert set(load.statuses) == {200}
