--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from ramptray.core import delay, message, warmup
+from ramptray.core import delay, message, pacer
 from ramptray.core import speed as speeds
 
 BLOCK_TOKENS = 64
@@ -227,7 +227,7 @@
         "loaded",
         "first_at",
         "breaks",
-        "_warm_up",
+        "_pacer",
         "_way",
         "_refused_part",
         "_refused_at",
@@ -258,7 +258,7 @@
         self.unreachable_until = 0.0
         self.first_at = float("-inf")
         self.breaks = 0
-        self._warm_up = warmup.WarmUp(info.warm_up_per_s)
+        self._pacer = pacer.Pacer()
         self._refused_part = 0.0
         self._refused_at = 0.0
         self._way = way or delay.AnswerDelay(0.0, MAX_WAY_S)
@@ -331,14 +331,31 @@
         active = self.state is BackendState.ACTIVE and self.loaded
         return active and now >= max(self.unreachable_until, self.hear_by)
 
-    def has_warm_up_room(self, now: float, part: float) -> bool:
-        """Tells whether its warming up allows one more request now.
+    def get_rate_limit(self, now: float, part: float) -> float | None:
+        """Returns the requests a second that this owner may send there.
 
         Args:
             now: The owner's clock in seconds.
-            part: The part of its rate that this owner hands out.
+            part: The part of each limit that this owner hands out.
+
+        Returns:
+            The rate; None where nothing limits it.
+        """
+        if not self.info.warm_up_per_s or now >= self.info.warm_at:
+            return None
+        return _round_down(self.info.warm_up_per_s * part)
+
+    def get_rate_wait(self, now: float, part: float) -> float:
+        """Returns the seconds until its rate limit allows one more request.
+
+        Args:
+            now: The owner's clock in seconds.
+            part: The part of each limit that this owner hands out.
         """
-        return now >= self.info.warm_at or self._warm_up.has_room(now, part)
+        rate_per_s = self.get_rate_limit(now, part)
+        if rate_per_s is None:
+            return 0.0
+        return self._pacer.get_wait(now, rate_per_s)
 
     def count_uncached(self, request: message.RequestInfo) -> int:
         """Returns the prompt tokens that the engine would have to compute."""
@@ -436,7 +453,7 @@
         self.placed[request.request_id] = placed
         self.pending[request.request_id] = placed
         self.held_tokens += placed.tokens
-        self._warm_up.note(now)
+        self._pacer.note(now)
         self.cache.add(request.prefix, request.prefix_tokens)
         return placed
 
@@ -552,3 +569,8 @@
     def _finish_prefill(self, placed: Placed) -> None:
         if self.pending.pop(placed.request.request_id, None) is not None:
             self.prefill_tokens -= placed.uncached
+
+
+def _round_down(rate_per_s: float) -> float:
+    """Returns the most whole requests in any second; less than one as it is."""
+    return float(int(rate_per_s)) if rate_per_s >= 1.0 else rate_per_s
--- /dev/null
+++ b/ramptray/core/pacer.py
@@ -0,0 +1,43 @@
+"""Even spacing of the requests to one backend server.
+
+Load pattern: a backend server accepts few requests a second, because it is
+still warming up or because it names a limit, and everybody waits for it.  A
+burst would overload it, and so would the bursts of owners that follow one
+another.
+"""
+
+from __future__ import annotations
+
+import math
+
+_ROUNDING_S = 1e-9
+"""Rounding error of sums of intervals, in seconds."""
+
+
+class Pacer:
+    """A generic cell rate algorithm (ITU-T I.371) without burst tolerance."""
+
+    __slots__ = ("_last_at",)
+
+    def __init__(self) -> None:
+        self._last_at = -math.inf
+
+    def note(self, sent_at: float) -> None:
+        """Counts a request.
+
+        Args:
+            sent_at: When it was sent, on the owner's clock in seconds.
+        """
+        self._last_at = max(self._last_at, sent_at)
+
+    def get_wait(self, now: float, rate_per_s: float) -> float:
+        """Returns the seconds until one more request may be sent, 0 for now.
+
+        Args:
+            now: The owner's clock in seconds.
+            rate_per_s: Requests a second that this owner may send; 0 for none.
+        """
+        if rate_per_s <= 0.0:
+            return math.inf
+        wait_s = self._last_at + 1.0 / rate_per_s - now
+        return wait_s if wait_s > _ROUNDING_S else 0.0
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -130,7 +130,7 @@
         request, now = demand.request, demand.now
         if not candidate.is_open(now):
             return None
-        if not candidate.has_warm_up_room(now, demand.part):
+        if candidate.get_rate_wait(now, demand.part) > 0.0:
             return None
         limit = max(1, int(candidate.info.max_running * demand.share))
         if len(candidate.placed) + candidate.foreign >= limit:
@@ -181,7 +181,7 @@
             found
             for found in candidates
             if found.is_open(demand.now)
-            and found.has_warm_up_room(demand.now, demand.part)
+            and found.get_rate_wait(demand.now, demand.part) == 0.0
         ]
         return self.pick(usable) if usable else None
 
--- a/test/test_warm_up.py
+++ b/test/test_warm_up.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from ramptray.core import limit, message, policy, shard, warmup
+from ramptray.core import limit, message, pacer, policy, shard
 from ramptray.platform import config, follower, replicas, store
 from ramptray.scheduler import rules
 from test import node, test_replicas
@@ -116,8 +116,21 @@
 
 
 def test_a_small_part_is_one_request_in_several_windows() -> None:
-    warming = warmup.WarmUp(2.0)
-    warming.note(0.0)
-    assert not warming.has_room(2.4, 0.2)
-    assert warming.has_room(2.6, 0.2)
-    assert not warming.has_room(2.6, 0.0)
+    paced = pacer.Pacer()
+    paced.note(0.0)
+    assert paced.get_wait(2.4, 2.0 * 0.2) > 0.0
+    assert paced.get_wait(2.6, 2.0 * 0.2) == 0.0
+    assert paced.get_wait(2.6, 2.0 * 0.0) > 0.0
+
+
+def test_owners_that_follow_one_another_send_no_burst_to_a_cold_server() -> (
+    None
+):
+    # Each new owner knows nothing of what its predecessor sent.
+    changes = [0.0, 0.2, 0.4, 0.6]
+    sent = [
+        at + start
+        for start in changes
+        for at in count_grants(make_owner(), 0.1)
+    ]
+    assert len(sent) <= len(changes) * SERVERS
