Apply the request limits that backend servers name to grants

What callers saw: nothing at once; the server that asked for fewer requests went on getting as many as before (22 in 4 s at 1 a second, 11 allowed), and would have failed them for want of capacity.

Cause: the limit stood in answers' heads, which only entries see, and no message carried it to the owner that grants. Class: a part of the platform's contract that nothing reads.

Change: an entry passes a changed limit to every scheduler it is attached to, and all limits to each scheduler whose link comes up, ahead of the first request there; a grant carries the limit that its owner applied, so that an answer that names another one corrects the owner. Owners space requests by the lowest rate in force (core/pacer.py), by their part of it where there may be other owners, and at least 0.25 a second, since only answers show that a limit has ended.

Ruled out: a bound in each entry, which would have to divide the rate by the number of VMs and waste most of it; keeping limits in the store, which each answer names anyway.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -61,6 +61,10 @@
 """Longest time that a grant and the word of a first token are taken to be
 underway, in seconds."""
 
+MIN_LIMIT_PER_S = 0.25
+"""Least rate at which a server with a limit is sent requests, in requests a
+second: only its answers show that the limit has ended."""
+
 LOST_FAILURES = 4
 """After so many refused connections in a row nobody waits for the server."""
 
@@ -227,6 +231,7 @@
         "loaded",
         "first_at",
         "breaks",
+        "limit_per_s",
         "_pacer",
         "_way",
         "_refused_part",
@@ -258,6 +263,7 @@
         self.unreachable_until = 0.0
         self.first_at = float("-inf")
         self.breaks = 0
+        self.limit_per_s: float | None = None
         self._pacer = pacer.Pacer()
         self._refused_part = 0.0
         self._refused_at = 0.0
@@ -341,9 +347,12 @@
         Returns:
             The rate; None where nothing limits it.
         """
-        if not self.info.warm_up_per_s or now >= self.info.warm_at:
-            return None
-        return _round_down(self.info.warm_up_per_s * part)
+        rates: list[float] = []
+        if self.info.warm_up_per_s and now < self.info.warm_at:
+            rates.append(_round_down(self.info.warm_up_per_s * part))
+        if self.limit_per_s is not None:
+            rates.append(max(self.limit_per_s, MIN_LIMIT_PER_S) * part)
+        return min(rates, default=None)
 
     def get_rate_wait(self, now: float, part: float) -> float:
         """Returns the seconds until its rate limit allows one more request.
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -35,6 +35,7 @@
         self.backends: dict[str, backends.Backend] = {}
         self._hear_by = hear_by
         self._speeds = dict(told)
+        self._limits: dict[str, message.LimitNamed] = {}
         self._wanted: frozenset[str] = frozenset()
         self._where: dict[str, backends.Backend] = {}
         self._line = speeds.Line()
@@ -80,6 +81,7 @@
         for known in self.backends.values():
             known.choose_version(version)
             self._pool.update(known)
+        self._limits = {n: k for n, k in self._limits.items() if n in wanted}
         for name in set(self.backends) - set(wanted):
             self._pool.discard(name)
             self.backends[name].state = backends.BackendState.LEAVING
@@ -132,6 +134,13 @@
         if known and known.info.run == learned.run:
             known.take_speed(learned.speed)
 
+    def take_limit(self, named: message.LimitNamed) -> None:
+        """Takes the request limit that a backend server names."""
+        self._limits[named.backend] = named
+        known = self.backends.get(named.backend)
+        if known and known.info.run == named.run:
+            known.limit_per_s = named.limit_per_s
+
     # Candidates for a request.
 
     def list_all(self) -> list[backends.Backend]:
@@ -297,6 +306,9 @@
         learned = self._speeds.get(info.name)
         if learned and learned.run == info.run:
             new.take_speed(learned.speed)
+        named = self._limits.get(info.name)
+        if named and named.run == info.run:
+            new.limit_per_s = named.limit_per_s
         self._expect_speed(new)
         self.backends[info.name] = new
         if former and former.info.run != info.run:
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -254,6 +254,21 @@
     run: int = 0
 
 
+class LimitNamed(msgspec.Struct, frozen=True):
+    """Entry to schedulers: the request limit that a backend server names.
+
+    Attributes:
+        backend: The backend server.
+        run: In which of its runs, see ``Grant``; a limit ends with its run.
+        limit_per_s: Requests a second that it accepts from all VMs together;
+            None once it names no limit any more.
+    """
+
+    backend: str
+    run: int
+    limit_per_s: float | None
+
+
 class Grant(msgspec.Struct, frozen=True):
     """Owner to entry: dispatch this request to this backend server.
 
@@ -269,6 +284,8 @@
         run: Which run of the backend server is meant: a larger number is a
             later one, which knows nothing of those before; 0 where it does not
             tell.
+        limit_per_s: The request limit of the backend server that the owner
+            applied; None where it knows of none.
     """
 
     request_id: str
@@ -279,6 +296,7 @@
     url: str = ""
     speed: Speed | None = None
     run: int = 0
+    limit_per_s: float | None = None
 
 
 class Reject(msgspec.Struct, frozen=True):
@@ -324,5 +342,6 @@
     | Ended
     | SyncDone
     | SpeedLearned
+    | LimitNamed
 )
 OwnerMessage = Grant | Reject | Redirect
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -66,6 +66,8 @@
         step_s: Seconds between two tokens that were expected; likewise.
         left_s: Seconds that were left for an answer in time; None where there
             is no objective.
+        rate_limit_per_s: Requests a second that this owner may send to the
+            backend server; None where nothing limits them.
     """
 
     waiting: int
@@ -74,6 +76,7 @@
     expected_s: float | None = None
     step_s: float | None = None
     left_s: float | None = None
+    rate_limit_per_s: float | None = None
 
 
 class ToEntry(msgspec.Struct, frozen=True):
@@ -269,6 +272,8 @@
             case message.SpeedLearned():
                 self.fleet.take_speed(received)
                 return []
+            case message.LimitNamed():
+                self.fleet.take_limit(received)
         return self.grant(now)
 
     def refuse_waiting(self, content: str, left_s: float) -> list[ToEntry]:
@@ -497,6 +502,7 @@
                 chosen.info.url,
                 chosen.get_speed(),
                 chosen.info.run,
+                chosen.limit_per_s,
             ),
             Basis(
                 len(self._queue),
@@ -505,6 +511,7 @@
                 round(expected_s, 4),
                 round(chosen.step_s, 5),
                 _get_left(waiting, now),
+                chosen.get_rate_limit(now, self._limits.part),
             ),
         )
 
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -120,7 +120,9 @@
             self._tell_any,
             lambda: list(self._links),
         )
-        self.server_limits = server_limits.ServerLimits()
+        self.server_limits = server_limits.ServerLimits(
+            self._tell_any, lambda: [*self._links, self._local]
+        )
         self._budget = budget or retry.RetryBudget()
         self.on_doubt: Callable[[str], None] = _do_nothing
         self._learner = acceptance.Learner()
@@ -506,6 +508,7 @@
         """Tells a scheduler all that waits or runs with it."""
         self._owners.note_up(address)
         self._blocked.tell_all(address, now)
+        self.server_limits.send_all(address)
         for ticket in self._tickets.values():
             if ticket.machine.owner == address:
                 self._resend(ticket, now)
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -51,12 +51,16 @@
         backend: The backend server.
         run: Which of its runs, see ``message.Grant``.
         limit_per_s: The request limit that it names; None for none.
+        owner: Address of the scheduler that granted the attempt.
+        granted_limit_per_s: The request limit that this scheduler applied.
     """
 
     request_id: str
     backend: str
     run: int
     limit_per_s: float | None
+    owner: str = ""
+    granted_limit_per_s: float | None = None
 
 
 class Begun(msgspec.Struct, frozen=True):
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -166,7 +166,7 @@
         self._events_before = self._splitter.count
         try:
             with anyio.fail_after(max(0.0, self._deadline - self._sent_at)):
-                await self._send(target)
+                await self._send(target, grant)
         except TimeoutError:
             self._lose(core_message.Reason.DEADLINE)
         except connections.NotSentError as error:
@@ -233,7 +233,9 @@
             hang_s = BUDGET_LOOK_S
         return await read(None)
 
-    async def _send(self, target: connections.Target) -> None:
+    async def _send(
+        self, target: connections.Target, grant: core_message.Grant
+    ) -> None:
         """Sends the request to one backend server and passes its answer on."""
         runs_once = not self._order.info.repeatable
         async with self._client.use(target, runs_once) as connection:
@@ -251,6 +253,8 @@
                     target.backend,
                     target.run,
                     head.limit_per_s,
+                    grant.owner,
+                    grant.limit_per_s,
                 )
             )
             await self._take_answer(connection, head)
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -111,6 +111,7 @@
         self._entries: dict[str, peer_link.Session] = {}
         self._told_at: dict[str, float] = {}
         self._speeds: dict[str, message.SpeedLearned] = {}
+        self._server_limits: dict[str, message.LimitNamed] = {}
         self._leaving_listed: frozenset[str] = frozenset()
         self._leaving_said: set[str] = set()
         self._empty_since: dict[message.ShardKey, float] = {}
@@ -225,6 +226,8 @@
                 self._speeds[name] = body
                 for owner in self.shards.values():
                     owner.receive(attached.hello.name, body, now)
+            case message.LimitNamed():
+                self._take_server_limit(attached, body, now)
             case message.Enqueue(info) | message.Running(info):
                 self._pass_to_shard(attached, info.shard, body, now)
             case (
@@ -255,6 +258,24 @@
             case peer_message.FinishKey():
                 self._claims.post(event.Finished(body))
 
+    def _take_server_limit(
+        self, attached: Attached, named: message.LimitNamed, now: float
+    ) -> None:
+        former = self._server_limits.get(named.backend)
+        if named == former:
+            return
+        self._server_limits[named.backend] = named
+        LOG.info(
+            "server limit taken",
+            extra={
+                **msgspec.structs.asdict(named),
+                "former_per_s": former and former.limit_per_s,
+                "origin": attached.hello.name,
+            },
+        )
+        for owner in self.shards.values():
+            self._send_out(owner.receive(attached.hello.name, named, now))
+
     def _greet(
         self, session: peer_link.Session, hello: peer_message.Hello
     ) -> None:
@@ -419,6 +440,8 @@
             self._speeds,
             self.guard.evidence.is_suspect,
         )
+        for named in self._server_limits.values():
+            owner.fleet.take_limit(named)
         self.shards[key] = owner
         self._apply_rollout(key, owner)
         self._mark_leaving()
@@ -433,6 +456,11 @@
             for name, speed in self._speeds.items()
             if name in bundle.backend_servers
         }
+        self._server_limits = {
+            name: named
+            for name, named in self._server_limits.items()
+            if name in bundle.backend_servers
+        }
         update = peer_message.BundleUpdate(in_force.envelope)
         for session, attached in self._sessions.items():
             if attached is not None and self._options.tells_bundle:
--- a/test/test_server_limit.py
+++ b/test/test_server_limit.py
@@ -20,6 +20,10 @@
 KNOWN_AFTER_S = 1.5
 """Time after which every VM must apply a limit, in seconds."""
 
+WORK_S, SLOW_WORK_S = 0.01, 0.05
+"""Work of the server with a limit and of the slower other one, in seconds: the
+faster one is preferred wherever its limit allows."""
+
 LOAD_S = 10.0
 PAUSE_S = 0.1
 """Pause between two requests of a sender, in seconds."""
@@ -88,7 +92,8 @@
     started: node.Platform, path: str
 ) -> None:
     with Load(started, path) as load:
-        started.set_faults(LIMITED, limits=[str(RATE)])
+        started.set_faults(LIMITED, limits=[str(RATE)], work_s=WORK_S)
+        started.set_faults(OTHER, work_s=SLOW_WORK_S)
         known_at = time.monotonic() + KNOWN_AFTER_S
         time.sleep(LOAD_S)
     arrivals = list_arrivals(started, LIMITED, known_at)
