Plan with the request limits of backend servers

Cause: with every server of a service limited, requests waited for places that looked free, past their objectives, and callers were told to return by the pace measured before the limit, all at about the same time.

Change: where every usable server has a rate limit, the owner takes its sum as the known pace. A request beyond what that pace allows within its objective is late from the start and refused at the next tick; Retry-After is the time at which those kept and those refused before it have been served; other zones are told of no room. A limited server without room counts as able to begin in time only from the time at which it has room, and does not hide slower ones.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -347,6 +347,8 @@
         Returns:
             The rate; None where nothing limits it.
         """
+        if self.limit_per_s is None and now >= self.info.warm_at:
+            return None
         rates: list[float] = []
         if self.info.warm_up_per_s and now < self.info.warm_at:
             rates.append(_round_down(self.info.warm_up_per_s * part))
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -231,14 +231,44 @@
             for other in self.backends.values():
                 self._expect_speed(other)
 
-    def refresh(self, now: float) -> None:
-        """Finds the fastest backend servers; to be called at each tick."""
+    def refresh(self, now: float, part: float) -> None:
+        """Finds the fastest backend servers; to be called at each tick.
+
+        Those that a rate limit keeps requests from come last.
+
+        Args:
+            now: The owner's clock in seconds.
+            part: The part of each limit that this owner hands out.
+        """
         self._fastest = heapq.nsmallest(
             FASTEST,
             (known for known in self.backends.values() if known.is_open(now)),
-            key=lambda known: known.speed.factor,
+            key=lambda known: (
+                known.get_rate_wait(now, part),
+                known.speed.factor,
+            ),
         )
 
+    def get_rate_limit(self, now: float, part: float) -> float | None:
+        """Returns the requests a second that may be sent to all of them.
+
+        Args:
+            now: The owner's clock in seconds.
+            part: The part of each limit that this owner hands out.
+
+        Returns:
+            The rate; None where some server has no limit, or none is usable.
+        """
+        rate_per_s = None
+        for known in self.backends.values():
+            if known.is_lost:
+                continue
+            limit = known.get_rate_limit(now, part)
+            if limit is None:
+                return None
+            rate_per_s = (rate_per_s or 0.0) + limit
+        return rate_per_s
+
     def list_fastest(
         self, request: message.RequestInfo
     ) -> list[backends.Backend]:
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -49,6 +49,7 @@
         late_at: When the answer begins too late; infinite where never.
         part: The part of limits held over all owners that is this owner's.
         is_late: Whether it can begin in time nowhere any more.
+        wait_s: Seconds that it has to wait before it may be placed.
     """
 
     request: message.RequestInfo
@@ -58,15 +59,22 @@
     late_at: float = math.inf
     is_late: bool = False
     part: float = 1.0
+    wait_s: float = 0.0
 
     @property
     def has_objective(self) -> bool:
         """Whether the answer may still begin in time."""
         return self.late_at < math.inf and not self.is_late
 
-    def is_met(self, first_s: float) -> bool:
-        """Tells whether a first token in so many seconds is in time."""
-        return self.now + first_s * FIRST_MARGIN + WAY_S <= self.late_at
+    def is_met(self, first_s: float, wait_s: float = 0.0) -> bool:
+        """Returns whether a first token would be in time.
+
+        Args:
+            first_s: Seconds that it takes once the request is placed.
+            wait_s: Seconds until the request is placed.
+        """
+        placed_at = self.now + wait_s
+        return placed_at + first_s * FIRST_MARGIN + WAY_S <= self.late_at
 
 
 class Policy(abc.ABC):
@@ -121,7 +129,8 @@
             return True
         uncached = candidate.count_uncached(demand.request)
         alone_s = candidate.estimate_alone(uncached)
-        return demand.is_met(alone_s)
+        wait_s = candidate.get_rate_wait(demand.now, demand.part)
+        return demand.is_met(alone_s, demand.wait_s + wait_s)
 
     def _find_cost(
         self, demand: Demand, candidate: backends.Backend
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -277,6 +277,13 @@
         ahead = sum(tier.cost for tier in self.tiers[: waiting.rank + 1])
         return ahead - waiting.cost
 
+    def get_count_ahead(self, waiting: Waiting) -> int:
+        """Returns how many requests that may be in time go before one."""
+        in_time = self.tiers[: self._tier_count]
+        ahead = sum(tier.count for tier in in_time[: waiting.rank + 1])
+        counted = not waiting.is_late and waiting.request.request_id in self
+        return ahead - counted
+
     def has_lower(self, rank: int) -> bool:
         """Tells whether a request of a lower tier waits."""
         return any(tier.count for tier in self.tiers[rank + 1 :])
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -149,6 +149,7 @@
         self._shed: dict[str, meter.RateMeter] = {}
         self._drained = meter.RateMeter(DRAIN_WINDOW_S)
         self._refused = meter.RateMeter(DRAIN_WINDOW_S)
+        self._refused_count = meter.RateMeter(DRAIN_WINDOW_S)
         self._elsewhere: dict[str, summary.ShardSummary] = {}
         self._limits = limits or limit.Limits(rules.limits)
         self._is_suspect = is_suspect
@@ -206,10 +207,11 @@
             now: The owner's clock in seconds.
             version: Larger than that of every earlier summary.
         """
+        limited = self._get_rate_limit(now) is not None
         return summary.ShardSummary(
             self.shard,
             self._address,
-            self._rules.queue_cost,
+            0 if limited else self._rules.queue_cost,
             tuple(tier.cost for tier in self._queue.tiers),
             self.fleet.has_usable,
             version,
@@ -313,14 +315,36 @@
             self._reject(waiting, _get_expiry_reason(waiting, now), now)
             for waiting in self._queue.list_expired(now)
         ]
-        self.fleet.refresh(now)
-        for waiting in self._queue.list_all():
-            if not waiting.is_late and self._is_too_late(waiting, now):
-                self._queue.demote(waiting)
+        self.fleet.refresh(now, self._limits.part)
+        self._demote_late(now)
         out += self._refuse_late(now)
         self.fleet.free_orphans(now)
         return [*out, *self._send_elsewhere(now), *self.grant(now)]
 
+    def _demote_late(self, now: float) -> None:
+        """Moves requests that cannot be in time behind all that can.
+
+        Load pattern: all backend servers name a limit at once.  Requests are
+        then served at a known pace, and those beyond it are late from the
+        start.
+        """
+        rate_per_s = self._get_rate_limit(now)
+        pause_s = 1.0 / rate_per_s if rate_per_s else 0.0
+        ahead = 0
+        for waiting in sorted(
+            self._queue.list_all(), key=lambda each: each.rank
+        ):
+            if waiting.is_late:
+                continue
+            if self._is_too_late(waiting, now, ahead * pause_s):
+                self._queue.demote(waiting)
+            else:
+                ahead += 1
+
+    def _get_rate_limit(self, now: float) -> float | None:
+        """Returns the requests a second that this owner may send in all."""
+        return self.fleet.get_rate_limit(now, self._limits.part)
+
     def _refuse_late(self, now: float) -> list[ToEntry]:
         """Refuses late requests at once while others wait in time.
 
@@ -459,11 +483,20 @@
             for waiting in late:
                 self._queue.demote(waiting)
 
-    def _is_too_late(self, waiting: queue.Waiting, now: float) -> bool:
-        """Tells whether an answer can begin in time nowhere any more."""
+    def _is_too_late(
+        self, waiting: queue.Waiting, now: float, wait_s: float = 0.0
+    ) -> bool:
+        """Returns whether an answer can begin in time nowhere any more.
+
+        Args:
+            waiting: The request.
+            now: The owner's clock in seconds.
+            wait_s: Seconds that the requests before it take at the rate limit.
+        """
         if waiting.late_at == math.inf:
             return False
         demand = self._make_demand(waiting, 1.0, now)
+        demand = msgspec.structs.replace(demand, wait_s=wait_s)
         fastest = self.fleet.list_fastest(waiting.request)
         return not any(self._policy.suits(demand, known) for known in fastest)
 
@@ -608,10 +641,10 @@
         return now + self._estimate_wait(waiting, now) > waiting.deadline
 
     def _estimate_wait(self, waiting: queue.Waiting, now: float) -> float:
+        if rate_per_s := self._get_rate_limit(now):
+            return self._queue.get_count_ahead(waiting) / rate_per_s
         rate = self._drained.get_rate(now)
-        if rate == 0.0:
-            return 0.0
-        return self._queue.get_cost_ahead(waiting) / rate
+        return self._queue.get_cost_ahead(waiting) / rate if rate else 0.0
 
     def _estimate_return(self, waiting: queue.Waiting, now: float) -> float:
         """Returns when a request that is refused now may be served.
@@ -621,6 +654,11 @@
         how long it takes to serve all that were refused lately.
         """
         self._refused.add(waiting.cost, now)
+        self._refused_count.add(1, now)
+        if rate_per_s := self._get_rate_limit(now):
+            ahead = self._queue.get_count_ahead(waiting)
+            refused = self._refused_count.get_sum(now)
+            return (ahead + refused) / rate_per_s
         rate = self._drained.get_rate(now)
         return self._refused.get_sum(now) / rate if rate else 0.0
 
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -263,9 +263,7 @@
 
     def _take_bundle(self, in_force: acceptance.InForce) -> None:
         self._desk.network.take_in_force(in_force)
-        self._desk.server_limits.discard_except(
-            in_force.bundle.backend_servers
-        )
+        self._desk.server_limits.discard_except(in_force.bundle.backend_servers)
         self._relay.state.limits = in_force.bundle.relay
         self._hub.post(event.BundleChanged(in_force))
         self._gossiper.membership.set_generation(
