--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -161,7 +161,7 @@
         request_id = headers[header.ID.decode()]
         own = [(header.ID, request_id.encode())]
         own += [(header.LIMIT, value.encode()) for value in faults.limits]
-        self._ledger.arrived.append(time.monotonic())
+        self._note_arrival(request_id)
         if headers.get(header.BACKEND.decode()) != self._settings.name:
             await _send(stream, 421, b"", own)
             return True
@@ -199,6 +199,11 @@
         await _send(stream, status, answer, signed)
         return True
 
+    def _note_arrival(self, request_id: str) -> None:
+        now = time.monotonic()
+        self._ledger.arrived.append(now)
+        LOG.info("arrived", extra={"request_id": request_id, "at": now})
+
     async def _crash(self, request_id: str) -> None:
         """Ends this program with all that runs in it."""
         await anyio.sleep(CRASH_S)
--- a/test/harm.py
+++ b/test/harm.py
@@ -57,6 +57,8 @@
         self._paused: set[str] = set()
         self._born: dict[str, int] = {}
         self._down: set[str] = set()
+        self._limits: dict[str, float] = {}
+        self._limit_ended_at: dict[str, float] = {}
         self.lives = dict.fromkeys(self._names, 0)
 
     def run(self, ends_at: float) -> None:
@@ -195,8 +197,24 @@
 
     def _set_faults(self, name: str, **faults: bool) -> None:
         """Sets a replica's faults; one that is down loses them anyway."""
+        if name in self._down:
+            return
+        limit = self._limits.get(name)
+        limits = [] if limit is None else [str(limit)]
+        self._platform.set_faults(name, **faults, limits=limits)
+
+    def name_limit(self, name: str, rate: float) -> None:
+        """Has a replica name a request limit; one that is down does not."""
         if name not in self._down:
-            self._platform.set_faults(name, **faults)
+            self._limits[name] = rate
+            self._limit_ended_at[name] = float("inf")
+            self._set_faults(name)
+
+    def end_limit(self, name: str) -> float:
+        """Has a replica name no limit; returns when it ended, if before."""
+        self._limits.pop(name, None)
+        self._set_faults(name)
+        return self._limit_ended_at.get(name, 0.0)
 
     def _draw_restart(self) -> Draw:
         """Draws a replica that is killed and starts again under its name."""
@@ -206,6 +224,9 @@
         if name in self._down:
             return "none", _do_nothing, _do_nothing
         self._down.add(name)
+        # A run that starts again names no limit.
+        self._limits.pop(name, None)
+        self._limit_ended_at[name] = time.monotonic()
 
         def restart() -> None:
             process.wait()
--- a/test/soak.py
+++ b/test/soak.py
@@ -24,7 +24,7 @@
 import click
 
 from bench import promise, proxy
-from test import crashing, harm, node, verdict
+from test import crashing, harm, limiting, node, verdict
 
 CHANGE_EVERY_S = 1.3
 KEPT_VERSIONS = 20
@@ -57,6 +57,7 @@
         restarts: Whether replicas also start again under their names.
         crashes: Whether a request is sent that ends what runs it.  Replicas
             then have nothing before them: a proxy would go on listening.
+        limits: Whether replicas name request limits.
     """
 
     def __init__(
@@ -67,8 +68,10 @@
         seconds: float,
         restarts: bool,
         crashes: bool = False,
+        limits: bool = False,
     ) -> None:
         self._crashes = crashes
+        self._limits = limits
         self._supervisor = crashing.Supervisor(started)
         self._platform = started
         self._seconds = seconds
@@ -88,6 +91,9 @@
             self.record,
             restarts,
         )
+        self._limiter = limiting.Limiter(
+            self._harm, random.Random(seed), sorted(started.replicas)
+        )
 
     def perform(self) -> list[promise.Promise]:
         """Runs load and faults, and returns what was kept and broken."""
@@ -145,6 +151,8 @@
         ]
         if self._crashes:
             tasks.append(lambda: self._tries.run(self._is_over))
+        if self._limits:
+            tasks.append(lambda: self._limiter.run(self._is_over))
         for name in self._names:
             tasks.append(lambda vm=name: self._look(vm))  # type: ignore[misc]
             tasks.append(lambda vm=name: self._press(vm))  # type: ignore[misc]
@@ -247,8 +255,19 @@
             *judge.judge(),
             self._judge_processes(),
             *self._judge_crashes(judge, runs),
+            *self._judge_limits(),
         ]
 
+    def _judge_limits(self) -> list[promise.Promise]:
+        if not self._limits:
+            return []
+        arrivals = {
+            name: limiting.read_arrivals(self._platform, name)
+            for name in self._platform.replicas
+        }
+        spells = self._limiter.spells
+        return [limiting.judge(spells, self.record, arrivals)]
+
     def _judge_crashes(
         self, judge: verdict.Verdict, runs: Mapping[str, list[str]]
     ) -> list[promise.Promise]:
@@ -318,6 +337,7 @@
     keep: pathlib.Path | None = None,
     restarts: bool = False,
     crashes: bool = False,
+    limits: bool = False,
 ) -> tuple[list[promise.Promise], list[str]]:
     """Runs one soak and returns its promises and its faults.
 
@@ -328,12 +348,13 @@
         keep: Folder for the programs' logs; None if they are not kept.
         restarts: Whether replicas also start again under their names.
         crashes: Whether a request is sent that ends what runs it.
+        limits: Whether replicas name request limits.
     """
     with tempfile.TemporaryDirectory() as made:
         name = keep or made
         platform = node.Platform(pathlib.Path(name))
         try:
-            soak = Soak(platform, vms, seed, seconds, restarts, crashes)
+            soak = Soak(platform, vms, seed, seconds, restarts, crashes, limits)
             return soak.perform(), list(soak.record.list_faults())
         finally:
             platform.stop_all()
@@ -350,6 +371,7 @@
 @click.option(
     "--crashes", is_flag=True, help="A request ends the replicas that run it."
 )
+@click.option("--limits", is_flag=True, help="Replicas name request limits.")
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
 @click.option(
     "--keep",
@@ -363,6 +385,7 @@
     seconds: float,
     restarts: bool,
     crashes: bool,
+    limits: bool,
     show: bool,
     keep: pathlib.Path | None,
 ) -> None:
@@ -372,7 +395,9 @@
         logs = keep / str(each) if keep else None
         if logs:
             logs.mkdir(parents=True, exist_ok=True)
-        promises, faults = run_soak(vms, each, seconds, logs, restarts, crashes)
+        promises, faults = run_soak(
+            vms, each, seconds, logs, restarts, crashes, limits
+        )
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
         for kept in promises if show else broken:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -41,6 +41,12 @@
     assert all(kept.chances for kept in promises[-2:])
 
 
+def test_the_promises_are_kept_while_replicas_name_request_limits() -> None:
+    promises, faults = soak.run_soak(4, 1, SECONDS, restarts=True, limits=True)
+    judge(promises, faults)
+    assert promises[-1].chances
+
+
 def judge(promises: list[promise.Promise], faults: list[str]) -> None:
     """Fails where a promise was broken, or could not be judged."""
     shown = "\n".join([kept.format() for kept in promises] + faults)
