Count requests without a size as their customer's entry says

What callers saw: with another size than 200 tokens in its entry, a customer got more than its limit (or less) from requests that carry no token count.

Cause: the configuration's size of such requests was not read; 200 was assumed. A prompt of 0 tokens was also taken for one without a size.

Its test failed before: three requests of 900 tokens each passed a burst of 1,000, since they counted 200 each.

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -65,6 +65,10 @@
     deadline_s: Annotated[float, msgspec.Meta(gt=0, le=86400)]
 
 
+UNSIZED_TOKENS = 200
+"""Usual size of a request that does not give it, in tokens."""
+
+
 class Limits(Model, frozen=True, kw_only=True):
     """A customer's limits for each service, over all zones.
 
@@ -77,6 +81,8 @@
         span_s: Where a total is held over any span of some seconds instead of
             rate and burst: the span; the rate then only tells what is counted.
         span_total: Most requests or tokens in any such span.
+        unsized_tokens: On relayed routes, tokens that a request without a
+            size counts.
     """
 
     requests_per_s: Annotated[float, msgspec.Meta(ge=1)] | None = None
@@ -84,6 +90,7 @@
     burst: NonNegativeFloat | None = None
     span_s: PositiveFloat | None = None
     span_total: NonNegativeFloat = 0.0
+    unsized_tokens: PositiveInt = UNSIZED_TOKENS
 
 
 class Customer(Model, frozen=True, kw_only=True):
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -107,6 +107,9 @@
     unit: str = "requests"
     rate_per_s: float = msgspec.field(name="ratePerS", default=0.0)
     burst: model.NonNegativeFloat = 0.0
+    unsized_tokens: model.PositiveInt = msgspec.field(
+        name="uncachedTokens", default=model.UNSIZED_TOKENS
+    )
 
 
 class _Config(_Wire, frozen=True, kw_only=True):
@@ -294,6 +297,7 @@
         requests_per_s=None if in_tokens else rate,
         tokens_per_s=rate if in_tokens else None,
         burst=tenant.burst,
+        unsized_tokens=tenant.unsized_tokens,
     )
     if not terms.span_s:
         return limits
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -18,9 +18,6 @@
 UNAUTHORIZED = 401
 NOT_FOUND = 404
 
-PLAIN_TOKENS = 200
-"""Size assumed of a request that does not tell it, in tokens."""
-
 WAIT_PART = 0.45
 """Part of a caller's patience that its request may wait before it is refused: a
 refusal after more than half of it leaves no time to come back."""
@@ -159,7 +156,8 @@
         tier = _pick_tier(declared, route)
         patience_s = min(route.patience_s or timeout_s, timeout_s)
         prompt = asked.prompt_tokens
-        most = (prompt or PLAIN_TOKENS) + asked.output_tokens
+        if prompt is None:
+            prompt = model.UNSIZED_TOKENS
         engine = bundle.engines.get(service)
         event_tokens = engine.tokens_per_event if engine else 1
         info = core_message.RequestInfo(
@@ -167,13 +165,13 @@
             shard=core_message.ShardKey(self._zone, service),
             customer=customer,
             tier=tier,
-            prompt_tokens=PLAIN_TOKENS if prompt is None else prompt,
+            prompt_tokens=prompt,
             output_tokens=asked.likely_tokens or asked.output_tokens,
             prefix=asked.prefix,
             prefix_tokens=asked.prefix_tokens,
             route=route.path_prefix,
             deadline_s=timeout_s,
-            limit_tokens=most,
+            limit_tokens=_count_tokens(asked, declared),
             repeatable=_is_repeatable(route),
             max_attempts=route.max_attempts,
             objective_s=route.objective_s,
@@ -193,6 +191,17 @@
     return customer.route_tiers.get(route.tier, customer.tiers[0])
 
 
+def _count_tokens(
+    asked: message.CallerRequest, customer: model.Customer | None
+) -> int:
+    """Returns what a request counts against its customer's limit."""
+    if asked.prompt_tokens is not None:
+        return asked.prompt_tokens + asked.output_tokens
+    if customer is None:
+        return model.UNSIZED_TOKENS
+    return customer.limits.unsized_tokens
+
+
 def _is_repeatable(route: model.Route) -> bool:
     if route.kind is model.RouteKind.STREAM:
         return route.resumable
--- /dev/null
+++ b/test/test_counted_sizes.py
@@ -0,0 +1,30 @@
+"""What requests count against their customer's token limit."""
+
+from __future__ import annotations
+
+from test import node
+from test.test_node import ask, wait_until
+
+SIZE = 900
+
+
+def test_requests_without_sizes_count_as_the_configuration_says() -> None:
+    # They counted 200 tokens each, whatever the customer's entry said.
+    with node.run_platform() as started:
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        tenants = node.make_config(1)["tenants"]
+        tenants[1]["uncachedTokens"] = SIZE
+        started.set_config(node.make_config(2, tenants=tenants))
+        wait_until(
+            lambda: any(
+                line["message"] == "bundle in force" and line["generation"] == 2
+                for line in started.read_log("vm-0")
+            )
+        )
+        key = f"Bearer {node.LIMITED_KEY}"
+        statuses = [
+            ask(started, "/safe/", headers={"Authorization": key}).status
+            for _ in range(3)
+        ]
+    # The second request may overdraw the burst of 1,000 tokens.
+    assert statuses == [200, 200, 429]
