Keep requests in the regions that their route and customer allow

What callers saw: a route or customer whose entry names allowed regions was served by backend servers of any region.

Cause: allowedRegions was not read; the same class as the server limit.

Change: the entry intersects both lists and the owner grants in them only, also where every server of them has failed the request; a request that no region may serve is refused at once. The region of a backend server is that of its zone, as the VM's settings give it.

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -104,6 +104,8 @@
             customer's requests have there instead.
         share: Weight within a tier.
         limits: Its limits.
+        regions: Regions whose backend servers may run what it sends on relayed
+            routes; None for any.
     """
 
     key_hashes: Annotated[list[Digest], msgspec.Meta(min_length=1)]
@@ -111,6 +113,7 @@
     route_tiers: dict[Name, Name] = {}
     share: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
     limits: Limits = Limits()
+    regions: list[str] | None = None
 
 
 class ServiceKind(enum.Enum):
@@ -193,6 +196,8 @@
         warm_at: When it is warm, on the steady clock of the VM that holds the
             bundle.
         release: The release of its software; empty where it does not tell.
+        region: The region of its availability zone; empty where that is not
+            known.
     """
 
     zone: Name
@@ -206,6 +211,7 @@
     run: int = 0
     warm_at: float = 0.0
     release: str = ""
+    region: str = ""
 
 
 class RouteKind(enum.Enum):
@@ -251,6 +257,8 @@
         tier: Tier of the requests of customers that have none of their own.
         public: Whether requests need no key.
         resumable: Whether a stream may go on at another backend server.
+        regions: Regions whose backend servers may run its requests; None for
+            any.
     """
 
     host: str
@@ -265,6 +273,7 @@
     tier: Name
     public: bool = False
     resumable: bool = False
+    regions: list[str] | None = None
 
 
 class RelayLimits(Model, frozen=True, kw_only=True):
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -90,6 +90,7 @@
             it needs no warming up.
         warm_at: When it is warm, on the owner's clock.
         release: The release of its software; empty where it does not tell.
+        region: The region it stands in; empty where that is not known.
     """
 
     name: str
@@ -101,6 +102,7 @@
     warm_up_per_s: float = 0.0
     warm_at: float = 0.0
     release: str = ""
+    region: str = ""
 
     def is_alike(self, other: BackendInfo) -> bool:
         """Tells whether two differ at most in when the server is warm."""
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -171,20 +171,30 @@
         """Returns the candidates that a request may go to.
 
         A request that was sent everywhere within its entry's reach may go
-        anywhere there again.
+        anywhere there again, but never outside its regions.
         """
-        if not request.avoid and not request.silent:
+        if not (request.avoid or request.silent or request.regions is not None):
             return candidates
-        left_out = set(request.avoid) | set(request.silent)
+        never = set(request.silent) | self._list_barred(request)
+        left_out = never | set(request.avoid)
         if not set(self.backends) - left_out:
-            left_out = set(request.silent)
+            left_out = never
         return [c for c in candidates if c.info.name not in left_out]
 
     def is_out_of_reach(self, request: message.RequestInfo) -> bool:
         """Tells whether the request's entry can reach none of them."""
-        return bool(self.backends) and not (
-            set(self.backends) - set(request.silent)
-        )
+        never = set(request.silent) | self._list_barred(request)
+        return bool(self.backends) and not set(self.backends) - never
+
+    def _list_barred(self, request: message.RequestInfo) -> set[str]:
+        """Returns the backend servers outside the request's regions."""
+        if request.regions is None:
+            return set()
+        return {
+            name
+            for name, known in self.backends.items()
+            if known.info.region not in request.regions
+        }
 
     # Places.
 
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -93,6 +93,7 @@
         prefix_tokens: Tokens that each block of the prefix covers; empty where
             all cover the usual number.
         route: The route that it came on; empty where there are none.
+        regions: Regions whose backend servers may run it; None for any.
     """
 
     request_id: str
@@ -117,6 +118,7 @@
     content: str = ""
     prefix_tokens: tuple[int, ...] = ()
     route: str = ""
+    regions: tuple[str, ...] | None = None
 
 
 class Enqueue(msgspec.Struct, frozen=True):
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -73,6 +73,9 @@
     )
     public: bool = False
     resumable: bool = False
+    regions: list[str] | None = msgspec.field(
+        name="allowedRegions", default=None
+    )
 
 
 class _Engine(_Wire, frozen=True, kw_only=True):
@@ -110,6 +113,9 @@
     unsized_tokens: model.PositiveInt = msgspec.field(
         name="uncachedTokens", default=model.UNSIZED_TOKENS
     )
+    regions: list[str] | None = msgspec.field(
+        name="allowedRegions", default=None
+    )
 
 
 class _Config(_Wire, frozen=True, kw_only=True):
@@ -285,6 +291,7 @@
             ]
         },
         limits=limits,
+        regions=tenant.regions,
     )
 
 
@@ -355,6 +362,7 @@
         tier=_name_tier(route.priority, route.priority),
         public=route.public,
         resumable=route.resumable,
+        regions=route.regions,
     )
 
 
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Collection, Iterable, Mapping
+from types import MappingProxyType
 
 import anyio
 import msgspec
@@ -60,7 +61,8 @@
         reader: The store.
         client: Asks peers.
         hold_s: See ``replicas.ReplicaBook``.
-        zones: All availability zones; empty where that is not told.
+        zones: Region of each availability zone; empty where that is not
+            given.
         terms: How customers' limits are judged.
         rollout_terms: How much a release that turns out bad may get.
         on_bundle: Called with each bundle that comes into force.
@@ -77,7 +79,7 @@
         reader: store.Store,
         client: peer_link.PeerClient,
         hold_s: float,
-        zones: Collection[str],
+        zones: Mapping[str, str],
         terms: settings.LimitTerms,
         rollout_terms: settings.RolloutTerms,
         on_bundle: OnBundle,
@@ -87,6 +89,7 @@
         self._in_force: acceptance.InForce | None = None
         self._parser = config.ConfigParser(terms)
         self._book = replicas.ReplicaBook(hold_s, zones)
+        self._regions = zones
         self._evacuations = evacuation.EvacuationBook()
         self._rollouts = rollout.OrderBook(rollout_terms)
         self._on_bundle = on_bundle
@@ -307,7 +310,10 @@
         if self._declared is None:
             return
         bundle = add_replicas(
-            self._declared, self._book.list_replicas(), self._evacuations.zones
+            self._declared,
+            self._book.list_replicas(),
+            self._evacuations.zones,
+            self._regions,
         )
         orders = self._rollouts.list_orders()
         bundle = msgspec.structs.replace(bundle, rollouts=orders)
@@ -320,6 +326,7 @@
     declared: model.Bundle,
     found: dict[str, peer_message.Replica],
     evacuated: Collection[str] = (),
+    regions: Mapping[str, str] = MappingProxyType({}),
 ) -> model.Bundle:
     """Returns the declared bundle with its backend servers as they are now.
 
@@ -327,6 +334,7 @@
         declared: The bundle.
         found: The replicas.
         evacuated: Availability zones whose backend servers get no new work.
+        regions: Region of each availability zone, as far as it is known.
     """
     known = {n: r for n, r in found.items() if r.service in declared.services}
     engines = dict(declared.engines)
@@ -342,6 +350,7 @@
             url=f"http://{replica.address}",
             leaving=replica.leaving or replica.zone in evacuated,
             availability_zone=replica.zone,
+            region=regions.get(replica.zone, ""),
             run=replica.run,
             warm_at=replica.warm_at,
             release=replica.release,
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -111,7 +111,8 @@
         readiness: Address on which the balancer asks whether the VM is ready.
         peers: Address on which other VMs connect.
         seeds: Addresses of up to three VMs; they may be stale.
-        zones: All availability zones; empty where that is not told.
+        zones: Region of each availability zone; empty where that is not
+            given.
         store: Address of the store.
         cores: Processor time a second, in seconds of a core.
         memory_mb: Memory limit in megabytes.
@@ -133,7 +134,7 @@
     readiness: str
     peers: str
     seeds: tuple[str, ...]
-    zones: frozenset[str]
+    zones: dict[str, str]
     store: str
     cores: float
     memory_mb: int
@@ -186,7 +187,7 @@
         readiness=raw.listen.ready,
         peers=raw.listen.control,
         seeds=tuple(raw.seeds),
-        zones=frozenset(raw.zones),
+        zones=raw.zones,
         store=raw.platform.address,
         # The share is of a core that runs ``cores`` times as fast as usual.
         cores=raw.limits.cpu_share * raw.limits.cores,
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -179,6 +179,9 @@
             max_gap_s=route.max_gap_s,
             event_tokens=event_tokens,
             content=content.make_digest(asked, customer, self._content_key),
+            regions=_intersect(
+                route.regions, declared.regions if declared else None
+            ),
         )
         return exchange.Order(
             asked, info, route, customer, timeout_s, event_tokens
@@ -191,6 +194,16 @@
     return customer.route_tiers.get(route.tier, customer.tiers[0])
 
 
+def _intersect(
+    first: list[str] | None, second: list[str] | None
+) -> tuple[str, ...] | None:
+    """Returns the regions that are in both lists; None stands for any."""
+    if first is None or second is None:
+        either = second if first is None else first
+        return None if either is None else tuple(either)
+    return tuple(region for region in first if region in second)
+
+
 def _count_tokens(
     asked: message.CallerRequest, customer: model.Customer | None
 ) -> int:
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -59,6 +59,7 @@
         engine.warm_up_per_s,
         server.warm_at,
         server.release,
+        server.region,
     )
 
 
--- a/test/node.py
+++ b/test/node.py
@@ -115,6 +115,7 @@
         self.announced: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.bounds: dict[str, float] = {"graceS": 8, "retryBudgetSlack": 500}
+        self.regions: dict[str, str] = {}
         # The checkout whose program VMs run; None for the one at work.
         self.tree: pathlib.Path | None = None
 
@@ -190,6 +191,8 @@
             f"linkMbps = {link_mbps}",
             "[bounds]",
             *(f"{key} = {bound}" for key, bound in self.bounds.items()),
+            *(["[zones]"] if self.regions else []),
+            *(f'{zone} = "{name}"' for zone, name in self.regions.items()),
             "[platform]",
             f'address = "{store or self.store}"',
         ]
@@ -389,6 +392,7 @@
     vms: int = 1,
     replicas: int = 2,
     bounds: dict[str, float] | None = None,
+    regions: dict[str, str] | None = None,
 ) -> Iterator[Platform]:
     """Runs a deployment with a first configuration.
 
@@ -396,10 +400,13 @@
         vms: How many VMs.
         replicas: How many replicas.
         bounds: Bounds of the VMs' settings that differ from the usual ones.
+        regions: Region of each availability zone; None where VMs are given
+            none.
     """
     with tempfile.TemporaryDirectory() as name:
         platform = Platform(pathlib.Path(name))
         platform.bounds.update(bounds or {})
+        platform.regions.update(regions or {})
         try:
             platform.start_store()
             platform.set_config(make_config(1))
