--- a/bench/decide.py
+++ b/bench/decide.py
@@ -9,7 +9,7 @@
 import click
 
 from bench import slopes
-from ramptray.core import message, shard
+from ramptray.core import message, owner_effect, shard
 
 BACKENDS = (60, 600)
 WAITING = (100, 10_000)
@@ -74,7 +74,7 @@
     return _collect(out)
 
 
-def _collect(out: list[shard.ToEntry]) -> list[str]:
+def _collect(out: list[owner_effect.ToEntry]) -> list[str]:
     return [
         effect.message.request_id
         for effect in out
--- a/bench/replay/world.py
+++ b/bench/replay/world.py
@@ -7,7 +7,8 @@
 import random
 
 from bench.replay import caller, clock, engine, pattern
-from ramptray.core import backend, limit, message, policy, shard
+from ramptray.core import backend, limit, message, owner_effect, policy, shard
+from ramptray.core import rules as shard_rules
 from ramptray.relay import service
 from ramptray.standin.engine import batch
 
@@ -224,7 +225,7 @@
         if owner is self._owner:
             self._deliver(owner.receive(ENTRY, told, self.timer.now))
 
-    def _deliver(self, effects: list[shard.ToEntry]) -> None:
+    def _deliver(self, effects: list[owner_effect.ToEntry]) -> None:
         for effect in effects:
             at = self.timer.now + WAY_S
             self.timer.call_at(at, self._hear, effect.message)
@@ -254,7 +255,7 @@
         return shard.ShardOwner(
             KEY,
             "owner",
-            shard.ShardRules(
+            shard_rules.ShardRules(
                 {tier: rank for rank, tier in enumerate(tiers)},
                 10**9,
                 0.0,
@@ -267,7 +268,7 @@
             ],
             policy.make_policy(self._policy_name),
             self.timer.now,
-            hear_s=0.0,
+            report_grace_s=0.0,
         )
 
     # What happens.
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -36,6 +36,7 @@
     shard,
     summary,
 )
+from ramptray.core import rules as shard_rules
 from ramptray.peer import codec
 from ramptray.peer import message as peer_message
 
@@ -108,11 +109,11 @@
     return shard.ShardOwner(
         message.ShardKey("waw-a", "assistant"),
         "127.0.0.1:1",
-        shard.ShardRules({"urgent": 0, "batch": 1}, 10**9, 0.1, {}, {}),
+        shard_rules.ShardRules({"urgent": 0, "batch": 1}, 10**9, 0.1, {}, {}),
         [backend.BackendInfo(f"e{n}", 8, 10**6, 1024) for n in range(count)],
         policy.make_policy(),
         0.0,
-        hear_s=0.0,
+        report_grace_s=0.0,
     )
 
 
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from ramptray.core import delay, message, pacer
+from ramptray.core import message, pacer
+from ramptray.core import rtt as rtts
 from ramptray.core import speed as speeds
 
 BLOCK_TOKENS = 64
@@ -57,7 +58,7 @@
 """Time in which two thirds of that part are forgotten, in seconds: a server
 that has recovered gets work again within the time of a few answers."""
 
-MAX_WAY_S = 2.0
+MAX_RTT_S = 2.0
 """Longest time that a grant and the word of a first token are taken to be
 underway, in seconds."""
 
@@ -207,11 +208,11 @@
 
     Args:
         info: What the bundle says of it.
-        hear_by: Until then no work goes there unless it has said something of
-            itself: a new owner does not know yet whether it is leaving.
+        report_due_at: Until then it gets no work before its first report,
+            which shows whether it is leaving.
         line: What is known of the speed of all engines.
-        way: How long grants and words of first tokens are underway, with what
-            entries do in between.
+        rtt: Round trip of grants and first tokens, with the time that
+            entries take.
     """
 
     __slots__ = (
@@ -225,7 +226,7 @@
         "report_running",
         "state",
         "speed",
-        "hear_by",
+        "report_due_at",
         "held_tokens",
         "unreachable_until",
         "version",
@@ -235,7 +236,7 @@
         "breaks",
         "limit_per_s",
         "_pacer",
-        "_way",
+        "_rtt",
         "_refused_part",
         "_refused_at",
     )
@@ -243,12 +244,12 @@
     def __init__(
         self,
         info: BackendInfo,
-        hear_by: float = 0.0,
+        report_due_at: float = 0.0,
         line: speeds.Line | None = None,
-        way: delay.AnswerDelay | None = None,
+        rtt: rtts.RttEstimator | None = None,
     ) -> None:
         self.info = info
-        self.hear_by = hear_by
+        self.report_due_at = report_due_at
         self.state = BackendState.ACTIVE
         self.placed: dict[str, Placed] = {}
         self.pending: dict[str, Placed] = {}
@@ -269,7 +270,7 @@
         self._pacer = pacer.Pacer()
         self._refused_part = 0.0
         self._refused_at = 0.0
-        self._way = way or delay.AnswerDelay(0.0, MAX_WAY_S)
+        self._rtt = rtt or rtts.RttEstimator(0.0, MAX_RTT_S)
 
     @property
     def is_lost(self) -> bool:
@@ -337,7 +338,7 @@
     def is_open(self, now: float) -> bool:
         """Tells whether new work may go there at all."""
         active = self.state is BackendState.ACTIVE and self.loaded
-        return active and now >= max(self.unreachable_until, self.hear_by)
+        return active and now >= max(self.unreachable_until, self.report_due_at)
 
     def get_rate_limit(self, now: float, part: float) -> float | None:
         """Returns the requests a second that this owner may send there.
@@ -412,7 +413,7 @@
             return 1.0
         oldest = next(iter(self.pending.values()))
         # A busy entry must not make its engine look slow.
-        waited_s = now - oldest.started - self._way.longest_s
+        waited_s = now - oldest.started - self._rtt.timeout_s
         return max(1.0, waited_s / (oldest.expected_s + OVERDUE_GRACE_S))
 
     def has_room(
@@ -493,7 +494,7 @@
         if placed is None:
             return
         self.failures = 0
-        self._way.note(max(0.0, now - placed.started - first.elapsed_s))
+        self._rtt.observe(max(0.0, now - placed.started - first.elapsed_s))
         placed.answers_since = now
         if now >= self.info.warm_at:
             usual_s = self.speed.line.estimate(placed.uncached)
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from ramptray.core import backend as backends
-from ramptray.core import candidate, delay, message
+from ramptray.core import candidate, message, rtt
 from ramptray.core import speed as speeds
 
 ORPHAN_S = 30.0
@@ -21,8 +21,8 @@
     """Keeps a shard's view of its backend servers.
 
     Args:
-        hear_by: Until then a backend server gets no work unless it has said
-            something of itself.
+        report_due_at: Until then a backend server gets no work before its
+            first report.
         told: What earlier owners have learned of some of them.
 
     Attributes:
@@ -30,16 +30,16 @@
     """
 
     def __init__(
-        self, hear_by: float, told: Mapping[str, message.SpeedLearned]
+        self, report_due_at: float, told: Mapping[str, message.SpeedLearned]
     ) -> None:
         self.backends: dict[str, backends.Backend] = {}
-        self._hear_by = hear_by
+        self._hear_by = report_due_at
         self._speeds = dict(told)
         self._limits: dict[str, message.LimitNamed] = {}
         self._wanted: frozenset[str] = frozenset()
         self._where: dict[str, backends.Backend] = {}
         self._line = speeds.Line()
-        self._way = delay.AnswerDelay(0.0, backends.MAX_WAY_S)
+        self._rtt = rtt.RttEstimator(0.0, backends.MAX_RTT_S)
         self._fastest: list[backends.Backend] = []
         self._pool = candidate.FreePool()
         self._holders = candidate.HolderIndex()
@@ -116,7 +116,7 @@
             wanted: The model version to serve.
         """
         if known := self.backends.get(name):
-            known.hear_by = 0.0
+            known.report_due_at = 0.0
             known.correct(running, step_s)
             known.versions = versions
             known.choose_version(wanted)
@@ -125,7 +125,7 @@
     def note_silence(self, name: str) -> None:
         """Notes that a backend server gives no load report."""
         if known := self.backends.get(name):
-            known.hear_by = 0.0
+            known.report_due_at = 0.0
 
     def take_speed(self, learned: message.SpeedLearned) -> None:
         """Takes a speed that another owner has learned."""
@@ -342,7 +342,7 @@
 
         A later run holds and knows nothing of before: what ran has ended.
         """
-        new = backends.Backend(info, self._hear_by, self._line, self._way)
+        new = backends.Backend(info, self._hear_by, self._line, self._rtt)
         learned = self._speeds.get(info.name)
         if learned and learned.run == info.run:
             new.take_speed(learned.speed)
--- /dev/null
+++ b/ramptray/core/granting.py
@@ -0,0 +1,215 @@
+"""Granting backend servers to the requests that wait in a shard."""
+
+from __future__ import annotations
+
+import itertools
+import math
+
+from ramptray.core import backend as backends
+from ramptray.core import (
+    fleet,
+    limit,
+    message,
+    owner_effect,
+    pace,
+    queue,
+    release,
+    selector,
+    shedding,
+)
+from ramptray.core import rules as shard_rules
+
+HEADS_TRIED = 4
+"""Customers whose first request is tried before a tier is left waiting."""
+
+
+class Granter:
+    """Grants places to waiting requests, highest tier first.
+
+    Args:
+        address: The owner's address, which its grants name.
+        rules: What the bundle says about the shard.
+        waiting: The queue.
+        servers: The shard's backend servers.
+        limits: The part of each limit that this owner hands out.
+        chosen: Chooses a backend server.
+        paced: Counts grants.
+        releases: Counts what each release gets.
+        counters: What the shard has done.
+
+    Attributes:
+        rules: The same; replaced with each bundle.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        rules: shard_rules.ShardRules,
+        waiting: queue.ShardQueue,
+        servers: fleet.Fleet,
+        limits: limit.Limits,
+        chosen: selector.Selector,
+        paced: pace.Pace,
+        releases: release.ReleaseGate,
+        counters: shedding.Counters,
+    ) -> None:
+        self.rules = rules
+        self._address = address
+        self._queue = waiting
+        self._fleet = servers
+        self._limits = limits
+        self._selector = chosen
+        self._pace = paced
+        self._releases = releases
+        self._counters = counters
+        self._grant_ids = itertools.count(1)
+
+    def grant(
+        self, now: float, only: list[backends.Backend] | None = None
+    ) -> list[owner_effect.ToEntry]:
+        """Grants as much as fits, highest tier first.
+
+        Args:
+            now: The owner's clock in seconds.
+            only: The backend servers that have got room; None for any.
+        """
+        out = self._grant_at(now, only)
+        if out and only is not None and self._queue:
+            # Those who waited behind them may go elsewhere too.
+            out += self._grant_at(now, None)
+        return out
+
+    def _grant_at(
+        self, now: float, only: list[backends.Backend] | None
+    ) -> list[owner_effect.ToEntry]:
+        out: list[owner_effect.ToEntry] = []
+        ahead: list[message.RequestInfo] = []
+        for rank, tier in enumerate(self._queue.tiers):
+            share = 1.0 if rank == 0 else 1.0 - self.rules.headroom
+            while granted := self._grant_one(tier, share, now, only, ahead):
+                out.append(granted)
+            if not tier.count:
+                continue
+            ahead.extend(w.request for w in tier.list_heads(HEADS_TRIED))
+            if len(ahead) >= HEADS_TRIED:
+                break
+        return out
+
+    def _grant_one(
+        self,
+        tier: queue.TierQueue,
+        share: float,
+        now: float,
+        only: list[backends.Backend] | None,
+        ahead: list[message.RequestInfo],
+    ) -> owner_effect.ToEntry | None:
+        """Grants one request of a tier, if there is a place for one.
+
+        Args:
+            tier: The tier.
+            share: The part of each engine's places that it may use.
+            now: The owner's clock in seconds.
+            only: The backend servers that have got room; None for any.
+            ahead: Waiting requests of higher tiers; the places that they may
+                take are not for this one.
+        """
+        if not tier.count:
+            return None
+        self._demote_late_heads(tier, now)
+        window = self._selector.take_window() if only is None else only
+        passed: list[queue.Waiting] = []
+        for waiting in tier.list_heads(HEADS_TRIED):
+            candidates = window
+            if only is None:
+                candidates = self._selector.add_holders(window, waiting.request)
+            chosen = self._selector.select(
+                waiting, share, now, candidates, ahead
+            )
+            if chosen is not None:
+                for other in passed:
+                    other.passed_over += waiting.cost
+                return self._place(tier, waiting, chosen, now)
+            if waiting.is_starved:
+                return None
+            passed.append(waiting)
+        return None
+
+    def _demote_late_heads(self, tier: queue.TierQueue, now: float) -> None:
+        """Lets those pass whose answer may still begin in time."""
+        while late := [
+            waiting
+            for waiting in tier.list_heads(HEADS_TRIED)
+            if not waiting.is_late and self._selector.is_too_late(waiting, now)
+        ]:
+            for waiting in late:
+                self._queue.demote(waiting)
+
+    def _place(
+        self,
+        tier: queue.TierQueue,
+        waiting: queue.Waiting,
+        chosen: backends.Backend,
+        now: float,
+    ) -> owner_effect.ToEntry:
+        request = waiting.request
+        grant_id = f"{self._address}#{next(self._grant_ids)}"
+        uncached = chosen.count_uncached(request)
+        expected_s = chosen.estimate_first_token(uncached, now)
+        self._queue.remove(waiting)
+        tier.charge(waiting, self.rules.shares.get(request.customer, 1.0))
+        self._fleet.place(
+            request, chosen, waiting.entry, grant_id, now, waiting.since
+        )
+        self._pace.count_grant(waiting, now)
+        self._counters.granted += 1
+        self._releases.note_sent(chosen)
+        return owner_effect.ToEntry(
+            waiting.entry,
+            message.Grant(
+                request.request_id,
+                grant_id,
+                chosen.info.name,
+                self._address,
+                chosen.version,
+                chosen.info.url,
+                chosen.get_speed(),
+                chosen.info.run,
+                chosen.limit_per_s,
+            ),
+            owner_effect.Basis(
+                len(self._queue),
+                len(chosen.placed),
+                chosen.info.max_running,
+                round(expected_s, 4),
+                round(chosen.step_s, 5),
+                _get_left(waiting, now),
+                chosen.get_rate_limit(now, self._limits.part),
+            ),
+        )
+
+    def demote_late(self, now: float) -> None:
+        """Moves requests that cannot be in time behind all that can.
+
+        Load pattern: all backend servers name a limit at once.  Requests are
+        then served at a known pace, and those beyond it are late from the
+        start.
+        """
+        rate_per_s = self._pace.get_rate_limit(now)
+        pause_s = 1.0 / rate_per_s if rate_per_s else 0.0
+        ahead = 0
+        for waiting in sorted(
+            self._queue.list_all(), key=lambda each: each.rank
+        ):
+            if waiting.is_late:
+                continue
+            if self._selector.is_too_late(waiting, now, ahead * pause_s):
+                self._queue.demote(waiting)
+            else:
+                ahead += 1
+
+
+def _get_left(waiting: queue.Waiting, now: float) -> float | None:
+    """Returns the seconds left for an answer in time, for the logs."""
+    if waiting.late_at == math.inf:
+        return None
+    return round(waiting.late_at - now, 4)
--- /dev/null
+++ b/ramptray/core/remote.py
@@ -0,0 +1,40 @@
+"""The same shard in other zones, as far as their summaries show."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ramptray.core import message, queue, summary
+
+
+class RemoteShards:
+    """Finds zones that have room for a request.
+
+    Args:
+        shard: The shard here.
+    """
+
+    def __init__(self, shard: message.ShardKey) -> None:
+        self._zone = shard.zone
+        self._summaries: dict[str, summary.ShardSummary] = {}
+
+    def set_summaries(self, summaries: Iterable[summary.ShardSummary]) -> None:
+        """Takes the newest summary of each zone."""
+        self._summaries = {found.shard.zone: found for found in summaries}
+
+    def has_room(self, waiting: queue.Waiting) -> bool:
+        """Returns whether some zone would keep a request."""
+        return bool(self._list_rooms(waiting))
+
+    def pick(self, waiting: queue.Waiting) -> summary.ShardSummary | None:
+        """Returns the zone with room where least waits, if there is one."""
+        rooms = self._list_rooms(waiting)
+        return min(rooms, key=lambda found: sum(found.waiting), default=None)
+
+    def _list_rooms(self, waiting: queue.Waiting) -> list[summary.ShardSummary]:
+        tried = (*waiting.request.spilled_from, self._zone)
+        return [
+            found
+            for zone, found in self._summaries.items()
+            if zone not in tried and found.has_room(waiting.rank, waiting.cost)
+        ]
--- /dev/null
+++ b/ramptray/core/rtt.py
@@ -0,0 +1,48 @@
+"""Adaptive timeouts from observed round trips.
+
+Load pattern: the VM that is asked is short of processor time and answers late.
+With a fixed timeout it would be taken for lost, and another VM would do its
+work again, which costs all of them more processor time still.
+"""
+
+from __future__ import annotations
+
+MEAN_WEIGHT = 0.125
+"""Weight of a new sample in the smoothed round-trip time (RFC 6298)."""
+
+DEVIATION_WEIGHT = 0.25
+"""Weight of a new sample in the smoothed deviation (RFC 6298)."""
+
+DEVIATIONS = 4.0
+"""Deviations between the smoothed round-trip time and the timeout."""
+
+
+class RttEstimator:
+    """Adaptive timeout from a smoothed round-trip time and its deviation.
+
+    Args:
+        least_s: Shortest timeout, in seconds.
+        most_s: Longest timeout, in seconds.
+    """
+
+    __slots__ = ("_deviation_s", "_least_s", "_mean_s", "_most_s")
+
+    def __init__(self, least_s: float, most_s: float) -> None:
+        self._least_s = least_s
+        self._most_s = most_s
+        self._mean_s = 0.0
+        self._deviation_s = 0.0
+
+    def observe(self, rtt_s: float) -> None:
+        """Takes a round-trip time, in seconds."""
+        error_s = rtt_s - self._mean_s
+        self._mean_s += MEAN_WEIGHT * error_s
+        self._deviation_s += DEVIATION_WEIGHT * (
+            abs(error_s) - self._deviation_s
+        )
+
+    @property
+    def timeout_s(self) -> float:
+        """Seconds after which a reply counts as lost."""
+        timeout_s = self._mean_s + DEVIATIONS * self._deviation_s
+        return min(self._most_s, max(self._least_s, timeout_s))
--- /dev/null
+++ b/ramptray/core/selector.py
@@ -0,0 +1,137 @@
+"""Which backend server a waiting request gets."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from ramptray.core import backend as backends
+from ramptray.core import (
+    fleet,
+    limit,
+    message,
+    policy,
+    queue,
+    release,
+    separation,
+)
+
+
+class Selector:
+    """Chooses among the backend servers that a request may go to.
+
+    Args:
+        servers: The shard's backend servers.
+        chosen: The policy.
+        limits: The part of each limit that this owner hands out.
+        releases: Which releases may get requests.
+        is_suspect: Returns whether a content may have ended backend servers.
+    """
+
+    def __init__(
+        self,
+        servers: fleet.Fleet,
+        chosen: policy.Policy,
+        limits: limit.Limits,
+        releases: release.ReleaseGate,
+        is_suspect: separation.IsSuspect,
+    ) -> None:
+        self._fleet = servers
+        self._policy = chosen
+        self._limits = limits
+        self._releases = releases
+        self._is_suspect = is_suspect
+
+    def take_window(self) -> list[backends.Backend]:
+        """Returns the backend servers that the next decision looks at."""
+        if self._policy.looks_at_all:
+            return self._fleet.list_all()
+        return self._fleet.take_window()
+
+    def add_holders(
+        self, window: list[backends.Backend], request: message.RequestInfo
+    ) -> list[backends.Backend]:
+        """Returns a window with those that may hold the request's prefix."""
+        if self._policy.looks_at_all:
+            return window
+        return self._fleet.add_holders(window, request)
+
+    def select(
+        self,
+        waiting: queue.Waiting,
+        share: float,
+        now: float,
+        candidates: list[backends.Backend],
+        ahead: Sequence[message.RequestInfo],
+    ) -> backends.Backend | None:
+        """Returns the backend server for a request; None to keep it waiting.
+
+        Args:
+            waiting: The request.
+            share: The part of each engine's places that its tier may use.
+            now: The owner's clock in seconds.
+            candidates: Backend servers to choose from.
+            ahead: Waiting requests of higher tiers; the places that they may
+                take are not for this one.
+        """
+        usable = self._fleet.leave_out(candidates, waiting.request)
+        usable = self._releases.list_open(usable)
+        usable = separation.keep_apart(
+            usable, waiting.request, self._is_suspect
+        )
+        return self._releases.choose(
+            self._make_demand(waiting, share, now),
+            self._exclude_reserved(usable, ahead),
+        )
+
+    def is_too_late(
+        self, waiting: queue.Waiting, now: float, wait_s: float = 0.0
+    ) -> bool:
+        """Returns whether an answer can begin in time nowhere any more.
+
+        Args:
+            waiting: The request.
+            now: The owner's clock in seconds.
+            wait_s: Seconds that the requests before it take at the rate limit.
+        """
+        if waiting.late_at == math.inf:
+            return False
+        demand = self._make_demand(waiting, 1.0, now, wait_s)
+        fastest = self._fleet.list_fastest(waiting.request)
+        return not any(self._policy.suits(demand, known) for known in fastest)
+
+    def _exclude_reserved(
+        self,
+        candidates: list[backends.Backend],
+        ahead: Sequence[message.RequestInfo],
+    ) -> list[backends.Backend]:
+        """Returns the candidates that no waiting request ahead may go to.
+
+        Behind a cut, those are the backend servers on the other side.
+        """
+        if not ahead or not candidates:
+            return candidates
+        reserved = {
+            candidate.info.name
+            for request in ahead
+            for candidate in self._fleet.leave_out(candidates, request)
+        }
+        return [c for c in candidates if c.info.name not in reserved]
+
+    def _make_demand(
+        self,
+        waiting: queue.Waiting,
+        share: float,
+        now: float,
+        wait_s: float = 0.0,
+    ) -> policy.Demand:
+        return policy.Demand(
+            waiting.request,
+            share,
+            now,
+            waiting.deadline,
+            waiting.late_at,
+            waiting.is_late,
+            self._limits.part,
+            wait_s,
+        )
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import collections
-import itertools
-import math
 from collections.abc import Mapping
 
 import msgspec
@@ -17,110 +15,33 @@
 from ramptray.core import backend as backends
 from ramptray.core import (
     fleet,
+    granting,
     limit,
     message,
-    meter,
+    owner_effect,
+    pace,
     policy,
     queue,
     release,
+    remote,
+    selector,
     separation,
+    shedding,
     summary,
 )
+from ramptray.core import rules as shard_rules
 
-HEADS_TRIED = 4
-"""Customers whose first request is tried before a tier is left waiting."""
-
-DRAIN_WINDOW_S = 5.0
-"""Span over which the rate of grants, and what is refused, is measured, in
-seconds."""
-
-SHED_WINDOW_S = 60.0
-"""Span over which sheds are counted for operators, in seconds."""
-
-LEARN_S = 3.0
-"""How long a new owner waits for word of the other zones, in seconds."""
-
-HEAR_S = 1.0
-"""How long a new owner waits for a backend server's own word, in seconds."""
-
-MIN_RETRY_S = 0.5
-"""Shortest advice on when to come back, in seconds."""
-
-OUT_OF_REACH_RETRY_S = 1.0
-"""When to come back where an entry reaches no backend server, in seconds: by
-then the balancer has perhaps heard that other VMs are better placed."""
-
-MAX_RETRY_S = 30.0
-"""Longest advice on when to come back, in seconds."""
-
-
-class Basis(msgspec.Struct, frozen=True):
-    """What an owner knew when it decided on a request, for the logs.
-
-    Attributes:
-        waiting: Requests that waited in the shard.
-        running: Requests that ran on the backend server chosen, or on all.
-        places: How many may run there.
-        expected_s: Seconds to the first token that were expected; None where
-            no backend server was chosen.
-        step_s: Seconds between two tokens that were expected; likewise.
-        left_s: Seconds that were left for an answer in time; None where there
-            is no objective.
-        rate_limit_per_s: Requests a second that this owner may send to the
-            backend server; None where nothing limits them.
-    """
-
-    waiting: int
-    running: int
-    places: int
-    expected_s: float | None = None
-    step_s: float | None = None
-    left_s: float | None = None
-    rate_limit_per_s: float | None = None
-
-
-class ToEntry(msgspec.Struct, frozen=True):
-    """Effect: send this message to the named entry."""
-
-    entry: str
-    message: message.OwnerMessage
-    basis: Basis | None = None
-
-
-class ShardRules(msgspec.Struct, frozen=True):
-    """What the bundle says about a shard.
-
-    Attributes:
-        ranks: Rank of each tier by name; 0 is the highest.
-        queue_cost: Cost that may wait, as ``queue.weigh`` counts it.
-        headroom: Part of each engine's places kept for the highest tier.
-        shares: Weight of each customer within a tier.
-        limits: Rates of each customer in this zone.
-        version: The model version to serve, as ``service@version``.
-    """
-
-    ranks: dict[str, int]
-    queue_cost: int
-    headroom: float
-    shares: dict[str, float]
-    limits: dict[str, limit.Rate]
-    version: str = ""
-
-
-class Counters(msgspec.Struct):
-    """What the shard has done since its owner took over."""
-
-    enqueued: int = 0
-    granted: int = 0
-    shed: int = 0
-    redirected: int = 0
-    declined: int = 0
+REPORT_GRACE_S = 1.0
+"""How long a new owner waits for a server's first report, in seconds."""
 
 
 class ShardOwner:
     """Decides who goes next, and where, for one shard.
 
     Attributes:
+        shard: The shard.
+        counters: What the shard has done.
+        fleet: Its backend servers.
         releases: Which releases may get requests.
     """
 
@@ -128,61 +49,57 @@
         self,
         shard: message.ShardKey,
         address: str,
-        rules: ShardRules,
+        rules: shard_rules.ShardRules,
         infos: list[backends.BackendInfo],
         chosen: policy.Policy,
         now: float,
-        hear_s: float = HEAR_S,
+        report_grace_s: float = REPORT_GRACE_S,
         limits: limit.Limits | None = None,
         speeds: Mapping[str, message.SpeedLearned] | None = None,
         is_suspect: separation.IsSuspect = separation.suspect_nobody,
     ) -> None:
         self.shard = shard
-        self.counters = Counters()
-        self.fleet = fleet.Fleet(now + hear_s, speeds or {})
+        self.fleet = fleet.Fleet(now + report_grace_s, speeds or {})
         self._address = address
-        self._policy = chosen
-        self._grant_ids = itertools.count(1)
+        self._order = _ServerOrder(address)
         self._queue = queue.ShardQueue(rules.ranks)
         self._syncing: dict[str, set[str]] = {}
-        self._born = now
-        self._shed: dict[str, meter.RateMeter] = {}
-        self._drained = meter.RateMeter(DRAIN_WINDOW_S)
-        self._refused = meter.RateMeter(DRAIN_WINDOW_S)
-        self._refused_count = meter.RateMeter(DRAIN_WINDOW_S)
-        self._elsewhere: dict[str, summary.ShardSummary] = {}
+        self._remote = remote.RemoteShards(shard)
         self._limits = limits or limit.Limits(rules.limits)
-        self._is_suspect = is_suspect
-        self._place_keys: dict[str, int] = {}
         self.releases = release.ReleaseGate(self.fleet, chosen, self._limits)
+        self._pace = pace.Pace(self._queue, self.fleet, self._limits)
+        self._shedder = shedding.Shedder(
+            self._queue, self.fleet, self._limits, self._pace, self._remote, now
+        )
+        self.counters = self._shedder.counters
+        self._granter = granting.Granter(
+            address,
+            rules,
+            self._queue,
+            self.fleet,
+            self._limits,
+            selector.Selector(
+                self.fleet, chosen, self._limits, self.releases, is_suspect
+            ),
+            self._pace,
+            self.releases,
+            self.counters,
+        )
         self.configure(rules, infos)
 
-    # Configuration and outside views.
-
     def configure(
-        self, rules: ShardRules, infos: list[backends.BackendInfo]
+        self, rules: shard_rules.ShardRules, infos: list[backends.BackendInfo]
     ) -> None:
         """Takes the rules and backend servers of the bundle in force."""
         self._rules = rules
+        self._granter.rules = rules
+        self._shedder.queue_cost = rules.queue_cost
         self._queue.set_ranks(rules.ranks)
         self._limits.set_rates(rules.limits)
         self.fleet.configure(
-            sorted(infos, key=self._make_place_key), rules.version
+            sorted(infos, key=self._order.get_key), rules.version
         )
 
-    def _make_place_key(self, info: backends.BackendInfo) -> int:
-        """Returns a backend server's place in this owner's own order.
-
-        Load pattern: all VMs start at once, and each owns everything until it
-        has found the others.  In one order for all they would fill the same
-        few backend servers first.
-        """
-        # Each configuration orders thousands of servers anew.
-        if info.name not in self._place_keys:
-            key = f"{self._address}/{info.name}".encode()
-            self._place_keys[info.name] = xxhash.xxh3_64_intdigest(key)
-        return self._place_keys[info.name]
-
     def correct_load(
         self,
         name: str,
@@ -195,19 +112,21 @@
             name, running, versions, step_s, self._rules.version
         )
 
-    def set_elsewhere(self, summaries: list[summary.ShardSummary]) -> None:
-        """Takes what is known of the same shard in the other zones."""
-        self._elsewhere = {found.shard.zone: found for found in summaries}
+    def set_remote_summaries(
+        self, summaries: list[summary.ShardSummary]
+    ) -> None:
+        """Takes the summaries of the same shard in other zones."""
+        self._remote.set_summaries(summaries)
         self._limits.borrow(found.uses for found in summaries)
 
     def summarize(self, now: float, version: int) -> summary.ShardSummary:
-        """Returns what the other zones need to know of this shard.
+        """Returns the summary of this shard for other zones.
 
         Args:
             now: The owner's clock in seconds.
             version: Larger than that of every earlier summary.
         """
-        limited = self._get_rate_limit(now) is not None
+        limited = self._pace.get_rate_limit(now) is not None
         return summary.ShardSummary(
             self.shard,
             self._address,
@@ -219,11 +138,11 @@
         )
 
     def holds(self, request_id: str) -> bool:
-        """Tells whether a request waits or runs here."""
+        """Returns whether a request waits or runs here."""
         return request_id in self._queue or request_id in self.fleet
 
     def is_waiting(self, request_id: str) -> bool:
-        """Tells whether a request waits here."""
+        """Returns whether a request waits here."""
         return request_id in self._queue
 
     @property
@@ -241,14 +160,12 @@
         return [tier.count for tier in self._queue.tiers]
 
     def list_shed(self, now: float) -> dict[str, int]:
-        """Returns how many requests of each tier were shed lately."""
-        return {tier: shed.get_sum(now) for tier, shed in self._shed.items()}
-
-    # Messages from entries.
+        """Returns how many requests of each tier were refused lately."""
+        return self._shedder.list_shed(now)
 
     def receive(
         self, entry: str, received: message.EntryMessage, now: float
-    ) -> list[ToEntry]:
+    ) -> list[owner_effect.ToEntry]:
         """Takes one message from an entry and returns what to send."""
         match received:
             case message.Enqueue(request):
@@ -278,28 +195,20 @@
                 self.fleet.take_limit(received)
         return self.grant(now)
 
-    def refuse_waiting(self, content: str, left_s: float) -> list[ToEntry]:
+    def grant(
+        self, now: float, only: list[backends.Backend] | None = None
+    ) -> list[owner_effect.ToEntry]:
+        """Grants as much as fits, see ``granting.Granter.grant``."""
+        return self._granter.grant(now, only)
+
+    def refuse_waiting(
+        self, content: str, left_s: float
+    ) -> list[owner_effect.ToEntry]:
         """Refuses what waits with a content that is blocked from now on."""
-        found = [
-            waiting
-            for waiting in self._queue.list_all()
-            if waiting.request.content == content
-        ]
-        for waiting in found:
-            self._queue.remove(waiting)
-        return [
-            ToEntry(
-                waiting.entry,
-                message.Reject(
-                    waiting.request.request_id, message.Reason.BLOCKED, left_s
-                ),
-                self._make_basis(),
-            )
-            for waiting in found
-        ]
+        return self._shedder.refuse_content(content, left_s)
 
     def begin_sync(self, entry: str) -> None:
-        """Notes that an entry has attached and will tell all it has."""
+        """Begins the resynchronization of an entry that has attached."""
         self._syncing[entry] = self.fleet.list_of_entry(entry)
         self._queue.discard_entry(entry)
 
@@ -309,248 +218,18 @@
         self._queue.discard_entry(entry)
         self.fleet.lose_entry(entry, now)
 
-    def tick(self, now: float) -> list[ToEntry]:
+    def tick(self, now: float) -> list[owner_effect.ToEntry]:
         """Gives up what is past its deadline and frees lost places."""
-        out = [
-            self._reject(waiting, _get_expiry_reason(waiting, now), now)
-            for waiting in self._queue.list_expired(now)
-        ]
+        out = self._shedder.refuse_expired(now)
         self.fleet.refresh(now, self._limits.part)
-        self._demote_late(now)
-        out += self._refuse_late(now)
+        self._granter.demote_late(now)
+        out += self._shedder.refuse_late(now)
         self.fleet.free_orphans(now)
-        return [*out, *self._send_elsewhere(now), *self.grant(now)]
-
-    def _demote_late(self, now: float) -> None:
-        """Moves requests that cannot be in time behind all that can.
-
-        Load pattern: all backend servers name a limit at once.  Requests are
-        then served at a known pace, and those beyond it are late from the
-        start.
-        """
-        rate_per_s = self._get_rate_limit(now)
-        pause_s = 1.0 / rate_per_s if rate_per_s else 0.0
-        ahead = 0
-        for waiting in sorted(
-            self._queue.list_all(), key=lambda each: each.rank
-        ):
-            if waiting.is_late:
-                continue
-            if self._is_too_late(waiting, now, ahead * pause_s):
-                self._queue.demote(waiting)
-            else:
-                ahead += 1
-
-    def _get_rate_limit(self, now: float) -> float | None:
-        """Returns the requests a second that this owner may send in all."""
-        return self.fleet.get_rate_limit(now, self._limits.part)
-
-    def _refuse_late(self, now: float) -> list[ToEntry]:
-        """Refuses late requests at once while others wait in time.
-
-        Load pattern: more is asked than the engines can do for some seconds.
-        Late requests then wait in vain behind those that may be in time, and
-        are refused in the end; sooner, their callers lose less.  What has run
-        before is not refused: it may go on somewhere.
-        """
-        return [
-            self._reject(waiting, message.Reason.OVERLOADED, now)
-            for waiting in self._queue.list_behind()
-            if not waiting.request.attempt
-        ]
-
-    # Decisions.
-
-    def grant(
-        self, now: float, only: list[backends.Backend] | None = None
-    ) -> list[ToEntry]:
-        """Grants as much as fits, highest tier first.
-
-        Args:
-            now: The owner's clock in seconds.
-            only: The backend servers that have got room; None for any.
-        """
-        out = self._grant_at(now, only)
-        if out and only is not None and self._queue:
-            # Those who waited behind them may go elsewhere too.
-            out += self._grant_at(now, None)
-        return out
-
-    def _grant_at(
-        self, now: float, only: list[backends.Backend] | None
-    ) -> list[ToEntry]:
-        out: list[ToEntry] = []
-        ahead: list[message.RequestInfo] = []
-        for rank, tier in enumerate(self._queue.tiers):
-            share = 1.0 if rank == 0 else 1.0 - self._rules.headroom
-            while granted := self._grant_one(tier, share, now, only, ahead):
-                out.append(granted)
-            if not tier.count:
-                continue
-            ahead.extend(w.request for w in tier.list_heads(HEADS_TRIED))
-            if len(ahead) >= HEADS_TRIED:
-                break
-        return out
-
-    def _make_demand(
-        self, waiting: queue.Waiting, share: float, now: float
-    ) -> policy.Demand:
-        return policy.Demand(
-            waiting.request,
-            share,
-            now,
-            waiting.deadline,
-            waiting.late_at,
-            waiting.is_late,
-            self._limits.part,
-        )
-
-    def _grant_one(
-        self,
-        tier: queue.TierQueue,
-        share: float,
-        now: float,
-        only: list[backends.Backend] | None,
-        ahead: list[message.RequestInfo],
-    ) -> ToEntry | None:
-        """Grants one request of a tier, if there is a place for one.
-
-        Args:
-            tier: The tier.
-            share: The part of each engine's places that it may use.
-            now: The owner's clock in seconds.
-            only: The backend servers that have got room; None for any.
-            ahead: Waiting requests of higher tiers; the places that they may
-                take are not for this one.
-        """
-        if not tier.count:
-            return None
-        self._demote_late_heads(tier, now)
-        window = self._list_candidates() if only is None else only
-        passed: list[queue.Waiting] = []
-        for waiting in tier.list_heads(HEADS_TRIED):
-            candidates = window
-            if only is None and not self._policy.looks_at_all:
-                candidates = self.fleet.add_holders(window, waiting.request)
-            chosen = self.releases.choose(
-                self._make_demand(waiting, share, now),
-                self._leave_to_others(
-                    self._list_fit(candidates, waiting.request), ahead
-                ),
-            )
-            if chosen is not None:
-                for other in passed:
-                    other.passed_over += waiting.cost
-                return self._place(tier, waiting, chosen, now)
-            if waiting.is_starved:
-                return None
-            passed.append(waiting)
-        return None
-
-    def _list_fit(
-        self, candidates: list[backends.Backend], request: message.RequestInfo
-    ) -> list[backends.Backend]:
-        """Returns the candidates that a request should go to."""
-        usable = self.fleet.leave_out(candidates, request)
-        usable = self.releases.list_open(usable)
-        return separation.keep_apart(usable, request, self._is_suspect)
-
-    def _leave_to_others(
-        self,
-        candidates: list[backends.Backend],
-        ahead: list[message.RequestInfo],
-    ) -> list[backends.Backend]:
-        """Returns the candidates that no waiting request ahead may go to.
-
-        Behind a cut, those are the backend servers on the other side.
-        """
-        if not ahead or not candidates:
-            return candidates
-        taken = {
-            candidate.info.name
-            for request in ahead
-            for candidate in self.fleet.leave_out(candidates, request)
-        }
-        return [c for c in candidates if c.info.name not in taken]
-
-    def _demote_late_heads(self, tier: queue.TierQueue, now: float) -> None:
-        """Lets those pass whose answer may still begin in time."""
-        while late := [
-            waiting
-            for waiting in tier.list_heads(HEADS_TRIED)
-            if not waiting.is_late and self._is_too_late(waiting, now)
-        ]:
-            for waiting in late:
-                self._queue.demote(waiting)
-
-    def _is_too_late(
-        self, waiting: queue.Waiting, now: float, wait_s: float = 0.0
-    ) -> bool:
-        """Returns whether an answer can begin in time nowhere any more.
-
-        Args:
-            waiting: The request.
-            now: The owner's clock in seconds.
-            wait_s: Seconds that the requests before it take at the rate limit.
-        """
-        if waiting.late_at == math.inf:
-            return False
-        demand = self._make_demand(waiting, 1.0, now)
-        demand = msgspec.structs.replace(demand, wait_s=wait_s)
-        fastest = self.fleet.list_fastest(waiting.request)
-        return not any(self._policy.suits(demand, known) for known in fastest)
-
-    def _list_candidates(self) -> list[backends.Backend]:
-        if self._policy.looks_at_all:
-            return self.fleet.list_all()
-        return self.fleet.take_window()
-
-    def _place(
-        self,
-        tier: queue.TierQueue,
-        waiting: queue.Waiting,
-        chosen: backends.Backend,
-        now: float,
-    ) -> ToEntry:
-        request = waiting.request
-        grant_id = f"{self._address}#{next(self._grant_ids)}"
-        uncached = chosen.count_uncached(request)
-        expected_s = chosen.estimate_first_token(uncached, now)
-        self._queue.remove(waiting)
-        tier.charge(waiting, self._rules.shares.get(request.customer, 1.0))
-        self.fleet.place(
-            request, chosen, waiting.entry, grant_id, now, waiting.since
-        )
-        self._drained.add(waiting.cost, now)
-        self.counters.granted += 1
-        self.releases.note_sent(chosen)
-        return ToEntry(
-            waiting.entry,
-            message.Grant(
-                request.request_id,
-                grant_id,
-                chosen.info.name,
-                self._address,
-                chosen.version,
-                chosen.info.url,
-                chosen.get_speed(),
-                chosen.info.run,
-                chosen.limit_per_s,
-            ),
-            Basis(
-                len(self._queue),
-                len(chosen.placed),
-                chosen.info.max_running,
-                round(expected_s, 4),
-                round(chosen.step_s, 5),
-                _get_left(waiting, now),
-                chosen.get_rate_limit(now, self._limits.part),
-            ),
-        )
+        return [*out, *self._shedder.spill_over(now), *self.grant(now)]
 
     def _enqueue(
         self, entry: str, request: message.RequestInfo, now: float
-    ) -> list[ToEntry]:
+    ) -> list[owner_effect.ToEntry]:
         request_id = request.request_id
         if request_id in self._syncing.get(entry, set()):
             # Its grant was lost when the entry's link broke.
@@ -558,177 +237,24 @@
             self.fleet.free(request_id)
         placed = self.fleet.get_placed(request_id)
         if placed and placed.request.attempt < request.attempt:
-            # The word that the earlier attempt has ended was lost.
+            # The end message of the previous attempt was lost.
             self.fleet.free(request_id)
         if self.holds(request_id):
             return []
         self.counters.enqueued += 1
         waiting = self._queue.make(request, entry, now)
-        wait_s = self._check_limit(waiting, now)
-        if wait_s > 0:
-            self._count_shed(request.tier, now)
-            return [
-                ToEntry(
-                    entry,
-                    message.Reject(
-                        request_id, message.Reason.CUSTOMER_LIMIT, wait_s
-                    ),
-                    self._make_basis(),
-                )
-            ]
+        if refused := self._shedder.admit(waiting, now):
+            return [refused]
         self._queue.push(waiting)
-        if refused := self._refuse_out_of_reach(waiting, now):
-            return refused
+        if out := self._shedder.refuse_out_of_reach(waiting, now):
+            return out
         granted = self.grant(now)
-        return [*granted, *self._make_room(waiting, now)]
-
-    def _check_limit(self, waiting: queue.Waiting, now: float) -> float:
-        """Returns how long a request must wait for its customer's limit.
-
-        A request that was admitted before, here or elsewhere, is not counted
-        again.
-        """
-        request = waiting.request
-        if request.spilled_from or request.attempt:
-            return 0.0
-        counted = _count(waiting)
-        wait_s = self._limits.check(request.customer, counted, now)
-        if wait_s == 0.0:
-            waiting.counted_at = now
-        return wait_s
+        return [*granted, *self._shedder.make_room(waiting, now)]
 
     def list_waiting_entries(self) -> dict[str, int]:
         """Returns how many requests of each entry wait."""
         return collections.Counter(w.entry for w in self._queue.list_all())
 
-    def _make_room(self, newest: queue.Waiting, now: float) -> list[ToEntry]:
-        out: list[ToEntry] = []
-        while self._queue.cost > self._rules.queue_cost:
-            victim = self._queue.pick_victim()
-            if victim is None or len(self._queue) == 1:
-                break
-            out.append(self._turn_away(victim, now))
-        if newest.request.request_id not in self._queue:
-            return out
-        if self._is_hopeless(newest, now):
-            reason = message.Reason.DEADLINE
-            out.append(self._turn_away(newest, now, reason))
-        return [*out, *self._send_elsewhere(now)]
-
-    def _send_elsewhere(self, now: float) -> list[ToEntry]:
-        """Turns everything away while no backend server is left here.
-
-        A young owner first waits for word of the other zones.
-        """
-        if self.fleet.has_usable:
-            return []
-        is_young = now - self._born <= LEARN_S
-        lowest_first = sorted(self._queue.list_all(), key=lambda w: -w.rank)
-        return [
-            self._turn_away(waiting, now)
-            for waiting in lowest_first
-            if not is_young or self._list_rooms(waiting)
-        ]
-
-    def _is_hopeless(self, waiting: queue.Waiting, now: float) -> bool:
-        """Tells whether a request cannot meet its deadline.
-
-        While a lower tier waits, a request is never refused early: it goes
-        before all of them as soon as any engine has room.
-        """
-        if self._queue.has_lower(waiting.rank):
-            return False
-        return now + self._estimate_wait(waiting, now) > waiting.deadline
-
-    def _estimate_wait(self, waiting: queue.Waiting, now: float) -> float:
-        if rate_per_s := self._get_rate_limit(now):
-            return self._queue.get_count_ahead(waiting) / rate_per_s
-        rate = self._drained.get_rate(now)
-        return self._queue.get_cost_ahead(waiting) / rate if rate else 0.0
-
-    def _estimate_return(self, waiting: queue.Waiting, now: float) -> float:
-        """Returns when a request that is refused now may be served.
-
-        Load pattern: many are refused within a few seconds and come back.  Told
-        the same short time they would meet each other again, so each is told
-        how long it takes to serve all that were refused lately.
-        """
-        self._refused.add(waiting.cost, now)
-        self._refused_count.add(1, now)
-        if rate_per_s := self._get_rate_limit(now):
-            ahead = self._queue.get_count_ahead(waiting)
-            refused = self._refused_count.get_sum(now)
-            return (ahead + refused) / rate_per_s
-        rate = self._drained.get_rate(now)
-        return self._refused.get_sum(now) / rate if rate else 0.0
-
-    def _turn_away(
-        self,
-        waiting: queue.Waiting,
-        now: float,
-        reason: message.Reason = message.Reason.OVERLOADED,
-    ) -> ToEntry:
-        """Sends a request to a zone with room, or gives it up."""
-        rooms = self._list_rooms(waiting)
-        if not rooms:
-            return self._reject(waiting, reason, now)
-        target = min(rooms, key=lambda found: sum(found.waiting))
-        self._queue.remove(waiting)
-        self.counters.redirected += 1
-        return ToEntry(
-            waiting.entry,
-            message.Redirect(
-                waiting.request.request_id, target.shard.zone, target.owner
-            ),
-            self._make_basis(),
-        )
-
-    def _list_rooms(self, waiting: queue.Waiting) -> list[summary.ShardSummary]:
-        tried = (*waiting.request.spilled_from, self.shard.zone)
-        return [
-            found
-            for zone, found in self._elsewhere.items()
-            if zone not in tried and found.has_room(waiting.rank, waiting.cost)
-        ]
-
-    def _reject(
-        self, waiting: queue.Waiting, reason: message.Reason, now: float
-    ) -> ToEntry:
-        self._queue.remove(waiting)
-        self._count_shed(waiting.request.tier, now)
-        if waiting.counted_at is not None:
-            self._limits.give_back(
-                waiting.request.customer, _count(waiting), waiting.counted_at
-            )
-        if not self.fleet.has_usable:
-            reason = message.Reason.NO_BACKEND
-        wait_s = self._estimate_wait(waiting, now)
-        least_s = MIN_RETRY_S
-        if reason is message.Reason.NO_BACKEND:
-            least_s = OUT_OF_REACH_RETRY_S
-        wait_s = max(wait_s, self._estimate_return(waiting, now))
-        retry_s = min(max(wait_s, least_s), MAX_RETRY_S)
-        return ToEntry(
-            waiting.entry,
-            message.Reject(waiting.request.request_id, reason, retry_s),
-            self._make_basis(),
-        )
-
-    def _make_basis(self) -> Basis:
-        open_ones = [b for b in self.fleet.list_all() if not b.is_lost]
-        return Basis(
-            len(self._queue),
-            sum(len(known.placed) for known in open_ones),
-            sum(known.info.max_running for known in open_ones),
-        )
-
-    # Bookkeeping.
-
-    def _count_shed(self, tier: str, now: float) -> None:
-        self.counters.shed += 1
-        shed = self._shed.setdefault(tier, meter.RateMeter(SHED_WINDOW_S))
-        shed.add(1, now)
-
     def _note_running(
         self, entry: str, running: message.Running, now: float
     ) -> None:
@@ -736,7 +262,7 @@
         self._queue.discard(request_id)
         backend = self.fleet.backends.get(running.backend)
         if backend is None or backend.info.run != running.run:
-            # Of another run nothing is at work any more, or not known here.
+            # Requests of another run have ended, or the run is not known yet.
             return
         if placed := self.fleet.get_placed(request_id):
             placed.orphaned_at = None
@@ -747,13 +273,13 @@
 
     def _take_back(
         self, entry: str, decline: message.Decline, now: float
-    ) -> list[ToEntry]:
+    ) -> list[owner_effect.ToEntry]:
         """Frees the place of a declined grant; the request waits again."""
         request_id = decline.request_id
         backend = self.fleet.find(request_id)
         if backend is None:
             return []
-        # What an entry told of as running has no grant of this owner.
+        # A request that an entry reported as running has no grant of ours.
         known = backend.placed[request_id].grant_id
         if known not in ("", decline.grant_id):
             return []
@@ -769,18 +295,7 @@
         )
         waiting = self._queue.make(request, entry, placed.asked_at)
         self._queue.restore(waiting)
-        return self._refuse_out_of_reach(waiting, now)
-
-    def _refuse_out_of_reach(
-        self, waiting: queue.Waiting, now: float
-    ) -> list[ToEntry]:
-        """Gives up a request whose entry can reach no backend server.
-
-        Its caller may come back to another VM.
-        """
-        if not self.fleet.is_out_of_reach(waiting.request):
-            return []
-        return [self._turn_away(waiting, now, message.Reason.NO_BACKEND)]
+        return self._shedder.refuse_out_of_reach(waiting, now)
 
     def _end(self, ended: message.Ended, now: float) -> list[backends.Backend]:
         """Returns the backend server that has got room, if any."""
@@ -800,21 +315,22 @@
         self.fleet.free(request_id)
 
 
-def _count(waiting: queue.Waiting) -> int:
-    """Returns what a request counts against its customer's limit."""
-    counted = waiting.request.limit_tokens
-    return waiting.cost if counted is None else counted
-
+class _ServerOrder:
+    """This owner's own order of equal backend servers.
 
-def _get_left(waiting: queue.Waiting, now: float) -> float | None:
-    """Returns the seconds left for an answer in time, for the logs."""
-    if waiting.late_at == math.inf:
-        return None
-    return round(waiting.late_at - now, 4)
+    Load pattern: all VMs start at once, and each owns everything until it has
+    found the others.  In one order for all they would fill the same few backend
+    servers first.
+    """
 
+    def __init__(self, address: str) -> None:
+        self._address = address
+        # Each configuration orders thousands of servers anew.
+        self._keys: dict[str, int] = {}
 
-def _get_expiry_reason(waiting: queue.Waiting, now: float) -> message.Reason:
-    """Returns why a request does not wait any longer."""
-    if waiting.deadline <= now:
-        return message.Reason.DEADLINE
-    return message.Reason.OVERLOADED
+    def get_key(self, info: backends.BackendInfo) -> int:
+        """Returns a backend server's place in the order."""
+        if info.name not in self._keys:
+            key = f"{self._address}/{info.name}".encode()
+            self._keys[info.name] = xxhash.xxh3_64_intdigest(key)
+        return self._keys[info.name]
--- /dev/null
+++ b/ramptray/core/shedding.py
@@ -0,0 +1,272 @@
+"""Refusing waiting requests, or sending them to zones with room."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ramptray.core import (
+    fleet,
+    limit,
+    message,
+    meter,
+    owner_effect,
+    pace,
+    queue,
+    remote,
+)
+
+SHED_WINDOW_S = 60.0
+"""Span over which refusals are counted for operators, in seconds."""
+
+STARTUP_GRACE_S = 3.0
+"""How long a new owner waits for the summaries of other zones, in seconds."""
+
+MIN_RETRY_S = 0.5
+"""Shortest Retry-After, in seconds."""
+
+OUT_OF_REACH_RETRY_S = 1.0
+"""Shortest Retry-After where no backend server is in reach, in seconds: by then
+the balancer may send the caller to a VM that is better placed."""
+
+MAX_RETRY_S = 30.0
+"""Longest Retry-After, in seconds."""
+
+
+class Counters(msgspec.Struct):
+    """What the shard has done since its owner took over."""
+
+    enqueued: int = 0
+    granted: int = 0
+    shed: int = 0
+    redirected: int = 0
+    declined: int = 0
+
+
+class Shedder:
+    """Takes requests out of a shard's queue that are not to wait there.
+
+    Args:
+        waiting: The queue.
+        servers: The shard's backend servers.
+        limits: The customers' limits.
+        paced: Estimates of waiting.
+        others: The same shard in other zones.
+        born: When the owner took over, on its clock in seconds.
+
+    Attributes:
+        counters: What the shard has done.
+        queue_cost: Cost that may wait.
+    """
+
+    def __init__(
+        self,
+        waiting: queue.ShardQueue,
+        servers: fleet.Fleet,
+        limits: limit.Limits,
+        paced: pace.Pace,
+        others: remote.RemoteShards,
+        born: float,
+    ) -> None:
+        self.counters = Counters()
+        self.queue_cost = 0
+        self._queue = waiting
+        self._fleet = servers
+        self._limits = limits
+        self._pace = paced
+        self._remote = others
+        self._born = born
+        self._shed: dict[str, meter.RateMeter] = {}
+
+    def list_shed(self, now: float) -> dict[str, int]:
+        """Returns how many requests of each tier were refused lately."""
+        return {tier: shed.get_sum(now) for tier, shed in self._shed.items()}
+
+    def admit(
+        self, waiting: queue.Waiting, now: float
+    ) -> owner_effect.ToEntry | None:
+        """Counts a request against its customer's limit.
+
+        A request that was admitted before, here or elsewhere, is not counted
+        again.
+
+        Returns:
+            The refusal of one that is over the limit, else None.
+        """
+        request = waiting.request
+        if request.spilled_from or request.attempt:
+            return None
+        counted = _count(waiting)
+        wait_s = self._limits.check(request.customer, counted, now)
+        if wait_s == 0.0:
+            waiting.counted_at = now
+            return None
+        self._count_shed(request.tier, now)
+        return self._make_reject(waiting, message.Reason.CUSTOMER_LIMIT, wait_s)
+
+    def refuse_content(
+        self, content: str, left_s: float
+    ) -> list[owner_effect.ToEntry]:
+        """Refuses what waits with a content that is blocked from now on."""
+        found = [
+            waiting
+            for waiting in self._queue.list_all()
+            if waiting.request.content == content
+        ]
+        for waiting in found:
+            self._queue.remove(waiting)
+        return [
+            self._make_reject(waiting, message.Reason.BLOCKED, left_s)
+            for waiting in found
+        ]
+
+    def refuse_expired(self, now: float) -> list[owner_effect.ToEntry]:
+        """Refuses the requests that may not wait any longer."""
+        return [
+            self._refuse(waiting, _get_expiry_reason(waiting, now), now)
+            for waiting in self._queue.list_expired(now)
+        ]
+
+    def refuse_late(self, now: float) -> list[owner_effect.ToEntry]:
+        """Refuses late requests at once while others wait in time.
+
+        Load pattern: more is asked than the engines can do for some seconds.
+        Late requests then wait in vain behind those that may be in time, and
+        are refused in the end; sooner, their callers lose less.  What has run
+        before is not refused: it may go on somewhere.
+        """
+        return [
+            self._refuse(waiting, message.Reason.OVERLOADED, now)
+            for waiting in self._queue.list_behind()
+            if not waiting.request.attempt
+        ]
+
+    def refuse_out_of_reach(
+        self, waiting: queue.Waiting, now: float
+    ) -> list[owner_effect.ToEntry]:
+        """Gives up a request whose entry can reach no backend server.
+
+        Its caller may come back to another VM.
+        """
+        if not self._fleet.is_out_of_reach(waiting.request):
+            return []
+        return [self._turn_away(waiting, now, message.Reason.NO_BACKEND)]
+
+    def make_room(
+        self, newest: queue.Waiting, now: float
+    ) -> list[owner_effect.ToEntry]:
+        """Turns away what the queue cannot hold after a request has come."""
+        out: list[owner_effect.ToEntry] = []
+        while self._queue.cost > self.queue_cost:
+            victim = self._queue.pick_victim()
+            if victim is None or len(self._queue) == 1:
+                break
+            out.append(self._turn_away(victim, now))
+        if newest.request.request_id not in self._queue:
+            return out
+        if self._cannot_meet_deadline(newest, now):
+            reason = message.Reason.DEADLINE
+            out.append(self._turn_away(newest, now, reason))
+        return [*out, *self.spill_over(now)]
+
+    def spill_over(self, now: float) -> list[owner_effect.ToEntry]:
+        """Turns everything away while no backend server is left here.
+
+        A new owner first waits for the summaries of the other zones.
+        """
+        if self._fleet.has_usable:
+            return []
+        is_starting = now - self._born <= STARTUP_GRACE_S
+        lowest_first = sorted(self._queue.list_all(), key=lambda w: -w.rank)
+        return [
+            self._turn_away(waiting, now)
+            for waiting in lowest_first
+            if not is_starting or self._remote.has_room(waiting)
+        ]
+
+    def _cannot_meet_deadline(self, waiting: queue.Waiting, now: float) -> bool:
+        """Returns whether a request cannot meet its deadline.
+
+        While a lower tier waits, a request is never refused early: it goes
+        before all of them as soon as any engine has room.
+        """
+        if self._queue.has_lower(waiting.rank):
+            return False
+        wait_s = self._pace.estimate_wait(waiting, now)
+        return now + wait_s > waiting.deadline
+
+    def _turn_away(
+        self,
+        waiting: queue.Waiting,
+        now: float,
+        reason: message.Reason = message.Reason.OVERLOADED,
+    ) -> owner_effect.ToEntry:
+        """Sends a request to a zone with room, or gives it up."""
+        target = self._remote.pick(waiting)
+        if target is None:
+            return self._refuse(waiting, reason, now)
+        self._queue.remove(waiting)
+        self.counters.redirected += 1
+        return owner_effect.ToEntry(
+            waiting.entry,
+            message.Redirect(
+                waiting.request.request_id, target.shard.zone, target.owner
+            ),
+            self._make_basis(),
+        )
+
+    def _refuse(
+        self, waiting: queue.Waiting, reason: message.Reason, now: float
+    ) -> owner_effect.ToEntry:
+        self._queue.remove(waiting)
+        self._count_shed(waiting.request.tier, now)
+        if waiting.counted_at is not None:
+            self._limits.give_back(
+                waiting.request.customer, _count(waiting), waiting.counted_at
+            )
+        if not self._fleet.has_usable:
+            reason = message.Reason.NO_BACKEND
+        least_s = MIN_RETRY_S
+        if reason is message.Reason.NO_BACKEND:
+            least_s = OUT_OF_REACH_RETRY_S
+        self._pace.count_refusal(waiting, now)
+        wait_s = max(
+            least_s,
+            self._pace.estimate_wait(waiting, now),
+            self._pace.estimate_return(waiting, now),
+        )
+        return self._make_reject(waiting, reason, min(wait_s, MAX_RETRY_S))
+
+    def _make_reject(
+        self, waiting: queue.Waiting, reason: message.Reason, retry_s: float
+    ) -> owner_effect.ToEntry:
+        return owner_effect.ToEntry(
+            waiting.entry,
+            message.Reject(waiting.request.request_id, reason, retry_s),
+            self._make_basis(),
+        )
+
+    def _make_basis(self) -> owner_effect.Basis:
+        open_ones = [b for b in self._fleet.list_all() if not b.is_lost]
+        return owner_effect.Basis(
+            len(self._queue),
+            sum(len(known.placed) for known in open_ones),
+            sum(known.info.max_running for known in open_ones),
+        )
+
+    def _count_shed(self, tier: str, now: float) -> None:
+        self.counters.shed += 1
+        shed = self._shed.setdefault(tier, meter.RateMeter(SHED_WINDOW_S))
+        shed.add(1, now)
+
+
+def _count(waiting: queue.Waiting) -> int:
+    """Returns what a request counts against its customer's limit."""
+    counted = waiting.request.limit_tokens
+    return waiting.cost if counted is None else counted
+
+
+def _get_expiry_reason(waiting: queue.Waiting, now: float) -> message.Reason:
+    """Returns why a request does not wait any longer."""
+    if waiting.deadline <= now:
+        return message.Reason.DEADLINE
+    return message.Reason.OVERLOADED
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -186,7 +186,7 @@
             case attachment.Down(address):
                 self._lose_link(address, now)
             case attachment.Said(address, body):
-                self._hear(address, body, now)
+                self._receive(address, body, now)
             case _:
                 self._handle_exchange(event, now)
 
@@ -331,7 +331,7 @@
                 case request.Tell(owner, told):
                     if isinstance(told, message.Enqueue):
                         ticket.asked_at = now
-                        ticket.unheard = True
+                        ticket.awaiting_reply = True
                     self._tell(owner, told)
                 case request.Dispatch(grant):
                     ticket.dispatched = now
@@ -374,7 +374,7 @@
 
     # Schedulers.
 
-    def _hear(self, address: str, body: object, now: float) -> None:
+    def _receive(self, address: str, body: object, now: float) -> None:
         self._owners.note_word(address, now)
         match body:
             case message.Grant(request_id):
@@ -407,10 +407,10 @@
     def _note_answer(self, address: str, request_id: str, now: float) -> None:
         """Notes that a scheduler has said its first word on a request."""
         ticket = self._tickets.get(request_id)
-        if ticket is None or not ticket.unheard:
+        if ticket is None or not ticket.awaiting_reply:
             return
         if ticket.machine.owner == address:
-            ticket.unheard = False
+            ticket.awaiting_reply = False
             self._owners.note_answer(address, now - ticket.asked_at)
 
     def _take_grant(
@@ -566,7 +566,7 @@
         taken_s = max(least_s, first.elapsed_s - self._lag_s)
         return msgspec.structs.replace(first, elapsed_s=taken_s)
 
-    def _doubt_silent_owners(self, now: float) -> None:
+    def _suspect_silent_owners(self, now: float) -> None:
         """Moves what waits away from owners that say nothing."""
         silent = {
             ticket.machine.owner
@@ -593,7 +593,7 @@
     def tick(self, now: float) -> None:
         """Ends the requests that nobody can or may serve any more."""
         if not self._has_been_away(now):
-            self._doubt_silent_owners(now)
+            self._suspect_silent_owners(now)
         for ticket in list(self._tickets.values()):
             reason = patience.find_give_up_reason(ticket, now)
             if reason is not None:
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ramptray.core import delay, membership, message
+from ramptray.core import membership, message, rtt
 from ramptray.peer import message as peer_message
 
 LOG = logging.getLogger(__name__)
@@ -57,7 +57,7 @@
         self._down: set[str] = set()
         self._heard: dict[str, float] = {}
         self._doubts: dict[str, _Doubt] = {}
-        self._delays: dict[str, delay.AnswerDelay] = {}
+        self._rtts: dict[str, rtt.RttEstimator] = {}
         # Picked among hundreds for each request, an owner would cost more than
         # the messages to it.
         self._picked: dict[tuple[str, str], str | None] = {}
@@ -85,7 +85,7 @@
         self._picked.clear()
         self._heard.pop(address, None)
         self._doubts.pop(address, None)
-        self._delays.pop(address, None)
+        self._rtts.pop(address, None)
 
     def is_down(self, address: str) -> bool:
         """Tells whether the link to a scheduler is broken."""
@@ -99,14 +99,14 @@
 
     def note_answer(self, address: str, delay_s: float) -> None:
         """Notes how long a scheduler took for its first word on a request."""
-        if address not in self._delays:
-            self._delays[address] = delay.AnswerDelay(ANSWER_S, MAX_ANSWER_S)
-        self._delays[address].note(delay_s)
+        if address not in self._rtts:
+            self._rtts[address] = rtt.RttEstimator(ANSWER_S, MAX_ANSWER_S)
+        self._rtts[address].observe(delay_s)
 
     def get_longest_answer(self, address: str) -> float:
         """Returns after how many seconds a scheduler's answer is missing."""
-        known = self._delays.get(address)
-        return known.longest_s if known else ANSWER_S
+        known = self._rtts.get(address)
+        return known.timeout_s if known else ANSWER_S
 
     def get_silence(self, address: str, since: float, now: float) -> float:
         """Returns for how long a scheduler has said nothing, in seconds.
--- a/ramptray/entry/patience.py
+++ b/ramptray/entry/patience.py
@@ -32,7 +32,7 @@
         now: The entry's clock.
     """
     silence_s = known.get_silence(owner, ticket.asked_at, now)
-    if ticket.unheard:
+    if ticket.awaiting_reply:
         return silence_s > known.get_longest_answer(owner)
     return silence_s > QUEUE_SILENCE_S
 
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -167,7 +167,7 @@
         self.deadline = self.began + info.deadline_s
         self.down_since: float | None = None
         self.asked_at = 0.0
-        self.unheard = False
+        self.awaiting_reply = False
         self._report = report
         # Dispatches that are refused by a backend server come back here, so
         # an exchange sees at most a few effects; it never blocks the sender.
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ramptray import steadyclock
-from ramptray.core import delay, membership
+from ramptray.core import membership, rtt
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.scheduler import contact as contact_book
@@ -129,7 +129,7 @@
         self._count_seeds_until = now + membership.FORGET_S
         self._alarmed = False
         self.verdicts = rollouts.VerdictBook()
-        self._delay = delay.AnswerDelay(ALARM_TIMEOUT_S, MAX_ANSWER_S)
+        self._rtt = rtt.RttEstimator(ALARM_TIMEOUT_S, MAX_ANSWER_S)
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
@@ -329,7 +329,7 @@
             await self._ask(address, outcome)
             return outcome.answered
         self._tasks.start_soon(self._ask, address, outcome)
-        with anyio.move_on_after(max(timeout_s, self._delay.longest_s)):
+        with anyio.move_on_after(max(timeout_s, self._rtt.timeout_s)):
             await outcome.is_known.wait()
         return outcome.answered
 
@@ -343,7 +343,7 @@
             self._contacts.drop(address)
             outcome.is_known.set()
             return
-        self._delay.note(steadyclock.read() - began)
+        self._rtt.observe(steadyclock.read() - began)
         self._take_answer(answer)
         outcome.answered = True
         outcome.is_known.set()
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -18,6 +18,7 @@
     limit,
     membership,
     message,
+    owner_effect,
     policy,
     shard,
 )
@@ -57,14 +58,15 @@
 
     Attributes:
         policy: Name of the policy by which backend servers are chosen.
-        hear_s: How long a new owner waits for a backend server's own word.
+        report_grace_s: How long a new owner waits for the first report of a
+            backend server.
         shares_limits: Whether a customer's limit holds over all services
             together instead of for each shard.
         tells_bundle: Whether attached processes get the bundle from here.
     """
 
     policy: str = policy.TokenPolicy.name
-    hear_s: float = shard.HEAR_S
+    report_grace_s: float = shard.REPORT_GRACE_S
     shares_limits: bool = False
     tells_bundle: bool = True
 
@@ -332,7 +334,9 @@
         if isinstance(body, message.Enqueue):
             reject = self.guard.check(body.request, now)
             if reject is not None:
-                self._send_out([shard.ToEntry(attached.hello.name, reject)])
+                self._send_out(
+                    [owner_effect.ToEntry(attached.hello.name, reject)]
+                )
                 return
         owner = self._get_shard(key, now)
         self._has_work.set()
@@ -345,7 +349,7 @@
             reject = message.Reject(
                 body.request.request_id, message.Reason.NOT_READY, 1.0
             )
-            self._send_out([shard.ToEntry(attached.hello.name, reject)])
+            self._send_out([owner_effect.ToEntry(attached.hello.name, reject)])
 
     def _confirm(
         self, attached: Attached, owner: shard.ShardOwner, request_id: str
@@ -382,7 +386,7 @@
             for owner in self.shards.values():
                 self._send_out(owner.refuse_waiting(each.content, each.left_s))
 
-    def _send_out(self, effects: Iterable[shard.ToEntry]) -> None:
+    def _send_out(self, effects: Iterable[owner_effect.ToEntry]) -> None:
         for effect in effects:
             self._tell_entry(effect.entry, effect.message)
             self._note(effect)
@@ -397,7 +401,7 @@
             session.send(told)
             self._told_at[entry] = steadyclock.read()
 
-    def _note(self, effect: shard.ToEntry) -> None:
+    def _note(self, effect: owner_effect.ToEntry) -> None:
         basis = {
             "entry": effect.entry,
             "generation": self.in_force.generation if self.in_force else None,
@@ -435,7 +439,7 @@
             rules.list_infos(bundle, key),
             policy.make_policy(self._options.policy),
             now,
-            self._options.hear_s,
+            self._options.report_grace_s,
             self._limits,
             self._speeds,
             self.guard.evidence.is_suspect,
@@ -591,8 +595,8 @@
         ]
         self._gossiper.summaries.put(mine, now)
         for key, owner in self.shards.items():
-            owner.set_elsewhere(
-                self._gossiper.summaries.list_elsewhere(key, now)
+            owner.set_remote_summaries(
+                self._gossiper.summaries.list_remote(key, now)
             )
 
     def _drop_foreign_shards(self, now: float) -> None:
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 from ramptray.bundle import model
-from ramptray.core import backend, limit, membership, message, shard
+from ramptray.core import backend, limit, membership, message
+from ramptray.core import rules as shard_rules
 
 
-def make_rules(bundle: model.Bundle, key: message.ShardKey) -> shard.ShardRules:
+def make_rules(
+    bundle: model.Bundle, key: message.ShardKey
+) -> shard_rules.ShardRules:
     """Returns the rules of a shard."""
     service = bundle.services[key.service]
     parts = service.shards * len(bundle.zones)
-    return shard.ShardRules(
+    return shard_rules.ShardRules(
         ranks=bundle.get_ranks(),
         queue_cost=service.queue_tokens // service.shards,
         headroom=service.headroom,
--- a/ramptray/scheduler/summaries.py
+++ b/ramptray/scheduler/summaries.py
@@ -33,7 +33,7 @@
             if known is None or other.version > known[1].version:
                 self._known[key] = (now, other)
 
-    def list_elsewhere(
+    def list_remote(
         self, key: message.ShardKey, now: float
     ) -> list[summary.ShardSummary]:
         """Returns fresh summaries of the same shard in the other zones."""
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -5,14 +5,13 @@
 import json
 import logging
 import os
-import time
 
 import anyio
 import anyio.abc
 import h11
 import msgspec
 
-from ramptray import process
+from ramptray import process, steadyclock
 from ramptray.bundle import model
 from ramptray.platform import header
 from ramptray.settings import Address, split_address
@@ -82,7 +81,7 @@
         gone: Ids of the requests whose connection closed while they ran.
         refused: Ids of the requests that it turned away.
         arrived: When each request arrived, run or not, on the machine's
-            monotonic clock in seconds.
+            clock in seconds.
     """
 
     runs: list[str] = msgspec.field(default_factory=list)
@@ -200,7 +199,7 @@
         return True
 
     def _note_arrival(self, request_id: str) -> None:
-        now = time.monotonic()
+        now = steadyclock.read_running()
         self._ledger.arrived.append(now)
         LOG.info("arrived", extra={"request_id": request_id, "at": now})
 
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -80,7 +80,7 @@
 @pytest.mark.parametrize(
     ("place", "value"),
     [
-        ("kind", "unheard of"),
+        ("kind", "awaiting_reply of"),
         ("timeoutMs", 0),
         ("maxAttempts", 0),
         ("pathPrefix", 7),
--- a/test/test_prefix_placement.py
+++ b/test/test_prefix_placement.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from ramptray.core import backend, message, policy, shard
+from ramptray.core import rules as shard_rules
 from ramptray.platform import header
 from ramptray.relay import message as relay_message
 
@@ -43,11 +44,11 @@
     owner = shard.ShardOwner(
         KEY,
         "o:1",
-        shard.ShardRules({"t": 0}, 10**9, 0.0, {}, {}),
+        shard_rules.ShardRules({"t": 0}, 10**9, 0.0, {}, {}),
         infos,
         policy.make_policy(),
         0.0,
-        hear_s=0.0,
+        report_grace_s=0.0,
         speeds={i.name: message.SpeedLearned(i.name, SPEED) for i in infos},
     )
     owner.tick(0.0)
--- a/test/test_rate_limit.py
+++ b/test/test_rate_limit.py
@@ -9,7 +9,8 @@
 import msgspec
 import pytest
 
-from ramptray.core import backend, limit, message, policy, shard
+from ramptray.core import backend, limit, message, owner_effect, policy, shard
+from ramptray.core import rules as shard_rules
 
 KEY = message.ShardKey("waw-a", "assistant")
 TIERS = {"urgent": 0, "batch": 1}
@@ -27,7 +28,7 @@
     return shard.ShardOwner(
         KEY,
         "owner:1",
-        shard.ShardRules(TIERS, 10**9, 0.0, {}, {}),
+        shard_rules.ShardRules(TIERS, 10**9, 0.0, {}, {}),
         [
             backend.BackendInfo(f"s{n}", 100, 10**9, 16, run=run)
             for n in range(servers)
@@ -69,11 +70,13 @@
     )
 
 
-def list_grants(effects: Iterable[shard.ToEntry]) -> list[message.Grant]:
+def list_grants(effects: Iterable[owner_effect.ToEntry]) -> list[message.Grant]:
     return [e.message for e in effects if isinstance(e.message, message.Grant)]
 
 
-def list_rejects(effects: Iterable[shard.ToEntry]) -> list[message.Reject]:
+def list_rejects(
+    effects: Iterable[owner_effect.ToEntry],
+) -> list[message.Reject]:
     return [e.message for e in effects if isinstance(e.message, message.Reject)]
 
 
--- a/test/test_regions.py
+++ b/test/test_regions.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from ramptray.core import backend, message, policy, shard
+from ramptray.core import backend, message, owner_effect, policy, shard
+from ramptray.core import rules as shard_rules
 from ramptray.platform import config, follower, replicas, store
 from ramptray.scheduler import rules
 from test import node, test_replicas
@@ -25,7 +26,7 @@
     owner = shard.ShardOwner(
         KEY,
         "owner:1",
-        shard.ShardRules({"t": 0}, 10**6, 0.0, {}, {}),
+        shard_rules.ShardRules({"t": 0}, 10**6, 0.0, {}, {}),
         infos,
         policy.TokenPolicy(),
         0.0,
@@ -43,7 +44,7 @@
     avoid: tuple[str, ...] = (),
     silent: tuple[str, ...] = (),
     customer: str = "ola",
-) -> list[shard.ToEntry]:
+) -> list[owner_effect.ToEntry]:
     info = message.RequestInfo(
         name,
         KEY,
--- a/test/test_rollout.py
+++ b/test/test_rollout.py
@@ -13,6 +13,7 @@
 from bench import rollouts as simulation
 from ramptray.command import status as status_command
 from ramptray.core import backend, message, policy, rollout, shard
+from ramptray.core import rules as shard_rules
 from ramptray.log import error as log_error
 from ramptray.log import verdictlog
 from ramptray.platform import rollout as platform_rollout
@@ -145,11 +146,11 @@
     made = shard.ShardOwner(
         KEY,
         "o:1",
-        shard.ShardRules({"t": 0}, 10**9, 0.0, {}, {}),
+        shard_rules.ShardRules({"t": 0}, 10**9, 0.0, {}, {}),
         infos,
         policy.make_policy(),
         0.0,
-        hear_s=0.0,
+        report_grace_s=0.0,
     )
     made.releases.set_order(msgspec.structs.replace(ORDER, slack=10.0), None)
     return made
--- a/test/test_scenario.py
+++ b/test/test_scenario.py
@@ -14,10 +14,12 @@
     claim,
     lease,
     message,
+    owner_effect,
     policy,
     request,
     shard,
 )
+from ramptray.core import rules as shard_rules
 
 scenarios("feature/failure.feature")
 
@@ -43,7 +45,7 @@
 
     def add_owner(self, name: str) -> None:
         infos = [backend.BackendInfo("e", self.places, 10**6, 16)]
-        rules = shard.ShardRules(RANKS, 12_000, 0.0, {}, {})
+        rules = shard_rules.ShardRules(RANKS, 12_000, 0.0, {}, {})
         self.owners[name] = shard.ShardOwner(
             KEY, name, rules, infos, policy.make_policy(), self.now, 0.0
         )
@@ -77,7 +79,7 @@
         self.ran.append(name)
         self.running.append(name)
 
-    def take(self, owner: str, out: list[shard.ToEntry]) -> None:
+    def take(self, owner: str, out: list[owner_effect.ToEntry]) -> None:
         """Hands an owner's messages to the entry."""
         for effect in out:
             told = effect.message
@@ -276,7 +278,7 @@
     infos = [
         backend.BackendInfo(name, 8, 10**6, 16) for name in ("slow", "fast")
     ]
-    rules = shard.ShardRules(RANKS, 10**6, 0.0, {}, {})
+    rules = shard_rules.ShardRules(RANKS, 10**6, 0.0, {}, {})
     world.owners["A"] = shard.ShardOwner(
         KEY, "A", rules, infos, policy.make_policy(), world.now, 0.0
     )
--- a/test/test_shard.py
+++ b/test/test_shard.py
@@ -16,12 +16,14 @@
     backend,
     fleet,
     message,
+    owner_effect,
     policy,
     queue,
     request,
     shard,
     summary,
 )
+from ramptray.core import rules as shard_rules
 
 TIERS = ("urgent", "normal", "batch")
 KEY = message.ShardKey("waw-a", "assistant")
@@ -35,11 +37,11 @@
     return shard.ShardOwner(
         KEY,
         "127.0.0.1:1",
-        shard.ShardRules(ranks, queue_cost, headroom, {}, {}),
+        shard_rules.ShardRules(ranks, queue_cost, headroom, {}, {}),
         [backend.BackendInfo(f"e{n}", 4, 10_000, 16) for n in range(count)],
         policy.make_policy(),
         0.0,
-        hear_s=0.0,
+        report_grace_s=0.0,
     )
 
 
@@ -74,7 +76,7 @@
         before = self.owner.list_waiting()
         self.take(self.owner.receive("entry", sent, self.now), before)
 
-    def take(self, out: list[shard.ToEntry], before: list[int]) -> None:
+    def take(self, out: list[owner_effect.ToEntry], before: list[int]) -> None:
         """Judges the owner's messages."""
         for effect in out:
             told = effect.message
@@ -254,7 +256,7 @@
     owner = shard.ShardOwner(
         KEY,
         "127.0.0.1:1",
-        shard.ShardRules({"normal": 0}, 4000, 0.0, {}, {}),
+        shard_rules.ShardRules({"normal": 0}, 4000, 0.0, {}, {}),
         [backend.BackendInfo(f"e{n}", 4, 10_000, 16) for n in range(2)],
         policy.make_policy(),
         1.0,
@@ -310,7 +312,7 @@
         True,
         1,
     )
-    owner.set_elsewhere([elsewhere])
+    owner.set_remote_summaries([elsewhere])
     out = owner.receive("entry", message.Enqueue(make_info("r")), 1.0)
     assert [effect.message for effect in out] == [
         message.Redirect("r", "waw-b", "127.0.0.2:1")
--- a/test/test_speed.py
+++ b/test/test_speed.py
@@ -4,10 +4,18 @@
 
 import pytest
 
-from ramptray.core import backend, message, policy, shard, speed
+from ramptray.core import (
+    backend,
+    message,
+    owner_effect,
+    policy,
+    shard,
+    speed,
+)
+from ramptray.core import rules as shard_rules
 
 KEY = message.ShardKey("all", "lm")
-RULES = shard.ShardRules({"t": 0}, 1_000_000, 0.0, {}, {})
+RULES = shard_rules.ShardRules({"t": 0}, 1_000_000, 0.0, {}, {})
 
 
 def make_owner(
@@ -20,7 +28,7 @@
         [backend.BackendInfo(f"b{n}", 4, 100_000, 0) for n in range(count)],
         policy.make_policy(),
         0.0,
-        hear_s=0.0,
+        report_grace_s=0.0,
         speeds={
             name: message.SpeedLearned(name, speed)
             for name, speed in (speeds or {}).items()
@@ -78,7 +86,7 @@
 
 def decline(
     owner: shard.ShardOwner, granted: message.Grant, now: float, *silent: str
-) -> list[shard.ToEntry]:
+) -> list[owner_effect.ToEntry]:
     """Tells an owner that its grant led to a silent backend server."""
     told = message.Decline(
         granted.request_id, granted.grant_id, False, (), silent
--- a/test/test_totals.py
+++ b/test/test_totals.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ramptray.core import limit, message, policy, shard
+from ramptray.core import rules as shard_rules
 
 SPAN_S = 8.0
 TOTAL = 400_000.0
@@ -145,11 +146,11 @@
     owner = shard.ShardOwner(
         key,
         "127.0.0.1:1",
-        shard.ShardRules({"t": 0}, 10**9, 0.0, {}, {"ola": rate}),
+        shard_rules.ShardRules({"t": 0}, 10**9, 0.0, {}, {"ola": rate}),
         [],
         policy.make_policy(),
         0.0,
-        hear_s=0.0,
+        report_grace_s=0.0,
     )
     for number in range(3):
         now = 1.0 + number / 10
--- a/test/test_waiting.py
+++ b/test/test_waiting.py
@@ -7,7 +7,15 @@
 import msgspec
 import pytest
 
-from ramptray.core import backend, message, policy, shard
+from ramptray.core import (
+    backend,
+    message,
+    owner_effect,
+    policy,
+    shard,
+    shedding,
+)
+from ramptray.core import rules as shard_rules
 
 KEY = message.ShardKey("all", "lm")
 PLACES = 2
@@ -26,11 +34,11 @@
     owner = shard.ShardOwner(
         KEY,
         "127.0.0.1:1",
-        shard.ShardRules({"urgent": 0, "normal": 1}, 10**9, 0.0, {}, {}),
+        shard_rules.ShardRules({"urgent": 0, "normal": 1}, 10**9, 0.0, {}, {}),
         [backend.BackendInfo(name, PLACES, 10**6, 0) for name in speeds],
         policy.make_policy(),
         0.0,
-        hear_s=0.0,
+        report_grace_s=0.0,
         speeds={
             name: message.SpeedLearned(name, speed)
             for name, speed in speeds.items()
@@ -47,7 +55,7 @@
     return list_granted(owner.receive("entry", message.Enqueue(info), now))
 
 
-def list_granted(out: list[shard.ToEntry]) -> list[str]:
+def list_granted(out: list[owner_effect.ToEntry]) -> list[str]:
     return [
         effect.message.backend
         for effect in out
@@ -272,7 +280,7 @@
     ]
     assert len(told) == 80
     assert max(told) > 5.0  # Ten a second were served.
-    assert max(told) <= shard.MAX_RETRY_S
+    assert max(told) <= shedding.MAX_RETRY_S
 
 
 def test_owners_that_start_at_once_do_not_all_choose_the_same_server() -> None:
@@ -283,11 +291,13 @@
         owner = shard.ShardOwner(
             KEY,
             f"10.0.0.{vm}:1",
-            shard.ShardRules({"urgent": 0, "normal": 1}, 10**9, 0.0, {}, {}),
+            shard_rules.ShardRules(
+                {"urgent": 0, "normal": 1}, 10**9, 0.0, {}, {}
+            ),
             [backend.BackendInfo(f"e{n}", 4, 10**6, 0) for n in range(40)],
             policy.make_policy(),
             0.0,
-            hear_s=0.0,
+            report_grace_s=0.0,
         )
         chosen.update(send(owner, SHORT))
     assert chosen.total() == 60
