--- a/bench/faults.py
+++ b/bench/faults.py
@@ -232,7 +232,7 @@
         busy: set[str],
         active: list[tuple[float, fault.Fault, fault.Note]],
     ) -> bool:
-        """Tells whether a fault cannot be told apart from an active one."""
+        """Returns whether a fault cannot be told apart from an active one."""
         platform = isinstance(chosen, fault.PlatformFault | fault.ZoneCut)
         log_bad = any(
             isinstance(f, fault.PlatformFault | fault.ZoneCut)
@@ -289,7 +289,7 @@
         self._in_force_s.append(time.monotonic() - began)
 
     def _is_steady(self, name: str, now: float) -> bool:
-        """Tells whether nothing has been done to a VM for a while."""
+        """Returns whether nothing has been done to a VM for a while."""
         vm = name.partition("/")[2]
         touched = [
             note
--- a/bench/replay/pattern.py
+++ b/bench/replay/pattern.py
@@ -117,7 +117,7 @@
     engines: model.Count = 0
 
     def covers(self, now: float) -> bool:
-        """Tells whether it goes on at this moment."""
+        """Returns whether it goes on at this moment."""
         return self.at_s <= now < self.at_s + self.for_s
 
 
--- a/bench/replay/world.py
+++ b/bench/replay/world.py
@@ -213,7 +213,7 @@
         self.timer.call_at(at, self._receive, self._owner, told)
 
     def has_impatient(self, now: float) -> bool:
-        """Tells whether callers come back at once now; some always do not."""
+        """Returns whether callers come back at once now; some always do not."""
         return any(
             event.kind is pattern.Trouble.IMPATIENT and event.covers(now)
             for event in self._given.events
--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -79,7 +79,7 @@
         burst: Requests or tokens that may be used at once; None for two
             seconds' worth of the rate.
         span_s: Where a total is held over any span of some seconds instead of
-            rate and burst: the span; the rate then only tells what is counted.
+            rate and burst: the span; the rate then only names what is counted.
         span_total: Most requests or tokens in any such span.
         unsized_tokens: On relayed routes, tokens that a request without a
             size counts.
@@ -191,11 +191,11 @@
         leaving: Whether it is to get no new work.
         role: The role that its engine is to have.
         availability_zone: Where it stands, if ``zone`` spans several.
-        run: Which of its runs this is, where it tells of itself: a larger
+        run: Which of its runs this is, where that is known: a larger
             number is a later one, which knows nothing of those before.
         warm_at: When it is warm, on the steady clock of the VM that holds the
             bundle.
-        release: The release of its software; empty where it does not tell.
+        release: The release of its software; empty where that is not known.
         region: The region of its availability zone; empty where that is not
             known.
     """
@@ -316,7 +316,7 @@
         engines: Kinds of engine, by name.
         backend_servers: Replicas, by name.
         weights: What the weight store can bear.
-        claim_window_s: How old a key that tells its age may be, in seconds;
+        claim_window_s: How old a key with a known age may be, in seconds;
             less than the platform's log keeps its records.
         routes: Relayed routes, by name.
         relay: Limits towards relayed callers.
--- a/ramptray/caller/plain.py
+++ b/ramptray/caller/plain.py
@@ -183,7 +183,7 @@
 def _goes_to_legacy(
     service: model.Service, asked: caller_request.Asked
 ) -> bool:
-    """Tells whether the old script takes this request.
+    """Returns whether the old script takes this request.
 
     A key decides for all attempts that carry it, so that a repeated call meets
     the same side, as long as the percentage stays.
--- a/ramptray/caller/request.py
+++ b/ramptray/caller/request.py
@@ -173,7 +173,7 @@
 
 
 def _is_expired(key: str, window_s: float) -> bool:
-    """Tells whether a key that carries its time of making is too old."""
+    """Returns whether a key that carries its time of making is too old."""
     try:
         parsed = uuid.UUID(key)
     except ValueError:
--- a/ramptray/controller/reconciler.py
+++ b/ramptray/controller/reconciler.py
@@ -97,7 +97,7 @@
         return states
 
     def _may_unload(self, bundle: model.Bundle, now: float) -> bool:
-        """Tells whether nobody can still route by an older bundle."""
+        """Returns whether nobody can still route by an older bundle."""
         if self._lowest_generation < bundle.generation:
             self._settled_since = None
             return False
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -51,23 +51,21 @@
 while: a backend server that fails at once always has room and would get all."""
 
 REFUSAL_WEIGHT = 0.3
-"""Weight of the newest answer in the part of requests that a server turns away:
-one that refuses half is known after two or three."""
+"""Weight of the newest answer in the part of requests that a server refuses."""
 
 REFUSAL_FORGET_S = 2.0
 """Time in which two thirds of that part are forgotten, in seconds: a server
 that has recovered gets work again within the time of a few answers."""
 
 MAX_RTT_S = 2.0
-"""Longest time that a grant and the word of a first token are taken to be
-underway, in seconds."""
+"""Longest timeout for a grant and its first token, in seconds."""
 
 MIN_LIMIT_PER_S = 0.25
 """Least rate at which a server with a limit is sent requests, in requests a
 second: only its answers show that the limit has ended."""
 
 LOST_FAILURES = 4
-"""After so many refused connections in a row nobody waits for the server."""
+"""Refused connections in a row after which the server counts as lost."""
 
 
 class BackendState(enum.Enum):
@@ -85,12 +83,12 @@
         max_running: Requests the engine batches at a time.
         kv_tokens: Tokens that fit the engine's KV memory.
         cache_blocks: Prefix blocks the engine can keep.
-        url: Where it listens; empty where the bundle tells entries.
+        url: Where it listens; empty where entries have it from the bundle.
         run: Which of its runs this is, see ``message.Grant``.
         warm_up_per_s: Requests a second that it bears until it is warm; 0 where
             it needs no warming up.
         warm_at: When it is warm, on the owner's clock.
-        release: The release of its software; empty where it does not tell.
+        release: The release of its software; empty where that is not known.
         region: The region it stands in; empty where that is not known.
     """
 
@@ -106,7 +104,7 @@
     region: str = ""
 
     def is_alike(self, other: BackendInfo) -> bool:
-        """Tells whether two differ at most in when the server is warm."""
+        """Returns whether two differ at most in when the server is warm."""
         return self == msgspec.structs.replace(other, warm_at=self.warm_at)
 
 
@@ -336,7 +334,7 @@
             self.loaded = False
 
     def is_open(self, now: float) -> bool:
-        """Tells whether new work may go there at all."""
+        """Returns whether new work may go there at all."""
         active = self.state is BackendState.ACTIVE and self.loaded
         return active and now >= max(self.unreachable_until, self.report_due_at)
 
@@ -412,7 +410,7 @@
         if not self.pending:
             return 1.0
         oldest = next(iter(self.pending.values()))
-        # A busy entry must not make its engine look slow.
+        # Exclude the entry's own scheduling delay.
         waited_s = now - oldest.started - self._rtt.timeout_s
         return max(1.0, waited_s / (oldest.expected_s + OVERDUE_GRACE_S))
 
@@ -423,7 +421,7 @@
         limit: int,
         windowed: bool = True,
     ) -> bool:
-        """Tells whether the request fits beside what runs there.
+        """Returns whether the request fits beside what runs there.
 
         Args:
             request: The request to place.
@@ -488,7 +486,7 @@
 
         Prompts are read one after the other, so what a prompt takes by itself
         begins where the one before it ended; the fixed part may pass before.
-        Those that were sent before have been read, even if nobody says so.
+        Prompts that were sent before have been read, even without a report.
         """
         placed = self.pending.get(first.request_id)
         if placed is None:
@@ -551,7 +549,7 @@
     def correct(self, running: int, step_s: float = 0.0) -> None:
         """Takes a lagging load report.
 
-        Answers tell the speed of decoding only when they end, which on an
+        Answers show the speed of decoding only when they end, which on an
         engine that has just slowed down is late; so a reported time between
         tokens that is much longer than the learned one is believed at once.
 
@@ -567,7 +565,7 @@
         self.foreign = max(0, steady - len(self.placed))
 
     def forget_prompt(self, request_id: str) -> None:
-        """Stops waiting for a first token that nobody will tell of."""
+        """Stops waiting for a first token whose entry has gone."""
         if placed := self.placed.get(request_id):
             self._finish_prefill(placed)
 
--- a/ramptray/core/blocklist.py
+++ b/ramptray/core/blocklist.py
@@ -44,11 +44,11 @@
     lifted: bool = False
 
     def is_over(self, now: float) -> bool:
-        """Tells whether the content may be tried again."""
+        """Returns whether the content may be tried again."""
         return self.lifted or now >= self.until
 
     def overrules(self, other: Block) -> bool:
-        """Tells whether this is later word than the other's."""
+        """Returns whether this is later word than the other's."""
         if self.level != other.level:
             return self.level > other.level
         return self.lifted and not other.lifted
@@ -111,7 +111,7 @@
         return sum(not block.is_over(now) for block in self._blocks.values())
 
     def is_known(self, content: str) -> bool:
-        """Tells whether a content is or was blocked, and nobody lifted that."""
+        """Returns whether a content is blocked, or was and is not lifted."""
         found = self._blocks.get(content)
         return found is not None and not found.lifted
 
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -13,8 +13,7 @@
 """Longest time a lost entry's request keeps its place, in seconds."""
 
 FASTEST = 8
-"""Backend servers that are looked at to tell whether a request can be in time
-anywhere; the others are no faster."""
+"""Fastest backend servers among which a request that can be in time fits."""
 
 
 class Fleet:
@@ -23,18 +22,18 @@
     Args:
         report_due_at: Until then a backend server gets no work before its
             first report.
-        told: What earlier owners have learned of some of them.
+        learned: Speeds that earlier owners have learned.
 
     Attributes:
         backends: The backend servers by their names.
     """
 
     def __init__(
-        self, report_due_at: float, told: Mapping[str, message.SpeedLearned]
+        self, report_due_at: float, learned: Mapping[str, message.SpeedLearned]
     ) -> None:
         self.backends: dict[str, backends.Backend] = {}
         self._hear_by = report_due_at
-        self._speeds = dict(told)
+        self._speeds = dict(learned)
         self._limits: dict[str, message.LimitNamed] = {}
         self._wanted: frozenset[str] = frozenset()
         self._where: dict[str, backends.Backend] = {}
@@ -89,7 +88,7 @@
                 del self.backends[name]
 
     def wants(self, name: str) -> bool:
-        """Tells whether the bundle lets a backend server get new work."""
+        """Returns whether the bundle lets a backend server get new work."""
         return name in self._wanted
 
     def set_state(self, name: str, state: backends.BackendState) -> None:
@@ -112,7 +111,7 @@
             name: The backend server.
             running: Requests that run or wait there.
             versions: The model versions that it has loaded.
-            step_s: Seconds between two tokens; 0 where it does not tell.
+            step_s: Seconds between two tokens; 0 where that is not reported.
             wanted: The model version to serve.
         """
         if known := self.backends.get(name):
@@ -182,7 +181,7 @@
         return [c for c in candidates if c.info.name not in left_out]
 
     def is_out_of_reach(self, request: message.RequestInfo) -> bool:
-        """Tells whether the request's entry can reach none of them."""
+        """Returns whether the request's entry can reach none of them."""
         never = set(request.silent) | self._list_barred(request)
         return bool(self.backends) and not set(self.backends) - never
 
--- a/ramptray/core/lease.py
+++ b/ramptray/core/lease.py
@@ -112,11 +112,11 @@
             self._expires_at = sent_at + self._times.term_s
 
     def holds(self, now: float) -> bool:
-        """Tells whether this controller holds the lease now."""
+        """Returns whether this controller holds the lease now."""
         return self._holder == self._me and now < self._expires_at
 
     def may_order(self, now: float) -> bool:
-        """Tells whether an order sent now arrives within the lease.
+        """Returns whether an order sent now arrives within the lease.
 
         It is asked just before each order.
         """
--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -33,8 +33,8 @@
 """Span over which a customer's use is measured, in seconds."""
 
 MAX_WAIT_S = 2.0
-"""Longest advice on when to come back, in seconds: nobody knows what a customer
-asks later than that, and many callers give up a request that is older."""
+"""Longest advice on when to come back, in seconds: what a customer asks later
+than that is not known, and many callers give up a request that is older."""
 
 USE_PART = 0.78
 """Part of a total over a span that is handed out in it.  With what may be used
@@ -51,7 +51,7 @@
 """Part of a zone's share that is never lent, since words are late."""
 
 MAX_USES = 16
-"""Customers whose use is told to other zones."""
+"""Customers whose use is sent to other zones."""
 
 
 class Rate(msgspec.Struct, frozen=True):
@@ -196,7 +196,7 @@
         """Returns the seconds until the amount may be taken, 0 for now.
 
         Those that were refused come back, and the bucket serves one after the
-        other: each is told the time when those before it will be through.
+        other: each gets the time by which those before it are through.
         """
         self._asked.add(int(amount), now)
         earned = (now - self._filled_at) * self.rate
@@ -304,32 +304,32 @@
         Use is a part of the zone's own share; more than 1 wants more.
         """
         uses = {c: self._get_use(c, now) for c in self._buckets}
-        told = [
+        wanted = [
             customer
             for customer in self._rates
             if uses.get(customer, 0.0) > 1.0
             or customer in self._wanted_elsewhere
         ]
-        told.sort(key=lambda customer: -uses.get(customer, 0.0))
-        return {c: round(uses.get(c, 0.0), 2) for c in told[:MAX_USES]}
+        wanted.sort(key=lambda customer: -uses.get(customer, 0.0))
+        return {c: round(uses.get(c, 0.0), 2) for c in wanted[:MAX_USES]}
 
     def borrow(self, elsewhere: Iterable[dict[str, float]]) -> None:
-        """Takes what the other zones have told of their uses.
+        """Takes the uses of the other zones.
 
         Args:
-            elsewhere: A mapping for each zone that was heard of lately.
+            elsewhere: A mapping for each zone with a fresh summary.
         """
-        told = list(elsewhere)
+        fresh = list(elsewhere)
         wanted: dict[str, int] = {}
         spare: dict[str, float] = {}
-        for uses in told:
+        for uses in fresh:
             for customer, use in uses.items():
                 wanted[customer] = wanted.get(customer, 1) + (use > 1.0)
                 left = max(0.0, 1.0 - MARGIN - use)
                 spare[customer] = spare.get(customer, 0.0) + left
         self._wanted_elsewhere = frozenset(
             customer
-            for uses in told
+            for uses in fresh
             for customer, use in uses.items()
             if use > 1.0
         )
--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -95,7 +95,7 @@
     link_mbps: float = 0.0
 
     def overrides(self, other: Member) -> bool:
-        """Tells whether this record is newer than the other."""
+        """Returns whether this record is newer than the other."""
         mine = (self.incarnation, _ORDER[self.state], self.generation)
         theirs = (other.incarnation, _ORDER[other.state], other.generation)
         return mine > theirs
@@ -161,7 +161,7 @@
         return [known.member for known in self._known.values()]
 
     def is_minority(self) -> bool:
-        """Tells whether at most half of the members can be heard.
+        """Returns whether at most half of the members can be heard.
 
         Those that have left by their own will do not count.
         """
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -89,7 +89,7 @@
             seconds; None where there is no such limit.
         event_tokens: Tokens that an event of its answer holds.
         content: The same for requests of the same customer, path and body;
-            empty where that is not told.
+            empty where that is not known.
         prefix_tokens: Tokens that each block of the prefix covers; empty where
             all cover the usual number.
         route: The route that it came on; empty where there are none.
@@ -281,11 +281,11 @@
         owner: Address of the scheduler that grants.
         version: The model version to ask for; empty for none.
         url: Where the backend server listens, for an entry that does not know
-            it; empty where the bundle tells.
+            it; empty where it is in the bundle.
         speed: How fast it works; None where that is not learned yet.
         run: Which run of the backend server is meant: a larger number is a
-            later one, which knows nothing of those before; 0 where it does not
-            tell.
+            later one, which knows nothing of those before; 0 where that is not
+            known.
         limit_per_s: The request limit of the backend server that the owner
             applied; None where it knows of none.
     """
@@ -324,7 +324,7 @@
 
 
 class Queued(msgspec.Struct, frozen=True):
-    """Owner to entry: this request waits here; more word will follow."""
+    """Owner to entry: this request waits here."""
 
     request_id: str
 
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -30,8 +30,7 @@
 """How much worse a second past the deadline is than one of waiting."""
 
 FIRST_MARGIN = 1.2
-"""Factor on the expected time to a first token that is to be in time: most real
-ones take somewhat longer than expected."""
+"""Safety factor on the expected time to a first token."""
 
 WAY_S = 0.01
 """Time from an entry to an engine and back to the caller, in seconds, which no
@@ -96,7 +95,7 @@
         """
 
     def suits(self, demand: Demand, candidate: backends.Backend) -> bool:
-        """Tells whether a request would be in time on an idle server."""
+        """Returns whether a request would be in time on an idle server."""
         return True
 
 
@@ -166,7 +165,7 @@
         candidate: backends.Backend,
         uncached: int,
     ) -> bool:
-        """Tells whether a prompt makes the answers beside it pause too long."""
+        """Returns whether a prompt makes other answers pause too long."""
         if request.max_gap_s is None or not candidate.placed:
             return False
         pause_s = candidate.estimate_pause(uncached, request.event_tokens)
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -285,7 +285,7 @@
         return ahead - counted
 
     def has_lower(self, rank: int) -> bool:
-        """Tells whether a request of a lower tier waits."""
+        """Returns whether a request of a lower tier waits."""
         return any(tier.count for tier in self.tiers[rank + 1 :])
 
     def _get_rank(self, request: message.RequestInfo) -> int:
--- a/ramptray/core/release.py
+++ b/ramptray/core/release.py
@@ -7,7 +7,7 @@
 
 
 class ReleaseGate:
-    """Applies a rollout to a shard's choices and tells it of its answers.
+    """Applies a rollout to a shard's choices and passes answers to it.
 
     Args:
         servers: The shard's backend servers.
--- a/ramptray/core/retry.py
+++ b/ramptray/core/retry.py
@@ -44,7 +44,7 @@
         self._requests[service].add(1, now)
 
     def has_left(self, service: str, now: float) -> bool:
-        """Tells whether the budget has a further attempt left."""
+        """Returns whether the budget has a further attempt left."""
         requests = self._requests[service].get_sum(now)
         allowed = self.rules.extra + self.rules.ratio * requests
         return self._retries[service].get_sum(now) + 1 <= allowed
--- a/ramptray/core/rollout.py
+++ b/ramptray/core/rollout.py
@@ -125,7 +125,7 @@
     slack: float = 50.0
 
     def is_same(self, other: Order | None) -> bool:
-        """Tells whether two orders ask for the same."""
+        """Returns whether two orders ask for the same."""
         return other is not None and (self.service, self.release) == (
             other.service,
             other.release,
@@ -150,7 +150,7 @@
     is_kept: bool = False
 
     def goes_before(self, other: Verdict | None) -> bool:
-        """Tells whether this one replaces another on the same service."""
+        """Returns whether this one replaces another on the same service."""
         if other is None or other.release != self.release:
             return True
         if other.is_kept and other.state.is_final:
@@ -310,7 +310,7 @@
         self._old: set[str] = set()
 
     def may_send(self, release: str, part: float) -> bool:
-        """Tells whether a request may be granted to a release.
+        """Returns whether a request may be granted to a release.
 
         Args:
             release: The release.
--- a/ramptray/core/separation.py
+++ b/ramptray/core/separation.py
@@ -10,7 +10,7 @@
 IsSuspect = Callable[[str], bool]
 
 
-def suspect_nobody(content: str) -> bool:
+def suspect_none(content: str) -> bool:
     """Stands in where nothing is known of contents."""
     return False
 
@@ -23,13 +23,13 @@
     """Returns the candidates on which no other suspect runs, if there are any.
 
     Load pattern: a backend server has ended, and all that ran there is sent on
-    at once.  Sent on together, culprit and bystanders meet the next crash
-    together too, and nothing tells them apart.
+    at once.  Sent on together, suspect and cleared requests meet the next
+    crash together too, and cannot be told apart.
 
     Args:
         candidates: The backend servers that the request may go to.
         request: The request.
-        is_suspect: Tells whether anything speaks against a content.
+        is_suspect: Returns whether anything speaks against a content.
     """
     if not is_suspect(request.content):
         return candidates
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -56,7 +56,7 @@
         report_grace_s: float = REPORT_GRACE_S,
         limits: limit.Limits | None = None,
         speeds: Mapping[str, message.SpeedLearned] | None = None,
-        is_suspect: separation.IsSuspect = separation.suspect_nobody,
+        is_suspect: separation.IsSuspect = separation.suspect_none,
     ) -> None:
         self.shard = shard
         self.fleet = fleet.Fleet(now + report_grace_s, speeds or {})
--- a/ramptray/core/summary.py
+++ b/ramptray/core/summary.py
@@ -29,6 +29,6 @@
     uses: dict[str, float] = msgspec.field(default_factory=dict)
 
     def has_room(self, rank: int, cost: int) -> bool:
-        """Tells whether a request of this tier would be kept there."""
+        """Returns whether a request of this tier would be kept there."""
         ahead = sum(self.waiting[: rank + 1])
         return self.has_backend and ahead + cost <= self.limit
--- a/ramptray/core/suspicion.py
+++ b/ramptray/core/suspicion.py
@@ -114,7 +114,7 @@
         self._cleared: set[str] = set()
 
     def takes(self, crash: Crash) -> bool:
-        """Tells whether a crash happened at this moment, too."""
+        """Returns whether a crash happened at this moment, too."""
         since_last = crash.at - self.crashes[-1].at
         since_first = crash.at - self.crashes[0].at
         return since_last <= MOMENT_S and since_first <= LONGEST_MOMENT_S
@@ -173,7 +173,7 @@
         self._counts: dict[str, int] = {}
 
     def is_suspect(self, content: str) -> bool:
-        """Tells whether anything speaks against a content."""
+        """Returns whether anything speaks against a content."""
         return content in self._counts or self.blocks.is_known(content)
 
     def get_count(self, content: str) -> int:
@@ -227,7 +227,7 @@
                 moment.clear(content)
 
     def has_ended(self, crash: Crash) -> bool:
-        """Tells whether this run of the backend server is known to have ended.
+        """Returns whether this run is known to have ended.
 
         One that does not tell its runs may end again once it had the time to
         start, under requests that were sent to it since.  A VM that stood still
@@ -246,7 +246,7 @@
             self._ended_at.popitem(last=False)
 
     def _is_explained(self, crash: Crash) -> bool:
-        """Tells whether a blocked content was there, sent before it was."""
+        """Returns whether a blocked content was there, sent before it was."""
         return any(
             self.blocks.get_left(content, crash.at) > 0
             for content in crash.list_suspects()
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -47,7 +47,7 @@
 """So many ticks in a row may be late before owners are doubted all the same."""
 
 RETRY_AFTER_S = 1.0
-"""When to come back to a VM that finds nobody to ask, in seconds."""
+"""Retry-After of a VM that finds no scheduler to ask, in seconds."""
 
 ATTEMPT_RETRY_S = 0.05
 """When to come back after the last attempt of a request has failed, in seconds:
@@ -86,7 +86,7 @@
             force.
         timeline: Where events are noted.
         server_limits: The request limits that backend servers name.
-        on_doubt: Called with the address of a scheduler that has become silent.
+        on_doubt: Called with the address of a scheduler that does not reply.
     """
 
     def __init__(
@@ -113,15 +113,15 @@
             settings.zone, settings.scheduler, shares_limits
         )
         self._claims = claims.ClaimSender(
-            settings.zone, self._owners, self._tell_any
+            settings.zone, self._owners, self._send_any
         )
         self._blocked = blocked.BlockedContents(
             blocklist.Blocklist() if blocks is None else blocks,
-            self._tell_any,
+            self._send_any,
             lambda: list(self._links),
         )
         self.server_limits = server_limits.ServerLimits(
-            self._tell_any, lambda: [*self._links, self._local]
+            self._send_any, lambda: [*self._links, self._local]
         )
         self._budget = budget or retry.RetryBudget()
         self.on_doubt: Callable[[str], None] = _do_nothing
@@ -143,7 +143,7 @@
         return len(self._tickets)
 
     def may_repeat(self, ticket: tickets.Ticket) -> bool:
-        """Tells whether another attempt of a request would be allowed now."""
+        """Returns whether another attempt of a request would be allowed now."""
         machine = ticket.machine
         now = steadyclock.read()
         return (
@@ -206,7 +206,7 @@
             case tickets.Begun(first):
                 self.network.note_answer(machine.backend, now)
                 if machine.owner:
-                    self._tell(machine.owner, self._leave_out_lag(first))
+                    self._send(machine.owner, self._leave_out_lag(first))
                 self.timeline.note(
                     "first_token",
                     first.request_id,
@@ -301,7 +301,7 @@
         """Finds the request's owner and asks it, or notes there is none."""
         shard = ticket.machine.info.shard
         if shard.zone != self._zone and not self._owners.reaches(shard.zone):
-            # The zone it was sent on to has been cut off: it comes home.
+            # Fall back to the local zone.
             shard = msgspec.structs.replace(shard, zone=self._zone)
             ticket.machine.info = msgspec.structs.replace(
                 ticket.machine.info, shard=shard
@@ -328,11 +328,11 @@
     ) -> None:
         for effect in effects:
             match effect:
-                case request.Tell(owner, told):
-                    if isinstance(told, message.Enqueue):
+                case request.Tell(owner, sent):
+                    if isinstance(sent, message.Enqueue):
                         ticket.asked_at = now
                         ticket.awaiting_reply = True
-                    self._tell(owner, told)
+                    self._send(owner, sent)
                 case request.Dispatch(grant):
                     ticket.dispatched = now
                     self.timeline.note(
@@ -375,7 +375,7 @@
     # Schedulers.
 
     def _receive(self, address: str, body: object, now: float) -> None:
-        self._owners.note_word(address, now)
+        self._owners.note_message(address, now)
         match body:
             case message.Grant(request_id):
                 self._note_answer(address, request_id, now)
@@ -388,13 +388,13 @@
             case message.Queued(request_id):
                 self._note_answer(address, request_id, now)
             case message.StillWaiting():
-                pass  # That it was said is all there is to know.
+                pass  # It only shows that the owner is alive.
             case message.Redirect(request_id):
                 self._redirect(address, body, now)
             case peer_message.AskTimeline(after, subject, number):
                 events = self.timeline.list_events(after, subject)
                 answer = peer_message.TimelineEvents(events, number)
-                self._tell_any(address, answer)
+                self._send_any(address, answer)
             case peer_message.ClaimDecision():
                 self._decide_claim(body, now)
             case peer_message.BlockedContents():
@@ -405,7 +405,7 @@
                 self._take_bundle(address, envelope)
 
     def _note_answer(self, address: str, request_id: str, now: float) -> None:
-        """Notes that a scheduler has said its first word on a request."""
+        """Takes the first reply of a scheduler on a request."""
         ticket = self._tickets.get(request_id)
         if ticket is None or not ticket.awaiting_reply:
             return
@@ -419,14 +419,14 @@
         ticket = self._tickets.get(request_id)
         if ticket is None:
             decline = message.Decline(request_id, grant.grant_id)
-            self._tell(grant.owner, decline)
+            self._send(grant.owner, decline)
             return
         self._perform(ticket, ticket.machine.receive_grant(grant), now)
         if grant.speed is not None and grant.owner != self._local:
             learned = message.SpeedLearned(
                 grant.backend, grant.speed, grant.run
             )
-            self._tell(self._local, learned)
+            self._send(self._local, learned)
 
     def _redirect(
         self, address: str, redirect: message.Redirect, now: float
@@ -479,14 +479,14 @@
             LOG.info("bundle in force", extra={"generation": generation})
         if self.in_force:
             report = peer_message.InForceReport(self.in_force.generation)
-            self._tell_any(address, report)
+            self._send_any(address, report)
 
     # Links.
 
-    def _tell(self, owner: str, told: message.EntryMessage) -> None:
-        self._tell_any(owner, told)
+    def _send(self, owner: str, sent: message.EntryMessage) -> None:
+        self._send_any(owner, sent)
 
-    def _tell_any(self, address: str, body: object) -> None:
+    def _send_any(self, address: str, body: object) -> None:
         self._get_link(address).send(body)
 
     def _get_link(self, address: str) -> attachment.Attachment:
@@ -505,7 +505,7 @@
         self._tasks.start_soon(owner_link.run)
 
     def _sync(self, address: str, now: float) -> None:
-        """Tells a scheduler all that waits or runs with it."""
+        """Sends a scheduler all that waits or runs with it."""
         self._owners.note_up(address)
         self._blocked.tell_all(address, now)
         self.server_limits.send_all(address)
@@ -514,7 +514,7 @@
                 self._resend(ticket, now)
             if ticket.machine.claim is request.Claim.PENDING:
                 self._claims.send(ticket)
-        self._tell(address, message.SyncDone(self._name))
+        self._send(address, message.SyncDone(self._name))
         self._reassign_all(now)
 
     def _resend(self, ticket: tickets.Ticket, now: float) -> None:
@@ -543,10 +543,10 @@
                 self._claims.send(ticket)
 
     def _has_been_away(self, now: float) -> bool:
-        """Tells whether words may wait here that this process has not read.
+        """Returns whether unread messages may wait for this process.
 
         Load pattern: a VM short of processor time comes late to its own ticks.
-        Owners that have answered meanwhile are not to be blamed for that.
+        Owners that have answered meanwhile are not lost.
         """
         late_s = now - self._ticked_at - TICK_S
         if late_s < AWAY_S:
@@ -567,7 +567,7 @@
         return msgspec.structs.replace(first, elapsed_s=taken_s)
 
     def _suspect_silent_owners(self, now: float) -> None:
-        """Moves what waits away from owners that say nothing."""
+        """Moves waiting requests away from owners that do not reply."""
         silent = {
             ticket.machine.owner
             for ticket in self._tickets.values()
@@ -584,14 +584,14 @@
         ]
         for owner in doubted:
             self.on_doubt(owner)
-            # Perhaps its whole zone is cut off; opening a connection tells.
+            # Its whole zone may be cut off; opening a connection shows it.
             zone = self._owners.get_availability_zone(owner)
             self.network.distrust_zone(zone)
         if doubted:
             self._reassign_all(now)
 
     def tick(self, now: float) -> None:
-        """Ends the requests that nobody can or may serve any more."""
+        """Ends the requests that cannot or may not be served any more."""
         if not self._has_been_away(now):
             self._suspect_silent_owners(now)
         for ticket in list(self._tickets.values()):
@@ -602,4 +602,4 @@
 
 
 def _do_nothing(address: str) -> None:
-    """Stands in until somebody listens."""
+    """Default of callbacks."""
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -88,17 +88,17 @@
         self._rtts.pop(address, None)
 
     def is_down(self, address: str) -> bool:
-        """Tells whether the link to a scheduler is broken."""
+        """Returns whether the link to a scheduler is broken."""
         return address in self._down
 
-    def note_word(self, address: str, now: float) -> None:
-        """Notes that a scheduler has said something."""
+    def note_message(self, address: str, now: float) -> None:
+        """Notes that a message of a scheduler has come."""
         self._heard[address] = now
         if self._doubts.pop(address, None):
-            LOG.info("owner heard again", extra={"owner": address})
+            LOG.info("owner replies again", extra={"owner": address})
 
     def note_answer(self, address: str, delay_s: float) -> None:
-        """Notes how long a scheduler took for its first word on a request."""
+        """Observes how long a scheduler took for its first reply."""
         if address not in self._rtts:
             self._rtts[address] = rtt.RttEstimator(ANSWER_S, MAX_ANSWER_S)
         self._rtts[address].observe(delay_s)
@@ -147,7 +147,7 @@
         )
 
     def reaches(self, zone: str) -> bool:
-        """Tells whether a scheduler of another zone can be reached."""
+        """Returns whether a scheduler of another zone can be reached."""
         return any(
             member.zone == zone and member.address not in self._down
             for member in self.others
--- a/ramptray/entry/patience.py
+++ b/ramptray/entry/patience.py
@@ -21,7 +21,7 @@
 def is_silent(
     ticket: tickets.Ticket, known: owners.Owners, owner: str, now: float
 ) -> bool:
-    """Tells whether a request's owner has said nothing for too long.
+    """Returns whether a request's owner has said nothing for too long.
 
     A word on any request shows that it lives, though it may be busy.
 
--- a/ramptray/entry/prober.py
+++ b/ramptray/entry/prober.py
@@ -22,7 +22,7 @@
 
     Args:
         network: What the entry believes of the zones.
-        probe: Tells whether there is a way to a backend server, by its URL.
+        probe: Returns whether there is a way to a backend server, by its URL.
     """
 
     def __init__(self, network: networks.Network, probe: Probe) -> None:
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -73,7 +73,7 @@
     """The whole answer has arrived.
 
     Attributes:
-        ended: What the owner is told.
+        ended: Sent to the owner.
         status: HTTP status of the answer.
     """
 
@@ -108,9 +108,9 @@
     """An attempt has ended without an answer; another one may follow.
 
     Attributes:
-        ended: What the owner is told.
+        ended: Sent to the owner.
         not_run: Whether the backend server has said that it did not run.
-        reason: What the caller is told where no attempt follows.
+        reason: Sent to the caller where no attempt follows.
         fault: What was seen of the fault, for the logs.
     """
 
--- a/ramptray/load/shooter.py
+++ b/ramptray/load/shooter.py
@@ -207,7 +207,7 @@
 
 
 def is_own_answer(text: str, shot: plan.Shot) -> bool:
-    """Tells whether a text is the whole answer to this very prompt."""
+    """Returns whether a text is the whole answer to this very prompt."""
     prompt = main.render_prompt(_make_parsed(shot))
     tag = batch.tag_prompt(prompt)
     count = batch.draw_output_tokens(prompt, shot.max_tokens)
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -56,7 +56,7 @@
 
     Args:
         tuned: The product's settings.
-        given: What the platform tells this VM.
+        given: The settings of this VM.
     """
 
     def __init__(
@@ -229,11 +229,11 @@
         return probe.Page(probe.OK, "ready\n")
 
     def _note_cut(self) -> bool:
-        """Tells whether most of the deployment is beyond reach from here.
+        """Returns whether most of the deployment is beyond reach from here.
 
         Then callers are better served by VMs of other zones, which have more
-        engines: new ones are sent there, and those that are connected are told
-        to close.  Whoever comes all the same is served.  Losing VMs alone says
+        engines: new ones are sent there, and connected ones are asked to close.
+        Those that come all the same are served.  Losing VMs alone says
         nothing: they may be down while all engines are at hand.
         """
         minority = self._gossiper.membership.is_minority()
--- a/ramptray/peer/gate.py
+++ b/ramptray/peer/gate.py
@@ -8,11 +8,11 @@
 
 
 class Gate(abc.ABC):
-    """Tells whether a peer can be reached."""
+    """Returns whether a peer can be reached."""
 
     @abc.abstractmethod
     def allows(self, address: str) -> bool:
-        """Tells whether messages to and from an address get through."""
+        """Returns whether messages to and from an address get through."""
 
 
 class OpenGate(Gate):
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -162,7 +162,7 @@
     release: str = ""
 
     def is_older(self, other: Replica) -> bool:
-        """Tells whether this word was overtaken by the other.
+        """Returns whether this word was overtaken by the other.
 
         A clock that was set back makes a later run look earlier, so the
         store's order goes before the starts.
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -23,7 +23,7 @@
 """KV memory of a service without engines, in tokens."""
 
 PLAIN_SLOTS = 64
-"""Requests at a time of a replica whose record does not tell its slots yet."""
+"""Requests at a time of a replica whose record is not known yet."""
 
 STREAM_PATIENCE_S = 2.0
 """Shortest time in which callers give up a stream without an event, seconds."""
@@ -169,11 +169,11 @@
             return self._parse_changed(fields)
         except msgspec.ValidationError as error:
             self._decoded = {}
-            # Checked whole, so that each mistake is told with its place.
+            # Decoded again as a whole for an error that names each place.
             match validation.convert(fields, _Config, strict=False):
                 case Err(mistakes):
-                    told = validation.format_mistakes(mistakes)
-                    raise ConfigError(told) from error
+                    text = validation.format_mistakes(mistakes)
+                    raise ConfigError(text) from error
                 case Ok(_):
                     raise ConfigError(str(error)) from error
 
@@ -233,7 +233,7 @@
     priorities = sorted({route.priority for route in declared})
     return model.Bundle(
         generation=raw.version,
-        # Nobody signs here: the store takes changes from operators only.
+        # Unsigned: the store takes changes from operators only.
         operators=model.Operators(
             keys={"store": "ed25519:" + "0" * 64}, signatures_required=1
         ),
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -85,7 +85,7 @@
         on_bundle: OnBundle,
     ) -> None:
         super().__init__(client, FETCH_S)
-        self.pick_peer: Callable[[], str | None] = _pick_nobody
+        self.pick_peer: Callable[[], str | None] = _pick_none
         self._in_force: acceptance.InForce | None = None
         self._parser = config.ConfigParser(terms)
         self._book = replicas.ReplicaBook(hold_s, zones)
@@ -176,15 +176,15 @@
     async def fetch(self, address: str, generation: int) -> None:
         """See the base class.
 
-        Those that this VM follows tell it of the change, as its difference.
+        The VMs that this one follows send the change as a difference.
         """
 
     async def ask(self, address: str) -> None:
         """See the base class."""
         await self._feed.ask(address)
 
-    def _take_trouble(self, told: feed.Trouble) -> None:
-        self._book.take_trouble(told, steadyclock.read())
+    def _take_trouble(self, trouble: feed.Trouble) -> None:
+        self._book.take_trouble(trouble, steadyclock.read())
 
     def set_on_news(self, on_news: Callable[[], None]) -> None:
         """See the base class."""
@@ -192,11 +192,11 @@
             reader.on_news = on_news
 
     def take_from_peer(
-        self, address: str, told: peer_message.FetchedBundle
+        self, address: str, fetched: peer_message.FetchedBundle
     ) -> None:
         """See the base class."""
-        if told.envelope:
-            self._take_text(told.envelope.text, f"peer {address}")
+        if fetched.envelope:
+            self._take_text(fetched.envelope.text, f"peer {address}")
 
     def list_gauges(self, now: float) -> list[metrics.Gauge]:
         """Returns the reads of the store and the generation in force."""
@@ -279,12 +279,12 @@
     def _note_older_copy(self) -> None:
         """Keeps replicas whose records are lost as long as after an outage.
 
-        Whoever wrote records that are lost writes them again.
+        The writers of lost records write them again.
         """
         self._book.note_return(steadyclock.read())
 
     def _is_unsettled(self) -> bool:
-        """Tells whether a moment is near at which something is due."""
+        """Returns whether a moment is near at which something is due."""
         return (
             self._book.is_waiting
             or self._evacuations.is_waiting
@@ -362,7 +362,7 @@
     )
 
 
-def _pick_nobody() -> str | None:
+def _pick_none() -> str | None:
     """Stands in until the peers are known."""
     return None
 
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -27,7 +27,7 @@
 _PARTS = b"x-prompt-prefix"
 _MODEL = b"x-model"
 MAX_PARTS = 64
-"""Parts of a prompt that are looked at; the rest is told to nobody else."""
+"""Longest list of prompt parts that is used; the rest is dropped."""
 
 LAST_EVENT = b"last-event-id"
 CUSTOMER = b"x-tenant"
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -207,7 +207,7 @@
         self._known[name] = _Known(unused)
 
     def _is_overtaken(self, name: str, replica: peer_message.Replica) -> bool:
-        """Tells whether a newer word is known: this one changes nothing."""
+        """Returns whether a newer word is known: this one changes nothing."""
         known = self._known.get(name)
         return known is not None and replica.is_older(known.replica)
 
@@ -284,5 +284,5 @@
 
 
 def _is_alike(one: peer_message.Replica, other: peer_message.Replica) -> bool:
-    """Tells whether two words differ in their places in the store at most."""
+    """Returns whether two words differ in their places in the store at most."""
     return one == msgspec.structs.replace(other, position=one.position)
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -101,7 +101,7 @@
 
 
 class VmSettings(msgspec.Struct, frozen=True):
-    """What the platform tells a VM.
+    """A VM's settings.
 
     Attributes:
         vm: Name of the VM.
@@ -117,7 +117,7 @@
         cores: Processor time a second, in seconds of a core.
         memory_mb: Memory limit in megabytes.
         link_mbps: What its link carries, in megabits a second; 0 where that is
-            not told.
+            not given.
         first_start: Whether all VMs start for the first time.
         grace_s: Seconds from a planned stop's signal to the kill.
         retry_ratio: Further attempts allowed for each request, over all VMs.
@@ -174,8 +174,8 @@
         case Ok(raw):
             return _make_settings(raw)
         case Err(mistakes):
-            told = validation.format_mistakes(mistakes)
-            raise SettingsError(f"{path}: {told}")
+            text = validation.format_mistakes(mistakes)
+            raise SettingsError(f"{path}: {text}")
 
 
 def _make_settings(raw: _File) -> VmSettings:
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -131,7 +131,7 @@
         self.distrust(list(self._idle) if many else [target.address])
 
     async def probe(self, url: str) -> bool:
-        """Tells whether there is a way to a backend server.
+        """Returns whether there is a way to a backend server.
 
         A connection that could be opened is kept for the next request.
         """
--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -70,7 +70,7 @@
     run: int = 0
 
     def is_former(self, other: Target) -> bool:
-        """Tells whether this is another run of the same backend server."""
+        """Returns whether this is another run of the same backend server."""
         return self.backend == other.backend and self.run != other.run
 
 
@@ -109,7 +109,7 @@
         )
 
     def is_quiet(self) -> bool:
-        """Tells whether nothing has arrived while the connection was idle.
+        """Returns whether nothing has arrived while the connection was idle.
 
         Bytes that nobody asked for, an end or an error make it useless.
         """
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -81,7 +81,7 @@
 
     Attributes:
         asked: The caller's request.
-        info: What schedulers are told of it.
+        info: Its description for schedulers.
         route: Its route.
         customer: The customer; empty on a public route without a key.
         timeout_s: Longest time the request is held.
@@ -158,8 +158,8 @@
         if target is None:
             self._ticket.report(tickets.ConnectFailed(self._request_id))
             return
-        # Callers that left in numbers free places for each other's requests:
-        # whoever has closed its connection by now is not served any more.
+        # Callers that leave in numbers free places for each other's requests:
+        # cancellation of a closed connection is delivered here.
         await anyio.lowlevel.checkpoint()
         self._sent_at = steadyclock.read()
         self._begun_at = None
@@ -374,7 +374,7 @@
 
         Args:
             not_run: Whether the backend server has said that it did not run.
-            reason: What the caller is told where no attempt follows.
+            reason: Sent to the caller where no attempt follows.
             fault: How the backend server broke off or hung, if it did.
             failed: Whether it answered with a failure of its own.
         """
--- a/ramptray/scheduler/feed.py
+++ b/ramptray/scheduler/feed.py
@@ -228,7 +228,7 @@
     def _has_news(
         self, asked: peer_message.FollowStreams, known_at: float
     ) -> bool:
-        """Tells whether an answer is due.
+        """Returns whether an answer is due.
 
         Args:
             asked: What was asked.
@@ -360,7 +360,7 @@
             each.reader.set_watching(watching)
 
     def _should_watch(self, now: float) -> bool:
-        """Tells whether this VM reads the log itself."""
+        """Returns whether this VM reads the log itself."""
         place = self._place
         if now < self._patient_until and (place is None or not place.reads):
             return False
--- a/ramptray/scheduler/follower.py
+++ b/ramptray/scheduler/follower.py
@@ -192,7 +192,7 @@
         await self._leave_checkpoint()
 
     def _is_lost(self, first_retained: int) -> bool:
-        """Tells whether older records might help and were not read."""
+        """Returns whether older records might help and were not read."""
         unjoined = self._acceptance.log_view is None
         return unjoined and self._acceptance.first_read > first_retained
 
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -164,7 +164,7 @@
             await self._client.close_idle(steadyclock.read())
 
     def _is_young(self) -> bool:
-        """Tells whether this scheduler still looks for the others."""
+        """Returns whether this scheduler still looks for the others."""
         if self._settled >= SETTLED_PROBES:
             return False
         return steadyclock.read() < self._young_until
@@ -318,7 +318,7 @@
     async def _probe(
         self, address: str, timeout_s: float = membership.PROBE_TIMEOUT_S
     ) -> bool:
-        """Tells whether a scheduler answers in time.
+        """Returns whether a scheduler answers in time.
 
         Load pattern: VMs short of processor time answer late.  How long is in
         time follows what probes have been taking; an answer after that still
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -37,7 +37,7 @@
 TICK_S = 0.1
 IDLE_TICK_S = 0.5
 STILL_WAITING_S = 0.18
-"""How long an entry with waiting requests is left without any word, in seconds:
+"""How long an entry with waiting requests gets no message, in seconds:
 less than half of the time after which it takes its owner for lost."""
 
 SUMMARY_EVERY_S = 0.5
@@ -62,13 +62,13 @@
             backend server.
         shares_limits: Whether a customer's limit holds over all services
             together instead of for each shard.
-        tells_bundle: Whether attached processes get the bundle from here.
+        sends_bundle: Whether attached processes get the bundle from here.
     """
 
     policy: str = policy.TokenPolicy.name
     report_grace_s: float = shard.REPORT_GRACE_S
     shares_limits: bool = False
-    tells_bundle: bool = True
+    sends_bundle: bool = True
 
 
 class Hub:
@@ -111,7 +111,7 @@
         self._limits = limit.Limits({}) if options.shares_limits else None
         self._sessions: dict[peer_link.Session, Attached | None] = {}
         self._entries: dict[str, peer_link.Session] = {}
-        self._told_at: dict[str, float] = {}
+        self._sent_at: dict[str, float] = {}
         self._speeds: dict[str, message.SpeedLearned] = {}
         self._server_limits: dict[str, message.LimitNamed] = {}
         self._leaving_listed: frozenset[str] = frozenset()
@@ -123,12 +123,12 @@
         self._queries = query.EventQueries()
         self._has_work = anyio.Event()
         self._mailbox = mailbox.Mailbox(
-            lambda told: self._handle(told, steadyclock.read())
+            lambda posted: self._handle(posted, steadyclock.read())
         )
 
-    def post(self, told: Any) -> None:
+    def post(self, posted: Any) -> None:
         """Has an event handled."""
-        self._mailbox.post(told)
+        self._mailbox.post(posted)
 
     async def run(self) -> None:
         """Handles events until cancelled."""
@@ -137,7 +137,7 @@
             await self._mailbox.run()
 
     def owns(self, key: message.ShardKey) -> bool:
-        """Tells whether this scheduler owns a shard in its own view."""
+        """Returns whether this scheduler owns a shard in its own view."""
         name = key.get_owner_key(self._options.shares_limits)
         if name not in self._owned:
             strongest = membership.list_strongest(self.view.members)
@@ -170,8 +170,8 @@
             await anyio.sleep(TICK_S)
             self._tick(steadyclock.read())
 
-    def _handle(self, told: Any, now: float) -> None:
-        match told:
+    def _handle(self, posted: Any, now: float) -> None:
+        match posted:
             case event.Received(session, body):
                 self._receive_from(session, body, now)
             case event.Opened(session):
@@ -199,7 +199,7 @@
             case event.Decided(session, decision):
                 session.send(decision)
             case event.EventsWanted():
-                self._ask_for_events(told)
+                self._ask_for_events(posted)
 
     def _ask_for_events(self, wanted: event.EventsWanted) -> None:
         vm = self._gossiper.membership.me.vm
@@ -283,7 +283,7 @@
     ) -> None:
         self._sessions[session] = Attached(hello)
         session.send(self._choose_view(hello))
-        if self.in_force and self._options.tells_bundle:
+        if self.in_force and self._options.sends_bundle:
             session.send(peer_message.BundleUpdate(self.in_force.envelope))
         if hello.kind != "entry":
             session.send(peer_message.LowestGeneration(self._lowest))
@@ -299,11 +299,11 @@
             owner.begin_sync(hello.name)
 
     def _is_local(self, hello: peer_message.Hello) -> bool:
-        """Tells whether an attached process runs on this VM."""
+        """Returns whether an attached process runs on this VM."""
         return hello.vm == self._gossiper.membership.me.vm
 
     def _choose_view(self, hello: peer_message.Hello) -> peer_message.View:
-        """Returns what an attached process is told of the schedulers.
+        """Returns the view of the schedulers for an attached process.
 
         Each process believes the scheduler of its own VM only; a view has an
         entry for every VM, too much to send to all of them.
@@ -320,7 +320,7 @@
         name = attached.hello.name
         if self._entries.get(name) is session:
             del self._entries[name]
-            self._told_at.pop(name, None)
+            self._sent_at.pop(name, None)
             for owner in self.shards.values():
                 owner.lose_entry(name, now)
 
@@ -376,10 +376,10 @@
 
     def _spread_blocks(self, news: list[blocklist.BlockNews]) -> None:
         """Tells the entries, and refuses what waits here."""
-        told = peer_message.BlockedContents(news)
+        spread = peer_message.BlockedContents(news)
         for session, attached in self._sessions.items():
             if attached is not None and attached.hello.kind == "entry":
-                session.send(told)
+                session.send(spread)
         for each in news:
             if each.lifted:
                 continue
@@ -394,12 +394,12 @@
     def _tell_entry(
         self,
         entry: str,
-        told: message.OwnerMessage | message.Queued | message.StillWaiting,
+        sent: message.OwnerMessage | message.Queued | message.StillWaiting,
     ) -> None:
         session = self._entries.get(entry)
         if session is not None:
-            session.send(told)
-            self._told_at[entry] = steadyclock.read()
+            session.send(sent)
+            self._sent_at[entry] = steadyclock.read()
 
     def _note(self, effect: owner_effect.ToEntry) -> None:
         basis = {
@@ -467,7 +467,7 @@
         }
         update = peer_message.BundleUpdate(in_force.envelope)
         for session, attached in self._sessions.items():
-            if attached is not None and self._options.tells_bundle:
+            if attached is not None and self._options.sends_bundle:
                 session.send(update)
         for key, owner in list(self.shards.items()):
             if key.service not in bundle.services:
@@ -579,7 +579,7 @@
             self.rollouts.go_on(owner, self.owns(key), now)
             self._send_out(owner.tick(now))
             for entry, count in owner.list_waiting_entries().items():
-                if now - self._told_at.get(entry, 0.0) >= STILL_WAITING_S:
+                if now - self._sent_at.get(entry, 0.0) >= STILL_WAITING_S:
                     self._tell_entry(entry, message.StillWaiting(count))
         if now - self._summaries_at >= SUMMARY_EVERY_S:
             self._summaries_at = now
@@ -611,4 +611,4 @@
 
 
 def _do_nothing() -> None:
-    """Stands in until somebody listens."""
+    """Default of callbacks."""
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -169,7 +169,7 @@
             self._ledger.refused.append(request_id)
             await _send(stream, 503, b"", [*own, not_run])
             return True
-        # Told at once: whoever kills this program still learns of it.
+        # Logged at once, so that it is known also if this program is killed.
         LOG.info("running", extra={"request_id": request_id})
         self._ledger.runs.append(request_id)
         self._ledger.heads.append(headers)
--- a/ramptray/timeline.py
+++ b/ramptray/timeline.py
@@ -87,5 +87,5 @@
 
 
 def concerns(subject: str, event: dict[str, Any]) -> bool:
-    """Tells whether an event is about a subject; all are about none."""
+    """Returns whether an event is about a subject; all are about none."""
     return not subject or subject in event.values()
--- a/spec/claim.py
+++ b/spec/claim.py
@@ -131,7 +131,7 @@
 
 
 def _may_dispatch(state: State, attempt: int, rules: Rules) -> bool:
-    """Tells whether some prefix that may have been read allows it."""
+    """Returns whether some prefix that may have been read allows it."""
     if not rules.read_back:
         return find_holder(state.log, rules) in (None, attempt)
     return any(
--- a/spec/lease.py
+++ b/spec/lease.py
@@ -180,7 +180,7 @@
 
 
 def may_order(state: State, one: Contender, rules: Rules) -> bool:
-    """Tells whether a contender may send an order now."""
+    """Returns whether a contender may send an order now."""
     if one.fencing < 0 or one.fencing != one.valid:
         return False
     if any(fencing == one.fencing for _, fencing, _ in state.orders):
--- a/spec/limit.py
+++ b/spec/limit.py
@@ -130,7 +130,7 @@
 
 
 def _have_met(state: State) -> bool:
-    """Tells whether all VMs of each side know each other."""
+    """Returns whether all VMs of each side know each other."""
     return all(
         other in state.known[one]
         for one, other in itertools.permutations(sorted(VMS), 2)
--- a/test/crashing.py
+++ b/test/crashing.py
@@ -114,7 +114,7 @@
         tries: The tries.
         supervisor: Who saw replicas end.
         ran: Ids of what replicas ran.
-        is_calm: Tells whether all VMs were in touch at a moment.
+        is_calm: Returns whether all VMs were in touch at a moment.
     """
     kept = promise.Promise("what ends what runs it is soon sent no more")
     # Three contents, each of which may end three replicas first.
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -159,7 +159,7 @@
     assert made.find(shard, 10.0 + owners.DOUBT_S) == OWNER
     assert made.doubt(OWNER, 12.0)
     assert made.find(shard, 12.0 + owners.DOUBT_S * 1.5) == LOCAL
-    made.note_word(OWNER, 12.1)
+    made.note_message(OWNER, 12.1)
     assert made.find(shard, 12.2) == OWNER
 
 
--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -34,7 +34,7 @@
         self.sent: list[tuple[str, object]] = []
         self.opened: list[str] = []
 
-    def _tell_any(self, address: str, body: object) -> None:
+    def _send_any(self, address: str, body: object) -> None:
         self.sent.append((address, body))
 
     def _open_link(self, address: str) -> None:
--- a/test/test_evacuation.py
+++ b/test/test_evacuation.py
@@ -117,7 +117,7 @@
 
 
 def reaches_only(started: node.Platform, replica: str) -> bool:
-    """Tells whether ten requests one after the other went to one replica."""
+    """Returns whether ten requests one after the other went to one replica."""
     before = {n: len(started.read_ledger(n)["runs"]) for n in started.replicas}
     try:
         answers = [test_node.ask(started, "/safe/") for _ in range(10)]
--- a/test/test_poison.py
+++ b/test/test_poison.py
@@ -119,7 +119,7 @@
 
 
 def is_serving(started: node.Platform, vms: Iterable[str]) -> bool:
-    """Tells whether VMs serve, also while some are about to start."""
+    """Returns whether VMs serve, also while some are about to start."""
     try:
         return all(ask(started, "/safe/", vm=vm).status == 200 for vm in vms)
     except OSError:
--- a/test/test_restarted_replica.py
+++ b/test/test_restarted_replica.py
@@ -24,7 +24,7 @@
 
 
 def is_used(started: node.Platform, name: str) -> bool:
-    """Tells whether work that fills the others reaches a replica."""
+    """Returns whether work that fills the others reaches a replica."""
     with futures.ThreadPoolExecutor(2 * node.SLOTS) as pool:
         list(pool.map(lambda _: ask(started, "/safe/"), range(4 * node.SLOTS)))
     return bool(started.read_ledger(name)["runs"])
--- a/test/verdict.py
+++ b/test/verdict.py
@@ -197,7 +197,7 @@
         return kept
 
     def is_calm(self, at: float) -> bool:
-        """Tells whether no fault was near a moment."""
+        """Returns whether no fault was near a moment."""
         return all(
             fault.ended + CALM_S < at or fault.began > at
             for fault in self._record.faults
@@ -217,7 +217,7 @@
 
 
 def _is_right(ask: Ask) -> bool:
-    """Tells whether a whole answer is what a replica sends for a request."""
+    """Returns whether a whole answer is what a replica sends for a request."""
     if ask.path == "/stream/":
         numbers = [
             int(line.partition(b":")[2])
