--- a/ramptray/entry/server_limits.py
+++ b/ramptray/entry/server_limits.py
@@ -69,6 +69,8 @@
 
     def discard_except(self, backends: Iterable[str]) -> None:
         """Drops the limits of all other backend servers."""
+        if not self._limits:
+            return
         kept = set(backends)
         self._limits = {n: k for n, k in self._limits.items() if n in kept}
 
