Leave unknown messages of peers out instead of breaking the link

What callers would see: while VMs of two versions run side by side, the newer ones send a kind of message that the older ones cannot decode (LimitNamed is one), and each such frame broke the link with all that waited on it. Programs before this change still break; those from now on log the kind once and go on. Bytes that are no valid message are refused as before.

The test failed before with CodecError; rolling an update over programs of two versions was not played.

--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import logging
 from typing import Any
 
 import msgspec
@@ -14,6 +15,12 @@
 from ramptray.core import message as core_message
 from ramptray.peer import message as peer_message
 
+LOG = logging.getLogger(__name__)
+
+MAX_UNKNOWN = 32
+"""Unknown kinds of messages that are logged at most."""
+
+_unknown: set[str] = set()
 _KINDS: dict[str, type[Any]] = {
     kind.__name__: kind
     for kind in itertools.chain(
@@ -104,13 +111,31 @@
 def decode(data: bytes) -> Frame:
     """Returns the messages in the bytes.
 
+    Messages of kinds that are not known are left out: while VMs of two
+    versions run side by side, the newer one sends them.
+
     Raises:
-        CodecError: The bytes are not known, valid messages.
+        CodecError: The bytes are not valid messages.
     """
     try:
         clock, named = _FRAME_DECODER.decode(data)
         return Frame(
-            clock, [_DECODERS[name].decode(raw) for name, raw in named]
+            clock,
+            [
+                _DECODERS[name].decode(raw)
+                for name, raw in named
+                if _knows(name)
+            ],
         )
-    except (msgspec.MsgspecError, KeyError) as error:
-        raise CodecError(f"not a message of this version: {error}") from error
+    except msgspec.MsgspecError as error:
+        raise CodecError(f"not a valid message: {error}") from error
+
+
+def _knows(kind: str) -> bool:
+    """Returns whether a kind of message is known; logs others once."""
+    if kind in _DECODERS:
+        return True
+    if kind not in _unknown and len(_unknown) < MAX_UNKNOWN:
+        _unknown.add(kind)
+        LOG.warning("unknown message left out", extra={"kind": kind[:64]})
+    return False
--- /dev/null
+++ b/test/test_codec.py
@@ -0,0 +1,35 @@
+"""Messages between VMs of two versions."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from ramptray.core import message
+from ramptray.peer import codec
+
+
+def test_a_message_of_a_newer_version_does_not_break_the_link(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    known = message.LimitNamed("i-1", 1, 2.0)
+    later = ("LaterKind", {"field": 1})
+    named = [("LimitNamed", known), later, later, ("LimitNamed", known)]
+    data = msgspec.msgpack.encode((7, named))
+    assert codec.decode(data) == codec.Frame(7, [known, known])
+    logged = [r for r in caplog.records if "unknown message" in r.message]
+    assert len(logged) == 1
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"garbage",
+        msgspec.msgpack.encode((7, [("LimitNamed", {"backend": 3})])),
+        msgspec.msgpack.encode(("x", [])),
+    ],
+)
+def test_bytes_that_are_no_valid_message_are_refused(data: bytes) -> None:
+    with pytest.raises(codec.CodecError):
+        codec.decode(data)
