--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -6,22 +6,16 @@
 
 from __future__ import annotations
 
-import collections
 import enum
-import itertools
-import math
 import statistics
 from collections.abc import Iterable
 
 import msgspec
 
-from ramptray.core import message, pacer
+from ramptray.core import availability, message, pacer, prefix_cache
 from ramptray.core import rtt as rtts
 from ramptray.core import speed as speeds
 
-BLOCK_TOKENS = 64
-"""Prompt tokens covered by one prefix hash."""
-
 PREFILL_WINDOW_S = 0.5
 """How much prefill work, in seconds, may stand on one engine at a time for
 requests that have no objective to judge by."""
@@ -40,23 +34,6 @@
 """Requests that were granted closer than this, in seconds, may have arrived in
 another order: their entries stand in several availability zones."""
 
-UNREACHABLE_S = 0.5
-"""How long the first refused connection keeps new work away, in seconds."""
-
-MAX_UNREACHABLE_S = 8.0
-"""How long a refused connection keeps new work away at most, in seconds."""
-
-EJECT_BREAKS = 3
-"""After so many answers in a row that broke off, new work stays away for a
-while: a backend server that fails at once always has room and would get all."""
-
-REFUSAL_WEIGHT = 0.3
-"""Weight of the newest answer in the part of requests that a server refuses."""
-
-REFUSAL_FORGET_S = 2.0
-"""Time in which two thirds of that part are forgotten, in seconds: a server
-that has recovered gets work again within the time of a few answers."""
-
 MAX_RTT_S = 2.0
 """Longest timeout for a grant and its first token, in seconds."""
 
@@ -64,9 +41,6 @@
 """Least rate at which a server with a limit is sent requests, in requests a
 second: only its answers show that the limit has ended."""
 
-LOST_FAILURES = 4
-"""Refused connections in a row after which the server counts as lost."""
-
 
 class BackendState(enum.Enum):
     """Whether a backend server may get new work."""
@@ -129,78 +103,6 @@
         return self.request.prompt_tokens + self.request.output_tokens
 
 
-class PrefixCache:
-    """What an engine's prefix cache probably holds, least recent first out.
-
-    Args:
-        tokens: Tokens that it can keep.
-    """
-
-    def __init__(self, tokens: int) -> None:
-        self._limit = tokens
-        self._held = 0
-        self._blocks: collections.OrderedDict[int, int] = (
-            collections.OrderedDict()
-        )
-
-    def add(self, prefix: tuple[int, ...], sizes: tuple[int, ...] = ()) -> None:
-        """Notes that the engine has computed these blocks.
-
-        Args:
-            prefix: The blocks.
-            sizes: Tokens of each; empty for the usual number.
-        """
-        # The last block first, so that it also gives way first: those behind a
-        # block that is gone are of no use.
-        for block, size in reversed(list(_pair(prefix, sizes))):
-            self._held += size - self._blocks.get(block, 0)
-            self._blocks[block] = size
-            self._blocks.move_to_end(block)
-        while self._held > self._limit:
-            self._held -= self._blocks.popitem(last=False)[1]
-
-    def drop(self, blocks: tuple[int, ...]) -> None:
-        """Notes that the engine has evicted these blocks."""
-        for block in blocks:
-            self._held -= self._blocks.pop(block, 0)
-
-    def count_tokens(
-        self, prefix: tuple[int, ...], sizes: tuple[int, ...] = ()
-    ) -> int:
-        """Returns how many leading tokens of a prompt are held.
-
-        Args:
-            prefix: The prompt's blocks.
-            sizes: Tokens of each; empty for the usual number.
-        """
-        count = self.count(prefix)
-        return sum(sizes[:count]) if sizes else count * BLOCK_TOKENS
-
-    def count(self, prefix: tuple[int, ...]) -> int:
-        """Returns how many leading blocks are held, by binary search.
-
-        Blocks are chained, so a block is held only if the ones before it are.
-        """
-        known = self._blocks
-        if not prefix or prefix[0] not in known:
-            return 0
-        low, high = 1, len(prefix)
-        while low < high:
-            middle = (low + high + 1) // 2
-            if prefix[middle - 1] in known:
-                low = middle
-            else:
-                high = middle - 1
-        return low
-
-
-def _pair(
-    prefix: tuple[int, ...], sizes: tuple[int, ...]
-) -> Iterable[tuple[int, int]]:
-    """Returns each block with the tokens that it covers."""
-    return zip(prefix, sizes or itertools.repeat(BLOCK_TOKENS), strict=False)
-
-
 class Backend:
     """What the owner believes of one backend server.
 
@@ -215,7 +117,7 @@
 
     __slots__ = (
         "cache",
-        "failures",
+        "availability",
         "foreign",
         "info",
         "pending",
@@ -226,17 +128,13 @@
         "speed",
         "report_due_at",
         "held_tokens",
-        "unreachable_until",
         "version",
         "versions",
         "loaded",
         "first_at",
-        "breaks",
         "limit_per_s",
         "_pacer",
         "_rtt",
-        "_refused_part",
-        "_refused_at",
     )
 
     def __init__(
@@ -254,27 +152,25 @@
         self.prefill_tokens = 0
         self.held_tokens = 0
         self.speed = speeds.EngineSpeed(line or speeds.Line())
-        self.cache = PrefixCache(info.cache_blocks * BLOCK_TOKENS)
+        self.cache = prefix_cache.PrefixCache(
+            info.cache_blocks * prefix_cache.BLOCK_TOKENS
+        )
         self.foreign = 0
         self.report_running: int | None = None
         self.versions: tuple[str, ...] = ()
         self.version = ""
         self.loaded = True
-        self.failures = 0
-        self.unreachable_until = 0.0
+        self.availability = availability.Availability()
         self.first_at = float("-inf")
-        self.breaks = 0
         self.limit_per_s: float | None = None
         self._pacer = pacer.Pacer()
-        self._refused_part = 0.0
-        self._refused_at = 0.0
         self._rtt = rtt or rtts.RttEstimator(0.0, MAX_RTT_S)
 
     @property
     def is_lost(self) -> bool:
         """Whether no request should wait for this backend server."""
         leaving = self.state is BackendState.LEAVING
-        return leaving or self.failures >= LOST_FAILURES
+        return leaving or self.availability.is_lost
 
     @property
     def has_place(self) -> bool:
@@ -283,17 +179,6 @@
         active = self.state is BackendState.ACTIVE
         return active and running < self.info.max_running
 
-    def note_unreachable(self, now: float) -> None:
-        """Keeps new work away after a refused connection, longer each time.
-
-        Requests refused at the same moment count as one failure.
-        """
-        if now < self.unreachable_until:
-            return
-        pause = min(UNREACHABLE_S * 2**self.failures, MAX_UNREACHABLE_S)
-        self.failures += 1
-        self.unreachable_until = now + pause
-
     @property
     def prefill_rate(self) -> float:
         """Prompt tokens a second."""
@@ -336,7 +221,9 @@
     def is_open(self, now: float) -> bool:
         """Returns whether new work may go there at all."""
         active = self.state is BackendState.ACTIVE and self.loaded
-        return active and now >= max(self.unreachable_until, self.report_due_at)
+        return active and now >= max(
+            self.availability.unreachable_until, self.report_due_at
+        )
 
     def get_rate_limit(self, now: float, part: float) -> float | None:
         """Returns the requests a second that this owner may send there.
@@ -433,7 +320,7 @@
             return False
         if not self.placed:
             return True
-        if self.failures:
+        if self.availability.failures:
             return False  # One request at a time tries whether it is back.
         tokens = request.prompt_tokens + request.output_tokens
         if self.held_tokens + tokens > self.info.kv_tokens:
@@ -469,18 +356,6 @@
         self.cache.add(request.prefix, request.prefix_tokens)
         return placed
 
-    def get_refused_part(self, now: float) -> float:
-        """Returns the part of requests that it probably turns away now."""
-        if not self._refused_part:
-            return 0.0
-        age_s = now - self._refused_at
-        return self._refused_part * math.exp(-age_s / REFUSAL_FORGET_S)
-
-    def _note_refusal(self, refused: bool, now: float) -> None:
-        part = self.get_refused_part(now)
-        self._refused_part = part + REFUSAL_WEIGHT * (refused - part)
-        self._refused_at = now
-
     def begin_answer(self, first: message.FirstToken, now: float) -> None:
         """Learns the speed with prompts from a first token.
 
@@ -491,7 +366,7 @@
         placed = self.pending.get(first.request_id)
         if placed is None:
             return
-        self.failures = 0
+        self.availability.failures = 0
         self._rtt.observe(max(0.0, now - placed.started - first.elapsed_s))
         placed.answers_since = now
         if now >= self.info.warm_at:
@@ -526,14 +401,9 @@
     def end(self, ended: message.Ended, now: float) -> None:
         """Frees the request's place and learns the decode speed."""
         self.remove(ended.request_id)
-        if ended.refused or ended.whole:
-            self._note_refusal(ended.refused, now)
-        if ended.broken or ended.refused:
-            self.breaks += 1
-            if self.breaks >= EJECT_BREAKS:
-                self.note_unreachable(now)
-        elif ended.whole:
-            self.breaks = 0
+        self.availability.note_end(
+            ended.refused, ended.broken, ended.whole, now
+        )
         decoded = ended.output_tokens - ended.first_tokens
         self.speed.learn_step(decoded, ended.decode_s)
 
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -154,7 +154,7 @@
             if self._holds_up(request, candidate, uncached):
                 return None
         cost = first_s + candidate.step_s * DECODE_WEIGHT_TOKENS
-        cost += candidate.get_refused_part(now) * REFUSED_S
+        cost += candidate.availability.get_refused_part(now) * REFUSED_S
         decode_s = candidate.step_s * request.output_tokens
         late_s = now + cost + decode_s - demand.deadline
         return cost + max(0.0, late_s) * LATE_WEIGHT
--- /dev/null
+++ b/ramptray/core/prefix_cache.py
@@ -0,0 +1,82 @@
+"""What an engine's prefix cache probably holds."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+from collections.abc import Iterable
+
+BLOCK_TOKENS = 64
+"""Prompt tokens covered by one prefix hash."""
+
+
+class PrefixCache:
+    """What an engine's prefix cache probably holds, least recent first out.
+
+    Args:
+        tokens: Tokens that it can keep.
+    """
+
+    def __init__(self, tokens: int) -> None:
+        self._limit = tokens
+        self._held = 0
+        self._blocks: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, prefix: tuple[int, ...], sizes: tuple[int, ...] = ()) -> None:
+        """Notes that the engine has computed these blocks.
+
+        Args:
+            prefix: The blocks.
+            sizes: Tokens of each; empty for the usual number.
+        """
+        # The last block first, so that it also gives way first: those behind a
+        # block that is gone are of no use.
+        for block, size in reversed(list(_pair(prefix, sizes))):
+            self._held += size - self._blocks.get(block, 0)
+            self._blocks[block] = size
+            self._blocks.move_to_end(block)
+        while self._held > self._limit:
+            self._held -= self._blocks.popitem(last=False)[1]
+
+    def drop(self, blocks: tuple[int, ...]) -> None:
+        """Notes that the engine has evicted these blocks."""
+        for block in blocks:
+            self._held -= self._blocks.pop(block, 0)
+
+    def count_tokens(
+        self, prefix: tuple[int, ...], sizes: tuple[int, ...] = ()
+    ) -> int:
+        """Returns how many leading tokens of a prompt are held.
+
+        Args:
+            prefix: The prompt's blocks.
+            sizes: Tokens of each; empty for the usual number.
+        """
+        count = self.count(prefix)
+        return sum(sizes[:count]) if sizes else count * BLOCK_TOKENS
+
+    def count(self, prefix: tuple[int, ...]) -> int:
+        """Returns how many leading blocks are held, by binary search.
+
+        Blocks are chained, so a block is held only if the ones before it are.
+        """
+        known = self._blocks
+        if not prefix or prefix[0] not in known:
+            return 0
+        low, high = 1, len(prefix)
+        while low < high:
+            middle = (low + high + 1) // 2
+            if prefix[middle - 1] in known:
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
+
+def _pair(
+    prefix: tuple[int, ...], sizes: tuple[int, ...]
+) -> Iterable[tuple[int, int]]:
+    """Returns each block with the tokens that it covers."""
+    return zip(prefix, sizes or itertools.repeat(BLOCK_TOKENS), strict=False)
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -289,7 +289,7 @@
         if placed is None or not failed:
             return []
         if decline.unreachable:
-            backend.note_unreachable(now)
+            backend.availability.note_unreachable(now)
         request = msgspec.structs.replace(
             placed.request, avoid=decline.avoid, silent=decline.silent
         )
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from ramptray.bundle import model, validation
-from ramptray.core import backend
+from ramptray.core import prefix_cache
 from ramptray.platform import settings
 
 DOMAIN = "all"
@@ -334,7 +334,7 @@
         max_running=engine.slots,
         kv_tokens=engine.kv_tokens,
         # Cached parts share the memory of what runs, and give way to it.
-        cache_blocks=engine.kv_tokens // backend.BLOCK_TOKENS,
+        cache_blocks=engine.kv_tokens // prefix_cache.BLOCK_TOKENS,
         tokens_per_event=engine.stride,
         warm_up_per_s=service.warm_up_per_s,
     )
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from ramptray.core import (
+    availability,
     backend,
     limit,
     membership,
@@ -280,14 +281,14 @@
     # hanbit-qlog, inc-a19c: a replica that reset each connection always had
     # room, and got the next request at once.
     server = backend.Backend(backend.BackendInfo("b", 4, 10_000, 0))
-    for number in range(backend.EJECT_BREAKS):
+    for number in range(availability.EJECT_BREAKS):
         assert server.is_open(1.0)
         info = make_info(request_id=str(number))
         server.place(info, "e", "g", 1.0)
         broken = message.Ended(str(number), 0, 0.0, False, broken=True)
         server.end(broken, 1.0)
-    assert not server.is_open(1.0 + backend.UNREACHABLE_S / 2)
-    assert server.is_open(1.0 + backend.UNREACHABLE_S)
+    assert not server.is_open(1.0 + availability.UNREACHABLE_S / 2)
+    assert server.is_open(1.0 + availability.UNREACHABLE_S)
 
 
 def test_single_broken_answers_do_not_keep_work_away() -> None:
--- a/test/test_prefix_placement.py
+++ b/test/test_prefix_placement.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ramptray.core import backend, message, policy, shard
+from ramptray.core import backend, message, policy, prefix_cache, shard
 from ramptray.core import rules as shard_rules
 from ramptray.platform import header
 from ramptray.relay import message as relay_message
@@ -96,7 +96,7 @@
 
 
 def test_what_has_given_way_is_counted_as_to_be_read_again() -> None:
-    owner = make_owner(1, cache_blocks=SHARED // backend.BLOCK_TOKENS + 20)
+    owner = make_owner(1, cache_blocks=SHARED // prefix_cache.BLOCK_TOKENS + 20)
     serve(owner, make_request("a", 1), 0.0)
     serve(owner, make_request("b", 2), 1.0)
     known = owner.fleet.backends["e0"]
@@ -127,7 +127,7 @@
 def test_the_tokens_that_are_held_are_the_sum_of_the_blocks(
     steps: list[tuple[list[int], bool]],
 ) -> None:
-    cache = backend.PrefixCache(1000)
+    cache = prefix_cache.PrefixCache(1000)
     for blocks, added in steps:
         if added:
             cache.add(tuple(blocks), tuple(100 * (b + 1) for b in blocks))
--- a/test/test_replicas.py
+++ b/test/test_replicas.py
@@ -165,13 +165,13 @@
     owner.receive("e", message.Enqueue(make_request("q2")), 3.0)
     known = owner.fleet.backends["i"]
     assert known.speed.is_learned and known.placed
-    known.note_unreachable(3.0)
+    known.availability.note_unreachable(3.0)
     tell(book, ("i", make_record(born=SECOND, seq=0)), now=4.0)
     configure(owner, book)
     known = owner.fleet.backends["i"]
     assert not known.speed.is_learned
     assert not known.placed
-    assert known.failures == 0
+    assert known.availability.failures == 0
     assert known.is_open(4.0)
 
 
@@ -187,7 +187,7 @@
         owner.receive("e", ended, 1.1)
     known = owner.fleet.backends["i"]
     assert set(known.placed) == {"q2"}
-    assert known.breaks == 0
+    assert known.availability.breaks == 0
 
 
 # Records that name no replica to use.
