--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -21,6 +21,7 @@
 from ramptray.entry import (
     blocked,
     claims,
+    lag,
     network,
     owners,
     patience,
@@ -33,19 +34,6 @@
 LOG = logging.getLogger(__name__)
 
 TICK_S = 0.05
-AWAY_S = 1.0
-"""Ticks further apart than this, in seconds, were not due in between."""
-
-LAG_WEIGHT = 0.2
-"""Weight of the newest tick in how late this process usually is."""
-
-LEAST_TAKEN_PART = 0.2
-"""Least part of the time to a first token that its engine has taken, whatever
-this process adds to it."""
-
-LATE_TICKS = 3
-"""So many ticks in a row may be late before owners are doubted all the same."""
-
 RETRY_AFTER_S = 1.0
 """Retry-After of a VM that finds no scheduler to ask, in seconds."""
 
@@ -128,9 +116,7 @@
         self._learner = acceptance.Learner()
         self._has_work = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._ticked_at = 0.0
-        self._late_ticks = 0
-        self._lag_s = 0.0
+        self._lag = lag.TickLag(TICK_S)
 
     @property
     def in_force(self) -> acceptance.InForce | None:
@@ -206,7 +192,7 @@
             case tickets.Begun(first):
                 self.network.note_answer(machine.backend, now)
                 if machine.owner:
-                    self._send(machine.owner, self._leave_out_lag(first))
+                    self._send(machine.owner, self._lag.exclude(first))
                 self.timeline.note(
                     "first_token",
                     first.request_id,
@@ -542,30 +528,6 @@
             if ticket.machine.claim is request.Claim.PENDING:
                 self._claims.send(ticket)
 
-    def _has_been_away(self, now: float) -> bool:
-        """Returns whether unread messages may wait for this process.
-
-        Load pattern: a VM short of processor time comes late to its own ticks.
-        Owners that have answered meanwhile are not lost.
-        """
-        late_s = now - self._ticked_at - TICK_S
-        if late_s < AWAY_S:
-            self._lag_s += LAG_WEIGHT * (max(0.0, late_s) - self._lag_s)
-        self._ticked_at = now
-        is_late = TICK_S < late_s < AWAY_S
-        self._late_ticks = self._late_ticks + 1 if is_late else 0
-        return 0 < self._late_ticks <= LATE_TICKS
-
-    def _leave_out_lag(self, first: message.FirstToken) -> message.FirstToken:
-        """Returns a first token's time without what this process adds to it.
-
-        Load pattern: VMs short of processor time read answers late.  Told as
-        they see it, all engines would look slow, to the other VMs too.
-        """
-        least_s = LEAST_TAKEN_PART * first.elapsed_s
-        taken_s = max(least_s, first.elapsed_s - self._lag_s)
-        return msgspec.structs.replace(first, elapsed_s=taken_s)
-
     def _suspect_silent_owners(self, now: float) -> None:
         """Moves waiting requests away from owners that do not reply."""
         silent = {
@@ -592,7 +554,7 @@
 
     def tick(self, now: float) -> None:
         """Ends the requests that cannot or may not be served any more."""
-        if not self._has_been_away(now):
+        if not self._lag.observe(now):
             self._suspect_silent_owners(now)
         for ticket in list(self._tickets.values()):
             reason = patience.find_give_up_reason(ticket, now)
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -25,7 +25,15 @@
 from ramptray.entry import blocked
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import event, gossip, guard, query, rollouts, rules
+from ramptray.scheduler import (
+    event,
+    gossip,
+    guard,
+    learned,
+    query,
+    rollouts,
+    rules,
+)
 
 if TYPE_CHECKING:
     # Loading an HTTP client is dear for a program that asks no engine.
@@ -112,8 +120,7 @@
         self._sessions: dict[peer_link.Session, Attached | None] = {}
         self._entries: dict[str, peer_link.Session] = {}
         self._sent_at: dict[str, float] = {}
-        self._speeds: dict[str, message.SpeedLearned] = {}
-        self._server_limits: dict[str, message.LimitNamed] = {}
+        self._learned = learned.LearnedBook()
         self._leaving_listed: frozenset[str] = frozenset()
         self._leaving_said: set[str] = set()
         self._empty_since: dict[message.ShardKey, float] = {}
@@ -225,7 +232,7 @@
                 for owner in self.shards.values():
                     self._send_out(owner.receive(entry, body, now))
             case message.SpeedLearned(name):
-                self._speeds[name] = body
+                self._learned.speeds[name] = body
                 for owner in self.shards.values():
                     owner.receive(attached.hello.name, body, now)
             case message.LimitNamed():
@@ -263,18 +270,8 @@
     def _take_server_limit(
         self, attached: Attached, named: message.LimitNamed, now: float
     ) -> None:
-        former = self._server_limits.get(named.backend)
-        if named == former:
+        if not self._learned.take_limit(named, attached.hello.name):
             return
-        self._server_limits[named.backend] = named
-        LOG.info(
-            "server limit taken",
-            extra={
-                **msgspec.structs.asdict(named),
-                "former_per_s": former and former.limit_per_s,
-                "origin": attached.hello.name,
-            },
-        )
         for owner in self.shards.values():
             self._send_out(owner.receive(attached.hello.name, named, now))
 
@@ -441,10 +438,10 @@
             now,
             self._options.report_grace_s,
             self._limits,
-            self._speeds,
+            self._learned.speeds,
             self.guard.evidence.is_suspect,
         )
-        for named in self._server_limits.values():
+        for named in self._learned.list_limits():
             owner.fleet.take_limit(named)
         self.shards[key] = owner
         self._apply_rollout(key, owner)
@@ -455,16 +452,7 @@
     def _take_bundle(self, in_force: acceptance.InForce) -> None:
         self.in_force = in_force
         bundle = in_force.bundle
-        self._speeds = {
-            name: speed
-            for name, speed in self._speeds.items()
-            if name in bundle.backend_servers
-        }
-        self._server_limits = {
-            name: named
-            for name, named in self._server_limits.items()
-            if name in bundle.backend_servers
-        }
+        self._learned.discard_except(bundle.backend_servers)
         update = peer_message.BundleUpdate(in_force.envelope)
         for session, attached in self._sessions.items():
             if attached is not None and self._options.sends_bundle:
