Leave room in servers' rates for an owner wrongly taken for lost

What a server would get: an owner that answers late is stood in for by one owner of each zone, whose parts make up the whole rate once more; with the owner's own that is up to twice the limit, where one and a half times is allowed.

Stand-ins now hand out half of their part of servers' rates (customers' totals are kept apart as before).

--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -183,7 +183,7 @@
                 round(expected_s, 4),
                 round(chosen.step_s, 5),
                 _get_left(waiting, now),
-                chosen.get_rate_limit(now, self._limits.part),
+                chosen.get_rate_limit(now, self._limits.server_part),
             ),
         )
 
--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -50,6 +50,10 @@
 MARGIN = 0.1
 """Part of a zone's share that is never lent, since words are late."""
 
+STAND_IN_PART = 0.5
+"""Part of its share of backend servers' rates that a stand-in hands out: the
+owner may be granting as before, and servers have no slack for both."""
+
 MAX_USES = 16
 """Customers whose use is sent to other zones."""
 
@@ -240,11 +244,13 @@
 
     Attributes:
         part: The part of every limit that may be handed out here.
+        server_part: The part of backend servers' rate limits likewise.
     """
 
     def __init__(self, rates: dict[str, Rate]) -> None:
         self._rates = rates
         self.part = 1.0
+        self.server_part = 1.0
         self._buckets: dict[str, list[tuple[str, _Bucket]]] = {}
         self._former: dict[str, list[tuple[str, _Bucket]]] = {}
         self._wanted_elsewhere: frozenset[str] = frozenset()
@@ -256,12 +262,14 @@
             self._former = {**self._former, **self._buckets}
             self._buckets = {}
 
-    def set_part(self, part: float) -> None:
+    def set_part(self, part: float, stands_in: bool = False) -> None:
         """Takes the part of every limit that this owner may hand out.
 
         Args:
             part: From 0 to 1; 1 where no other owner can be handing out.
+            stands_in: Whether the owner is only believed to be lost.
         """
+        self.server_part = part * (STAND_IN_PART if stands_in else 1.0)
         if part == self.part:
             return
         self.part = part
--- a/ramptray/core/pace.py
+++ b/ramptray/core/pace.py
@@ -41,7 +41,7 @@
 
     def get_rate_limit(self, now: float) -> float | None:
         """Returns the requests a second that this owner may send in all."""
-        return self._fleet.get_rate_limit(now, self._limits.part)
+        return self._fleet.get_rate_limit(now, self._limits.server_part)
 
     def estimate_wait(self, waiting: queue.Waiting, now: float) -> float:
         """Returns the seconds that the requests before one take."""
--- a/ramptray/core/selector.py
+++ b/ramptray/core/selector.py
@@ -132,6 +132,6 @@
             waiting.deadline,
             waiting.late_at,
             waiting.is_late,
-            self._limits.part,
+            self._limits.server_part,
             wait_s,
         )
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -221,7 +221,7 @@
     def tick(self, now: float) -> list[owner_effect.ToEntry]:
         """Gives up what is past its deadline and frees lost places."""
         out = self._shedder.refuse_expired(now)
-        self.fleet.refresh(now, self._limits.part)
+        self.fleet.refresh(now, self._limits.server_part)
         self._granter.demote_late(now)
         out += self._shedder.refuse_late(now)
         self.fleet.free_orphans(now)
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -502,8 +502,9 @@
         """Takes the part of limits held by all services that is ours."""
         if self._limits is not None:
             key = message.ShardKey(self._zone, "")
-            part = self._gossiper.get_part(stands_in=not self.owns(key))
-            self._limits.set_part(part)
+            stands_in = not self.owns(key)
+            part = self._gossiper.get_part(stands_in)
+            self._limits.set_part(part, stands_in)
 
     def _open_own_shards(self, now: float) -> None:
         """Opens each own shard, so that other zones learn of its room."""
--- a/test/test_rate_limit.py
+++ b/test/test_rate_limit.py
@@ -20,11 +20,16 @@
 
 
 def make_owner(
-    servers: int = 1, part: float = 1.0, born: float = 0.0, run: int = 0
+    servers: int = 1,
+    part: float = 1.0,
+    born: float = 0.0,
+    run: int = 0,
+    limits: limit.Limits | None = None,
 ) -> shard.ShardOwner:
     """Returns an owner of servers with more places than are needed."""
-    limits = limit.Limits({})
-    limits.set_part(part)
+    if limits is None:
+        limits = limit.Limits({})
+        limits.set_part(part)
     return shard.ShardOwner(
         KEY,
         "owner:1",
@@ -134,6 +139,21 @@
     assert count_most(granted) <= get_allowed(rate)
 
 
+@pytest.mark.parametrize("rate", [1.0, 2.0, 5.0, 10.0])
+def test_an_owner_that_is_wrongly_taken_for_lost_exceeds_no_limit(
+    rate: float,
+) -> None:
+    # It goes on granting while an owner of each of three zones stands in.
+    granted: list[float] = []
+    for part, stands_in in ((1.0, False), *[(1 / 3, True)] * 3):
+        limits = limit.Limits({})
+        limits.set_part(part, stands_in)
+        owner = make_owner(limits=limits)
+        name_limit(owner, rate)
+        granted += play(owner, 0.0, 8.0)
+    assert count_most(granted) <= get_allowed(rate)
+
+
 @pytest.mark.parametrize("rate", [1.0, 2.0, 20.0])
 def test_owners_that_follow_one_another_keep_a_limit(rate: float) -> None:
     # A new owner knows the limit, but not what its predecessors sent.
