--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -13,7 +13,7 @@
 """Longest time a lost entry's request keeps its place, in seconds."""
 
 FASTEST = 8
-"""Fastest backend servers among which a request that can be in time fits."""
+"""How many of the fastest backend servers are checked for an objective."""
 
 
 class Fleet:
@@ -32,7 +32,7 @@
         self, report_due_at: float, learned: Mapping[str, message.SpeedLearned]
     ) -> None:
         self.backends: dict[str, backends.Backend] = {}
-        self._hear_by = report_due_at
+        self._report_due_at = report_due_at
         self._speeds = dict(learned)
         self._limits: dict[str, message.LimitNamed] = {}
         self._wanted: frozenset[str] = frozenset()
@@ -341,7 +341,7 @@
 
         A later run holds and knows nothing of before: what ran has ended.
         """
-        new = backends.Backend(info, self._hear_by, self._line, self._rtt)
+        new = backends.Backend(info, self._report_due_at, self._line, self._rtt)
         learned = self._speeds.get(info.name)
         if learned and learned.run == info.run:
             new.take_speed(learned.speed)
--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -75,7 +75,7 @@
         """
         out = self._grant_at(now, only)
         if out and only is not None and self._queue:
-            # Those who waited behind them may go elsewhere too.
+            # Requests behind the granted ones may fit on other servers.
             out += self._grant_at(now, None)
         return out
 
@@ -135,7 +135,7 @@
         return None
 
     def _demote_late_heads(self, tier: queue.TierQueue, now: float) -> None:
-        """Lets those pass whose answer may still begin in time."""
+        """Moves heads that are too late behind those that may be in time."""
         while late := [
             waiting
             for waiting in tier.list_heads(HEADS_TRIED)
--- a/ramptray/core/pacer.py
+++ b/ramptray/core/pacer.py
@@ -1,9 +1,8 @@
 """Even spacing of the requests to one backend server.
 
 Load pattern: a backend server accepts few requests a second, because it is
-still warming up or because it names a limit, and everybody waits for it.  A
-burst would overload it, and so would the bursts of owners that follow one
-another.
+still warming up or because it names a limit, while many wait for it.  A burst
+would overload it, and so would the bursts of owners that follow one another.
 """
 
 from __future__ import annotations
--- a/ramptray/entry/server_limits.py
+++ b/ramptray/entry/server_limits.py
@@ -1,8 +1,7 @@
 """Request limits that backend servers name in their answers.
 
-Each scheduler that this entry uses learns a limit before the first request that
-it could grant in ignorance of it: the limit goes ahead of that request on the
-same link.
+A limit is sent to a scheduler ahead of the next request on the same link, so
+that no request is granted there without it.
 """
 
 from __future__ import annotations
@@ -59,7 +58,7 @@
             for address in set(self._list_links()):
                 self._send(address, named)
         elif named.limit_per_s != received.granted_limit_per_s:
-            # The owner missed it, or heard of an older answer last.
+            # The owner missed it, or an older answer reached it last.
             self._send(received.owner, named)
 
     def send_all(self, address: str) -> None:
