Decode and log that a server is leaving, and the pause it asks for

What callers saw: requests went on to servers that had said in an answer that they were leaving, and to servers that had asked this VM for a pause. The logs could not tell a header that is not read from one that is lost on the way to the owner of the shard.

Each VM now logs when an answer says that its server is leaving or asks for a pause, and each scheduler what it is sent; headers of answers that nothing reads are named once. Metrics count servers that are limited, leaving, or paused. One book and one message (ServerHints) carry the three hints; the request limit moves into them. The book is updated as the answer's head is read, no longer behind the dispatcher's mailbox. No decision reads the two new hints yet.

--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -34,7 +34,7 @@
         self.backends: dict[str, backends.Backend] = {}
         self._report_due_at = report_due_at
         self._speeds = dict(learned)
-        self._limits: dict[str, message.LimitNamed] = {}
+        self._hints: dict[str, message.ServerHints] = {}
         self._wanted: frozenset[str] = frozenset()
         self._where: dict[str, backends.Backend] = {}
         self._line = speeds.Line()
@@ -80,7 +80,7 @@
         for known in self.backends.values():
             known.choose_version(version)
             self._pool.update(known)
-        self._limits = {n: k for n, k in self._limits.items() if n in wanted}
+        self._hints = {n: k for n, k in self._hints.items() if n in wanted}
         for name in set(self.backends) - set(wanted):
             self._pool.discard(name)
             self.backends[name].state = backends.BackendState.LEAVING
@@ -133,12 +133,12 @@
         if known and known.info.run == learned.run:
             known.take_speed(learned.speed)
 
-    def take_limit(self, named: message.LimitNamed) -> None:
-        """Takes the request limit that a backend server names."""
-        self._limits[named.backend] = named
-        known = self.backends.get(named.backend)
-        if known and known.info.run == named.run:
-            known.limit_per_s = named.limit_per_s
+    def take_hints(self, hints: message.ServerHints) -> None:
+        """Takes what a backend server says of itself in its answers."""
+        self._hints[hints.backend] = hints
+        known = self.backends.get(hints.backend)
+        if known and known.info.run == hints.run:
+            known.limit_per_s = hints.limit_per_s
 
     # Candidates for a request.
 
@@ -345,9 +345,9 @@
         learned = self._speeds.get(info.name)
         if learned and learned.run == info.run:
             new.take_speed(learned.speed)
-        named = self._limits.get(info.name)
-        if named and named.run == info.run:
-            new.limit_per_s = named.limit_per_s
+        hints = self._hints.get(info.name)
+        if hints and hints.run == info.run:
+            new.limit_per_s = hints.limit_per_s
         self._expect_speed(new)
         self.backends[info.name] = new
         if former and former.info.run != info.run:
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -256,19 +256,23 @@
     run: int = 0
 
 
-class LimitNamed(msgspec.Struct, frozen=True):
-    """Entry to schedulers: the request limit that a backend server names.
+class ServerHints(msgspec.Struct, frozen=True):
+    """Entry to schedulers: what a backend server says of itself in answers.
 
     Attributes:
         backend: The backend server.
-        run: In which of its runs, see ``Grant``; a limit ends with its run.
+        run: In which of its runs, see ``Grant``; hints end with their run.
         limit_per_s: Requests a second that it accepts from all VMs together;
-            None once it names no limit any more.
+            None where it names no limit.
+        is_leaving: Whether it is leaving; final for the run.
+        pause_s: Seconds for which it wants nothing from the entry's VM.
     """
 
     backend: str
     run: int
-    limit_per_s: float | None
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+    pause_s: float = 0.0
 
 
 class Grant(msgspec.Struct, frozen=True):
@@ -344,6 +348,6 @@
     | Ended
     | SyncDone
     | SpeedLearned
-    | LimitNamed
+    | ServerHints
 )
 OwnerMessage = Grant | Reject | Redirect
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -191,8 +191,8 @@
             case message.SpeedLearned():
                 self.fleet.take_speed(received)
                 return []
-            case message.LimitNamed():
-                self.fleet.take_limit(received)
+            case message.ServerHints():
+                self.fleet.take_hints(received)
         return self.grant(now)
 
     def grant(
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -25,7 +25,7 @@
     network,
     owners,
     patience,
-    server_limits,
+    server_hints,
 )
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
@@ -73,7 +73,7 @@
         network: What is believed of the backend servers, by the bundle in
             force.
         timeline: Where events are noted.
-        server_limits: The request limits that backend servers name.
+        server_hints: What backend servers say of themselves in answers.
         on_doubt: Called with the address of a scheduler that does not reply.
     """
 
@@ -84,6 +84,7 @@
         budget: retry.RetryBudget | None = None,
         shares_limits: bool = False,
         blocks: blocklist.Blocklist | None = None,
+        longest_pause_s: float = server_hints.LONGEST_PAUSE_S,
     ) -> None:
         self.network = network.Network()
         self.timeline = equipment.timeline
@@ -108,8 +109,10 @@
             self._send_any,
             lambda: list(self._links),
         )
-        self.server_limits = server_limits.ServerLimits(
-            self._send_any, lambda: [*self._links, self._local]
+        self.server_hints = server_hints.HintBook(
+            self._send_any,
+            lambda: [*self._links, self._local],
+            longest_pause_s,
         )
         self._budget = budget or retry.RetryBudget()
         self.on_doubt: Callable[[str], None] = _do_nothing
@@ -187,8 +190,6 @@
                     self.network.note_silent(machine.backend, now)
                 machine.info = self._get_info(ticket, now)
                 self._perform(ticket, machine.fail_connect(refused), now)
-            case tickets.HeadReceived():
-                self.server_limits.observe(event)
             case tickets.Begun(first):
                 self.network.note_answer(machine.backend, now)
                 if machine.owner:
@@ -494,7 +495,7 @@
         """Sends a scheduler all that waits or runs with it."""
         self._owners.note_up(address)
         self._blocked.tell_all(address, now)
-        self.server_limits.send_all(address)
+        self.server_hints.send_all(address, now)
         for ticket in self._tickets.values():
             if ticket.machine.owner == address:
                 self._resend(ticket, now)
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -43,26 +43,6 @@
     refused: bool = True
 
 
-class HeadReceived(msgspec.Struct, frozen=True):
-    """The head of a backend server's answer has arrived.
-
-    Attributes:
-        request_id: The request.
-        backend: The backend server.
-        run: Which of its runs, see ``message.Grant``.
-        limit_per_s: The request limit that it names; None for none.
-        owner: Address of the scheduler that granted the attempt.
-        granted_limit_per_s: The request limit that this scheduler applied.
-    """
-
-    request_id: str
-    backend: str
-    run: int
-    limit_per_s: float | None
-    owner: str = ""
-    granted_limit_per_s: float | None = None
-
-
 class Begun(msgspec.Struct, frozen=True):
     """The first token has arrived."""
 
@@ -136,7 +116,6 @@
 Event = (
     Submitted
     | ConnectFailed
-    | HeadReceived
     | Begun
     | Completed
     | Refused
@@ -220,7 +199,7 @@
 def get_request_id(event: Event) -> str:
     """Returns the request that an exchange's event is about."""
     match event:
-        case ConnectFailed(request_id) | HeadReceived(request_id):
+        case ConnectFailed(request_id):
             return request_id
         case Begun(first):
             return first.request_id
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -131,6 +131,7 @@
             self._make_budget(),
             shares_limits=True,
             blocks=self._blocks,
+            longest_pause_s=tuned.longest_pause_s,
         )
         self._prober = prober.Prober(
             self._desk.network, self._relay_client.probe
@@ -250,12 +251,16 @@
     def _show_metrics(self) -> probe.Page:
         now = steadyclock.read()
         blocked = self._blocks.count_in_force(now)
+        hints = self._desk.server_hints
         gauges = [
             *self._follower.list_gauges(now),
             metrics.Gauge("blocked_contents", {}, blocked),
-            metrics.Gauge("limited_servers", {}, len(self._desk.server_limits)),
-            metrics.Gauge(
-                "invalid_server_limits", {}, self._dialect.invalid_limits
+            metrics.Gauge("limited_servers", {}, hints.count_limited()),
+            metrics.Gauge("leaving_servers", {}, hints.count_leaving()),
+            metrics.Gauge("paused_servers", {}, hints.count_paused(now)),
+            *(
+                metrics.Gauge("invalid_server_hints", {"header": name}, count)
+                for name, count in self._dialect.invalid.items()
             ),
         ]
         text = self._measures.format() + metrics.format_gauges(gauges)
@@ -263,7 +268,9 @@
 
     def _take_bundle(self, in_force: acceptance.InForce) -> None:
         self._desk.network.take_in_force(in_force)
-        self._desk.server_limits.discard_except(in_force.bundle.backend_servers)
+        self._desk.server_hints.discard_except(
+            in_force.bundle.backend_servers, steadyclock.read()
+        )
         self._relay.state.limits = in_force.bundle.relay
         self._hub.post(event.BundleChanged(in_force))
         self._gossiper.membership.set_generation(
--- a/ramptray/node/settings.py
+++ b/ramptray/node/settings.py
@@ -24,6 +24,8 @@
         lame_duck_s: How long a stopping VM goes on taking connections: the
             balancer must have seen twice that it is not ready.
         exit_margin_s: How long before the kill a stopping VM ends by itself.
+        longest_pause_s: Longest pause that a backend server may ask of this VM:
+            by a mistake it would lose the VM's requests for good.
         content_key: Secret that goes into the digests of requests' contents,
             the same on all VMs: without it nobody can find out from a log line
             whether a request had a certain body.
@@ -38,6 +40,7 @@
     budget_vms: model.PositiveInt = 12
     lame_duck_s: model.NonNegativeFloat = 3.0
     exit_margin_s: model.NonNegativeFloat = 0.5
+    longest_pause_s: model.PositiveFloat = 600.0
     content_key: Annotated[str, msgspec.Meta(max_length=64)] = ""
 
 
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -33,7 +33,7 @@
             core_message.Ended,
             core_message.SyncDone,
             core_message.SpeedLearned,
-            core_message.LimitNamed,
+            core_message.ServerHints,
             core_message.Grant,
             core_message.Reject,
             core_message.Redirect,
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 import re
 import zlib
+from collections.abc import Set
 
 from result import Err, Ok, Result
 
-from ramptray.relay import dialect, message
+from ramptray.relay import dialect, httpfield, message
 
 LOG = logging.getLogger(__name__)
 
@@ -38,6 +40,27 @@
 LIMIT = b"server-limit"
 """Requests a second that the replica accepts from all VMs together."""
 
+LEAVING = b"server-leaving"
+"""1 in each answer of a replica that is leaving."""
+
+PAUSE = b"retry-after"
+"""Seconds for which a replica that turned a request away wants nothing from
+this VM."""
+
+_LEAVING_VALUE = b"1"
+_ANSWER_NAMES = httpfield.COMMON | {
+    ID,
+    LEAVING,
+    LIMIT,
+    NOT_RUN,
+    PAUSE,
+    SIGNATURE,
+}
+"""Header names of answers whose meaning is known here."""
+
+MAX_UNKNOWN = 32
+"""Unknown header names of answers that are logged at most."""
+
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _KEEP_ALIVE = b"keep-alive"
 
@@ -77,6 +100,7 @@
 """Headers that travel on even if the caller ties them to its connection."""
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _BEARER = "bearer "
 
 
@@ -84,11 +108,12 @@
     """The platform's headers.
 
     Attributes:
-        invalid_limits: Answers whose request limit could not be decoded.
+        invalid: Answers with a header that could not be decoded, by its name.
     """
 
     def __init__(self) -> None:
-        self.invalid_limits = 0
+        self.invalid: collections.Counter[str] = collections.Counter()
+        self._unknown: set[bytes] = set()
 
     def read_request(
         self, head: message.Head
@@ -144,34 +169,70 @@
     ) -> message.AnswerHead:
         """See the base class."""
         values = {name.lower(): value for name, value in headers}
+        self._note_unknown(values.keys(), status)
         return message.AnswerHead(
             status=status,
             headers=_leave_out(headers, frozenset({NOT_RUN})),
             request_id=_read_text(values.get(ID)),
             not_run=NOT_RUN in values or status == _MISDIRECTED,
             idle_s=_read_keep_alive(values.get(_KEEP_ALIVE, b"")),
-            limit_per_s=self._read_limit(headers),
+            limit_per_s=self._read_decimal(headers, LIMIT),
+            is_leaving=LEAVING in values and self._read_leaving(headers),
+            pause_s=(
+                self._read_decimal(headers, PAUSE)
+                if status == _UNAVAILABLE
+                else None
+            ),
         )
 
-    def _read_limit(self, headers: message.Headers) -> float | None:
-        """Returns the request limit in an answer; None for none or invalid."""
-        found = [value for name, value in headers if name.lower() == LIMIT]
+    def _read_decimal(
+        self, headers: message.Headers, wanted: bytes
+    ) -> float | None:
+        """Returns the number in a header; None for none or invalid."""
+        found = _list_values(headers, wanted)
         if not found:
             return None
         value = found[0].strip()
         if len(found) == 1 and _DECIMAL.fullmatch(value):
             return float(value)
-        self.invalid_limits += 1
+        self._note_invalid(wanted, found)
+        return None
+
+    def _read_leaving(self, headers: message.Headers) -> bool:
+        """Returns whether an answer says that its replica is leaving."""
+        found = _list_values(headers, LEAVING)
+        if all(value.strip() == _LEAVING_VALUE for value in found):
+            return True
+        self._note_invalid(LEAVING, found)
+        return False
+
+    def _note_invalid(self, name: bytes, found: list[bytes]) -> None:
+        text = name.decode()
+        self.invalid[text] += 1
         # One line for each doubling bounds the log.
-        if self.invalid_limits.bit_count() == 1:
+        if self.invalid[text].bit_count() == 1:
             LOG.warning(
-                "invalid request limit ignored",
+                "invalid header of an answer ignored",
                 extra={
+                    "header": text,
                     "values": [v[:32].decode("latin-1") for v in found[:4]],
-                    "count": self.invalid_limits,
+                    "count": self.invalid[text],
+                },
+            )
+
+    def _note_unknown(self, names: Set[bytes], status: int) -> None:
+        """Logs each header name of answers that nothing here reads, once."""
+        for name in names - _ANSWER_NAMES - self._unknown:
+            if len(self._unknown) >= MAX_UNKNOWN:
+                return
+            self._unknown.add(name)
+            LOG.info(
+                "answer header without a reader",
+                extra={
+                    "header": name[:64].decode("latin-1"),
+                    "status": status,
                 },
             )
-        return None
 
     def make_refusal_headers(
         self, request_id: str, retry_after_s: float
@@ -198,6 +259,10 @@
     return [(n, v) for n, v in headers if n.lower() not in dropped]
 
 
+def _list_values(headers: message.Headers, wanted: bytes) -> list[bytes]:
+    return [value for name, value in headers if name.lower() == wanted]
+
+
 def _read_host(value: bytes) -> str:
     return value.decode("latin-1").partition(":")[0].lower()
 
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -14,7 +14,7 @@
 from ramptray.bundle import model
 from ramptray.core import message as core_message
 from ramptray.core import request
-from ramptray.entry import dispatcher
+from ramptray.entry import dispatcher, server_hints
 from ramptray.entry import ticket as tickets
 from ramptray.relay import client as relay_client
 from ramptray.relay import connection as connections
@@ -247,15 +247,19 @@
             )
             await connection.send(self._order.asked, attempt)
             head = await self._read_head(connection)
-            self._ticket.report(
-                tickets.HeadReceived(
+            # At once: requests that are under way are checked by what it says.
+            self._desk.server_hints.observe(
+                server_hints.HeadReceived(
                     self._request_id,
                     target.backend,
                     target.run,
                     head.limit_per_s,
+                    head.is_leaving,
+                    head.pause_s,
                     grant.owner,
                     grant.limit_per_s,
-                )
+                ),
+                steadyclock.read(),
             )
             await self._take_answer(connection, head)
 
--- a/ramptray/relay/message.py
+++ b/ramptray/relay/message.py
@@ -90,6 +90,9 @@
         idle_s: How long the connection may then stay idle, if it says so.
         limit_per_s: Requests a second that the backend server accepts from
             all VMs together; None where it names no limit.
+        is_leaving: Whether the backend server says that it is leaving.
+        pause_s: Seconds for which a backend server that turned the request
+            away wants nothing from this VM; None where it does not say.
     """
 
     status: int
@@ -98,6 +101,8 @@
     not_run: bool
     idle_s: float | None
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class Answer(msgspec.Struct, frozen=True):
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -235,8 +235,8 @@
                 self._learned.speeds[name] = body
                 for owner in self.shards.values():
                     owner.receive(attached.hello.name, body, now)
-            case message.LimitNamed():
-                self._take_server_limit(attached, body, now)
+            case message.ServerHints():
+                self._take_server_hints(attached, body, now)
             case message.Enqueue(info) | message.Running(info):
                 self._pass_to_shard(attached, info.shard, body, now)
             case (
@@ -267,13 +267,13 @@
             case peer_message.FinishKey():
                 self._claims.post(event.Finished(body))
 
-    def _take_server_limit(
-        self, attached: Attached, named: message.LimitNamed, now: float
+    def _take_server_hints(
+        self, attached: Attached, hints: message.ServerHints, now: float
     ) -> None:
-        if not self._learned.take_limit(named, attached.hello.name):
+        if not self._learned.take_hints(hints, attached.hello.name):
             return
         for owner in self.shards.values():
-            self._send_out(owner.receive(attached.hello.name, named, now))
+            self._send_out(owner.receive(attached.hello.name, hints, now))
 
     def _greet(
         self, session: peer_link.Session, hello: peer_message.Hello
@@ -441,8 +441,8 @@
             self._learned.speeds,
             self.guard.evidence.is_suspect,
         )
-        for named in self._learned.list_limits():
-            owner.fleet.take_limit(named)
+        for hints in self._learned.list_hints():
+            owner.fleet.take_hints(hints)
         self.shards[key] = owner
         self._apply_rollout(key, owner)
         self._mark_leaving()
--- a/ramptray/scheduler/learned.py
+++ b/ramptray/scheduler/learned.py
@@ -13,7 +13,7 @@
 
 
 class LearnedBook:
-    """Keeps the newest speed and request limit of each backend server.
+    """Keeps the newest speed and hints of each backend server.
 
     Attributes:
         speeds: The speeds by the servers' names.
@@ -21,34 +21,34 @@
 
     def __init__(self) -> None:
         self.speeds: dict[str, message.SpeedLearned] = {}
-        self._limits: dict[str, message.LimitNamed] = {}
+        self._hints: dict[str, message.ServerHints] = {}
 
-    def take_limit(self, named: message.LimitNamed, origin: str) -> bool:
-        """Takes a request limit; returns whether it is new.
+    def take_hints(self, hints: message.ServerHints, origin: str) -> bool:
+        """Takes a server's hints; returns whether they are new.
 
         Args:
-            named: The limit, or that there is none any more.
+            hints: What it says of itself.
             origin: The entry that sent it.
         """
-        former = self._limits.get(named.backend)
-        if named == former:
+        former = self._hints.get(hints.backend)
+        if hints == former:
             return False
-        self._limits[named.backend] = named
+        self._hints[hints.backend] = hints
         LOG.info(
-            "server limit taken",
+            "server hints taken",
             extra={
-                **msgspec.structs.asdict(named),
+                **msgspec.structs.asdict(hints),
                 "former_per_s": former and former.limit_per_s,
                 "origin": origin,
             },
         )
         return True
 
-    def list_limits(self) -> list[message.LimitNamed]:
-        """Returns the limits, and the servers that name none any more."""
-        return list(self._limits.values())
+    def list_hints(self) -> list[message.ServerHints]:
+        """Returns the hints, also of servers that give none any more."""
+        return list(self._hints.values())
 
     def discard_except(self, backends: Container[str]) -> None:
         """Drops what is known of all other backend servers."""
         self.speeds = {n: k for n, k in self.speeds.items() if n in backends}
-        self._limits = {n: k for n, k in self._limits.items() if n in backends}
+        self._hints = {n: k for n, k in self._hints.items() if n in backends}
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -240,10 +240,76 @@
         answer = dialect.read_answer(200, headers)
         assert answer.limit_per_s is None
         assert answer.headers == headers
-    assert dialect.invalid_limits == 100
+    assert dialect.invalid == {"server-limit": 100}
     assert 0 < len(caplog.records) <= 8
 
 
+def read_answer(
+    status: int, *headers: tuple[bytes, bytes]
+) -> message.AnswerHead:
+    return header.PlatformDialect().read_answer(status, list(headers))
+
+
+def test_a_leaving_server_is_known_by_its_answer() -> None:
+    for status in (200, 421, 500, 503):
+        assert read_answer(status, (b"Server-Leaving", b"1")).is_leaving
+    assert not read_answer(200).is_leaving
+
+
+@pytest.mark.parametrize("value", [b"3", b"0.25", b"0", b" 12.5 "])
+def test_the_pause_that_a_server_asks_for_is_decoded(value: bytes) -> None:
+    assert read_answer(503, (b"Retry-After", value)).pause_s == float(value)
+
+
+def test_only_a_server_that_turns_a_request_away_asks_for_a_pause() -> None:
+    for status in (200, 421, 429, 500):
+        assert read_answer(status, (b"Retry-After", b"3")).pause_s is None
+
+
+@pytest.mark.parametrize(
+    ("name", "values"),
+    [
+        ("retry-after", (b"",)),
+        ("retry-after", (b"-1",)),
+        ("retry-after", (b"1e3",)),
+        ("retry-after", (b"inf",)),
+        ("retry-after", (b"Wed, 21 Oct 2026 07:28:00 GMT",)),
+        ("retry-after", (b"9" * 400,)),
+        ("retry-after", (b"2", b"2")),
+        ("server-leaving", (b"",)),
+        ("server-leaving", (b"0",)),
+        ("server-leaving", (b"yes",)),
+        ("server-leaving", (b"1", b"0")),
+    ],
+)
+def test_an_invalid_hint_is_counted_and_ignored(
+    name: str, values: tuple[bytes, ...], caplog: pytest.LogCaptureFixture
+) -> None:
+    headers = [(name.title().encode(), value) for value in values]
+    dialect = header.PlatformDialect()
+    for _ in range(100):
+        answer = dialect.read_answer(503, headers)
+        assert answer.pause_s is None
+        assert not answer.is_leaving
+        assert answer.headers == headers
+    assert dialect.invalid == {name: 100}
+    assert 0 < len(caplog.records) <= 8
+
+
+def test_an_answer_header_without_a_reader_is_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    dialect = header.PlatformDialect()
+    known = [(b"Content-Type", b"a"), (b"Server-Limit", b"2"), (b"Date", b"b")]
+    dialect.read_answer(200, known)
+    assert not caplog.records
+    for number in range(100):
+        names = [b"Server-Mood", f"X-New-{number}".encode()]
+        dialect.read_answer(200, [(name, b"1") for name in names])
+    assert len(caplog.records) == header.MAX_UNKNOWN
+
+
 def make_record(state: str = "ready") -> bytes:
     return json.dumps(
         {
--- a/test/test_codec.py
+++ b/test/test_codec.py
@@ -12,9 +12,9 @@
 def test_a_message_of_a_newer_version_does_not_break_the_link(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
-    known = message.LimitNamed("i-1", 1, 2.0)
+    known = message.ServerHints("i-1", 1, 2.0)
     later = ("LaterKind", {"field": 1})
-    named = [("LimitNamed", known), later, later, ("LimitNamed", known)]
+    named = [("ServerHints", known), later, later, ("ServerHints", known)]
     data = msgspec.msgpack.encode((7, named))
     assert codec.decode(data) == codec.Frame(7, [known, known])
     logged = [r for r in caplog.records if "unknown message" in r.message]
@@ -26,7 +26,7 @@
     [
         b"",
         b"garbage",
-        msgspec.msgpack.encode((7, [("LimitNamed", {"backend": 3})])),
+        msgspec.msgpack.encode((7, [("ServerHints", {"backend": 3})])),
         msgspec.msgpack.encode(("x", [])),
     ],
 )
--- a/test/test_rate_limit.py
+++ b/test/test_rate_limit.py
@@ -54,7 +54,7 @@
 ) -> None:
     """Passes on to an owner what servers name."""
     for name in names:
-        owner.receive("entry", message.LimitNamed(name, run, rate), now)
+        owner.receive("entry", message.ServerHints(name, run, rate), now)
 
 
 def make_request(
