--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -53,6 +53,10 @@
 
     Attributes:
         refuse: Answer that the request has not run.
+        refuse_each: Of how many requests one is answered so, if any is.
+        pauses: Values of the header of such an answer that asks for a pause,
+            one header for each.
+        leaving: Say in each answer that it is leaving.
         fail: Answer with a failure of its own.
         cut_after: Events after which streams are cut in the middle of one.
         hang_after: Events after which streams say nothing more.
@@ -63,6 +67,9 @@
     """
 
     refuse: bool = False
+    refuse_each: model.PositiveInt = 1
+    pauses: tuple[str, ...] = ()
+    leaving: bool = False
     fail: bool = False
     cut_after: int | None = None
     hang_after: int | None = None
@@ -160,14 +167,20 @@
         request_id = headers[header.ID.decode()]
         own = [(header.ID, request_id.encode())]
         own += [(header.LIMIT, value.encode()) for value in faults.limits]
+        own += [(header.LEAVING, b"1")] if faults.leaving else []
         self._note_arrival(request_id)
         if headers.get(header.BACKEND.decode()) != self._settings.name:
             await _send(stream, 421, b"", own)
             return True
-        if faults.refuse:
-            not_run = (header.NOT_RUN, b"1")
+        if (
+            faults.refuse
+            and len(self._ledger.arrived) % faults.refuse_each == 0
+        ):
+            own += [(header.PAUSE, value.encode()) for value in faults.pauses]
             self._ledger.refused.append(request_id)
-            await _send(stream, 503, b"", [*own, not_run])
+            await _send(stream, 503, b"", [*own, (header.NOT_RUN, b"1")])
+            now = steadyclock.read_running()
+            LOG.info("refused", extra={"request_id": request_id, "at": now})
             return True
         # Logged at once, so that it is known also if this program is killed.
         LOG.info("running", extra={"request_id": request_id})
--- /dev/null
+++ b/test/callers.py
@@ -0,0 +1,107 @@
+"""Callers that ask all VMs at once, and what they were answered."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import threading
+import time
+
+from test import node
+from test.test_node import ask
+
+PAUSE_S = 0.1
+"""Pause between two requests of a caller, in seconds."""
+
+_NUMBERS = itertools.count(1)
+
+
+@dataclasses.dataclass
+class Asked:
+    """A request and its answer.
+
+    Attributes:
+        request_id: Its id.
+        vm: The VM that was asked.
+        sent_at: When it was sent, on the machine's clock in seconds.
+        answered_at: When its answer was whole, likewise.
+        status: Status of the answer; 0 where the VM gave none.
+        headers: Headers of the answer, in lower case.
+    """
+
+    request_id: str
+    vm: str
+    sent_at: float
+    answered_at: float = 0.0
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+class Callers:
+    """Asks all VMs at once until it is stopped.
+
+    Args:
+        started: The deployment.
+        path: What is asked.
+        per_vm: Callers of each VM.
+
+    Attributes:
+        asked: What was asked, in no order.
+    """
+
+    def __init__(
+        self, started: node.Platform, path: str, per_vm: int = 2
+    ) -> None:
+        self.asked: list[Asked] = []
+        self._started = started
+        self._path = path
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._ask_on, args=(vm,))
+            for vm in started.vms
+            for _ in range(per_vm)
+        ]
+
+    def __enter__(self) -> Callers:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    @property
+    def statuses(self) -> set[int]:
+        """The statuses of all answers."""
+        return {each.status for each in self.asked}
+
+    def _ask_on(self, vm: str) -> None:
+        while not self._stopped.wait(PAUSE_S):
+            self.asked.append(ask_once(self._started, self._path, vm))
+
+
+def ask_once(started: node.Platform, path: str, vm: str) -> Asked:
+    """Asks a VM; one that is down gives no answer."""
+    name = f"{vm}.{next(_NUMBERS)}"
+    asked = Asked(name, vm, time.monotonic())
+    try:
+        answer = ask(started, path, vm=vm, X_Request_Id=name)
+    except OSError:
+        return asked
+    asked.answered_at = time.monotonic()
+    asked.status = answer.status
+    asked.headers = answer.headers
+    return asked
+
+
+def list_logged(
+    started: node.Platform, name: str, message: str
+) -> list[tuple[float, str]]:
+    """Returns when a replica logged a message, of which request."""
+    return [
+        (line["at"], line["request_id"])
+        for line in started.read_log(name)
+        if line["message"] == message
+    ]
--- a/test/test_server_limit.py
+++ b/test/test_server_limit.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import threading
 import time
 from collections.abc import Iterator
 
 import pytest
 
-from test import node
+from test import callers, node
 from test.test_node import ask, wait_until
 
 VMS = 3
@@ -25,8 +24,6 @@
 faster one is preferred wherever its limit allows."""
 
 LOAD_S = 10.0
-PAUSE_S = 0.1
-"""Pause between two requests of a sender, in seconds."""
 
 
 @pytest.fixture(scope="module")
@@ -38,36 +35,6 @@
         yield platform
 
 
-class Load:
-    """Sends requests to all VMs at once until it is stopped."""
-
-    def __init__(self, started: node.Platform, path: str) -> None:
-        self.statuses: list[int] = []
-        self._started = started
-        self._path = path
-        self._stopped = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._send, args=(vm,))
-            for vm in started.vms
-            for _ in range(2)
-        ]
-
-    def __enter__(self) -> Load:
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _send(self, vm: str) -> None:
-        while not self._stopped.wait(PAUSE_S):
-            answer = ask(self._started, self._path, vm=vm)
-            self.statuses.append(answer.status)
-
-
 def count_most(times: list[float], window_s: float) -> int:
     """Returns the most arrivals in any window of that length."""
     return max(
@@ -91,11 +58,11 @@
 def test_a_named_limit_is_not_exceeded_by_all_vms_together(
     started: node.Platform, path: str
 ) -> None:
-    with Load(started, path) as load:
+    with callers.Callers(started, path) as load:
         started.set_faults(LIMITED, limits=[str(RATE)], work_s=WORK_S)
         started.set_faults(OTHER, work_s=SLOW_WORK_S)
         known_at = time.monotonic() + KNOWN_AFTER_S
         time.sleep(LOAD_S)
     arrivals = list_arrivals(started, LIMITED, known_at)
     assert 2 <= count_most(arrivals, WINDOW_S) <= ALLOWED
-    assert set(load.statuses) == {200}
+    assert load.statuses == {200}
--- /dev/null
+++ b/test/test_server_pause.py
@@ -0,0 +1,116 @@
+"""A server that asks a VM for a pause gets next to nothing from it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from test import callers, node
+from test.test_node import ask, wait_until
+
+VMS = 3
+FULL, OTHER = "i-0", "i-1"
+ASKED_S = 3.0
+
+REACTION_S = 0.5
+"""Time from an answer that asks for a pause until it holds, in seconds."""
+
+ALLOWED = 2
+"""Requests that a VM may send to a server in a pause."""
+
+WORK_S, SLOW_WORK_S = 0.01, 0.05
+"""Work of the server that asks and of the slower other one, in seconds: the
+faster one is preferred as long as it may be."""
+
+PER_VM = 5
+"""Callers of each VM at once."""
+
+LOAD_S = 8.0
+
+
+@pytest.fixture
+def started() -> Iterator[node.Platform]:
+    with node.run_platform(vms=VMS, replicas=2) as platform:
+        for number in range(VMS):
+            vm = f"vm-{number}"
+            wait_until(lambda: ask(platform, "/safe/", vm=vm).status == 200)  # noqa: B023
+        yield platform
+
+
+def turn_away(started: node.Platform, name: str, each: int = 1) -> None:
+    """Has a server turn one of so many requests away and ask for a pause."""
+    started.set_faults(
+        name,
+        refuse=True,
+        refuse_each=each,
+        pauses=[str(ASKED_S)],
+        work_s=WORK_S,
+    )
+
+
+def count_in_pauses(started: node.Platform, name: str) -> int:
+    """Returns the most requests that came from one VM in one pause."""
+    arrived = callers.list_logged(started, name, "arrived")
+    counts = [
+        sum(
+            at + REACTION_S < later <= at + ASKED_S
+            and other.partition(".")[0] == request_id.partition(".")[0]
+            for later, other in arrived
+        )
+        for at, request_id in callers.list_logged(started, name, "refused")
+    ]
+    assert counts
+    return max(counts)
+
+
+@pytest.mark.parametrize(
+    ("path", "each"),
+    [("/safe/", 1), ("/safe/", 3), ("/once/", 3), ("/stream/", 3)],
+)
+def test_a_server_that_asked_for_a_pause_is_not_flooded(
+    started: node.Platform, path: str, each: int
+) -> None:
+    with callers.Callers(started, path, PER_VM) as load:
+        started.set_faults(OTHER, work_s=SLOW_WORK_S)
+        turn_away(started, FULL, each)
+        time.sleep(LOAD_S)
+    assert count_in_pauses(started, FULL) <= ALLOWED
+    served = [each for each in load.asked if each.status == 200]
+    assert len(served) >= 0.9 * len(load.asked)
+
+
+def test_servers_that_all_asked_for_a_pause_are_not_flooded(
+    started: node.Platform,
+) -> None:
+    with callers.Callers(started, "/safe/", PER_VM) as load:
+        turn_away(started, FULL, 3)
+        turn_away(started, OTHER, 3)
+        time.sleep(LOAD_S)
+        started.set_faults(FULL)
+        started.set_faults(OTHER)
+        time.sleep(ASKED_S + 1.0)
+    assert count_in_pauses(started, FULL) <= ALLOWED
+    assert count_in_pauses(started, OTHER) <= ALLOWED
+    latest = sorted(load.asked, key=lambda each: each.sent_at)[-5:]
+    assert {each.status for each in latest} == {200}
+    refused = [each for each in load.asked if each.status == 503]
+    assert refused
+    assert all("retry-after" in each.headers for each in refused)
+
+
+def test_a_pause_holds_after_the_owner_is_lost(
+    started: node.Platform,
+) -> None:
+    with callers.Callers(started, "/safe/", PER_VM) as load:
+        started.set_faults(OTHER, work_s=SLOW_WORK_S)
+        turn_away(started, FULL, 3)
+        time.sleep(LOAD_S / 2)
+        for vm in ("vm-2", "vm-1"):
+            started.kill_vm(vm)
+            time.sleep(LOAD_S / 4)
+    assert count_in_pauses(started, FULL) <= ALLOWED
+    lasting = [each for each in load.asked if each.vm == "vm-0"]
+    served = [each for each in lasting if each.status == 200]
+    assert len(served) >= 0.9 * len(lasting)
