Send nothing to a server that has said it is leaving

What callers saw: requests went on to a server that had said in its answers that it was leaving; one that lasts longer than the server is cut off with it.

The VM that has read the hint checks it last, as it sends: before a connection is taken and once more when it is open. The grant goes back to its owner behind the hint, counts as no attempt and no failure of the server, and the request is placed elsewhere. Every scheduler is sent the hint, so few grants go back.

Ruled out: keeping it at the owner alone. Owners get lost, and a grant may be under way, while the rule binds the VM that passed the answer on.

Not covered: while every server of a service is leaving, requests are refused at once, although they might be served for drainMs.

--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -5,6 +5,8 @@
 import heapq
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from ramptray.core import backend as backends
 from ramptray.core import candidate, message, rtt
 from ramptray.core import speed as speeds
@@ -94,6 +96,9 @@
     def set_state(self, name: str, state: backends.BackendState) -> None:
         """Notes that a backend server is leaving, or is back."""
         if known := self.backends.get(name):
+            hints = self._get_hints(known.info)
+            if hints and hints.is_leaving:
+                state = backends.BackendState.LEAVING
             known.state = state
             self._pool.update(known)
 
@@ -134,11 +139,32 @@
             known.take_speed(learned.speed)
 
     def take_hints(self, hints: message.ServerHints) -> None:
-        """Takes what a backend server says of itself in its answers."""
+        """Takes what a backend server says of itself in its answers.
+
+        That it is leaving is final for its run, whatever comes later.
+        """
+        former = self._hints.get(hints.backend)
+        if former and former.is_leaving and former.run == hints.run:
+            hints = msgspec.structs.replace(hints, is_leaving=True)
         self._hints[hints.backend] = hints
         known = self.backends.get(hints.backend)
         if known and known.info.run == hints.run:
-            known.limit_per_s = hints.limit_per_s
+            self._apply_hints(known, hints)
+
+    def _apply_hints(
+        self, known: backends.Backend, hints: message.ServerHints
+    ) -> None:
+        known.limit_per_s = hints.limit_per_s
+        if hints.is_leaving:
+            known.state = backends.BackendState.LEAVING
+        self._pool.update(known)
+
+    def _get_hints(
+        self, info: backends.BackendInfo
+    ) -> message.ServerHints | None:
+        """Returns the hints of a backend server's present run."""
+        hints = self._hints.get(info.name)
+        return hints if hints and hints.run == info.run else None
 
     # Candidates for a request.
 
@@ -345,9 +371,8 @@
         learned = self._speeds.get(info.name)
         if learned and learned.run == info.run:
             new.take_speed(learned.speed)
-        hints = self._hints.get(info.name)
-        if hints and hints.run == info.run:
-            new.limit_per_s = hints.limit_per_s
+        if hints := self._get_hints(info):
+            self._apply_hints(new, hints)
         self._expect_speed(new)
         self.backends[info.name] = new
         if former and former.info.run != info.run:
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -160,6 +160,7 @@
         unreachable: Whether the backend server refused the connection.
         avoid: Backend servers that the request was sent to in vain.
         silent: Backend servers that the entry cannot reach at present.
+        waits: Whether the request still waits for another grant.
     """
 
     request_id: str
@@ -167,6 +168,7 @@
     unreachable: bool = False
     avoid: tuple[str, ...] = ()
     silent: tuple[str, ...] = ()
+    waits: bool = False
 
 
 class FirstToken(msgspec.Struct, frozen=True):
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -168,6 +168,16 @@
             refused: Whether the backend server refused the connection; else
                 it was silent, perhaps towards this VM only.
         """
+        return self._return_grant(refused)
+
+    def return_grant(self) -> list[Effect]:
+        """Returns to waiting: the backend server wants nothing from this VM.
+
+        That counts neither as an attempt nor as a failure of the server.
+        """
+        return self._return_grant(unreachable=False)
+
+    def _return_grant(self, unreachable: bool) -> list[Effect]:
         if self.state is not State.DISPATCHED or self._grant is None:
             return []
         grant = self._grant
@@ -177,9 +187,10 @@
         decline = message.Decline(
             grant.request_id,
             grant.grant_id,
-            refused,
+            unreachable,
             self.info.avoid,
             self.info.silent,
+            waits=True,
         )
         return [Tell(self.owner or grant.owner, decline)]
 
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -286,7 +286,7 @@
         placed = self.fleet.free(request_id)
         self.counters.declined += 1
         failed = decline.unreachable or decline.avoid or decline.silent
-        if placed is None or not failed:
+        if placed is None or not (decline.waits or failed):
             return []
         if decline.unreachable:
             backend.availability.note_unreachable(now)
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -190,6 +190,8 @@
                     self.network.note_silent(machine.backend, now)
                 machine.info = self._get_info(ticket, now)
                 self._perform(ticket, machine.fail_connect(refused), now)
+            case tickets.Barred(_, bar):
+                self._return_grant(ticket, bar, now)
             case tickets.Begun(first):
                 self.network.note_answer(machine.backend, now)
                 if machine.owner:
@@ -218,6 +220,28 @@
         """Returns a request's facts as they are now."""
         return ticket.get_info(now, self.network.list_avoided(now))
 
+    def _return_grant(
+        self, ticket: tickets.Ticket, bar: server_hints.Bar, now: float
+    ) -> None:
+        """Returns a grant whose server wants nothing from this VM."""
+        machine = ticket.machine
+        backend = machine.backend
+        machine.info = self._get_info(ticket, now)
+        effects = machine.return_grant()
+        if backend is None or not effects:
+            return
+        if machine.owner:
+            # Ahead of the returned grant: else it would be granted again.
+            self.server_hints.send_one(machine.owner, backend, now)
+        self.timeline.note(
+            "grant_returned",
+            ticket.info.request_id,
+            backend=backend,
+            owner=machine.owner,
+            reason=bar.value,
+        )
+        self._perform(ticket, effects, now)
+
     def _end_attempt(
         self, ticket: tickets.Ticket, event: tickets.AttemptFailed, now: float
     ) -> None:
--- a/ramptray/entry/server_hints.py
+++ b/ramptray/entry/server_hints.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import logging
 from collections.abc import Callable, Iterable
 
@@ -23,6 +24,12 @@
 configuration, in seconds: an older copy of the store may bring it back."""
 
 
+class Bar(enum.Enum):
+    """Why nothing may be sent to a backend server now."""
+
+    LEAVING = "leaving"
+
+
 class HeadReceived(msgspec.Struct, frozen=True):
     """The head of a backend server's answer has arrived.
 
@@ -127,10 +134,28 @@
             # The owner missed it, or an older answer reached it last.
             self._send(received.owner, hints)
 
+    def find_bar(self, backend: str, run: int, now: float) -> Bar | None:
+        """Returns why nothing may be sent to a backend server; None if it may.
+
+        Args:
+            backend: The backend server.
+            run: Which of its runs.
+            now: The entry's clock.
+        """
+        known = self._known.get(backend)
+        if known is None or known.run != run:
+            return None
+        return Bar.LEAVING if known.is_leaving else None
+
+    def send_one(self, address: str, backend: str, now: float) -> None:
+        """Sends a scheduler what is known here of a backend server."""
+        if known := self._known.get(backend):
+            self._send(address, _make_message(backend, known, now))
+
     def send_all(self, address: str, now: float) -> None:
         """Sends a scheduler all hints that are known here."""
-        for backend, known in self._known.items():
-            self._send(address, _make_message(backend, known, now))
+        for backend in self._known:
+            self.send_one(address, backend, now)
 
     def discard_except(self, backends: Iterable[str], now: float) -> None:
         """Drops the hints of all other backend servers."""
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -10,6 +10,7 @@
 
 from ramptray import steadyclock
 from ramptray.core import message, request
+from ramptray.entry import server_hints
 from ramptray.peer import attachment
 
 
@@ -43,6 +44,18 @@
     refused: bool = True
 
 
+class Barred(msgspec.Struct, frozen=True):
+    """The request may not be sent where it was granted to; nothing was sent.
+
+    Attributes:
+        request_id: The request.
+        bar: What the backend server has said.
+    """
+
+    request_id: str
+    bar: server_hints.Bar
+
+
 class Begun(msgspec.Struct, frozen=True):
     """The first token has arrived."""
 
@@ -116,6 +129,7 @@
 Event = (
     Submitted
     | ConnectFailed
+    | Barred
     | Begun
     | Completed
     | Refused
@@ -199,7 +213,7 @@
 def get_request_id(event: Event) -> str:
     """Returns the request that an exchange's event is about."""
     match event:
-        case ConnectFailed(request_id):
+        case ConnectFailed(request_id) | Barred(request_id):
             return request_id
         case Begun(first):
             return first.request_id
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -96,6 +96,14 @@
     tokens_per_event: int
 
 
+class _BarredError(Exception):
+    """The request may not be sent to the backend server; nothing was sent."""
+
+    def __init__(self, bar: server_hints.Bar) -> None:
+        self.bar = bar
+        super().__init__(bar.value)
+
+
 class Exchange:
     """Serves one request from its head to the end of its answer."""
 
@@ -158,6 +166,9 @@
         if target is None:
             self._ticket.report(tickets.ConnectFailed(self._request_id))
             return
+        if bar := self._find_bar(target):
+            self._ticket.report(tickets.Barred(self._request_id, bar))
+            return
         # Callers that leave in numbers free places for each other's requests:
         # cancellation of a closed connection is delivered here.
         await anyio.lowlevel.checkpoint()
@@ -169,6 +180,8 @@
                 await self._send(target, grant)
         except TimeoutError:
             self._lose(core_message.Reason.DEADLINE)
+        except _BarredError as error:
+            self._ticket.report(tickets.Barred(self._request_id, error.bar))
         except connections.NotSentError as error:
             failed = tickets.ConnectFailed(self._request_id, error.refused)
             self._ticket.report(failed)
@@ -239,6 +252,9 @@
         """Sends the request to one backend server and passes its answer on."""
         runs_once = not self._order.info.repeatable
         async with self._client.use(target, runs_once) as connection:
+            # An answer may have said something while it was opened.
+            if bar := self._find_bar(target):
+                raise _BarredError(bar)
             attempt = message.Attempt(
                 target.backend,
                 self._order.customer,
@@ -347,6 +363,12 @@
         address = url.removeprefix("http://")
         return connections.Target(address, grant.backend, grant.run)
 
+    def _find_bar(self, target: connections.Target) -> server_hints.Bar | None:
+        """Returns why a backend server may be sent nothing, if it may not."""
+        return self._desk.server_hints.find_bar(
+            target.backend, target.run, steadyclock.read()
+        )
+
     def _note_first(self) -> None:
         if self._begun_at is not None:
             return
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -270,8 +270,7 @@
     def _take_server_hints(
         self, attached: Attached, hints: message.ServerHints, now: float
     ) -> None:
-        if not self._learned.take_hints(hints, attached.hello.name):
-            return
+        self._learned.take_hints(hints, attached.hello.name)
         for owner in self.shards.values():
             self._send_out(owner.receive(attached.hello.name, hints, now))
 
--- a/ramptray/scheduler/learned.py
+++ b/ramptray/scheduler/learned.py
@@ -23,16 +23,18 @@
         self.speeds: dict[str, message.SpeedLearned] = {}
         self._hints: dict[str, message.ServerHints] = {}
 
-    def take_hints(self, hints: message.ServerHints, origin: str) -> bool:
-        """Takes a server's hints; returns whether they are new.
+    def take_hints(self, hints: message.ServerHints, origin: str) -> None:
+        """Takes a server's hints.
 
         Args:
             hints: What it says of itself.
             origin: The entry that sent it.
         """
         former = self._hints.get(hints.backend)
+        if former and former.is_leaving and former.run == hints.run:
+            hints = msgspec.structs.replace(hints, is_leaving=True)
         if hints == former:
-            return False
+            return
         self._hints[hints.backend] = hints
         LOG.info(
             "server hints taken",
@@ -42,7 +44,6 @@
                 "origin": origin,
             },
         )
-        return True
 
     def list_hints(self) -> list[message.ServerHints]:
         """Returns the hints, also of servers that give none any more."""
