Keep the pause that a server asks of a VM

What callers saw: a request was handed to servers that had asked its VM for a pause, turned away by one after the other, and its attempts were used up.

Cause: Retry-After in a server's 503 was passed over; a refusal counted as one of three in a row after which all work stays away for 0.5 s, and a server that turns away a part only never comes to three in a row. The class: a statement of a server about itself that nothing reads.

The VM that got the answer checks the pause last, as it sends, and returns the grant behind the hint. Owners know the pause of each entry: they place its requests elsewhere, let those of other entries pass, refuse at once what no server takes in the time that it may wait, and name as Retry-After when some VM may send again. After a pause one request tries whether the server takes work, and the others follow its answer. The longest pause holds; it ends with the run of its server, and settings bound it (longest_pause_s). A refusal with a pause no longer counts towards keeping all VMs away.

Ruled out: sending the pauses along with each request. What waits at an owner when a pause begins would be granted and returned, once for each server.

--- a/ramptray/core/availability.py
+++ b/ramptray/core/availability.py
@@ -66,7 +66,12 @@
         self.unreachable_until = now + pause
 
     def note_end(
-        self, refused: bool, broken: bool, whole: bool, now: float
+        self,
+        refused: bool,
+        broken: bool,
+        whole: bool,
+        now: float,
+        paused: bool = False,
     ) -> None:
         """Takes how an answer ended.
 
@@ -75,10 +80,12 @@
             broken: The answer broke off, or the server hung.
             whole: The answer came to its end.
             now: The owner's clock in seconds.
+            paused: The server has asked the VM that it turned away for a
+                pause: that VM stays away anyway, and others may send.
         """
         if refused or whole:
             self._note_refusal(refused, now)
-        if broken or refused:
+        if broken or (refused and not paused):
             self.breaks += 1
             if self.breaks >= EJECT_BREAKS:
                 self.note_unreachable(now)
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from ramptray.core import availability, message, pacer, prefix_cache
+from ramptray.core import availability, message, pacer, pauses, prefix_cache
 from ramptray.core import rtt as rtts
 from ramptray.core import speed as speeds
 
@@ -133,6 +133,7 @@
         "loaded",
         "first_at",
         "limit_per_s",
+        "pauses",
         "_pacer",
         "_rtt",
     )
@@ -163,6 +164,7 @@
         self.availability = availability.Availability()
         self.first_at = float("-inf")
         self.limit_per_s: float | None = None
+        self.pauses = pauses.Pauses()
         self._pacer = pacer.Pacer()
         self._rtt = rtt or rtts.RttEstimator(0.0, MAX_RTT_S)
 
@@ -353,6 +355,7 @@
         self.pending[request.request_id] = placed
         self.held_tokens += placed.tokens
         self._pacer.note(now)
+        self.pauses.note_sent(entry, request.request_id, now)
         self.cache.add(request.prefix, request.prefix_tokens)
         return placed
 
@@ -363,6 +366,8 @@
         begins where the one before it ended; the fixed part may pass before.
         Prompts that were sent before have been read, even without a report.
         """
+        if running := self.placed.get(first.request_id):
+            self.pauses.note_answer(running.entry, first.request_id)
         placed = self.pending.get(first.request_id)
         if placed is None:
             return
@@ -400,9 +405,10 @@
 
     def end(self, ended: message.Ended, now: float) -> None:
         """Frees the request's place and learns the decode speed."""
-        self.remove(ended.request_id)
+        placed = self.remove(ended.request_id)
+        pause_s = self.pauses.get_left(placed.entry, now) if placed else 0.0
         self.availability.note_end(
-            ended.refused, ended.broken, ended.whole, now
+            ended.refused, ended.broken, ended.whole, now, pause_s > 0.0
         )
         decoded = ended.output_tokens - ended.first_tokens
         self.speed.learn_step(decoded, ended.decode_s)
@@ -414,6 +420,7 @@
             return None
         self.held_tokens -= placed.tokens
         self._finish_prefill(placed)
+        self.pauses.note_end(placed.entry, request_id)
         return placed
 
     def correct(self, running: int, step_s: float = 0.0) -> None:
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -8,12 +8,15 @@
 import msgspec
 
 from ramptray.core import backend as backends
-from ramptray.core import candidate, message, rtt
+from ramptray.core import candidate, message, queue, rtt
 from ramptray.core import speed as speeds
 
 ORPHAN_S = 30.0
 """Longest time a lost entry's request keeps its place, in seconds."""
 
+TRIAL_S = 2.0
+"""Time after the last pause in which trials may be under way, in seconds."""
+
 FASTEST = 8
 """How many of the fastest backend servers are checked for an objective."""
 
@@ -37,6 +40,7 @@
         self._report_due_at = report_due_at
         self._speeds = dict(learned)
         self._hints: dict[str, message.ServerHints] = {}
+        self._paused_until = 0.0
         self._wanted: frozenset[str] = frozenset()
         self._where: dict[str, backends.Backend] = {}
         self._line = speeds.Line()
@@ -138,10 +142,17 @@
         if known and known.info.run == learned.run:
             known.take_speed(learned.speed)
 
-    def take_hints(self, hints: message.ServerHints) -> None:
+    def take_hints(
+        self, hints: message.ServerHints, entry: str, now: float
+    ) -> None:
         """Takes what a backend server says of itself in its answers.
 
         That it is leaving is final for its run, whatever comes later.
+
+        Args:
+            hints: What it says.
+            entry: The entry that got the answer, which the pause is for.
+            now: The owner's clock in seconds.
         """
         former = self._hints.get(hints.backend)
         if former and former.is_leaving and former.run == hints.run:
@@ -150,6 +161,10 @@
         known = self.backends.get(hints.backend)
         if known and known.info.run == hints.run:
             self._apply_hints(known, hints)
+            if hints.pause_s > 0.0:
+                until = now + hints.pause_s
+                known.pauses.take(entry, until)
+                self._paused_until = max(until, self._paused_until)
 
     def _apply_hints(
         self, known: backends.Backend, hints: message.ServerHints
@@ -188,6 +203,62 @@
         )
         return [*(h for h in holders if h is not None), *window]
 
+    def list_open_to(
+        self,
+        candidates: list[backends.Backend],
+        waiting: queue.Waiting,
+        now: float,
+    ) -> list[backends.Backend]:
+        """Returns the candidates that a request may be sent to now."""
+        return [
+            candidate
+            for candidate in self.leave_out(candidates, waiting.request)
+            if candidate.pauses.allows(waiting.entry, now)
+        ]
+
+    def has_pauses(self, now: float) -> bool:
+        """Returns whether servers may want some entries to wait."""
+        return now < self._paused_until + TRIAL_S
+
+    def get_pause(self, waiting: queue.Waiting, now: float) -> float:
+        """Returns the seconds for which all servers want a request to wait.
+
+        Args:
+            waiting: The request.
+            now: The owner's clock in seconds.
+
+        Returns:
+            The time until the first pause ends, 0 where there is none.
+        """
+        if now >= self._paused_until:
+            return 0.0
+        usable = (known for known in self.list_all() if not known.is_lost)
+        return min(
+            (
+                known.pauses.get_left(waiting.entry, now)
+                for known in self.leave_out(list(usable), waiting.request)
+            ),
+            default=0.0,
+        )
+
+    def get_pause_of_all(self, entries: int, now: float) -> float:
+        """Returns the seconds until some entry may send to some server.
+
+        Args:
+            entries: How many entries ask for them.
+            now: The owner's clock in seconds.
+        """
+        if now >= self._paused_until:
+            return 0.0
+        return min(
+            (
+                known.pauses.get_earliest_end(entries, now)
+                for known in self.list_all()
+                if not known.is_lost
+            ),
+            default=0.0,
+        )
+
     def leave_out(
         self,
         candidates: list[backends.Backend],
@@ -305,11 +376,11 @@
         return rate_per_s
 
     def list_fastest(
-        self, request: message.RequestInfo
+        self, waiting: queue.Waiting, now: float
     ) -> list[backends.Backend]:
         """Returns the fastest backend servers that a request may go to."""
-        usable = self.leave_out(self._fastest, request)
-        return usable or self.leave_out(self.list_all(), request)
+        usable = self.list_open_to(self._fastest, waiting, now)
+        return usable or self.leave_out(self.list_all(), waiting.request)
 
     def end(self, ended: message.Ended, now: float) -> backends.Backend | None:
         """Frees the place of a request that has ended.
@@ -347,6 +418,8 @@
 
     def lose_entry(self, entry: str, now: float) -> None:
         """Notes that an entry has gone; what runs keeps its place for now."""
+        for known in self.backends.values():
+            known.pauses.forget(entry)
         for request_id in self.list_of_entry(entry):
             self._where[request_id].forget_prompt(request_id)
             placed = self._where[request_id].placed[request_id]
@@ -379,6 +452,8 @@
             for request_id in former.placed:
                 del self._where[request_id]
             former = None
+        if former:
+            new.pauses = former.pauses
         for request_id, placed in (former.placed if former else {}).items():
             moved = new.place(
                 placed.request, placed.entry, placed.grant_id, placed.started
--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -83,25 +83,34 @@
         self, now: float, only: list[backends.Backend] | None
     ) -> list[owner_effect.ToEntry]:
         out: list[owner_effect.ToEntry] = []
-        ahead: list[message.RequestInfo] = []
+        ahead: list[queue.Waiting] = []
         for rank, tier in enumerate(self._queue.tiers):
             share = 1.0 if rank == 0 else 1.0 - self.rules.headroom
             while granted := self._grant_one(tier, share, now, only, ahead):
                 out.append(granted)
             if not tier.count:
                 continue
-            ahead.extend(w.request for w in tier.list_heads(HEADS_TRIED))
-            if len(ahead) >= HEADS_TRIED:
+            ahead.extend(self._list_heads(tier, now))
+            if len(ahead) >= HEADS_TRIED and not self._fleet.has_pauses(now):
                 break
         return out
 
+    def _list_heads(
+        self, tier: queue.TierQueue, now: float
+    ) -> list[queue.Waiting]:
+        """Returns the requests that are tried first.
+
+        In a pause of one entry, the requests of others are not held up by it.
+        """
+        return tier.list_heads(HEADS_TRIED, self._fleet.has_pauses(now))
+
     def _grant_one(
         self,
         tier: queue.TierQueue,
         share: float,
         now: float,
         only: list[backends.Backend] | None,
-        ahead: list[message.RequestInfo],
+        ahead: list[queue.Waiting],
     ) -> owner_effect.ToEntry | None:
         """Grants one request of a tier, if there is a place for one.
 
@@ -118,7 +127,7 @@
         self._demote_late_heads(tier, now)
         window = self._selector.take_window() if only is None else only
         passed: list[queue.Waiting] = []
-        for waiting in tier.list_heads(HEADS_TRIED):
+        for waiting in self._list_heads(tier, now):
             candidates = window
             if only is None:
                 candidates = self._selector.add_holders(window, waiting.request)
@@ -129,7 +138,7 @@
                 for other in passed:
                     other.passed_over += waiting.cost
                 return self._place(tier, waiting, chosen, now)
-            if waiting.is_starved:
+            if waiting.is_starved and not self._fleet.get_pause(waiting, now):
                 return None
             passed.append(waiting)
         return None
@@ -138,7 +147,7 @@
         """Moves heads that are too late behind those that may be in time."""
         while late := [
             waiting
-            for waiting in tier.list_heads(HEADS_TRIED)
+            for waiting in self._list_heads(tier, now)
             if not waiting.is_late and self._selector.is_too_late(waiting, now)
         ]:
             for waiting in late:
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -49,6 +49,7 @@
         part: The part of limits held over all owners that is this owner's.
         is_late: Whether it can begin in time nowhere any more.
         wait_s: Seconds that it has to wait before it may be placed.
+        entry: The entry that has its caller.
     """
 
     request: message.RequestInfo
@@ -59,6 +60,7 @@
     is_late: bool = False
     part: float = 1.0
     wait_s: float = 0.0
+    entry: str = ""
 
     @property
     def has_objective(self) -> bool:
@@ -129,7 +131,8 @@
         uncached = candidate.count_uncached(demand.request)
         alone_s = candidate.estimate_alone(uncached)
         wait_s = candidate.get_rate_wait(demand.now, demand.part)
-        return demand.is_met(alone_s, demand.wait_s + wait_s)
+        pause_s = candidate.pauses.get_left(demand.entry, demand.now)
+        return demand.is_met(alone_s, max(demand.wait_s + wait_s, pause_s))
 
     def _find_cost(
         self, demand: Demand, candidate: backends.Backend
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -4,7 +4,9 @@
 
 import collections
 import heapq
+import itertools
 import math
+from collections.abc import Iterable
 
 import msgspec
 
@@ -14,6 +16,10 @@
 """Cost of an output token in prompt tokens: decoding is the slower part."""
 
 
+LOOKED_AT = 64
+"""Requests of a customer that are looked at for the first one of each entry."""
+
+
 def weigh(request: message.RequestInfo) -> int:
     """Returns a request's cost in prompt tokens, for queues and fairness."""
     return request.prompt_tokens + OUTPUT_WEIGHT * request.output_tokens
@@ -111,11 +117,19 @@
         if len(self._used) > 4 * len(self._queues) + 64:
             self._forget_idle()
 
-    def list_heads(self, most: int) -> list[Waiting]:
-        """Returns the first request of up to ``most`` customers, in order."""
+    def list_heads(
+        self, most: int, of_each_entry: bool = False
+    ) -> list[Waiting]:
+        """Returns the first request of up to ``most`` customers, in order.
+
+        Args:
+            most: How many customers.
+            of_each_entry: Whether the first request of each of a customer's
+                entries is listed, instead of the customer's first one alone.
+        """
         heads: list[Waiting] = []
         taken: list[tuple[float, str]] = []
-        while self._heap and len(heads) < most:
+        while self._heap and len(taken) < most:
             used, customer = heapq.heappop(self._heap)
             stale = used != self._used.get(customer)
             if stale or customer not in self._queues:
@@ -123,7 +137,11 @@
             if (used, customer) in taken:
                 continue
             taken.append((used, customer))
-            heads.append(next(iter(self._queues[customer].values())))
+            queue = self._queues[customer]
+            if of_each_entry:
+                heads += _list_first_of_entries(queue.values())
+            else:
+                heads.append(next(iter(queue.values())))
         for item in taken:
             heapq.heappush(self._heap, item)
         return heads
@@ -292,5 +310,13 @@
         return self._ranks.get(request.tier, self._tier_count - 1)
 
 
+def _list_first_of_entries(line: Iterable[Waiting]) -> list[Waiting]:
+    """Returns the first request of each entry in a customer's line."""
+    first: dict[str, Waiting] = {}
+    for waiting in itertools.islice(line, LOOKED_AT):
+        first.setdefault(waiting.entry, waiting)
+    return list(first.values())
+
+
 def _add(now: float, left_s: float | None) -> float:
     return math.inf if left_s is None else now + left_s
--- a/ramptray/core/selector.py
+++ b/ramptray/core/selector.py
@@ -62,7 +62,7 @@
         share: float,
         now: float,
         candidates: list[backends.Backend],
-        ahead: Sequence[message.RequestInfo],
+        ahead: Sequence[queue.Waiting],
     ) -> backends.Backend | None:
         """Returns the backend server for a request; None to keep it waiting.
 
@@ -74,14 +74,14 @@
             ahead: Waiting requests of higher tiers; the places that they may
                 take are not for this one.
         """
-        usable = self._fleet.leave_out(candidates, waiting.request)
+        usable = self._fleet.list_open_to(candidates, waiting, now)
         usable = self._releases.list_open(usable)
         usable = separation.keep_apart(
             usable, waiting.request, self._is_suspect
         )
         return self._releases.choose(
             self._make_demand(waiting, share, now),
-            self._exclude_reserved(usable, ahead),
+            self._exclude_reserved(usable, ahead, now),
         )
 
     def is_too_late(
@@ -97,24 +97,26 @@
         if waiting.late_at == math.inf:
             return False
         demand = self._make_demand(waiting, 1.0, now, wait_s)
-        fastest = self._fleet.list_fastest(waiting.request)
+        fastest = self._fleet.list_fastest(waiting, now)
         return not any(self._policy.suits(demand, known) for known in fastest)
 
     def _exclude_reserved(
         self,
         candidates: list[backends.Backend],
-        ahead: Sequence[message.RequestInfo],
+        ahead: Sequence[queue.Waiting],
+        now: float,
     ) -> list[backends.Backend]:
         """Returns the candidates that no waiting request ahead may go to.
 
-        Behind a cut, those are the backend servers on the other side.
+        Behind a cut, those are the backend servers on the other side; in a
+        pause of an entry, those that asked for it.
         """
         if not ahead or not candidates:
             return candidates
         reserved = {
             candidate.info.name
-            for request in ahead
-            for candidate in self._fleet.leave_out(candidates, request)
+            for waiting in ahead
+            for candidate in self._fleet.list_open_to(candidates, waiting, now)
         }
         return [c for c in candidates if c.info.name not in reserved]
 
@@ -134,4 +136,5 @@
             waiting.is_late,
             self._limits.server_part,
             wait_s,
+            waiting.entry,
         )
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -64,12 +64,19 @@
         self._order = _ServerOrder(address)
         self._queue = queue.ShardQueue(rules.ranks)
         self._syncing: dict[str, set[str]] = {}
+        self._entries: set[str] = set()
         self._remote = remote.RemoteShards(shard)
         self._limits = limits or limit.Limits(rules.limits)
         self.releases = release.ReleaseGate(self.fleet, chosen, self._limits)
         self._pace = pace.Pace(self._queue, self.fleet, self._limits)
         self._shedder = shedding.Shedder(
-            self._queue, self.fleet, self._limits, self._pace, self._remote, now
+            self._queue,
+            self.fleet,
+            self._limits,
+            self._pace,
+            self._remote,
+            self._entries,
+            now,
         )
         self.counters = self._shedder.counters
         self._granter = granting.Granter(
@@ -126,7 +133,10 @@
             now: The owner's clock in seconds.
             version: Larger than that of every earlier summary.
         """
-        limited = self._pace.get_rate_limit(now) is not None
+        limited = (
+            self._pace.get_rate_limit(now) is not None
+            or self.fleet.get_pause_of_all(len(self._entries), now) > 0.0
+        )
         return summary.ShardSummary(
             self.shard,
             self._address,
@@ -192,7 +202,7 @@
                 self.fleet.take_speed(received)
                 return []
             case message.ServerHints():
-                self.fleet.take_hints(received)
+                self.fleet.take_hints(received, entry, now)
         return self.grant(now)
 
     def grant(
@@ -215,6 +225,7 @@
     def lose_entry(self, entry: str, now: float) -> None:
         """Drops what an entry had waiting; what runs keeps its place."""
         self._syncing.pop(entry, None)
+        self._entries.discard(entry)
         self._queue.discard_entry(entry)
         self.fleet.lose_entry(entry, now)
 
@@ -224,12 +235,14 @@
         self.fleet.refresh(now, self._limits.server_part)
         self._granter.demote_late(now)
         out += self._shedder.refuse_late(now)
+        out += self._shedder.refuse_paused(self._queue.list_all(), now)
         self.fleet.free_orphans(now)
         return [*out, *self._shedder.spill_over(now), *self.grant(now)]
 
     def _enqueue(
         self, entry: str, request: message.RequestInfo, now: float
     ) -> list[owner_effect.ToEntry]:
+        self._entries.add(entry)
         request_id = request.request_id
         if request_id in self._syncing.get(entry, set()):
             # Its grant was lost when the entry's link broke.
@@ -249,7 +262,8 @@
         if out := self._shedder.refuse_out_of_reach(waiting, now):
             return out
         granted = self.grant(now)
-        return [*granted, *self._shedder.make_room(waiting, now)]
+        paused = self._shedder.refuse_paused([waiting], now)
+        return [*granted, *paused, *self._shedder.make_room(waiting, now)]
 
     def list_waiting_entries(self) -> dict[str, int]:
         """Returns how many requests of each entry wait."""
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Iterable
+
 import msgspec
 
 from ramptray.core import (
@@ -51,6 +53,7 @@
         limits: The customers' limits.
         paced: Estimates of waiting.
         others: The same shard in other zones.
+        entries: The entries that ask here.
         born: When the owner took over, on its clock in seconds.
 
     Attributes:
@@ -65,6 +68,7 @@
         limits: limit.Limits,
         paced: pace.Pace,
         others: remote.RemoteShards,
+        entries: Collection[str],
         born: float,
     ) -> None:
         self.counters = Counters()
@@ -74,6 +78,7 @@
         self._limits = limits
         self._pace = paced
         self._remote = others
+        self._entries = entries
         self._born = born
         self._shed: dict[str, meter.RateMeter] = {}
 
@@ -151,6 +156,22 @@
             return []
         return [self._turn_away(waiting, now, message.Reason.NO_BACKEND)]
 
+    def refuse_paused(
+        self, candidates: Iterable[queue.Waiting], now: float
+    ) -> list[owner_effect.ToEntry]:
+        """Turns away what every server wants to wait for longer than it may.
+
+        Load pattern: all servers of a service turn requests away and ask the
+        same VM for a pause.
+        """
+        return [
+            self._turn_away(waiting, now)
+            for waiting in candidates
+            if waiting.request.request_id in self._queue
+            and now + self._fleet.get_pause(waiting, now)
+            > min(waiting.refuse_at, waiting.deadline)
+        ]
+
     def make_room(
         self, newest: queue.Waiting, now: float
     ) -> list[owner_effect.ToEntry]:
@@ -229,10 +250,12 @@
         if reason is message.Reason.NO_BACKEND:
             least_s = OUT_OF_REACH_RETRY_S
         self._pace.count_refusal(waiting, now)
+        # In a pause of all entries the queue is served from its end on.
+        pause_s = self._fleet.get_pause_of_all(len(self._entries), now)
         wait_s = max(
             least_s,
-            self._pace.estimate_wait(waiting, now),
-            self._pace.estimate_return(waiting, now),
+            pause_s + self._pace.estimate_wait(waiting, now),
+            pause_s + self._pace.estimate_return(waiting, now),
         )
         return self._make_reject(waiting, reason, min(wait_s, MAX_RETRY_S))
 
--- a/ramptray/entry/server_hints.py
+++ b/ramptray/entry/server_hints.py
@@ -28,6 +28,7 @@
     """Why nothing may be sent to a backend server now."""
 
     LEAVING = "leaving"
+    PAUSED = "paused"
 
 
 class HeadReceived(msgspec.Struct, frozen=True):
@@ -80,6 +81,14 @@
             or self.paused_until > now
         )
 
+    def outlasts_record(self, now: float) -> bool:
+        """Returns whether it binds while the configuration lacks the server.
+
+        The server's record may lapse or come back in an older copy.
+        """
+        lately = now - self.last_listed_at < FORGET_LEAVING_S
+        return self.paused_until > now or (self.is_leaving and lately)
+
 
 class HintBook:
     """Keeps the hints of each backend server and passes them on.
@@ -145,7 +154,9 @@
         known = self._known.get(backend)
         if known is None or known.run != run:
             return None
-        return Bar.LEAVING if known.is_leaving else None
+        if known.is_leaving:
+            return Bar.LEAVING
+        return Bar.PAUSED if known.paused_until > now else None
 
     def send_one(self, address: str, backend: str, now: float) -> None:
         """Sends a scheduler what is known here of a backend server."""
@@ -165,10 +176,7 @@
         for backend, known in list(self._known.items()):
             if backend in listed:
                 known.last_listed_at = now
-            elif not (
-                known.is_leaving
-                and now - known.last_listed_at < FORGET_LEAVING_S
-            ):
+            elif not known.outlasts_record(now):
                 del self._known[backend]
 
     def _get(self, backend: str, run: int) -> _Known:
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -270,7 +270,7 @@
     def _take_server_hints(
         self, attached: Attached, hints: message.ServerHints, now: float
     ) -> None:
-        self._learned.take_hints(hints, attached.hello.name)
+        self._learned.take_hints(hints, attached.hello.name, now)
         for owner in self.shards.values():
             self._send_out(owner.receive(attached.hello.name, hints, now))
 
@@ -440,8 +440,8 @@
             self._learned.speeds,
             self.guard.evidence.is_suspect,
         )
-        for hints in self._learned.list_hints():
-            owner.fleet.take_hints(hints)
+        for entry, hints in self._learned.list_hints(now):
+            owner.fleet.take_hints(hints, entry, now)
         self.shards[key] = owner
         self._apply_rollout(key, owner)
         self._mark_leaving()
@@ -451,7 +451,7 @@
     def _take_bundle(self, in_force: acceptance.InForce) -> None:
         self.in_force = in_force
         bundle = in_force.bundle
-        self._learned.discard_except(bundle.backend_servers)
+        self._learned.discard_except(bundle.backend_servers, steadyclock.read())
         update = peer_message.BundleUpdate(in_force.envelope)
         for session, attached in self._sessions.items():
             if attached is not None and self._options.sends_bundle:
--- a/ramptray/scheduler/learned.py
+++ b/ramptray/scheduler/learned.py
@@ -22,20 +22,30 @@
     def __init__(self) -> None:
         self.speeds: dict[str, message.SpeedLearned] = {}
         self._hints: dict[str, message.ServerHints] = {}
+        # By entry and server: the server's run, and when the pause ends.
+        self._pauses: dict[tuple[str, str], tuple[int, float]] = {}
 
-    def take_hints(self, hints: message.ServerHints, origin: str) -> None:
+    def take_hints(
+        self, hints: message.ServerHints, origin: str, now: float
+    ) -> None:
         """Takes a server's hints.
 
         Args:
             hints: What it says of itself.
-            origin: The entry that sent it.
+            origin: The entry that sent them, which the pause is for.
+            now: The scheduler's clock in seconds.
         """
         former = self._hints.get(hints.backend)
         if former and former.is_leaving and former.run == hints.run:
             hints = msgspec.structs.replace(hints, is_leaving=True)
-        if hints == former:
+        if hints.pause_s > 0.0:
+            pause = (hints.run, now + hints.pause_s)
+            self._pauses[origin, hints.backend] = pause
+        # Of a pause what is left differs each time.
+        lasting = msgspec.structs.replace(hints, pause_s=0.0)
+        if lasting == former and not hints.pause_s:
             return
-        self._hints[hints.backend] = hints
+        self._hints[hints.backend] = lasting
         LOG.info(
             "server hints taken",
             extra={
@@ -45,11 +55,25 @@
             },
         )
 
-    def list_hints(self) -> list[message.ServerHints]:
-        """Returns the hints, also of servers that give none any more."""
-        return list(self._hints.values())
+    def list_hints(self, now: float) -> list[tuple[str, message.ServerHints]]:
+        """Returns the hints with the entries that their pauses are for.
 
-    def discard_except(self, backends: Container[str]) -> None:
+        Those of servers that give none any more are among them.
+        """
+        pauses = [
+            (entry, message.ServerHints(backend, run, pause_s=until - now))
+            for (entry, backend), (run, until) in self._pauses.items()
+            if until > now
+        ]
+        # What lasts comes last: a pause alone names no limit.
+        return [*pauses, *(("", hints) for hints in self._hints.values())]
+
+    def discard_except(self, backends: Container[str], now: float) -> None:
         """Drops what is known of all other backend servers."""
         self.speeds = {n: k for n, k in self.speeds.items() if n in backends}
         self._hints = {n: k for n, k in self._hints.items() if n in backends}
+        self._pauses = {
+            (entry, backend): (run, until)
+            for (entry, backend), (run, until) in self._pauses.items()
+            if backend in backends and until > now
+        }
--- a/test/test_server_hints.py
+++ b/test/test_server_hints.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
-from ramptray.core import backend, message
+from ramptray.core import backend, message, shard
 from ramptray.entry import server_hints
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
+from ramptray.scheduler import learned
 from test.test_dispatcher import OTHER, OURS, Desk, anyio_backend, desk
 from test.test_rate_limit import (
     list_grants,
@@ -132,3 +134,143 @@
     (reject,) = list_rejects(owner.receive("entry", make_request(), 5.0))
     assert reject.reason is message.Reason.NO_BACKEND
     assert reject.retry_after_s >= 1.0
+
+
+def pause(
+    owner: shard.ShardOwner,
+    name: str,
+    pause_s: float,
+    now: float = 0.0,
+    entry: str = "entry",
+) -> None:
+    """Passes on to an owner that a server asked an entry for a pause."""
+    hints = message.ServerHints(name, 0, pause_s=pause_s)
+    owner.receive(entry, hints, now)
+
+
+def test_a_pause_binds_the_vm_that_got_it_until_its_end() -> None:
+    book = Book()
+    asked = server_hints.HeadReceived("r0", "s0", 0, pause_s=3.0, owner=OURS)
+    book.observe(asked, 1.0)
+    assert book.sent[0][1] == message.ServerHints("s0", 0, pause_s=3.0)
+    # A shorter one, an answer that began earlier and a lapsed record.
+    shorter = server_hints.HeadReceived("r1", "s0", 0, pause_s=0.5, owner=OURS)
+    book.observe(shorter, 1.1)
+    book.observe(server_hints.HeadReceived("r2", "s0", 0, owner=OURS), 1.2)
+    book.discard_except([], 1.3)
+    assert book.find_bar("s0", 0, 3.9) is server_hints.Bar.PAUSED
+    assert book.find_bar("s0", 0, 4.1) is None
+    assert book.find_bar("s0", 1, 2.0) is None
+
+
+def test_a_pause_is_no_longer_than_the_settings_allow() -> None:
+    book = Book()
+    asked = server_hints.HeadReceived("r0", "s0", 0, pause_s=3600.0, owner=OURS)
+    book.observe(asked, 1.0)
+    assert book.find_bar("s0", 0, 60.9) is server_hints.Bar.PAUSED
+    assert book.find_bar("s0", 0, 61.1) is None
+
+
+def test_a_scheduler_that_comes_up_is_sent_what_is_left_of_a_pause() -> None:
+    book = Book()
+    asked = server_hints.HeadReceived("r0", "s0", 0, pause_s=3.0, owner=OURS)
+    book.observe(asked, 1.0)
+    book.sent.clear()
+    book.send_all(OTHER, 3.0)
+    assert book.sent == [(OTHER, message.ServerHints("s0", 0, pause_s=1.0))]
+
+
+def test_only_the_entry_that_was_asked_pauses() -> None:
+    owner = make_owner()
+    pause(owner, "s0", 3.0)
+    assert not list_grants(owner.receive("entry", make_request(), 0.1))
+    assert list_grants(owner.receive("other", make_request(), 0.1))
+
+
+def test_requests_of_other_entries_are_not_held_up_by_a_pause() -> None:
+    # Of one customer, who is otherwise served in order.
+    owner = make_owner()
+    pause(owner, "s0", 3.0)
+    for _ in range(3):
+        owner.receive("entry", make_request(), 0.1)
+    lower = make_request("batch")
+    granted = list_grants(owner.receive("other", lower, 0.2))
+    assert [each.request_id for each in granted] == [lower.request.request_id]
+
+
+def test_what_waited_for_a_pause_returns_behind_one_trial() -> None:
+    owner = make_owner()
+    pause(owner, "s0", 3.0)
+    for _ in range(10):
+        owner.receive("entry", make_request(), 0.1)
+    assert not list_grants(owner.tick(2.9))
+    (trial,) = list_grants(owner.tick(3.1))
+    assert not list_grants(owner.tick(3.2))
+    first = message.FirstToken(trial.request_id, 0.05, None, 0)
+    assert len(list_grants(owner.receive("entry", first, 3.3))) == 9
+
+
+def test_a_trial_that_is_turned_away_is_followed_by_another_one() -> None:
+    owner = make_owner()
+    pause(owner, "s0", 1.0)
+    for _ in range(3):
+        owner.receive("entry", make_request(), 0.1)
+    (trial,) = list_grants(owner.tick(1.1))
+    pause(owner, "s0", 1.0, now=1.2)
+    ended = message.Ended(trial.request_id, 0, 0.0, False, refused=True)
+    assert not list_grants(owner.receive("entry", ended, 1.2))
+    assert not list_grants(owner.tick(2.1))
+    assert len(list_grants(owner.tick(2.3))) == 1
+    assert owner.fleet.backends["s0"].availability.failures == 0
+
+
+def test_a_later_run_of_a_paused_server_gets_work() -> None:
+    owner = make_owner()
+    pause(owner, "s0", 3.0)
+    info = backend.BackendInfo("s0", 50, 10**9, 16)
+    owner.fleet.configure([info], "")
+    assert not list_grants(owner.receive("entry", make_request(), 0.1))
+    owner.fleet.configure([msgspec.structs.replace(info, run=1)], "")
+    assert list_grants(owner.tick(0.2))
+
+
+def test_what_no_server_takes_in_time_is_refused_at_once() -> None:
+    # Load pattern: every server of a service asks the same VMs for a pause.
+    owner = make_owner(servers=2)
+    for entry in ("entry", "other"):
+        for name in ("s0", "s1"):
+            pause(owner, name, 3.0, entry=entry)
+    short = make_request()
+    short = message.Enqueue(msgspec.structs.replace(short.request, wait_s=1.0))
+    owner.receive("other", make_request(), 0.1)
+    (reject,) = list_rejects(owner.receive("entry", short, 0.2))
+    # No VM may send before.
+    assert reject.retry_after_s >= 2.8
+    long = msgspec.structs.replace(make_request().request, wait_s=4.0)
+    assert not owner.receive("entry", message.Enqueue(long), 0.2)
+
+
+def test_callers_return_soon_while_other_vms_may_send() -> None:
+    owner = make_owner()
+    owner.receive("other", make_request(), 0.0)
+    pause(owner, "s0", 3.0)
+    short = msgspec.structs.replace(make_request().request, wait_s=1.0)
+    (reject,) = list_rejects(
+        owner.receive("entry", message.Enqueue(short), 0.1)
+    )
+    assert reject.retry_after_s <= 1.0
+
+
+def test_a_new_shard_knows_the_pauses_of_its_vm_s_scheduler() -> None:
+    book = learned.LearnedBook()
+    book.take_hints(
+        message.ServerHints("s0", 0, 2.0, pause_s=3.0), "entry", 0.0
+    )
+    owner = make_owner()
+    for entry, hints in book.list_hints(1.0):
+        owner.fleet.take_hints(hints, entry, 1.0)
+    known = owner.fleet.backends["s0"]
+    assert known.limit_per_s == 2.0
+    assert known.pauses.get_left("entry", 1.0) == 2.0
+    assert known.pauses.allows("other", 1.0)
+    assert len(book.list_hints(4.0)) == 1
