--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -180,7 +180,14 @@
             self._ledger.refused.append(request_id)
             await _send(stream, 503, b"", [*own, (header.NOT_RUN, b"1")])
             now = steadyclock.read_running()
-            LOG.info("refused", extra={"request_id": request_id, "at": now})
+            LOG.info(
+                "refused",
+                extra={
+                    "request_id": request_id,
+                    "at": now,
+                    "pauses": faults.pauses,
+                },
+            )
             return True
         # Logged at once, so that it is known also if this program is killed.
         LOG.info("running", extra={"request_id": request_id})
--- a/test/harm.py
+++ b/test/harm.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable
+from typing import Any
 
 from bench import proxy
 from test import node, verdict
@@ -57,7 +58,9 @@
         self._paused: set[str] = set()
         self._born: dict[str, int] = {}
         self._down: set[str] = set()
+        # What replicas do for long, beside the faults of a bout.
         self._limits: dict[str, float] = {}
+        self._hints: dict[str, dict[str, Any]] = {}
         self._limit_ended_at: dict[str, float] = {}
         self.lives = dict.fromkeys(self._names, 0)
 
@@ -201,7 +204,14 @@
             return
         limit = self._limits.get(name)
         limits = [] if limit is None else [str(limit)]
-        self._platform.set_faults(name, **faults, limits=limits)
+        hints = self._hints.get(name, {})
+        self._platform.set_faults(name, **{**hints, **faults}, limits=limits)
+
+    def give_hints(self, name: str, **hints: Any) -> None:
+        """Has a replica leave or ask for pauses; one that is down does not."""
+        if name not in self._down:
+            self._hints[name] = hints
+            self._set_faults(name)
 
     def name_limit(self, name: str, rate: float) -> None:
         """Has a replica name a request limit; one that is down does not."""
@@ -224,8 +234,9 @@
         if name in self._down:
             return "none", _do_nothing, _do_nothing
         self._down.add(name)
-        # A run that starts again names no limit.
+        # A run that starts again names no limit and gives no hints.
         self._limits.pop(name, None)
+        self._hints.pop(name, None)
         self._limit_ended_at[name] = time.monotonic()
 
         def restart() -> None:
--- a/test/soak.py
+++ b/test/soak.py
@@ -24,7 +24,7 @@
 import click
 
 from bench import promise, proxy
-from test import crashing, harm, limiting, node, verdict
+from test import crashing, harm, hinting, limiting, node, verdict
 
 CHANGE_EVERY_S = 1.3
 KEPT_VERSIONS = 20
@@ -58,6 +58,7 @@
         crashes: Whether a request is sent that ends what runs it.  Replicas
             then have nothing before them: a proxy would go on listening.
         limits: Whether replicas name request limits.
+        hints: Whether replicas leave and ask for pauses.
     """
 
     def __init__(
@@ -69,9 +70,11 @@
         restarts: bool,
         crashes: bool = False,
         limits: bool = False,
+        hints: bool = False,
     ) -> None:
         self._crashes = crashes
         self._limits = limits
+        self._hints = hints
         self._supervisor = crashing.Supervisor(started)
         self._platform = started
         self._seconds = seconds
@@ -91,9 +94,9 @@
             self.record,
             restarts,
         )
-        self._limiter = limiting.Limiter(
-            self._harm, random.Random(seed), sorted(started.replicas)
-        )
+        names = sorted(started.replicas)
+        self._limiter = limiting.Limiter(self._harm, random.Random(seed), names)
+        self._hinter = hinting.Hinter(self._harm, random.Random(seed), names)
 
     def perform(self) -> list[promise.Promise]:
         """Runs load and faults, and returns what was kept and broken."""
@@ -153,6 +156,8 @@
             tasks.append(lambda: self._tries.run(self._is_over))
         if self._limits:
             tasks.append(lambda: self._limiter.run(self._is_over))
+        if self._hints:
+            tasks.append(lambda: self._hinter.run(self._is_over))
         for name in self._names:
             tasks.append(lambda vm=name: self._look(vm))  # type: ignore[misc]
             tasks.append(lambda vm=name: self._press(vm))  # type: ignore[misc]
@@ -256,6 +261,11 @@
             self._judge_processes(),
             *self._judge_crashes(judge, runs),
             *self._judge_limits(),
+            *(
+                hinting.judge(self._platform, self.record)
+                if self._hints
+                else []
+            ),
         ]
 
     def _judge_limits(self) -> list[promise.Promise]:
@@ -327,9 +337,19 @@
         answer_id=answer.headers.get("x-request-id", ""),
         whole=answer.whole,
         body=answer.body,
+        answered_at=time.monotonic(),
+        leaving=_find_leaving(answer),
     )
 
 
+def _find_leaving(answer: node.Answer) -> str:
+    """Returns the replica that says that it is leaving, if one does."""
+    if "server-leaving" not in answer.headers:
+        return ""
+    signature = answer.headers.get("x-response-signature", "")
+    return signature.partition(".")[0]
+
+
 def run_soak(
     vms: int,
     seed: int,
@@ -338,6 +358,7 @@
     restarts: bool = False,
     crashes: bool = False,
     limits: bool = False,
+    hints: bool = False,
 ) -> tuple[list[promise.Promise], list[str]]:
     """Runs one soak and returns its promises and its faults.
 
@@ -349,12 +370,15 @@
         restarts: Whether replicas also start again under their names.
         crashes: Whether a request is sent that ends what runs it.
         limits: Whether replicas name request limits.
+        hints: Whether replicas leave and ask for pauses.
     """
     with tempfile.TemporaryDirectory() as made:
         name = keep or made
         platform = node.Platform(pathlib.Path(name))
         try:
-            soak = Soak(platform, vms, seed, seconds, restarts, crashes, limits)
+            soak = Soak(
+                platform, vms, seed, seconds, restarts, crashes, limits, hints
+            )
             return soak.perform(), list(soak.record.list_faults())
         finally:
             platform.stop_all()
@@ -372,6 +396,9 @@
     "--crashes", is_flag=True, help="A request ends the replicas that run it."
 )
 @click.option("--limits", is_flag=True, help="Replicas name request limits.")
+@click.option(
+    "--hints", is_flag=True, help="Replicas leave and ask for pauses."
+)
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
 @click.option(
     "--keep",
@@ -386,6 +413,7 @@
     restarts: bool,
     crashes: bool,
     limits: bool,
+    hints: bool,
     show: bool,
     keep: pathlib.Path | None,
 ) -> None:
@@ -396,7 +424,7 @@
         if logs:
             logs.mkdir(parents=True, exist_ok=True)
         promises, faults = run_soak(
-            vms, each, seconds, logs, restarts, crashes, limits
+            vms, each, seconds, logs, restarts, crashes, limits, hints
         )
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -47,6 +47,14 @@
     assert promises[-1].chances
 
 
+def test_the_promises_are_kept_while_replicas_leave_and_ask_for_pauses() -> (
+    None
+):
+    promises, faults = soak.run_soak(3, 1, SECONDS, restarts=True, hints=True)
+    judge(promises, faults)
+    assert all(kept.chances for kept in promises[-2:])
+
+
 def judge(promises: list[promise.Promise], faults: list[str]) -> None:
     """Fails where a promise was broken, or could not be judged."""
     shown = "\n".join([kept.format() for kept in promises] + faults)
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -17,6 +17,7 @@
     explore,
     generation,
     grant,
+    hint,
     lease,
     limit,
     run,
@@ -36,6 +37,7 @@
     (limit.check, limit.Rules()),
     (run.check, run.Rules()),
     (generation.check, generation.Rules()),
+    (hint.check, hint.Rules()),
 ]
 
 BREAKS: list[tuple[Check, Any, str]] = [
@@ -89,6 +91,17 @@
     ),
     # No sender can prevent this one; see docs/design/lease.md.
     (lease.check, lease.Rules(pause=True, until=4), "no_reordered_order"),
+    (
+        hint.check,
+        hint.Rules(check_at_send=False),
+        "nothing_to_a_leaving_server",
+    ),
+    (hint.check, hint.Rules(is_final=False), "nothing_to_a_leaving_server"),
+    (
+        hint.check,
+        hint.Rules(return_is_free=False),
+        "only_what_is_sent_is_an_attempt",
+    ),
 ]
 
 
--- a/test/verdict.py
+++ b/test/verdict.py
@@ -42,6 +42,8 @@
         answer_id: Id that the answer names.
         whole: Whether the answer came to its end.
         body: The answer's body.
+        answered_at: When the answer was whole.
+        leaving: The replica that says in the answer that it is leaving.
     """
 
     name: str
@@ -52,6 +54,8 @@
     answer_id: str = ""
     whole: bool = False
     body: bytes = b""
+    answered_at: float = 0.0
+    leaving: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
