Let a starved request hold up only the servers that it may go to

What callers would see: a request that its customer's turn has passed over keeps all others of its tier waiting, also for servers that want nothing from its own entry, are outside its regions or out of its reach; those servers stood idle.

Such a request now reserves the servers that are open to it, as waiting requests of higher tiers do. Where pauses are in force, the first requests of at most four entries of a customer that can go anywhere are tried, instead of all entries'.

The test failed before (no grant for the second of five requests of another entry).

--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -220,6 +220,13 @@
         """Returns whether servers may want some entries to wait."""
         return now < self._paused_until + TRIAL_S
 
+    def is_paused(self, entry: str, now: float) -> bool:
+        """Returns whether an entry may send to no server now."""
+        usable = [known for known in self.list_all() if not known.is_lost]
+        return bool(usable) and not any(
+            known.pauses.allows(entry, now) for known in usable
+        )
+
     def get_pause(self, waiting: queue.Waiting, now: float) -> float:
         """Returns the seconds for which all servers want a request to wait.
 
--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
 import math
 
@@ -102,7 +103,12 @@
 
         In a pause of one entry, the requests of others are not held up by it.
         """
-        return tier.list_heads(HEADS_TRIED, self._fleet.has_pauses(now))
+        if not self._fleet.has_pauses(now):
+            return tier.list_heads(HEADS_TRIED)
+        is_held = functools.cache(
+            lambda entry: self._fleet.is_paused(entry, now)
+        )
+        return tier.list_heads(HEADS_TRIED, is_held)
 
     def _grant_one(
         self,
@@ -138,8 +144,9 @@
                 for other in passed:
                     other.passed_over += waiting.cost
                 return self._place(tier, waiting, chosen, now)
-            if waiting.is_starved and not self._fleet.get_pause(waiting, now):
-                return None
+            if waiting.is_starved:
+                # Others only go where it may not.
+                ahead = [*ahead, waiting]
             passed.append(waiting)
         return None
 
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -6,7 +6,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -17,7 +17,10 @@
 
 
 LOOKED_AT = 64
-"""Requests of a customer that are looked at for the first one of each entry."""
+"""Requests of a customer that are looked at for the first ones of entries."""
+
+ENTRIES_TRIED = 4
+"""Entries of a customer whose first request is listed."""
 
 
 def weigh(request: message.RequestInfo) -> int:
@@ -118,14 +121,15 @@
             self._forget_idle()
 
     def list_heads(
-        self, most: int, of_each_entry: bool = False
+        self, most: int, is_held: Callable[[str], bool] | None = None
     ) -> list[Waiting]:
         """Returns the first request of up to ``most`` customers, in order.
 
         Args:
             most: How many customers.
-            of_each_entry: Whether the first request of each of a customer's
-                entries is listed, instead of the customer's first one alone.
+            is_held: Returns whether the requests of an entry can go nowhere
+                now.  With it, the first requests of a few other entries are
+                listed of each customer.
         """
         heads: list[Waiting] = []
         taken: list[tuple[float, str]] = []
@@ -138,10 +142,10 @@
                 continue
             taken.append((used, customer))
             queue = self._queues[customer]
-            if of_each_entry:
-                heads += _list_first_of_entries(queue.values())
-            else:
+            if is_held is None:
                 heads.append(next(iter(queue.values())))
+            else:
+                heads += _list_first_of_entries(queue.values(), is_held)
         for item in taken:
             heapq.heappush(self._heap, item)
         return heads
@@ -310,11 +314,16 @@
         return self._ranks.get(request.tier, self._tier_count - 1)
 
 
-def _list_first_of_entries(line: Iterable[Waiting]) -> list[Waiting]:
-    """Returns the first request of each entry in a customer's line."""
+def _list_first_of_entries(
+    line: Iterable[Waiting], is_held: Callable[[str], bool]
+) -> list[Waiting]:
+    """Returns the first requests of a few entries in a customer's line."""
     first: dict[str, Waiting] = {}
     for waiting in itertools.islice(line, LOOKED_AT):
-        first.setdefault(waiting.entry, waiting)
+        if waiting.entry not in first and not is_held(waiting.entry):
+            first[waiting.entry] = waiting
+        if len(first) >= ENTRIES_TRIED:
+            break
     return list(first.values())
 
 
--- a/test/test_server_hints.py
+++ b/test/test_server_hints.py
@@ -274,3 +274,22 @@
     assert known.pauses.get_left("entry", 1.0) == 2.0
     assert known.pauses.allows("other", 1.0)
     assert len(book.list_hints(4.0)) == 1
+
+
+def test_a_starved_request_holds_up_no_server_that_it_may_not_go_to() -> None:
+    # The only server open to the first request is full.
+    owner = make_owner(servers=2)
+    full = owner.fleet.backends["s1"]
+    full.info = msgspec.structs.replace(full.info, max_running=1)
+    pause(owner, "s0", 9.0)
+    first = make_request()
+    assert list_grants(owner.receive("entry", first, 0.1))
+    starved = make_request()
+    owner.receive("entry", starved, 0.2)
+    for number in range(5):
+        later = make_request()
+        (granted,) = list_grants(owner.receive("other", later, 0.3 + number))
+        assert granted.backend == "s0"
+    ended = message.Ended(first.request.request_id, 10, 0.1, True)
+    (granted,) = list_grants(owner.receive("entry", ended, 6.0))
+    assert granted.request_id == starved.request.request_id
