Name in the contract who has to know a server's statements, and the last check

Three incidents had one cause: a statement of a server about itself that nothing acted on. Each row of answers now says who has to know it and names the code that is the last to act on it; a test compares that with the sources.

--- a/test/test_contract.py
+++ b/test/test_contract.py
@@ -47,6 +47,8 @@
     module: str
     decides: str
     test: str
+    known_by: str = ""
+    last_check: str = ""
 
 
 def list_rows() -> list[Row]:
@@ -118,6 +120,28 @@
             assert row.test == NONE, row
 
 
+ANSWERS = [row for row in ROWS if row.known_by]
+WHO = {"entry", "owners", "by the record", "caller", NONE}
+
+
+def test_the_rows_of_answers_say_who_has_to_know() -> None:
+    assert len(ANSWERS) > 8
+    for row in ANSWERS:
+        assert set(row.known_by.split(", ")) <= WHO, row
+
+
+@pytest.mark.parametrize(
+    "row",
+    [row for row in ANSWERS if "entry" in row.known_by],
+    ids=lambda row: row.name,
+)
+def test_what_a_server_says_has_a_last_check(row: Row) -> None:
+    # A statement that is known and not acted on has broken rules three times.
+    path, symbol = re.fullmatch(r"(\S+) `(\w+)`", row.last_check).groups()  # type: ignore[union-attr]
+    source = (ROOT / "ramptray" / path).read_text()
+    assert re.search(rf"\b{symbol}\b", source), row
+
+
 def test_what_the_adapter_reads_has_a_row() -> None:
     listed = {row.name.lower() for row in READ}
     found = {name.lower() for name in list_wire_fields() | list_literals()}
