--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -1,7 +1,7 @@
 """A shard owner's view of one backend server: what runs there, and how fast.
 
-Room is counted in tokens.  The view rests on the owner's own grants and on the
-answers' timing; the engine's lagging load report only corrects it.
+Room is counted in tokens.  The view follows from the owner's own grants and the
+timing of answers; the engine's lagging load report only corrects it.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 usual chunk of engines that mix prompts with decoding."""
 
 SLOWER_FACTOR = 1.5
-"""A reported time between tokens this much longer is believed at once."""
+"""A reported time between tokens this much longer is taken at once."""
 
 OVERDUE_GRACE_S = 0.2
 """Lateness below this, in seconds, is no sign of a slow engine."""
@@ -104,7 +104,7 @@
 
 
 class Backend:
-    """What the owner believes of one backend server.
+    """An owner's view of one backend server.
 
     Args:
         info: What the bundle says of it.
@@ -391,8 +391,7 @@
     def _guess_prefilled(self, placed: Placed, took_s: float) -> int:
         """Returns how much of a prompt was computed, by the time it took.
 
-        What was believed to be cached may have given way meanwhile, or never
-        have arrived.
+        What counts as cached may have been evicted since, or was never stored.
         """
         whole = placed.request.prompt_tokens
         if placed.uncached >= whole:
@@ -428,7 +427,7 @@
 
         Answers show the speed of decoding only when they end, which on an
         engine that has just slowed down is late; so a reported time between
-        tokens that is much longer than the learned one is believed at once.
+        tokens that is much longer than the learned one is taken at once.
 
         As to what runs there besides our own: a report is compared with the
         one before it, since a single one may still count requests that have
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -8,15 +8,12 @@
 import msgspec
 
 from ramptray.core import backend as backends
-from ramptray.core import candidate, message, queue, rtt
+from ramptray.core import candidate, eligibility, message, queue, rtt
 from ramptray.core import speed as speeds
 
 ORPHAN_S = 30.0
 """Longest time a lost entry's request keeps its place, in seconds."""
 
-TRIAL_S = 2.0
-"""Time after the last pause in which trials may be under way, in seconds."""
-
 FASTEST = 8
 """How many of the fastest backend servers are checked for an objective."""
 
@@ -31,16 +28,17 @@
 
     Attributes:
         backends: The backend servers by their names.
+        eligibility: Which of them a request may go to.
     """
 
     def __init__(
         self, report_due_at: float, learned: Mapping[str, message.SpeedLearned]
     ) -> None:
         self.backends: dict[str, backends.Backend] = {}
+        self.eligibility = eligibility.Eligibility(self.backends)
         self._report_due_at = report_due_at
         self._speeds = dict(learned)
         self._hints: dict[str, message.ServerHints] = {}
-        self._paused_until = 0.0
         self._wanted: frozenset[str] = frozenset()
         self._where: dict[str, backends.Backend] = {}
         self._line = speeds.Line()
@@ -164,7 +162,7 @@
             if hints.pause_s > 0.0:
                 until = now + hints.pause_s
                 known.pauses.take(entry, until)
-                self._paused_until = max(until, self._paused_until)
+                self.eligibility.note_pause(until)
 
     def _apply_hints(
         self, known: backends.Backend, hints: message.ServerHints
@@ -203,102 +201,6 @@
         )
         return [*(h for h in holders if h is not None), *window]
 
-    def list_open_to(
-        self,
-        candidates: list[backends.Backend],
-        waiting: queue.Waiting,
-        now: float,
-    ) -> list[backends.Backend]:
-        """Returns the candidates that a request may be sent to now."""
-        return [
-            candidate
-            for candidate in self.leave_out(candidates, waiting.request)
-            if candidate.pauses.allows(waiting.entry, now)
-        ]
-
-    def has_pauses(self, now: float) -> bool:
-        """Returns whether servers may want some entries to wait."""
-        return now < self._paused_until + TRIAL_S
-
-    def is_paused(self, entry: str, now: float) -> bool:
-        """Returns whether an entry may send to no server now."""
-        usable = [known for known in self.list_all() if not known.is_lost]
-        return bool(usable) and not any(
-            known.pauses.allows(entry, now) for known in usable
-        )
-
-    def get_pause(self, waiting: queue.Waiting, now: float) -> float:
-        """Returns the seconds for which all servers want a request to wait.
-
-        Args:
-            waiting: The request.
-            now: The owner's clock in seconds.
-
-        Returns:
-            The time until the first pause ends, 0 where there is none.
-        """
-        if now >= self._paused_until:
-            return 0.0
-        usable = (known for known in self.list_all() if not known.is_lost)
-        return min(
-            (
-                known.pauses.get_left(waiting.entry, now)
-                for known in self.leave_out(list(usable), waiting.request)
-            ),
-            default=0.0,
-        )
-
-    def get_pause_of_all(self, entries: int, now: float) -> float:
-        """Returns the seconds until some entry may send to some server.
-
-        Args:
-            entries: How many entries ask for them.
-            now: The owner's clock in seconds.
-        """
-        if now >= self._paused_until:
-            return 0.0
-        return min(
-            (
-                known.pauses.get_earliest_end(entries, now)
-                for known in self.list_all()
-                if not known.is_lost
-            ),
-            default=0.0,
-        )
-
-    def leave_out(
-        self,
-        candidates: list[backends.Backend],
-        request: message.RequestInfo,
-    ) -> list[backends.Backend]:
-        """Returns the candidates that a request may go to.
-
-        A request that was sent everywhere within its entry's reach may go
-        anywhere there again, but never outside its regions.
-        """
-        if not (request.avoid or request.silent or request.regions is not None):
-            return candidates
-        never = set(request.silent) | self._list_barred(request)
-        left_out = never | set(request.avoid)
-        if not set(self.backends) - left_out:
-            left_out = never
-        return [c for c in candidates if c.info.name not in left_out]
-
-    def is_out_of_reach(self, request: message.RequestInfo) -> bool:
-        """Returns whether the request's entry can reach none of them."""
-        never = set(request.silent) | self._list_barred(request)
-        return bool(self.backends) and not set(self.backends) - never
-
-    def _list_barred(self, request: message.RequestInfo) -> set[str]:
-        """Returns the backend servers outside the request's regions."""
-        if request.regions is None:
-            return set()
-        return {
-            name
-            for name, known in self.backends.items()
-            if known.info.region not in request.regions
-        }
-
     # Places.
 
     def place(
@@ -336,7 +238,7 @@
         return backend.placed.get(request_id) if backend else None
 
     def begin_answer(self, first: message.FirstToken, now: float) -> None:
-        """Learns from a first token, also for those not heard of yet."""
+        """Learns from a first token, also for servers without a speed yet."""
         backend = self._where[first.request_id]
         knew = backend.speed.is_learned
         backend.begin_answer(first, now)
@@ -386,8 +288,10 @@
         self, waiting: queue.Waiting, now: float
     ) -> list[backends.Backend]:
         """Returns the fastest backend servers that a request may go to."""
-        usable = self.list_open_to(self._fastest, waiting, now)
-        return usable or self.leave_out(self.list_all(), waiting.request)
+        usable = self.eligibility.list_open_to(self._fastest, waiting, now)
+        return usable or self.eligibility.leave_out(
+            self.list_all(), waiting.request
+        )
 
     def end(self, ended: message.Ended, now: float) -> backends.Backend | None:
         """Frees the place of a request that has ended.
--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -92,7 +92,9 @@
             if not tier.count:
                 continue
             ahead.extend(self._list_heads(tier, now))
-            if len(ahead) >= HEADS_TRIED and not self._fleet.has_pauses(now):
+            if len(
+                ahead
+            ) >= HEADS_TRIED and not self._fleet.eligibility.has_pauses(now):
                 break
         return out
 
@@ -103,10 +105,10 @@
 
         In a pause of one entry, the requests of others are not held up by it.
         """
-        if not self._fleet.has_pauses(now):
+        if not self._fleet.eligibility.has_pauses(now):
             return tier.list_heads(HEADS_TRIED)
         is_held = functools.cache(
-            lambda entry: self._fleet.is_paused(entry, now)
+            lambda entry: self._fleet.eligibility.is_paused(entry, now)
         )
         return tier.list_heads(HEADS_TRIED, is_held)
 
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -12,7 +12,7 @@
 
 
 class Outcome(enum.Enum):
-    """What a caller may believe about its request."""
+    """What is certain about a request when it ends."""
 
     COMPLETE = "complete"
     NOT_RUN = "not_run"
@@ -178,7 +178,7 @@
         request_id: The request.
         elapsed_s: Seconds from the dispatch to the first token.
         prefilled_tokens: Prompt tokens the engine had to compute; None where it
-            does not tell.
+            does not say.
         cached_tokens: Prompt tokens found in the engine's prefix cache.
     """
 
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -136,16 +136,18 @@
         """Ends a waiting request that its owner gave up."""
         if self.state is not State.WAITING or owner != self.owner:
             return []
-        return self._end_unrun(reject.reason, reject.retry_after_s, tell=False)
+        return self._end_unrun(
+            reject.reason, reject.retry_after_s, notify_owner=False
+        )
 
     def decide_claim(
         self, held: bool, finish: Finish | None = None
     ) -> list[Effect]:
-        """Takes the log's word on the claim.
+        """Takes the decision of the log on the claim.
 
         Args:
             held: Whether this attempt holds the idempotency key.
-            finish: What the caller is told where it does not.
+            finish: The outcome for the caller where it does not.
         """
         if self.claim is not Claim.PENDING or self.state is not State.WAITING:
             return []
@@ -162,11 +164,11 @@
     def fail_connect(self, refused: bool = True) -> list[Effect]:
         """Returns to waiting: there is no connection, no byte was sent.
 
-        The present owner is told, who may not be the one that granted.
+        The message goes to the present owner, not to the one that granted.
 
         Args:
             refused: Whether the backend server refused the connection; else
-                it was silent, perhaps towards this VM only.
+                it did not answer, perhaps to this VM only.
         """
         return self._return_grant(refused)
 
@@ -207,10 +209,10 @@
         has said that it did not run, is ever sent to another.
 
         Args:
-            ended: What the owner is told.
+            ended: Sent to the owner.
             not_run: Whether the backend server has said that it did not run.
             may_repeat: Whether time and the retry budget allow another attempt.
-            finish: What the caller is told where no attempt follows.
+            finish: The outcome for the caller where no attempt follows.
         """
         if self.state is not State.DISPATCHED or self._grant is None:
             return []
@@ -289,10 +291,13 @@
         return [Dispatch(self._grant)]
 
     def _end_unrun(
-        self, reason: message.Reason, retry_after_s: float, tell: bool = True
+        self,
+        reason: message.Reason,
+        retry_after_s: float,
+        notify_owner: bool = True,
     ) -> list[Effect]:
         self.state = State.ENDED
-        effects: list[Effect] = self._leave_owner() if tell else []
+        effects: list[Effect] = self._leave_owner() if notify_owner else []
         if self.claim in (Claim.PENDING, Claim.HELD):
             effects.append(Release())
         outcome = message.Outcome.NOT_RUN
@@ -311,5 +316,5 @@
         if self.state is not State.DISPATCHED:
             return []
         self.state = State.ENDED
-        told = [Tell(self.owner, ended)] if self.owner else []
-        return [*told, finish]
+        messages = [Tell(self.owner, ended)] if self.owner else []
+        return [*messages, finish]
--- a/ramptray/core/selector.py
+++ b/ramptray/core/selector.py
@@ -74,7 +74,7 @@
             ahead: Waiting requests of higher tiers; the places that they may
                 take are not for this one.
         """
-        usable = self._fleet.list_open_to(candidates, waiting, now)
+        usable = self._fleet.eligibility.list_open_to(candidates, waiting, now)
         usable = self._releases.list_open(usable)
         usable = separation.keep_apart(
             usable, waiting.request, self._is_suspect
@@ -116,7 +116,9 @@
         reserved = {
             candidate.info.name
             for waiting in ahead
-            for candidate in self._fleet.list_open_to(candidates, waiting, now)
+            for candidate in self._fleet.eligibility.list_open_to(
+                candidates, waiting, now
+            )
         }
         return [c for c in candidates if c.info.name not in reserved]
 
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -135,7 +135,8 @@
         """
         limited = (
             self._pace.get_rate_limit(now) is not None
-            or self.fleet.get_pause_of_all(len(self._entries), now) > 0.0
+            or self.fleet.eligibility.get_pause_of_all(len(self._entries), now)
+            > 0.0
         )
         return summary.ShardSummary(
             self.shard,
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -152,7 +152,7 @@
 
         Its caller may come back to another VM.
         """
-        if not self._fleet.is_out_of_reach(waiting.request):
+        if not self._fleet.eligibility.is_out_of_reach(waiting.request):
             return []
         return [self._turn_away(waiting, now, message.Reason.NO_BACKEND)]
 
@@ -168,7 +168,7 @@
             self._turn_away(waiting, now)
             for waiting in candidates
             if waiting.request.request_id in self._queue
-            and now + self._fleet.get_pause(waiting, now)
+            and now + self._fleet.eligibility.get_pause(waiting, now)
             > min(waiting.refuse_at, waiting.deadline)
         ]
 
@@ -251,7 +251,9 @@
             least_s = OUT_OF_REACH_RETRY_S
         self._pace.count_refusal(waiting, now)
         # In a pause of all entries the queue is served from its end on.
-        pause_s = self._fleet.get_pause_of_all(len(self._entries), now)
+        pause_s = self._fleet.eligibility.get_pause_of_all(
+            len(self._entries), now
+        )
         wait_s = max(
             least_s,
             pause_s + self._pace.estimate_wait(waiting, now),
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -70,8 +70,8 @@
     """Owns the request machines and the links to schedulers.
 
     Attributes:
-        network: What is believed of the backend servers, by the bundle in
-            force.
+        network: State of the backend servers as this entry knows it, by the
+            bundle in force.
         timeline: Where events are noted.
         server_hints: What backend servers say of themselves in answers.
         on_doubt: Called with the address of a scheduler that does not reply.
@@ -470,7 +470,7 @@
         """Opens the links to owners before the first request needs them.
 
         Else all entries would attach in the same moment, and take the owner
-        for silent while it greets the others.
+        for lost while it attaches the others.
         """
         if self.in_force is None:
             return
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -37,7 +37,7 @@
 
     Attributes:
         request_id: The request.
-        refused: Whether it refused the connection; else it was silent.
+        refused: Whether it refused the connection; else it did not answer.
     """
 
     request_id: str
--- a/ramptray/node/settings.py
+++ b/ramptray/node/settings.py
@@ -1,4 +1,4 @@
-"""Settings of ``ramptray-node``: what is tuned, not what a VM is told."""
+"""Settings of ``ramptray-node``: what is tuned, not what the platform sets."""
 
 from __future__ import annotations
 
@@ -27,8 +27,8 @@
         longest_pause_s: Longest pause that a backend server may ask of this VM:
             by a mistake it would lose the VM's requests for good.
         content_key: Secret that goes into the digests of requests' contents,
-            the same on all VMs: without it nobody can find out from a log line
-            whether a request had a certain body.
+            the same on all VMs: without it a log line does not show whether a
+            request had a certain body.
     """
 
     log_level: model.LogLevel = "INFO"
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -301,8 +301,8 @@
     def _choose_view(self, hello: peer_message.Hello) -> peer_message.View:
         """Returns the view of the schedulers for an attached process.
 
-        Each process believes the scheduler of its own VM only; a view has an
-        entry for every VM, too much to send to all of them.
+        Each process uses the view of its own VM's scheduler only; a view lists
+        every VM, too much to send to all of them.
         """
         if self._is_local(hello):
             return self.view
@@ -352,7 +352,7 @@
     ) -> None:
         """Tells an entry that its request waits here.
 
-        An entry that hears nothing takes the owner for lost.
+        An entry without a reply takes the owner for lost.
         """
         if owner.is_waiting(request_id):
             self._tell_entry(attached.hello.name, message.Queued(request_id))
