Let a second attempt go back to a server while all others are leaving or lost

What callers would see: a request that one server had turned away waited for a server that had said it was leaving, or that could not be reached any more, until it was refused; the first one was not asked again.

Only servers that may get new work count as not tried yet. The test failed before (no grant).

--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -57,7 +57,7 @@
             return candidates
         never = set(request.silent) | self._list_barred(request)
         left_out = never | set(request.avoid)
-        if not set(self._backends) - left_out:
+        if not self._list_usable() - left_out:
             left_out = never
         return [c for c in candidates if c.info.name not in left_out]
 
@@ -120,6 +120,12 @@
             default=0.0,
         )
 
+    def _list_usable(self) -> set[str]:
+        """Returns the backend servers that may get new work."""
+        return {
+            name for name, known in self._backends.items() if not known.is_lost
+        }
+
     def _list_barred(self, request: message.RequestInfo) -> set[str]:
         """Returns the backend servers outside the request's regions."""
         if request.regions is None:
--- a/test/test_server_hints.py
+++ b/test/test_server_hints.py
@@ -293,3 +293,16 @@
     ended = message.Ended(first.request.request_id, 10, 0.1, True)
     (granted,) = list_grants(owner.receive("entry", ended, 6.0))
     assert granted.request_id == starved.request.request_id
+
+
+def test_a_second_attempt_does_not_wait_for_a_server_that_is_leaving() -> None:
+    owner = make_owner(servers=2)
+    hints = message.ServerHints("s1", 0, is_leaving=True)
+    owner.receive("entry", hints, 0.0)
+    again = msgspec.structs.replace(
+        make_request().request, avoid=("s0",), attempt=1
+    )
+    (granted,) = list_grants(
+        owner.receive("entry", message.Enqueue(again), 0.1)
+    )
+    assert granted.backend == "s0"
