--- a/test/soak.py
+++ b/test/soak.py
@@ -384,6 +384,17 @@
             platform.stop_all()
 
 
+def _make_empty(folder: pathlib.Path) -> None:
+    """Makes a folder; replicas are judged by the logs in it.
+
+    Raises:
+        click.UsageError: It holds the logs of another run.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    if any(folder.iterdir()):
+        raise click.UsageError(f"--keep: {folder} is not empty")
+
+
 @click.command(name="soak")
 @click.option("--seed", default=1, help="Seed of the first run.")
 @click.option("--runs", default=1, help="How many runs, each with a new seed.")
@@ -422,7 +433,7 @@
     for each in range(seed, seed + runs):
         logs = keep / str(each) if keep else None
         if logs:
-            logs.mkdir(parents=True, exist_ok=True)
+            _make_empty(logs)
         promises, faults = run_soak(
             vms, each, seconds, logs, restarts, crashes, limits, hints
         )
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -5,7 +5,10 @@
 
 from __future__ import annotations
 
+import pathlib
+
 import pytest
+from click import testing
 
 from bench import promise
 from test import soak
@@ -55,6 +58,18 @@
     assert all(kept.chances for kept in promises[-2:])
 
 
+def test_a_run_is_not_judged_by_the_logs_of_another(
+    tmp_path: pathlib.Path,
+) -> None:
+    former = tmp_path / "7"
+    former.mkdir()
+    (former / "i-0.log").touch()
+    options = ["--seed", "7", "--keep", str(tmp_path)]
+    result = testing.CliRunner().invoke(soak.command, options)
+    assert result.exit_code == 2
+    assert f"{former} is not empty" in result.output
+
+
 def judge(promises: list[promise.Promise], faults: list[str]) -> None:
     """Fails where a promise was broken, or could not be judged."""
     shown = "\n".join([kept.format() for kept in promises] + faults)
