--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -190,8 +190,8 @@
                     self.network.note_silent(machine.backend, now)
                 machine.info = self._get_info(ticket, now)
                 self._perform(ticket, machine.fail_connect(refused), now)
-            case tickets.Barred(_, bar):
-                self._return_grant(ticket, bar, now)
+            case tickets.GrantUnusable(_, reason):
+                self._return_grant(ticket, reason, now)
             case tickets.Begun(first):
                 self.network.note_answer(machine.backend, now)
                 if machine.owner:
@@ -221,7 +221,10 @@
         return ticket.get_info(now, self.network.list_avoided(now))
 
     def _return_grant(
-        self, ticket: tickets.Ticket, bar: server_hints.Bar, now: float
+        self,
+        ticket: tickets.Ticket,
+        reason: server_hints.UnusableReason,
+        now: float,
     ) -> None:
         """Returns a grant whose server wants nothing from this VM."""
         machine = ticket.machine
@@ -238,7 +241,7 @@
             ticket.info.request_id,
             backend=backend,
             owner=machine.owner,
-            reason=bar.value,
+            reason=reason.value,
         )
         self._perform(ticket, effects, now)
 
--- a/ramptray/entry/server_hints.py
+++ b/ramptray/entry/server_hints.py
@@ -24,7 +24,7 @@
 configuration, in seconds: an older copy of the store may bring it back."""
 
 
-class Bar(enum.Enum):
+class UnusableReason(enum.Enum):
     """Why nothing may be sent to a backend server now."""
 
     LEAVING = "leaving"
@@ -56,7 +56,7 @@
     granted_limit_per_s: float | None = None
 
 
-class _Known(msgspec.Struct):
+class _Hints(msgspec.Struct):
     """What a backend server has said in one of its runs.
 
     Attributes:
@@ -105,7 +105,7 @@
         list_links: Callable[[], Iterable[str]],
         longest_pause_s: float = LONGEST_PAUSE_S,
     ) -> None:
-        self._known: dict[str, _Known] = {}
+        self._known: dict[str, _Hints] = {}
         self._send = send
         self._list_links = list_links
         self._longest_pause_s = longest_pause_s
@@ -143,7 +143,9 @@
             # The owner missed it, or an older answer reached it last.
             self._send(received.owner, hints)
 
-    def find_bar(self, backend: str, run: int, now: float) -> Bar | None:
+    def find_unusable_reason(
+        self, backend: str, run: int, now: float
+    ) -> UnusableReason | None:
         """Returns why nothing may be sent to a backend server; None if it may.
 
         Args:
@@ -155,8 +157,8 @@
         if known is None or known.run != run:
             return None
         if known.is_leaving:
-            return Bar.LEAVING
-        return Bar.PAUSED if known.paused_until > now else None
+            return UnusableReason.LEAVING
+        return UnusableReason.PAUSED if known.paused_until > now else None
 
     def send_one(self, address: str, backend: str, now: float) -> None:
         """Sends a scheduler what is known here of a backend server."""
@@ -179,13 +181,13 @@
             elif not known.outlasts_record(now):
                 del self._known[backend]
 
-    def _get(self, backend: str, run: int) -> _Known:
+    def _get(self, backend: str, run: int) -> _Hints:
         known = self._known.get(backend)
         if known is None or known.run != run:
-            return _Known(run)
+            return _Hints(run)
         return known
 
-    def _take_limit(self, known: _Known, received: HeadReceived) -> bool:
+    def _take_limit(self, known: _Hints, received: HeadReceived) -> bool:
         """Takes the request limit; returns whether it has changed."""
         former_per_s = known.limit_per_s
         if received.limit_per_s == former_per_s:
@@ -199,7 +201,7 @@
         )
         return True
 
-    def _take_leaving(self, known: _Known, received: HeadReceived) -> bool:
+    def _take_leaving(self, known: _Hints, received: HeadReceived) -> bool:
         """Takes that it is leaving; returns whether that is new."""
         if known.is_leaving or not received.is_leaving:
             return False
@@ -208,7 +210,7 @@
         return True
 
     def _take_pause(
-        self, known: _Known, received: HeadReceived, now: float
+        self, known: _Hints, received: HeadReceived, now: float
     ) -> bool:
         """Takes the pause that it asks for; returns whether it ends later."""
         if not received.pause_s:
@@ -229,7 +231,7 @@
 
 
 def _make_message(
-    backend: str, known: _Known, now: float
+    backend: str, known: _Hints, now: float
 ) -> message.ServerHints:
     return message.ServerHints(
         backend,
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -44,16 +44,16 @@
     refused: bool = True
 
 
-class Barred(msgspec.Struct, frozen=True):
+class GrantUnusable(msgspec.Struct, frozen=True):
     """The request may not be sent where it was granted to; nothing was sent.
 
     Attributes:
         request_id: The request.
-        bar: What the backend server has said.
+        reason: What the backend server has said.
     """
 
     request_id: str
-    bar: server_hints.Bar
+    reason: server_hints.UnusableReason
 
 
 class Begun(msgspec.Struct, frozen=True):
@@ -129,7 +129,7 @@
 Event = (
     Submitted
     | ConnectFailed
-    | Barred
+    | GrantUnusable
     | Begun
     | Completed
     | Refused
@@ -213,7 +213,7 @@
 def get_request_id(event: Event) -> str:
     """Returns the request that an exchange's event is about."""
     match event:
-        case ConnectFailed(request_id) | Barred(request_id):
+        case ConnectFailed(request_id) | GrantUnusable(request_id):
             return request_id
         case Begun(first):
             return first.request_id
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -96,12 +96,12 @@
     tokens_per_event: int
 
 
-class _BarredError(Exception):
+class _UnusableServerError(Exception):
     """The request may not be sent to the backend server; nothing was sent."""
 
-    def __init__(self, bar: server_hints.Bar) -> None:
-        self.bar = bar
-        super().__init__(bar.value)
+    def __init__(self, reason: server_hints.UnusableReason) -> None:
+        self.reason = reason
+        super().__init__(reason.value)
 
 
 class Exchange:
@@ -166,8 +166,8 @@
         if target is None:
             self._ticket.report(tickets.ConnectFailed(self._request_id))
             return
-        if bar := self._find_bar(target):
-            self._ticket.report(tickets.Barred(self._request_id, bar))
+        if reason := self._find_unusable_reason(target):
+            self._ticket.report(tickets.GrantUnusable(self._request_id, reason))
             return
         # Callers that leave in numbers free places for each other's requests:
         # cancellation of a closed connection is delivered here.
@@ -180,8 +180,10 @@
                 await self._send(target, grant)
         except TimeoutError:
             self._lose(core_message.Reason.DEADLINE)
-        except _BarredError as error:
-            self._ticket.report(tickets.Barred(self._request_id, error.bar))
+        except _UnusableServerError as error:
+            self._ticket.report(
+                tickets.GrantUnusable(self._request_id, error.reason)
+            )
         except connections.NotSentError as error:
             failed = tickets.ConnectFailed(self._request_id, error.refused)
             self._ticket.report(failed)
@@ -253,8 +255,8 @@
         runs_once = not self._order.info.repeatable
         async with self._client.use(target, runs_once) as connection:
             # An answer may have said something while it was opened.
-            if bar := self._find_bar(target):
-                raise _BarredError(bar)
+            if reason := self._find_unusable_reason(target):
+                raise _UnusableServerError(reason)
             attempt = message.Attempt(
                 target.backend,
                 self._order.customer,
@@ -363,9 +365,11 @@
         address = url.removeprefix("http://")
         return connections.Target(address, grant.backend, grant.run)
 
-    def _find_bar(self, target: connections.Target) -> server_hints.Bar | None:
+    def _find_unusable_reason(
+        self, target: connections.Target
+    ) -> server_hints.UnusableReason | None:
         """Returns why a backend server may be sent nothing, if it may not."""
-        return self._desk.server_hints.find_bar(
+        return self._desk.server_hints.find_unusable_reason(
             target.backend, target.run, steadyclock.read()
         )
 
--- a/test/test_server_hints.py
+++ b/test/test_server_hints.py
@@ -58,13 +58,16 @@
     book = Book()
     book.observe(LEAVING, 1.0)
     book.observe(server_hints.HeadReceived("r1", "s0", 0, owner=OURS), 1.1)
-    assert book.find_bar("s0", 0, 1.2) is server_hints.Bar.LEAVING
+    assert (
+        book.find_unusable_reason("s0", 0, 1.2)
+        is server_hints.UnusableReason.LEAVING
+    )
 
 
 def test_a_later_run_of_a_leaving_server_gets_work() -> None:
     book = Book()
     book.observe(LEAVING, 1.0)
-    assert book.find_bar("s0", 1, 1.1) is None
+    assert book.find_unusable_reason("s0", 1, 1.1) is None
 
 
 def test_a_leaving_server_that_an_older_store_brings_back_gets_no_work() -> (
@@ -73,9 +76,12 @@
     book = Book()
     book.observe(LEAVING, 1.0)
     book.discard_except(["other"], 2.0)
-    assert book.find_bar("s0", 0, 3.0) is server_hints.Bar.LEAVING
+    assert (
+        book.find_unusable_reason("s0", 0, 3.0)
+        is server_hints.UnusableReason.LEAVING
+    )
     book.discard_except([], 2.0 + server_hints.FORGET_LEAVING_S)
-    assert book.find_bar("s0", 0, 700.0) is None
+    assert book.find_unusable_reason("s0", 0, 700.0) is None
     assert book.count_leaving() == 0
 
 
@@ -85,8 +91,8 @@
     desk.hear(attachment.Said(OURS, message.Grant("r1", "g", "s0", OURS)))
     desk.server_hints.observe(LEAVING, 1.0)
     desk.sent.clear()
-    barred = tickets.Barred("r1", server_hints.Bar.LEAVING)
-    desk._handle(barred, 1.0)
+    unusable = tickets.GrantUnusable("r1", server_hints.UnusableReason.LEAVING)
+    desk._handle(unusable, 1.0)
     hints = message.ServerHints("s0", 0, is_leaving=True)
     decline = message.Decline("r1", "g", waits=True)
     assert desk.sent == [(OURS, hints), (OURS, decline)]
@@ -158,17 +164,23 @@
     book.observe(shorter, 1.1)
     book.observe(server_hints.HeadReceived("r2", "s0", 0, owner=OURS), 1.2)
     book.discard_except([], 1.3)
-    assert book.find_bar("s0", 0, 3.9) is server_hints.Bar.PAUSED
-    assert book.find_bar("s0", 0, 4.1) is None
-    assert book.find_bar("s0", 1, 2.0) is None
+    assert (
+        book.find_unusable_reason("s0", 0, 3.9)
+        is server_hints.UnusableReason.PAUSED
+    )
+    assert book.find_unusable_reason("s0", 0, 4.1) is None
+    assert book.find_unusable_reason("s0", 1, 2.0) is None
 
 
 def test_a_pause_is_no_longer_than_the_settings_allow() -> None:
     book = Book()
     asked = server_hints.HeadReceived("r0", "s0", 0, pause_s=3600.0, owner=OURS)
     book.observe(asked, 1.0)
-    assert book.find_bar("s0", 0, 60.9) is server_hints.Bar.PAUSED
-    assert book.find_bar("s0", 0, 61.1) is None
+    assert (
+        book.find_unusable_reason("s0", 0, 60.9)
+        is server_hints.UnusableReason.PAUSED
+    )
+    assert book.find_unusable_reason("s0", 0, 61.1) is None
 
 
 def test_a_scheduler_that_comes_up_is_sent_what_is_left_of_a_pause() -> None:
