--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -92,9 +92,8 @@
             if not tier.count:
                 continue
             ahead.extend(self._list_heads(tier, now))
-            if len(
-                ahead
-            ) >= HEADS_TRIED and not self._fleet.eligibility.has_pauses(now):
+            pauses = self._fleet.eligibility.has_pauses(now)
+            if len(ahead) >= HEADS_TRIED and not pauses:
                 break
         return out
 
