Keep a pause that a server asks for while a trial is under way

What callers would see: a grant is returned once more, since the owner forgot the new pause with the good answer of the trial; the VM that sends kept it anyway.

The test failed before (the owner granted 0.1 s into the new pause).

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -367,7 +367,7 @@
         Prompts that were sent before have been read, even without a report.
         """
         if running := self.placed.get(first.request_id):
-            self.pauses.note_answer(running.entry, first.request_id)
+            self.pauses.note_answer(running.entry, first.request_id, now)
         placed = self.pending.get(first.request_id)
         if placed is None:
             return
--- a/ramptray/core/pauses.py
+++ b/ramptray/core/pauses.py
@@ -44,10 +44,16 @@
         if until is not None and until <= sent_at:
             self._trials.setdefault(entry, request_id)
 
-    def note_answer(self, entry: str, request_id: str) -> None:
-        """Notes that an answer has begun, which ends a trial well."""
-        if self._trials.get(entry) == request_id:
-            self.forget(entry)
+    def note_answer(self, entry: str, request_id: str, now: float) -> None:
+        """Notes that an answer has begun, which ends a trial well.
+
+        A pause that was asked for during the trial stays in force.
+        """
+        if self._trials.get(entry) != request_id:
+            return
+        del self._trials[entry]
+        if self._until[entry] <= now:
+            del self._until[entry]
 
     def note_end(self, entry: str, request_id: str) -> None:
         """Notes that a request has ended, which ends its trial."""
--- a/test/test_server_hints.py
+++ b/test/test_server_hints.py
@@ -318,3 +318,19 @@
         owner.receive("entry", message.Enqueue(again), 0.1)
     )
     assert granted.backend == "s0"
+
+
+def test_a_good_trial_does_not_end_a_pause_that_was_asked_for_meanwhile() -> (
+    None
+):
+    owner = make_owner()
+    early, trial = make_request(), make_request()
+    assert list_grants(owner.receive("entry", early, 0.0))
+    pause(owner, "s0", 1.0, now=0.1)
+    assert list_grants(owner.receive("entry", trial, 1.2))
+    # The earlier request is turned away only now.
+    pause(owner, "s0", 3.0, now=1.3)
+    first = message.FirstToken(trial.request.request_id, 0.05, None, 0)
+    owner.receive("entry", first, 1.4)
+    assert not list_grants(owner.receive("entry", make_request(), 1.5))
+    assert len(list_grants(owner.tick(4.4))) == 1
