--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -5,8 +5,6 @@
 import heapq
 from collections.abc import Iterable, Mapping
 
-import msgspec
-
 from ramptray.core import backend as backends
 from ramptray.core import candidate, eligibility, message, queue, rtt
 from ramptray.core import speed as speeds
@@ -145,16 +143,12 @@
     ) -> None:
         """Takes what a backend server says of itself in its answers.
 
-        That it is leaving is final for its run, whatever comes later.
-
         Args:
             hints: What it says.
             entry: The entry that got the answer, which the pause is for.
             now: The owner's clock in seconds.
         """
-        former = self._hints.get(hints.backend)
-        if former and former.is_leaving and former.run == hints.run:
-            hints = msgspec.structs.replace(hints, is_leaving=True)
+        hints = hints.follow(self._hints.get(hints.backend))
         self._hints[hints.backend] = hints
         known = self.backends.get(hints.backend)
         if known and known.info.run == hints.run:
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -276,6 +276,13 @@
     is_leaving: bool = False
     pause_s: float = 0.0
 
+    def follow(self, former: ServerHints | None) -> ServerHints:
+        """Returns these hints with what stays of the former ones."""
+        if former is None or former.run != self.run:
+            return self
+        is_leaving = self.is_leaving or former.is_leaving
+        return msgspec.structs.replace(self, is_leaving=is_leaving)
+
 
 class Grant(msgspec.Struct, frozen=True):
     """Owner to entry: dispatch this request to this backend server.
--- a/ramptray/scheduler/learned.py
+++ b/ramptray/scheduler/learned.py
@@ -36,8 +36,7 @@
             now: The scheduler's clock in seconds.
         """
         former = self._hints.get(hints.backend)
-        if former and former.is_leaving and former.run == hints.run:
-            hints = msgspec.structs.replace(hints, is_leaving=True)
+        hints = hints.follow(former)
         if hints.pause_s > 0.0:
             pause = (hints.run, now + hints.pause_s)
             self._pauses[origin, hints.backend] = pause
--- a/test/callers.py
+++ b/test/callers.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+import functools
 import itertools
 import threading
 import time
+from collections.abc import Iterator
 
 from test import node
-from test.test_node import ask
+from test.test_node import ask, wait_until
 
 PAUSE_S = 0.1
 """Pause between two requests of a caller, in seconds."""
@@ -37,6 +40,19 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
+@contextlib.contextmanager
+def run_serving(vms: int) -> Iterator[node.Platform]:
+    """Runs a deployment of two replicas, each VM of which serves."""
+    with node.run_platform(vms=vms, replicas=2) as platform:
+        for vm in platform.vms:
+            wait_until(functools.partial(_is_serving, platform, vm))
+        yield platform
+
+
+def _is_serving(started: node.Platform, vm: str) -> bool:
+    return ask(started, "/safe/", vm=vm).status == 200
+
+
 class Callers:
     """Asks all VMs at once until it is stopped.
 
--- a/test/test_server_pause.py
+++ b/test/test_server_pause.py
@@ -8,7 +8,6 @@
 import pytest
 
 from test import callers, node
-from test.test_node import ask, wait_until
 
 VMS = 3
 FULL, OTHER = "i-0", "i-1"
@@ -32,10 +31,7 @@
 
 @pytest.fixture
 def started() -> Iterator[node.Platform]:
-    with node.run_platform(vms=VMS, replicas=2) as platform:
-        for number in range(VMS):
-            vm = f"vm-{number}"
-            wait_until(lambda: ask(platform, "/safe/", vm=vm).status == 200)  # noqa: B023
+    with callers.run_serving(VMS) as platform:
         yield platform
 
 
