--- /dev/null
+++ b/ramptray/scheduler/attached.py
@@ -0,0 +1,92 @@
+"""The processes that are attached to a scheduler."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+
+import msgspec
+
+from ramptray.core import message
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+
+
+class Attached(msgspec.Struct):
+    """What is known of an attached process."""
+
+    hello: peer_message.Hello
+    generation: int = 0
+    holds_lease: bool = False
+
+
+class AttachedProcesses:
+    """Keeps the session of each attached process, and entries by their names.
+
+    A session is open before its process has introduced itself.
+    """
+
+    def __init__(self) -> None:
+        self._sessions: dict[peer_link.Session, Attached | None] = {}
+        self._entries: dict[str, peer_link.Session] = {}
+        self._sent_at: dict[str, float] = {}
+
+    def __iter__(self) -> Iterator[tuple[peer_link.Session, Attached]]:
+        """Iterates over the processes that have introduced themselves."""
+        for session, attached in self._sessions.items():
+            if attached is not None:
+                yield session, attached
+
+    def open(self, session: peer_link.Session) -> None:
+        """Takes a session whose process is not known yet."""
+        self._sessions[session] = None
+
+    def get(self, session: peer_link.Session) -> Attached | None:
+        """Returns the process of a session, if it has introduced itself."""
+        return self._sessions.get(session)
+
+    def add(
+        self, session: peer_link.Session, hello: peer_message.Hello
+    ) -> None:
+        """Takes a process that has introduced itself."""
+        self._sessions[session] = Attached(hello)
+
+    def add_entry(self, session: peer_link.Session, name: str) -> None:
+        """Takes an entry's session and closes its former one, if any."""
+        former = self._entries.get(name)
+        self._entries[name] = session
+        if former is not None:
+            former.close()
+
+    def remove(self, session: peer_link.Session) -> str | None:
+        """Forgets a session.
+
+        Returns:
+            The entry that is lost with it; None where there is none, or where
+            it has attached again.
+        """
+        attached = self._sessions.pop(session, None)
+        if attached is None:
+            return None
+        name = attached.hello.name
+        if self._entries.get(name) is not session:
+            return None
+        del self._entries[name]
+        self._sent_at.pop(name, None)
+        return name
+
+    def send(
+        self,
+        entry: str,
+        sent: message.OwnerMessage | message.Queued | message.StillWaiting,
+        now: float,
+    ) -> None:
+        """Sends a message to an entry, if it is attached."""
+        session = self._entries.get(entry)
+        if session is not None:
+            session.send(sent)
+            self._sent_at[entry] = now
+
+    def get_silence(self, entry: str, now: float) -> float:
+        """Returns the seconds for which an entry was sent nothing."""
+        return now - self._sent_at.get(entry, -math.inf)
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -25,6 +25,7 @@
 from ramptray.entry import blocked
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
+from ramptray.scheduler import attached as attached_processes
 from ramptray.scheduler import (
     event,
     gossip,
@@ -53,14 +54,6 @@
 """How long a shard that is owned elsewhere is kept while it is empty."""
 
 
-class Attached(msgspec.Struct):
-    """What is known of an attached process."""
-
-    hello: peer_message.Hello
-    generation: int = 0
-    holds_lease: bool = False
-
-
 class Options(msgspec.Struct, frozen=True):
     """How a hub works.
 
@@ -117,9 +110,7 @@
         self._gossiper = gossiper
         self._claims = claim_desk
         self._limits = limit.Limits({}) if options.shares_limits else None
-        self._sessions: dict[peer_link.Session, Attached | None] = {}
-        self._entries: dict[str, peer_link.Session] = {}
-        self._sent_at: dict[str, float] = {}
+        self._attached = attached_processes.AttachedProcesses()
         self._learned = learned.LearnedBook()
         self._leaving_listed: frozenset[str] = frozenset()
         self._leaving_said: set[str] = set()
@@ -164,9 +155,9 @@
             for name in owner.fleet.backends
         ]
 
-    def list_attached(self) -> list[Attached]:
+    def list_attached(self) -> list[attached_processes.Attached]:
         """Returns the attached processes."""
-        return [a for a in self._sessions.values() if a is not None]
+        return [attached for _, attached in self._attached]
 
     async def _run_ticks(self) -> None:
         while True:
@@ -182,7 +173,7 @@
             case event.Received(session, body):
                 self._receive_from(session, body, now)
             case event.Opened(session):
-                self._sessions[session] = None
+                self._attached.open(session)
             case event.Closed(session):
                 self._close(session, now)
             case event.BundleChanged(in_force):
@@ -193,8 +184,8 @@
                 self._open_own_shards(now)
             case event.LowestChanged(generation):
                 self._lowest = generation
-                for session, attached in self._sessions.items():
-                    if attached and attached.hello.kind == "controller":
+                for session, attached in self._attached:
+                    if attached.hello.kind == "controller":
                         session.send(peer_message.LowestGeneration(generation))
             case event.Reported(name, report):
                 self._take_report(name, report)
@@ -212,8 +203,8 @@
         vm = self._gossiper.membership.me.vm
         asked = [
             session
-            for session, attached in self._sessions.items()
-            if attached is not None and attached.hello.vm == vm
+            for session, attached in self._attached
+            if attached.hello.vm == vm
         ]
         self._queries.ask(wanted, asked)
 
@@ -222,7 +213,7 @@
     def _receive_from(
         self, session: peer_link.Session, body: Any, now: float
     ) -> None:
-        attached = self._sessions.get(session)
+        attached = self._attached.get(session)
         match body:
             case peer_message.Hello():
                 self._greet(session, body)
@@ -268,7 +259,10 @@
                 self._claims.post(event.Finished(body))
 
     def _take_server_hints(
-        self, attached: Attached, hints: message.ServerHints, now: float
+        self,
+        attached: attached_processes.Attached,
+        hints: message.ServerHints,
+        now: float,
     ) -> None:
         self._learned.take_hints(hints, attached.hello.name, now)
         for owner in self.shards.values():
@@ -277,7 +271,7 @@
     def _greet(
         self, session: peer_link.Session, hello: peer_message.Hello
     ) -> None:
-        self._sessions[session] = Attached(hello)
+        self._attached.add(session, hello)
         session.send(self._choose_view(hello))
         if self.in_force and self._options.sends_bundle:
             session.send(peer_message.BundleUpdate(self.in_force.envelope))
@@ -287,10 +281,7 @@
         if len(self.blocks):
             news = self.blocks.list_news(steadyclock.read())
             session.send(peer_message.BlockedContents(news))
-        previous = self._entries.get(hello.name)
-        self._entries[hello.name] = session
-        if previous is not None:
-            previous.close()
+        self._attached.add_entry(session, hello.name)
         for owner in self.shards.values():
             owner.begin_sync(hello.name)
 
@@ -310,19 +301,15 @@
 
     def _close(self, session: peer_link.Session, now: float) -> None:
         self._queries.drop(session)
-        attached = self._sessions.pop(session, None)
-        if attached is None:
+        lost = self._attached.remove(session)
+        if lost is None:
             return
-        name = attached.hello.name
-        if self._entries.get(name) is session:
-            del self._entries[name]
-            self._sent_at.pop(name, None)
-            for owner in self.shards.values():
-                owner.lose_entry(name, now)
+        for owner in self.shards.values():
+            owner.lose_entry(lost, now)
 
     def _pass_to_shard(
         self,
-        attached: Attached,
+        attached: attached_processes.Attached,
         key: message.ShardKey,
         body: message.EntryMessage,
         now: float,
@@ -348,7 +335,10 @@
             self._send_out([owner_effect.ToEntry(attached.hello.name, reject)])
 
     def _confirm(
-        self, attached: Attached, owner: shard.ShardOwner, request_id: str
+        self,
+        attached: attached_processes.Attached,
+        owner: shard.ShardOwner,
+        request_id: str,
     ) -> None:
         """Tells an entry that its request waits here.
 
@@ -359,7 +349,7 @@
 
     def _pass_to_holder(
         self,
-        attached: Attached,
+        attached: attached_processes.Attached,
         body: guard.OfHolder,
         now: float,
     ) -> None:
@@ -373,8 +363,8 @@
     def _spread_blocks(self, news: list[blocklist.BlockNews]) -> None:
         """Tells the entries, and refuses what waits here."""
         spread = peer_message.BlockedContents(news)
-        for session, attached in self._sessions.items():
-            if attached is not None and attached.hello.kind == "entry":
+        for session, attached in self._attached:
+            if attached.hello.kind == "entry":
                 session.send(spread)
         for each in news:
             if each.lifted:
@@ -392,10 +382,7 @@
         entry: str,
         sent: message.OwnerMessage | message.Queued | message.StillWaiting,
     ) -> None:
-        session = self._entries.get(entry)
-        if session is not None:
-            session.send(sent)
-            self._sent_at[entry] = steadyclock.read()
+        self._attached.send(entry, sent, steadyclock.read())
 
     def _note(self, effect: owner_effect.ToEntry) -> None:
         basis = {
@@ -453,8 +440,8 @@
         bundle = in_force.bundle
         self._learned.discard_except(bundle.backend_servers, steadyclock.read())
         update = peer_message.BundleUpdate(in_force.envelope)
-        for session, attached in self._sessions.items():
-            if attached is not None and self._options.sends_bundle:
+        for session, _ in self._attached:
+            if self._options.sends_bundle:
                 session.send(update)
         for key, owner in list(self.shards.items()):
             if key.service not in bundle.services:
@@ -484,8 +471,8 @@
         if self._claims is not None:
             partitions = self._list_partitions()
             self._claims.post(event.PartitionsChanged(partitions))
-        for session, attached in self._sessions.items():
-            if attached is not None and self._is_local(attached.hello):
+        for session, attached in self._attached:
+            if self._is_local(attached.hello):
                 session.send(view)
         present = {m.vm for m in view.members}
         # All names would be some 4 KB a line with hundreds of VMs.
@@ -567,7 +554,8 @@
             self.rollouts.go_on(owner, self.owns(key), now)
             self._send_out(owner.tick(now))
             for entry, count in owner.list_waiting_entries().items():
-                if now - self._sent_at.get(entry, 0.0) >= STILL_WAITING_S:
+                silence_s = self._attached.get_silence(entry, now)
+                if silence_s >= STILL_WAITING_S:
                     self._tell_entry(entry, message.StillWaiting(count))
         if now - self._summaries_at >= SUMMARY_EVERY_S:
             self._summaries_at = now
