--- a/test/test_server_hints.py
+++ b/test/test_server_hints.py
@@ -19,6 +19,7 @@
     name_limit,
 )
 
+# Fixtures that are used here.
 __all__ = ["anyio_backend", "desk"]
 
 LEAVING = server_hints.HeadReceived("r0", "s0", 0, is_leaving=True, owner=OURS)
