Adapt the timeout of connection attempts to each address

gRPC takes grpc.min_reconnect_backoff_ms, 100 ms here, as the timeout of a connection attempt. Over 30 ms each way the TCP and HTTP/2 handshakes take 120 ms, so links between regions never opened.

PeerClient now ends attempts itself: after 0.2 s at an unknown address, doubled after each timeout up to 3 s; at a known address after four times the measured time, at least 0.1 s as before, and up to 2 s as an outage lasts. The channel of unary calls is connected in the same way, outside of the calls that wait for it, and replaced when it fails; gRPC no longer retries on its own.

New tests with a delaying proxy: at 30 and 150 ms each way links did not open before (unary calls failed at 150 ms).

--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -11,7 +11,7 @@
 import collections
 import contextlib
 import logging
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -19,11 +19,10 @@
 import anyio.lowlevel
 import grpc
 import grpc.aio
-import msgspec
 from anyio.streams import memory
 
 from ramptray import settings, steadyclock
-from ramptray.core import clock
+from ramptray.core import clock, connect_timeout
 from ramptray.peer import codec, credentials, peer_filter
 
 LOG = logging.getLogger(__name__)
@@ -52,7 +51,9 @@
     ("grpc.http2.min_ping_interval_without_data_ms", 500),
     ("grpc.http2.max_ping_strikes", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
+    # The timeout of a connection attempt.  `PeerClient` ends attempts earlier:
+    # gRPC would begin the next one before the channel could be closed.
+    ("grpc.min_reconnect_backoff_ms", 10_000),
     ("grpc.max_reconnect_backoff_ms", 500),
     ("grpc.so_reuseport", 0),
     ("grpc.enable_http_proxy", 0),
@@ -60,6 +61,9 @@
 ]
 """Channel options; both ends detect an unresponsive peer within 2.5 s."""
 
+MAX_KNOWN_ADDRESSES = 2048
+"""Number of addresses whose connection times are kept.  Replaced VMs leave
+theirs behind."""
 
 CONNECTION_ERRORS = (
     grpc.aio.AioRpcError,
@@ -70,6 +74,11 @@
 )
 """Errors that grpc raises when the connection to a peer is lost."""
 
+PENDING_STATES = (
+    grpc.ChannelConnectivity.IDLE,
+    grpc.ChannelConnectivity.CONNECTING,
+)
+
 
 class LinkError(Exception):
     """A peer cannot be reached, or the link to it is broken."""
@@ -120,7 +129,7 @@
         """Returns the response to a unary call."""
 
 
-class _SharedChannel(msgspec.Struct):
+class _SharedChannel:
     """The channel that all unary calls to one peer share.
 
     Attributes:
@@ -130,13 +139,43 @@
         used_at: When the last call ended.
     """
 
-    channel: grpc.aio.Channel
-    ask: Any
-    underway: int = 0
-    used_at: float = 0.0
+    def __init__(self, channel: grpc.aio.Channel) -> None:
+        self.channel = channel
+        self.ask: Any = channel.unary_unary(f"/{SERVICE}/Ask")
+        self.underway = 0
+        self.used_at = steadyclock.read()
+        self._connected = anyio.Event()
+        self._error: LinkError | None = None
+        self._is_replaced = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the channel is connected or is being connected."""
+        if not self._connected.is_set():
+            return True
+        return self.channel.get_state() is grpc.ChannelConnectivity.READY
+
+    def finish_connecting(self, error: LinkError | None = None) -> None:
+        """Ends the wait for the connection.
+
+        Args:
+            error: Why the attempt failed; None if it succeeded.
+        """
+        self._error = error
+        self._connected.set()
+
+    async def wait_connected(self) -> None:
+        """Waits for the end of the connection attempt.
 
-    @contextlib.contextmanager
-    def use(self) -> Iterator[None]:
+        Raises:
+            LinkError: The attempt failed.
+        """
+        await self._connected.wait()
+        if self._error:
+            raise LinkError(str(self._error)) from self._error
+
+    @contextlib.asynccontextmanager
+    async def use(self) -> AsyncIterator[None]:
         """Counts a call while it is pending."""
         self.underway += 1
         try:
@@ -144,6 +183,15 @@
         finally:
             self.underway -= 1
             self.used_at = steadyclock.read()
+            if self._is_replaced and not self.underway:
+                with anyio.CancelScope(shield=True):
+                    await self.channel.close()
+
+    async def replace(self) -> None:
+        """Closes the channel once its pending calls have ended."""
+        self._is_replaced = True
+        if not self.underway:
+            await self.channel.close()
 
 
 class PeerClient:
@@ -168,6 +216,8 @@
         self._tls = tls
         self._allowed_peers = allowed_peers or peer_filter.AllowAllPeers()
         self._channels: dict[str, _SharedChannel] = {}
+        self._connecting: set[asyncio.Task[None]] = set()
+        self._connect_timeouts: dict[str, connect_timeout.ConnectTimeout] = {}
         self._handlers: dict[str, Handler] = {}
         self.asked_bytes = 0
 
@@ -182,12 +232,18 @@
             LinkError: There was no valid response in time.
         """
         _check_allowed(address, self._allowed_peers)
-        shared = self._get_channel(address)
-        data = codec.encode(self._clock.tick(), request)
+        until = steadyclock.read() + timeout_s
+        shared = await self._get_channel(address)
         try:
-            with shared.use():
+            async with shared.use():
+                with anyio.move_on_after(timeout_s) as scope:
+                    await shared.wait_connected()
+                if scope.cancelled_caught:
+                    raise LinkError(f"{address}: not connected in time")
+                data = codec.encode(self._clock.tick(), request)
+                left_s = max(0.0, until - steadyclock.read())
                 async with _translate_cancellation(address):
-                    response = await shared.ask(data, timeout=timeout_s)
+                    response = await shared.ask(data, timeout=left_s)
             self.asked_bytes += len(data) + len(response)
             frame = codec.decode(response)
             body = frame.body
@@ -212,6 +268,7 @@
         # A separate channel, as closing one ends all calls on it.
         channel = self._open_channel(address)
         try:
+            await self._connect(address, channel)
             call: Any = channel.stream_stream(f"/{SERVICE}/Attach")(
                 wait_for_ready=False
             )
@@ -222,6 +279,9 @@
 
     async def close(self) -> None:
         """Closes all channels."""
+        for task in self._connecting:
+            task.cancel()
+        await asyncio.gather(*self._connecting, return_exceptions=True)
         for shared in self._channels.values():
             await shared.channel.close()
         self._channels.clear()
@@ -246,14 +306,78 @@
         if shared := self._channels.pop(address, None):
             await shared.channel.close()
 
-    def _get_channel(self, address: str) -> _SharedChannel:
+    async def _get_channel(self, address: str) -> _SharedChannel:
+        if shared := self._channels.get(address):
+            if shared.is_usable:
+                return shared
+            del self._channels[address]
+            await shared.replace()
+        # Another call may have opened one in the meantime.
         if address not in self._channels:
-            channel = self._open_channel(address)
-            self._channels[address] = _SharedChannel(
-                channel, channel.unary_unary(f"/{SERVICE}/Ask")
-            )
+            self._channels[address] = self._open_shared_channel(address)
         return self._channels[address]
 
+    def _open_shared_channel(self, address: str) -> _SharedChannel:
+        shared = _SharedChannel(self._open_channel(address))
+
+        async def connect() -> None:
+            try:
+                await self._connect(address, shared.channel)
+            except LinkError as error:
+                # The channel itself would try again without end.
+                if self._channels.get(address) is shared:
+                    del self._channels[address]
+                shared.finish_connecting(error)
+                await shared.replace()
+            except asyncio.CancelledError:
+                shared.finish_connecting(LinkError(f"{address}: closed"))
+                raise
+            else:
+                shared.finish_connecting()
+
+        # Not cancelled with the call that began it: other calls wait for the
+        # connection too, and a late success tells the time that it takes.
+        task = asyncio.create_task(connect())
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+        return shared
+
+    async def _connect(self, address: str, channel: grpc.aio.Channel) -> None:
+        """Waits until a new channel is connected.
+
+        Raises:
+            LinkError: The attempt failed or timed out.
+        """
+        timeout = self._get_connect_timeout(address)
+        began = steadyclock.read()
+        timeout_s = timeout.get_timeout_s(began)
+        try:
+            async with _translate_cancellation(address):
+                state = await _wait_connected(channel, timeout_s)
+        except CONNECTION_ERRORS as error:
+            raise LinkError(f"{address}: {_describe(error)}") from error
+        now = steadyclock.read()
+        if state is grpc.ChannelConnectivity.READY:
+            timeout.record_success(now - began)
+        elif state in PENDING_STATES:
+            timeout.record_timeout(timeout_s, now)
+            raise LinkError(
+                f"{address}: no connection within {timeout_s:.2f} s"
+            )
+        else:
+            raise LinkError(f"{address}: cannot connect")
+
+    def _get_connect_timeout(
+        self, address: str
+    ) -> connect_timeout.ConnectTimeout:
+        # Moved to the end, so that the oldest is dropped first.
+        timeout = self._connect_timeouts.pop(address, None)
+        timeout = timeout or connect_timeout.ConnectTimeout()
+        self._connect_timeouts[address] = timeout
+        if len(self._connect_timeouts) > MAX_KNOWN_ADDRESSES:
+            del self._connect_timeouts[next(iter(self._connect_timeouts))]
+        return timeout
+
     def _open_channel(self, address: str) -> grpc.aio.Channel:
         if not self._tls:
             return grpc.aio.insecure_channel(address, options=OPTIONS)
@@ -265,6 +389,36 @@
         )
 
 
+async def _wait_connected(
+    channel: grpc.aio.Channel, timeout_s: float
+) -> grpc.ChannelConnectivity:
+    """Returns the state at the end of a new channel's first attempt.
+
+    It is a pending state if the attempt timed out; the channel is then closed.
+    """
+    until = steadyclock.read() + timeout_s
+    state = channel.get_state(try_to_connect=True)
+    while state in PENDING_STATES:
+        change = asyncio.ensure_future(channel.wait_for_state_change(state))
+        latest = state
+        try:
+            left_s = max(0.0, until - steadyclock.read())
+            await asyncio.wait([change], timeout=left_s)
+            # Read once more, as this process may have been late itself.
+            latest = channel.get_state(try_to_connect=True)
+        finally:
+            # grpc frees a cancelled wait although its core still refers to it;
+            # closing the channel ends the wait instead.
+            with anyio.CancelScope(shield=True):
+                if latest is state:
+                    await channel.close()
+                await asyncio.gather(change, return_exceptions=True)
+        if latest is state:
+            break
+        state = latest
+    return state
+
+
 class Link(abc.ABC):
     """The attaching side of a message stream."""
 
--- /dev/null
+++ b/test/test_link_distance.py
@@ -0,0 +1,183 @@
+"""Links between regions open and stay open.
+
+A fixed timeout of 100 ms for a connection attempt was shorter than the
+handshakes over 30 ms each way: no link between regions ever opened.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Iterator
+
+import anyio
+import pytest
+
+from bench import ports
+from ramptray import steadyclock
+from ramptray.core import connect_timeout
+from ramptray.peer import attachment
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+from test.delay_proxy import DelayProxy
+from test.test_attachment import HELLO, make_clock, wait_up
+
+pytestmark = pytest.mark.anyio
+REQUEST = peer_message.AskStatus()
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@pytest.fixture
+def peer() -> Iterator[str]:
+    """The address of a peer in another process."""
+    address = f"127.0.0.1:{ports.reserve_port()}"
+    with subprocess.Popen(
+        [sys.executable, "-m", "test.distant_peer", address],
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        assert process.stdout
+        assert process.stdout.readline() == "ready\n"
+        yield address
+        process.kill()
+
+
+@contextlib.asynccontextmanager
+async def make_client() -> AsyncIterator[peer_link.PeerClient]:
+    client = peer_link.PeerClient(make_clock(), None)
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
+@pytest.mark.parametrize("one_way_s", [0.001, 0.03, 0.15])
+async def test_a_link_over_a_distance_opens_and_stays_open(
+    peer: str, one_way_s: float
+) -> None:
+    send, events = anyio.create_memory_object_stream[attachment.Event](1000)
+    proxy = DelayProxy(peer, one_way_s)
+    async with proxy.run(), make_client() as client:
+        link = attachment.Attachment(
+            proxy.address, HELLO, client, send.send_nowait
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            with anyio.fail_after(6.0):
+                await wait_up(events)
+            # Longer than the keepalive interval and its timeout.
+            with anyio.move_on_after(3.0):
+                async for event in events:
+                    assert not isinstance(event, attachment.LinkClosed)
+            tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("one_way_s", [0.03, 0.15])
+async def test_a_unary_call_over_a_distance_succeeds(
+    peer: str, one_way_s: float
+) -> None:
+    proxy = DelayProxy(peer, one_way_s)
+    async with proxy.run(), make_client() as client:
+        with anyio.fail_after(6.0):
+            while True:
+                with contextlib.suppress(peer_link.LinkError):
+                    await client.ask(proxy.address, REQUEST, 1.5)
+                    break
+                await anyio.sleep(0.1)
+        assert client.channel_count == 1
+
+
+async def test_a_silent_address_gets_few_attempts(peer: str) -> None:
+    # Attempts at a fixed interval cost processor time as long as a VM is gone.
+    send, _ = anyio.create_memory_object_stream[attachment.Event](1000)
+    proxy = DelayProxy(peer, 0.0)
+    proxy.is_silent = True
+    async with proxy.run(), make_client() as client:
+        link = attachment.Attachment(
+            proxy.address, HELLO, client, send.send_nowait
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            with anyio.move_on_after(5.0):
+                while True:
+                    with contextlib.suppress(peer_link.LinkError):
+                        await client.ask(proxy.address, REQUEST, 1.0)
+                    await anyio.sleep(0.1)
+            tasks.cancel_scope.cancel()
+    # Before: 16 by the link and 10 by the channel of the calls.
+    assert proxy.connections <= 12
+
+
+async def test_a_silent_peer_does_not_block_a_call_to_another(
+    peer: str,
+) -> None:
+    proxy = DelayProxy(peer, 0.0)
+    proxy.is_silent = True
+
+    async def ask_silent() -> None:
+        with contextlib.suppress(peer_link.LinkError):
+            await client.ask(proxy.address, REQUEST, 3.0)
+
+    async with (
+        proxy.run(),
+        make_client() as client,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(ask_silent)
+        await client.ask(peer, REQUEST, 5.0)
+        began = steadyclock.read()
+        for _ in range(10):
+            await client.ask(peer, REQUEST, 1.0)
+        assert steadyclock.read() - began < 1.0
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_link_opens_soon_after_a_partition(peer: str) -> None:
+    # The attempt that is pending at the end of the partition is lost with it.
+    send, events = anyio.create_memory_object_stream[attachment.Event](1000)
+    proxy = DelayProxy(peer, 0.001)
+    async with proxy.run(), make_client() as client:
+        link = attachment.Attachment(
+            proxy.address, HELLO, client, send.send_nowait
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            await wait_up(events)
+            await proxy.partition()
+            await anyio.sleep(6.0)
+            proxy.is_silent = False
+            with anyio.fail_after(2.5):
+                await wait_up(events)
+            tasks.cancel_scope.cancel()
+
+
+def test_timeouts_of_an_unknown_address_double_up_to_a_limit() -> None:
+    timeout = connect_timeout.ConnectTimeout()
+    lengths_s = []
+    for now in range(6):
+        lengths_s.append(timeout.get_timeout_s(now))
+        timeout.record_timeout(lengths_s[-1], now)
+    assert lengths_s == [0.2, 0.4, 0.8, 1.6, 3.0, 3.0]
+
+
+def test_a_known_address_is_tried_often_during_a_short_outage() -> None:
+    timeout = connect_timeout.ConnectTimeout()
+    timeout.record_success(0.002)
+    timeout.record_timeout(0.1, 100.0)
+    assert timeout.get_timeout_s(101.6) == connect_timeout.MIN_TIMEOUT_S
+    assert timeout.get_timeout_s(110.0) <= 1.0
+    assert timeout.get_timeout_s(1000.0) == connect_timeout.MAX_OUTAGE_TIMEOUT_S
+    timeout.record_success(0.002)
+    assert timeout.get_timeout_s(1001.0) == connect_timeout.MIN_TIMEOUT_S
+
+
+def test_a_timeout_is_at_least_four_times_the_measured_time() -> None:
+    timeout = connect_timeout.ConnectTimeout()
+    timeout.record_success(0.6)
+    timeout.record_success(0.12)
+    assert timeout.get_timeout_s(0.0) >= 4 * 0.12
