Learn reply and probe timeouts from measured round trips

Over 30 ms each way an owner had 0.12 s for its first reply and a suspected member 0.25 s for a probe, both independent of the distance. A reply that came after the request had gone to another owner was not measured, so an owner that was too slow once stayed so.

- RttEstimator counts its first sample in full (RFC 6298).
- The greeting of a link gives the first sample of an owner's reply time, and a late reply is measured from when the request was sent to that owner.
A message dropped with its link is not measured.
- A request is left to its owner after its waiting time for the owner's usual reply time longer.
- Probe timeouts follow the peer's own round trips besides those of all peers.
A probe outlasts connection attempts that are short guesses, and a contact is not dropped for them.
- Seeds and contacts are probed without waiting for them, each once at a time: a silent or distant seed delayed the probes of members.

--- a/ramptray/core/connect_timeout.py
+++ b/ramptray/core/connect_timeout.py
@@ -23,6 +23,10 @@
 MEASURED_FACTOR = 4.0
 """Multiple of the measured time that an attempt may take."""
 
+MAX_GUESS_S = 0.5
+"""Up to this timeout, in seconds, a first attempt that timed out says nothing
+about the peer: the handshakes over 150 ms each way take 0.6 s."""
+
 OUTAGE_FRACTION = 1 / 16
 """Timeout at a known address as a fraction of the time since it was silent.
 After a partition of 10 s, the peer is thus reached within about a second."""
@@ -63,6 +67,16 @@
         if self._silent_since is None:
             self._silent_since = now
 
+    def is_guess(self, now: float) -> bool:
+        """Returns whether an attempt that begins now may be too short.
+
+        Args:
+            now: The current time, in seconds.
+        """
+        return (
+            self._measured_s is None and self.get_timeout_s(now) < MAX_GUESS_S
+        )
+
     def get_timeout_s(self, now: float) -> float:
         """Returns the timeout of an attempt that begins now, in seconds.
 
--- a/ramptray/core/rtt.py
+++ b/ramptray/core/rtt.py
@@ -30,19 +30,32 @@
     def __init__(self, least_s: float, most_s: float) -> None:
         self._least_s = least_s
         self._most_s = most_s
-        self._mean_s = 0.0
+        self._mean_s: float | None = None
         self._deviation_s = 0.0
 
     def observe(self, rtt_s: float) -> None:
-        """Adds a round-trip time, in seconds."""
+        """Adds a round-trip time, in seconds.
+
+        The first one counts in full, with half of it as its deviation (RFC
+        6298); else a distant peer would time out until the mean has grown.
+        """
+        if self._mean_s is None:
+            self._mean_s = rtt_s
+            self._deviation_s = rtt_s / 2
+            return
         error_s = rtt_s - self._mean_s
         self._mean_s += MEAN_WEIGHT * error_s
         self._deviation_s += DEVIATION_WEIGHT * (
             abs(error_s) - self._deviation_s
         )
 
+    @property
+    def mean_s(self) -> float:
+        """Smoothed round-trip time in seconds; 0 before the first one."""
+        return self._mean_s or 0.0
+
     @property
     def timeout_s(self) -> float:
         """Seconds after which a reply counts as lost."""
-        timeout_s = self._mean_s + DEVIATIONS * self._deviation_s
+        timeout_s = self.mean_s + DEVIATIONS * self._deviation_s
         return min(self._most_s, max(self._least_s, timeout_s))
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -174,7 +174,8 @@
         match event:
             case tickets.Submitted(ticket):
                 self._start_request(ticket, now)
-            case attachment.LinkOpened(address):
+            case attachment.LinkOpened(address, rtt_s):
+                self._owners.record_link_rtt(address, rtt_s)
                 self._resync(address, now)
             case attachment.LinkClosed(address):
                 self._handle_link_closed(address, now)
@@ -358,8 +359,7 @@
             match effect:
                 case request.SendToOwner(owner, sent):
                     if isinstance(sent, message.Enqueue):
-                        ticket.enqueued_at = now
-                        ticket.awaiting_reply = True
+                        ticket.record_sent(owner, now)
                     self._send(owner, sent)
                 case request.Dispatch(grant):
                     ticket.dispatched_at = now
@@ -416,6 +416,7 @@
             case message.StillWaiting():
                 pass  # A keep-alive message of the owner.
             case message.Redirect(request_id):
+                self._record_reply(address, request_id, now)
                 self._handle_redirect(address, body, now)
             case peer_message.AskTimeline(after, subject, number):
                 events = self.timeline.list_events(after, subject)
@@ -432,12 +433,10 @@
 
     def _record_reply(self, address: str, request_id: str, now: float) -> None:
         """Records the response time of a scheduler's first reply."""
-        ticket = self._tickets.get(request_id)
-        if ticket is None or not ticket.awaiting_reply:
-            return
-        if ticket.machine.owner == address:
-            ticket.awaiting_reply = False
-            self._owners.record_reply(address, now - ticket.enqueued_at)
+        if ticket := self._tickets.get(request_id):
+            delay_s = ticket.take_reply_delay_s(address, now)
+            if delay_s is not None:
+                self._owners.record_reply(address, delay_s)
 
     def _handle_grant(
         self, grant: message.Grant, request_id: str, now: float
@@ -534,6 +533,8 @@
         self._block_propagator.send_all(address, now)
         self.server_hints.send_all(address, now)
         for ticket in self._tickets.values():
+            # Sent while the link was closed, so dropped.
+            ticket.forget_sent(address)
             if ticket.machine.owner == address:
                 self._resend(ticket, now)
             if ticket.machine.claim is request.Claim.PENDING:
@@ -552,6 +553,8 @@
 
     def _handle_link_closed(self, address: str, now: float) -> None:
         self._owners.mark_down(address)
+        for ticket in self._tickets.values():
+            ticket.forget_sent(address)
         self._reassign_all(now)
 
     def _reassign_all(self, now: float) -> None:
@@ -597,7 +600,8 @@
         if not self._lag.observe(now):
             self._back_off_silent_owners(now)
         for ticket in list(self._tickets.values()):
-            reason = timeouts.find_timeout_reason(ticket, now)
+            owner_rtt_s = self._owners.get_rtt_s(ticket.machine.owner)
+            reason = timeouts.find_timeout_reason(ticket, now, owner_rtt_s)
             if reason is not None:
                 effects = ticket.machine.reject(reason, RETRY_AFTER_S)
                 self._apply_effects(ticket, effects, now)
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -21,8 +21,9 @@
 
 MIN_REPLY_TIMEOUT_S = 0.12
 """Lower bound of the timeout for a scheduler's first reply on a request, in
-seconds.  A round trip and the decision take a few milliseconds, a first token a
-few hundred."""
+seconds.  In one region a round trip and the decision take a few milliseconds, a
+first token a few hundred.  It also limits how long a request waits for a link
+that is not open yet; the greeting of an open one gives the first sample."""
 
 MAX_REPLY_TIMEOUT_S = 1.0
 """Upper bound of this timeout, in seconds, for schedulers that reply late.  By
@@ -104,6 +105,19 @@
             )
         self._reply_times[address].observe(delay_s)
 
+    def record_link_rtt(self, address: str, rtt_s: float) -> None:
+        """Records the round trip of a new link's greeting, in seconds.
+
+        Only the first one counts, as replies are later known better.
+        """
+        if address not in self._reply_times:
+            self.record_reply(address, rtt_s)
+
+    def get_rtt_s(self, address: str | None) -> float:
+        """Returns a scheduler's usual reply time in seconds; 0 if unknown."""
+        estimator = self._reply_times.get(address) if address else None
+        return estimator.mean_s if estimator else 0.0
+
     def get_reply_timeout_s(self, address: str) -> float:
         """Returns a scheduler's reply timeout in seconds."""
         estimator = self._reply_times.get(address)
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -165,7 +165,7 @@
         self.deadline = self.started_at + info.deadline_s
         self.no_owner_since: float | None = None
         self.enqueued_at = 0.0
-        self.awaiting_reply = False
+        self._unanswered: dict[str, float] = {}
         self._report = report
         # A dispatch that a backend server refuses is followed by another one
         # here.  An exchange receives only a few effects in all, and sending
@@ -187,6 +187,33 @@
         ):
             self._effects.send_nowait(effect)
 
+    @property
+    def awaiting_reply(self) -> bool:
+        """Whether the owner has not replied to the request yet."""
+        return self.machine.owner in self._unanswered
+
+    def record_sent(self, owner: str, now: float) -> None:
+        """Records that the request was sent to a scheduler.
+
+        A reply to an earlier send of the same request cannot be told apart, so
+        the delay counts from the first one and is never too short.
+        """
+        self.enqueued_at = now
+        self._unanswered.setdefault(owner, now)
+
+    def take_reply_delay_s(self, owner: str, now: float) -> float | None:
+        """Returns the delay of a scheduler's first reply, in seconds.
+
+        It is also known for a scheduler that replies after the request went to
+        another one; None for further replies.
+        """
+        sent_at = self._unanswered.pop(owner, None)
+        return None if sent_at is None else now - sent_at
+
+    def forget_sent(self, owner: str) -> None:
+        """Records that a reply is no longer due, as the link has closed."""
+        self._unanswered.pop(owner, None)
+
     @property
     def tried(self) -> tuple[str, ...]:
         """Backend servers that the request has been sent to."""
--- a/ramptray/entry/timeouts.py
+++ b/ramptray/entry/timeouts.py
@@ -11,7 +11,8 @@
 
 REFUSAL_GRACE_S = 0.12
 """How long after the end of its waiting time a request is still left to its
-owner, in seconds.  The owner should have rejected it by then."""
+owner, in seconds, besides the owner's usual reply time.  The owner should have
+rejected it by then."""
 
 QUEUE_SILENCE_TIMEOUT_S = 0.4
 """How long a scheduler with queued requests may be silent, in seconds.  It
@@ -42,9 +43,15 @@
 
 
 def find_timeout_reason(
-    ticket: tickets.Ticket, now: float
+    ticket: tickets.Ticket, now: float, owner_rtt_s: float = 0.0
 ) -> message.Reason | None:
-    """Returns why a waiting request has timed out; None if it has not."""
+    """Returns why a waiting request has timed out; None if it has not.
+
+    Args:
+        ticket: The request.
+        now: The entry's clock.
+        owner_rtt_s: Usual reply time of the request's owner, in seconds.
+    """
     if ticket.machine.state is not request.State.WAITING:
         return None
     if now >= ticket.deadline:
@@ -57,7 +64,7 @@
     if wait_s is not None:
         # After a failed attempt, the owner needs time to decide on the retry.
         due = max(ticket.started_at + wait_s, ticket.enqueued_at)
-        if now > due + REFUSAL_GRACE_S:
+        if now > due + REFUSAL_GRACE_S + owner_rtt_s:
             # The owner should have rejected it by now.
             return message.Reason.OVERLOADED
     no_owner_since = ticket.no_owner_since
--- a/ramptray/peer/attachment.py
+++ b/ramptray/peer/attachment.py
@@ -11,6 +11,7 @@
 import msgspec
 from anyio.streams import memory
 
+from ramptray import steadyclock
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 
@@ -21,9 +22,15 @@
 
 
 class LinkOpened(msgspec.Struct, frozen=True):
-    """A link to a scheduler is open; only the greeting was sent so far."""
+    """A link to a scheduler is open; only the greeting was sent so far.
+
+    Attributes:
+        address: The scheduler's address.
+        rtt_s: Round trip of the greeting, in seconds.
+    """
 
     address: str
+    rtt_s: float = 0.0
 
 
 class LinkClosed(msgspec.Struct, frozen=True):
@@ -93,14 +100,16 @@
 
     async def _run_link(self) -> None:
         async with self._client.attach(self.address) as link:
+            greeted_at = steadyclock.read()
             await link.send(self._hello)
             # The scheduler responds to the greeting with its view at once.
             first = await link.receive()
+            rtt_s = steadyclock.read() - greeted_at
             send, receive = anyio.create_memory_object_stream[Any](
                 MAX_QUEUED_MESSAGES
             )
             self._queue = send
-            self._report(LinkOpened(self.address))
+            self._report(LinkOpened(self.address, rtt_s))
             self._report(MessageReceived(self.address, first))
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._read, link)
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -84,6 +84,10 @@
     """A peer cannot be reached, or the link to it is broken."""
 
 
+class ConnectGuessError(LinkError):
+    """The first attempts at an unknown address were perhaps too short."""
+
+
 class Session:
     """The serving side's session with one attached peer."""
 
@@ -172,7 +176,7 @@
         """
         await self._connected.wait()
         if self._error:
-            raise LinkError(str(self._error)) from self._error
+            raise type(self._error)(str(self._error)) from self._error
 
     @contextlib.asynccontextmanager
     async def use(self) -> AsyncIterator[None]:
@@ -360,10 +364,10 @@
         if state is grpc.ChannelConnectivity.READY:
             timeout.record_success(now - began)
         elif state in PENDING_STATES:
+            is_guess = timeout.is_guess(began)
             timeout.record_timeout(timeout_s, now)
-            raise LinkError(
-                f"{address}: no connection within {timeout_s:.2f} s"
-            )
+            kind = ConnectGuessError if is_guess else LinkError
+            raise kind(f"{address}: no connection within {timeout_s:.2f} s")
         else:
             raise LinkError(f"{address}: cannot connect")
 
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -24,7 +24,9 @@
 seconds.  Until it has discovered the others it decides by its own view only."""
 
 JOIN_PROBE_INTERVAL_S = 0.1
-"""Time between two probes while a scheduler is joining, in seconds."""
+"""Time between two probes while a scheduler is joining, in seconds.  A seed is
+probed again only after the last probe of it has ended, so that the interval
+grows with the distance."""
 
 QUIET_PROBES_TO_JOIN = 8
 """Consecutive answered probes without a membership change after which a
@@ -32,8 +34,9 @@
 members."""
 
 SUSPECT_PROBE_TIMEOUT_S = 0.25
-"""Probe timeout for a member that may have failed, in seconds.  A round trip
-takes a few milliseconds, on a slow VM about 10 ms."""
+"""Minimum probe timeout for a member that may have failed, in seconds.  In one
+region a round trip takes a few milliseconds, on a slow VM about 10 ms.  Members
+further away get more, from the measured round trips."""
 
 MAX_PROBE_TIMEOUT_S = 1.5
 """Upper limit of the probe timeout, which grows when answers have been late, in
@@ -60,6 +63,10 @@
 they are new do the same, so that nearly all know them within one probe
 interval."""
 
+MAX_MEASURED_PEERS = 512
+"""Number of peers whose round trips are kept: more than a scheduler probes in a
+minute."""
+
 MAX_UNKNOWN_SEEDS = 4
 """Number of seeds outside the membership from which one is picked for a probe.
 They may be schedulers on the other side of a network partition."""
@@ -73,7 +80,7 @@
         answered: Whether it was answered.
     """
 
-    is_known: anyio.Event
+    is_known: anyio.Event = msgspec.field(default_factory=anyio.Event)
     answered: bool = False
 
 
@@ -135,9 +142,10 @@
         self._count_seeds_until = now + membership.DEAD_RETENTION_S
         self._probing_others = False
         self.verdicts = rollouts.VerdictStore()
-        self._rtt = rtt.RttEstimator(
-            SUSPECT_PROBE_TIMEOUT_S, MAX_PROBE_TIMEOUT_S
-        )
+        # Of all peers, as this VM's own lack of CPU time delays all answers.
+        self._rtt = _make_estimator()
+        self._peer_rtts: dict[str, rtt.RttEstimator] = {}
+        self._pending: set[str] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
@@ -180,10 +188,29 @@
     async def _probe_seeds(self) -> None:
         """Probes the seeds that are not members yet."""
         known = {m.address for m in self.membership.list_alive()}
-        async with anyio.create_task_group() as tasks:
-            for address in self._seeds:
-                if address not in known:
-                    tasks.start_soon(self._probe, address)
+        unknown = [s for s in self._seeds if s not in known]
+        await self._probe_non_members(unknown)
+
+    async def _probe_non_members(self, addresses: list[str]) -> None:
+        """Probes schedulers whose silence has no consequence.
+
+        They may be far away or gone, so the caller does not wait for them.
+        """
+        for address in addresses:
+            if address in self._pending:
+                continue
+            self._pending.add(address)
+            if self._tasks is None:
+                await self._probe_non_member(address)
+            else:
+                self._tasks.start_soon(self._probe_non_member, address)
+
+    async def _probe_non_member(self, address: str) -> None:
+        try:
+            await self._ask(address, _ProbeOutcome())
+        finally:
+            self._pending.discard(address)
+        self._publish()
 
     @property
     def asked_bytes(self) -> int:
@@ -300,15 +327,14 @@
     async def _run_period(self) -> None:
         self.membership.tick(steadyclock.read())
         target = self.membership.pick_probe_target()
-        addresses = [target.address] if target else []
+        others = []
         if not target and self._seeds:
-            addresses.append(self._rng.choice(self._seeds))
+            others.append(self._rng.choice(self._seeds))
         if next(self._periods) % OTHER_ZONE_PROBE_PERIODS == 0:
-            addresses.extend(self._pick_other_zone())
-        for address in addresses:
-            answered = await self._probe(address)
-            if target and address == target.address and not answered:
-                await self._suspect(target)
+            others.extend(self._pick_other_zone())
+        await self._probe_non_members(others)
+        if target and not await self._probe(target.address):
+            await self._suspect(target)
         self._publish()
 
     def _pick_other_zone(self) -> list[str]:
@@ -330,29 +356,43 @@
     ) -> bool:
         """Probes a scheduler and returns whether it answers in time.
 
-        Load pattern: VMs short of CPU time answer late.  The timeout adapts to
-        the measured round-trip times; a later answer is still processed.
+        Load pattern: VMs short of CPU time answer late, and VMs of another
+        region always do.  The timeout adapts to the round-trip times of all
+        peers and of this one; a later answer is still processed.
         """
-        outcome = _ProbeOutcome(anyio.Event())
+        outcome = _ProbeOutcome()
         if self._tasks is None:
             await self._ask(address, outcome)
             return outcome.answered
         self._tasks.start_soon(self._ask, address, outcome)
-        with anyio.move_on_after(max(timeout_s, self._rtt.timeout_s)):
+        with anyio.move_on_after(self._get_timeout_s(address, timeout_s)):
             await outcome.is_known.wait()
         return outcome.answered
 
+    def _get_timeout_s(self, address: str, least_s: float) -> float:
+        peer_rtt = self._peer_rtts.get(address)
+        peer_s = peer_rtt.timeout_s if peer_rtt else 0.0
+        return max(least_s, self._rtt.timeout_s, peer_s)
+
+    def _observe_rtt(self, address: str, rtt_s: float) -> None:
+        self._rtt.observe(rtt_s)
+        # Moved to the end, so that the oldest is dropped first.
+        peer_rtt = self._peer_rtts.pop(address, None) or _make_estimator()
+        peer_rtt.observe(rtt_s)
+        self._peer_rtts[address] = peer_rtt
+        if len(self._peer_rtts) > MAX_MEASURED_PEERS:
+            del self._peer_rtts[next(iter(self._peer_rtts))]
+
     async def _ask(self, address: str, outcome: _ProbeOutcome) -> None:
-        began = steadyclock.read()
         try:
-            answer = await self._client.ask(
-                address, self._make_probe(), MAX_PROBE_TIMEOUT_S
+            answer = await self._ask_until(
+                address, steadyclock.read() + MAX_PROBE_TIMEOUT_S
             )
-        except peer_link.LinkError:
-            self._contacts.remove_address(address)
+        except peer_link.LinkError as error:
+            if not isinstance(error, peer_link.ConnectGuessError):
+                self._contacts.remove_address(address)
             outcome.is_known.set()
             return
-        self._rtt.observe(steadyclock.read() - began)
         self._apply_answer(answer)
         outcome.answered = True
         outcome.is_known.set()
@@ -360,6 +400,27 @@
         if sender.generation > self.membership.me.generation:
             await self._on_newer(sender.address, sender.generation)
 
+    async def _ask_until(
+        self, address: str, until: float
+    ) -> peer_message.Gossip:
+        """Probes again while the first connection attempts were too short.
+
+        Raises:
+            LinkError: The peer did not answer in time.
+        """
+        while True:
+            began = steadyclock.read()
+            try:
+                answer: peer_message.Gossip = await self._client.ask(
+                    address, self._make_probe(), until - began
+                )
+            except peer_link.ConnectGuessError:
+                if steadyclock.read() >= until:
+                    raise
+            else:
+                self._observe_rtt(address, steadyclock.read() - began)
+                return answer
+
     def _apply_answer(self, answer: peer_message.Gossip) -> None:
         known = self.membership.version
         now = steadyclock.read()
@@ -429,3 +490,7 @@
         self._on_view(peer_message.View(alive, others))
         if self._bundle_source:
             self._bundle_source.update_members(self._me, alive)
+
+
+def _make_estimator() -> rtt.RttEstimator:
+    return rtt.RttEstimator(SUSPECT_PROBE_TIMEOUT_S, MAX_PROBE_TIMEOUT_S)
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -312,3 +312,101 @@
     other = membership.Member("b", "y", "b:1", 1)
     gossiper.receive(peer_message.Gossip(other, [], [], []))
     assert gossiper._make_message().summaries == [own]
+
+
+class DistantPeers(Peers):
+    """Peers whose answers arrive after a delay.
+
+    Attributes:
+        guesses: Number of connection attempts that are too short.
+    """
+
+    def __init__(self, delay_s: float, guesses: int = 0) -> None:
+        super().__init__(set())
+        self._delay_s = delay_s
+        self.guesses = guesses
+
+    async def ask(self, address: str, question: Any, timeout_s: float) -> Any:
+        """See the base class."""
+        if self.guesses:
+            self.guesses -= 1
+            await anyio.sleep(0.2)
+            raise link.ConnectGuessError(address)
+        with anyio.move_on_after(timeout_s):
+            await anyio.sleep(self._delay_s)
+            return await super().ask(address, question, timeout_s)
+        raise link.LinkError(address)
+
+
+def probe_distant(client: DistantPeers, count: int) -> list[bool]:
+    """Returns which of several probes of a member were answered in time."""
+    gossiper = make_gossiper([], client=client)
+    outcomes: list[bool] = []
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            gossiper._tasks = tasks
+            for _ in range(count):
+                outcomes.append(
+                    await gossiper._probe("b:1", gossip.SUSPECT_PROBE_TIMEOUT_S)
+                )
+                await anyio.sleep(1.0)
+            tasks.cancel_scope.cancel()
+
+    virtualtime.run(run)
+    return outcomes
+
+
+@pytest.fixture
+def virtual_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(steadyclock, "read", virtualtime.read)
+
+
+@pytest.mark.usefixtures("virtual_clock")
+def test_a_late_probe_answer_extends_the_next_timeout() -> None:
+    # A member 150 ms away was suspected again and again.
+    assert probe_distant(DistantPeers(0.3), 3) == [False, True, True]
+
+
+@pytest.mark.usefixtures("virtual_clock")
+def test_a_distant_peer_does_not_delay_the_detection_of_a_near_one() -> None:
+    client = DistantPeers(0.3)
+    gossiper = make_gossiper([], client=client)
+    for _ in range(50):
+        gossiper._observe_rtt("near:1", 0.002)
+    gossiper._observe_rtt("far:1", 0.3)
+    least_s = gossip.SUSPECT_PROBE_TIMEOUT_S
+    assert gossiper._get_timeout_s("far:1", least_s) >= 0.6
+    assert gossiper._get_timeout_s("near:1", least_s) < 0.4
+
+
+@pytest.mark.usefixtures("virtual_clock")
+def test_a_probe_outlasts_connection_attempts_that_are_too_short() -> None:
+    # The contact in another region was removed after the first one.
+    client = DistantPeers(0.1, guesses=2)
+    gossiper = make_gossiper([], client=client)
+    gossiper.receive(
+        peer_message.Gossip(membership.Member("b", "y", "b:1", 1), [], [], [])
+    )
+    virtualtime.run(lambda: gossiper._ask("b:1", gossip._ProbeOutcome()))
+    assert client.probed == ["b:1"]
+    assert [m.vm for m in gossiper._contacts.list_all()] == ["b"]
+
+
+@pytest.mark.usefixtures("virtual_clock")
+def test_a_silent_seed_does_not_delay_the_probes_of_others() -> None:
+    client = DistantPeers(1.4)
+    gossiper = make_gossiper(["b:1", "c:1"], client=client)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            gossiper._tasks = tasks
+            for _ in range(5):
+                await gossiper._run_period()
+                await gossiper._probe_seeds()
+            assert virtualtime.read() < 0.1
+            await anyio.sleep(1.41)
+            assert sorted(client.probed) == ["b:1", "c:1"]
+            tasks.cancel_scope.cancel()
+
+    virtualtime.run(run)
--- a/test/test_owners.py
+++ b/test/test_owners.py
@@ -5,8 +5,10 @@
 import pytest
 
 from ramptray.core import membership, message
-from ramptray.entry import owners
+from ramptray.entry import dispatcher, owners, timeouts
+from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
+from test.test_dispatcher import RecordingDispatcher
 
 SHARD = message.ShardKey("z", "lm", 0)
 MEMBER_COUNT = 195
@@ -98,3 +100,99 @@
     for delay_s in (0.1, 3.0, 0.2, 5.0) * 10:
         selector.record_reply("m7:1", delay_s)
     assert selector.get_reply_timeout_s("m7:1") == owners.MAX_REPLY_TIMEOUT_S
+
+
+def test_the_first_reply_time_counts_in_full() -> None:
+    # An owner 30 ms away on a busy VM was given up for its first replies.
+    selector = make_selector()
+    selector.record_reply("m7:1", 0.15)
+    assert selector.get_reply_timeout_s("m7:1") == pytest.approx(0.45)
+
+
+# A request's messages to an owner at a distance.
+
+OURS, OTHER, FAR = "127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"
+
+
+def make_dispatcher(rtt_s: float) -> RecordingDispatcher:
+    """Returns a dispatcher whose only request is at FAR since 1.0 s."""
+    created = RecordingDispatcher()
+    members = [membership.Member("m0", "waw-a", OURS, 1)]
+    others = [membership.Member("m1", "waw-b", FAR, 1)]
+    view = peer_message.View(members, others)
+    created.receive(attachment.MessageReceived(OURS, view))
+    created.receive(attachment.LinkOpened(FAR, rtt_s))
+    created.submit_new(
+        message.RequestInfo(
+            "r1",
+            message.ShardKey("waw-b", "s"),
+            "c",
+            "t",
+            1,
+            1,
+            (),
+            60.0,
+            wait_s=2.0,
+        )
+    )
+    assert created.get_enqueued() == [(FAR, "waw-b")]
+    return created
+
+
+def tick_until(recorder: RecordingDispatcher, until: float) -> None:
+    """Runs the dispatcher's ticks from 1.0 s on."""
+    now = 1.0
+    while now < until:
+        now += dispatcher.TICK_INTERVAL_S
+        recorder.tick(now)
+
+
+def test_the_greeting_of_a_link_gives_the_first_round_trip() -> None:
+    recorder = make_dispatcher(0.3)
+    tick_until(recorder, 1.3)
+    assert recorder.get_enqueued() == [(FAR, "waw-b")]
+
+
+def test_later_greetings_do_not_count() -> None:
+    selector = make_selector()
+    selector.record_link_rtt("m7:1", 0.005)
+    selector.record_link_rtt("m7:1", 0.9)
+    assert selector.get_reply_timeout_s("m7:1") == owners.MIN_REPLY_TIMEOUT_S
+
+
+def test_a_reply_after_the_request_went_elsewhere_is_measured() -> None:
+    # The estimator learned nothing from an owner that was given up each time.
+    recorder = make_dispatcher(0.001)
+    tick_until(recorder, 1.3)
+    assert recorder.get_enqueued() == [(FAR, "waw-b"), (OURS, "waw-b")]
+    late = attachment.MessageReceived(FAR, message.Queued("r1"))
+    recorder.receive(late, now=1.4)
+    assert recorder._owners.get_reply_timeout_s(FAR) > 0.4
+    timeout_s = recorder._owners.get_reply_timeout_s(FAR)
+    recorder.receive(late, now=1.9)
+    assert recorder._owners.get_reply_timeout_s(FAR) == timeout_s
+
+
+def test_a_message_that_was_dropped_with_its_link_is_not_measured() -> None:
+    recorder = make_dispatcher(0.001)
+    recorder.receive(attachment.LinkClosed(FAR), now=1.1)
+    recorder.receive(attachment.LinkOpened(FAR), now=9.0)
+    queued = attachment.MessageReceived(FAR, message.Queued("r1"))
+    recorder.receive(queued, now=9.01)
+    assert (
+        recorder._owners.get_reply_timeout_s(FAR) == owners.MIN_REPLY_TIMEOUT_S
+    )
+
+
+def test_a_request_waits_for_the_rejection_by_a_distant_owner() -> None:
+    recorder = make_dispatcher(0.3)
+    queued = attachment.MessageReceived(FAR, message.Queued("r1"))
+    recorder.receive(queued, now=1.3)
+    (ticket,) = recorder._tickets.values()
+    due = ticket.started_at + 2.0 + timeouts.REFUSAL_GRACE_S
+    rtt_s = recorder._owners.get_rtt_s(FAR)
+    assert timeouts.find_timeout_reason(ticket, due + 0.2, rtt_s) is None
+    assert (
+        timeouts.find_timeout_reason(ticket, due + 0.4, rtt_s)
+        is message.Reason.OVERLOADED
+    )
