Report links that do not open

The error was logged at debug level only: two regions that could not reach each other looked like two healthy deployments.

The first attempts at an unknown address, which may be too short, are not reported.

--- a/ramptray/command/status.py
+++ b/ramptray/command/status.py
@@ -73,6 +73,32 @@
             )
 
     yield from _iterate_rollouts(reports)
+    yield from _iterate_links_down(reports)
+
+
+def _iterate_links_down(reports: dict[str, dict[str, Any]]) -> Iterator[str]:
+    """Yields a table of the links that do not open, if there are any."""
+    names = {
+        peer["address"]: peer["vm"]
+        for report in reports.values()
+        for peer in (*report["members"], *report.get("others", []))
+    }
+    lines = [
+        f"{vm:<20}{report['zone']:<18}"
+        f"{names.get(down['address'], down['address']):<24}{down['kind']:<7}"
+        f"{_format_age(down['down_s']):>8}{down['failures']:>10}"
+        f"  {down['error']}"
+        for vm, report in reports.items()
+        for down in report.get("links_down", [])
+    ]
+    if not lines:
+        return
+    yield ""
+    yield (
+        f"{'link down from VM':<20}{'zone':<18}{'to':<24}{'kind':<7}"
+        f"{'for':>8}{'failures':>10}  error"
+    )
+    yield from lines
 
 
 def _iterate_rollouts(reports: dict[str, dict[str, Any]]) -> Iterator[str]:
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -263,12 +263,18 @@
         now = steadyclock.read()
         blocked = self._blocks.count_in_force(now)
         hints = self._dispatcher.server_hints
+        failures = self._runtime.client.failures
         gauges = [
             *self._follower.list_gauges(now),
             metrics.Gauge("blocked_contents", {}, blocked),
             metrics.Gauge("limited_servers", {}, hints.count_limited()),
             metrics.Gauge("leaving_servers", {}, hints.count_leaving()),
             metrics.Gauge("paused_servers", {}, hints.count_paused(now)),
+            metrics.Gauge("links_down", {}, len(failures.list_down(now))),
+            *(
+                metrics.Gauge("link_failures", {"kind": kind.value}, count)
+                for kind, count in failures.counts.items()
+            ),
             *(
                 metrics.Gauge("invalid_server_hints", {"header": name}, count)
                 for name, count in self._dialect.invalid.items()
--- a/ramptray/peer/attachment.py
+++ b/ramptray/peer/attachment.py
@@ -13,6 +13,7 @@
 
 from ramptray import steadyclock
 from ramptray.peer import link as peer_link
+from ramptray.peer import link_failures
 from ramptray.peer import message as peer_message
 
 LOG = logging.getLogger(__name__)
@@ -93,11 +94,19 @@
                 try:
                     await self._run_link()
                 except* peer_link.LinkError as group:
-                    LOG.debug("link down: %s", group.exceptions[0])
+                    self._record_error(group.exceptions[0])
                 self._queue = None
                 self._report(LinkClosed(self.address))
                 await anyio.sleep(RECONNECT_DELAY_S)
 
+    def _record_error(self, error: Exception) -> None:
+        LOG.debug("link down: %s", error)
+        has_opened = self._queue is not None
+        if not has_opened and isinstance(error, peer_link.LinkError):
+            self._client.record_failure(
+                self.address, link_failures.Kind.LINK, error
+            )
+
     async def _run_link(self) -> None:
         async with self._client.attach(self.address) as link:
             greeted_at = steadyclock.read()
@@ -109,6 +118,9 @@
                 MAX_QUEUED_MESSAGES
             )
             self._queue = send
+            self._client.failures.record_open(
+                self.address, link_failures.Kind.LINK
+            )
             self._report(LinkOpened(self.address, rtt_s))
             self._report(MessageReceived(self.address, first))
             async with anyio.create_task_group() as tasks:
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -23,7 +23,7 @@
 
 from ramptray import settings, steadyclock
 from ramptray.core import clock, connect_timeout
-from ramptray.peer import codec, credentials, peer_filter
+from ramptray.peer import codec, credentials, link_failures, peer_filter
 
 LOG = logging.getLogger(__name__)
 
@@ -208,6 +208,7 @@
 
     Attributes:
         asked_bytes: Bytes sent and received by unary calls.
+        failures: Links and channels that do not open.
     """
 
     def __init__(
@@ -224,6 +225,7 @@
         self._connect_timeouts: dict[str, connect_timeout.ConnectTimeout] = {}
         self._handlers: dict[str, Handler] = {}
         self.asked_bytes = 0
+        self.failures = link_failures.LinkFailures()
 
     def serve_locally(self, address: str, handler: Handler) -> None:
         """Makes links to this process's address call its handler directly."""
@@ -281,6 +283,18 @@
             with anyio.CancelScope(shield=True):
                 await channel.close()
 
+    def record_failure(
+        self, address: str, kind: link_failures.Kind, error: LinkError
+    ) -> None:
+        """Records that a link has failed to open.
+
+        The first attempts at an unknown address may be too short, so they do
+        not count.
+        """
+        if not isinstance(error, ConnectGuessError):
+            now = steadyclock.read()
+            self.failures.record_failure(address, kind, str(error), now)
+
     async def close(self) -> None:
         """Closes all channels."""
         for task in self._connecting:
@@ -332,12 +346,14 @@
                 if self._channels.get(address) is shared:
                     del self._channels[address]
                 shared.finish_connecting(error)
+                self.record_failure(address, link_failures.Kind.CALLS, error)
                 await shared.replace()
             except asyncio.CancelledError:
                 shared.finish_connecting(LinkError(f"{address}: closed"))
                 raise
             else:
                 shared.finish_connecting()
+                self.failures.record_open(address, link_failures.Kind.CALLS)
 
         # Not cancelled with the call that began it: other calls wait for the
         # connection too, and a late success tells the time that it takes.
@@ -369,7 +385,9 @@
             kind = ConnectGuessError if is_guess else LinkError
             raise kind(f"{address}: no connection within {timeout_s:.2f} s")
         else:
-            raise LinkError(f"{address}: cannot connect")
+            raise LinkError(
+                f"{address}: the connection was refused or not accepted"
+            )
 
     def _get_connect_timeout(
         self, address: str
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -14,6 +14,7 @@
 from ramptray import steadyclock
 from ramptray.core import membership, rtt
 from ramptray.peer import link as peer_link
+from ramptray.peer import link_failures
 from ramptray.peer import message as peer_message
 from ramptray.scheduler import contact, rollouts, source, summaries
 
@@ -217,6 +218,10 @@
         """Bytes of requests and answers exchanged with other schedulers."""
         return self._client.asked_bytes
 
+    def list_links_down(self) -> list[link_failures.DownLink]:
+        """Returns the links of this process that do not open."""
+        return self._client.failures.list_down(steadyclock.read())
+
     def add_seeds(self, addresses: list[str]) -> None:
         """Adds schedulers from the platform's list of VMs."""
         known = {*self._seeds, self._me.address}
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -16,6 +16,7 @@
 ) -> dict[str, Any]:
     """Returns the state of this scheduler as JSON values."""
     me = gossiper.membership.me
+    now = steadyclock.read()
     return {
         "vm": me.vm,
         "zone": me.zone,
@@ -25,7 +26,7 @@
         if bundle_source.in_force
         else None,
         "log_up": bundle_source.log_up,
-        "log_age_s": bundle_source.get_log_age(steadyclock.read()),
+        "log_age_s": bundle_source.get_log_age(now),
         "asked_bytes": gossiper.asked_bytes,
         "members": [
             {
@@ -49,6 +50,16 @@
             }
             for attached in owner.list_attached()
         ],
+        "links_down": [
+            {
+                "address": down.address,
+                "kind": down.kind.value,
+                "down_s": round(now - down.since, 1),
+                "failures": down.count,
+                "error": down.error,
+            }
+            for down in gossiper.list_links_down()
+        ],
         "lease": any(a.holds_lease for a in owner.list_attached()),
         "shards": [
             _describe_shard(owner, shard_owner)
--- a/test/test_link_distance.py
+++ b/test/test_link_distance.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Iterator
@@ -16,8 +17,9 @@
 
 from bench import ports
 from ramptray import steadyclock
+from ramptray.command import status as status_command
 from ramptray.core import connect_timeout
-from ramptray.peer import attachment
+from ramptray.peer import attachment, link_failures
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from test.delay_proxy import DelayProxy
@@ -181,3 +183,88 @@
     timeout.record_success(0.6)
     timeout.record_success(0.12)
     assert timeout.get_timeout_s(0.0) >= 4 * 0.12
+
+
+# What operators see of links that do not open.
+
+
+async def test_a_link_that_does_not_open_is_reported(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # The error was logged at debug level only, 3,260 times in 20 s.
+    send, _ = anyio.create_memory_object_stream[attachment.Event](1000)
+    address = f"127.0.0.1:{ports.reserve_port()}"
+    async with make_client() as client:
+        link = attachment.Attachment(address, HELLO, client, send.send_nowait)
+        with anyio.move_on_after(1.0):
+            await link.run()
+        now = steadyclock.read()
+        (down,) = client.failures.list_down(now)
+        assert (down.address, down.kind) == (address, link_failures.Kind.LINK)
+        assert "refused" in down.error
+        assert down.count == client.failures.counts[link_failures.Kind.LINK] > 1
+        later = now + link_failures.DOWN_RETENTION_S
+        assert client.failures.list_down(later) == []
+    warnings = [r for r in caplog.records if r.levelno == logging.WARNING]
+    assert [vars(r)["peer"] for r in warnings] == [address]
+
+
+async def test_a_link_that_opened_is_not_reported(peer: str) -> None:
+    send, events = anyio.create_memory_object_stream[attachment.Event](1000)
+    proxy = DelayProxy(peer, 0.15)
+    async with proxy.run(), make_client() as client:
+        link = attachment.Attachment(
+            proxy.address, HELLO, client, send.send_nowait
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            await wait_up(events)
+            tasks.cancel_scope.cancel()
+        # The first attempts were too short for the distance.
+        assert proxy.connections > 1
+        assert not client.failures.list_down(steadyclock.read())
+        assert not client.failures.counts.total()
+
+
+def test_warnings_about_a_peer_become_rarer(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # A seed that no longer exists would be logged by every VM without end.
+    failures = link_failures.LinkFailures()
+    for now in range(1000):
+        failures.record_failure("b:1", link_failures.Kind.LINK, "gone", now)
+    times = [vars(r)["down_s"] for r in caplog.records]
+    assert times == [0, 10, 30, 70, 150, 310, 630]
+    caplog.clear()
+    failures.record_open("b:1", link_failures.Kind.LINK)
+    for now in (5000, 5001, 5009):
+        failures.record_failure("b:1", link_failures.Kind.LINK, "gone", now)
+    assert [vars(r)["failures"] for r in caplog.records] == [1]
+
+
+def test_status_lists_links_that_are_down() -> None:
+    down = {
+        "address": "10.0.0.2:1",
+        "kind": "link",
+        "down_s": 12.0,
+        "failures": 8,
+        "error": "no connection within 1.60 s",
+    }
+    report = {
+        "zone": "waw",
+        "log_up": True,
+        "log_age_s": 1.0,
+        "generation": 1,
+        "digest": None,
+        "members": [],
+        "others": [{"vm": "ber-1", "zone": "ber", "address": "10.0.0.2:1"}],
+        "attached": [],
+        "shards": [],
+        "links_down": [down],
+    }
+    line = list(status_command.iterate_lines({"waw-1": report}))[-1]
+    assert line.split()[:7] == ["waw-1", "waw", "ber-1", "link", "12", "s", "8"]
+    assert line.endswith("no connection within 1.60 s")
+    del report["links_down"]
+    lines = list(status_command.iterate_lines({"waw-1": report}))
+    assert not any("link down" in line for line in lines)
