Let owners learn from entries what was granted before

A stand-in, a new owner and the owners of both sides of a partition granted a fixed part of each limit with a span. They refused customers well within their limits, as they did not know what had been granted before.

Entries now record by second and owner what they were granted of such limits, and send it (LimitUse) whenever a link opens and before they use another owner. An owner that shares a limit with others divides only what was free when the owners were divided. A stand-in applies reports that arrive before its first request, which also tells it the limits. Queued requests that leave an owner, and grants that an entry no longer needs, are refunded: they counted both at a silent owner and at its stand-in.

--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -194,6 +194,7 @@
                 chosen.get_speed(),
                 chosen.info.run,
                 chosen.limit_per_s,
+                self._make_limit_total(request, now),
             ),
             owner_effect.DecisionInputs(
                 len(self._queue),
@@ -206,6 +207,14 @@
             ),
         )
 
+    def _make_limit_total(
+        self, request: message.RequestInfo, now: float
+    ) -> message.LimitTotal | None:
+        """Returns the customer's use, unless it was counted elsewhere."""
+        if request.spilled_from or request.attempt:
+            return None
+        return self._limits.make_total(request.customer, now)
+
     def demote_late(self, now: float) -> None:
         """Demotes all requests that can no longer meet their objective.
 
--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -12,21 +12,21 @@
 limits how much of it may be used at once.
 
 This bucket refills at the average rate of the total and starts empty.  A new
-owner does not know what its predecessor granted; starting empty, it adds no
-more in the rest of the span than steady use would, however often the owner
-changes.  After a restart of all VMs each of them is briefly its own owner, so
-that even a small initial level would add up.
+owner that does not know what its predecessor granted thereby adds no more in
+the rest of the span than steady use would, however often the owner changes.
+After a restart of all VMs each of them is briefly its own owner, so that even a
+small initial level would add up.  A new owner to which entries report their use
+starts with the level that this use leaves; see ``limit_share``.
 """
 
 from __future__ import annotations
 
-import collections
-import contextlib
-from collections.abc import Iterable
+import math
+from collections.abc import Collection, Iterable
 
 import msgspec
 
-from ramptray.core import meter
+from ramptray.core import limit_share, message, meter
 
 BURST_S = 2.0
 """Default burst, in seconds of the customer's rate."""
@@ -43,6 +43,24 @@
 burst and its overdraft it makes up the whole total, as an owner that takes over
 within a span does not know what was granted before."""
 
+STAND_IN_FACTOR = 1.1
+"""Factor of the total that a stand-in divides.  It serves few entries, whose
+use varies more than that of all.  With 1.0, customers at half of their limit
+were still refused; with 1.28, 101 % of a total was used."""
+
+MAX_REPORT_AGE_S = 30.0
+"""Age up to which a report is applied to a new bucket, in seconds; longer than
+any span."""
+
+RECENT_S = 0.5
+"""Time since a request of an entry in which it counts as using this owner even
+if its VM is not known to be live, in seconds; shorter than the time in which a
+lost VM is detected."""
+
+REUNION_S = 1.0
+"""Time for which owners remain divided after a partition has ended, in seconds.
+Meanwhile the entries of the other side report their use."""
+
 SPAN_BURST_PART = 0.17
 """Part of a span's total that may be used at once."""
 
@@ -57,6 +75,10 @@
 lost owner uses.  The owner may still be granting, and servers tolerate no
 excess by both."""
 
+NEW_BUCKET_S = 2.0
+"""Time after a bucket's creation in which reports of use set its level, in
+seconds.  By then all entries have reported to a new owner."""
+
 MAX_USES = 16
 """Largest number of customers whose use is sent to other zones."""
 
@@ -118,41 +140,6 @@
     return _BucketConfig(per_s, depth, depth)
 
 
-class _SlidingWindow:
-    """Sums the amounts taken within a sliding window."""
-
-    def __init__(self, span_s: float) -> None:
-        self._span_s = span_s
-        self._taken: collections.deque[tuple[float, float]] = (
-            collections.deque()
-        )
-        self._sum = 0.0
-
-    def add(self, amount: float, now: float) -> None:
-        """Adds an amount that is taken now."""
-        self._taken.append((now, amount))
-        self._sum += amount
-
-    def remove(self, amount: float, taken_at: float) -> None:
-        """Removes an earlier amount, if it is still in the window."""
-        with contextlib.suppress(ValueError):
-            self._taken.remove((taken_at, amount))
-            self._sum -= amount
-
-    def get_wait(self, amount: float, total: float, now: float) -> float:
-        """Returns the seconds until the amount fits into the total."""
-        while self._taken and self._taken[0][0] <= now - self._span_s:
-            self._sum -= self._taken.popleft()[1]
-        missing = self._sum + min(amount, total) - total
-        if missing <= 0:
-            return 0.0
-        for taken_at, taken in self._taken:
-            missing -= taken
-            if missing <= 0:
-                return taken_at + self._span_s - now
-        return self._span_s
-
-
 class _TokenBucket:
     """A token bucket that also measures the demand on it."""
 
@@ -161,8 +148,12 @@
         self.rate = shape.rate * part
         self._config = shape
         self._level = max(shape.start * part, 1.0)
-        self._span = (
-            _SlidingWindow(shape.span_s) if shape.span_s is not None else None
+        self._created_at = now
+        self._must_set_level = False
+        self.span = (
+            limit_share.SharedSpan(shape.span_s)
+            if shape.span_s is not None
+            else None
         )
         self._refused = 0.0
         self._filled_at = now
@@ -170,7 +161,18 @@
 
     def get_size(self) -> float:
         """Returns the capacity at the current rate."""
-        return max(self._config.depth * self.rate / self.share, 1.0)
+        return max(self._config.depth * self._get_rate() / self.share, 1.0)
+
+    def _get_rate(self) -> float:
+        """Returns the refill per second.
+
+        If the use before the owners were divided is known, the window divides
+        the total.  A bucket of this owner's fraction would also refuse large
+        requests.
+        """
+        if self.span is not None and self.span.has_basis:
+            return self.share
+        return self.rate
 
     def set_rate(self, rate: float) -> None:
         """Changes the rate and scales the level accordingly."""
@@ -178,6 +180,13 @@
             self._level *= rate / self.rate
         self.rate = rate
 
+    def fill(self) -> None:
+        """Fills the bucket: the entries report no use of it in a whole span.
+
+        This is no restart of all VMs, after which a new bucket starts empty.
+        """
+        self._level = self.get_size()
+
     def inherit(self, former: _TokenBucket) -> None:
         """Inherits the state of the customer's previous bucket.
 
@@ -188,45 +197,73 @@
         self._refused = former._refused
         self._filled_at = former._filled_at
         self._demand = former._demand
+        self._created_at = former._created_at
         if former._config.span_s == self._config.span_s:
-            self._span = former._span
+            self.span = former.span
 
-    def take(self, amount: float, now: float) -> None:
+    def take(self, amount: float, entry: str, now: float) -> None:
         """Takes an amount for which ``get_wait`` has just returned 0."""
         self._level -= amount
-        if self._span is not None:
-            self._span.add(amount, now)
+        if self.span is not None:
+            self.span.add(amount, entry, now)
+
+    def apply_report(self, report: limit_share.Report) -> None:
+        """Applies an entry's report of what other owners granted to it."""
+        if self.span is None:
+            return
+        self.span.apply_report(report)
+        if report.at < self._created_at + NEW_BUCKET_S:
+            self._must_set_level = True
 
     def refund(self, amount: float, taken_at: float) -> None:
         """Returns an amount to the bucket that was not used."""
         self._level = min(self.get_size(), self._level + amount)
-        if self._span is not None:
-            self._span.remove(amount, taken_at)
+        if self.span is not None:
+            self.span.remove(amount, taken_at)
 
-    def get_wait(self, amount: float, now: float) -> float:
+    def get_wait(
+        self, amount: float, division: limit_share.Division, now: float
+    ) -> float:
         """Returns the seconds until the amount may be taken, 0 for now.
 
         Refused requests are retried, and the bucket serves them one after the
         other.  So the time includes that of those refused before.
         """
         self._demand.add(int(amount), now)
-        earned = (now - self._filled_at) * self.rate
+        earned = (now - self._filled_at) * self._get_rate()
         self._level = min(self.get_size(), self._level + earned)
         self._refused = max(0.0, self._refused - earned)
         self._filled_at = now
+        self._set_level_by_reports(division, now)
         missing = max(0.0, self._get_needed(amount) - self._level)
-        span_wait_s = self._get_span_wait(amount, now)
+        span_wait_s = self._get_span_wait(amount, division, now)
         if missing <= 0 and span_wait_s <= 0:
             return 0.0
-        wait_s = (missing + self._refused) / self.rate
+        wait_s = (missing + self._refused) / self._get_rate()
         self._refused += amount
         return min(max(wait_s, span_wait_s), MAX_RETRY_AFTER_S)
 
-    def _get_span_wait(self, amount: float, now: float) -> float:
-        if self._span is None:
+    def _set_level_by_reports(
+        self, division: limit_share.Division, now: float
+    ) -> None:
+        """Sets the level of a new bucket by what other owners granted."""
+        if not self._must_set_level or self.span is None:
+            return
+        self._must_set_level = False
+        if self.span.has_basis:
+            self._level = self.span.get_level(
+                self.get_size(), self.share, division, now
+            )
+
+    def _get_span_wait(
+        self, amount: float, division: limit_share.Division, now: float
+    ) -> float:
+        if self.span is None:
             return 0.0
-        total = self._config.span_total * self.rate / self.share
-        return self._span.get_wait(amount, total, now)
+        total = self._config.span_total
+        if division.stands_in and self.span.has_basis:
+            total *= STAND_IN_FACTOR
+        return self.span.get_wait(amount, total, division, now)
 
     def _get_needed(self, amount: float) -> float:
         """Returns the level at which a request is admitted.
@@ -236,7 +273,7 @@
         """
         needed = min(amount, 1.0)
         if self._config.overdraft is not None:
-            part = self.rate / self.share
+            part = self._get_rate() / self.share
             needed = max(needed, amount - self._config.overdraft * part)
         return min(needed, self.get_size())
 
@@ -248,13 +285,29 @@
 class Limits:
     """The token buckets of all customers of a shard.
 
+    Args:
+        rates: The customers' limits.
+        epoch: Identifies this record of use, which is lost with the process.
+
     Attributes:
         part: The part of each customer's limit that this owner may grant.
         server_part: The part of each backend server's rate limit likewise.
+        stands_in: Whether this owner stands in for one that is only suspected
+            to be lost.
     """
 
-    def __init__(self, rates: dict[str, RateLimit]) -> None:
+    def __init__(self, rates: dict[str, RateLimit], epoch: int = 0) -> None:
         self._rates = rates
+        self._epoch = epoch
+        self._served_at: dict[str, float] = {}
+        self._live_entries: Collection[str] | None = None
+        self._has_history = False
+        self._reports: dict[
+            tuple[str, int], tuple[float, message.LimitUse]
+        ] = {}
+        self._divided_part = 1.0
+        self._divided_until = -math.inf
+        self.stands_in = False
         self.part = 1.0
         self.server_part = 1.0
         self._buckets: dict[str, list[tuple[str, _TokenBucket]]] = {}
@@ -277,6 +330,7 @@
                 suspected to be lost.
         """
         self.server_part = part * (STAND_IN_PART if stands_in else 1.0)
+        self.stands_in = stands_in
         if part == self.part:
             return
         self.part = part
@@ -284,23 +338,121 @@
             for _, bucket in buckets:
                 bucket.set_rate(bucket.share * part)
 
-    def try_acquire(self, customer: str, cost: int, now: float) -> float:
+    def set_live_entries(self, entries: Collection[str]) -> None:
+        """Sets the entries whose VMs are live; others use other owners."""
+        self._live_entries = entries
+
+    def try_acquire(
+        self, customer: str, cost: int, now: float, entry: str = ""
+    ) -> float:
         """Takes a request's amounts from the customer's buckets if it fits.
 
+        Args:
+            customer: The customer.
+            cost: The tokens that the request counts.
+            now: The owner's clock in seconds.
+            entry: The entry that sent the request.
+
         Returns:
             0 if the request fits, else the seconds until it would.
         """
+        self._served_at[entry] = now
         amounts = _make_amounts(cost)
         buckets = self._get_buckets(customer, now)
+        division = self._make_division(buckets, now)
         wait_s = max(
-            (bucket.get_wait(amounts[kind], now) for kind, bucket in buckets),
+            (
+                bucket.get_wait(amounts[kind], division, now)
+                for kind, bucket in buckets
+            ),
             default=0.0,
         )
         if wait_s == 0.0:
             for kind, bucket in buckets:
-                bucket.take(amounts[kind], now)
+                bucket.take(amounts[kind], entry, now)
         return wait_s
 
+    def apply_report(self, report: message.LimitUse, now: float) -> None:
+        """Applies an entry's report of its use of limits with a span."""
+        span_s = max(
+            (used.span_s for used in report.customers.values()), default=0.0
+        )
+        self._has_history |= report.known_s >= span_s
+        self._reports[report.entry, report.run] = (now, report)
+        for customer in report.customers:
+            if customer in self._buckets:
+                self._apply_report(customer, report, now)
+
+    def _apply_report(
+        self, customer: str, report: message.LimitUse, at: float
+    ) -> None:
+        used = report.customers[customer]
+        for kind, bucket in self._buckets[customer]:
+            bucket.apply_report(
+                limit_share.make_report(report, used, kind, self._epoch, at)
+            )
+
+    def _apply_known_reports(self, customer: str, now: float) -> None:
+        """Applies to new buckets the reports received before the request.
+
+        A stand-in also knows no limits until the first request arrives.
+        """
+        self._reports = {
+            key: (at, report)
+            for key, (at, report) in self._reports.items()
+            if at > now - MAX_REPORT_AGE_S
+        }
+        for at, report in self._reports.values():
+            if customer in report.customers:
+                self._apply_report(customer, report, at)
+
+    def make_total(
+        self, customer: str, now: float
+    ) -> message.LimitTotal | None:
+        """Returns a customer's use for an entry; None without a span."""
+        span_s = self._rates.get(customer, RateLimit()).span_s
+        if span_s is None:
+            return None
+        total = None
+        if self._get_part(now) >= 1.0:
+            total = limit_share.sum_amounts(
+                (kind, bucket.span.get_use(now))
+                for kind, bucket in self._get_buckets(customer, now)
+                if bucket.span is not None
+            )
+        return message.LimitTotal(self._epoch, span_s, total)
+
+    def _make_division(
+        self, buckets: list[tuple[str, _TokenBucket]], now: float
+    ) -> limit_share.Division:
+        """Returns this owner's part of a customer's limit.
+
+        An entry uses this owner if it is live and has sent a request within a
+        span, or has just sent one.  Others may have been counted by the owner
+        that they use now.
+        """
+        spans = [b.span.span_s for _, b in buckets if b.span is not None]
+        part = self._get_part(now)
+        if part >= 1.0 or not spans:
+            return limit_share.Division()
+        entries = frozenset(
+            entry
+            for entry, served_at in self._served_at.items()
+            if served_at > now - RECENT_S
+            or (
+                served_at > now - max(spans)
+                and (self._live_entries is None or entry in self._live_entries)
+            )
+        )
+        return limit_share.Division(part, entries, self.stands_in)
+
+    def _get_part(self, now: float) -> float:
+        """Returns the part of each limit with a span that may be granted."""
+        if self.part < 1.0:
+            self._divided_part = self.part
+            self._divided_until = now + REUNION_S
+        return self._divided_part if now < self._divided_until else 1.0
+
     def refund(self, customer: str, cost: int, taken_at: float) -> None:
         """Refunds the amounts of a request that did not run.
 
@@ -352,7 +504,9 @@
         for customer, buckets in self._buckets.items():
             part = spare.get(customer, 0.0) / wanted.get(customer, 1)
             for _, bucket in buckets:
-                bucket.rate = bucket.share * self.part * (1.0 + part)
+                # Limits with a span are lent by loans, see ``limit_share``.
+                if bucket.span is None:
+                    bucket.rate = bucket.share * self.part * (1.0 + part)
 
     def _get_use(self, customer: str, now: float) -> float:
         return max(
@@ -382,10 +536,14 @@
             if not buckets:
                 return []
             former = dict(self._former_buckets.pop(customer, []))
+            if self._has_history:
+                for _, bucket in buckets:
+                    bucket.fill()
             for kind, bucket in buckets:
                 if kind in former:
                     bucket.inherit(former[kind])
             self._buckets[customer] = buckets
+            self._apply_known_reports(customer, now)
         return self._buckets[customer]
 
 
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -284,6 +284,78 @@
         return msgspec.structs.replace(self, is_leaving=is_leaving)
 
 
+class LimitAmounts(msgspec.Struct, frozen=True, array_like=True):
+    """Use of a customer's limits, by kind of limit."""
+
+    requests: int = 0
+    tokens: int = 0
+
+    def add(self, other: LimitAmounts) -> LimitAmounts:
+        """Returns the sum of both."""
+        return LimitAmounts(
+            self.requests + other.requests, self.tokens + other.tokens
+        )
+
+    def get(self, kind: str) -> float:
+        """Returns the amount of a kind of limit, "requests" or "tokens"."""
+        return float(self.requests if kind == "requests" else self.tokens)
+
+
+class LimitTotal(msgspec.Struct, frozen=True):
+    """What an owner knows of a customer's use when it grants a request.
+
+    Attributes:
+        epoch: Identifies the owner's record of use, which ends with its
+            process.
+        span_s: Span of the customer's limit.
+        total: Use of all entries in the last span; None while other owners may
+            be granting too.
+    """
+
+    epoch: int
+    span_s: float
+    total: LimitAmounts | None = None
+
+
+class CustomerUse(msgspec.Struct, frozen=True):
+    """What an entry was granted for a customer.
+
+    Attributes:
+        span_s: Span of the customer's limit.
+        uses: Amounts by epoch of the granting owner, for each second of age,
+            youngest first.
+        total: The newest known use of all entries in a span, if any.
+        total_epoch: Epoch of the owner that reported this total.
+        total_age_s: Age of the total.
+        base: The entry's own use in the span up to then.
+    """
+
+    span_s: float
+    uses: dict[int, list[LimitAmounts]]
+    total: LimitAmounts | None = None
+    total_epoch: int = 0
+    total_age_s: float = 0.0
+    base: LimitAmounts = LimitAmounts()
+
+
+class LimitUse(msgspec.Struct, frozen=True):
+    """Entry to owner: recent use of the customers' limits that have a span.
+
+    Attributes:
+        entry: The entry's name.
+        run: Identifies the entry's process.
+        second_s: Seconds since the begin of the youngest second.
+        known_s: Seconds for which the entry has recorded its use.
+        customers: The use by customer.
+    """
+
+    entry: str
+    run: int
+    second_s: float
+    known_s: float
+    customers: dict[str, CustomerUse]
+
+
 class Grant(msgspec.Struct, frozen=True):
     """Owner to entry: dispatch this request to this backend server.
 
@@ -300,6 +372,8 @@
             has no state of earlier ones; 0 if unknown.
         limit_per_s: The request limit of the backend server that the owner
             applied; None if it knows none.
+        limit_total: The customer's use of its limit; None if it has no span or
+            the request was counted before.
     """
 
     request_id: str
@@ -311,6 +385,7 @@
     speed: Speed | None = None
     run: int = 0
     limit_per_s: float | None = None
+    limit_total: LimitTotal | None = None
 
 
 class Reject(msgspec.Struct, frozen=True):
@@ -357,5 +432,6 @@
     | SyncDone
     | SpeedLearned
     | ServerHints
+    | LimitUse
 )
 OwnerMessage = Grant | Reject | Redirect
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -270,16 +270,18 @@
         del self._waiting[waiting.request.request_id]
         self.tiers[waiting.rank].remove(waiting)
 
-    def discard(self, request_id: str) -> None:
-        """Removes a request if it is queued."""
+    def discard(self, request_id: str) -> QueuedRequest | None:
+        """Removes and returns a request if it is queued."""
         if waiting := self._waiting.get(request_id):
             self.remove(waiting)
+        return waiting
 
-    def discard_entry(self, entry: str) -> None:
-        """Removes all queued requests of an entry."""
-        for waiting in self.list_all():
-            if waiting.entry == entry:
-                self.remove(waiting)
+    def discard_entry(self, entry: str) -> list[QueuedRequest]:
+        """Removes and returns all queued requests of an entry."""
+        found = [w for w in self.list_all() if w.entry == entry]
+        for waiting in found:
+            self.remove(waiting)
+        return found
 
     def list_all(self) -> list[QueuedRequest]:
         """Returns every queued request, in order of arrival."""
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -231,13 +231,13 @@
     def begin_sync(self, entry: str) -> None:
         """Begins to resynchronize an entry that has attached."""
         self._syncing[entry] = self.fleet.list_requests_of_entry(entry)
-        self._queue.discard_entry(entry)
+        self._discard_entry(entry)
 
     def detach_entry(self, entry: str, now: float) -> None:
         """Drops an entry's queued requests; running ones keep their slots."""
         self._syncing.pop(entry, None)
         self._entries.discard(entry)
-        self._queue.discard_entry(entry)
+        self._discard_entry(entry)
         self.fleet.mark_orphaned(entry, now)
 
     def tick(self, now: float) -> list[owner_effect.SendToEntry]:
@@ -312,7 +312,12 @@
         placed = self.fleet.free(request_id)
         self.counters.declined += 1
         failed = decline.unreachable or decline.avoid or decline.silent
-        if placed is None or not (decline.waits or failed):
+        if placed is None:
+            return []
+        if not (decline.waits or failed):
+            # The entry has moved it to another owner, which counts it.
+            if not (placed.request.spilled_from or placed.request.attempt):
+                self._shedder.refund(placed.request, placed.asked_at)
             return []
         if decline.unreachable:
             backend.availability.record_unreachable(now)
@@ -339,9 +344,19 @@
             self.fleet.free(request_id)
 
     def _discard(self, request_id: str) -> None:
-        self._queue.discard(request_id)
+        if waiting := self._queue.discard(request_id):
+            self._shedder.refund(waiting.request, waiting.counted_at)
         self.fleet.free(request_id)
 
+    def _discard_entry(self, entry: str) -> None:
+        """Drops an entry's queued requests; it sends them again if they wait.
+
+        The limits are refunded, as an owner that is silent for a while would
+        else count requests that another owner has granted.
+        """
+        for waiting in self._queue.discard_entry(entry):
+            self._shedder.refund(waiting.request, waiting.counted_at)
+
 
 class _ServerOrder:
     """Orders backend servers of equal rank differently for each owner.
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -100,14 +100,30 @@
         request = waiting.request
         if request.spilled_from or request.attempt:
             return None
-        counted = _get_limit_cost(waiting)
-        wait_s = self._limits.try_acquire(request.customer, counted, now)
+        counted = _get_limit_cost(request)
+        wait_s = self._limits.try_acquire(
+            request.customer, counted, now, waiting.entry
+        )
         if wait_s == 0.0:
             waiting.counted_at = now
             return None
         self._count_shed(request.tier, now)
         return self._make_reject(waiting, message.Reason.CUSTOMER_LIMIT, wait_s)
 
+    def refund(
+        self, request: message.RequestInfo, counted_at: float | None
+    ) -> None:
+        """Refunds what a request was counted that does not run.
+
+        Args:
+            request: The request.
+            counted_at: When this owner counted it; None if it did not.
+        """
+        if counted_at is not None:
+            self._limits.refund(
+                request.customer, _get_limit_cost(request), counted_at
+            )
+
     def refuse_content(
         self, content: str, left_s: float
     ) -> list[owner_effect.SendToEntry]:
@@ -247,12 +263,7 @@
     ) -> owner_effect.SendToEntry:
         self._queue.remove(waiting)
         self._count_shed(waiting.request.tier, now)
-        if waiting.counted_at is not None:
-            self._limits.refund(
-                waiting.request.customer,
-                _get_limit_cost(waiting),
-                waiting.counted_at,
-            )
+        self.refund(waiting.request, waiting.counted_at)
         if not self._fleet.has_usable:
             reason = message.Reason.NO_BACKEND
         min_wait_s = MIN_RETRY_AFTER_S
@@ -298,10 +309,10 @@
         shed.add(1, now)
 
 
-def _get_limit_cost(waiting: queue.QueuedRequest) -> int:
+def _get_limit_cost(request: message.RequestInfo) -> int:
     """Returns the tokens a request uses of its customer's limit."""
-    counted = waiting.request.limit_tokens
-    return waiting.cost if counted is None else counted
+    counted = request.limit_tokens
+    return queue.compute_cost(request) if counted is None else counted
 
 
 def _get_expiry_reason(
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -17,7 +18,15 @@
 
 from ramptray import mailbox, runtime, steadyclock
 from ramptray.bundle import acceptance, signature
-from ramptray.core import blocklist, claim, message, request, retry
+from ramptray.core import (
+    blocklist,
+    claim,
+    limit_use,
+    message,
+    queue,
+    request,
+    retry,
+)
 from ramptray.entry import (
     backend_directory,
     block_propagator,
@@ -116,6 +125,11 @@
             lambda: [*self._links, self._local_scheduler],
             longest_pause_s,
         )
+        self._use_history = limit_use.UseHistory(
+            process_runtime.name, random.getrandbits(48)
+        )
+        # The last scheduler in this zone that a request was sent to.
+        self._used_owner = ""
         self._budget = budget or retry.RetryBudget()
         self.on_silent_owner: Callable[[str], None] = _ignore_owner
         self._learner = acceptance.BundleTracker()
@@ -358,11 +372,13 @@
             match effect:
                 case request.SendToOwner(owner, sent):
                     if isinstance(sent, message.Enqueue):
+                        self._report_use(owner, sent.request, now)
                         ticket.enqueued_at = now
                         ticket.awaiting_reply = True
                     self._send(owner, sent)
                 case request.Dispatch(grant):
                     ticket.dispatched_at = now
+                    self._record_use(ticket, grant, now)
                     self.timeline.note(
                         "dispatch",
                         grant.request_id,
@@ -388,6 +404,29 @@
                 case request.Cancel():
                     pass  # The exchange cancels its own stream.
 
+    def _record_use(
+        self, ticket: tickets.Ticket, grant: message.Grant, now: float
+    ) -> None:
+        """Records the first attempt as use of its customer's limit."""
+        info = ticket.info
+        if ticket.is_use_recorded:
+            return
+        ticket.is_use_recorded = True
+        cost = info.limit_tokens
+        if cost is None:
+            cost = queue.compute_cost(info)
+        self._use_history.record(info.customer, cost, grant.limit_total, now)
+
+    def _report_use(
+        self, owner: str, info: message.RequestInfo, now: float
+    ) -> None:
+        """Reports the use of limits before another owner is used."""
+        if owner == self._used_owner or info.spilled_from:
+            return
+        self._used_owner = owner
+        if report := self._use_history.make_report(now):
+            self._send(owner, report)
+
     def _handle_claim_decision(
         self, decision: peer_message.ClaimDecision, now: float
     ) -> None:
@@ -533,6 +572,8 @@
         self._owners.mark_up(address)
         self._block_propagator.send_all(address, now)
         self.server_hints.send_all(address, now)
+        if report := self._use_history.make_report(now):
+            self._send(address, report)
         for ticket in self._tickets.values():
             if ticket.machine.owner == address:
                 self._resend(ticket, now)
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -166,6 +166,7 @@
         self.no_owner_since: float | None = None
         self.enqueued_at = 0.0
         self.awaiting_reply = False
+        self.is_use_recorded = False
         self._report = report
         # A dispatch that a backend server refuses is followed by another one
         # here.  An exchange receives only a few effects in all, and sending
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -34,6 +34,7 @@
             core_message.SyncDone,
             core_message.SpeedLearned,
             core_message.ServerHints,
+            core_message.LimitUse,
             core_message.Grant,
             core_message.Reject,
             core_message.Redirect,
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
@@ -113,7 +114,11 @@
         self._options = options
         self._gossiper = gossiper
         self._claim_manager = claim_manager
-        self._limits = limit.Limits({}) if options.shares_limits else None
+        self._limits = (
+            limit.Limits({}, random.getrandbits(48))
+            if options.shares_limits
+            else None
+        )
         self._attached = attached_process.AttachedProcesses()
         self._observations = observations.BackendObservations()
         self._listed_leaving: frozenset[str] = frozenset()
@@ -230,6 +235,9 @@
                     owner.receive(attached.hello.name, body, now)
             case message.ServerHints():
                 self._apply_server_hints(attached, body, now)
+            case message.LimitUse():
+                if self._limits is not None:
+                    self._limits.apply_report(body, now)
             case message.Enqueue(info) | message.Running(info):
                 self._forward_to_shard(attached, info.shard, body, now)
             case (
@@ -408,6 +416,8 @@
                     reason=reason.value,
                     retry_after_s=round(retry_after_s, 2),
                     limit_part=self._limits and round(self._limits.part, 2),
+                    stands_in=self._limits and self._limits.stands_in,
+                    owner=self._address,
                     **basis,
                 )
             case message.Redirect(request_id, zone):
@@ -500,7 +510,24 @@
             key = message.ShardKey(self._zone, "")
             is_stand_in = not self.owns(key)
             part = self._gossiper.get_limit_share(is_stand_in)
+            if round(part, 2) != round(self._limits.part, 2):
+                LOG.info(
+                    "part of limits changed",
+                    extra={
+                        "limit_part": round(part, 2),
+                        "stands_in": is_stand_in,
+                    },
+                )
             self._limits.set_part(part, is_stand_in)
+            live = {member.vm for member in self.view.members}
+            self._limits.set_live_entries(
+                frozenset(
+                    attached.hello.name
+                    for _, attached in self._attached
+                    if attached.hello.kind == "entry"
+                    and attached.hello.vm in live
+                )
+            )
 
     def _open_own_shards(self, now: float) -> None:
         """Opens each owned shard, so that other zones learn its capacity."""
--- a/test/limit_simulation.py
+++ b/test/limit_simulation.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ramptray.core import limit
+from ramptray.core import limit, limit_use
 
 VMS = range(12)
 ZONES = 4
@@ -193,7 +193,10 @@
         self._factor = factor
         self._since = since
         self._rng = random.Random(seed)
-        self._limits = [limit.Limits(make_rates()) for _ in VMS]
+        self._starts = itertools.count(1)
+        self._limits = [self._make_limits() for _ in VMS]
+        self._histories = [self._make_history(vm) for vm in VMS]
+        self._owners: dict[int, Owner] = {}
 
     def run(self) -> Result:
         """Runs all requests."""
@@ -232,15 +235,42 @@
 
     def _begin(self, phase: Phase) -> dict[int, Owner]:
         for vm in phase.restarted:
-            self._limits[vm] = limit.Limits(make_rates())
+            self._limits[vm] = self._make_limits()
+            self._histories[vm] = self._make_history(vm)
+            self._owners.pop(vm, None)
         for owner in phase.owners.values():
-            self._limits[owner.vm].set_part(owner.part, owner.stands_in)
+            limits = self._limits[owner.vm]
+            limits.set_part(owner.part, owner.stands_in)
+            limits.set_live_entries(
+                [
+                    f"vm-{vm}"
+                    for vm, used in phase.owners.items()
+                    if used == owner
+                ]
+            )
         return phase.owners
 
+    def _make_limits(self) -> limit.Limits:
+        return limit.Limits(make_rates(), next(self._starts))
+
+    def _make_history(self, vm: int) -> limit_use.UseHistory:
+        return limit_use.UseHistory(f"vm-{vm}", next(self._starts))
+
     def _admit(
         self, vm: int, owner: Owner, customer: str, size: int, now: float
     ) -> bool:
-        return self._limits[owner.vm].try_acquire(customer, size, now) == 0.0
+        limits = self._limits[owner.vm]
+        previous = self._owners.get(vm)
+        self._owners[vm] = owner
+        if previous is None or previous.vm != owner.vm:
+            report = self._histories[vm].make_report(now)
+            if report is not None:
+                limits.apply_report(report, now)
+        if limits.try_acquire(customer, size, now, f"vm-{vm}") > 0.0:
+            return False
+        total = limits.make_total(customer, now)
+        self._histories[vm].record(customer, size, total, now)
+        return True
 
 
 def main() -> None:
