Offer a difference only from a value that the receiver holds

A mirror sent a large value as the difference from the newest former large value before the receiver's offset. A receiver that had got the whole stream after that value was replaced by a small one, or an update that skipped it, never held it: it rejected the update and requested the whole stream.

Only a value that was the newest one at the receiver's offset is a base.

--- a/ramptray/log/mirror.py
+++ b/ramptray/log/mirror.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import collections
+import itertools
+import operator
 
 import msgspec
 import xxhash
@@ -39,10 +41,23 @@
 
 
 class _Version(msgspec.Struct, frozen=True):
-    """A value of a key, and its offset."""
+    """A former value of a key.
+
+    Attributes:
+        position: Offset of its record.
+        value: The value.
+        until: Offset up to which it is known to be the key's newest value.  A
+            receiver that holds the stream up to an offset after ``position``
+            and not after ``until`` holds this value.
+    """
 
     position: int
     value: bytes
+    until: int
+
+    def is_held_at(self, start: int) -> bool:
+        """Returns whether a receiver holds it that has the stream to there."""
+        return self.position < start <= self.until
 
 
 class Mirror:
@@ -78,8 +93,9 @@
             self._records.clear()
             self._tombstones.clear()
             self._full_before = changes.end
+        held_until = self._get_held_until(changes)
         for change in changes.records:
-            self._apply_change(change)
+            self._apply_change(change, held_until)
         self.end = changes.end
         while len(self._tombstones) > MAX_TOMBSTONES:
             key = next(iter(self._tombstones))
@@ -134,7 +150,22 @@
             update.end,
         )
 
-    def _apply_change(self, change: keyedstream.Change) -> None:
+    def _get_held_until(self, changes: keyedstream.Changes) -> int:
+        """Returns the offset before which no record of the stream is missing.
+
+        An update from another VM omits records that were replaced by later
+        ones, so the values before it may have been replaced earlier than the
+        update shows.
+        """
+        start = self.end or 0
+        positions = (change.position for change in changes.records)
+        if all(map(operator.eq, positions, itertools.count(start))):
+            return start + len(changes.records)
+        return start
+
+    def _apply_change(
+        self, change: keyedstream.Change, held_until: int
+    ) -> None:
         before = self._records.pop(change.key, None)
         self._tombstones.pop(change.key, None)
         if change.value is None:
@@ -143,8 +174,9 @@
             return
         self._records[change.key] = change
         if before is not None and before.value is not None:
+            until = min(change.position, held_until)
             self._store_former(
-                change.key, _Version(before.position, before.value)
+                change.key, _Version(before.position, before.value, until)
             )
 
     def _store_former(self, key: str, version: _Version) -> None:
@@ -178,14 +210,13 @@
         value = change.value or b""
         if len(value) < MIN_DELTA_BYTES:
             return peer_message.StreamRecord(change.key, change.position, value)
-        base = max(
+        base = next(
             (
                 version
                 for version in self._former_values.get(change.key, ())
-                if version.position < start
+                if version.is_held_at(start)
             ),
-            key=lambda version: version.position,
-            default=None,
+            None,
         )
         cache_key = (change.key, change.position, base.position if base else -1)
         if cache_key not in self._packed_values:
--- a/test/test_mirror.py
+++ b/test/test_mirror.py
@@ -169,6 +169,48 @@
         sender.apply(keyedstream.Changes([change], count), False)
 
 
+RELAY_STEPS = st.lists(
+    st.one_of(
+        st.tuples(KEYS, VALUES),
+        st.tuples(st.integers(0, 3), st.integers(0, 3)),
+    ),
+    max_size=40,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(RELAY_STEPS)
+# The second mirror skips a version that the third one holds.
+@example(
+    [
+        ("a", b"large 0 " * 400),
+        (0, 1),
+        ("a", b"large 1 " * 400),
+        (0, 2),
+        ("a", b"large 2 " * 400),
+        (0, 1),
+        (1, 2),
+    ]
+)
+def test_an_update_relayed_by_several_mirrors_is_accepted(
+    steps: list[Any],
+) -> None:
+    # A mirror that received a later version without those in between offered a
+    # difference from a value that its receiver never held.
+    mirrors = [make_mirror(), *(mirror.Mirror() for _ in range(3))]
+    count = 0
+    for one, other in steps:
+        if isinstance(one, str):
+            change = keyedstream.Change(one, other, count)
+            count += 1
+            mirrors[0].apply(keyedstream.Changes([change], count), False)
+        elif other and (mirrors[one].end or -1) > (mirrors[other].end or 0):
+            send_update(mirrors[one], mirrors[other])
+    for receiver in mirrors[1:]:
+        send_update(mirrors[0], receiver)
+        assert read_all(receiver) == read_all(mirrors[0])
+
+
 # Many VMs start at the same time.
 
 
