Close grpc's completion queue after each test that uses it

A test failed now and then with "Event loop is closed". grpc's completion queue is one per process and serves all event loops until the last channel and server are collected. Those in reference cycles outlived their test, so the next test's loop passed a late event of a cancelled call on to the closed loop of the test before.

The product uses one loop per process and is not affected.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import pathlib
+import threading
 from collections.abc import Iterator
 
 import pytest
@@ -38,6 +40,24 @@
     os.environ["NO_PROXY"] = "*"
 
 
+@pytest.fixture
+def grpc_queue_closed() -> Iterator[None]:
+    """Closes grpc's completion queue after a test.
+
+    The queue serves all event loops of the process until the last channel and
+    server are collected.  Those in reference cycles outlive their test, and the
+    next test's loop then passes late events on to a closed loop, which fails
+    that test with "Event loop is closed".
+    """
+    yield
+    gc.collect()
+    for thread in threading.enumerate():
+        # The thread of the queue, which ends with it.
+        if "_poll_wrapper" in thread.name:
+            thread.join(5.0)
+            assert not thread.is_alive()
+
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
--- a/test/test_attachment.py
+++ b/test/test_attachment.py
@@ -20,7 +20,10 @@
 from ramptray.peer import message as peer_message
 from ramptray.peer import server as peer_server
 
-pytestmark = pytest.mark.anyio
+pytestmark = [
+    pytest.mark.anyio,
+    pytest.mark.usefixtures("grpc_queue_closed"),
+]
 HELLO = peer_message.Hello("entry/vm", "vm", "entry")
 LONG_S = 20.0
 
--- a/test/test_channels.py
+++ b/test/test_channels.py
@@ -11,7 +11,10 @@
 from test.test_attachment import EmptyViewServer
 from test.test_stopped_link import UnresponsiveServer, serve
 
-pytestmark = pytest.mark.anyio
+pytestmark = [
+    pytest.mark.anyio,
+    pytest.mark.usefixtures("grpc_queue_closed"),
+]
 
 REQUEST = peer_message.AskStatus()
 
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -18,7 +18,10 @@
 from ramptray.scheduler import follower
 from test import test_bundle
 
-pytestmark = pytest.mark.anyio
+pytestmark = [
+    pytest.mark.anyio,
+    pytest.mark.usefixtures("grpc_queue_closed"),
+]
 TIMEOUT_S = 20.0
 
 
--- a/test/test_stopped_link.py
+++ b/test/test_stopped_link.py
@@ -23,7 +23,10 @@
 from ramptray.peer import server as peer_server
 from test.test_attachment import HELLO, EmptyViewServer
 
-pytestmark = pytest.mark.anyio
+pytestmark = [
+    pytest.mark.anyio,
+    pytest.mark.usefixtures("grpc_queue_closed"),
+]
 
 
 @pytest.fixture
