End silent streams that may not be resumed before the deadline

A stream that went silent midway and may not be resumed (not repeatable, or its attempts are used up) was read until its caller's deadline and held its slot.

core/silence.py now limits the silence after the first event: six times the route's longest pause, more for a slow server or a stream with long pauses of its own, at most eight times, which is about when callers abandon a stream. Then the response is cut off, and the end reported to the owner frees the slot. Before that, one more read takes what arrived while this VM was suspended.

--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -13,7 +13,7 @@
 from ramptray import steadyclock
 from ramptray.bundle import model
 from ramptray.core import message as core_message
-from ramptray.core import request
+from ramptray.core import request, silence
 from ramptray.entry import dispatcher as dispatchers
 from ramptray.entry import server_hints
 from ramptray.entry import ticket as tickets
@@ -43,6 +43,10 @@
 """How often a hung request checks whether the retry budget allows another
 attempt, in seconds; the budget refills continuously."""
 
+LAST_READ_S = 0.05
+"""Time for a last read before a silent stream is given up, in seconds.  When
+this VM itself was suspended, the next part is already in its socket."""
+
 SERVER_ERROR = 500
 OK_STATUSES = range(200, 300)
 _GONE = backend_probe.ProbeResult.GONE.value
@@ -135,6 +139,11 @@
         # Of the current attempt: time of its first event, and events before it.
         self._first_event_at: float | None = None
         self._events_before_attempt = 0
+        # Of the current attempt: time of its last part, its longest pause
+        # between two parts and the speed of its server.
+        self._last_part_at = 0.0
+        self._longest_pause_s = 0.0
+        self._speed: core_message.Speed | None = None
 
     async def run(self) -> None:
         """Serves the request; cancelled when the caller disconnects."""
@@ -185,6 +194,8 @@
         self._sent_at = steadyclock.read()
         self._first_event_at = None
         self._events_before_attempt = self._splitter.count
+        self._longest_pause_s = 0.0
+        self._speed = grant.speed
         try:
             with anyio.fail_after(max(0.0, self._deadline - self._sent_at)):
                 await self._send(target, grant)
@@ -345,18 +356,61 @@
         """Returns the next bytes of a stream; None at its end.
 
         Raises:
-            HungError: It hangs and may be resumed at another backend server.
+            HungError: It hangs and may be resumed at another backend server,
+                or it may not be resumed and has been silent for too long.
         """
-        return await self._read_with_hang_timeout(
-            connection.read_part, self._get_stream_hang_timeout()
+        if self._may_be_resumed:
+            return await self._read_with_hang_timeout(
+                connection.read_part, self._get_stream_hang_timeout()
+            )
+        if self._first_event_at is None:
+            return await connection.read_part()
+        try:
+            part = await connection.read_part(self._get_silence_limit())
+        except TimeoutError:
+            part = await self._read_last_chance(connection)
+        now = steadyclock.read()
+        pause_s = now - self._last_part_at
+        self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self._last_part_at = now
+        return part
+
+    async def _read_last_chance(
+        self, connection: connections.Connection
+    ) -> bytes | None:
+        """Reads what arrived while this VM itself did not run.
+
+        Raises:
+            HungError: Nothing has arrived.
+        """
+        try:
+            return await connection.read_part(LAST_READ_S)
+        except TimeoutError as error:
+            silence_s = steadyclock.read() - self._last_part_at
+            raise connections.HungError(
+                f"{connection.address}: silent for {silence_s:.2f} s"
+            ) from error
+
+    @property
+    def _may_be_resumed(self) -> bool:
+        """Whether another attempt may continue the current one's stream."""
+        info = self._routed.info
+        dispatches = self._ticket.machine.dispatches
+        return info.repeatable and dispatches < info.max_attempts
+
+    def _get_silence_limit(self) -> float | None:
+        """Returns the pause after which a stream is given up."""
+        routed = self._routed
+        return silence.compute_limit(
+            routed.route.max_gap_s,
+            self._speed,
+            routed.tokens_per_event,
+            self._longest_pause_s,
         )
 
     def _get_stream_hang_timeout(self) -> float | None:
         """Returns the pause after which a stream is hung; None for never."""
-        routed = self._routed
-        if not routed.info.repeatable:
-            return None
-        gap_s = routed.route.max_gap_s
+        gap_s = self._routed.route.max_gap_s
         return (
             None
             if gap_s is None
@@ -393,7 +447,7 @@
     def _record_first_event(self) -> None:
         if self._first_event_at is not None:
             return
-        now = self._first_event_at = steadyclock.read()
+        now = self._first_event_at = self._last_part_at = steadyclock.read()
         if self.first_event_s is None:
             self.first_event_s = now - self._started_at
         first = core_message.FirstToken(
--- a/test/test_hang.py
+++ b/test/test_hang.py
@@ -11,7 +11,11 @@
 from __future__ import annotations
 
 import time
+from concurrent import futures
 
+import pytest
+
+from ramptray.core import message, silence
 from test import node
 from test.test_node import ask, wait_until
 
@@ -22,6 +26,10 @@
 """Longest duration of the hung stream, in seconds: less than the four seconds
 that its route allows."""
 
+MAX_SILENT_STREAM_S = 2.4
+"""Longest duration of a stream that goes silent, in seconds: well before its
+caller's deadline of three seconds."""
+
 
 def test_a_stream_that_hangs_goes_on_when_there_is_budget_again() -> None:
     # One retry per window.
@@ -50,3 +58,58 @@
     ask(started, "/safe/")
     started.set_faults("i-1", work_s=0.01)
     started.set_faults("i-0", hang_after=2)
+
+
+def test_a_silent_stream_that_may_not_be_resumed_ends_early() -> None:
+    # Such streams ran until their callers' deadlines and held their slots: 260
+    # in one day.
+    with node.run_platform(replicas=1) as started:
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        started.set_faults("i-0", hang_after=2)
+        with futures.ThreadPoolExecutor(node.SLOTS) as pool:
+            began = time.monotonic()
+            streams = [
+                pool.submit(ask, started, "/stream-once/", "POST", b"x")
+                for _ in range(node.SLOTS)
+            ]
+            answers = [stream.result() for stream in streams]
+        assert time.monotonic() - began < MAX_SILENT_STREAM_S
+        assert [answer.status for answer in answers] == [200] * node.SLOTS
+        assert not any(answer.whole for answer in answers)
+        assert {answer.body.count(b"id: ") for answer in answers} == {2}
+        started.set_faults("i-0")
+        began = time.monotonic()
+        assert ask(started, "/safe/").status == 200
+        # Its server is ejected for half a second after broken responses.
+        assert time.monotonic() - began < 1.2
+
+
+def test_a_stream_that_continues_after_a_pause_is_not_cut() -> None:
+    # A pause of five times the route's longest one, as under a long prompt on
+    # a slow server.
+    with node.run_platform(replicas=0) as started:
+        started.start_replica("i-0", work_s=1.0, events=3)
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        answer = ask(
+            started,
+            "/stream-once/",
+            "POST",
+            b"x",
+            headers={"X-Deadline-Ms": "4000"},
+        )
+        assert answer.whole
+        assert answer.body.count(b"id: ") == 3
+
+
+def test_a_slow_server_may_be_silent_longer() -> None:
+    def compute(step_s: float, pause_s: float = 0.0) -> float | None:
+        speed = message.Speed(30_000.0, step_s)
+        return silence.compute_limit(0.4, speed, 10, pause_s)
+
+    usual = compute(0.003)
+    slow = compute(0.09)
+    assert usual is not None
+    assert slow is not None
+    assert usual < slow <= 0.4 * silence.MAX_GAPS
+    assert compute(0.003, 0.95) == pytest.approx(0.95 * silence.PAUSE_FACTOR)
+    assert silence.compute_limit(None, None, 10, 1.0) is None
