Send fewer requests to servers that fail often, and retries elsewhere

Only refusals counted in a server's cost, so a server that returned 500 or broke responses off kept its share of the load, and requests failed on two such servers one after the other. Three broken responses in a row ejected a server even if all others failed alike, which held requests back for nothing.

- core/availability.py estimates how often requests fail on a server, by symptom: refused, failed with its own error, broken.
The estimate forgets within seconds.
The cost of a placement includes all three.
- A symptom that more than half of the servers show (checked at each tick) neither ejects a server nor excludes one.

--- a/ramptray/core/availability.py
+++ b/ramptray/core/availability.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 
 UNREACHABLE_S = 0.5
@@ -15,18 +16,36 @@
 server that fails immediately always has free slots and would attract all
 requests."""
 
-REFUSAL_WEIGHT = 0.3
-"""Weight of the newest response in a server's refusal rate."""
+FAILURE_WEIGHT = 0.3
+"""Weight of the newest response in a server's failure rates."""
 
-REFUSAL_FORGET_S = 2.0
-"""Time constant of the refusal rate's decay, in seconds: about two
-thirds of the rate are forgotten after this time, so that a server that has
+FAILURE_FORGET_S = 2.0
+"""Time constant of the failure rates' decay, in seconds: about two
+thirds of a rate are forgotten after this time, so that a server that has
 recovered gets requests again within the time of a few responses."""
 
+SYMPTOM_RATE = 0.1
+"""Rate from which a server shows a symptom: for two seconds or four good
+responses after a single failure."""
+
 LOST_AFTER_FAILURES = 4
 """Consecutive refused connections after which a server counts as lost."""
 
 
+class Symptom(enum.Enum):
+    """How a request failed on a backend server.
+
+    Attributes:
+        REFUSED: The server reported that it did not run the request.
+        FAILED: It responded with an error of its own.
+        BROKEN: The response broke off, or the server hung.
+    """
+
+    REFUSED = "refused"
+    FAILED = "failed"
+    BROKEN = "broken"
+
+
 class Availability:
     """Ejects a failing server, with exponential backoff.
 
@@ -40,16 +59,18 @@
         "breaks",
         "failures",
         "unreachable_until",
-        "_refused_at",
-        "_refused_part",
+        "_last_symptom",
+        "_rated_at",
+        "_rates",
     )
 
     def __init__(self) -> None:
         self.failures = 0
         self.breaks = 0
         self.unreachable_until = 0.0
-        self._refused_part = 0.0
-        self._refused_at = 0.0
+        self._last_symptom: Symptom | None = None
+        self._rates: dict[Symptom, float] = {}
+        self._rated_at = 0.0
 
     @property
     def is_lost(self) -> bool:
@@ -74,6 +95,8 @@
         whole: bool,
         now: float,
         paused: bool = False,
+        failed: bool = False,
+        may_eject: bool = True,
     ) -> None:
         """Records how a response ended.
 
@@ -85,24 +108,57 @@
             paused: The server has asked the refused VM for a pause.  That VM
                 sends nothing meanwhile and others may send, so the refusal
                 does not count towards an ejection.
+            failed: The server responded with an error of its own.
+            may_eject: Whether the server may be ejected; not if most servers
+                fail in this way, as no other one would do better.
         """
-        if refused or whole:
-            self._update_refusal_rate(refused, now)
+        symptom = find_symptom(refused, broken, failed)
+        if symptom or whole:
+            self._update_rates(symptom, now)
         if broken or (refused and not paused):
             self.breaks += 1
-            if self.breaks >= EJECT_AFTER_BREAKS:
+            if self.breaks >= EJECT_AFTER_BREAKS and may_eject:
                 self.record_unreachable(now)
         elif whole:
             self.breaks = 0
 
-    def get_refusal_rate(self, now: float) -> float:
-        """Returns the estimated fraction of requests that it refuses."""
-        if not self._refused_part:
-            return 0.0
-        age_s = now - self._refused_at
-        return self._refused_part * math.exp(-age_s / REFUSAL_FORGET_S)
-
-    def _update_refusal_rate(self, refused: bool, now: float) -> None:
-        part = self.get_refusal_rate(now)
-        self._refused_part = part + REFUSAL_WEIGHT * (refused - part)
-        self._refused_at = now
+    def get_failure_rate(self, now: float) -> float:
+        """Returns the estimated fraction of requests that fail on it."""
+        return sum(self._rates.values()) * self._get_decay(now)
+
+    def shows(self, symptom: Symptom, now: float) -> bool:
+        """Returns whether requests have recently failed on it in this way."""
+        rate = self._rates.get(symptom, 0.0)
+        return rate * self._get_decay(now) >= SYMPTOM_RATE
+
+    def get_symptom(self, now: float) -> Symptom | None:
+        """Returns how a request failed on it last; None if not recently."""
+        last = self._last_symptom
+        return last if last and self.shows(last, now) else None
+
+    def _get_decay(self, now: float) -> float:
+        return math.exp((self._rated_at - now) / FAILURE_FORGET_S)
+
+    def _update_rates(self, symptom: Symptom | None, now: float) -> None:
+        if symptom is None and not self._rates:
+            return
+        decay = self._get_decay(now)
+        self._rates = {
+            known: rate * decay * (1.0 - FAILURE_WEIGHT)
+            for known, rate in self._rates.items()
+        }
+        self._rated_at = now
+        if symptom is not None:
+            self._last_symptom = symptom
+            self._rates[symptom] = (
+                self._rates.get(symptom, 0.0) + FAILURE_WEIGHT
+            )
+
+
+def find_symptom(refused: bool, broken: bool, failed: bool) -> Symptom | None:
+    """Returns how a request failed; None if it did not."""
+    if broken:
+        return Symptom.BROKEN
+    if refused:
+        return Symptom.REFUSED
+    return Symptom.FAILED if failed else None
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -405,14 +405,28 @@
         self.cache.evict(placed.request.prefix)
         return whole
 
-    def end(self, ended: message.Ended, now: float) -> None:
-        """Frees the request's slot and learns the decode speed."""
+    def end(
+        self, ended: message.Ended, now: float, may_eject: bool = True
+    ) -> None:
+        """Frees the request's slot and learns the decode speed.
+
+        Args:
+            ended: How the request ended.
+            now: The owner's clock in seconds.
+            may_eject: See ``availability.Availability.record_end``.
+        """
         placed = self.remove(ended.request_id)
         pause_s = (
             self.pauses.get_remaining_s(placed.entry, now) if placed else 0.0
         )
         self.availability.record_end(
-            ended.refused, ended.broken, ended.whole, now, pause_s > 0.0
+            ended.refused,
+            ended.broken,
+            ended.whole,
+            now,
+            pause_s > 0.0,
+            ended.failed,
+            may_eject,
         )
         decoded = ended.output_tokens - ended.first_tokens
         self.speed.learn_step(decoded, ended.decode_s)
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -5,8 +5,15 @@
 import heapq
 from collections.abc import Iterable, Mapping
 
+from ramptray.core import (
+    availability,
+    candidate,
+    eligibility,
+    message,
+    queue,
+    rtt,
+)
 from ramptray.core import backend as backends
-from ramptray.core import candidate, eligibility, message, queue, rtt
 from ramptray.core import speed as speeds
 
 ORPHAN_TIMEOUT_S = 30.0
@@ -27,6 +34,7 @@
     Attributes:
         backends: The backend servers by name.
         eligibility: Filters the servers that a request may go to.
+        common_symptoms: How requests fail on more than half of the servers.
     """
 
     def __init__(
@@ -34,6 +42,7 @@
     ) -> None:
         self.backends: dict[str, backends.Backend] = {}
         self.eligibility = eligibility.Eligibility(self.backends)
+        self.common_symptoms: frozenset[availability.Symptom] = frozenset()
         self._report_due_at = report_due_at
         self._speeds = dict(learned)
         self._hints: dict[str, message.ServerHints] = {}
@@ -235,14 +244,16 @@
                 self._assume_speed(other)
 
     def refresh(self, now: float, part: float) -> None:
-        """Updates the list of the fastest servers; called at each tick.
+        """Updates what is derived from all servers; called at each tick.
 
-        Rate-limited servers come last.
+        These are the common symptoms and the list of the fastest servers, in
+        which rate-limited ones come last.
 
         Args:
             now: The owner's clock in seconds.
             part: This owner's share of each limit.
         """
+        self.common_symptoms = self._find_common_symptoms(now)
         self._fastest = heapq.nsmallest(
             MAX_FASTEST,
             (known for known in self.backends.values() if known.is_open(now)),
@@ -252,6 +263,21 @@
             ),
         )
 
+    def _find_common_symptoms(
+        self, now: float
+    ) -> frozenset[availability.Symptom]:
+        usable = [
+            known.availability
+            for known in self.backends.values()
+            if not known.is_lost
+        ]
+        return frozenset(
+            symptom
+            for symptom in availability.Symptom
+            if 2 * sum(each.shows(symptom, now) for each in usable)
+            > len(usable)
+        )
+
     def get_rate_limit(self, now: float, part: float) -> float | None:
         """Returns the total rate limit of all servers, in requests per second.
 
@@ -292,7 +318,10 @@
             backend.placed[ended.request_id].orphaned_at = now
             return None
         del self._backend_of[ended.request_id]
-        backend.end(ended, now)
+        symptom = availability.find_symptom(
+            ended.refused, ended.broken, ended.failed
+        )
+        backend.end(ended, now, symptom not in self.common_symptoms)
         self._pool.update(backend)
         return backend
 
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -19,12 +19,13 @@
 DECODE_WEIGHT_TOKENS = 16
 """Decode steps that are added to the time to first token in a cost."""
 
-REFUSAL_COST_S = 1.0
-"""Cost of a refusal by a backend server, in seconds: about the time that a
+FAILURE_COST_S = 1.0
+"""Cost of a failure on a backend server, in seconds: about the time that a
 caller loses by a retry.
 
-Load pattern: some servers refuse many requests while their slots seem free, and
-would otherwise keep getting their share of the load."""
+Load pattern: some servers refuse many requests, break their responses off or
+respond with errors while their slots seem free, and would otherwise keep
+getting their share of the load."""
 
 LATENESS_WEIGHT = 2.0
 """Cost of a second past the deadline, relative to a second of waiting."""
@@ -164,7 +165,7 @@
             if self._exceeds_max_gap(request, candidate, uncached):
                 return None
         cost = first_s + candidate.step_s * DECODE_WEIGHT_TOKENS
-        cost += candidate.availability.get_refusal_rate(now) * REFUSAL_COST_S
+        cost += candidate.availability.get_failure_rate(now) * FAILURE_COST_S
         decode_s = candidate.step_s * request.output_tokens
         late_s = now + cost + decode_s - demand.deadline
         return cost + max(0.0, late_s) * LATENESS_WEIGHT
--- a/ramptray/core/selector.py
+++ b/ramptray/core/selector.py
@@ -13,6 +13,7 @@
     policy,
     queue,
     release,
+    symptom_filter,
 )
 from ramptray.core import backend as backends
 
@@ -81,6 +82,9 @@
         usable = anti_affinity.separate_suspects(
             usable, waiting.request, self._is_suspect
         )
+        usable = symptom_filter.exclude_symptom(
+            usable, waiting, self._fleet, now
+        )
         return self._releases.choose(
             self._make_demand(waiting, share, now),
             self._exclude_reserved(usable, ahead, now),
