--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -111,6 +111,7 @@
         self._shedder.queue_cost = rules.queue_cost
         self._queue.set_ranks(rules.ranks)
         self._limits.set_rates(rules.limits)
+        self.releases.zones = rules.zones
         self.fleet.configure(
             sorted(infos, key=self._order.get_key), rules.version
         )
@@ -132,7 +133,20 @@
     ) -> None:
         """Replaces the summaries of the same shard in other zones."""
         self._remote.set_summaries(summaries)
-        self._limits.borrow(remote.uses for remote in summaries)
+        # A zone may use its own part of a total after it was idle, so that part
+        # must not have been lent to another zone in the same span.
+        self._limits.borrow(
+            self._exclude_totals(remote.uses) for remote in summaries
+        )
+
+    def _exclude_totals(self, uses: dict[str, float]) -> dict[str, float]:
+        """Returns the uses of customers whose limit is no total over a span."""
+        return {
+            customer: use
+            for customer, use in uses.items()
+            if customer not in self._rules.limits
+            or self._rules.limits[customer].span_s is None
+        }
 
     def summarize(self, now: float, version: int) -> summary.ShardSummary:
         """Returns the summary of this shard for other zones.
@@ -155,7 +169,7 @@
             tuple(tier.cost for tier in self._queue.tiers),
             self.fleet.has_usable,
             version,
-            self._limits.list_uses(now),
+            self._exclude_totals(self._limits.list_uses(now)),
         )
 
     def holds(self, request_id: str) -> bool:
--- a/ramptray/core/summary.py
+++ b/ramptray/core/summary.py
@@ -18,6 +18,9 @@
         has_backend: Whether any backend server is usable.
         version: Wall clock value when it was made; the newest one applies.
         uses: Customers' use of their limits, if relevant to other zones.
+        age_s: Seconds since it arrived; set by the receiver.
+        delay_s: One-way delay between the zones in seconds, as measured by the
+            receiver; None if the decision does not depend on it.
     """
 
     shard: message.ShardKey
@@ -27,6 +30,8 @@
     has_backend: bool
     version: int
     uses: dict[str, float] = msgspec.field(default_factory=dict)
+    age_s: float = 0.0
+    delay_s: float | None = None
 
     def has_room(self, rank: int, cost: int) -> bool:
         """Returns whether a request of this tier would be accepted there."""
--- a/ramptray/entry/backend_directory.py
+++ b/ramptray/entry/backend_directory.py
@@ -15,6 +15,9 @@
 class BackendDirectory:
     """Combines the bundle in force with the reachability of its servers.
 
+    Args:
+        scheduling_zone: The entry's scheduling zone; None for any.
+
     Attributes:
         in_force: The bundle in force, if any.
         on_unreachable_zone: Called with the addresses of the backend servers of
@@ -24,7 +27,8 @@
             and its new run.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, scheduling_zone: str | None = None) -> None:
+        self._scheduling_zone = scheduling_zone
         self.in_force: acceptance.InForce | None = None
         self.on_unreachable_zone: Callable[[list[str]], None] = (
             _ignore_addresses
@@ -92,15 +96,27 @@
 
     @property
     def reachable_share(self) -> float:
-        """Share of the backend servers' slots in zones that can be reached."""
+        """Share of the scheduling zone's slots in zones that can be reached.
+
+        All zones count if the scheduling zone has no backend server.
+        """
         if self.in_force is None:
             return 1.0
         suspect = self._reachability.list_suspect_zones()
         bundle = self.in_force.bundle
-        slots = [
-            (self._zones[name], bundle.engines[server.engine].max_running)
+        servers = {
+            name: server
             for name, server in bundle.backend_servers.items()
             if not server.leaving
+        }
+        own = {
+            name: server
+            for name, server in servers.items()
+            if self._scheduling_zone in (None, server.zone)
+        }
+        slots = [
+            (self._zones[name], bundle.engines[server.engine].max_running)
+            for name, server in (own or servers).items()
         ]
         reachable = sum(count for zone, count in slots if zone not in suspect)
         return reachable / max(1, sum(count for _, count in slots))
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -88,7 +88,7 @@
         blocks: blocklist.Blocklist | None = None,
         longest_pause_s: float = server_hints.MAX_PAUSE_S,
     ) -> None:
-        self.backends = backend_directory.BackendDirectory()
+        self.backends = backend_directory.BackendDirectory(settings.zone)
         self.timeline = process_runtime.timeline
         self._name = process_runtime.name
         self._vm = settings.vm
@@ -475,7 +475,11 @@
     def _apply_view(self, view: peer_message.View, now: float) -> None:
         addresses = self._owners.apply_view(view)
         self.backends.apply_view(view)
-        for address in set(self._links) - addresses - {self._local_scheduler}:
+        # A view lists only some schedulers of other zones, and a request may
+        # have been redirected to any of them.
+        used = {t.machine.owner for t in self._tickets.values()}
+        kept = {*addresses, *used, self._local_scheduler}
+        for address in set(self._links) - kept:
             self._links.pop(address).stop()
             self._owners.remove(address)
         self._open_owner_links(now)
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -24,7 +24,7 @@
 from ramptray.peer import link as peer_link
 from ramptray.peer import server as peer_server
 from ramptray.platform import blocks as platform_blocks
-from ramptray.platform import config, follower, header, store
+from ramptray.platform import follower, header, store
 from ramptray.platform import rollout as platform_rollout
 from ramptray.platform import settings as vm_settings
 from ramptray.relay import client as relay_client
@@ -37,6 +37,7 @@
     gossip,
     handler,
     hub,
+    region_exchange,
     rollouts,
 )
 
@@ -85,7 +86,7 @@
         self._relay_client = relay_client.RelayClient(self._dialect)
         self._member = membership.Member(
             vm.vm,
-            config.DOMAIN,
+            vm.scheduling_zone,
             vm.peers,
             int(time.time()),
             availability_zone=vm.zone,
@@ -115,7 +116,7 @@
         self._follower.pick_peer = self._gossiper.pick_peer
         self._hub = hub.Hub(
             vm.peers,
-            config.DOMAIN,
+            vm.scheduling_zone,
             hub.Options(settings.policy, 0.0, True, False),
             self._gossiper,
             None,
@@ -129,12 +130,17 @@
         )
         self._hub.rollouts.on_verdict = self._verdict_writer.enqueue
         self._gossiper.verdicts = self._hub.rollouts.verdicts
+        self._gossiper.find_zone_owner = self._hub.find_zone_owner
+        self._gossiper.update_summaries = self._hub.update_summaries
+        self._gossiper.on_summaries = self._hub.apply_remote_summaries
         self._handler = handler.SchedulerHandler(
             self._hub, self._gossiper, self._follower, self._runtime.timeline
         )
         self._runtime.client.serve_locally(vm.peers, self._handler)
         self._dispatcher = dispatcher.Dispatcher(
-            node_settings.DispatcherSettings(vm.vm, config.DOMAIN, vm.peers),
+            node_settings.DispatcherSettings(
+                vm.vm, vm.scheduling_zone, vm.peers
+            ),
             self._runtime,
             self._make_budget(),
             shares_limits=True,
@@ -323,6 +329,9 @@
             self._follower.fetch,
             self._follower,
             spreads_generations=False,
+            exchange=region_exchange.RegionExchange(self._rng)
+            if self._vm.scheduling_zones.is_divided
+            else None,
         )
 
     def _make_budget(self) -> retry.RetryBudget:
@@ -337,7 +346,7 @@
 
     def _make_service(self) -> service.RelayService:
         return service.RelayService(
-            config.DOMAIN,
+            self._vm.scheduling_zone,
             self._dispatcher,
             self._relay_client,
             self._metrics,
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -113,6 +113,10 @@
             to list none.
         page: The members requested by ``wanted_after``.
         verdicts: Final verdicts on rollouts.
+        owner: Address of the scheduler that owns the sender's zone in its view;
+            empty if each shard has an owner of its own.
+        contact_ages_s: Seconds since each of the contacts was heard from; empty
+            if not sent.
     """
 
     sender: membership.Member
@@ -124,6 +128,8 @@
     wanted_after: str | None = None
     page: list[membership.Member] | None = None
     verdicts: list[rollout.Verdict] = []
+    owner: str = ""
+    contact_ages_s: list[float] = []
 
 
 class FetchBundle(msgspec.Struct, frozen=True):
--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any, Literal
 
 import msgspec
@@ -9,13 +10,7 @@
 
 from ramptray.bundle import model, validation
 from ramptray.core import prefix_cache
-from ramptray.platform import settings
-
-DOMAIN = "all"
-"""The only scheduling zone of the bundle.
-
-The zones of a deployment are about a millisecond apart, so one scheduler
-manages the backend servers of all of them."""
+from ramptray.platform import scheduling_zone, settings
 
 MAX_QUEUED_TOKENS = 1_000_000_000
 """Practically unlimited: only the requests' deadlines bound a queue, and its
@@ -155,12 +150,16 @@
 
     Args:
         terms: How customers' requests are summed against their limits.
+        zones: The scheduling zones of the deployment.
     """
 
     def __init__(
-        self, terms: settings.LimitTerms = DEFAULT_LIMIT_TERMS
+        self,
+        terms: settings.LimitTerms = DEFAULT_LIMIT_TERMS,
+        zones: Sequence[str] = (scheduling_zone.SINGLE_ZONE,),
     ) -> None:
         self._terms = terms
+        self._zones = list(zones)
         self._decoded: dict[str, _DecodedRoute] = {}
 
     def parse(self, text: str) -> model.Bundle:
@@ -197,6 +196,7 @@
             [each.wire for each in decoded],
             {each.wire.name: each.route for each in decoded},
             self._terms,
+            self._zones,
         )
 
     def _decode_route(self, declared: dict[str, Any]) -> _DecodedRoute:
@@ -234,6 +234,7 @@
     declared: list[_Route],
     routes: dict[str, model.Route],
     terms: settings.LimitTerms,
+    zones: list[str],
 ) -> model.Bundle:
     priorities = sorted({route.priority for route in declared})
     return model.Bundle(
@@ -243,7 +244,7 @@
         operators=model.Operators(
             keys={"store": "ed25519:" + "0" * 64}, signatures_required=1
         ),
-        zones=[DOMAIN],
+        zones=zones,
         tiers=_make_tiers(raw, priorities),
         customers={
             tenant.name: _make_customer(tenant, priorities, terms)
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -20,6 +20,7 @@
     evacuation,
     replicas,
     rollout,
+    scheduling_zone,
     settings,
     store,
     topic,
@@ -90,7 +91,9 @@
         super().__init__(client, FETCH_TIMEOUT_S)
         self.pick_peer: Callable[[], str | None] = _pick_no_peer
         self._in_force: acceptance.InForce | None = None
-        self._parser = config.ConfigParser(terms)
+        self._parser = config.ConfigParser(
+            terms, scheduling_zone.SchedulingZones(zones).names
+        )
         self._replica_registry = replicas.ReplicaRegistry(retention_s, zones)
         self._regions = zones
         self._evacuations = evacuation.EvacuationRegistry()
@@ -367,9 +370,10 @@
         engines[_name_engine(replica)] = msgspec.structs.replace(
             declared.engines[replica.service], max_running=replica.slots
         )
+    zones = scheduling_zone.SchedulingZones(regions)
     servers = {
         name: model.BackendServer(
-            zone=config.DOMAIN,
+            zone=zones.find(replica.zone),
             service=replica.service,
             engine=_name_engine(replica),
             url=f"http://{replica.address}",
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -10,7 +10,7 @@
 from result import Err, Ok
 
 from ramptray.bundle import validation
-from ramptray.platform import address
+from ramptray.platform import address, scheduling_zone
 
 READY_PATH = "/v1/ready"
 """Path at which the load balancer asks whether the VM accepts callers."""
@@ -147,6 +147,16 @@
     limit_terms: LimitTerms
     rollout_terms: RolloutTerms = RolloutTerms()
 
+    @property
+    def scheduling_zones(self) -> scheduling_zone.SchedulingZones:
+        """The scheduling zones of the deployment."""
+        return scheduling_zone.SchedulingZones(self.zones)
+
+    @property
+    def scheduling_zone(self) -> str:
+        """The scheduling zone of this VM."""
+        return self.scheduling_zones.find(self.zone)
+
 
 def get_path() -> pathlib.Path:
     """Returns the path of the settings file.
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -12,10 +12,16 @@
 import msgspec
 
 from ramptray import steadyclock
-from ramptray.core import membership, rtt
+from ramptray.core import membership, message, rtt, summary
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import contact, rollouts, source, summaries
+from ramptray.scheduler import (
+    contact,
+    region_exchange,
+    rollouts,
+    source,
+    summaries,
+)
 
 LOG = logging.getLogger(__name__)
 
@@ -52,6 +58,10 @@
 """Number of members that a leaving scheduler notifies; they tell the others."""
 
 CONTACTS_PER_MESSAGE = 3
+CONTACT_MESSAGES = 4
+"""Within a region, one message in so many carries a contact.  Only owners use
+contacts all the time, and each takes some 170 bytes."""
+
 OTHER_ZONE_PROBE_PERIODS = 3
 """Number of periods between two probes of a scheduler of another zone."""
 
@@ -91,9 +101,16 @@
             newer bundle in force.
         bundle_source: Follows the log, if few members watch it for all.
         spreads_generations: See ``membership.Membership``.
+        exchange: Contacts the owners of other regions, if each zone is a
+            region with one owner.  Then only owners, and schedulers that are
+            joining or know no contact, probe other zones.
 
     Attributes:
         verdicts: Verdicts of decided rollouts, sent with each probe.
+        find_zone_owner: Returns the address of the owner of this scheduler's
+            region; empty if it is unknown.
+        update_summaries: Called before summaries are sent to another region.
+        on_summaries: Called after summaries were received from another region.
     """
 
     def __init__(
@@ -107,6 +124,7 @@
         on_newer: Callable[[str, int], Awaitable[None]],
         bundle_source: source.BundleSource | None = None,
         spreads_generations: bool = True,
+        exchange: region_exchange.RegionExchange | None = None,
     ) -> None:
         now = steadyclock.read()
         self.membership = membership.Membership(
@@ -128,6 +146,13 @@
         self._view_signature = 0
         self._lowest_generation = 0
         self._contacts = contact.Contacts(me.zone)
+        self.exchange = exchange
+        self.find_zone_owner: Callable[[], str] = _find_no_owner
+        self.update_summaries: Callable[[], None] = _do_nothing
+        self.on_summaries: Callable[[], None] = _do_nothing
+        # Zones of the seeds that have answered from another zone.
+        self._seed_zones: dict[str, str] = {}
+        self._messages = itertools.count()
         self.summaries = summaries.Summaries()
         self._periods = itertools.count(1)
         self._joining_until = now + JOIN_PERIOD_S
@@ -146,6 +171,42 @@
             self._tasks = tasks
             tasks.start_soon(self._run_periods)
             tasks.start_soon(self._spread_stream_ends)
+            if self.exchange is not None:
+                tasks.start_soon(self._run_exchange, self.exchange, tasks)
+
+    async def _run_exchange(
+        self,
+        exchange: region_exchange.RegionExchange,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Exchanges summaries with the owners of other regions."""
+        while True:
+            await anyio.sleep(region_exchange.CHECK_INTERVAL_S)
+            if not self.is_zone_owner:
+                continue
+            contacts = self._contacts.list_zones()
+            for address in exchange.pick_targets(contacts, steadyclock.read()):
+                outcome = _ProbeOutcome(anyio.Event())
+                tasks.start_soon(self._ask, address, outcome)
+
+    @property
+    def is_zone_owner(self) -> bool:
+        """Whether this scheduler owns its region, in its view."""
+        return self.find_zone_owner() == self._me.address
+
+    def list_remote_summaries(
+        self, key: message.ShardKey, now: float
+    ) -> list[summary.ShardSummary]:
+        """Returns the summaries of a shard in other zones, with delays."""
+        found = self.summaries.list_remote(key, now)
+        if self.exchange is None:
+            return found
+        return [
+            msgspec.structs.replace(
+                remote, delay_s=self.exchange.get_delay(remote.shard.zone)
+            )
+            for remote in found
+        ]
 
     async def _spread_stream_ends(self) -> None:
         """Sends new ends of the log's streams to some members at once."""
@@ -198,8 +259,9 @@
     def receive(self, gossip: peer_message.Gossip) -> peer_message.Gossip:
         """Merges a peer's probe and returns the answer."""
         self._merge(gossip, steadyclock.read())
-        answer = self._make_message()
-        if gossip.wanted_after is None:
+        is_remote = gossip.sender.zone != self._me.zone
+        answer = self._make_message(gossip.sender.zone)
+        if gossip.wanted_after is None or is_remote:
             return answer
         page = self.membership.list_page(gossip.wanted_after)
         return msgspec.structs.replace(answer, page=page)
@@ -232,12 +294,15 @@
 
         A scheduler that restarts alone on its side of a network partition knows
         no other; without its seeds it would grant every limit in full.  Seeds
-        may also be stale, so they count no longer than a dead member.
+        may also be stale, so they count no longer than a dead member.  Seeds in
+        other zones do not count, as each zone has its own part of the limits.
         """
         if steadyclock.read() >= self._count_seeds_until:
             return 0
         known_addresses = {m.address for m in self.membership.list_all()}
-        return len(set(self._seeds) - known_addresses)
+        others = {m.address for m in self._contacts.list_all()}
+        others.update(self._seed_zones)
+        return len(set(self._seeds) - known_addresses - others)
 
     def pick_peer(self) -> str | None:
         """Returns the address of a random live scheduler, else of a seed."""
@@ -299,6 +364,7 @@
 
     async def _run_period(self) -> None:
         self.membership.tick(steadyclock.read())
+        self._contacts.expire(steadyclock.read())
         target = self.membership.pick_probe_target()
         addresses = [target.address] if target else []
         if not target and self._seeds:
@@ -321,10 +387,19 @@
         known = {m.address for m in self.membership.list_alive()}.union(
             contacts
         )
+        if contacts and not self._probes_other_zones():
+            contacts = []
+            known.update(self._seed_zones)
         unknown_seeds = [seed for seed in self._seeds if seed not in known]
         pool = contacts + unknown_seeds[:MAX_UNKNOWN_SEEDS]
         return [self._rng.choice(pool)] if pool else []
 
+    def _probes_other_zones(self) -> bool:
+        """Returns whether this scheduler probes those of other zones."""
+        if self.exchange is None or self._is_joining():
+            return True
+        return self.is_zone_owner
+
     async def _probe(
         self, address: str, timeout_s: float = membership.PROBE_TIMEOUT_S
     ) -> bool:
@@ -346,13 +421,22 @@
         began = steadyclock.read()
         try:
             answer = await self._client.ask(
-                address, self._make_probe(), MAX_PROBE_TIMEOUT_S
+                address, self._make_probe(address), MAX_PROBE_TIMEOUT_S
             )
         except peer_link.LinkError:
-            self._contacts.remove_address(address)
+            self._contacts.remove_address(address, steadyclock.read())
+            if self.exchange is not None:
+                self.exchange.record_failure(address)
             outcome.is_known.set()
             return
-        self._rtt.observe(steadyclock.read() - began)
+        now = steadyclock.read()
+        if answer.sender.zone == self._me.zone or self.exchange is None:
+            self._rtt.observe(now - began)
+        else:
+            # The timeout of probes within the region does not depend on it.
+            self.exchange.record_round_trip(answer.sender, now - began, now)
+            if address in self._seeds:
+                self._seed_zones[address] = answer.sender.zone
         self._apply_answer(answer)
         outcome.answered = True
         outcome.is_known.set()
@@ -364,6 +448,11 @@
         known = self.membership.version
         now = steadyclock.read()
         self._merge(answer, now)
+        if answer.sender.zone != self._me.zone:
+            # Its digest and its pages are those of another membership.
+            is_same = self.membership.version == known
+            self._quiet_probes = self._quiet_probes + 1 if is_same else 0
+            return
         if answer.page is not None:
             self.membership.apply_page(answer.page, now)
         elif answer.digest:
@@ -375,32 +464,98 @@
         self.membership.merge([gossip.sender, *gossip.updates], now)
         if self._bundle_source and gossip.ends:
             self._bundle_source.update_stream_ends(gossip.ends)
-        for member in [gossip.sender, *gossip.contacts]:
-            self._contacts.update(member)
+        self._contacts.update(gossip.sender, now)
+        ages = itertools.chain(gossip.contact_ages_s, itertools.repeat(0.0))
+        for member, age_s in zip(gossip.contacts, ages, strict=False):
+            self._contacts.update(member, now - age_s)
+        # A scheduler whose seeds are all in other zones learns the members of
+        # its own zone from there.
+        self.membership.merge(gossip.contacts, now)
         self.summaries.merge(gossip.summaries, now)
         self.verdicts.merge(gossip.verdicts)
+        if self.exchange and gossip.sender.zone != self._me.zone:
+            self.exchange.record_message(
+                gossip.sender, gossip.owner, bool(gossip.summaries), now
+            )
+            if gossip.summaries:
+                self.on_summaries()
 
-    def _make_message(self) -> peer_message.Gossip:
-        contacts = self._contacts.list_all()
-        count = min(CONTACTS_PER_MESSAGE, len(contacts))
+    def _make_message(self, zone: str | None = None) -> peer_message.Gossip:
+        """Returns a message.
+
+        Args:
+            zone: The zone of the recipient; None for this scheduler's zone.
+        """
+        now = steadyclock.read()
+        is_remote = zone is not None and zone != self._me.zone
+        contacts = self._pick_contacts(zone if is_remote else None)
         return peer_message.Gossip(
             self.membership.me,
-            self.membership.pick_updates(),
-            # Summaries are needed by schedulers of other zones only.
-            self.summaries.pick(steadyclock.read()) if contacts else [],
-            self._rng.sample(contacts, count),
+            # Changes matter only within the zone.
+            [] if is_remote else self.membership.pick_updates(),
+            self._pick_summaries(is_remote, now),
+            contacts,
             self._bundle_source.list_stream_ends()
             if self._bundle_source
             else {},
-            self.membership.digest,
+            0 if is_remote else self.membership.digest,
             verdicts=self.verdicts.list_final(),
+            owner=self.find_zone_owner() if is_remote else "",
+            contact_ages_s=[
+                round(self._contacts.get_age(member, now), 2)
+                for member in contacts
+            ],
         )
 
-    def _make_probe(self) -> peer_message.Gossip:
+    def _pick_contacts(self, zone: str | None) -> list[membership.Member]:
+        """Returns the contacts for a message.
+
+        Args:
+            zone: The zone of the recipient, whose contacts come first; None for
+                this scheduler's zone.
+        """
+        count = CONTACTS_PER_MESSAGE
+        if self.exchange is not None and zone is None:
+            is_due = next(self._messages) % CONTACT_MESSAGES == 0
+            count = 1 if is_due else 0
+        contacts = self._contacts.list_all()
+        self._rng.shuffle(contacts)
+        contacts.sort(key=lambda member: member.zone != zone)
+        if count == 1:
+            # The owner of another region was always heard from most recently,
+            # so all members learn its address, to which requests may go.
+            now = steadyclock.read()
+            contacts.sort(key=lambda m: self._contacts.get_age(m, now))
+        return contacts[:count]
+
+    def _pick_summaries(
+        self, is_remote: bool, now: float
+    ) -> list[summary.ShardSummary]:
+        """Returns the summaries for a message.
+
+        Summaries are needed by schedulers of other zones only.  If each zone
+        has one owner, the owners exchange their own ones directly.
+        """
+        if self.exchange is None:
+            return self.summaries.pick(now) if self._contacts.list_all() else []
+        if not is_remote or not self.is_zone_owner:
+            return []
+        self.update_summaries()
+        return self.summaries.pick(now, self._me.zone)
+
+    def _make_probe(self, address: str = "") -> peer_message.Gossip:
+        zone = self._find_other_zone(address)
+        if self.exchange is not None and zone is not None:
+            return self._make_message(zone)
         return msgspec.structs.replace(
             self._make_message(), wanted_after=self.membership.wanted_after
         )
 
+    def _find_other_zone(self, address: str) -> str | None:
+        """Returns the other zone that an address is known to belong to."""
+        zones = {m.address: m.zone for m in self._contacts.list_all()}
+        return zones.get(address, self._seed_zones.get(address))
+
     def _publish(self) -> None:
         others = sorted(self._contacts.list_all(), key=lambda m: m.vm)
         signature = hash(
@@ -429,3 +584,12 @@
         self._on_view(peer_message.View(alive, others))
         if self._bundle_source:
             self._bundle_source.update_members(self._me, alive)
+
+
+def _find_no_owner() -> str:
+    """Default until the owners of zones are known."""
+    return ""
+
+
+def _do_nothing() -> None:
+    """Default of the listeners."""
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -121,7 +121,7 @@
         self._empty_since: dict[message.ShardKey, float] = {}
         self._summaries_sent_at = 0.0
         self._lowest_generation = 0
-        self._ownership: dict[str, bool] = {}
+        self._owners: dict[str, str] = {}
         self._timeline_queries = query.TimelineQueries()
         self._has_work = anyio.Event()
         self._mailbox = mailbox.Mailbox(
@@ -140,15 +140,27 @@
 
     def owns(self, key: message.ShardKey) -> bool:
         """Returns whether this scheduler owns a shard, in its view."""
+        return self._find_owner(key) == self._address
+
+    def find_zone_owner(self) -> str:
+        """Returns the address of the owner of all shards of this zone.
+
+        Returns:
+            The address; empty if it is unknown or each shard has an owner.
+        """
+        if not self._options.shares_limits:
+            return ""
+        return self._find_owner(message.ShardKey(self._zone, ""))
+
+    def _find_owner(self, key: message.ShardKey) -> str:
+        """Returns the address of a shard's owner; empty if it is unknown."""
         name = key.get_owner_key(self._options.shares_limits)
-        if name not in self._ownership:
+        if name not in self._owners:
             strongest = membership.list_strongest(self.view.members)
             members = {m.vm: m.address for m in strongest}
             owner = membership.pick_owner(name, list(members))
-            self._ownership[name] = (
-                owner is not None and members[owner] == self._address
-            )
-        return self._ownership[name]
+            self._owners[name] = "" if owner is None else members[owner]
+        return self._owners[name]
 
     def list_owned_backends(self) -> list[str]:
         """Returns the backend servers that this scheduler polls."""
@@ -475,7 +487,7 @@
     def _apply_view(self, view: peer_message.View) -> None:
         former = {m.vm for m in self.view.members}
         self.view = view
-        self._ownership.clear()
+        self._owners.clear()
         self._update_limit_share()
         if self._claim_manager is not None:
             partitions = self._list_partitions()
@@ -576,15 +588,27 @@
             self._close_idle_shards(now)
 
     def _exchange_summaries(self, now: float) -> None:
+        self._put_summaries(now)
+        self.apply_remote_summaries()
+
+    def update_summaries(self) -> None:
+        """Replaces the summaries of the owned shards by current ones."""
+        self._put_summaries(steadyclock.read())
+
+    def _put_summaries(self, now: float) -> None:
         mine = [
             owner.summarize(now, wallclock.read())
             for key, owner in self.shards.items()
             if self.owns(key)
         ]
         self._gossiper.summaries.put(mine, now)
+
+    def apply_remote_summaries(self) -> None:
+        """Gives each shard the newest summaries of the other zones."""
+        now = steadyclock.read()
         for key, owner in self.shards.items():
             owner.set_remote_summaries(
-                self._gossiper.summaries.list_remote(key, now)
+                self._gossiper.list_remote_summaries(key, now)
             )
 
     def _close_idle_shards(self, now: float) -> None:
--- a/ramptray/scheduler/summaries.py
+++ b/ramptray/scheduler/summaries.py
@@ -5,6 +5,8 @@
 import itertools
 from collections.abc import Iterable
 
+import msgspec
+
 from ramptray.core import message, summary
 
 SUMMARIES_PER_MESSAGE = 8
@@ -40,16 +42,28 @@
     ) -> list[summary.ShardSummary]:
         """Returns fresh summaries of the same shard in the other zones."""
         return [
-            found
-            for found in self._list_fresh(now)
-            if found.shard != key
+            msgspec.structs.replace(found, age_s=now - seen)
+            for seen, found in self._known.values()
+            if now - seen < MAX_SUMMARY_AGE_S
+            and found.shard != key
             and found.shard.service == key.service
             and found.shard.number == key.number
         ]
 
-    def pick(self, now: float) -> list[summary.ShardSummary]:
-        """Returns the next few summaries, in round-robin order."""
-        fresh = self._list_fresh(now)
+    def pick(
+        self, now: float, zone: str | None = None
+    ) -> list[summary.ShardSummary]:
+        """Returns the next few summaries, in round-robin order.
+
+        Args:
+            now: The clock in seconds.
+            zone: The zone that they describe; None for any.
+        """
+        fresh = [
+            found
+            for found in self._list_fresh(now)
+            if zone in (None, found.shard.zone)
+        ]
         if not fresh:
             return []
         start = self._next_index % len(fresh)
--- a/test/node.py
+++ b/test/node.py
@@ -118,14 +118,18 @@
         self._start_standin("store", "store", {"listen": self.store})
 
     def start_replica(
-        self, name: str, version: str = "v1", **options: Any
+        self,
+        name: str,
+        version: str = "v1",
+        zone: str = "waw-a",
+        **options: Any,
     ) -> None:
-        """Starts a replica and writes its record."""
+        """Starts a replica in an availability zone and writes its record."""
         address = f"127.0.0.1:{ports.reserve_port()}"
         self.replicas[name] = address
         settings = {"name": name, "listen": address, **options}
         self._start_standin(name, "replica", settings)
-        self.write_record(name, version=version)
+        self.write_record(name, version=version, zone=zone)
 
     def restart_replica(self, name: str) -> None:
         """Starts a replica again that has ended, with the settings it had."""
@@ -158,7 +162,11 @@
         self._start_standin(name, "replica", settings)
 
     def start_vm(
-        self, name: str, store: str | None = None, link_mbps: float = 1000.0
+        self,
+        name: str,
+        store: str | None = None,
+        link_mbps: float = 1000.0,
+        zone: str = "waw-a",
     ) -> None:
         """Starts a VM's program and waits until it answers probes.
 
@@ -166,6 +174,7 @@
             name: The VM.
             store: Where it finds the store; None for the store itself.
             link_mbps: What it is told of its link, in megabits a second.
+            zone: Its availability zone.
         """
         listen = {
             kind: f"127.0.0.1:{ports.reserve_port()}"
@@ -176,7 +185,7 @@
         lines = [
             f'node = "{name}"',
             'ip = "127.0.0.1"',
-            'zone = "waw-a"',
+            f'zone = "{zone}"',
             f"seeds = {json.dumps(seeds)}",
             "[listen]",
             *(f'{kind} = "{address}"' for kind, address in listen.items()),
--- /dev/null
+++ b/test/test_region_scheduling.py
@@ -0,0 +1,593 @@
+"""Scheduling of regions: zones, discovery, summaries and redirects."""
+
+from __future__ import annotations
+
+import functools
+import json
+import random
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import anyio
+import msgspec
+import pytest
+
+from ramptray import steadyclock, timeline
+from ramptray.bundle import acceptance, model, signature
+from ramptray.core import (
+    clock,
+    distribution,
+    membership,
+    message,
+    summary,
+)
+from ramptray.entry import backend_directory
+from ramptray.peer import attachment, link
+from ramptray.peer import message as peer_message
+from ramptray.platform import (
+    config,
+    follower,
+    replicas,
+    scheduling_zone,
+    settings,
+    store,
+)
+from ramptray.scheduler import event, gossip, hub, region_exchange, rules
+from test import (
+    node,
+    test_dispatcher,
+    test_replicas,
+    test_rollout,
+    virtualtime,
+)
+from test.test_node import ask, wait_until
+
+REGIONS = {
+    "north-a": "north",
+    "north-b": "north",
+    "south-a": "south",
+    "south-b": "south",
+}
+DELAY_S = 0.03
+
+
+# Zones.
+
+
+@pytest.mark.parametrize(
+    "regions", [{}, {"waw-a": "waw"}, {"waw-a": "waw", "waw-b": "waw"}]
+)
+def test_a_deployment_with_one_region_has_one_scheduling_zone(
+    regions: dict[str, str],
+) -> None:
+    zones = scheduling_zone.SchedulingZones(regions)
+    assert zones.names == ("all",)
+    assert {zones.find(zone) for zone in ("waw-a", "waw-b", "")} == {"all"}
+
+
+def test_a_zone_without_a_region_gets_no_scheduling_zone_of_its_own() -> None:
+    # Limits are divided by the number of scheduling zones, so one more would
+    # grant more than the total.
+    zones = scheduling_zone.SchedulingZones({**REGIONS, "west-a": ""})
+    assert zones.names == ("north", "south")
+    assert zones.find("south-b") == "south"
+    assert zones.find("west-a") == zones.find("unknown") == "north"
+
+
+def make_bundle(
+    servers: dict[str, str], regions: dict[str, str] | None = None
+) -> model.Bundle:
+    """Returns a bundle with servers, given by their availability zones."""
+    regions = REGIONS if regions is None else regions
+    zones = scheduling_zone.SchedulingZones(regions)
+    parser = config.ConfigParser(
+        settings.LimitTerms(8.0, 0.1, 0.0), zones.names
+    )
+    registry = replicas.ReplicaRegistry(1.6)
+    for name, zone in servers.items():
+        record = test_replicas.make_record(zone=zone)
+        registry.apply_changes([store.Change(name, record)], 0.0)
+    return follower.add_replicas(
+        parser.parse(json.dumps(node.make_config(1))),
+        registry.list_replicas(),
+        regions=regions,
+    )
+
+
+def test_each_region_schedules_its_own_servers() -> None:
+    bundle = make_bundle({"i-1": "north-a", "i-2": "south-b", "i-3": "south-a"})
+    assert bundle.zones == ["north", "south"]
+    found = {
+        zone: [
+            info.name
+            for info in rules.list_backend_infos(
+                bundle, message.ShardKey(zone, node.SERVICE)
+            )
+        ]
+        for zone in bundle.zones
+    }
+    assert found == {"north": ["i-1"], "south": ["i-2", "i-3"]}
+
+
+def test_the_parts_of_a_limit_sum_up_to_the_total() -> None:
+    whole = make_bundle({}, {})
+    (only,) = whole.zones
+    total = rules.make_rules(whole, message.ShardKey(only, node.SERVICE))
+    divided = make_bundle({})
+    parts = [
+        rules.make_rules(divided, message.ShardKey(zone, node.SERVICE))
+        for zone in divided.zones
+    ]
+    span_total = total.limits["small"].span_total
+    assert span_total > 0
+    assert sum(part.limits["small"].span_total for part in parts) == span_total
+
+
+def make_summary(zone: str, **changes: Any) -> summary.ShardSummary:
+    """Returns the summary of an idle zone."""
+    made = summary.ShardSummary(
+        message.ShardKey(zone, node.SERVICE),
+        f"{zone}-vm:1",
+        10**9,
+        (0,),
+        True,
+        1,
+    )
+    return msgspec.structs.replace(made, **changes)
+
+
+class MemoryClient(link.PeerClient):
+    """Delivers gossip to gossipers in this process, after a delay."""
+
+    def __init__(self, me: membership.Member, network: Network) -> None:
+        super().__init__(clock.HybridClock(lambda: 0), None)
+        self._me = me
+        self._network = network
+
+    async def ask(self, address: str, question: Any, timeout_s: float) -> Any:
+        """See the base class."""
+        return await self._network.deliver(
+            self._me, address, question, timeout_s
+        )
+
+
+class Network:
+    """Schedulers of several regions that exchange gossip."""
+
+    def __init__(self) -> None:
+        self.gossipers: dict[str, gossip.Gossiper] = {}
+        self.views: dict[str, peer_message.View] = {}
+        self.silent: set[str] = set()
+        self.sent: list[tuple[float, str, str, peer_message.Gossip]] = []
+
+    def add(self, zone: str, vm: str, seeds: list[str]) -> gossip.Gossiper:
+        """Adds a scheduler, whose region is its zone's first part."""
+        me = membership.Member(
+            vm, zone.partition("-")[0], f"{vm}:1", 1, availability_zone=zone
+        )
+
+        async def ignore_newer(address: str, generation: int) -> None:
+            """Fetches nothing."""
+
+        rng = random.Random(vm)
+        made = gossip.Gossiper(
+            me,
+            seeds,
+            MemoryClient(me, self),
+            rng,
+            lambda view: self.views.update({vm: view}),
+            lambda lowest: None,
+            ignore_newer,
+            spreads_generations=False,
+            exchange=region_exchange.RegionExchange(rng),
+        )
+        made.find_zone_owner = lambda: self.find_owner(vm)
+        made.update_summaries = lambda: made.summaries.put(
+            [make_summary(me.zone, owner=me.address, version=self.now_us())],
+            steadyclock.read(),
+        )
+        self.gossipers[me.address] = made
+        return made
+
+    def find_owner(self, vm: str) -> str:
+        """Returns the owner of a scheduler's region in its view."""
+        view = self.views.get(vm)
+        if view is None:
+            return ""
+        members = {m.vm: m.address for m in view.members}
+        owner = membership.pick_owner(view.members[0].zone, list(members))
+        return members[owner] if owner else ""
+
+    @staticmethod
+    def now_us() -> int:
+        """Returns the virtual time in microseconds."""
+        return int(steadyclock.read() * 1e6)
+
+    async def deliver(
+        self,
+        me: membership.Member,
+        address: str,
+        question: peer_message.Gossip,
+        timeout_s: float,
+    ) -> peer_message.Gossip:
+        """Delivers a message and returns the answer."""
+        found = self.gossipers.get(address)
+        if found is None or {address, me.address} & self.silent:
+            await anyio.sleep(timeout_s)
+            raise link.LinkError(f"{address}: silent")
+        to = found.membership.me
+        self.sent.append((steadyclock.read(), me.address, address, question))
+        delay_s = 0.0005 if to.zone == me.zone else DELAY_S
+        await anyio.sleep(delay_s)
+        answer = found.receive(question)
+        await anyio.sleep(delay_s)
+        return answer
+
+    async def run(self, seconds: float) -> None:
+        """Runs all schedulers for a while."""
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as tasks:
+                for each in self.gossipers.values():
+                    tasks.start_soon(each.run)
+
+    def list_remote_probes(self, since: float) -> dict[str, int]:
+        """Returns the number of probes to other regions by sender."""
+        probes: dict[str, int] = {}
+        for sent_at, sender, address, _ in self.sent:
+            zones = {
+                self.gossipers[each].membership.me.zone
+                for each in (sender, address)
+            }
+            if sent_at >= since and len(zones) > 1:
+                probes[sender] = probes.get(sender, 0) + 1
+        return probes
+
+
+@pytest.fixture
+def network(monkeypatch: pytest.MonkeyPatch) -> Iterator[Network]:
+    monkeypatch.setattr(steadyclock, "read", virtualtime.read)
+    yield Network()
+
+
+def test_vms_whose_seeds_are_all_in_another_region_find_each_other(
+    network: Network,
+) -> None:
+    # Contacts in a VM's own zone were ignored, so each VM of the second region
+    # stayed alone and owned the whole region.
+    for number in range(4):
+        network.add("north-a", f"n{number}", ["n0:1", "n1:1"])
+        network.add("south-a", f"s{number}", ["n0:1", "n1:1"])
+    virtualtime.run(lambda: network.run(5.0))
+    for address, each in network.gossipers.items():
+        zone = each.membership.me.zone
+        expected = {f"{zone[0]}{number}" for number in range(4)}
+        known = {member.vm for member in each.membership.list_alive()}
+        assert known == expected, address
+    owners = {network.find_owner(f"s{number}") for number in range(4)}
+    assert len(owners) == 1
+
+
+def test_the_pages_of_another_regions_members_end_no_listing(
+    network: Network,
+) -> None:
+    # A VM that asked a seed in another region for its members got the members
+    # of that region, and took its own listing for complete.
+    south = network.add("south-a", "s0", ["n0:1"])
+    north = membership.Member("n0", "north", "n0:1", 1)
+    # As an older build answers, which does not look at the asker's zone.
+    answer = peer_message.Gossip(north, [], [], [], digest=1, page=[north])
+    for _ in range(2 * membership.MAX_DIGEST_MISMATCHES):
+        south._apply_answer(answer)
+    assert south._make_probe().wanted_after == ""
+    newer = network.add("north-a", "n0", []).receive(south._make_probe())
+    assert newer.page is None
+    assert newer.digest == 0
+
+
+def test_only_owners_probe_other_regions(network: Network) -> None:
+    for number in range(6):
+        network.add("north-a", f"n{number}", ["n0:1", "s0:1"])
+        network.add("south-a", f"s{number}", ["n0:1", "s0:1"])
+    virtualtime.run(lambda: network.run(20.0))
+    probes = network.list_remote_probes(since=10.0)
+    assert set(probes) == {network.find_owner("n0"), network.find_owner("s0")}
+
+
+def test_owners_exchange_summaries_twice_a_second_with_their_delay(
+    network: Network,
+) -> None:
+    for number in range(3):
+        for zone in ("north-a", "south-a", "west-a"):
+            network.add(zone, f"{zone[0]}{number}", ["n0:1"])
+    ages: list[float] = []
+
+    async def observe() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(network.run, 15.0)
+            await anyio.sleep(5.0)
+            for _ in range(90):
+                await anyio.sleep(0.1)
+                now = steadyclock.read()
+                owner = network.gossipers[network.find_owner("n0")]
+                key = message.ShardKey("north", node.SERVICE)
+                found = owner.list_remote_summaries(key, now)
+                assert {f.shard.zone for f in found} == {"south", "west"}
+                ages.extend(each.age_s for each in found)
+                assert {round(f.delay_s or 0, 4) for f in found} == {DELAY_S}
+
+    virtualtime.run(observe)
+    assert max(ages) <= 0.5 + 2 * DELAY_S
+
+
+def test_a_new_owner_of_a_region_is_found_within_seconds(
+    network: Network,
+) -> None:
+    for number in range(4):
+        network.add("north-a", f"n{number}", ["n0:1", "s0:1"])
+        network.add("south-a", f"s{number}", ["n0:1", "s0:1"])
+
+    async def lose_owner() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(network.run, 16.0)
+            await anyio.sleep(6.0)
+            lost = network.find_owner("s0")
+            network.silent.add(lost)
+            await anyio.sleep(6.0)
+            other = next(vm for vm in ("s0", "s1") if f"{vm}:1" != lost)
+            successor = network.find_owner(other)
+            assert successor != lost
+            north = network.gossipers[network.find_owner("n0")]
+            (found,) = north.list_remote_summaries(
+                message.ShardKey("north", node.SERVICE), steadyclock.read()
+            )
+            assert found.owner == successor
+            assert found.age_s < 1.0
+
+    virtualtime.run(lose_owner)
+
+
+# Assumptions of one scheduling zone.
+
+
+def test_each_region_has_its_own_readers_of_the_log() -> None:
+    # Changes are distributed among the members of a scheduling zone, so that
+    # no VM follows one of another region.
+    for region in ("north", "south"):
+        members = [
+            membership.Member(
+                f"{region}{n}", region, f"{region}{n}:1", 1, availability_zone=z
+            )
+            for n, z in enumerate(REGIONS)
+            if REGIONS[z] == region
+        ]
+        positions = [distribution.find_position(m, members) for m in members]
+        assert any(position.reads for position in positions)
+        sources = {s for position in positions for s in position.sources}
+        assert all(source.startswith(region) for source in sources)
+
+
+def make_release_gate(zones: int) -> int:
+    """Returns how many of 8 requests a new release may get at once."""
+    owner = test_rollout.make_owner()
+    gate = owner.releases
+    gate.zones = zones
+    gate.set_order(test_rollout.ORDER, None)
+    new = [
+        server
+        for server in owner.fleet.list_all()
+        if server.info.release == test_rollout.ORDER.release
+    ]
+    granted = 0
+    for _ in range(8):
+        for server in gate.filter_allowed(new)[:1]:
+            gate.count_request(server)
+            granted += 1
+    return granted
+
+
+def test_the_share_of_a_release_holds_over_all_regions() -> None:
+    # Each owner gave a new release one request beyond its share at once.
+    assert make_release_gate(zones=1) == 1
+    assert make_release_gate(zones=3) == 0
+
+
+def test_a_vm_cut_off_in_its_region_notices_that_it_reaches_few_servers() -> (
+    None
+):
+    # Servers of other regions, of which it hears nothing, counted as reachable,
+    # so that it kept accepting callers.
+    bundle = make_bundle(
+        {
+            "i-1": "north-a",
+            "i-2": "north-b",
+            "i-3": "north-b",
+            "i-4": "south-a",
+            "i-5": "south-a",
+            "i-6": "south-b",
+        }
+    )
+    directory = backend_directory.BackendDirectory("north")
+    directory.apply_bundle(
+        acceptance.InForce(bundle, signature.Envelope("", {}))
+    )
+    near = membership.Member(
+        "n0", "north", "n0:1", 1, availability_zone="north-a"
+    )
+    far = membership.Member(
+        "n1", "north", "n1:1", 1, availability_zone="north-b"
+    )
+    directory.apply_view(peer_message.View([near, far], []))
+    assert directory.reachable_share == 1.0
+    directory.apply_view(peer_message.View([near], []))
+    assert directory.reachable_share == pytest.approx(1 / 3)
+
+
+def test_a_region_cut_off_from_the_others_stays_ready(network: Network) -> None:
+    # Its members are all alive, so that it continues with its own servers.
+    for number in range(3):
+        network.add("north-a", f"n{number}", ["n0:1", "s0:1"])
+        network.add("south-a", f"s{number}", ["n0:1", "s0:1"])
+
+    async def cut_off() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(network.run, 12.0)
+            await anyio.sleep(4.0)
+            network.silent.update(f"s{number}:1" for number in range(3))
+            await anyio.sleep(7.0)
+            for number in range(3):
+                north = network.gossipers[f"n{number}:1"]
+                assert not north.membership.is_minority()
+                assert north.get_limit_share() == 1.0
+
+    virtualtime.run(cut_off)
+
+
+class FakeLink:
+    """A link that only records whether it was stopped."""
+
+    def __init__(self) -> None:
+        self.is_stopped = False
+
+    def stop(self) -> None:
+        """Stops the link."""
+        self.is_stopped = True
+
+
+def test_the_link_to_an_owner_outside_the_view_stays_open() -> None:
+    # A view lists only a few schedulers of each other region.  The link to an
+    # owner that a request was redirected to was closed with the next view.
+    recorder = test_dispatcher.RecordingDispatcher()
+    ours, owner, idle = test_dispatcher.OURS, "127.0.0.9:1", "127.0.0.8:1"
+    local = membership.Member("waw-a-vm1", "waw-a", ours, 1)
+    view = peer_message.View([local], [])
+    recorder.receive(attachment.MessageReceived(ours, view))
+    key = message.ShardKey("waw-a", "s")
+    recorder.submit_new(
+        message.RequestInfo("r1", key, "c", "t", 1, 1, (), 60.0)
+    )
+    redirect = message.Redirect("r1", "waw-b", owner)
+    recorder.receive(attachment.MessageReceived(ours, redirect))
+    links = {owner: FakeLink(), idle: FakeLink()}
+    recorder._links.update(links)  # type: ignore[arg-type]
+    recorder.receive(attachment.MessageReceived(ours, view))
+    assert not links[owner].is_stopped
+    assert links[idle].is_stopped
+
+
+def make_hub(zone: str) -> hub.Hub:
+    """Returns the hub of the only VM of a region."""
+    me = membership.Member(f"{zone}-vm", zone, f"{zone}-vm:1", 1)
+
+    async def ignore_newer(address: str, generation: int) -> None:
+        """Fetches nothing."""
+
+    gossiper = gossip.Gossiper(
+        me,
+        [],
+        link.PeerClient(clock.HybridClock(lambda: 0), None),
+        random.Random(1),
+        lambda view: None,
+        lambda lowest: None,
+        ignore_newer,
+    )
+    made = hub.Hub(
+        me.address,
+        zone,
+        hub.Options(report_grace_s=0.0, shares_limits=True, sends_bundle=False),
+        gossiper,
+        None,
+        timeline.Timeline(
+            "scheduler", zone, clock.HybridClock(lambda: 0), False, 0
+        ),
+    )
+    bundle = make_bundle({"i-1": "north-a", "i-2": "south-a"})
+    in_force = acceptance.InForce(bundle, signature.Envelope("", {}))
+    made._handle(event.BundleChanged(in_force), 0.0)
+    made._handle(event.ViewChanged(peer_message.View([me], [])), 0.0)
+    return made
+
+
+def test_an_owner_opens_the_shards_of_its_region_only() -> None:
+    made = make_hub("south")
+    assert list(made.shards) == [message.ShardKey("south", node.SERVICE)]
+    assert made.find_zone_owner() == "south-vm:1"
+    (owner,) = made.shards.values()
+    assert list(owner.fleet.backends) == ["i-2"]
+
+
+def test_a_total_is_not_lent_to_another_region() -> None:
+    # A region that was idle may use its part within the same span, so that both
+    # together would exceed the total.
+    made = make_hub("south")
+    (owner,) = made.shards.values()
+    idle = make_summary("north", uses={"small": 0.0})
+    owner._limits.try_acquire("small", 1, 0.0)
+    ((_, bucket),) = owner._limits._buckets["small"]
+    own_rate = bucket.rate
+    owner.set_remote_summaries([idle])
+    assert bucket.rate == own_rate
+
+
+# Real processes.
+
+
+@pytest.fixture(scope="module")
+def platform() -> Iterator[node.Platform]:
+    """Two regions with a server and two VMs each; seeds are in the first."""
+    with node.run_platform(vms=0, replicas=0, regions=REGIONS) as started:
+        for region in ("north", "south"):
+            started.start_replica(f"i-{region}", zone=f"{region}-a")
+        for name, zone in (
+            ("vm-0", "north-a"),
+            ("vm-1", "north-b"),
+            ("vm-2", "south-a"),
+            ("vm-3", "south-b"),
+        ):
+            started.start_vm(name, zone=zone)
+        for vm in started.vms:
+            wait_until(functools.partial(is_served, started, vm))
+        time.sleep(2.0)
+        yield started
+
+
+def is_served(started: node.Platform, vm: str, by: str = "") -> bool:
+    """Returns whether a request to a VM is answered, by a given replica."""
+    return find_replica(started, vm).startswith(by or "i-")
+
+
+def find_replica(started: node.Platform, vm: str) -> str:
+    """Returns the replica that answered a request to a VM, or the status."""
+    answer = ask(started, "/safe/", vm=vm)
+    if answer.status != 200:
+        return str(answer.status)
+    return answer.headers["x-response-signature"].partition(".")[0]
+
+
+def test_each_region_serves_its_callers(platform: node.Platform) -> None:
+    found = {vm: find_replica(platform, vm) for vm in platform.vms}
+    assert found == {
+        "vm-0": "i-north",
+        "vm-1": "i-north",
+        "vm-2": "i-south",
+        "vm-3": "i-south",
+    }
+
+
+def test_a_region_without_usable_servers_is_served_by_the_other(
+    platform: node.Platform,
+) -> None:
+    platform.write_record("i-south", state="leaving", zone="south-a")
+    try:
+        for vm in ("vm-2", "vm-3"):
+            wait_until(
+                functools.partial(
+                    is_served, started=platform, vm=vm, by="i-north"
+                )
+            )
+        assert {find_replica(platform, "vm-2") for _ in range(20)} == {
+            "i-north"
+        }
+    finally:
+        platform.write_record("i-south", zone="south-a")
+    wait_until(lambda: find_replica(platform, "vm-2") == "i-south")
--- a/test/test_regions.py
+++ b/test/test_regions.py
@@ -11,7 +11,7 @@
 from ramptray.platform import config, follower, replicas, store
 from ramptray.scheduler import rules
 from test import node, test_replicas
-from test.test_node import ask
+from test.test_node import ask, wait_until
 
 REGIONS = {"zone-a": "north", "zone-b": "south"}
 KEY = message.ShardKey("all", "assistant")
@@ -102,7 +102,8 @@
 
 
 def test_backend_servers_have_the_region_of_their_zone() -> None:
-    declared = config.parse_config(json.dumps(node.make_config(1)))
+    parser = config.ConfigParser(zones=tuple(REGIONS.values()))
+    declared = parser.parse(json.dumps(node.make_config(1)))
     book = replicas.ReplicaRegistry(1.6)
     for zone in REGIONS:
         record = test_replicas.make_record(zone=zone)
@@ -110,35 +111,53 @@
     bundle = follower.add_replicas(
         declared, book.list_replicas(), regions=REGIONS
     )
-    infos = rules.list_backend_infos(bundle, test_replicas.SHARD)
-    assert {i.name: i.region for i in infos} == {
-        f"i-{zone}": region for zone, region in REGIONS.items()
+    found = {
+        zone: {
+            info.name: info.region
+            for info in rules.list_backend_infos(
+                bundle, message.ShardKey(zone, node.SERVICE)
+            )
+        }
+        for zone in bundle.zones
+    }
+    assert found == {
+        region: {f"i-{zone}": region} for zone, region in REGIONS.items()
     }
 
 
 def test_a_vm_keeps_requests_in_the_regions_of_route_and_customer() -> None:
     with node.run_platform(vms=0, replicas=0, regions=REGIONS) as started:
-        for name, zone in (("i-north", "zone-a"), ("i-south", "zone-b")):
-            started.start_replica(name)
-            started.write_record(name, zone=zone)
-        started.start_vm("vm-0")
-        for version, region in enumerate(REGIONS.values(), start=2):
-            declared = node.make_config(version)
-            declared["routes"][0]["allowedRegions"] = [region]
-            # Both lists apply; for the second customer they have no common
-            # region.
-            others = [other for other in REGIONS.values() if other != region]
-            declared["tenants"][1]["allowedRegions"] = others
-            started.set_config(declared)
-            started.wait_for_config("vm-0", version)
-            assert list_responding_replicas(started) == {f"i-{region}"}
-            key = {"Authorization": f"Bearer {node.LIMITED_KEY}"}
-            assert ask(started, "/safe/", headers=key).status == 503
-
-
-def list_responding_replicas(started: node.Platform) -> set[str]:
+        for region, zone in (("north", "zone-a"), ("south", "zone-b")):
+            started.start_replica(f"i-{region}", zone=zone)
+        for vm, zone in (("vm-0", "zone-a"), ("vm-1", "zone-b")):
+            started.start_vm(vm, zone=zone)
+        restrict(started, 2, "south")
+        # The owners of the two regions have to find each other.
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        for version, region in enumerate(REGIONS.values(), start=3):
+            restrict(started, version, region)
+            for vm in started.vms:
+                assert list_responding_replicas(started, vm) == {f"i-{region}"}
+                key = {"Authorization": f"Bearer {node.LIMITED_KEY}"}
+                assert ask(started, "/safe/", vm=vm, headers=key).status == 503
+
+
+def restrict(started: node.Platform, version: int, region: str) -> None:
+    """Allows a route one region and the second customer only the others."""
+    declared = node.make_config(version)
+    declared["routes"][0]["allowedRegions"] = [region]
+    # Both lists apply; for the second customer they have no common region.
+    others = [other for other in REGIONS.values() if other != region]
+    declared["tenants"][1]["allowedRegions"] = others
+    started.set_config(declared)
+    for vm in started.vms:
+        started.wait_for_config(vm, version)
+
+
+def list_responding_replicas(started: node.Platform, vm: str) -> set[str]:
     """Returns the replicas that answered a few requests."""
-    answers = [ask(started, "/safe/") for _ in range(4)]
+    answers = [ask(started, "/safe/", vm=vm) for _ in range(4)]
+    assert {answer.status for answer in answers} == {200}
     return {
         answer.headers["x-response-signature"].partition(".")[0]
         for answer in answers
--- a/test/test_replicas.py
+++ b/test/test_replicas.py
@@ -17,11 +17,18 @@
 
 from ramptray.core import message, policy, shard
 from ramptray.log import mirror
-from ramptray.platform import config, follower, page, replicas, store
+from ramptray.platform import (
+    config,
+    follower,
+    page,
+    replicas,
+    scheduling_zone,
+    store,
+)
 from ramptray.scheduler import rules
 from test import node
 
-SHARD = message.ShardKey(config.DOMAIN, node.SERVICE)
+SHARD = message.ShardKey(scheduling_zone.SINGLE_ZONE, node.SERVICE)
 FIRST, SECOND = 1_700_000_000_000, 1_700_000_009_000
 """Start times of two runs, in Unix milliseconds."""
 
