--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -97,7 +97,7 @@
         blocks: blocklist.Blocklist | None = None,
         longest_pause_s: float = server_hints.MAX_PAUSE_S,
     ) -> None:
-        self.backends = backend_directory.BackendDirectory()
+        self.backends = backend_directory.BackendDirectory(settings.zone)
         self.timeline = process_runtime.timeline
         self._name = process_runtime.name
         self._vm = settings.vm
@@ -214,7 +214,8 @@
             case tickets.FirstTokenReceived(first):
                 self.backends.record_answer(machine.backend, now)
                 if machine.owner:
-                    self._send(machine.owner, self._lag.exclude_lag(first))
+                    told = self._lag.exclude_lag(first, ticket.delay_s)
+                    self._send(machine.owner, told)
                 self.timeline.note(
                     "first_token",
                     first.request_id,
@@ -500,20 +501,31 @@
             return
         if ticket.machine.state is not request.State.WAITING:
             return
+        ticket.delay_s = redirect.delay_s
         info = self._get_info(ticket, now)
         info = msgspec.structs.replace(
             info,
             shard=msgspec.structs.replace(info.shard, zone=redirect.zone),
             spilled_from=(*info.spilled_from, info.shard.zone),
         )
-        self.timeline.note("redirect", info.request_id, zone=redirect.zone)
+        self.timeline.note(
+            "redirect",
+            info.request_id,
+            zone=redirect.zone,
+            reason=redirect.reason,
+            delay_s=round(redirect.delay_s, 4),
+        )
         effects = ticket.machine.assign(redirect.owner, info)
         self._apply_effects(ticket, effects, now)
 
     def _apply_view(self, view: peer_message.View, now: float) -> None:
         addresses = self._owners.apply_view(view)
         self.backends.apply_view(view)
-        for address in set(self._links) - addresses - {self._local_scheduler}:
+        # A view lists only some schedulers of other zones, and a request may
+        # have been redirected to any of them.
+        used = {t.machine.owner for t in self._tickets.values()}
+        kept = {*addresses, *used, self._local_scheduler}
+        for address in set(self._links) - kept:
             self._links.pop(address).stop()
             self._owners.remove(address)
         self._open_owner_links(now)
