--- a/ramptray/core/connect_timeout.py
+++ b/ramptray/core/connect_timeout.py
@@ -67,6 +67,11 @@
         if self._silent_since is None:
             self._silent_since = now
 
+    @property
+    def measured_s(self) -> float:
+        """Seconds that a connection takes, two round trips; 0 if unknown."""
+        return self._measured_s or 0.0
+
     def is_guess(self, now: float) -> bool:
         """Returns whether an attempt that begins now may be too short.
 
--- a/ramptray/core/rtt.py
+++ b/ramptray/core/rtt.py
@@ -54,6 +54,11 @@
         """Smoothed round-trip time in seconds; 0 before the first one."""
         return self._mean_s or 0.0
 
+    @property
+    def jitter_s(self) -> float:
+        """By how much a message may usually be later than the mean."""
+        return min(self._most_s, DEVIATIONS * self._deviation_s)
+
     @property
     def timeout_s(self) -> float:
         """Seconds after which a reply counts as lost."""
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -118,6 +118,11 @@
         estimator = self._reply_times.get(address) if address else None
         return estimator.mean_s if estimator else 0.0
 
+    def get_jitter_s(self, address: str) -> float:
+        """Returns how late a scheduler's messages may be, in seconds."""
+        estimator = self._reply_times.get(address)
+        return estimator.jitter_s if estimator else 0.0
+
     def get_reply_timeout_s(self, address: str) -> float:
         """Returns a scheduler's reply timeout in seconds."""
         estimator = self._reply_times.get(address)
--- a/ramptray/entry/timeouts.py
+++ b/ramptray/entry/timeouts.py
@@ -15,8 +15,13 @@
 rejected it by then."""
 
 QUEUE_SILENCE_TIMEOUT_S = 0.4
-"""How long a scheduler with queued requests may be silent, in seconds.  It
-sends more than two keep-alive messages in this time."""
+"""How long a scheduler with queued requests may be silent at least, in seconds.
+It sends more than two keep-alive messages in this time.  The distance delays
+all of them alike."""
+
+MAX_KEEP_ALIVE_GAP_S = 0.28
+"""Longest time between two messages of a scheduler with queued requests, in
+seconds: ``hub.STILL_WAITING_INTERVAL_S`` and a tick of the hub."""
 
 
 def is_owner_silent(
@@ -39,7 +44,10 @@
     silence_s = owner_selector.get_silence_s(owner, ticket.enqueued_at, now)
     if ticket.awaiting_reply:
         return silence_s > owner_selector.get_reply_timeout_s(owner)
-    return silence_s > QUEUE_SILENCE_TIMEOUT_S
+    jitter_s = owner_selector.get_jitter_s(owner)
+    return silence_s > max(
+        QUEUE_SILENCE_TIMEOUT_S, MAX_KEEP_ALIVE_GAP_S + jitter_s
+    )
 
 
 def find_timeout_reason(
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -234,11 +234,17 @@
     async def ask(self, address: str, request: Any, timeout_s: float) -> Any:
         """Returns a peer's response to a request.
 
+        Args:
+            address: The peer.
+            request: The request.
+            timeout_s: Timeout in seconds, both of the connection, if there is
+                none yet, and of the response.  A distant peer gets more for its
+                response: the measured time of two round trips.
+
         Raises:
             LinkError: There was no valid response in time.
         """
         _check_allowed(address, self._allowed_peers)
-        until = steadyclock.read() + timeout_s
         shared = await self._get_channel(address)
         try:
             async with shared.use():
@@ -247,9 +253,11 @@
                 if scope.cancelled_caught:
                     raise LinkError(f"{address}: not connected in time")
                 data = codec.encode(self._clock.tick(), request)
-                left_s = max(0.0, until - steadyclock.read())
+                distance_s = self._get_connect_timeout(address).measured_s
                 async with _translate_cancellation(address):
-                    response = await shared.ask(data, timeout=left_s)
+                    response = await shared.ask(
+                        data, timeout=timeout_s + distance_s
+                    )
             self.asked_bytes += len(data) + len(response)
             frame = codec.decode(response)
             body = frame.body
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -12,6 +12,7 @@
 import h11
 import msgspec
 
+from ramptray.core import rtt
 from ramptray.log import error as log_error
 from ramptray.log import hedging, keyedstream
 from ramptray.log import reader as log_reader
@@ -104,6 +105,7 @@
     def __init__(self, address: str) -> None:
         self.generation = 0
         self._address = address
+        self._rtt = rtt.RttEstimator(0.0, CONNECT_TIMEOUT_S)
         self._listeners: list[Callable[[], None]] = []
 
     def add_rollback_listener(self, listener: Callable[[], None]) -> None:
@@ -232,14 +234,15 @@
         Args:
             path: Path of the call.
             query: Query parameters.
-            timeout_s: Timeout for the start of the response, in seconds.
+            timeout_s: Timeout for the start of the response, in seconds,
+                besides the measured round trips of the connection and the call.
             on_bytes: Called whenever bytes of the response arrive.
             sent: Body of a POST request; None for a GET request.
         """
         target = f"{path}?{urllib.parse.urlencode(query)}"
         response: StoreResponse | None = None
         try:
-            with anyio.move_on_after(timeout_s) as scope:
+            with anyio.move_on_after(timeout_s + 2 * self._rtt.mean_s) as scope:
 
                 def extend() -> None:
                     stalls_at = anyio.current_time() + hedging.STALL_TIMEOUT_S
@@ -301,8 +304,10 @@
             target=target,
             headers=headers,
         )
+        began = anyio.current_time()
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port))
+        self._rtt.observe(anyio.current_time() - began)
         async with stream:
             _set_keep_alive(stream)
             data = http.send(request) or b""
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -410,3 +410,75 @@
             tasks.cancel_scope.cancel()
 
     virtualtime.run(run)
+
+
+class RegionNetwork(Network):
+    """Peers in three regions, some answering late.
+
+    Attributes:
+        caller: Address of the peer that owns this client.
+        peers: The peers of all regions.
+        rtt_s: Round trip between regions, in seconds.
+    """
+
+    def __init__(
+        self,
+        caller: str,
+        peers: dict[str, gossip.Gossiper],
+        rtt_s: float,
+        seed: int,
+    ) -> None:
+        super().__init__()
+        self.caller = caller
+        self.peers = peers
+        self.rtt_s = rtt_s
+        self._rng = random.Random(seed)
+        self._connected: set[str] = set()
+
+    async def ask(self, address: str, question: Any, timeout_s: float) -> Any:
+        """See the base class."""
+        rtt_s = 0.002 if address[0] == self.caller[0] else self.rtt_s
+        late_s = 0.2 if self._rng.random() < 0.05 else 0.0
+        if address not in self._connected:
+            self._connected.add(address)
+            await anyio.sleep(2 * rtt_s)
+        await anyio.sleep(rtt_s / 2 + late_s)
+        answer = self.peers[address].receive(question)
+        await anyio.sleep(rtt_s / 2)
+        return answer
+
+
+@pytest.mark.usefixtures("virtual_clock")
+@pytest.mark.parametrize("seed", range(3))
+def test_busy_members_in_three_regions_are_not_declared_dead(seed: int) -> None:
+    # Guards the fixed times, such as the time to refute a suspicion; each is
+    # listed in docs/design/timeouts.md with the distance that it tolerates.
+    peers: dict[str, gossip.Gossiper] = {}
+    names = [f"{region}{n}" for region in "xyz" for n in range(8)]
+    for number, name in enumerate(names):
+        peers[f"{name}:1"] = make_gossiper(
+            ["x0:1", "y0:1"],
+            vm=name,
+            client=RegionNetwork(f"{name}:1", peers, 0.06, 100 * seed + number),
+            seed=100 * seed + number,
+        )
+    dead: list[str] = []
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            for gossiper in peers.values():
+                tasks.start_soon(gossiper.run)
+            for _ in range(300):
+                await anyio.sleep(0.1)
+                dead.extend(
+                    member.vm
+                    for gossiper in peers.values()
+                    for member in gossiper.membership.list_all()
+                    if member.state is membership.MemberState.DEAD
+                )
+            tasks.cancel_scope.cancel()
+
+    virtualtime.run(run)
+    assert not dead
+    for gossiper in peers.values():
+        assert len(gossiper.membership.list_alive()) == len(names)
--- a/test/test_owners.py
+++ b/test/test_owners.py
@@ -196,3 +196,16 @@
         timeouts.find_timeout_reason(ticket, due + 0.4, rtt_s)
         is message.Reason.OVERLOADED
     )
+
+
+def test_a_queue_of_an_owner_that_jitters_is_given_up_later() -> None:
+    recorder = make_dispatcher(0.2)
+    queued = attachment.MessageReceived(FAR, message.Queued("r1"))
+    recorder.receive(queued, now=1.2)
+    selector = recorder._owners
+    (ticket,) = recorder._tickets.values()
+    late = 1.2 + timeouts.QUEUE_SILENCE_TIMEOUT_S + 0.1
+    assert not timeouts.is_owner_silent(ticket, selector, FAR, late)
+    for _ in range(50):
+        selector.record_reply(FAR, 0.06)
+    assert timeouts.is_owner_silent(ticket, selector, FAR, late)
