Agree on one owner sooner when all VMs start at once

After all VMs had been killed, each one owned every shard from its start until it had found the others: the first probe came after a period of 0.1 s, a new member was published at the end of the next period, and the entry used its own scheduler before the first view.

- A starting scheduler probes its seeds at once, fetches the list of members and only then publishes its first view.
It waits 80 ms at most.
- The entry of a VM holds its requests until that view.
- New members are published at once instead of at the end of the period; a scheduler that is starting itself passes them on to two others, at most every 50 ms.
Others do not, so a single restart causes no further messages.

Without seeds nothing changes.

--- a/ramptray/core/membership.py
+++ b/ramptray/core/membership.py
@@ -64,6 +64,8 @@
     DEAD = "dead"
 
 
+_PRESENT_STATES = (MemberState.ALIVE, MemberState.SUSPECT)
+
 _STATE_RANKS = {state: place for place, state in enumerate(MemberState)}
 
 
@@ -124,6 +126,7 @@
 
     Attributes:
         version: Increases with each change of a member's state or address.
+        joins: Number of members that were new or have returned.
         digest: Hash of the live members; equal for equal views.
         wanted_after: Name after which the next page of the full listing
             begins; None if the listing is complete.
@@ -142,6 +145,7 @@
         self._records: dict[str, _Record] = {me.vm: _Record(me, now)}
         self._probe_round: list[str] = []
         self.version = 1
+        self.joins = 0
         self.wanted_after: str | None = ""
         self.digest = _hash_member(me)
         self._digest_mismatches = 0
@@ -349,6 +353,9 @@
             member.address,
         ):
             self.version += 1
+        is_new = old is None or old.state not in _PRESENT_STATES
+        if is_new and member.state in _PRESENT_STATES:
+            self.joins += 1
 
 
 def list_strongest(members: Iterable[Member]) -> list[Member]:
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -87,6 +87,7 @@
         shares_limits: bool = False,
         blocks: blocklist.Blocklist | None = None,
         longest_pause_s: float = server_hints.MAX_PAUSE_S,
+        awaits_view: bool = False,
     ) -> None:
         self.backends = backend_directory.BackendDirectory()
         self.timeline = process_runtime.timeline
@@ -101,7 +102,7 @@
         self._tickets: dict[str, tickets.Ticket] = {}
         self._links: dict[str, attachment.Attachment] = {}
         self._owners = owners.OwnerSelector(
-            settings.zone, settings.scheduler, shares_limits
+            settings.zone, settings.scheduler, shares_limits, awaits_view
         )
         self._claims = claims.ClaimSender(
             settings.zone, self._owners, self._send_any
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -43,11 +43,18 @@
         zone: The entry's own zone.
         local: Address of the scheduler on the same VM; it is never backed off.
         shares_limits: See ``ShardKey.get_owner_key``.
+        awaits_view: Whether there is no owner before the first view that lists
+            a scheduler, which the local one sends when it has joined.
     """
 
     def __init__(
-        self, zone: str, local: str, shares_limits: bool = False
+        self,
+        zone: str,
+        local: str,
+        shares_limits: bool = False,
+        awaits_view: bool = False,
     ) -> None:
+        self._awaits_view = awaits_view
         self._shares_limits = shares_limits
         self.remote_members: list[membership.Member] = []
         self._zone = zone
@@ -64,6 +71,7 @@
     def apply_view(self, view: peer_message.View) -> frozenset[str]:
         """Applies a new membership view and returns the addresses in it."""
         self._members = {m.vm: m for m in view.members}
+        self._awaits_view = self._awaits_view and not self._members
         self.remote_members = view.others
         self._picked_owners.clear()
         return frozenset(m.address for m in (*view.members, *view.others))
@@ -166,6 +174,8 @@
         none, it is the scheduler on this VM, which knows less about the load
         caused by the other VMs but replies at once.
         """
+        if self._awaits_view:
+            return None
         owner = self._pick_owner(shard)
         if owner is not None and not self._is_backed_off(owner, now):
             return owner
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -140,6 +140,7 @@
             shares_limits=True,
             blocks=self._blocks,
             longest_pause_s=settings.longest_pause_s,
+            awaits_view=True,
         )
         self._prober = prober.Prober(
             self._dispatcher.backends, self._relay_client.probe
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -26,6 +26,26 @@
 JOIN_PROBE_INTERVAL_S = 0.1
 """Time between two probes while a scheduler is joining, in seconds."""
 
+JOIN_WAIT_S = 0.08
+"""How long a starting scheduler that has seeds waits for their first answer
+or probe before it publishes a view without any other, in seconds.  An answer
+takes a few milliseconds, on a busy VM a few tens.  Callers' requests wait
+meanwhile, so it is a small part of their objectives.
+
+Load pattern: all VMs start at once.  Each one used to own every shard for a
+period of probes, and together they overloaded the backend servers."""
+
+MAX_FIRST_SEEDS = 8
+"""Number of seeds that a starting scheduler probes at once."""
+
+JOIN_FANOUT = 2
+"""Number of members to which a scheduler that is starting itself passes on new
+members at once."""
+
+JOIN_SPREAD_INTERVAL_S = 0.05
+"""Shortest time between two views that differ by new members, in seconds, and
+between two such messages to others."""
+
 QUIET_PROBES_TO_JOIN = 8
 """Consecutive answered probes without a membership change after which a
 scheduler counts as joined: its number of probe targets among two hundred
@@ -131,6 +151,8 @@
         self.summaries = summaries.Summaries()
         self._periods = itertools.count(1)
         self._joining_until = now + JOIN_PERIOD_S
+        self._first_contact = anyio.Event()
+        self._new_members = anyio.Event()
         self._quiet_probes = 0
         self._count_seeds_until = now + membership.DEAD_RETENTION_S
         self._probing_others = False
@@ -144,8 +166,54 @@
         """Probes until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            tasks.start_soon(self._run_periods)
             tasks.start_soon(self._spread_stream_ends)
+            await self._join()
+            tasks.start_soon(self._run_periods)
+            tasks.start_soon(self._spread_joins)
+
+    async def _join(self) -> None:
+        """Probes the seeds at once and waits for the first list of members."""
+        seeds = self._rng.sample(
+            self._seeds, min(MAX_FIRST_SEEDS, len(self._seeds))
+        )
+        with anyio.move_on_after(JOIN_WAIT_S if seeds else 0.0):
+            assert self._tasks is not None
+            for address in seeds:
+                self._tasks.start_soon(self._probe, address)
+            await self._first_contact.wait()
+            await self._fetch_members(seeds)
+        found = self._first_contact.is_set()
+        LOG.info(
+            "joined" if found else "no other scheduler found",
+            extra={
+                "members": len(self.membership.list_alive()),
+                "seeds": len(self._seeds),
+            },
+        )
+        self._publish()
+
+    async def _fetch_members(self, seeds: list[str]) -> None:
+        """Fetches the full list of members, page by page."""
+        wanted = None
+        while self.membership.wanted_after not in (None, wanted):
+            wanted = self.membership.wanted_after
+            (address,) = self._pick_probe_targets(1) or seeds[:1]
+            await self._probe(address)
+
+    async def _spread_joins(self) -> None:
+        """Publishes new members without waiting for the next probe.
+
+        A scheduler that is starting itself also passes them on at once.  Others
+        do not: each restart of a VM would cost messages of all VMs.
+        """
+        while True:
+            await self._new_members.wait()
+            self._new_members = anyio.Event()
+            self._publish()
+            if steadyclock.read() < self._joining_until and self._tasks:
+                for address in self._pick_probe_targets(JOIN_FANOUT):
+                    self._tasks.start_soon(self._probe, address)
+            await anyio.sleep(JOIN_SPREAD_INTERVAL_S)
 
     async def _spread_stream_ends(self) -> None:
         """Sends new ends of the log's streams to some members at once."""
@@ -372,7 +440,11 @@
         self._quiet_probes = self._quiet_probes + 1 if is_same else 0
 
     def _merge(self, gossip: peer_message.Gossip, now: float) -> None:
+        joins = self.membership.joins
         self.membership.merge([gossip.sender, *gossip.updates], now)
+        if self.membership.joins != joins:
+            self._new_members.set()
+            self._first_contact.set()
         if self._bundle_source and gossip.ends:
             self._bundle_source.update_stream_ends(gossip.ends)
         for member in [gossip.sender, *gossip.contacts]:
