Hold requests that reach a starting owner instead of refusing them

When all VMs start at once, an entry may choose an owner that has no configuration yet, or one that knows the configuration but no replicas.

- The hub holds messages about requests until its first bundle and confirms that the requests are queued.
- A VM applies no bundle before it has read the replicas.

--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -98,6 +98,7 @@
         self._on_bundle = on_bundle
         self._declared: model.Bundle | None = None
         self._text = ""
+        self._knows_replicas = False
         self._config_reader = topic.TopicReader(
             store_client,
             CONFIG_TOPIC,
@@ -279,6 +280,7 @@
         self, changes: store.Changes, is_snapshot: bool
     ) -> None:
         now = steadyclock.read()
+        self._knows_replicas = True
         if self._replica_reader.in_outage:
             self._replica_registry.record_store_recovery(now)
         if is_snapshot:
@@ -328,7 +330,8 @@
                 self._publish()
 
     def _publish(self) -> None:
-        if self._declared is None:
+        if self._declared is None or not self._knows_replicas:
+            # Without replicas a starting VM would refuse its first requests.
             return
         bundle = add_replicas(
             self._declared,
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -51,6 +51,9 @@
 seconds; less than half the time after which it considers its owner lost."""
 
 SUMMARY_INTERVAL_S = 0.5
+MAX_EARLY_MESSAGES = 5000
+"""Limit of messages held until this scheduler has a configuration."""
+
 IDLE_SHARD_TIMEOUT_S = 5.0
 """Time after which an empty shard that another scheduler owns is closed, in
 seconds."""
@@ -123,6 +126,11 @@
         self._lowest_generation = 0
         self._ownership: dict[str, bool] = {}
         self._timeline_queries = query.TimelineQueries()
+        # Messages about requests that arrived before the first bundle.
+        self._early: dict[
+            str,
+            tuple[peer_link.Session, message.Enqueue | message.Running],
+        ] = {}
         self._has_work = anyio.Event()
         self._mailbox = mailbox.Mailbox(
             lambda posted: self._handle(posted, steadyclock.read())
@@ -183,6 +191,7 @@
             case event.BundleChanged(in_force):
                 self._apply_bundle(in_force)
                 self._open_own_shards(now)
+                self._forward_early(now)
             case event.ViewChanged(view):
                 self._apply_view(view)
                 self._open_own_shards(now)
@@ -231,6 +240,8 @@
             case message.ServerHints():
                 self._apply_server_hints(attached, body, now)
             case message.Enqueue(info) | message.Running(info):
+                if self.in_force is None and self._hold_early(session, body):
+                    return
                 self._forward_to_shard(attached, info.shard, body, now)
             case (
                 message.Withdraw()
@@ -351,12 +362,40 @@
         if owner.is_waiting(request_id):
             self._send_to_entry(attached.hello.name, message.Queued(request_id))
 
+    def _hold_early(
+        self,
+        session: peer_link.Session,
+        body: message.Enqueue | message.Running,
+    ) -> bool:
+        """Holds a message until there is a configuration, if there is room.
+
+        Load pattern: all VMs start at once.  Others may choose this scheduler
+        as their owner before it has read the configuration.  The entry moves
+        its request to another owner if that takes too long.
+        """
+        if len(self._early) >= MAX_EARLY_MESSAGES:
+            return False
+        self._early[body.request.request_id] = session, body
+        if isinstance(body, message.Enqueue):
+            session.send(message.Queued(body.request.request_id))
+        return True
+
+    def _forward_early(self, now: float) -> None:
+        """Forwards the messages that were held, in their order."""
+        early, self._early = self._early, {}
+        for session, body in early.values():
+            attached = self._attached.get(session)
+            if attached is not None:
+                self._forward_to_shard(attached, body.request.shard, body, now)
+
     def _forward_to_request_owner(
         self,
         attached: attached_process.AttachedProcess,
         body: content_blocker.RequestUpdate,
         now: float,
     ) -> None:
+        if isinstance(body, message.Withdraw | message.Ended):
+            self._early.pop(body.request_id, None)
         for owner in self.shards.values():
             if owner.holds(body.request_id):
                 self.content_blocker.observe(owner, body, now)
--- a/test/test_cold_start.py
+++ b/test/test_cold_start.py
@@ -7,20 +7,26 @@
 from __future__ import annotations
 
 import itertools
+import json
 import random
+import time
 from typing import Any
 
 import anyio
 import pytest
 
-from ramptray import steadyclock
-from ramptray.core import membership, message
+from ramptray import steadyclock, timeline
+from ramptray.bundle import acceptance, signature
+from ramptray.core import clock, membership, message
 from ramptray.entry import owners
 from ramptray.peer import link
 from ramptray.peer import message as peer_message
-from ramptray.scheduler import gossip
-from test import virtualtime
+from ramptray.platform import config, follower, store
+from ramptray.platform import settings as vm_settings
+from ramptray.scheduler import event, gossip, hub
+from test import callers, node, virtualtime
 from test.test_gossip import Network, make_gossiper
+from test.test_node import wait_until
 
 MEMBERS = 46
 SEEDS = 6
@@ -34,6 +40,10 @@
 OWN_LIMIT_S = 0.03
 """Time that a VM may on average wrongly use its own scheduler, in seconds."""
 
+REAL_VMS = 12
+FIRST_REQUESTS_S = 2.0
+"""Time after the last start in which all requests are served, in seconds."""
+
 SHARD = message.ShardKey("z", "lm")
 
 
@@ -160,3 +170,94 @@
 
     virtualtime.run(run)
     assert published[0] <= gossip.JOIN_WAIT_S + 0.01
+
+
+def make_in_force() -> acceptance.InForce:
+    """Returns a configuration with a replica."""
+    text = json.dumps(node.make_config(1))
+    declared = config.ConfigParser().parse(text)
+    replica = peer_message.Replica(
+        node.SERVICE, "127.0.0.1:9", "waw-a", node.SLOTS, False
+    )
+    bundle = follower.add_replicas(declared, {"i-0": replica})
+    return acceptance.InForce(bundle, signature.Envelope(text, {}))
+
+
+def test_an_owner_without_a_configuration_refuses_nothing() -> None:
+    # Others may choose a VM as their owner before it has read the
+    # configuration; it refused their requests as "not_ready".
+    owner = hub.Hub(
+        "a:1",
+        config.DOMAIN,
+        hub.Options(report_grace_s=0.0, sends_bundle=False),
+        make_gossiper([]),
+        None,
+        timeline.Timeline("node", "z", clock.HybridClock(lambda: 0)),
+    )
+    session = link.Session()
+    shard = message.ShardKey(config.DOMAIN, node.SERVICE)
+    names = ["kept", "withdrawn"]
+    for body in (
+        peer_message.Hello("entry/b", "b", "entry"),
+        *(message.Enqueue(make_info(name, shard)) for name in names),
+        message.Withdraw("withdrawn"),
+    ):
+        owner._handle(event.MessageReceived(session, body), 0.0)
+    owner._handle(event.BundleChanged(make_in_force()), 0.05)
+    sent = [
+        session.outgoing.receive_nowait()
+        for _ in range(session.outgoing.statistics().current_buffer_used)
+    ]
+    assert [s.request_id for s in sent if isinstance(s, message.Queued)] == (
+        names
+    )
+    assert [s.request_id for s in sent if isinstance(s, message.Grant)] == [
+        "kept"
+    ]
+    assert not [s for s in sent if isinstance(s, message.Reject)]
+
+
+def make_info(name: str, shard: message.ShardKey) -> message.RequestInfo:
+    return message.RequestInfo(name, shard, "ola", "0", 10, 10, (), 4.0)
+
+
+def test_a_bundle_without_known_replicas_is_not_applied() -> None:
+    # A starting VM read the configuration first and refused requests as
+    # "no_backend" until it had read the replicas.
+    applied: list[acceptance.InForce] = []
+    followed = follower.Follower(
+        membership.Member("a", "all", "a:1", 1),
+        [],
+        False,
+        store.Store("127.0.0.1:1"),
+        link.PeerClient(clock.HybridClock(lambda: 0), None),
+        1.6,
+        {},
+        vm_settings.LimitTerms(),
+        vm_settings.RolloutTerms(),
+        applied.append,
+    )
+    text = json.dumps(node.make_config(1)).encode()
+    record = store.Change(follower.CONFIG_KEY, text, 0)
+    followed._apply_config_changes(store.Changes([record], 1), True)
+    assert not applied
+    followed._apply_replica_changes(store.Changes([], 0), True)
+    assert len(applied) == 1
+
+
+def test_requests_are_served_after_all_vms_were_killed() -> None:
+    with callers.run_serving(REAL_VMS) as started:
+        for vm in started.vms:
+            started.kill_vm(vm)
+        with callers.Callers(started, "/safe/", per_vm=1) as asking:
+            for vm in started.vms:
+                started.restart_vm(vm)
+            wait_until(lambda: answered_vms(asking) == set(started.vms), 20.0)
+            time.sleep(FIRST_REQUESTS_S)
+        # A VM that has not started refuses connections.
+        assert asking.statuses <= {0, 200}
+
+
+def answered_vms(asking: callers.Callers) -> set[str]:
+    """Returns the VMs that have served a request."""
+    return {each.vm for each in asking.asked if each.status == 200}
