Specify the division of limits by reports and loans

spec/limit_share.py explores a limit that is divided by reports of use, over a partition, killed owners, takeovers, lost grants and late reports, and a lender and a borrower with lost and late messages, clock drift, a paused borrower and a replaced lender. Each of its twelve rules is switched off in turn; the checker then finds a span above the total.

Two limits of the division show in the model: grants that no surviving entry has heard of cannot be divided, and an owner must have the reports of its side's entries. Both are bounded by the bucket, as for the other limits.

--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -20,6 +20,7 @@
     hint,
     lease,
     limit,
+    limit_share,
     run,
     version,
 )
@@ -35,6 +36,8 @@
     (lease.check, lease.Rules(check_flight=False, wait_flight=True, until=4)),
     (version.check, version.Rules()),
     (limit.check, limit.Rules()),
+    (limit_share.check, limit_share.Rules()),
+    (limit_share.check_loans, limit_share.LoanRules()),
     (run.check, run.Rules()),
     (generation.check, generation.Rules()),
     (hint.check, hint.Rules()),
@@ -89,6 +92,14 @@
         limit.Rules(count_seeds=False, count_seeds_at_first=False),
         "limit_holds",
     ),
+    *(
+        (limit_share.check, rules, "limit_holds")
+        for rules in limit_share.list_share_rules()
+    ),
+    *(
+        (limit_share.check_loans, rules, "limit_holds")
+        for rules in limit_share.list_loan_rules()
+    ),
     # No sender can prevent this one; see docs/design/lease.md.
     (lease.check, lease.Rules(pause=True, until=4), "no_reordered_order"),
     (
