Give connections to other regions time for the distance

A connection to a backend server had 0.12 s and a probe after a broken connection 0.06 s. Over 30 ms one way a handshake takes 60 ms, so probes always timed out. Both now add the measured distance of the redirect.

A silent stream that may not be resumed is ended at the callers' patience instead of after six to eight of the route's longest pauses: a caller may still wait until then.

--- a/ramptray/relay/backend_probe.py
+++ b/ramptray/relay/backend_probe.py
@@ -33,7 +33,7 @@
     SILENT = "silent"
 
 
-async def probe_backend(address: str) -> ProbeResult:
+async def probe_backend(address: str, delay_s: float = 0.0) -> ProbeResult:
     """Opens a connection to a backend server and closes it again.
 
     On the broken connection a reset, a network fault and an ended process look
@@ -41,18 +41,20 @@
 
     Args:
         address: IP number and port of the backend server.
+        delay_s: One-way delay to its region in seconds; 0 within the region.
     """
-    result = await _try_to_connect(address)
+    timeout_s = CONNECT_TIMEOUT_S + 2 * delay_s
+    result = await _try_to_connect(address, timeout_s)
     if result is None:
-        result = await _try_to_connect(address)
+        result = await _try_to_connect(address, timeout_s)
     return result or ProbeResult.SILENT
 
 
-async def _try_to_connect(address: str) -> ProbeResult | None:
+async def _try_to_connect(address: str, timeout_s: float) -> ProbeResult | None:
     """Returns the result of one connection; None if it was closed at once."""
     host, _, port = address.rpartition(":")
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
+        with anyio.fail_after(timeout_s):
             stream = await anyio.connect_tcp(host, int(port))
     except (TimeoutError, socket.gaierror):
         return ProbeResult.SILENT
--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -65,11 +65,14 @@
         address: IP number and port of the backend server.
         backend: Its name; empty if any program at that address will do.
         run: Which run of the backend server; see ``core.message.Grant``.
+        delay_s: One-way delay to its region in seconds, which extends the
+            timeouts of connections; 0 within the region.
     """
 
     address: str
     backend: str = ""
     run: int = 0
+    delay_s: float = 0.0
 
     def is_other_run(self, other: Target) -> bool:
         """Returns whether this is another run of the same backend server."""
@@ -279,7 +282,7 @@
     address = target.address
     host, _, port = address.rpartition(":")
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
+        with anyio.fail_after(CONNECT_TIMEOUT_S + 2 * target.delay_s):
             stream = await streams.connect(host, int(port))
     except (OSError, TimeoutError) as error:
         refused = not isinstance(error, TimeoutError)
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -139,11 +139,10 @@
         # Of the current attempt: time of its first event, and events before it.
         self._first_event_at: float | None = None
         self._events_before_attempt = 0
-        # Of the current attempt: time of its last part, its longest pause
-        # between two parts and the speed of its server.
+        # Of the current attempt: time of its last part and its longest pause
+        # between two parts.
         self._last_part_at = 0.0
         self._longest_pause_s = 0.0
-        self._speed: core_message.Speed | None = None
 
     async def run(self) -> None:
         """Serves the request; cancelled when the caller disconnects."""
@@ -195,7 +194,6 @@
         self._first_event_at = None
         self._events_before_attempt = self._splitter.count
         self._longest_pause_s = 0.0
-        self._speed = grant.speed
         try:
             with anyio.fail_after(max(0.0, self._deadline - self._sent_at)):
                 await self._send(target, grant)
@@ -219,7 +217,10 @@
         after_s = steadyclock.read() - self._sent_at
         presence = ""
         if not isinstance(error, connections.HungError):
-            presence = (await backend_probe.probe_backend(target.address)).value
+            found = await backend_probe.probe_backend(
+                target.address, target.delay_s
+            )
+            presence = found.value
         return tickets.Fault(
             str(error),
             presence,
@@ -400,12 +401,8 @@
 
     def _get_silence_limit(self) -> float | None:
         """Returns the pause after which a stream is given up."""
-        routed = self._routed
         return silence.compute_limit(
-            routed.route.max_gap_s,
-            self._speed,
-            routed.tokens_per_event,
-            self._longest_pause_s,
+            self._routed.route.patience_s, self._longest_pause_s
         )
 
     def _get_stream_hang_timeout(self) -> float | None:
@@ -434,7 +431,9 @@
         if url is None:
             return None
         address = url.removeprefix("http://")
-        return connections.Target(address, grant.backend, grant.run)
+        return connections.Target(
+            address, grant.backend, grant.run, self._ticket.delay_s
+        )
 
     def _find_unusable_reason(
         self, target: connections.Target
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -20,7 +20,7 @@
 from ramptray.entry import owners, reachability
 from ramptray.peer import message as peer_message
 from ramptray.platform import header
-from ramptray.relay import client, connection, event
+from ramptray.relay import client, connection, event, socket_stream
 
 OWNER, LOCAL = "10.0.0.2:1", "10.0.0.1:1"
 SHARD = message.ShardKey("all", "lm")
@@ -357,3 +357,23 @@
     assert limits.try_acquire("c", 100, 2.0) == 0
     waits = [limits.try_acquire("c", 500, 2.0) for _ in range(9)]
     assert max(waits) == limit.MAX_RETRY_AFTER_S
+
+
+@pytest.mark.anyio
+async def test_a_connection_to_another_region_has_time_for_the_distance(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # At 30 ms one way a handshake left a busy VM 60 ms of the timeout.
+    async def connect(host: str, port: int) -> object:
+        await anyio.sleep(0.25)
+        return object()
+
+    monkeypatch.setattr(socket_stream, "connect", connect)
+    dialect = header.PlatformDialect()
+    with pytest.raises(connection.NotSentError):
+        await connection.open_connection(
+            connection.Target("127.0.0.1:1"), dialect
+        )
+    target = connection.Target("127.0.0.1:1", delay_s=0.3)
+    opened = await connection.open_connection(target, dialect)
+    assert opened.target == target
