End resumed streams that stay silent before the deadline

The last attempt of a stream that sent no event at all was still read until its caller's deadline. The limit on its silence now also applies before its first event, if the caller has received a part of the response.

Run: test/test_hang.py (5 passed; the new test fails without the change, at the caller's deadline of 4 s), ruff, mypy.

--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -191,7 +191,7 @@
         # next one's request would take.  This checkpoint delivers the
         # cancellation first.
         await anyio.lowlevel.checkpoint()
-        self._sent_at = steadyclock.read()
+        self._sent_at = self._last_part_at = steadyclock.read()
         self._first_event_at = None
         self._events_before_attempt = self._splitter.count
         self._longest_pause_s = 0.0
@@ -363,7 +363,7 @@
             return await self._read_with_hang_timeout(
                 connection.read_part, self._get_stream_hang_timeout()
             )
-        if self._first_event_at is None:
+        if self._first_event_at is None and not self._response_started:
             return await connection.read_part()
         try:
             part = await connection.read_part(self._get_silence_limit())
--- a/test/test_hang.py
+++ b/test/test_hang.py
@@ -30,6 +30,10 @@
 """Longest duration of a stream that goes silent, in seconds: well before its
 caller's deadline of three seconds."""
 
+MAX_RESUMED_STREAM_S = 3.4
+"""Longest duration of a stream that is resumed and stays silent, in seconds:
+before its caller's deadline of four seconds."""
+
 
 def test_a_stream_that_hangs_goes_on_when_there_is_budget_again() -> None:
     # One retry per window.
@@ -101,6 +105,25 @@
         assert answer.body.count(b"id: ") == 3
 
 
+def test_a_resumed_stream_that_stays_silent_ends_early() -> None:
+    # The last attempt sends no event at all.
+    with node.run_platform() as started:
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        for name in started.replicas:
+            started.set_faults(name, hang_after=2)
+        began = time.monotonic()
+        answer = ask(
+            started,
+            "/stream/",
+            "POST",
+            b"x",
+            headers={"X-Deadline-Ms": "4000"},
+        )
+        assert not answer.whole
+        assert answer.body.count(b"id: ") == 2
+        assert time.monotonic() - began < MAX_RESUMED_STREAM_S
+
+
 def test_a_slow_server_may_be_silent_longer() -> None:
     def compute(step_s: float, pause_s: float = 0.0) -> float | None:
         speed = message.Speed(30_000.0, step_s)
