Replay patterns over several regions; estimate waits by tier for redirects

bench/replay knew one owner and one zone. Patterns may now name zones with their own engines and part of the load, a delay between them, and events of one zone; bench/replay/regions.py plays an owner for each, which exchange summaries. Two patterns: a region at three times its load beside an idle one 30 ms away, and bursts that shift from one region to the other.

Cause: the expected wait was the cost queued ahead divided by all grants, so that a low tier seemed to be next while higher tiers took every slot; its requests were redirected after 0.11 s (median) or not at all. Redirects now divide each tier's queue by the grants of that tier, and take six times the expected wait, as single waits vary by several times.

--- a/bench/replay/pattern.py
+++ b/bench/replay/pattern.py
@@ -108,6 +108,7 @@
         for_s: How long it lasts.
         times: How strong it is.
         engines: How many engines it strikes.
+        zone: The zone that it happens in; empty for all.
     """
 
     kind: Trouble
@@ -115,6 +116,7 @@
     for_s: model.PositiveFloat
     times: model.PositiveFloat = 1.0
     engines: model.Count = 0
+    zone: str = ""
 
     def covers(self, now: float) -> bool:
         """Returns whether it goes on at this moment."""
@@ -137,6 +139,18 @@
     span_total: model.NonNegativeFloat = 0.0
 
 
+class Zone(model.Model, frozen=True, kw_only=True):
+    """A scheduling zone.
+
+    Attributes:
+        load: Its callers' part of the load of the kinds; 1 for all of it.
+        engines: Its engines; left out if they are the pattern's.
+    """
+
+    load: model.NonNegativeFloat = 1.0
+    engines: list[Engines] = []
+
+
 class Pattern(model.Model, frozen=True, kw_only=True):
     """A load pattern.
 
@@ -147,6 +161,8 @@
         engines: The engines.
         customers: Who asks.
         events: What happens.
+        zones: Scheduling zones by their names; none for a single one.
+        delay_s: One-way delay between zones, in seconds.
         base: Name of a pattern that gives what is left out here.
     """
 
@@ -156,8 +172,23 @@
     engines: list[Engines]
     customers: Customers = Customers()
     events: list[Event] = []
+    zones: dict[str, Zone] = {}
+    delay_s: model.NonNegativeFloat = 0.03
     base: Literal["calm"] | None = None
 
+    def get_zone(self, name: str) -> Pattern:
+        """Returns the pattern of one zone by itself."""
+        zone = self.zones[name]
+        part = Event(
+            kind=Trouble.LOAD, at_s=0.0, for_s=self.length_s, times=zone.load
+        )
+        return msgspec.structs.replace(
+            self,
+            engines=zone.engines or self.engines,
+            events=[part, *(e for e in self.events if e.zone in ("", name))],
+            zones={},
+        )
+
 
 def list_names() -> list[str]:
     """Returns the names of the patterns that are shipped."""
--- a/bench/replay/world.py
+++ b/bench/replay/world.py
@@ -46,7 +46,7 @@
         call, kind = self.call, self.call.kind
         return message.RequestInfo(
             self.request_id,
-            KEY,
+            self._world.key,
             call.customer,
             kind.tier,
             call.prompt_tokens,
@@ -64,12 +64,12 @@
         """Sends the request to an engine."""
         if self.is_over:
             return
-        chosen = self._world.engines[grant.backend]
+        chosen = self._find_engine(grant.backend)
         if chosen.is_down:
             decline = message.Decline(
                 self.request_id, grant.grant_id, True, (chosen.name,)
             )
-            self._world.tell(decline)
+            self.tell(decline)
             return
         self.engine = chosen
         sequence = batch.Sequence(
@@ -79,23 +79,42 @@
             self.call.prompt_tokens,
             self.call.output_tokens,
         )
-        chosen.start(engine.Run(sequence, self, self._world.timer.now))
+        self._start(chosen, engine.Run(sequence, self, self._world.timer.now))
 
     def take_token(self, run: engine.Run, now: float) -> None:
         """See the base class."""
-        made = run.sequence.made
-        if made % self._world.event_tokens and not run.sequence.done:
-            return
+        if self.is_event(run):
+            self.receive_event(run, run.sequence.done, now)
+
+    def is_event(self, run: engine.Run) -> bool:
+        """Returns whether an event ends with the newest token."""
+        is_full = run.sequence.made % self._world.event_tokens == 0
+        return is_full or run.sequence.done
+
+    def receive_event(
+        self, run: engine.Run, is_last: bool, now: float, sent_s: float = 0.0
+    ) -> None:
+        """Takes an event.
+
+        Args:
+            run: The request on its engine.
+            is_last: Whether it ends the response.
+            now: When it arrived.
+            sent_s: Time that request and event took to and from the engine.
+        """
         self._events += 1
         self._heard_at = now
         self.call.note_event(now)
         if self._events == 1:
             self._first_at = now
             first = message.FirstToken(
-                self.request_id, now - run.sent_at, self.call.prompt_tokens, 0
+                self.request_id,
+                now - run.sent_at - sent_s,
+                self.call.prompt_tokens,
+                0,
             )
-            self._world.tell(first)
-        if run.sequence.done:
+            self.tell(first)
+        if is_last:
             self.call.is_done = True
             self._end(whole=True)
 
@@ -137,7 +156,7 @@
     def _end(self, whole: bool = False, broken: bool = False) -> None:
         self.is_over = True
         if self.engine is None:
-            self._world.tell(message.Withdraw(self.request_id))
+            self.tell(message.Withdraw(self.request_id))
             return
         self.engine.cancel(self.request_id)
         per_event = self._world.event_tokens
@@ -150,7 +169,17 @@
             broken=broken,
             first_tokens=per_event,
         )
-        self._world.tell(ended)
+        self.tell(ended)
+
+    def tell(self, told: message.EntryMessage) -> None:
+        """Sends a message to the owner."""
+        self._world.tell(told)
+
+    def _find_engine(self, name: str) -> engine.Engine:
+        return self._world.engines[name]
+
+    def _start(self, chosen: engine.Engine, run: engine.Run) -> None:
+        chosen.start(run)
 
     def _come_back(self, told_s: float) -> None:
         now = self._world.timer.now
@@ -167,12 +196,23 @@
         given: The pattern.
         seed: Seed of the callers.
         policy_name: How backend servers are chosen.
+        timer: The clock, if others use it as well.
+        key: The shard.
+        zones: How many zones customers' limits are divided among.
     """
 
     def __init__(
-        self, given: pattern.Pattern, seed: int, policy_name: str
+        self,
+        given: pattern.Pattern,
+        seed: int,
+        policy_name: str,
+        timer: clock.Clock | None = None,
+        key: message.ShardKey = KEY,
+        zones: int = 1,
     ) -> None:
-        self.timer = clock.Clock()
+        self.timer = timer or clock.Clock()
+        self.key = key
+        self._zones = zones
         self.event_tokens = given.engines[0].event_tokens
         self.calls = list(caller.draw_calls(given, seed))
         self._given = given
@@ -190,22 +230,29 @@
 
     def run(self) -> None:
         """Plays the pattern to its end."""
+        self.begin()
+        self.timer.run_until(self._given.length_s + SETTLE_S)
+
+    def begin(self) -> None:
+        """Plans all calls and events."""
         for call in self.calls:
             self.timer.call_at(call.asked_at, self.ask, call)
         for event in self._given.events:
             self._plan(event)
         self._tick()
-        self.timer.run_until(self._given.length_s + SETTLE_S)
 
     def ask(self, call: caller.Call) -> None:
         """Lets a caller try."""
-        attempt = Attempt(self, call)
+        attempt = self._make_attempt(call)
         if self._is_down:
             attempt.drop()
             return
         self._attempts[attempt.request_id] = attempt
         attempt.watch()
-        self.tell(message.Enqueue(attempt.make_info()))
+        attempt.tell(message.Enqueue(attempt.make_info()))
+
+    def _make_attempt(self, call: caller.Call) -> Attempt:
+        return Attempt(self, call)
 
     def tell(self, told: message.EntryMessage) -> None:
         """Hands a message to the owner."""
@@ -246,21 +293,23 @@
     def _make_owner(self) -> shard.ShardOwner:
         customers = self._given.customers
         rate = limit.RateLimit(
-            tokens_per_s=customers.tokens_per_s,
+            tokens_per_s=customers.tokens_per_s
+            and customers.tokens_per_s / self._zones,
             span_s=customers.span_s,
-            span_total=customers.span_total,
+            span_total=customers.span_total / self._zones,
         )
         tiers = sorted({kind.tier for kind in self._given.kinds.values()})
         limits = {f"customer-{n}": rate for n in range(customers.count)}
         return shard.ShardOwner(
-            KEY,
-            "owner",
+            self.key,
+            f"owner-{self.key.zone}",
             shard_rules.ShardRules(
                 {tier: rank for rank, tier in enumerate(tiers)},
                 10**9,
                 0.0,
                 {},
                 limits if customers.tokens_per_s else {},
+                zones=self._zones,
             ),
             [
                 backend.BackendInfo(name, one.fields.places, 10**9, 0)
@@ -336,6 +385,13 @@
     policy_name: str = policy.TokenPolicy.name,
 ) -> Played:
     """Plays a pattern once."""
+    if given.zones:
+        # Zones are built of worlds, so they cannot be imported earlier.
+        from bench.replay import regions
+
+        several = regions.Regions(given, seed, policy_name)
+        several.run()
+        return Played(seed, several.calls)
     world = World(given, seed, policy_name)
     world.run()
     return Played(seed, world.calls)
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -259,18 +259,14 @@
             tier_rank=self._get_rank(request),
         )
 
-    def make_probes(self, count: int) -> list[QueuedRequest]:
-        """Returns a request without cost of each of the highest tiers.
+    @property
+    def tier_count(self) -> int:
+        """Number of tiers."""
+        return self._tier_count
 
-        They are not queued; they serve to estimate waits.
-        """
-        nobody = message.RequestInfo(
-            "", message.ShardKey("", ""), "", "", 0, 0, (), 0.0
-        )
-        ranks = range(min(count, self._tier_count))
-        return [
-            QueuedRequest(nobody, "", rank, math.inf, 0, 0.0) for rank in ranks
-        ]
+    def get_rank(self, request: message.RequestInfo) -> int:
+        """Returns the rank of a request's tier."""
+        return self._get_rank(request)
 
     def push(self, waiting: QueuedRequest) -> None:
         """Adds a request behind its customer's others."""
--- a/ramptray/core/redirection.py
+++ b/ramptray/core/redirection.py
@@ -18,12 +18,12 @@
     backend,
     fleet,
     message,
+    meter,
     owner_effect,
     queue,
     remote_shards,
     selector,
     summary,
-    wait_estimator,
 )
 
 FAST_FACTOR = 1.5
@@ -34,9 +34,20 @@
 """Time for which the local capacity is kept, in seconds, as computing it takes
 a look at each server."""
 
+GRANT_WINDOW_S = 3.0
+"""Window over which the grants of each tier are counted, in seconds."""
+
+WAIT_MARGIN = 6.0
+"""Safety factor on the expected wait in the own zone.  Single waits vary by
+several times, and a request that waits here until it is clear that it will be
+late cannot be in time elsewhere any more."""
+
 MAX_TIERS = 16
 """Most tiers whose waits are in a summary; lower ones wait as the last one."""
 
+MAX_WAIT_S = 60.0
+"""Longest wait in a summary, in seconds."""
+
 MAX_REGIONS = 8
 """Most regions in a summary."""
 
@@ -110,9 +121,9 @@
         zone: The shard's zone.
         shard_queue: The queue.
         servers: The shard's backend servers.
-        estimator: Estimates waiting times.
         server_selector: Knows which servers meet an objective.
         remotes: The same shard in other zones.
+        started_at: When the owner took over, on its clock in seconds.
 
     Attributes:
         zones: Number of scheduling zones.
@@ -124,18 +135,19 @@
         zone: str,
         shard_queue: queue.ShardQueue,
         servers: fleet.Fleet,
-        estimator: wait_estimator.WaitEstimator,
         server_selector: selector.Selector,
         remotes: remote_shards.RemoteShards,
+        started_at: float,
     ) -> None:
         self.zones = 1
         self.count = 0
         self._zone = zone
         self._queue = shard_queue
         self._fleet = servers
-        self._wait_estimator = estimator
+        self._started_at = started_at
         self._selector = server_selector
         self._remote = remotes
+        self._granted: dict[int, meter.RateMeter] = {}
         self._capacity = Capacity()
         self._measured_at = -math.inf
 
@@ -209,12 +221,49 @@
             self._measured_at = now
         return self._capacity
 
+    def count_grant(self, request: message.RequestInfo, now: float) -> None:
+        """Counts a granted request."""
+        rank = self._queue.get_rank(request)
+        granted = self._granted.setdefault(
+            rank, meter.RateMeter(GRANT_WINDOW_S)
+        )
+        granted.add(queue.compute_cost(request), now)
+
     def list_waits(self, now: float) -> tuple[float, ...]:
         """Returns the expected wait of a new request of each tier."""
         return tuple(
-            round(self._wait_estimator.estimate_wait(probe, now), 3)
-            for probe in self._queue.make_probes(MAX_TIERS)
+            round(min(MAX_WAIT_S, self._estimate_wait(rank, 0, now)), 3)
+            for rank in range(min(MAX_TIERS, self._queue.tier_count))
+        )
+
+    def _estimate_wait(self, rank: int, own_cost: int, now: float) -> float:
+        """Estimates the seconds until the requests before one are granted.
+
+        Load pattern: an overload in which higher tiers take nearly all slots.
+        By the cost queued before it, a request of a lower tier would be granted
+        soon, but requests of higher tiers that arrive later go first.  So its
+        tier's queue is divided by what its tier was granted lately.
+
+        Args:
+            rank: The request's tier.
+            own_cost: The request's cost, if it is queued.
+            now: The owner's clock in seconds.
+
+        Returns:
+            The time; infinite if requests of its tier wait and none is granted.
+        """
+        total = sum(
+            granted.get_sum(now) / GRANT_WINDOW_S
+            for granted in self._granted.values()
         )
+        own = self._granted.get(rank)
+        own_rate = own.get_sum(now) / GRANT_WINDOW_S if own else 0.0
+        higher = sum(tier.cost for tier in self._queue.tiers[:rank])
+        ahead = self._queue.tiers[rank].cost - own_cost
+        wait_s = _divide(higher, total) + _divide(ahead, own_rate)
+        if self._started_at + GRANT_WINDOW_S > now and wait_s == math.inf:
+            return 0.0
+        return wait_s
 
     def _misses_here(
         self, waiting: queue.QueuedRequest, now: float, has_waited: bool
@@ -225,8 +274,9 @@
             return True
         wait_s = 0.0
         if has_waited:
-            wait_s = self._wait_estimator.estimate_wait(waiting, now)
+            wait_s = self._estimate_wait(waiting.tier_rank, waiting.cost, now)
             wait_s += self.measure(now).estimate_slot_wait(waiting.request)
+            wait_s *= WAIT_MARGIN
         return self._selector.cannot_meet_objective(waiting, now, wait_s)
 
     def _send(
@@ -257,3 +307,10 @@
                 left_s=None if left_s == math.inf else round(left_s, 4),
             ),
         )
+
+
+def _divide(cost: int, rate: float) -> float:
+    """Returns the seconds for a cost at a rate; infinite if none is served."""
+    if cost <= 0:
+        return 0.0
+    return cost / rate if rate else math.inf
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -86,9 +86,9 @@
             shard.zone,
             self._queue,
             self.fleet,
-            self._wait_estimator,
             server_selector,
             self._remote,
+            now,
         )
         self._shedder = shedding.Shedder(
             self._queue,
@@ -254,7 +254,12 @@
         self, now: float, only: list[backends.Backend] | None = None
     ) -> list[owner_effect.SendToEntry]:
         """Grants as many requests as fit; see ``granting.Granter.grant``."""
-        return self._granter.grant(now, only)
+        granted = self._granter.grant(now, only)
+        for effect in granted:
+            placed = self.fleet.get_placed(effect.message.request_id)
+            if placed is not None:
+                self.redirector.count_grant(placed.request, now)
+        return granted
 
     def refuse_waiting(
         self, content: str, left_s: float
--- a/test/test_region_scheduling.py
+++ b/test/test_region_scheduling.py
@@ -742,6 +742,24 @@
     assert redirected == {"urgent-1", "urgent-3"}
 
 
+def test_a_tier_that_is_granted_nothing_does_not_expect_a_short_wait() -> None:
+    # By the cost queued before it, a request of the lowest tier seemed to be
+    # next while the higher tiers took every slot; it was refused in the end.
+    owner = make_owner(slots=1, servers=1)
+    for number in range(40):
+        now = 5.0 + 0.1 * number
+        name = f"urgent-{number}"
+        assert isinstance(send(owner, now, request_id=name), message.Grant)
+        owner.fleet.free(name)
+    fill(owner, 9.0)
+    owner.set_remote_summaries([make_idle(delay_s=0.2)], 9.0)
+    waits = owner.summarize(9.0, 1).waits
+    assert waits == (0.0, 0.0)
+    assert send(owner, 9.0, request_id="low", tier="normal") is None
+    waits = owner.summarize(9.0, 2).waits
+    assert waits == (0.0, redirection.MAX_WAIT_S)
+
+
 def test_several_owners_do_not_all_choose_the_best_zone() -> None:
     chosen = set()
     for number in range(20):
--- a/test/test_replay.py
+++ b/test/test_replay.py
@@ -8,11 +8,12 @@
 
 import pathlib
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 
 from bench import main
-from bench.replay import caller, pattern, variant, world, worth
+from bench.replay import caller, pattern, regions, variant, world, worth
 from ramptray.core import policy
 
 SEEDS = (1, 2)
@@ -22,7 +23,9 @@
     "calm": 0.98,
     "customer": 0.86,
     "lost": 0.78,
+    "regions": 0.93,
     "restart": 0.80,
+    "shift": 0.90,
     "slow": 0.90,
     "storm": 0.90,
     "zone": 0.95,
@@ -74,6 +77,33 @@
     assert worth.sum_up(ours).worth > worth.sum_up(theirs).worth + 0.05
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_overloaded_region_uses_an_idle_one(seed: int) -> None:
+    # A request was redirected only if its region had no server at all.
+    given = pattern.read_pattern("regions")
+    played = worth.sum_up(world.play(given, seed).calls)
+    assert played.in_time >= 0.95 * played.asked
+    alone = worth.sum_up(world.play(given.get_zone("north"), seed).calls)
+    assert alone.in_time < 0.75 * alone.asked
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_regions_at_their_usual_load_keep_their_requests(seed: int) -> None:
+    # Bytes between regions are expensive.
+    usual = msgspec.structs.replace(pattern.read_pattern("shift"), events=[])
+    several = regions.Regions(usual, seed, policy.TokenPolicy.name)
+    several.run()
+    assert sum(several.redirects.values()) < 0.01 * len(several.calls)
+
+
+def test_the_bursts_of_a_zone_concern_its_callers_only() -> None:
+    given = pattern.read_pattern("shift")
+    north = [c.asked_at for c in caller.draw_calls(given.get_zone("north"), 1)]
+    early = sum(3 <= at < 7 for at in north)
+    late = sum(12 <= at < 16 for at in north)
+    assert early > 2 * late
+
+
 def test_refused_requests_have_not_waited_long() -> None:
     # They had waited for two to three times their objective.
     refused = [call for call in replay("burst") if call.was_refused]
