--- a/ramptray/command/losses.py
+++ b/ramptray/command/losses.py
@@ -23,6 +23,10 @@
 """Number of causes shown for a window, in descending order of weight."""
 
 
+MAX_SHOWN_OWNERS = 20
+"""Number of owners shown, those with the most refusals for a limit."""
+
+
 class Cause(enum.Enum):
     """How a request ended, and why it was late or lost."""
 
@@ -69,6 +73,21 @@
     weight: float
 
 
+class LimitRefusal(msgspec.Struct, frozen=True):
+    """The state of an owner that refused a request for its customer's limit.
+
+    Attributes:
+        owner: Address of the owner.
+        part: The part of each limit that it divided; None if limits are not
+            shared.
+        stood_in: Whether it stood in for a silent owner.
+    """
+
+    owner: str
+    part: float | None
+    stood_in: bool
+
+
 @click.command(name="losses")
 @click.option(
     "--logs",
@@ -100,12 +119,13 @@
     Each attempt of a caller counts as one request.  The last line gives the
     fraction of the total weight that was served in time.
     """
-    lines = explain.read_lines(explain.list_files(logs))
+    lines = list(explain.read_lines(explain.list_files(logs)))
     outcomes = classify_requests(lines, parse_weights(weights))
     if not outcomes:
         raise CommandError("no line of these logs records a request")
     _show_causes(outcomes)
     _show_windows(outcomes, window_s)
+    _show_limit_refusals(count_limit_refusals(lines))
     total = sum(outcome.weight for outcome in outcomes)
     served = sum(
         outcome.weight for outcome in outcomes if outcome.cause is Cause.IN_TIME
@@ -154,6 +174,22 @@
     ]
 
 
+def count_limit_refusals(
+    lines: Iterable[explain.LogLine],
+) -> collections.Counter[LimitRefusal]:
+    """Counts refusals for a customer's limit by their owner's state."""
+    return collections.Counter(
+        LimitRefusal(
+            str(line.details.get("owner") or line.process),
+            line.details.get("limit_part"),
+            bool(line.details.get("stands_in")),
+        )
+        for line in lines
+        if line.kind == "shed"
+        and line.details.get("reason") == "customer_limit"
+    )
+
+
 def _find_cause(
     received: explain.LogLine, request_lines: list[explain.LogLine]
 ) -> Cause:
@@ -244,6 +280,18 @@
         click.echo(f"{number * window_s:>8.1f} s  {reasons}")
 
 
+def _show_limit_refusals(
+    refusals: collections.Counter[LimitRefusal],
+) -> None:
+    """Prints the owners that refused requests for a limit, if any."""
+    if refusals:
+        click.echo("refused for a limit, by owner:")
+    for refusal, count in refusals.most_common(MAX_SHOWN_OWNERS):
+        part = "" if refusal.part is None else f"  part {refusal.part:g}"
+        stood_in = "  stood in" if refusal.stood_in else ""
+        click.echo(f"{count:>8}  {refusal.owner}{part}{stood_in}")
+
+
 def _sum_lost_weights(outcomes: Iterable[RequestOutcome]) -> dict[Cause, float]:
     sums: dict[Cause, float] = collections.defaultdict(float)
     for outcome in outcomes:
--- a/test/test_losses.py
+++ b/test/test_losses.py
@@ -100,6 +100,28 @@
     assert "no place in time 2.5" in worst
 
 
+def test_refusals_for_a_limit_are_counted_by_owner(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Wrong refusals of a stand-in were only found by reading single lines.
+    stand_in = {"owner": "10.0.0.7:9", "limit_part": 0.21, "stands_in": True}
+    whole = {"owner": "10.0.0.1:9", "limit_part": 1.0, "stands_in": False}
+    reason = {"reason": "customer_limit"}
+    sheds = [reason | stand_in, reason | whole, reason | stand_in]
+    lines = [
+        line
+        for number, shed in enumerate(sheds)
+        for line in make_request(
+            f"r{number}", 1.0, (0.1, "shed", shed), end("customer_limit")
+        )
+    ]
+    path = tmp_path / "vm-1.log"
+    path.write_text("\n".join(map(format_line, lines)))
+    result = CliRunner().invoke(main.run_group, ["losses", "--logs", str(path)])
+    assert "       2  10.0.0.7:9  part 0.21  stood in\n" in result.output
+    assert "       1  10.0.0.1:9  part 1\n" in result.output
+
+
 def test_malformed_weight_is_reported(
     tmp_path: pathlib.Path,
 ) -> None:
