Keep retries and release slack within their totals over several owners

The fixed part of the retry budget was divided by the setting budget_vms, 12 by default, however many VMs there are: 58 VMs could use 3.4 times of it. It is now divided by the number of known VMs, lost ones included, if that is larger.

With several scheduling zones, each zone's owner would send the whole slack of a rollout to the new release. The owners now share it evenly.

--- a/ramptray/core/release.py
+++ b/ramptray/core/release.py
@@ -16,6 +16,8 @@
 
     Attributes:
         rollout: The ordered rollout, if any.
+        zones: Number of scheduling zones, whose owners share the requests that
+            a release may receive beyond its share.
     """
 
     def __init__(
@@ -25,6 +27,7 @@
         limits: limit.Limits,
     ) -> None:
         self.rollout: rollout.Rollout | None = None
+        self.zones = 1
         self._fleet = servers
         self._policy = placement_policy
         self._limits = limits
@@ -62,7 +65,7 @@
         """Returns the candidates whose release may receive a request now."""
         if self.rollout is None:
             return candidates
-        part = self._limits.part
+        part = self._limits.part / self.zones
         return [
             candidate
             for candidate in candidates
--- a/ramptray/core/retry.py
+++ b/ramptray/core/retry.py
@@ -23,6 +23,21 @@
     window_s: float = 10.0
 
 
+def divide_rules(whole: BudgetRules, part: float, vms: int) -> BudgetRules:
+    """Returns the budget of one VM.
+
+    Args:
+        whole: The budget of the deployment.
+        part: Fraction of it that is used.  The rest is for VMs that restart,
+            which do not know what they used before.
+        vms: Number of VMs, with those that are lost: they may be retrying on
+            the other side of a partition.
+    """
+    return BudgetRules(
+        whole.ratio * part, whole.extra * part / vms, whole.window_s
+    )
+
+
 class RetryBudget:
     """Counts requests and retries of each service over a sliding window.
 
--- a/ramptray/core/rules.py
+++ b/ramptray/core/rules.py
@@ -17,6 +17,8 @@
         shares: Weight of each customer within a tier.
         limits: Rate limits of each customer in this zone.
         version: The model version to serve, as ``service@version``.
+        zones: Number of scheduling zones, whose owners share what applies to
+            all backend servers of a service.
     """
 
     ranks: dict[str, int]
@@ -25,3 +27,4 @@
     shares: dict[str, float]
     limits: dict[str, limit.RateLimit]
     version: str = ""
+    zones: int = 1
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -108,6 +108,7 @@
         """Applies the rules and backend servers of the bundle in force."""
         self._rules = rules
         self._granter.rules = rules
+        self.releases.zones = rules.zones
         self._shedder.queue_cost = rules.queue_cost
         self._queue.set_ranks(rules.ranks)
         self._limits.set_rates(rules.limits)
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -22,6 +22,7 @@
 from ramptray.node import listener, probe, suspension
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
 from ramptray.peer import server as peer_server
 from ramptray.platform import blocks as platform_blocks
 from ramptray.platform import config, follower, header, store
@@ -141,10 +142,11 @@
             self._runtime.client,
             self._hub.list_lenders,
         )
+        self._budget = retry.RetryBudget(self._make_budget_rules(1))
         self._dispatcher = dispatcher.Dispatcher(
             node_settings.DispatcherSettings(vm.vm, config.DOMAIN, vm.peers),
             self._runtime,
-            self._make_budget(),
+            self._budget,
             shares_limits=True,
             blocks=self._blocks,
             longest_pause_s=settings.longest_pause_s,
@@ -330,23 +332,38 @@
             list(self._vm.seeds),
             self._runtime.client,
             self._rng,
-            lambda view: self._hub.post(event.ViewChanged(view)),
+            self._apply_view,
             lambda lowest: None,
             self._follower.fetch,
             self._follower,
             spreads_generations=False,
         )
 
-    def _make_budget(self) -> retry.RetryBudget:
-        share = self._settings.retry_part
-        return retry.RetryBudget(
+    def _make_budget_rules(self, vms: int) -> retry.BudgetRules:
+        """Returns this VM's part of the retry budget.
+
+        Args:
+            vms: Number of VMs that are known.
+        """
+        return retry.divide_rules(
             retry.BudgetRules(
-                self._vm.retry_ratio * share,
-                self._vm.retry_slack * share / self._settings.budget_vms,
+                self._vm.retry_ratio,
+                self._vm.retry_slack,
                 self._vm.retry_window_s,
-            )
+            ),
+            self._settings.retry_part,
+            max(vms, self._settings.budget_vms),
         )
 
+    def _apply_view(self, view: peer_message.View) -> None:
+        self._hub.post(event.ViewChanged(view))
+        known = [
+            member
+            for member in self._gossiper.membership.list_all()
+            if member.state is not membership.MemberState.LEFT
+        ]
+        self._budget.rules = self._make_budget_rules(len(known))
+
     def _make_service(self) -> service.RelayService:
         return service.RelayService(
             config.DOMAIN,
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -30,6 +30,7 @@
             for name, customer in bundle.customers.items()
             if customer.limits != model.Limits()
         },
+        zones=len(bundle.zones),
     )
 
 
--- a/test/test_limit_totals.py
+++ b/test/test_limit_totals.py
@@ -13,11 +13,14 @@
 import pytest
 
 from ramptray.core import (
+    backend,
     limit,
     limit_share,
     limit_use,
     message,
     policy,
+    retry,
+    rollout,
     rules,
     shard,
     summary,
@@ -142,6 +145,51 @@
     assert owner.receive("vm-1", make_request("c", 1600), 8.0) == []
 
 
+def test_retries_of_all_vms_stay_within_the_budget() -> None:
+    # The fixed part was divided by 12 VMs also in a deployment of 58.
+    whole = retry.BudgetRules(0.2, 156.0, 10.0)
+    budgets = [
+        retry.RetryBudget(retry.divide_rules(whole, 0.7, 58)) for _ in range(58)
+    ]
+    taken = 0
+    for budget in budgets:
+        for _ in range(80):
+            budget.count_request("lm", 1.0)
+            taken += budget.try_take("lm", 1.0)
+    assert taken <= 0.2 * 58 * 80 + 156
+
+
+def test_owners_of_several_zones_share_a_releases_slack() -> None:
+    # Each zone's owner would send the whole slack to the new release.
+    order = rollout.Order("lm", "v2", 100.0, 0.0, share=0.0, slack=50.0)
+    counts = []
+    for zones in (1, 3):
+        infos = [
+            backend.BackendInfo(f"s-{n}", 64, 10**9, 9, release=f"v{n % 2 + 1}")
+            for n in range(2)
+        ]
+        owner = shard.ShardOwner(
+            message.ShardKey("all", "lm"),
+            "127.0.0.1:1",
+            rules.ShardRules({"t": 0}, 10**9, 0.0, {}, {}, zones=zones),
+            infos,
+            policy.make_policy(),
+            0.0,
+            report_grace_s=0.0,
+        )
+        owner.releases.set_order(order, None)
+        gate = owner.releases
+        assert gate.rollout is not None
+        gate.rollout._slack = 30.0
+        new = [b for b in owner.fleet.list_all() if b.info.release == "v2"]
+        sent = 0
+        while gate.filter_allowed(new):
+            gate.count_request(new[0])
+            sent += 1
+        counts.append(sent)
+    assert counts == [30, 10]
+
+
 class LenderStub:
     """Answers requests for loans; the first lender does not reply."""
 
