--- a/ramptray/core/limit_share.py
+++ b/ramptray/core/limit_share.py
@@ -131,7 +131,8 @@
         self._own: collections.deque[Use] = collections.deque()
         self._reports: dict[tuple[str, int], Report] = {}
         self._reported: collections.deque[Use] = collections.deque()
-        self._sums: dict[str, float] = collections.defaultdict(float)
+        self._own_sums: dict[str, float] = collections.defaultdict(float)
+        self._reported_sums: dict[str, float] = collections.defaultdict(float)
         self._total: Basis | None = None
         self._bases: dict[str, Basis] = {}
         self._lent: dict[str, list[tuple[float, float]]] = {}
@@ -147,7 +148,7 @@
     def add(self, amount: float, entry: str, now: float) -> None:
         """Adds an amount that is granted now."""
         self._own.append(Use(now, amount, entry))
-        self._sums[entry] += amount
+        self._own_sums[entry] += amount
 
     def remove(self, amount: float, taken_at: float) -> None:
         """Removes an earlier amount, if it is still in the window."""
@@ -157,7 +158,7 @@
                 return
             if use.at == taken_at and use.amount == amount:
                 del self._own[index]
-                self._sums[use.entry] -= amount
+                self._own_sums[use.entry] -= amount
                 return
 
     def apply_report(self, report: Report) -> None:
@@ -280,7 +281,7 @@
     def get_use(self, now: float) -> float:
         """Returns the use of all entries in the last span, as far as known."""
         self._discard_old(now)
-        return sum(self._sums.values()) + self._get_unreported(now)
+        return self._sum_all() + self._get_unreported(now)
 
     def get_level(
         self, depth: float, rate: float, division: Division, now: float
@@ -316,13 +317,13 @@
         self, total: float, division: Division, now: float
     ) -> tuple[float, float]:
         self._discard_old(now)
-        used = sum(self._sums.values())
+        used = self._sum_all()
         if division.is_whole:
             self._was_whole = True
             return max(0.0, total - self._get_unreported(now)), used
         if self._was_whole:
             self._freeze(used, now)
-        used = sum(self._sums.get(entry, 0.0) for entry in division.entries)
+        used = sum(self._get_sum(entry) for entry in division.entries)
         if self._total is None:
             return division.part * total, used
         free = max(0.0, total - self._total.total)
@@ -335,8 +336,8 @@
         lent = self._get_inherited_loans(now)
         self._total = Basis(now, total, 0.0, lent)
         self._bases = {
-            entry: Basis(now, total, amount)
-            for entry, amount in self._sums.items()
+            entry: Basis(now, total, self._get_sum(entry))
+            for entry in {*self._own_sums, *self._reported_sums}
         }
         self._was_whole = False
 
@@ -387,15 +388,28 @@
     def _discard_old(self, now: float) -> None:
         if self._is_stale:
             self._rebuild(now)
-        for window in (self._own, self._reported):
+        for window, sums in (
+            (self._own, self._own_sums),
+            (self._reported, self._reported_sums),
+        ):
             while window and window[0].at <= now - self.span_s:
                 use = window.popleft()
-                self._sums[use.entry] -= use.amount
-                if self._sums[use.entry] <= 0.0:
-                    del self._sums[use.entry]
+                sums[use.entry] -= use.amount
+                if sums[use.entry] <= 0.0:
+                    del sums[use.entry]
+
+    def _sum_all(self) -> float:
+        """Returns the use of all entries in the window."""
+        own = sum(self._own_sums.values())
+        return own + sum(self._reported_sums.values())
+
+    def _get_sum(self, entry: str) -> float:
+        """Returns an entry's use in the window."""
+        own = self._own_sums.get(entry, 0.0)
+        return own + self._reported_sums.get(entry, 0.0)
 
     def _rebuild(self, now: float) -> None:
-        """Rebuilds the window of reported use and the sums by entry."""
+        """Rebuilds the window of reported use and its sums by entry."""
         self._is_stale = False
         self._update_bases()
         self._reports = {
@@ -408,9 +422,9 @@
                 use for report in self._reports.values() for use in report.uses
             )
         )
-        self._sums.clear()
-        for use in (*self._own, *self._reported):
-            self._sums[use.entry] += use.amount
+        self._reported_sums.clear()
+        for use in self._reported:
+            self._reported_sums[use.entry] += use.amount
 
 
 def make_report(
--- a/ramptray/node/settings.py
+++ b/ramptray/node/settings.py
@@ -19,8 +19,8 @@
         metrics_port: Port on which metrics are served, at the VM's IP address.
         policy: Policy by which backend servers are chosen.
         retry_part: Fraction of the deployment's retry budget that is used.
-        budget_vms: Number of VMs among which the fixed part of the retry budget
-            is divided; a VM that restarts counts again.
+        budget_vms: Least number of VMs among which the fixed part of the retry
+            budget is divided; a VM that restarts counts again.
         lame_duck_s: How long a stopping VM still accepts connections, in
             seconds: the load balancer must see twice that it is not ready.
         exit_margin_s: How many seconds before it would be killed a stopping VM
--- a/spec/limit_share.py
+++ b/spec/limit_share.py
@@ -251,11 +251,15 @@
     """Returns the newest known total and each entry's part of it."""
     if known.frozen:
         return known.frozen
-    bases = [report.basis if report else None for report in known.reports]
-    if not any(bases):
+    bases = [
+        (report.basis if report else None) or Basis(-1, 0)
+        for report in known.reports
+    ]
+    newest = max(basis.total for basis in bases)
+    if newest < 0:
         return None
-    parts = tuple(basis.base if basis else 0 for basis in bases)
-    return max(basis.total for basis in bases if basis), parts  # type: ignore
+    one, two, three = (basis.base for basis in bases)
+    return newest, (one, two, three)
 
 
 def _may_grant(state: State, owner: int, entry: int, rules: Rules) -> bool:
