--- a/ramptray/core/release.py
+++ b/ramptray/core/release.py
@@ -16,8 +16,8 @@
 
     Attributes:
         rollout: The ordered rollout, if any.
-        zones: Number of scheduling zones, whose owners all grant requests to
-            the release.
+        zones: Number of scheduling zones, whose owners share the requests that
+            a release may receive beyond its share.
     """
 
     def __init__(
--- a/ramptray/core/rules.py
+++ b/ramptray/core/rules.py
@@ -17,7 +17,8 @@
         shares: Weight of each customer within a tier.
         limits: Rate limits of each customer in this zone.
         version: The model version to serve, as ``service@version``.
-        zones: Number of scheduling zones.
+        zones: Number of scheduling zones, whose owners share what applies to
+            all backend servers of a service.
     """
 
     ranks: dict[str, int]
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -22,6 +22,7 @@
 from ramptray.node import listener, probe, suspension
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
 from ramptray.peer import server as peer_server
 from ramptray.platform import blocks as platform_blocks
 from ramptray.platform import follower, header, store
@@ -37,6 +38,7 @@
     gossip,
     handler,
     hub,
+    limit_loans,
     region_exchange,
     rollouts,
 )
@@ -137,12 +139,20 @@
             self._hub, self._gossiper, self._follower, self._runtime.timeline
         )
         self._runtime.client.serve_locally(vm.peers, self._handler)
+        assert self._hub.limits is not None
+        self._loans = limit_loans.LoanClient(
+            f"{vm.peers}#{self._hub.limits.epoch}",
+            self._hub.limits,
+            self._runtime.client,
+            self._hub.list_lenders,
+        )
+        self._budget = retry.RetryBudget(self._make_budget_rules(1))
         self._dispatcher = dispatcher.Dispatcher(
             node_settings.DispatcherSettings(
                 vm.vm, vm.scheduling_zone, vm.peers
             ),
             self._runtime,
-            self._make_budget(),
+            self._budget,
             shares_limits=True,
             blocks=self._blocks,
             longest_pause_s=settings.longest_pause_s,
@@ -165,6 +175,7 @@
         async with anyio.create_task_group() as tasks:
             for task in (
                 self._hub.run,
+                self._loans.run,
                 self._dispatcher.run,
                 self._gossiper.run,
                 self._follower.run,
@@ -276,6 +287,9 @@
             metrics.Gauge("blocked_contents", {}, blocked),
             metrics.Gauge("limited_servers", {}, hints.count_limited()),
             metrics.Gauge("leaving_servers", {}, hints.count_leaving()),
+            metrics.Gauge("limit_part", {}, self._loans.part),
+            metrics.Gauge("limit_loans", {}, self._loans.borrowed),
+            metrics.Gauge("limit_loans_refused", {}, self._loans.refused),
             metrics.Gauge("paused_servers", {}, hints.count_paused(now)),
             metrics.Gauge("links_down", {}, len(failures.list_down(now))),
             *(
@@ -336,7 +350,7 @@
             list(self._vm.seeds),
             self._runtime.client,
             self._rng,
-            lambda view: self._hub.post(event.ViewChanged(view)),
+            self._apply_view,
             lambda lowest: None,
             self._follower.fetch,
             self._follower,
@@ -348,16 +362,33 @@
             else None,
         )
 
-    def _make_budget(self) -> retry.RetryBudget:
-        share = self._settings.retry_part
-        return retry.RetryBudget(
+    def _make_budget_rules(self, vms: int) -> retry.BudgetRules:
+        """Returns this VM's part of the retry budget.
+
+        Args:
+            vms: Number of VMs that are known.
+        """
+        return retry.divide_rules(
             retry.BudgetRules(
-                self._vm.retry_ratio * share,
-                self._vm.retry_slack * share / self._settings.budget_vms,
+                self._vm.retry_ratio,
+                self._vm.retry_slack,
                 self._vm.retry_window_s,
-            )
+            ),
+            self._settings.retry_part,
+            max(vms, self._settings.budget_vms),
         )
 
+    def _apply_view(self, view: peer_message.View) -> None:
+        self._hub.post(event.ViewChanged(view))
+        known = [
+            member
+            for member in self._gossiper.membership.list_all()
+            if member.state is not membership.MemberState.LEFT
+        ]
+        # The membership covers one scheduling zone; others are about as large.
+        zones = len(self._vm.scheduling_zones.names)
+        self._budget.rules = self._make_budget_rules(zones * len(known))
+
     def _make_service(self) -> service.RelayService:
         return service.RelayService(
             self._vm.scheduling_zone,
