Do not reserve servers that a further attempt avoids

A retry that waited for a server without its last one's symptom still reserved the others, so lower tiers waited although these servers had free slots. The reservation now applies the same filter, as for pauses and partitions.

Run: test/test_failing_servers.py (17 passed; the new test fails without the change), test_shard, test_attempts, test_waiting, test_replay (67 passed), ruff, mypy.

--- a/ramptray/core/selector.py
+++ b/ramptray/core/selector.py
@@ -117,15 +117,21 @@
         """Returns the candidates that no request ahead may go to.
 
         During a network partition, those are the servers on the other side;
-        during an entry's pause, the servers that requested it.
+        during an entry's pause, the servers that requested it; for a further
+        attempt, the servers that fail like its last one.
         """
         if not ahead or not candidates:
             return candidates
         reserved = {
             candidate.info.name
             for waiting in ahead
-            for candidate in self._fleet.eligibility.filter_eligible(
-                candidates, waiting, now
+            for candidate in symptom_filter.exclude_symptom(
+                self._fleet.eligibility.filter_eligible(
+                    candidates, waiting, now
+                ),
+                waiting,
+                self._fleet,
+                now,
             )
         }
         return [c for c in candidates if c.info.name not in reserved]
--- a/test/test_failing_servers.py
+++ b/test/test_failing_servers.py
@@ -132,10 +132,10 @@
     return load
 
 
-def make_retry() -> message.RequestInfo:
+def make_retry(tier: str = "normal") -> message.RequestInfo:
     """Returns a request that has failed on the first server."""
     return msgspec.structs.replace(
-        make_info("again"), avoid=("e0",), attempt=1, repeatable=True
+        make_info("again", tier), avoid=("e0",), attempt=1, repeatable=True
     )
 
 
@@ -160,3 +160,14 @@
 ) -> None:
     load = prepare_failures(symptom, 5)
     assert enqueue(load.owner, make_retry(), 0.7) is not None
+
+
+def test_a_second_attempt_does_not_reserve_the_servers_that_it_avoids() -> None:
+    # Otherwise lower tiers would wait although these servers have free slots.
+    load = prepare_failures({"failed": True}, 3)
+    assert enqueue(load.owner, make_retry("normal"), 0.7) is None
+    grants = [
+        enqueue(load.owner, make_info(f"lower{number}", "batch"), 0.7)
+        for number in range(6)
+    ]
+    assert {grant.backend for grant in grants if grant} == {"e0", "e1", "e2"}
