--- a/test/test_dispatcher.py
+++ b/test/test_dispatcher.py
@@ -46,6 +46,10 @@
         """Handles an event of a link."""
         self._handle(event, now)
 
+    def receive_exchange(self, event: tickets.Event) -> None:
+        """Handles an event of an exchange."""
+        self._handle(event, 1.0)
+
     def submit_new(self, info: message.RequestInfo) -> None:
         """Submits a request and handles its events."""
         ticket = self.submit(info, None)
@@ -265,3 +269,30 @@
     # If the owner stays silent, the request is rejected after the grace period.
     recorder.tick(now + 1.6 + timeouts.REFUSAL_GRACE_S * 2)
     assert recorder.request_count == 1
+
+
+def test_use_of_limits_is_reported_before_another_owner_is_used(
+    recorder: RecordingDispatcher,
+) -> None:
+    # A stand-in that got the request first would count it without the use.
+    total = message.LimitTotal(7, 8.0, message.LimitAmounts(1, 5))
+    grant = message.Grant("r1", "g1", "b", OURS, limit_total=total)
+    recorder.receive(attachment.MessageReceived(OURS, grant))
+    # No connection could be opened; the second grant is the same use.
+    recorder.receive_exchange(tickets.ConnectFailed("r1"))
+    again = message.Grant("r1", "g2", "b", OURS, limit_total=total)
+    recorder.receive(attachment.MessageReceived(OURS, again))
+    recorder.receive(attachment.LinkClosed(OURS), now=1.5)
+    recorder.sent.clear()
+    key = message.ShardKey("waw-a", "s")
+    for name in ("r2", "r3"):
+        recorder.submit_new(
+            message.RequestInfo(name, key, "c", "t", 1, 1, (), 60.0)
+        )
+    kinds = [type(body) for _, body in recorder.sent]
+    assert kinds == [message.LimitUse, message.Enqueue, message.Enqueue]
+    address, report = recorder.sent[0]
+    assert address == OTHER
+    assert isinstance(report, message.LimitUse)
+    assert report.customers["c"].uses == {7: [message.LimitAmounts(1, 5)]}
+    assert report.customers["c"].total == message.LimitAmounts(1, 5)
