--- a/bench/replay/caller.py
+++ b/bench/replay/caller.py
@@ -36,7 +36,10 @@
         longest_gap_s: Longest pause between two events.
         is_done: Whether the whole answer has arrived.
         was_refused: Whether its last try was refused.
-        vain_s: Time that tries waited which were refused in the end.
+        refusals: How many of its tries were refused.
+        idle_refusals: How many of those while the system was nearly idle.
+        was_lost: Whether the server of its last try failed.
+        vain_s: Total duration of the tries that gave no whole answer.
     """
 
     name: str
@@ -53,6 +56,9 @@
     longest_gap_s: float = 0.0
     is_done: bool = False
     was_refused: bool = False
+    refusals: int = 0
+    idle_refusals: int = 0
+    was_lost: bool = False
     vain_s: float = 0.0
 
     @property
@@ -70,6 +76,17 @@
             and self.longest_gap_s <= self.kind.max_gap_s
         )
 
+    @property
+    def is_in_vain(self) -> bool:
+        """Whether a retry after a refusal was refused or failed as well.
+
+        A failure of the retry's server does not count.
+        """
+        was_retried = self.tries > 1 and (
+            self.refusals > 1 or (self.refusals == 1 and not self.was_refused)
+        )
+        return was_retried and not self.is_done and not self.was_lost
+
     def note_event(self, now: float) -> None:
         """Notes that an event has arrived."""
         if self.first_at == math.inf:
--- a/bench/replay/engine.py
+++ b/bench/replay/engine.py
@@ -65,6 +65,11 @@
         self._runs: dict[str, Run] = {}
         self._is_stepping = False
 
+    @property
+    def running_count(self) -> int:
+        """Number of requests that it runs or queues."""
+        return len(self._runs)
+
     def start(self, run: Run) -> None:
         """Takes a request; its fixed part passes before it is in the batch."""
         self._runs[run.sequence.request_id] = run
--- a/bench/replay/world.py
+++ b/bench/replay/world.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import random
+import zlib
 
 from bench.replay import caller, clock, engine, pattern
 from ramptray.core import backend, limit, message, owner_effect, policy, shard
@@ -21,6 +22,10 @@
 WAY_S = 0.002
 """Time of a message between entry and owner, in seconds."""
 
+REPORT_S = 0.5
+"""How often servers report their load to the owners, in seconds; used only if
+there are several owners."""
+
 SETTLE_S = 20.0
 """How long is played on after the last caller has asked, in seconds."""
 
@@ -31,6 +36,7 @@
     def __init__(self, world: World, call: caller.Call) -> None:
         call.tries += 1
         call.was_refused = False
+        call.was_lost = False
         self.call = call
         self.request_id = f"{call.name}.{call.tries}"
         self.began = world.timer.now
@@ -58,6 +64,7 @@
             wait_s=kind.patience_s * service.MAX_WAIT_FRACTION,
             max_gap_s=kind.max_gap_s,
             event_tokens=self._world.event_tokens,
+            content=call.name,
         )
 
     def dispatch(self, grant: message.Grant) -> None:
@@ -69,7 +76,7 @@
             decline = message.Decline(
                 self.request_id, grant.grant_id, True, (chosen.name,)
             )
-            self._world.tell(decline)
+            self._world.tell(self.call, decline)
             return
         self.engine = chosen
         sequence = batch.Sequence(
@@ -94,13 +101,15 @@
             first = message.FirstToken(
                 self.request_id, now - run.sent_at, self.call.prompt_tokens, 0
             )
-            self._world.tell(first)
+            self._world.tell(self.call, first)
         if run.sequence.done:
             self.call.is_done = True
             self._end(whole=True)
 
     def lose(self, run: engine.Run, now: float) -> None:
         """See the base class."""
+        self.call.was_lost = True
+        self.call.vain_s += now - self.began
         self._end(broken=True)
         self._come_back(0.0)
 
@@ -110,6 +119,8 @@
             return
         self.is_over = True
         self.call.was_refused = True
+        self.call.refusals += 1
+        self.call.idle_refusals += self._world.is_idle
         self.call.vain_s += self._world.timer.now - self.began
         self._come_back(retry_after_s)
 
@@ -123,13 +134,13 @@
         if now < ends_at:
             self._world.timer.call_at(ends_at, self.watch)
             return
-        if self.engine is None:
-            self.call.vain_s += now - self.began
+        self.call.vain_s += now - self.began
         self._end()
 
     def drop(self) -> None:
         """Takes that the VMs have gone."""
         self.is_over = True
+        self.call.vain_s += self._world.timer.now - self.began
         if self.engine is not None:
             self.engine.cancel(self.request_id)
         self._come_back(0.0)
@@ -137,7 +148,7 @@
     def _end(self, whole: bool = False, broken: bool = False) -> None:
         self.is_over = True
         if self.engine is None:
-            self._world.tell(message.Withdraw(self.request_id))
+            self._world.tell(self.call, message.Withdraw(self.request_id))
             return
         self.engine.cancel(self.request_id)
         per_event = self._world.event_tokens
@@ -150,7 +161,7 @@
             broken=broken,
             first_tokens=per_event,
         )
-        self._world.tell(ended)
+        self._world.tell(self.call, ended)
 
     def _come_back(self, told_s: float) -> None:
         now = self._world.timer.now
@@ -186,7 +197,16 @@
             for fields in given.engines
             for name in (f"engine-{next(numbers)}" for _ in range(fields.count))
         }
-        self._owner = self._make_owner()
+        self._owners = self._make_owners()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether less than half of the slots are used and none waits."""
+        up = [one for one in self.engines.values() if not one.is_down]
+        slots = sum(one.fields.places for one in up)
+        used = sum(one.running_count for one in up)
+        waiting = any(owner.waiting_count for owner in self._owners)
+        return 2 * used < slots and not waiting
 
     def run(self) -> None:
         """Plays the pattern to its end."""
@@ -195,6 +215,8 @@
         for event in self._given.events:
             self._plan(event)
         self._tick()
+        if len(self._owners) > 1:
+            self._report_load()
         self.timer.run_until(self._given.length_s + SETTLE_S)
 
     def ask(self, call: caller.Call) -> None:
@@ -205,12 +227,13 @@
             return
         self._attempts[attempt.request_id] = attempt
         attempt.watch()
-        self.tell(message.Enqueue(attempt.make_info()))
+        self.tell(call, message.Enqueue(attempt.make_info()))
 
-    def tell(self, told: message.EntryMessage) -> None:
-        """Hands a message to the owner."""
+    def tell(self, call: caller.Call, told: message.EntryMessage) -> None:
+        """Hands a message to the owner that its caller's entry uses."""
         at = self.timer.now + WAY_S
-        self.timer.call_at(at, self._receive, self._owner, told)
+        number = zlib.crc32(call.name.encode()) % len(self._owners)
+        self.timer.call_at(at, self._receive, self._owners[number], told)
 
     def has_impatient(self, now: float) -> bool:
         """Returns whether callers come back at once now; some always do not."""
@@ -222,7 +245,7 @@
     def _receive(
         self, owner: shard.ShardOwner, told: message.EntryMessage
     ) -> None:
-        if owner is self._owner:
+        if owner in self._owners:
             self._deliver(owner.receive(ENTRY, told, self.timer.now))
 
     def _deliver(self, effects: list[owner_effect.SendToEntry]) -> None:
@@ -240,10 +263,26 @@
             attempt.refuse(told.retry_after_s)
 
     def _tick(self) -> None:
-        self._deliver(self._owner.tick(self.timer.now))
+        for owner in self._owners:
+            self._deliver(owner.tick(self.timer.now))
         self.timer.call_at(self.timer.now + TICK_S, self._tick)
 
-    def _make_owner(self) -> shard.ShardOwner:
+    def _report_load(self) -> None:
+        for owner, one in itertools.product(
+            self._owners, self.engines.values()
+        ):
+            owner.apply_load_report(
+                one.name, one.running_count, (), one.batch.get_step_s()
+            )
+        self.timer.call_at(self.timer.now + REPORT_S, self._report_load)
+
+    def _make_owners(self) -> list[shard.ShardOwner]:
+        return [
+            self._make_owner(f"owner-{number}")
+            for number in range(self._given.owners)
+        ]
+
+    def _make_owner(self, address: str) -> shard.ShardOwner:
         customers = self._given.customers
         rate = limit.RateLimit(
             tokens_per_s=customers.tokens_per_s,
@@ -254,7 +293,7 @@
         limits = {f"customer-{n}": rate for n in range(customers.count)}
         return shard.ShardOwner(
             KEY,
-            "owner",
+            address,
             shard_rules.ShardRules(
                 {tier: rank for rank, tier in enumerate(tiers)},
                 10**9,
@@ -314,7 +353,7 @@
 
     def _start_all(self, event: pattern.Event) -> None:
         self._is_down = False
-        self._owner = self._make_owner()
+        self._owners = self._make_owners()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
