Recognize retries of refused requests, and spread them after a burst

A retry was scheduled as if its caller had just come, so it took a slot from a request in time although it had missed its own objective.

Capacity is counted in slot time, not by the rate of grants. - While arrivals exceed the capacity, Retry-After is at least 5 s, and never more than the third of their remaining time that callers follow.

--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -272,6 +272,33 @@
             rate_per_s = (rate_per_s or 0.0) + limit
         return rate_per_s
 
+    def estimate_work(self, request: message.RequestInfo) -> float:
+        """Estimates how long a request occupies a slot, in seconds.
+
+        The server has the speed of the shard's latency line; nothing is cached.
+        """
+        prefill_s = self._line.estimate(request.prompt_tokens)
+        return prefill_s + self._get_step_s() * request.output_tokens
+
+    def _get_step_s(self) -> float:
+        """Returns the time between tokens on a server with the line's speed."""
+        if self._line.step_s is not None:
+            return self._line.step_s
+        # The speeds may come from an earlier owner.
+        known = (one.step_s / one.speed.factor for one in self._fastest)
+        return next(known, speeds.DEFAULT_STEP_S)
+
+    def estimate_capacity(self, now: float) -> float:
+        """Estimates how many slots all open servers together are worth.
+
+        Each counts by its speed relative to the shard's latency line.
+        """
+        return sum(
+            max(0, known.info.max_running - known.foreign) / known.speed.factor
+            for known in self.backends.values()
+            if known.is_open(now)
+        )
+
     def list_fastest(
         self, waiting: queue.QueuedRequest, now: float
     ) -> list[backends.Backend]:
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -45,6 +45,8 @@
             their objective.
         counted_at: When this owner counted it against its customer's limit;
             None if it did not.
+        asked_at: When its caller tried first, as far as this owner knows.
+        is_retry: Whether this owner refused its caller before.
     """
 
     request: message.RequestInfo
@@ -58,6 +60,14 @@
     refuse_at: float = math.inf
     is_late: bool = False
     counted_at: float | None = None
+    asked_at: float = 0.0
+    is_retry: bool = False
+
+    def count_from(self, first_try_at: float) -> None:
+        """Counts the objective of a retry from its caller's first try."""
+        self.late_at -= self.asked_at - first_try_at
+        self.asked_at = first_try_at
+        self.is_retry = True
 
     @property
     def is_starved(self) -> bool:
@@ -253,6 +263,7 @@
             since=now,
             late_at=_add_optional(now, request.objective_s),
             refuse_at=_add_optional(now, request.wait_s),
+            asked_at=now,
         )
 
     def push(self, waiting: QueuedRequest) -> None:
@@ -286,16 +297,15 @@
         return list(self._waiting.values())
 
     def list_late(self) -> list[QueuedRequest]:
-        """Returns the late requests if any other request is queued.
-
-        Those would be served first, and more arrive in the meantime.
-        """
-        in_time = self.tiers[: self._tier_count]
-        if not any(tier.count for tier in in_time):
-            return []
+        """Returns the late requests, highest tier first."""
         late = self.tiers[self._tier_count :]
         return [waiting for tier in late for waiting in tier.list_all()]
 
+    def list_in_time(self) -> list[QueuedRequest]:
+        """Returns the requests that are not late, highest tier first."""
+        in_time = self.tiers[: self._tier_count]
+        return [waiting for tier in in_time for waiting in tier.list_all()]
+
     def list_expired(self, now: float) -> list[QueuedRequest]:
         """Returns the requests that are past a deadline or refusal time."""
         return [
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -13,6 +13,7 @@
     meter,
     owner_effect,
     queue,
+    refusal_log,
     remote_shards,
     wait_estimator,
 )
@@ -33,15 +34,27 @@
 MAX_RETRY_AFTER_S = 30.0
 """Longest Retry-After, in seconds."""
 
+OVERLOAD_RETRY_AFTER_S = 5.0
+"""Shortest Retry-After while arriving requests leave no capacity, in seconds:
+the length of long bursts.  Retries within a burst are refused again."""
+
+HONORED_PART = 1 / 3
+"""Fraction of its remaining time that a caller waits at most before a retry; a
+longer Retry-After would be ignored."""
+
 
 class Counters(msgspec.Struct):
-    """Numbers of decisions since the shard's owner took over."""
+    """Numbers of decisions since the shard's owner took over.
+
+    ``returned`` counts the requests recognized as retries of refused ones.
+    """
 
     enqueued: int = 0
     granted: int = 0
     shed: int = 0
     redirected: int = 0
     declined: int = 0
+    returned: int = 0
 
 
 class Shedder:
@@ -80,6 +93,7 @@
         self._remote = remotes
         self._entries = entries
         self._started_at = started_at
+        self._refusals = refusal_log.RefusalLog()
         self._shed: dict[str, meter.RateMeter] = {}
 
     def list_shed(self, now: float) -> dict[str, int]:
@@ -98,6 +112,9 @@
             The refusal if the request exceeds the limit, else None.
         """
         request = waiting.request
+        self._recognize_retry(waiting)
+        if not waiting.is_retry:
+            self._wait_estimator.count_arrival(waiting, now)
         if request.spilled_from or request.attempt:
             return None
         counted = _get_limit_cost(waiting)
@@ -132,19 +149,44 @@
         ]
 
     def refuse_late(self, now: float) -> list[owner_effect.SendToEntry]:
-        """Refuses late requests while requests that are not late are queued.
-
-        During an overload of some seconds, late requests would wait behind
-        those that can still meet their objective, and be refused in the end.
-        An early refusal costs their callers less time.  A request that has
-        already been attempted is not refused, as it may be resumed elsewhere.
+        """Refuses late requests that would wait in vain.
+
+        Load pattern: a burst beyond capacity of some seconds.  Late requests
+        are served after all that can still meet their objective.  They wait if
+        the capacity that those leave suffices to serve them before they must be
+        refused; otherwise an early refusal costs their callers less time.  A
+        request that has already been attempted is not refused, as it may be
+        resumed elsewhere.
         """
+        in_time = self._queue.list_in_time()
+        if not in_time:
+            return []
         return [
             self._refuse(waiting, message.Reason.OVERLOADED, now)
-            for waiting in self._queue.list_late()
+            for waiting in self._list_in_vain(in_time, now)
             if not waiting.request.attempt
         ]
 
+    def _list_in_vain(
+        self, in_time: list[queue.QueuedRequest], now: float
+    ) -> list[queue.QueuedRequest]:
+        """Returns the late requests whose turn would come too late."""
+        late = self._queue.list_late()
+        spare = self._wait_estimator.estimate_spare(now)
+        if not late or spare <= 0.0:
+            return late
+        estimate = self._wait_estimator.estimate_work
+        ahead_s = sum(estimate(waiting.request) for waiting in in_time)
+        in_vain: list[queue.QueuedRequest] = []
+        for waiting in late:
+            work_s = estimate(waiting.request)
+            last_begin = min(waiting.refuse_at, waiting.deadline - work_s)
+            if now + ahead_s / spare < last_begin:
+                ahead_s += work_s
+            else:
+                in_vain.append(waiting)
+        return in_vain
+
     def refuse_unreachable(
         self, waiting: queue.QueuedRequest, now: float
     ) -> list[owner_effect.SendToEntry]:
@@ -258,20 +300,31 @@
         min_wait_s = MIN_RETRY_AFTER_S
         if reason is message.Reason.NO_BACKEND:
             min_wait_s = UNREACHABLE_RETRY_AFTER_S
+        self._refusals.add(waiting)
         self._wait_estimator.count_refusal(waiting, now)
         # During a pause of all entries, the queue is served after its end.
         pause_s = self._fleet.eligibility.get_shortest_pause(
             len(self._entries), now
         )
         wait_s = max(
-            min_wait_s,
             pause_s + self._wait_estimator.estimate_wait(waiting, now),
             pause_s + self._wait_estimator.estimate_retry_after(waiting, now),
         )
+        is_overload = reason is message.Reason.OVERLOADED
+        if is_overload and self._wait_estimator.is_overloaded(now):
+            wait_s = max(wait_s, OVERLOAD_RETRY_AFTER_S)
+        honored_s = (waiting.deadline - now) * HONORED_PART
+        wait_s = max(min_wait_s, min(wait_s, honored_s))
         return self._make_reject(
             waiting, reason, min(wait_s, MAX_RETRY_AFTER_S)
         )
 
+    def _recognize_retry(self, waiting: queue.QueuedRequest) -> None:
+        first_try_at = self._refusals.take_first_try(waiting)
+        if first_try_at is not None:
+            waiting.count_from(first_try_at)
+            self.counters.returned += 1
+
     def _make_reject(
         self,
         waiting: queue.QueuedRequest,
--- a/ramptray/core/wait_estimator.py
+++ b/ramptray/core/wait_estimator.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
-from ramptray.core import fleet, limit, meter, queue
+from ramptray.core import fleet, limit, message, meter, queue
 
 WINDOW_S = 5.0
 """Window over which grants and refusals are counted, in seconds."""
 
+ARRIVAL_WINDOW_S = 1.0
+"""Window over which arriving work is counted, in seconds: bursts begin and end
+within a second, and shorter windows hold too few large requests."""
+
+MIN_SPARE_PART = 0.05
+"""Fraction of the capacity below which none counts as spare: the estimates of
+work and capacity are no more accurate."""
+
 
 class WaitEstimator:
     """Estimates waiting times from the rate of grants.
@@ -30,9 +38,53 @@
         self._fleet = servers
         self._limits = limits
         self._granted = meter.RateMeter(WINDOW_S)
+        self._arrived_us = meter.RateMeter(ARRIVAL_WINDOW_S)
         self._refused = meter.RateMeter(WINDOW_S)
         self._refused_count = meter.RateMeter(WINDOW_S)
 
+    def count_arrival(self, waiting: queue.QueuedRequest, now: float) -> None:
+        """Counts the work of a request that may be served in time."""
+        work_s = self.estimate_work(waiting.request)
+        self._arrived_us.add(int(work_s * 1e6), now)
+
+    def estimate_work(self, request: message.RequestInfo) -> float:
+        """Estimates how long a request occupies a slot.
+
+        Returns:
+            Seconds on a server with the speed of the shard's latency line.
+        """
+        return self._fleet.estimate_work(request)
+
+    def estimate_spare(self, now: float) -> float:
+        """Estimates the capacity that arriving requests leave for others.
+
+        Load pattern: a burst beyond capacity.  The rate of grants depends on
+        the mix of requests and lags behind the end of the burst; slots, speeds
+        and arrivals show it within a second.
+
+        Returns:
+            Slots of servers with the speed of the shard's latency line; 0 if
+            there are none, or if all servers have a rate limit.
+        """
+        if self.get_rate_limit(now) is not None:
+            return 0.0
+        capacity = self._fleet.estimate_capacity(now)
+        used = self._arrived_us.get_sum(now) / 1e6 / ARRIVAL_WINDOW_S
+        spare = capacity - used
+        return spare if spare > MIN_SPARE_PART * capacity else 0.0
+
+    def is_overloaded(self, now: float) -> bool:
+        """Returns whether arriving requests exceed the capacity.
+
+        False if all servers have a rate limit, at which the queue is served, or
+        if none is open.
+        """
+        return (
+            self.get_rate_limit(now) is None
+            and self._fleet.estimate_capacity(now) > 0.0
+            and self.estimate_spare(now) == 0.0
+        )
+
     def count_grant(self, waiting: queue.QueuedRequest, now: float) -> None:
         """Counts a granted request."""
         self._granted.add(waiting.cost, now)
