Share the free slots of a server among owners unaware of each other

Cause: each owner filled all slots that the last load report, up to half a second old, showed as free. Fast servers had up to 17 requests in 6 slots. First tokens came late; the owners learned the delay as the fixed part of the servers' time to first token (0.08 s grew to 0.5 s), so that no slow server seemed to meet an objective any more, and these stayed idle (metastable).

Change: an owner that sees requests of others takes its share of the free slots until the next report, at least half of them and at least one, and gives up its share of an excess. An owner that placed 0.8 of the requests or more is not limited; a server without load reports is not either.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import statistics
 from collections.abc import Iterable
 
@@ -28,6 +29,15 @@
 """A reported time between tokens that exceeds the learned one by this factor
 replaces it immediately."""
 
+MIN_OWN_SHARE = 0.5
+"""Fraction of the free slots that an owner takes at least.  A new owner has
+placed nothing yet, and other requests may be those of an owner that has gone.
+"""
+
+SOLE_OWNER_SHARE = 0.8
+"""Fraction of a shard's placed requests from which an owner counts as the only
+one: load reports lag, so some requests seem to be of others."""
+
 OVERDUE_GRACE_S = 0.2
 """Delay of a first token, in seconds, that does not count as a slow engine."""
 
@@ -114,6 +124,10 @@
         line: Latency line shared by the engines of the shard.
         rtt: Round-trip time from a grant to the notice of a first token, less
             the engine's time; includes the entry's own delays.
+
+    Attributes:
+        own_limit: Requests that this owner may have there until the next load
+            report; infinite if no other owner uses the server.
     """
 
     __slots__ = (
@@ -134,6 +148,7 @@
         "loaded",
         "first_at",
         "limit_per_s",
+        "own_limit",
         "pauses",
         "_pacer",
         "_rtt",
@@ -158,6 +173,7 @@
             info.cache_blocks * prefix_cache.BLOCK_TOKENS
         )
         self.foreign = 0
+        self.own_limit = math.inf
         self.report_running: int | None = None
         self.versions: tuple[str, ...] = ()
         self.version = ""
@@ -427,7 +443,9 @@
         self.pauses.record_end(placed.entry, request_id)
         return placed
 
-    def apply_load_report(self, running: int, step_s: float = 0.0) -> None:
+    def apply_load_report(
+        self, running: int, step_s: float = 0.0, own_share: float = 1.0
+    ) -> None:
         """Applies an engine's load report, which lags behind.
 
         The decode speed is otherwise learned only at the end of a response,
@@ -437,6 +455,12 @@
         Requests of other owners are counted from the smaller of the last two
         reports, because a single report may still include requests that have
         ended.  A new owner has only one report and uses that.
+
+        Args:
+            running: Requests that run or wait there.
+            step_s: Seconds between two tokens; 0 if not reported.
+            own_share: Fraction of all requests on the shard's servers that
+                this owner has placed.
         """
         if step_s > SLOWDOWN_FACTOR * self.step_s:
             self.speed.own_step_s = step_s
@@ -444,6 +468,30 @@
         steady = running if before is None else min(running, before)
         self.report_running = running
         self.foreign = max(0, steady - len(self.placed))
+        if self.foreign:
+            own_share = min(own_share, len(self.placed) / steady)
+        self.own_limit = self._divide_slots(running, own_share)
+
+    def _divide_slots(self, running: int, own_share: float) -> float:
+        """Returns how many requests this owner may have until the next report.
+
+        Load pattern: several owners, unaware of each other, each fill the slots
+        that the last report showed as free.  Servers then have more requests
+        than slots, first tokens are late, and owners learn that delay as the
+        servers' speed; this outlasts a burst by many seconds.  So an owner
+        takes its share of the free slots, at least one, and gives up its share
+        of the excess.
+        """
+        own_share = max(own_share, MIN_OWN_SHARE)
+        if own_share >= SOLE_OWNER_SHARE:
+            return math.inf
+        free = (self.info.max_running - running) * own_share
+        own = len(self.placed)
+        return own + (
+            max(1, int(free))
+            if running < self.info.max_running
+            else math.floor(free)
+        )
 
     def cancel_prefill(self, request_id: str) -> None:
         """Stops waiting for the first token of a lost entry's request."""
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Iterable, Mapping
 
 from ramptray.core import backend as backends
@@ -40,6 +41,7 @@
         self._wanted: frozenset[str] = frozenset()
         self._backend_of: dict[str, backends.Backend] = {}
         self._line = speeds.LatencyLine()
+        self._foreign = 0
         self._rtt = rtt.RttEstimator(0.0, backends.MAX_RTT_S)
         self._fastest: list[backends.Backend] = []
         self._pool = candidate.FreeBackendPool()
@@ -86,6 +88,7 @@
             self.backends[name].state = backends.BackendState.LEAVING
             if not self.backends[name].placed:
                 del self.backends[name]
+        self._foreign = sum(known.foreign for known in self.backends.values())
 
     def is_configured(self, name: str) -> bool:
         """Returns whether the bundle lists a server for new requests."""
@@ -119,15 +122,23 @@
         """
         if known := self.backends.get(name):
             known.report_due_at = 0.0
-            known.apply_load_report(running, step_s)
+            others = known.foreign
+            known.apply_load_report(running, step_s, self._get_own_share())
+            self._foreign += known.foreign - others
             known.versions = versions
             known.choose_version(wanted)
             self._pool.update(known)
 
+    def _get_own_share(self) -> float:
+        """Returns which fraction of all placed requests are this owner's."""
+        own = len(self._backend_of)
+        return own / (own + self._foreign) if own else 1.0
+
     def note_missing_report(self, name: str) -> None:
         """Lets a backend server get requests without a first load report."""
         if known := self.backends.get(name):
             known.report_due_at = 0.0
+            known.own_limit = math.inf
 
     def apply_speed(self, learned: message.SpeedLearned) -> None:
         """Applies a speed that another owner has learned."""
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -153,6 +153,8 @@
         limit = max(1, int(candidate.info.max_running * demand.share))
         if len(candidate.placed) + candidate.foreign >= limit:
             return None
+        if len(candidate.placed) >= candidate.own_limit:
+            return None
         uncached = candidate.count_uncached(request)
         limits_prefill = not demand.has_objective
         if not candidate.has_room(request, uncached, limit, limits_prefill):
--- a/test/test_overload.py
+++ b/test/test_overload.py
@@ -11,7 +11,7 @@
 import pytest
 
 from bench.replay import caller, oracle, pattern, variant, world, worth
-from ramptray.core import message, shard, shedding
+from ramptray.core import backend, message, shard, shedding
 from test import test_waiting
 
 SEEDS = (1, 2, 3, 4)
@@ -51,10 +51,11 @@
     return refused.retry_after_s
 
 
-@pytest.mark.parametrize("name", ["burst_a"])
+@pytest.mark.parametrize("name", ["burst_a", "owners_a"])
 def test_overload_does_not_outlast_a_burst(name: str) -> None:
     # A metastable state: retries that had missed their objective took the slots
-    # of requests in time for 4 s.
+    # of requests in time for 4 s; three owners overfilled their servers and
+    # learned the delay as the servers' speed, for 12 s and more.
     events = pattern.read_pattern(name).events
     begin = max(event.at_s + event.for_s for event in events) + RECOVERY_S
     after = [c for c in replay(name) if begin <= c.asked_at < begin + 3.0]
@@ -101,6 +102,30 @@
     assert later.again_cost < 200 / 872 * later.tries_refused
 
 
+def test_several_owners_share_the_free_slots_of_a_server() -> None:
+    # Three owners each took all slots that the last report showed as free.
+    engine = backend.Backend(backend.BackendInfo("one", 6, 10**6, 0))
+    for number in range(2):
+        request = msgspec.structs.replace(FULL, request_id=f"r{number}")
+        engine.place(request, "entry", "", 1.0)
+    engine.apply_load_report(4, own_share=1 / 3)
+    engine.apply_load_report(4, own_share=1 / 3)
+    assert engine.own_limit == 3
+    engine.apply_load_report(8, own_share=1 / 3)
+    assert engine.own_limit == 1
+    engine.apply_load_report(2)
+    engine.apply_load_report(2)
+    assert engine.own_limit > 6
+
+
+def test_without_load_reports_no_slot_is_left_to_other_owners() -> None:
+    owner = test_waiting.make_owner(fast=test_waiting.FAST)
+    engine = owner.fleet.backends["fast"]
+    engine.own_limit = 0
+    owner.fleet.note_missing_report("fast")
+    assert test_waiting.send(owner, FULL, 1.0) == ["fast"]
+
+
 def test_the_oracle_serves_what_fits_and_no_more() -> None:
     given = pattern.read_pattern("usual_a")
     calls = list(caller.draw_calls(given, 1))
