--- a/bench/replay/regions.py
+++ b/bench/replay/regions.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from bench.replay import caller, clock, engine, pattern, world
-from ramptray.core import message, owner_effect, remote_shards, summary
+from ramptray.core import message, owner_effect, remote_shards, shard, summary
 from ramptray.scheduler import region_exchange
 
 EXCHANGE_S = region_exchange.EXCHANGE_INTERVAL_S
@@ -108,6 +108,12 @@
             zones=len(regions.names),
         )
 
+    @property
+    def _owner(self) -> shard.ShardOwner:
+        """The only owner of the zone."""
+        (owner,) = self._owners
+        return owner
+
     def get_delay(self, place: ZoneWorld) -> float:
         """Returns the one-way delay to a zone in seconds."""
         return 0.0 if place is self else self._regions.delay_s
@@ -151,11 +157,10 @@
         return ZoneAttempt(self, call)
 
     def _receive_from(
-        self, owner: object, entry: str, told: message.EntryMessage
+        self, owner: shard.ShardOwner, entry: str, told: message.EntryMessage
     ) -> None:
         if owner is self._owner:
-            effects = self._owner.receive(entry, told, self.timer.now)
-            self._deliver(effects)
+            self._deliver(owner.receive(entry, told, self.timer.now))
 
     def _deliver(self, effects: list[owner_effect.SendToEntry]) -> None:
         for effect in effects:
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Iterable, Mapping
 
 from ramptray.core import (
@@ -49,6 +50,7 @@
         self._wanted: frozenset[str] = frozenset()
         self._backend_of: dict[str, backends.Backend] = {}
         self._line = speeds.LatencyLine()
+        self._foreign = 0
         self._rtt = rtt.RttEstimator(0.0, backends.MAX_RTT_S)
         self._fastest: list[backends.Backend] = []
         self._pool = candidate.FreeBackendPool()
@@ -95,6 +97,7 @@
             self.backends[name].state = backends.BackendState.LEAVING
             if not self.backends[name].placed:
                 del self.backends[name]
+        self._foreign = sum(known.foreign for known in self.backends.values())
 
     def is_configured(self, name: str) -> bool:
         """Returns whether the bundle lists a server for new requests."""
@@ -128,15 +131,23 @@
         """
         if known := self.backends.get(name):
             known.report_due_at = 0.0
-            known.apply_load_report(running, step_s)
+            others = known.foreign
+            known.apply_load_report(running, step_s, self._get_own_share())
+            self._foreign += known.foreign - others
             known.versions = versions
             known.choose_version(wanted)
             self._pool.update(known)
 
+    def _get_own_share(self) -> float:
+        """Returns which fraction of all placed requests are this owner's."""
+        own = len(self._backend_of)
+        return own / (own + self._foreign) if own else 1.0
+
     def note_missing_report(self, name: str) -> None:
         """Lets a backend server get requests without a first load report."""
         if known := self.backends.get(name):
             known.report_due_at = 0.0
+            known.own_limit = math.inf
 
     def apply_speed(self, learned: message.SpeedLearned) -> None:
         """Applies a speed that another owner has learned."""
@@ -298,6 +309,33 @@
             rate_per_s = (rate_per_s or 0.0) + limit
         return rate_per_s
 
+    def estimate_work(self, request: message.RequestInfo) -> float:
+        """Estimates how long a request occupies a slot, in seconds.
+
+        The server has the speed of the shard's latency line; nothing is cached.
+        """
+        prefill_s = self._line.estimate(request.prompt_tokens)
+        return prefill_s + self._get_step_s() * request.output_tokens
+
+    def _get_step_s(self) -> float:
+        """Returns the time between tokens on a server with the line's speed."""
+        if self._line.step_s is not None:
+            return self._line.step_s
+        # The speeds may come from an earlier owner.
+        known = (one.step_s / one.speed.factor for one in self._fastest)
+        return next(known, speeds.DEFAULT_STEP_S)
+
+    def estimate_capacity(self, now: float) -> float:
+        """Estimates how many slots all open servers together are worth.
+
+        Each counts by its speed relative to the shard's latency line.
+        """
+        return sum(
+            max(0, known.info.max_running - known.foreign) / known.speed.factor
+            for known in self.backends.values()
+            if known.is_open(now)
+        )
+
     def list_fastest(
         self, waiting: queue.QueuedRequest, now: float
     ) -> list[backends.Backend]:
