Renew loans in full while their borrower needs them

A lender that was short called loans back, but what it called back counted at the lender for a span after the loan's end, so both zones refused requests.

--- a/ramptray/core/limit_share.py
+++ b/ramptray/core/limit_share.py
@@ -224,13 +224,11 @@
         spare = (allowed - used - LENDING_MARGIN * total) * LENDING_PART
         loans = self._lent.get(borrower, [])
         previous = sum(amount for end, amount in loans if end > now)
-        amount = max(0.0, min(wanted, previous + spare))
-        # What the borrower returns by wanting less is unused, see
-        # ``reduce_loan``.  What it wants but is not renewed counts until its
-        # end.
+        # A loan that is called back would count here for a span after its end,
+        # so the lender gains nothing in time.  What the borrower returns by
+        # wanting less is unused, see ``reduce_loan``.
+        amount = min(wanted, previous + max(0.0, spare))
         kept = [(end, lent) for end, lent in loans if end <= now]
-        rest = min(previous, wanted) - amount
-        kept += [(end, rest) for end, _ in loans[-1:] if rest > 0.0]
         end = now + LOAN_S + LOAN_MARGIN_S
         self._lent[borrower] = [*kept, (end, amount)] if amount else kept
         return amount
