Report use of limits only to owners of the own scheduling zone

When an entry opened a link to another region for a redirected request, it reported its use there. That owner counted it as granted in its own region, so the same tokens counted in two regions and customers within their limits were refused. The test fails without the change.

--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -596,7 +596,9 @@
         self._owners.mark_up(address)
         self._block_propagator.send_all(address, now)
         self.server_hints.send_all(address, now)
-        if report := self._use_history.make_report(now):
+        # An owner of another zone does not count what was granted in this one.
+        report = self._use_history.make_report(now)
+        if report and not self._owners.is_remote(address):
             self._send(address, report)
         for ticket in self._tickets.values():
             # Sent while the link was closed, so dropped.
--- a/ramptray/entry/owners.py
+++ b/ramptray/entry/owners.py
@@ -186,6 +186,11 @@
             "",
         )
 
+    def is_remote(self, address: str) -> bool:
+        """Returns whether a scheduler may belong to another zone."""
+        members = {member.address for member in self._members.values()}
+        return address != self._local and address not in members
+
     def is_zone_reachable(self, zone: str) -> bool:
         """Returns whether a scheduler of another zone can be reached."""
         return any(
--- a/test/test_owners.py
+++ b/test/test_owners.py
@@ -209,3 +209,20 @@
     for _ in range(50):
         selector.record_reply(FAR, 0.06)
     assert timeouts.is_owner_silent(ticket, selector, FAR, late)
+
+
+def test_use_of_limits_is_not_reported_to_another_zone() -> None:
+    # The owner of another zone counted it as granted there, and refused
+    # customers that were within their limits.
+    recorder = make_dispatcher(0.001)
+    total = message.LimitTotal(7, 8.0, message.LimitAmounts(1, 10))
+    recorder._use_history.record("c", 10, total, 1.0)
+    recorder.sent.clear()
+    recorder.receive(attachment.LinkOpened(FAR), now=1.1)
+    recorder.receive(attachment.LinkOpened(OURS), now=1.1)
+    reported = [
+        address
+        for address, body in recorder.sent
+        if isinstance(body, message.LimitUse)
+    ]
+    assert reported == [OURS]
