--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -46,8 +46,7 @@
 
 STAND_IN_FACTOR = 1.1
 """Factor of the total that a stand-in divides.  It serves few entries, whose
-use varies more than that of all.  With 1.0, customers at half of their limit
-were still refused; with 1.28, 101 % of a total was used."""
+use varies more than that of all; the reserve of each total covers the rest."""
 
 MAX_REPORT_AGE_S = 30.0
 """Age up to which a report is applied to a new bucket, in seconds; longer than
@@ -505,7 +504,7 @@
     def set_zone_use(
         self, zone: str, uses: dict[str, message.LimitAmounts], now: float
     ) -> None:
-        """Sets the use in another zone, as told by its owner."""
+        """Sets the use in another zone, as reported by its owner."""
         self._zone_uses.update(zone, uses, now)
 
     def _sum_remote(
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -405,7 +405,7 @@
         zone: The zone that has capacity.
         owner: Address of the scheduler that owns the shard there.
         delay_s: One-way delay to that zone, in seconds.
-        reason: Why, a value of ``redirection.Reason``; empty if not told.
+        reason: Why, a value of ``redirection.Reason``; empty if not sent.
     """
 
     request_id: str
--- a/ramptray/core/zone_use.py
+++ b/ramptray/core/zone_use.py
@@ -4,9 +4,9 @@
 region to the next.  With a fixed share for each zone, requests are refused in
 one zone while the customer's limit is hardly used in the others.
 
-Owners tell each other what was granted in the last span.  A zone may use what
-is left of the total, less the older its information is: the others may have
-used it as well meanwhile.  A zone that has not been heard from counts with its
+Owners report to each other what was granted in the last span.  A zone may use
+what is left of the total, less the older its information is: the others may
+have used it as well meanwhile.  A zone without a recent report counts with its
 equal share, as it then assumes the same of this one.
 """
 
@@ -23,7 +23,7 @@
 granted, in seconds: about three exchanges between owners."""
 
 MAX_AGE_S = 2.0
-"""Age from which on another zone's use counts as unknown, in seconds."""
+"""Age from which on another zone's report counts as unknown, in seconds."""
 
 MIN_REPORTED_PART = 0.05
 """Use of a customer's limit below which a zone does not report it, as a part of
@@ -48,10 +48,10 @@
 
 
 class ZoneUses:
-    """The newest use that the owners of the other zones have told."""
+    """The newest use reported by the owners of the other zones."""
 
     def __init__(self) -> None:
-        self._told: dict[
+        self._reports: dict[
             str, tuple[float, Mapping[str, message.LimitAmounts]]
         ] = {}
 
@@ -62,7 +62,7 @@
         now: float,
     ) -> None:
         """Replaces the use of a zone."""
-        self._told[zone] = (now, uses)
+        self._reports[zone] = (now, uses)
 
     def sum(
         self, customer: str, kind: str, zones: int, now: float
@@ -77,7 +77,7 @@
         """
         fresh = [
             (now - at, uses)
-            for at, uses in self._told.values()
+            for at, uses in self._reports.values()
             if now - at <= MAX_AGE_S
         ]
         return RemoteUse(
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -218,8 +218,8 @@
             case tickets.FirstTokenReceived(first):
                 self.backends.record_answer(machine.backend, now)
                 if machine.owner:
-                    told = self._lag.exclude_lag(first, ticket.delay_s)
-                    self._send(machine.owner, told)
+                    corrected = self._lag.exclude_lag(first, ticket.delay_s)
+                    self._send(machine.owner, corrected)
                 self.timeline.note(
                     "first_token",
                     first.request_id,
--- a/ramptray/scheduler/contact.py
+++ b/ramptray/scheduler/contact.py
@@ -10,16 +10,16 @@
 """Maximum number of contacts kept for each other zone."""
 
 MAX_CONTACT_AGE_S = 60.0
-"""Time after which a contact that nobody has heard from is removed, in seconds.
+"""Time after which a contact without any sign of life is removed, in seconds.
 It is not longer than the membership keeps dead members, as a contact that joins
 its zone's membership again must not bring back a dead one."""
 
 
 class _Contact(msgspec.Struct, frozen=True):
-    """A contact and when it was last heard from, directly or by others."""
+    """A contact and when it was last seen, directly or by others."""
 
     member: membership.Member
-    heard_at: float
+    seen_at: float
 
 
 class Contacts:
@@ -51,16 +51,16 @@
         }
 
     def get_age(self, member: membership.Member, now: float) -> float:
-        """Returns the seconds since a contact was heard from; 0 if unknown."""
+        """Returns the seconds since a contact was seen; 0 if unknown."""
         contact = self._zones.get(member.zone, {}).get(member.vm)
-        return max(0.0, now - contact.heard_at) if contact else 0.0
+        return max(0.0, now - contact.seen_at) if contact else 0.0
 
-    def update(self, member: membership.Member, heard_at: float) -> None:
+    def update(self, member: membership.Member, seen_at: float) -> None:
         """Adds, updates or removes a contact by a received member record.
 
         Args:
             member: The record.
-            heard_at: When the scheduler was last heard from by anyone.
+            seen_at: When the scheduler was last seen by any VM.
         """
         if member.zone == self._zone:
             return
@@ -68,23 +68,23 @@
         if member.state is not membership.MemberState.ALIVE:
             contacts.pop(member.vm, None)
             return
-        if heard_at <= self._silent_since.get(member.address, float("-inf")):
+        if seen_at <= self._silent_since.get(member.address, float("-inf")):
             return
         known = contacts.get(member.vm)
         if known is not None:
-            heard_at = max(heard_at, known.heard_at)
+            seen_at = max(seen_at, known.seen_at)
             if not member.overrides(known.member):
                 member = known.member
-        contacts[member.vm] = _Contact(member, heard_at)
+        contacts[member.vm] = _Contact(member, seen_at)
         while len(contacts) > CONTACTS_PER_ZONE:
-            oldest = min(contacts, key=lambda vm: contacts[vm].heard_at)
+            oldest = min(contacts, key=lambda vm: contacts[vm].seen_at)
             del contacts[oldest]
 
     def remove_address(self, address: str, now: float) -> None:
         """Removes the contacts at an address that did not answer.
 
         Others may still list them; they are added again only after somebody
-        has heard from them.  The last contact of a zone stays until it expires,
+        has seen them.  The last contact of a zone stays until it expires,
         as it may be behind a network partition.
         """
         for contacts in self._zones.values():
@@ -94,10 +94,10 @@
                     self._silent_since[address] = now
 
     def expire(self, now: float) -> None:
-        """Removes the contacts that nobody has heard from for long."""
+        """Removes the contacts that were not seen for long."""
         for contacts in self._zones.values():
             for vm, contact in list(contacts.items()):
-                if now - contact.heard_at > MAX_CONTACT_AGE_S:
+                if now - contact.seen_at > MAX_CONTACT_AGE_S:
                     del contacts[vm]
         self._silent_since = {
             address: since
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -696,26 +696,26 @@
         count = next(self._messages[zone is not None])
         is_due = count % CONTACT_MESSAGES == 0
         if zone is None:
-            # The owner of another region was always heard from most recently,
-            # so all members learn its address, to which requests may go.
+            # The owner of another region is the contact seen last.  So all
+            # members learn its address, to which requests may go.
             now = steadyclock.read()
             contacts.sort(key=lambda m: self._contacts.get_age(m, now))
             return contacts[:1] if is_due else []
         # Another member of this region names its next owner if this one fails.
-        mates = [
+        own_members = [
             member
             for member in self.membership.list_alive()
             if member.state is membership.MemberState.ALIVE
             and member.address != self._me.address
         ]
-        mate = self._rng.sample(mates, min(1, len(mates)))
+        successor = self._rng.sample(own_members, min(1, len(own_members)))
         if is_owner:
             # Or one of a third region, to which the recipient may have lost
             # its contacts during a network partition.
             others = [m for m in contacts if m.zone != zone]
-            told = self._rng.choice([*mate, *others[:1]] or [None])
-            return [told] if is_due and told is not None else []
-        return [*contacts[: CONTACTS_PER_MESSAGE - 1], *mate]
+            chosen = self._rng.choice([*successor, *others[:1]] or [None])
+            return [chosen] if is_due and chosen is not None else []
+        return [*contacts[: CONTACTS_PER_MESSAGE - 1], *successor]
 
     def _pick_summaries(
         self, is_remote: bool, now: float
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -95,6 +95,7 @@
             )
         ],
         "declined": counters.declined,
+        "returned": counters.returned,
         "rollout": _describe_rollout(shard_owner.releases.rollout),
         "backend_servers": [
             _describe_backend(server)
