Log connections that were not opened, and ejections of backend servers

The logs of the incident could not tell a VM that reaches no backend server from a full service, nor whether the owner had ejected servers: a refused connection left no line, and an ejection none either.

connect_failed on the time line of the VM, and ejected on that of the owner, with the entry that caused it; the metric connect_failures by kind. No decision is changed.

--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -6,6 +6,8 @@
 import math
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from ramptray.core import (
     availability,
     candidate,
@@ -24,6 +26,22 @@
 """Number of the fastest backend servers checked for a latency objective."""
 
 
+class Ejection(msgspec.Struct, frozen=True):
+    """A backend server that gets no requests for a while, for the logs.
+
+    Attributes:
+        backend: The backend server.
+        entry: The entry whose report caused the ejection.
+        ejected_s: Its length in seconds.
+        failures: Number of ejections in a row.
+    """
+
+    backend: str
+    entry: str
+    ejected_s: float
+    failures: int
+
+
 class Fleet:
     """Keeps a shard's view of its backend servers.
 
@@ -55,6 +73,7 @@
         self._fastest: list[backends.Backend] = []
         self._pool = candidate.FreeBackendPool()
         self._holders = candidate.PrefixHolderIndex()
+        self._ejections: list[Ejection] = []
 
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._backend_of
@@ -359,10 +378,40 @@
         symptom = availability.find_symptom(
             ended.refused, ended.broken, ended.failed
         )
+        placed = backend.placed[ended.request_id]
+        until = backend.availability.unreachable_until
         backend.end(ended, now, symptom not in self.common_symptoms)
+        self._note_ejection(backend, placed.entry, until, now)
         self._pool.update(backend)
         return backend
 
+    def record_unreachable(
+        self, backend: backends.Backend, entry: str, now: float
+    ) -> None:
+        """Ejects a backend server that refused an entry's connection."""
+        until = backend.availability.unreachable_until
+        backend.availability.record_unreachable(now)
+        self._note_ejection(backend, entry, until, now)
+
+    def _note_ejection(
+        self,
+        backend: backends.Backend,
+        entry: str,
+        former_until: float,
+        now: float,
+    ) -> None:
+        state = backend.availability
+        if state.unreachable_until > former_until:
+            ejected_s = round(state.unreachable_until - now, 2)
+            self._ejections.append(
+                Ejection(backend.info.name, entry, ejected_s, state.failures)
+            )
+
+    def take_ejections(self) -> list[Ejection]:
+        """Returns the ejections since the last call."""
+        ejections, self._ejections = self._ejections, []
+        return ejections
+
     def free(self, request_id: str) -> backends.PlacedRequest | None:
         """Frees a request's slot, if it has one."""
         backend = self._backend_of.pop(request_id, None)
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -353,7 +353,7 @@
                 self._shedder.refund(placed.request, placed.asked_at)
             return []
         if decline.unreachable:
-            backend.availability.record_unreachable(now)
+            self.fleet.record_unreachable(backend, entry, now)
         request = msgspec.structs.replace(
             placed.request, avoid=decline.avoid, silent=decline.silent
         )
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 import random
 from collections.abc import Callable, Iterable
@@ -86,6 +87,8 @@
         timeline: Receives the events of requests.
         server_hints: Hints that backend servers give in their responses.
         redirects: Counts requests that were redirected to other zones.
+        connect_failures: Number of dispatches whose connection to the backend
+            server was "refused" or whose server was "silent".
         on_silent_owner: Called with the address of a scheduler that does not
             reply.
     """
@@ -102,6 +105,7 @@
     ) -> None:
         self.backends = backend_directory.BackendDirectory(settings.zone)
         self.redirects = redirects.RedirectCounter()
+        self.connect_failures = collections.Counter[str](refused=0, silent=0)
         self.timeline = process_runtime.timeline
         self._name = process_runtime.name
         self._vm = settings.vm
@@ -209,6 +213,7 @@
         machine = ticket.machine
         match event:
             case tickets.ConnectFailed(_, refused):
+                self._note_connect_failure(ticket, refused)
                 if not refused:
                     self.backends.record_connect_failure(machine.backend, now)
                 machine.info = self._get_info(ticket, now)
@@ -246,6 +251,19 @@
         """Returns a request's info with its remaining times and exclusions."""
         return ticket.get_info(now, self.backends.list_unreachable(now))
 
+    def _note_connect_failure(
+        self, ticket: tickets.Ticket, refused: bool
+    ) -> None:
+        kind = "refused" if refused else "silent"
+        self.connect_failures[kind] += 1
+        self.timeline.note(
+            "connect_failed",
+            ticket.info.request_id,
+            backend=ticket.machine.backend,
+            owner=ticket.machine.owner,
+            reason=kind,
+        )
+
     def _return_grant(
         self,
         ticket: tickets.Ticket,
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -289,6 +289,10 @@
                 metrics.Gauge("link_failures", {"kind": kind.value}, count)
                 for kind, count in failures.counts.items()
             ),
+            *(
+                metrics.Gauge("connect_failures", {"kind": kind}, count)
+                for kind, count in self._dispatcher.connect_failures.items()
+            ),
             *self._dispatcher.redirects.list_gauges(),
             *(
                 metrics.Gauge("region_delay_seconds", {"zone": zone}, delay_s)
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -433,9 +433,20 @@
             if owner.holds(body.request_id):
                 self.content_blocker.observe(owner, body, now)
                 out = owner.receive(attached.hello.name, body, now)
+                self._note_ejections(owner)
                 self._send_effects(out)
                 return
 
+    def _note_ejections(self, owner: shard.ShardOwner) -> None:
+        for ejection in owner.fleet.take_ejections():
+            self.timeline.note(
+                "ejected",
+                ejection.backend,
+                entry=ejection.entry,
+                ejected_s=ejection.ejected_s,
+                failures=ejection.failures,
+            )
+
     def _propagate_blocks(self, updates: list[blocklist.BlockUpdate]) -> None:
         """Sends blocks to the entries, and rejects blocked queued requests."""
         notification = peer_message.BlockedContents(updates)
