--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -1,12 +1,16 @@
 """A loopback proxy that delays, resets, cuts and silences connections.
 
 It runs in a thread of the soak, between real programs.  What it does to open
-connections it does to those only; a cut holds for new ones too.
+connections it does to those only; a cut holds for new ones too.  A partition
+also shows what a program's kernel reports of one: attempts that time out or are
+refused, and connections that fail.
 """
 
 from __future__ import annotations
 
 import contextlib
+import enum
+import math
 import selectors
 import socket
 import struct
@@ -21,17 +25,41 @@
 """Socket option with which a close sends a reset."""
 
 
+USER_TIMEOUT_S = 0.6
+"""How long a caller's unacknowledged bytes are left on a partitioned connection
+before its kernel ends it, in seconds."""
+
+KEEPALIVE_TIMEOUT_S = 2.0
+"""The same for a connection on which the caller sends nothing."""
+
+
+class Partition(enum.Enum):
+    """How connections behave during a network partition.
+
+    Attributes:
+        HANG: Nothing passes, and new connections are not answered.
+        RESET: Open connections are reset, and new ones are refused.
+        REFUSE: Open connections live on, and new ones are refused.
+    """
+
+    HANG = "hang"
+    RESET = "reset"
+    REFUSE = "refuse"
+
+
 class _Pair:
     """One connection from a caller and the one made for it.
 
     Attributes:
         silent: Whether nothing passes any more, though both stay open.
+        fails_at: When the caller's kernel ends a partitioned connection.
     """
 
     def __init__(self, caller: socket.socket, target: socket.socket) -> None:
         self.caller = caller
         self.target = target
         self.silent = False
+        self.fails_at = math.inf
 
     def get_other(self, side: socket.socket) -> socket.socket:
         """Returns the other end."""
@@ -68,6 +96,11 @@
         self._target = (host, int(port))
         self._listener = socket.create_server((host, 0))
         self._listener.setblocking(False)
+        self._listen_on = self._listener.getsockname()
+        self._partition: Partition | None = None
+        self._wanted_partition: Partition | None = None
+        # Connections that fill the backlog, and ends of failed connections.
+        self._held_open: list[socket.socket] = []
         self.address = f"{host}:{self._listener.getsockname()[1]}"
         self.delay_s = 0.0
         self.passed_bytes = 0
@@ -92,6 +125,10 @@
         """Lets nothing pass on those that are open now, for good."""
         self._silence.set()
 
+    def partition(self, how: Partition | None) -> None:
+        """Begins a network partition; None ends it."""
+        self._wanted_partition = how
+
     def close(self) -> None:
         """Ends the proxy and its connections."""
         self._ended.set()
@@ -110,6 +147,8 @@
             self._send_held()
         for pair in set(self._pairs.values()):
             self._drop(pair)
+        for held in self._held_open:
+            held.close()
 
     def _obey(self) -> None:
         """Does once to open connections what was asked for."""
@@ -121,9 +160,57 @@
             self._silence.clear()
             for pair in set(self._pairs.values()):
                 pair.silent = True
+        if self._wanted_partition is not self._partition:
+            if self._partition is not None:
+                self._end_partition()
+            self._partition = self._wanted_partition
+            if self._partition is not None:
+                self._begin_partition(self._partition)
+        self._fail_partitioned()
+
+    def _begin_partition(self, how: Partition) -> None:
+        self._selector.unregister(self._listener)
+        if how is Partition.HANG:
+            # With a full backlog, the kernel ignores further attempts.
+            self._listener.listen(0)
+            for _ in range(2):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex(self._listen_on)
+                self._held_open.append(filler)
+        else:
+            self._listener.close()
+        for pair in set(self._pairs.values()):
+            if how is Partition.RESET:
+                self._drop(pair, reset=True)
+            elif how is Partition.HANG:
+                pair.silent = True
+                pair.fails_at = time.monotonic() + KEEPALIVE_TIMEOUT_S
+
+    def _end_partition(self) -> None:
+        for held in self._held_open:
+            held.close()
+        self._held_open.clear()
+        if self._partition is Partition.HANG:
+            self._listener.listen()
+        else:
+            self._listener = socket.create_server(self._listen_on)
+            self._listener.setblocking(False)
+        self._selector.register(self._listener, selectors.EVENT_READ)
+
+    def _fail_partitioned(self) -> None:
+        """Resets the callers' ends whose kernel would give them up."""
+        now = time.monotonic()
+        for pair in set(self._pairs.values()):
+            if pair.fails_at <= now:
+                self._held_open.append(pair.target.dup())
+                self._drop(pair, reset=True)
 
     def _accept(self) -> None:
-        caller, _ = self._listener.accept()
+        try:
+            caller, _ = self._listener.accept()
+        except OSError:
+            return  # The caller has given up.
         try:
             target = socket.create_connection(self._target, timeout=1.0)
         except OSError:
@@ -151,6 +238,9 @@
             pair.silent = True
             if not data:
                 self._drop(pair)
+            elif pair.fails_at < math.inf:
+                fails_at = time.monotonic() + USER_TIMEOUT_S
+                pair.fails_at = min(pair.fails_at, fails_at)
             return
         if not data:
             self._held.append(
--- a/test/callers.py
+++ b/test/callers.py
@@ -26,6 +26,7 @@
     Attributes:
         request_id: Its id.
         vm: The VM that was asked.
+        path: What was asked.
         sent_at: When it was sent, on the machine's clock in seconds.
         answered_at: When its answer was whole, likewise.
         status: Status of the answer; 0 where the VM gave none.
@@ -34,6 +35,7 @@
 
     request_id: str
     vm: str
+    path: str
     sent_at: float
     answered_at: float = 0.0
     status: int = 0
@@ -101,7 +103,7 @@
 def ask_once(started: node.Platform, path: str, vm: str) -> Asked:
     """Asks a VM; one that is down gives no answer."""
     name = f"{vm}.{next(_NUMBERS)}"
-    asked = Asked(name, vm, time.monotonic())
+    asked = Asked(name, vm, path, time.monotonic())
     try:
         answer = ask(started, path, vm=vm, X_Request_Id=name)
     except OSError:
--- a/test/node.py
+++ b/test/node.py
@@ -112,6 +112,7 @@
         self.regions: dict[str, str] = {}
         # The checkout whose program VMs run; None for the one at work.
         self.tree: pathlib.Path | None = None
+        self.program = "ramptray.node.start"
 
     def start_store(self) -> None:
         """Starts the store."""
@@ -218,11 +219,14 @@
         self._start(
             name,
             [
-                "ramptray.node.start",
+                self.program,
                 "--settings",
                 str(self.folder / f"{name}.json5"),
             ],
-            {"RAMPTRAY_CONFIG": str(self.folder / f"{name}.toml")},
+            {
+                "RAMPTRAY_CONFIG": str(self.folder / f"{name}.toml"),
+                "RAMPTRAY_TEST_LINKS": str(self.folder / f"{name}.links"),
+            },
             self.tree,
         )
 
