Eject a backend server for all VMs only if it fails for several

Cause: the owner took a connection refused to one VM, or three responses broken off at one VM, as a failure of the server and ejected it for every VM, for up to 8 s. A VM without links was granted one server after the other and had all of them ejected within milliseconds. Class: a failure seen on one path taken as one of its end.

Failures now count for the entry that reports them. A server is ejected for all if at least two entries, or the only one, report it, and for refused connections if no other entry was answered within a second. An answer to an entry that did not report a failure ends the ejection.

The VMs cut off still refuse.

--- a/ramptray/core/availability.py
+++ b/ramptray/core/availability.py
@@ -28,6 +28,21 @@
 """Rate from which a server shows a symptom: for two seconds or four good
 responses after a single failure."""
 
+ANSWER_VALIDITY_S = 1.0
+"""How long an answer shows that the server serves other entries, in seconds,
+although it refuses the connections of some."""
+
+REPORT_VALIDITY_S = 2.0
+"""How long a refused connection counts against the server, in seconds."""
+
+MIN_REPORTERS = 2
+"""Number of entries that must fail before a server is ejected for all: a single
+one may have lost its own links.  A sole entry suffices."""
+
+ENTRY_EJECTION_S = 0.5
+"""Ejection time for a single entry, in seconds.  A further attempt costs it a
+refused connection."""
+
 LOST_AFTER_FAILURES = 4
 """Consecutive refused connections after which a server counts as lost."""
 
@@ -49,8 +64,11 @@
 class Availability:
     """Ejects a failing server, with exponential backoff.
 
+    Failures at one entry may be those of its links: other entries go on using
+    the server until it fails for them too.
+
     Attributes:
-        failures: Consecutive refused connections.
+        failures: Consecutive ejections.
         breaks: Consecutive broken or refused responses.
         unreachable_until: End of the ejection; no new requests before.
     """
@@ -59,15 +77,28 @@
         "breaks",
         "failures",
         "unreachable_until",
+        "_answered_at",
+        "_break_reporters",
+        "_ejected_for",
+        "_ejected_by",
         "_last_symptom",
         "_rated_at",
         "_rates",
+        "_refused_at",
     )
 
     def __init__(self) -> None:
         self.failures = 0
         self.breaks = 0
         self.unreachable_until = 0.0
+        # Times by entry: of its last answer and its last refused connection,
+        # and the end of its own ejection.
+        self._answered_at: dict[str, float] = {}
+        self._refused_at: dict[str, float] = {}
+        self._ejected_for: dict[str, float] = {}
+        # Entries whose responses broke off, empty for the server's own report.
+        self._break_reporters: set[str] = set()
+        self._ejected_by: frozenset[str] = frozenset()
         self._last_symptom: Symptom | None = None
         self._rates: dict[Symptom, float] = {}
         self._rated_at = 0.0
@@ -77,16 +108,61 @@
         """Whether it counts as lost, so that no request waits for it."""
         return self.failures >= LOST_AFTER_FAILURES
 
-    def record_unreachable(self, now: float) -> None:
-        """Ejects the server after a refused connection, with backoff.
+    def is_ejected_for(self, entry: str, now: float) -> bool:
+        """Returns whether the server is ejected for one entry only."""
+        return now < self._ejected_for.get(entry, 0.0)
+
+    def record_answer(self, entry: str, now: float) -> None:
+        """Records that the server answers an entry.
 
-        Connections refused during an ejection do not count again.
+        An answer to another entry than those that failed ends the ejection.
+        """
+        self.failures = 0
+        self._refused_at.pop(entry, None)
+        self._ejected_for.pop(entry, None)
+        self._answered_at[entry] = now
+        if entry not in self._ejected_by:
+            self.unreachable_until = min(self.unreachable_until, now)
+
+    def record_unreachable(
+        self, now: float, entry: str = "", is_sole_entry: bool = True
+    ) -> None:
+        """Records a refused connection; ejects the server if it is confirmed.
+
+        Args:
+            now: The owner's clock in seconds.
+            entry: The entry whose connection was refused.
+            is_sole_entry: Whether no other entry uses the server.
+        """
+        self._answered_at = {
+            name: at
+            for name, at in self._answered_at.items()
+            if name != entry and now - at < ANSWER_VALIDITY_S
+        }
+        self._refused_at = {
+            name: at
+            for name, at in self._refused_at.items()
+            if now - at < REPORT_VALIDITY_S
+        }
+        self._refused_at[entry] = now
+        if entry:
+            self._ejected_for[entry] = now + ENTRY_EJECTION_S
+        if is_sole_entry or (
+            len(self._refused_at) >= MIN_REPORTERS and not self._answered_at
+        ):
+            self._eject(frozenset(self._refused_at), now)
+
+    def _eject(self, reporters: frozenset[str], now: float) -> None:
+        """Ejects the server, with backoff.
+
+        Failures during an ejection do not count again.
         """
         if now < self.unreachable_until:
             return
         pause = min(UNREACHABLE_S * 2**self.failures, MAX_UNREACHABLE_S)
         self.failures += 1
         self.unreachable_until = now + pause
+        self._ejected_by = reporters
 
     def record_end(
         self,
@@ -97,6 +173,8 @@
         paused: bool = False,
         failed: bool = False,
         may_eject: bool = True,
+        entry: str = "",
+        is_sole_entry: bool = True,
     ) -> None:
         """Records how a response ended.
 
@@ -111,16 +189,30 @@
             failed: The server responded with an error of its own.
             may_eject: Whether the server may be ejected; not if most servers
                 fail in this way, as no other one would do better.
+            entry: The entry that the response went to.
+            is_sole_entry: Whether no other entry uses the server.
         """
         symptom = find_symptom(refused, broken, failed)
         if symptom or whole:
             self._update_rates(symptom, now)
         if broken or (refused and not paused):
             self.breaks += 1
+            # A refusal is the server's own report and applies to all entries.
+            self._break_reporters.add("" if refused else entry)
             if self.breaks >= EJECT_AFTER_BREAKS and may_eject:
-                self.record_unreachable(now)
+                self._eject_after_breaks(entry, is_sole_entry, now)
         elif whole:
             self.breaks = 0
+            self._break_reporters.clear()
+
+    def _eject_after_breaks(
+        self, entry: str, is_sole_entry: bool, now: float
+    ) -> None:
+        reporters = frozenset(self._break_reporters)
+        if is_sole_entry or "" in reporters or len(reporters) >= MIN_REPORTERS:
+            self._eject(reporters, now)
+            return
+        self._ejected_for[entry] = now + ENTRY_EJECTION_S
 
     def get_failure_rate(self, now: float) -> float:
         """Returns the estimated fraction of requests that fail on it."""
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -387,10 +387,10 @@
             self.pauses.record_response_start(
                 running.entry, first.request_id, now
             )
+            self.availability.record_answer(running.entry, now)
         placed = self.pending.get(first.request_id)
         if placed is None:
             return
-        self.availability.failures = 0
         self._rtt.observe(max(0.0, now - placed.started - first.elapsed_s))
         placed.answers_since = now
         if now >= self.info.warm_at:
@@ -422,7 +422,11 @@
         return whole
 
     def end(
-        self, ended: message.Ended, now: float, may_eject: bool = True
+        self,
+        ended: message.Ended,
+        now: float,
+        may_eject: bool = True,
+        is_sole_entry: bool = True,
     ) -> None:
         """Frees the request's slot and learns the decode speed.
 
@@ -430,11 +434,13 @@
             ended: How the request ended.
             now: The owner's clock in seconds.
             may_eject: See ``availability.Availability.record_end``.
+            is_sole_entry: Whether no other entry uses the server.
         """
         placed = self.remove(ended.request_id)
-        pause_s = (
-            self.pauses.get_remaining_s(placed.entry, now) if placed else 0.0
-        )
+        entry = placed.entry if placed else ""
+        if placed and ended.whole:
+            self.availability.record_answer(entry, now)
+        pause_s = self.pauses.get_remaining_s(entry, now) if placed else 0.0
         self.availability.record_end(
             ended.refused,
             ended.broken,
@@ -443,6 +449,8 @@
             pause_s > 0.0,
             ended.failed,
             may_eject,
+            entry,
+            is_sole_entry,
         )
         decoded = ended.output_tokens - ended.first_tokens
         self.speed.learn_step(decoded, ended.decode_s)
--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -41,6 +41,7 @@
             candidate
             for candidate in self.filter_reachable(candidates, waiting.request)
             if candidate.pauses.may_send(waiting.entry, now)
+            and not candidate.availability.is_ejected_for(waiting.entry, now)
         ]
 
     def filter_reachable(
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -364,9 +364,16 @@
             self.list_all(), waiting.request
         )
 
-    def end(self, ended: message.Ended, now: float) -> backends.Backend | None:
+    def end(
+        self, ended: message.Ended, now: float, is_sole_entry: bool = True
+    ) -> backends.Backend | None:
         """Frees the slot of a request that has ended.
 
+        Args:
+            ended: How the request ended.
+            now: The owner's clock in seconds.
+            is_sole_entry: Whether no other entry uses the shard.
+
         Returns:
             The backend server with the freed slot, if any.
         """
@@ -380,17 +387,23 @@
         )
         placed = backend.placed[ended.request_id]
         until = backend.availability.unreachable_until
-        backend.end(ended, now, symptom not in self.common_symptoms)
+        backend.end(
+            ended, now, symptom not in self.common_symptoms, is_sole_entry
+        )
         self._note_ejection(backend, placed.entry, until, now)
         self._pool.update(backend)
         return backend
 
     def record_unreachable(
-        self, backend: backends.Backend, entry: str, now: float
+        self,
+        backend: backends.Backend,
+        entry: str,
+        now: float,
+        is_sole_entry: bool,
     ) -> None:
-        """Ejects a backend server that refused an entry's connection."""
+        """Records that a backend server refused an entry's connection."""
         until = backend.availability.unreachable_until
-        backend.availability.record_unreachable(now)
+        backend.availability.record_unreachable(now, entry, is_sole_entry)
         self._note_ejection(backend, entry, until, now)
 
     def _note_ejection(
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -192,6 +192,11 @@
         """Whether no request is queued or running."""
         return not self._queue and self.fleet.is_empty
 
+    @property
+    def _is_sole_entry(self) -> bool:
+        """Whether at most one entry uses this shard."""
+        return len(self._entries) <= 1
+
     @property
     def waiting_count(self) -> int:
         """Number of queued requests."""
@@ -353,7 +358,9 @@
                 self._shedder.refund(placed.request, placed.asked_at)
             return []
         if decline.unreachable:
-            self.fleet.record_unreachable(backend, entry, now)
+            self.fleet.record_unreachable(
+                backend, entry, now, self._is_sole_entry
+            )
         request = msgspec.structs.replace(
             placed.request, avoid=decline.avoid, silent=decline.silent
         )
@@ -369,7 +376,7 @@
             self._queue.discard(ended.request_id)
             return []
         self.releases.record_response(ended)
-        backend = self.fleet.end(ended, now)
+        backend = self.fleet.end(ended, now, self._is_sole_entry)
         return [backend] if backend else []
 
     def _finish_sync(self, entry: str) -> None:
