Reach backend servers through other VMs if a VM reaches none itself

Cause: a VM sends requests only over its own connections, so it could not use a grant, and the owner refused its requests although other VMs reached every server. Class: a single path taken for granted between two ends of which both are alive.

The owner now knows which attached VMs relay and what they cannot reach. A request whose entry reaches no server of the service is granted with relays, and its VM opens a tunnel to the server through one of them. The tunnel carries bytes only; the state machine of the request, its attempts and its outcome stay with the VM that serves the caller. A tunnel that was not opened has sent nothing, and a broken one counts as a broken connection. The relay connects only to the server and run named, and only if it and the server are in the regions of the request.

--- a/ramptray/core/availability.py
+++ b/ramptray/core/availability.py
@@ -112,6 +112,11 @@
         """Returns whether the server is ejected for one entry only."""
         return now < self._ejected_for.get(entry, 0.0)
 
+    def has_answered(self, entry: str, now: float) -> bool:
+        """Returns whether the server has answered an entry recently."""
+        answered_at = self._answered_at.get(entry, -math.inf)
+        return now - answered_at < ANSWER_VALIDITY_S
+
     def record_answer(self, entry: str, now: float) -> None:
         """Records that the server answers an entry.
 
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -107,6 +107,12 @@
     answers_since: float | None = None
     # Time to its first token, relative to the shard's latency line.
     first_ratio: float | None = None
+    is_relayed: bool = False
+
+    @property
+    def answering_entry(self) -> str:
+        """The entry that the server answers; empty if another VM relays it."""
+        return "" if self.is_relayed else self.entry
 
     @property
     def tokens(self) -> int:
@@ -387,7 +393,7 @@
             self.pauses.record_response_start(
                 running.entry, first.request_id, now
             )
-            self.availability.record_answer(running.entry, now)
+            self.availability.record_answer(running.answering_entry, now)
         placed = self.pending.get(first.request_id)
         if placed is None:
             return
@@ -439,7 +445,7 @@
         placed = self.remove(ended.request_id)
         entry = placed.entry if placed else ""
         if placed and ended.whole:
-            self.availability.record_answer(entry, now)
+            self.availability.record_answer(placed.answering_entry, now)
         pause_s = self.pauses.get_remaining_s(entry, now) if placed else 0.0
         self.availability.record_end(
             ended.refused,
--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Mapping
 
+from ramptray.core import availability, message, queue, relays
 from ramptray.core import backend as backends
-from ramptray.core import message, queue
 
 MAX_TRIAL_S = 2.0
 """Time after the last pause in which trials may be in progress, in seconds."""
@@ -16,11 +16,18 @@
 
     Args:
         known: The backend servers by name; a live view.
+        relay_directory: The entries through which others reach servers.
     """
 
-    def __init__(self, known: Mapping[str, backends.Backend]) -> None:
+    def __init__(
+        self,
+        known: Mapping[str, backends.Backend],
+        relay_directory: relays.RelayDirectory | None = None,
+    ) -> None:
         self._backends = known
+        self._relays = relay_directory or relays.RelayDirectory()
         self._paused_until = 0.0
+        self._entries_ejected_until = 0.0
 
     def record_pause(self, until: float) -> None:
         """Records a pause that a server requested from an entry.
@@ -30,6 +37,10 @@
         """
         self._paused_until = max(until, self._paused_until)
 
+    def record_failure(self, now: float) -> None:
+        """Records that a server may be ejected for a single entry."""
+        self._entries_ejected_until = now + availability.ENTRY_EJECTION_S
+
     def filter_eligible(
         self,
         candidates: list[backends.Backend],
@@ -37,6 +48,15 @@
         now: float,
     ) -> list[backends.Backend]:
         """Returns the candidates to which a request may be sent now."""
+        if self._reaches_none(waiting, now):
+            return [
+                candidate
+                for candidate in self._exclude(
+                    candidates, waiting.request, set()
+                )
+                if candidate.pauses.may_send(waiting.entry, now)
+                and self._relays.list_relays(waiting.entry, candidate, now)
+            ]
         return [
             candidate
             for candidate in self.filter_reachable(candidates, waiting.request)
@@ -54,9 +74,65 @@
         Servers that the request has tried are excluded, unless it has tried all
         the reachable ones; servers outside its regions are always excluded.
         """
-        if not (request.avoid or request.silent or request.regions is not None):
+        return self._exclude(candidates, request, set(request.silent))
+
+    def list_relays(
+        self, waiting: queue.QueuedRequest, server: backends.Backend, now: float
+    ) -> tuple[str, ...]:
+        """Returns the relays from a request's entry to a server.
+
+        Returns:
+            The addresses; empty if the entry can reach some server itself.
+        """
+        if not self._reaches_none(waiting, now):
+            return ()
+        return self._relays.list_relays(waiting.entry, server, now)
+
+    def has_relay(self, waiting: queue.QueuedRequest, now: float) -> bool:
+        """Returns whether relays lead to a server that a request may go to."""
+        return any(
+            self.list_relays(waiting, server, now)
+            for server in self._list_allowed(waiting.request)
+        )
+
+    def _reaches_none(self, waiting: queue.QueuedRequest, now: float) -> bool:
+        """Returns whether its entry reaches no server a request may go to."""
+        silent = waiting.request.silent
+        if not silent and now >= self._entries_ejected_until:
+            return False
+        allowed = self._list_allowed(waiting.request)
+        return bool(allowed) and all(
+            server.info.name in silent
+            or server.availability.is_ejected_for(waiting.entry, now)
+            for server in allowed
+        )
+
+    def _list_allowed(
+        self, request: message.RequestInfo
+    ) -> list[backends.Backend]:
+        """Returns the servers in a request's regions that are not lost."""
+        return [
+            known
+            for known in self._backends.values()
+            if not known.is_lost
+            and (
+                request.regions is None or known.info.region in request.regions
+            )
+        ]
+
+    def _exclude(
+        self,
+        candidates: list[backends.Backend],
+        request: message.RequestInfo,
+        unreachable: set[str],
+    ) -> list[backends.Backend]:
+        """Returns the candidates in the request's regions that can be reached.
+
+        Servers that it has tried are excluded if there are others.
+        """
+        if not (request.avoid or unreachable or request.regions is not None):
             return candidates
-        unreachable = set(request.silent) | self._list_outside_regions(request)
+        unreachable = unreachable | self._list_outside_regions(request)
         excluded = unreachable | set(request.avoid)
         if not self._list_usable() - excluded:
             excluded = unreachable
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -14,6 +14,7 @@
     eligibility,
     message,
     queue,
+    relays,
     rtt,
 )
 from ramptray.core import backend as backends
@@ -49,6 +50,7 @@
         report_due_at: Until then a backend server gets no requests before its
             first load report.
         learned: Speeds learned by earlier owners.
+        relay_directory: The entries through which others reach servers.
 
     Attributes:
         backends: The backend servers by name.
@@ -57,10 +59,15 @@
     """
 
     def __init__(
-        self, report_due_at: float, learned: Mapping[str, message.SpeedLearned]
+        self,
+        report_due_at: float,
+        learned: Mapping[str, message.SpeedLearned],
+        relay_directory: relays.RelayDirectory | None = None,
     ) -> None:
         self.backends: dict[str, backends.Backend] = {}
-        self.eligibility = eligibility.Eligibility(self.backends)
+        self.eligibility = eligibility.Eligibility(
+            self.backends, relay_directory
+        )
         self.common_symptoms: frozenset[availability.Symptom] = frozenset()
         self._report_due_at = report_due_at
         self._speeds = dict(learned)
@@ -391,6 +398,8 @@
             ended, now, symptom not in self.common_symptoms, is_sole_entry
         )
         self._note_ejection(backend, placed.entry, until, now)
+        if ended.broken:
+            self.eligibility.record_failure(now)
         self._pool.update(backend)
         return backend
 
@@ -404,6 +413,7 @@
         """Records that a backend server refused an entry's connection."""
         until = backend.availability.unreachable_until
         backend.availability.record_unreachable(now, entry, is_sole_entry)
+        self.eligibility.record_failure(now)
         self._note_ejection(backend, entry, until, now)
 
     def _note_ejection(
@@ -487,6 +497,7 @@
             moved.orphaned_at = placed.orphaned_at
             moved.asked_at = placed.asked_at
             moved.answers_since = placed.answers_since
+            moved.is_relayed = placed.is_relayed
             self._backend_of[request_id] = new
 
     def _assume_speed(self, backend: backends.Backend) -> None:
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -12,11 +12,15 @@
 from __future__ import annotations
 
 import enum
+import types
+from collections.abc import Mapping
 
 import msgspec
 
 from ramptray.core import message
 
+NO_FAILURES: Mapping[str, message.RelayFailure] = types.MappingProxyType({})
+
 
 class State(enum.Enum):
     """State of a request."""
@@ -167,7 +171,11 @@
         # If the claim was read and lost, the release has no effect.
         return [*self._withdraw(), Release(), final]
 
-    def fail_connect(self, refused: bool = True) -> list[Effect]:
+    def fail_connect(
+        self,
+        refused: bool = True,
+        failed_relays: Mapping[str, message.RelayFailure] = NO_FAILURES,
+    ) -> list[Effect]:
         """Returns to waiting, as connecting failed and nothing was sent.
 
         The message goes to the current owner, not to the one that granted.
@@ -175,8 +183,9 @@
         Args:
             refused: Whether the backend server refused the connection; else
                 it did not respond, perhaps only to this VM.
+            failed_relays: Why relays led to no connection, by address.
         """
-        return self._return_grant(refused)
+        return self._return_grant(refused, failed_relays)
 
     def return_grant(self) -> list[Effect]:
         """Returns to waiting, as the server accepts no requests from this VM.
@@ -185,7 +194,11 @@
         """
         return self._return_grant(unreachable=False)
 
-    def _return_grant(self, unreachable: bool) -> list[Effect]:
+    def _return_grant(
+        self,
+        unreachable: bool,
+        failed_relays: Mapping[str, message.RelayFailure] = NO_FAILURES,
+    ) -> list[Effect]:
         if self.state is not State.DISPATCHED or self._grant is None:
             return []
         grant = self._grant
@@ -199,6 +212,7 @@
             self.info.avoid,
             self.info.silent,
             waits=True,
+            failed_relays=dict(failed_relays),
         )
         return [SendToOwner(self.owner or grant.owner, decline)]
 
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -22,6 +22,7 @@
     policy,
     queue,
     redirection,
+    relays,
     release,
     remote_shards,
     selector,
@@ -59,9 +60,13 @@
         limits: limit.Limits | None = None,
         speeds: Mapping[str, message.SpeedLearned] | None = None,
         is_suspect: anti_affinity.IsSuspect = anti_affinity.suspect_nothing,
+        relay_directory: relays.RelayDirectory | None = None,
     ) -> None:
         self.shard = shard
-        self.fleet = fleet.Fleet(now + report_grace_s, speeds or {})
+        self._relays = relay_directory or relays.RelayDirectory()
+        self.fleet = fleet.Fleet(
+            now + report_grace_s, speeds or {}, self._relays
+        )
         self._address = address
         self._order = _ServerOrder(address)
         self._queue = queue.ShardQueue(rules.ranks)
@@ -192,10 +197,9 @@
         """Whether no request is queued or running."""
         return not self._queue and self.fleet.is_empty
 
-    @property
-    def _is_sole_entry(self) -> bool:
-        """Whether at most one entry uses this shard."""
-        return len(self._entries) <= 1
+    def _is_sole_entry(self, entry: str) -> bool:
+        """Returns whether no other entry could use this shard's servers."""
+        return not (self._entries - {entry} or self._relays.has_others(entry))
 
     @property
     def waiting_count(self) -> int:
@@ -286,6 +290,7 @@
         self, entry: str, request: message.RequestInfo, now: float
     ) -> list[owner_effect.SendToEntry]:
         self._entries.add(entry)
+        self._relays.record_silent(entry, request.silent, now)
         request_id = request.request_id
         if request_id in self._syncing.get(entry, set()):
             # The grant was lost with the entry's connection.
@@ -357,9 +362,11 @@
             if not (placed.request.spilled_from or placed.request.attempt):
                 self._shedder.refund(placed.request, placed.asked_at)
             return []
+        self._relays.record_silent(entry, decline.silent, now)
+        self._record_relay_failures(entry, backend, decline, now)
         if decline.unreachable:
             self.fleet.record_unreachable(
-                backend, entry, now, self._is_sole_entry
+                backend, entry, now, self._is_sole_entry(entry)
             )
         request = msgspec.structs.replace(
             placed.request, avoid=decline.avoid, silent=decline.silent
@@ -368,6 +375,25 @@
         self._queue.push_front(waiting)
         return self._shedder.refuse_unreachable(waiting, now)
 
+    def _record_relay_failures(
+        self,
+        entry: str,
+        backend: backends.Backend,
+        decline: message.Decline,
+        now: float,
+    ) -> None:
+        """Records relays that failed, and what they report of the server."""
+        self._relays.record_failures(entry, decline.failed_relays, now)
+        for address, failure in decline.failed_relays.items():
+            reporter = self._relays.find_entry(address)
+            if reporter is None:
+                continue
+            if failure is message.RelayFailure.REFUSED:
+                self.fleet.record_unreachable(backend, reporter, now, False)
+            elif failure is message.RelayFailure.SILENT:
+                name = backend.info.name
+                self._relays.add_silent(reporter, name, now)
+
     def _handle_ended(
         self, ended: message.Ended, now: float
     ) -> list[backends.Backend]:
@@ -376,7 +402,9 @@
             self._queue.discard(ended.request_id)
             return []
         self.releases.record_response(ended)
-        backend = self.fleet.end(ended, now, self._is_sole_entry)
+        placed = self.fleet.get_placed(ended.request_id)
+        is_sole = placed is None or self._is_sole_entry(placed.entry)
+        backend = self.fleet.end(ended, now, is_sole)
         return [backend] if backend else []
 
     def _finish_sync(self, entry: str) -> None:
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -35,6 +35,7 @@
     lag,
     owners,
     redirects,
+    relay_use,
     server_hints,
     timeouts,
 )
@@ -87,8 +88,10 @@
         timeline: Receives the events of requests.
         server_hints: Hints that backend servers give in their responses.
         redirects: Counts requests that were redirected to other zones.
-        connect_failures: Number of dispatches whose connection to the backend
-            server was "refused" or whose server was "silent".
+        connect_failures: Number of dispatches without a connection to the
+            backend server: it was "refused", the server was "silent", or no
+            "relay" opened one.
+        relay_use: Tracks whether requests go through other VMs.
         on_silent_owner: Called with the address of a scheduler that does not
             reply.
     """
@@ -102,10 +105,15 @@
         blocks: blocklist.Blocklist | None = None,
         longest_pause_s: float = server_hints.MAX_PAUSE_S,
         awaits_view: bool = False,
+        relay_address: str = "",
     ) -> None:
+        self._relay_address = relay_address
         self.backends = backend_directory.BackendDirectory(settings.zone)
         self.redirects = redirects.RedirectCounter()
-        self.connect_failures = collections.Counter[str](refused=0, silent=0)
+        self.relay_use = relay_use.RelayUse()
+        self.connect_failures = collections.Counter[str](
+            refused=0, silent=0, relay=0
+        )
         self.timeline = process_runtime.timeline
         self._name = process_runtime.name
         self._vm = settings.vm
@@ -212,12 +220,8 @@
             return
         machine = ticket.machine
         match event:
-            case tickets.ConnectFailed(_, refused):
-                self._note_connect_failure(ticket, refused)
-                if not refused:
-                    self.backends.record_connect_failure(machine.backend, now)
-                machine.info = self._get_info(ticket, now)
-                self._apply_effects(ticket, machine.fail_connect(refused), now)
+            case tickets.ConnectFailed():
+                self._handle_connect_failure(ticket, event, now)
             case tickets.GrantUnusable(_, reason):
                 self._return_grant(ticket, reason, now)
             case tickets.FirstTokenReceived(first):
@@ -251,18 +255,31 @@
         """Returns a request's info with its remaining times and exclusions."""
         return ticket.get_info(now, self.backends.list_unreachable(now))
 
-    def _note_connect_failure(
-        self, ticket: tickets.Ticket, refused: bool
+    def _handle_connect_failure(
+        self, ticket: tickets.Ticket, event: tickets.ConnectFailed, now: float
     ) -> None:
-        kind = "refused" if refused else "silent"
+        """Returns a grant whose connection could not be opened."""
+        machine = ticket.machine
+        is_direct = not event.failed_relays
+        kind = "refused" if event.refused else "silent"
+        if not is_direct:
+            kind = "relay"
         self.connect_failures[kind] += 1
         self.timeline.note(
             "connect_failed",
             ticket.info.request_id,
-            backend=ticket.machine.backend,
-            owner=ticket.machine.owner,
+            backend=machine.backend,
+            owner=machine.owner,
             reason=kind,
+            **({} if is_direct else {"relays": list(event.failed_relays)}),
         )
+        if is_direct and not event.refused:
+            self.backends.record_connect_failure(machine.backend, now)
+        machine.info = self._get_info(ticket, now)
+        effects = machine.fail_connect(
+            event.refused and is_direct, event.failed_relays
+        )
+        self._apply_effects(ticket, effects, now)
 
     def _return_grant(
         self,
@@ -408,7 +425,9 @@
                         backend=grant.backend,
                         owner=grant.owner,
                         age_s=round(now - ticket.started_at, 4),
+                        **({"relays": grant.relays} if grant.relays else {}),
                     )
+                    self.relay_use.record_dispatch(bool(grant.relays), now)
                     ticket.send_effect(effect)
                 case request.Finish(outcome, reason):
                     self._tickets.pop(ticket.info.request_id, None)
@@ -601,7 +620,9 @@
     def _open_link(self, address: str) -> None:
         if address in self._links:
             return
-        hello = peer_message.Hello(self._name, self._vm, "entry")
+        hello = peer_message.Hello(
+            self._name, self._vm, "entry", self._relay_address
+        )
         owner_link = attachment.Attachment(
             address, hello, self._client, self._mailbox.post
         )
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -18,7 +18,7 @@
 from ramptray.bundle import acceptance
 from ramptray.caller import metrics
 from ramptray.core import blocklist, membership, retry
-from ramptray.entry import dispatcher, prober
+from ramptray.entry import dispatcher, prober, server_hints
 from ramptray.node import listener, probe, suspension
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
@@ -30,7 +30,7 @@
 from ramptray.platform import settings as vm_settings
 from ramptray.relay import client as relay_client
 from ramptray.relay import server as relay_server
-from ramptray.relay import service
+from ramptray.relay import service, tunnel
 from ramptray.relay import socket_stream as streams
 from ramptray.scheduler import (
     block_sync,
@@ -84,7 +84,9 @@
         self._store = store.Store(vm.store)
         self._metrics = metrics.Metrics()
         self._dialect = header.PlatformDialect()
-        self._relay_client = relay_client.RelayClient(self._dialect)
+        self._relay_client = relay_client.RelayClient(
+            self._dialect, tunnel.PeerTunnels(self._runtime.client)
+        )
         self._member = membership.Member(
             vm.vm,
             vm.scheduling_zone,
@@ -153,7 +155,15 @@
             blocks=self._blocks,
             longest_pause_s=settings.longest_pause_s,
             awaits_view=True,
+            relay_address=vm.peers,
+        )
+        self._tunnel_server = tunnel.TunnelServer(
+            self._dispatcher.backends,
+            self._dispatcher.server_hints,
+            vm.zones.get(vm.zone, ""),
+            self._runtime.clock,
         )
+        self._handler.on_relayed_hints = self._apply_relayed_hints
         self._prober = prober.Prober(
             self._dispatcher.backends, self._relay_client.probe
         )
@@ -163,7 +173,12 @@
 
     async def run(self, stop: process.Stop) -> None:
         """Serves until a stop is requested and running requests have ended."""
-        peers = peer_server.PeerServer(self._handler, self._runtime.clock, None)
+        peers = peer_server.PeerServer(
+            self._handler,
+            self._runtime.clock,
+            None,
+            {tunnel.METHOD: self._tunnel_server.serve},
+        )
         try:
             await peers.start(self._vm.peers)
         except peer_link.LinkError as error:
@@ -237,7 +252,10 @@
             await self._gossiper.leave()
             await anyio.sleep(self._settings.lame_duck_s)
         self._relay.refuse_new_requests()
-        while self._relay.state.active and steadyclock.read() < deadline:
+        self._tunnel_server.stopping = True
+        while (
+            self._relay.state.active or self._tunnel_server.active
+        ) and steadyclock.read() < deadline:
             await anyio.sleep(0.05)
         LOG.info("stopped", extra={"active": self._relay.state.active})
 
@@ -293,6 +311,12 @@
                 metrics.Gauge("connect_failures", {"kind": kind}, count)
                 for kind, count in self._dispatcher.connect_failures.items()
             ),
+            *self._dispatcher.relay_use.list_gauges(now),
+            metrics.Gauge("tunnels_open", {}, self._tunnel_server.active),
+            *(
+                metrics.Gauge("tunnels", {"outcome": outcome}, count)
+                for outcome, count in self._tunnel_server.counts.items()
+            ),
             *self._dispatcher.redirects.list_gauges(),
             *(
                 metrics.Gauge("region_delay_seconds", {"zone": zone}, delay_s)
@@ -317,6 +341,22 @@
             in_force.generation, steadyclock.read()
         )
 
+    def _apply_relayed_hints(self, relayed: peer_message.RelayedHints) -> None:
+        hints = relayed.hints
+        self._dispatcher.server_hints.observe(
+            server_hints.HeadReceived(
+                relayed.request_id,
+                hints.backend,
+                hints.run,
+                hints.limit_per_s,
+                hints.is_leaving,
+                hints.pause_s,
+                "",
+                hints.limit_per_s,
+            ),
+            steadyclock.read(),
+        )
+
     def _handle_suspension(self, suspended_s: float) -> None:
         """Drops idle connections and wakes the follower.
 
@@ -377,6 +417,9 @@
 
     def _apply_view(self, view: peer_message.View) -> None:
         self._hub.post(event.ViewChanged(view))
+        self._relay_client.expire_relays(
+            {member.address for member in (*view.members, *view.others)}
+        )
         known = [
             member
             for member in self._gossiper.membership.list_all()
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -64,6 +64,10 @@
             peer_message.BlockedContents,
             peer_message.ListBlocks,
             peer_message.LiftBlock,
+            peer_message.OpenTunnel,
+            peer_message.TunnelAnswer,
+            peer_message.RelayedHints,
+            peer_message.Received,
         ),
     )
 }
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -266,6 +266,48 @@
         self._clock.witness(frame.clock)
         return body
 
+    def encode(self, body: Any) -> bytes:
+        """Returns a message as a frame with this process's clock."""
+        return codec.encode(self._clock.tick(), body)
+
+    def decode(self, data: bytes) -> Any:
+        """Returns the only message of a frame.
+
+        Raises:
+            CodecError: The bytes are not a valid frame with one message.
+        """
+        frame = codec.decode(data)
+        self._clock.witness(frame.clock)
+        return frame.body
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self, address: str, method: str, timeout_s: float
+    ) -> AsyncIterator[Any]:
+        """Begins a bidirectional call, which ends with the context.
+
+        Args:
+            address: The peer.
+            method: Name of the method.
+            timeout_s: Timeout of the connection, in seconds, if there is none
+                yet.
+
+        Raises:
+            LinkError: The peer cannot be reached.
+        """
+        _check_allowed(address, self._allowed_peers)
+        shared = await self._get_channel(address)
+        async with shared.use():
+            with anyio.move_on_after(timeout_s) as scope:
+                await shared.wait_connected()
+            if scope.cancelled_caught:
+                raise LinkError(f"{address}: not connected in time")
+            begun: Any = shared.channel.stream_stream(f"/{SERVICE}/{method}")()
+            try:
+                yield begun
+            finally:
+                begun.cancel()
+
     @contextlib.asynccontextmanager
     async def attach(self, address: str) -> AsyncIterator[Link]:
         """Opens a link, which is closed when the context ends.
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -11,11 +11,61 @@
 
 
 class Hello(msgspec.Struct, frozen=True):
-    """Entry or controller to scheduler: identifies the attaching process."""
+    """Entry or controller to scheduler: identifies the attaching process.
+
+    Attributes:
+        name: Its name.
+        vm: Its VM.
+        kind: "entry" or "controller".
+        relay_address: Address at which its VM opens tunnels to backend servers
+            for others; empty if it does not.
+    """
 
     name: str
     vm: str
     kind: str
+    relay_address: str = ""
+
+
+class OpenTunnel(msgspec.Struct, frozen=True):
+    """VM to VM: connect to a backend server and pass bytes on.
+
+    Attributes:
+        backend: The backend server.
+        run: Its run, see ``core.message.Grant``.
+        regions: Regions whose VMs and servers may get the bytes; None for any.
+    """
+
+    backend: str
+    run: int
+    regions: tuple[str, ...] | None = None
+
+
+class TunnelAnswer(msgspec.Struct, frozen=True):
+    """Response to ``OpenTunnel``.
+
+    Attributes:
+        reason: Why there is no connection to the backend server; empty if there
+            is one.
+    """
+
+    reason: str = ""
+
+
+class RelayedHints(msgspec.Struct, frozen=True):
+    """VM to VM: hints in a response that the receiver relayed.
+
+    Attributes:
+        hints: The hints.
+        request_id: The request.
+    """
+
+    hints: message.ServerHints
+    request_id: str
+
+
+class Received(msgspec.Struct, frozen=True):
+    """Response to messages that need no answer."""
 
 
 class View(msgspec.Struct, frozen=True):
--- a/ramptray/peer/server.py
+++ b/ramptray/peer/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Coroutine, Mapping
 from typing import Any
 
 import anyio
@@ -16,6 +16,11 @@
 
 LOG = logging.getLogger(__name__)
 
+ServeStream = Callable[
+    [AsyncIterator[bytes], "grpc.aio.ServicerContext[bytes, bytes]"],
+    Coroutine[Any, Any, None],
+]
+
 
 class PeerServer:
     """Serves peers over gRPC.
@@ -24,6 +29,7 @@
         handler: Handles the peers' messages.
         hybrid_clock: This process's clock.
         tls: Settings for mutual TLS; None for plain connections.
+        streams: Further methods that exchange parts of bytes, by name.
     """
 
     def __init__(
@@ -31,10 +37,12 @@
         handler: link.Handler,
         hybrid_clock: clock.HybridClock,
         tls: settings.TlsSettings | None,
+        streams: Mapping[str, ServeStream] | None = None,
     ) -> None:
         self._handler = handler
         self._clock = hybrid_clock
         self._tls = tls
+        self._streams = streams or {}
         self._server: grpc.aio.Server | None = None
 
     async def start(self, address: str) -> None:
@@ -47,6 +55,10 @@
         handlers: dict[str, Any] = {
             "Attach": grpc.stream_stream_rpc_method_handler(self._attach),
             "Ask": grpc.unary_unary_rpc_method_handler(self._ask),
+            **{
+                name: grpc.stream_stream_rpc_method_handler(serve)
+                for name, serve in self._streams.items()
+            },
         }
         self._server.add_generic_rpc_handlers(
             (grpc.method_handlers_generic_handler(link.SERVICE, handlers),)
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import abc
 import collections
 import contextlib
 import itertools
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Collection, Iterable
 
 import anyio
 import msgspec
 
 from ramptray import steadyclock
+from ramptray.core import message as core_message
+from ramptray.relay import byte_stream
 from ramptray.relay import connection as connections
 from ramptray.relay import dialect as dialects
 
@@ -37,10 +40,47 @@
     refused: int = 0
 
 
+class TunnelOpener(abc.ABC):
+    """Opens tunnels to backend servers through other VMs."""
+
+    @abc.abstractmethod
+    async def open(self, target: connections.Target) -> byte_stream.ByteStream:
+        """Opens a tunnel through the target's relay.
+
+        Raises:
+            NotSentError: It could not be opened.
+        """
+
+    @abc.abstractmethod
+    def report_hints(
+        self, relay: str, request_id: str, hints: core_message.ServerHints
+    ) -> None:
+        """Sends a relay the hints of a response that it relayed.
+
+        A pause applies to the relay, which the backend server takes for the
+        sender of the request.
+
+        Args:
+            relay: Address of the relay.
+            request_id: The request.
+            hints: The hints.
+        """
+
+
 class RelayClient:
-    """Pool of connections to backend servers."""
+    """Pool of connections to backend servers.
+
+    Args:
+        dialect: The headers of requests and responses.
+        tunnels: Opens tunnels through other VMs; None if there are none.
+    """
 
-    def __init__(self, dialect: dialects.Dialect) -> None:
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        tunnels: TunnelOpener | None = None,
+    ) -> None:
+        self._tunnels = tunnels
         self.counters = Counters()
         self._dialect = dialect
         self._idle: dict[str, list[connections.Connection]] = (
@@ -51,18 +91,27 @@
 
     @contextlib.asynccontextmanager
     async def borrow(
-        self, target: connections.Target, not_repeatable: bool
+        self,
+        target: connections.Target,
+        not_repeatable: bool,
+        relays: Iterable[str] = (),
     ) -> AsyncIterator[connections.Connection]:
         """Borrows a connection; it returns to the pool if it is reusable.
 
         Args:
             target: The backend server.
             not_repeatable: Whether the request may not be sent a second time.
+            relays: Addresses of VMs to connect through, in order of preference;
+                empty to connect directly.
 
         Raises:
             NotSentError: No connection could be opened.
         """
-        connection = await self._checkout(target, not_repeatable)
+        connection = await self._checkout_any(
+            [msgspec.structs.replace(target, relay=relay) for relay in relays]
+            or [target],
+            not_repeatable,
+        )
         self._borrowed.add(connection)
         reuse = False
         try:
@@ -76,7 +125,7 @@
             if reuse:
                 connection.start_next_cycle()
                 connection.idle_since = steadyclock.read()
-                self._idle[target.address].append(connection)
+                self._idle[connection.target.pool_key].append(connection)
             else:
                 with anyio.CancelScope(shield=True):
                     await connection.close()
@@ -118,6 +167,24 @@
             for connection in self._idle[address]:
                 connection.idle_timeout_s = 0.0
 
+    def report_hints(
+        self, relay: str, request_id: str, hints: core_message.ServerHints
+    ) -> None:
+        """Sends a relay the hints of a response; see ``TunnelOpener``."""
+        if self._tunnels:
+            self._tunnels.report_hints(relay, request_id, hints)
+
+    def expire_relays(self, usable: Collection[str]) -> None:
+        """Stops reusing the idle connections through other relays than these.
+
+        Args:
+            usable: Addresses of the VMs that are alive.
+        """
+        for connection in itertools.chain(*self._idle.values()):
+            relay = connection.target.relay
+            if relay and relay not in usable:
+                connection.idle_timeout_s = 0.0
+
     def expire_all_idle(self) -> None:
         """Stops reusing all idle connections."""
         self.expire_idle(list(self._idle))
@@ -165,11 +232,33 @@
             for connection in expired:
                 await connection.close()
 
+    async def _checkout_any(
+        self, targets: list[connections.Target], not_repeatable: bool
+    ) -> connections.Connection:
+        """Returns a connection on the first way that leads to the server.
+
+        Ways with an idle connection come first.
+        """
+        failed: dict[str, core_message.RelayFailure] = {}
+        error = connections.NotSentError("no target", False)
+        for target in sorted(
+            targets, key=lambda each: not self._idle.get(each.pool_key)
+        ):
+            try:
+                return await self._checkout(target, not_repeatable)
+            except connections.NotSentError as latest:
+                if latest.relay_failure is not None:
+                    failed[target.relay] = latest.relay_failure
+                error = latest
+        raise connections.NotSentError(
+            str(error), error.refused, failed_relays=failed
+        ) from error
+
     async def _checkout(
         self, target: connections.Target, not_repeatable: bool
     ) -> connections.Connection:
         now = steadyclock.read()
-        idle = self._idle[target.address]
+        idle = self._idle[target.pool_key]
         while idle:
             connection = idle.pop()
             max_idle_s = connection.idle_timeout_s
@@ -189,7 +278,13 @@
 
     async def _open(self, target: connections.Target) -> connections.Connection:
         try:
-            opened = await connections.open_connection(target, self._dialect)
+            if target.relay and self._tunnels:
+                stream = await self._tunnels.open(target)
+                opened = connections.Connection(target, stream, self._dialect)
+            else:
+                opened = await connections.open_connection(
+                    target, self._dialect
+                )
         except connections.NotSentError:
             self.counters.refused += 1
             raise
--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import logging
-import select
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import anyio
 import h11
 import msgspec
 
+from ramptray.core import message as core_message
+from ramptray.core import request as core_request
+from ramptray.relay import byte_stream, message
 from ramptray.relay import dialect as dialects
-from ramptray.relay import message
 from ramptray.relay import socket_stream as streams
 
 LOG = logging.getLogger(__name__)
@@ -47,10 +48,22 @@
 
     Attributes:
         refused: Whether it was refused; otherwise the attempt timed out.
+        relay_failure: Why the relay, if any, led to no connection.
+        failed_relays: The same for several relays, by address.
     """
 
-    def __init__(self, text: str, refused: bool) -> None:
+    def __init__(
+        self,
+        text: str,
+        refused: bool,
+        relay_failure: core_message.RelayFailure | None = None,
+        failed_relays: Mapping[
+            str, core_message.RelayFailure
+        ] = core_request.NO_FAILURES,
+    ) -> None:
         self.refused = refused
+        self.relay_failure = relay_failure
+        self.failed_relays = dict(failed_relays)
         super().__init__(text)
 
 
@@ -67,12 +80,24 @@
         run: Which run of the backend server; see ``core.message.Grant``.
         delay_s: One-way delay to its region in seconds, which extends the
             timeouts of connections; 0 within the region.
+        relay: Address of the VM to connect through; empty to connect directly.
+        regions: Regions whose VMs and servers may get the request; None for
+            any.
     """
 
     address: str
     backend: str = ""
     run: int = 0
     delay_s: float = 0.0
+    relay: str = ""
+    regions: tuple[str, ...] | None = None
+
+    @property
+    def pool_key(self) -> str:
+        """Identifies the connections that lead to it on the same way."""
+        if not self.relay:
+            return self.address
+        return f"{self.address} via {self.relay} {self.regions}"
 
     def is_other_run(self, other: Target) -> bool:
         """Returns whether this is another run of the same backend server."""
@@ -89,7 +114,7 @@
     def __init__(
         self,
         target: Target,
-        stream: streams.SocketStream,
+        stream: byte_stream.ByteStream,
         dialect: dialects.Dialect,
     ) -> None:
         self.target = target
@@ -118,12 +143,7 @@
 
         Unsolicited bytes, a closed connection or an error make it unusable.
         """
-        sock = self._stream.get_socket()
-        if sock is None or not self._stream.is_open_and_empty:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN | select.POLLHUP)
-        return not poll.poll(0)
+        return self._stream.is_idle()
 
     async def send(
         self, request: message.CallerRequest, attempt: message.Attempt
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -204,19 +204,25 @@
                 tickets.GrantUnusable(self._request_id, error.reason)
             )
         except connections.NotSentError as error:
-            failed = tickets.ConnectFailed(self._request_id, error.refused)
+            failed = tickets.ConnectFailed(
+                self._request_id, error.refused, error.failed_relays
+            )
             self._ticket.report(failed)
         except connections.BrokenError as error:
-            fault = await self._diagnose(target, error)
+            is_direct = not grant.relays
+            fault = await self._diagnose(target, error, is_direct)
             self._report_failure(False, core_message.Reason.BACKEND_LOST, fault)
 
     async def _diagnose(
-        self, target: connections.Target, error: connections.BrokenError
+        self,
+        target: connections.Target,
+        error: connections.BrokenError,
+        is_direct: bool,
     ) -> tickets.Fault:
-        """Probes a backend server after its connection broke."""
+        """Probes a backend server after its direct connection broke."""
         after_s = steadyclock.read() - self._sent_at
         presence = ""
-        if not isinstance(error, connections.HungError):
+        if is_direct and not isinstance(error, connections.HungError):
             found = await backend_probe.probe_backend(
                 target.address, target.delay_s
             )
@@ -275,7 +281,9 @@
     ) -> None:
         """Sends the request to a backend server and forwards the response."""
         not_repeatable = not self._routed.info.repeatable
-        async with self._client.borrow(target, not_repeatable) as connection:
+        async with self._client.borrow(
+            target, not_repeatable, grant.relays
+        ) as connection:
             # Another response may have changed the hints in the meantime.
             if reason := self._find_unusable_reason(target):
                 raise _UnusableServerError(reason)
@@ -302,6 +310,18 @@
                 ),
                 steadyclock.read(),
             )
+            if head.pause_s and connection.target.relay:
+                self._client.report_hints(
+                    connection.target.relay,
+                    self._request_id,
+                    core_message.ServerHints(
+                        target.backend,
+                        target.run,
+                        head.limit_per_s,
+                        head.is_leaving,
+                        head.pause_s,
+                    ),
+                )
             await self._handle_response(connection, head)
 
     async def _handle_response(
@@ -432,7 +452,11 @@
             return None
         address = url.removeprefix("http://")
         return connections.Target(
-            address, grant.backend, grant.run, self._ticket.delay_s
+            address,
+            grant.backend,
+            grant.run,
+            self._ticket.delay_s,
+            regions=self._routed.info.regions,
         )
 
     def _find_unusable_reason(
--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import math
+import select
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,7 @@
 import anyio
 
 from ramptray import steadyclock
+from ramptray.relay import byte_stream
 
 MAX_UNREAD_BYTES = 64 * 1024
 """Limit of unread bytes; above it the socket is not read, so that TCP flow
@@ -34,7 +36,7 @@
 detected after twice this time; without probes it would never be."""
 
 
-class SocketStream(asyncio.Protocol):
+class SocketStream(byte_stream.ByteStream, asyncio.Protocol):
     """A connected socket, read by one task and written by one task.
 
     Attributes:
@@ -100,10 +102,17 @@
         self._writing_paused = False
         _wake(self._write_waiter)
 
-    @property
-    def is_open_and_empty(self) -> bool:
-        """Whether the connection is open and nothing waits to be read."""
-        return not (self._unread or self._ended or self._closed)
+    def is_idle(self) -> bool:
+        """See the base class.
+
+        Also looks at what the event loop has not read from the socket yet.
+        """
+        sock = self.get_socket()
+        if sock is None or self._unread or self._ended or self._closed:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | select.POLLHUP)
+        return not poll.poll(0)
 
     @property
     def has_ended(self) -> bool:
@@ -118,17 +127,7 @@
         return found
 
     async def receive(self, timeout_s: float | None = None) -> bytes:
-        """Returns all bytes received; waits if there are none.
-
-        Args:
-            timeout_s: Longest time to wait, in seconds; None for no limit.
-
-        Raises:
-            EndOfStream: The peer has closed its side.
-            BrokenResourceError: The connection is lost.
-            ClosedResourceError: It was closed here.
-            TimeoutError: Nothing arrived in time.
-        """
+        """See the base class."""
         while not self._unread:
             self._check_open()
             if self._ended:
@@ -143,17 +142,7 @@
         return data
 
     async def send(self, data: bytes, timeout_s: float) -> None:
-        """Writes bytes and waits until the kernel has accepted them.
-
-        Args:
-            data: The bytes.
-            timeout_s: Longest time to wait for the peer to read, in seconds.
-
-        Raises:
-            BrokenResourceError: The connection is lost.
-            ClosedResourceError: It was closed here.
-            TimeoutError: The peer does not read.
-        """
+        """See the base class; waits until the kernel has accepted the bytes."""
         self._check_open()
         if self._lost:
             raise anyio.BrokenResourceError
@@ -168,7 +157,7 @@
         self._check_open()
 
     def close(self) -> None:
-        """Closes the connection at once and drops unsent data."""
+        """See the base class."""
         if not self._closed:
             self._closed = True
             self._get_transport().abort()
--- a/ramptray/scheduler/handler.py
+++ b/ramptray/scheduler/handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -19,7 +20,12 @@
 
 
 class SchedulerHandler(peer_link.Handler):
-    """Passes attached processes' messages to the hub and answers requests."""
+    """Passes attached processes' messages to the hub and answers requests.
+
+    Attributes:
+        on_relayed_hints: Called with the hints of a response that this VM
+            relayed.
+    """
 
     def __init__(
         self,
@@ -32,6 +38,9 @@
         self._gossiper = gossiper
         self._bundle_source = bundle_source
         self._timeline = events
+        self.on_relayed_hints: Callable[[peer_message.RelayedHints], None] = (
+            _ignore_hints
+        )
 
     async def open(self, session: peer_link.Session) -> None:
         """See the base class."""
@@ -74,6 +83,9 @@
                 return self._list_blocks()
             case peer_message.AskTimeline():
                 return await self._collect_events(request)
+            case peer_message.RelayedHints():
+                self.on_relayed_hints(request)
+                return peer_message.Received()
         raise ValueError(f"unknown request type: {type(request).__name__}")
 
     def _list_blocks(self) -> peer_message.BlockedContents:
@@ -93,3 +105,7 @@
             async for answer in receive:
                 events.extend(answer.events)
         return peer_message.TimelineEvents(events)
+
+
+def _ignore_hints(hints: peer_message.RelayedHints) -> None:
+    """Default of ``on_relayed_hints``."""
--- a/test/test_socket_stream.py
+++ b/test/test_socket_stream.py
@@ -104,7 +104,7 @@
         await anyio.sleep(0.1)
         assert len(ends) == 1
         assert other.has_ended
-        assert not other.is_open_and_empty
+        assert not other.is_idle()
         assert await other.receive() == b"last"
         with pytest.raises(anyio.EndOfStream):
             await other.receive()
--- /dev/null
+++ b/test/test_tunnel.py
@@ -0,0 +1,354 @@
+"""Tunnels to backend servers through another VM."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator
+from typing import Any, cast
+
+import anyio
+import anyio.abc
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bench import ports
+from ramptray import steadyclock
+from ramptray.bundle import acceptance, model, signature
+from ramptray.core import clock
+from ramptray.core import message as core_message
+from ramptray.entry import backend_directory, server_hints
+from ramptray.peer import link, server
+from ramptray.peer import message as peer_message
+from ramptray.platform import header
+from ramptray.relay import client, connection, tunnel
+
+pytestmark = [pytest.mark.anyio, pytest.mark.usefixtures("grpc_queue_closed")]
+
+NORTH, SOUTH = "north", "south"
+RUN = 7
+FAILURE = core_message.RelayFailure.NOT_RELAYED
+RESET = struct.pack("ii", 1, 0)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class _Handler(link.Handler):
+    """Handles nothing but tunnels."""
+
+    async def open(self, session: link.Session) -> None: ...
+
+    async def receive(self, session: link.Session, body: Any) -> None: ...
+
+    async def close(self, session: link.Session) -> None: ...
+
+    async def answer(self, request: Any) -> Any:
+        raise AssertionError
+
+
+def make_directory(
+    address: str, leaving: bool = False
+) -> backend_directory.BackendDirectory:
+    """Returns a directory with one server, "e"."""
+    directory = backend_directory.BackendDirectory()
+    bundle = model.Bundle(
+        generation=1,
+        operators=model.Operators(
+            keys={"o": "ed25519:" + "0" * 64}, signatures_required=1
+        ),
+        zones=["all"],
+        tiers={"t": model.Tier(order=0, deadline_s=10)},
+        customers={},
+        services={"lm": model.Service(kind=model.ServiceKind.MODEL)},
+        engines={"lm": model.Engine(max_running=4, kv_tokens=1000)},
+        backend_servers={
+            "e": model.BackendServer(
+                zone="all",
+                service="lm",
+                engine="lm",
+                url=f"http://{address}",
+                leaving=leaving,
+                run=RUN,
+                region=NORTH,
+            )
+        },
+    )
+    envelope = signature.Envelope("", {})
+    directory.apply_bundle(acceptance.InForce(bundle, envelope))
+    return directory
+
+
+class Relay:
+    """A VM that opens tunnels to a server.
+
+    Attributes:
+        address: Where it listens.
+        tunnels: Its server of tunnels.
+        backends: The server that it knows.
+        accepted: The connections that the server has accepted.
+    """
+
+    def __init__(self) -> None:
+        self.address = f"127.0.0.1:{ports.reserve_port()}"
+        self.listening = socket.create_server(("127.0.0.1", 0))
+        self.listening.setblocking(False)
+        port = self.listening.getsockname()[1]
+        self.target = connection.Target(
+            f"127.0.0.1:{port}", "e", RUN, relay=self.address
+        )
+        self.backends = make_directory(self.target.address)
+        self.hints = server_hints.ServerHintStore(
+            lambda address, hints: None, list
+        )
+        hybrid_clock = clock.HybridClock(lambda: 0)
+        self.tunnels = tunnel.TunnelServer(
+            self.backends, self.hints, NORTH, hybrid_clock
+        )
+        self.peers = server.PeerServer(
+            _Handler(),
+            hybrid_clock,
+            None,
+            {tunnel.METHOD: self.tunnels.serve},
+        )
+        self.client = link.PeerClient(clock.HybridClock(lambda: 0), None)
+        self.opener = tunnel.PeerTunnels(self.client)
+
+    async def accept(self) -> socket.socket:
+        """Returns the server's side of the next connection."""
+        with anyio.fail_after(5):
+            await anyio.wait_readable(self.listening)
+            accepted, _ = self.listening.accept()
+        accepted.setblocking(False)
+        return accepted
+
+    async def open(self) -> tuple[tunnel.TunnelStream, socket.socket]:
+        """Returns both ends of a new tunnel."""
+        stream = await self.opener.open(self.target)
+        return stream, await self.accept()
+
+
+@contextlib.asynccontextmanager
+async def run_relay() -> AsyncIterator[Relay]:
+    relay = Relay()
+    await relay.peers.start(relay.address)
+    try:
+        yield relay
+    finally:
+        await relay.client.close()
+        await relay.peers.stop(0.1)
+        relay.listening.close()
+
+
+async def read(sock: socket.socket, count: int) -> bytes:
+    data = b""
+    with anyio.fail_after(5):
+        while len(data) < count:
+            await anyio.wait_readable(sock)
+            part = sock.recv(65536)
+            if not part:
+                break
+            data += part
+    return data
+
+
+async def test_bytes_pass_in_both_directions() -> None:
+    async with run_relay() as relay:
+        stream, served = await relay.open()
+        body = bytes(range(256)) * 1000
+        await stream.send(body, 5.0)
+        assert await read(served, len(body)) == body
+        assert stream.is_idle()
+        served.send(b"answer")
+        assert await stream.receive(5.0) == b"answer"
+        assert relay.tunnels.active == 1
+        stream.close()
+        served.close()
+
+
+async def test_an_orderly_end_is_told_from_a_reset() -> None:
+    async with run_relay() as relay:
+        ended, served = await relay.open()
+        served.send(b"whole")
+        served.close()
+        assert await ended.receive(5.0) == b"whole"
+        with pytest.raises(anyio.EndOfStream):
+            await ended.receive(5.0)
+        assert not ended.is_idle()
+        reset, served = await relay.open()
+        served.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        served.close()
+        with pytest.raises(anyio.BrokenResourceError):
+            await reset.receive(5.0)
+
+
+async def test_closing_a_tunnel_closes_the_connection_to_the_server() -> None:
+    async with run_relay() as relay:
+        stream, served = await relay.open()
+        await stream.send(b"x", 5.0)
+        assert await read(served, 1) == b"x"
+        stream.close()
+        with pytest.raises(anyio.ClosedResourceError):
+            await stream.receive(1.0)
+        with contextlib.suppress(ConnectionResetError):
+            assert await read(served, 1) == b""
+        await anyio.sleep(0.1)
+        assert relay.tunnels.active == 0
+
+
+async def test_a_silent_tunnel_times_out_and_can_be_read_again() -> None:
+    async with run_relay() as relay:
+        stream, served = await relay.open()
+        with pytest.raises(TimeoutError):
+            await stream.receive(0.05)
+        served.send(b"late")
+        assert await stream.receive(5.0) == b"late"
+        stream.close()
+        served.close()
+
+
+async def test_a_tunnel_through_a_relay_that_stops_breaks() -> None:
+    async with run_relay() as relay:
+        stream, served = await relay.open()
+        await relay.peers.stop(0.0)
+        with pytest.raises(anyio.BrokenResourceError):
+            await stream.receive(5.0)
+        with pytest.raises(anyio.BrokenResourceError):
+            await stream.send(b"x", 5.0)
+        served.close()
+
+
+async def test_a_server_that_refuses_is_not_sent_anything() -> None:
+    async with run_relay() as relay:
+        relay.listening.close()
+        with pytest.raises(
+            connection.NotSentError, match=tunnel.Refusal.REFUSED.value
+        ):
+            await relay.opener.open(relay.target)
+
+
+async def test_a_relay_that_is_not_there_is_not_sent_anything() -> None:
+    async with run_relay() as relay:
+        gone = f"127.0.0.1:{ports.reserve_port()}"
+        target = connection.Target(relay.target.address, "e", RUN, relay=gone)
+        with pytest.raises(connection.NotSentError):
+            await relay.opener.open(target)
+
+
+async def test_a_stopping_relay_opens_no_tunnel() -> None:
+    async with run_relay() as relay:
+        relay.tunnels.stopping = True
+        with pytest.raises(
+            connection.NotSentError, match=tunnel.Refusal.STOPPING.value
+        ):
+            await relay.opener.open(relay.target)
+        assert relay.tunnels.counts == {tunnel.Refusal.STOPPING.value: 1}
+
+
+async def test_a_relay_keeps_the_pause_of_a_server() -> None:
+    async with run_relay() as relay:
+        head = server_hints.HeadReceived("r", "e", RUN, pause_s=5.0)
+        relay.hints.observe(head, steadyclock.read())
+        with pytest.raises(
+            connection.NotSentError, match=tunnel.Refusal.UNUSABLE.value
+        ):
+            await relay.opener.open(relay.target)
+
+
+async def test_a_server_that_the_relay_does_not_reach_is_named_silent() -> None:
+    async with run_relay() as relay:
+        relay.backends.record_connect_failure("e", steadyclock.read())
+        with pytest.raises(
+            connection.NotSentError, match=tunnel.Refusal.SILENT.value
+        ):
+            await relay.opener.open(relay.target)
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    regions=st.none() | st.sets(st.sampled_from([NORTH, SOUTH])),
+    own=st.sampled_from([NORTH, SOUTH, ""]),
+    run=st.sampled_from([RUN, RUN - 1]),
+    leaving=st.booleans(),
+)
+def test_a_relay_admits_only_its_regions_and_the_current_run(
+    regions: set[str] | None, own: str, run: int, leaving: bool
+) -> None:
+    served = tunnel.TunnelServer(
+        make_directory("127.0.0.1:1", leaving),
+        server_hints.ServerHintStore(lambda to, hints: None, list),
+        own,
+        clock.HybridClock(lambda: 0),
+    )
+    allowed = None if regions is None else tuple(regions)
+    request = peer_message.OpenTunnel("e", run, allowed)
+    is_inside = regions is None or {own, NORTH} <= regions
+    is_admitted = not served._find_refusal_reason(request, 0.0)
+    assert is_admitted == (is_inside and run == RUN and not leaving)
+
+
+class _CountingTunnels(client.TunnelOpener):
+    """Opens tunnels through some relays only."""
+
+    def __init__(self, usable: str) -> None:
+        self.tried: list[str] = []
+        self._usable = usable
+
+    async def open(self, target: connection.Target) -> Any:
+        """See the base class."""
+        self.tried.append(target.relay)
+        if target.relay != self._usable:
+            raise connection.NotSentError(target.relay, False, FAILURE)
+        return _IdleStream()
+
+    def report_hints(
+        self, relay: str, request_id: str, hints: core_message.ServerHints
+    ) -> None:
+        """See the base class."""
+
+
+class _IdleStream:
+    def is_idle(self) -> bool:
+        return True
+
+    def close(self) -> None: ...
+
+
+async def test_relays_are_tried_in_order_and_all_failures_are_reported() -> (
+    None
+):
+    tunnels = _CountingTunnels("c")
+    pool = client.RelayClient(header.PlatformDialect(), tunnels)
+    target = connection.Target("127.0.0.1:1", "e", RUN)
+    async with pool.borrow(target, False, ("a", "b", "c")) as borrowed:
+        assert borrowed.target.relay == "c"
+    assert tunnels.tried == ["a", "b", "c"]
+    with pytest.raises(connection.NotSentError) as raised:
+        async with pool.borrow(target, False, ("a", "b")):
+            pass
+    assert raised.value.failed_relays == {"a": FAILURE, "b": FAILURE}
+    assert not raised.value.refused
+
+
+async def test_tunnels_are_pooled_by_relay_and_dropped_with_it() -> None:
+    tunnels = _CountingTunnels("c")
+    pool = client.RelayClient(header.PlatformDialect(), tunnels)
+    target = connection.Target("127.0.0.1:1", "e", RUN, relay="c")
+    idle = connection.Connection(
+        target, cast(Any, _IdleStream()), header.PlatformDialect()
+    )
+    idle.idle_since = steadyclock.read()
+    pool._idle[target.pool_key].append(idle)
+    pool.expire_relays(["c"])
+    direct = connection.Target("127.0.0.1:1", "e", RUN)
+    async with pool.borrow(direct, False, ("a", "c")) as borrowed:
+        assert borrowed is idle
+    pool._idle[target.pool_key].append(idle)
+    pool.expire_relays(["a"])
+    async with pool.borrow(direct, False, ("c",)) as borrowed:
+        assert borrowed is not idle
+    assert tunnels.tried == ["c"]
