--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -310,7 +310,8 @@
                 ),
                 steadyclock.read(),
             )
-            if head.pause_s and connection.target.relay:
+            is_binding = head.pause_s or head.is_leaving
+            if is_binding and connection.target.relay:
                 self._client.report_hints(
                     connection.target.relay,
                     self._request_id,
@@ -319,7 +320,7 @@
                         target.run,
                         head.limit_per_s,
                         head.is_leaving,
-                        head.pause_s,
+                        head.pause_s or 0.0,
                     ),
                 )
             await self._handle_response(connection, head)
--- a/test/harm.py
+++ b/test/harm.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from bench import proxy
-from test import node, verdict
+from test import node, partition, verdict
 
 CALM_SPELL_S = verdict.CALM_S + 2 * verdict.APPLY_S
 """Pause between two bouts of faults, in seconds: in its last part promises that
@@ -34,6 +34,8 @@
         proxies: What stands before each replica.
         record: Takes what was done.
         restarts: Whether replicas also start again under their names.
+        linked: The deployment if its VMs are also partitioned from all
+            replicas; else None.
 
     Attributes:
         lives: How often each VM was started again.
@@ -47,7 +49,9 @@
         proxies: dict[str, proxy.Proxy],
         record: verdict.Record,
         restarts: bool,
+        linked: partition.LinkedPlatform | None = None,
     ) -> None:
+        self._linked = linked
         self._platform = started
         self._rng = rng
         self._stores = stores
@@ -103,8 +107,23 @@
             draws.append(self._draw_replica_fault)
         if self._restarts:
             draws.append(self._draw_restart)
+        if self._linked is not None:
+            draws += [self._draw_partition] * 2
         return self._rng.choice(draws)()
 
+    def _draw_partition(self) -> Draw:
+        """Draws VMs that lose their links to all replicas."""
+        linked = self._linked
+        assert linked is not None
+        count = self._rng.randint(1, len(self._names))
+        vms = self._rng.sample(self._names, count)
+        how = self._rng.choice(list(proxy.Partition))
+        return (
+            f"partition ({how.value}) {' '.join(sorted(vms))}",
+            lambda: linked.partition(vms, how),
+            lambda: linked.partition(vms, None),
+        )
+
     def _draw_store_fault(
         self,
     ) -> Draw:
--- a/test/partition.py
+++ b/test/partition.py
@@ -17,7 +17,7 @@
 class LinkedPlatform(node.Platform):
     """A deployment with a link of its own from each VM to each replica.
 
-    Replicas are started before VMs.
+    Replicas are started and announced before VMs.
     """
 
     def __init__(self, folder: pathlib.Path) -> None:
@@ -35,8 +35,12 @@
     ) -> None:
         """See the base class."""
         self.zones[name] = zone
+        addresses = [
+            self.announced.get(replica, address)
+            for replica, address in self.replicas.items()
+        ]
         self._links[name] = {
-            address: proxy.Proxy(address) for address in self.replicas.values()
+            address: proxy.Proxy(address) for address in addresses
         }
         ways = {
             address: link.address for address, link in self._links[name].items()
--- a/test/soak.py
+++ b/test/soak.py
@@ -24,7 +24,15 @@
 import click
 
 from bench import promise, proxy
-from test import harm, hinting, limiting, node, poison_load, verdict
+from test import (
+    harm,
+    hinting,
+    limiting,
+    node,
+    partition,
+    poison_load,
+    verdict,
+)
 
 CHANGE_EVERY_S = 1.3
 KEPT_VERSIONS = 20
@@ -59,6 +67,8 @@
             then have nothing before them: a proxy would go on listening.
         limits: Whether replicas name request limits.
         hints: Whether replicas leave and ask for pauses.
+        linked: The deployment if its VMs are also partitioned from all
+            replicas; else None.
     """
 
     def __init__(
@@ -71,6 +81,7 @@
         crashes: bool = False,
         limits: bool = False,
         hints: bool = False,
+        linked: partition.LinkedPlatform | None = None,
     ) -> None:
         self._crashes = crashes
         self._limits = limits
@@ -93,6 +104,7 @@
             self._proxies,
             self.record,
             restarts,
+            linked,
         )
         names = sorted(started.replicas)
         self._limiter = limiting.Limiter(self._harm, random.Random(seed), names)
@@ -361,6 +373,7 @@
     crashes: bool = False,
     limits: bool = False,
     hints: bool = False,
+    partitions: bool = False,
 ) -> tuple[list[promise.Promise], list[str]]:
     """Runs one soak and returns its promises and its faults.
 
@@ -373,13 +386,24 @@
         crashes: Whether a request is sent that ends what runs it.
         limits: Whether replicas name request limits.
         hints: Whether replicas leave and ask for pauses.
+        partitions: Whether VMs lose their links to all replicas.
     """
     with tempfile.TemporaryDirectory() as made:
         name = keep or made
-        platform = node.Platform(pathlib.Path(name))
+        folder = pathlib.Path(name)
+        linked = partition.LinkedPlatform(folder) if partitions else None
+        platform = linked or node.Platform(folder)
         try:
             soak = Soak(
-                platform, vms, seed, seconds, restarts, crashes, limits, hints
+                platform,
+                vms,
+                seed,
+                seconds,
+                restarts,
+                crashes,
+                limits,
+                hints,
+                linked,
             )
             return soak.perform(), list(soak.record.list_faults())
         finally:
@@ -412,6 +436,9 @@
 @click.option(
     "--hints", is_flag=True, help="Replicas leave and ask for pauses."
 )
+@click.option(
+    "--partitions", is_flag=True, help="VMs lose their links to all replicas."
+)
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
 @click.option(
     "--keep",
@@ -427,6 +454,7 @@
     crashes: bool,
     limits: bool,
     hints: bool,
+    partitions: bool,
     show: bool,
     keep: pathlib.Path | None,
 ) -> None:
@@ -437,7 +465,15 @@
         if logs:
             _make_empty(logs)
         promises, faults = run_soak(
-            vms, each, seconds, logs, restarts, crashes, limits, hints
+            vms,
+            each,
+            seconds,
+            logs,
+            restarts,
+            crashes,
+            limits,
+            hints,
+            partitions,
         )
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
