Bound the load of servers that do not survive many refusals

A server that says Server-Brittle: N falls over if it must refuse more than N requests in a second for want of room, and it may have less room than its record says. Nothing read the header: owners filled the slots of the record again after each refusal.

The hint goes from the VM that reads it to all schedulers, as limits do. An owner then lets the load of the server grow from what it has admitted by at most half of N, halves it with a refusal, and lets it not grow for a second.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -13,7 +13,14 @@
 
 import msgspec
 
-from ramptray.core import availability, message, pacer, pauses, prefix_cache
+from ramptray.core import (
+    availability,
+    message,
+    pacer,
+    pauses,
+    prefix_cache,
+    slot_growth,
+)
 from ramptray.core import rtt as rtts
 from ramptray.core import speed as speeds
 
@@ -153,6 +160,7 @@
         "versions",
         "loaded",
         "first_at",
+        "growth",
         "limit_per_s",
         "own_limit",
         "pauses",
@@ -188,6 +196,7 @@
         self.first_at = float("-inf")
         self.limit_per_s: float | None = None
         self.pauses = pauses.Pauses()
+        self.growth = slot_growth.SlotGrowth()
         self._pacer = pacer.Pacer()
         self._rtt = rtt or rtts.RttEstimator(0.0, MAX_RTT_S)
 
@@ -250,6 +259,10 @@
             self.availability.unreachable_until, self.report_due_at
         )
 
+    def get_max_running(self, now: float) -> int:
+        """Returns how many requests may run there now."""
+        return int(min(self.info.max_running, self.growth.get_limit(now)))
+
     def get_rate_limit(self, now: float, part: float) -> float | None:
         """Returns the rate limit for this owner, in requests per second.
 
@@ -394,6 +407,8 @@
                 running.entry, first.request_id, now
             )
             self.availability.record_answer(running.answering_entry, now)
+            if self.growth.is_limited:
+                self.growth.record_admitted(self._count_sent_before(running))
         placed = self.pending.get(first.request_id)
         if placed is None:
             return
@@ -413,6 +428,15 @@
             prefilled = self._estimate_prefilled(placed, took_s)
         self.speed.learn_first(prefilled, took_s)
 
+    def _count_sent_before(self, placed: PlacedRequest) -> int:
+        """Returns how many requests there were sent no later than this one.
+
+        The server would have refused them by the time it responds to it.
+        """
+        return sum(
+            other.started <= placed.started for other in self.placed.values()
+        )
+
     def _estimate_prefilled(self, placed: PlacedRequest, took_s: float) -> int:
         """Estimates from the time taken how many prompt tokens were computed.
 
@@ -458,6 +482,8 @@
             entry,
             is_sole_entry,
         )
+        if ended.refused and not pause_s:
+            self.growth.record_refused(len(self.placed) + 1, now)
         decoded = ended.output_tokens - ended.first_tokens
         self.speed.learn_step(decoded, ended.decode_s)
 
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -206,6 +206,9 @@
         self, known: backends.Backend, hints: message.ServerHints
     ) -> None:
         known.limit_per_s = hints.limit_per_s
+        known.growth.set_max_refusals(
+            hints.max_refusals_per_s, len(known.placed)
+        )
         if hints.is_leaving:
             known.state = backends.BackendState.LEAVING
         self._pool.update(known)
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -285,6 +285,8 @@
             None if it reports no limit.
         is_leaving: Whether it is leaving; final for the run.
         pause_s: Seconds for which it asks the entry's VM to send nothing.
+        max_refusals_per_s: Refusals for want of room that it survives in a
+            second; None if their number does not matter.
     """
 
     backend: str
@@ -292,6 +294,7 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float = 0.0
+    max_refusals_per_s: float | None = None
 
     def merge_previous(self, previous: ServerHints | None) -> ServerHints:
         """Returns these hints merged with the previous ones."""
--- a/ramptray/core/policy.py
+++ b/ramptray/core/policy.py
@@ -151,7 +151,9 @@
             return None
         if candidate.get_rate_wait(now, demand.part) > 0.0:
             return None
-        limit = max(1, int(candidate.info.max_running * demand.share))
+        limit = max(
+            1, int(candidate.get_max_running(demand.now) * demand.share)
+        )
         if len(candidate.placed) + candidate.foreign >= limit:
             return None
         if len(candidate.placed) >= candidate.own_limit:
--- a/ramptray/entry/server_hints.py
+++ b/ramptray/entry/server_hints.py
@@ -45,6 +45,8 @@
             None if it does not ask.
         owner: Address of the scheduler that granted the attempt.
         granted_limit_per_s: The request limit that this scheduler applied.
+        max_refusals_per_s: Refusals in a second that the server survives; None
+            if it names no number.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     pause_s: float | None = None
     owner: str = ""
     granted_limit_per_s: float | None = None
+    max_refusals_per_s: float | None = None
 
 
 class _Hints(msgspec.Struct):
@@ -67,6 +70,8 @@
         paused_until: When its pause ends, on the entry's clock.
         last_listed_at: When the configuration last listed it, on the same
             clock.
+        max_refusals_per_s: Refusals in a second that it survives; None if it
+            names no number.
     """
 
     run: int
@@ -74,11 +79,13 @@
     is_leaving: bool = False
     paused_until: float = 0.0
     last_listed_at: float = 0.0
+    max_refusals_per_s: float | None = None
 
     def is_needed(self, now: float) -> bool:
         """Returns whether any of the hints still applies."""
         return (
             self.limit_per_s is not None
+            or self.max_refusals_per_s is not None
             or self.is_leaving
             or self.paused_until > now
         )
@@ -119,6 +126,13 @@
             hints.limit_per_s is not None for hints in self._hints.values()
         )
 
+    def count_brittle(self) -> int:
+        """Returns how many backend servers survive few refusals."""
+        return sum(
+            hints.max_refusals_per_s is not None
+            for hints in self._hints.values()
+        )
+
     def count_leaving(self) -> int:
         """Returns how many backend servers have reported that they leave."""
         return sum(hints.is_leaving for hints in self._hints.values())
@@ -133,6 +147,7 @@
         hints.last_listed_at = now
         changed = [
             self._apply_limit(hints, received),
+            self._apply_max_refusals(hints, received),
             self._apply_leaving(hints, received),
             self._apply_pause(hints, received, now),
         ]
@@ -214,6 +229,22 @@
         )
         return True
 
+    def _apply_max_refusals(
+        self, hints: _Hints, received: HeadReceived
+    ) -> bool:
+        """Applies the survived refusals; returns whether they have changed."""
+        if received.max_refusals_per_s == hints.max_refusals_per_s:
+            return False
+        hints.max_refusals_per_s = received.max_refusals_per_s
+        _log(
+            "server survives few refusals"
+            if received.max_refusals_per_s is not None
+            else "refusals of a server do not matter any more",
+            received,
+            max_refusals_per_s=received.max_refusals_per_s,
+        )
+        return True
+
     def _apply_leaving(self, hints: _Hints, received: HeadReceived) -> bool:
         """Applies that the server is leaving; returns whether that is new."""
         if hints.is_leaving or not received.is_leaving:
@@ -252,6 +283,7 @@
         hints.limit_per_s,
         hints.is_leaving,
         max(0.0, hints.paused_until - now),
+        hints.max_refusals_per_s,
     )
 
 
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -299,6 +299,7 @@
             *self._follower.list_gauges(now),
             metrics.Gauge("blocked_contents", {}, blocked),
             metrics.Gauge("limited_servers", {}, hints.count_limited()),
+            metrics.Gauge("brittle_servers", {}, hints.count_brittle()),
             metrics.Gauge("leaving_servers", {}, hints.count_leaving()),
             metrics.Gauge("limit_part", {}, self._limits.part),
             metrics.Gauge("paused_servers", {}, hints.count_paused(now)),
@@ -353,6 +354,7 @@
                 hints.pause_s,
                 "",
                 hints.limit_per_s,
+                hints.max_refusals_per_s,
             ),
             steadyclock.read(),
         )
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -40,6 +40,7 @@
 SERVER_LIMIT = b"server-limit"
 """Requests per second that the replica accepts from all VMs together."""
 
+SERVER_BRITTLE = b"server-brittle"
 SERVER_LEAVING = b"server-leaving"
 """1 in every response of a replica that is leaving."""
 
@@ -50,6 +51,7 @@
 _LEAVING_VALUE = b"1"
 _KNOWN_RESPONSE_HEADERS = response_headers.STANDARD_RESPONSE_HEADERS | {
     REQUEST_ID,
+    SERVER_BRITTLE,
     SERVER_LEAVING,
     SERVER_LIMIT,
     NOT_EXECUTED,
@@ -194,6 +196,7 @@
                 if status == _UNAVAILABLE
                 else None
             ),
+            max_refusals_per_s=self._parse_decimal(headers, SERVER_BRITTLE),
         )
 
     def _parse_decimal(
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -307,6 +307,7 @@
                     head.pause_s,
                     grant.owner,
                     grant.limit_per_s,
+                    head.max_refusals_per_s,
                 ),
                 steadyclock.read(),
             )
@@ -321,6 +322,7 @@
                         head.limit_per_s,
                         head.is_leaving,
                         head.pause_s or 0.0,
+                        head.max_refusals_per_s,
                     ),
                 )
             await self._handle_response(connection, head)
--- a/ramptray/relay/message.py
+++ b/ramptray/relay/message.py
@@ -96,6 +96,8 @@
         is_leaving: Whether the backend server says that it is leaving.
         pause_s: Seconds for which a backend server that refused the request
             wants no further requests from this VM; None if not given.
+        max_refusals_per_s: Refusals for want of room in a second beyond which
+            the backend server falls over; None if it names none.
     """
 
     status: int
@@ -106,6 +108,7 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float | None = None
+    max_refusals_per_s: float | None = None
 
 
 class Response(msgspec.Struct, frozen=True):
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -65,6 +65,9 @@
         unframed: Respond without a content length, then close the connection.
         work_s: Overrides the setting of the same name, if given.
         limits: Values of the server limit header, one header for each value.
+        brittle: Values of the server brittle header, likewise.
+        room: Number of requests that it runs at once, and refuses beyond; None
+            for any number.
     """
 
     refuse: bool = False
@@ -78,6 +81,8 @@
     unframed: bool = False
     work_s: float | None = None
     limits: tuple[str, ...] = ()
+    brittle: tuple[str, ...] = ()
+    room: int | None = None
 
 
 class Ledger(msgspec.Struct):
@@ -106,6 +111,7 @@
         self._settings = settings
         self._faults = Faults()
         self._ledger = Ledger()
+        self._running = 0
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
         """Serves one connection until it ends."""
@@ -172,6 +178,9 @@
         response_headers += [
             (header.SERVER_LIMIT, value.encode()) for value in faults.limits
         ]
+        response_headers += [
+            (header.SERVER_BRITTLE, value.encode()) for value in faults.brittle
+        ]
         response_headers += (
             [(header.SERVER_LEAVING, b"1")] if faults.leaving else []
         )
@@ -179,7 +188,8 @@
         if headers.get(header.EXPECTED_BACKEND.decode()) != self._settings.name:
             await _send_response(stream, 421, b"", response_headers)
             return True
-        if (
+        is_full = faults.room is not None and self._running >= faults.room
+        if is_full or (
             faults.refuse
             and len(self._ledger.arrived) % faults.refuse_each == 0
         ):
@@ -291,12 +301,15 @@
         work_s = self._faults.work_s
         if work_s is None:
             work_s = self._settings.work_s
-        with anyio.move_on_after(work_s):
-            try:
+        self._running += 1
+        try:
+            with anyio.move_on_after(work_s):
                 await stream.receive(1)
-            except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
-                self._ledger.gone.append(request_id)
-                raise anyio.EndOfStream from error
+        except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
+            self._ledger.gone.append(request_id)
+            raise anyio.EndOfStream from error
+        finally:
+            self._running -= 1
 
 
 async def _send_response(
