--- a/ramptray/relay/tunnel.py
+++ b/ramptray/relay/tunnel.py
@@ -39,6 +39,10 @@
 """Longest time to open a tunnel, in seconds: a new link to the relay and its
 attempt to connect to the backend server."""
 
+OPEN_DELAYS = 6
+"""One-way delays until a tunnel through another region is open: those of two
+handshakes, the request and the answer."""
+
 BUFFERED_PARTS = 16
 """Received parts that wait to be read; then gRPC's flow control stops the
 relay."""
@@ -102,9 +106,16 @@
         )
         self._reader: asyncio.Task[None] | None = None
 
-    async def open(self, relay: str, request: peer_message.OpenTunnel) -> None:
+    async def open(
+        self, relay: str, request: peer_message.OpenTunnel, timeout_s: float
+    ) -> None:
         """Opens the tunnel.
 
+        Args:
+            relay: Address of the relay.
+            request: What it connects to.
+            timeout_s: Longest time for that, in seconds.
+
         Raises:
             TunnelError: The relay was not reached, or it opened no tunnel.
         """
@@ -112,9 +123,11 @@
             asyncio.get_running_loop().create_future()
         )
         # A task of its own, as it outlives the request that opens the tunnel.
-        self._reader = asyncio.create_task(self._run(relay, request, opened))
+        self._reader = asyncio.create_task(
+            self._run(relay, request, timeout_s, opened)
+        )
         try:
-            with anyio.fail_after(OPEN_TIMEOUT_S):
+            with anyio.fail_after(timeout_s):
                 await opened
         except TimeoutError as error:
             raise TunnelError(f"{relay}: no tunnel in time") from error
@@ -172,12 +185,13 @@
         self,
         relay: str,
         request: peer_message.OpenTunnel,
+        timeout_s: float,
         opened: asyncio.Future[None],
     ) -> None:
         """Opens the tunnel and reads it until its end."""
         try:
             async with self._client.call(
-                relay, METHOD, OPEN_TIMEOUT_S
+                relay, METHOD, timeout_s
             ) as self._call:
                 await self._call.write(self._client.encode(request))
                 answer = self._client.decode(await self._call.read())
@@ -225,7 +239,11 @@
             target.backend, target.run, target.regions
         )
         try:
-            await stream.open(target.relay, request)
+            await stream.open(
+                target.relay,
+                request,
+                OPEN_TIMEOUT_S + OPEN_DELAYS * target.delay_s,
+            )
         except TunnelError as error:
             raise connection.NotSentError(
                 str(error), False, error.failure
