--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -114,12 +114,12 @@
     answers_since: float | None = None
     # Time to its first token, relative to the shard's latency line.
     first_ratio: float | None = None
-    is_relayed: bool = False
+    is_tunneled: bool = False
 
     @property
     def answering_entry(self) -> str:
-        """The entry that the server answers; empty if another VM relays it."""
-        return "" if self.is_relayed else self.entry
+        """The entry that the server answers; empty if it answers a gateway."""
+        return "" if self.is_tunneled else self.entry
 
     @property
     def tokens(self) -> int:
--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
-from ramptray.core import availability, message, queue, relays
+from ramptray.core import availability, gateways, message, queue
 from ramptray.core import backend as backends
 
 MAX_TRIAL_S = 2.0
@@ -16,16 +16,16 @@
 
     Args:
         known: The backend servers by name; a live view.
-        relay_directory: The entries through which others reach servers.
+        gateway_directory: The entries through which others reach servers.
     """
 
     def __init__(
         self,
         known: Mapping[str, backends.Backend],
-        relay_directory: relays.RelayDirectory | None = None,
+        gateway_directory: gateways.GatewayDirectory | None = None,
     ) -> None:
         self._backends = known
-        self._relays = relay_directory or relays.RelayDirectory()
+        self._gateways = gateway_directory or gateways.GatewayDirectory()
         self._paused_until = 0.0
         self._entries_ejected_until = 0.0
 
@@ -55,7 +55,7 @@
                     candidates, waiting.request, set()
                 )
                 if candidate.pauses.may_send(waiting.entry, now)
-                and self._relays.list_relays(waiting.entry, candidate, now)
+                and self._gateways.list_gateways(waiting.entry, candidate, now)
             ]
         return [
             candidate
@@ -76,49 +76,51 @@
         """
         return self._exclude(candidates, request, set(request.silent))
 
-    def list_relays(
+    def list_gateways(
         self, waiting: queue.QueuedRequest, server: backends.Backend, now: float
     ) -> tuple[str, ...]:
-        """Returns the relays from a request's entry to a server.
+        """Returns the gateways from a request's entry to a server.
 
         Returns:
             The addresses; empty if the entry can reach some server itself.
         """
         if not self._reaches_none(waiting, now):
             return ()
-        return self._relays.list_relays(waiting.entry, server, now)
+        return self._gateways.list_gateways(waiting.entry, server, now)
 
-    def has_relay(self, waiting: queue.QueuedRequest, now: float) -> bool:
-        """Returns whether relays lead to a server that a request may go to."""
+    def has_gateway(self, waiting: queue.QueuedRequest, now: float) -> bool:
+        """Returns whether a gateway leads to a server for a request."""
         return any(
-            self.list_relays(waiting, server, now)
-            for server in self._list_allowed(waiting.request)
+            self.list_gateways(waiting, server, now)
+            for server in self._iterate_allowed(waiting.request)
         )
 
     def _reaches_none(self, waiting: queue.QueuedRequest, now: float) -> bool:
         """Returns whether its entry reaches no server a request may go to."""
-        silent = waiting.request.silent
+        silent = set(waiting.request.silent)
         if not silent and now >= self._entries_ejected_until:
             return False
-        allowed = self._list_allowed(waiting.request)
-        return bool(allowed) and all(
-            server.info.name in silent
-            or server.availability.is_ejected_for(waiting.entry, now)
-            for server in allowed
+        reached = any(
+            server.info.name not in silent
+            and not server.availability.is_ejected_for(waiting.entry, now)
+            for server in self._iterate_allowed(waiting.request)
+        )
+        return not reached and any(
+            True for _ in self._iterate_allowed(waiting.request)
         )
 
-    def _list_allowed(
+    def _iterate_allowed(
         self, request: message.RequestInfo
-    ) -> list[backends.Backend]:
-        """Returns the servers in a request's regions that are not lost."""
-        return [
+    ) -> Iterator[backends.Backend]:
+        """Yields the servers in a request's regions that are not lost."""
+        return (
             known
             for known in self._backends.values()
             if not known.is_lost
             and (
                 request.regions is None or known.info.region in request.regions
             )
-        ]
+        )
 
     def _exclude(
         self,
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -12,9 +12,9 @@
     availability,
     candidate,
     eligibility,
+    gateways,
     message,
     queue,
-    relays,
     rtt,
 )
 from ramptray.core import backend as backends
@@ -50,7 +50,7 @@
         report_due_at: Until then a backend server gets no requests before its
             first load report.
         learned: Speeds learned by earlier owners.
-        relay_directory: The entries through which others reach servers.
+        gateway_directory: The entries through which others reach servers.
 
     Attributes:
         backends: The backend servers by name.
@@ -62,11 +62,11 @@
         self,
         report_due_at: float,
         learned: Mapping[str, message.SpeedLearned],
-        relay_directory: relays.RelayDirectory | None = None,
+        gateway_directory: gateways.GatewayDirectory | None = None,
     ) -> None:
         self.backends: dict[str, backends.Backend] = {}
         self.eligibility = eligibility.Eligibility(
-            self.backends, relay_directory
+            self.backends, gateway_directory
         )
         self.common_symptoms: frozenset[availability.Symptom] = frozenset()
         self._report_due_at = report_due_at
@@ -500,7 +500,7 @@
             moved.orphaned_at = placed.orphaned_at
             moved.asked_at = placed.asked_at
             moved.answers_since = placed.answers_since
-            moved.is_relayed = placed.is_relayed
+            moved.is_tunneled = placed.is_tunneled
             self._backend_of[request_id] = new
 
     def _assume_speed(self, backend: backends.Backend) -> None:
--- a/ramptray/core/relays.py
+++ b/ramptray/core/gateways.py
@@ -1,4 +1,4 @@
-"""Entries through which others reach backend servers that they cannot reach."""
+"""Gateways: entries through which others reach backend servers."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 
 from ramptray.core import backend as backends
 
-MAX_RELAYS = 3
-"""Number of relays that a grant names."""
+MAX_GATEWAYS = 3
+"""Number of gateways that a grant names."""
 
 SILENCE_VALIDITY_S = 3.0
 """How long an entry's report that it cannot reach a server counts, in seconds.
 An entry without requests sends no newer one."""
 
-FAILED_RELAY_BACKOFF_S = 0.5
-"""How long a relay that failed for an entry is not named to it, in seconds."""
+FAILED_GATEWAY_BACKOFF_S = 0.5
+"""Seconds for which a gateway that failed for an entry is not named to it."""
 
 
 class _Silence(msgspec.Struct, frozen=True):
@@ -27,8 +27,8 @@
     at: float
 
 
-class RelayDirectory:
-    """Tracks which entries can relay, and what they cannot reach.
+class GatewayDirectory:
+    """Tracks which entries are gateways, and what they cannot reach.
 
     It serves all shards of an owner, as the links of an entry do not depend on
     the service.
@@ -41,7 +41,7 @@
         self._turns = itertools.count()
 
     def add_entry(self, entry: str, address: str) -> None:
-        """Adds an entry whose VM relays connections at this address."""
+        """Adds an entry whose VM opens tunnels at this address."""
         self._addresses[entry] = address
 
     def remove_entry(self, entry: str) -> None:
@@ -66,35 +66,35 @@
         self._silences[entry] = _Silence(servers | {server}, now)
 
     def find_entry(self, address: str) -> str | None:
-        """Returns the entry that relays at an address."""
+        """Returns the entry whose VM opens tunnels at an address."""
         return next(
             (name for name, at in self._addresses.items() if at == address),
             None,
         )
 
     def has_others(self, entry: str) -> bool:
-        """Returns whether other entries than this one can relay."""
+        """Returns whether there are gateways besides this entry."""
         return bool(self._addresses.keys() - {entry})
 
     def record_failures(
         self, entry: str, addresses: Iterable[str], now: float
     ) -> None:
-        """Records relays through which an entry reached no server."""
+        """Records gateways through which an entry reached no server."""
         self._failed_until = {
             pair: until
             for pair, until in self._failed_until.items()
             if until > now
         }
         for address in addresses:
-            until = now + FAILED_RELAY_BACKOFF_S
+            until = now + FAILED_GATEWAY_BACKOFF_S
             self._failed_until[entry, address] = until
 
-    def list_relays(
+    def list_gateways(
         self, entry: str, server: backends.Backend, now: float
     ) -> tuple[str, ...]:
-        """Returns the addresses of relays from an entry to a server.
+        """Returns the addresses of gateways from an entry to a server.
 
-        Those to which the server has answered recently come first.  Relays of
+        Those to which the server has answered recently come first.  Gateways of
         equal rank take turns.
         """
         usable = [
@@ -110,11 +110,11 @@
         turn = next(self._turns) % len(usable)
         ranked = sorted(
             usable[turn:] + usable[:turn],
-            key=lambda relay: (
-                not server.availability.has_answered(relay[0], now)
+            key=lambda gateway: (
+                not server.availability.has_answered(gateway[0], now)
             ),
         )
-        return tuple(address for _, address in ranked[:MAX_RELAYS])
+        return tuple(address for _, address in ranked[:MAX_GATEWAYS])
 
     def _is_silent(self, entry: str, server: str, now: float) -> bool:
         silence = self._silences.get(entry)
--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -174,13 +174,13 @@
         grant_id = f"{self._address}#{next(self._grant_ids)}"
         uncached = chosen.count_uncached(request)
         expected_s = chosen.estimate_first_token(uncached, now)
-        relays = self._fleet.eligibility.list_relays(waiting, chosen, now)
+        gateways = self._fleet.eligibility.list_gateways(waiting, chosen, now)
         self._queue.remove(waiting)
         tier.charge(waiting, self.rules.shares.get(request.customer, 1.0))
         self._fleet.place(
             request, chosen, waiting.entry, grant_id, now, waiting.since
         )
-        chosen.placed[request.request_id].is_relayed = bool(relays)
+        chosen.placed[request.request_id].is_tunneled = bool(gateways)
         self._wait_estimator.count_grant(waiting, now)
         self._counters.granted += 1
         self._releases.count_request(chosen)
@@ -197,7 +197,7 @@
                 chosen.info.run,
                 chosen.limit_per_s,
                 self._make_limit_total(request, now),
-                relays,
+                gateways,
             ),
             owner_effect.DecisionInputs(
                 len(self._queue),
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -40,16 +40,16 @@
     BLOCKED = "blocked_content"
 
 
-class RelayFailure(enum.Enum):
+class GatewayFailure(enum.Enum):
     """Why no connection to a backend server was opened through a VM.
 
     Attributes:
-        NOT_RELAYED: The VM was not reached, or relays none now.
+        NOT_OPENED: The VM was not reached, or gateways none now.
         REFUSED: The server refused the VM's connection.
         SILENT: The server does not respond to the VM.
     """
 
-    NOT_RELAYED = "not_relayed"
+    NOT_OPENED = "not_opened"
     REFUSED = "refused"
     SILENT = "silent"
 
@@ -175,7 +175,8 @@
         avoid: Backend servers that the request was sent to without success.
         silent: Backend servers that the entry currently cannot reach.
         waits: Whether the request waits for another grant.
-        failed_relays: Why the grant's relays led to no connection, by address.
+        failed_gateways: Why the gateways of the grant led to no connection, by
+            address.
     """
 
     request_id: str
@@ -184,7 +185,7 @@
     avoid: tuple[str, ...] = ()
     silent: tuple[str, ...] = ()
     waits: bool = False
-    failed_relays: dict[str, RelayFailure] = {}
+    failed_gateways: dict[str, GatewayFailure] = {}
 
 
 class FirstToken(msgspec.Struct, frozen=True):
@@ -394,8 +395,8 @@
             applied; None if it knows none.
         limit_total: The customer's use of its limit; None if it has no span or
             the request was counted before.
-        relays: Addresses of VMs through which to connect to the backend server,
-            as the entry reaches none itself; empty to connect directly.
+        gateways: Addresses of VMs through which to connect to the backend
+            server, as the entry reaches none itself; empty to connect directly.
     """
 
     request_id: str
@@ -408,7 +409,7 @@
     run: int = 0
     limit_per_s: float | None = None
     limit_total: LimitTotal | None = None
-    relays: tuple[str, ...] = ()
+    gateways: tuple[str, ...] = ()
 
 
 class Reject(msgspec.Struct, frozen=True):
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -19,7 +19,7 @@
 
 from ramptray.core import message
 
-NO_FAILURES: Mapping[str, message.RelayFailure] = types.MappingProxyType({})
+NO_FAILURES: Mapping[str, message.GatewayFailure] = types.MappingProxyType({})
 
 
 class State(enum.Enum):
@@ -174,7 +174,7 @@
     def fail_connect(
         self,
         refused: bool = True,
-        failed_relays: Mapping[str, message.RelayFailure] = NO_FAILURES,
+        failed_gateways: Mapping[str, message.GatewayFailure] = NO_FAILURES,
     ) -> list[Effect]:
         """Returns to waiting, as connecting failed and nothing was sent.
 
@@ -183,9 +183,9 @@
         Args:
             refused: Whether the backend server refused the connection; else
                 it did not respond, perhaps only to this VM.
-            failed_relays: Why relays led to no connection, by address.
+            failed_gateways: Why gateways led to no connection, by address.
         """
-        return self._return_grant(refused, failed_relays)
+        return self._return_grant(refused, failed_gateways)
 
     def return_grant(self) -> list[Effect]:
         """Returns to waiting, as the server accepts no requests from this VM.
@@ -197,7 +197,7 @@
     def _return_grant(
         self,
         unreachable: bool,
-        failed_relays: Mapping[str, message.RelayFailure] = NO_FAILURES,
+        failed_gateways: Mapping[str, message.GatewayFailure] = NO_FAILURES,
     ) -> list[Effect]:
         if self.state is not State.DISPATCHED or self._grant is None:
             return []
@@ -212,7 +212,7 @@
             self.info.avoid,
             self.info.silent,
             waits=True,
-            failed_relays=dict(failed_relays),
+            failed_gateways=dict(failed_gateways),
         )
         return [SendToOwner(self.owner or grant.owner, decline)]
 
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -15,6 +15,7 @@
 from ramptray.core import (
     anti_affinity,
     fleet,
+    gateways,
     granting,
     limit,
     message,
@@ -22,7 +23,6 @@
     policy,
     queue,
     redirection,
-    relays,
     release,
     remote_shards,
     selector,
@@ -60,12 +60,12 @@
         limits: limit.Limits | None = None,
         speeds: Mapping[str, message.SpeedLearned] | None = None,
         is_suspect: anti_affinity.IsSuspect = anti_affinity.suspect_nothing,
-        relay_directory: relays.RelayDirectory | None = None,
+        gateway_directory: gateways.GatewayDirectory | None = None,
     ) -> None:
         self.shard = shard
-        self._relays = relay_directory or relays.RelayDirectory()
+        self._gateways = gateway_directory or gateways.GatewayDirectory()
         self.fleet = fleet.Fleet(
-            now + report_grace_s, speeds or {}, self._relays
+            now + report_grace_s, speeds or {}, self._gateways
         )
         self._address = address
         self._order = _ServerOrder(address)
@@ -199,7 +199,7 @@
 
     def _is_sole_entry(self, entry: str) -> bool:
         """Returns whether no other entry could use this shard's servers."""
-        return not (self._entries - {entry} or self._relays.has_others(entry))
+        return not (self._entries - {entry} or self._gateways.has_others(entry))
 
     @property
     def waiting_count(self) -> int:
@@ -290,7 +290,7 @@
         self, entry: str, request: message.RequestInfo, now: float
     ) -> list[owner_effect.SendToEntry]:
         self._entries.add(entry)
-        self._relays.record_silent(entry, request.silent, now)
+        self._gateways.record_silent(entry, request.silent, now)
         request_id = request.request_id
         if request_id in self._syncing.get(entry, set()):
             # The grant was lost with the entry's connection.
@@ -362,8 +362,8 @@
             if not (placed.request.spilled_from or placed.request.attempt):
                 self._shedder.refund(placed.request, placed.asked_at)
             return []
-        self._relays.record_silent(entry, decline.silent, now)
-        self._record_relay_failures(entry, backend, decline, now)
+        self._gateways.record_silent(entry, decline.silent, now)
+        self._record_gateway_failures(entry, backend, decline, now)
         if decline.unreachable:
             self.fleet.record_unreachable(
                 backend, entry, now, self._is_sole_entry(entry)
@@ -375,24 +375,24 @@
         self._queue.push_front(waiting)
         return self._shedder.refuse_unreachable(waiting, now)
 
-    def _record_relay_failures(
+    def _record_gateway_failures(
         self,
         entry: str,
         backend: backends.Backend,
         decline: message.Decline,
         now: float,
     ) -> None:
-        """Records relays that failed, and what they report of the server."""
-        self._relays.record_failures(entry, decline.failed_relays, now)
-        for address, failure in decline.failed_relays.items():
-            reporter = self._relays.find_entry(address)
+        """Records gateways that failed, and what they report of the server."""
+        self._gateways.record_failures(entry, decline.failed_gateways, now)
+        for address, failure in decline.failed_gateways.items():
+            reporter = self._gateways.find_entry(address)
             if reporter is None:
                 continue
-            if failure is message.RelayFailure.REFUSED:
+            if failure is message.GatewayFailure.REFUSED:
                 self.fleet.record_unreachable(backend, reporter, now, False)
-            elif failure is message.RelayFailure.SILENT:
+            elif failure is message.GatewayFailure.SILENT:
                 name = backend.info.name
-                self._relays.add_silent(reporter, name, now)
+                self._gateways.add_silent(reporter, name, now)
 
     def _handle_ended(
         self, ended: message.Ended, now: float
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -217,7 +217,7 @@
         """
         if not self._fleet.eligibility.has_no_reachable_backend(
             waiting.request
-        ) or self._fleet.eligibility.has_relay(waiting, now):
+        ) or self._fleet.eligibility.has_gateway(waiting, now):
             return []
         if self._may_find_zone(waiting, now):
             return []
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -32,10 +32,10 @@
     backend_directory,
     block_propagator,
     claims,
+    gateway_use,
     lag,
     owners,
     redirects,
-    relay_use,
     server_hints,
     timeouts,
 )
@@ -90,8 +90,8 @@
         redirects: Counts requests that were redirected to other zones.
         connect_failures: Number of dispatches without a connection to the
             backend server: it was "refused", the server was "silent", or no
-            "relay" opened one.
-        relay_use: Tracks whether requests go through other VMs.
+            "gateway" opened one.
+        gateway_use: Tracks whether requests go through other VMs.
         on_silent_owner: Called with the address of a scheduler that does not
             reply.
     """
@@ -105,14 +105,14 @@
         blocks: blocklist.Blocklist | None = None,
         longest_pause_s: float = server_hints.MAX_PAUSE_S,
         awaits_view: bool = False,
-        relay_address: str = "",
+        gateway_address: str = "",
     ) -> None:
-        self._relay_address = relay_address
+        self._gateway_address = gateway_address
         self.backends = backend_directory.BackendDirectory(settings.zone)
         self.redirects = redirects.RedirectCounter()
-        self.relay_use = relay_use.RelayUse()
+        self.gateway_use = gateway_use.GatewayUse()
         self.connect_failures = collections.Counter[str](
-            refused=0, silent=0, relay=0
+            refused=0, silent=0, gateway=0
         )
         self.timeline = process_runtime.timeline
         self._name = process_runtime.name
@@ -260,10 +260,10 @@
     ) -> None:
         """Returns a grant whose connection could not be opened."""
         machine = ticket.machine
-        is_direct = not event.failed_relays
+        is_direct = not event.failed_gateways
         kind = "refused" if event.refused else "silent"
         if not is_direct:
-            kind = "relay"
+            kind = "gateway"
         self.connect_failures[kind] += 1
         self.timeline.note(
             "connect_failed",
@@ -271,13 +271,13 @@
             backend=machine.backend,
             owner=machine.owner,
             reason=kind,
-            **({} if is_direct else {"relays": list(event.failed_relays)}),
+            **({} if is_direct else {"gateways": list(event.failed_gateways)}),
         )
         if is_direct and not event.refused:
             self.backends.record_connect_failure(machine.backend, now)
         machine.info = self._get_info(ticket, now)
         effects = machine.fail_connect(
-            event.refused and is_direct, event.failed_relays
+            event.refused and is_direct, event.failed_gateways
         )
         self._apply_effects(ticket, effects, now)
 
@@ -425,9 +425,13 @@
                         backend=grant.backend,
                         owner=grant.owner,
                         age_s=round(now - ticket.started_at, 4),
-                        **({"relays": grant.relays} if grant.relays else {}),
+                        **(
+                            {"gateways": grant.gateways}
+                            if grant.gateways
+                            else {}
+                        ),
                     )
-                    self.relay_use.record_dispatch(bool(grant.relays), now)
+                    self.gateway_use.record_dispatch(bool(grant.gateways), now)
                     ticket.send_effect(effect)
                 case request.Finish(outcome, reason):
                     self._tickets.pop(ticket.info.request_id, None)
@@ -621,7 +625,7 @@
         if address in self._links:
             return
         hello = peer_message.Hello(
-            self._name, self._vm, "entry", self._relay_address
+            self._name, self._vm, "entry", self._gateway_address
         )
         owner_link = attachment.Attachment(
             address, hello, self._client, self._mailbox.post
--- a/ramptray/entry/relay_use.py
+++ b/ramptray/entry/gateway_use.py
@@ -14,37 +14,37 @@
 directly again, in seconds.  Single requests are tried directly meanwhile."""
 
 
-class RelayUse:
+class GatewayUse:
     """Counts dispatches through other VMs and logs when they begin and end."""
 
     def __init__(self) -> None:
-        self._relayed = 0
-        self._relayed_at: float | None = None
+        self._tunneled = 0
+        self._tunneled_at: float | None = None
         self._began_at = 0.0
 
-    def record_dispatch(self, is_relayed: bool, now: float) -> None:
+    def record_dispatch(self, is_tunneled: bool, now: float) -> None:
         """Records the way of a request that is dispatched."""
-        if is_relayed:
-            self._relayed += 1
-            if self._relayed_at is None:
+        if is_tunneled:
+            self._tunneled += 1
+            if self._tunneled_at is None:
                 self._began_at = now
                 LOG.warning("no backend server is reached directly")
-            self._relayed_at = now
+            self._tunneled_at = now
         elif self._is_over(now):
             LOG.info(
                 "backend servers are reached directly again",
                 extra={"after_s": round(now - self._began_at, 2)},
             )
-            self._relayed_at = None
+            self._tunneled_at = None
 
     def list_gauges(self, now: float) -> Iterator[metrics.Gauge]:
         """Yields the metrics."""
-        is_relaying = self._relayed_at is not None and not self._is_over(now)
-        yield metrics.Gauge("without_servers", {}, float(is_relaying))
-        yield metrics.Gauge("relayed_requests", {}, self._relayed)
+        is_tunneling = self._tunneled_at is not None and not self._is_over(now)
+        yield metrics.Gauge("without_servers", {}, float(is_tunneling))
+        yield metrics.Gauge("tunneled_requests", {}, self._tunneled)
 
     def _is_over(self, now: float) -> bool:
         return (
-            self._relayed_at is not None
-            and now - self._relayed_at > DIRECT_AFTER_S
+            self._tunneled_at is not None
+            and now - self._tunneled_at > DIRECT_AFTER_S
         )
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -39,13 +39,13 @@
         request_id: The request.
         refused: Whether the server refused the connection; otherwise it did not
             respond.
-        failed_relays: Why VMs through which it was tried led to no connection,
+        failed_gateways: Why the gateways that were tried led to no connection,
             by address; empty if it was direct.
     """
 
     request_id: str
     refused: bool = True
-    failed_relays: dict[str, message.RelayFailure] = {}
+    failed_gateways: dict[str, message.GatewayFailure] = {}
 
 
 class GrantUnusable(msgspec.Struct, frozen=True):
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -30,7 +30,7 @@
 from ramptray.platform import settings as vm_settings
 from ramptray.relay import client as relay_client
 from ramptray.relay import server as relay_server
-from ramptray.relay import service, tunnel
+from ramptray.relay import service, tunnel, tunnel_server
 from ramptray.relay import socket_stream as streams
 from ramptray.scheduler import (
     block_sync,
@@ -155,15 +155,15 @@
             blocks=self._blocks,
             longest_pause_s=settings.longest_pause_s,
             awaits_view=True,
-            relay_address=vm.peers,
+            gateway_address=vm.peers,
         )
-        self._tunnel_server = tunnel.TunnelServer(
+        self._tunnel_server = tunnel_server.TunnelServer(
             self._dispatcher.backends,
             self._dispatcher.server_hints,
             vm.zones.get(vm.zone, ""),
             self._runtime.clock,
         )
-        self._handler.on_relayed_hints = self._apply_relayed_hints
+        self._handler.on_tunneled_hints = self._apply_tunneled_hints
         self._prober = prober.Prober(
             self._dispatcher.backends, self._relay_client.probe
         )
@@ -312,7 +312,7 @@
                 metrics.Gauge("connect_failures", {"kind": kind}, count)
                 for kind, count in self._dispatcher.connect_failures.items()
             ),
-            *self._dispatcher.relay_use.list_gauges(now),
+            *self._dispatcher.gateway_use.list_gauges(now),
             metrics.Gauge("tunnels_open", {}, self._tunnel_server.active),
             *(
                 metrics.Gauge("tunnels", {"outcome": outcome}, count)
@@ -342,11 +342,13 @@
             in_force.generation, steadyclock.read()
         )
 
-    def _apply_relayed_hints(self, relayed: peer_message.RelayedHints) -> None:
-        hints = relayed.hints
+    def _apply_tunneled_hints(
+        self, tunneled: peer_message.TunneledHints
+    ) -> None:
+        hints = tunneled.hints
         self._dispatcher.server_hints.observe(
             server_hints.HeadReceived(
-                relayed.request_id,
+                tunneled.request_id,
                 hints.backend,
                 hints.run,
                 hints.limit_per_s,
@@ -419,7 +421,7 @@
 
     def _apply_view(self, view: peer_message.View) -> None:
         self._hub.post(event.ViewChanged(view))
-        self._relay_client.expire_relays(
+        self._relay_client.expire_gateways(
             {member.address for member in (*view.members, *view.others)}
         )
         known = [
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -66,7 +66,7 @@
             peer_message.LiftBlock,
             peer_message.OpenTunnel,
             peer_message.TunnelAnswer,
-            peer_message.RelayedHints,
+            peer_message.TunneledHints,
             peer_message.Received,
         ),
     )
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -17,14 +17,14 @@
         name: Its name.
         vm: Its VM.
         kind: "entry" or "controller".
-        relay_address: Address at which its VM opens tunnels to backend servers
-            for others; empty if it does not.
+        gateway_address: Address at which its VM opens tunnels to backend
+            servers for others; empty if it does not.
     """
 
     name: str
     vm: str
     kind: str
-    relay_address: str = ""
+    gateway_address: str = ""
 
 
 class OpenTunnel(msgspec.Struct, frozen=True):
@@ -52,8 +52,8 @@
     reason: str = ""
 
 
-class RelayedHints(msgspec.Struct, frozen=True):
-    """VM to VM: hints in a response that the receiver relayed.
+class TunneledHints(msgspec.Struct, frozen=True):
+    """VM to VM: hints in a response that the receiver tunneled.
 
     Attributes:
         hints: The hints.
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -45,7 +45,7 @@
 
     @abc.abstractmethod
     async def open(self, target: connections.Target) -> byte_stream.ByteStream:
-        """Opens a tunnel through the target's relay.
+        """Opens a tunnel through the target's gateway.
 
         Raises:
             NotSentError: It could not be opened.
@@ -53,15 +53,15 @@
 
     @abc.abstractmethod
     def report_hints(
-        self, relay: str, request_id: str, hints: core_message.ServerHints
+        self, gateway: str, request_id: str, hints: core_message.ServerHints
     ) -> None:
-        """Sends a relay the hints of a response that it relayed.
+        """Sends a gateway the hints of a response that came through it.
 
-        A pause applies to the relay, which the backend server takes for the
+        A pause applies to the gateway, which the backend server takes for the
         sender of the request.
 
         Args:
-            relay: Address of the relay.
+            gateway: Address of the gateway.
             request_id: The request.
             hints: The hints.
         """
@@ -94,21 +94,24 @@
         self,
         target: connections.Target,
         not_repeatable: bool,
-        relays: Iterable[str] = (),
+        gateways: Iterable[str] = (),
     ) -> AsyncIterator[connections.Connection]:
         """Borrows a connection; it returns to the pool if it is reusable.
 
         Args:
             target: The backend server.
             not_repeatable: Whether the request may not be sent a second time.
-            relays: Addresses of VMs to connect through, in order of preference;
-                empty to connect directly.
+            gateways: Addresses of VMs to connect through, in order of
+                preference; empty to connect directly.
 
         Raises:
             NotSentError: No connection could be opened.
         """
         connection = await self._checkout_any(
-            [msgspec.structs.replace(target, relay=relay) for relay in relays]
+            [
+                msgspec.structs.replace(target, gateway=gateway)
+                for gateway in gateways
+            ]
             or [target],
             not_repeatable,
         )
@@ -118,7 +121,7 @@
             yield connection
             reuse = connection.reusable
         except connections.HungError:
-            self._record_hang(target, steadyclock.read())
+            self._record_hang(connection.target, steadyclock.read())
             raise
         finally:
             self._borrowed.discard(connection)
@@ -156,33 +159,35 @@
             await anyio.sleep(connections.IDLE_MARGIN_S)
             await self.close_expired(steadyclock.read())
 
-    def expire_idle(self, addresses: Iterable[str]) -> None:
-        """Stops reusing the idle connections to these backend servers.
+    def expire_idle(self, keys: Iterable[str]) -> None:
+        """Stops reusing the idle connections of these pools.
+
+        The key of the direct connections to a server is its address.
 
         A connection from before a network cut accepts a request and then stays
         silent, whereas opening a new one soon shows whether the server can be
         reached.
         """
-        for address in addresses:
-            for connection in self._idle[address]:
+        for key in keys:
+            for connection in self._idle[key]:
                 connection.idle_timeout_s = 0.0
 
     def report_hints(
-        self, relay: str, request_id: str, hints: core_message.ServerHints
+        self, gateway: str, request_id: str, hints: core_message.ServerHints
     ) -> None:
-        """Sends a relay the hints of a response; see ``TunnelOpener``."""
+        """Sends a gateway the hints of a response; see ``TunnelOpener``."""
         if self._tunnels:
-            self._tunnels.report_hints(relay, request_id, hints)
+            self._tunnels.report_hints(gateway, request_id, hints)
 
-    def expire_relays(self, usable: Collection[str]) -> None:
-        """Stops reusing the idle connections through other relays than these.
+    def expire_gateways(self, usable: Collection[str]) -> None:
+        """Stops reusing the idle connections through other gateways than these.
 
         Args:
             usable: Addresses of the VMs that are alive.
         """
         for connection in itertools.chain(*self._idle.values()):
-            relay = connection.target.relay
-            if relay and relay not in usable:
+            gateway = connection.target.gateway
+            if gateway and gateway not in usable:
                 connection.idle_timeout_s = 0.0
 
     def expire_all_idle(self) -> None:
@@ -196,15 +201,17 @@
         backend servers hang at once, the connections are the likelier cause,
         and idle connections to all servers are expired.
         """
-        self._last_hang_at[target.address] = now
+        self._last_hang_at[target.pool_key] = now
         hung = {
-            address: at
-            for address, at in self._last_hang_at.items()
+            key: at
+            for key, at in self._last_hang_at.items()
             if now - at < HANG_WINDOW_S
         }
         self._last_hang_at = hung
         simultaneous = len(hung) >= MIN_SIMULTANEOUS_HANGS
-        self.expire_idle(list(self._idle) if simultaneous else [target.address])
+        self.expire_idle(
+            list(self._idle) if simultaneous else [target.pool_key]
+        )
 
     async def probe(self, url: str) -> bool:
         """Returns whether a backend server can be reached.
@@ -239,7 +246,7 @@
 
         Ways with an idle connection come first.
         """
-        failed: dict[str, core_message.RelayFailure] = {}
+        failed: dict[str, core_message.GatewayFailure] = {}
         error = connections.NotSentError("no target", False)
         for target in sorted(
             targets, key=lambda each: not self._idle.get(each.pool_key)
@@ -247,11 +254,11 @@
             try:
                 return await self._checkout(target, not_repeatable)
             except connections.NotSentError as latest:
-                if latest.relay_failure is not None:
-                    failed[target.relay] = latest.relay_failure
+                if latest.gateway_failure is not None:
+                    failed[target.gateway] = latest.gateway_failure
                 error = latest
         raise connections.NotSentError(
-            str(error), error.refused, failed_relays=failed
+            str(error), error.refused, failed_gateways=failed
         ) from error
 
     async def _checkout(
@@ -278,7 +285,7 @@
 
     async def _open(self, target: connections.Target) -> connections.Connection:
         try:
-            if target.relay and self._tunnels:
+            if target.gateway and self._tunnels:
                 stream = await self._tunnels.open(target)
                 opened = connections.Connection(target, stream, self._dialect)
             else:
--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -48,22 +48,22 @@
 
     Attributes:
         refused: Whether it was refused; otherwise the attempt timed out.
-        relay_failure: Why the relay, if any, led to no connection.
-        failed_relays: The same for several relays, by address.
+        gateway_failure: Why the gateway, if any, led to no connection.
+        failed_gateways: The same for several gateways, by address.
     """
 
     def __init__(
         self,
         text: str,
         refused: bool,
-        relay_failure: core_message.RelayFailure | None = None,
-        failed_relays: Mapping[
-            str, core_message.RelayFailure
+        gateway_failure: core_message.GatewayFailure | None = None,
+        failed_gateways: Mapping[
+            str, core_message.GatewayFailure
         ] = core_request.NO_FAILURES,
     ) -> None:
         self.refused = refused
-        self.relay_failure = relay_failure
-        self.failed_relays = dict(failed_relays)
+        self.gateway_failure = gateway_failure
+        self.failed_gateways = dict(failed_gateways)
         super().__init__(text)
 
 
@@ -80,7 +80,8 @@
         run: Which run of the backend server; see ``core.message.Grant``.
         delay_s: One-way delay to its region in seconds, which extends the
             timeouts of connections; 0 within the region.
-        relay: Address of the VM to connect through; empty to connect directly.
+        gateway: Address of the VM to connect through; empty for a direct
+            connection.
         regions: Regions whose VMs and servers may get the request; None for
             any.
     """
@@ -89,15 +90,19 @@
     backend: str = ""
     run: int = 0
     delay_s: float = 0.0
-    relay: str = ""
+    gateway: str = ""
     regions: tuple[str, ...] | None = None
 
     @property
     def pool_key(self) -> str:
-        """Identifies the connections that lead to it on the same way."""
-        if not self.relay:
+        """Identifies the connections that lead to it on the same way.
+
+        A tunnel is not shared with requests of other regions, as its gateway
+        may be outside theirs.
+        """
+        if not self.gateway:
             return self.address
-        return f"{self.address} via {self.relay} {self.regions}"
+        return f"{self.address} via {self.gateway} {self.regions}"
 
     def is_other_run(self, other: Target) -> bool:
         """Returns whether this is another run of the same backend server."""
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -205,11 +205,11 @@
             )
         except connections.NotSentError as error:
             failed = tickets.ConnectFailed(
-                self._request_id, error.refused, error.failed_relays
+                self._request_id, error.refused, error.failed_gateways
             )
             self._ticket.report(failed)
         except connections.BrokenError as error:
-            is_direct = not grant.relays
+            is_direct = not grant.gateways
             fault = await self._diagnose(target, error, is_direct)
             self._report_failure(False, core_message.Reason.BACKEND_LOST, fault)
 
@@ -282,7 +282,7 @@
         """Sends the request to a backend server and forwards the response."""
         not_repeatable = not self._routed.info.repeatable
         async with self._client.borrow(
-            target, not_repeatable, grant.relays
+            target, not_repeatable, grant.gateways
         ) as connection:
             # Another response may have changed the hints in the meantime.
             if reason := self._find_unusable_reason(target):
@@ -312,9 +312,9 @@
                 steadyclock.read(),
             )
             is_binding = head.pause_s or head.is_leaving
-            if is_binding and connection.target.relay:
+            if is_binding and connection.target.gateway:
                 self._client.report_hints(
-                    connection.target.relay,
+                    connection.target.gateway,
                     self._request_id,
                     core_message.ServerHints(
                         target.backend,
--- /dev/null
+++ b/ramptray/relay/tunnel_server.py
@@ -0,0 +1,190 @@
+"""Opens tunnels to backend servers for VMs that reach none themselves."""
+
+from __future__ import annotations
+
+import collections
+import logging
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+import grpc
+import grpc.aio
+
+from ramptray import steadyclock
+from ramptray.core import clock
+from ramptray.entry import backend_directory, server_hints
+from ramptray.peer import codec
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+from ramptray.relay import connection, tunnel
+from ramptray.relay import socket_stream as streams
+
+LOG = logging.getLogger(__name__)
+
+
+class TunnelServer:
+    """Opens tunnels to backend servers for other VMs.
+
+    Args:
+        backends: The backend servers of the bundle, and which are reached.
+        hints: Backend servers that asked this VM not to send to them.
+        region: Region of this VM; empty if unknown.
+        hybrid_clock: This process's clock.
+
+    Attributes:
+        active: Number of open tunnels.
+        counts: Number of tunnels opened, under "opened", and of those that were
+            not, by reason.
+        stopping: Whether new tunnels are refused.
+    """
+
+    def __init__(
+        self,
+        backends: backend_directory.BackendDirectory,
+        hints: server_hints.ServerHintStore,
+        region: str,
+        hybrid_clock: clock.HybridClock,
+    ) -> None:
+        self._backends = backends
+        self._hints = hints
+        self._region = region
+        self._clock = hybrid_clock
+        self.active = 0
+        self.counts = collections.Counter[str]()
+        self.stopping = False
+
+    async def serve(
+        self,
+        parts: AsyncIterator[bytes],
+        context: grpc.aio.ServicerContext[bytes, bytes],
+    ) -> None:
+        """Serves one tunnel until either end closes it."""
+        iterator = aiter(parts)
+        try:
+            request = codec.decode(await anext(iterator)).body
+        except (StopAsyncIteration, codec.CodecError):
+            return
+        opened = await self._open(request)
+        reason = opened.value if isinstance(opened, tunnel.Refusal) else ""
+        self.counts[reason or "opened"] += 1
+        answer = peer_message.TunnelAnswer(reason)
+        stream = None if isinstance(opened, tunnel.Refusal) else opened
+        try:
+            await context.write(codec.encode(self._clock.tick(), answer))
+            if stream is not None:
+                await self._forward(iterator, stream, context)
+        finally:
+            if stream is not None:
+                stream.close()
+
+    async def _open(
+        self, request: Any
+    ) -> streams.SocketStream | tunnel.Refusal:
+        """Connects to a backend server.
+
+        Returns:
+            The connection, or why there is none.
+        """
+        if not isinstance(request, peer_message.OpenTunnel):
+            return tunnel.Refusal.UNKNOWN_SERVER
+        now = steadyclock.read()
+        if reason := self._find_refusal_reason(request, now):
+            return reason
+        url = self._backends.find_url(request.backend) or ""
+        host, _, port = url.removeprefix("http://").rpartition(":")
+        try:
+            with anyio.fail_after(connection.CONNECT_TIMEOUT_S):
+                return await streams.connect(host, int(port))
+        except TimeoutError:
+            self._backends.record_connect_failure(
+                request.backend, steadyclock.read()
+            )
+            return tunnel.Refusal.SILENT
+        except OSError:
+            return tunnel.Refusal.REFUSED
+
+    def _find_refusal_reason(
+        self, request: peer_message.OpenTunnel, now: float
+    ) -> tunnel.Refusal | None:
+        """Returns why no tunnel may be opened; None if one may."""
+        in_force = self._backends.in_force
+        server = (
+            in_force.bundle.backend_servers.get(request.backend)
+            if in_force
+            else None
+        )
+        if self.stopping:
+            return tunnel.Refusal.STOPPING
+        if server is None or server.run != request.run:
+            return tunnel.Refusal.UNKNOWN_SERVER
+        if request.regions is not None and not {
+            self._region,
+            server.region,
+        } <= set(request.regions):
+            return tunnel.Refusal.OUTSIDE_REGIONS
+        if server.leaving or self._hints.find_unusable_reason(
+            request.backend, request.run, now
+        ):
+            return tunnel.Refusal.UNUSABLE
+        if request.backend in self._backends.list_unreachable(now):
+            return tunnel.Refusal.SILENT
+        return None
+
+    async def _forward(
+        self,
+        parts: AsyncIterator[bytes],
+        stream: streams.SocketStream,
+        context: grpc.aio.ServicerContext[bytes, bytes],
+    ) -> None:
+        """Passes bytes on in both directions until either end closes."""
+        self.active += 1
+        is_broken = False
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    self._forward_requests, parts, stream, tasks.cancel_scope
+                )
+                is_broken = await _forward_responses(stream, context)
+                tasks.cancel_scope.cancel()
+        except* peer_link.CONNECTION_ERRORS as group:
+            LOG.debug("tunnel lost: %r", group.exceptions[0])
+        finally:
+            self.active -= 1
+        if is_broken:
+            # Otherwise the other VM would see the orderly end of a response
+            # without a length.
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "connection lost")
+
+    async def _forward_requests(
+        self,
+        parts: AsyncIterator[bytes],
+        stream: streams.SocketStream,
+        scope: anyio.CancelScope,
+    ) -> None:
+        try:
+            async for part in parts:
+                await stream.send(part, connection.SEND_TIMEOUT_S)
+        except (
+            TimeoutError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as error:
+            LOG.debug("tunnel to a backend server lost: %r", error)
+            return
+        scope.cancel()
+
+
+async def _forward_responses(
+    stream: streams.SocketStream,
+    context: grpc.aio.ServicerContext[bytes, bytes],
+) -> bool:
+    """Passes on what the server sends; returns whether it was cut off."""
+    while True:
+        try:
+            part = await stream.receive()
+        except anyio.EndOfStream:
+            return False
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return True
+        await context.write(part)
--- a/ramptray/scheduler/handler.py
+++ b/ramptray/scheduler/handler.py
@@ -23,8 +23,8 @@
     """Passes attached processes' messages to the hub and answers requests.
 
     Attributes:
-        on_relayed_hints: Called with the hints of a response that this VM
-            relayed.
+        on_tunneled_hints: Called with the hints of a response that this VM
+            tunneled.
     """
 
     def __init__(
@@ -38,7 +38,7 @@
         self._gossiper = gossiper
         self._bundle_source = bundle_source
         self._timeline = events
-        self.on_relayed_hints: Callable[[peer_message.RelayedHints], None] = (
+        self.on_tunneled_hints: Callable[[peer_message.TunneledHints], None] = (
             _ignore_hints
         )
 
@@ -83,8 +83,8 @@
                 return self._list_blocks()
             case peer_message.AskTimeline():
                 return await self._collect_events(request)
-            case peer_message.RelayedHints():
-                self.on_relayed_hints(request)
+            case peer_message.TunneledHints():
+                self.on_tunneled_hints(request)
                 return peer_message.Received()
         raise ValueError(f"unknown request type: {type(request).__name__}")
 
@@ -107,5 +107,5 @@
         return peer_message.TimelineEvents(events)
 
 
-def _ignore_hints(hints: peer_message.RelayedHints) -> None:
-    """Default of ``on_relayed_hints``."""
+def _ignore_hints(hints: peer_message.TunneledHints) -> None:
+    """Default of ``on_tunneled_hints``."""
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -17,13 +17,13 @@
     backend,
     blocklist,
     claim,
+    gateways,
     limit,
     membership,
     message,
     owner_effect,
     policy,
     redirection,
-    relays,
     shard,
 )
 from ramptray.entry import block_propagator
@@ -127,7 +127,7 @@
             else None
         )
         self._attached = attached_process.AttachedProcesses()
-        self._relays = relays.RelayDirectory()
+        self._gateways = gateways.GatewayDirectory()
         self._observations = observations.BackendObservations()
         self._listed_leaving: frozenset[str] = frozenset()
         self._reported_leaving: set[str] = set()
@@ -330,8 +330,8 @@
             updates = self.blocks.list_updates(steadyclock.read())
             session.send(peer_message.BlockedContents(updates))
         self._attached.add_entry(session, hello.name)
-        if hello.relay_address:
-            self._relays.add_entry(hello.name, hello.relay_address)
+        if hello.gateway_address:
+            self._gateways.add_entry(hello.name, hello.gateway_address)
         for owner in self.shards.values():
             owner.begin_sync(hello.name)
 
@@ -354,7 +354,7 @@
         entry = self._attached.remove(session)
         if entry is None:
             return
-        self._relays.remove_entry(entry)
+        self._gateways.remove_entry(entry)
         for owner in self.shards.values():
             owner.detach_entry(entry, now)
 
@@ -487,9 +487,9 @@
             **(msgspec.to_builtins(effect.basis) if effect.basis else {}),
         }
         match effect.message:
-            case message.Grant(request_id, _, name, relays=relayed):
-                if relayed:
-                    basis["relays"] = relayed
+            case message.Grant(request_id, _, name, gateways=tunneled):
+                if tunneled:
+                    basis["gateways"] = tunneled
                 self.timeline.note("grant", request_id, backend=name, **basis)
             case message.Reject(request_id, reason, retry_after_s):
                 self.timeline.note(
@@ -526,7 +526,7 @@
             self._limits,
             self._observations.speeds,
             self.content_blocker.detector.is_suspect,
-            self._relays,
+            self._gateways,
         )
         for entry, hints in self._observations.list_hints(now):
             owner.fleet.apply_hints(hints, entry, now)
--- a/test/test_relays.py
+++ b/test/test_gateways.py
@@ -11,9 +11,9 @@
 
 from ramptray.core import (
     backend,
+    gateways,
     message,
     policy,
-    relays,
     shard,
 )
 from ramptray.core import rules as shard_rules
@@ -29,9 +29,9 @@
     """An owner with servers in two regions and three attached entries."""
 
     def __init__(self, servers: int = 2) -> None:
-        self.relays = relays.RelayDirectory()
+        self.gateways = gateways.GatewayDirectory()
         for entry, address in ADDRESSES.items():
-            self.relays.add_entry(entry, address)
+            self.gateways.add_entry(entry, address)
         ranks = {tier: rank for rank, tier in enumerate(TIERS)}
         self.regions = {f"e{n}": REGIONS[n % 2] for n in range(servers)}
         self.shard = shard.ShardOwner(
@@ -45,7 +45,7 @@
             policy.make_policy(),
             0.0,
             report_grace_s=0.0,
-            relay_directory=self.relays,
+            gateway_directory=self.gateways,
         )
 
     def ask(
@@ -73,26 +73,26 @@
         return found[0] if found else None
 
 
-def test_an_entry_without_servers_gets_relays() -> None:
+def test_an_entry_without_servers_gets_gateways() -> None:
     owner = Owner()
     grant = owner.ask(CUT, 4.0, ("e0", "e1"))
     assert isinstance(grant, message.Grant)
-    assert set(grant.relays) == {ADDRESSES[OTHER], ADDRESSES[THIRD]}
+    assert set(grant.gateways) == {ADDRESSES[OTHER], ADDRESSES[THIRD]}
 
 
 def test_an_entry_that_reaches_a_server_uses_it_directly() -> None:
     owner = Owner()
     grant = owner.ask(CUT, 4.0, ("e0",))
     assert isinstance(grant, message.Grant)
-    assert (grant.backend, grant.relays) == ("e1", ())
+    assert (grant.backend, grant.gateways) == ("e1", ())
 
 
-def test_entries_without_servers_are_no_relays() -> None:
+def test_entries_without_servers_are_no_gateways() -> None:
     owner = Owner()
     owner.ask(THIRD, 4.0, ("e0", "e1"))
     grant = owner.ask(CUT, 4.0, ("e0", "e1"))
     assert isinstance(grant, message.Grant)
-    assert grant.relays == (ADDRESSES[OTHER],)
+    assert grant.gateways == (ADDRESSES[OTHER],)
 
 
 def test_a_request_is_refused_if_no_entry_reaches_a_server() -> None:
@@ -114,38 +114,38 @@
         grant.grant_id,
         silent=silent,
         waits=True,
-        failed_relays={ADDRESSES[OTHER]: message.RelayFailure.NOT_RELAYED},
+        failed_gateways={ADDRESSES[OTHER]: message.GatewayFailure.NOT_OPENED},
     )
     again = owner.send(CUT, decline, 4.0)
     assert isinstance(again, message.Grant)
-    assert again.relays == (ADDRESSES[THIRD],)
-    later = owner.ask(CUT, 4.0 + relays.FAILED_RELAY_BACKOFF_S, silent)
+    assert again.gateways == (ADDRESSES[THIRD],)
+    later = owner.ask(CUT, 4.0 + gateways.FAILED_GATEWAY_BACKOFF_S, silent)
     assert isinstance(later, message.Grant)
-    assert ADDRESSES[OTHER] in later.relays
+    assert ADDRESSES[OTHER] in later.gateways
 
 
-def test_refused_connections_to_all_servers_lead_to_relays() -> None:
+def test_refused_connections_to_all_servers_lead_to_gateways() -> None:
     owner = Owner()
     grant = owner.ask(CUT, 4.0)
     for _ in range(2):
         assert isinstance(grant, message.Grant)
-        assert not grant.relays
+        assert not grant.gateways
         decline = message.Decline(
             grant.request_id, grant.grant_id, unreachable=True, waits=True
         )
         grant = owner.send(CUT, decline, 4.0)
     assert isinstance(grant, message.Grant)
-    assert grant.relays
+    assert grant.gateways
 
 
 @pytest.mark.parametrize(
-    "failure", [message.RelayFailure.REFUSED, message.RelayFailure.SILENT]
+    "failure", [message.GatewayFailure.REFUSED, message.GatewayFailure.SILENT]
 )
 def test_a_server_that_fails_for_all_is_not_granted_again_and_again(
-    failure: message.RelayFailure,
+    failure: message.GatewayFailure,
 ) -> None:
     owner = Owner(servers=1)
-    silent = ("e0",) if failure is message.RelayFailure.SILENT else ()
+    silent = ("e0",) if failure is message.GatewayFailure.SILENT else ()
     decision = owner.ask(CUT, 4.0, silent)
     rounds = 0
     while isinstance(decision, message.Grant):
@@ -153,10 +153,10 @@
         decline = message.Decline(
             decision.request_id,
             decision.grant_id,
-            unreachable=not decision.relays,
+            unreachable=not decision.gateways,
             silent=silent,
             waits=True,
-            failed_relays=dict.fromkeys(decision.relays, failure),
+            failed_gateways=dict.fromkeys(decision.gateways, failure),
         )
         decision = owner.send(CUT, decline, 4.0)
     assert rounds <= 2
@@ -164,23 +164,23 @@
 
 def test_a_detached_entry_is_no_relay() -> None:
     owner = Owner()
-    owner.relays.remove_entry(OTHER)
+    owner.gateways.remove_entry(OTHER)
     grant = owner.ask(CUT, 4.0, ("e0", "e1"))
     assert isinstance(grant, message.Grant)
-    assert grant.relays == (ADDRESSES[THIRD],)
+    assert grant.gateways == (ADDRESSES[THIRD],)
 
 
-def test_recently_answered_relays_come_first() -> None:
+def test_recently_answered_gateways_come_first() -> None:
     owner = Owner(servers=1)
     for _ in range(3):
         grant = owner.ask(THIRD, 4.0)
         assert isinstance(grant, message.Grant)
         ended = message.Ended(grant.request_id, 10, 0.1, True)
         owner.send(THIRD, ended, 4.1)
-        relayed = owner.ask(CUT, 4.2, ("e0",))
-        assert isinstance(relayed, message.Grant)
-        assert relayed.relays == (ADDRESSES[THIRD], ADDRESSES[OTHER])
-        owner.send(CUT, message.Ended(relayed.request_id, 10, 0.1, True), 4.3)
+        tunneled = owner.ask(CUT, 4.2, ("e0",))
+        assert isinstance(tunneled, message.Grant)
+        assert tunneled.gateways == (ADDRESSES[THIRD], ADDRESSES[OTHER])
+        owner.send(CUT, message.Ended(tunneled.request_id, 10, 0.1, True), 4.3)
 
 
 @settings(derandomize=True, deadline=None)
@@ -188,7 +188,7 @@
     silent=st.sets(st.sampled_from(["e0", "e1", "e2", "e3"])),
     regions=st.none() | st.sets(st.sampled_from([*REGIONS, "west"])),
 )
-def test_relayed_requests_stay_in_their_regions(
+def test_tunneled_requests_stay_in_their_regions(
     silent: set[str], regions: set[str] | None
 ) -> None:
     owner = Owner(servers=4)
@@ -201,6 +201,6 @@
     }
     if isinstance(decision, message.Grant):
         assert decision.backend in inside
-        assert bool(decision.relays) == (inside <= silent)
+        assert bool(decision.gateways) == (inside <= silent)
     else:
         assert not inside
--- a/test/test_tunnel.py
+++ b/test/test_tunnel.py
@@ -23,13 +23,13 @@
 from ramptray.peer import link, server
 from ramptray.peer import message as peer_message
 from ramptray.platform import header
-from ramptray.relay import client, connection, tunnel
+from ramptray.relay import client, connection, tunnel, tunnel_server
 
 pytestmark = [pytest.mark.anyio, pytest.mark.usefixtures("grpc_queue_closed")]
 
 NORTH, SOUTH = "north", "south"
 RUN = 7
-FAILURE = core_message.RelayFailure.NOT_RELAYED
+FAILURE = core_message.GatewayFailure.NOT_OPENED
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -83,7 +83,7 @@
     return directory
 
 
-class Relay:
+class Gateway:
     """A VM that opens tunnels to a server.
 
     Attributes:
@@ -99,14 +99,14 @@
         self.listening.setblocking(False)
         port = self.listening.getsockname()[1]
         self.target = connection.Target(
-            f"127.0.0.1:{port}", "e", RUN, relay=self.address
+            f"127.0.0.1:{port}", "e", RUN, gateway=self.address
         )
         self.backends = make_directory(self.target.address)
         self.hints = server_hints.ServerHintStore(
             lambda address, hints: None, list
         )
         hybrid_clock = clock.HybridClock(lambda: 0)
-        self.tunnels = tunnel.TunnelServer(
+        self.tunnels = tunnel_server.TunnelServer(
             self.backends, self.hints, NORTH, hybrid_clock
         )
         self.peers = server.PeerServer(
@@ -133,15 +133,15 @@
 
 
 @contextlib.asynccontextmanager
-async def run_relay() -> AsyncIterator[Relay]:
-    relay = Relay()
-    await relay.peers.start(relay.address)
+async def run_gateway() -> AsyncIterator[Gateway]:
+    gateway = Gateway()
+    await gateway.peers.start(gateway.address)
     try:
-        yield relay
+        yield gateway
     finally:
-        await relay.client.close()
-        await relay.peers.stop(0.1)
-        relay.listening.close()
+        await gateway.client.close()
+        await gateway.peers.stop(0.1)
+        gateway.listening.close()
 
 
 async def read(sock: socket.socket, count: int) -> bytes:
@@ -157,29 +157,29 @@
 
 
 async def test_bytes_pass_in_both_directions() -> None:
-    async with run_relay() as relay:
-        stream, served = await relay.open()
+    async with run_gateway() as gateway:
+        stream, served = await gateway.open()
         body = bytes(range(256)) * 1000
         await stream.send(body, 5.0)
         assert await read(served, len(body)) == body
         assert stream.is_idle()
         served.send(b"answer")
         assert await stream.receive(5.0) == b"answer"
-        assert relay.tunnels.active == 1
+        assert gateway.tunnels.active == 1
         stream.close()
         served.close()
 
 
 async def test_an_orderly_end_is_told_from_a_reset() -> None:
-    async with run_relay() as relay:
-        ended, served = await relay.open()
+    async with run_gateway() as gateway:
+        ended, served = await gateway.open()
         served.send(b"whole")
         served.close()
         assert await ended.receive(5.0) == b"whole"
         with pytest.raises(anyio.EndOfStream):
             await ended.receive(5.0)
         assert not ended.is_idle()
-        reset, served = await relay.open()
+        reset, served = await gateway.open()
         served.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         served.close()
         with pytest.raises(anyio.BrokenResourceError):
@@ -187,8 +187,8 @@
 
 
 async def test_closing_a_tunnel_closes_the_connection_to_the_server() -> None:
-    async with run_relay() as relay:
-        stream, served = await relay.open()
+    async with run_gateway() as gateway:
+        stream, served = await gateway.open()
         await stream.send(b"x", 5.0)
         assert await read(served, 1) == b"x"
         stream.close()
@@ -197,12 +197,12 @@
         with contextlib.suppress(ConnectionResetError):
             assert await read(served, 1) == b""
         await anyio.sleep(0.1)
-        assert relay.tunnels.active == 0
+        assert gateway.tunnels.active == 0
 
 
 async def test_a_silent_tunnel_times_out_and_can_be_read_again() -> None:
-    async with run_relay() as relay:
-        stream, served = await relay.open()
+    async with run_gateway() as gateway:
+        stream, served = await gateway.open()
         with pytest.raises(TimeoutError):
             await stream.receive(0.05)
         served.send(b"late")
@@ -211,10 +211,10 @@
         served.close()
 
 
-async def test_a_tunnel_through_a_relay_that_stops_breaks() -> None:
-    async with run_relay() as relay:
-        stream, served = await relay.open()
-        await relay.peers.stop(0.0)
+async def test_a_tunnel_through_a_gateway_that_stops_breaks() -> None:
+    async with run_gateway() as gateway:
+        stream, served = await gateway.open()
+        await gateway.peers.stop(0.0)
         with pytest.raises(anyio.BrokenResourceError):
             await stream.receive(5.0)
         with pytest.raises(anyio.BrokenResourceError):
@@ -222,50 +222,63 @@
         served.close()
 
 
+async def test_a_tunnel_whose_channel_closes_has_not_ended_in_order() -> None:
+    async with run_gateway() as gateway:
+        stream, served = await gateway.open()
+        await gateway.client.close_channel(gateway.address)
+        with pytest.raises(anyio.BrokenResourceError):
+            await stream.receive(5.0)
+        served.close()
+
+
 async def test_a_server_that_refuses_is_not_sent_anything() -> None:
-    async with run_relay() as relay:
-        relay.listening.close()
+    async with run_gateway() as gateway:
+        gateway.listening.close()
         with pytest.raises(
             connection.NotSentError, match=tunnel.Refusal.REFUSED.value
         ):
-            await relay.opener.open(relay.target)
+            await gateway.opener.open(gateway.target)
 
 
-async def test_a_relay_that_is_not_there_is_not_sent_anything() -> None:
-    async with run_relay() as relay:
+async def test_a_gateway_that_is_not_there_is_not_sent_anything() -> None:
+    async with run_gateway() as gateway:
         gone = f"127.0.0.1:{ports.reserve_port()}"
-        target = connection.Target(relay.target.address, "e", RUN, relay=gone)
+        target = connection.Target(
+            gateway.target.address, "e", RUN, gateway=gone
+        )
         with pytest.raises(connection.NotSentError):
-            await relay.opener.open(target)
+            await gateway.opener.open(target)
 
 
 async def test_a_stopping_relay_opens_no_tunnel() -> None:
-    async with run_relay() as relay:
-        relay.tunnels.stopping = True
+    async with run_gateway() as gateway:
+        gateway.tunnels.stopping = True
         with pytest.raises(
             connection.NotSentError, match=tunnel.Refusal.STOPPING.value
         ):
-            await relay.opener.open(relay.target)
-        assert relay.tunnels.counts == {tunnel.Refusal.STOPPING.value: 1}
+            await gateway.opener.open(gateway.target)
+        assert gateway.tunnels.counts == {tunnel.Refusal.STOPPING.value: 1}
 
 
-async def test_a_relay_keeps_the_pause_of_a_server() -> None:
-    async with run_relay() as relay:
+async def test_a_gateway_keeps_the_pause_of_a_server() -> None:
+    async with run_gateway() as gateway:
         head = server_hints.HeadReceived("r", "e", RUN, pause_s=5.0)
-        relay.hints.observe(head, steadyclock.read())
+        gateway.hints.observe(head, steadyclock.read())
         with pytest.raises(
             connection.NotSentError, match=tunnel.Refusal.UNUSABLE.value
         ):
-            await relay.opener.open(relay.target)
+            await gateway.opener.open(gateway.target)
 
 
-async def test_a_server_that_the_relay_does_not_reach_is_named_silent() -> None:
-    async with run_relay() as relay:
-        relay.backends.record_connect_failure("e", steadyclock.read())
+async def test_a_server_that_the_gateway_does_not_reach_is_named_silent() -> (
+    None
+):
+    async with run_gateway() as gateway:
+        gateway.backends.record_connect_failure("e", steadyclock.read())
         with pytest.raises(
             connection.NotSentError, match=tunnel.Refusal.SILENT.value
         ):
-            await relay.opener.open(relay.target)
+            await gateway.opener.open(gateway.target)
 
 
 @settings(derandomize=True, deadline=None)
@@ -275,10 +288,10 @@
     run=st.sampled_from([RUN, RUN - 1]),
     leaving=st.booleans(),
 )
-def test_a_relay_admits_only_its_regions_and_the_current_run(
+def test_a_gateway_admits_only_its_regions_and_the_current_run(
     regions: set[str] | None, own: str, run: int, leaving: bool
 ) -> None:
-    served = tunnel.TunnelServer(
+    served = tunnel_server.TunnelServer(
         make_directory("127.0.0.1:1", leaving),
         server_hints.ServerHintStore(lambda to, hints: None, list),
         own,
@@ -292,7 +305,7 @@
 
 
 class _CountingTunnels(client.TunnelOpener):
-    """Opens tunnels through some relays only."""
+    """Opens tunnels through some gateways only."""
 
     def __init__(self, usable: str) -> None:
         self.tried: list[str] = []
@@ -300,13 +313,13 @@
 
     async def open(self, target: connection.Target) -> Any:
         """See the base class."""
-        self.tried.append(target.relay)
-        if target.relay != self._usable:
-            raise connection.NotSentError(target.relay, False, FAILURE)
+        self.tried.append(target.gateway)
+        if target.gateway != self._usable:
+            raise connection.NotSentError(target.gateway, False, FAILURE)
         return _IdleStream()
 
     def report_hints(
-        self, relay: str, request_id: str, hints: core_message.ServerHints
+        self, gateway: str, request_id: str, hints: core_message.ServerHints
     ) -> None:
         """See the base class."""
 
@@ -318,37 +331,37 @@
     def close(self) -> None: ...
 
 
-async def test_relays_are_tried_in_order_and_all_failures_are_reported() -> (
+async def test_gateways_are_tried_in_order_and_all_failures_are_reported() -> (
     None
 ):
     tunnels = _CountingTunnels("c")
     pool = client.RelayClient(header.PlatformDialect(), tunnels)
     target = connection.Target("127.0.0.1:1", "e", RUN)
     async with pool.borrow(target, False, ("a", "b", "c")) as borrowed:
-        assert borrowed.target.relay == "c"
+        assert borrowed.target.gateway == "c"
     assert tunnels.tried == ["a", "b", "c"]
     with pytest.raises(connection.NotSentError) as raised:
         async with pool.borrow(target, False, ("a", "b")):
             pass
-    assert raised.value.failed_relays == {"a": FAILURE, "b": FAILURE}
+    assert raised.value.failed_gateways == {"a": FAILURE, "b": FAILURE}
     assert not raised.value.refused
 
 
-async def test_tunnels_are_pooled_by_relay_and_dropped_with_it() -> None:
+async def test_tunnels_are_pooled_by_gateway_and_dropped_with_it() -> None:
     tunnels = _CountingTunnels("c")
     pool = client.RelayClient(header.PlatformDialect(), tunnels)
-    target = connection.Target("127.0.0.1:1", "e", RUN, relay="c")
+    target = connection.Target("127.0.0.1:1", "e", RUN, gateway="c")
     idle = connection.Connection(
         target, cast(Any, _IdleStream()), header.PlatformDialect()
     )
     idle.idle_since = steadyclock.read()
     pool._idle[target.pool_key].append(idle)
-    pool.expire_relays(["c"])
+    pool.expire_gateways(["c"])
     direct = connection.Target("127.0.0.1:1", "e", RUN)
     async with pool.borrow(direct, False, ("a", "c")) as borrowed:
         assert borrowed is idle
     pool._idle[target.pool_key].append(idle)
-    pool.expire_relays(["a"])
+    pool.expire_gateways(["a"])
     async with pool.borrow(direct, False, ("c",)) as borrowed:
         assert borrowed is not idle
     assert tunnels.tried == ["c"]
