Check once whether an entry reaches a server, not once for each server

has_gateway asked list_gateways for each server, which looked through all servers again each time: quadratic work for each request that is refused while its entry reaches none. The result is the same.

--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -90,8 +90,8 @@
 
     def has_gateway(self, waiting: queue.QueuedRequest, now: float) -> bool:
         """Returns whether a gateway leads to a server for a request."""
-        return any(
-            self.list_gateways(waiting, server, now)
+        return self._reaches_none(waiting, now) and any(
+            self._gateways.list_gateways(waiting.entry, server, now)
             for server in self._iterate_allowed(waiting.request)
         )
 
