Log the release of each attempt, and attempts that resume a stream

The logs of the incident could not tell at which release an attempt ran, nor whether it resumed a stream and of which attempt. dispatch events now name the release, resume events the attempt and the event that the caller names. No decision is changed.

--- a/ramptray/entry/backend_directory.py
+++ b/ramptray/entry/backend_directory.py
@@ -94,6 +94,20 @@
         server = self.in_force.bundle.backend_servers.get(backend)
         return server.url if server else None
 
+    def get_release(self, grant: message.Grant) -> str | None:
+        """Returns the release of a granted backend server.
+
+        Returns:
+            The release; None if the bundle has no such server or another run
+            of it.
+        """
+        if self.in_force is None:
+            return None
+        server = self.in_force.bundle.backend_servers.get(grant.backend)
+        if server is None or server.run != grant.run:
+            return None
+        return server.release
+
     @property
     def reachable_share(self) -> float:
         """Share of the scheduling zone's slots in zones that can be reached.
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -424,6 +424,7 @@
                         grant.request_id,
                         backend=grant.backend,
                         owner=grant.owner,
+                        release=self.backends.get_release(grant),
                         age_s=round(now - ticket.started_at, 4),
                         **(
                             {"gateways": grant.gateways}
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -32,6 +32,10 @@
 """Maximum number of prompt parts that are used; the rest is ignored."""
 
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
+"""Id of the attempt that brought the first event of a stream that its caller
+resumes."""
+
 CUSTOMER = b"x-tenant"
 EXPECTED_BACKEND = b"x-expect-instance"
 """The intended replica; any other responds 421 without running the request."""
@@ -157,6 +161,7 @@
                 prefix=prefix,
                 prefix_tokens=prefix_tokens,
                 last_event=_decode_text(values.get(LAST_EVENT)),
+                resumes=_decode_text(values.get(RESUMES)),
             )
         )
 
--- a/ramptray/relay/message.py
+++ b/ramptray/relay/message.py
@@ -33,6 +33,8 @@
         prefix_tokens: Number of tokens in each part.
         last_event: Id of the last event the caller received of an earlier
             stream.
+        resumes: The id of the attempt that brought the first event of the
+            stream, if the caller resumes one; None if not given.
         body: The complete body.
     """
 
@@ -49,6 +51,7 @@
     prefix: tuple[int, ...]
     prefix_tokens: tuple[int, ...]
     last_event: str | None
+    resumes: str | None = None
     body: bytes = b""
 
 
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -32,6 +32,9 @@
 """Retry-after of a VM without a configuration, in seconds; the retry reaches
 another VM."""
 
+MAX_LOGGED_ID_CHARS = 64
+"""Longest id from a caller that is logged."""
+
 
 class RelayService:
     """Serves relayed requests according to the bundle in force.
@@ -83,6 +86,13 @@
         if isinstance(routed, refusal.Refusal):
             await self._refuse(request, writer, routed)
             return
+        if request.last_event:
+            self._timeline.note(
+                "resume",
+                request.request_id,
+                resumes=(request.resumes or "")[:MAX_LOGGED_ID_CHARS] or None,
+                last_event=request.last_event[:MAX_LOGGED_ID_CHARS],
+            )
         await self._run_exchange(routed, writer)
 
     async def _run_exchange(
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -155,6 +155,8 @@
         ("X-Deadline-Ms", "1500"),
         ("Authorization", "Bearer k"),
         ("X-Tenant", "forged"),
+        ("Last-Event-Id", "4"),
+        ("Resumes", "r0"),
         ("Connection", "close, x-mine, x-token-count"),
         ("X-Mine", "1"),
     )
@@ -166,12 +168,14 @@
     )
     assert (request.prompt_tokens, request.output_tokens) == (1460, 80)
     assert request.likely_tokens == 33
+    assert (request.last_event, request.resumes) == ("4", "r0")
     names = [name.lower() for name, _ in request.headers]
     assert names == [
         b"host",
         b"x-request-id",
         b"x-token-count",
         b"x-length-hint",
+        b"resumes",
     ]
 
 
