--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -35,6 +35,8 @@
         listen: IP number and port.
         work_s: Seconds before a response, or between two events of a stream.
         events: Number of events in a stream.
+        release: Release of its software, which each event of a stream names;
+            empty for none.
         crash_on: Text in a request's body that makes this program crash soon
             after it has started to run the request; empty for none.
         log_level: Lowest level that is logged.
@@ -44,6 +46,7 @@
     listen: Address
     work_s: model.NonNegativeFloat = 0.01
     events: model.PositiveInt = 5
+    release: str = ""
     crash_on: str = ""
     log_level: str = "INFO"
 
@@ -285,7 +288,8 @@
                 return False
             if self._faults.hang_after == number - 1:
                 await anyio.sleep_forever()
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            piece = f"piece {number} {self._settings.release}".rstrip()
+            event = f"id: {number}\ndata: {piece}\n\n".encode()
             if self._faults.cut_after == number - 1:
                 await stream.send(http.send(h11.Data(data=event[:9])) or b"")
                 return False
