Keep further attempts of a stream to the release that began it

A request now carries the release whose first event was forwarded. The owner grants only servers of it, ahead of requests that may use any; the VM declines other grants, so that an owner of an older version can mix nothing. Without a server of the release the request is refused or redirected after half a second, as records come late. A roll-out holds such streams back only at a release that it rolled back.

--- a/ramptray/command/explain.py
+++ b/ramptray/command/explain.py
@@ -49,6 +49,7 @@
     "unknown_key": "the configuration in force had no such key",
     "backend_refused": "the backend server did not admit it",
     "backend_lost": "the backend server failed, or broke the connection",
+    "no_release": "no backend server of the release that began it was left",
     "blocked_content": "its content has ended the backend servers that ran it",
     "stream_broken": "the answer broke off and could not be resumed",
     "caller_gone": "the caller closed first",
--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -69,10 +69,11 @@
         candidates: list[backends.Backend],
         request: message.RequestInfo,
     ) -> list[backends.Backend]:
-        """Returns the candidates that its entry can reach in its regions.
+        """Returns the candidates that may run it and that its entry can reach.
 
         Servers that the request has tried are excluded, unless it has tried all
-        the reachable ones; servers outside its regions are always excluded.
+        the reachable ones; servers outside its regions or of another release
+        are always excluded.
         """
         return self._exclude(candidates, request, set(request.silent))
 
@@ -112,14 +113,11 @@
     def _iterate_allowed(
         self, request: message.RequestInfo
     ) -> Iterator[backends.Backend]:
-        """Yields the servers in a request's regions that are not lost."""
+        """Yields the servers that may run a request and are not lost."""
         return (
             known
             for known in self._backends.values()
-            if not known.is_lost
-            and (
-                request.regions is None or known.info.region in request.regions
-            )
+            if not known.is_lost and _is_allowed(known, request)
         )
 
     def _exclude(
@@ -128,13 +126,13 @@
         request: message.RequestInfo,
         unreachable: set[str],
     ) -> list[backends.Backend]:
-        """Returns the candidates in the request's regions that can be reached.
+        """Returns the candidates that may run the request and can be reached.
 
         Servers that it has tried are excluded if there are others.
         """
-        if not (request.avoid or unreachable or request.regions is not None):
+        if not (request.avoid or unreachable or _is_restricted(request)):
             return candidates
-        unreachable = unreachable | self._list_outside_regions(request)
+        unreachable = unreachable | self._list_disallowed(request)
         excluded = unreachable | set(request.avoid)
         if not self._list_usable() - excluded:
             excluded = unreachable
@@ -142,7 +140,7 @@
 
     def has_no_reachable_backend(self, request: message.RequestInfo) -> bool:
         """Returns whether every server is unreachable for the request."""
-        unreachable = set(request.silent) | self._list_outside_regions(request)
+        unreachable = set(request.silent) | self._list_disallowed(request)
         return bool(self._backends) and not set(self._backends) - unreachable
 
     def has_pauses(self, now: float) -> bool:
@@ -207,12 +205,32 @@
             name for name, known in self._backends.items() if not known.is_lost
         }
 
-    def _list_outside_regions(self, request: message.RequestInfo) -> set[str]:
-        """Returns the backend servers outside the request's regions."""
-        if request.regions is None:
+    def has_release(self, release: str) -> bool:
+        """Returns whether some server of a release is not leaving."""
+        return any(
+            known.info.release == release
+            and known.state is not backends.BackendState.LEAVING
+            for known in self._backends.values()
+        )
+
+    def _list_disallowed(self, request: message.RequestInfo) -> set[str]:
+        """Returns the backend servers that may not run a request."""
+        if not _is_restricted(request):
             return set()
         return {
             name
             for name, known in self._backends.items()
-            if known.info.region not in request.regions
+            if not _is_allowed(known, request)
         }
+
+
+def _is_restricted(request: message.RequestInfo) -> bool:
+    """Returns whether only some regions or one release may run a request."""
+    return request.regions is not None or request.release is not None
+
+
+def _is_allowed(server: backends.Backend, request: message.RequestInfo) -> bool:
+    """Returns whether a server's region and release may run a request."""
+    return (
+        request.regions is None or server.info.region in request.regions
+    ) and (request.release is None or server.info.release == request.release)
--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -198,6 +198,7 @@
                 chosen.limit_per_s,
                 self._make_limit_total(request, now),
                 gateways,
+                chosen.info.release,
             ),
             owner_effect.DecisionInputs(
                 len(self._queue),
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -38,6 +38,7 @@
     BACKEND_LOST = "backend_lost"
     STREAM_BROKEN = "stream_broken"
     BLOCKED = "blocked_content"
+    NO_RELEASE = "no_release"
 
 
 class GatewayFailure(enum.Enum):
@@ -108,6 +109,8 @@
             all cover the default number.
         route: The route that it matched; empty if there are none.
         regions: Regions whose backend servers may run it; None for any.
+        release: Release whose backend servers may run it, as one of them began
+            its stream; None for any.
     """
 
     request_id: str
@@ -133,6 +136,7 @@
     prefix_tokens: tuple[int, ...] = ()
     route: str = ""
     regions: tuple[str, ...] | None = None
+    release: str | None = None
 
 
 class Enqueue(msgspec.Struct, frozen=True):
@@ -397,6 +401,8 @@
             the request was counted before.
         gateways: Addresses of VMs through which to connect to the backend
             server, as the entry reaches none itself; empty to connect directly.
+        release: Release of the backend server, empty if it names none; None if
+            not sent.
     """
 
     request_id: str
@@ -410,6 +416,7 @@
     limit_per_s: float | None = None
     limit_total: LimitTotal | None = None
     gateways: tuple[str, ...] = ()
+    release: str | None = None
 
 
 class Reject(msgspec.Struct, frozen=True):
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -16,7 +16,8 @@
 """Cost of an output token in prompt tokens, as decoding is slower."""
 
 MAX_SCANNED_REQUESTS = 64
-"""Requests of a customer that are scanned for the first one of each entry."""
+"""Requests of a customer that are scanned for the first one of each entry, or
+for one that is not bound to a release."""
 
 MAX_ENTRY_HEADS = 4
 """Entries per customer whose first request is listed."""
@@ -148,7 +149,9 @@
     ) -> list[QueuedRequest]:
         """Returns the first request of up to ``max_customers`` customers.
 
-        They are in scheduling order.
+        They are in scheduling order, those bound to a release before others.
+        Behind a request that is bound to one, the customer's first request that
+        is not is listed as well.
 
         Args:
             max_customers: How many customers.
@@ -169,12 +172,13 @@
             taken.append((used, customer))
             queue = self._queues[customer]
             if is_paused is None:
-                heads.append(next(iter(queue.values())))
+                heads += _list_release_heads(queue.values())
             else:
                 heads += _list_entry_heads(queue.values(), is_paused)
         for item in taken:
             heapq.heappush(self._heap, item)
-        return heads
+        # A stream that goes on can use one release only, the others any.
+        return sorted(heads, key=lambda head: head.request.release is None)
 
     def list_all(self) -> list[QueuedRequest]:
         """Returns every queued request, in order within each customer."""
@@ -354,14 +358,28 @@
         return self._ranks.get(request.tier, self._tier_count - 1)
 
 
+def _list_release_heads(queued: Iterable[QueuedRequest]) -> list[QueuedRequest]:
+    """Returns a customer's first request, and one not bound to its release."""
+    scanned = itertools.islice(queued, MAX_SCANNED_REQUESTS)
+    first = next(scanned)
+    if first.request.release is None:
+        return [first]
+    unbound = (each for each in scanned if each.request.release is None)
+    return [first, *itertools.islice(unbound, 1)]
+
+
 def _list_entry_heads(
     queued: Iterable[QueuedRequest], is_paused: Callable[[str], bool]
 ) -> list[QueuedRequest]:
-    """Returns the first request of each of a few entries of a customer."""
-    first: dict[str, QueuedRequest] = {}
+    """Returns the first request of each of a few entries of a customer.
+
+    Of each entry these are two, one bound to a release and one that is not.
+    """
+    first: dict[tuple[str, bool], QueuedRequest] = {}
     for waiting in itertools.islice(queued, MAX_SCANNED_REQUESTS):
-        if waiting.entry not in first and not is_paused(waiting.entry):
-            first[waiting.entry] = waiting
+        key = waiting.entry, waiting.request.release is None
+        if key not in first and not is_paused(waiting.entry):
+            first[key] = waiting
         if len(first) >= MAX_ENTRY_HEADS:
             break
     return list(first.values())
--- a/ramptray/core/redirection.py
+++ b/ramptray/core/redirection.py
@@ -52,6 +52,9 @@
 MAX_REGIONS = 8
 """Most regions in a summary."""
 
+MAX_RELEASES = 8
+"""Most releases in a summary."""
+
 
 class Reason(enum.Enum):
     """Why a request is redirected."""
@@ -72,6 +75,7 @@
         fixed_s: Fixed part of the time to a first token, in seconds.
         step_s: Time between two tokens, in seconds.
         regions: Regions of all usable servers.
+        releases: Releases of all usable servers.
     """
 
     slots: int = 0
@@ -80,6 +84,7 @@
     fixed_s: float = 0.0
     step_s: float = 0.0
     regions: tuple[str, ...] = ()
+    releases: tuple[str, ...] = ()
 
     def estimate_slot_wait(self, request: message.RequestInfo) -> float:
         """Estimates the seconds until one of the slots gets free."""
@@ -112,6 +117,7 @@
         sum(s.speed.fixed_s for s in fast) / len(fast),
         sum(s.step_s for s in fast) / len(fast),
         tuple(sorted({s.info.region for s in usable})[:MAX_REGIONS]),
+        tuple(sorted({s.info.release for s in usable})[:MAX_RELEASES]),
     )
 
 
--- a/ramptray/core/release.py
+++ b/ramptray/core/release.py
@@ -72,6 +72,14 @@
             if self.rollout.may_receive(candidate.info.release, part)
         ]
 
+    def may_continue(self, release: str) -> bool:
+        """Returns whether streams that a release began may go on there.
+
+        No other release can continue them, so they are held back only if the
+        release was rolled back.
+        """
+        return self.rollout is None or not self.rollout.is_rolled_back(release)
+
     def choose(
         self, demand: policy.Demand, candidates: list[backends.Backend]
     ) -> backends.Backend | None:
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -22,6 +22,11 @@
 NO_FAILURES: Mapping[str, message.GatewayFailure] = types.MappingProxyType({})
 
 
+RELEASE_RETRY_AFTER_S = 1.0
+"""Retry-After of a stream that was granted a server of another release, in
+seconds."""
+
+
 class State(enum.Enum):
     """State of a request."""
 
@@ -137,6 +142,14 @@
             return [] if grant == self._grant else [decline]
         if self._grant is not None:
             return [] if grant == self._grant else [decline]
+        if self.info.release not in (None, grant.release):
+            # An owner of an older version knows of no releases.
+            return [
+                decline,
+                *self._end_waiting(
+                    message.Reason.NO_RELEASE, RELEASE_RETRY_AFTER_S
+                ),
+            ]
         self._grant = grant
         return self._dispatch_if_allowed()
 
@@ -171,6 +184,19 @@
         # If the claim was read and lost, the release has no effect.
         return [*self._withdraw(), Release(), final]
 
+    def bind_release(self, release: str | None) -> None:
+        """Binds further attempts to the release that began the stream.
+
+        Args:
+            release: The release; None if it is unknown, so that no attempt may
+                follow.
+        """
+        self.info = msgspec.structs.replace(
+            self.info,
+            release=release,
+            repeatable=self.info.repeatable and release is not None,
+        )
+
     def fail_connect(
         self,
         refused: bool = True,
--- a/ramptray/core/rollout.py
+++ b/ramptray/core/rollout.py
@@ -345,6 +345,10 @@
         sent_new = self.sent_new - self._sent_new_at_ramp
         return sent_new + 1 <= self._share * (sent + 1) + self._slack * part
 
+    def is_rolled_back(self, release: str) -> bool:
+        """Returns whether a release is the new one and was rolled back."""
+        return release == self.order.release and self.state is State.ROLLED_BACK
+
     def count_request(self, is_new: bool) -> None:
         """Counts a granted request."""
         self.sent += 1
--- a/ramptray/core/selector.py
+++ b/ramptray/core/selector.py
@@ -78,7 +78,10 @@
         usable = self._fleet.eligibility.filter_eligible(
             candidates, waiting, now
         )
-        usable = self._releases.filter_allowed(usable)
+        if waiting.request.release is None:
+            usable = self._releases.filter_allowed(usable)
+        elif not self._releases.may_continue(waiting.request.release):
+            usable = []
         usable = anti_affinity.separate_suspects(
             usable, waiting.request, self._is_suspect
         )
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -102,6 +102,7 @@
             self._wait_estimator,
             self.redirector,
             self._entries,
+            self.releases,
             now,
         )
         self.counters = self._shedder.counters
@@ -182,6 +183,7 @@
             round(capacity.fixed_s, 4),
             round(capacity.step_s, 5),
             capacity.regions,
+            releases=capacity.releases,
         )
 
     def holds(self, request_id: str) -> bool:
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Collection, Iterable
 
 import msgspec
@@ -15,6 +16,7 @@
     queue,
     redirection,
     refusal_log,
+    release,
     wait_estimator,
 )
 
@@ -31,6 +33,10 @@
 """Shortest Retry-After if no backend server is reachable, in seconds.  By then
 the load balancer may route the caller to a VM that can reach one."""
 
+RELEASE_GRACE_S = 0.5
+"""Time for which a stream that goes on waits for a server of its release to
+become known, in seconds: records reach VMs at different times."""
+
 MAX_RETRY_AFTER_S = 30.0
 """Longest Retry-After, in seconds."""
 
@@ -38,6 +44,7 @@
     message.Reason.OVERLOADED: redirection.Reason.OVERLOADED,
     message.Reason.DEADLINE: redirection.Reason.DEADLINE,
     message.Reason.NO_BACKEND: redirection.Reason.NO_SERVER,
+    message.Reason.NO_RELEASE: redirection.Reason.NO_SERVER,
 }
 """Reason of a redirect for the reason of the refusal that it avoids."""
 OVERLOAD_RETRY_AFTER_S = 5.0
@@ -72,6 +79,7 @@
         estimator: Estimates waiting times.
         redirector: Redirects requests to other zones.
         entries: The entries that send requests to this owner.
+        releases: Which releases may get requests.
         started_at: When the owner took over, on its clock in seconds.
 
     Attributes:
@@ -87,6 +95,7 @@
         estimator: wait_estimator.WaitEstimator,
         redirector: redirection.Redirector,
         entries: Collection[str],
+        releases: release.ReleaseGate,
         started_at: float,
     ) -> None:
         self.counters = Counters()
@@ -97,6 +106,7 @@
         self._wait_estimator = estimator
         self._redirector = redirector
         self._entries = entries
+        self._releases = releases
         self._started_at = started_at
         self._refusals = refusal_log.RefusalLog()
         self._shed: dict[str, meter.RateMeter] = {}
@@ -213,8 +223,11 @@
     ) -> list[owner_effect.SendToEntry]:
         """Redirects or refuses a request whose entry can reach no server.
 
-        Its caller may retry at another VM.
+        Its caller may retry at another VM.  A stream whose release has no
+        server is left to ``spill_over``, as the record of one may come late.
         """
+        if self._lacks_release(waiting.request):
+            return []
         if not self._fleet.eligibility.has_no_reachable_backend(
             waiting.request
         ) or self._fleet.eligibility.has_gateway(waiting, now):
@@ -265,7 +278,10 @@
         summaries of the other zones.
         """
         if self._fleet.has_usable:
-            return self._spill_restricted(now)
+            return [
+                *self._spill_restricted(now),
+                *self._spill_without_release(now),
+            ]
         is_starting = now - self._started_at <= STARTUP_GRACE_S
         lowest_first = sorted(self._queue.list_all(), key=lambda w: -w.rank)
         return [
@@ -286,6 +302,31 @@
             for effect in self.refuse_unreachable(waiting, now)
         ]
 
+    def _spill_without_release(
+        self, now: float
+    ) -> list[owner_effect.SendToEntry]:
+        """Redirects or refuses streams whose release has no server left."""
+        may_continue = functools.cache(self._may_continue)
+        return [
+            self._redirect_or_refuse(waiting, now, message.Reason.NO_RELEASE)
+            for waiting in self._queue.list_all()
+            if waiting.request.release is not None
+            and now - waiting.since >= RELEASE_GRACE_S
+            and not may_continue(waiting.request.release)
+        ]
+
+    def _lacks_release(self, request: message.RequestInfo) -> bool:
+        return (
+            request.release is not None
+            and not self._fleet.eligibility.has_release(request.release)
+        )
+
+    def _may_continue(self, release_name: str) -> bool:
+        """Returns whether some server may continue a release's streams."""
+        return self._fleet.eligibility.has_release(
+            release_name
+        ) and self._releases.may_continue(release_name)
+
     def _may_find_zone(self, waiting: queue.QueuedRequest, now: float) -> bool:
         """Returns whether a summary of another zone is waited for."""
         if self._redirector.can_redirect(waiting):
@@ -331,7 +372,7 @@
         if not self._fleet.has_usable:
             reason = message.Reason.NO_BACKEND
         min_wait_s = MIN_RETRY_AFTER_S
-        if reason is message.Reason.NO_BACKEND:
+        if reason in (message.Reason.NO_BACKEND, message.Reason.NO_RELEASE):
             min_wait_s = UNREACHABLE_RETRY_AFTER_S
         self._refusals.add(waiting)
         self._wait_estimator.count_refusal(waiting, now)
--- a/ramptray/core/summary.py
+++ b/ramptray/core/summary.py
@@ -25,6 +25,7 @@
         fixed_s: Fixed part of its time to a first token, in seconds.
         step_s: Its time between two tokens, in seconds.
         regions: Regions of the usable servers; None if not sent.
+        releases: Releases of the usable servers; None if not sent.
         age_s: Seconds since it arrived; set by the receiver.
         delay_s: One-way delay between the zones in seconds, as measured by the
             receiver; None if the decision does not depend on it.
@@ -46,6 +47,7 @@
     regions: tuple[str, ...] | None = None
     age_s: float = 0.0
     delay_s: float | None = None
+    releases: tuple[str, ...] | None = None
 
     def has_room(self, rank: int, cost: int) -> bool:
         """Returns whether a request of this tier would be accepted there."""
@@ -54,6 +56,10 @@
 
     def allows(self, request: message.RequestInfo) -> bool:
         """Returns whether a request may run on some server there."""
+        if request.release is not None and request.release not in (
+            self.releases or ()
+        ):
+            return False
         if request.regions is None:
             return True
         return bool(set(request.regions) & set(self.regions or ()))
--- a/ramptray/entry/backend_directory.py
+++ b/ramptray/entry/backend_directory.py
@@ -98,14 +98,14 @@
         """Returns the release of a granted backend server.
 
         Returns:
-            The release; None if the bundle has no such server or another run
-            of it.
+            The release; None if neither the bundle nor the grant names that of
+            this run.
         """
         if self.in_force is None:
-            return None
+            return grant.release
         server = self.in_force.bundle.backend_servers.get(grant.backend)
         if server is None or server.run != grant.run:
-            return None
+            return grant.release
         return server.release
 
     @property
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -234,6 +234,8 @@
                     first.request_id,
                     elapsed_s=round(first.elapsed_s, 4),
                 )
+            case tickets.StreamBegun(_, release):
+                machine.bind_release(release)
             case tickets.Completed(ended, status):
                 if ticket.claim_request:
                     self._claims.finish(ticket, status)
@@ -424,7 +426,7 @@
                         grant.request_id,
                         backend=grant.backend,
                         owner=grant.owner,
-                        release=self.backends.get_release(grant),
+                        release=grant.release,
                         age_s=round(now - ticket.started_at, 4),
                         **(
                             {"gateways": grant.gateways}
@@ -533,6 +535,8 @@
             self._send(grant.owner, decline)
             return
         zone = ticket.machine.info.shard.zone
+        release = self.backends.get_release(grant)
+        grant = msgspec.structs.replace(grant, release=release)
         effects = ticket.machine.receive_grant(grant)
         if zone != self._zone and any(
             isinstance(effect, request.Dispatch) for effect in effects
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -66,6 +66,18 @@
     first: message.FirstToken
 
 
+class StreamBegun(msgspec.Struct, frozen=True):
+    """The first event of a stream is about to be forwarded.
+
+    Attributes:
+        request_id: The request.
+        release: Release of the backend server that sent it; None if unknown.
+    """
+
+    request_id: str
+    release: str | None
+
+
 class Completed(msgspec.Struct, frozen=True):
     """The complete response has arrived.
 
@@ -136,6 +148,7 @@
     | ConnectFailed
     | GrantUnusable
     | FirstTokenReceived
+    | StreamBegun
     | Completed
     | Refused
     | AttemptFailed
@@ -256,7 +269,11 @@
 def get_request_id(event: Event) -> str:
     """Returns the request id of an exchange's event; empty if it has none."""
     match event:
-        case ConnectFailed(request_id) | GrantUnusable(request_id):
+        case (
+            ConnectFailed(request_id)
+            | GrantUnusable(request_id)
+            | StreamBegun(request_id)
+        ):
             return request_id
         case FirstTokenReceived(first):
             return first.request_id
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -325,10 +325,13 @@
                         head.max_refusals_per_s,
                     ),
                 )
-            await self._handle_response(connection, head)
+            await self._handle_response(connection, head, grant)
 
     async def _handle_response(
-        self, connection: connections.Connection, head: message.ResponseHead
+        self,
+        connection: connections.Connection,
+        head: message.ResponseHead,
+        grant: core_message.Grant,
     ) -> None:
         if head.not_run:
             await connection.read_body()
@@ -336,7 +339,7 @@
             return
         is_stream = self._routed.route.kind is model.RouteKind.STREAM
         if is_stream and head.status in OK_STATUSES:
-            await self._forward_stream(connection, head)
+            await self._forward_stream(connection, head, grant)
             return
         body = await connection.read_body()
         response = message.Response(head, body)
@@ -358,7 +361,10 @@
         await self._writer.finish()
 
     async def _forward_stream(
-        self, connection: connections.Connection, head: message.ResponseHead
+        self,
+        connection: connections.Connection,
+        head: message.ResponseHead,
+        grant: core_message.Grant,
     ) -> None:
         """Forwards each event as soon as it is complete."""
         while (data := await self._read_part(connection)) is not None:
@@ -366,6 +372,8 @@
             if not events:
                 continue
             self._record_first_event()
+            if not self._response_started:
+                self._begin_stream(grant)
             await self._ensure_started(head)
             await self._writer.write(events)
         await self._ensure_started(head)
@@ -374,6 +382,12 @@
         await self._writer.finish()
         self._report_complete(head.status)
 
+    def _begin_stream(self, grant: core_message.Grant) -> None:
+        """Binds the stream to the release that sends its first event."""
+        self._ticket.report(
+            tickets.StreamBegun(self._request_id, grant.release)
+        )
+
     async def _read_part(
         self, connection: connections.Connection
     ) -> bytes | None:
