Resume streams at the release that began them, over VMs

The service and release whose first event is forwarded are now recorded under a digest of customer and attempt id, before that event reaches the caller: at the VM itself and at three others, chosen by rendezvous hashing over the availability zones; two must confirm within 0.1 s, else the event goes on and the origin is sent again later. A VM at which a caller resumes asks four of them. Without an answer the stream goes on only if one release alone has served for a minute, seen without a gap, and a read of the store confirms that no newer record exists; else the caller gets 503. Ids are bounded, and those of other customers lead nowhere. A route split between services resumes at the service that began.

--- a/ramptray/entry/backend_directory.py
+++ b/ramptray/entry/backend_directory.py
@@ -6,8 +6,9 @@
 
 import anyio
 
+from ramptray import steadyclock
 from ramptray.bundle import acceptance, model
-from ramptray.core import message
+from ramptray.core import message, release_history
 from ramptray.entry import reachability
 from ramptray.peer import message as peer_message
 
@@ -25,6 +26,7 @@
             accept a request and never respond.
         on_backend_restart: Called with a backend server that has restarted,
             and its new run.
+        releases: The releases that have served.
     """
 
     def __init__(self, scheduling_zone: str | None = None) -> None:
@@ -33,6 +35,7 @@
         self.on_unreachable_zone: Callable[[list[str]], None] = (
             _ignore_addresses
         )
+        self.releases = release_history.ReleaseHistory()
         self.on_backend_restart: Callable[[str, int], None] = _ignore_restart
         self._first_in_force = anyio.Event()
         self._reachability = reachability.Reachability()
@@ -47,6 +50,9 @@
         if previous:
             self._handle_restarts(previous.bundle, in_force.bundle)
         self._first_in_force.set()
+        self.releases.observe(
+            _list_releases(in_force.bundle), steadyclock.read()
+        )
         self._zones = {
             name: server.availability_zone or server.zone
             for name, server in in_force.bundle.backend_servers.items()
@@ -196,6 +202,14 @@
         )
 
 
+def _list_releases(bundle: model.Bundle) -> dict[str, set[str]]:
+    """Returns the releases of all backend servers by service."""
+    releases: dict[str, set[str]] = {}
+    for server in bundle.backend_servers.values():
+        releases.setdefault(server.service, set()).add(server.release)
+    return releases
+
+
 def _ignore_restart(backend: str, run: int) -> None:
     """Default of ``on_backend_restart``."""
 
--- /dev/null
+++ b/ramptray/entry/origin_store.py
@@ -0,0 +1,483 @@
+"""Remembers which release began a stream, on several VMs.
+
+A VM that forwards a stream's first event tells some other VMs before, and a VM
+at which a caller resumes the stream asks them.  Without an answer the origin is
+unknown; it is never guessed.
+"""
+
+from __future__ import annotations
+
+import collections
+import logging
+from collections.abc import Callable, Iterator, Sequence
+from typing import Protocol
+
+import anyio
+import anyio.abc
+import msgspec
+
+from ramptray import steadyclock
+from ramptray.caller import metrics
+from ramptray.core import membership, stream_origin
+from ramptray.peer import link as peer_link
+from ramptray.peer import message as peer_message
+
+LOG = logging.getLogger(__name__)
+
+CONFIRM_TIMEOUT_S = 0.1
+"""How long a first event is held back until other VMs keep its origin, in
+seconds.  In one region they confirm within a few milliseconds."""
+
+MIN_CONFIRMATIONS = 2
+"""Number of VMs that must keep the origin before the first event is forwarded:
+with the VM that serves the stream, two may be lost at once."""
+
+ASK_TIMEOUT_S = 0.5
+"""Timeout of a message to another VM, in seconds."""
+
+FIND_TIMEOUT_S = 0.3
+"""Time within which other VMs must answer what they know of a stream, in
+seconds."""
+
+SECOND_ANSWER_S = 0.05
+"""How long to wait for a second VM that knows the origin, in seconds.  It might
+know that attempts of the same id began at different origins."""
+
+RETRY_SILENT_S = 1.0
+"""Time after which a VM that did not answer is tried again, in seconds."""
+
+RESEND_INTERVAL_S = 1.0
+"""Interval of the checks for origins that too few VMs keep, in seconds."""
+
+MAX_BATCH = 256
+"""Number of origins in one message."""
+
+MAX_PENDING = 2048
+"""Number of origins that wait for one VM; the oldest are dropped."""
+
+MAX_SEARCHES = 64
+"""Number of searches at other VMs at a time.  Callers may name any id."""
+
+
+class Asker(Protocol):
+    """Sends requests to other VMs; see ``link.PeerClient``."""
+
+    async def ask(
+        self, address: str, request: object, timeout_s: float
+    ) -> object:
+        """Returns the response; raises LinkError if there is none in time."""
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """What is known of how a stream began.
+
+    Attributes:
+        source: How it is known, or why it is not.
+        origin: What began the stream; None if that is not known for certain.
+        is_complete: Whether all VMs that were asked have answered.
+    """
+
+    source: stream_origin.Source
+    origin: stream_origin.Origin | None = None
+    is_complete: bool = True
+
+
+class _Outbox(msgspec.Struct):
+    """Origins for one VM.
+
+    Attributes:
+        pending: Keys of the origins to send.
+        is_sending: Whether a message is under way.
+        sent_at: When it was sent.
+        silent_since: When the VM first failed to answer; None if it answers.
+    """
+
+    pending: dict[bytes, None] = msgspec.field(default_factory=dict)
+    is_sending: bool = False
+    sent_at: float = 0.0
+    silent_since: float | None = None
+
+    def is_responsive(self, now: float) -> bool:
+        """Returns whether an answer may be expected within milliseconds."""
+        if self.silent_since is not None:
+            return False
+        return not self.is_sending or now - self.sent_at < CONFIRM_TIMEOUT_S
+
+
+class _OwnStream(msgspec.Struct):
+    """A stream that this VM serves or has served.
+
+    Attributes:
+        until: When its origin need not be kept any more.
+        keepers: Addresses of the VMs that keep its origin.
+        changed: Set when a VM confirms that it does.
+    """
+
+    until: float
+    keepers: set[str] = msgspec.field(default_factory=set)
+    changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
+
+
+class _Search(msgspec.Struct):
+    """A search at other VMs.
+
+    Attributes:
+        waits_for: Number of VMs that have not answered.
+        failed: Number of VMs that gave no answer.
+        found: The answers of VMs that know the stream.
+        changed: Set when a VM has answered.
+    """
+
+    waits_for: int
+    failed: int = 0
+    found: list[tuple[stream_origin.Origin, ...]] = msgspec.field(
+        default_factory=list
+    )
+    changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
+
+    def end_one(self) -> None:
+        """Records that a VM has answered or failed to."""
+        self.waits_for -= 1
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+class OriginStore:
+    """Keeps the origins of streams here and at other VMs.
+
+    Args:
+        address: Address of this VM's scheduler.
+        client: Sends requests to other VMs.
+    """
+
+    def __init__(self, address: str, client: Asker) -> None:
+        self._address = address
+        self._client = client
+        self._table = stream_origin.OriginTable()
+        self._keepers: list[membership.Member] = []
+        self._others: dict[str, str] = {}
+        self._outboxes: dict[str, _Outbox] = {}
+        self._own: dict[bytes, _OwnStream] = {}
+        self._searches = 0
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    async def run(self) -> None:
+        """Sends origins to other VMs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                await anyio.sleep(RESEND_INTERVAL_S)
+                self._resend(steadyclock.read())
+
+    def update_members(
+        self,
+        members: Sequence[membership.Member],
+        others: Sequence[membership.Member],
+    ) -> None:
+        """Applies a view of the membership.
+
+        Origins are sent to VMs that keep them in place of lost ones.
+
+        Args:
+            members: Live members of the scheduling zone.
+            others: Some live members of each other zone.
+        """
+        keepers = stream_origin.list_keepers(members)
+        self._others = {member.zone: member.address for member in others}
+        if keepers == self._keepers:
+            return
+        self._keepers = keepers
+        kept = {member.address for member in members}
+        self._outboxes = {
+            address: outbox
+            for address, outbox in self._outboxes.items()
+            if address in kept
+        }
+        self._resend(steadyclock.read())
+
+    async def record(
+        self, key: bytes, origin: stream_origin.Origin, retention_s: float
+    ) -> bool:
+        """Records what begins a stream, before its first event is forwarded.
+
+        Args:
+            key: The stream's key.
+            origin: Its origin.
+            retention_s: Seconds for which it is kept.
+
+        Returns:
+            Whether enough other VMs keep it.
+        """
+        own, targets = self._add(key, origin, retention_s)
+        wanted = min(MIN_CONFIRMATIONS, targets)
+        with anyio.move_on_after(CONFIRM_TIMEOUT_S):
+            while len(own.keepers) < wanted:
+                own.changed = anyio.Event()
+                await own.changed.wait()
+        is_confirmed = len(own.keepers) >= MIN_CONFIRMATIONS
+        self._counts["confirmed" if is_confirmed else "unconfirmed"] += 1
+        return is_confirmed
+
+    def prolong(
+        self, key: bytes, origin: stream_origin.Origin, retention_s: float
+    ) -> None:
+        """Keeps the origin of a stream that goes on for longer.
+
+        Args:
+            key: The stream's key.
+            origin: Its origin.
+            retention_s: Seconds for which it is kept.
+        """
+        self._add(key, origin, retention_s)
+
+    async def find(self, key: bytes) -> Finding:
+        """Returns what this VM and others know of how a stream began."""
+        now = steadyclock.read()
+        kept = self._table.find(key, now)
+        search = await self._search(key, kept, now)
+        origins = stream_origin.join_answers([kept, *search.found])
+        is_complete = not (search.failed or search.waits_for)
+        source = stream_origin.Source.UNKNOWN
+        if len(origins) > 1:
+            source = stream_origin.Source.AMBIGUOUS
+        elif origins:
+            source = stream_origin.Source.PEER
+            if kept:
+                source = stream_origin.Source.KEPT
+            return Finding(source, origins[0], is_complete)
+        return Finding(source, is_complete=is_complete)
+
+    def keep(
+        self, request: peer_message.KeepOrigins
+    ) -> peer_message.OriginsKept:
+        """Keeps the origins that another VM sends.
+
+        Returns:
+            The records whose keys have several origins.
+        """
+        now = steadyclock.read()
+        ambiguous = [
+            record.key
+            for record in request.records
+            if len(self._table.merge(record, now)) > 1
+        ]
+        return peer_message.OriginsKept(
+            self._table.list_records(now, ambiguous)
+        )
+
+    async def answer(
+        self, request: peer_message.FindOrigin
+    ) -> peer_message.FoundOrigin:
+        """Returns what this VM, or its zone, knows of a stream."""
+        if request.asks_zone:
+            finding = await self.find(request.key)
+            if finding.origin is not None:
+                return peer_message.FoundOrigin((finding.origin,))
+        return peer_message.FoundOrigin(
+            self._table.find(request.key, steadyclock.read())
+        )
+
+    async def find_in_other_zones(self, key: bytes) -> Finding:
+        """Returns what one VM of each other zone finds out about a stream."""
+        search = await self._ask_all(list(self._others.values()), key, True, ())
+        origins = stream_origin.join_answers(search.found)
+        is_complete = not (search.failed or search.waits_for)
+        if len(origins) == 1:
+            return Finding(stream_origin.Source.PEER, origins[0], is_complete)
+        source = stream_origin.Source.UNKNOWN
+        if origins:
+            source = stream_origin.Source.AMBIGUOUS
+        return Finding(source, is_complete=is_complete)
+
+    async def hand_over(self) -> None:
+        """Sends all origins kept here to the VMs that keep them from now on."""
+        now = steadyclock.read()
+        for record in self._table.list_records(now):
+            for address in self._pick_keepers(record.key, now):
+                self._enqueue(address, record.key)
+        with anyio.move_on_after(ASK_TIMEOUT_S):
+            while any(box.is_sending for box in self._outboxes.values()):
+                await anyio.sleep(CONFIRM_TIMEOUT_S / 4)
+
+    def list_gauges(self) -> Iterator[metrics.Gauge]:
+        """Yields the metrics."""
+        yield metrics.Gauge("stream_origins", {}, len(self._table))
+        yield metrics.Gauge("stream_origins_dropped", {}, self._table.dropped)
+        for state in ("confirmed", "unconfirmed"):
+            labels = {"state": state}
+            yield metrics.Gauge("streams_recorded", labels, self._counts[state])
+        for source in stream_origin.Source:
+            labels = {"source": source.value}
+            yield metrics.Gauge(
+                "streams_resumed", labels, self._counts[source.value]
+            )
+
+    def count_resumed(self, source: stream_origin.Source) -> None:
+        """Counts a resumed stream by how its origin is known."""
+        self._counts[source.value] += 1
+
+    def _add(
+        self, key: bytes, origin: stream_origin.Origin, retention_s: float
+    ) -> tuple[_OwnStream, int]:
+        """Keeps an origin and sends it to its keepers.
+
+        Returns:
+            The stream, and the number of VMs that the origin was sent to.
+        """
+        now = steadyclock.read()
+        record = stream_origin.OriginRecord(key, (origin,), retention_s)
+        self._table.merge(record, now)
+        own = self._own[key] = _OwnStream(now + retention_s)
+        return own, self._send_to_keepers(key, own, now)
+
+    async def _search(
+        self, key: bytes, kept: tuple[stream_origin.Origin, ...], now: float
+    ) -> _Search:
+        addresses = [
+            member.address
+            for member in stream_origin.rank_keepers(key, self._keepers)
+            if member.address != self._address
+        ]
+        if self._searches >= MAX_SEARCHES:
+            return _Search(0, failed=1)
+        self._searches += 1
+        try:
+            return await self._ask_all(
+                addresses[: stream_origin.ASKED_COPIES], key, False, kept
+            )
+        finally:
+            self._searches -= 1
+
+    async def _ask_all(
+        self,
+        addresses: Sequence[str],
+        key: bytes,
+        asks_zone: bool,
+        kept: tuple[stream_origin.Origin, ...],
+    ) -> _Search:
+        """Asks VMs until two know the origin, or all have answered."""
+        search = _Search(len(addresses))
+        request = peer_message.FindOrigin(key, asks_zone)
+        for address in addresses:
+            self._start(self._ask_one, address, request, search)
+        deadline = steadyclock.read() + FIND_TIMEOUT_S
+        while search.waits_for and len(search.found) + bool(kept) < 2:
+            left_s = deadline - steadyclock.read()
+            if search.found or kept:
+                left_s = min(left_s, SECOND_ANSWER_S)
+            with anyio.move_on_after(left_s) as scope:
+                await search.changed.wait()
+            if scope.cancelled_caught:
+                break
+        return search
+
+    async def _ask_one(
+        self,
+        address: str,
+        request: peer_message.FindOrigin,
+        search: _Search,
+    ) -> None:
+        # Not cancelled when the search ends, see StreamDistributor._follow.
+        try:
+            answer = await self._client.ask(address, request, FIND_TIMEOUT_S)
+        except peer_link.LinkError as error:
+            LOG.debug("no answer on a stream's origin: %s", error)
+            search.failed += 1
+        else:
+            assert isinstance(answer, peer_message.FoundOrigin)
+            if answer.origins:
+                search.found.append(answer.origins)
+        search.end_one()
+
+    def _pick_keepers(self, key: bytes, now: float) -> list[str]:
+        """Returns the addresses of the VMs that are to keep an origin.
+
+        VMs that do not answer are passed over for a while.
+        """
+        ranked = (
+            member.address
+            for member in stream_origin.rank_keepers(key, self._keepers)
+            if member.address != self._address
+        )
+        responsive = [
+            address
+            for address in ranked
+            if self._get_outbox(address).is_responsive(now)
+        ]
+        return responsive[: stream_origin.COPIES]
+
+    def _send_to_keepers(self, key: bytes, own: _OwnStream, now: float) -> int:
+        """Sends an origin to its keepers that do not have it yet.
+
+        Returns:
+            The number of VMs that keep it or were sent it.
+        """
+        chosen = self._pick_keepers(key, now)
+        for address in chosen:
+            if address not in own.keepers:
+                self._enqueue(address, key)
+        return len(own.keepers.union(chosen))
+
+    def _resend(self, now: float) -> None:
+        """Sends origins of own streams that their keepers do not have."""
+        for outbox in self._outboxes.values():
+            since = outbox.silent_since
+            if since is not None and now - since > RETRY_SILENT_S:
+                outbox.silent_since = None
+        self._own = {
+            key: own for key, own in self._own.items() if own.until > now
+        }
+        for key, own in self._own.items():
+            self._send_to_keepers(key, own, now)
+
+    def _get_outbox(self, address: str) -> _Outbox:
+        return self._outboxes.setdefault(address, _Outbox())
+
+    def _enqueue(self, address: str, key: bytes) -> None:
+        outbox = self._get_outbox(address)
+        outbox.pending[key] = None
+        if len(outbox.pending) > MAX_PENDING:
+            del outbox.pending[next(iter(outbox.pending))]
+        if not outbox.is_sending:
+            outbox.is_sending = True
+            self._start(self._send_pending, address, outbox)
+
+    async def _send_pending(self, address: str, outbox: _Outbox) -> None:
+        """Sends what is pending for a VM; at most one message at a time."""
+        while outbox.pending:
+            now = outbox.sent_at = steadyclock.read()
+            keys = list(outbox.pending)[:MAX_BATCH]
+            for key in keys:
+                del outbox.pending[key]
+            request = peer_message.KeepOrigins(
+                self._table.list_records(now, keys)
+            )
+            try:
+                answer = await self._client.ask(address, request, ASK_TIMEOUT_S)
+            except peer_link.LinkError as error:
+                LOG.debug("origins not sent: %s", error)
+                outbox.silent_since = steadyclock.read()
+                outbox.pending.clear()
+                break
+            assert isinstance(answer, peer_message.OriginsKept)
+            self._confirm(address, keys, answer)
+        outbox.is_sending = False
+
+    def _confirm(
+        self,
+        address: str,
+        keys: list[bytes],
+        answer: peer_message.OriginsKept,
+    ) -> None:
+        now = steadyclock.read()
+        for record in answer.ambiguous:
+            self._table.merge(record, now)
+        for key in keys:
+            if own := self._own.get(key):
+                own.keepers.add(address)
+                own.changed.set()
+
+    def _start(self, call: Callable[..., object], *args: object) -> None:
+        assert self._tasks is not None
+        self._tasks.start_soon(call, *args)  # type: ignore[arg-type]
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -18,7 +18,12 @@
 from ramptray.bundle import acceptance
 from ramptray.caller import metrics
 from ramptray.core import blocklist, membership, retry
-from ramptray.entry import dispatcher, prober, server_hints
+from ramptray.entry import (
+    dispatcher,
+    origin_store,
+    prober,
+    server_hints,
+)
 from ramptray.node import listener, probe, suspension
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
@@ -29,8 +34,8 @@
 from ramptray.platform import rollout as platform_rollout
 from ramptray.platform import settings as vm_settings
 from ramptray.relay import client as relay_client
+from ramptray.relay import resumption, service, tunnel, tunnel_server
 from ramptray.relay import server as relay_server
-from ramptray.relay import service, tunnel, tunnel_server
 from ramptray.relay import socket_stream as streams
 from ramptray.scheduler import (
     block_sync,
@@ -157,6 +162,9 @@
             awaits_view=True,
             gateway_address=vm.peers,
         )
+        self._origins = origin_store.OriginStore(vm.peers, self._runtime.client)
+        self._handler.origins = self._origins
+        self._follower.on_gap = self._dispatcher.backends.releases.record_gap
         self._tunnel_server = tunnel_server.TunnelServer(
             self._dispatcher.backends,
             self._dispatcher.server_hints,
@@ -192,6 +200,7 @@
                 self._relay_client.run,
                 self._prober.run,
                 self._block_sync.run,
+                self._origins.run,
                 self._verdict_writer.run,
                 suspension.SuspensionDetector(self._handle_suspension).run,
                 self._watch_reload,
@@ -250,6 +259,7 @@
         LOG.info("stopping", extra={"active": self._relay.state.active})
         with anyio.move_on_after(self._settings.lame_duck_s):
             await self._gossiper.leave()
+            await self._origins.hand_over()
             await anyio.sleep(self._settings.lame_duck_s)
         self._relay.refuse_new_requests()
         self._tunnel_server.stopping = True
@@ -319,6 +329,7 @@
                 for outcome, count in self._tunnel_server.counts.items()
             ),
             *self._dispatcher.redirects.list_gauges(),
+            *self._origins.list_gauges(),
             *(
                 metrics.Gauge("region_delay_seconds", {"zone": zone}, delay_s)
                 for zone, delay_s in self._gossiper.list_delays().items()
@@ -421,6 +432,7 @@
 
     def _apply_view(self, view: peer_message.View) -> None:
         self._hub.post(event.ViewChanged(view))
+        self._origins.update_members(view.members, view.others)
         self._relay_client.expire_gateways(
             {member.address for member in (*view.members, *view.others)}
         )
@@ -440,6 +452,12 @@
             self._relay_client,
             self._metrics,
             self._runtime.timeline,
+            self._origins,
+            resumption.ResumptionResolver(
+                self._origins,
+                self._dispatcher.backends.releases,
+                self._follower.confirm_replicas,
+            ),
             self._settings.content_key.encode(),
         )
 
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -68,6 +68,10 @@
             peer_message.TunnelAnswer,
             peer_message.TunneledHints,
             peer_message.Received,
+            peer_message.KeepOrigins,
+            peer_message.OriginsKept,
+            peer_message.FindOrigin,
+            peer_message.FoundOrigin,
         ),
     )
 }
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -7,7 +7,14 @@
 import msgspec
 
 from ramptray.bundle import signature
-from ramptray.core import blocklist, membership, message, rollout, summary
+from ramptray.core import (
+    blocklist,
+    membership,
+    message,
+    rollout,
+    stream_origin,
+    summary,
+)
 
 
 class Hello(msgspec.Struct, frozen=True):
@@ -310,6 +317,44 @@
     news: list[StreamNews]
 
 
+class KeepOrigins(msgspec.Struct, frozen=True):
+    """VM to VM: keep the origins of these streams."""
+
+    records: list[stream_origin.OriginRecord]
+
+
+class OriginsKept(msgspec.Struct, frozen=True):
+    """Response to ``KeepOrigins``.
+
+    Attributes:
+        ambiguous: The records among them whose keys have several origins.
+    """
+
+    ambiguous: list[stream_origin.OriginRecord] = []
+
+
+class FindOrigin(msgspec.Struct, frozen=True):
+    """VM to VM: requests the origin of a stream.
+
+    Attributes:
+        key: The stream's key.
+        asks_zone: Whether the receiver asks the other VMs of its zone.
+    """
+
+    key: bytes
+    asks_zone: bool = False
+
+
+class FoundOrigin(msgspec.Struct, frozen=True):
+    """Response to ``FindOrigin``.
+
+    Attributes:
+        origins: The stream's origins; empty if none is known.
+    """
+
+    origins: tuple[stream_origin.Origin, ...]
+
+
 class BlockedContents(msgspec.Struct, frozen=True):
     """Scheduler to entry, or back: blocked contents, which crash servers.
 
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -13,6 +13,7 @@
 from ramptray.bundle import acceptance, model, signature
 from ramptray.caller import metrics
 from ramptray.core import membership
+from ramptray.log import error as log_error
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.platform import (
@@ -51,6 +52,12 @@
 
 A change in the store must be in force on every VM within about two seconds."""
 
+CONFIRM_TIMEOUT_S = 0.5
+"""Timeout of a read that confirms that all records are known, in seconds."""
+
+CONFIRM_INTERVAL_S = 0.1
+"""Shortest interval between two such reads, in seconds.  Callers cause them."""
+
 OnBundle = Callable[[acceptance.InForce], None]
 
 
@@ -73,6 +80,8 @@
 
     Attributes:
         pick_peer: Returns the address of any peer, None if there is none.
+        on_gap: Called with the time when replicas may have come and gone
+            unseen.
     """
 
     def __init__(
@@ -90,6 +99,10 @@
     ) -> None:
         super().__init__(client, FETCH_TIMEOUT_S)
         self.pick_peer: Callable[[], str | None] = _pick_no_peer
+        self.on_gap: Callable[[float], None] = _ignore_gap
+        self._confirming = anyio.Lock()
+        self._confirmed_at = float("-inf")
+        self._is_confirmed = False
         self._in_force: acceptance.InForce | None = None
         self._parser = config.ConfigParser(
             terms, scheduling_zone.SchedulingZones(zones).names
@@ -200,6 +213,36 @@
         """See the base class."""
         await self._distributor.fetch_updates(address)
 
+    async def confirm_replicas(self) -> bool:
+        """Returns whether all records of replicas up to now are known here.
+
+        Calls at the same time share one read of the store.
+        """
+        asked_at = steadyclock.read()
+        async with self._confirming:
+            if self._confirmed_at < asked_at:
+                due_s = self._confirmed_at + CONFIRM_INTERVAL_S - asked_at
+                await anyio.sleep(max(0.0, due_s))
+                self._confirmed_at = steadyclock.read()
+                self._is_confirmed = await self._has_read_all()
+            return self._is_confirmed
+
+    async def _has_read_all(self) -> bool:
+        end = self._replica_reader.end
+        if end is None:
+            return False
+        try:
+            changes = await self._replica_reader.read_from(
+                end, 0.0, CONFIRM_TIMEOUT_S
+            )
+        except log_error.LogError as error:
+            LOG.info(
+                "records of replicas not confirmed",
+                extra={"detail": str(error)},
+            )
+            return False
+        return not changes.records and self._replica_reader.end == end
+
     def _record_outage(self, outage: distributor.LogOutage) -> None:
         self._replica_registry.merge_outage(outage, steadyclock.read())
 
@@ -283,6 +326,7 @@
         self, changes: store.Changes, is_snapshot: bool
     ) -> None:
         now = steadyclock.read()
+        missed = self._replica_registry.missed_count
         self._knows_replicas = True
         if self._replica_reader.in_outage:
             self._replica_registry.record_store_recovery(now)
@@ -292,6 +336,8 @@
             )
         else:
             self._replica_registry.apply_changes(changes.records, now)
+        if is_snapshot or self._replica_registry.missed_count != missed:
+            self.on_gap(now)
         if is_snapshot or changes.records:
             # Empty reads, which a watching VM gets once per second, must not
             # publish: each bundle costs shard owners some work.
@@ -394,6 +440,10 @@
     )
 
 
+def _ignore_gap(now: float) -> None:
+    """Default for ``Follower.on_gap``."""
+
+
 def _pick_no_peer() -> str | None:
     """Default for ``Follower.pick_peer`` until the peers are known."""
     return None
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -36,6 +36,9 @@
 """Id of the attempt that brought the first event of a stream that its caller
 resumes."""
 
+MAX_RESUMES_BYTES = 256
+"""Longest id that a caller may name, in bytes."""
+
 CUSTOMER = b"x-tenant"
 EXPECTED_BACKEND = b"x-expect-instance"
 """The intended replica; any other responds 421 without running the request."""
@@ -141,6 +144,15 @@
                 message.InvalidRequest(400, "x-request-id: exactly one wanted")
             )
         values = {name.lower(): value for name, value in head.headers}
+        if names.count(RESUMES) > 1 or (
+            len(values.get(RESUMES, b"")) > MAX_RESUMES_BYTES
+        ):
+            return Err(
+                message.InvalidRequest(
+                    400,
+                    f"resumes: at most one, of {MAX_RESUMES_BYTES} bytes",
+                )
+            )
         prompt, output = _parse_token_counts(values.get(_TOKEN_COUNT))
         prefix, prefix_tokens = _parse_prefix(
             values.get(_PROMPT_PREFIX, b""), values.get(_MODEL, b"")
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -58,9 +58,13 @@
             It must be less than the time for which a stopped replica may still
             be sent work.
         zones: The existing availability zones; empty to accept any.
+
+    Attributes:
+        missed_count: Number of replicas that came and went unseen.
     """
 
     def __init__(self, retention_s: float, zones: Collection[str] = ()) -> None:
+        self.missed_count = 0
         self._retention_s = retention_s
         self._zones = zones
         self._known: dict[str, _KnownReplica] = {}
@@ -255,6 +259,7 @@
         for name, position in removals.items():
             self._unusable.pop(name, None)
             known = self._known.get(name)
+            self.missed_count += known is None
             if known is None or known.gone_at or known.forget_at:
                 continue
             if known.replica.position > position >= 0:
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -13,9 +13,9 @@
 from ramptray import steadyclock
 from ramptray.bundle import model
 from ramptray.core import message as core_message
-from ramptray.core import request, silence
+from ramptray.core import request, silence, stream_origin
 from ramptray.entry import dispatcher as dispatchers
-from ramptray.entry import server_hints
+from ramptray.entry import origin_store, server_hints
 from ramptray.entry import ticket as tickets
 from ramptray.relay import backend_probe, event, message, refusal
 from ramptray.relay import client as relay_client
@@ -122,6 +122,7 @@
         dispatcher: dispatchers.Dispatcher,
         client: relay_client.RelayClient,
         writer: ResponseWriter,
+        origins: origin_store.OriginStore,
     ) -> None:
         self.outcome = ""
         self.first_event_s: float | None = None
@@ -129,6 +130,7 @@
         self._dispatcher = dispatcher
         self._client = client
         self._writer = writer
+        self._origins = origins
         self._started_at = steadyclock.read()
         self._deadline = self._started_at + routed.timeout_s
         self._ticket = dispatcher.submit(routed.info, None)
@@ -373,7 +375,7 @@
                 continue
             self._record_first_event()
             if not self._response_started:
-                self._begin_stream(grant)
+                await self._begin_stream(grant)
             await self._ensure_started(head)
             await self._writer.write(events)
         await self._ensure_started(head)
@@ -382,11 +384,27 @@
         await self._writer.finish()
         self._report_complete(head.status)
 
-    def _begin_stream(self, grant: core_message.Grant) -> None:
-        """Binds the stream to the release that sends its first event."""
+    async def _begin_stream(self, grant: core_message.Grant) -> None:
+        """Binds the stream to the release that sends its first event.
+
+        Other VMs keep the release before the caller can return to them.
+        """
+        routed, asked = self._routed, self._routed.asked
         self._ticket.report(
             tickets.StreamBegun(self._request_id, grant.release)
         )
+        if grant.release is None or not routed.route.resumable:
+            return
+        origin = stream_origin.Origin(routed.info.shard.service, grant.release)
+        retention_s = stream_origin.compute_retention(asked.deadline_s)
+        if asked.last_event and asked.resumes:
+            first = stream_origin.make_key(routed.customer, asked.resumes)
+            self._origins.prolong(first, origin, retention_s)
+        await self._origins.record(
+            stream_origin.make_key(routed.customer, asked.request_id),
+            origin,
+            retention_s,
+        )
 
     async def _read_part(
         self, connection: connections.Connection
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -4,14 +4,25 @@
 
 import logging
 
+import msgspec
+
 from ramptray import steadyclock
 from ramptray import timeline as timelines
 from ramptray.bundle import acceptance, model
 from ramptray.caller import metrics as caller_metrics
 from ramptray.core import message as core_message
+from ramptray.core import stream_origin
 from ramptray.entry import dispatcher as dispatchers
+from ramptray.entry import origin_store
 from ramptray.relay import client as relay_client
-from ramptray.relay import content, exchange, message, refusal, routing
+from ramptray.relay import (
+    content,
+    exchange,
+    message,
+    refusal,
+    resumption,
+    routing,
+)
 
 LOG = logging.getLogger(__name__)
 
@@ -36,6 +47,28 @@
 """Longest id from a caller that is logged."""
 
 
+class _Admission(msgspec.Struct, frozen=True):
+    """A request that may be served.
+
+    Attributes:
+        request: The caller's request.
+        bundle: The bundle by which it is served.
+        route: The route that matched it.
+        customer: The customer; empty on a public route without a key.
+    """
+
+    request: message.CallerRequest
+    bundle: model.Bundle
+    route: model.Route
+    customer: str
+
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller holds the beginning of a stream."""
+        is_stream = self.route.kind is model.RouteKind.STREAM
+        return is_stream and bool(self.request.last_event)
+
+
 class RelayService:
     """Serves relayed requests according to the bundle in force.
 
@@ -45,6 +78,8 @@
         client: Connection pool to backend servers.
         metrics: Counters and histograms.
         timeline: Records refused requests.
+        origins: Records what began streams.
+        resumptions: Finds what began streams that callers resume.
         content_key: Secret key of the content digests.
     """
 
@@ -55,6 +90,8 @@
         client: relay_client.RelayClient,
         metrics: caller_metrics.Metrics,
         timeline: timelines.Timeline,
+        origins: origin_store.OriginStore,
+        resumptions: resumption.ResumptionResolver,
         content_key: bytes = b"",
     ) -> None:
         self._content_key = content_key
@@ -63,6 +100,8 @@
         self._client = client
         self._metrics = metrics
         self._timeline = timeline
+        self._origins = origins
+        self._resumptions = resumptions
         self._routes = routing.RouteTable({})
         self._in_force: acceptance.InForce | None = None
 
@@ -82,24 +121,53 @@
                 ),
             )
             return
-        routed = self._route(request, in_force)
+        admitted = self._admit(request, in_force)
+        origin = None
+        if isinstance(admitted, _Admission) and admitted.is_resumption:
+            found = await self._find_origin(admitted)
+            if isinstance(found, refusal.Refusal):
+                await self._refuse(request, writer, found)
+                return
+            origin = found
+            # The configuration may have changed in the meantime.
+            admitted = self._admit(
+                request, self._dispatcher.in_force or in_force
+            )
+        if isinstance(admitted, _Admission):
+            routed = self._route(admitted, origin)
+        else:
+            routed = admitted
         if isinstance(routed, refusal.Refusal):
             await self._refuse(request, writer, routed)
             return
-        if request.last_event:
-            self._timeline.note(
-                "resume",
-                request.request_id,
-                resumes=(request.resumes or "")[:MAX_LOGGED_ID_CHARS] or None,
-                last_event=request.last_event[:MAX_LOGGED_ID_CHARS],
-            )
         await self._run_exchange(routed, writer)
 
+    async def _find_origin(
+        self, admitted: _Admission
+    ) -> stream_origin.Origin | refusal.Refusal:
+        """Returns what began the stream that a caller resumes, or a refusal."""
+        request = admitted.request
+        finding = await self._resumptions.resolve(
+            request, admitted.route, admitted.customer
+        )
+        origin = finding.origin
+        self._timeline.note(
+            "resume",
+            request.request_id,
+            resumes=(request.resumes or "")[:MAX_LOGGED_ID_CHARS] or None,
+            last_event=(request.last_event or "")[:MAX_LOGGED_ID_CHARS],
+            service=origin.service if origin else None,
+            release=origin.release if origin else None,
+            source=finding.source.value,
+            all_answered=finding.is_complete,
+        )
+        return origin or resumption.make_refusal(finding)
+
     async def _run_exchange(
         self, routed: exchange.RoutedRequest, writer: exchange.ResponseWriter
     ) -> None:
         active = exchange.Exchange(
-            routed, self._dispatcher, self._client, writer
+            routed, self._dispatcher, self._client, writer, self._origins
         )
         started_at = steadyclock.read()
         tier = routed.info.tier
@@ -133,10 +201,10 @@
         self._metrics.count_end("", "refused", refused.text)
         await writer.refuse(refused)
 
-    def _route(
+    def _admit(
         self, request: message.CallerRequest, in_force: acceptance.InForce
-    ) -> exchange.RoutedRequest | refusal.Refusal:
-        """Returns the request with its route, or the refusal to send."""
+    ) -> _Admission | refusal.Refusal:
+        """Returns the route and customer of a request, or the refusal."""
         bundle = in_force.bundle
         if (
             self._in_force is None
@@ -154,14 +222,39 @@
             if found is None:
                 return refusal.Refusal(UNAUTHORIZED, "unknown_key")
             customer = found
-        service = routing.pick_service(route, request.request_id)
-        if service not in bundle.services:
+        return _Admission(request, bundle, route, customer)
+
+    def _route(
+        self, admitted: _Admission, origin: stream_origin.Origin | None
+    ) -> exchange.RoutedRequest | refusal.Refusal:
+        """Returns the request with its service, or the refusal to send.
+
+        Args:
+            admitted: The request.
+            origin: What began the stream that it resumes; None if it resumes
+                none.
+        """
+        route = admitted.route
+        service = routing.pick_service(route, admitted.request.request_id)
+        if origin is not None:
+            service = origin.service
+            if service not in {target.service for target in route.targets}:
+                return refusal.Refusal(refusal.UNAVAILABLE, "service_left")
+        if service not in admitted.bundle.services:
             return refusal.Refusal(
                 refusal.UNAVAILABLE, "no_service", NOT_READY_RETRY_S
             )
-        return self._build_routed_request(
-            request, bundle, route, customer, service
+        routed = self._build_routed_request(
+            admitted.request,
+            admitted.bundle,
+            route,
+            admitted.customer,
+            service,
         )
+        if origin is None:
+            return routed
+        info = msgspec.structs.replace(routed.info, release=origin.release)
+        return msgspec.structs.replace(routed, info=info)
 
     def _build_routed_request(
         self,
--- a/ramptray/scheduler/handler.py
+++ b/ramptray/scheduler/handler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 
@@ -19,12 +19,27 @@
 """Maximum number of attached processes whose events are buffered."""
 
 
+class OriginKeeper(Protocol):
+    """Keeps the origins of streams; see ``entry.origin_store``."""
+
+    def keep(
+        self, request: peer_message.KeepOrigins
+    ) -> peer_message.OriginsKept:
+        """Keeps origins that another VM sends."""
+
+    async def answer(
+        self, request: peer_message.FindOrigin
+    ) -> peer_message.FoundOrigin:
+        """Returns what is known of a stream."""
+
+
 class SchedulerHandler(peer_link.Handler):
     """Passes attached processes' messages to the hub and answers requests.
 
     Attributes:
         on_tunneled_hints: Called with the hints of a response that this VM
             tunneled.
+        origins: Keeps the origins of streams; None if this VM serves none.
     """
 
     def __init__(
@@ -41,6 +56,7 @@
         self.on_tunneled_hints: Callable[[peer_message.TunneledHints], None] = (
             _ignore_hints
         )
+        self.origins: OriginKeeper | None = None
 
     async def open(self, session: peer_link.Session) -> None:
         """See the base class."""
@@ -86,6 +102,10 @@
             case peer_message.TunneledHints():
                 self.on_tunneled_hints(request)
                 return peer_message.Received()
+            case peer_message.KeepOrigins() if self.origins is not None:
+                return self.origins.keep(request)
+            case peer_message.FindOrigin() if self.origins is not None:
+                return await self.origins.answer(request)
         raise ValueError(f"unknown request type: {type(request).__name__}")
 
     def _list_blocks(self) -> peer_message.BlockedContents:
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -184,6 +184,8 @@
     [
         [("Host", "a")],
         [("X-Request-Id", "1"), ("X-Request-Id", "2")],
+        [("X-Request-Id", "1"), ("Resumes", "a"), ("Resumes", "b")],
+        [("X-Request-Id", "1"), ("Resumes", "a" * 257)],
         [
             ("X-Request-Id", "1"),
             ("Content-Length", "1"),
