--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -39,6 +39,10 @@
 """Time within which other VMs must answer what they know of a stream, in
 seconds."""
 
+OTHER_ZONE_TIMEOUT_S = 0.8
+"""Time within which VMs of other zones must answer, in seconds: two connections
+and their own search."""
+
 SECOND_ANSWER_S = 0.05
 """How long to wait for a second VM that knows the origin, in seconds.  It might
 know that attempts of the same id began at different origins."""
@@ -280,7 +284,11 @@
 
     async def find_in_other_zones(self, key: bytes) -> Finding:
         """Returns what one VM of each other zone finds out about a stream."""
-        search = await self._ask_all(list(self._others.values()), key, True, ())
+        search = await self._ask_all(
+            list(self._others.values()),
+            peer_message.FindOrigin(key, asks_zone=True),
+            OTHER_ZONE_TIMEOUT_S,
+        )
         origins = stream_origin.join_answers(search.found)
         is_complete = not (search.failed or search.waits_for)
         if len(origins) == 1:
@@ -344,7 +352,10 @@
         self._searches += 1
         try:
             return await self._ask_all(
-                addresses[: stream_origin.ASKED_COPIES], key, False, kept
+                addresses[: stream_origin.ASKED_COPIES],
+                peer_message.FindOrigin(key),
+                FIND_TIMEOUT_S,
+                bool(kept),
             )
         finally:
             self._searches -= 1
@@ -352,19 +363,25 @@
     async def _ask_all(
         self,
         addresses: Sequence[str],
-        key: bytes,
-        asks_zone: bool,
-        kept: tuple[stream_origin.Origin, ...],
+        request: peer_message.FindOrigin,
+        timeout_s: float,
+        is_kept: bool = False,
     ) -> _Search:
-        """Asks VMs until two know the origin, or all have answered."""
+        """Asks VMs until two know the origin, or all have answered.
+
+        Args:
+            addresses: The VMs.
+            request: What they are asked.
+            timeout_s: Time within which they must answer, in seconds.
+            is_kept: Whether this VM knows the origin itself.
+        """
         search = _Search(len(addresses))
-        request = peer_message.FindOrigin(key, asks_zone)
         for address in addresses:
-            self._start(self._ask_one, address, request, search)
-        deadline = steadyclock.read() + FIND_TIMEOUT_S
-        while search.waits_for and len(search.found) + bool(kept) < 2:
+            self._start(self._ask_one, address, request, timeout_s, search)
+        deadline = steadyclock.read() + timeout_s
+        while search.waits_for and len(search.found) + is_kept < 2:
             left_s = deadline - steadyclock.read()
-            if search.found or kept:
+            if search.found or is_kept:
                 left_s = min(left_s, SECOND_ANSWER_S)
             with anyio.move_on_after(left_s) as scope:
                 await search.changed.wait()
@@ -376,11 +393,12 @@
         self,
         address: str,
         request: peer_message.FindOrigin,
+        timeout_s: float,
         search: _Search,
     ) -> None:
         # Not cancelled when the search ends, see StreamDistributor._follow.
         try:
-            answer = await self._client.ask(address, request, FIND_TIMEOUT_S)
+            answer = await self._client.ask(address, request, timeout_s)
         except peer_link.LinkError as error:
             LOG.debug("no answer on a stream's origin: %s", error)
             search.failed += 1
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -400,11 +400,15 @@
         if asked.last_event and asked.resumes:
             first = stream_origin.make_key(routed.customer, asked.resumes)
             self._origins.prolong(first, origin, retention_s)
-        await self._origins.record(
+        is_confirmed = await self._origins.record(
             stream_origin.make_key(routed.customer, asked.request_id),
             origin,
             retention_s,
         )
+        if not is_confirmed:
+            self._dispatcher.timeline.note(
+                "origin_unconfirmed", self._request_id, release=grant.release
+            )
 
     async def _read_part(
         self, connection: connections.Connection
