Let releases come and go in the soak, with callers that resume

Judged: no stream holds events of two releases, and in calm spells streams whose release has two replicas go on at least half as often as new ones begin.

--- a/test/harm.py
+++ b/test/harm.py
@@ -62,6 +62,7 @@
         self._paused: set[str] = set()
         self._born: dict[str, int] = {}
         self._down: set[str] = set()
+        self._retired: set[str] = set()
         # What replicas do for long, beside the faults of a bout.
         self._limits: dict[str, float] = {}
         self._hints: dict[str, dict[str, Any]] = {}
@@ -226,6 +227,11 @@
         hints = self._hints.get(name, {})
         self._platform.set_faults(name, **{**hints, **faults}, limits=limits)
 
+    def retire(self, name: str) -> None:
+        """Does nothing more to a replica, as it is about to end for good."""
+        self._retired.add(name)
+        self._down.add(name)
+
     def give_hints(self, name: str, **hints: Any) -> None:
         """Has a replica leave or ask for pauses; one that is down does not."""
         if name not in self._down:
@@ -260,6 +266,8 @@
 
         def restart() -> None:
             process.wait()
+            if name in self._retired:
+                return
             self._platform.restart_replica(name)
             self._down.discard(name)
             now_ms = int(time.time() * 1000)
--- a/test/node.py
+++ b/test/node.py
@@ -107,6 +107,7 @@
         self.vms: dict[str, dict[str, str]] = {}
         self.replicas: dict[str, str] = {}
         self.announced: dict[str, str] = {}
+        self.releases: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.bounds: dict[str, float] = {"graceS": 8, "retryBudgetSlack": 500}
         self.regions: dict[str, str] = {}
@@ -273,7 +274,7 @@
         state: str = "ready",
         born: int | None = None,
         zone: str = "waw-a",
-        version: str = "v1",
+        version: str | None = None,
     ) -> None:
         """Writes a replica's record.
 
@@ -282,13 +283,15 @@
             state: What it says of itself.
             born: When it started, in Unix milliseconds; None for not told.
             zone: Its availability zone.
-            version: The release of its software.
+            version: The release of its software; None for that of the last
+                record.
         """
+        self.releases[name] = version or self.releases.get(name, "v1")
         record: dict[str, Any] = {
             "service": SERVICE,
             "address": self.announced.get(name, self.replicas[name]),
             "zone": zone,
-            "version": version,
+            "version": self.releases[name],
             "slots": SLOTS,
             "state": state,
         }
--- a/test/resuming.py
+++ b/test/resuming.py
@@ -114,7 +114,7 @@
         received = b""
         while data := response.read1(65536):
             received += data
-            found.events = _parse_events(received)
+            found.events = parse_events(received)
             if until and found.events and found.events[-1][0] >= until:
                 if on_break is not None:
                     on_break()
@@ -127,7 +127,8 @@
     return found
 
 
-def _parse_events(received: bytes) -> list[tuple[int, str]]:
+def parse_events(received: bytes) -> list[tuple[int, str]]:
+    """Returns number and release of each event of an answer."""
     return [
         (int(number), release.decode())
         for number, release in _EVENT.findall(received)
--- a/test/soak.py
+++ b/test/soak.py
@@ -31,6 +31,7 @@
     node,
     partition,
     poison_load,
+    releasing,
     verdict,
 )
 
@@ -69,6 +70,7 @@
         hints: Whether replicas leave and ask for pauses.
         linked: The deployment if its VMs are also partitioned from all
             replicas; else None.
+        releases: Whether releases come and go, and callers resume streams.
     """
 
     def __init__(
@@ -82,7 +84,9 @@
         limits: bool = False,
         hints: bool = False,
         linked: partition.LinkedPlatform | None = None,
+        releases: bool = False,
     ) -> None:
+        self._releases = releases
         self._crashes = crashes
         self._limits = limits
         self._hints = hints
@@ -95,6 +99,11 @@
         self.record = verdict.Record()
         self._stores: dict[str, proxy.Proxy] = {}
         self._proxies: dict[str, proxy.Proxy] = {}
+        self._changer = releasing.ReleaseChanger(started, self.record)
+        self._resumers = [
+            releasing.Resumer(started, random.Random(f"{seed}/{number}"))
+            for number in range(vms if releases else 0)
+        ]
         self._tries = poison_load.TrySender(started, self._names)
         self._start()
         self._harm = harm.Harm(
@@ -107,6 +116,7 @@
             linked,
         )
         names = sorted(started.replicas)
+        self._changer.retire = self._harm.retire
         self._limiter = limiting.Limiter(self._harm, random.Random(seed), names)
         self._hinter = hinting.HintInjector(
             self._harm, random.Random(seed), names
@@ -131,12 +141,17 @@
         started = self._platform
         started.start_store()
         self._change()
-        for number in range(3):
+        for number, release in enumerate(
+            releasing.FIRST_RELEASES if self._releases else ("v1",) * 3
+        ):
             name = f"i-{number}"
-            if self._crashes:
+            if self._releases:
+                self._changer.start_first(name, release)
+            elif self._crashes:
                 started.start_replica(name, crash_on=poison_load.MARK)
                 continue
-            started.start_replica(name)
+            else:
+                started.start_replica(name)
             made = proxy.Proxy(started.replicas[name])
             self._proxies[name] = made
             started.announced[name] = made.address
@@ -172,6 +187,10 @@
             tasks.append(lambda: self._limiter.run(self._is_over))
         if self._hints:
             tasks.append(lambda: self._hinter.run(self._is_over))
+        if self._releases:
+            tasks.append(lambda: self._changer.run(self._is_over))
+        for resumer in self._resumers:
+            tasks.append(lambda each=resumer: each.run(self._is_over))  # type: ignore[misc]
         for name in self._names:
             tasks.append(lambda vm=name: self._look(vm))  # type: ignore[misc]
             tasks.append(lambda vm=name: self._press(vm))  # type: ignore[misc]
@@ -264,9 +283,12 @@
             name: list(self._platform.iterate_runs(name))
             for name in self._platform.replicas
         }
-        # Tries that end what runs them are judged apart.
+        # Tries that end what runs them, and resumed streams, are judged apart.
+        apart = set(self._tries.sent).union(
+            *(resumer.sent for resumer in self._resumers)
+        )
         others = {
-            name: [run for run in ran if run not in self._tries.sent]
+            name: [run for run in ran if run not in apart]
             for name, ran in runs.items()
         }
         judge = verdict.Verdict(self.record, others)
@@ -275,6 +297,7 @@
             self._judge_processes(),
             *self._judge_crashes(judge, runs),
             *self._judge_limits(),
+            *self._judge_releases(judge),
             *(
                 hinting.judge(self._platform, self.record)
                 if self._hints
@@ -292,6 +315,13 @@
         periods = self._limiter.periods
         return [limiting.check_limits(periods, self.record, arrivals)]
 
+    def _judge_releases(self, judge: verdict.Verdict) -> list[promise.Promise]:
+        if not self._releases:
+            return []
+        return releasing.judge(
+            self._resumers, self._changer, self.record, judge.is_calm
+        )
+
     def _judge_crashes(
         self, judge: verdict.Verdict, runs: Mapping[str, list[str]]
     ) -> list[promise.Promise]:
@@ -374,6 +404,7 @@
     limits: bool = False,
     hints: bool = False,
     partitions: bool = False,
+    releases: bool = False,
 ) -> tuple[list[promise.Promise], list[str]]:
     """Runs one soak and returns its promises and its faults.
 
@@ -387,6 +418,7 @@
         limits: Whether replicas name request limits.
         hints: Whether replicas leave and ask for pauses.
         partitions: Whether VMs lose their links to all replicas.
+        releases: Whether releases come and go, and callers resume streams.
     """
     with tempfile.TemporaryDirectory() as made:
         name = keep or made
@@ -404,6 +436,7 @@
                 limits,
                 hints,
                 linked,
+                releases,
             )
             return soak.perform(), list(soak.record.list_faults())
         finally:
@@ -439,6 +472,9 @@
 @click.option(
     "--partitions", is_flag=True, help="VMs lose their links to all replicas."
 )
+@click.option(
+    "--releases", is_flag=True, help="Releases come and go, streams resume."
+)
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
 @click.option(
     "--keep",
@@ -455,6 +491,7 @@
     limits: bool,
     hints: bool,
     partitions: bool,
+    releases: bool,
     show: bool,
     keep: pathlib.Path | None,
 ) -> None:
@@ -474,6 +511,7 @@
             limits,
             hints,
             partitions,
+            releases,
         )
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -62,6 +62,12 @@
     judge(*soak.run_soak(4, 1, SECONDS, restarts=True, partitions=True))
 
 
+def test_the_promises_are_kept_while_releases_come_and_go() -> None:
+    promises, faults = soak.run_soak(4, 1, SECONDS, releases=True)
+    judge(promises, faults)
+    assert all(kept.chances for kept in promises[-2:])
+
+
 def test_a_run_is_not_judged_by_the_logs_of_another(
     tmp_path: pathlib.Path,
 ) -> None:
