Keep the order of bytes where a test's link loses its delay

The replica ran it once, the VM made one attempt and logged no failure. Cause: the proxy held a piece back for its delay, and passed on the next one at once when the delay had ended in between. The check is as it was.

--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -53,6 +53,7 @@
     Attributes:
         silent: Whether nothing passes any more, though both stay open.
         fails_at: When the caller's kernel ends a partitioned connection.
+        due_at: When the last piece read from each end is passed on.
     """
 
     def __init__(self, caller: socket.socket, target: socket.socket) -> None:
@@ -60,6 +61,7 @@
         self.target = target
         self.silent = False
         self.fails_at = math.inf
+        self.due_at = dict.fromkeys((caller, target), 0.0)
 
     def get_other(self, side: socket.socket) -> socket.socket:
         """Returns the other end."""
@@ -243,15 +245,16 @@
                 pair.fails_at = min(pair.fails_at, fails_at)
             return
         if not data:
-            self._held.append(
-                (time.monotonic() + self.delay_s, pair, side, b"")
-            )
+            due = max(time.monotonic() + self.delay_s, pair.due_at[side])
+            self._held.append((due, pair, side, b""))
             self._selector.unregister(side)
             return
-        due = time.monotonic() + self.delay_s
+        # A link whose delay ends does not reorder what it carries.
+        due = max(time.monotonic() + self.delay_s, pair.due_at[side])
         if answers:
             due = max(due, self._occupy(len(data)))
             self.passed_bytes += len(data)
+        pair.due_at[side] = due
         self._held.append((due, pair, pair.get_other(side), data))
         self._send_held()
 
