--- a/test/harm.py
+++ b/test/harm.py
@@ -269,7 +269,8 @@
             if name in self._retired:
                 return
             self._platform.restart_replica(name)
-            self._down.discard(name)
+            if name not in self._retired:
+                self._down.discard(name)
             now_ms = int(time.time() * 1000)
             self._born[name] = now_ms - SLOW_CLOCK_MS * set_back
             self._platform.write_record(name, "ready", self._born[name])
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -21,7 +21,9 @@
     lease,
     limit,
     limit_share,
+    release_history,
     run,
+    stream_origin,
     version,
 )
 
@@ -40,6 +42,8 @@
     (run.check, run.Rules()),
     (generation.check, generation.Rules()),
     (hint.check, hint.Rules()),
+    (stream_origin.check, stream_origin.Rules()),
+    (release_history.check, release_history.Rules()),
 ]
 
 BREAKS: list[tuple[Check, Any, str]] = [
@@ -108,6 +112,46 @@
         hint.Rules(return_is_free=False),
         "only_what_is_sent_is_an_attempt",
     ),
+    (
+        stream_origin.check,
+        stream_origin.Rules(record_first_event=False),
+        "one_release",
+    ),
+    (
+        stream_origin.check,
+        stream_origin.Rules(refuse_unknown=False),
+        "one_release",
+    ),
+    (
+        stream_origin.check,
+        stream_origin.Rules(bind_attempts=False),
+        "one_release",
+    ),
+    (
+        stream_origin.check,
+        stream_origin.Rules(check_grant=False),
+        "one_release",
+    ),
+    (
+        release_history.check,
+        release_history.Rules(confirm=False),
+        "own_release",
+    ),
+    (
+        release_history.check,
+        release_history.Rules(remember=False),
+        "own_release",
+    ),
+    (
+        release_history.check,
+        release_history.Rules(complete=False),
+        "own_release",
+    ),
+    (
+        release_history.check,
+        release_history.Rules(overlap=False),
+        "own_release",
+    ),
 ]
 
 
