--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -108,17 +108,24 @@
         return not self.is_sending or now - self.sent_at < CONFIRM_TIMEOUT_S
 
 
+class _Run(msgspec.Struct, frozen=True):
+    """A run of a VM's program; what it keeps ends with it."""
+
+    address: str
+    incarnation: int
+
+
 class _OwnStream(msgspec.Struct):
     """A stream that this VM serves or has served.
 
     Attributes:
         until: When its origin need not be kept any more.
-        keepers: Addresses of the VMs that keep its origin.
+        keepers: The runs of VMs that keep its origin.
         changed: Set when a VM confirms that it does.
     """
 
     until: float
-    keepers: set[str] = msgspec.field(default_factory=set)
+    keepers: set[_Run] = msgspec.field(default_factory=set)
     changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
 
 
@@ -160,6 +167,8 @@
         self._table = stream_origin.OriginTable()
         self._keepers: list[membership.Member] = []
         self._others: dict[str, str] = {}
+        # The runs of the live members, by address.
+        self._runs: dict[str, _Run] = {}
         self._outboxes: dict[str, _Outbox] = {}
         self._own: dict[bytes, _OwnStream] = {}
         self._searches = 0
@@ -192,11 +201,14 @@
         if keepers == self._keepers:
             return
         self._keepers = keepers
-        kept = {member.address for member in members}
+        self._runs = {
+            member.address: _Run(member.address, member.incarnation)
+            for member in members
+        }
         self._outboxes = {
             address: outbox
             for address, outbox in self._outboxes.items()
-            if address in kept
+            if address in self._runs
         }
         self._resend(steadyclock.read())
 
@@ -429,13 +441,13 @@
         """Sends an origin to its keepers that do not have it yet.
 
         Returns:
-            The number of VMs that keep it or were sent it.
+            The number of VMs that are to keep it.
         """
         chosen = self._pick_keepers(key, now)
         for address in chosen:
-            if address not in own.keepers:
+            if self._get_run(address) not in own.keepers:
                 self._enqueue(address, key)
-        return len(own.keepers.union(chosen))
+        return len(chosen)
 
     def _resend(self, now: float) -> None:
         """Sends origins of own streams that their keepers do not have."""
@@ -446,8 +458,13 @@
         self._own = {
             key: own for key, own in self._own.items() if own.until > now
         }
+        live = set(self._runs.values())
         for key, own in self._own.items():
-            self._send_to_keepers(key, own, now)
+            if len(own.keepers & live) < stream_origin.COPIES:
+                self._send_to_keepers(key, own, now)
+
+    def _get_run(self, address: str) -> _Run:
+        return self._runs.get(address, _Run(address, 0))
 
     def _get_outbox(self, address: str) -> _Outbox:
         return self._outboxes.setdefault(address, _Outbox())
@@ -489,11 +506,12 @@
         answer: peer_message.OriginsKept,
     ) -> None:
         now = steadyclock.read()
+        run = self._get_run(address)
         for record in answer.ambiguous:
             self._table.merge(record, now)
         for key in keys:
             if own := self._own.get(key):
-                own.keepers.add(address)
+                own.keepers.add(run)
                 own.changed.set()
 
     def _start(self, call: Callable[..., object], *args: object) -> None:
--- a/test/test_origin_store.py
+++ b/test/test_origin_store.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+import msgspec
 import pytest
 
 from ramptray import steadyclock
@@ -308,3 +309,15 @@
     assert restarted.adopt(older.make_page(0, 100.0), 1001.0)
     assert restarted.find_only("lm", SPAN_S, 1010.0) is None
     assert restarted.find_only("lm", SPAN_S, 1017.0) == "v1"
+
+
+@pytest.mark.anyio
+async def test_origin_is_sent_again_to_a_keeper_that_started_again() -> None:
+    async with run_network(4) as network:
+        await network.stores["vm-0"].record(KEY, V1, 10.0)
+        restarted = network.members[1]
+        network.stores["vm-1"]._table = stream_origin.OriginTable()
+        network.members[1] = msgspec.structs.replace(restarted, incarnation=2)
+        network.update_members()
+        await anyio.sleep(0.05)
+        assert "vm-1" in network.list_keepers()
