Eject no server for all by VMs that reach none, while it answers another

An entry that was refused by every server says little of any one of them. If only such entries report a server, answers to others count for five seconds instead of one; then it is ejected as before.

test_vms_without_servers_eject_none_that_answered_seconds_ago failed before.

--- a/ramptray/core/availability.py
+++ b/ramptray/core/availability.py
@@ -32,6 +32,10 @@
 """How long an answer shows that the server serves other entries, in seconds,
 although it refuses the connections of some."""
 
+ISOLATED_ANSWER_VALIDITY_S = 5.0
+"""The same time if only entries that reach no server at all are refused, in
+seconds.  They have probably lost their own links."""
+
 REPORT_VALIDITY_S = 2.0
 """How long a refused connection counts against the server, in seconds."""
 
@@ -81,6 +85,7 @@
         "_break_reporters",
         "_ejected_for",
         "_ejected_by",
+        "_isolated",
         "_last_symptom",
         "_rated_at",
         "_rates",
@@ -95,6 +100,8 @@
         # and the end of its own ejection.
         self._answered_at: dict[str, float] = {}
         self._refused_at: dict[str, float] = {}
+        # Of the entries that are refused, those that reach no server at all.
+        self._isolated: set[str] = set()
         self._ejected_for: dict[str, float] = {}
         # Entries whose responses broke off, empty for the server's own report.
         self._break_reporters: set[str] = set()
@@ -124,13 +131,23 @@
         """
         self.failures = 0
         self._refused_at.pop(entry, None)
+        self._isolated.discard(entry)
         self._ejected_for.pop(entry, None)
         self._answered_at[entry] = now
         if entry not in self._ejected_by:
             self.unreachable_until = min(self.unreachable_until, now)
 
+    def refuses(self, entry: str, now: float) -> bool:
+        """Returns whether the server has refused an entry recently."""
+        refused_at = self._refused_at.get(entry, -math.inf)
+        return now - refused_at < REPORT_VALIDITY_S
+
     def record_unreachable(
-        self, now: float, entry: str = "", is_sole_entry: bool = True
+        self,
+        now: float,
+        entry: str = "",
+        is_sole_entry: bool = True,
+        is_isolated: bool = False,
     ) -> None:
         """Records a refused connection; ejects the server if it is confirmed.
 
@@ -138,11 +155,12 @@
             now: The owner's clock in seconds.
             entry: The entry whose connection was refused.
             is_sole_entry: Whether no other entry uses the server.
+            is_isolated: Whether the entry reaches no other server either.
         """
         self._answered_at = {
             name: at
             for name, at in self._answered_at.items()
-            if name != entry and now - at < ANSWER_VALIDITY_S
+            if name != entry and now - at < ISOLATED_ANSWER_VALIDITY_S
         }
         self._refused_at = {
             name: at
@@ -150,13 +168,24 @@
             if now - at < REPORT_VALIDITY_S
         }
         self._refused_at[entry] = now
+        self._isolated.discard(entry)
+        if is_isolated:
+            self._isolated.add(entry)
         if entry:
             self._ejected_for[entry] = now + ENTRY_EJECTION_S
         if is_sole_entry or (
-            len(self._refused_at) >= MIN_REPORTERS and not self._answered_at
+            len(self._refused_at) >= MIN_REPORTERS
+            and not self._answers_others(now)
         ):
             self._eject(frozenset(self._refused_at), now)
 
+    def _answers_others(self, now: float) -> bool:
+        """Returns whether the server serves entries that it does not refuse."""
+        validity_s = ANSWER_VALIDITY_S
+        if self._isolated.issuperset(self._refused_at):
+            validity_s = ISOLATED_ANSWER_VALIDITY_S
+        return any(now - at < validity_s for at in self._answered_at.values())
+
     def _eject(self, reporters: frozenset[str], now: float) -> None:
         """Ejects the server, with backoff.
 
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -415,7 +415,14 @@
     ) -> None:
         """Records that a backend server refused an entry's connection."""
         until = backend.availability.unreachable_until
-        backend.availability.record_unreachable(now, entry, is_sole_entry)
+        is_isolated = all(
+            other.availability.refuses(entry, now)
+            for other in self.backends.values()
+            if other is not backend and not other.is_lost
+        )
+        backend.availability.record_unreachable(
+            now, entry, is_sole_entry, is_isolated
+        )
         self.eligibility.record_failure(now)
         self._note_ejection(backend, entry, until, now)
 
--- a/test/test_server_ejection.py
+++ b/test/test_server_ejection.py
@@ -117,3 +117,28 @@
     owner = make_owner(1)
     refuse(owner, OTHER, 1.0)
     assert ask(owner, OTHER, 1.1) is None
+
+
+def test_vms_without_servers_eject_none_that_answered_seconds_ago() -> None:
+    # On a busy machine the only VM with servers had no answer for a second;
+    # the refused connections of two others then ejected every server for it.
+    owner = make_owner(2)
+    for _ in range(3):
+        assert serve(owner, OTHER, 1.0)
+    running = [ask(owner, OTHER, 1.0) for _ in range(2)]
+    assert None not in running
+    for entry in (CUT, THIRD):
+        first = refuse(owner, entry, 2.5)
+        refuse(owner, entry, 2.502, first)
+    assert serve(owner, OTHER, 2.51)
+
+
+def test_servers_that_refuse_vms_are_ejected_once_none_is_answered() -> None:
+    owner = make_owner(2)
+    entries = (CUT, THIRD, OTHER)
+    assert all(serve(owner, entry, 1.0) for entry in entries)
+    now = 1.0 + availability.ISOLATED_ANSWER_VALIDITY_S + 0.1
+    for entry in (CUT, THIRD):
+        first = refuse(owner, entry, now)
+        refuse(owner, entry, now, first)
+    assert not any(ask(owner, e, now + 0.1) for e in (*entries, "vm-new"))
