Find the few servers of a release among hundreds

An owner considers 16 servers with a free slot at a time. Free servers are now listed by release as well, and the window of such a request is one over its release.

test_few_servers_of_a_release_are_found_among_many failed before.

--- a/ramptray/core/candidate.py
+++ b/ramptray/core/candidate.py
@@ -73,6 +73,52 @@
             self._positions[last.info.name] = position
 
 
+class ReleasePools:
+    """The backend servers with a free slot, together and by release.
+
+    A stream that goes on may use one release only.  If few servers have it, the
+    windows over all servers would rarely hold one of them.
+    """
+
+    def __init__(self) -> None:
+        self._all = FreeBackendPool()
+        self._by_release: dict[str, FreeBackendPool] = {}
+        self._releases: dict[str, str] = {}
+
+    def __len__(self) -> int:
+        return len(self._all)
+
+    def update(self, known: backends.Backend) -> None:
+        """Adds or removes a backend server, depending on its free slots."""
+        name, release = known.info.name, known.info.release
+        if self._releases.get(name, release) != release:
+            self.discard(name)
+        self._releases[name] = release
+        self._all.update(known)
+        pool = self._by_release.setdefault(release, FreeBackendPool())
+        pool.update(known)
+
+    def discard(self, name: str) -> None:
+        """Removes a backend server, if present."""
+        self._all.discard(name)
+        release = self._releases.pop(name, None)
+        if release is not None:
+            self._by_release[release].discard(name)
+            if release not in self._releases.values():
+                del self._by_release[release]
+
+    def next_window(self, release: str | None = None) -> list[backends.Backend]:
+        """Returns the next servers to consider.
+
+        Args:
+            release: Their release; None for any.
+        """
+        if release is None:
+            return self._all.next_window()
+        pool = self._by_release.get(release)
+        return pool.next_window() if pool else []
+
+
 class PrefixHolderIndex:
     """Maps a prefix block to the servers that computed it most recently."""
 
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -78,7 +78,7 @@
         self._foreign = 0
         self._rtt = rtt.RttEstimator(0.0, backends.MAX_RTT_S)
         self._fastest: list[backends.Backend] = []
-        self._pool = candidate.FreeBackendPool()
+        self._pool = candidate.ReleasePools()
         self._holders = candidate.PrefixHolderIndex()
         self._ejections: list[Ejection] = []
 
@@ -231,9 +231,15 @@
     def add_holders(
         self, window: list[backends.Backend], request: message.RequestInfo
     ) -> list[backends.Backend]:
-        """Adds the servers that may hold the request's prefix to a window."""
+        """Adds the servers that may hold the request's prefix to a window.
+
+        The window of a request that is bound to a release is one over its
+        servers.
+        """
         if len(window) == len(self._pool):
             return window
+        if request.release is not None:
+            window = self._pool.next_window(request.release)
         holders = (
             self.backends.get(name)
             for name in self._holders.find(request.prefix)
--- a/test/test_release_binding.py
+++ b/test/test_release_binding.py
@@ -195,3 +195,15 @@
     effects = machine.fail_attempt(ended, False, True, failure)
     assert machine.state is request.State.ENDED
     assert effects[-1] == failure
+
+
+def test_few_servers_of_a_release_are_found_among_many() -> None:
+    # Guards against streams that wait for windows over hundreds of servers to
+    # reach the few of their release.
+    many = {f"a{number}": "v1" for number in range(300)}
+    owner = make_owner({**many, "b1": "v2", "b2": "v2"}, slots=2)
+    granted = enqueue(owner, *(make_info(f"r{n}", "v2") for n in range(4)))
+    assert sorted(map(str, granted.values())) == ["b1", "b1", "b2", "b2"]
+    renamed = backend.BackendInfo("b1", 2, 100_000, 16, run=2, release="v3")
+    owner.configure(RULES, [renamed])
+    assert enqueue(owner, make_info("other", "v3")) == {"other": "b1"}
