Confirm origins where few VMs exist; bound what a peer's answer can do

In deployments of two VMs no stream was ever confirmed, as two other VMs were wanted. An answer of an unexpected kind would have ended the program, and two VMs whose histories of releases are equal could adopt them from each other without a pause, as times of arrival vary. Servers that a request may not use are told apart one by one instead of listing all of them for each decision. Found by reading; no failure was seen.

--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -132,11 +132,19 @@
         """
         if not (request.avoid or unreachable or _is_restricted(request)):
             return candidates
-        unreachable = unreachable | self._list_disallowed(request)
+        allowed = [
+            candidate
+            for candidate in candidates
+            if candidate.info.name not in unreachable
+            and _is_allowed(candidate, request)
+        ]
         excluded = unreachable | set(request.avoid)
-        if not self._list_usable() - excluded:
-            excluded = unreachable
-        return [c for c in candidates if c.info.name not in excluded]
+        if not request.avoid or all(
+            known.info.name in excluded
+            for known in self._iterate_allowed(request)
+        ):
+            return allowed
+        return [c for c in allowed if c.info.name not in excluded]
 
     def has_no_reachable_backend(self, request: message.RequestInfo) -> bool:
         """Returns whether every server is unreachable for the request."""
--- a/ramptray/core/release_history.py
+++ b/ramptray/core/release_history.py
@@ -13,6 +13,11 @@
 """Length that is sent for a history without a beginning, in seconds."""
 
 
+MIN_GAIN_S = 1.0
+"""By how much a history must be longer to be adopted, in seconds.  Times of
+arrival vary, so equal histories differ a little."""
+
+
 class HistoryPage(msgspec.Struct, frozen=True):
     """A VM's history of releases, as VMs exchange it.
 
@@ -97,11 +102,10 @@
             now: When it was received, in seconds.
 
         Returns:
-            Whether it was longer and overlaps.
+            Whether it was longer by ``MIN_GAIN_S`` and overlaps.
         """
-        if page.position < self._begin or now - page.known_s >= (
-            self._known_since
-        ):
+        gain_s = page.known_s - self.get_length_s(now)
+        if page.position < self._begin or gain_s < MIN_GAIN_S:
             return False
         self._known_since = now - page.known_s
         for service, ages_s in page.ages_s.items():
--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -9,7 +9,7 @@
 
 import collections
 import logging
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import Protocol
 
 import anyio
@@ -78,7 +78,7 @@
     Attributes:
         source: How it is known, or why it is not.
         origin: What began the stream; None if that is not known for certain.
-        is_complete: Whether all VMs that were asked have answered.
+        is_complete: Whether all VMs that might know have answered.
     """
 
     source: stream_origin.Source
@@ -226,12 +226,12 @@
             Whether enough other VMs keep it.
         """
         own, targets = self._add(key, origin, retention_s)
-        wanted = min(MIN_CONFIRMATIONS, targets)
         with anyio.move_on_after(CONFIRM_TIMEOUT_S):
-            while len(own.keepers) < wanted:
+            while len(own.keepers) < min(MIN_CONFIRMATIONS, targets):
                 own.changed = anyio.Event()
                 await own.changed.wait()
-        is_confirmed = len(own.keepers) >= MIN_CONFIRMATIONS
+        others = sum(m.address != self._address for m in self._keepers)
+        is_confirmed = len(own.keepers) >= min(MIN_CONFIRMATIONS, others)
         self._counts["confirmed" if is_confirmed else "unconfirmed"] += 1
         return is_confirmed
 
@@ -261,7 +261,7 @@
             source = stream_origin.Source.PEER
             if kept:
                 source = stream_origin.Source.KEPT
-            return Finding(source, origins[0], is_complete)
+            return Finding(source, origins[0])
         return Finding(source, is_complete=is_complete)
 
     def keep(
@@ -304,7 +304,7 @@
         origins = stream_origin.join_answers(search.found)
         is_complete = not (search.failed or search.waits_for)
         if len(origins) == 1:
-            return Finding(stream_origin.Source.PEER, origins[0], is_complete)
+            return Finding(stream_origin.Source.PEER, origins[0])
         source = stream_origin.Source.UNKNOWN
         if origins:
             source = stream_origin.Source.AMBIGUOUS
@@ -387,9 +387,13 @@
             timeout_s: Time within which they must answer, in seconds.
             is_kept: Whether this VM knows the origin itself.
         """
+        if self._tasks is None:
+            return _Search(0, failed=len(addresses))
         search = _Search(len(addresses))
         for address in addresses:
-            self._start(self._ask_one, address, request, timeout_s, search)
+            self._tasks.start_soon(
+                self._ask_one, address, request, timeout_s, search
+            )
         deadline = steadyclock.read() + timeout_s
         while search.waits_for and len(search.found) + is_kept < 2:
             left_s = deadline - steadyclock.read()
@@ -413,11 +417,11 @@
             answer = await self._client.ask(address, request, timeout_s)
         except peer_link.LinkError as error:
             LOG.debug("no answer on a stream's origin: %s", error)
+            answer = None
+        if not isinstance(answer, peer_message.FoundOrigin):
             search.failed += 1
-        else:
-            assert isinstance(answer, peer_message.FoundOrigin)
-            if answer.origins:
-                search.found.append(answer.origins)
+        elif answer.origins:
+            search.found.append(answer.origins)
         search.end_one()
 
     def _pick_keepers(self, key: bytes, now: float) -> list[str]:
@@ -474,9 +478,9 @@
         outbox.pending[key] = None
         if len(outbox.pending) > MAX_PENDING:
             del outbox.pending[next(iter(outbox.pending))]
-        if not outbox.is_sending:
+        if not outbox.is_sending and self._tasks is not None:
             outbox.is_sending = True
-            self._start(self._send_pending, address, outbox)
+            self._tasks.start_soon(self._send_pending, address, outbox)
 
     async def _send_pending(self, address: str, outbox: _Outbox) -> None:
         """Sends what is pending for a VM; at most one message at a time."""
@@ -492,10 +496,11 @@
                 answer = await self._client.ask(address, request, ASK_TIMEOUT_S)
             except peer_link.LinkError as error:
                 LOG.debug("origins not sent: %s", error)
+                answer = None
+            if not isinstance(answer, peer_message.OriginsKept):
                 outbox.silent_since = steadyclock.read()
                 outbox.pending.clear()
                 break
-            assert isinstance(answer, peer_message.OriginsKept)
             self._confirm(address, keys, answer)
         outbox.is_sending = False
 
@@ -513,7 +518,3 @@
             if own := self._own.get(key):
                 own.keepers.add(run)
                 own.changed.set()
-
-    def _start(self, call: Callable[..., object], *args: object) -> None:
-        assert self._tasks is not None
-        self._tasks.start_soon(call, *args)  # type: ignore[arg-type]
--- a/ramptray/entry/release_sync.py
+++ b/ramptray/entry/release_sync.py
@@ -102,7 +102,8 @@
         except peer_link.LinkError as error:
             LOG.debug("no history of releases: %s", error)
             return False
-        assert isinstance(answer, peer_message.ReleaseHistoryUpdate)
+        if not isinstance(answer, peer_message.ReleaseHistoryUpdate):
+            return False
         now = steadyclock.read()
         adopted = self._history.adopt(answer.page, now)
         if adopted:
