Count the search for a stream's origin towards its deadline

A request that resumes a stream may wait a second or more until its origin is found; the backend server then got the caller's whole deadline, counted anew.

test_search_for_the_origin_counts_towards_the_deadline.

--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -121,27 +121,38 @@
                 ),
             )
             return
-        admitted = self._admit(request, in_force)
-        origin = None
-        if isinstance(admitted, _Admission) and admitted.is_resumption:
-            found = await self._find_origin(admitted)
-            if isinstance(found, refusal.Refusal):
-                await self._refuse(request, writer, found)
-                return
-            origin = found
-            # The configuration may have changed in the meantime.
-            admitted = self._admit(
-                request, self._dispatcher.in_force or in_force
-            )
-        if isinstance(admitted, _Admission):
-            routed = self._route(admitted, origin)
-        else:
-            routed = admitted
+        routed = await self._route_request(request, in_force)
         if isinstance(routed, refusal.Refusal):
             await self._refuse(request, writer, routed)
             return
         await self._run_exchange(routed, writer)
 
+    async def _route_request(
+        self, request: message.CallerRequest, in_force: acceptance.InForce
+    ) -> exchange.RoutedRequest | refusal.Refusal:
+        """Returns the request with its route, or the refusal to send.
+
+        A request that resumes a stream waits until its origin is known.
+        """
+        admitted = self._admit(request, in_force)
+        if isinstance(admitted, refusal.Refusal):
+            return admitted
+        if not admitted.is_resumption:
+            return self._route(admitted, None)
+        asked_at = steadyclock.read()
+        origin = await self._find_origin(admitted)
+        if isinstance(origin, refusal.Refusal):
+            return origin
+        waited_s = steadyclock.read() - asked_at
+        # The configuration may have changed in the meantime.
+        admitted = self._admit(
+            _shorten_deadline(request, admitted.route, waited_s),
+            self._dispatcher.in_force or in_force,
+        )
+        if isinstance(admitted, refusal.Refusal):
+            return admitted
+        return self._route(admitted, origin)
+
     async def _find_origin(
         self, admitted: _Admission
     ) -> stream_origin.Origin | refusal.Refusal:
@@ -303,6 +314,17 @@
         )
 
 
+def _shorten_deadline(
+    request: message.CallerRequest, route: model.Route, waited_s: float
+) -> message.CallerRequest:
+    """Returns a request with the time that is left after it has waited."""
+    timeout_s = route.timeout_s
+    if request.deadline_s is not None:
+        timeout_s = min(timeout_s, request.deadline_s)
+    left_s = max(0.0, timeout_s - waited_s)
+    return msgspec.structs.replace(request, deadline_s=left_s)
+
+
 def _pick_tier(customer: model.Customer | None, route: model.Route) -> str:
     if customer is None:
         return route.tier
--- a/test/test_resumption.py
+++ b/test/test_resumption.py
@@ -7,6 +7,7 @@
 from typing import Any, cast
 
 import anyio
+import msgspec
 import pytest
 
 from ramptray.core import release_history, stream_origin
@@ -195,6 +196,17 @@
     assert refused == refusal.Refusal(503, "service_left")
 
 
+@pytest.mark.parametrize(("deadline_s", "left_s"), [(3.0, 2.5), (None, 3.5)])
+def test_search_for_the_origin_counts_towards_the_deadline(
+    deadline_s: float | None, left_s: float
+) -> None:
+    # Guards against backend servers that work for longer than callers wait.
+    asked = msgspec.structs.replace(make_request(), deadline_s=deadline_s)
+    admitted = make_admission("lm")
+    shortened = service._shorten_deadline(asked, admitted.route, 0.5)
+    assert shortened.deadline_s == left_s
+
+
 class Topic:
     """The store's topic of replicas."""
 
