Send origins of streams only while several releases may have served

While a VM is certain that one release alone has served for a minute, the others can tell what began a stream without being told. It keeps the origin and sends it once another release is listed. A release that it has not seen listed, as the owner knows its record earlier, is sent at once.

test_origins_are_sent_once_another_release_is_listed, test_origin_of_a_release_that_is_not_listed_is_sent.

--- a/ramptray/core/release_history.py
+++ b/ramptray/core/release_history.py
@@ -47,21 +47,26 @@
 
     def observe(
         self, releases: Mapping[str, Collection[str]], now: float
-    ) -> None:
+    ) -> bool:
         """Applies the releases that are listed now.
 
         Args:
             releases: The releases of all backend servers by service, also of
                 those that are leaving.
             now: The current time, in seconds.
+
+        Returns:
+            Whether they are others than before.
         """
-        for service, listed in self._listed.items():
+        before = self._listed
+        for service, listed in before.items():
             for release in listed - frozenset(releases.get(service, ())):
                 self._record_listed(service, release, now)
         self._listed = {
             service: frozenset(listed) for service, listed in releases.items()
         }
         self._forget_old(now)
+        return self._listed != before
 
     def begin(self, since: float, position: int) -> None:
         """Begins anew, as releases may have come and gone unseen.
--- a/ramptray/entry/backend_directory.py
+++ b/ramptray/entry/backend_directory.py
@@ -27,6 +27,7 @@
         on_backend_restart: Called with a backend server that has restarted,
             and its new run.
         releases: The releases that have served.
+        on_releases: Called when other releases are listed than before.
     """
 
     def __init__(self, scheduling_zone: str | None = None) -> None:
@@ -36,6 +37,7 @@
             _ignore_addresses
         )
         self.releases = release_history.ReleaseHistory()
+        self.on_releases: Callable[[], None] = _do_nothing
         self.on_backend_restart: Callable[[str, int], None] = _ignore_restart
         self._first_in_force = anyio.Event()
         self._reachability = reachability.Reachability()
@@ -50,9 +52,10 @@
         if previous:
             self._handle_restarts(previous.bundle, in_force.bundle)
         self._first_in_force.set()
-        self.releases.observe(
+        if self.releases.observe(
             _list_releases(in_force.bundle), steadyclock.read()
-        )
+        ):
+            self.on_releases()
         self._zones = {
             name: server.availability_zone or server.zone
             for name, server in in_force.bundle.backend_servers.items()
@@ -202,6 +205,10 @@
         )
 
 
+def _do_nothing() -> None:
+    """Default of ``on_releases``."""
+
+
 def _list_releases(bundle: model.Bundle) -> dict[str, set[str]]:
     """Returns the releases of all backend servers by service."""
     releases: dict[str, set[str]] = {}
--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -17,7 +17,7 @@
 
 from ramptray import steadyclock
 from ramptray.caller import metrics
-from ramptray.core import membership, stream_origin
+from ramptray.core import membership, release_history, stream_origin
 from ramptray.entry import origin_search
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
@@ -95,11 +95,13 @@
     """A stream that this VM serves or has served.
 
     Attributes:
+        origin: Its origin.
         until: When its origin need not be kept any more.
         keepers: The runs of VMs that keep its origin.
         changed: Set when a VM confirms that it does.
     """
 
+    origin: stream_origin.Origin
     until: float
     keepers: set[_Run] = msgspec.field(default_factory=set)
     changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
@@ -108,14 +110,24 @@
 class OriginStore:
     """Keeps the origins of streams here and at other VMs.
 
+    Origins are not sent while one release alone is certain to have served: other
+    VMs can tell as well, and each message costs processor time.
+
     Args:
         address: Address of this VM's scheduler.
         client: Sends requests to other VMs.
+        history: The releases that have served.
     """
 
-    def __init__(self, address: str, client: peer_link.Asker) -> None:
+    def __init__(
+        self,
+        address: str,
+        client: peer_link.Asker,
+        history: release_history.ReleaseHistory,
+    ) -> None:
         self._address = address
         self._client = client
+        self._history = history
         self._table = stream_origin.OriginTable()
         self._keepers: list[membership.Member] = []
         self._others: dict[str, str] = {}
@@ -165,6 +177,10 @@
         }
         self._resend(steadyclock.read())
 
+    def update_releases(self) -> None:
+        """Sends what was not sent so far if further releases are listed."""
+        self._resend(steadyclock.read())
+
     async def record(
         self, key: bytes, origin: stream_origin.Origin, retention_s: float
     ) -> bool:
@@ -178,7 +194,11 @@
         Returns:
             Whether enough other VMs keep it.
         """
-        own, targets = self._add(key, origin, retention_s)
+        own = self._add(key, origin, retention_s)
+        now = steadyclock.read()
+        if self._is_only(origin, now):
+            return True
+        targets = self._send_to_keepers(key, own, now)
         with anyio.move_on_after(CONFIRM_TIMEOUT_S):
             while len(own.keepers) < min(MIN_CONFIRMATIONS, targets):
                 own.changed = anyio.Event()
@@ -198,7 +218,10 @@
             origin: Its origin.
             retention_s: Seconds for which it is kept.
         """
-        self._add(key, origin, retention_s)
+        own = self._add(key, origin, retention_s)
+        now = steadyclock.read()
+        if not self._is_only(origin, now):
+            self._send_to_keepers(key, own, now)
 
     async def find(self, key: bytes) -> Finding:
         """Returns what this VM and others know of how a stream began."""
@@ -295,17 +318,20 @@
 
     def _add(
         self, key: bytes, origin: stream_origin.Origin, retention_s: float
-    ) -> tuple[_OwnStream, int]:
-        """Keeps an origin and sends it to its keepers.
-
-        Returns:
-            The stream, and the number of VMs that the origin was sent to.
-        """
+    ) -> _OwnStream:
+        """Keeps the origin of a stream that this VM serves."""
         now = steadyclock.read()
         record = stream_origin.OriginRecord(key, (origin,), retention_s)
         self._table.merge(record, now)
-        own = self._own[key] = _OwnStream(now + retention_s)
-        return own, self._send_to_keepers(key, own, now)
+        own = self._own[key] = _OwnStream(origin, now + retention_s)
+        return own
+
+    def _is_only(self, origin: stream_origin.Origin, now: float) -> bool:
+        """Returns whether no other release can have begun a stream."""
+        only = self._history.find_only(
+            origin.service, stream_origin.MAX_RETENTION_S, now
+        )
+        return only == origin.release
 
     def _pick_keepers(self, key: bytes, now: float) -> list[str]:
         """Returns the addresses of the VMs that are to keep an origin.
@@ -347,7 +373,8 @@
         }
         live = set(self._runs.values())
         for key, own in self._own.items():
-            if len(own.keepers & live) < stream_origin.COPIES:
+            is_kept = len(own.keepers & live) >= stream_origin.COPIES
+            if not is_kept and not self._is_only(own.origin, now):
                 self._send_to_keepers(key, own, now)
 
     def _get_run(self, address: str) -> _Run:
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -163,7 +163,10 @@
             awaits_view=True,
             gateway_address=vm.peers,
         )
-        self._origins = origin_store.OriginStore(vm.peers, self._runtime.client)
+        self._origins = origin_store.OriginStore(
+            vm.peers, self._runtime.client, self._dispatcher.backends.releases
+        )
+        self._dispatcher.backends.on_releases = self._origins.update_releases
         self._handler.origins = self._origins
         self._release_sync = release_sync.ReleaseSync(
             vm.peers,
--- a/test/test_origin_store.py
+++ b/test/test_origin_store.py
@@ -52,11 +52,14 @@
 
     def __init__(self, count: int) -> None:
         self.members = make_members(count)
+        self.history = release_history.ReleaseHistory()
         self.silent: set[str] = set()
         self.refusing: set[str] = set()
         self.asked: list[str] = []
         self.stores = {
-            member.address: origin_store.OriginStore(member.address, self)
+            member.address: origin_store.OriginStore(
+                member.address, self, self.history
+            )
             for member in self.members
         }
 
@@ -195,6 +198,31 @@
         assert len(network.asked) <= bound
 
 
+@pytest.mark.anyio
+async def test_origins_are_sent_once_another_release_is_listed() -> None:
+    async with run_network(4) as network:
+        network.history.begin(float("-inf"), 0)
+        network.history.observe({"lm": {"v1"}}, steadyclock.read())
+        store = network.stores["vm-0"]
+        assert await store.record(KEY, V1, 10.0)
+        assert network.asked == []
+        network.history.observe({"lm": {"v1", "v2"}}, steadyclock.read())
+        store.update_releases()
+        await anyio.sleep(0.05)
+        assert len(network.list_keepers()) == 4
+        assert (await network.stores["vm-3"].find(KEY)).origin == V1
+
+
+@pytest.mark.anyio
+async def test_origin_of_a_release_that_is_not_listed_is_sent() -> None:
+    # An owner may grant a server whose record this VM has not read yet.
+    async with run_network(4) as network:
+        network.history.begin(float("-inf"), 0)
+        network.history.observe({"lm": {"v1"}}, steadyclock.read())
+        await network.stores["vm-0"].record(KEY, V2, 10.0)
+        assert len(network.list_keepers()) == 4
+
+
 def make_record(
     number: int, left_s: float = 10.0
 ) -> stream_origin.OriginRecord:
