--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -110,8 +110,8 @@
 class OriginStore:
     """Keeps the origins of streams here and at other VMs.
 
-    Origins are not sent while one release alone is certain to have served: other
-    VMs can tell as well, and each message costs processor time.
+    Origins are not sent while one release alone is certain to have served:
+    other VMs can tell as well, and each message costs processor time.
 
     Args:
         address: Address of this VM's scheduler.
