Require a key wherever a configuration declares customers

The decoder left out customers without keys, and the relay checked keys only where the bundle had customers, so "no customer has a key" was taken for "no customers".

Without the field the decoder now marks each route as public; with it customers stay in the bundle without their keys, and the relay checks the key on each route that is not public. Customers without keys also keep their limits and tiers at owners, which may still place requests that another VM admitted before.

The line "configuration in force" tells how many keys are held and how many routes are public.

--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -121,7 +121,9 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits | None = None
-    tenants: list[_Tenant] = []
+    # Without this field no request needs a key; with an empty list, or tenants
+    # that hold no key, every request on a route that is not public does.
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 DEFAULT_LIMIT_TERMS = settings.LimitTerms()
@@ -161,6 +163,7 @@
         self._terms = terms
         self._zones = list(zones)
         self._decoded: dict[str, _DecodedRoute] = {}
+        self._checks_keys = True
 
     def parse(self, text: str) -> model.Bundle:
         """Returns the bundle declared by a configuration, without replicas.
@@ -189,6 +192,10 @@
             name: value for name, value in fields.items() if name != "routes"
         }
         raw = msgspec.convert(others, _Config, strict=False)
+        checks_keys = raw.tenants is not msgspec.UNSET
+        if checks_keys != self._checks_keys:
+            self._checks_keys = checks_keys
+            self._decoded = {}
         decoded = [self._decode_route(each) for each in declared]
         self._decoded = {each.wire.name: each for each in decoded}
         return _make_bundle(
@@ -204,7 +211,8 @@
         if known is not None and known.declared == declared:
             return known
         wire = msgspec.convert(declared, _Route, strict=False)
-        return _DecodedRoute(declared, wire, _make_route(wire))
+        route = _make_route(wire, self._checks_keys)
+        return _DecodedRoute(declared, wire, route)
 
 
 def _read_fields(text: str) -> dict[str, Any]:
@@ -237,6 +245,7 @@
     zones: list[str],
 ) -> model.Bundle:
     priorities = sorted({route.priority for route in declared})
+    tenants = [] if raw.tenants is msgspec.UNSET else raw.tenants
     return model.Bundle(
         generation=raw.version,
         # A dummy key: bundles are unsigned, as the store accepts changes only
@@ -245,11 +254,10 @@
             keys={"store": "ed25519:" + "0" * 64}, signatures_required=1
         ),
         zones=zones,
-        tiers=_make_tiers(raw, priorities),
+        tiers=_make_tiers(tenants, priorities),
         customers={
             tenant.name: _make_customer(tenant, priorities, terms)
-            for tenant in raw.tenants
-            if tenant.keys
+            for tenant in tenants
         },
         services={s.name: _make_service(s) for s in raw.services},
         engines={s.name: _make_engine(s) for s in raw.services},
@@ -259,12 +267,14 @@
     )
 
 
-def _make_tiers(raw: _Config, priorities: list[int]) -> dict[str, model.Tier]:
+def _make_tiers(
+    tenants: list[_Tenant], priorities: list[int]
+) -> dict[str, model.Tier]:
     """Returns the tiers, ordered by the customer's rank, then by the route's.
 
     The route's rank only orders the requests of customers of equal rank.
     """
-    ranks = {t.priority for t in raw.tenants if t.priority is not None}
+    ranks = {t.priority for t in tenants if t.priority is not None}
     pairs = sorted(
         {(priority, priority) for priority in priorities}
         | {(rank, priority) for rank in ranks for priority in priorities}
@@ -348,7 +358,7 @@
     )
 
 
-def _make_route(route: _Route) -> model.Route:
+def _make_route(route: _Route, checks_keys: bool) -> model.Route:
     targets = [
         model.Target(service=split.service, weight=split.weight)
         for split in route.split
@@ -368,7 +378,7 @@
         patience_s=_compute_patience(route),
         max_attempts=route.max_attempts,
         tier=_name_tier(route.priority, route.priority),
-        public=route.public,
+        public=route.public or not checks_keys,
         resumable=route.resumable,
         regions=route.regions,
     )
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -328,6 +328,13 @@
                     name: min(customer.route_tiers.values(), default="")
                     for name, customer in bundle.customers.items()
                 },
+                "keys": sum(
+                    len(customer.key_hashes)
+                    for customer in bundle.customers.values()
+                ),
+                "public_routes": sum(
+                    route.public for route in bundle.routes.values()
+                ),
             },
         )
         self._publish()
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -228,7 +228,7 @@
         if route is None:
             return refusal.Refusal(NOT_FOUND, "no_route")
         customer = ""
-        if bundle.customers and not route.public:
+        if not route.public:
             found = bundle.get_customer_by_key(request.key or "")
             if found is None:
                 return refusal.Refusal(UNAUTHORIZED, "unknown_key")
