Let no empty key identify a customer

A configuration that lists an empty key for a customer let every caller without a key in, as that customer: a missing key was looked up as an empty one. An empty key now identifies nobody, on relayed routes and on those of the product's own interface.

Found by reading while looking for empty values that are taken for absent ones. Before: the case empty-key of test_removing_all_keys_does_not_open_routes accepted "Bearer " and no header at all, and test_an_empty_key_identifies_no_customer failed.

--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -350,7 +350,12 @@
         return {name: rank for rank, name in enumerate(ordered)}
 
     def get_customer_by_key(self, key: str) -> str | None:
-        """Returns the name of the customer with this bearer key, if any."""
+        """Returns the name of the customer with this bearer key, if any.
+
+        An empty key is no key, even if a customer lists its hash.
+        """
+        if not key:
+            return None
         return self._customers_by_key_hash.get(hash_key(key))
 
     @functools.cached_property
--- a/test/test_bundle.py
+++ b/test/test_bundle.py
@@ -192,3 +192,15 @@
             pytest.fail("accepted")
         case Err(violations):
             assert path in {violation.path for violation in violations}
+
+
+def test_an_empty_key_identifies_no_customer() -> None:
+    # Requests without a key would be taken for those of this customer.
+    listed = {
+        "key_hashes": [model.hash_key(""), model.hash_key("key")],
+        "tiers": ["urgent"],
+    }
+    text = make_bundle_text(1, None, customers={"listed": listed})
+    bundle = parsing.parse_bundle(text).unwrap()
+    assert bundle.get_customer_by_key("key") == "listed"
+    assert bundle.get_customer_by_key("") is None
--- a/test/test_removed_keys.py
+++ b/test/test_removed_keys.py
@@ -107,6 +107,7 @@
         pytest.param(make_tenants([], []), [], id="none-has-a-key"),
         pytest.param([{"name": "customer-0"}], [], id="keys-left-out"),
         pytest.param([], [], id="empty-list"),
+        pytest.param(make_tenants([""]), [], id="empty-key"),
         pytest.param(None, ALL, id="left-out"),
         pytest.param(make_tenants([node.KEY]), [HELD], id="after-left-out"),
     ],
