Keep the limit of a removed customer at owners

An owner admitted the requests of a customer that its rules do not list without any limit.

Rules now list every customer, those without limits with an empty one, so that an owner can tell a customer without limits from one it no longer knows; the latter keeps its limit and its bucket. An owner remembers 256 of them. Former buckets were never dropped before.

--- a/ramptray/core/limit.py
+++ b/ramptray/core/limit.py
@@ -83,6 +83,10 @@
 """Largest number of customers whose use is sent to other zones."""
 
 
+MAX_FORMER_CUSTOMERS = 256
+"""Largest number of removed customers whose limits an owner remembers."""
+
+
 class RateLimit(msgspec.Struct, frozen=True):
     """A customer's limits in one zone; None means unlimited.
 
@@ -331,6 +335,7 @@
     """
 
     def __init__(self, rates: dict[str, RateLimit], epoch: int = 0) -> None:
+        self._declared = rates
         self._rates = rates
         self.epoch = epoch
         self._served_at: dict[str, float] = {}
@@ -350,11 +355,31 @@
         self._wanted_in_other_zones: frozenset[str] = frozenset()
 
     def set_rates(self, rates: dict[str, RateLimit]) -> None:
-        """Applies the rates of the bundle in force if they have changed."""
-        if rates != self._rates:
-            self._rates = rates
-            self._former_buckets = {**self._former_buckets, **self._buckets}
-            self._buckets = {}
+        """Applies the rates of the bundle in force if they have changed.
+
+        A customer that is no longer declared keeps its limit, because entries
+        whose bundle is older still admit its requests.
+
+        Args:
+            rates: The limits of all customers; one without any limit has an
+                empty ``RateLimit``.
+        """
+        if rates == self._declared:
+            return
+        self._declared = rates
+        former = [name for name in self._rates if name not in rates]
+        kept = former[-MAX_FORMER_CUSTOMERS:]
+        self._rates = {name: self._rates[name] for name in kept} | rates
+        self._former_buckets = {
+            name: buckets
+            for name, buckets in (self._former_buckets | self._buckets).items()
+            if name in self._rates
+        }
+        self._buckets = {}
+
+    def list_former_customers(self) -> list[str]:
+        """Returns the removed customers whose limits still apply."""
+        return [name for name in self._rates if name not in self._declared]
 
     def set_part(self, part: float, stands_in: bool = False) -> None:
         """Sets the part of each limit that this owner may grant.
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -20,21 +20,29 @@
         shares={name: c.share for name, c in bundle.customers.items()},
         version=f"{key.service}@{service.version}",
         limits={
-            name: limit.RateLimit(
-                _divide(customer.limits.requests_per_s, divisor),
-                _divide(customer.limits.tokens_per_s, divisor),
-                _divide(customer.limits.burst, divisor),
-                customer.limits.span_s,
-                customer.limits.span_total / divisor,
-                len(bundle.zones),
-            )
+            name: _make_rate_limit(customer.limits, divisor, len(bundle.zones))
             for name, customer in bundle.customers.items()
-            if customer.limits != model.Limits()
         },
         zones=len(bundle.zones),
     )
 
 
+def _make_rate_limit(
+    limits: model.Limits, divisor: int, zones: int
+) -> limit.RateLimit:
+    """Returns a shard's part of a customer's limits, empty if it has none."""
+    if limits == model.Limits():
+        return limit.RateLimit()
+    return limit.RateLimit(
+        _divide(limits.requests_per_s, divisor),
+        _divide(limits.tokens_per_s, divisor),
+        _divide(limits.burst, divisor),
+        limits.span_s,
+        limits.span_total / divisor,
+        zones,
+    )
+
+
 def list_backend_infos(
     bundle: model.Bundle, key: message.ShardKey
 ) -> list[backend.BackendInfo]:
--- a/test/test_totals.py
+++ b/test/test_totals.py
@@ -142,6 +142,37 @@
     assert limits.try_acquire("ola", 5000, now) == 0.0
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_customer_that_is_removed_keeps_its_limit(seed: int) -> None:
+    # VMs whose configuration is older still admit its requests.
+    rng = random.Random(seed)
+    limits = make_limits()
+    taken = send(limits, rng, 500_000, 0.0, 20.0)
+    limits.set_rates({})
+    taken += send(limits, rng, 500_000, 20.0, 24.0)
+    limits.set_rates({"other": RATE})
+    taken += send(limits, rng, 500_000, 24.0, 28.0)
+    limits.set_rates({"ola": RATE})
+    taken += send(limits, rng, 500_000, 28.0, 40.0)
+    assert find_max_in_span(taken) <= TOTAL
+
+
+def test_a_limit_that_is_lifted_no_longer_binds() -> None:
+    limits = make_limits()
+    send(limits, random.Random(1), 500_000, 0.0, 20.0)
+    limits.set_rates({"ola": limit.RateLimit()})
+    assert limits.try_acquire("ola", int(TOTAL), 20.0) == 0.0
+
+
+def test_an_owner_remembers_a_bounded_number_of_removed_customers() -> None:
+    limits = make_limits()
+    for number in range(2 * limit.MAX_FORMER_CUSTOMERS):
+        limits.set_rates({f"customer-{number}": RATE})
+        limits.try_acquire(f"customer-{number}", 1, float(number))
+    limits.set_rates({})
+    assert len(limits.list_former_customers()) == limit.MAX_FORMER_CUSTOMERS
+
+
 def test_an_owner_refunds_refused_requests() -> None:
     key = message.ShardKey("all", "lm")
     rate = limit.RateLimit(tokens_per_s=1000.0, burst=1000.0)
