Let stand-ins lose callers without a close, and bound connections

The stand-in of replicas answers streams without a length or chunks, resets connections beyond a number, and closes idle ones. The proxy of the soak strands connections: the program behind it sees what it sees of a machine that lost power. No test uses them yet.

--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -112,6 +112,7 @@
         self.cut_answers = False
         self._reset = threading.Event()
         self._silence = threading.Event()
+        self._strand = threading.Event()
         self._ended = threading.Event()
         self._selector = selectors.DefaultSelector()
         self._pairs: dict[socket.socket, _Pair] = {}
@@ -127,6 +128,13 @@
         """Lets nothing pass on those that are open now, for good."""
         self._silence.set()
 
+    def strand(self) -> None:
+        """Leaves the program behind it with connections that have no caller.
+
+        So it sees a caller's machine that lost power: nothing is closed.
+        """
+        self._strand.set()
+
     def partition(self, how: Partition | None) -> None:
         """Begins a network partition; None ends it."""
         self._wanted_partition = how
@@ -162,6 +170,11 @@
             self._silence.clear()
             for pair in set(self._pairs.values()):
                 pair.silent = True
+        if self._strand.is_set():
+            self._strand.clear()
+            for pair in set(self._pairs.values()):
+                self._held_open.append(pair.target.dup())
+                self._drop(pair, reset=True)
         if self._wanted_partition is not self._partition:
             if self._partition is not None:
                 self._end_partition()
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -5,6 +5,8 @@
 import json
 import logging
 import os
+import socket
+import struct
 
 import anyio
 import anyio.abc
@@ -26,6 +28,9 @@
 
 CRASH_EXIT_STATUS = 70
 
+LINGER_NONE = struct.pack("ii", 1, 0)
+"""Socket option with which a close sends a reset."""
+
 
 class FakeReplicaSettings(model.Model, frozen=True, kw_only=True):
     """Settings of the replica stand-in.
@@ -37,6 +42,8 @@
         events: Number of events in a stream.
         release: Release of its software, which each event of a stream names;
             empty for none.
+        idle_s: Seconds after which it closes a connection without a request; 0
+            for never.
         crash_on: Text in a request's body that makes this program crash soon
             after it has started to run the request; empty for none.
         log_level: Lowest level that is logged.
@@ -47,6 +54,7 @@
     work_s: model.NonNegativeFloat = 0.01
     events: model.PositiveInt = 5
     release: str = ""
+    idle_s: model.NonNegativeFloat = 0.0
     crash_on: str = ""
     log_level: str = "INFO"
 
@@ -63,14 +71,18 @@
         fail: Respond with status 500.
         cut_after: Number of events after which a stream's connection is closed
             in the middle of the next event.
+        cut_bytes: Bytes of that next event that are sent before.
         hang_after: Number of events after which a stream sends nothing more.
         surplus: Send a response for another request before each response.
-        unframed: Respond without a content length, then close the connection.
+        unframed: Respond without a content length or chunks, then close the
+            connection.
         work_s: Overrides the setting of the same name, if given.
         limits: Values of the server limit header, one header for each value.
         brittle: Values of the server brittle header, likewise.
         room: Number of requests that it runs at once, and refuses beyond; None
             for any number.
+        max_connections: Number of connections from all callers that it holds;
+            it resets further ones.  None for any number.
     """
 
     refuse: bool = False
@@ -79,6 +91,7 @@
     leaving: bool = False
     fail: bool = False
     cut_after: int | None = None
+    cut_bytes: model.Count = 9
     hang_after: int | None = None
     surplus: bool = False
     unframed: bool = False
@@ -86,6 +99,7 @@
     limits: tuple[str, ...] = ()
     brittle: tuple[str, ...] = ()
     room: int | None = None
+    max_connections: int | None = None
 
 
 class Ledger(msgspec.Struct):
@@ -115,9 +129,21 @@
         self._faults = Faults()
         self._ledger = Ledger()
         self._running = 0
+        self._connections = 0
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
-        """Serves one connection until it ends."""
+        """Serves one connection until it ends; resets one too many."""
+        most = self._faults.max_connections
+        if most is not None and self._connections >= most:
+            await _reset(stream)
+            return
+        self._connections += 1
+        try:
+            await self._serve_connection(stream)
+        finally:
+            self._connections -= 1
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         async with stream:
             try:
                 while await self._serve_request(
@@ -140,9 +166,11 @@
             event = http.next_event()
             if event is h11.NEED_DATA:
                 try:
-                    http.receive_data(await stream.receive(READ_BYTES))
-                except anyio.EndOfStream:
+                    with anyio.fail_after(self._settings.idle_s or None):
+                        data = await stream.receive(READ_BYTES)
+                except (anyio.EndOfStream, TimeoutError):
                     return False
+                http.receive_data(data)
             elif isinstance(event, h11.Request):
                 request = event
             elif isinstance(event, h11.Data):
@@ -269,15 +297,21 @@
         headers: dict[str, str],
         signed: list[tuple[bytes, bytes]],
     ) -> bool:
-        head = h11.Response(
-            status_code=200,
-            headers=[
-                *signed,
-                (b"Content-Type", STREAM_TYPE),
-                (b"Transfer-Encoding", b"chunked"),
-            ],
-        )
-        await stream.send(http.send(head) or b"")
+        described = [*signed, (b"Content-Type", STREAM_TYPE)]
+        is_framed = not self._faults.unframed
+        if is_framed:
+            described.append((b"Transfer-Encoding", b"chunked"))
+            head = h11.Response(status_code=200, headers=described)
+            await stream.send(http.send(head) or b"")
+        else:
+            await stream.send(
+                _format_response(200, b"", described, framed=False)
+            )
+
+        async def send(data: bytes) -> None:
+            part = http.send(h11.Data(data=data)) or b"" if is_framed else data
+            await stream.send(part)
+
         last_event = int(headers.get(header.LAST_EVENT.decode(), "0"))
         for number in range(last_event + 1, self._settings.events + 1):
             try:
@@ -291,9 +325,11 @@
             piece = f"piece {number} {self._settings.release}".rstrip()
             event = f"id: {number}\ndata: {piece}\n\n".encode()
             if self._faults.cut_after == number - 1:
-                await stream.send(http.send(h11.Data(data=event[:9])) or b"")
+                await send(event[: self._faults.cut_bytes])
                 return False
-            await stream.send(http.send(h11.Data(data=event)) or b"")
+            await send(event)
+        if not is_framed:
+            return False
         await stream.send(http.send(h11.EndOfMessage()) or b"")
         http.start_next_cycle()
         return True
@@ -316,6 +352,12 @@
             self._running -= 1
 
 
+async def _reset(stream: anyio.abc.SocketStream) -> None:
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    await stream.aclose()
+
+
 async def _send_response(
     stream: anyio.abc.SocketStream,
     status: int,
