Break off streams that end within an event with their connection

The relay took the end of the connection for the end of the stream and sent what was left of an event as its last bytes. With a length or chunks an early end is an error of the connection; without them nothing told.

Such a stream that ends within an event, or before its first one, now counts as broken: it goes on at another replica where the route allows, and the caller's connection is closed without an end elsewhere. An event ends with an empty line, so complete streams are passed on as before.

--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -67,6 +67,10 @@
         super().__init__(text)
 
 
+_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+"""Headers of responses whose end can be told from that of the connection."""
+
+
 class BrokenError(RelayError):
     """The connection broke or the response was invalid after the request."""
 
@@ -131,6 +135,15 @@
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._method = b"GET"
         self._response_complete = False
+        self._ends_with_connection = False
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the response has neither a length nor chunks.
+
+        A backend server that crashes then ends it like a complete one.
+        """
+        return self._ends_with_connection
 
     @property
     def reusable(self) -> bool:
@@ -201,9 +214,10 @@
                 event = await self._next_event(timeout_s)
             if not isinstance(event, h11.Response):
                 raise BrokenError(f"{self.address}: no response head")
-            head = self._dialect.parse_response_head(
-                event.status_code, list(event.headers.raw_items())
-            )
+            headers = list(event.headers.raw_items())
+            names = {name.lower() for name, _ in headers}
+            self._ends_with_connection = names.isdisjoint(_FRAMING_HEADERS)
+            head = self._dialect.parse_response_head(event.status_code, headers)
             if head.request_id in (None, request_id):
                 if head.idle_s is not None:
                     self.idle_timeout_s = max(0.0, head.idle_s - IDLE_MARGIN_S)
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -378,12 +378,35 @@
                 await self._begin_stream(grant)
             await self._ensure_started(head)
             await self._writer.write(events)
+        remainder = self._splitter.take_remainder()
+        if connection.ends_with_connection:
+            self._check_last_event(connection, remainder)
         await self._ensure_started(head)
-        if remainder := self._splitter.take_remainder():
+        if remainder:
             await self._writer.write(remainder)
         await self._writer.finish()
         self._report_complete(head.status)
 
+    def _check_last_event(
+        self, connection: connections.Connection, remainder: bytes
+    ) -> None:
+        """Checks that a stream that ended with its connection may be complete.
+
+        Args:
+            connection: The connection.
+            remainder: The bytes after the last complete event.
+
+        Raises:
+            BrokenError: It ended within an event, or before the first one.
+        """
+        is_empty = (
+            not self._splitter.count and not self._routed.asked.last_event
+        )
+        if remainder.strip() or is_empty:
+            raise connections.BrokenError(
+                f"{connection.address}: the stream ended within an event"
+            )
+
     async def _begin_stream(self, grant: core_message.Grant) -> None:
         """Binds the stream to the release that sends its first event.
 
--- /dev/null
+++ b/test/test_unframed_streams.py
@@ -0,0 +1,86 @@
+"""Streams without a length or chunks, which end with their connection."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from concurrent import futures
+
+import pytest
+
+from test import node
+from test.test_node import ask, wait_until
+
+WHOLE = [b"%d" % number for number in range(1, 6)]
+RESUMABLE = "/stream/"
+NOT_RESUMABLE = "/stream-once/"
+
+
+@pytest.fixture
+def platform() -> Iterator[node.Platform]:
+    """One VM and two replicas, of which neither has failed before."""
+    with node.run_platform() as started:
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        yield started
+
+
+def list_ids(answer: node.Answer) -> list[bytes]:
+    """Returns the ids of the complete events of an answer."""
+    events = answer.body.split(b"\n\n")[:-1]
+    return [event.partition(b"\n")[0].removeprefix(b"id: ") for event in events]
+
+
+def ask_together(platform: node.Platform, path: str) -> list[node.Answer]:
+    """Sends more requests at once than one replica has slots."""
+    with futures.ThreadPoolExecutor(2 * node.SLOTS) as pool:
+        sent = [
+            pool.submit(ask, platform, path, "POST", b"x")
+            for _ in range(2 * node.SLOTS)
+        ]
+    assert list(platform.iterate_runs("i-0"))
+    return [each.result() for each in sent]
+
+
+@pytest.mark.parametrize("path", [RESUMABLE, NOT_RESUMABLE])
+def test_a_stream_without_a_length_is_passed_on(
+    platform: node.Platform, path: str
+) -> None:
+    for name in platform.replicas:
+        platform.set_faults(name, unframed=True)
+    answer = ask(platform, path, "POST", b"x")
+    assert (answer.status, answer.whole) == (200, True)
+    assert list_ids(answer) == WHOLE
+
+
+@pytest.mark.parametrize("cut_bytes", [3, 9])
+def test_a_stream_cut_within_an_event_does_not_appear_complete(
+    platform: node.Platform, cut_bytes: int
+) -> None:
+    # Without a length, the end of the connection also ends a complete answer.
+    platform.set_faults("i-0", unframed=True, cut_after=2, cut_bytes=cut_bytes)
+    answers = ask_together(platform, NOT_RESUMABLE)
+    assert any(not answer.whole for answer in answers)
+    for answer in answers:
+        assert list_ids(answer) == (WHOLE if answer.whole else WHOLE[:2])
+
+
+def test_a_stream_cut_within_an_event_goes_on_elsewhere(
+    platform: node.Platform,
+) -> None:
+    platform.set_faults("i-0", unframed=True, cut_after=2)
+    for answer in ask_together(platform, RESUMABLE):
+        assert answer.whole
+        assert list_ids(answer) == WHOLE
+        assert answer.body.endswith(b"\n\n")
+
+
+@pytest.mark.parametrize("path", [RESUMABLE, NOT_RESUMABLE])
+def test_a_stream_cut_before_its_first_event_does_not_appear_complete(
+    platform: node.Platform, path: str
+) -> None:
+    platform.set_faults("i-0", unframed=True, cut_after=0, cut_bytes=0)
+    for answer in ask_together(platform, path):
+        if answer.status == 200 and answer.whole:
+            assert list_ids(answer) == WHOLE
+        elif answer.status != 200:
+            assert json.loads(answer.body)
