--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -17,6 +17,8 @@
 import threading
 import time
 
+from bench import ports
+
 READ_BYTES = 65536
 TURN_S = 0.02
 """Longest pause between two looks at what was asked for, in seconds."""
@@ -96,7 +98,8 @@
     def __init__(self, target: str, bytes_per_s: float = 0.0) -> None:
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
-        self._listener = socket.create_server((host, 0))
+        # A port of outgoing connections could be taken while it is closed.
+        self._listener = socket.create_server((host, ports.reserve_port()))
         self._listener.setblocking(False)
         self._listen_on = self._listener.getsockname()
         self._partition: Partition | None = None
