Log what a VM lacks that has no bundle, and services without a server

The operators' record of a service that did not return names refusals of many VMs within 20 ms and is cut before their reasons. The logs could not tell VMs without a configuration or without replicas from an owner that took every backend server for unusable.

"no bundle in force yet" now warns at a decreasing rate and tells the state of both streams of the store; "first bundle in force" tells how long it took and from which origins. The owner logs "no backend server is usable" with the numbers of servers that leave or refuse connections, and "backend servers are usable again" with the time in between.

--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -43,6 +43,20 @@
     failures: int
 
 
+class StateCounts(msgspec.Struct, frozen=True):
+    """Numbers of a shard's backend servers, for the logs.
+
+    Attributes:
+        servers: All that are known.
+        leaving: Those that are leaving.
+        refusing: Those that were ejected several times in a row.
+    """
+
+    servers: int
+    leaving: int
+    refusing: int
+
+
 class Fleet:
     """Keeps a shard's view of its backend servers.
 
@@ -95,6 +109,15 @@
         """Whether any server is worth waiting for: neither leaving nor lost."""
         return any(not known.is_lost for known in self.backends.values())
 
+    def count_states(self) -> StateCounts:
+        """Returns how many backend servers are in which state."""
+        known = self.backends.values()
+        return StateCounts(
+            len(known),
+            sum(k.state is backends.BackendState.LEAVING for k in known),
+            sum(k.availability.is_lost for k in known),
+        )
+
     def configure(
         self, infos: Iterable[backends.BackendInfo], version: str
     ) -> None:
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -52,6 +52,10 @@
 
 A change in the store must be in force on every VM within about two seconds."""
 
+NOT_READY_WARNING_S = 1.0
+"""Time without a bundle in force after which a VM warns, in seconds; it doubles
+with each warning."""
+
 CONFIRM_TIMEOUT_S = 0.5
 """Timeout of a read that confirms that all records are known, in seconds."""
 
@@ -117,6 +121,8 @@
         self._declared: model.Bundle | None = None
         self._text = ""
         self._knows_replicas = False
+        self._started_at = steadyclock.read()
+        self._warned_after_s = 0.0
         self._config_reader = topic.TopicReader(
             store_client,
             CONFIG_TOPIC,
@@ -401,11 +407,37 @@
             for reader in self._readers:
                 reader.check_pending_read()
             now = steadyclock.read()
+            self._warn_if_not_ready(now)
             replicas_gone = self._replica_registry.expire(now)
             evacuations_ended = self._evacuations.expire(now)
             if replicas_gone or evacuations_ended:
                 self._publish()
 
+    def _warn_if_not_ready(self, now: float) -> None:
+        """Warns at a decreasing rate while this VM has no bundle in force."""
+        waited_s = now - self._started_at
+        due_s = max(NOT_READY_WARNING_S, 2 * self._warned_after_s)
+        if self._in_force is not None or waited_s < due_s:
+            return
+        self._warned_after_s = waited_s
+        LOG.warning(
+            "no bundle in force yet",
+            extra={
+                "waited_s": round(waited_s, 2),
+                "has_configuration": self._declared is not None,
+                "knows_replicas": self._knows_replicas,
+                "streams": {
+                    reader.stream: {
+                        "in_outage": reader.in_outage,
+                        "reads": reader.watching,
+                        "end": reader.end,
+                        "told": reader.known_end,
+                    }
+                    for reader in self._readers
+                },
+            },
+        )
+
     def _publish(self) -> None:
         if self._declared is None or not self._knows_replicas:
             # Without replicas a starting VM would refuse its first requests.
@@ -419,6 +451,18 @@
         orders = self._rollouts.list_orders()
         bundle = msgspec.structs.replace(bundle, rollouts=orders)
         envelope = signature.Envelope(self._text, {})
+        if self._in_force is None:
+            LOG.info(
+                "first bundle in force",
+                extra={
+                    "generation": bundle.generation,
+                    "after_s": round(steadyclock.read() - self._started_at, 3),
+                    "servers": len(bundle.backend_servers),
+                    "origins": {
+                        reader.stream: reader.origin for reader in self._readers
+                    },
+                },
+            )
         self._in_force = acceptance.InForce(bundle, envelope)
         self._on_bundle(self._in_force)
 
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -133,6 +133,7 @@
         self._reported_leaving: set[str] = set()
         self._empty_since: dict[message.ShardKey, float] = {}
         self._summaries_sent_at = 0.0
+        self._unusable_since: dict[message.ShardKey, float] = {}
         self._redirects_logged_at = 0.0
         self._redirects_logged: dict[
             message.ShardKey,
@@ -677,6 +678,7 @@
         for key, owner in self.shards.items():
             self.rollouts.advance(owner, self.owns(key), now)
             self._send_effects(owner.tick(now))
+            self._log_usable(key, owner, now)
             for entry, count in owner.list_waiting_entries().items():
                 silence_s = self._attached.get_idle_time(entry, now)
                 if silence_s >= STILL_WAITING_INTERVAL_S:
@@ -686,10 +688,36 @@
             self._update_limit_share()
             self._exchange_summaries(now)
             self._close_idle_shards(now)
+            for key in self._unusable_since.keys() - self.shards.keys():
+                del self._unusable_since[key]
         if now - self._redirects_logged_at >= REDIRECT_LOG_INTERVAL_S:
             self._redirects_logged_at = now
             self._log_redirects()
 
+    def _log_usable(
+        self, key: message.ShardKey, owner: shard.ShardOwner, now: float
+    ) -> None:
+        """Logs when a shard has no usable backend server, and has one again."""
+        if owner.fleet.has_usable:
+            since = self._unusable_since.pop(key, None)
+            if since is not None:
+                LOG.info(
+                    "backend servers are usable again",
+                    extra={
+                        "shard": key.format(),
+                        "after_s": round(now - since, 2),
+                    },
+                )
+        elif key not in self._unusable_since:
+            self._unusable_since[key] = now
+            LOG.warning(
+                "no backend server is usable",
+                extra={
+                    "shard": key.format(),
+                    **msgspec.to_builtins(owner.fleet.count_states()),
+                },
+            )
+
     def _log_redirects(self) -> None:
         """Logs how many requests were redirected since the last time."""
         for key, owner in self.shards.items():
