Try ejected servers again soon while no other server is usable

All VMs were lost and returned, while the backend servers refused connections for some seconds more, as ones do that still hold those of VMs that lost power. The service then stayed away for up to 8 s after its servers: with connections refused until 9 s after the return, no request sent from 12 s after it on was served.

A server that refuses connections is ejected for 0.5 s and twice as long each time, up to 8 s. That spares requests a refused connection while other servers are usable; with all of them ejected, it only keeps the service away.

While no server of a shard is open, those that refused connections are now tried again after 0.5 s. A refused connection carries no request, so requests that may run once are not at risk; ejections after responses that broke off keep their backoff.

--- a/ramptray/core/availability.py
+++ b/ramptray/core/availability.py
@@ -85,6 +85,7 @@
         "_break_reporters",
         "_ejected_for",
         "_ejected_by",
+        "_retry_at",
         "_isolated",
         "_last_symptom",
         "_rated_at",
@@ -106,6 +107,8 @@
         # Entries whose responses broke off, empty for the server's own report.
         self._break_reporters: set[str] = set()
         self._ejected_by: frozenset[str] = frozenset()
+        # When it may be tried again if no other server is usable.
+        self._retry_at = math.inf
         self._last_symptom: Symptom | None = None
         self._rates: dict[Symptom, float] = {}
         self._rated_at = 0.0
@@ -173,11 +176,21 @@
             self._isolated.add(entry)
         if entry:
             self._ejected_for[entry] = now + ENTRY_EJECTION_S
-        if is_sole_entry or (
+        is_confirmed = is_sole_entry or (
             len(self._refused_at) >= MIN_REPORTERS
             and not self._answers_others(now)
-        ):
-            self._eject(frozenset(self._refused_at), now)
+        )
+        if is_confirmed and self._eject(frozenset(self._refused_at), now):
+            self._retry_at = now + UNREACHABLE_S
+
+    def end_backoff(self, now: float) -> None:
+        """Ends an ejection after refused connections once its backoff is due.
+
+        The backoff spares requests a refused connection while other servers are
+        usable.  Without one, the connection costs no more than a refusal.
+        """
+        if now >= self._retry_at:
+            self.unreachable_until = min(self.unreachable_until, now)
 
     def _answers_others(self, now: float) -> bool:
         """Returns whether the server serves entries that it does not refuse."""
@@ -186,17 +199,19 @@
             validity_s = ISOLATED_ANSWER_VALIDITY_S
         return any(now - at < validity_s for at in self._answered_at.values())
 
-    def _eject(self, reporters: frozenset[str], now: float) -> None:
-        """Ejects the server, with backoff.
+    def _eject(self, reporters: frozenset[str], now: float) -> bool:
+        """Ejects the server, with backoff; returns whether it was not before.
 
         Failures during an ejection do not count again.
         """
         if now < self.unreachable_until:
-            return
+            return False
         pause = min(UNREACHABLE_S * 2**self.failures, MAX_UNREACHABLE_S)
         self.failures += 1
+        self._retry_at = math.inf
         self.unreachable_until = now + pause
         self._ejected_by = reporters
+        return True
 
     def record_end(
         self,
--- a/test/partition.py
+++ b/test/partition.py
@@ -53,9 +53,13 @@
     ) -> None:
         """Partitions VMs from all replicas; None ends the partition."""
         for vm in vms:
-            for link in self._links[vm].values():
+            for link in self.list_links(vm):
                 link.partition(how)
 
+    def list_links(self, vm: str) -> list[proxy.Proxy]:
+        """Returns a VM's links to the replicas."""
+        return list(self._links[vm].values())
+
     def list_in_zone(self, zone: str) -> list[str]:
         """Returns the VMs of an availability zone."""
         return [vm for vm, found in self.zones.items() if found == zone]
--- a/test/test_server_ejection.py
+++ b/test/test_server_ejection.py
@@ -9,8 +9,9 @@
 import itertools
 
 import msgspec
+import pytest
 
-from ramptray.core import availability, message, shard
+from ramptray.core import availability, message, owner_effect, shard
 from test.test_shard import make_info, make_owner
 
 CUT, OTHER, THIRD = "vm-cut", "vm-other", "vm-third"
@@ -142,3 +143,83 @@
         first = refuse(owner, entry, now)
         refuse(owner, entry, now, first)
     assert not any(ask(owner, e, now + 0.1) for e in (*entries, "vm-new"))
+
+
+ENTRIES = (CUT, THIRD, OTHER)
+STEP_S = 0.05
+MAX_RETURN_S = 2.0
+"""Time in which a service must be back after its servers, in seconds: callers
+are to be served 12 s after VMs that lost power return, and servers may hold the
+connections of these VMs for 10 s."""
+
+
+class ConnectSimulation:
+    """Entries whose connections to some servers are refused for a while.
+
+    Attributes:
+        served: When requests were served, in seconds.
+        refused: Number of refused connections.
+    """
+
+    def __init__(self, servers: int, down: set[str], ends_at: float) -> None:
+        self.served: list[float] = []
+        self.refused = 0
+        self._owner = make_owner(servers)
+        self._down = down
+        self._ends_at = ends_at
+
+    def run(self, until: float) -> None:
+        """Sends a request of each entry at each step."""
+        for step in range(round(until / STEP_S)):
+            now = step * STEP_S
+            self._handle(self._owner.tick(now), now)
+            for entry in ENTRIES:
+                info = make_info(f"r{next(_NUMBERS)}", deadline_s=2.0)
+                enqueued = message.Enqueue(info)
+                self._handle(self._owner.receive(entry, enqueued, now), now)
+
+    def _handle(
+        self, effects: list[owner_effect.SendToEntry], now: float
+    ) -> None:
+        for effect in effects:
+            if isinstance(effect.message, message.Grant):
+                self._connect(effect.entry, effect.message, now)
+
+    def _connect(self, entry: str, grant: message.Grant, now: float) -> None:
+        request_id = grant.request_id
+        answers: list[message.EntryMessage]
+        if grant.backend in self._down and now < self._ends_at:
+            self.refused += 1
+            answers = [
+                message.Decline(
+                    request_id, grant.grant_id, unreachable=True, waits=True
+                )
+            ]
+        else:
+            self.served.append(now)
+            answers = [
+                message.FirstToken(request_id, 0.01, None, 0),
+                message.Ended(request_id, 10, 0.1, True),
+            ]
+        for answer in answers:
+            self._handle(self._owner.receive(entry, answer, now), now)
+
+
+@pytest.mark.parametrize("servers", [1, 3, 6])
+@pytest.mark.parametrize("outage_s", [0.5, 2.0, 4.0, 8.0, 9.0, 12.0, 30.0])
+def test_a_service_returns_soon_after_all_its_servers(
+    outage_s: float, servers: int
+) -> None:
+    # Each server was ejected for up to 8 s, though there was no other one.
+    down = {f"e{number}" for number in range(servers)}
+    simulation = ConnectSimulation(servers, down, outage_s)
+    simulation.run(outage_s + MAX_RETURN_S)
+    assert simulation.served
+
+
+def test_a_server_that_is_down_stays_ejected_while_another_serves() -> None:
+    # Backoffs of 0.5, 1, 2, 4 and then 8 s, each after a refused connection of
+    # every VM at most.
+    simulation = ConnectSimulation(2, {"e1"}, 30.0)
+    simulation.run(30.0)
+    assert 0 < simulation.refused <= 8 * len(ENTRIES)
