--- a/test/harm.py
+++ b/test/harm.py
@@ -17,6 +17,16 @@
 
 FAULTS_AT_ONCE = 3
 
+RECOVERY_S = 12.0
+"""Time after the return of all VMs from which they must serve, in seconds."""
+
+MIN_SERVED_PART = 0.25
+"""Part of the requests that must be served then."""
+
+RECOVERY_SPELL_S = RECOVERY_S + 4.0
+"""Pause after a bout in which all VMs were lost, in seconds; in its last part
+the return of the service is judged."""
+
 SLOW_CLOCK_MS = 60_000
 """By how much the clock of a replica may be set back at its restart."""
 
@@ -36,9 +46,12 @@
         restarts: Whether replicas also start again under their names.
         linked: The deployment if its VMs are also partitioned from all
             replicas; else None.
+        outages: Whether all VMs are also lost at once.
 
     Attributes:
         lives: How often each VM was started again.
+        outages: Whether all VMs are also lost at once.
+        returns: When all VMs were started again after they were lost.
     """
 
     def __init__(
@@ -50,8 +63,10 @@
         record: verdict.Record,
         restarts: bool,
         linked: partition.LinkedPlatform | None = None,
+        outages: bool = False,
     ) -> None:
         self._linked = linked
+        self.outages = outages
         self._platform = started
         self._rng = rng
         self._stores = stores
@@ -68,14 +83,16 @@
         self._hints: dict[str, dict[str, Any]] = {}
         self._limit_ended_at: dict[str, float] = {}
         self.lives = dict.fromkeys(self._names, 0)
+        self.returns: list[float] = []
 
     def run(self, ends_at: float) -> None:
         """Brings about faults in bouts, each followed by a calm spell."""
         while time.monotonic() < ends_at:
             left_s = ends_at - time.monotonic()
-            bout_s = min(self._rng.uniform(3.0, 9.0), left_s - CALM_SPELL_S)
+            calm_s = RECOVERY_SPELL_S if self.outages else CALM_SPELL_S
+            bout_s = min(self._rng.uniform(3.0, 9.0), left_s - calm_s)
             self._bring_about(time.monotonic() + bout_s)
-            time.sleep(min(CALM_SPELL_S, max(0.0, left_s)))
+            time.sleep(min(calm_s, max(0.0, left_s)))
 
     def _bring_about(self, last_at: float) -> None:
         """Brings faults about, some at a time, until all have ended."""
@@ -110,8 +127,39 @@
             draws.append(self._draw_restart)
         if self._linked is not None:
             draws += [self._draw_partition] * 2
+        if self.outages:
+            draws += [self._draw_outage] * 2
         return self._rng.choice(draws)()
 
+    def _draw_outage(self) -> Draw:
+        """Draws the loss of all VMs at once, by power or by a kill.
+
+        Without power nothing closes their connections to replicas and store.
+        """
+        if self._paused:
+            return "none", _do_nothing, _do_nothing
+        self._paused.update(self._names)
+        loses_power = self._rng.random() < 0.5
+
+        def lose() -> None:
+            if loses_power:
+                for link in (*self._stores.values(), *self._proxies.values()):
+                    link.strand()
+                time.sleep(proxy.TURN_S)
+            for name in self._names:
+                self._platform.processes[name].kill()
+
+        def start_again() -> None:
+            for name in self._names:
+                self._platform.processes[name].wait()
+                self.lives[name] += 1
+                self._platform.restart_vm(name)
+            self.returns.append(time.monotonic())
+            self._paused.clear()
+
+        kind = "power loss" if loses_power else "kill"
+        return f"{kind} of all VMs", lose, start_again
+
     def _draw_partition(self) -> Draw:
         """Draws VMs that lose their links to all replicas."""
         linked = self._linked
--- a/test/soak.py
+++ b/test/soak.py
@@ -27,6 +27,7 @@
 from test import (
     harm,
     hinting,
+    key_removal,
     limiting,
     node,
     partition,
@@ -71,6 +72,8 @@
         linked: The deployment if its VMs are also partitioned from all
             replicas; else None.
         releases: Whether releases come and go, and callers resume streams.
+        outages: Whether all VMs are also lost at once.
+        keys: Whether all keys of all customers are taken away at times.
     """
 
     def __init__(
@@ -85,8 +88,13 @@
         hints: bool = False,
         linked: partition.LinkedPlatform | None = None,
         releases: bool = False,
+        outages: bool = False,
+        keys: bool = False,
     ) -> None:
         self._releases = releases
+        self._remover = (
+            key_removal.KeyRemover(random.Random(seed)) if keys else None
+        )
         self._crashes = crashes
         self._limits = limits
         self._hints = hints
@@ -114,6 +122,7 @@
             self.record,
             restarts,
             linked,
+            outages,
         )
         names = sorted(started.replicas)
         self._changer.retire = self._harm.retire
@@ -170,6 +179,8 @@
             {**first, "name": f"v{number}", "pathPrefix": f"/v{number}/"}
             for number in range(max(1, version - KEPT_VERSIONS), version + 1)
         )
+        if self._remover is not None:
+            self._remover.apply(config)
         self._platform.set_config(config)
         self.record.changes.append((version, time.monotonic()))
 
@@ -189,6 +200,8 @@
             tasks.append(lambda: self._hinter.run(self._is_over))
         if self._releases:
             tasks.append(lambda: self._changer.run(self._is_over))
+        if remover := self._remover:
+            tasks.append(lambda: remover.intrude(self._intrude, self._is_over))
         for resumer in self._resumers:
             tasks.append(lambda each=resumer: each.run(self._is_over))  # type: ignore[misc]
         for name in self._names:
@@ -243,6 +256,16 @@
             connection.close()
             self.record.asks.append(ask)
 
+    def _intrude(self, number: int, authorization: str) -> verdict.Ask:
+        """Sends a request with another key than the usual one, or none."""
+        vm = self._names[number % len(self._names)]
+        ask = verdict.Ask(f"x{number}", PRESSED_PATH, vm, time.monotonic())
+        connection = self._connect(vm)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            ask = _send(connection, ask, {"Authorization": authorization})
+        connection.close()
+        return ask
+
     def _look(self, vm: str) -> None:
         newest_turn = itertools.cycle((True, False))
         while not self._is_over():
@@ -287,6 +310,8 @@
         apart = set(self._tries.sent).union(
             *(resumer.sent for resumer in self._resumers)
         )
+        if self._remover is not None:
+            apart.update(ask.name for ask in self._remover.sent)
         others = {
             name: [run for run in ran if run not in apart]
             for name, ran in runs.items()
@@ -298,6 +323,8 @@
             *self._judge_crashes(judge, runs),
             *self._judge_limits(),
             *self._judge_releases(judge),
+            *self._judge_returns(judge),
+            *self._judge_keys(judge, runs),
             *(
                 hinting.judge(self._platform, self.record)
                 if self._hints
@@ -322,6 +349,27 @@
             self._resumers, self._changer, self.record, judge.is_calm
         )
 
+    def _judge_returns(self, judge: verdict.Verdict) -> list[promise.Promise]:
+        if not self._harm.outages:
+            return []
+        remover = self._remover
+        return [
+            judge.judge_returns(
+                self._harm.returns,
+                harm.RECOVERY_S,
+                harm.MIN_SERVED_PART,
+                lambda at: remover is None or not remover.may_be_taken(at),
+            )
+        ]
+
+    def _judge_keys(
+        self, judge: verdict.Verdict, runs: Mapping[str, list[str]]
+    ) -> list[promise.Promise]:
+        if self._remover is None:
+            return []
+        ran = set(itertools.chain.from_iterable(runs.values()))
+        return key_removal.judge(self._remover, self.record, ran, judge.is_calm)
+
     def _judge_crashes(
         self, judge: verdict.Verdict, runs: Mapping[str, list[str]]
     ) -> list[promise.Promise]:
@@ -405,6 +453,8 @@
     hints: bool = False,
     partitions: bool = False,
     releases: bool = False,
+    outages: bool = False,
+    keys: bool = False,
 ) -> tuple[list[promise.Promise], list[str]]:
     """Runs one soak and returns its promises and its faults.
 
@@ -419,6 +469,8 @@
         hints: Whether replicas leave and ask for pauses.
         partitions: Whether VMs lose their links to all replicas.
         releases: Whether releases come and go, and callers resume streams.
+        outages: Whether all VMs are also lost at once.
+        keys: Whether all keys of all customers are taken away at times.
     """
     with tempfile.TemporaryDirectory() as made:
         name = keep or made
@@ -437,6 +489,8 @@
                 hints,
                 linked,
                 releases,
+                outages,
+                keys,
             )
             return soak.perform(), list(soak.record.list_faults())
         finally:
@@ -475,6 +529,10 @@
 @click.option(
     "--releases", is_flag=True, help="Releases come and go, streams resume."
 )
+@click.option("--outages", is_flag=True, help="All VMs are also lost at once.")
+@click.option(
+    "--keys", is_flag=True, help="All keys of all customers are taken away."
+)
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
 @click.option(
     "--keep",
@@ -492,6 +550,8 @@
     hints: bool,
     partitions: bool,
     releases: bool,
+    outages: bool,
+    keys: bool,
     show: bool,
     keep: pathlib.Path | None,
 ) -> None:
@@ -512,6 +572,8 @@
             hints,
             partitions,
             releases,
+            outages,
+            keys,
         )
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -68,6 +68,12 @@
     assert all(kept.chances for kept in promises[-2:])
 
 
+def test_the_promises_are_kept_while_all_vms_and_all_keys_are_lost() -> None:
+    promises, faults = soak.run_soak(4, 3, 45.0, outages=True, keys=True)
+    judge(promises, faults)
+    assert all(kept.chances for kept in promises[-3:])
+
+
 def test_a_run_is_not_judged_by_the_logs_of_another(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/test/verdict.py
+++ b/test/verdict.py
@@ -7,7 +7,7 @@
 import http.client
 import itertools
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from bench import promise
 
@@ -207,6 +207,36 @@
             for fault in self._record.faults
         )
 
+    def judge_returns(
+        self,
+        returns: Iterable[float],
+        due_s: float,
+        least: float,
+        counts: Callable[[float], bool],
+    ) -> promise.Promise:
+        """Judges whether VMs serve again after they all were lost.
+
+        Args:
+            returns: When they were started again.
+            due_s: Time from then until they must serve, in seconds.
+            least: Part of the requests that must be served then.
+            counts: Returns whether requests that were sent at a moment count.
+        """
+        kept = promise.Promise("the service returns after all VMs")
+        for since in returns:
+            due = [
+                ask
+                for ask in self._record.asks
+                if ask.path == "/safe/"
+                and since + due_s < ask.sent_at
+                and self.is_calm(ask.sent_at)
+                and counts(ask.sent_at)
+            ]
+            if due:
+                served = sum(_is_served(ask) for ask in due) / len(due)
+                kept.judge(served >= least, f"{served:.2f} of {len(due)}")
+        return kept
+
     def _judge_leaving(self) -> promise.Promise:
         kept = promise.Promise("a leaving backend server gets no new work")
         sent = {ask.name: ask.sent_at for ask in self._record.asks}
@@ -220,6 +250,10 @@
         return kept
 
 
+def _is_served(ask: Ask) -> bool:
+    return ask.status == http.client.OK and ask.whole
+
+
 def _is_right(ask: Ask) -> bool:
     """Returns whether a whole answer is what a replica sends for a request."""
     if ask.path == "/stream/":
