Read the settings file again when it changes without a signal

The file was read again on SIGHUP only, but it may change without one. Seeds were added to the former ones, of which only the first four are probed.

The file's time, size and inode are now compared each second. New seeds replace the former ones, are probed at once, and count for a minute as schedulers that may grant limits too. A file without seeds, or an invalid one, changes nothing.

--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -5,7 +5,6 @@
 import contextlib
 import logging
 import random
-import signal
 import socket
 import time
 from collections.abc import Callable, Coroutine
@@ -25,7 +24,7 @@
     release_sync,
     server_hints,
 )
-from ramptray.node import listener, probe, suspension
+from ramptray.node import listener, probe, settings_watcher, suspension
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
@@ -215,7 +214,9 @@
                 self._release_sync.run,
                 self._verdict_writer.run,
                 suspension.SuspensionDetector(self._handle_suspension).run,
-                self._watch_reload,
+                settings_watcher.SettingsWatcher(
+                    vm_settings.get_path(), self._apply_settings
+                ).run,
             ):
                 tasks.start_soon(task)
 
@@ -393,20 +394,9 @@
         self._relay_client.expire_all_idle()
         self._follower.wake()
 
-    async def _watch_reload(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                self._reload()
-
-    def _reload(self) -> None:
-        """Adds the file's seeds; other settings need a restart."""
-        try:
-            vm = vm_settings.read_settings(vm_settings.get_path())
-        except vm_settings.SettingsError as error:
-            LOG.error("settings not reloaded", extra={"detail": str(error)})
-            return
-        self._gossiper.add_seeds(list(vm.seeds))
-        LOG.info("settings reloaded", extra={"seeds": vm.seeds})
+    def _apply_settings(self, vm: vm_settings.VmSettings) -> None:
+        """Applies the file's seeds; other settings need a restart."""
+        self._gossiper.set_seeds(list(vm.seeds))
 
     def _make_gossiper(self) -> gossip.Gossiper:
         return gossip.Gossiper(
--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -370,6 +370,22 @@
         known = {*self._seeds, self._me.address}
         self._seeds.extend(a for a in addresses if a not in known)
 
+    def set_seeds(self, addresses: list[str]) -> None:
+        """Replaces the seeds, and probes those that are no members at once.
+
+        An empty list keeps the former ones, because it names nobody to join.
+        """
+        seeds = [a for a in addresses if a != self._me.address]
+        if not seeds or seeds == self._seeds:
+            return
+        self._seeds = seeds
+        # They may be schedulers that grant limits too.
+        self._count_seeds_until = (
+            steadyclock.read() + membership.DEAD_RETENTION_S
+        )
+        if self._tasks is not None:
+            self._tasks.start_soon(self._probe_seeds)
+
     def receive(self, gossip: peer_message.Gossip) -> peer_message.Gossip:
         """Merges a peer's probe and returns the answer."""
         self._merge(gossip, steadyclock.read())
