Ignore SIGHUP until the program has loaded

A VM that was told of a new settings file within the first 0.35 s of its start ended by that signal: the handler is set only when everything is loaded, and the default ends the process. The platform started it again, and its callers waited.

The signal is now ignored from the first line on; the file is read after that. test_a_signal_before_the_program_is_loaded_does_not_end_it failed before (connection reset).

--- a/ramptray/node/start.py
+++ b/ramptray/node/start.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 from ramptray.node import listener
@@ -15,6 +16,9 @@
 
 def run() -> None:
     """Opens the callers' socket, then loads and runs the program."""
+    # Until the program handles the signal, its default would end the process;
+    # the settings are read later anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         callers = address.read_callers_address()
         if callers is not None:
--- a/test/test_stale_seeds.py
+++ b/test/test_stale_seeds.py
@@ -7,12 +7,16 @@
 
 import functools
 import json
+import os
+import pathlib
+import signal
+import time
 
 import pytest
 
 from bench import ports
 from test import node
-from test.test_node import wait_until
+from test.test_node import ask, wait_until
 
 JOIN_S = 5.0
 """Time in which a VM finds the others by live seeds, in seconds."""
@@ -105,7 +109,30 @@
         wait_until(lambda: count_members(platform, "vm-new") == 2, JOIN_S)
 
 
+def test_a_signal_before_the_program_is_loaded_does_not_end_it() -> None:
+    with node.run_platform(vms=1) as platform:
+        process = platform.processes["vm-0"]
+        platform.kill_vm("vm-0")
+        platform.restart_vm("vm-0")
+        process = platform.processes["vm-0"]
+        wait_until(functools.partial(_is_listening, platform, "vm-0"))
+        process.send_signal(signal.SIGHUP)
+        wait_until(lambda: ask(platform, "/safe/").status == 200)
+        time.sleep(0.1)
+        assert process.poll() is None
+
+
 def _has_reloaded(platform: node.Platform, vm: str) -> bool:
     return any(
         line["message"] == "settings reloaded" for line in platform.read_log(vm)
     )
+
+
+def _is_listening(platform: node.Platform, vm: str) -> bool:
+    """Returns whether the callers' socket is open."""
+    port = int(platform.vms[vm]["front"].rpartition(":")[2])
+    listening = pathlib.Path("/proc/net/tcp").read_text()
+    return os.path.exists("/proc/net/tcp") and any(
+        f":{port:04X} " in line.split()[1] + " " and line.split()[3] == "0A"
+        for line in listening.splitlines()[1:]
+    )
