Print what VMs logged of failed requests in the test of VMs without servers

A failure now counts what each VM logged of the failed requests, and the ejections. No bound or check is changed.

--- a/test/test_vm_without_servers.py
+++ b/test/test_vm_without_servers.py
@@ -95,7 +95,10 @@
         [a for a in during if (a.vm in cut) is is_cut]
         for is_cut in (True, False)
     )
-    summary = collections.Counter((a.vm in cut, a.status) for a in during)
+    summary = [
+        collections.Counter((a.vm in cut, a.status) for a in during),
+        _explain(platform, failed),
+    ]
     assert len(failed) <= MAX_FAILED + MAX_FAILED_SHARE * len(during), summary
     assert _get_served_share(there) >= MIN_RELATIVE_SHARE * _get_served_share(
         others
@@ -103,6 +106,21 @@
     _check_promises(platform, asked)
 
 
+def _explain(
+    platform: partition.LinkedPlatform, failed: list[callers.Asked]
+) -> list[tuple[str, int]]:
+    """Counts what the VMs logged of failed requests, and their ejections."""
+    names = {each.request_id for each in failed}
+    counts = collections.Counter(
+        f"{vm}: {event['kind']} {event.get('reason') or event.get('entry')}"
+        for vm in platform.vms
+        for line in platform.read_log(vm)
+        if (event := line.get("event"))
+        and (event["kind"] == "ejected" or event.get("subject") in names)
+    )
+    return counts.most_common(30)
+
+
 def _get_served_share(asked: list[callers.Asked]) -> float:
     return 1 - len(partition.list_failed(asked)) / len(asked)
 
