Bound the doublings of the backoff of an ejected server

While no server of a shard is open, each is ejected twice a second. Found when the change was read again.

test_the_backoff_of_a_server_that_is_down_for_long_does_not_overflow failed before with OverflowError.

--- a/ramptray/core/availability.py
+++ b/ramptray/core/availability.py
@@ -11,6 +11,9 @@
 MAX_UNREACHABLE_S = 8.0
 """Maximum ejection time after a refused connection, in seconds."""
 
+MAX_DOUBLINGS = 4
+"""Number of doublings after which the ejection time has its maximum."""
+
 EJECT_AFTER_BREAKS = 3
 """Consecutive broken responses after which a server is ejected for a while: a
 server that fails immediately always has free slots and would attract all
@@ -206,7 +209,8 @@
         """
         if now < self.unreachable_until:
             return False
-        pause = min(UNREACHABLE_S * 2**self.failures, MAX_UNREACHABLE_S)
+        doublings = min(self.failures, MAX_DOUBLINGS)
+        pause = min(UNREACHABLE_S * 2**doublings, MAX_UNREACHABLE_S)
         self.failures += 1
         self._retry_at = math.inf
         self.unreachable_until = now + pause
--- a/test/test_server_ejection.py
+++ b/test/test_server_ejection.py
@@ -217,6 +217,19 @@
     assert simulation.served
 
 
+def test_the_backoff_of_a_server_that_is_down_for_long_does_not_overflow() -> (
+    None
+):
+    # While no server is open, each is ejected twice a second; 2**1024 is no
+    # float.
+    state = availability.Availability()
+    for number in range(5000):
+        now = 1.0 + number * availability.UNREACHABLE_S
+        state.end_backoff(now)
+        state.record_unreachable(now)
+    assert state.unreachable_until <= now + availability.MAX_UNREACHABLE_S
+
+
 def test_a_server_that_is_down_stays_ejected_while_another_serves() -> None:
     # Backoffs of 0.5, 1, 2, 4 and then 8 s, each after a refused connection of
     # every VM at most.
