Count new seeds as unknown owners only for a VM that knows no other

A settings file that names a VM that is gone would have lowered the part of customers' limits that an owner grants for a minute, on each change. Only a VM that is alone may have missed owners.

--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -379,10 +379,11 @@
         if not seeds or seeds == self._seeds:
             return
         self._seeds = seeds
-        # They may be schedulers that grant limits too.
-        self._count_seeds_until = (
-            steadyclock.read() + membership.DEAD_RETENTION_S
-        )
+        if not self._pick_probe_targets(1):
+            # They may be schedulers that grant limits too.
+            self._count_seeds_until = (
+                steadyclock.read() + membership.DEAD_RETENTION_S
+            )
         if self._tasks is not None:
             self._tasks.start_soon(self._probe_seeds)
 
