Keep the backoff while a server is tried, so that none is lost sooner

Requests that waited for the only server of a service were refused after 1.5 s of refused connections: while no server was open, each trial counted as an ejection, and a server is lost after four in a row.

A trial that fails now leaves the backoff and the number of ejections as they are; an answer ends both.

--- a/ramptray/core/availability.py
+++ b/ramptray/core/availability.py
@@ -87,6 +87,7 @@
         "_answered_at",
         "_break_reporters",
         "_ejected_for",
+        "_backoff_until",
         "_ejected_by",
         "_retry_at",
         "_isolated",
@@ -110,6 +111,7 @@
         # Entries whose responses broke off, empty for the server's own report.
         self._break_reporters: set[str] = set()
         self._ejected_by: frozenset[str] = frozenset()
+        self._backoff_until = 0.0
         # When it may be tried again if no other server is usable.
         self._retry_at = math.inf
         self._last_symptom: Symptom | None = None
@@ -142,6 +144,8 @@
         self._answered_at[entry] = now
         if entry not in self._ejected_by:
             self.unreachable_until = min(self.unreachable_until, now)
+        if now >= self.unreachable_until:
+            self._backoff_until = min(self._backoff_until, now)
 
     def refuses(self, entry: str, now: float) -> bool:
         """Returns whether the server has refused an entry recently."""
@@ -186,11 +190,12 @@
         if is_confirmed and self._eject(frozenset(self._refused_at), now):
             self._retry_at = now + UNREACHABLE_S
 
-    def end_backoff(self, now: float) -> None:
-        """Ends an ejection after refused connections once its backoff is due.
+    def allow_trial(self, now: float) -> None:
+        """Opens a server for a trial that was ejected for refused connections.
 
         The backoff spares requests a refused connection while other servers are
-        usable.  Without one, the connection costs no more than a refusal.
+        usable.  Without one, the connection costs no more than a refusal.  A
+        trial that fails does not prolong the backoff.
         """
         if now >= self._retry_at:
             self.unreachable_until = min(self.unreachable_until, now)
@@ -205,16 +210,19 @@
     def _eject(self, reporters: frozenset[str], now: float) -> bool:
         """Ejects the server, with backoff; returns whether it was not before.
 
-        Failures during an ejection do not count again.
+        Failures during an ejection, or of trials, do not count again.
         """
         if now < self.unreachable_until:
             return False
+        self._retry_at = math.inf
+        self._ejected_by = reporters
+        if now < self._backoff_until:
+            self.unreachable_until = self._backoff_until
+            return True
         doublings = min(self.failures, MAX_DOUBLINGS)
         pause = min(UNREACHABLE_S * 2**doublings, MAX_UNREACHABLE_S)
         self.failures += 1
-        self._retry_at = math.inf
-        self.unreachable_until = now + pause
-        self._ejected_by = reporters
+        self.unreachable_until = self._backoff_until = now + pause
         return True
 
     def record_end(
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -315,16 +315,15 @@
     def refresh(self, now: float, part: float) -> None:
         """Updates what is derived from all servers; called at each tick.
 
-        These are the common symptoms, the backoffs while no server is usable,
-        and the list of the fastest servers, in which rate-limited ones come
-        last.
+        These are the common symptoms, trials while no server is usable, and the
+        list of the fastest servers, in which rate-limited ones come last.
 
         Args:
             now: The owner's clock in seconds.
             part: This owner's share of each limit.
         """
         self.common_symptoms = self._find_common_symptoms(now)
-        self._end_backoffs(now)
+        self._allow_trials(now)
         self._fastest = heapq.nsmallest(
             MAX_FASTEST,
             (known for known in self.backends.values() if known.is_open(now)),
@@ -334,11 +333,11 @@
             ),
         )
 
-    def _end_backoffs(self, now: float) -> None:
+    def _allow_trials(self, now: float) -> None:
         """Tries ejected servers again sooner while there is no other one."""
         if not any(known.is_open(now) for known in self.backends.values()):
             for known in self.backends.values():
-                known.availability.end_backoff(now)
+                known.availability.allow_trial(now)
 
     def _find_common_symptoms(
         self, now: float
