--- a/ramptray/node/settings_watcher.py
+++ b/ramptray/node/settings_watcher.py
@@ -49,18 +49,17 @@
 
     def check(self) -> None:
         """Reads the file if it has changed."""
-        version = _read_version(self._path)
-        if version != self._version:
-            self._version = version
+        if _read_version(self._path) != self._version:
             self._reload()
 
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGHUP) as signals:
             async for _ in signals:
-                self._version = _read_version(self._path)
                 self._reload()
 
     def _reload(self) -> None:
+        # Before the file is read: a change during the read is seen next time.
+        self._version = _read_version(self._path)
         try:
             settings = vm_settings.read_settings(self._path)
         except vm_settings.SettingsError as error:
