Break off continuations that end before their first event

Callers of a stream that went on at a second server got the orderly end of an answer although the second server had sent nothing: one without a length or chunks ends its answer with the connection, also when it crashes. So did callers who took a stream up themselves.

Whether any event had come was asked over all attempts together, and not at all for a stream that is taken up, so that the events of the first attempt stood for the end of the second.

It is asked for the attempt that ended. A stream that had all its events and only lost its end is broken off too, if the continuation has no length: nothing tells the two apart, and an answer must not appear complete early.

--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -392,16 +392,18 @@
     ) -> None:
         """Checks that a stream that ended with its connection may be complete.
 
+        A continuation without an event is not: its server may have crashed
+        before the first one, as any server does.
+
         Args:
             connection: The connection.
             remainder: The bytes after the last complete event.
 
         Raises:
-            BrokenError: It ended within an event, or before the first one.
+            BrokenError: It ended within an event, or before the first one of
+                this attempt.
         """
-        is_empty = (
-            not self._splitter.count and not self._routed.asked.last_event
-        )
+        is_empty = self._splitter.count == self._events_before_attempt
         if remainder.strip() or is_empty:
             raise connections.BrokenError(
                 f"{connection.address}: the stream ended within an event"
--- a/test/test_unframed_streams.py
+++ b/test/test_unframed_streams.py
@@ -84,3 +84,34 @@
             assert list_ids(answer) == WHOLE
         elif answer.status != 200:
             assert json.loads(answer.body)
+
+
+def test_a_continuation_without_an_event_does_not_complete_a_stream(
+    platform: node.Platform,
+) -> None:
+    # The events of the first attempt say nothing about the end of the second.
+    platform.set_faults("i-0", cut_after=2)
+    platform.set_faults("i-1", unframed=True, cut_after=2, cut_bytes=0)
+    answers = ask_together(platform, RESUMABLE)
+    begun_at_first = set(platform.iterate_runs("i-0"))
+    broken = [
+        answer
+        for answer in answers
+        if answer.headers["x-request-id"] in begun_at_first
+    ]
+    assert broken
+    assert not any(answer.whole for answer in broken)
+
+
+def test_a_taken_up_stream_that_gets_no_event_does_not_appear_complete(
+    platform: node.Platform,
+) -> None:
+    for name in platform.replicas:
+        platform.set_faults(name, cut_after=2)
+    begun = ask(platform, RESUMABLE, "POST", b"x", X_Request_Id="begun")
+    assert list_ids(begun) == WHOLE[:2]
+    for name in platform.replicas:
+        platform.set_faults(name, unframed=True, cut_after=2, cut_bytes=0)
+    taken_up = {"Resumes": "begun", "Last-Event-Id": "2"}
+    answer = ask(platform, RESUMABLE, "POST", b"x", headers=taken_up)
+    assert answer.status == 502
