Break off streams whose server ended with them

A server without lengths or chunks that was killed between two events ended its stream as a complete one does: callers got 2 of 5 events and the end of an answer.

The events tell only of ends within one. A probe after such an end tells the rest: where nothing listens any more, the server crashed and the stream counts as broken. Leaving servers may end with their last answer, so they are not probed, nor are those behind another VM.

--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -381,6 +381,7 @@
         remainder = self._splitter.take_remainder()
         if connection.ends_with_connection:
             self._check_last_event(connection, remainder)
+            await self._check_server_runs(connection, head, grant)
         await self._ensure_started(head)
         if remainder:
             await self._writer.write(remainder)
@@ -409,6 +410,34 @@
                 f"{connection.address}: the stream ended within an event"
             )
 
+    async def _check_server_runs(
+        self,
+        connection: connections.Connection,
+        head: message.ResponseHead,
+        grant: core_message.Grant,
+    ) -> None:
+        """Checks that a stream did not end because its server crashed.
+
+        A server that is leaving may end right after its last response.
+
+        Raises:
+            BrokenError: Nothing listens at the server's address any more.
+        """
+        target = connection.target
+        is_leaving = (
+            head.is_leaving
+            or self._dispatcher.backends.get_granted_url(grant) is None
+        )
+        if target.gateway or is_leaving:
+            return
+        found = await backend_probe.probe_backend(
+            target.address, target.delay_s
+        )
+        if found is backend_probe.ProbeResult.GONE:
+            raise connections.BrokenError(
+                f"{connection.address}: the server ended with the stream"
+            )
+
     async def _begin_stream(self, grant: core_message.Grant) -> None:
         """Binds the stream to the release that sends its first event.
 
--- a/test/test_unframed_streams.py
+++ b/test/test_unframed_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Iterator
 from concurrent import futures
 
@@ -14,6 +15,7 @@
 WHOLE = [b"%d" % number for number in range(1, 6)]
 RESUMABLE = "/stream/"
 NOT_RESUMABLE = "/stream-once/"
+REPLICAS = ("i-0", "i-1")
 
 
 @pytest.fixture
@@ -115,3 +117,21 @@
     taken_up = {"Resumes": "begun", "Last-Event-Id": "2"}
     answer = ask(platform, RESUMABLE, "POST", b"x", headers=taken_up)
     assert answer.status == 502
+
+
+@pytest.mark.parametrize("path", [RESUMABLE, NOT_RESUMABLE])
+def test_a_stream_whose_replica_ended_between_events_does_not_appear_complete(
+    platform: node.Platform, path: str
+) -> None:
+    for name in platform.replicas:
+        platform.set_faults(name, unframed=True, work_s=0.3)
+    with futures.ThreadPoolExecutor(1) as pool:
+        sent = pool.submit(ask, platform, path, "POST", b"x")
+        wait_until(lambda: any(map(list, map(platform.iterate_runs, REPLICAS))))
+        time.sleep(0.7)
+        (name,) = [n for n in REPLICAS if list(platform.iterate_runs(n))]
+        platform.processes[name].kill()
+        answer = sent.result()
+    ids = list_ids(answer)
+    assert ids == (WHOLE if answer.whole else WHOLE[: len(ids)])
+    assert answer.whole == (path == RESUMABLE)
