Split streams at every line end of the HTML standard

A stream whose lines end with carriage returns alone had no event for the relay: it reached its caller only at its end, counted as silent until then, and without a length or chunks it counted as broken off.

An event ends with two line ends, each of which may be CRLF, LF or CR. A CR after a line feed at the end of what has arrived may be half of a CRLF, so that the next byte is awaited.

Six of the twelve new cases failed before (CR CR and LF CR).

--- a/ramptray/relay/event.py
+++ b/ramptray/relay/event.py
@@ -9,8 +9,11 @@
 
 import re
 
-_END = re.compile(rb"\r?\n\r?\n")
-_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_END = re.compile(rb"(?>\r\n|\n)(?:\r\n|\n|\r(?!\n|\Z))|\r\r\n?")
+"""The empty line after an event, with the line ends of the HTML standard.  A
+carriage return after a line feed may be half of a line end."""
+
+_ID = re.compile(rb"(?:^|(?<=[\r\n]))id:[ ]?([^\r\n]*)")
 
 
 class EventSplitter:
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -249,6 +249,20 @@
     assert splitter.take_remainder() == b"id: 3\ndata: c"
 
 
+@pytest.mark.parametrize("step", [1, 3, 1000])
+@pytest.mark.parametrize("ends", [b"\r\r", b"\r\n\n", b"\n\r\n", b"\n\r"])
+def test_events_end_with_any_two_line_ends(ends: bytes, step: int) -> None:
+    text = b"id: 1\ndata: a" + ends + b"id: 2\rdata: b" + ends + b"id: 3\r\n"
+    splitter = event.EventSplitter()
+    whole = b"".join(
+        splitter.split(text[at : at + step]) for at in range(0, len(text), step)
+    )
+    remainder = splitter.take_remainder()
+    assert whole + remainder == text
+    assert remainder.strip() == b"id: 3"
+    assert (splitter.last_id, splitter.count) == ("2", 2)
+
+
 class FakeIdleConnection:
     """An idle connection whose close yields to other tasks."""
 
