Do not count comments as events of a stream

A server may send comments to keep a connection alive. One before a crash stood for the first event, so that a stream without any event ended as a complete answer where it had neither a length nor chunks.

Only blocks with a field count as events. The new test failed before.

--- a/ramptray/relay/event.py
+++ b/ramptray/relay/event.py
@@ -14,6 +14,8 @@
 carriage return after a line feed may be half of a line end."""
 
 _ID = re.compile(rb"(?:^|(?<=[\r\n]))id:[ ]?([^\r\n]*)")
+_FIELD = re.compile(rb"(?:^|(?<=[\r\n]))[^:\r\n]")
+"""Begin of a line that is no comment."""
 
 
 class EventSplitter:
@@ -21,7 +23,7 @@
 
     Attributes:
         last_id: Id of the last complete event that has one; None so far.
-        count: Number of complete events so far.
+        count: Number of complete events so far, without comments.
     """
 
     def __init__(self) -> None:
@@ -34,8 +36,9 @@
         buffered = self._remainder + data
         end = 0
         for found in _END.finditer(buffered):
+            if _FIELD.search(buffered, end, found.start()):
+                self.count += 1
             end = found.end()
-            self.count += 1
         complete, self._remainder = buffered[:end], buffered[end:]
         if ids := _ID.findall(complete):
             self.last_id = ids[-1].decode("latin-1")
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -263,6 +263,13 @@
     assert (splitter.last_id, splitter.count) == ("2", 2)
 
 
+def test_comments_are_no_events() -> None:
+    # A server may send one to keep the connection alive before it crashes.
+    splitter = event.EventSplitter()
+    assert splitter.split(b": still here\n\n") == b": still here\n\n"
+    assert splitter.count == 0
+
+
 class FakeIdleConnection:
     """An idle connection whose close yields to other tasks."""
 
