Reset the connection of an HTTP/1.0 caller whose stream breaks off

HTTP/1.0 has no chunks, so the end of the connection ends the answer. The VM closed it in order where it broke a stream off, and the caller saw a complete answer.

Such a connection is closed with a reset. Others are closed as before, since a reset may drop events that the caller has not read yet.

--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -99,11 +99,11 @@
     async def handle(self, stream: streams.SocketStream) -> None:
         """Serves one connection until it ends."""
         self.state.connections += 1
+        connection = CallerConnection(
+            stream, self._dialect, self._serve, self.state
+        )
         try:
             streams.set_socket_options(stream)
-            connection = CallerConnection(
-                stream, self._dialect, self._serve, self.state
-            )
             await connection.run()
         except (OSError, CallerDisconnectedError):
             pass  # The caller has disconnected; no response is possible.
@@ -112,7 +112,7 @@
             LOG.exception("connection ended by an error")
         finally:
             self.state.connections -= 1
-            stream.flush_and_close()
+            connection.close()
 
 
 class CallerConnection:
@@ -342,7 +342,28 @@
     async def abort(self) -> None:
         """Closes the connection in the middle of a response."""
         self._aborted = True
-        self._stream.close()
+        if self._ends_with_connection:
+            self._stream.reset()
+        else:
+            self._stream.close()
+
+    def close(self) -> None:
+        """Closes the connection after its last response."""
+        if self._ends_with_connection:
+            self._stream.reset()
+        else:
+            self._stream.flush_and_close()
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether an orderly close would end an incomplete response.
+
+        HTTP/1.0 has no chunks.
+        """
+        return (
+            self._http.our_state is h11.SEND_BODY
+            and self._http.their_http_version == b"1.0"
+        )
 
     def get_closing_headers(self) -> message.Headers:
         """Returns ``Connection: close`` if the connection is about to close."""
--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -13,6 +13,7 @@
 import math
 import select
 import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -35,6 +36,9 @@
 minimum.  A connection that dies while idle, or while a response is awaited, is
 detected after twice this time; without probes it would never be."""
 
+_NO_LINGER = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close resets the connection."""
+
 
 class SocketStream(byte_stream.ByteStream, asyncio.Protocol):
     """A connected socket, read by one task and written by one task.
@@ -164,6 +168,16 @@
             _wake(self._read_waiter)
             _wake(self._write_waiter)
 
+    def reset(self) -> None:
+        """Closes the connection with a reset, which the peer sees as an error.
+
+        Drops unsent bytes.
+        """
+        sock = None if self._closed else self.get_socket()
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.close()
+
     def flush_and_close(self) -> None:
         """Sends the written data and closes the connection.
 
--- a/test/test_unframed_streams.py
+++ b/test/test_unframed_streams.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import json
+import socket
 import time
 from collections.abc import Iterator
 from concurrent import futures
@@ -10,7 +12,7 @@
 import pytest
 
 from test import node
-from test.test_node import ask, wait_until
+from test.test_node import ask, make_headers, wait_until
 
 WHOLE = [b"%d" % number for number in range(1, 6)]
 RESUMABLE = "/stream/"
@@ -135,3 +137,29 @@
     ids = list_ids(answer)
     assert ids == (WHOLE if answer.whole else WHOLE[: len(ids)])
     assert answer.whole == (path == RESUMABLE)
+
+
+def read_first_version(platform: node.Platform) -> bytes:
+    """Returns the answer to a caller that speaks HTTP/1.0, up to its end."""
+    lines = [
+        f"POST {NOT_RESUMABLE} HTTP/1.0",
+        *(f"{name}: {value}" for name, value in make_headers().items()),
+        "Content-Length: 1",
+        "",
+        "x",
+    ]
+    host, port = platform.vms["vm-0"]["front"].split(":")
+    with socket.create_connection((host, int(port)), timeout=5) as caller:
+        caller.sendall("\r\n".join(lines).encode())
+        return b"".join(iter(functools.partial(caller.recv, 65536), b""))
+
+
+def test_a_caller_without_chunks_sees_a_broken_stream_reset(
+    platform: node.Platform,
+) -> None:
+    # The end of the connection is all that ends an answer in HTTP/1.0.
+    assert read_first_version(platform).count(b"data: ") == len(WHOLE)
+    for name in platform.replicas:
+        platform.set_faults(name, cut_after=2)
+    with pytest.raises(ConnectionResetError):
+        read_first_version(platform)
