Log the shared parts of prompts, and those on crashed servers

A crash names the contents that ran on the server. Requests that have a part of their prompts in common have different contents, so the log could not tell whether one part ran on all crashed servers.

A request names the parts that others may share, by a digest that does not depend on the parts before it, and a crash names those of its requests. The hashes of the cache index are chained and hold token counts, so one part behind two others would have two names.

--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -105,6 +105,8 @@
             objective, in seconds; None if there is no limit.
         event_tokens: Tokens per event of its response.
         content: Digest of customer, path and body; empty if unknown.
+        parts: Digests of the parts of its prompt that it shares with others,
+            independent of their order; empty if unknown.
         prefix_tokens: Tokens that each block of the prefix covers; empty if
             all cover the default number.
         route: The route that it matched; empty if there are none.
@@ -137,6 +139,7 @@
     route: str = ""
     regions: tuple[str, ...] | None = None
     release: str | None = None
+    parts: tuple[str, ...] = ()
 
 
 class Enqueue(msgspec.Struct, frozen=True):
--- a/ramptray/core/poison.py
+++ b/ramptray/core/poison.py
@@ -78,12 +78,14 @@
         content: Digest of its content; empty if unknown.
         sent_at: When it was sent to the server, by the owner's clock.
         answered_s: Seconds since its response began; None if it had not.
+        parts: Digests of the shared parts of its prompt.
     """
 
     request_id: str
     content: str
     sent_at: float
     answered_s: float | None
+    parts: tuple[str, ...] = ()
 
 
 class Crash(msgspec.Struct):
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -360,6 +360,7 @@
             output_tokens=info.output_tokens,
             deadline_s=round(info.deadline_s, 3),
             content=info.content or None,
+            parts=info.parts or None,
             generation=self.in_force.generation if self.in_force else None,
         )
         if remaining_s := self._block_propagator.get_remaining_s(
--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -31,6 +31,9 @@
 MAX_PREFIX_PARTS = 64
 """Maximum number of prompt parts that are used; the rest is ignored."""
 
+MAX_PART_IDS = 256
+"""Maximum number of prompt parts that are told apart; the rest is ignored."""
+
 LAST_EVENT = b"last-event-id"
 RESUMES = b"resumes"
 """Id of the attempt that brought the first event of a stream that its caller
@@ -174,6 +177,9 @@
                 prefix_tokens=prefix_tokens,
                 last_event=_decode_text(values.get(LAST_EVENT)),
                 resumes=_decode_text(values.get(RESUMES)),
+                part_ids=_parse_part_ids(
+                    _list_values(head.headers, _PROMPT_PREFIX)
+                ),
             )
         )
 
@@ -341,6 +347,16 @@
     return tuple(hashes), tuple(sizes)
 
 
+def _parse_part_ids(values: list[bytes]) -> tuple[str, ...]:
+    """Returns the id of each part of the prompt, in order.
+
+    Unlike the hash of a part, its id does not depend on the parts before it.
+    """
+    parts = b",".join(values).decode("latin-1").split(",")[:MAX_PART_IDS]
+    ids = (part.partition(":")[0].strip().lower() for part in parts)
+    return tuple(part_id for part_id in ids if part_id)
+
+
 def _decode_text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1")
 
--- a/ramptray/relay/message.py
+++ b/ramptray/relay/message.py
@@ -31,6 +31,8 @@
         likely_tokens: The caller's estimate of the tokens generated.
         prefix: Chained hash of each part of the prompt, in order.
         prefix_tokens: Number of tokens in each part.
+        part_ids: Id of each part, in order, as the caller wrote it but in
+            lower case.
         last_event: Id of the last event the caller received of an earlier
             stream.
         resumes: The id of the attempt that brought the first event of the
@@ -53,6 +55,7 @@
     last_event: str | None
     resumes: str | None = None
     body: bytes = b""
+    part_ids: tuple[str, ...] = ()
 
 
 class InvalidRequest(msgspec.Struct, frozen=True):
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -305,6 +305,9 @@
             max_gap_s=route.max_gap_s,
             event_tokens=event_tokens,
             content=content.make_digest(request, customer, self._content_key),
+            parts=content.make_part_digests(
+                request, service, self._content_key
+            ),
             regions=_intersect(
                 route.regions, declared.regions if declared else None
             ),
--- a/ramptray/scheduler/content_blocker.py
+++ b/ramptray/scheduler/content_blocker.py
@@ -92,6 +92,7 @@
                 None
                 if placed.answers_since is None
                 else now - placed.answers_since,
+                placed.request.parts,
             )
             for request_id, placed in server.placed.items()
         }
@@ -108,6 +109,7 @@
                 {
                     "request": runner.request_id,
                     "content": runner.content,
+                    "parts": runner.parts,
                     "answered_s": runner.answered_s,
                     "count": self.detector.get_crash_count(runner.content),
                 }
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -24,7 +24,7 @@
     store,
     topic,
 )
-from ramptray.relay import message
+from ramptray.relay import content, message
 from ramptray.scheduler import rules
 from test import node
 
@@ -201,6 +201,32 @@
     ]
 
 
+def list_part_digests(*values: str, service: str = "lm") -> tuple[str, ...]:
+    """Returns the part digests of a request with these prefix headers."""
+    headers = [("X-Prompt-Prefix", value) for value in values]
+    request = parse_request(("X-Request-Id", "r"), *headers)
+    assert isinstance(request, message.CallerRequest)
+    return content.make_part_digests(request, service, b"key")
+
+
+def test_a_part_of_a_prompt_has_one_digest_wherever_it_stands() -> None:
+    first, second = list_part_digests("a1:10,B2:20,ff:1")
+    assert list_part_digests("b2:7, a1:10,ee:1") == (second, first)
+    assert list_part_digests("b2:20", "dd:3") == (second,)
+    assert list_part_digests("b2:20,b2:20,cc:3") == (second,)
+    assert list_part_digests("b2:20,cc:3", service="other") != (second,)
+
+
+def test_the_last_part_of_a_prompt_has_no_digest() -> None:
+    assert list_part_digests("a1:10") == ()
+    assert list_part_digests() == ()
+
+
+def test_parts_behind_the_limit_of_the_cache_index_have_digests() -> None:
+    parts = ",".join(f"{number:x}:1" for number in range(100))
+    assert len(list_part_digests(parts)) == 99
+
+
 @pytest.mark.parametrize(
     "headers",
     [
