--- a/ramptray/platform/header.py
+++ b/ramptray/platform/header.py
@@ -26,7 +26,7 @@
 _LENGTH_HINT = b"x-length-hint"
 """The caller's estimate of the generated tokens; often inaccurate."""
 
-_PROMPT_PREFIX = b"x-prompt-prefix"
+PROMPT_PREFIX = b"x-prompt-prefix"
 _MODEL = b"x-model"
 MAX_PREFIX_PARTS = 64
 """Maximum number of prompt parts that are used; the rest is ignored."""
@@ -111,7 +111,7 @@
         REQUEST_ID,
         _TOKEN_COUNT,
         _LENGTH_HINT,
-        _PROMPT_PREFIX,
+        PROMPT_PREFIX,
         b"host",
         _MODEL,
         b"content-type",
@@ -158,7 +158,7 @@
             )
         prompt, output = _parse_token_counts(values.get(_TOKEN_COUNT))
         prefix, prefix_tokens = _parse_prefix(
-            values.get(_PROMPT_PREFIX, b""), values.get(_MODEL, b"")
+            values.get(PROMPT_PREFIX, b""), values.get(_MODEL, b"")
         )
         deadline = _parse_int(values.get(DEADLINE))
         return Ok(
@@ -178,7 +178,7 @@
                 last_event=_decode_text(values.get(LAST_EVENT)),
                 resumes=_decode_text(values.get(RESUMES)),
                 part_ids=_parse_part_ids(
-                    _list_values(head.headers, _PROMPT_PREFIX)
+                    _list_values(head.headers, PROMPT_PREFIX)
                 ),
             )
         )
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -46,6 +46,8 @@
             for never.
         crash_on: Text in a request's body that makes this program crash soon
             after it has started to run the request; empty for none.
+        crash_on_parts: Ids of parts of a prompt that make it crash likewise,
+            unless they come last.
         log_level: Lowest level that is logged.
     """
 
@@ -56,6 +58,7 @@
     release: str = ""
     idle_s: model.NonNegativeFloat = 0.0
     crash_on: str = ""
+    crash_on_parts: tuple[str, ...] = ()
     log_level: str = "INFO"
 
 
@@ -249,9 +252,7 @@
         LOG.info("running", extra={"request_id": request_id})
         self._ledger.runs.append(request_id)
         self._ledger.heads.append(headers)
-        if self._settings.crash_on and self._settings.crash_on in body.decode(
-            errors="replace"
-        ):
+        if self._crashes_on(headers, body):
             await self._crash(request_id)
         signed = [
             *response_headers,
@@ -284,6 +285,15 @@
         self._ledger.arrived.append(now)
         LOG.info("arrived", extra={"request_id": request_id, "at": now})
 
+    def _crashes_on(self, headers: dict[str, str], body: bytes) -> bool:
+        """Returns whether a request crashes this program."""
+        text = self._settings.crash_on
+        if text and text in body.decode(errors="replace"):
+            return True
+        parts = headers.get(header.PROMPT_PREFIX.decode(), "").split(",")
+        ids = {part.partition(":")[0] for part in parts[:-1]}
+        return not ids.isdisjoint(self._settings.crash_on_parts)
+
     async def _crash(self, request_id: str) -> None:
         """Exits the process, which ends all requests that run in it."""
         await anyio.sleep(CRASH_DELAY_S)
--- a/test/poison_load.py
+++ b/test/poison_load.py
@@ -31,10 +31,19 @@
 
 
 class Supervisor:
-    """Restarts crashed replicas after a short delay."""
+    """Restarts crashed replicas after a short delay.
 
-    def __init__(self, started: node.Platform) -> None:
+    Args:
+        started: The deployment.
+        restart_delay_s: The delay, in seconds.
+    """
+
+    def __init__(
+        self, started: node.Platform, restart_delay_s: float = RESTART_DELAY_S
+    ) -> None:
         self._started = started
+        self._restart_delay_s = restart_delay_s
+        self._due_at: dict[str, float] = {}
         self._over = threading.Event()
         self._thread = threading.Thread(target=self._run)
         self.ended_at: list[float] = []
@@ -58,11 +67,15 @@
             for name in self._started.replicas:
                 if self._started.processes[name].poll() is None:
                     continue
-                self.ended_at.append(time.monotonic())
-                self._over.wait(RESTART_DELAY_S)
-                self._started.restart_replica(name)
-                born = int(time.time() * 1000)
-                self._started.write_record(name, born=born)
+                now = time.monotonic()
+                if name not in self._due_at:
+                    self.ended_at.append(now)
+                    self._due_at[name] = now + self._restart_delay_s
+                elif now >= self._due_at[name]:
+                    del self._due_at[name]
+                    self._started.restart_replica(name)
+                    born = int(time.time() * 1000)
+                    self._started.write_record(name, born=born)
 
 
 class TrySender:
