--- a/ramptray/command/blocked.py
+++ b/ramptray/command/blocked.py
@@ -31,7 +31,10 @@
     help="IP address and port of a scheduler, instead of --settings.",
 )
 @click.option(
-    "--lift", "content", default="", help="Digest of a content to unblock."
+    "--lift",
+    "content",
+    default="",
+    help="Content or parts to unblock, as listed.",
 )
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def command(
@@ -40,10 +43,11 @@
     content: str,
     as_json: bool,
 ) -> None:
-    """Lists contents that crashed backend servers, or lifts a block.
+    """Lists what crashed backend servers, or lifts a block.
 
-    Contents are identified by a digest, which the "request" and "content
-    blocked" log lines contain too.
+    Contents and parts of prompts are identified by digests, which the "request"
+    and "content blocked" log lines contain too.  A block of several parts, with
+    "+" in between, covers the requests that have all of them.
     """
     tls = None
     if not schedulers:
--- a/ramptray/command/explain.py
+++ b/ramptray/command/explain.py
@@ -50,7 +50,7 @@
     "backend_refused": "the backend server did not admit it",
     "backend_lost": "the backend server failed, or broke the connection",
     "no_release": "no backend server of the release that began it was left",
-    "blocked_content": "its content has ended the backend servers that ran it",
+    "blocked_content": "its content or a part of its prompt ended servers",
     "stream_broken": "the answer broke off and could not be resumed",
     "caller_gone": "the caller closed first",
 }
--- a/ramptray/core/blocklist.py
+++ b/ramptray/core/blocklist.py
@@ -1,6 +1,7 @@
-"""The blocklist: contents that are not sent to backend servers.
+"""The blocklist: what is not sent to backend servers.
 
-A content is blocked after it has crashed several backend servers.  Every VM
+A block covers the requests with a content, with a part of a prompt, or with all
+of several parts, after they have crashed several backend servers.  Every VM
 holds the whole list, since callers may retry at any VM and any VM may become
 the owner of a shard.  Lists of two VMs merge to the same result regardless of
 the order of updates.
@@ -17,6 +18,10 @@
 callers take to retry, and short enough that a content blocked by mistake is
 served again the same day."""
 
+INITIAL_PART_BLOCK_S = 120.0
+"""Duration of the first block of parts of prompts, in seconds.  Shorter than
+that of a content, as a part blocked by mistake affects many callers."""
+
 MAX_BLOCK_S = 6 * 3600.0
 """Longest duration of a block, in seconds.  Each block is twice as long as the
 previous one, since each costs a backend server."""
@@ -26,11 +31,33 @@
 some 300 bytes."""
 
 
+_SEPARATOR = "+"
+
+MAX_COVERED_CAUSES = 8
+"""Causes that a block names at most.  A key of the platform's store may have
+255 bytes, and the digest of a part has 21."""
+
+
+def make_key(causes: Iterable[str]) -> str:
+    """Returns the key of a block that covers requests with all these causes.
+
+    Args:
+        causes: Digests of contents or of parts of prompts.
+    """
+    return _SEPARATOR.join(sorted(causes))
+
+
+def split_key(key: str) -> frozenset[str]:
+    """Returns the causes that a request must have for a block to cover it."""
+    return frozenset(key.split(_SEPARATOR))
+
+
 class Block(msgspec.Struct, frozen=True):
-    """A block of a content.
+    """A block.
 
     Attributes:
-        content: Digest of customer, path and body.
+        content: Its key: the digest of a content, of a part of a prompt, or of
+            several parts, see ``make_key``.
         level: How often it was blocked; each block lasts longer.
         until: When the block expires, by the clock of this VM.
         crashes: Backend servers that it crashed before it was blocked.
@@ -80,6 +107,8 @@
 
     def __init__(self) -> None:
         self._blocks: dict[str, Block] = {}
+        # The causes of the blocks that name several.
+        self._compound: dict[str, frozenset[str]] = {}
         self._listeners: list[BlockListener] = []
         self._decision_listeners: list[BlockListener] = []
 
@@ -106,30 +135,71 @@
             return 0.0
         return block.until - now
 
+    def find_block(self, causes: frozenset[str], now: float) -> Block | None:
+        """Returns the longest block in force that covers a request.
+
+        Args:
+            causes: The digests of the request's content and parts.
+            now: The clock of this VM.
+        """
+        in_force = (
+            block
+            for block in self._iterate_covering(causes)
+            if not block.is_inactive(now)
+        )
+        return max(in_force, key=lambda block: block.until, default=None)
+
+    def find_former(self, causes: frozenset[str]) -> list[Block]:
+        """Returns the blocks, in force or expired, that cover a request.
+
+        Those that were lifted are not listed.
+        """
+        return [
+            block
+            for block in self._iterate_covering(causes)
+            if not block.lifted
+        ]
+
+    def _iterate_covering(self, causes: frozenset[str]) -> Iterator[Block]:
+        for cause in causes:
+            if block := self._blocks.get(cause):
+                yield block
+        for key, needed in self._compound.items():
+            if needed <= causes:
+                yield self._blocks[key]
+
     def count_in_force(self, now: float) -> int:
-        """Returns the number of blocked contents."""
+        """Returns the number of blocks in force."""
         return sum(
             not block.is_inactive(now) for block in self._blocks.values()
         )
 
-    def was_blocked(self, content: str) -> bool:
-        """Returns whether a content has a block that was not lifted."""
-        block = self._blocks.get(content)
-        return block is not None and not block.lifted
+    def block(
+        self,
+        content: str,
+        crashes: int,
+        now: float,
+        initial_s: float = INITIAL_BLOCK_S,
+    ) -> Block:
+        """Blocks a content or parts, for longer than their previous block.
 
-    def block(self, content: str, crashes: int, now: float) -> Block:
-        """Blocks a content, for longer than its previous block."""
+        Args:
+            content: The key of the block.
+            crashes: Number of backend servers that crashed.
+            now: The clock of this VM.
+            initial_s: Duration of the first block, in seconds.
+        """
         previous = self._blocks.get(content)
         level = previous.level + 1 if previous else 1
-        duration_s = min(INITIAL_BLOCK_S * 2 ** (level - 1), MAX_BLOCK_S)
+        duration_s = min(initial_s * 2 ** (level - 1), MAX_BLOCK_S)
         new = Block(content, level, now + duration_s, crashes)
         self._apply_decision(new, now)
         return new
 
     def lift(self, content: str, now: float) -> bool:
-        """Lifts a block; returns whether the content was blocked."""
+        """Lifts a block, in force or expired; returns whether there was one."""
         block = self._blocks.get(content)
-        if block is None or block.is_inactive(now):
+        if block is None or block.lifted:
             return False
         self._apply_decision(msgspec.structs.replace(block, lifted=True), now)
         return True
@@ -169,6 +239,9 @@
         while len(self._blocks) > MAX_BLOCKS:
             first = min(self._blocks.values(), key=lambda block: block.until)
             del self._blocks[first.content]
+        self._compound = {
+            key: split_key(key) for key in self._blocks if _SEPARATOR in key
+        }
         updates = [_make_update(block, now) for block in blocks]
         for listener in self._listeners:
             listener(updates)
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 
@@ -490,6 +491,12 @@
         self._pool.update(backend)
         return placed
 
+    def iterate_placed(self) -> Iterator[backends.PlacedRequest]:
+        """Yields the requests placed on all servers."""
+        return itertools.chain.from_iterable(
+            known.placed.values() for known in self.backends.values()
+        )
+
     def list_requests_of_entry(self, entry: str) -> set[str]:
         """Returns the placed requests of an entry."""
         return {
--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -6,8 +6,8 @@
 import itertools
 import math
 
-from ramptray.core import backend as backends
 from ramptray.core import (
+    anti_affinity,
     fleet,
     limit,
     message,
@@ -18,6 +18,7 @@
     shedding,
     wait_estimator,
 )
+from ramptray.core import backend as backends
 from ramptray.core import rules as shard_rules
 
 MAX_HEADS_TRIED = 4
@@ -37,6 +38,7 @@
         estimator: Measures the rate of grants.
         releases: Counts the requests of each release.
         counters: Numbers of decisions, which are updated here.
+        trials: Holds back requests that may crash servers.
 
     Attributes:
         rules: The configuration of the shard; replaced with each bundle.
@@ -53,6 +55,7 @@
         estimator: wait_estimator.WaitEstimator,
         releases: release.ReleaseGate,
         counters: shedding.Counters,
+        trials: anti_affinity.TrialGate,
     ) -> None:
         self.rules = rules
         self._address = address
@@ -63,6 +66,7 @@
         self._wait_estimator = estimator
         self._releases = releases
         self._counters = counters
+        self._trials = trials
         self._grant_ids = itertools.count(1)
 
     def grant(
@@ -103,14 +107,18 @@
         """Returns the requests that are tried first.
 
         Requests of an entry that every server has asked for a pause do not
-        block those of other entries.
+        block those of other entries, nor do those that wait for a trial.
         """
+
+        def is_held(waiting: queue.QueuedRequest) -> bool:
+            return self._trials.is_held(waiting.request, now)
+
         if not self._fleet.eligibility.has_pauses(now):
-            return tier.list_heads(MAX_HEADS_TRIED)
-        is_held = functools.cache(
+            return tier.list_heads(MAX_HEADS_TRIED, is_held)
+        is_paused = functools.cache(
             lambda entry: self._fleet.eligibility.is_paused(entry, now)
         )
-        return tier.list_heads(MAX_HEADS_TRIED, is_held)
+        return tier.list_heads(MAX_HEADS_TRIED, is_held, is_paused)
 
     def _grant_one(
         self,
@@ -184,6 +192,7 @@
         self._wait_estimator.count_grant(waiting, now)
         self._counters.granted += 1
         self._releases.count_request(chosen)
+        self._trials.record_grant(request, now)
         return owner_effect.SendToEntry(
             waiting.entry,
             message.Grant(
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 
 import msgspec
 
@@ -141,6 +142,21 @@
     release: str | None = None
     parts: tuple[str, ...] = ()
 
+    @property
+    def causes(self) -> frozenset[str]:
+        """What may make it crash a server: its content or one of its parts."""
+        return make_causes(self.content, self.parts)
+
+
+def make_causes(content: str, parts: Iterable[str]) -> frozenset[str]:
+    """Returns the digests of a content and of parts of a prompt, as one set.
+
+    Args:
+        content: The digest of the content; empty if unknown.
+        parts: The digests of the parts.
+    """
+    return frozenset((content, *parts)) - {""}
+
 
 class Enqueue(msgspec.Struct, frozen=True):
     """Entry to owner: this request waits for a grant."""
--- a/ramptray/core/poison.py
+++ b/ramptray/core/poison.py
@@ -3,24 +3,32 @@
 A crash ends all requests on the server, and one crash does not show which of
 them caused it.  Detection combines several crashes by these rules:
 
-- A poison request never completes.  A content that completes is cleared.
-- A poison request is present at each of its crashes.  Contents that were sent
-  together share the same crashes, so the content that explains the most crashes
-  is blocked first, and those crashes no longer count against other contents.
+- What crashes servers is the content of a request, or a part of its prompt that
+  other requests may have too.  Each of these causes is judged by itself.
+- A poison request never completes.  The causes of one that completes are
+  cleared.
+- A poison request is present at each of its crashes.  Requests that were sent
+  together share the same crashes, so what explains the most crashes is blocked
+  first, and those crashes no longer count against other causes.
+- Causes that all crashes have in common can't be told apart.  A block then
+  covers only the requests that have all of them, so that others show whether
+  one of them alone is harmless.
 - Servers that crash together, in one group, have an external cause, unless the
-  same content ran on each of them.
-- A poison request crashes the server soon after it starts.  A content that has
-  been streaming its response for a while is cleared.
+  same cause ran on each of them.
+- A poison request crashes the server soon after it starts.  The causes of one
+  that has been streaming its response for a while are cleared, on whichever
+  server it runs.
 """
 
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterable
+import itertools
+from collections.abc import Collection, Iterable, Iterator
 
 import msgspec
 
-from ramptray.core import blocklist
+from ramptray.core import blocklist, message, suspicion
 
 GROUP_GAP_S = 0.05
 """Largest gap between crashes of one group, in seconds.  VMs detect a crash
@@ -50,24 +58,29 @@
 """Crashed backend servers that are remembered, so that each crash counts
 once."""
 
-MAX_PROVEN_CONTENTS = 4096
-"""Contents that are remembered as having completed.  Frequently requested
-contents stay among the most recent ones."""
+MAX_PROVEN_CAUSES = 4096
+"""Causes that are remembered as having completed.  Frequent ones stay among the
+most recent."""
 
 MIN_GROUPS = 3
-"""Crash groups required before a content is blocked.  A harmless request is
+"""Crash groups required before a cause is blocked.  A harmless request is
 retried once or twice; refusing it costs its caller more than one further crash
 costs the other callers."""
 
+MIN_GROUPS_PART = 5
+"""Crash groups required for a part that most crashes do without.  Unlike a
+content, which runs a few times, a part that many requests share meets several
+crashes with an external cause before one of its requests completes."""
+
 MIN_GROUPS_PROVEN = 10
-"""Crash groups required for a content that has completed before.  A frequently
-requested content runs on every server that crashes, and completes rarely while
-most servers crash."""
+"""Crash groups required for a cause that has completed before.  A frequent one
+runs on every server that crashes, and completes rarely while most servers
+crash."""
 
 MIN_GROUPS_TIED = 5
-"""Crash groups required to block several contents that share exactly the same
-crashes.  They can't be distinguished any more, and one of them costs a backend
-server each time."""
+"""Crash groups required to block the causes of several requests that share
+exactly the same crashes.  They can't be distinguished any more, and one of them
+costs a backend server each time."""
 
 
 class RunningRequest(msgspec.Struct, frozen=True):
@@ -87,36 +100,69 @@
     answered_s: float | None
     parts: tuple[str, ...] = ()
 
+    @property
+    def causes(self) -> frozenset[str]:
+        """The digests of its content and its parts."""
+        return message.make_causes(self.content, self.parts)
+
+    @property
+    def is_innocent(self) -> bool:
+        """Whether its response began too long before the crash."""
+        return (
+            self.answered_s is not None and self.answered_s >= INNOCENT_AFTER_S
+        )
+
 
 class Crash(msgspec.Struct):
-    """A crash of a backend server and the requests that ran on it."""
+    """A crash of a backend server and the requests that ran on it.
+
+    Attributes:
+        backend: The backend server.
+        run: Its run.
+        at: When it crashed, by the owner's clock.
+        runners: The requests that ran on it, by id.
+        survivors: Causes of requests that have been responding on other servers
+            for ``INNOCENT_AFTER_S``.
+    """
 
     backend: str
     run: int
     at: float
     runners: dict[str, RunningRequest]
+    survivors: frozenset[str] = frozenset()
 
     def list_suspects(self) -> set[str]:
-        """Returns the contents that may have caused the crash."""
-        contents = {runner.content for runner in self.runners.values()}
-        return contents - self.list_innocents() - {""}
+        """Returns what may have caused the crash."""
+        causes = (runner.causes for runner in self.runners.values())
+        return set().union(*causes) - self.list_innocents()
 
     def list_innocents(self) -> set[str]:
-        """Returns the contents whose response began too long ago."""
-        return {
-            runner.content
+        """Returns the causes of requests that survive them."""
+        innocent = (
+            runner.causes
             for runner in self.runners.values()
-            if runner.answered_s is not None
-            and runner.answered_s >= INNOCENT_AFTER_S
-        }
+            if runner.is_innocent
+        )
+        return set(self.survivors).union(*innocent)
 
 
 class CrashGroup:
-    """Crashes close enough in time to share one cause."""
+    """Crashes close enough in time to share one cause.
+
+    Attributes:
+        crashes: The crashes.
+        is_explained: Whether a block covers a request that ran at each of them.
+        is_evidence: Whether it counts against causes.  The block of a content
+            leaves open whether one of its parts is the cause, so the group then
+            still counts against those parts.
+    """
 
     def __init__(self, first: Crash) -> None:
         self.crashes = [first]
+        self.is_explained = False
+        self.is_evidence = True
         self._cleared: set[str] = set()
+        self._only: frozenset[str] | None = None
 
     def includes(self, crash: Crash) -> bool:
         """Returns whether a crash belongs to this group."""
@@ -129,25 +175,75 @@
         """The time of the last crash."""
         return self.crashes[-1].at
 
-    def clear(self, content: str) -> None:
-        """Excludes a content as the cause of this group."""
-        self._cleared.add(content)
+    def clear(self, cause: str) -> None:
+        """Excludes a cause of this group."""
+        self._cleared.add(cause)
+
+    def explain(self, causes: frozenset[str]) -> None:
+        """Keeps as suspects only what the requests with these causes have."""
+        covered = frozenset().union(*self._iterate_cause_sets(causes))
+        self._only = covered & self.list_suspects()
+        self.is_explained = True
+        self.is_evidence = any(self.has_content(cause) for cause in causes)
+
+    def has_content(self, cause: str) -> bool:
+        """Returns whether a cause is the content of a request."""
+        return any(
+            runner.content == cause for runner in self._iterate_runners()
+        )
 
     def list_suspects(self) -> set[str]:
-        """Returns the contents that may have caused every crash of it."""
-        suspects = [crash.list_suspects() for crash in self.crashes]
-        return set.intersection(*suspects) - self._cleared
+        """Returns what may have caused every crash of it."""
+        suspects = set.intersection(
+            *(crash.list_suspects() for crash in self.crashes)
+        )
+        suspects -= self._cleared
+        return suspects if self._only is None else suspects & self._only
+
+    def includes_causes(self, causes: frozenset[str]) -> bool:
+        """Returns whether one request had all these causes, still suspected."""
+        return causes <= self.list_suspects() and any(
+            True for _ in self._iterate_cause_sets(causes)
+        )
+
+    def find_common_causes(self, cause: str) -> set[str]:
+        """Returns the suspects that all requests with a suspect have."""
+        with_cause = self._iterate_cause_sets(frozenset({cause}))
+        return self.list_suspects().intersection(*with_cause)
+
+    def list_cause_sets(self) -> list[frozenset[str]]:
+        """Returns the suspected causes of each request."""
+        suspects = self.list_suspects()
+        return [
+            causes & suspects
+            for causes in self._iterate_cause_sets(frozenset())
+        ]
+
+    def _iterate_cause_sets(
+        self, wanted: frozenset[str]
+    ) -> Iterator[frozenset[str]]:
+        """Yields the causes of each request that has the wanted ones."""
+        return (
+            runner.causes
+            for runner in self._iterate_runners()
+            if wanted <= runner.causes
+        )
+
+    def _iterate_runners(self) -> Iterator[RunningRequest]:
+        return itertools.chain.from_iterable(
+            crash.runners.values() for crash in self.crashes
+        )
 
 
 class Detection(msgspec.Struct, frozen=True):
-    """A newly blocked content and the evidence for it.
+    """A new block and the evidence for it.
 
     Attributes:
         block: The block.
-        count: Crash groups that it may have caused.
-        backends: Backend servers that crashed while running it.
-        request_ids: The requests with this content that ran on them.
-        tied: Whether other contents were involved in the same crashes.
+        count: Crash groups that it explains.
+        backends: Backend servers that crashed under the requests it covers.
+        request_ids: The requests that it covers and that ran on them.
+        tied: Whether other requests were involved in the same crashes.
     """
 
     block: blocklist.Block
@@ -157,11 +253,11 @@
     tied: bool
 
 
-class PoisonDetector:
-    """Collects crashes and completions at an owner and blocks poison contents.
+class PoisonDetector(suspicion.Suspicions):
+    """Collects crashes and completions at an owner and blocks their causes.
 
     Args:
-        blocks: The blocklist that detected contents are added to.
+        blocks: The blocklist that detected causes are added to.
     """
 
     def __init__(self, blocks: blocklist.Blocklist) -> None:
@@ -177,16 +273,33 @@
         )
         self._counts: dict[str, int] = {}
 
-    def is_suspect(self, content: str) -> bool:
-        """Returns whether a content is linked to a crash or was blocked."""
-        return content in self._counts or self.blocks.was_blocked(content)
+    def is_suspect(self, cause: str) -> bool:
+        """Returns whether a cause is linked to a crash or was blocked."""
+        return bool(self.find_suspects(frozenset({cause})))
 
-    def get_crash_count(self, content: str) -> int:
-        """Returns how many crash groups a content may have caused."""
-        return self._counts.get(content, 0)
+    def find_suspects(self, causes: frozenset[str]) -> frozenset[str]:
+        """See the base class."""
+        former = (
+            blocklist.split_key(block.content)
+            for block in self.blocks.find_former(causes)
+        )
+        return (causes & self._counts.keys()).union(*former)
+
+    def find_on_trial(self, causes: frozenset[str]) -> frozenset[str]:
+        """See the base class."""
+        return frozenset(
+            cause
+            for cause in self.find_suspects(causes)
+            if cause not in self._proven
+            or self._counts.get(cause, 0) >= MIN_GROUPS
+        )
+
+    def get_crash_count(self, cause: str) -> int:
+        """Returns how many crash groups a cause may explain."""
+        return self._counts.get(cause, 0)
 
     def record_crash(self, crash: Crash) -> list[Detection]:
-        """Records a crash; returns newly blocked contents.
+        """Records a crash; returns new blocks.
 
         Each request on the server reports the crash; only the first counts.
         """
@@ -194,10 +307,10 @@
             return []
         self._record_end(crash)
         self._drop_expired(crash.at)
-        if self._has_blocked_content(crash):
+        if self._is_covered(crash):
             return []
-        for content in crash.list_innocents():
-            self._clear(content)
+        for cause in crash.list_innocents():
+            self._clear(cause)
         if self._groups and self._groups[-1].includes(crash):
             self._groups[-1].crashes.append(crash)
         else:
@@ -212,24 +325,34 @@
                     self._update_counts()
                     return
 
-    def record_success(self, content: str, now: float) -> list[Detection]:
-        """Records a completed request; returns newly blocked contents."""
-        if not content:
-            return []
+    def record_success(
+        self, content: str, now: float, parts: Iterable[str] = ()
+    ) -> list[Detection]:
+        """Records a completed request; returns new blocks.
+
+        Args:
+            content: Digest of its content; empty if unknown.
+            now: The owner's clock in seconds.
+            parts: Digests of the shared parts of its prompt.
+        """
+        causes = message.make_causes(content, parts)
         # It was sent before the block and completed, so the block was wrong.
-        self.blocks.lift(content, now)
-        self._clear(content)
-        return self._detect(now) if content in self._counts else []
-
-    def _clear(self, content: str) -> None:
-        """Clears a content of all crashes recorded so far."""
-        self._proven[content] = None
-        self._proven.move_to_end(content)
-        while len(self._proven) > MAX_PROVEN_CONTENTS:
+        for block in self.blocks.find_former(causes):
+            self.blocks.lift(block.content, now)
+        was_suspect = not causes.isdisjoint(self._counts)
+        for cause in causes:
+            self._clear(cause)
+        return self._detect(now) if was_suspect else []
+
+    def _clear(self, cause: str) -> None:
+        """Clears a cause of all crashes recorded so far."""
+        self._proven[cause] = None
+        self._proven.move_to_end(cause)
+        while len(self._proven) > MAX_PROVEN_CAUSES:
             self._proven.popitem(last=False)
-        if content in self._counts:
+        if cause in self._counts:
             for group in self._groups:
-                group.clear(content)
+                group.clear(cause)
 
     def has_ended(self, crash: Crash) -> bool:
         """Returns whether the end of this run is already recorded.
@@ -250,11 +373,12 @@
         while len(self._ended_at) > MAX_ENDED_SERVERS:
             self._ended_at.popitem(last=False)
 
-    def _has_blocked_content(self, crash: Crash) -> bool:
-        """Returns whether a suspect is blocked, but was sent before that."""
+    def _is_covered(self, crash: Crash) -> bool:
+        """Returns whether a block covers a request that was sent before it."""
         return any(
-            self.blocks.get_remaining_s(content, crash.at) > 0
-            for content in crash.list_suspects()
+            self.blocks.find_block(runner.causes, crash.at)
+            for runner in crash.runners.values()
+            if not runner.is_innocent
         )
 
     def _drop_expired(self, now: float) -> None:
@@ -262,71 +386,156 @@
             self._groups.popleft()
 
     def _update_counts(self) -> None:
-        """Counts the crash groups that each content may have caused."""
-        self._counts = collections.Counter(
-            content
-            for group in self._groups
-            for content in group.list_suspects()
-        )
+        """Counts the crash groups that each cause may explain."""
+        self._counts = _count_suspects(self._groups)
 
     def _detect(self, now: float) -> list[Detection]:
-        """Blocks the contents that explain the most crash groups.
+        """Blocks what explains the most crash groups.
 
-        Repeats until no remaining content reaches its threshold.
+        Repeats until no remaining cause reaches its threshold.
         """
         detections: list[Detection] = []
-        self._update_counts()
-        # Contents that another VM has blocked explain the crashes seen here.
-        self._drop_explained(
-            c for c in self._counts if self.blocks.get_remaining_s(c, now)
+        # What another VM has blocked explains the crashes seen here.
+        self._explain(
+            blocklist.split_key(block.content)
+            for group in self._list_open_groups()
+            for causes in group.list_cause_sets()
+            if (block := self.blocks.find_block(causes, now))
         )
+        while found := self._find_poison():
+            detections += [
+                self._block(causes, now, len(found) > 1) for causes in found
+            ]
+            self._explain(found)
         self._update_counts()
-        while found := self._find_poison_contents():
-            for content in found:
-                detections.append(self._block(content, now, len(found) > 1))
-            self._drop_explained(found)
-            self._update_counts()
         return detections
 
-    def _find_poison_contents(self) -> list[str]:
-        """Returns the contents to block; several if they are tied."""
-        if again := [c for c in self._counts if self.blocks.was_blocked(c)]:
-            # One more crash after an earlier block is enough.
+    def _list_open_groups(self) -> list[CrashGroup]:
+        """Returns the crash groups that no block explains."""
+        return [group for group in self._groups if not group.is_explained]
+
+    def _list_evidence(self) -> list[CrashGroup]:
+        """Returns the crash groups that count against causes."""
+        return [group for group in self._groups if group.is_evidence]
+
+    def _explain(self, found: Iterable[frozenset[str]]) -> None:
+        """Marks the crash groups that blocks of these causes explain."""
+        blocked = set(found)
+        for group in self._list_evidence():
+            for causes in blocked:
+                if group.includes_causes(causes):
+                    group.explain(causes)
+
+    def _find_poison(self) -> list[frozenset[str]]:
+        """Returns what to block; several sets of causes if they are tied."""
+        open_groups = self._list_open_groups()
+        if again := self._find_former(open_groups):
             return again
-        if not self._counts:
+        groups = self._list_evidence()
+        counts = _count_suspects(groups)
+        eligible = frozenset(
+            cause
+            for cause in _count_suspects(open_groups)
+            if counts[cause] >= self._get_min_groups(cause, groups)
+        )
+        explained = {
+            causes: tuple(g for g in groups if g.includes_causes(causes))
+            for causes in {
+                _find_common_causes(groups, cause) & eligible
+                for cause in eligible
+            }
+        }
+        # A cause that others have in common too may be harmless by itself.
+        specific = [
+            causes
+            for causes in explained
+            if not any(causes < other for other in explained)
+        ]
+        if not specific:
             return []
-        most = max(self._counts.values())
-        first = [c for c, count in self._counts.items() if count == most]
-        if len(first) > 1 and most < MIN_GROUPS_TIED:
+        first = max(specific, key=lambda causes: len(explained[causes]))
+        tied = [c for c in specific if explained[c] == explained[first]]
+        if len(tied) > 1 and len(explained[first]) < MIN_GROUPS_TIED:
             return []
-        return [c for c in first if most >= self._get_min_groups(c)]
+        return tied
+
+    def _find_former(self, groups: list[CrashGroup]) -> list[frozenset[str]]:
+        """Returns what was blocked before and ran at one more crash.
 
-    def _get_min_groups(self, content: str) -> int:
-        return MIN_GROUPS_PROVEN if content in self._proven else MIN_GROUPS
+        One more crash after an earlier block is enough.
+        """
+        return [
+            blocklist.split_key(key)
+            for key in {
+                block.content
+                for group in groups
+                for causes in group.list_cause_sets()
+                for block in self.blocks.find_former(causes)
+            }
+        ]
 
-    def _block(self, content: str, now: float, tied: bool) -> Detection:
-        crashes = [
-            crash
-            for group in self._groups
-            if content in group.list_suspects()
-            for crash in group.crashes
+    def _get_min_groups(self, cause: str, groups: list[CrashGroup]) -> int:
+        if cause in self._proven:
+            return MIN_GROUPS_PROVEN
+        linked = [cause in group.list_suspects() for group in groups]
+        since = linked.index(True)
+        is_in_most = 2 * sum(linked) >= len(linked) - since
+        is_content = any(group.has_content(cause) for group in groups)
+        return MIN_GROUPS if is_content or is_in_most else MIN_GROUPS_PART
+
+    def _block(
+        self, causes: frozenset[str], now: float, tied: bool
+    ) -> Detection:
+        groups = [
+            group
+            for group in self._list_evidence()
+            if group.includes_causes(causes)
         ]
-        ids = [
-            runner.request_id
+        crashes = [crash for group in groups for crash in group.crashes]
+        runners = [
+            runner
             for crash in crashes
             for runner in crash.runners.values()
-            if runner.content == content
-        ]
-        count = self.get_crash_count(content)
-        block = self.blocks.block(content, len(crashes), now)
-        backends = tuple(crash.backend for crash in crashes)
-        return Detection(block, count, backends, tuple(ids), tied)
-
-    def _drop_explained(self, contents: Iterable[str]) -> None:
-        """Drops the crash groups that the given contents explain."""
-        explaining = set(contents)
-        remaining = [
-            g for g in self._groups if not explaining & g.list_suspects()
+            if causes <= runner.causes
         ]
-        self._groups.clear()
-        self._groups.extend(remaining)
+        # A content determines its parts.
+        contents = causes & {runner.content for runner in runners}
+        covered = contents or sorted(
+            causes, key=lambda cause: self._counts.get(cause, 0)
+        )
+        key = blocklist.make_key(
+            itertools.islice(covered, blocklist.MAX_COVERED_CAUSES)
+        )
+        return Detection(
+            self.blocks.block(
+                key,
+                len(crashes),
+                now,
+                blocklist.INITIAL_BLOCK_S
+                if contents
+                else blocklist.INITIAL_PART_BLOCK_S,
+            ),
+            len(groups),
+            tuple(crash.backend for crash in crashes),
+            tuple(runner.request_id for runner in runners),
+            tied,
+        )
+
+
+def _count_suspects(groups: Iterable[CrashGroup]) -> dict[str, int]:
+    """Returns how many crash groups each suspect may explain."""
+    return collections.Counter(
+        itertools.chain.from_iterable(group.list_suspects() for group in groups)
+    )
+
+
+def _find_common_causes(
+    groups: Collection[CrashGroup], cause: str
+) -> frozenset[str]:
+    """Returns what all suspected requests with a cause have in common."""
+    common = (
+        group.find_common_causes(cause)
+        for group in groups
+        if group.includes_causes(frozenset({cause}))
+    )
+    return frozenset(set.intersection(*common))
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -16,8 +16,8 @@
 """Cost of an output token in prompt tokens, as decoding is slower."""
 
 MAX_SCANNED_REQUESTS = 64
-"""Requests of a customer that are scanned for the first one of each entry, or
-for one that is not bound to a release."""
+"""Requests of a customer that are scanned for the first one that is not held,
+of each entry, or not bound to a release."""
 
 MAX_ENTRY_HEADS = 4
 """Entries per customer whose first request is listed."""
@@ -145,7 +145,10 @@
             self._forget_idle()
 
     def list_heads(
-        self, max_customers: int, is_paused: Callable[[str], bool] | None = None
+        self,
+        max_customers: int,
+        is_held: Callable[[QueuedRequest], bool] | None = None,
+        is_paused: Callable[[str], bool] | None = None,
     ) -> list[QueuedRequest]:
         """Returns the first request of up to ``max_customers`` customers.
 
@@ -155,6 +158,8 @@
 
         Args:
             max_customers: How many customers.
+            is_held: Returns whether a request may not be granted now; those
+                behind it may.
             is_paused: Returns whether every server has asked an entry for a
                 pause.  If given, up to ``MAX_ENTRY_HEADS`` requests are
                 listed per customer, the first of each entry that is not
@@ -170,11 +175,15 @@
             if (used, customer) in taken:
                 continue
             taken.append((used, customer))
-            queue = self._queues[customer]
+            queued: Iterable[QueuedRequest] = itertools.islice(
+                self._queues[customer].values(), MAX_SCANNED_REQUESTS
+            )
+            if is_held is not None:
+                queued = itertools.filterfalse(is_held, queued)
             if is_paused is None:
-                heads += _list_release_heads(queue.values())
+                heads += _list_release_heads(queued)
             else:
-                heads += _list_entry_heads(queue.values(), is_paused)
+                heads += _list_entry_heads(queued, is_paused)
         for item in taken:
             heapq.heappush(self._heap, item)
         # A stream that goes on can use one release only, the others any.
@@ -360,10 +369,10 @@
 
 def _list_release_heads(queued: Iterable[QueuedRequest]) -> list[QueuedRequest]:
     """Returns a customer's first request, and one not bound to its release."""
-    scanned = itertools.islice(queued, MAX_SCANNED_REQUESTS)
-    first = next(scanned)
-    if first.request.release is None:
-        return [first]
+    scanned = iter(queued)
+    first = next(scanned, None)
+    if first is None or first.request.release is None:
+        return [first] if first else []
     unbound = (each for each in scanned if each.request.release is None)
     return [first, *itertools.islice(unbound, 1)]
 
@@ -376,7 +385,7 @@
     Of each entry these are two, one bound to a release and one that is not.
     """
     first: dict[tuple[str, bool], QueuedRequest] = {}
-    for waiting in itertools.islice(queued, MAX_SCANNED_REQUESTS):
+    for waiting in queued:
         key = waiting.entry, waiting.request.release is None
         if key not in first and not is_paused(waiting.entry):
             first[key] = waiting
--- a/ramptray/core/selector.py
+++ b/ramptray/core/selector.py
@@ -13,6 +13,7 @@
     policy,
     queue,
     release,
+    suspicion,
     symptom_filter,
 )
 from ramptray.core import backend as backends
@@ -26,7 +27,7 @@
         chosen: The policy.
         limits: The limits, with this owner's share of them.
         releases: Which releases may get requests.
-        is_suspect: Returns whether a content may have ended backend servers.
+        suspicions: What is suspected of crashing servers.
     """
 
     def __init__(
@@ -35,13 +36,13 @@
         chosen: policy.Policy,
         limits: limit.Limits,
         releases: release.ReleaseGate,
-        is_suspect: anti_affinity.IsSuspect,
+        suspicions: suspicion.Suspicions,
     ) -> None:
         self._fleet = servers
         self._policy = chosen
         self._limits = limits
         self._releases = releases
-        self._is_suspect = is_suspect
+        self._suspicions = suspicions
 
     def next_window(self) -> list[backends.Backend]:
         """Returns the backend servers that the next decision considers."""
@@ -83,7 +84,7 @@
         elif not self._releases.may_continue(waiting.request.release):
             usable = []
         usable = anti_affinity.separate_suspects(
-            usable, waiting.request, self._is_suspect
+            usable, waiting.request, self._suspicions
         )
         usable = symptom_filter.exclude_symptom(
             usable, waiting, self._fleet, now
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -28,6 +28,7 @@
     selector,
     shedding,
     summary,
+    suspicion,
     wait_estimator,
 )
 from ramptray.core import backend as backends
@@ -59,7 +60,7 @@
         report_grace_s: float = REPORT_GRACE_S,
         limits: limit.Limits | None = None,
         speeds: Mapping[str, message.SpeedLearned] | None = None,
-        is_suspect: anti_affinity.IsSuspect = anti_affinity.suspect_nothing,
+        suspicions: suspicion.Suspicions | None = None,
         gateway_directory: gateways.GatewayDirectory | None = None,
     ) -> None:
         self.shard = shard
@@ -80,12 +81,13 @@
         self._wait_estimator = wait_estimator.WaitEstimator(
             self._queue, self.fleet, self._limits
         )
+        suspicions = suspicions or suspicion.NoSuspicions()
         server_selector = selector.Selector(
             self.fleet,
             placement_policy,
             self._limits,
             self.releases,
-            is_suspect,
+            suspicions,
         )
         self.redirector = redirection.Redirector(
             shard.zone,
@@ -116,6 +118,7 @@
             self._wait_estimator,
             self.releases,
             self.counters,
+            anti_affinity.TrialGate(self.fleet, suspicions),
         )
         self.configure(rules, infos)
 
@@ -259,11 +262,16 @@
                 self.redirector.count_grant(placed.request, now)
         return granted
 
-    def refuse_waiting(
-        self, content: str, left_s: float
+    def refuse_blocked(
+        self, causes: frozenset[str], left_s: float
     ) -> list[owner_effect.SendToEntry]:
-        """Refuses the queued requests with a newly blocked content."""
-        return self._shedder.refuse_content(content, left_s)
+        """Refuses the queued requests that a new block covers.
+
+        Args:
+            causes: What the covered requests have in common.
+            left_s: Duration of the block, in seconds.
+        """
+        return self._shedder.refuse_blocked(causes, left_s)
 
     def begin_sync(self, entry: str) -> None:
         """Begins to resynchronize an entry that has attached."""
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -156,14 +156,19 @@
                 request.customer, _get_limit_cost(request), counted_at
             )
 
-    def refuse_content(
-        self, content: str, left_s: float
+    def refuse_blocked(
+        self, causes: frozenset[str], left_s: float
     ) -> list[owner_effect.SendToEntry]:
-        """Refuses the queued requests with a newly blocked content."""
+        """Refuses the queued requests that a new block covers.
+
+        Args:
+            causes: What the covered requests have in common.
+            left_s: Duration of the block, in seconds.
+        """
         blocked = [
             waiting
             for waiting in self._queue.list_all()
-            if waiting.request.content == content
+            if causes <= waiting.request.causes
         ]
         for waiting in blocked:
             self._queue.remove(waiting)
--- a/ramptray/entry/block_propagator.py
+++ b/ramptray/entry/block_propagator.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from ramptray import steadyclock
-from ramptray.core import blocklist
+from ramptray.core import blocklist, message
 from ramptray.peer import message as peer_message
 
 LOG = logging.getLogger(__name__)
@@ -38,9 +38,11 @@
         self._list_schedulers = list_schedulers
         blocks.on_change(self._broadcast)
 
-    def get_remaining_s(self, content: str, now: float) -> float:
-        """Returns for how many seconds a content stays blocked; 0 if not."""
-        return self._blocks.get_remaining_s(content, now)
+    def find_block(
+        self, request: message.RequestInfo, now: float
+    ) -> blocklist.Block | None:
+        """Returns the block that covers a request, if any."""
+        return self._blocks.find_block(request.causes, now)
 
     def send_all(self, address: str, now: float) -> None:
         """Sends a scheduler all blocks that this VM knows of."""
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -317,7 +317,7 @@
         may_run_again = (
             now < ticket.deadline
             and (event.not_run or info.repeatable)
-            and not self._block_propagator.get_remaining_s(info.content, now)
+            and not self._block_propagator.find_block(info, now)
         )
         may_retry = (
             may_run_again
@@ -363,18 +363,23 @@
             parts=info.parts or None,
             generation=self.in_force.generation if self.in_force else None,
         )
-        if remaining_s := self._block_propagator.get_remaining_s(
-            info.content, now
-        ):
-            self._reject_blocked(ticket, remaining_s, now)
+        if block := self._block_propagator.find_block(info, now):
+            self._reject_blocked(ticket, block, now)
             return
         if ticket.claim_request:
             self._claims.send(ticket)
         self._assign(ticket, now)
 
     def _reject_blocked(
-        self, ticket: tickets.Ticket, remaining_s: float, now: float
+        self, ticket: tickets.Ticket, block: blocklist.Block, now: float
     ) -> None:
+        remaining_s = block.until - now
+        self.timeline.note(
+            "blocked",
+            ticket.info.request_id,
+            content=block.content,
+            left_s=round(remaining_s, 1),
+        )
         effects = ticket.machine.reject(message.Reason.BLOCKED, remaining_s)
         self._apply_effects(ticket, effects, now)
 
--- a/ramptray/scheduler/content_blocker.py
+++ b/ramptray/scheduler/content_blocker.py
@@ -1,4 +1,4 @@
-"""Blocks request contents that crash backend servers, for all shards."""
+"""Blocks requests that crash backend servers, for all shards."""
 
 from __future__ import annotations
 
@@ -18,15 +18,15 @@
 
 
 class ContentBlocker:
-    """Detects contents that crash backend servers, and rejects blocked ones.
+    """Detects what crashes backend servers, and rejects blocked requests.
 
     Args:
-        blocks: The blocked contents that this VM knows of.
+        blocks: The blocks that this VM knows of.
         events: The timeline in which crashes are recorded.
 
     Attributes:
-        blocks: The blocked contents that this VM knows of.
-        detector: Decides from crashes and successes which contents to block.
+        blocks: The blocks that this VM knows of.
+        detector: Decides from crashes and successes what to block.
         on_crash: Called when a backend server has crashed while it ran
             requests.
     """
@@ -42,12 +42,12 @@
     def check(
         self, request: message.RequestInfo, now: float
     ) -> message.Reject | None:
-        """Returns a Reject if the request's content is blocked."""
-        left_s = self.blocks.get_remaining_s(request.content, now)
-        if left_s <= 0:
+        """Returns a Reject if a block covers the request."""
+        block = self.blocks.find_block(request.causes, now)
+        if block is None:
             return None
         return message.Reject(
-            request.request_id, message.Reason.BLOCKED, left_s
+            request.request_id, message.Reason.BLOCKED, block.until - now
         )
 
     def observe(
@@ -68,22 +68,29 @@
         server = owner.fleet.find(ended.request_id)
         if placed is None or server is None:
             return
-        if ended.whole:
-            content = placed.request.content
-            if self.blocks.get_remaining_s(content, now):
-                LOG.warning(
-                    "block lifted",
-                    extra={"content": content, "origin": "request succeeded"},
-                )
-            self._log_blocked(self.detector.record_success(content, now), now)
+        if ended.whole and not ended.failed:
+            self._record_success(placed.request, now)
             return
         if not ended.gone or server.state is backend.BackendState.LEAVING:
             # A leaving server stops as planned, so the requests that were
             # still running on it did not crash it.
             return
-        self._record_crash(server, now)
+        self._record_crash(owner, server, now)
 
-    def _record_crash(self, server: backend.Backend, now: float) -> None:
+    def _record_success(self, request: message.RequestInfo, now: float) -> None:
+        for block in self.blocks.find_former(request.causes):
+            LOG.warning(
+                "block lifted",
+                extra={"content": block.content, "origin": "request succeeded"},
+            )
+        detections = self.detector.record_success(
+            request.content, now, request.parts
+        )
+        self._log_blocked(detections, now)
+
+    def _record_crash(
+        self, owner: shard.ShardOwner, server: backend.Backend, now: float
+    ) -> None:
         runners = {
             request_id: poison.RunningRequest(
                 request_id,
@@ -96,7 +103,19 @@
             )
             for request_id, placed in server.placed.items()
         }
-        crash = poison.Crash(server.info.name, server.info.run, now, runners)
+        survivors = (
+            placed.request.causes
+            for placed in owner.fleet.iterate_placed()
+            if placed.answers_since is not None
+            and now - placed.answers_since >= poison.INNOCENT_AFTER_S
+        )
+        crash = poison.Crash(
+            server.info.name,
+            server.info.run,
+            now,
+            runners,
+            frozenset().union(*survivors),
+        )
         if self.detector.has_ended(crash):
             return
         detections = self.detector.record_crash(crash)
@@ -112,6 +131,10 @@
                     "parts": runner.parts,
                     "answered_s": runner.answered_s,
                     "count": self.detector.get_crash_count(runner.content),
+                    "suspects": {
+                        cause: self.detector.get_crash_count(cause)
+                        for cause in self.detector.find_suspects(runner.causes)
+                    },
                 }
                 for runner in runners.values()
             ],
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -89,7 +89,7 @@
         in_force: The bundle in force, if any.
         timeline: Records events for operators.
         shards: The open shards.
-        content_blocker: Blocks contents that crash backend servers.
+        content_blocker: Blocks what crashes backend servers.
         view: The schedulers of this zone and some of the others.
         on_new_backends: Called when backend servers should be polled at once.
         rollouts: Applies rollouts to the shards.
@@ -464,7 +464,9 @@
                 continue
             for owner in self.shards.values():
                 self._send_effects(
-                    owner.refuse_waiting(update.content, update.left_s)
+                    owner.refuse_blocked(
+                        blocklist.split_key(update.content), update.left_s
+                    )
                 )
 
     def _send_effects(
@@ -526,7 +528,7 @@
             self._options.report_grace_s,
             self._limits,
             self._observations.speeds,
-            self.content_blocker.detector.is_suspect,
+            self.content_blocker.detector,
             self._gateways,
         )
         for entry, hints in self._observations.list_hints(now):
--- a/test/crash_simulation.py
+++ b/test/crash_simulation.py
@@ -4,8 +4,9 @@
 
 import dataclasses
 import random
+import zlib
 
-from ramptray.core import blocklist, poison
+from ramptray.core import blocklist, message, poison
 
 SERVERS = 5
 SLOTS = 6
@@ -33,6 +34,9 @@
         wave_servers: Most backend servers that a wave hits.
         poison_every_s: Time between two tries of a poison request; None for
             no such request.
+        has_parts: Whether all requests share a first part, and a few popular
+            ones a second part, and each try of the poison request is another
+            content with the same part.
     """
 
     requests_per_s: float = 25.0
@@ -41,6 +45,7 @@
     wave_every_s: float = 1.0
     wave_servers: int = 3
     poison_every_s: float | None = None
+    has_parts: bool = False
 
 
 @dataclasses.dataclass
@@ -53,6 +58,16 @@
     answers_at: float
     ends_at: float
     run_count: int
+    parts: tuple[str, ...]
+
+    @property
+    def causes(self) -> frozenset[str]:
+        """Its content and parts."""
+        return message.make_causes(self.content, self.parts)
+
+    def is_settled(self, now: float) -> bool:
+        """Returns whether it has been responding for a while."""
+        return now - self.answers_at >= poison.INNOCENT_AFTER_S
 
 
 class Simulation:
@@ -99,35 +114,75 @@
             self._next_poison_at = now + load.poison_every_s
             self._send(POISON, 1, now)
 
-    def _send(self, content: str, run_count: int, now: float) -> None:
+    def _send(
+        self,
+        content: str,
+        run_count: int,
+        now: float,
+        parts: tuple[str, ...] | None = None,
+    ) -> None:
+        if parts is None:
+            content, parts = self._add_parts(content)
+        causes = message.make_causes(content, parts)
+        if self._is_held(causes, now):
+            return
         free = [
             number
             for number, runs in self._servers.items()
             if len(runs) < SLOTS and now >= self._restarted_at[number]
         ]
-        if not free or self.blocks.get_remaining_s(content, now):
+        if not free or self.blocks.find_block(causes, now):
             return
         self._count += 1
         took_s = self._rng.uniform(0.1, self._load.longest_s)
-        if content == POISON:
+        if POISON in causes:
             took_s = POISON_RUN_S
         answers_at = now + min(took_s, self._rng.uniform(0.05, 0.4))
         run = Run(
-            f"r{self._count}", content, now, answers_at, now + took_s, run_count
+            f"r{self._count}",
+            content,
+            now,
+            answers_at,
+            now + took_s,
+            run_count,
+            parts,
         )
         self._servers[
             self._rng.choice(self._separate_suspects(free, run))
         ].append(run)
 
+    def _add_parts(self, content: str) -> tuple[str, tuple[str, ...]]:
+        """Returns the content and the parts of a new request."""
+        if not self._load.has_parts:
+            return content, ()
+        if content == POISON:
+            return f"{POISON}-{self._count}", ("common", POISON)
+        return content, (
+            "common",
+            f"second-{zlib.crc32(content.encode()) % 50}",
+        )
+
+    def _is_held(self, causes: frozenset[str], now: float) -> bool:
+        """Returns whether another request with a suspected cause is on trial.
+
+        Contents alone are not held back here.
+        """
+        suspects = self._detector.find_on_trial(causes) & {"common", POISON}
+        return self._load.has_parts and any(
+            not run.is_settled(now) and not suspects.isdisjoint(run.causes)
+            for runs in self._servers.values()
+            for run in runs
+        )
+
     def _separate_suspects(self, free: list[int], run: Run) -> list[int]:
-        is_suspect = self._detector.is_suspect
-        if not is_suspect(run.content):
+        find_suspects = self._detector.find_suspects
+        if not find_suspects(run.causes):
             return free
         apart = [
             number
             for number in free
             if not any(
-                other.content != run.content and is_suspect(other.content)
+                other.content != run.content and find_suspects(other.causes)
                 for other in self._servers[number]
             )
         ]
@@ -138,12 +193,12 @@
             for run in [r for r in runs if now >= r.ends_at]:
                 if run not in self._servers[number]:
                     continue
-                if run.content == POISON:
+                if POISON in run.causes:
                     self.poison_crashes += 1
                     self._crash_server(number, now)
                     continue
                 runs.remove(run)
-                self._detector.record_success(run.content, now)
+                self._detector.record_success(run.content, now, run.parts)
 
     def _crash_externally(self, now: float) -> None:
         if now < self._next_wave_at:
@@ -164,11 +219,22 @@
                 run.content,
                 run.began,
                 now - run.answers_at if now >= run.answers_at else None,
+                run.parts,
             )
             for run in runs
         }
+        survivors = (
+            run.causes
+            for runs in self._servers.values()
+            for run in runs
+            if run.is_settled(now)
+        )
         crash = poison.Crash(
-            f"s{number}", self._run_numbers[number], now, runners
+            f"s{number}",
+            self._run_numbers[number],
+            now,
+            runners,
+            frozenset().union(*survivors),
         )
         self._servers[number].clear()
         self._run_numbers[number] += 1
@@ -176,4 +242,4 @@
         self._detector.record_crash(crash)
         for run in runs:
             if run.run_count < MAX_RUNS:
-                self._send(run.content, run.run_count + 1, now)
+                self._send(run.content, run.run_count + 1, now, run.parts)
--- a/test/part_load.py
+++ b/test/part_load.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from concurrent import futures
 
+from bench import promise
 from test import node
 from test.test_node import make_headers
 
@@ -20,6 +21,19 @@
 SOUND_PAUSE_S = 0.02
 """Pause of a caller between two sound requests, in seconds."""
 
+PAUSE_S = 0.3
+"""Pause between two requests with a crashing part, in seconds."""
+
+KNOWN_AFTER_S = 3.0
+"""Time after the fifth crash from which requests with the part are late, in
+seconds."""
+
+MAX_LATE = 3
+"""Late requests that may reach replicas."""
+
+MIN_CRASHES = 3
+FIFTH_CRASH = 5
+
 _NUMBERS = itertools.count(1)
 
 
@@ -157,3 +171,66 @@
         if is_over():
             return
         yield request
+
+
+class CrashingPartSender:
+    """Sends different requests with a part that crashes replicas.
+
+    Args:
+        started: The deployment.
+        vms: The VMs that get the requests, one after the other.
+    """
+
+    PART = "bad0"
+    NAME = "bad"
+
+    def __init__(self, started: node.Platform, vms: Iterable[str]) -> None:
+        self._started = started
+        self._vms = itertools.cycle(vms)
+        self.sent: list[Sent] = []
+
+    def run(self, is_over: Callable[[], bool]) -> None:
+        """Sends requests until ``is_over`` is true."""
+        parts = itertools.cycle(
+            (
+                f"{COMMON},{self.PART}:50",
+                f"{self.PART}:50",
+                f"c1:9,{self.PART}:5",
+            )
+        )
+        paths = itertools.cycle(("/stream/", "/safe/"))
+        for vm, path in zip(self._vms, paths, strict=False):
+            if is_over():
+                return
+            self.sent.append(
+                send(self._started, vm, path, next(parts), self.NAME)
+            )
+            time.sleep(PAUSE_S)
+
+    def judge(
+        self, ran: dict[str, float], is_calm: Callable[[float], bool]
+    ) -> promise.Promise:
+        """Checks that replicas stopped receiving the part in time.
+
+        Args:
+            ran: When each request arrived at a replica, by its id.
+            is_calm: Returns whether all VMs were connected at a given time.
+        """
+        kept = promise.Promise("a part that ends what runs it is soon blocked")
+        crashes = sorted(
+            at for name, at in ran.items() if name.startswith(f"{self.NAME}-")
+        )
+        if len(crashes) < MIN_CRASHES:
+            return kept
+        known_at = crashes[:FIFTH_CRASH][-1] + KNOWN_AFTER_S
+        late = [
+            each
+            for each in self.sent
+            if each.sent_at > known_at and is_calm(each.sent_at)
+        ]
+        reached = [each.request_id for each in late if each.request_id in ran]
+        for each in late:
+            kept.judge(
+                len(reached) <= MAX_LATE, f"{each.request_id} of {reached}"
+            )
+        return kept
--- a/test/test_crashing_part.py
+++ b/test/test_crashing_part.py
@@ -14,6 +14,7 @@
 import pytest
 
 from test import node, part_load
+from test.part_load import KNOWN_AFTER_S, MAX_LATE
 from test.poison_load import BLOCKED, Supervisor
 from test.test_node import ask, wait_until
 
@@ -32,13 +33,6 @@
 CRASHES_S = 13.0
 """Time for which requests with the part are sent, in seconds."""
 
-KNOWN_AFTER_S = 3.0
-"""Time after the fifth crash from which requests with the part are late, in
-seconds."""
-
-MAX_LATE = 3
-"""Late requests that may reach replicas."""
-
 
 @pytest.fixture
 def started() -> Iterator[node.Platform]:
--- a/test/test_poison_detector.py
+++ b/test/test_poison_detector.py
@@ -3,10 +3,22 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Iterable
 
 import pytest
 
-from ramptray.core import anti_affinity, backend, blocklist, message, poison
+from ramptray.core import (
+    anti_affinity,
+    backend,
+    blocklist,
+    message,
+    owner_effect,
+    poison,
+    policy,
+    shard,
+    suspicion,
+)
+from ramptray.core import rules as shard_rules
 from test import crash_simulation
 
 NUMBERS = itertools.count(1)
@@ -28,6 +40,19 @@
     )
 
 
+class FixedSuspicions(suspicion.Suspicions):
+    """Suspects the given causes."""
+
+    def __init__(self, suspects: str) -> None:
+        self._suspects = frozenset(suspects)
+
+    def find_suspects(self, causes: frozenset[str]) -> frozenset[str]:
+        return causes & self._suspects
+
+    def find_on_trial(self, causes: frozenset[str]) -> frozenset[str]:
+        return causes & self._suspects
+
+
 def make_detector() -> poison.PoisonDetector:
     return poison.PoisonDetector(blocklist.Blocklist())
 
@@ -190,7 +215,7 @@
         detector.record_success(f"c{number}", number / 10_000)
     for number in range(2_000):
         detector.record_crash(crash(3.0 + number, f"c{number}", f"d{number}"))
-    assert len(detector._proven) <= poison.MAX_PROVEN_CONTENTS
+    assert len(detector._proven) <= poison.MAX_PROVEN_CAUSES
     assert len(detector._groups) <= poison.MAX_CRASH_GROUPS
     assert len(detector._counts) <= 2 * poison.MAX_CRASH_GROUPS
     assert len(detector._ended_at) <= poison.MAX_ENDED_SERVERS
@@ -228,11 +253,11 @@
         for name in ("one", "two")
     ]
     servers[0].place(make_info("1", "p"), "e", "g", 0.0)
-    suspects = {"p", "a"}
+    suspects = FixedSuspicions("pa")
 
     def choose(content: str) -> list[str]:
         fit = anti_affinity.separate_suspects(
-            servers, make_info("2", content), suspects.__contains__
+            servers, make_info("2", content), suspects
         )
         return [server.info.name for server in fit]
 
@@ -243,6 +268,192 @@
     assert choose("a") == ["one", "two"]
 
 
+def crash_parts(
+    at: float,
+    *parts: str,
+    content: str = "",
+    beside: str = "",
+    survivors: str = "",
+) -> poison.Crash:
+    """Returns a crash under one request with these parts.
+
+    Args:
+        at: When it crashed.
+        parts: The parts.
+        content: The content of the request; empty for one of its own.
+        beside: Parts of another request that ran there.
+        survivors: Parts of requests that survive on other servers.
+    """
+    seen = crash(at)
+    for causes in (parts, tuple(beside)):
+        name = f"r{next(NUMBERS)}"
+        seen.runners[name] = poison.RunningRequest(
+            name, content or name, at, None, causes
+        )
+    seen.survivors = frozenset(survivors)
+    return seen
+
+
+def is_blocked(
+    detector: poison.PoisonDetector, now: float, content: str, parts: str
+) -> bool:
+    causes = message.make_causes(content, tuple(parts))
+    return detector.blocks.find_block(causes, now) is not None
+
+
+def test_part_common_to_different_requests_is_blocked() -> None:
+    detector = make_detector()
+    assert not detector.record_crash(crash_parts(1.0, "p", "x", beside="y"))
+    assert not detector.record_crash(crash_parts(2.0, "y", "p", beside="x"))
+    (found,) = detector.record_crash(crash_parts(3.0, "z", "p"))
+    assert (found.block.content, found.count, found.tied) == ("p", 3, False)
+    assert is_blocked(detector, 3.1, "new", "vpw")
+    assert not is_blocked(detector, 3.1, "new", "xyz")
+
+
+def test_part_that_has_completed_is_not_blamed_for_the_one_beside_it() -> None:
+    detector = make_detector()
+    detector.record_success("sound", 0.0, ("a",))
+    for at in (1.0, 2.0, 3.0):
+        detector.record_crash(crash_parts(at, "a", "p"))
+    assert is_blocked(detector, 3.1, "new", "p")
+    assert not is_blocked(detector, 3.1, "new", "a")
+
+
+def test_parts_that_no_request_tells_apart_are_blocked_only_together() -> None:
+    detector = make_detector()
+    for at in (1.0, 2.0, 3.0):
+        detector.record_crash(crash_parts(at, "a", "p"))
+    assert is_blocked(detector, 3.1, "new", "pa")
+    assert not is_blocked(detector, 3.1, "new", "a")
+    # The one without the other crashes servers as well.
+    for at in (4.0, 5.0, 6.0):
+        detector.record_crash(crash_parts(at, f"own-{at}", "p"))
+    assert is_blocked(detector, 6.1, "new", "p")
+    assert not is_blocked(detector, 6.1, "new", "a")
+
+
+def test_part_on_a_server_that_does_not_crash_is_cleared() -> None:
+    detector = make_detector()
+    for at in (1.0, 2.0):
+        detector.record_crash(crash_parts(at, "a"))
+    detector.record_crash(crash_parts(3.0, "a", survivors="a"))
+    assert not detector.is_suspect("a")
+    assert not is_blocked(detector, 3.1, "new", "a")
+
+
+def test_servers_that_crash_together_do_not_implicate_their_parts() -> None:
+    detector = make_detector()
+    for at in range(9):
+        for number in range(5):
+            detector.record_crash(
+                crash_parts(at + number * 0.01, "a", f"own-{number}")
+            )
+        detector.record_success("sound", at + 0.5, ("a",))
+    assert not any(detector.blocks.iterate())
+
+
+def test_part_of_a_blocked_content_is_blocked_at_the_next_crash() -> None:
+    detector = make_detector()
+    for at in (1.0, 2.0, 3.0):
+        detector.record_crash(crash_parts(at, "p", content="c"))
+    assert is_blocked(detector, 3.1, "c", "p")
+    assert not is_blocked(detector, 3.1, "new", "p")
+    detector.record_crash(crash_parts(4.0, "p"))
+    assert is_blocked(detector, 4.1, "new", "p")
+
+
+def test_block_of_a_part_ends_once_a_request_with_it_completes() -> None:
+    detector = make_detector()
+    for at in (1.0, 2.0, 3.0):
+        detector.record_crash(crash_parts(at, f"own-{at}", "p"))
+    over = 3.0 + blocklist.INITIAL_PART_BLOCK_S
+    assert is_blocked(detector, over - 0.1, "new", "p")
+    assert not is_blocked(detector, over, "new", "p")
+    assert detector.is_suspect("p")
+    detector.record_success("new", over + 1.0, ("p",))
+    assert not detector.is_suspect("p")
+
+
+def test_key_of_a_block_fits_into_the_store() -> None:
+    detector = make_detector()
+    parts = [f"part-{number:016x}" for number in range(40)]
+    for at in (1.0, 2.0, 3.0):
+        detector.record_crash(crash_parts(at, *parts))
+    (block,) = detector.blocks.iterate()
+    assert len(block.content) < 255
+    causes = message.make_causes("new", parts)
+    assert detector.blocks.find_block(causes, 3.1) == block
+
+
+def make_trial_owner(suspects: str) -> shard.ShardOwner:
+    """Returns the owner of two servers that suspects these parts."""
+    return shard.ShardOwner(
+        message.ShardKey("z", "s"),
+        "127.0.0.1:1",
+        shard_rules.ShardRules({"t": 0}, 100_000, 0.25, {}, {}),
+        [backend.BackendInfo(f"b{n}", 4, 100_000, 16) for n in range(2)],
+        policy.make_policy(),
+        0.0,
+        report_grace_s=0.0,
+        suspicions=FixedSuspicions(suspects),
+    )
+
+
+def enqueue(
+    owner: shard.ShardOwner, name: str, parts: str, now: float
+) -> list[str]:
+    """Queues a request; returns the requests that are granted."""
+    info = message.RequestInfo(
+        name,
+        message.ShardKey("z", "s"),
+        "c",
+        "t",
+        10,
+        10,
+        (),
+        9.0,
+        content=name,
+        parts=tuple(parts),
+    )
+    return list_granted(owner.receive("entry", message.Enqueue(info), now))
+
+
+def list_granted(effects: Iterable[owner_effect.SendToEntry]) -> list[str]:
+    return [
+        effect.message.request_id
+        for effect in effects
+        if isinstance(effect.message, message.Grant)
+    ]
+
+
+def test_requests_with_a_suspected_part_run_one_at_a_time() -> None:
+    owner = make_trial_owner("p")
+    assert enqueue(owner, "first", "ap", 1.0) == ["first"]
+    assert enqueue(owner, "second", "bp", 1.1) == []
+    # Those behind it do not wait.
+    assert enqueue(owner, "sound", "a", 1.2) == ["sound"]
+    ended = message.Ended("first", 0, 0.0, False)
+    assert list_granted(owner.receive("entry", ended, 1.3)) == ["second"]
+
+
+def test_a_suspect_that_survives_does_not_hold_others_back() -> None:
+    owner = make_trial_owner("p")
+    enqueue(owner, "first", "p", 1.0)
+    assert enqueue(owner, "second", "p", 1.1) == []
+    owner.receive("entry", message.FirstToken("first", 0.2, 10, 0), 1.2)
+    assert list_granted(owner.tick(1.2 + poison.INNOCENT_AFTER_S / 2)) == []
+    assert list_granted(owner.tick(1.2 + poison.INNOCENT_AFTER_S)) == ["second"]
+
+
+def test_a_suspect_that_never_responds_holds_others_back_for_a_while() -> None:
+    owner = make_trial_owner("p")
+    enqueue(owner, "first", "p", 1.0)
+    assert enqueue(owner, "second", "p", 1.1) == []
+    later = 1.1 + anti_affinity.MAX_TRIAL_S
+    assert list_granted(owner.tick(later)) == ["second"]
+
+
 SEEDS = range(5)
 
 RARE = crash_simulation.Load(wave_every_s=5.0)
@@ -263,15 +474,22 @@
     return simulations
 
 
-@pytest.mark.parametrize("load", [RARE, LONG_REQUESTS])
+WITH_PARTS = crash_simulation.Load(wave_every_s=5.0, has_parts=True)
+FREQUENT_WITH_PARTS = crash_simulation.Load(wave_every_s=1.0, has_parts=True)
+
+
+@pytest.mark.parametrize("load", [RARE, LONG_REQUESTS, WITH_PARTS])
 def test_external_crashes_block_nothing(
     load: crash_simulation.Load,
 ) -> None:
     assert not any(simulation.list_blocked() for simulation in simulate(load))
 
 
-def test_constant_external_crashes_block_almost_nothing() -> None:
-    simulations = simulate(FREQUENT)
+@pytest.mark.parametrize("load", [FREQUENT, FREQUENT_WITH_PARTS])
+def test_constant_external_crashes_block_almost_nothing(
+    load: crash_simulation.Load,
+) -> None:
+    simulations = simulate(load)
     asked = sum(simulation.request_count for simulation in simulations)
     blocked = sum(len(simulation.list_blocked()) for simulation in simulations)
     assert blocked <= asked * MAX_REFUSED_FRACTION
@@ -287,3 +505,15 @@
         # Three groups are enough to block it; some crashes fall into
         # the same group as a wave.
         assert simulation.poison_crashes <= 2 * poison.MIN_GROUPS
+
+
+@pytest.mark.parametrize("wave_every_s", [1.0, 8.0])
+def test_poison_part_is_blocked_among_external_crashes(
+    wave_every_s: float,
+) -> None:
+    load = crash_simulation.Load(
+        wave_every_s=wave_every_s, poison_every_s=0.5, has_parts=True
+    )
+    for simulation in simulate(load):
+        assert simulation.list_blocked() == {crash_simulation.POISON}
+        assert simulation.poison_crashes <= 2 * poison.MIN_GROUPS
