--- a/test/soak.py
+++ b/test/soak.py
@@ -30,9 +30,11 @@
     key_removal,
     limiting,
     node,
+    part_load,
     partition,
     poison_load,
     releasing,
+    skew,
     verdict,
 )
 
@@ -74,6 +76,7 @@
         releases: Whether releases come and go, and callers resume streams.
         outages: Whether all VMs are also lost at once.
         keys: Whether all keys of all customers are taken away at times.
+        skewed: Whether one VM gets most new connections at times.
     """
 
     def __init__(
@@ -90,7 +93,9 @@
         releases: bool = False,
         outages: bool = False,
         keys: bool = False,
+        skewed: bool = False,
     ) -> None:
+        self._skewed = skewed
         self._releases = releases
         self._remover = (
             key_removal.KeyRemover(random.Random(seed)) if keys else None
@@ -113,6 +118,10 @@
             for number in range(vms if releases else 0)
         ]
         self._tries = poison_load.TrySender(started, self._names)
+        self._part_tries = part_load.CrashingPartSender(started, self._names)
+        self._skew = skew.ConnectionSkew(
+            random.Random(f"{seed}/skew"), self._names
+        )
         self._start()
         self._harm = harm.Harm(
             started,
@@ -157,7 +166,11 @@
             if self._releases:
                 self._changer.start_first(name, release)
             elif self._crashes:
-                started.start_replica(name, crash_on=poison_load.MARK)
+                started.start_replica(
+                    name,
+                    crash_on=poison_load.MARK,
+                    crash_on_parts=[part_load.CrashingPartSender.PART],
+                )
                 continue
             else:
                 started.start_replica(name)
@@ -194,6 +207,9 @@
         ]
         if self._crashes:
             tasks.append(lambda: self._tries.run(self._is_over))
+            tasks.append(lambda: self._part_tries.run(self._is_over))
+        if self._skewed:
+            tasks.append(lambda: self._skew.run(self._is_over))
         if self._limits:
             tasks.append(lambda: self._limiter.run(self._is_over))
         if self._hints:
@@ -226,20 +242,36 @@
 
     def _call(self, vm: str, path: str) -> None:
         """Asks again and again, on one connection while that is open."""
-        connection = None
+        connection, target = None, vm
         while not self._is_over():
+            if connection is None:
+                target = self._skew.pick(vm)
+                connection = self._connect(target)
             ask = verdict.Ask(
-                f"q{next(self._numbers)}", path, vm, time.monotonic()
+                f"q{next(self._numbers)}", path, target, time.monotonic()
             )
-            connection = connection or self._connect(vm)
             try:
-                ask = _send(connection, ask)
+                ask = _send(connection, ask, self._make_part_headers(ask))
             except (OSError, http.client.HTTPException):
                 connection.close()
                 connection = None
+            else:
+                if self._skew.is_active:
+                    connection.close()
+                    connection = None
             self.record.asks.append(ask)
             time.sleep(0.05)
 
+    def _make_part_headers(self, ask: verdict.Ask) -> dict[str, str]:
+        """Returns headers that share a part with requests that end replicas."""
+        if not self._crashes:
+            return {}
+        own = f"{int(ask.name[1:]):08x}:20"
+        return {
+            "X-Model": "m",
+            "X-Prompt-Prefix": f"{part_load.COMMON},{own}",
+        }
+
     def _press(self, vm: str) -> None:
         """Asks for more than the customer may have."""
         more = {
@@ -308,7 +340,8 @@
         }
         # Tries that end what runs them, and resumed streams, are judged apart.
         apart = set(self._tries.sent).union(
-            *(resumer.sent for resumer in self._resumers)
+            (each.request_id for each in self._part_tries.sent),
+            *(resumer.sent for resumer in self._resumers),
         )
         if self._remover is not None:
             apart.update(ask.name for ask in self._remover.sent)
@@ -325,6 +358,7 @@
             *self._judge_releases(judge),
             *self._judge_returns(judge),
             *self._judge_keys(judge, runs),
+            *self._judge_skew(judge),
             *(
                 hinting.judge(self._platform, self.record)
                 if self._hints
@@ -382,7 +416,19 @@
         tries = poison_load.check_tries(
             self._tries, self._supervisor, ran, judge.is_calm
         )
-        return [tries, innocent]
+        arrivals = {
+            line["request_id"]: line["at"]
+            for name in self._platform.replicas
+            for line in self._platform.read_log(name)
+            if line["message"] == "arrived"
+        }
+        parts = self._part_tries.judge(arrivals, judge.is_calm)
+        return [parts, tries, innocent]
+
+    def _judge_skew(self, judge: verdict.Verdict) -> list[promise.Promise]:
+        if not self._skewed:
+            return []
+        return [skew.judge(self._skew, self.record.asks, judge.is_calm)]
 
     def _judge_processes(self) -> promise.Promise:
         kept = promise.Promise("no program ends by itself")
@@ -455,6 +501,7 @@
     releases: bool = False,
     outages: bool = False,
     keys: bool = False,
+    skewed: bool = False,
 ) -> tuple[list[promise.Promise], list[str]]:
     """Runs one soak and returns its promises and its faults.
 
@@ -471,6 +518,7 @@
         releases: Whether releases come and go, and callers resume streams.
         outages: Whether all VMs are also lost at once.
         keys: Whether all keys of all customers are taken away at times.
+        skewed: Whether one VM gets most new connections at times.
     """
     with tempfile.TemporaryDirectory() as made:
         name = keep or made
@@ -491,6 +539,7 @@
                 releases,
                 outages,
                 keys,
+                skewed,
             )
             return soak.perform(), list(soak.record.list_faults())
         finally:
@@ -533,6 +582,9 @@
 @click.option(
     "--keys", is_flag=True, help="All keys of all customers are taken away."
 )
+@click.option(
+    "--skewed", is_flag=True, help="One VM gets most new connections at times."
+)
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
 @click.option(
     "--keep",
@@ -552,6 +604,7 @@
     releases: bool,
     outages: bool,
     keys: bool,
+    skewed: bool,
     show: bool,
     keep: pathlib.Path | None,
 ) -> None:
@@ -574,6 +627,7 @@
             releases,
             outages,
             keys,
+            skewed,
         )
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -41,7 +41,13 @@
 ):
     promises, faults = soak.run_soak(3, 1, SECONDS, crashes=True)
     judge(promises, faults)
-    assert all(kept.chances for kept in promises[-2:])
+    assert all(kept.chances for kept in promises[-3:])
+
+
+def test_the_promises_are_kept_while_one_vm_gets_most_connections() -> None:
+    promises, faults = soak.run_soak(4, 1, SECONDS, skewed=True)
+    judge(promises, faults)
+    assert promises[-1].chances
 
 
 def test_the_promises_are_kept_while_replicas_name_request_limits() -> None:
