Count a crash against requests whose break was reported first

A request whose connection broke freed its slot at the owner at once. Where its VM could not tell that the server had ended, as through another VM's tunnel, and another request told so a moment later, the crash did not count against the first one, which may have caused it.

Breaks of the last half second at the same run of a server count as present at its crash. The new test failed before.

--- a/ramptray/scheduler/content_blocker.py
+++ b/ramptray/scheduler/content_blocker.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 from collections.abc import Callable
 
+import msgspec
+
 from ramptray import timeline
 from ramptray.core import backend, blocklist, message, poison, shard
 
 LOG = logging.getLogger(__name__)
 
+BREAK_REPORT_S = 0.5
+"""Longest time between two reports of one crash, in seconds: a request whose
+connection broke without showing why may be reported before those that show that
+the server has ended."""
+
+MAX_BREAKS = 256
+"""Requests with a broken connection that are remembered."""
 
 RequestUpdate = (
     message.Withdraw | message.Decline | message.FirstToken | message.Ended
@@ -38,6 +48,9 @@
         self.detector = poison.PoisonDetector(blocks)
         self.on_crash: Callable[[], None] = _do_nothing
         self._timeline = events
+        self._breaks: collections.deque[_Break] = collections.deque(
+            maxlen=MAX_BREAKS
+        )
 
     def check(
         self, request: message.RequestInfo, now: float
@@ -71,11 +84,17 @@
         if ended.whole and not ended.failed:
             self._record_success(placed.request, now)
             return
-        if not ended.gone or server.state is backend.BackendState.LEAVING:
+        if server.state is backend.BackendState.LEAVING:
             # A leaving server stops as planned, so the requests that were
             # still running on it did not crash it.
             return
-        self._record_crash(owner, server, now)
+        if ended.gone:
+            self._record_crash(owner, server, now)
+        elif ended.broken:
+            runner = _make_runner(placed, now)
+            self._breaks.append(
+                _Break(server.info.name, server.info.run, now, runner)
+            )
 
     def _record_success(self, request: message.RequestInfo, now: float) -> None:
         for block in self.blocks.find_former(request.causes):
@@ -91,18 +110,17 @@
     def _record_crash(
         self, owner: shard.ShardOwner, server: backend.Backend, now: float
     ) -> None:
-        runners = {
-            request_id: poison.RunningRequest(
-                request_id,
-                placed.request.content,
-                placed.started,
-                None
-                if placed.answers_since is None
-                else now - placed.answers_since,
-                placed.request.parts,
-            )
+        broken = {
+            each.runner.request_id: each.runner
+            for each in self._breaks
+            if (each.backend, each.run) == (server.info.name, server.info.run)
+            and now - each.at <= BREAK_REPORT_S
+        }
+        placed_there = {
+            request_id: _make_runner(placed, now)
             for request_id, placed in server.placed.items()
         }
+        runners = {**broken, **placed_there}
         survivors = (
             placed.request.causes
             for placed in owner.fleet.iterate_placed()
@@ -161,5 +179,26 @@
             )
 
 
+class _Break(msgspec.Struct, frozen=True):
+    """A request whose connection broke, not known why."""
+
+    backend: str
+    run: int
+    at: float
+    runner: poison.RunningRequest
+
+
+def _make_runner(
+    placed: backend.PlacedRequest, now: float
+) -> poison.RunningRequest:
+    return poison.RunningRequest(
+        placed.request.request_id,
+        placed.request.content,
+        placed.started,
+        None if placed.answers_since is None else now - placed.answers_since,
+        placed.request.parts,
+    )
+
+
 def _do_nothing() -> None:
     """Default of on_crash."""
--- a/test/test_poison_detector.py
+++ b/test/test_poison_detector.py
@@ -7,10 +7,12 @@
 
 import pytest
 
+from ramptray import timeline
 from ramptray.core import (
     anti_affinity,
     backend,
     blocklist,
+    clock,
     message,
     owner_effect,
     poison,
@@ -19,6 +21,7 @@
     suspicion,
 )
 from ramptray.core import rules as shard_rules
+from ramptray.scheduler import content_blocker
 from test import crash_simulation
 
 NUMBERS = itertools.count(1)
@@ -386,13 +389,13 @@
     assert detector.blocks.find_block(causes, 3.1) == block
 
 
-def make_trial_owner(suspects: str) -> shard.ShardOwner:
-    """Returns the owner of two servers that suspects these parts."""
+def make_trial_owner(suspects: str, servers: int = 2) -> shard.ShardOwner:
+    """Returns the owner of a few servers that suspects these parts."""
     return shard.ShardOwner(
         message.ShardKey("z", "s"),
         "127.0.0.1:1",
         shard_rules.ShardRules({"t": 0}, 100_000, 0.25, {}, {}),
-        [backend.BackendInfo(f"b{n}", 4, 100_000, 16) for n in range(2)],
+        [backend.BackendInfo(f"b{n}", 4, 100_000, 16) for n in range(servers)],
         policy.make_policy(),
         0.0,
         report_grace_s=0.0,
@@ -454,6 +457,25 @@
     assert list_granted(owner.tick(later)) == ["second"]
 
 
+def test_crash_counts_against_a_request_whose_break_was_reported_first() -> (
+    None
+):
+    # Through another VM no probe shows that the server has ended.
+    owner = make_trial_owner("", servers=1)
+    blocker = content_blocker.ContentBlocker(
+        blocklist.Blocklist(),
+        timeline.Timeline("node", "z", clock.HybridClock(lambda: 0)),
+    )
+    enqueue(owner, "tunneled", "p", 1.0)
+    enqueue(owner, "sound", "a", 1.0)
+    broken = message.Ended("tunneled", 0, 0.0, False, broken=True)
+    blocker.observe(owner, broken, 1.1)
+    owner.receive("entry", broken, 1.1)
+    gone = message.Ended("sound", 0, 0.0, False, broken=True, gone=True)
+    blocker.observe(owner, gone, 1.15)
+    assert blocker.detector.is_suspect("p")
+
+
 SEEDS = range(5)
 
 RARE = crash_simulation.Load(wave_every_s=5.0)
