Block a cause that has completed before by its eighth crash

A part that was served before, for example by the former release of an engine, was blocked at its tenth crash group: five late requests after the fifth, where three are allowed.

The new test failed before.

--- a/ramptray/core/poison.py
+++ b/ramptray/core/poison.py
@@ -72,7 +72,7 @@
 content, which runs a few times, a part that many requests share meets several
 crashes with an external cause before one of its requests completes."""
 
-MIN_GROUPS_PROVEN = 10
+MIN_GROUPS_PROVEN = 8
 """Crash groups required for a cause that has completed before.  A frequent one
 runs on every server that crashes, and completes rarely while most servers
 crash."""
--- a/test/test_poison_detector.py
+++ b/test/test_poison_detector.py
@@ -336,6 +336,16 @@
     assert not is_blocked(detector, 6.1, "new", "a")
 
 
+def test_part_that_once_completed_is_blocked_by_the_eighth_crash() -> None:
+    # A new release of the engine may crash on what the former one served.
+    detector = make_detector()
+    detector.record_success("former", 0.0, ("p",))
+    for at in range(1, 9):
+        assert not is_blocked(detector, at, "new", "p")
+        detector.record_crash(crash_parts(float(at), "p"))
+    assert is_blocked(detector, 9.0, "new", "p")
+
+
 def test_part_on_a_server_that_does_not_crash_is_cleared() -> None:
     detector = make_detector()
     for at in (1.0, 2.0):
