--- a/test/harm.py
+++ b/test/harm.py
@@ -51,6 +51,7 @@
     Attributes:
         lives: How often each VM was started again.
         outages: Whether all VMs are also lost at once.
+        calm_s: Pause between two bouts of faults, in seconds.
         returns: When all VMs were started again after they were lost.
     """
 
@@ -67,6 +68,7 @@
     ) -> None:
         self._linked = linked
         self.outages = outages
+        self.calm_s = RECOVERY_SPELL_S if outages else CALM_SPELL_S
         self._platform = started
         self._rng = rng
         self._stores = stores
@@ -89,10 +91,9 @@
         """Brings about faults in bouts, each followed by a calm spell."""
         while time.monotonic() < ends_at:
             left_s = ends_at - time.monotonic()
-            calm_s = RECOVERY_SPELL_S if self.outages else CALM_SPELL_S
-            bout_s = min(self._rng.uniform(3.0, 9.0), left_s - calm_s)
+            bout_s = min(self._rng.uniform(3.0, 9.0), left_s - self.calm_s)
             self._bring_about(time.monotonic() + bout_s)
-            time.sleep(min(calm_s, max(0.0, left_s)))
+            time.sleep(min(self.calm_s, max(0.0, left_s)))
 
     def _bring_about(self, last_at: float) -> None:
         """Brings faults about, some at a time, until all have ended."""
--- a/test/skew.py
+++ b/test/skew.py
@@ -13,8 +13,13 @@
 """Part of the new connections that one VM gets in a spell."""
 
 SPELL_S = 8.0
-PAUSE_S = 6.0
-"""Time between two spells, in seconds."""
+BEFORE_S = 2.0
+"""Time before a spell with whose requests it is compared, in seconds."""
+
+CALM_S = verdict.CALM_S + BEFORE_S + SPELL_S + 1.0
+"""Time without faults that a spell needs, in seconds."""
+
+POLL_S = 0.1
 
 SETTLED_S = 3.0
 """Time from the begin of a spell from which requests are judged, in seconds."""
@@ -47,15 +52,26 @@
         """Whether a spell is under way."""
         return self._favoured is not None
 
-    def run(self, is_over: Callable[[], bool]) -> None:
-        """Has spells come and go until the run is over."""
+    def run(
+        self, is_over: Callable[[], bool], is_calm: Callable[[float], bool]
+    ) -> None:
+        """Has a spell in each calm part of the run until it is over.
+
+        Args:
+            is_over: Returns whether the run is over.
+            is_calm: Returns whether all VMs were connected at a given time.
+        """
         while not is_over():
-            time.sleep(PAUSE_S)
+            time.sleep(POLL_S)
+            now = time.monotonic()
+            if not (is_calm(now - BEFORE_S) and is_calm(now)):
+                continue
             began = time.monotonic()
             self._favoured = self._rng.choice(self._names)
             time.sleep(SPELL_S)
             self._favoured = None
             self.spells.append((began, time.monotonic()))
+            time.sleep(BEFORE_S)
 
     def pick(self, vm: str) -> str:
         """Returns the VM that a connection to a VM goes to instead."""
@@ -77,7 +93,7 @@
     kept = promise.Promise("requests are served beside one crowded VM")
     counted = [ask for ask in asks if ask.status and is_calm(ask.sent_at)]
     for began, ended in skew.spells:
-        before = [a for a in counted if began - PAUSE_S < a.sent_at < began]
+        before = [a for a in counted if began - BEFORE_S < a.sent_at < began]
         within = [a for a in counted if began + SETTLED_S < a.sent_at < ended]
         if min(len(before), len(within)) < MIN_REQUESTS:
             continue
--- a/test/soak.py
+++ b/test/soak.py
@@ -133,6 +133,8 @@
             linked,
             outages,
         )
+        if skewed:
+            self._harm.calm_s = skew.CALM_S
         names = sorted(started.replicas)
         self._changer.retire = self._harm.retire
         self._limiter = limiting.Limiter(self._harm, random.Random(seed), names)
@@ -209,7 +211,8 @@
             tasks.append(lambda: self._tries.run(self._is_over))
             tasks.append(lambda: self._part_tries.run(self._is_over))
         if self._skewed:
-            tasks.append(lambda: self._skew.run(self._is_over))
+            watch = verdict.Verdict(self.record, {})
+            tasks.append(lambda: self._skew.run(self._is_over, watch.is_calm))
         if self._limits:
             tasks.append(lambda: self._limiter.run(self._is_over))
         if self._hints:
