--- a/ramptray/core/anti_affinity.py
+++ b/ramptray/core/anti_affinity.py
@@ -102,7 +102,7 @@
 
 
 def _is_on_trial(placed: backends.PlacedRequest, now: float) -> bool:
-    """Returns whether it is open if a request crashes its server."""
+    """Returns whether a request may still crash its server."""
     if placed.orphaned_at is not None or now - placed.started > MAX_TRIAL_S:
         return False
     answers_since = placed.answers_since
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -393,8 +393,8 @@
     ) -> None:
         """Checks that a stream that ended with its connection may be complete.
 
-        A continuation without an event is not: its server may have crashed
-        before the first one, as any server does.
+        An attempt without an event is not taken for complete, as its server may
+        have crashed before it sent one.
 
         Args:
             connection: The connection.
