--- a/test/poison_load.py
+++ b/test/poison_load.py
@@ -64,18 +64,28 @@
 
     def _run(self) -> None:
         while not self._over.wait(0.02):
-            for name in self._started.replicas:
-                if self._started.processes[name].poll() is None:
-                    continue
+            for name in self._list_ended():
                 now = time.monotonic()
                 if name not in self._due_at:
                     self.ended_at.append(now)
                     self._due_at[name] = now + self._restart_delay_s
                 elif now >= self._due_at[name]:
-                    del self._due_at[name]
-                    self._started.restart_replica(name)
-                    born = int(time.time() * 1000)
-                    self._started.write_record(name, born=born)
+                    self._restart(name)
+        for name in self._list_ended():
+            self._restart(name)
+
+    def _list_ended(self) -> list[str]:
+        return [
+            name
+            for name in self._started.replicas
+            if self._started.processes[name].poll() is not None
+        ]
+
+    def _restart(self, name: str) -> None:
+        self._due_at.pop(name, None)
+        self._started.restart_replica(name)
+        born = int(time.time() * 1000)
+        self._started.write_record(name, born=born)
 
 
 class TrySender:
