Look for survivors once for each crash

Each request on a crashed server reports the crash, and only the first report counts, but each one read the causes of all placed requests first. Behaviour is unchanged.

--- a/ramptray/scheduler/content_blocker.py
+++ b/ramptray/scheduler/content_blocker.py
@@ -121,21 +121,16 @@
             for request_id, placed in server.placed.items()
         }
         runners = {**broken, **placed_there}
+        crash = poison.Crash(server.info.name, server.info.run, now, runners)
+        if self.detector.has_ended(crash):
+            return
         survivors = (
             placed.request.causes
             for placed in owner.fleet.iterate_placed()
             if placed.answers_since is not None
             and now - placed.answers_since >= poison.INNOCENT_AFTER_S
         )
-        crash = poison.Crash(
-            server.info.name,
-            server.info.run,
-            now,
-            runners,
-            frozenset().union(*survivors),
-        )
-        if self.detector.has_ended(crash):
-            return
+        crash.survivors = frozenset().union(*survivors)
         detections = self.detector.record_crash(crash)
         self.on_crash()
         self._timeline.note(
