Log on which record a dispatch rests, and why a late VM waits

Each dispatch and each grant now names the record's position, the end and age of the VM's copy, and who confirmed it; a VM whose copy becomes late logs when it will read the log itself. Two gauges give age and lag of the copy.

Run: test_distributor, test_reader, test_follower, test_replicas, test_names and test_docs pass.

--- a/ramptray/entry/backend_directory.py
+++ b/ramptray/entry/backend_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 
@@ -28,6 +29,8 @@
             and its new run.
         releases: The releases that have served.
         on_releases: Called when other releases are listed than before.
+        describe_record: Returns on what this VM's belief about a backend server
+            rests, for logs.
     """
 
     def __init__(self, scheduling_zone: str | None = None) -> None:
@@ -38,6 +41,7 @@
         )
         self.releases = release_history.ReleaseHistory()
         self.on_releases: Callable[[], None] = _do_nothing
+        self.describe_record: Callable[[str], dict[str, Any]] = _describe_none
         self.on_backend_restart: Callable[[str, int], None] = _ignore_restart
         self._first_in_force = anyio.Event()
         self._reachability = reachability.Reachability()
@@ -209,6 +213,11 @@
     """Default of ``on_releases``."""
 
 
+def _describe_none(backend: str) -> dict[str, Any]:
+    """Default of ``describe_record``."""
+    return {}
+
+
 def _list_releases(bundle: model.Bundle) -> dict[str, set[str]]:
     """Returns the releases of all backend servers by service."""
     releases: dict[str, set[str]] = {}
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -427,6 +427,7 @@
                 case request.Dispatch(grant):
                     ticket.dispatched_at = now
                     self._record_use(ticket, grant, now)
+                    record = self.backends.describe_record(grant.backend)
                     self.timeline.note(
                         "dispatch",
                         grant.request_id,
@@ -434,6 +435,7 @@
                         owner=grant.owner,
                         release=grant.release,
                         age_s=round(now - ticket.started_at, 4),
+                        **({"record": record} if record else {}),
                         **(
                             {"gateways": grant.gateways}
                             if grant.gateways
--- a/ramptray/log/reader.py
+++ b/ramptray/log/reader.py
@@ -91,6 +91,7 @@
             passed its answer on; None before the first time.
         fresh_at: When the log had no records beyond those known here.
         origin: Source of the records being applied: the log or a peer.
+        fresh_origin: Source of the answer that ``fresh_at`` comes from.
         on_advance: Called when this VM may know records that others have not
             read.
         on_answer: Called after each answer of the log.
@@ -108,6 +109,7 @@
         self.answered_at: float | None = None
         self.fresh_at = float("-inf")
         self.origin = LOG_ORIGIN
+        self.fresh_origin = LOG_ORIGIN
         self.on_advance: Callable[[], None] = _do_nothing
         self.on_answer: Callable[[], None] = _do_nothing
         self._longest_wait_s = longest_wait_s
@@ -254,7 +256,9 @@
             self._end = end
             self._peer_end = max(self._peer_end, end)
             self.on_advance()
-        self.fresh_at = max(self.fresh_at, fresh_at)
+        if fresh_at > self.fresh_at:
+            self.fresh_at = fresh_at
+            self.fresh_origin = f"peer {peer}"
         self.answered_at = steadyclock.read()
         if not self._watching:
             self.in_outage = False
@@ -304,6 +308,8 @@
             values["log_answer_age_seconds"] = now - self.answered_at
         if self._end is not None:
             values["log_end"] = self._end
+            values["log_copy_age_seconds"] = now - self.fresh_at
+            values["log_copy_lag_seconds"] = self.get_lag_s(now)
         labels = {"stream": self.stream}
         return [
             metrics.Gauge(name, labels, round(value, 3))
@@ -422,6 +428,7 @@
         self._poll_at_once = False
         self._read_started_at = None
         self.answered_at = self.fresh_at = now
+        self.fresh_origin = LOG_ORIGIN
         self.on_answer()
 
 
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -162,6 +162,8 @@
             awaits_view=True,
             gateway_address=vm.peers,
         )
+        for component in (self._hub, self._dispatcher.backends):
+            component.describe_record = self._follower.describe_replica
         self._origins = origin_store.OriginStore(
             vm.peers, self._runtime.client, self._dispatcher.backends.releases
         )
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable, Collection, Iterable, Mapping
 from types import MappingProxyType
+from typing import Any
 
 import anyio
 import msgspec
@@ -372,6 +373,24 @@
         self._knows_history = True
         return float("-inf") if is_first else now
 
+    def describe_replica(self, name: str) -> dict[str, Any]:
+        """Returns on what this VM's belief about a replica rests, for logs.
+
+        Returns:
+            ``position`` of the replica's record (None for an unknown replica);
+            ``end`` of the stream of replicas that is known here; ``age_s``, how
+            long ago the store had no records beyond it; ``origin``, who said
+            so.
+        """
+        reader = self._replica_reader
+        age_s = steadyclock.read() - reader.fresh_at
+        return {
+            "position": self._replica_registry.find_position(name),
+            "end": reader.end,
+            "age_s": round(age_s, 3) if reader.end is not None else None,
+            "origin": reader.fresh_origin,
+        }
+
     @property
     def replica_position(self) -> int:
         """End of the stream of replicas that is known here."""
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -108,6 +108,11 @@
         """Returns the replicas by name; those that have gone are leaving."""
         return {name: known.replica for name, known in self._known.items()}
 
+    def find_position(self, name: str) -> int | None:
+        """Returns the position of a replica's record, None if unknown."""
+        known = self._known.get(name)
+        return known.replica.position if known else None
+
     def apply_changes(
         self, changes: Iterable[store.Change], now: float
     ) -> None:
--- a/ramptray/scheduler/distributor.py
+++ b/ramptray/scheduler/distributor.py
@@ -155,6 +155,7 @@
         self._primary_source = ""
         self._followed_sources: set[str] = set()
         self._damaged_streams: set[str] = set()
+        self._is_late = False
         self._changed = anyio.Event()
         self._wake_event = anyio.Event()
         for each in streams:
@@ -372,8 +373,37 @@
             )
         self._damaged_streams.add(stream)
 
+    def _log_lateness(self, now: float, watching: bool) -> None:
+        """Logs when the copy becomes late, and what this VM waits for."""
+        if self._position is None or self._position.reads:
+            return
+        age_s = now - min(self._updated_at.values())
+        lag_s = self._get_lag_s(now)
+        is_late = age_s > SECOND_SOURCE_AGE_S or lag_s > SECOND_SOURCE_LAG_S
+        if is_late == self._is_late:
+            return
+        self._is_late = is_late
+        LOG.info(
+            "copy of the log is late"
+            if is_late
+            else "copy of the log is fresh",
+            extra={
+                "age_s": round(min(age_s, UNKNOWN_AGE_S), 3),
+                "lag_s": round(lag_s, 3),
+                "reads": watching,
+                "reads_in_s": round(max(0.0, self._get_takeover_at() - now), 3),
+                "turn": self._position.turn,
+                "sources": self._position.sources,
+                "ends": {
+                    name: each.reader.end
+                    for name, each in self._streams.items()
+                },
+            },
+        )
+
     def _update_watching(self, now: float) -> None:
         watching = self._should_watch(now)
+        self._log_lateness(now, watching)
         for each in self._streams.values():
             each.reader.set_watching(watching)
 
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -92,6 +92,8 @@
         content_blocker: Blocks what crashes backend servers.
         view: The schedulers of this zone and some of the others.
         on_new_backends: Called when backend servers should be polled at once.
+        describe_record: Returns on what this VM's belief about a backend server
+            rests, for logs.
         rollouts: Applies rollouts to the shards.
     """
 
@@ -115,6 +117,7 @@
         self.shards: dict[message.ShardKey, shard.ShardOwner] = {}
         self.view = peer_message.View([], [])
         self.on_new_backends: Callable[[], None] = _do_nothing
+        self.describe_record: Callable[[str], dict[str, Any]] = _describe_none
         self.rollouts = rollouts.RolloutManager(lambda: self.shards.values())
         self._address = address
         self._zone = zone
@@ -493,6 +496,8 @@
             case message.Grant(request_id, _, name, gateways=tunneled):
                 if tunneled:
                     basis["gateways"] = tunneled
+                if record := self.describe_record(name):
+                    basis["record"] = record
                 self.timeline.note("grant", request_id, backend=name, **basis)
             case message.Reject(request_id, reason, retry_after_s):
                 self.timeline.note(
@@ -775,5 +780,10 @@
                 del self._empty_since[key]
 
 
+def _describe_none(backend_name: str) -> dict[str, Any]:
+    """Default of ``Hub.describe_record``."""
+    return {}
+
+
 def _do_nothing() -> None:
     """Default of on_new_backends."""
