Bound the age at which a VM reads the log by the deployment's limit

A VM whose sources were all silent waited for its turn in the zone before it read the log itself, up to MAX_TAKEOVER_DELAY_S (2.0 s) after an age of 1.5 s: 3.5 s and a read, while a change has to be in force after 2 to 4 s, by deployment. A VM of turn 20 or more thus served on an older copy for longer than allowed unless gossip told it sooner that it was behind.

--- a/ramptray/core/distribution.py
+++ b/ramptray/core/distribution.py
@@ -46,11 +46,13 @@
         sources: Addresses of the VMs that it follows, the primary one first.
         turn: Its rank within the zone.  VMs that receive no updates start to
             read the log in this order, to avoid a load spike.
+        zone_vms: Number of VMs in the zone.
     """
 
     reads: bool
     sources: tuple[str, ...]
     turn: int
+    zone_vms: int
 
 
 def find_position(
@@ -69,13 +71,13 @@
     same_zone = [m for m in ordered if m.availability_zone == zone]
     turn = same_zone.index(me)
     if me in readers:
-        return Position(True, (), turn)
+        return Position(True, (), turn, len(same_zone))
     parents: list[membership.Member] = []
     if turn >= RELAYS_PER_ZONE:
         parent = (turn - RELAYS_PER_ZONE) // FANOUT
         parents = same_zone[parent : parent + 2]
     sources = dict.fromkeys(m.address for m in [*parents, *readers])
-    return Position(False, tuple(sources)[:MAX_SOURCES], turn)
+    return Position(False, tuple(sources)[:MAX_SOURCES], turn, len(same_zone))
 
 
 def _order(
--- a/ramptray/log/reader.py
+++ b/ramptray/log/reader.py
@@ -21,6 +21,7 @@
 
 from ramptray import steadyclock
 from ramptray.caller import metrics
+from ramptray.core import propagation
 from ramptray.log import error as log_error
 from ramptray.log import hedging
 
@@ -39,15 +40,6 @@
 succession cost one call.  It is a fifth of the time in which a change must be
 in force."""
 
-WATCH_WAIT_S = 1.0
-"""Long-poll wait of a watching VM, in seconds.  With ``RESPONSE_MARGIN_S`` a
-lost read is detected within 1.6 s; a VM must apply changes 3 s after an outage.
-One call per second and stream would be too much load from all VMs."""
-
-RESPONSE_MARGIN_S = 0.6
-"""How much longer than its wait a long poll may take, in seconds: on the
-slowest days of the log an answer takes 0.4 s."""
-
 CALL_TIMEOUT_S = 3.0
 """Timeout of a call that need not wait, in seconds.  It is repeated long
 before, so this only limits the number of concurrent calls."""
@@ -340,11 +332,13 @@
 
     async def _long_poll(self, offset: int) -> PageT | None:
         """Waits for records; returns None if the read was abandoned."""
-        wait_s = WATCH_WAIT_S if self._watching else self._longest_wait_s
+        wait_s = (
+            propagation.WATCH_WAIT_S if self._watching else self._longest_wait_s
+        )
         try:
             with self._track_pending_read():
                 return await self.read_from(
-                    offset, wait_s, wait_s + RESPONSE_MARGIN_S
+                    offset, wait_s, wait_s + propagation.RESPONSE_MARGIN_S
                 )
         except log_error.LogTimeoutError as error:
             self._abandon_read(str(error))
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -16,7 +16,7 @@
 from ramptray import process, runtime, steadyclock
 from ramptray.bundle import acceptance
 from ramptray.caller import metrics
-from ramptray.core import blocklist, membership, retry
+from ramptray.core import blocklist, membership, propagation, retry
 from ramptray.entry import (
     dispatcher,
     origin_store,
@@ -111,6 +111,7 @@
             vm.zones,
             vm.limit_terms,
             vm.rollout_terms,
+            propagation.PropagationLimits(vm.propagation_s),
             self._apply_bundle,
         )
         self._blocks = blocklist.Blocklist()
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -13,7 +13,7 @@
 from ramptray import steadyclock
 from ramptray.bundle import acceptance, model, signature
 from ramptray.caller import metrics
-from ramptray.core import membership
+from ramptray.core import membership, propagation
 from ramptray.log import error as log_error
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
@@ -81,6 +81,7 @@
         zones: Region of each availability zone; empty if unknown.
         terms: How customers' requests are summed against their limits.
         rollout_terms: How many requests a bad release may get.
+        limits: How long a change may take to be in force on this VM.
         on_bundle: Called with each new bundle in force.
 
     Attributes:
@@ -100,6 +101,7 @@
         zones: Mapping[str, str],
         terms: settings.LimitTerms,
         rollout_terms: settings.RolloutTerms,
+        limits: propagation.PropagationLimits,
         on_bundle: OnBundle,
     ) -> None:
         super().__init__(client, FETCH_TIMEOUT_S)
@@ -147,6 +149,7 @@
                 distributor.FollowedStream(each, each.mirror)
                 for each in self._readers
             ],
+            limits,
         )
         self._distributor.get_outage = self._replica_registry.get_outage
         self._distributor.on_outage = self._record_outage
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -10,12 +10,16 @@
 from result import Err, Ok
 
 from ramptray.bundle import validation
+from ramptray.core import propagation
 from ramptray.platform import address, scheduling_zone
 
 READY_PATH = "/v1/ready"
 """Path at which the load balancer asks whether the VM accepts callers."""
 
 
+DEFAULT_PROPAGATION_MS = 1000 * propagation.DEFAULT_BOUND_S
+
+
 class SettingsError(Exception):
     """Invalid settings file; the message names the file and the field."""
 
@@ -43,6 +47,14 @@
     retry_ratio: float = msgspec.field(name="retryBudgetRatio", default=0.2)
     retry_window_s: float = msgspec.field(name="budgetWindowS", default=10.0)
     retry_slack: float = msgspec.field(name="retryBudgetSlack", default=50.0)
+    # Time within which a leaving backend server gets no more requests.
+    leaving_ms: float = msgspec.field(
+        name="drainMs", default=DEFAULT_PROPAGATION_MS
+    )
+    # Time within which a change of the configuration is in force.
+    config_ms: float = msgspec.field(
+        name="configApplyMs", default=DEFAULT_PROPAGATION_MS
+    )
     # Span over which a customer's requests are summed, in seconds.
     limit_span_s: float = msgspec.field(name="quotaWindowS", default=0.0)
     # Fraction by which the sum over a span may exceed rate and burst.
@@ -123,6 +135,8 @@
         retry_ratio: Retries allowed per request, over all VMs.
         retry_slack: Additional retries allowed in a window.
         retry_window_s: The window's length in seconds.
+        propagation_s: Time within which a change of the store must be in force
+            on this VM, in seconds.
         limit_terms: How customers' requests are summed against their limits.
         rollout_terms: How many requests a bad release may get.
     """
@@ -144,6 +158,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    propagation_s: float
     limit_terms: LimitTerms
     rollout_terms: RolloutTerms = RolloutTerms()
 
@@ -211,6 +226,7 @@
         retry_ratio=raw.bounds.retry_ratio,
         retry_slack=raw.bounds.retry_slack,
         retry_window_s=raw.bounds.retry_window_s,
+        propagation_s=min(raw.bounds.leaving_ms, raw.bounds.config_ms) / 1000,
         limit_terms=LimitTerms(
             raw.bounds.limit_span_s,
             raw.bounds.limit_excess,
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -12,7 +12,7 @@
 import h11
 import msgspec
 
-from ramptray.core import rtt
+from ramptray.core import propagation, rtt
 from ramptray.log import error as log_error
 from ramptray.log import hedging, keyedstream
 from ramptray.log import reader as log_reader
@@ -162,7 +162,7 @@
         topic: str,
         offset: int,
         wait_s: float = READ_WAIT_S,
-        timeout_s: float = READ_WAIT_S + log_reader.RESPONSE_MARGIN_S,
+        timeout_s: float = READ_WAIT_S + propagation.RESPONSE_MARGIN_S,
         on_bytes: OnBytes = _ignore_bytes,
     ) -> Changes:
         """Returns the records from an offset on; waits if there are none.
--- a/ramptray/scheduler/distributor.py
+++ b/ramptray/scheduler/distributor.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from ramptray import steadyclock
-from ramptray.core import distribution, membership
+from ramptray.core import distribution, membership, propagation
 from ramptray.log import keyedstream
 from ramptray.log import mirror as mirrors
 from ramptray.log import reader as log_reader
@@ -40,18 +40,6 @@
 lags behind or sends wrong data is not polled in a tight loop.  The other source
 is polled meanwhile."""
 
-MAX_AGE_S = 1.5
-"""Age of the last update at which a VM starts to read the log itself, in
-seconds.  Readers learn the log's state once a second, and a change must be in
-force two seconds after it was made."""
-
-TAKEOVER_STEP_S = 0.1
-"""Delay between two VMs of a zone that start to read the log themselves, in
-seconds, so that the first ones can update the others."""
-
-MAX_TAKEOVER_DELAY_S = 2.0
-"""Longest such delay in total, in seconds."""
-
 SECOND_SOURCE_AGE_S = 1.2
 """Age of the last update at which the second source is polled too, in seconds.
 The first one sends an update once a second.  Polling both all the time would
@@ -75,10 +63,6 @@
 UNKNOWN_AGE_S = 1e6
 """Age that is sent while the log's state is unknown, in seconds."""
 
-MIN_CHECK_INTERVAL_S = 0.1
-"""Shortest interval between two checks of whom to follow and whether to read
-the log, in seconds."""
-
 MAX_CHECK_INTERVAL_S = 1.0
 """Longest such interval, in seconds; nothing becomes due sooner."""
 
@@ -123,6 +107,7 @@
         first_start: Whether the whole deployment starts for the first time.
         client: Sends requests to other VMs.
         streams: Streams to follow.
+        limits: How long a change may take to be in force on this VM.
 
     Attributes:
         get_outage: Returns the log's last outage, given the current time.
@@ -136,11 +121,13 @@
         first_start: bool,
         client: peer_link.PeerClient,
         streams: Sequence[FollowedStream],
+        limits: propagation.PropagationLimits | None = None,
     ) -> None:
         self.get_outage: Callable[[float], LogOutage] = _report_no_outage
         self.on_outage: Callable[[LogOutage], None] = _ignore_outage
         self._me = me
         self._client = client
+        self._limits = limits or propagation.PropagationLimits()
         self._streams = {each.reader.stream: each for each in streams}
         self._position: distribution.Position | None = None
         all_seeds = list(seeds)
@@ -184,9 +171,9 @@
         """
         # Taken before the sleep, so that a call of wake() during it counts.
         wake_event = self._wake_event
-        await anyio.sleep(MIN_CHECK_INTERVAL_S)
+        await anyio.sleep(propagation.CHECK_INTERVAL_S)
         with anyio.move_on_after(
-            min(due_s, MAX_CHECK_INTERVAL_S) - MIN_CHECK_INTERVAL_S
+            min(due_s, MAX_CHECK_INTERVAL_S) - propagation.CHECK_INTERVAL_S
         ):
             await wake_event.wait()
 
@@ -430,11 +417,11 @@
         """Returns when to read the log itself if no update arrives."""
         if self._position is None or self._position.reads:
             return self._first_start_until
-        delay_s = min(
-            self._position.turn * TAKEOVER_STEP_S, MAX_TAKEOVER_DELAY_S
+        age_s = self._limits.get_takeover_age_s(
+            self._position.turn, self._position.zone_vms
         )
         updated_at = min(self._updated_at.values())
-        return max(updated_at, self._first_start_until) + MAX_AGE_S + delay_s
+        return max(updated_at, self._first_start_until) + age_s
 
 
 def _report_no_outage(now: float) -> LogOutage:
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -13,7 +13,7 @@
 
 from ramptray.bundle import model
 from ramptray.core import message as core_message
-from ramptray.log import reader as log_reader
+from ramptray.core import propagation
 from ramptray.platform import (
     config,
     follower,
@@ -557,5 +557,5 @@
             await topic_reader.run()
 
     anyio.run(run)
-    wait_s = log_reader.WATCH_WAIT_S
+    wait_s = propagation.WATCH_WAIT_S
     assert reader.waits[:4] == [wait_s, wait_s, 0.0, wait_s]
--- a/test/test_cold_start.py
+++ b/test/test_cold_start.py
@@ -17,7 +17,7 @@
 
 from ramptray import steadyclock, timeline
 from ramptray.bundle import acceptance, signature
-from ramptray.core import clock, membership, message
+from ramptray.core import clock, membership, message, propagation
 from ramptray.entry import owners
 from ramptray.peer import link
 from ramptray.peer import message as peer_message
@@ -235,6 +235,7 @@
         {},
         vm_settings.LimitTerms(),
         vm_settings.RolloutTerms(),
+        propagation.PropagationLimits(),
         applied.append,
     )
     text = json.dumps(node.make_config(1)).encode()
--- a/test/test_distributor.py
+++ b/test/test_distributor.py
@@ -10,7 +10,7 @@
 import anyio
 import pytest
 
-from ramptray.core import clock, membership
+from ramptray.core import clock, distribution, membership, propagation
 from ramptray.log import error, keyedstream, mirror, reader
 from ramptray.node import main
 from ramptray.peer import link
@@ -22,6 +22,9 @@
 TAKEOVER_LIMIT_S = 2.0
 """Time limit for a change to reach all VMs while sources fail, in seconds."""
 
+LARGE_DEPLOYMENT_BOUND_S = 3.0
+"""The same in a deployment with some 20 VMs in each zone, in seconds."""
+
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -173,9 +176,9 @@
 
 
 @contextlib.asynccontextmanager
-async def run(count: int) -> AsyncIterator[Deployment]:
-    """Runs VMs of three zones; yields once all have the first record."""
-    names = [f"{'xyz'[n % 3]}{n}" for n in range(count)]
+async def run(count: int, zones: str = "xyz") -> AsyncIterator[Deployment]:
+    """Runs VMs of some zones; yields once all have the first record."""
+    names = [f"{zones[n % len(zones)]}{n}" for n in range(count)]
     deployment = Deployment(names)
     deployment.log.write("a", b"1")
     async with anyio.create_task_group() as tasks:
@@ -183,7 +186,7 @@
             tasks.start_soon(vm.reader.run)
             tasks.start_soon(vm.distributor.run)
         await deployment.wait_known(1, 3.0)
-        await anyio.sleep(2 * reader.WATCH_WAIT_S)
+        await anyio.sleep(2 * propagation.WATCH_WAIT_S)
         yield deployment
         tasks.cancel_scope.cancel()
 
@@ -213,7 +216,7 @@
         deployment.frozen.update(deployment.list_readers())
         deployment.log.refused.update(deployment.frozen)
         deployment.log.calls.clear()
-        await anyio.sleep(distributor.MAX_AGE_S + 0.3)
+        await anyio.sleep(propagation.MAX_AGE_S + 0.3)
         called = set(deployment.log.calls) - deployment.frozen
         assert 1 <= len(called) <= 12
 
@@ -237,7 +240,7 @@
 async def test_records_are_kept_through_an_outage_of_the_log() -> None:
     async with run(6) as deployment:
         deployment.log.refused.update(deployment.vms)
-        await anyio.sleep(distributor.MAX_AGE_S + 1.0)
+        await anyio.sleep(propagation.MAX_AGE_S + 1.0)
         assert all(vm.reader.end == 1 for vm in deployment.vms.values())
         deployment.log.refused.clear()
         deployment.log.write("a", b"2")
@@ -282,7 +285,7 @@
         tasks.start_soon(
             paused._wait_until_due, distributor.MAX_CHECK_INTERVAL_S
         )
-        await anyio.sleep(distributor.MIN_CHECK_INTERVAL_S / 5)
+        await anyio.sleep(propagation.CHECK_INTERVAL_S / 5)
         paused.wake()
     assert time.monotonic() - began < distributor.MAX_CHECK_INTERVAL_S / 2
 
@@ -296,6 +299,30 @@
         await deployment.wait_known(2, TAKEOVER_LIMIT_S)
 
 
+async def test_the_last_vm_of_a_large_zone_reads_the_log_in_time() -> None:
+    # It waited for 3.5 s, for its turn among 23 VMs, while all others were
+    # stopped.
+    async with run(23, zones="x") as deployment:
+        members = [vm.member for vm in deployment.vms.values()]
+        last = max(
+            deployment.vms.values(),
+            key=lambda vm: distribution.find_position(vm.member, members).turn,
+        )
+        last.distributor._limits = propagation.PropagationLimits(
+            LARGE_DEPLOYMENT_BOUND_S
+        )
+        updated_at = last.reader.fresh_at
+        while last.reader.fresh_at == updated_at:
+            await anyio.sleep(0.01)
+        others = set(deployment.vms) - {last.member.vm}
+        deployment.frozen.update(others)
+        deployment.log.refused.update(others)
+        deployment.log.write("a", b"2")
+        await deployment.wait_known(
+            2, LARGE_DEPLOYMENT_BOUND_S - propagation.DISPATCH_S
+        )
+
+
 async def test_a_vm_that_learns_its_place_stops_reading_at_once() -> None:
     # A starting VM read the log for up to 0.1 s longer than it had to, and a
     # change made meanwhile was transferred whole over its slow link.
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -11,9 +11,8 @@
 
 from ramptray.bundle import acceptance
 from ramptray.bundle import record as bundle_record
-from ramptray.core import clock
+from ramptray.core import clock, propagation
 from ramptray.log import client as log_client
-from ramptray.log import reader
 from ramptray.peer import link as peer_link
 from ramptray.scheduler import follower
 from test import test_bundle
@@ -114,7 +113,7 @@
         second = acceptance.Rollout(test_bundle.SECOND)
         log.records.append(bundle_record.format_record(second))
         with anyio.fail_after(
-            reader.WATCH_WAIT_S + 2 * reader.RESPONSE_MARGIN_S
+            propagation.WATCH_WAIT_S + 2 * propagation.RESPONSE_MARGIN_S
         ):
             assert (await receive.receive()).envelope == test_bundle.SECOND
         tasks.cancel_scope.cancel()
--- a/test/test_reader.py
+++ b/test/test_reader.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from ramptray.core import propagation
 from ramptray.log import client, error, hedging, reader
 
 pytestmark = pytest.mark.anyio
@@ -130,7 +131,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(stream_reader.run)
         await lose_read(log, stream_reader)
-        limit_s = reader.WATCH_WAIT_S + reader.RESPONSE_MARGIN_S + 0.2
+        limit_s = propagation.WATCH_WAIT_S + propagation.RESPONSE_MARGIN_S + 0.2
         await stream_reader.wait_for(2, limit_s)
         tasks.cancel_scope.cancel()
 
@@ -202,7 +203,7 @@
         log.append()
         # Returned late by the pending read, or by a new one.
         await stream_reader.wait_for(
-            1, 2 * log.delay_s + reader.RESPONSE_MARGIN_S
+            1, 2 * log.delay_s + propagation.RESPONSE_MARGIN_S
         )
         tasks.cancel_scope.cancel()
 
