Count the retention of a removed replica from its last known record

Callers' requests reached servers later than drainMs after the store had removed their records. A replica whose record disappears with others, or near an outage of the store, was kept for 1.6 s from when this VM learned of it, and up to 0.2 s more until the next check. So the delay of the distribution, up to 2 s where sources are lost, was added to it; and another VM that had lost the store for itself alone made its followers keep a replica for 2.2 s from its report.

The time is now counted from when the store last had the record: the age of the copy that the removal changes. A copy older than the deployment's limit still means an outage, which has a retention of its own. Expiry is timed exactly.

--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -116,7 +116,10 @@
         self._parser = config.ConfigParser(
             terms, scheduling_zone.SchedulingZones(zones).names
         )
-        self._replica_registry = replicas.ReplicaRegistry(retention_s, zones)
+        self._replica_registry = replicas.ReplicaRegistry(
+            retention_s, zones, limits
+        )
+        self._retention_changed = anyio.Event()
         self._regions = zones
         self._evacuations = evacuation.EvacuationRegistry()
         self._rollouts = rollout.RolloutOrderRegistry(rollout_terms)
@@ -161,6 +164,7 @@
             for reader in self._readers:
                 tasks.start_soon(reader.run)
             tasks.start_soon(self._run_checks)
+            tasks.start_soon(self._run_expiry)
             tasks.start_soon(self._distributor.run)
             tasks.start_soon(self._fetch_from_peers)
 
@@ -357,12 +361,18 @@
         self._knows_replicas = True
         if self._replica_reader.in_outage:
             self._replica_registry.record_store_recovery(now)
+        # That of the copy before these changes.
+        current_at = self._replica_reader.fresh_at
         if is_snapshot:
             self._replica_registry.apply_snapshot(
-                changes.records, now, changes.end
+                changes.records, now, changes.end, current_at
             )
         else:
-            self._replica_registry.apply_changes(changes.records, now)
+            self._replica_registry.apply_changes(
+                changes.records, now, current_at
+            )
+        self._retention_changed.set()
+        self._retention_changed = anyio.Event()
         if is_snapshot or self._replica_registry.missed_count != missed:
             self.on_gap(self._begin_history(now), changes.end)
         if is_snapshot or changes.records:
@@ -417,6 +427,16 @@
             or any(reader.is_behind for reader in self._readers)
         )
 
+    async def _run_expiry(self) -> None:
+        """Stops the use of kept replicas exactly when they expire."""
+        while True:
+            changed = self._retention_changed
+            due_s = self._replica_registry.next_expiry_at - steadyclock.read()
+            with anyio.move_on_after(max(0.0, due_s)):
+                await changed.wait()
+            if self._replica_registry.expire(steadyclock.read()):
+                self._publish()
+
     async def _run_checks(self) -> None:
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -4,6 +4,10 @@
 renew it during an outage of the store.  In the latter case the record is back
 soon after the store.  A replica whose record disappears around an outage is
 therefore kept for a short time.
+
+That time is counted from when the store last had the record, not from when this
+VM learns of the removal.  Otherwise the way of the removal to this VM would
+add to it.
 """
 
 from __future__ import annotations
@@ -13,6 +17,7 @@
 
 import msgspec
 
+from ramptray.core import propagation
 from ramptray.peer import message as peer_message
 from ramptray.platform import record, store
 from ramptray.scheduler import distributor
@@ -58,13 +63,20 @@
             It must be less than the time for which a stopped replica may still
             be sent work.
         zones: The existing availability zones; empty to accept any.
+        limits: How long a change may take to be in force on this VM.
 
     Attributes:
         missed_count: Number of replicas that came and went unseen.
     """
 
-    def __init__(self, retention_s: float, zones: Collection[str] = ()) -> None:
+    def __init__(
+        self,
+        retention_s: float,
+        zones: Collection[str] = (),
+        limits: propagation.PropagationLimits | None = None,
+    ) -> None:
         self.missed_count = 0
+        self._limits = limits or propagation.PropagationLimits()
         self._retention_s = retention_s
         self._zones = zones
         self._known: dict[str, _KnownReplica] = {}
@@ -114,9 +126,19 @@
         return known.replica.position if known else None
 
     def apply_changes(
-        self, changes: Iterable[store.Change], now: float
+        self,
+        changes: Iterable[store.Change],
+        now: float,
+        current_at: float = float("-inf"),
     ) -> None:
-        """Applies records in the store's order."""
+        """Applies records in the store's order.
+
+        Args:
+            changes: The records.
+            now: When they were learned.
+            current_at: When the store had none of them yet; minus infinity if
+                unknown.
+        """
         # The last record of a key wins.  Applying all removals after all other
         # records would permanently drop live replicas whose records were
         # removed and written again in the same batch.
@@ -127,10 +149,14 @@
             else:
                 removals.pop(change.key, None)
                 self._apply_record(change, now)
-        self._apply_removals(removals, now)
+        self._apply_removals(removals, now, current_at)
 
     def apply_snapshot(
-        self, newest: Iterable[store.Change], now: float, end: int = -1
+        self,
+        newest: Iterable[store.Change],
+        now: float,
+        end: int = -1,
+        current_at: float = float("-inf"),
     ) -> None:
         """Applies a snapshot: replicas not in it have no record.
 
@@ -138,9 +164,11 @@
             newest: The newest record of each replica.
             now: When they were read.
             end: Position of the store's next record; -1 if unknown.
+            current_at: When the store last had the records known before; minus
+                infinity if unknown.
         """
         records = list(newest)
-        self.apply_changes(records, now)
+        self.apply_changes(records, now, current_at)
         present = {change.key for change in records if change.value}
         # A known record at or after the end was written after this snapshot.
         missing = [
@@ -148,13 +176,25 @@
             for name, known in self._known.items()
             if name not in present and not (0 <= end <= known.replica.position)
         ]
-        self._apply_removals(dict.fromkeys(missing, -1), now)
+        self._apply_removals(dict.fromkeys(missing, -1), now, current_at)
 
     @property
     def has_missing_records(self) -> bool:
         """Whether a listed replica has no record in the store."""
         return any(known.gone_at is not None for known in self._known.values())
 
+    @property
+    def next_expiry_at(self) -> float:
+        """When the next kept replica expires; infinity if there is none."""
+        return min(
+            (
+                known.gone_at
+                for known in self._known.values()
+                if known.gone_at is not None
+            ),
+            default=float("inf"),
+        )
+
     def expire(self, now: float) -> bool:
         """Removes expired replicas; returns whether there were any."""
         expired = [
@@ -253,14 +293,17 @@
                 },
             )
 
-    def _apply_removals(self, removals: Mapping[str, int], now: float) -> None:
+    def _apply_removals(
+        self, removals: Mapping[str, int], now: float, current_at: float
+    ) -> None:
         """Applies removals of records.
 
         Args:
             removals: Position of each removal by replica; -1 if unknown.
-            now: When the removals were read.
+            now: When the removals were learned.
+            current_at: When the store had none of them yet.
         """
-        unreliable = now - self._error_at < UNRELIABLE_AFTER_ERROR_S
+        kept_until = self._get_kept_until(len(removals), now, current_at)
         for name, position in removals.items():
             self._unusable.pop(name, None)
             known = self._known.get(name)
@@ -275,15 +318,39 @@
                 )
             if known.replica.leaving:
                 self._mark_gone(name, "it was leaving", now)
-            elif now - self._recovered_at < RECOVERY_WINDOW_S:
-                self._retain(
-                    name, self._recovered_at + RETENTION_AFTER_RECOVERY_S
-                )
-            elif unreliable or len(removals) >= MASS_REMOVAL_COUNT:
-                self._retain(name, now + self._retention_s)
+            elif kept_until > now:
+                self._retain(name, kept_until)
             else:
                 self._mark_gone(name, "its record was removed", now)
 
+    def _get_kept_until(
+        self, count: int, now: float, current_at: float
+    ) -> float:
+        """Returns until when replicas are kept whose records were removed.
+
+        Args:
+            count: Number of records removed together.
+            now: When the removals were learned.
+            current_at: When the store had none of them yet.
+        """
+        recovered_s = now - self._recovered_at
+        is_unreliable = (
+            recovered_s < RECOVERY_WINDOW_S
+            or now - self._error_at < UNRELIABLE_AFTER_ERROR_S
+            or count >= MASS_REMOVAL_COUNT
+        )
+        if not is_unreliable:
+            return now
+        if now - current_at <= self._limits.bound_s:
+            # The store was away for this VM only, or not at all.
+            return min(
+                now + self._retention_s,
+                current_at + self._limits.longest_listed_s,
+            )
+        if recovered_s < RECOVERY_WINDOW_S:
+            return self._recovered_at + RETENTION_AFTER_RECOVERY_S
+        return now + self._retention_s
+
     def _retain(self, name: str, until: float) -> None:
         self._known[name].gone_at = until
         LOG.info(
--- a/test/test_replicas.py
+++ b/test/test_replicas.py
@@ -15,7 +15,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ramptray.core import message, policy, shard
+from ramptray.core import message, policy, propagation, shard
 from ramptray.log import mirror
 from ramptray.platform import (
     config,
@@ -25,7 +25,7 @@
     scheduling_zone,
     store,
 )
-from ramptray.scheduler import rules
+from ramptray.scheduler import distributor, rules
 from test import node
 
 SHARD = message.ShardKey(scheduling_zone.SINGLE_ZONE, node.SERVICE)
@@ -412,3 +412,37 @@
         assert replica.slots >= 1 and replica.service == node.SERVICE
         host, _, port = replica.address.rpartition(":")
         assert host and 0 < int(port) < 65536
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.5, 1.2, 1.9])
+def test_the_way_of_a_removal_does_not_add_to_the_retention(
+    delay_s: float,
+) -> None:
+    # A VM that learned late of two removals kept the replicas for 1.6 s from
+    # then on, and sent one a request 3.6 s after its record had gone.
+    limits = propagation.PropagationLimits(2.0)
+    found = replicas.ReplicaRegistry(1.6, limits=limits)
+    names = ("a", "b")
+    found.apply_changes(
+        [store.Change(name, make_record()) for name in names], 0
+    )
+    current_at = 10.0
+    learned_at = current_at + delay_s
+    found.apply_changes(
+        [store.Change(name, None) for name in names], learned_at, current_at
+    )
+    expires_at = max(learned_at, min(found.next_expiry_at, 100.0))
+    if found.has_missing_records:
+        assert found.expire(expires_at)
+        assert expires_at <= current_at + limits.longest_listed_s
+    assert all(r.leaving for r in found.list_replicas().values())
+
+
+def test_a_private_outage_does_not_prolong_the_retention() -> None:
+    # Another VM that had lost the store for itself reported its return.
+    limits = propagation.PropagationLimits(2.0)
+    found = replicas.ReplicaRegistry(1.6, limits=limits)
+    found.apply_changes([store.Change("a", make_record())], 0.0)
+    found.merge_outage(distributor.LogOutage(0.0, 0.0), 10.9)
+    found.apply_changes([store.Change("a", None)], 11.0, 10.0)
+    assert found.next_expiry_at <= 10.0 + limits.longest_listed_s
