Date answers about the log by when they were sent

A VM judged the age of its copy by the arrival of answers. An answer of another VM that was up to 1.7 s on its way counted as new, at every step of the distribution, and so did one that a repeated call got up to 3 s after it had been sent, so that the VM then waited 1.5 s more before it looked for another source. An empty answer that arrived after later records had come from another VM also moved the end of the copy back and erased that records were missing.

An answer now counts from when it can have been made at the earliest: the time of the request, plus the time for which the other VM says it held the request, or for which the log waited for records. Records that a long poll brings are followed by a read without a wait, one call for each batch of changes. Outages that other VMs report are dated likewise.

Evidence: test_the_way_of_an_answer_counts_as_age and three tests of the reader (late answer, late empty answer, age of an empty answer) failed before and pass. The store's reader of test_reader now holds what it had before a delay; it returned records that were written after its answer had been made.

--- a/ramptray/log/reader.py
+++ b/ramptray/log/reader.py
@@ -13,7 +13,7 @@
 import contextlib
 import logging
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Generic, TypeVar
 
 import anyio
@@ -54,6 +54,19 @@
 PageT = TypeVar("PageT")
 
 
+class _Answer(msgspec.Struct, Generic[PageT], frozen=True):
+    """An answer of the log.
+
+    Attributes:
+        as_of: Time whose records it holds at least.  It is not the time of
+            arrival, as an answer may be late.
+        page: The records.
+    """
+
+    as_of: float
+    page: PageT
+
+
 class _PendingRead(msgspec.Struct):
     """A long poll in progress.
 
@@ -112,7 +125,9 @@
         self._end: int | None = None
         self._peer_end = 0
         self._peer_end_at = 0.0
-        self._hedged_call = hedging.HedgedCall[PageT](self._begin_outage)
+        self._hedged_call = hedging.HedgedCall[_Answer[PageT]](
+            self._begin_outage
+        )
         self._poll_at_once = False
         self._read_started_at: float | None = None
         self._outage_began_at = 0.0
@@ -188,6 +203,8 @@
                 pause_s = RETRY_S
                 if page is not None and self.count_records(page):
                     await self._wait_for_batch()
+                    # The records came at an unknown time of a long poll.
+                    self._poll_at_once |= self._watching and self._follows_peers
 
     def set_watching(self, watching: bool) -> None:
         """Sets whether this VM watches the stream for the others."""
@@ -309,37 +326,52 @@
         ]
 
     async def _read(self) -> PageT | None:
-        """Returns the next records; None if the read was abandoned."""
+        """Returns the next records; None if there is nothing to apply."""
         offset = self._end
-        if offset is None:
-            page = await self._hedged_call.run(self.read_first)
-        elif self.in_outage or self._poll_at_once:
-            page = await self._hedged_call.run(
-                lambda: self.read_from(offset, 0.0, CALL_TIMEOUT_S)
-            )
-        else:
-            waited = await self._long_poll(offset)
-            if waited is None:
-                return None
-            page = waited
-        if self.get_end(page) < (self._end or 0) and self.count_records(page):
+        answer = await self._call(offset)
+        if answer is None:
+            return None
+        end = self.get_end(answer.page)
+        if (offset or 0) <= end < (self._end or 0):
             # Another VM sent later records before the answer arrived.
+            self._record_answer(offset, answer, self._end or 0)
             return None
         self.origin = LOG_ORIGIN
-        await self.apply_page(page, offset is None)
-        self._record_answer(offset, page)
-        return page
+        await self.apply_page(answer.page, offset is None)
+        self._record_answer(offset, answer, end)
+        return answer.page
+
+    async def _call(self, offset: int | None) -> _Answer[PageT] | None:
+        """Returns the log's answer; None if the read was abandoned."""
+        if offset is None:
+            return await self._hedged_call.run(
+                lambda: _date_answer(self.read_first())
+            )
+        if self.in_outage or self._poll_at_once:
+            return await self._hedged_call.run(
+                lambda: _date_answer(
+                    self.read_from(offset, 0.0, CALL_TIMEOUT_S)
+                )
+            )
+        return await self._long_poll(offset)
 
-    async def _long_poll(self, offset: int) -> PageT | None:
+    async def _long_poll(self, offset: int) -> _Answer[PageT] | None:
         """Waits for records; returns None if the read was abandoned."""
         wait_s = (
             propagation.WATCH_WAIT_S if self._watching else self._longest_wait_s
         )
         try:
             with self._track_pending_read():
-                return await self.read_from(
-                    offset, wait_s, wait_s + propagation.RESPONSE_MARGIN_S
+                answer = await _date_answer(
+                    self.read_from(
+                        offset, wait_s, wait_s + propagation.RESPONSE_MARGIN_S
+                    )
                 )
+                if self.count_records(answer.page):
+                    return answer
+                # The log waited for records until then.
+                as_of = min(answer.as_of + wait_s, steadyclock.read())
+                return msgspec.structs.replace(answer, as_of=as_of)
         except log_error.LogTimeoutError as error:
             self._abandon_read(str(error))
         return None
@@ -394,10 +426,18 @@
             },
         )
 
-    def _record_answer(self, offset: int | None, page: PageT) -> None:
+    def _record_answer(
+        self, offset: int | None, answer: _Answer[PageT], end: int
+    ) -> None:
+        """Records an answer.
+
+        Args:
+            offset: Offset from which on records were read; None for all.
+            answer: The answer.
+            end: End of the stream that is known now.
+        """
         now = steadyclock.read()
-        end = self.get_end(page)
-        records = self.count_records(page)
+        records = self.count_records(answer.page)
         if records or self._poll_at_once or self.in_outage:
             LOG.info(
                 "log read",
@@ -417,15 +457,24 @@
                 extra={"stream": self.stream, "away_s": away_s},
             )
         self._end = end
-        # The log's answer takes precedence over what peers have reported.
-        self._peer_end = min(self._peer_end, end)
+        if answer.as_of >= self._peer_end_at:
+            # The log's answer takes precedence over what peers have reported.
+            self._peer_end = min(self._peer_end, end)
         self._poll_at_once = False
         self._read_started_at = None
-        self.answered_at = self.fresh_at = now
-        self.fresh_origin = LOG_ORIGIN
+        self.answered_at = now
+        if answer.as_of > self.fresh_at:
+            self.fresh_at = answer.as_of
+            self.fresh_origin = LOG_ORIGIN
         self.on_answer()
 
 
+async def _date_answer(call: Awaitable[PageT]) -> _Answer[PageT]:
+    """Returns an answer with the time at which its call was sent."""
+    sent_at = steadyclock.read()
+    return _Answer(sent_at, await call)
+
+
 def _round_age(since: float | None, now: float) -> float | None:
     """Returns the rounded seconds since a time; None if there is none."""
     return None if since is None else round(now - since, 3)
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -313,9 +313,16 @@
 
 
 class ToldStreams(msgspec.Struct, frozen=True):
-    """Response to ``FollowStreams``, without streams that are not held."""
+    """Response to ``FollowStreams``, without streams that are not held.
+
+    Attributes:
+        news: Updates of the streams.  Their ages are those at the response.
+        held_s: How long the request was held before the response, in seconds;
+            None from VMs that do not tell.
+    """
 
     news: list[StreamNews]
+    held_s: float | None = None
 
 
 class KeepOrigins(msgspec.Struct, frozen=True):
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -155,7 +155,7 @@
             limits,
         )
         self._distributor.get_outage = self._replica_registry.get_outage
-        self._distributor.on_outage = self._record_outage
+        self._distributor.on_outage = self._replica_registry.merge_outage
         store_client.add_rollback_listener(self._on_store_rollback)
 
     async def run(self) -> None:
@@ -267,9 +267,6 @@
             )
         return True
 
-    def _record_outage(self, outage: distributor.LogOutage) -> None:
-        self._replica_registry.merge_outage(outage, steadyclock.read())
-
     def set_on_stream_advance(self, on_advance: Callable[[], None]) -> None:
         """See the base class."""
         for reader in self._readers:
--- a/ramptray/scheduler/distributor.py
+++ b/ramptray/scheduler/distributor.py
@@ -111,7 +111,8 @@
 
     Attributes:
         get_outage: Returns the log's last outage, given the current time.
-        on_outage: Called with the last outage that another VM reported.
+        on_outage: Called with the last outage that another VM reported, and the
+            time of the report.
     """
 
     def __init__(
@@ -124,7 +125,7 @@
         limits: propagation.PropagationLimits | None = None,
     ) -> None:
         self.get_outage: Callable[[float], LogOutage] = _report_no_outage
-        self.on_outage: Callable[[LogOutage], None] = _ignore_outage
+        self.on_outage: Callable[[LogOutage, float], None] = _ignore_outage
         self._me = me
         self._client = client
         self._limits = limits or propagation.PropagationLimits()
@@ -202,7 +203,8 @@
         self, request: peer_message.FollowStreams
     ) -> peer_message.ToldStreams:
         """Answers a follower as soon as there are updates or its wait ends."""
-        known_at = steadyclock.read() - request.known_s
+        received_at = steadyclock.read()
+        known_at = received_at - request.known_s
         with anyio.move_on_after(request.wait_s):
             while not self._has_updates(request, known_at):
                 await self._changed.wait()
@@ -220,7 +222,7 @@
                 returned_s=outage.returned_s,
             )
             updates.append(update)
-        return peer_message.ToldStreams(updates)
+        return peer_message.ToldStreams(updates, now - received_at)
 
     def _notify_followers(self) -> None:
         """Wakes the requests that wait for updates."""
@@ -299,6 +301,7 @@
             Whether the answer held anything new.
         """
         request = self._make_request(wait_s)
+        asked_at = steadyclock.read()
         try:
             answer = await self._client.ask(
                 address, request, wait_s + ANSWER_MARGIN_S
@@ -306,9 +309,15 @@
         except peer_link.LinkError as error:
             LOG.debug("no updates from another VM: %s", error)
             return False
-        received_at = steadyclock.read()
+        # The time on the way counts as age, since nothing tells how long it
+        # took in either direction.
+        answered_at = (
+            steadyclock.read()
+            if answer.held_s is None
+            else asked_at + answer.held_s
+        )
         results = [
-            await self._apply(address, update, received_at)
+            await self._apply(address, update, answered_at)
             for update in answer.news
         ]
         return any(results)
@@ -327,9 +336,15 @@
         return peer_message.FollowStreams(ends, known_s, wait_s)
 
     async def _apply(
-        self, address: str, update: peer_message.StreamNews, received_at: float
+        self, address: str, update: peer_message.StreamNews, answered_at: float
     ) -> bool:
-        """Applies an update of a stream and returns whether it was new."""
+        """Applies an update of a stream and returns whether it was new.
+
+        Args:
+            address: The VM that sent it.
+            update: The update.
+            answered_at: The earliest time at which that VM can have answered.
+        """
         each = self._streams.get(update.stream)
         if each is None or update.end < (each.reader.end or 0):
             return False
@@ -339,12 +354,18 @@
             self._record_damage(address, update.stream, str(error))
             return False
         self._damaged_streams.discard(update.stream)
-        self.on_outage(LogOutage(update.trouble_s, update.returned_s))
-        fresh_at = received_at - max(0.0, update.age_s)
+        self.on_outage(
+            LogOutage(update.trouble_s, update.returned_s), answered_at
+        )
+        fresh_at = answered_at - max(0.0, update.age_s)
+        held_end = each.reader.end
         await each.reader.apply_peer_page(
             changes, update.whole, fresh_at, address
         )
-        is_new = fresh_at > self._updated_at[update.stream]
+        is_new = (
+            each.reader.end != held_end
+            or fresh_at > self._updated_at[update.stream]
+        )
         self._updated_at[update.stream] = max(
             self._updated_at[update.stream], fresh_at
         )
@@ -429,5 +450,5 @@
     return LogOutage()
 
 
-def _ignore_outage(outage: LogOutage) -> None:
+def _ignore_outage(outage: LogOutage, reported_at: float) -> None:
     """Default until a listener is set."""
--- a/test/test_distributor.py
+++ b/test/test_distributor.py
@@ -10,6 +10,7 @@
 import anyio
 import pytest
 
+from ramptray import steadyclock
 from ramptray.core import clock, distribution, membership, propagation
 from ramptray.log import error, keyedstream, mirror, reader
 from ramptray.node import main
@@ -115,12 +116,14 @@
     Attributes:
         frozen: VMs that do not answer.
         corrupt: VMs whose answers are damaged.
+        delays_s: How long answers of a VM are on their way, in seconds.
     """
 
     def __init__(self, names: list[str]) -> None:
         self.log = Log()
         self.frozen: set[str] = set()
         self.corrupt: set[str] = set()
+        self.delays_s: dict[str, float] = {}
         self.vms = {name: Vm(name, self) for name in names}
         members = [vm.member for vm in self.vms.values()]
         for vm in self.vms.values():
@@ -157,6 +160,7 @@
             )
             if name in self._deployment.frozen:
                 await anyio.sleep_forever()
+            await anyio.sleep(self._deployment.delays_s.get(name, 0.0))
             if name in self._deployment.corrupt:
                 return _damage(answer)
             return answer
@@ -323,6 +327,25 @@
         )
 
 
+async def test_the_way_of_an_answer_counts_as_age() -> None:
+    # An answer that was 1.5 s on its way counted as new when it arrived, and
+    # so did that of each VM on the way.  The VM then waited for 1.5 s more.
+    delay_s = 0.3
+    async with run(3) as deployment:
+        readers = deployment.list_readers()
+        (follower,) = set(deployment.vms) - set(readers)
+        deployment.delays_s = dict.fromkeys(readers, delay_s)
+        vm = deployment.vms[follower]
+        for _ in range(3):
+            deployment.log.write("a", b"2")
+            await deployment.wait_known(len(deployment.log.records), 2.0)
+            newest = max(
+                deployment.vms[name].reader.fresh_at for name in readers
+            )
+            assert vm.reader.fresh_at <= newest
+            assert vm.reader.fresh_at <= steadyclock.read() - delay_s
+
+
 async def test_a_vm_that_learns_its_place_stops_reading_at_once() -> None:
     # A starting VM read the log for up to 0.1 s longer than it had to, and a
     # change made meanwhile was transferred whole over its slow link.
--- a/test/test_link_distance.py
+++ b/test/test_link_distance.py
@@ -359,7 +359,14 @@
             (package / folder).glob("*.py")
             for folder in ("peer", "entry", "scheduler", "log", "platform")
         ),
-        (package / "core" / n for n in ("membership.py", "connect_timeout.py")),
+        (
+            package / "core" / name
+            for name in (
+                "membership.py",
+                "connect_timeout.py",
+                "propagation.py",
+            )
+        ),
     )
     for module in modules:
         for name in list_time_constants(module):
--- a/test/test_reader.py
+++ b/test/test_reader.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from ramptray import steadyclock
 from ramptray.core import propagation
 from ramptray.log import client, error, hedging, reader
 
@@ -64,15 +65,15 @@
         if self.count <= offset:
             with anyio.move_on_after(wait_s):
                 await self._changed.wait()
+        count = self.count
         ends_at = anyio.current_time() + self.delay_s
         while anyio.current_time() < ends_at:
             await anyio.sleep(min(0.1, self.delay_s))
             self.on_bytes()
         records = [
-            client.LogRecord(position, {})
-            for position in range(offset, self.count)
+            client.LogRecord(position, {}) for position in range(offset, count)
         ]
-        return client.Page(0, self.count, records)
+        return client.Page(0, count, records)
 
 
 class Reader(reader.StreamReader[client.Page]):
@@ -245,3 +246,59 @@
         stream_reader.set_watching(True)
         await stream_reader.wait_for(2, 0.2)
         tasks.cancel_scope.cancel()
+
+
+async def test_the_time_of_a_late_answer_is_not_that_of_its_arrival() -> None:
+    # The first of several repeated calls was answered 1.6 s after it was sent,
+    # and what it had read counted as the log's state at its arrival.
+    log = Log()
+    stream_reader = Reader(log)
+    stream_reader.set_watching(True)
+    log.delay_s = 2 * hedging.HEDGE_DELAY_S
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stream_reader.run)
+        began = steadyclock.read()
+        await stream_reader.wait_for(0, log.delay_s + 0.3)
+        await anyio.sleep(0.05)
+        assert stream_reader.fresh_at <= began + 0.1
+        tasks.cancel_scope.cancel()
+
+
+async def test_an_empty_answer_is_as_old_as_the_end_of_its_wait() -> None:
+    log = Log()
+    stream_reader = Reader(log)
+    stream_reader.set_watching(True)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stream_reader.run)
+        await stream_reader.wait_for(0, 1.0)
+        sent_at = steadyclock.read()
+        log.delay_s = 0.4
+        await anyio.sleep(propagation.WATCH_WAIT_S + 0.5)
+        assert stream_reader.fresh_at == pytest.approx(
+            sent_at + propagation.WATCH_WAIT_S, abs=0.1
+        )
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_late_empty_answer_does_not_undo_what_peers_sent() -> None:
+    # It moved the end of the copy back, erased that records were missing, and
+    # counted as the log's state at its arrival.
+    log = Log()
+    stream_reader = Reader(log)
+    stream_reader.set_watching(True)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stream_reader.run)
+        await stream_reader.wait_for(0, 1.0)
+        log.delay_s = 0.5
+        await anyio.sleep(propagation.WATCH_WAIT_S + 0.2)
+        # The answer without records is on its way.
+        fresh_at = steadyclock.read()
+        log.count += 1
+        page = client.Page(0, 2, [client.LogRecord(1, {})])
+        await stream_reader.apply_peer_page(page, False, fresh_at, "b")
+        stream_reader.update_known_end(3)
+        await anyio.sleep(0.4)
+        assert stream_reader.end == 2
+        assert stream_reader.fresh_at == fresh_at
+        assert stream_reader.is_behind
+        tasks.cancel_scope.cancel()
