Bound what a VM reads of a response without an end

A server that writes bytes without end took the VMs' memory and time, and that of all callers. VMs kept the whole body of any response but a stream, an event until it was complete, the body of a refusal and of a response to another request; interim responses were skipped without a limit and decoded thousands at a time without giving other requests their turn. A head or interim responses that trickled in counted as no silence.

A response is now kept up to 256 KB and then forwarded as it comes, of unknown length up to 4 MB; a failure of more than 256 KB, a longer event or response to another request, more than 16 interim responses and thousands of tiny chunks a second break the attempt, which counts against the server. A refusal needs only its head. A head that may be waited for elsewhere has to be complete within the time that it had to begin. Decoding yields to other requests.

--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -7,9 +7,11 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 import h11
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.core import message as core_message
 from ramptray.core import request as core_request
 from ramptray.relay import byte_stream, message
@@ -38,6 +40,27 @@
 MAX_SKIPPED_RESPONSES = 4
 """Largest number of responses to other requests that are skipped."""
 
+MAX_SKIPPED_BYTES = 256 * 1024
+"""Most bytes of a body that are read only to be dropped."""
+
+MAX_INTERIM_RESPONSES = 16
+"""Most interim responses before a response."""
+
+DISCARD_TIMEOUT_S = 0.5
+"""Longest time to read the rest of a response that is not needed, in seconds.
+It is read only so that the connection can be used again."""
+
+EVENTS_PER_TURN = 64
+"""Parts of a response that are decoded before other requests get their turn.
+64 KB can hold thousands."""
+
+
+MAX_SMALL_PARTS_PER_S = 2000
+MIN_MEAN_PART_BYTES = 16
+"""Mean size below which parts of a body count as small, in bytes.  Decoding
+more of them a second than ``MAX_SMALL_PARTS_PER_S`` takes a tenth of the CPU
+time of a VM, and no server sends tokens so fast."""
+
 
 class RelayError(Exception):
     """Base class for errors on a connection to a backend server."""
@@ -136,6 +159,21 @@
         self._method = b"GET"
         self._response_complete = False
         self._ends_with_connection = False
+        self._declared_length: int | None = None
+        self._interim_count = 0
+        self._skipped_count = 0
+        # Bytes of the response that is being skipped; None if none is.
+        self._skipped_bytes: int | None = None
+        self._events_in_turn = 0
+        # Parts of the body since a time within the last second.
+        self._parts_since = 0.0
+        self._part_count = 0
+        self._part_bytes = 0
+
+    @property
+    def declared_length(self) -> int | None:
+        """Length of the body in bytes; None if the response names none."""
+        return self._declared_length
 
     @property
     def ends_with_connection(self) -> bool:
@@ -178,6 +216,8 @@
             headers.append((b"Content-Length", length))
         self._method = request.method
         self._response_complete = False
+        self._interim_count = self._skipped_count = 0
+        self._skipped_bytes = None
         try:
             head = h11.Request(
                 method=request.method, target=request.target, headers=headers
@@ -199,32 +239,50 @@
     ) -> message.ResponseHead:
         """Returns the head of the response to this request.
 
-        Responses to other requests that arrive before it are skipped.
+        Interim responses and responses to other requests that arrive before it
+        are skipped.
 
         Args:
             request_id: Id of the request.
-            timeout_s: Longest silence, in seconds; None for no limit.
+            timeout_s: Longest time until the head is complete, in seconds; None
+                for no limit.
 
         Raises:
             BrokenError: No response arrived.
-            TimeoutError: Nothing arrived in time; it may be called again.
+            TimeoutError: It was not complete in time; may be called again.
         """
-        for _ in range(MAX_SKIPPED_RESPONSES):
-            event = await self._next_event(timeout_s)
-            while isinstance(event, h11.InformationalResponse):
-                event = await self._next_event(timeout_s)
+        deadline = None if timeout_s is None else steadyclock.read() + timeout_s
+        while True:
+            if self._skipped_bytes is not None:
+                await self._skip_body(deadline)
+            event = await self._next_event(_get_remaining_s(deadline))
+            if isinstance(event, h11.InformationalResponse):
+                self._interim_count += 1
+                if self._interim_count > MAX_INTERIM_RESPONSES:
+                    raise BrokenError(
+                        f"{self.address}: more than {MAX_INTERIM_RESPONSES}"
+                        " interim responses"
+                    )
+                continue
             if not isinstance(event, h11.Response):
                 raise BrokenError(f"{self.address}: no response head")
-            headers = list(event.headers.raw_items())
-            names = {name.lower() for name, _ in headers}
-            self._ends_with_connection = names.isdisjoint(_FRAMING_HEADERS)
-            head = self._dialect.parse_response_head(event.status_code, headers)
+            head = self._parse_head(event)
             if head.request_id in (None, request_id):
                 if head.idle_s is not None:
                     self.idle_timeout_s = max(0.0, head.idle_s - IDLE_MARGIN_S)
                 return head
-            await self._skip_response(head)
-        raise BrokenError(f"{self.address}: only responses to other requests")
+            self._begin_skip(head)
+
+    def _parse_head(self, response: h11.Response) -> message.ResponseHead:
+        headers = list(response.headers.raw_items())
+        values = {name.lower(): value for name, value in headers}
+        self._ends_with_connection = values.keys().isdisjoint(_FRAMING_HEADERS)
+        length = values.get(b"content-length")
+        if length is None or b"transfer-encoding" in values:
+            self._declared_length = None
+        else:
+            self._declared_length = int(length)
+        return self._dialect.parse_response_head(response.status_code, headers)
 
     async def iterate_body(self) -> AsyncIterator[bytes]:
         """Yields the response's body as it arrives.
@@ -251,15 +309,58 @@
             return None
         if not isinstance(event, h11.Data):
             raise BrokenError(f"{self.address}: the response ended early")
-        return bytes(event.data)
+        data = bytes(event.data)
+        self._count_part(len(data))
+        return data
 
-    async def read_body(self) -> bytes:
-        """Returns the complete body of the response.
+    def _count_part(self, size: int) -> None:
+        """Counts a part of a body.
+
+        Raises:
+            BrokenError: There are too many small ones.
+        """
+        self._part_count += 1
+        self._part_bytes += size
+        if self._part_count <= MAX_SMALL_PARTS_PER_S:
+            return
+        now = steadyclock.read()
+        is_small = self._part_bytes < MIN_MEAN_PART_BYTES * self._part_count
+        if is_small and now - self._parts_since < 1.0:
+            raise BrokenError(
+                f"{self.address}: more than {MAX_SMALL_PARTS_PER_S} parts of"
+                f" less than {MIN_MEAN_PART_BYTES} bytes a second"
+            )
+        self._parts_since = now
+        self._part_count = self._part_bytes = 0
+
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Returns the body of the response, or its beginning.
+
+        Args:
+            max_bytes: Number of bytes beyond which no more are read; see
+                ``is_complete``.
 
         Raises:
             BrokenError: The response ended early.
         """
-        return b"".join([part async for part in self.iterate_body()])
+        parts = []
+        size = 0
+        while (
+            size <= max_bytes and (part := await self.read_part()) is not None
+        ):
+            parts.append(part)
+            size += len(part)
+        return b"".join(parts)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole response has been read."""
+        return self._response_complete
+
+    async def discard_body(self) -> None:
+        """Reads the rest of a response that is not needed, if it is short."""
+        with anyio.move_on_after(DISCARD_TIMEOUT_S):
+            await self.read_body(MAX_SKIPPED_BYTES)
 
     async def close(self) -> None:
         """Closes the connection without flushing."""
@@ -269,13 +370,41 @@
         """Prepares the connection for the next request."""
         self._http.start_next_cycle()
 
-    async def _skip_response(self, head: message.ResponseHead) -> None:
-        """Reads a response to another request and resets the parser."""
+    def _begin_skip(self, head: message.ResponseHead) -> None:
+        """Marks that the response being read belongs to another request.
+
+        Raises:
+            BrokenError: There were too many of them.
+        """
         LOG.info(
             "skipped a response to another request",
             extra={"backend": self.address, "request_id": head.request_id},
         )
-        await self.read_body()
+        self._skipped_count += 1
+        if self._skipped_count >= MAX_SKIPPED_RESPONSES:
+            raise BrokenError(
+                f"{self.address}: only responses to other requests"
+            )
+        self._skipped_bytes = 0
+
+    async def _skip_body(self, deadline: float | None) -> None:
+        """Reads the body of a skipped response and resets the parser.
+
+        Raises:
+            BrokenError: It is too long, or the connection closed after it.
+            TimeoutError: The deadline passed; may be called again.
+        """
+        assert self._skipped_bytes is not None
+        while (
+            part := await self.read_part(_get_remaining_s(deadline))
+        ) is not None:
+            self._skipped_bytes += len(part)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise BrokenError(
+                    f"{self.address}: a response to another request of more"
+                    f" than {MAX_SKIPPED_BYTES} bytes"
+                )
+        self._skipped_bytes = None
         self._response_complete = False
         trailing, closed = self._http.trailing_data
         if closed:
@@ -293,6 +422,10 @@
             self._http.receive_data(trailing)
 
     async def _next_event(self, timeout_s: float | None = None) -> Any:
+        self._events_in_turn += 1
+        if self._events_in_turn > EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await anyio.lowlevel.checkpoint()
         while True:
             try:
                 event = self._http.next_event()
@@ -311,6 +444,13 @@
             raise BrokenError(f"{self.address}: {error!r}") from error
 
 
+def _get_remaining_s(deadline: float | None) -> float | None:
+    """Returns the seconds until a deadline; None if there is none."""
+    if deadline is None:
+        return None
+    return max(0.0, deadline - steadyclock.read())
+
+
 async def open_connection(
     target: Target, dialect: dialects.Dialect
 ) -> Connection:
--- a/ramptray/relay/event.py
+++ b/ramptray/relay/event.py
@@ -13,6 +13,9 @@
 """The empty line after an event, with the line ends of the HTML standard.  A
 carriage return after a line feed may be half of a line end."""
 
+MAX_END_BYTES = 4
+"""Length of the longest end of an event."""
+
 _ID = re.compile(rb"(?:^|(?<=[\r\n]))id:[ ]?([^\r\n]*)")
 _FIELD = re.compile(rb"(?:^|(?<=[\r\n]))[^:\r\n]")
 """Begin of a line that is no comment."""
@@ -35,7 +38,9 @@
         """Returns the events that these bytes complete."""
         buffered = self._remainder + data
         end = 0
-        for found in _END.finditer(buffered):
+        # What was held before has no complete end of an event.
+        searched = max(0, len(self._remainder) - MAX_END_BYTES + 1)
+        for found in _END.finditer(buffered, searched):
             if _FIELD.search(buffered, end, found.start()):
                 self.count += 1
             end = found.end()
@@ -44,6 +49,11 @@
             self.last_id = ids[-1].decode("latin-1")
         return complete
 
+    @property
+    def remainder_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._remainder)
+
     def take_remainder(self) -> bytes:
         """Returns and clears the bytes after the last complete event."""
         remainder, self._remainder = self._remainder, b""
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import logging
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -21,6 +22,8 @@
 from ramptray.relay import client as relay_client
 from ramptray.relay import connection as connections
 
+LOG = logging.getLogger(__name__)
+
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
 """Largest response that is read completely before any of it is forwarded, so
 that another attempt is possible after a failure halfway through."""
@@ -47,6 +50,13 @@
 """Time for a last read before a silent stream is given up, in seconds.  When
 this VM itself was suspended, the next part is already in its socket."""
 
+MAX_UNDECLARED_BYTES = 4 * 1024 * 1024
+"""Largest body that is forwarded although the backend server did not declare
+its length.  A longer one is taken for a response without an end."""
+
+MAX_EVENT_BYTES = 256 * 1024
+"""Largest event of a stream.  An event is kept until it is complete."""
+
 SERVER_ERROR = 500
 OK_STATUSES = range(200, 300)
 _GONE = backend_probe.ProbeResult.GONE.value
@@ -336,18 +346,28 @@
         grant: core_message.Grant,
     ) -> None:
         if head.not_run:
-            await connection.read_body()
+            await self._discard_body(connection)
             self._report_failure(True, core_message.Reason.BACKEND_REFUSED)
             return
         is_stream = self._routed.route.kind is model.RouteKind.STREAM
         if is_stream and head.status in OK_STATUSES:
             await self._forward_stream(connection, head, grant)
             return
-        body = await connection.read_body()
+        body = await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
         response = message.Response(head, body)
-        if self._response_started:
+        is_failure = (
+            head.status >= SERVER_ERROR and self._routed.info.repeatable
+        )
+        if not connection.is_complete:
+            if self._response_started or is_failure:
+                raise connections.BrokenError(
+                    f"{connection.address}: a failure of more than"
+                    f" {MAX_BUFFERED_RESPONSE_BYTES} bytes"
+                )
+            await self._forward_large(connection, response)
+        elif self._response_started:
             self._report_failure(False, core_message.Reason.STREAM_BROKEN)
-        elif head.status >= SERVER_ERROR and self._routed.info.repeatable:
+        elif is_failure:
             self._error_response = response
             self._report_failure(
                 False, core_message.Reason.BACKEND_LOST, failed=True
@@ -357,6 +377,51 @@
             await self._send_response(response)
             self._report_complete(head.status)
 
+    async def _discard_body(self, connection: connections.Connection) -> None:
+        """Reads the body of a refusal, whose head says all that matters."""
+        try:
+            await connection.discard_body()
+        except connections.BrokenError as error:
+            LOG.debug("body of a refusal not read: %s", error)
+
+    async def _forward_large(
+        self, connection: connections.Connection, begun: message.Response
+    ) -> None:
+        """Forwards a response that is too large to be kept.
+
+        No other attempt can follow, since its begin has been sent.
+
+        Args:
+            connection: The connection.
+            begun: The response as far as it has been read.
+        """
+        length = connection.declared_length
+        size = len(begun.body)
+        self._record_first_event()
+        self._response_started = True
+        await self._writer.start(begun.head, length)
+        await self._writer.write(begun.body)
+        try:
+            while (part := await connection.read_part()) is not None:
+                size += len(part)
+                if length is None and size > MAX_UNDECLARED_BYTES:
+                    raise connections.BrokenError(
+                        f"{connection.address}: a response of more than"
+                        f" {MAX_UNDECLARED_BYTES} bytes without a length"
+                    )
+                await self._writer.write(part)
+        except connections.BrokenError as error:
+            LOG.info("large response broke off", extra={"detail": str(error)})
+            ended = msgspec.structs.replace(
+                self._make_ended(False), broken=True
+            )
+            self._ticket.report(
+                tickets.AnswerLost(ended, core_message.Reason.BACKEND_LOST)
+            )
+            return
+        await self._writer.finish()
+        self._report_complete(begun.head.status)
+
     async def _send_response(self, response: message.Response) -> None:
         await self._writer.start(response.head, len(response.body))
         await self._writer.write(response.body)
@@ -371,6 +436,11 @@
         """Forwards each event as soon as it is complete."""
         while (data := await self._read_part(connection)) is not None:
             events = self._splitter.split(data)
+            if self._splitter.remainder_bytes > MAX_EVENT_BYTES:
+                raise connections.BrokenError(
+                    f"{connection.address}: an event of more than"
+                    f" {MAX_EVENT_BYTES} bytes"
+                )
             if not events:
                 continue
             self._record_first_event()
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -17,6 +17,7 @@
 from ramptray.bundle import model
 from ramptray.platform import header
 from ramptray.settings import Address, split_address
+from ramptray.standin.replica import flood
 
 LOG = logging.getLogger(__name__)
 
@@ -86,6 +87,8 @@
             for any number.
         max_connections: Number of connections from all callers that it holds;
             it resets further ones.  None for any number.
+        flood: Which bytes without end it writes instead of responses, see
+            ``flood.FLOODS``; empty for none.
     """
 
     refuse: bool = False
@@ -103,6 +106,7 @@
     brittle: tuple[str, ...] = ()
     room: int | None = None
     max_connections: int | None = None
+    flood: str = ""
 
 
 class Ledger(msgspec.Struct):
@@ -258,6 +262,10 @@
             *response_headers,
             (header.SIGNATURE, f"{self._settings.name}.{path}".encode()),
         ]
+        if faults.flood:
+            name = signed[-1][1].decode()
+            await flood.write(stream, faults.flood, request_id, name)
+            return False
         if path.startswith("/stream"):
             return await self._stream(stream, http, headers, signed)
         try:
