--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -18,6 +18,8 @@
 
 
 DEFAULT_PROPAGATION_MS = 1000 * propagation.DEFAULT_BOUND_S
+"""Time within which a change is in force where the file names none, in
+milliseconds."""
 
 
 class SettingsError(Exception):
--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -54,12 +54,12 @@
 """Parts of a response that are decoded before other requests get their turn.
 64 KB can hold thousands."""
 
-
 MAX_SMALL_PARTS_PER_S = 2000
+"""Most small parts of a body a second on one connection.  Each part takes CPU
+time, whatever its size, and no server sends tokens so fast."""
+
 MIN_MEAN_PART_BYTES = 16
-"""Mean size below which parts of a body count as small, in bytes.  Decoding
-more of them a second than ``MAX_SMALL_PARTS_PER_S`` takes a tenth of the CPU
-time of a VM, and no server sends tokens so fast."""
+"""Mean size below which parts of a body count as small, in bytes."""
 
 
 class RelayError(Exception):
@@ -165,7 +165,7 @@
         # Bytes of the response that is being skipped; None if none is.
         self._skipped_bytes: int | None = None
         self._events_in_turn = 0
-        # Parts of the body since a time within the last second.
+        # Number and bytes of the parts of bodies since that time.
         self._parts_since = 0.0
         self._part_count = 0
         self._part_bytes = 0
