Read only complete lines of a running program's log in tests

test_late_departure failed once beside three other parts of the suite (load average 16) with a JSONDecodeError: it read a log whose last line was being written. read_log now leaves out a last line without its end.

--- a/test/node.py
+++ b/test/node.py
@@ -332,11 +332,13 @@
         ]
 
     def read_log(self, name: str) -> list[dict[str, Any]]:
-        """Returns the log lines of a process."""
+        """Returns the complete log lines of a process."""
         text = (self.folder / f"{name}.log").read_text()
+        # The process may be writing the last line.
+        complete = text[: text.rfind("\n") + 1]
         return [
             json.loads(line)
-            for line in text.splitlines()
+            for line in complete.splitlines()
             if line.startswith("{")
         ]
 
