Let one function run the watching reader of three tests

Three new tests of the reader repeated its set-up and end. The docstring of PropagationLimits said that the paths add up to the limit, which is no longer so since a reserve is left.

--- a/ramptray/core/propagation.py
+++ b/ramptray/core/propagation.py
@@ -49,8 +49,8 @@
     """Divides the time in which a change must be in force on every VM.
 
     Attributes:
-        bound_s: That time, in seconds.  The parts of the paths add up to it if
-            it is at least that of ``DEFAULT_BOUND_S``.
+        bound_s: That time, in seconds.  No path takes longer if it is at least
+            ``DEFAULT_BOUND_S``.
     """
 
     bound_s: float = DEFAULT_BOUND_S
--- a/test/test_reader.py
+++ b/test/test_reader.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import pytest
@@ -114,6 +115,17 @@
                 await anyio.sleep(0.01)
 
 
+@contextlib.asynccontextmanager
+async def run_watching(log: Log) -> AsyncIterator[Reader]:
+    """Runs a reader that watches the log."""
+    stream_reader = Reader(log)
+    stream_reader.set_watching(True)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stream_reader.run)
+        yield stream_reader
+        tasks.cancel_scope.cancel()
+
+
 async def lose_read(log: Log, stream_reader: Reader) -> None:
     """Makes the pending read one that the log never answers."""
     await stream_reader.wait_for(0, 1.0)
@@ -252,24 +264,17 @@
     # The first of several repeated calls was answered 1.6 s after it was sent,
     # and what it had read counted as the log's state at its arrival.
     log = Log()
-    stream_reader = Reader(log)
-    stream_reader.set_watching(True)
     log.delay_s = 2 * hedging.HEDGE_DELAY_S
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(stream_reader.run)
-        began = steadyclock.read()
+    began = steadyclock.read()
+    async with run_watching(log) as stream_reader:
         await stream_reader.wait_for(0, log.delay_s + 0.3)
         await anyio.sleep(0.05)
         assert stream_reader.fresh_at <= began + 0.1
-        tasks.cancel_scope.cancel()
 
 
 async def test_an_empty_answer_is_as_old_as_the_end_of_its_wait() -> None:
     log = Log()
-    stream_reader = Reader(log)
-    stream_reader.set_watching(True)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(stream_reader.run)
+    async with run_watching(log) as stream_reader:
         await stream_reader.wait_for(0, 1.0)
         sent_at = steadyclock.read()
         log.delay_s = 0.4
@@ -277,17 +282,13 @@
         assert stream_reader.fresh_at == pytest.approx(
             sent_at + propagation.WATCH_WAIT_S, abs=0.1
         )
-        tasks.cancel_scope.cancel()
 
 
 async def test_a_late_empty_answer_does_not_undo_what_peers_sent() -> None:
     # It moved the end of the copy back, erased that records were missing, and
     # counted as the log's state at its arrival.
     log = Log()
-    stream_reader = Reader(log)
-    stream_reader.set_watching(True)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(stream_reader.run)
+    async with run_watching(log) as stream_reader:
         await stream_reader.wait_for(0, 1.0)
         log.delay_s = 0.5
         await anyio.sleep(propagation.WATCH_WAIT_S + 0.2)
@@ -301,4 +302,3 @@
         assert stream_reader.end == 2
         assert stream_reader.fresh_at == fresh_at
         assert stream_reader.is_behind
-        tasks.cancel_scope.cancel()
