Log why an answer was cut, and for how long its server was silent

No line told, for an answer that a VM ended early, for how long the server had been silent, whether anything still listened there, and whether the retry budget allowed another attempt. attempt_failed and the new answer_cut say so, and ramptray_answers_cut_total counts by cause.

--- a/ramptray/caller/metrics.py
+++ b/ramptray/caller/metrics.py
@@ -34,6 +34,7 @@
         self._ended: collections.Counter[tuple[str, str, str]] = (
             collections.Counter()
         )
+        self._cut: collections.Counter[tuple[str, str]] = collections.Counter()
         self._tokens: collections.Counter[str] = collections.Counter()
         self._histograms: dict[tuple[str, str], histogram.HdrHistogram] = {}
 
@@ -41,6 +42,10 @@
         """Counts a finished request."""
         self._ended[tier, outcome, reason] += 1
 
+    def count_cut(self, cause: str, kind: str) -> None:
+        """Counts an answer that ended before its end, by the kind of route."""
+        self._cut[cause, kind] += 1
+
     def count_tokens(self, tier: str, tokens: int) -> None:
         """Counts the output tokens of a complete response."""
         self._tokens[tier] += tokens
@@ -63,6 +68,10 @@
         for (tier, outcome, reason), count in sorted(self._ended.items()):
             labels = f'tier="{tier}",outcome="{outcome}",reason="{reason}"'
             yield f"ramptray_requests_ended_total{{{labels}}} {count}"
+        yield "# TYPE ramptray_answers_cut_total counter"
+        for (cause, kind), count in sorted(self._cut.items()):
+            labels = f'cause="{cause}",kind="{kind}"'
+            yield f"ramptray_answers_cut_total{{{labels}}} {count}"
         yield "# TYPE ramptray_output_tokens_total counter"
         for tier, count in sorted(self._tokens.items()):
             yield f'ramptray_output_tokens_total{{tier="{tier}"}} {count}'
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -173,6 +173,11 @@
             and self._budget.has_attempts_left(machine.info.shard.service, now)
         )
 
+    def has_budget(self, ticket: tickets.Ticket) -> bool:
+        """Returns whether the retry budget allows another attempt now."""
+        service = ticket.info.shard.service
+        return self._budget.has_attempts_left(service, steadyclock.read())
+
     def submit(
         self,
         info: message.RequestInfo,
@@ -340,6 +345,7 @@
             not_run=event.not_run,
             reason=event.reason.value,
             repeated=may_retry,
+            budget_left=self._budget.has_attempts_left(info.shard.service, now),
             content=info.content or None,
             **(msgspec.to_builtins(event.fault) if event.fault else {}),
         )
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -105,12 +105,14 @@
             empty if none was tried.
         after_s: Seconds since the request was sent.
         events: Number of events of the response that had arrived.
+        silent_s: Seconds since the server sent anything.
     """
 
     detail: str
     presence: str
     after_s: float
     events: int
+    silent_s: float
 
 
 class AttemptFailed(msgspec.Struct, frozen=True):
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -139,6 +139,7 @@
         origins: origin_store.OriginStore,
     ) -> None:
         self.outcome = ""
+        self.cut_cause = ""
         self.first_event_s: float | None = None
         self._routed = routed
         self._dispatcher = dispatcher
@@ -159,6 +160,9 @@
         # between two parts.
         self._last_part_at = 0.0
         self._longest_pause_s = 0.0
+        # When the server of the current attempt last sent anything.
+        self._last_heard_at = 0.0
+        self._last_fault: tickets.Fault | None = None
 
     async def run(self) -> None:
         """Serves the request; cancelled when the caller disconnects."""
@@ -186,6 +190,7 @@
         self.outcome = finish.reason.value if finish.reason else "complete"
         if finish.outcome is core_message.Outcome.COMPLETE:
             return
+        self._note_cut(finish)
         if self._response_started:
             await self._writer.abort()
         elif self._error_response is not None:
@@ -194,6 +199,25 @@
         else:
             await self._writer.refuse(refusal.make_refusal(finish))
 
+    def _note_cut(self, finish: request.Finish) -> None:
+        """Notes why an answer ends that its caller could still have got."""
+        if finish.outcome is core_message.Outcome.NOT_RUN:
+            return
+        self.cut_cause = self.outcome
+        now = steadyclock.read()
+        fault = self._last_fault
+        self._dispatcher.timeline.note(
+            "answer_cut",
+            self._request_id,
+            cause=self.cut_cause,
+            begun=self._response_started,
+            silent_s=round(now - self._last_heard_at, 4),
+            presence=fault.presence if fault else None,
+            left_s=round(self._deadline - now, 3),
+            attempts=self._ticket.machine.dispatches,
+            budget_left=self._dispatcher.has_budget(self._ticket),
+        )
+
     async def _attempt(self, grant: core_message.Grant) -> None:
         target = self._resolve_target(grant)
         if target is None:
@@ -207,6 +231,7 @@
         # cancellation first.
         await anyio.lowlevel.checkpoint()
         self._sent_at = self._last_part_at = steadyclock.read()
+        self._last_heard_at = self._sent_at
         self._first_event_at = None
         self._events_before_attempt = self._splitter.count
         self._longest_pause_s = 0.0
@@ -238,9 +263,9 @@
         is_direct: bool,
     ) -> tickets.Fault:
         """Probes a backend server after its direct connection broke."""
-        after_s = steadyclock.read() - self._sent_at
+        now = steadyclock.read()
         presence = ""
-        if is_direct and not isinstance(error, connections.HungError):
+        if is_direct:
             found = await backend_probe.probe_backend(
                 target.address, target.delay_s
             )
@@ -248,8 +273,9 @@
         return tickets.Fault(
             str(error),
             presence,
-            round(after_s, 4),
+            round(now - self._sent_at, 4),
             self._splitter.count - self._events_before_attempt,
+            round(now - self._last_heard_at, 4),
         )
 
     async def _read_head(
@@ -316,6 +342,7 @@
             )
             await connection.send(self._routed.asked, attempt)
             head = await self._read_head(connection)
+            self._last_heard_at = steadyclock.read()
             # Before the body: requests in flight are checked against these
             # hints.
             self._dispatcher.server_hints.observe(
@@ -444,6 +471,7 @@
     ) -> None:
         """Forwards each event as soon as it is complete."""
         while (data := await self._read_part(connection)) is not None:
+            self._last_heard_at = steadyclock.read()
             events = self._splitter.split(data)
             if self._splitter.remainder_bytes > MAX_EVENT_BYTES:
                 raise connections.BrokenError(
@@ -676,6 +704,7 @@
             failed: Whether the backend server responded with a server error.
         """
         self._splitter.take_remainder()
+        self._last_fault = fault
         ended = msgspec.structs.replace(
             self._make_ended(False),
             broken=fault is not None,
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -188,6 +188,10 @@
             self._metrics.count_end(
                 tier, active.outcome, routed.route.kind.value
             )
+            if active.cut_cause:
+                self._metrics.count_cut(
+                    active.cut_cause, routed.route.kind.value
+                )
             self._metrics.record(
                 "answer", tier, steadyclock.read() - started_at
             )
