--- /dev/null
+++ b/test/silent_load.py
@@ -0,0 +1,243 @@
+"""Callers of streams whose servers stop sending for a while and go on."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import functools
+import http.client
+import itertools
+import re
+import threading
+import time
+from collections.abc import Collection, Iterator
+from typing import Any
+
+from test import node
+from test.test_node import ask, make_headers, wait_until
+
+EVENTS = 12
+EVENT_S = 0.3
+"""Seconds between two events of a stream."""
+
+TIME_LIMIT_MS = 12_000
+SERVERS, VMS = 4, 4
+CALLERS_PER_VM = 3
+ZONES = ("waw-a", "waw-b")
+
+_EVENT_ID = re.compile(rb"id: (\d+)\n")
+_NUMBERS = itertools.count(1)
+
+
+@dataclasses.dataclass
+class Reading:
+    """A request and what its caller has read of the answer.
+
+    Attributes:
+        request_id: Its id.
+        vm: The VM that was asked.
+        status: Status of the answer; 0 if there was none.
+        ids: Ids of the events, in the order of their arrival.
+        is_whole: Whether the answer arrived up to its end.
+        has_left: Whether the caller left because nothing arrived.
+        took_s: Seconds from the request to the end of the answer.
+    """
+
+    request_id: str
+    vm: str
+    status: int = 0
+    ids: list[int] = dataclasses.field(default_factory=list)
+    is_whole: bool = False
+    has_left: bool = False
+    took_s: float = 0.0
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the VM ended it without an answer or a refusal."""
+        is_refused = self.status in (429, 503)
+        return not (self.is_whole or self.has_left or is_refused)
+
+    @property
+    def is_in_order(self) -> bool:
+        """Whether each event arrived once, in order."""
+        return self.ids == list(range(1, len(self.ids) + 1))
+
+
+def make_config(version: int, **changes: Any) -> dict[str, Any]:
+    """Returns a configuration with a long time limit on all routes.
+
+    Args:
+        version: Its version.
+        changes: Fields of the routes that differ.
+    """
+    config = node.make_config(version)
+    return {
+        **config,
+        "routes": [
+            {**route, "timeoutMs": TIME_LIMIT_MS, **changes}
+            for route in config["routes"]
+        ],
+    }
+
+
+@contextlib.contextmanager
+def run_streaming(
+    vms: int = VMS,
+    servers: int = SERVERS,
+    bounds: dict[str, float] | None = None,
+) -> Iterator[node.Platform]:
+    """Runs VMs and slow servers in two zones."""
+    with node.run_platform(vms=0, replicas=0, bounds=bounds) as started:
+        started.set_config(make_config(1))
+        for number in range(servers):
+            started.start_replica(
+                f"i-{number}",
+                zone=ZONES[number % 2],
+                events=EVENTS,
+                work_s=EVENT_S,
+            )
+            started.write_record(f"i-{number}", born=1, zone=ZONES[number % 2])
+        for number in range(vms):
+            started.start_vm(f"vm-{number}", zone=ZONES[number % 2])
+        for vm in started.vms:
+            wait_until(functools.partial(_is_serving, started, vm))
+        yield started
+
+
+def _is_serving(started: node.Platform, vm: str) -> bool:
+    return ask(started, "/safe/", vm=vm).status == 200
+
+
+def read_answer(
+    started: node.Platform,
+    path: str,
+    vm: str,
+    patience_s: float = TIME_LIMIT_MS / 1000,
+) -> Reading:
+    """Sends a request and reads its answer.
+
+    Args:
+        started: The deployment.
+        path: What is asked.
+        vm: The VM that is asked.
+        patience_s: Silence after which the caller leaves, in seconds.
+    """
+    reading = Reading(f"silent-{next(_NUMBERS)}", vm)
+    host, port = started.vms[vm]["front"].split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=patience_s)
+    headers = make_headers(
+        X_Request_Id=reading.request_id, X_Deadline_Ms=str(TIME_LIMIT_MS)
+    )
+    began_at = time.monotonic()
+    try:
+        connection.request("POST", path, b"x", headers)
+        response = connection.getresponse()
+        reading.status = response.status
+        length = response.length
+        body = b""
+        while part := response.read1():
+            body += part
+            reading.ids = [int(found[1]) for found in _EVENT_ID.finditer(body)]
+        is_complete = length is None or len(body) == length
+        reading.is_whole = reading.status == 200 and is_complete
+    except TimeoutError:
+        reading.has_left = True
+    except (OSError, http.client.HTTPException):
+        pass
+    finally:
+        connection.close()
+    reading.took_s = time.monotonic() - began_at
+    return reading
+
+
+class StreamCallers:
+    """Callers that ask all VMs again and again until they are stopped.
+
+    Args:
+        started: The deployment.
+        path: What is asked.
+        per_vm: Callers of each VM.
+        patience_s: Silence after which a caller leaves, in seconds.
+
+    Attributes:
+        readings: What was asked, in no order.
+    """
+
+    def __init__(
+        self,
+        started: node.Platform,
+        path: str,
+        per_vm: int = CALLERS_PER_VM,
+        patience_s: float = TIME_LIMIT_MS / 1000,
+    ) -> None:
+        self.readings: list[Reading] = []
+        self._started = started
+        self._path = path
+        self._patience_s = patience_s
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._ask_on, args=(vm,))
+            for vm in started.vms
+            for _ in range(per_vm)
+        ]
+
+    def __enter__(self) -> StreamCallers:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def list_lost(self) -> list[Reading]:
+        """Returns the requests that ended without an answer."""
+        return [each for each in self.readings if each.is_lost]
+
+    def _ask_on(self, vm: str) -> None:
+        while not self._stopped.is_set():
+            reading = read_answer(
+                self._started, self._path, vm, self._patience_s
+            )
+            self.readings.append(reading)
+            if not reading.is_whole:
+                self._stopped.wait(0.2)
+
+
+@contextlib.contextmanager
+def pause_servers(
+    started: node.Platform, names: Collection[str], work_s: float
+) -> Iterator[None]:
+    """Makes servers take longer for each event that they begin meanwhile."""
+    for name in names:
+        started.set_faults(name, work_s=work_s)
+    try:
+        yield
+    finally:
+        for name in names:
+            started.set_faults(name)
+
+
+@contextlib.contextmanager
+def change_configuration(
+    started: node.Platform, interval_s: float, first: int = 2
+) -> Iterator[None]:
+    """Sends a new configuration at regular intervals."""
+    over = threading.Event()
+
+    def run() -> None:
+        for version in itertools.count(first):
+            if over.wait(interval_s):
+                return
+            started.set_config(
+                make_config(version, targetLatencyMs=500 + version % 2)
+            )
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    try:
+        yield
+    finally:
+        over.set()
+        thread.join()
