Close no connection in use because of a record alone

The record was taken as proof that the former run had ended, and its connections were closed.

Now a record makes the VM look: only where nothing accepts connections at the former run's address any more are its requests in flight given up. A run that lost power is then left as quickly as before.

test_requests_at_ended_run_do_not_wait simulated the loss of power with SIGSTOP. The kernel of a stopped process goes on accepting connections, so that test could not tell a lost run from a slow one. It now uses a partition, in which connections stay open and silent and new ones are not answered; its bounds and statuses are the same.

--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -231,12 +231,12 @@
                 self._relay_client.expire_idle
             )
 
-            def close_former_runs(backend: str, run: int) -> None:
+            def leave_lost_runs(backend: str, run: int) -> None:
                 tasks.start_soon(
-                    self._relay_client.close_former_runs, backend, run
+                    self._relay_client.leave_lost_runs, backend, run
                 )
 
-            self._dispatcher.backends.on_backend_restart = close_former_runs
+            self._dispatcher.backends.on_backend_restart = leave_lost_runs
             await self._serve(tasks, stop)
             await peers.stop()
             await self._runtime.client.close()
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -6,6 +6,7 @@
 import collections
 import contextlib
 import itertools
+import logging
 from collections.abc import AsyncIterator, Collection, Iterable
 
 import anyio
@@ -13,10 +14,12 @@
 
 from ramptray import steadyclock
 from ramptray.core import message as core_message
-from ramptray.relay import byte_stream
+from ramptray.relay import backend_probe, byte_stream
 from ramptray.relay import connection as connections
 from ramptray.relay import dialect as dialects
 
+LOG = logging.getLogger(__name__)
+
 MAX_IDLE_NOT_REPEATABLE_S = 5.0
 """Longest idle time, in seconds, of a connection that is reused for a request
 that may run only once.  If the server closes the connection while the request
@@ -133,25 +136,58 @@
                 with anyio.CancelScope(shield=True):
                     await connection.close()
 
-    async def close_former_runs(self, backend: str, run: int) -> None:
-        """Closes connections to earlier runs of a backend server.
+    async def leave_lost_runs(self, backend: str, run: int) -> None:
+        """Leaves earlier runs of a backend server that were lost.
+
+        A run that lost power sends nothing, so requests in flight would
+        otherwise wait until its connections' keepalive fails.  An earlier run
+        that still accepts connections keeps its requests, but gets no new ones.
 
-        A run that lost power sends nothing, so requests in flight on these
-        connections would otherwise wait until their callers' deadlines.
+        Args:
+            backend: The backend server.
+            run: Its current run.
         """
         current = connections.Target("", backend, run)
-        stale = [
+        for idle in itertools.chain(*self._idle.values()):
+            if idle.target.is_other_run(current):
+                idle.idle_timeout_s = 0.0
+        in_use = [
             connection
-            for connection in (
-                *itertools.chain(*self._idle.values()),
-                *self._borrowed,
-            )
+            for connection in self._borrowed
             if connection.target.is_other_run(current)
         ]
-        for connection in stale:
-            # Idle connections are not reused; borrowed ones fail in use.
-            connection.idle_timeout_s = 0.0
-            await connection.close()
+        for former in {connection.target for connection in in_use}:
+            is_lost = not await self._is_listening(former)
+            LOG.info(
+                "former run of a backend server",
+                extra={
+                    "backend": backend,
+                    "run": former.run,
+                    "address": former.address,
+                    "lost": is_lost,
+                },
+            )
+            if is_lost:
+                await self._close_lost(former)
+
+    async def _close_lost(self, former: connections.Target) -> None:
+        for connection in list(self._borrowed):
+            if connection.target == former:
+                connection.is_run_lost = True
+                await connection.close()
+
+    async def _is_listening(self, target: connections.Target) -> bool:
+        """Returns whether something accepts connections of a server.
+
+        Through a gateway this is not known; the gateway's own connection then
+        shows whether the server is lost.
+        """
+        if target.gateway:
+            return True
+        found = await backend_probe.probe_backend(
+            target.address, target.delay_s
+        )
+        return found is backend_probe.ProbeResult.LISTENING
 
     async def run(self) -> None:
         """Closes expired connections at regular intervals until cancelled."""
--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -140,8 +140,20 @@
     """Nothing arrived for so long that the connection may be dead."""
 
 
+class RunLostError(BrokenError):
+    """The run of the backend server was lost, and another one was announced.
+
+    It may have lost power, so that its connections stay open.
+    """
+
+
 class Connection:
-    """A connection to a backend server that carries one request at a time."""
+    """A connection to a backend server that carries one request at a time.
+
+    Attributes:
+        target: The backend server.
+        is_run_lost: Whether it was closed as its server's run was lost.
+    """
 
     def __init__(
         self,
@@ -151,6 +163,7 @@
     ) -> None:
         self.target = target
         self.address = target.address
+        self.is_run_lost = False
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._stream = stream
@@ -441,7 +454,8 @@
         except anyio.EndOfStream:
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise BrokenError(f"{self.address}: {error!r}") from error
+            kind = RunLostError if self.is_run_lost else BrokenError
+            raise kind(f"{self.address}: {error!r}") from error
 
 
 def _get_remaining_s(deadline: float | None) -> float | None:
--- a/test/test_restarted_replica.py
+++ b/test/test_restarted_replica.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bench import proxy
 from test import node
 from test.test_node import ask, wait_until
 
@@ -52,19 +53,24 @@
 def test_requests_at_ended_run_do_not_wait(
     path: str, method: str, statuses: set[int]
 ) -> None:
-    # SIGSTOP simulates a power loss of the previous run: its connections stay
-    # open and silent.
+    # A partition simulates a power loss of the previous run: its connections
+    # stay open and silent, and new ones are not answered.
     with node.run_platform(replicas=0) as started:
         started.start_replica("i-0", work_s=0.3)
+        link = proxy.Proxy(started.replicas["i-0"])
+        started.announced["i-0"] = link.address
         started.write_record("i-0", born=FIRST)
-        wait_until(lambda: is_up(started))
+        wait_until(lambda: is_up(started) and link.passed_bytes > 0)
         started.move_replica("i-0", work_s=0.01)
+        del started.announced["i-0"]
         with futures.ThreadPoolExecutor(1) as pool:
             pending = pool.submit(ask, started, path, method, b"x")
             time.sleep(0.1)
-            started.processes["i-0-former"].send_signal(signal.SIGSTOP)
+            link.partition(proxy.Partition.HANG)
+            time.sleep(2 * proxy.TURN_S)
             started_at = time.monotonic()
             started.write_record("i-0", born=SECOND)
             response = pending.result()
             assert time.monotonic() - started_at < MAX_DURATION_S
+        link.close()
         assert response.status in statuses
