Send a silent request elsewhere without leaving its server

Cause: a silence of max(0.8 s, 4 x targetGapMs) within a stream that may be resumed, or of twice the objective before another response, counted as a failed attempt, and so did a silence of the callers' patience for other streams. The connection to the server was closed before another place was held, so whatever said no afterwards ended the answer: the owner's queue, as the time for waiting was over; the retry budget, which was asked before it was taken; a refusal by the next server, or its silence, once the attempts were used up.

Now silence ends nothing. A silent request that may be repeated is hedged: it is also sent to another server, under an id of its own at the owner, and the first of the two with the next part of the answer goes on; the other is left before that part is written. The retry is reserved when the place is sought and returned if it is not used. One module, core/hedging.py, says when a server that is at work may be left.

A resumed stream that stays silent lasts until its time limit, and its servers are left then.

--- a/ramptray/command/explain.py
+++ b/ramptray/command/explain.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ramptray.command.error import CommandError
+from ramptray.core import request
 
 LOOKBACK_S = 5.0
 """Age up to which state changes before a request are shown, in seconds.
@@ -101,7 +102,12 @@
     then each decision on it, and finally why it ended.
     """
     lines = sorted(read_lines(list_files(logs)), key=lambda line: line.time_s)
-    request_lines = [line for line in lines if line.subject == request_id]
+    request_lines = [
+        line
+        for line in lines
+        if line.subject == request_id
+        or line.subject.startswith(f"{request_id}{request.HEDGE_MARK}")
+    ]
     if not request_lines:
         raise CommandError(f"{request_id}: no line of these logs names it")
     first_s = request_lines[0].time_s
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -22,6 +22,10 @@
 NO_FAILURES: Mapping[str, message.GatewayFailure] = types.MappingProxyType({})
 
 
+HEDGE_MARK = "~"
+"""Separates the id of a request from the number of a further attempt that is
+scheduled beside the first one."""
+
 RELEASE_RETRY_AFTER_S = 1.0
 """Retry-After of a stream that was granted a server of another release, in
 seconds."""
@@ -289,6 +293,44 @@
             SendToOwner(self.owner, message.Enqueue(self.info)),
         ]
 
+    def fork(self, request_id: str) -> RequestMachine:
+        """Returns a machine for another attempt beside the current one.
+
+        It counts the attempts made so far as its own.  The two together send
+        the request to no more servers than allowed if only one of them goes on
+        to further attempts.
+
+        Args:
+            request_id: Under which its owner schedules the other attempt.
+        """
+        tried = (*self.tried, *([self.backend] if self.backend else []))
+        forked = RequestMachine(
+            msgspec.structs.replace(
+                self.info,
+                request_id=request_id,
+                avoid=tried,
+                attempt=self.dispatches,
+            ),
+            False,
+        )
+        forked.dispatches = self.dispatches
+        forked.tried = tried
+        forked._may_have_run = True
+        return forked
+
+    def absorb(self, forked: RequestMachine) -> None:
+        """Counts the attempts of a forked machine that has ended."""
+        if forked.dispatches > self.dispatches:
+            self.dispatches = forked.dispatches
+            self._may_have_run = True
+
+    def overtake(self, ended: message.Ended) -> list[Effect]:
+        """Ends the request here, as another machine's attempt answers it.
+
+        No caller is told, so the result has no reason.
+        """
+        return self._end_early(ended, None)
+
     def complete(self, ended: message.Ended) -> list[Effect]:
         """Ends a dispatched request whose response is complete."""
         return self._end_dispatched(Finish(message.Outcome.COMPLETE), ended)
@@ -313,12 +355,17 @@
 
     def cancel(self, ended: message.Ended) -> list[Effect]:
         """Ends the request because its caller has disconnected."""
+        return self._end_early(ended, message.Reason.CALLER_GONE)
+
+    def _end_early(
+        self, ended: message.Ended, reason: message.Reason | None
+    ) -> list[Effect]:
         if self.state is State.WAITING:
-            return self._end_waiting(message.Reason.CALLER_GONE, 0.0)
+            return self._end_waiting(reason, 0.0)
         if self.state is not State.DISPATCHED or self._grant is None:
             return []
         backend = self._grant.backend
-        finish = Finish(message.Outcome.UNKNOWN, message.Reason.CALLER_GONE)
+        finish = Finish(message.Outcome.UNKNOWN, reason)
         return [Cancel(backend), *self._end_dispatched(finish, ended)]
 
     def reject(
@@ -339,7 +386,7 @@
 
     def _end_waiting(
         self,
-        reason: message.Reason,
+        reason: message.Reason | None,
         retry_after_s: float,
         notify_owner: bool = True,
     ) -> list[Effect]:
--- a/ramptray/core/retry.py
+++ b/ramptray/core/retry.py
@@ -41,6 +41,9 @@
 class RetryBudget:
     """Counts requests and retries of each service over a sliding window.
 
+    A retry that is reserved counts as made until it is sent or released, so
+    that one reservation is never promised to two requests.
+
     Each VM enforces its own budget, so the total over all VMs holds without
     communication, also during a network partition.
     """
@@ -53,6 +56,7 @@
         self._retries: dict[str, meter.RateMeter] = collections.defaultdict(
             self._make_meter
         )
+        self._reserved: collections.Counter[str] = collections.Counter()
 
     def count_request(self, service: str, now: float) -> None:
         """Counts a request of a service."""
@@ -62,7 +66,8 @@
         """Returns whether the budget allows another retry."""
         requests = self._requests[service].get_sum(now)
         allowed = self.rules.extra + self.rules.ratio * requests
-        return self._retries[service].get_sum(now) + 1 <= allowed
+        used = self._retries[service].get_sum(now) + self._reserved[service]
+        return used + 1 <= allowed
 
     def try_take(self, service: str, now: float) -> bool:
         """Takes one retry from the budget and returns whether it allowed it."""
@@ -71,5 +76,21 @@
         self._retries[service].add(1, now)
         return True
 
+    def reserve(self, service: str, now: float) -> bool:
+        """Reserves one retry and returns whether the budget allowed it."""
+        if not self.has_attempts_left(service, now):
+            return False
+        self._reserved[service] += 1
+        return True
+
+    def use_reserved(self, service: str, now: float) -> None:
+        """Counts a reserved retry as sent."""
+        self._reserved[service] -= 1
+        self._retries[service].add(1, now)
+
+    def release(self, service: str) -> None:
+        """Returns a reserved retry that was not sent."""
+        self._reserved[service] -= 1
+
     def _make_meter(self) -> meter.RateMeter:
         return meter.RateMeter(self.rules.window_s)
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -11,17 +11,19 @@
 import logging
 import random
 from collections.abc import Callable, Iterable
-from typing import Protocol
+from typing import Any, Protocol
 
 import anyio
 import anyio.abc
 import msgspec
+from result import Err, Ok, Result
 
 from ramptray import mailbox, runtime, steadyclock
 from ramptray.bundle import acceptance, signature
 from ramptray.core import (
     blocklist,
     claim,
+    hedging,
     limit_use,
     message,
     queue,
@@ -91,6 +93,8 @@
         connect_failures: Number of dispatches without a connection to the
             backend server: it was "refused", the server was "silent", or no
             "gateway" opened one.
+        hedges: Number of further attempts that "answered" instead of a silent
+            one, and of those that were denied, by the reason.
         gateway_use: Tracks whether requests go through other VMs.
         on_silent_owner: Called with the address of a scheduler that does not
             reply.
@@ -111,6 +115,9 @@
         self.backends = backend_directory.BackendDirectory(settings.zone)
         self.redirects = redirects.RedirectCounter()
         self.gateway_use = gateway_use.GatewayUse()
+        self.hedges = collections.Counter[str](
+            {"answered": 0, **{denial.value: 0 for denial in hedging.Denial}}
+        )
         self.connect_failures = collections.Counter[str](
             refused=0, silent=0, gateway=0
         )
@@ -163,15 +170,69 @@
         """Number of requests that have not ended."""
         return len(self._tickets)
 
-    def may_retry(self, ticket: tickets.Ticket) -> bool:
-        """Returns whether another attempt of a request would be allowed now."""
-        machine = ticket.machine
+    def hedge(
+        self, ticket: tickets.Ticket
+    ) -> Result[tickets.Ticket, hedging.Denial]:
+        """Seeks a backend server for another attempt beside a silent one.
+
+        A retry is reserved for it until it is dispatched or ends.
+
+        Args:
+            ticket: The request, which has been dispatched.
+
+        Returns:
+            The ticket of the further attempt, or why there may be none now.
+        """
         now = steadyclock.read()
-        return (
-            now < ticket.deadline
-            and machine.dispatches < machine.info.max_attempts
-            and self._budget.has_attempts_left(machine.info.shard.service, now)
+        if denial := self._find_hedge_denial(ticket, now):
+            self.hedges[denial.value] += 1
+            return Err(denial)
+        hedge = ticket.fork()
+        hedge.holds_retry = True
+        self._tickets[hedge.request_id] = hedge
+        self._note(
+            "hedge",
+            hedge,
+            silent=ticket.machine.backend,
+            attempts=ticket.machine.dispatches,
         )
+        owner = ticket.machine.owner
+        if owner and self._owners.is_usable(owner, now):
+            effects = hedge.machine.assign(owner, self._get_info(hedge, now))
+            self._apply_effects(hedge, effects, now)
+        else:
+            self._assign(hedge, now)
+        return Ok(hedge)
+
+    def _find_hedge_denial(
+        self, ticket: tickets.Ticket, now: float
+    ) -> hedging.Denial | None:
+        """Returns why there may be no further attempt; None if one follows.
+
+        A retry is reserved if one follows.
+        """
+        machine = ticket.machine
+        info = machine.info
+        if not info.repeatable:
+            return hedging.Denial.NOT_REPEATABLE
+        if machine.state is not request.State.DISPATCHED:
+            return hedging.Denial.ENDED
+        if machine.dispatches >= info.max_attempts:
+            return hedging.Denial.ATTEMPTS
+        if now >= ticket.deadline:
+            return hedging.Denial.DEADLINE
+        if self._block_propagator.find_block(info, now):
+            return hedging.Denial.BLOCKED
+        if not self._budget.reserve(info.shard.service, now):
+            return hedging.Denial.BUDGET
+        return None
+
+    def promote(self, ticket: tickets.Ticket) -> None:
+        """Makes a further attempt the one that answers its request."""
+        if ticket.hedges is not None:
+            ticket.hedges.hedges = ticket
+            ticket.hedges = None
+            self.hedges["answered"] += 1
 
     def has_budget(self, ticket: tickets.Ticket) -> bool:
         """Returns whether the retry budget allows another attempt now."""
@@ -234,9 +295,9 @@
                 if machine.owner:
                     corrected = self._lag.exclude_lag(first, ticket.delay_s)
                     self._send(machine.owner, corrected)
-                self.timeline.note(
+                self._note(
                     "first_token",
-                    first.request_id,
+                    ticket,
                     elapsed_s=round(first.elapsed_s, 4),
                 )
             case tickets.StreamBegun(_, release):
@@ -249,6 +310,8 @@
                 self._apply_effects(ticket, machine.end_refused(ended), now)
             case tickets.AttemptFailed():
                 self._end_attempt(ticket, event, now)
+            case tickets.Overtaken(ended):
+                self._apply_effects(ticket, machine.overtake(ended), now)
             case tickets.AnswerLost(ended, reason):
                 self._apply_effects(
                     ticket, machine.end_unknown(reason, ended), now
@@ -272,9 +335,9 @@
         if not is_direct:
             kind = "gateway"
         self.connect_failures[kind] += 1
-        self.timeline.note(
+        self._note(
             "connect_failed",
-            ticket.info.request_id,
+            ticket,
             backend=machine.backend,
             owner=machine.owner,
             reason=kind,
@@ -305,9 +368,9 @@
             # Sent before the grant is returned; otherwise the owner would grant
             # the same server again.
             self.server_hints.send_one(machine.owner, backend, now)
-        self.timeline.note(
+        self._note(
             "grant_returned",
-            ticket.info.request_id,
+            ticket,
             backend=backend,
             owner=machine.owner,
             reason=reason.value,
@@ -320,7 +383,8 @@
         """Retries a request elsewhere if its limits and the budget allow it."""
         info = ticket.machine.info
         may_run_again = (
-            now < ticket.deadline
+            not event.is_hedged
+            and now < ticket.deadline
             and (event.not_run or info.repeatable)
             and not self._block_propagator.find_block(info, now)
         )
@@ -337,9 +401,9 @@
         effects = ticket.machine.fail_attempt(
             event.ended, event.not_run, may_retry, finish
         )
-        self.timeline.note(
+        self._note(
             "attempt_failed",
-            info.request_id,
+            ticket,
             backend=backend,
             attempts=ticket.machine.dispatches,
             not_run=event.not_run,
@@ -432,11 +496,12 @@
                     self._send(owner, sent)
                 case request.Dispatch(grant):
                     ticket.dispatched_at = now
+                    self._use_reserved_retry(ticket, now)
                     self._record_use(ticket, grant, now)
                     record = self.backends.describe_record(grant.backend)
-                    self.timeline.note(
+                    self._note(
                         "dispatch",
-                        grant.request_id,
+                        ticket,
                         backend=grant.backend,
                         owner=grant.owner,
                         release=grant.release,
@@ -451,22 +516,43 @@
                     self.gateway_use.record_dispatch(bool(grant.gateways), now)
                     ticket.send_effect(effect)
                 case request.Finish(outcome, reason):
-                    self._tickets.pop(ticket.info.request_id, None)
-                    self.timeline.note(
-                        "end",
-                        ticket.info.request_id,
+                    self._tickets.pop(ticket.request_id, None)
+                    self._note(
+                        "attempt_ended" if ticket.hedges else "end",
+                        ticket,
                         outcome=outcome.value,
                         reason=reason.value if reason else None,
                         owner=ticket.machine.owner,
                         attempts=ticket.machine.dispatches,
                         age_s=round(now - ticket.started_at, 4),
                     )
+                    self._end_hedge(ticket)
                     ticket.send_effect(effect)
                 case request.Release():
                     self._claims.release(ticket)
                 case request.Cancel():
                     pass  # The exchange cancels its own stream.
 
+    def _note(self, kind: str, ticket: tickets.Ticket, **facts: Any) -> None:
+        """Notes an event of a request, and of which of its attempts it is."""
+        request_id = ticket.info.request_id
+        if ticket.request_id != request_id:
+            facts["hedge"] = ticket.request_id
+        self.timeline.note(kind, request_id, **facts)
+
+    def _use_reserved_retry(self, ticket: tickets.Ticket, now: float) -> None:
+        if ticket.holds_retry:
+            ticket.holds_retry = False
+            self._budget.use_reserved(ticket.info.shard.service, now)
+
+    def _end_hedge(self, ticket: tickets.Ticket) -> None:
+        """Releases the retry of a ticket, and counts its attempts if beside."""
+        if ticket.holds_retry:
+            ticket.holds_retry = False
+            self._budget.release(ticket.info.shard.service)
+        if ticket.hedges is not None:
+            ticket.hedges.machine.absorb(ticket.machine)
+
     def _record_use(
         self, ticket: tickets.Ticket, grant: message.Grant, now: float
     ) -> None:
@@ -579,9 +665,9 @@
             spilled_from=(*info.spilled_from, info.shard.zone),
         )
         self.redirects.count_redirect(redirect.zone, redirect.reason)
-        self.timeline.note(
+        self._note(
             "redirect",
-            info.request_id,
+            ticket,
             zone=redirect.zone,
             reason=redirect.reason,
             delay_s=round(redirect.delay_s, 4),
@@ -718,9 +804,7 @@
         )
         ticket.delay_s = 0.0
         self.redirects.count_redirect(zone, redirects.CAME_BACK)
-        self.timeline.note(
-            "came_back", ticket.info.request_id, zone=zone, owner=owner
-        )
+        self._note("came_back", ticket, zone=zone, owner=owner)
         self._assign(ticket, now)
 
     def _back_off_silent_owners(self, now: float) -> None:
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 from collections.abc import Callable
 
 import anyio
@@ -124,12 +125,21 @@
             request.
         reason: Sent to the caller if no attempt follows.
         fault: Details of the failure for the logs.
+        is_hedged: Whether another attempt of the request goes on, so that none
+            needs to follow this one.
     """
 
     ended: message.Ended
     not_run: bool
     reason: message.Reason
     fault: Fault | None = None
+    is_hedged: bool = False
+
+
+class Overtaken(msgspec.Struct, frozen=True):
+    """Another attempt of the request has sent the next part of the answer."""
+
+    ended: message.Ended
 
 
 class AnswerLost(msgspec.Struct, frozen=True):
@@ -154,6 +164,7 @@
     | Completed
     | Refused
     | AttemptFailed
+    | Overtaken
     | AnswerLost
     | CallerDisconnected
     | attachment.LinkOpened
@@ -166,7 +177,13 @@
 class Ticket:
     """State of one request, shared by its exchange and the dispatcher.
 
-    The exchange reports events on it and receives effects from it.
+    The exchange reports events on it and receives effects from it.  An attempt
+    beside another one of the same request has a ticket of its own.
+
+    Attributes:
+        hedges: The ticket of the attempt that this one is made beside; None if
+            it is the only one or has become the one that answers.
+        holds_retry: Whether a retry is reserved for its next dispatch.
     """
 
     def __init__(
@@ -183,6 +200,9 @@
         self.deadline = self.started_at + info.deadline_s
         self.no_owner_since: float | None = None
         self.enqueued_at = 0.0
+        self.hedges: Ticket | None = None
+        self.holds_retry = False
+        self._fork_numbers = itertools.count(1)
         self._unanswered: dict[str, float] = {}
         self.is_use_recorded = False
         # One-way delay to the zone that the request was redirected to.
@@ -195,6 +215,25 @@
             ExchangeEffect
         ](64)
 
+    def fork(self) -> Ticket:
+        """Returns a ticket for another attempt beside the current one."""
+        forked = Ticket(self.info, None, self._report)
+        number = next(self._fork_numbers)
+        name = f"{self.info.request_id}{request.HEDGE_MARK}{number}"
+        forked._fork_numbers = self._fork_numbers
+        forked.machine = self.machine.fork(name)
+        forked.started_at = self.started_at
+        forked.deadline = self.deadline
+        forked.delay_s = self.delay_s
+        forked.is_use_recorded = True
+        forked.hedges = self
+        return forked
+
+    @property
+    def request_id(self) -> str:
+        """Under which its owner schedules it."""
+        return self.machine.info.request_id
+
     def report(self, event: Event) -> None:
         """Sends an event to the dispatcher."""
         self._report(event)
@@ -283,6 +322,7 @@
             Completed(ended)
             | Refused(ended)
             | AttemptFailed(ended)
+            | Overtaken(ended)
             | AnswerLost(ended)
             | CallerDisconnected(ended)
         ):
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -338,6 +338,10 @@
                 metrics.Gauge("connect_failures", {"kind": kind}, count)
                 for kind, count in self._dispatcher.connect_failures.items()
             ),
+            *(
+                metrics.Gauge("hedges", {"result": result}, count)
+                for result, count in self._dispatcher.hedges.items()
+            ),
             *self._dispatcher.gateway_use.list_gauges(now),
             metrics.Gauge("tunnels_open", {}, self._tunnel_server.active),
             *(
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -26,13 +26,13 @@
 is being sent, it is unknown whether the request ran.  The race lasts one round
 trip; a connection that is already closed is detected."""
 
-HANG_WINDOW_S = 1.0
-"""Hangs of several backend servers within this time, in seconds, count as
+SILENCE_WINDOW_S = 1.0
+"""Silences of several backend servers within this time, in seconds, count as
 simultaneous."""
 
-MIN_SIMULTANEOUS_HANGS = 2
-"""With this many simultaneous hangs the connections are suspected rather than
-the backend servers."""
+MIN_SIMULTANEOUS_SILENCES = 2
+"""With this many simultaneous silences the connections are suspected rather
+than the backend servers."""
 
 
 class Counters(msgspec.Struct):
@@ -90,7 +90,7 @@
             collections.defaultdict(list)
         )
         self._borrowed: set[connections.Connection] = set()
-        self._last_hang_at: dict[str, float] = {}
+        self._last_silence_at: dict[str, float] = {}
 
     @contextlib.asynccontextmanager
     async def borrow(
@@ -123,9 +123,6 @@
         try:
             yield connection
             reuse = connection.reusable
-        except connections.HungError:
-            self._record_hang(connection.target, steadyclock.read())
-            raise
         finally:
             self._borrowed.discard(connection)
             if reuse:
@@ -230,21 +227,25 @@
         """Stops reusing all idle connections."""
         self.expire_idle(list(self._idle))
 
-    def _record_hang(self, target: connections.Target, now: float) -> None:
-        """Expires the idle connections that a hang makes suspect.
+    def record_silence(self, target: connections.Target, now: float) -> None:
+        """Expires the idle connections that a silent server makes suspect.
 
         Many open connections may fall silent at the same time.  If several
-        backend servers hang at once, the connections are the likelier cause,
-        and idle connections to all servers are expired.
+        backend servers are silent at once, the connections are the likelier
+        cause, and idle connections to all servers are expired.
+
+        Args:
+            target: The silent server.
+            now: The current time, in seconds.
         """
-        self._last_hang_at[target.pool_key] = now
-        hung = {
+        self._last_silence_at[target.pool_key] = now
+        silent = {
             key: at
-            for key, at in self._last_hang_at.items()
-            if now - at < HANG_WINDOW_S
+            for key, at in self._last_silence_at.items()
+            if now - at < SILENCE_WINDOW_S
         }
-        self._last_hang_at = hung
-        simultaneous = len(hung) >= MIN_SIMULTANEOUS_HANGS
+        self._last_silence_at = silent
+        simultaneous = len(silent) >= MIN_SIMULTANEOUS_SILENCES
         self.expire_idle(
             list(self._idle) if simultaneous else [target.pool_key]
         )
--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any
 
 import anyio
@@ -136,10 +136,6 @@
         return self.backend == other.backend and self.run != other.run
 
 
-class HungError(BrokenError):
-    """Nothing arrived for so long that the connection may be dead."""
-
-
 class RunLostError(BrokenError):
     """The run of the backend server was lost, and another one was announced.
 
@@ -346,21 +342,25 @@
         self._parts_since = now
         self._part_count = self._part_bytes = 0
 
-    async def read_body(self, max_bytes: int) -> bytes:
+    async def read_body(
+        self,
+        max_bytes: int,
+        read_part: Callable[[], Awaitable[bytes | None]] | None = None,
+    ) -> bytes:
         """Returns the body of the response, or its beginning.
 
         Args:
             max_bytes: Number of bytes beyond which no more are read; see
                 ``is_complete``.
+            read_part: Reads a part; None for ``read_part`` of this connection.
 
         Raises:
             BrokenError: The response ended early.
         """
         parts = []
         size = 0
-        while (
-            size <= max_bytes and (part := await self.read_part()) is not None
-        ):
+        read_part = read_part or self.read_part
+        while size <= max_bytes and (part := await read_part()) is not None:
             parts.append(part)
             size += len(part)
         return b"".join(parts)
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -15,8 +15,9 @@
 
 from ramptray import steadyclock
 from ramptray.bundle import model
+from ramptray.relay import answer as answers
 from ramptray.relay import dialect as dialects
-from ramptray.relay import exchange, message, refusal
+from ramptray.relay import message, refusal
 from ramptray.relay import socket_stream as streams
 
 LOG = logging.getLogger(__name__)
@@ -36,7 +37,7 @@
 """Sent during a planned stop; another VM can serve the retry at once."""
 
 Serve = Callable[
-    [message.CallerRequest, exchange.ResponseWriter], Awaitable[None]
+    [message.CallerRequest, answers.ResponseWriter], Awaitable[None]
 ]
 
 
@@ -386,7 +387,7 @@
         await send_refusal(self, refused, headers)
 
 
-class CallerResponseWriter(exchange.ResponseWriter):
+class CallerResponseWriter(answers.ResponseWriter):
     """Writes a response to a caller's connection."""
 
     def __init__(
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -14,6 +14,7 @@
 from ramptray.core import stream_origin
 from ramptray.entry import dispatcher as dispatchers
 from ramptray.entry import origin_store
+from ramptray.relay import answer as answers
 from ramptray.relay import client as relay_client
 from ramptray.relay import (
     content,
@@ -106,7 +107,7 @@
         self._in_force: acceptance.InForce | None = None
 
     async def serve(
-        self, request: message.CallerRequest, writer: exchange.ResponseWriter
+        self, request: message.CallerRequest, writer: answers.ResponseWriter
     ) -> None:
         """Serves one request until its response has ended."""
         in_force = await self._dispatcher.backends.wait_for_bundle(
@@ -129,7 +130,7 @@
 
     async def _route_request(
         self, request: message.CallerRequest, in_force: acceptance.InForce
-    ) -> exchange.RoutedRequest | refusal.Refusal:
+    ) -> answers.RoutedRequest | refusal.Refusal:
         """Returns the request with its route, or the refusal to send.
 
         A request that resumes a stream waits until its origin is known.
@@ -175,7 +176,7 @@
         return origin or resumption.make_refusal(finding)
 
     async def _run_exchange(
-        self, routed: exchange.RoutedRequest, writer: exchange.ResponseWriter
+        self, routed: answers.RoutedRequest, writer: answers.ResponseWriter
     ) -> None:
         active = exchange.Exchange(
             routed, self._dispatcher, self._client, writer, self._origins
@@ -201,7 +202,7 @@
     async def _refuse(
         self,
         request: message.CallerRequest,
-        writer: exchange.ResponseWriter,
+        writer: answers.ResponseWriter,
         refused: refusal.Refusal,
     ) -> None:
         generation = self._in_force.generation if self._in_force else None
@@ -241,7 +242,7 @@
 
     def _route(
         self, admitted: _Admission, origin: stream_origin.Origin | None
-    ) -> exchange.RoutedRequest | refusal.Refusal:
+    ) -> answers.RoutedRequest | refusal.Refusal:
         """Returns the request with its service, or the refusal to send.
 
         Args:
@@ -278,7 +279,7 @@
         route: model.Route,
         customer: str,
         service: str,
-    ) -> exchange.RoutedRequest:
+    ) -> answers.RoutedRequest:
         timeout_s = route.timeout_s
         if request.deadline_s is not None:
             timeout_s = min(timeout_s, request.deadline_s)
@@ -316,7 +317,7 @@
                 route.regions, declared.regions if declared else None
             ),
         )
-        return exchange.RoutedRequest(
+        return answers.RoutedRequest(
             request, info, route, customer, timeout_s, event_tokens
         )
 
--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import logging
 import os
@@ -339,7 +340,8 @@
             except anyio.EndOfStream:
                 return False
             if self._faults.hang_after == number - 1:
-                await anyio.sleep_forever()
+                await self._hang(stream, headers[header.REQUEST_ID.decode()])
+                return False
             piece = f"piece {number} {self._settings.release}".rstrip()
             event = f"id: {number}\ndata: {piece}\n\n".encode()
             if self._faults.cut_after == number - 1:
@@ -352,6 +354,15 @@
         http.start_next_cycle()
         return True
 
+    async def _hang(
+        self, stream: anyio.abc.SocketStream, request_id: str
+    ) -> None:
+        """Sends nothing more until the caller disconnects, and records that."""
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            while True:
+                await stream.receive()
+        self._ledger.gone.append(request_id)
+
     async def _simulate_work(
         self, stream: anyio.abc.SocketStream, request_id: str
     ) -> None:
--- a/ramptray/timeline.py
+++ b/ramptray/timeline.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ramptray import logsink
-from ramptray.core import clock
+from ramptray.core import clock, request
 
 LOG = logging.getLogger(__name__)
 
@@ -87,5 +87,12 @@
 
 
 def matches_subject(subject: str, event: dict[str, Any]) -> bool:
-    """Returns whether an event is about a subject; an empty one matches all."""
-    return not subject or subject in event.values()
+    """Returns whether an event is about a subject; an empty one matches all.
+
+    An owner's events of a request's further attempts are about the request.
+    """
+    return (
+        not subject
+        or subject in event.values()
+        or str(event["subject"]).startswith(f"{subject}{request.HEDGE_MARK}")
+    )
