--- a/ramptray/core/hedging.py
+++ b/ramptray/core/hedging.py
@@ -44,6 +44,7 @@
         OVERTAKEN: Another attempt has sent the next part of the answer.
         DEADLINE: The time limit of the caller or the route has passed.
         CALLER_GONE: The caller has closed its connection.
+        STOP: This VM stops, and the time for that is over.
     """
 
     CONNECTION_LOST = "connection_lost"
@@ -51,6 +52,7 @@
     OVERTAKEN = "overtaken"
     DEADLINE = "deadline"
     CALLER_GONE = "caller_gone"
+    STOP = "stop"
 
 
 class Denial(enum.Enum):
--- a/ramptray/relay/answer.py
+++ b/ramptray/relay/answer.py
@@ -14,6 +14,11 @@
 class ResponseWriter(abc.ABC):
     """Writes the response to the caller."""
 
+    @property
+    @abc.abstractmethod
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed its side of the connection."""
+
     @abc.abstractmethod
     async def start(
         self, head: message.ResponseHead, length: int | None
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -73,7 +73,11 @@
             if self._finish is not None:
                 await self._end(self._finish)
         except anyio.get_cancelled_exc_class():
-            self.outcome = "caller_gone"
+            reason = hedging.LeaveReason.CALLER_GONE
+            if not self._answer.writer.has_caller_left:
+                reason = hedging.LeaveReason.STOP
+                self._note_cut(reason)
+            self.outcome = reason.value
             self._report_caller_gone()
             raise
         except Exception:
@@ -147,7 +151,8 @@
         if finish.outcome is core_message.Outcome.COMPLETE:
             return
         answer = self._answer
-        self._note_cut(finish)
+        if finish.outcome is not core_message.Outcome.NOT_RUN:
+            self._note_cut(self._last.leave_reason)
         if answer.is_begun:
             await answer.writer.abort()
         elif answer.error_response is not None:
@@ -156,18 +161,20 @@
         else:
             await answer.writer.refuse(refusal.make_refusal(finish))
 
-    def _note_cut(self, finish: request.Finish) -> None:
-        """Notes why an answer ends that its caller could still have got."""
-        if finish.outcome is core_message.Outcome.NOT_RUN:
-            return
-        self.cut_cause = self.outcome
+    def _note_cut(self, reason: hedging.LeaveReason | None) -> None:
+        """Notes why an answer ends that its caller could still have got.
+
+        Args:
+            reason: Why the last server was left, if one was.
+        """
+        self.cut_cause = reason.value if reason else self.outcome
         now = steadyclock.read()
         last = self._last
         self._dispatcher.timeline.note(
             "answer_cut",
             self._routed.info.request_id,
-            cause=self.cut_cause,
-            left_for=last.leave_reason.value if last.leave_reason else None,
+            cause=self.outcome or None,
+            left_for=reason.value if reason else None,
             begun=self._answer.is_begun,
             silent_s=round(now - last.heard_at, 4),
             presence=last.fault.presence if last.fault else None,
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -133,6 +133,11 @@
         self._http = h11.Connection(h11.SERVER, state.limits.header_bytes)
         self._aborted = False
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the caller has closed its side, or the connection is lost."""
+        return self._stream.has_ended
+
     async def run(self) -> None:
         """Serves requests until either side closes."""
         while await self._serve_one():
@@ -396,6 +401,11 @@
         self._connection = connection
         self._request = request
 
+    @property
+    def has_caller_left(self) -> bool:
+        """See the base class."""
+        return self._connection.has_ended
+
     async def start(
         self, head: message.ResponseHead, length: int | None
     ) -> None:
