--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -155,7 +155,12 @@
 ]
 
 
-@pytest.mark.parametrize(("check", "rules"), HOLDS, ids=str)
+def name_value(value: Any) -> str:
+    """Returns a name that is the same in all processes that run the tests."""
+    return value.__module__ if callable(value) else str(value)
+
+
+@pytest.mark.parametrize(("check", "rules"), HOLDS, ids=name_value)
 def test_rules_hold(
     check: Check, rules: Any, capsys: pytest.CaptureFixture[str]
 ) -> None:
@@ -166,7 +171,9 @@
     assert verdict.states > 100
 
 
-@pytest.mark.parametrize(("check", "rules", "invariant"), BREAKS, ids=str)
+@pytest.mark.parametrize(
+    ("check", "rules", "invariant"), BREAKS, ids=name_value
+)
 def test_rule_is_needed(check: Check, rules: Any, invariant: str) -> None:
     assert invariant in check(rules).broken
 
