Model hedged requests

Cause: no model covered two series of attempts for one answer. Change: spec/hedge.py explores two series, a retry budget, owners that refuse, servers that are silent, break off or say that a request did not run, and a caller that leaves. Decisions follow events, and the exchange learns of decisions, at any later step. Each rule switched off has a counterexample. check_left and check_other are rules that the code does not follow yet.

--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -17,6 +17,7 @@
     explore,
     generation,
     grant,
+    hedge,
     hint,
     lease,
     limit,
@@ -44,6 +45,7 @@
     (hint.check, hint.Rules()),
     (stream_origin.check, stream_origin.Rules()),
     (release_history.check, release_history.Rules()),
+    (hedge.check, hedge.Rules()),
 ]
 
 BREAKS: list[tuple[Check, Any, str]] = [
@@ -152,6 +154,26 @@
         release_history.Rules(overlap=False),
         "own_release",
     ),
+    (hedge.check, hedge.Rules(leave_first=False), "one_writer"),
+    (hedge.check, hedge.Rules(leave_first=False), "in_order"),
+    # What the code does: a series that was left writes what had arrived.
+    (hedge.check, hedge.Rules(check_left=False), "one_writer"),
+    (hedge.check, hedge.Rules(check_left=False), "in_order"),
+    (hedge.check, hedge.Rules(resume=False), "in_order"),
+    (hedge.check, hedge.Rules(end_with_last=False), "ends_with_last"),
+    # What the code did until this was modelled: two series that broke at the
+    # same time each left the answer to the other.
+    (hedge.check, hedge.Rules(check_other=False), "ends_only_if_denied"),
+    (hedge.check, hedge.Rules(conceded_is_unknown=False), "not_run_is_true"),
+    (hedge.check, hedge.Rules(count_others=False), "at_most_max_attempts"),
+    (hedge.check, hedge.Rules(count_others=False), "not_run_is_true"),
+    (hedge.check, hedge.Rules(fork_may_have_run=False), "not_run_is_true"),
+    (
+        hedge.check,
+        hedge.Rules(return_reserved=False),
+        "retry_is_settled_once",
+    ),
+    (hedge.check, hedge.Rules(use_once=False), "retry_is_settled_once"),
 ]
 
 
