Keep a second hedge away from the server of the first

Cause: absorb took over the number of attempts of an ended hedge, but not its server, so a further attempt could be sent to a server that had just broken. Change: the servers of the absorbed machine count as tried.

--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -319,7 +319,16 @@
         return forked
 
     def absorb(self, forked: RequestMachine) -> None:
-        """Counts the attempts of a forked machine that has ended."""
+        """Counts the attempts of a forked machine that has ended.
+
+        Further attempts keep away from its backend servers as well.
+        """
+        used = (*self.tried, *forked.tried, forked.backend)
+        self.tried = tuple(
+            dict.fromkeys(
+                each for each in used if each not in (None, self.backend)
+            )
+        )
         if forked.dispatches > self.dispatches:
             self.dispatches = forked.dispatches
             self._may_have_run = True
