Repeat an attempt that breaks beside another one

Cause: an attempt that broke was not repeated if the exchange took another one for running. The exchange learns of the end of an attempt some steps after the dispatcher, so two that broke at the same time each left the answer to the other, and it ended although attempts and budget were left. Change: the dispatcher looks at the other attempt itself. One that has ended is counted, and this one is repeated. Run: pytest test/test_hedging.py test/test_attempts.py test/test_dispatcher.py; the two regression tests failed before. ruff and mypy.

--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -382,8 +382,9 @@
     ) -> None:
         """Retries a request elsewhere if its limits and the budget allow it."""
         info = ticket.machine.info
+        is_hedged = event.is_hedged and _is_hedged(ticket)
         may_run_again = (
-            not event.is_hedged
+            not is_hedged
             and now < ticket.deadline
             and (event.not_run or info.repeatable)
             and not self._block_propagator.find_block(info, now)
@@ -851,5 +852,19 @@
                 self._apply_effects(ticket, effects, now)
 
 
+def _is_hedged(ticket: tickets.Ticket) -> bool:
+    """Returns whether another attempt of a request goes on beside this one.
+
+    The exchange learns that an attempt has ended later than the dispatcher; one
+    that broke at the same time is counted, but does not answer the request.
+    """
+    other = ticket.hedges
+    if other is None or other.machine.state is not request.State.ENDED:
+        return other is not None
+    ticket.machine.absorb(other.machine)
+    ticket.hedges = None
+    return False
+
+
 def _ignore_owner(address: str) -> None:
     """Default of ``on_silent_owner``."""
