Promise nothing for an attempt that left the answer to another

Cause: an attempt that its server did not run ended as not run, although its hedge went on. If the hedge was sent and ended before the exchange read this result, the caller would have got it as the last one. Shown by spec/hedge.py (conceded_is_unknown) and a test of the dispatcher, not with processes. Change: such an attempt ends with an unknown outcome. Run: pytest test/test_hedging.py test/test_attempts.py test/test_dispatcher.py; the regression test failed before. ruff and mypy.

--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -399,9 +399,13 @@
         )
         backend = ticket.machine.backend
         ticket.machine.info = self._get_info(ticket, now)
-        effects = ticket.machine.fail_attempt(
-            event.ended, event.not_run, may_retry, finish
-        )
+        if is_hedged:
+            # The other attempt may still run, so this one promises nothing.
+            effects = ticket.machine.end_unknown(event.reason, event.ended)
+        else:
+            effects = ticket.machine.fail_attempt(
+                event.ended, event.not_run, may_retry, finish
+            )
         self._note(
             "attempt_failed",
             ticket,
