Count only hedges that have the next part as having answered

Cause: a hedge was counted when the first attempt broke and left the answer to it, even if it never got a server. Change: it is counted when its first part arrives while it is beside another attempt.

--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -232,7 +232,6 @@
         if ticket.hedges is not None:
             ticket.hedges.hedges = ticket
             ticket.hedges = None
-            self.hedges["answered"] += 1
 
     def has_budget(self, ticket: tickets.Ticket) -> bool:
         """Returns whether the retry budget allows another attempt now."""
@@ -292,6 +291,8 @@
                 self._return_grant(ticket, reason, now)
             case tickets.FirstTokenReceived(first):
                 self.backends.record_answer(machine.backend, now)
+                if ticket.hedges is not None:
+                    self.hedges["answered"] += 1
                 if machine.owner:
                     corrected = self._lag.exclude_lag(first, ticket.delay_s)
                     self._send(machine.owner, corrected)
--- a/test/test_hedging.py
+++ b/test/test_hedging.py
@@ -577,3 +577,15 @@
     dispatching.fail(ticket, is_hedged=True)
     dispatching.refuse(hedge)
     assert dispatching.hedges["answered"] == 0
+
+
+def test_a_hedge_that_has_the_next_part_has_answered(
+    dispatching: HedgingDispatcher,
+) -> None:
+    # The count shows whether hedging is of use.
+    hedge = dispatching.hedge(dispatching.start()).unwrap()
+    dispatching.grant(hedge, "b")
+    first = message.FirstToken(hedge.request_id, 0.1, None, 0)
+    dispatching.receive_exchange(tickets.FirstTokenReceived(first))
+    dispatching.promote(hedge)
+    assert dispatching.hedges["answered"] == 1
