--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -232,7 +232,6 @@
         if ticket.hedges is not None:
             ticket.hedges.hedges = ticket
             ticket.hedges = None
-            self.hedges["answered"] += 1
 
     def has_budget(self, ticket: tickets.Ticket) -> bool:
         """Returns whether the retry budget allows another attempt now."""
@@ -292,6 +291,8 @@
                 self._return_grant(ticket, reason, now)
             case tickets.FirstTokenReceived(first):
                 self.backends.record_answer(machine.backend, now)
+                if ticket.hedges is not None:
+                    self.hedges["answered"] += 1
                 if machine.owner:
                     corrected = self._lag.exclude_lag(first, ticket.delay_s)
                     self._send(machine.owner, corrected)
@@ -382,8 +383,9 @@
     ) -> None:
         """Retries a request elsewhere if its limits and the budget allow it."""
         info = ticket.machine.info
+        is_hedged = event.is_hedged and _is_hedged(ticket)
         may_run_again = (
-            not event.is_hedged
+            not is_hedged
             and now < ticket.deadline
             and (event.not_run or info.repeatable)
             and not self._block_propagator.find_block(info, now)
@@ -398,9 +400,13 @@
         )
         backend = ticket.machine.backend
         ticket.machine.info = self._get_info(ticket, now)
-        effects = ticket.machine.fail_attempt(
-            event.ended, event.not_run, may_retry, finish
-        )
+        if is_hedged:
+            # The other attempt may still run, so this one promises nothing.
+            effects = ticket.machine.end_unknown(event.reason, event.ended)
+        else:
+            effects = ticket.machine.fail_attempt(
+                event.ended, event.not_run, may_retry, finish
+            )
         self._note(
             "attempt_failed",
             ticket,
@@ -851,5 +857,19 @@
                 self._apply_effects(ticket, effects, now)
 
 
+def _is_hedged(ticket: tickets.Ticket) -> bool:
+    """Returns whether another attempt of a request goes on beside this one.
+
+    The exchange learns that an attempt has ended later than the dispatcher; one
+    that broke at the same time is counted, but does not answer the request.
+    """
+    other = ticket.hedges
+    if other is None or other.machine.state is not request.State.ENDED:
+        return other is not None
+    ticket.machine.absorb(other.machine)
+    ticket.hedges = None
+    return False
+
+
 def _ignore_owner(address: str) -> None:
     """Default of ``on_silent_owner``."""
