--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -50,6 +50,10 @@
             after it has started to run the request; empty for none.
         crash_on_parts: Ids of parts of a prompt that make it crash likewise,
             unless they come last.
+        body_pause_s: Seconds for which it does not read on once the head of a
+            request with a body has arrived.
+        padding_bytes: Bytes of white space after the JSON text of a response,
+            which make the response large.
         log_level: Lowest level that is logged.
     """
 
@@ -61,6 +65,8 @@
     idle_s: model.NonNegativeFloat = 0.0
     crash_on: str = ""
     crash_on_parts: tuple[str, ...] = ()
+    body_pause_s: model.NonNegativeFloat = 0.0
+    padding_bytes: model.Count = 0
     log_level: str = "INFO"
 
 
@@ -181,6 +187,8 @@
                 http.receive_data(data)
             elif isinstance(event, h11.Request):
                 request = event
+                if any(name == b"content-length" for name, _ in event.headers):
+                    await anyio.sleep(self._settings.body_pause_s)
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -280,6 +288,7 @@
             ]
             await stream.send(_format_response(200, b"surplus", other))
         payload = json.dumps({"path": path, "bytes": len(body)}).encode()
+        payload += b" " * self._settings.padding_bytes
         if faults.unframed:
             await stream.send(
                 _format_response(200, payload, signed, framed=False)
