Keep connections whose peers do not read, but answer

Cause: TCP_USER_TIMEOUT (0.6 s) also limits how long a peer's receive window may stay closed. Callers that paused within a large answer were reset after about a second, and requests whose server paused before a large body got status 502. Bytes that the kernel still held when the relay closed a connection were dropped likewise.

Change: while unsent bytes wait, the relay checks the connection every 0.25 s. Behind a closed window it moves the limit on by 0.9 s as long as the peer's kernel answers window probes (core/user_timeout.py). A lost peer gets no such extension, and the kernel ends the connection as before. A connection without unsent bytes costs one ioctl for each write, and no timer. After a close the limit is 30 s, the time that callers may leave a response unread.

Weighed and not taken: - The keepalive alone: the kernel sends no keepalive probes while bytes wait, and gives up after 15 minutes. - No TCP_USER_TIMEOUT, and TCP_INFO alone (unacknowledged packets, probes, age of the last acknowledgement): window probes become rarer, up to one in two minutes, so a peer lost meanwhile is not noticed.

The tests of test_socket_stream.py lose a peer by a socket filter that drops all its packets.

--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -9,7 +9,9 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
+import fcntl
 import math
 import select
 import socket
@@ -20,22 +22,30 @@
 import anyio
 
 from ramptray import steadyclock
+from ramptray.core import user_timeout
 from ramptray.relay import byte_stream
 
 MAX_UNREAD_BYTES = 64 * 1024
 """Limit of unread bytes; above it the socket is not read, so that TCP flow
 control stops the peer."""
 
-USER_TIMEOUT_MS = 600
-"""How long sent bytes may stay unacknowledged, in milliseconds, before the
-connection is considered dead: two or three retransmissions.  A network cut
-produces no error of its own."""
+FLUSH_TIMEOUT_S = 30.0
+"""How long the kernel goes on to send to a peer that does not read, in seconds,
+after the connection was closed here: as long as a caller may leave its response
+unread."""
 
 KEEPALIVE_INTERVAL_S = 1
 """Idle time and interval of TCP keepalive probes, in seconds; 1 is the kernel's
 minimum.  A connection that dies while idle, or while a response is awaited, is
 detected after twice this time; without probes it would never be."""
 
+_SIOCOUTQNSD = 0x894B
+"""Linux: number of bytes written to a socket that have not been sent."""
+
+_TCP_INFO_START = struct.Struct("=3xB20xI28xI")
+"""Fields of ``struct tcp_info``: unanswered window probes, unacknowledged
+packets, milliseconds since the last acknowledgement."""
+
 _NO_LINGER = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
 
@@ -65,6 +75,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._deadline = math.inf
         self._timer_fires_at = math.inf
+        self._user_timeout: user_timeout.UserTimeout | None = None
+        self._check_timer: asyncio.TimerHandle | None = None
 
     # asyncio.Protocol callbacks.
 
@@ -94,8 +106,9 @@
         self._error = exc
         self._set_ended()
         _wake(self._write_waiter)
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._check_timer):
+            if timer is not None:
+                timer.cancel()
 
     def pause_writing(self) -> None:
         """Marks that the peer does not accept the written data."""
@@ -151,6 +164,8 @@
         if self._lost:
             raise anyio.BrokenResourceError
         self._get_transport().write(data)
+        if self._check_timer is None:
+            self._begin_checks()
         if not self._writing_paused:
             return
         with anyio.fail_after(timeout_s):
@@ -187,6 +202,9 @@
             self.close()
         elif not self._closed:
             self._closed = True
+            sock = self.get_socket()
+            if sock is not None and _count_unsent_bytes(sock):
+                _set_user_timeout(sock, FLUSH_TIMEOUT_S)
             self._get_transport().close()
 
     def _get_transport(self) -> asyncio.Transport:
@@ -207,6 +225,33 @@
         if self.on_end is not None:
             self.on_end()
 
+    def _begin_checks(self) -> None:
+        """Checks the peer's window until all written bytes have been sent."""
+        sock = self.get_socket()
+        if sock is not None and _count_unsent_bytes(sock):
+            now = steadyclock.read_monotonic()
+            self._user_timeout = user_timeout.UserTimeout(now)
+            self._schedule_check()
+
+    def _schedule_check(self) -> None:
+        self._check_timer = self._loop.call_later(
+            user_timeout.CHECK_INTERVAL_S, self._check_window
+        )
+
+    def _check_window(self) -> None:
+        self._check_timer = None
+        sock = self.get_socket()
+        if self._closed or self._lost or sock is None:
+            return
+        assert self._user_timeout is not None
+        queue = _read_send_queue(sock)
+        former_s = self._user_timeout.limit_s
+        limit_s = self._user_timeout.update(queue, steadyclock.read_monotonic())
+        if limit_s != former_s:
+            _set_user_timeout(sock, limit_s)
+        if queue.unsent_bytes or self._writing_paused:
+            self._schedule_check()
+
     async def _wait_readable(self, timeout_s: float | None) -> None:
         self._read_waiter = self._loop.create_future()
         self._deadline = math.inf
@@ -247,6 +292,28 @@
         waiter.set_result(None)
 
 
+def _count_unsent_bytes(sock: socket.socket) -> int:
+    count = array.array("i", [0])
+    fcntl.ioctl(sock.fileno(), _SIOCOUTQNSD, count)
+    return count[0]
+
+
+def _read_send_queue(sock: socket.socket) -> user_timeout.SendQueue:
+    info = sock.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_START.size
+    )
+    probes, unacknowledged, silent_ms = _TCP_INFO_START.unpack(info)
+    return user_timeout.SendQueue(
+        _count_unsent_bytes(sock), unacknowledged, probes, silent_ms / 1000
+    )
+
+
+def _set_user_timeout(sock: socket.socket, limit_s: float) -> None:
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(limit_s * 1000)
+    )
+
+
 async def connect(host: str, port: int) -> SocketStream:
     """Opens a connection.
 
@@ -285,8 +352,8 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
         (socket.TCP_NODELAY, 1),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
         (socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    _set_user_timeout(sock, user_timeout.UNACKNOWLEDGED_S)
--- a/test/test_socket_stream.py
+++ b/test/test_socket_stream.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import ctypes
 import socket
+import struct
+import time
 from collections.abc import AsyncIterator
 
 import anyio
@@ -21,6 +24,23 @@
 EVENT_LOOP_READ_BYTES = 256 * 1024
 """Largest read of the event loop from a socket."""
 
+PAUSE_S = 3.0
+"""Pause of a peer that is at work, in seconds: five times the limit for
+unacknowledged bytes."""
+
+LATE_S = 0.5
+"""How late a busy event loop runs, in seconds."""
+
+MAX_LOST_S = 2.2
+"""Time within which a lost peer is recognized, in seconds: that of the
+keepalive, and an interval of the checks."""
+
+MAX_UNACKNOWLEDGED_S = 1.5
+"""The same in seconds if bytes were sent to it: the kernel's limit of 0.6 s
+ends the connection after 1.03 s, at a retransmission."""
+
+SO_ATTACH_FILTER = 26
+
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -130,3 +150,130 @@
         await anyio.sleep(0.1)
         assert one._lost
         assert other._unread_bytes < len(LARGE)
+
+
+@contextlib.asynccontextmanager
+async def open_to_peer(
+    receive_buffer: int | None = None,
+) -> AsyncIterator[tuple[streams.SocketStream, socket.socket]]:
+    """Yields a stream, and its peer's socket, which nothing reads.
+
+    Args:
+        receive_buffer: Size of the peer's buffer in bytes; None for the usual.
+    """
+    with socket.socket() as listening, socket.socket() as peer:
+        listening.bind(("127.0.0.1", 0))
+        listening.listen()
+        listening.setblocking(False)
+        if receive_buffer is not None:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        peer.connect(listening.getsockname())
+        peer.setblocking(False)
+        stream = await streams.accept(listening)
+        streams.set_socket_options(stream)
+        try:
+            yield stream, peer
+        finally:
+            stream.close()
+
+
+def lose(peer: socket.socket) -> None:
+    """Has the kernel drop all that arrives, as if the peer had lost power."""
+    drop_all = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
+    program = struct.pack("HP", 1, ctypes.addressof(drop_all))
+    peer.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
+async def read_peer(peer: socket.socket) -> bytes:
+    parts = []
+    while part := await asyncio.get_running_loop().sock_recv(peer, 1 << 20):
+        parts.append(part)
+    return b"".join(parts)
+
+
+@pytest.mark.parametrize("receive_buffer", [None, 4096])
+@pytest.mark.parametrize("size", [len(LARGE) // 2, 4 * len(LARGE)])
+async def test_a_peer_that_pauses_gets_all_bytes(
+    receive_buffer: int | None, size: int
+) -> None:
+    # The kernel ended connections whose peer's window stayed closed.  Half of
+    # LARGE waits in the kernel's buffer, more waits in that of the event loop.
+    data = LARGE * 4
+    async with (
+        open_to_peer(receive_buffer) as (stream, peer),
+        anyio.create_task_group() as tasks,
+    ):
+
+        async def write() -> None:
+            await stream.send(data[:size], 30.0)
+            await anyio.sleep(PAUSE_S)
+            stream.flush_and_close()
+
+        tasks.start_soon(write)
+        await anyio.sleep(PAUSE_S)
+        assert not stream.has_ended
+        assert await read_peer(peer) == data[:size]
+
+
+async def test_a_peer_that_pauses_is_kept_by_a_busy_program() -> None:
+    # A program that runs late moves the limit late.
+    async with open_to_peer() as (stream, _):
+        await stream.send(LARGE[: len(LARGE) // 2], 1.0)
+        for _ in range(6):
+            time.sleep(LATE_S)
+            await anyio.sleep(0.05)
+        assert not stream.has_ended
+
+
+async def test_a_peer_that_pauses_gets_the_bytes_before_a_close() -> None:
+    # The kernel dropped what it still had to send.
+    data = LARGE[: len(LARGE) // 2]
+    async with open_to_peer() as (stream, peer):
+        await stream.send(data, 1.0)
+        stream.flush_and_close()
+        await anyio.sleep(PAUSE_S)
+        assert await read_peer(peer) == data
+
+
+async def measure_loss_s(stream: streams.SocketStream) -> float:
+    """Returns the seconds until a stream is lost."""
+    began = steadyclock.read()
+    while not stream.has_ended:
+        assert steadyclock.read() - began < 10.0
+        await anyio.sleep(0.01)
+    return steadyclock.read() - began
+
+
+@pytest.mark.parametrize("sends", [True, False])
+async def test_a_lost_peer_is_recognized(sends: bool) -> None:
+    async with open_to_peer() as (stream, peer):
+        await anyio.sleep(0.1)
+        lose(peer)
+        if sends:
+            await stream.send(b"x", 1.0)
+        limit_s = MAX_UNACKNOWLEDGED_S if sends else MAX_LOST_S
+        assert await measure_loss_s(stream) < limit_s
+
+
+@pytest.mark.parametrize("paused_s", [0.1, 1.0, 1.7, 2.4, 3.0])
+async def test_a_peer_that_is_lost_while_it_pauses_is_recognized(
+    paused_s: float,
+) -> None:
+    # Window probes become rarer, up to one in two minutes.
+    async with open_to_peer() as (stream, peer):
+        with pytest.raises(TimeoutError):
+            await stream.send(LARGE * 4, paused_s)
+        lose(peer)
+        assert await measure_loss_s(stream) < MAX_LOST_S
+
+
+async def test_a_peer_that_is_lost_after_it_paused_is_recognized() -> None:
+    # The limit that held during the pause is taken back.
+    async with open_to_peer() as (stream, peer):
+        await stream.send(LARGE[: len(LARGE) // 2], 1.0)
+        await anyio.sleep(PAUSE_S)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(read_peer(peer), 1.0)
+        lose(peer)
+        await stream.send(b"x", 1.0)
+        assert await measure_loss_s(stream) < MAX_UNACKNOWLEDGED_S
