Add tests of pauses on the further ways of an answer

The existing tests pause servers that callers' VMs reach directly. Tests of tunnels, stops, new configurations, refusals and lost servers are added, with tools to read several answers at once and to run other deployments.

--- a/test/silent_load.py
+++ b/test/silent_load.py
@@ -7,11 +7,14 @@
 import functools
 import http.client
 import itertools
+import pathlib
 import re
+import tempfile
 import threading
 import time
-from collections.abc import Collection, Iterator
-from typing import Any
+from collections.abc import Callable, Collection, Iterable, Iterator
+from concurrent import futures
+from typing import Any, TypeVar
 
 from test import node
 from test.test_node import ask, make_headers, wait_until
@@ -28,6 +31,8 @@
 _EVENT_ID = re.compile(rb"id: (\d+)\n")
 _NUMBERS = itertools.count(1)
 
+PlatformT = TypeVar("PlatformT", bound=node.Platform)
+
 
 @dataclasses.dataclass
 class Reading:
@@ -80,28 +85,53 @@
     }
 
 
-@contextlib.contextmanager
 def run_streaming(
     vms: int = VMS,
     servers: int = SERVERS,
     bounds: dict[str, float] | None = None,
-) -> Iterator[node.Platform]:
+) -> contextlib.AbstractContextManager[node.Platform]:
     """Runs VMs and slow servers in two zones."""
-    with node.run_platform(vms=0, replicas=0, bounds=bounds) as started:
-        started.set_config(make_config(1))
-        for number in range(servers):
-            started.start_replica(
-                f"i-{number}",
-                zone=ZONES[number % 2],
-                events=EVENTS,
-                work_s=EVENT_S,
-            )
-            started.write_record(f"i-{number}", born=1, zone=ZONES[number % 2])
-        for number in range(vms):
-            started.start_vm(f"vm-{number}", zone=ZONES[number % 2])
-        for vm in started.vms:
-            wait_until(functools.partial(_is_serving, started, vm))
-        yield started
+    return run_made(node.Platform, vms, servers, bounds)
+
+
+@contextlib.contextmanager
+def run_made(
+    make: Callable[[pathlib.Path], PlatformT],
+    vms: int = VMS,
+    servers: int = SERVERS,
+    bounds: dict[str, float] | None = None,
+) -> Iterator[PlatformT]:
+    """Runs VMs and slow servers in two zones.
+
+    Args:
+        make: Makes the deployment in a folder.
+        vms: How many VMs.
+        servers: How many servers.
+        bounds: Bounds of the VMs' settings that differ from the usual ones.
+    """
+    with tempfile.TemporaryDirectory() as name:
+        started = make(pathlib.Path(name))
+        started.bounds.update(bounds or {})
+        try:
+            started.start_store()
+            started.set_config(make_config(1))
+            for number in range(servers):
+                started.start_replica(
+                    f"i-{number}",
+                    zone=ZONES[number % 2],
+                    events=EVENTS,
+                    work_s=EVENT_S,
+                )
+                started.write_record(
+                    f"i-{number}", born=1, zone=ZONES[number % 2]
+                )
+            for number in range(vms):
+                started.start_vm(f"vm-{number}", zone=ZONES[number % 2])
+            for vm in started.vms:
+                wait_until(functools.partial(_is_serving, started, vm))
+            yield started
+        finally:
+            started.stop_all()
 
 
 def _is_serving(started: node.Platform, vm: str) -> bool:
@@ -113,6 +143,8 @@
     path: str,
     vm: str,
     patience_s: float = TIME_LIMIT_MS / 1000,
+    until: int | None = None,
+    headers: dict[str, str] | None = None,
 ) -> Reading:
     """Sends a request and reads its answer.
 
@@ -121,16 +153,20 @@
         path: What is asked.
         vm: The VM that is asked.
         patience_s: Silence after which the caller leaves, in seconds.
+        until: Id of the event after which the caller leaves; None for none.
+        headers: Further headers.
     """
     reading = Reading(f"silent-{next(_NUMBERS)}", vm)
     host, port = started.vms[vm]["front"].split(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=patience_s)
-    headers = make_headers(
-        X_Request_Id=reading.request_id, X_Deadline_Ms=str(TIME_LIMIT_MS)
+    sent = make_headers(
+        X_Request_Id=reading.request_id,
+        X_Deadline_Ms=str(TIME_LIMIT_MS),
+        **(headers or {}),
     )
     began_at = time.monotonic()
     try:
-        connection.request("POST", path, b"x", headers)
+        connection.request("POST", path, b"x", sent)
         response = connection.getresponse()
         reading.status = response.status
         length = response.length
@@ -138,6 +174,9 @@
         while part := response.read1():
             body += part
             reading.ids = [int(found[1]) for found in _EVENT_ID.finditer(body)]
+            if until is not None and until in reading.ids:
+                reading.has_left = True
+                return reading
         is_complete = length is None or len(body) == length
         reading.is_whole = reading.status == 200 and is_complete
     except TimeoutError:
@@ -150,6 +189,57 @@
     return reading
 
 
+@contextlib.contextmanager
+def read_together(
+    started: node.Platform,
+    paths: Iterable[str],
+    vms: Iterable[str],
+    per_vm: int = 2,
+    **options: Any,
+) -> Iterator[list[futures.Future[Reading]]]:
+    """Asks each path of each VM, and waits for all answers at the end.
+
+    Args:
+        started: The deployment.
+        paths: What is asked.
+        vms: The VMs that are asked.
+        per_vm: Requests of each path to each VM.
+        options: Passed on to ``read_answer``.
+    """
+    asked = [*itertools.product(paths, vms)] * per_vm
+    with futures.ThreadPoolExecutor(len(asked)) as pool:
+        yield [
+            pool.submit(read_answer, started, path, vm, **options)
+            for path, vm in asked
+        ]
+
+
+def list_events(
+    started: node.Platform, kind: str, vms: Iterable[str] | None = None
+) -> list[dict[str, Any]]:
+    """Returns the events of a kind that VMs logged."""
+    return [
+        event
+        for vm in (started.vms if vms is None else vms)
+        for line in started.read_log(vm)
+        if (event := line.get("event")) and event["kind"] == kind
+    ]
+
+
+def explain(
+    started: node.Platform, readings: Iterable[Reading]
+) -> list[dict[str, Any]]:
+    """Returns what VMs logged of the ends of requests and their attempts."""
+    names = {reading.request_id for reading in readings}
+    kinds = ("answer_cut", "attempt_failed", "attempt_ended", "hedge", "end")
+    return [
+        event
+        for kind in kinds
+        for event in list_events(started, kind)
+        if event.get("subject") in names
+    ]
+
+
 class StreamCallers:
     """Callers that ask all VMs again and again until they are stopped.
 
--- /dev/null
+++ b/test/test_silent_paths.py
@@ -0,0 +1,384 @@
+"""Answers whose servers pause while something else on their way changes.
+
+They guard against answers that are lost although their servers are at work:
+through another VM's tunnel, at stops, with new configurations, with attempts
+that are refused, and beside servers that are really lost.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import signal
+import threading
+import time
+from collections.abc import Iterator
+from concurrent import futures
+from typing import Any
+
+import pytest
+
+from bench import proxy
+from test import node, partition, silent_load
+from test.test_node import wait_until
+
+RESUMABLE, ONCE = "/stream/", "/stream-once/"
+PATHS = (RESUMABLE, ONCE)
+PAUSE_S = 2.5
+HEDGED_AFTER_S = 1.2
+"""Silence after which another attempt has been sent, in seconds."""
+
+SHORT_GRACE_S = 3.0
+EXIT_MARGIN_S = 0.5
+"""How long before the end of the grace time answers are cut, in seconds."""
+
+CLOSE_S = 0.5
+"""Time in which servers see that a caller has left, in seconds."""
+
+EVENT_IDS = list(range(1, silent_load.EVENTS + 1))
+
+
+@pytest.fixture
+def started() -> Iterator[node.Platform]:
+    with silent_load.run_streaming(vms=3) as platform:
+        yield platform
+
+
+@pytest.fixture
+def linked() -> Iterator[partition.LinkedPlatform]:
+    with silent_load.run_made(
+        partition.LinkedPlatform, vms=3, servers=3
+    ) as platform:
+        yield platform
+
+
+def find_owner(started: node.Platform) -> str:
+    """Returns the VM that granted the newest request."""
+    grants = silent_load.list_events(started, "grant")
+    newest = max(grants, key=lambda event: int(event["clock"]))
+    return str(newest["process"]).removeprefix("node/")
+
+
+def find_other(started: node.Platform) -> str:
+    """Returns a VM that is not the owner."""
+    owner = find_owner(started)
+    return next(vm for vm in started.vms if vm != owner)
+
+
+def stop_vm(started: node.Platform, vm: str) -> None:
+    started.processes[vm].send_signal(signal.SIGTERM)
+
+
+def check_answers(
+    started: node.Platform,
+    asked: list[futures.Future[silent_load.Reading]],
+    ids: list[int] = EVENT_IDS,
+) -> None:
+    """Checks that each answer arrived whole, with these events."""
+    readings = [each.result() for each in asked]
+    lost = [each for each in readings if not each.is_whole or each.ids != ids]
+    assert lost == [], silent_load.explain(started, lost)
+
+
+def pause_until_hedged(
+    started: node.Platform,
+    work_s: float = PAUSE_S,
+    silence_s: float = HEDGED_AFTER_S,
+) -> None:
+    """Makes all servers pause once, until other attempts have been sent."""
+    with silent_load.pause_servers(started, started.replicas, work_s):
+        time.sleep(silence_s)
+
+
+def cut_off(linked: partition.LinkedPlatform) -> str:
+    """Cuts a VM other than the owner off from all servers, and returns it."""
+    cut = find_other(linked)
+    linked.partition([cut], proxy.Partition.RESET)
+    time.sleep(0.3)
+    return cut
+
+
+def find_gateway(
+    linked: partition.LinkedPlatform,
+    asked: list[futures.Future[silent_load.Reading]],
+    cut: str,
+) -> str:
+    """Returns the VM through which the newest requests of a VM go."""
+    sent = silent_load.list_events(linked, "dispatch", [cut])
+    tunneled = [event for event in sent if event.get("gateways")]
+    assert len(tunneled) >= len(asked), "not all requests were tunneled"
+    address = str(tunneled[-1]["gateways"][0])
+    return next(
+        vm for vm, listen in linked.vms.items() if listen["control"] == address
+    )
+
+
+@pytest.mark.parametrize("pause_s", [1.0, 4.0])
+def test_streams_through_a_tunnel_go_on_while_servers_pause(
+    linked: partition.LinkedPlatform, pause_s: float
+) -> None:
+    cut = cut_off(linked)
+    with silent_load.read_together(linked, PATHS, [cut]) as asked:
+        time.sleep(0.9)
+        pause_until_hedged(linked, pause_s, 0.5)
+        find_gateway(linked, asked, cut)
+    check_answers(linked, asked)
+
+
+def test_streams_go_on_when_their_gateway_stops(
+    linked: partition.LinkedPlatform,
+) -> None:
+    cut = cut_off(linked)
+    with silent_load.read_together(linked, PATHS, [cut]) as asked:
+        time.sleep(0.9)
+        gateway = find_gateway(linked, asked, cut)
+        with silent_load.pause_servers(linked, linked.replicas, PAUSE_S):
+            time.sleep(0.5)
+            stop_vm(linked, gateway)
+            time.sleep(0.7)
+    check_answers(linked, asked)
+    assert linked.processes[gateway].wait(silent_load.TIME_LIMIT_MS) == 0
+
+
+def test_resumable_streams_go_on_when_their_gateway_is_killed(
+    linked: partition.LinkedPlatform,
+) -> None:
+    cut = cut_off(linked)
+    with silent_load.read_together(linked, [RESUMABLE], [cut], 4) as asked:
+        time.sleep(0.9)
+        gateway = find_gateway(linked, asked, cut)
+        with silent_load.pause_servers(linked, linked.replicas, PAUSE_S):
+            time.sleep(0.5)
+            linked.kill_vm(gateway)
+            time.sleep(0.5)
+    check_answers(linked, asked)
+
+
+@pytest.mark.parametrize("role", ["entry", "owner"])
+def test_answers_go_on_when_a_vm_stops_beside_second_attempts(
+    started: node.Platform, role: str
+) -> None:
+    stopping = {"entry": find_other, "owner": find_owner}[role](started)
+    with silent_load.read_together(started, PATHS, started.vms) as asked:
+        time.sleep(0.9)
+        with silent_load.pause_servers(started, started.replicas, PAUSE_S):
+            time.sleep(HEDGED_AFTER_S)
+            stop_vm(started, stopping)
+            time.sleep(0.3)
+    check_answers(started, asked)
+    assert silent_load.list_events(started, "hedge")
+    assert started.processes[stopping].wait(silent_load.TIME_LIMIT_MS) == 0
+
+
+@contextlib.contextmanager
+def reload_vms(started: node.Platform, interval_s: float) -> Iterator[None]:
+    """Sends SIGHUP to all VMs at regular intervals."""
+    over = threading.Event()
+
+    def run() -> None:
+        while not over.wait(interval_s):
+            for vm in started.vms:
+                if started.processes[vm].poll() is None:
+                    started.processes[vm].send_signal(signal.SIGHUP)
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    try:
+        yield
+    finally:
+        over.set()
+        thread.join()
+
+
+@pytest.mark.parametrize("role", ["entry", "owner"])
+def test_answers_go_on_when_a_vm_is_stopped_twice_beside_reloads(
+    started: node.Platform, role: str
+) -> None:
+    stopping = {"entry": find_other, "owner": find_owner}[role](started)
+    with (
+        reload_vms(started, 0.3),
+        silent_load.change_configuration(started, 0.4),
+        silent_load.read_together(started, PATHS, started.vms) as asked,
+    ):
+        time.sleep(0.9)
+        with silent_load.pause_servers(started, started.replicas, PAUSE_S):
+            time.sleep(0.6)
+            stop_vm(started, stopping)
+            time.sleep(1.0)
+            stop_vm(started, stopping)
+    check_answers(started, asked)
+
+
+def test_streams_longer_than_the_grace_time_are_cut_at_its_end() -> None:
+    bounds = {"graceS": SHORT_GRACE_S}
+    with silent_load.run_streaming(vms=2, bounds=bounds) as started:
+        with silent_load.read_together(started, PATHS, ["vm-0"]) as asked:
+            time.sleep(0.6)
+            with silent_load.pause_servers(started, started.replicas, 4.0):
+                time.sleep(0.5)
+                stopped_at = time.monotonic()
+                stop_vm(started, "vm-0")
+                time.sleep(1.0)
+        readings = [each.result() for each in asked]
+        stopped_after_s = time.monotonic() - stopped_at
+        cuts = silent_load.list_events(started, "answer_cut", ["vm-0"])
+        ends_after_s = SHORT_GRACE_S - EXIT_MARGIN_S
+        assert ends_after_s - 0.1 < stopped_after_s < SHORT_GRACE_S
+        assert all(each.is_lost and each.is_in_order for each in readings)
+        assert {each.request_id for each in readings} == {
+            event["subject"] for event in cuts
+        }
+        assert {event["left_for"] for event in cuts} == {"stop"}
+
+
+def test_resumed_streams_go_on_while_their_servers_pause(
+    started: node.Platform,
+) -> None:
+    first = silent_load.read_answer(started, RESUMABLE, "vm-0", until=3)
+    named = {"Last-Event-Id": "3", "Resumes": first.request_id}
+    with silent_load.read_together(
+        started, [RESUMABLE], started.vms, headers=named
+    ) as asked:
+        time.sleep(0.5)
+        pause_until_hedged(started)
+    check_answers(started, asked, EVENT_IDS[3:])
+    assert silent_load.list_events(started, "hedge")
+
+
+def test_streams_resumed_at_silent_servers_go_on(
+    started: node.Platform,
+) -> None:
+    # No event of the resumed part has arrived when the silence begins.
+    first = silent_load.read_answer(started, RESUMABLE, "vm-0", until=3)
+    named = {"Last-Event-Id": "3", "Resumes": first.request_id}
+    with (
+        silent_load.pause_servers(started, started.replicas, PAUSE_S),
+        silent_load.read_together(
+            started, [RESUMABLE], started.vms, headers=named
+        ) as asked,
+    ):
+        time.sleep(HEDGED_AFTER_S)
+        for name in started.replicas:
+            started.set_faults(name)
+    check_answers(started, asked, EVENT_IDS[3:])
+
+
+def _without_key() -> dict[str, Any]:
+    config = silent_load.make_config(2)
+    return {**config, "tenants": config["tenants"][1:]}
+
+
+def _without_routes() -> dict[str, Any]:
+    config = silent_load.make_config(2)
+    return {**config, "routes": config["routes"][:2]}
+
+
+def _with_another_service() -> dict[str, Any]:
+    config = silent_load.make_config(2, service="other")
+    return {**config, "services": [*config["services"], {"name": "other"}]}
+
+
+CONFIGS = {
+    "fewer_attempts": silent_load.make_config(2, maxAttempts=1),
+    "not_resumable": silent_load.make_config(2, resumable=False),
+    "key_removed": _without_key(),
+    "routes_removed": _without_routes(),
+    "another_service": _with_another_service(),
+    "shorter_time_limit": silent_load.make_config(2, timeoutMs=1500),
+}
+
+
+@pytest.mark.parametrize("silence_s", [0.3, HEDGED_AFTER_S])
+@pytest.mark.parametrize("name", CONFIGS)
+def test_answers_go_on_when_a_configuration_arrives_in_a_silence(
+    started: node.Platform, name: str, silence_s: float
+) -> None:
+    # Before the second attempt is sought, and after it was sent.
+    with silent_load.read_together(started, PATHS, started.vms, 1) as asked:
+        time.sleep(0.9)
+        with silent_load.pause_servers(started, started.replicas, PAUSE_S):
+            time.sleep(silence_s)
+            started.set_config(CONFIGS[name])
+            for vm in started.vms:
+                started.wait_for_config(vm, 2)
+            time.sleep(HEDGED_AFTER_S)
+    check_answers(started, asked)
+
+
+def test_answers_go_on_without_a_retry_budget() -> None:
+    bounds = {"retryBudgetRatio": 0.0, "retryBudgetSlack": 0.0}
+    with silent_load.run_streaming(vms=2, bounds=bounds) as started:
+        with silent_load.read_together(started, PATHS, started.vms) as asked:
+            time.sleep(0.9)
+            pause_until_hedged(started)
+        check_answers(started, asked)
+        assert not silent_load.list_events(started, "hedge")
+
+
+@pytest.mark.parametrize("faults", [{"refuse": True}, {"room": 0}], ids=str)
+def test_answers_go_on_when_servers_refuse_second_attempts(
+    started: node.Platform, faults: dict[str, Any]
+) -> None:
+    with silent_load.read_together(
+        started, [*PATHS, "/safe/"], started.vms, 1
+    ) as asked:
+        time.sleep(0.9)
+        for name in started.replicas:
+            started.set_faults(name, work_s=PAUSE_S, **faults)
+        time.sleep(2 * HEDGED_AFTER_S)
+        for name in started.replicas:
+            started.set_faults(name)
+    streams = [each for each in asked if each.result().ids]
+    check_answers(started, streams)
+    refused = itertools.chain.from_iterable(
+        started.read_ledger(name)["refused"] for name in started.replicas
+    )
+    assert {each.result().request_id for each in streams} & set(refused)
+
+
+@pytest.mark.parametrize("path", [RESUMABLE, "/safe/"])
+def test_both_servers_see_that_the_caller_has_left(
+    started: node.Platform, path: str
+) -> None:
+    is_stream = path == RESUMABLE
+    if not is_stream:
+        silent_load.pause_servers(started, started.replicas, 4.0).__enter__()
+    with silent_load.read_together(
+        started, [path], ["vm-0"], patience_s=1.8
+    ) as asked:
+        time.sleep(0.9)
+        if is_stream:
+            for name in started.replicas:
+                started.set_faults(name, work_s=4.0)
+    left = {each.result().request_id for each in asked}
+    assert all(each.result().has_left for each in asked)
+    ledgers = [started.read_ledger(name) for name in started.replicas]
+    runs = [(n, r) for n, ledger in enumerate(ledgers) for r in ledger["runs"]]
+    open_runs = {(n, r) for n, r in runs if r in left}
+    assert len(open_runs) == 2 * len(left), "not all were hedged"
+
+    def have_all_closed() -> bool:
+        gone = {
+            (number, request_id)
+            for number, name in enumerate(started.replicas)
+            for request_id in started.read_ledger(name)["gone"]
+        }
+        return open_runs <= gone
+
+    wait_until(have_all_closed, CLOSE_S)
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_resumable_streams_leave_lost_servers_while_all_others_pause(
+    linked: partition.LinkedPlatform, count: int
+) -> None:
+    lost = [linked.replicas[name] for name in list(linked.replicas)[:count]]
+    with silent_load.read_together(linked, [RESUMABLE], linked.vms) as asked:
+        time.sleep(0.9)
+        for vm in linked.vms:
+            for link in linked.list_links(vm)[:count]:
+                link.partition(proxy.Partition.HANG)
+        pause_until_hedged(linked)
+    check_answers(linked, asked)
+    failed = silent_load.list_events(linked, "attempt_failed")
+    assert failed, lost
