Log an overtaken attempt as attempt_ended

The former attempt was left before the other one was promoted, so that its end was logged as that of the request, which then had two (26 in the kept logs of the soak). Seen to be gone by reading only; the soak's logs were not counted again.

--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -93,11 +93,11 @@
             self.first_event_s = steadyclock.read() - self._started_at
         if len(self._running) == 1:
             return
+        self._dispatcher.promote(series.ticket)
         for other in self._running:
             if other is not series:
                 other.leave(other.heard_at < self._hedged_at)
         self._running = [series]
-        self._dispatcher.promote(series.ticket)
 
     def hedge(self, series: attempts.AttemptSeries) -> bool:
         """See the base class."""
