Let a begun answer wait for a place as long as its caller does

Callers lost begun streams whose server was lost while the others were full: the owner refused the next attempt, as the time to wait for a first answer was over, though 9 of 12 s were left.

An answer that has begun has no such limit now, unless another attempt of it still runs.

--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -302,6 +302,7 @@
                     elapsed_s=round(first.elapsed_s, 4),
                 )
             case tickets.StreamBegun(_, release):
+                ticket.has_begun = True
                 machine.bind_release(release)
             case tickets.Completed(ended, status):
                 if ticket.claim_request:
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -183,6 +183,7 @@
     Attributes:
         hedges: The ticket of the attempt that this one is made beside; None if
             it is the only one or has become the one that answers.
+        has_begun: Whether the caller has the beginning of the answer.
         holds_retry: Whether a retry is reserved for its next dispatch.
     """
 
@@ -201,6 +202,7 @@
         self.no_owner_since: float | None = None
         self.enqueued_at = 0.0
         self.hedges: Ticket | None = None
+        self.has_begun = False
         self.holds_retry = False
         self._fork_numbers = itertools.count(1)
         self._unanswered: dict[str, float] = {}
@@ -227,6 +229,7 @@
         forked.delay_s = self.delay_s
         forked.is_use_recorded = True
         forked.hedges = self
+        forked.has_begun = self.has_begun
         return forked
 
     @property
@@ -274,6 +277,16 @@
         """Records that a reply is no longer due, as the link has closed."""
         self._unanswered.pop(owner, None)
 
+    @property
+    def max_wait_s(self) -> float | None:
+        """Longest time from its start to a grant, in seconds; None for any.
+
+        A refusal would cut off an answer that has begun and that no other
+        attempt goes on with.
+        """
+        is_only = self.has_begun and self.hedges is None
+        return None if is_only else self.info.wait_s
+
     @property
     def tried(self) -> tuple[str, ...]:
         """Backend servers that the request has been sent to."""
@@ -297,7 +310,7 @@
             self.machine.info,
             deadline_s=max(0.0, self.deadline - now - reply_s),
             objective_s=_subtract(self.info.objective_s, elapsed + first_s),
-            wait_s=_subtract(self.info.wait_s, elapsed + reply_s),
+            wait_s=_subtract(self.max_wait_s, elapsed + reply_s),
             avoid=self.tried,
             silent=silent,
         )
--- a/ramptray/entry/timeouts.py
+++ b/ramptray/entry/timeouts.py
@@ -75,7 +75,7 @@
         if pending and granted:
             return message.Reason.LOG_UNAVAILABLE
         return message.Reason.DEADLINE
-    wait_s = ticket.info.wait_s
+    wait_s = ticket.max_wait_s
     if wait_s is not None:
         # After a failed attempt, the owner needs time to decide on the retry.
         due = max(ticket.started_at + wait_s, ticket.enqueued_at)
