--- a/test/soak.py
+++ b/test/soak.py
@@ -20,6 +20,7 @@
 from collections.abc import Callable, Mapping
 from concurrent import futures
 from types import MappingProxyType
+from typing import Any
 
 import click
 
@@ -32,8 +33,10 @@
     node,
     part_load,
     partition,
+    pausing,
     poison_load,
     releasing,
+    resuming,
     skew,
     verdict,
 )
@@ -77,6 +80,7 @@
         outages: Whether all VMs are also lost at once.
         keys: Whether all keys of all customers are taken away at times.
         skewed: Whether one VM gets most new connections at times.
+        pauses: Whether replicas also pause, and callers ask for long streams.
     """
 
     def __init__(
@@ -94,7 +98,9 @@
         outages: bool = False,
         keys: bool = False,
         skewed: bool = False,
+        pauses: bool = False,
     ) -> None:
+        self._pauses = pauses
         self._skewed = skewed
         self._releases = releases
         self._remover = (
@@ -123,7 +129,8 @@
             random.Random(f"{seed}/skew"), self._names
         )
         self._start()
-        self._harm = harm.Harm(
+        make_harm = pausing.PausingHarm if pauses else harm.Harm
+        self._harm = make_harm(
             started,
             random.Random(seed),
             self._stores,
@@ -135,6 +142,22 @@
         )
         if skewed:
             self._harm.calm_s = skew.CALM_S
+        self._stream_callers = [
+            pausing.StreamCaller(started, name, manner)
+            for name in (self._names if pauses else ())
+            for manner in pausing.MANNERS
+        ]
+        self._pauser = (
+            pausing.ServerPauser(
+                started,
+                self._harm,
+                random.Random(f"{seed}/pauses"),
+                self.record,
+                self._get_event_s(),
+            )
+            if isinstance(self._harm, pausing.PausingHarm)
+            else None
+        )
         names = sorted(started.replicas)
         self._changer.retire = self._harm.retire
         self._limiter = limiting.Limiter(self._harm, random.Random(seed), names)
@@ -161,8 +184,14 @@
         started = self._platform
         started.start_store()
         self._change()
+        count = pausing.SERVERS if self._pauses else 3
+        speed: dict[str, Any] = (
+            {"events": pausing.EVENTS, "work_s": pausing.EVENT_S}
+            if self._pauses
+            else {}
+        )
         for number, release in enumerate(
-            releasing.FIRST_RELEASES if self._releases else ("v1",) * 3
+            releasing.FIRST_RELEASES if self._releases else ("v1",) * count
         ):
             name = f"i-{number}"
             if self._releases:
@@ -172,10 +201,11 @@
                     name,
                     crash_on=poison_load.MARK,
                     crash_on_parts=[part_load.CrashingPartSender.PART],
+                    **speed,
                 )
                 continue
             else:
-                started.start_replica(name)
+                started.start_replica(name, **speed)
             made = proxy.Proxy(started.replicas[name])
             self._proxies[name] = made
             started.announced[name] = made.address
@@ -185,10 +215,15 @@
             started.start_vm(name, store=self._stores[name].address)
         time.sleep(WARM_S)
 
+    def _get_event_s(self) -> float:
+        """Returns the seconds between two events of a stream."""
+        return resuming.EVENT_S if self._releases else pausing.EVENT_S
+
     def _change(self) -> None:
         """Writes the next version: it and those before have their routes."""
         version = len(self.record.changes) + 1
-        config = node.make_config(version)
+        make = pausing.make_config if self._pauses else node.make_config
+        config = make(version)
         first = config["routes"][0]
         config["routes"].extend(
             {**first, "name": f"v{number}", "pathPrefix": f"/v{number}/"}
@@ -221,6 +256,11 @@
             tasks.append(lambda: self._changer.run(self._is_over))
         if remover := self._remover:
             tasks.append(lambda: remover.intrude(self._intrude, self._is_over))
+        if pauser := self._pauser:
+            tasks.append(lambda: pauser.run(self._is_over))
+            tasks.append(lambda: pauser.watch(self._is_over))
+        for caller in self._stream_callers:
+            tasks.append(lambda each=caller: each.run(self._is_over))  # type: ignore[misc]
         for resumer in self._resumers:
             tasks.append(lambda each=resumer: each.run(self._is_over))  # type: ignore[misc]
         for name in self._names:
@@ -345,6 +385,7 @@
         apart = set(self._tries.sent).union(
             (each.request_id for each in self._part_tries.sent),
             *(resumer.sent for resumer in self._resumers),
+            (each.request_id for each in self._list_stream_readings()),
         )
         if self._remover is not None:
             apart.update(ask.name for ask in self._remover.sent)
@@ -362,6 +403,7 @@
             *self._judge_returns(judge),
             *self._judge_keys(judge, runs),
             *self._judge_skew(judge),
+            *self._judge_pauses(),
             *(
                 hinting.judge(self._platform, self.record)
                 if self._hints
@@ -433,6 +475,23 @@
             return []
         return [skew.judge(self._skew, self.record.asks, judge.is_calm)]
 
+    def _list_stream_readings(self) -> list[pausing.TimedReading]:
+        return [
+            reading
+            for caller in self._stream_callers
+            for reading in caller.readings
+        ]
+
+    def _judge_pauses(self) -> list[promise.Promise]:
+        if self._pauser is None:
+            return []
+        return pausing.judge(
+            self._list_stream_readings(),
+            pausing.Explanation(self._platform, self.record, self._pauser.ends),
+            resuming.EVENTS if self._releases else pausing.EVENTS,
+            self._get_event_s(),
+        )
+
     def _judge_processes(self) -> promise.Promise:
         kept = promise.Promise("no program ends by itself")
         for name in self._names:
@@ -505,6 +564,7 @@
     outages: bool = False,
     keys: bool = False,
     skewed: bool = False,
+    pauses: bool = False,
 ) -> tuple[list[promise.Promise], list[str]]:
     """Runs one soak and returns its promises and its faults.
 
@@ -522,6 +582,7 @@
         outages: Whether all VMs are also lost at once.
         keys: Whether all keys of all customers are taken away at times.
         skewed: Whether one VM gets most new connections at times.
+        pauses: Whether replicas also pause, and callers ask for long streams.
     """
     with tempfile.TemporaryDirectory() as made:
         name = keep or made
@@ -543,6 +604,7 @@
                 outages,
                 keys,
                 skewed,
+                pauses,
             )
             return soak.perform(), list(soak.record.list_faults())
         finally:
@@ -588,6 +650,9 @@
 @click.option(
     "--skewed", is_flag=True, help="One VM gets most new connections at times."
 )
+@click.option(
+    "--pauses", is_flag=True, help="Replicas send nothing for 0.5 to 4 s."
+)
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
 @click.option(
     "--keep",
@@ -608,6 +673,7 @@
     outages: bool,
     keys: bool,
     skewed: bool,
+    pauses: bool,
     show: bool,
     keep: pathlib.Path | None,
 ) -> None:
@@ -631,6 +697,7 @@
             outages,
             keys,
             skewed,
+            pauses,
         )
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
--- a/test/verdict.py
+++ b/test/verdict.py
@@ -103,18 +103,28 @@
 
 @dataclasses.dataclass
 class Record:
-    """All that was seen and done in a run."""
+    """All that was seen and done in a run.
+
+    Attributes:
+        asks: What callers asked.
+        looks: Which versions VMs worked by.
+        faults: The faults; no time near one is calm.
+        changes: Each version of the configuration, and when it was sent.
+        leaves: The replicas that said that they leave.
+        pauses: Pauses of replicas.  Promises for calm times hold in them too.
+    """
 
     asks: list[Ask] = dataclasses.field(default_factory=list)
     looks: list[Look] = dataclasses.field(default_factory=list)
     faults: list[Fault] = dataclasses.field(default_factory=list)
     changes: list[tuple[int, float]] = dataclasses.field(default_factory=list)
     leaves: list[Leave] = dataclasses.field(default_factory=list)
+    pauses: list[Fault] = dataclasses.field(default_factory=list)
 
     def list_faults(self) -> Iterator[str]:
         """Returns a line for each fault that was brought about."""
         first = self.changes[0][1]
-        for fault in self.faults:
+        for fault in itertools.chain(self.faults, self.pauses):
             began, ended = fault.began - first, fault.ended - first
             yield f"{began:7.2f} to {ended:7.2f}  {fault.name}"
 
