--- a/test/pausing.py
+++ b/test/pausing.py
@@ -98,6 +98,20 @@
             self._work[name] = {} if left_s is None else {"work_s": left_s}
             self._set_all(name)
 
+    def _draw_fault(self) -> harm.Draw:
+        """Draws a fault whose beginning is recorded when it is brought about.
+
+        The base class notes it before it ends former faults, and may then wait
+        for seconds until a stopped VM has ended.
+        """
+        name, begin, end = super()._draw_fault()
+
+        def begin_now() -> None:
+            self._record.faults[-1].began = time.monotonic()
+            begin()
+
+        return name, begin_now, end
+
     def _set_faults(self, name: str, **faults: bool) -> None:
         with self._lock:
             self._faults[name] = faults
