--- a/ramptray/core/user_timeout.py
+++ b/ramptray/core/user_timeout.py
@@ -25,8 +25,8 @@
 UNANSWERED_S = 0.9
 """How long the peer may stay silent while its window is closed, in seconds:
 twice this time is what the keepalive of an idle connection takes, and an event
-loop that runs 0.5 s late still moves the limit in time; 0.6 s late ended one in a
-trial."""
+loop that runs 0.5 s late still moves the limit in time; 0.6 s late ended one in
+a trial."""
 
 CHECK_INTERVAL_S = 0.25
 """How often a connection with unsent bytes is checked, in seconds.  The kernel
