Buffer less of what arrives on a tunnel before it is read

Each tunnel kept up to 16 parts of 64 KB that nobody read, until its connection was looked at again.

--- a/ramptray/relay/tunnel.py
+++ b/ramptray/relay/tunnel.py
@@ -36,7 +36,7 @@
 """One-way delays until a tunnel through another region is open: those of two
 handshakes, the request and the answer."""
 
-BUFFERED_PARTS = 16
+BUFFERED_PARTS = 4
 """Received parts that wait to be read; then gRPC's flow control stops the
 gateway."""
 
