Take the socket of a closed connection for none

It came with the limit for peers that do not read. get_socket returns None for a closed socket now, as its documentation says. The test failed before.

--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -141,7 +141,7 @@
         found: socket.socket | None = self._get_transport().get_extra_info(
             "socket"
         )
-        return found
+        return None if found is None or found.fileno() < 0 else found
 
     async def receive(self, timeout_s: float | None = None) -> bytes:
         """See the base class."""
--- a/test/test_socket_stream.py
+++ b/test/test_socket_stream.py
@@ -277,3 +277,18 @@
         lose(peer)
         await stream.send(b"x", 1.0)
         assert await measure_loss_s(stream) < MAX_UNACKNOWLEDGED_S
+
+
+async def test_a_stream_whose_socket_was_closed_is_closed_without_error() -> (
+    None
+):
+    # The VM's program ended, as the socket was asked for its unsent bytes.
+    async with open_pair() as (one, other):
+        one.reset()
+        await asyncio.sleep(0.05)
+        other._closed = False
+        other._get_transport().abort()
+        await asyncio.sleep(0.05)
+        other._closed = False
+        other.flush_and_close()
+        assert other.get_socket() is None
