Cut the last answers of a stopping VM before its links to peers close

Callers whose streams outlast graceS saw them cut at graceS instead of 0.5 s before it, so a VM could be killed before it had logged answer_cut.

The connections of callers now have a task group of their own, which ends first; the time for the load balancer ends at the deadline; and links to peers get at most half of what is left until the kill.

--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -237,14 +237,18 @@
                 )
 
             self._dispatcher.backends.on_backend_restart = leave_lost_runs
-            await self._serve(tasks, stop)
-            await peers.stop()
+            exit_at = await self._serve(stop)
+            left_s = max(0.0, exit_at - steadyclock.read())
+            await peers.stop(min(peer_server.STOP_GRACE_S, left_s / 2))
             await self._runtime.client.close()
             tasks.cancel_scope.cancel()
 
-    async def _serve(
-        self, tasks: anyio.abc.TaskGroup, stop: process.Stop
-    ) -> None:
+    async def _serve(self, stop: process.Stop) -> float:
+        """Serves callers; returns when this process has to exit.
+
+        Answers that are cut have ended when this returns: links to peers take
+        time to stop, and the process may be killed meanwhile.
+        """
         probes = probe.ProbeServer(
             {
                 vm_settings.READY_PATH: self._make_ready_page,
@@ -252,28 +256,37 @@
             }
         )
         metrics_address = f"{self._vm.ip}:{self._settings.metrics_port}"
-        for address, handle in (
-            (self._vm.callers, self._relay.handle),
-            (self._vm.readiness, probes.handle),
-            (metrics_address, probes.handle),
-        ):
-            listening_socket = listener.open_socket(address)
-            tasks.start_soon(_accept_in_group, listening_socket, handle)
-        LOG.info(
-            "started",
-            extra={"address": self._vm.callers, "peers": self._vm.peers},
-        )
-        await stop.event.wait()
-        await self._shut_down()
+        async with anyio.create_task_group() as connections:
+            for address, handle in (
+                (self._vm.callers, self._relay.handle),
+                (self._vm.readiness, probes.handle),
+                (metrics_address, probes.handle),
+            ):
+                listening_socket = listener.open_socket(address)
+                connections.start_soon(
+                    _accept_in_group, listening_socket, handle
+                )
+            LOG.info(
+                "started",
+                extra={"address": self._vm.callers, "peers": self._vm.peers},
+            )
+            await stop.event.wait()
+            exit_at = steadyclock.read() + self._vm.grace_s
+            await self._shut_down(exit_at - self._settings.exit_margin_s)
+            connections.cancel_scope.cancel()
+        return exit_at
+
+    async def _shut_down(self, deadline: float) -> None:
+        """Shuts down gracefully: waits for the requests that were accepted.
 
-    async def _shut_down(self) -> None:
-        """Shuts down gracefully: waits for the requests that were accepted."""
-        started_at = steadyclock.read()
-        deadline = started_at + self._vm.grace_s - self._settings.exit_margin_s
+        Args:
+            deadline: When to wait no longer, in seconds of the steady clock.
+        """
         self._stopping = True
         self._relay.state.stopping = True
         LOG.info("stopping", extra={"active": self._relay.state.active})
-        with anyio.move_on_after(self._settings.lame_duck_s):
+        left_s = max(0.0, deadline - steadyclock.read())
+        with anyio.move_on_after(min(self._settings.lame_duck_s, left_s)):
             await self._gossiper.leave()
             await self._origins.hand_over()
             await anyio.sleep(self._settings.lame_duck_s)
--- a/ramptray/peer/server.py
+++ b/ramptray/peer/server.py
@@ -16,6 +16,9 @@
 
 LOG = logging.getLogger(__name__)
 
+STOP_GRACE_S = 0.5
+"""Time that open streams have to end when the server stops, in seconds."""
+
 ServeStream = Callable[
     [AsyncIterator[bytes], "grpc.aio.ServicerContext[bytes, bytes]"],
     Coroutine[Any, Any, None],
@@ -76,8 +79,12 @@
             ) from error
         await self._server.start()
 
-    async def stop(self, grace_s: float = 0.5) -> None:
-        """Stops the server; open streams end after the grace period."""
+    async def stop(self, grace_s: float = STOP_GRACE_S) -> None:
+        """Stops the server; open streams end after the grace period.
+
+        Args:
+            grace_s: The grace period, in seconds.
+        """
         if self._server:
             await self._server.stop(grace_s)
 
