Count each attempt that crashes a server as a crash in the soak

Cause: arrivals were kept by request id, so a request that may be repeated and crashed two servers counted once.

The new test of the judge has such arrivals. It cannot run on the former code, which takes a mapping by id.

--- a/test/part_load.py
+++ b/test/part_load.py
@@ -7,7 +7,7 @@
 import itertools
 import threading
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from concurrent import futures
 
 from bench import promise
@@ -208,17 +208,20 @@
             time.sleep(PAUSE_S)
 
     def judge(
-        self, ran: dict[str, float], is_calm: Callable[[float], bool]
+        self,
+        arrivals: Collection[tuple[str, float]],
+        is_calm: Callable[[float], bool],
     ) -> promise.Promise:
         """Checks that replicas stopped receiving the part in time.
 
         Args:
-            ran: When each request arrived at a replica, by its id.
+            arrivals: Id and time of each request that arrived at a replica, in
+                seconds of the monotonic clock; with an entry for each attempt.
             is_calm: Returns whether all VMs were connected at a given time.
         """
         kept = promise.Promise("a part that ends what runs it is soon blocked")
         crashes = sorted(
-            at for name, at in ran.items() if name.startswith(f"{self.NAME}-")
+            at for name, at in arrivals if name.startswith(f"{self.NAME}-")
         )
         if len(crashes) < MIN_CRASHES:
             return kept
@@ -228,6 +231,7 @@
             for each in self.sent
             if each.sent_at > known_at and is_calm(each.sent_at)
         ]
+        ran = {name for name, _ in arrivals}
         reached = [each.request_id for each in late if each.request_id in ran]
         for each in late:
             kept.judge(
--- a/test/soak.py
+++ b/test/soak.py
@@ -461,12 +461,13 @@
         tries = poison_load.check_tries(
             self._tries, self._supervisor, ran, judge.is_calm
         )
-        arrivals = {
-            line["request_id"]: line["at"]
+        # A request that may be repeated arrives more than once.
+        arrivals = [
+            (line["request_id"], line["at"])
             for name in self._platform.replicas
             for line in self._platform.read_log(name)
             if line["message"] == "arrived"
-        }
+        ]
         parts = self._part_tries.judge(arrivals, judge.is_calm)
         return [parts, tries, innocent]
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -12,7 +12,7 @@
 from click import testing
 
 from bench import promise
-from test import node, pausing, soak, verdict
+from test import node, part_load, pausing, soak, verdict
 
 SECONDS = 36.0
 
@@ -128,6 +128,16 @@
     assert len(found[1].violations) == 1
 
 
+def test_each_attempt_with_a_crashing_part_counts_as_a_crash(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Requests that crashed two replicas counted once, and nothing was judged.
+    sender = part_load.CrashingPartSender(node.Platform(tmp_path), [])
+    sender.sent = [part_load.Sent("bad-9", 10.0, 503, b"", True)]
+    arrivals = [("bad-1", 1.0), ("bad-1", 1.5), ("bad-2", 2.0)]
+    assert sender.judge(arrivals, lambda at: True).chances == 1
+
+
 def judge_reading(
     folder: pathlib.Path,
     reading: pausing.TimedReading,
