Ask an owner again that refuses to go on with an answer

Cause: the stream's hedge was queued while the first attempt was still open, so its owner knew the short waiting time of a first answer. The first attempt then lost its server, the hedge found no connection, and its owner, asked with the former waiting time, refused: shed with overloaded, answer_cut with 10 of 12 s left. Any refusal for want of a place ended such an answer, and so did 3 s without an owner.

Now a refusal that may pass (PASSING_REFUSALS) does not end an answer that has begun: its owner is asked again after 0.25 s, with the time that the caller has left. Where there is no server at all it still ends at once, as test_hang.py wants.

--- a/ramptray/core/hedging.py
+++ b/ramptray/core/hedging.py
@@ -16,6 +16,8 @@
 
 import enum
 
+from ramptray.core import message
+
 HEAD_OBJECTIVE_FACTOR = 2.0
 """An attempt without a response is hedged after this multiple of the route's
 objective: its server had a free slot when the request was sent."""
@@ -30,7 +32,19 @@
 
 RETRY_S = 0.25
 """How often a silent attempt that could not be hedged looks again whether it
-can be, in seconds; the retry budget refills continuously."""
+can be, in seconds; the retry budget refills continuously.  An owner that has
+refused to go on with an answer is asked again as often."""
+
+
+PASSING_REFUSALS = frozenset(
+    {
+        message.Reason.OVERLOADED,
+        message.Reason.CUSTOMER_LIMIT,
+        message.Reason.NOT_READY,
+    }
+)
+"""Refusals of an owner that do not end an answer that has begun: its caller has
+time left, and a place may become free.  Without a server there is none."""
 
 
 class LeaveReason(enum.Enum):
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -603,9 +603,7 @@
                 self._handle_grant(body, request_id, now)
             case message.Reject(request_id):
                 self._record_reply(address, request_id, now)
-                if ticket := self._tickets.get(request_id):
-                    effects = ticket.machine.receive_reject(body, address)
-                    self._apply_effects(ticket, effects, now)
+                self._handle_reject(address, body, now)
             case message.Queued(request_id):
                 self._record_reply(address, request_id, now)
             case message.StillWaiting():
@@ -656,6 +654,39 @@
             )
             self._send(self._local_scheduler, learned)
 
+    def _handle_reject(
+        self, address: str, reject: message.Reject, now: float
+    ) -> None:
+        ticket = self._tickets.get(reject.request_id)
+        if ticket is None:
+            return
+        machine = ticket.machine
+        is_refused = (
+            machine.state is request.State.WAITING and machine.owner == address
+        )
+        if (
+            is_refused
+            and ticket.continues_answer
+            and reject.reason in hedging.PASSING_REFUSALS
+            and now < ticket.deadline
+        ):
+            # It may have been queued beside an attempt that has since ended,
+            # or for less time than it has now.
+            ticket.ask_again_at = now + hedging.RETRY_S
+            self._note("asks_again", ticket, reason=reject.reason.value)
+            return
+        effects = machine.receive_reject(reject, address)
+        self._apply_effects(ticket, effects, now)
+
+    def _ask_again(self, ticket: tickets.Ticket, now: float) -> None:
+        """Sends a refused request to its owner again when that is due."""
+        if ticket.ask_again_at is None or now < ticket.ask_again_at:
+            return
+        ticket.ask_again_at = None
+        machine = ticket.machine
+        if machine.state is request.State.WAITING and machine.owner:
+            self._resend(ticket, now)
+
     def _handle_redirect(
         self, address: str, redirect: message.Redirect, now: float
     ) -> None:
@@ -851,6 +882,7 @@
         if not self._lag.observe(now):
             self._back_off_silent_owners(now)
         for ticket in list(self._tickets.values()):
+            self._ask_again(ticket, now)
             owner_rtt_s = self._owners.get_rtt_s(ticket.machine.owner)
             reason = timeouts.find_timeout_reason(ticket, now, owner_rtt_s)
             if reason is not None:
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -185,6 +185,8 @@
             it is the only one or has become the one that answers.
         has_begun: Whether the caller has the beginning of the answer.
         holds_retry: Whether a retry is reserved for its next dispatch.
+        ask_again_at: When its owner, which refused it, is asked again; None if
+            it was not refused.
     """
 
     def __init__(
@@ -204,6 +206,7 @@
         self.hedges: Ticket | None = None
         self.has_begun = False
         self.holds_retry = False
+        self.ask_again_at: float | None = None
         self._fork_numbers = itertools.count(1)
         self._unanswered: dict[str, float] = {}
         self.is_use_recorded = False
@@ -278,14 +281,17 @@
         self._unanswered.pop(owner, None)
 
     @property
-    def max_wait_s(self) -> float | None:
-        """Longest time from its start to a grant, in seconds; None for any.
+    def continues_answer(self) -> bool:
+        """Whether its end would cut off an answer that has begun.
 
-        A refusal would cut off an answer that has begun and that no other
-        attempt goes on with.
+        No other attempt goes on with that answer.
         """
-        is_only = self.has_begun and self.hedges is None
-        return None if is_only else self.info.wait_s
+        return self.has_begun and self.hedges is None
+
+    @property
+    def max_wait_s(self) -> float | None:
+        """Longest time from its start to a grant, in seconds; None for any."""
+        return None if self.continues_answer else self.info.wait_s
 
     @property
     def tried(self) -> tuple[str, ...]:
--- a/ramptray/entry/timeouts.py
+++ b/ramptray/entry/timeouts.py
@@ -83,6 +83,8 @@
             # The owner should have rejected it by now.
             return message.Reason.OVERLOADED
     no_owner_since = ticket.no_owner_since
+    if ticket.continues_answer:
+        return None
     if no_owner_since is not None and now - no_owner_since > NO_OWNER_TIMEOUT_S:
         return message.Reason.NOT_READY
     return None
--- a/test/test_hedging.py
+++ b/test/test_hedging.py
@@ -463,6 +463,40 @@
     assert ticket.machine.dispatches == 2
 
 
+def test_an_answer_waits_on_if_its_last_attempt_is_refused(
+    dispatching: HedgingDispatcher,
+) -> None:
+    # A hedge was queued for a short time, and its refusal cut the answer after
+    # the attempt before it had lost its server.
+    ticket = dispatching.start(make_info(wait_s=0.5))
+    dispatching.receive_exchange(tickets.StreamBegun(ticket.request_id, "1"))
+    hedge = dispatching.hedge(ticket).unwrap()
+    dispatching.promote(hedge)
+    dispatching.fail(ticket, is_hedged=True)
+    dispatching.refuse(hedge)
+    assert list_effects(hedge) == []
+    dispatching.tick(steadyclock.read() + hedging.RETRY_S)
+    asked = [
+        body.request
+        for _, body in dispatching.list_sent(message.Enqueue)
+        if body.request.request_id == hedge.request_id
+    ]
+    assert [each.wait_s is None for each in asked] == [False, True]
+    dispatching.grant(hedge, "b")
+    assert [type(e) for e in list_effects(hedge)] == [request.Dispatch]
+
+
+def test_an_answer_ends_at_its_deadline_if_its_last_attempt_is_refused(
+    dispatching: HedgingDispatcher,
+) -> None:
+    ticket = dispatching.start(make_info(deadline_s=5.0))
+    dispatching.receive_exchange(tickets.StreamBegun(ticket.request_id, "1"))
+    dispatching.fail(ticket)
+    dispatching.refuse(ticket)
+    dispatching.tick(steadyclock.read() + 5.0)
+    assert get_finish(ticket).reason is message.Reason.DEADLINE
+
+
 def test_a_retry_is_returned_if_its_hedge_is_never_sent(
     dispatching: HedgingDispatcher,
 ) -> None:
