Return the retry of a hedge that was never sent

A retry that was reserved for a hedge counted from its dispatch. If no connection to the server could be opened and the owner then refused, nothing had been sent, but the retry was used up: other requests got no second attempt.

The retry is now taken back from the time at which it was counted, and reserved again until the next dispatch.

--- a/ramptray/core/meter.py
+++ b/ramptray/core/meter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 
 MIN_SPAN_S = 1.0
 """Shortest span by which a sum is divided for a rate, in seconds."""
@@ -24,6 +25,12 @@
         self._sum += amount
         self._prune(now)
 
+    def remove(self, amount: int, added_at: float) -> None:
+        """Removes an amount that was added at a time, unless it has expired."""
+        with contextlib.suppress(ValueError):
+            self._amounts.remove((added_at, amount))
+            self._sum -= amount
+
     def get_sum(self, now: float) -> int:
         """Returns the sum over the window."""
         self._prune(now)
--- a/ramptray/core/retry.py
+++ b/ramptray/core/retry.py
@@ -88,6 +88,16 @@
         self._reserved[service] -= 1
         self._retries[service].add(1, now)
 
+    def return_used(self, service: str, used_at: float) -> None:
+        """Reserves a retry again that was counted but not sent.
+
+        Args:
+            service: Its service.
+            used_at: When ``use_reserved`` counted it.
+        """
+        self._retries[service].remove(1, used_at)
+        self._reserved[service] += 1
+
     def release(self, service: str) -> None:
         """Returns a reserved retry that was not sent."""
         self._reserved[service] -= 1
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -348,6 +348,7 @@
         if is_direct and not event.refused:
             self.backends.record_connect_failure(machine.backend, now)
         machine.info = self._get_info(ticket, now)
+        self._return_used_retry(ticket)
         effects = machine.fail_connect(
             event.refused and is_direct, event.failed_gateways
         )
@@ -366,6 +367,7 @@
         effects = machine.return_grant()
         if backend is None or not effects:
             return
+        self._return_used_retry(ticket)
         if machine.owner:
             # Sent before the grant is returned; otherwise the owner would grant
             # the same server again.
@@ -400,6 +402,7 @@
             message.Outcome.UNKNOWN, event.reason, ATTEMPT_RETRY_AFTER_S
         )
         backend = ticket.machine.backend
+        ticket.retry_used_at = None
         ticket.machine.info = self._get_info(ticket, now)
         if is_hedged:
             # The other attempt may still run, so this one promises nothing.
@@ -550,8 +553,17 @@
     def _use_reserved_retry(self, ticket: tickets.Ticket, now: float) -> None:
         if ticket.holds_retry:
             ticket.holds_retry = False
+            ticket.retry_used_at = now
             self._budget.use_reserved(ticket.info.shard.service, now)
 
+    def _return_used_retry(self, ticket: tickets.Ticket) -> None:
+        """Reserves the retry of a dispatch that was not sent again."""
+        if ticket.retry_used_at is not None:
+            service = ticket.info.shard.service
+            self._budget.return_used(service, ticket.retry_used_at)
+            ticket.retry_used_at = None
+            ticket.holds_retry = True
+
     def _end_hedge(self, ticket: tickets.Ticket) -> None:
         """Releases the retry of a ticket, and counts its attempts if beside."""
         if ticket.holds_retry:
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -185,6 +185,8 @@
             it is the only one or has become the one that answers.
         has_begun: Whether the caller has the beginning of the answer.
         holds_retry: Whether a retry is reserved for its next dispatch.
+        retry_used_at: When the current dispatch used the reserved retry; None
+            if it did not.
         ask_again_at: When its owner, which refused it, is asked again; None if
             it was not refused.
     """
@@ -206,6 +208,7 @@
         self.hedges: Ticket | None = None
         self.has_begun = False
         self.holds_retry = False
+        self.retry_used_at: float | None = None
         self.ask_again_at: float | None = None
         self._fork_numbers = itertools.count(1)
         self._unanswered: dict[str, float] = {}
