--- a/ramptray/node/settings.py
+++ b/ramptray/node/settings.py
@@ -22,7 +22,8 @@
         budget_vms: Least number of VMs among which the fixed part of the retry
             budget is divided; a VM that restarts counts again.
         lame_duck_s: How long a stopping VM still accepts connections, in
-            seconds: the load balancer must see twice that it is not ready.
+            seconds: the load balancer must see twice that it is not ready. At
+            most until ``exit_margin_s`` before the end of the time to stop.
         exit_margin_s: How many seconds before it would be killed a stopping VM
             exits by itself.
         longest_pause_s: Longest pause that a backend server may request from
