--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import anyio
@@ -293,15 +293,6 @@
             self._declared_length = int(length)
         return self._dialect.parse_response_head(response.status_code, headers)
 
-    async def iterate_body(self) -> AsyncIterator[bytes]:
-        """Yields the response's body as it arrives.
-
-        Raises:
-            BrokenError: The response ended early.
-        """
-        while (part := await self.read_part()) is not None:
-            yield part
-
     async def read_part(self, timeout_s: float | None = None) -> bytes | None:
         """Returns the next bytes of the response's body; None at its end.
 
