Keep answers of a former run that refuses connections

Callers lost answers of a server that had stopped listening and was finishing its responses while its record named a new run at another address.

A refusal shows a machine at work, whose kernel resets the connections of a process that has ended; servers that stop close their listening socket first.

Only silence counts now, as after a loss of power.

--- a/ramptray/core/hedging.py
+++ b/ramptray/core/hedging.py
@@ -8,8 +8,9 @@
 ``LeaveReason``, and an answer only with its last attempt.
 
 A server that was lost is recognized without the answer's own bytes: by the
-keepalive of its connections, or by refused connections.  What a record says of
-a server is not enough, as its former run may still be at work.
+keepalive of its connections, or by attempts to connect that nothing answers.
+What a record says of a server is not enough, as its former run may still be at
+work; it may also refuse connections while it finishes its responses.
 """
 
 from __future__ import annotations
@@ -53,8 +54,8 @@
     Attributes:
         CONNECTION_LOST: The connection broke, its keepalive was not answered,
             or what arrived was no response to the request.
-        RUN_LOST: Another run of its server was announced, and nothing accepts
-            connections at the address of the former one.
+        RUN_LOST: Another run of its server was announced, and nothing answers
+            at the address of the former one, not even with a refusal.
         OVERTAKEN: Another attempt has sent the next part of the answer.
         DEADLINE: The time limit of the caller or the route has passed.
         CALLER_GONE: The caller has closed its connection.
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -146,7 +146,7 @@
 
         A run that lost power sends nothing, so requests in flight would
         otherwise wait until its connections' keepalive fails.  An earlier run
-        that still accepts connections keeps its requests, but gets no new ones.
+        whose machine still answers keeps its requests, but gets no new ones.
 
         Args:
             backend: The backend server.
@@ -162,7 +162,7 @@
             if connection.target.is_other_run(current)
         ]
         for former in {connection.target for connection in in_use}:
-            is_lost = not await self._is_listening(former)
+            is_lost = not await self._is_answering(former)
             LOG.info(
                 "former run of a backend server",
                 extra={
@@ -181,9 +181,12 @@
                 connection.is_run_lost = True
                 await connection.close()
 
-    async def _is_listening(self, target: connections.Target) -> bool:
-        """Returns whether something accepts connections of a server.
+    async def _is_answering(self, target: connections.Target) -> bool:
+        """Returns whether something answers at the address of a server.
 
+        A server that stops may refuse connections while it finishes its
+        responses.  If its process has ended, the machine that refuses also
+        resets its connections, at their next keepalive probe at the latest.
         Through a gateway this is not known; the gateway's own connection then
         shows whether the server is lost.
         """
@@ -194,7 +197,7 @@
                 target.address, target.delay_s
             )
             if found is not backend_probe.ProbeResult.SILENT:
-                return found is not backend_probe.ProbeResult.GONE
+                return True
             await anyio.sleep(LOST_PROBE_INTERVAL_S)
         return False
 
