Go on with an answer that has no server for a moment

Callers lost begun answers with some 10 s left if their server was lost while the VM reached no other one for 0.9 s, or while the record of the next server, written 0.4 s after the loss, had not arrived: the owner's first refusal with no_backend ended them.

An owner that knows of no server (LACK_REFUSALS) is now asked again for 0.5 s after its first such refusal since the last attempt. After that the answer ends, as test_hang.py wants for lost servers without another one.

The cases of test_an_answer_outlasts_what_is_said_of_its_server passed before as well; they rule out records, hints, configurations, keys, releases and a silent store.

--- a/ramptray/core/hedging.py
+++ b/ramptray/core/hedging.py
@@ -45,7 +45,17 @@
     }
 )
 """Refusals of an owner that do not end an answer that has begun: its caller has
-time left, and a place may become free.  Without a server there is none."""
+time left, and a place may become free."""
+
+LACK_REFUSALS = frozenset(
+    {message.Reason.NO_BACKEND, message.Reason.NO_RELEASE}
+)
+"""Refusals of an owner that knows of no server for an answer."""
+
+LACK_GRACE_S = 0.5
+"""How long an answer that has begun goes on to ask after the first of these
+refusals, in seconds.  Records of servers reach VMs at different times, and one
+VM may lose its ways to all of them for a moment."""
 
 
 class LeaveReason(enum.Enum):
@@ -91,6 +101,22 @@
     BUDGET = "budget"
 
 
+def may_pass(
+    reason: message.Reason, lacking_since: float | None, now: float
+) -> bool:
+    """Returns whether a refusal to go on with an answer may soon be no more.
+
+    Args:
+        reason: Why its owner refused.
+        lacking_since: When it first refused for want of a server since the last
+            attempt; None if it has not.
+        now: The time of the refusal.
+    """
+    if reason in LACK_REFUSALS:
+        return lacking_since is None or now < lacking_since + LACK_GRACE_S
+    return reason in PASSING_REFUSALS
+
+
 def get_response_delay_s(objective_s: float) -> float:
     """Returns the silence after which a response counts as late, in seconds.
 
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -403,6 +403,7 @@
         )
         backend = ticket.machine.backend
         ticket.retry_used_at = None
+        ticket.lacking_since = None
         ticket.machine.info = self._get_info(ticket, now)
         if is_hedged:
             # The other attempt may still run, so this one promises nothing.
@@ -679,9 +680,11 @@
         if (
             is_refused
             and ticket.continues_answer
-            and reject.reason in hedging.PASSING_REFUSALS
+            and hedging.may_pass(reject.reason, ticket.lacking_since, now)
             and now < ticket.deadline
         ):
+            if reject.reason in hedging.LACK_REFUSALS:
+                ticket.lacking_since = ticket.lacking_since or now
             # It may have been queued beside an attempt that has since ended,
             # or for less time than it has now.
             ticket.ask_again_at = now + hedging.RETRY_S
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -189,6 +189,8 @@
             if it did not.
         ask_again_at: When its owner, which refused it, is asked again; None if
             it was not refused.
+        lacking_since: When its owner first refused it for want of a server
+            since its last attempt; None if it did not.
     """
 
     def __init__(
@@ -210,6 +212,7 @@
         self.holds_retry = False
         self.retry_used_at: float | None = None
         self.ask_again_at: float | None = None
+        self.lacking_since: float | None = None
         self._fork_numbers = itertools.count(1)
         self._unanswered: dict[str, float] = {}
         self.is_use_recorded = False
