Return an answer that another zone refuses to its own zone

A begun answer whose further attempt was redirected to another zone asked only that zone's owner after a refusal, up to its deadline, and ended if that owner knew of no server, though its own zone's servers could have taken it.

When it is due to be asked again, it now returns to its own zone's owner, which does not redirect it because of load a second time.

test_an_answer_that_another_zone_refuses_returns_to_its_own (dispatcher without processes: the order of messages cannot be brought about from outside) failed in both cases and passes.

--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -694,13 +694,20 @@
         self._apply_effects(ticket, effects, now)
 
     def _ask_again(self, ticket: tickets.Ticket, now: float) -> None:
-        """Sends a refused request to its owner again when that is due."""
+        """Sends a refused request to its owner again when that is due.
+
+        One that another zone refused returns to this one.
+        """
         if ticket.ask_again_at is None or now < ticket.ask_again_at:
             return
         ticket.ask_again_at = None
         machine = ticket.machine
-        if machine.state is request.State.WAITING and machine.owner:
+        if machine.state is not request.State.WAITING or not machine.owner:
+            return
+        if machine.info.shard.zone == self._zone:
             self._resend(ticket, now)
+        else:
+            self._return_from_zone(ticket, machine.owner, now)
 
     def _handle_redirect(
         self, address: str, redirect: message.Redirect, now: float
@@ -840,7 +847,7 @@
     def _return_from_zone(
         self, ticket: tickets.Ticket, owner: str, now: float
     ) -> None:
-        """Returns a request whose owner in another zone does not reply.
+        """Returns a request whose owner in another zone does not grant it.
 
         A request that runs stays with that owner, which learns of it again when
         the link opens.
--- a/ramptray/entry/redirects.py
+++ b/ramptray/entry/redirects.py
@@ -8,7 +8,7 @@
 from ramptray.caller import metrics
 
 CAME_BACK = "came_back"
-"""Reason under which requests are counted whose other zone did not reply."""
+"""Reason under which requests are counted that another zone did not grant."""
 
 
 class RedirectCounter:
--- a/test/test_answer_cuts.py
+++ b/test/test_answer_cuts.py
@@ -16,11 +16,17 @@
 import pytest
 
 from bench import proxy
-from test import node, silent_load
+from ramptray import steadyclock
+from ramptray.core import hedging, membership, message
+from ramptray.entry import ticket as tickets
+from ramptray.peer import message as peer_message
+from test import node, silent_load, test_hedging
+from test.test_dispatcher import OTHER, OURS
 from test.test_node import ask, wait_until
 
 RESUMABLE, ONCE = "/stream/", "/stream-once/"
 FORMER_RUN, NEW_RUN = 1_700_000_000_000, 1_700_000_009_000
+DISTANT = "127.0.0.3:1"
 EVENT_S = 0.3
 IS_STREAM = re.compile("silent-").match
 """Finds the ids of requests of ``silent_load``."""
@@ -202,3 +208,31 @@
             reading = stream.result()
         assert reading.is_whole, silent_load.explain(started, [reading])
         assert reading.is_in_order
+
+
+@pytest.mark.parametrize(
+    "reason", [message.Reason.OVERLOADED, message.Reason.NO_BACKEND]
+)
+def test_an_answer_that_another_zone_refuses_returns_to_its_own(
+    reason: message.Reason,
+) -> None:
+    # It ended, or asked only that zone, though servers of its own had places.
+    dispatching = test_hedging.HedgingDispatcher()
+    own = [
+        membership.Member(f"waw-a-vm{number}", "waw-a", address, 1)
+        for number, address in enumerate((OURS, OTHER), 1)
+    ]
+    other = [membership.Member("waw-b-vm1", "waw-b", DISTANT, 1)]
+    dispatching.get_message(OURS, peer_message.View(own, other))
+    ticket = dispatching.start()
+    dispatching.receive_exchange(tickets.StreamBegun(ticket.request_id, "1"))
+    dispatching.fail(ticket)
+    redirect = message.Redirect(ticket.request_id, "waw-b", DISTANT)
+    dispatching.get_message(OTHER, redirect)
+    reject = message.Reject(ticket.request_id, reason, 1.0)
+    dispatching.get_message(DISTANT, reject)
+    dispatching.tick(steadyclock.read() + hedging.RETRY_S)
+    asked = dispatching.get_enqueued()
+    assert asked[-2:] == [(DISTANT, "waw-b"), (OTHER, "waw-a")]
+    dispatching.grant(ticket, "b")
+    assert ticket.machine.backend == "b"
