--- a/ramptray/core/hedging.py
+++ b/ramptray/core/hedging.py
@@ -8,8 +8,9 @@
 ``LeaveReason``, and an answer only with its last attempt.
 
 A server that was lost is recognized without the answer's own bytes: by the
-keepalive of its connections, or by refused connections.  What a record says of
-a server is not enough, as its former run may still be at work.
+keepalive of its connections, or by attempts to connect that nothing answers.
+What a record says of a server is not enough, as its former run may still be at
+work; it may also refuse connections while it finishes its responses.
 """
 
 from __future__ import annotations
@@ -44,7 +45,17 @@
     }
 )
 """Refusals of an owner that do not end an answer that has begun: its caller has
-time left, and a place may become free.  Without a server there is none."""
+time left, and a place may become free."""
+
+LACK_REFUSALS = frozenset(
+    {message.Reason.NO_BACKEND, message.Reason.NO_RELEASE}
+)
+"""Refusals of an owner that knows of no server for an answer."""
+
+LACK_GRACE_S = 0.5
+"""How long an answer that has begun goes on to ask after the first of these
+refusals, in seconds.  Records of servers reach VMs at different times, and one
+VM may lose its ways to all of them for a moment."""
 
 
 class LeaveReason(enum.Enum):
@@ -53,8 +64,8 @@
     Attributes:
         CONNECTION_LOST: The connection broke, its keepalive was not answered,
             or what arrived was no response to the request.
-        RUN_LOST: Another run of its server was announced, and nothing accepts
-            connections at the address of the former one.
+        RUN_LOST: Another run of its server was announced, and nothing answers
+            at the address of the former one, not even with a refusal.
         OVERTAKEN: Another attempt has sent the next part of the answer.
         DEADLINE: The time limit of the caller or the route has passed.
         CALLER_GONE: The caller has closed its connection.
@@ -90,6 +101,22 @@
     BUDGET = "budget"
 
 
+def may_pass(
+    reason: message.Reason, lacking_since: float | None, now: float
+) -> bool:
+    """Returns whether a refusal to go on with an answer may soon be no more.
+
+    Args:
+        reason: Why its owner refused.
+        lacking_since: When it first refused for want of a server since the last
+            attempt; None if it has not.
+        now: The time of the refusal.
+    """
+    if reason in LACK_REFUSALS:
+        return lacking_since is None or now < lacking_since + LACK_GRACE_S
+    return reason in PASSING_REFUSALS
+
+
 def get_response_delay_s(objective_s: float) -> float:
     """Returns the silence after which a response counts as late, in seconds.
 
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -403,6 +403,7 @@
         )
         backend = ticket.machine.backend
         ticket.retry_used_at = None
+        ticket.lacking_since = None
         ticket.machine.info = self._get_info(ticket, now)
         if is_hedged:
             # The other attempt may still run, so this one promises nothing.
@@ -679,9 +680,11 @@
         if (
             is_refused
             and ticket.continues_answer
-            and reject.reason in hedging.PASSING_REFUSALS
+            and hedging.may_pass(reject.reason, ticket.lacking_since, now)
             and now < ticket.deadline
         ):
+            if reject.reason in hedging.LACK_REFUSALS:
+                ticket.lacking_since = ticket.lacking_since or now
             # It may have been queued beside an attempt that has since ended,
             # or for less time than it has now.
             ticket.ask_again_at = now + hedging.RETRY_S
@@ -691,13 +694,20 @@
         self._apply_effects(ticket, effects, now)
 
     def _ask_again(self, ticket: tickets.Ticket, now: float) -> None:
-        """Sends a refused request to its owner again when that is due."""
+        """Sends a refused request to its owner again when that is due.
+
+        One that another zone refused returns to this one.
+        """
         if ticket.ask_again_at is None or now < ticket.ask_again_at:
             return
         ticket.ask_again_at = None
         machine = ticket.machine
-        if machine.state is request.State.WAITING and machine.owner:
+        if machine.state is not request.State.WAITING or not machine.owner:
+            return
+        if machine.info.shard.zone == self._zone:
             self._resend(ticket, now)
+        else:
+            self._return_from_zone(ticket, machine.owner, now)
 
     def _handle_redirect(
         self, address: str, redirect: message.Redirect, now: float
@@ -837,7 +847,7 @@
     def _return_from_zone(
         self, ticket: tickets.Ticket, owner: str, now: float
     ) -> None:
-        """Returns a request whose owner in another zone does not reply.
+        """Returns a request whose owner in another zone does not grant it.
 
         A request that runs stays with that owner, which learns of it again when
         the link opens.
