Do not count refusals that turn no caller away as load

Cause: an owner counts every refusal like that of a new caller. A hedge of a silent attempt and a request that goes on with an answer are asked again after each refusal, up to four times a second, so one caller counted many times. With four slots taken and ten such attempts refused four times:

- Retry-After of a refused new caller: 19.4 s instead of 0.5 s
- a new caller with the same content was taken for a retry, and a hedge could take the record of a refused caller, whose retry then was new
- capacity left by arriving requests: 2.5 slots of 4 instead of 4
- 40 requests counted as shed, as `shed` events and in the status

Change: `RequestInfo.asks_again` tells the owner that a refusal turns no caller away. Such refusals count as `attempts_refused` and are noted as `attempt_refused`; they enter neither the estimates nor the log of refusals. The work of such a request counts as arrived when it is granted. `Reject` repeats the flag: if the attempt beside a refused hedge has ended since, its entry asks the owner again at once, which then decides as for any caller. Entries count refused hedges as `hedges{result="refused"}`.

--- a/ramptray/command/timeline_page.py
+++ b/ramptray/command/timeline_page.py
@@ -19,6 +19,7 @@
     "first_token": "#ccbb44",
     "end": "#222222",
     "shed": "#ee6677",
+    "attempt_refused": "#eeaaaa",
     "spill": "#ee8866",
     "redirect": "#ee8866",
     "claim": "#aa3377",
--- a/ramptray/core/message.py
+++ b/ramptray/core/message.py
@@ -114,6 +114,8 @@
         regions: Regions whose backend servers may run it; None for any.
         release: Release whose backend servers may run it, as one of them began
             its stream; None for any.
+        asks_again: Whether a refusal turns no caller away: another attempt
+            runs, or the answer has begun, and the entry asks again.
     """
 
     request_id: str
@@ -141,6 +143,7 @@
     regions: tuple[str, ...] | None = None
     release: str | None = None
     parts: tuple[str, ...] = ()
+    asks_again: bool = False
 
     @property
     def causes(self) -> frozenset[str]:
@@ -439,11 +442,19 @@
 
 
 class Reject(msgspec.Struct, frozen=True):
-    """Owner to entry: this request is rejected; respond to the caller now."""
+    """Owner to entry: this request is rejected; respond to the caller now.
+
+    Attributes:
+        request_id: The request.
+        reason: Why.
+        retry_after_s: Seconds after which the caller should retry.
+        asks_again: That of the request's info, by which it was judged.
+    """
 
     request_id: str
     reason: Reason
     retry_after_s: float
+    asks_again: bool = False
 
 
 class Redirect(msgspec.Struct, frozen=True):
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -59,7 +59,9 @@
 class Counters(msgspec.Struct):
     """Numbers of decisions since the shard's owner took over.
 
-    ``returned`` counts the requests recognized as retries of refused ones.
+    ``returned`` counts the requests recognized as retries of refused ones, and
+    ``attempts_refused`` refusals that turned no caller away.  ``shed`` counts
+    the other refusals.
     """
 
     enqueued: int = 0
@@ -67,6 +69,7 @@
     shed: int = 0
     declined: int = 0
     returned: int = 0
+    attempts_refused: int = 0
 
 
 class Shedder:
@@ -127,9 +130,10 @@
             The refusal if the request exceeds the limit, else None.
         """
         request = waiting.request
-        self._recognize_retry(waiting)
-        if not waiting.is_retry:
-            self._wait_estimator.count_arrival(waiting, now)
+        if not request.asks_again:
+            self._recognize_retry(waiting)
+            if not waiting.is_retry:
+                self._wait_estimator.count_arrival(waiting, now)
         if request.spilled_from or request.attempt:
             return None
         counted = _get_limit_cost(request)
@@ -139,7 +143,7 @@
         if wait_s == 0.0:
             waiting.counted_at = now
             return None
-        self._count_shed(request.tier, now)
+        self._count_refusal(request, now)
         return self._make_reject(waiting, message.Reason.CUSTOMER_LIMIT, wait_s)
 
     def refund(
@@ -372,15 +376,16 @@
         self, waiting: queue.QueuedRequest, reason: message.Reason, now: float
     ) -> owner_effect.SendToEntry:
         self._queue.remove(waiting)
-        self._count_shed(waiting.request.tier, now)
+        self._count_refusal(waiting.request, now)
         self.refund(waiting.request, waiting.counted_at)
         if not self._fleet.has_usable:
             reason = message.Reason.NO_BACKEND
         min_wait_s = MIN_RETRY_AFTER_S
         if reason in (message.Reason.NO_BACKEND, message.Reason.NO_RELEASE):
             min_wait_s = UNREACHABLE_RETRY_AFTER_S
-        self._refusals.add(waiting)
-        self._wait_estimator.count_refusal(waiting, now)
+        if not waiting.request.asks_again:
+            self._refusals.add(waiting)
+            self._wait_estimator.count_refusal(waiting, now)
         # During a pause of all entries, the queue is served after its end.
         pause_s = self._fleet.eligibility.get_shortest_pause(
             len(self._entries), now
@@ -412,7 +417,12 @@
     ) -> owner_effect.SendToEntry:
         return owner_effect.SendToEntry(
             waiting.entry,
-            message.Reject(waiting.request.request_id, reason, retry_s),
+            message.Reject(
+                waiting.request.request_id,
+                reason,
+                retry_s,
+                waiting.request.asks_again,
+            ),
             self._make_inputs(),
         )
 
@@ -424,9 +434,14 @@
             sum(server.info.max_running for server in usable),
         )
 
-    def _count_shed(self, tier: str, now: float) -> None:
+    def _count_refusal(self, request: message.RequestInfo, now: float) -> None:
+        if request.asks_again:
+            self.counters.attempts_refused += 1
+            return
         self.counters.shed += 1
-        shed = self._shed.setdefault(tier, meter.RateMeter(SHED_WINDOW_S))
+        shed = self._shed.setdefault(
+            request.tier, meter.RateMeter(SHED_WINDOW_S)
+        )
         shed.add(1, now)
 
 
--- a/ramptray/core/wait_estimator.py
+++ b/ramptray/core/wait_estimator.py
@@ -86,11 +86,17 @@
         )
 
     def count_grant(self, waiting: queue.QueuedRequest, now: float) -> None:
-        """Counts a granted request."""
+        """Counts a granted request.
+
+        The work of one that is asked again after each refusal arrives here, so
+        that it counts once.
+        """
         self._granted.add(waiting.cost, now)
+        if waiting.request.asks_again:
+            self.count_arrival(waiting, now)
 
     def count_refusal(self, waiting: queue.QueuedRequest, now: float) -> None:
-        """Counts a refused request."""
+        """Counts a refused request, whose caller is expected to retry."""
         self._refused.add(waiting.cost, now)
         self._refused_count.add(1, now)
 
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -94,7 +94,8 @@
             backend server: it was "refused", the server was "silent", or no
             "gateway" opened one.
         hedges: Number of further attempts that "answered" instead of a silent
-            one, and of those that were denied, by the reason.
+            one, that were "refused" by their owners, and that were denied, by
+            the reason.
         gateway_use: Tracks whether requests go through other VMs.
         on_silent_owner: Called with the address of a scheduler that does not
             reply.
@@ -116,7 +117,11 @@
         self.redirects = redirects.RedirectCounter()
         self.gateway_use = gateway_use.GatewayUse()
         self.hedges = collections.Counter[str](
-            {"answered": 0, **{denial.value: 0 for denial in hedging.Denial}}
+            {
+                "answered": 0,
+                "refused": 0,
+                **{denial.value: 0 for denial in hedging.Denial},
+            }
         )
         self.connect_failures = collections.Counter[str](
             refused=0, silent=0, gateway=0
@@ -676,6 +681,13 @@
         is_refused = (
             machine.state is request.State.WAITING and machine.owner == address
         )
+        if is_refused and ticket.hedges is not None:
+            self.hedges["refused"] += 1
+        if is_refused and reject.asks_again and not ticket.asks_again:
+            # The attempt beside it has ended since.  The owner counts the
+            # refusal only if it knows that its caller is turned away.
+            self._resend(ticket, now)
+            return
         if (
             is_refused
             and ticket.continues_answer
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -291,6 +291,11 @@
         """
         return self.has_begun and self.hedges is None
 
+    @property
+    def asks_again(self) -> bool:
+        """Whether a refusal of its owner turns no caller away."""
+        return self.has_begun or self.hedges is not None
+
     @property
     def max_wait_s(self) -> float | None:
         """Longest time from its start to a grant, in seconds; None for any."""
@@ -322,6 +327,7 @@
             wait_s=_subtract(self.max_wait_s, elapsed + reply_s),
             avoid=self.tried,
             silent=silent,
+            asks_again=self.asks_again,
         )
 
 
--- a/ramptray/scheduler/content_blocker.py
+++ b/ramptray/scheduler/content_blocker.py
@@ -60,7 +60,10 @@
         if block is None:
             return None
         return message.Reject(
-            request.request_id, message.Reason.BLOCKED, block.until - now
+            request.request_id,
+            message.Reason.BLOCKED,
+            block.until - now,
+            request.asks_again,
         )
 
     def observe(
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -385,7 +385,10 @@
             return
         if isinstance(body, message.Enqueue):
             reject = message.Reject(
-                body.request.request_id, message.Reason.NOT_READY, 1.0
+                body.request.request_id,
+                message.Reason.NOT_READY,
+                1.0,
+                body.request.asks_again,
             )
             self._send_effects(
                 [owner_effect.SendToEntry(attached.hello.name, reject)]
@@ -501,7 +504,7 @@
                 self.timeline.note("grant", request_id, backend=name, **basis)
             case message.Reject(request_id, reason, retry_after_s):
                 self.timeline.note(
-                    "shed",
+                    "attempt_refused" if effect.message.asks_again else "shed",
                     request_id,
                     reason=reason.value,
                     retry_after_s=round(retry_after_s, 2),
--- a/ramptray/scheduler/status.py
+++ b/ramptray/scheduler/status.py
@@ -83,6 +83,7 @@
         "enqueued": counters.enqueued,
         "granted": counters.granted,
         "shed": counters.shed,
+        "attempts_refused": counters.attempts_refused,
         "redirected": shard_owner.redirector.counts.total(),
         "redirected_by_zone": [
             {"zone": zone, "reason": reason.value, "count": count}
