Try servers again whose learned slowness kept all requests away

Cause: pauses raise the learned time to first token of the servers. The owner places no request with a latency objective on a server whose estimate misses it, and only responses change the estimate.

A server that has had no requests for 2 s while others have some counts as a little slower than those now. One request at a time shows its speed; the time doubles, up to 64 s, each time that it is as slow as before.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -141,6 +141,8 @@
     Attributes:
         own_limit: Requests that this owner may have there until the next load
             report; infinite if no other owner uses the server.
+        idle_since: Since when it has had no requests, as far as was noticed;
+            None if it has some.
     """
 
     __slots__ = (
@@ -161,6 +163,7 @@
         "loaded",
         "first_at",
         "growth",
+        "idle_since",
         "limit_per_s",
         "own_limit",
         "pauses",
@@ -194,6 +197,7 @@
         self.loaded = True
         self.availability = availability.Availability()
         self.first_at = float("-inf")
+        self.idle_since: float | None = None
         self.limit_per_s: float | None = None
         self.pauses = pauses.Pauses()
         self.growth = slot_growth.SlotGrowth()
@@ -229,6 +233,20 @@
         if known:
             self.speed.factor = statistics.median_low(known)
 
+    def note_idleness(self, now: float) -> None:
+        """Notes whether it has no requests; called at each tick."""
+        if self.placed:
+            self.idle_since = None
+        elif self.idle_since is None:
+            self.idle_since = now
+
+    def has_old_speed(self, now: float) -> bool:
+        """Returns whether it was without requests for too long."""
+        idle_since = self.idle_since
+        return (
+            idle_since is not None and now - idle_since > self.speed.max_idle_s
+        )
+
     def get_speed(self) -> message.Speed | None:
         """Returns the learned speed, or None."""
         return self.speed.to_message()
@@ -360,6 +378,8 @@
             return True
         if self.availability.failures:
             return False  # One request at a time probes an unreachable server.
+        if self.speed.is_expired:
+            return False  # One request shows whether it is still slow.
         tokens = request.prompt_tokens + request.output_tokens
         if self.held_tokens + tokens > self.info.kv_tokens:
             return False
@@ -390,6 +410,7 @@
         self.placed[request.request_id] = placed
         self.pending[request.request_id] = placed
         self.held_tokens += placed.tokens
+        self.idle_since = None
         self._pacer.record_send(now)
         self.pauses.record_sent(entry, request.request_id, now)
         self.cache.add(request.prefix, request.prefix_tokens)
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import math
+import statistics
 from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
@@ -316,8 +317,9 @@
     def refresh(self, now: float, part: float) -> None:
         """Updates what is derived from all servers; called at each tick.
 
-        These are the common symptoms, trials while no server is usable, and the
-        list of the fastest servers, in which rate-limited ones come last.
+        These are the common symptoms, trials while no server is usable, servers
+        whose learned slowness is no longer trusted, and the list of the fastest
+        servers, in which rate-limited ones come last.
 
         Args:
             now: The owner's clock in seconds.
@@ -325,6 +327,7 @@
         """
         self.common_symptoms = self._find_common_symptoms(now)
         self._allow_trials(now)
+        self._expire_speeds(now)
         self._fastest = heapq.nsmallest(
             MAX_FASTEST,
             (known for known in self.backends.values() if known.is_open(now)),
@@ -340,6 +343,29 @@
             for known in self.backends.values():
                 known.availability.allow_trial(now)
 
+    def _expire_speeds(self, now: float) -> None:
+        """Stops trusting the slowness of servers that get no requests.
+
+        Load pattern: all servers stall for a while.  Those whose estimate then
+        misses the latency objectives idle, while the others are full and
+        requests are refused.
+        """
+        old: list[backends.Backend] = []
+        factors: list[float] = []
+        for known in self.backends.values():
+            known.note_idleness(now)
+            if not known.speed.is_learned or not known.is_open(now):
+                continue
+            if known.has_old_speed(now):
+                old.append(known)
+            else:
+                factors.append(known.speed.factor)
+        if not (old and factors):
+            return
+        usual = statistics.median_low(factors)
+        for known in old:
+            known.speed.expire(usual)
+
     def _find_common_symptoms(
         self, now: float
     ) -> frozenset[availability.Symptom]:
@@ -554,5 +580,5 @@
             self._backend_of[request_id] = new
 
     def _assume_speed(self, backend: backends.Backend) -> None:
-        if not backend.speed.is_learned:
+        if not (backend.speed.is_learned or backend.speed.is_expired):
             backend.assume_speed_of(self.backends.values())
--- a/ramptray/core/speed.py
+++ b/ramptray/core/speed.py
@@ -75,6 +75,19 @@
 """Maximum factor by which an engine is slower or faster than the line.  It
 keeps the line and the factors from drifting apart."""
 
+MAX_IDLE_S = 2.0
+"""Time without requests after which a learned slowness is no longer trusted, in
+seconds.  A server that seems too slow for the latency objectives gets no
+requests, and only responses show that a stall is over."""
+
+MAX_CONFIRMED_IDLE_S = 64.0
+"""The same time at most, in seconds.  It doubles each time that a response
+confirms the slowness, as each trial costs a caller its objective."""
+
+EXPIRED_FACTOR = 1.25
+"""Factor by which a server whose slowness is no longer trusted counts as slower
+than those in use, so that requests go to it only while those have no room."""
+
 MIN_RATE = 0.1
 """Minimum rate in a ``message.Speed``, in prompt tokens per second: a receiver
 divides by it."""
@@ -181,12 +194,18 @@
         own_step_s: Its time between tokens; None until learned.
         is_learned: Whether the factor is based on a response of the engine or
             on the speed that another owner learned.
+        is_expired: Whether its slowness is no longer trusted and no response
+            has shown its speed since.
+        max_idle_s: Time without requests after which its slowness is no longer
+            trusted, in seconds.
     """
 
     line: LatencyLine
     factor: float = 1.0
     own_step_s: float | None = None
     is_learned: bool = False
+    is_expired: bool = False
+    max_idle_s: float = MAX_IDLE_S
     _surprised: int = 0
 
     @property
@@ -217,6 +236,14 @@
         """
         expected_s = self.factor * self.line.estimate(tokens)
         ratio = max(seconds, MIN_SPAN_S) / expected_s
+        if self.is_expired:
+            self.is_expired = False
+            is_confirmed = ratio >= OUTLIER_RATIO
+            self.max_idle_s = (
+                min(2 * self.max_idle_s, MAX_CONFIRMED_IDLE_S)
+                if is_confirmed
+                else MAX_IDLE_S
+            )
         if not self.is_learned:
             self._set_factor(self.factor * ratio)
             self.is_learned = True
@@ -227,6 +254,19 @@
         )
         self.line.learn(tokens, seconds / self.factor)
 
+    def expire(self, usual_factor: float) -> None:
+        """Stops trusting a learned slowness until the next response.
+
+        Args:
+            usual_factor: Factor of the engines that are in use.  An engine
+                about as fast keeps its own.
+        """
+        assumed = EXPIRED_FACTOR * usual_factor
+        if self.is_learned and self.factor > assumed:
+            self._set_factor(assumed)
+            self.is_learned = False
+            self.is_expired = True
+
     def learn_step(self, tokens: int, seconds: float) -> None:
         """Learns from the decode speed of a response.
 
@@ -251,6 +291,7 @@
         self._set_factor(speed.estimate(PRIOR_TOKENS) / expected_s)
         self.own_step_s = speed.step_s
         self.is_learned = True
+        self.is_expired = False
 
     def to_message(self) -> message.Speed | None:
         """Returns the learned speed for other owners, or None."""
