Cut the unfinished log line of a killed program in the soak

A kill can interrupt a program while it writes a line. The harm now cuts such a line before the restart.

--- a/test/harm.py
+++ b/test/harm.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import pathlib
 import random
 import signal
 import time
@@ -152,7 +154,7 @@
 
         def start_again() -> None:
             for name in self._names:
-                self._platform.processes[name].wait()
+                self._wait_for_end(name)
                 self.lives[name] += 1
                 self._platform.restart_vm(name)
             self.returns.append(time.monotonic())
@@ -161,6 +163,11 @@
         kind = "power loss" if loses_power else "kill"
         return f"{kind} of all VMs", lose, start_again
 
+    def _wait_for_end(self, name: str) -> None:
+        """Waits until a process has ended, before it is started again."""
+        self._platform.processes[name].wait()
+        cut_unfinished_line(self._platform.folder / f"{name}.log")
+
     def _draw_partition(self) -> Draw:
         """Draws VMs that lose their links to all replicas."""
         linked = self._linked
@@ -236,7 +243,7 @@
         wanted = signal.SIGKILL if kind == "kill" else signal.SIGTERM
 
         def restart() -> None:
-            process.wait()
+            self._wait_for_end(vm)
             self.lives[vm] += 1
             self._platform.restart_vm(vm)
             self._paused.discard(vm)
@@ -314,7 +321,7 @@
         self._limit_ended_at[name] = time.monotonic()
 
         def restart() -> None:
-            process.wait()
+            self._wait_for_end(name)
             if name in self._retired:
                 return
             self._platform.restart_replica(name)
@@ -330,5 +337,14 @@
         return f"restart {name}", process.kill, restart
 
 
+def cut_unfinished_line(log: pathlib.Path) -> None:
+    """Removes the last line of a log that its killed writer did not complete.
+
+    The next run would otherwise append its first line to it.
+    """
+    content = log.read_bytes()
+    os.truncate(log, content.rfind(b"\n") + 1)
+
+
 def _do_nothing() -> None:
     """Ends a fault that is over with its beginning."""
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -12,7 +12,7 @@
 from click import testing
 
 from bench import promise
-from test import node, part_load, pausing, soak, verdict
+from test import harm, node, part_load, pausing, soak, verdict
 
 SECONDS = 36.0
 
@@ -168,6 +168,20 @@
     assert f"{former} is not empty" in result.output
 
 
+def test_the_unfinished_line_of_a_killed_program_is_cut(
+    tmp_path: pathlib.Path,
+) -> None:
+    # The next run's first line followed in the same line, and the soak ended
+    # with "JSONDecodeError: Expecting ',' delimiter" (seed 3011).
+    started, log = node.Platform(tmp_path), tmp_path / "vm-0.log"
+    log.write_text('{"message": "whole"}\n{"message": "unfini')
+    harm.cut_unfinished_line(log)
+    with log.open("a") as appended:
+        appended.write('{"message": "next"}\n')
+    found = [line["message"] for line in started.read_log("vm-0")]
+    assert found == ["whole", "next"]
+
+
 def judge(promises: list[promise.Promise], faults: list[str]) -> None:
     """Fails where a promise was broken, or could not be judged."""
     shown = "\n".join([kept.format() for kept in promises] + faults)
