Judge refusals of requests that a paused server is at work on

The soak with pausing servers took every 429 and 503 for a refusal of a full deployment, so a VM that gave up a silent server and refused its request broke no promise. Such a refusal is now judged like an answer that was lost: a fault has to explain it if a server had begun the request. Refusals of requests that ran nowhere are still allowed.

--- a/test/pausing.py
+++ b/test/pausing.py
@@ -525,7 +525,8 @@
         if reading.is_whole:
             is_right = reading.is_in_order and len(reading.ids) == events
             unended.judge(is_right, f"{reading}")
-        elif reading.is_lost and explanation.has_run(reading):
+        elif not reading.has_left and explanation.has_run(reading):
+            # A refusal ends an answer too if a server was at work on it.
             at_work = explanation.list_at_work(reading)
             unended.judge(not at_work, f"{at_work} {reading}")
         # A stream that could have ended since needs no notice of its caller.
