Handle events of exchanges at the present time in tests of hedging

The recording dispatcher handles them at second 1, while its tickets and retries have the times of the steady clock. A deadline had therefore never passed, and the budget was asked about a time before its retries.

--- a/test/test_hedging.py
+++ b/test/test_hedging.py
@@ -92,6 +92,10 @@
         self.grant(ticket, "a")
         return ticket
 
+    def receive_exchange(self, event: tickets.Event) -> None:
+        """Handles an event of an exchange, now."""
+        self._handle(event, steadyclock.read())
+
     def grant(self, ticket: tickets.Ticket, backend: str) -> None:
         """Grants a server, by the owner of a ticket."""
         owner = ticket.machine.owner
