Test the documented silences after which hedges are sought

No test noticed other values: the exchange's tests shorten the constants, and those with real servers pause for longer than any of them. The values are those of failures.md.

--- a/test/test_hedge_machines.py
+++ b/test/test_hedge_machines.py
@@ -6,14 +6,11 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ramptray.core import (
-    message,
-    request,
-    retry,
-)
+from ramptray.core import hedging, message, request, retry
 from test.test_hedging import LOST, OURS, make_ended, make_info
 
 
@@ -229,3 +226,22 @@
                 budget.release("s")
                 reserved -= 1
         assert not budget.has_attempts_left("other", now) or extra
+
+
+@pytest.mark.parametrize(
+    ("target_gap_s", "delay_s"),
+    [(None, None), (0.05, 0.8), (0.2, 0.8), (0.3, 1.2), (1.0, 4.0)],
+)
+def test_a_stream_is_hedged_after_the_documented_silence(
+    target_gap_s: float | None, delay_s: float | None
+) -> None:
+    # max(0.8 s, 4 times targetGapMs), of docs/design/failures.md.
+    assert hedging.get_stream_delay_s(target_gap_s) == pytest.approx(delay_s)
+
+
+def test_a_response_is_hedged_after_twice_the_objective() -> None:
+    assert hedging.get_response_delay_s(0.5) == 1.0
+
+
+def test_a_hedge_that_was_denied_is_sought_every_quarter_of_a_second() -> None:
+    assert hedging.RETRY_S == 0.25
