Test what a hedge takes over from its request

All tests passed on a scratch copy in which a hedge had a time limit or start of its own, shared its id with the next hedge, counted as further use of its customer's limit, lost its retry with a grant that was returned, or returned the retry of an earlier attempt. A test fails for each of them now.

--- a/test/test_hedging.py
+++ b/test/test_hedging.py
@@ -10,6 +10,7 @@
 import contextlib
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import anyio
 import pytest
@@ -23,6 +24,7 @@
     request,
     retry,
 )
+from ramptray.entry import server_hints
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.peer import message as peer_message
@@ -414,3 +416,77 @@
     dispatching.receive_exchange(tickets.FirstTokenReceived(first))
     dispatching.promote(hedge)
     assert dispatching.hedges["answered"] == 1
+
+
+def test_a_hedge_ends_at_the_time_limit_of_its_request(
+    dispatching: HedgingDispatcher,
+) -> None:
+    # It would go on for as long again as the request had when it was received.
+    ticket = dispatching.start(make_info(deadline_s=60.0, wait_s=70.0))
+    ticket.started_at -= 50.0
+    ticket.deadline -= 50.0
+    hedge = dispatching.hedge(ticket).unwrap()
+    _, enqueued = dispatching.list_sent(message.Enqueue)[-1]
+    assert 9.0 < enqueued.request.deadline_s <= 10.0
+    assert 19.0 < enqueued.request.wait_s <= 20.0
+    dispatching.tick(steadyclock.read() + 10.0)
+    assert get_finish(hedge).reason is message.Reason.DEADLINE
+
+
+def test_hedges_of_one_request_have_different_ids() -> None:
+    # A hedge of a hedge would take the place of the first one's ticket.
+    recorder = HedgingDispatcher(extra_retries=9.0)
+    ticket = recorder.start(make_info(max_attempts=4))
+    hedge = recorder.hedge(ticket).unwrap()
+    recorder.grant(hedge, "b")
+    recorder.promote(hedge)
+    recorder.fail(ticket, is_hedged=True)
+    assert recorder.hedge(hedge).unwrap().request_id != hedge.request_id
+
+
+def test_a_hedge_is_no_further_use_of_its_customers_limit(
+    dispatching: HedgingDispatcher,
+) -> None:
+    # A customer whose servers are silent would have half of its limit.
+    ticket = dispatching.start()
+    with mock.patch.object(dispatching._use_history, "record") as record:
+        dispatching.grant(dispatching.hedge(ticket).unwrap(), "b")
+    record.assert_not_called()
+
+
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_a_retry_of_a_returned_grant_is_reserved_until_it_is_sent(
+    dispatching: HedgingDispatcher, is_repeated: bool
+) -> None:
+    # A server that paused when it was granted cost a retry.
+    ticket = dispatching.start()
+    hedge = dispatching.hedge(ticket).unwrap()
+    dispatching.grant(hedge, "b")
+    dispatching.receive_exchange(
+        tickets.GrantUnusable(
+            hedge.request_id, server_hints.UnusableReason.PAUSED
+        )
+    )
+    assert not dispatching.has_budget(ticket)
+    if is_repeated:
+        dispatching.grant(hedge, "c")
+    else:
+        dispatching.refuse(hedge)
+    assert dispatching.has_budget(ticket) is not is_repeated
+    assert dispatching._budget._reserved.total() == 0
+
+
+def test_only_the_attempt_that_used_a_reserved_retry_returns_it() -> None:
+    # A repetition that reached no server returned the retry of a hedge that
+    # had been sent before it.
+    recorder = HedgingDispatcher(extra_retries=2.0)
+    ticket = recorder.start()
+    hedge = recorder.hedge(ticket).unwrap()
+    recorder.grant(hedge, "b")
+    recorder.promote(hedge)
+    recorder.fail(ticket, is_hedged=True)
+    recorder.fail(hedge)
+    recorder.grant(hedge, "c")
+    recorder.receive_exchange(tickets.ConnectFailed(hedge.request_id))
+    recorder.refuse(hedge)
+    assert not recorder.has_budget(hedge)
