Test hedges of responses, last reads and errors in the exchange

All tests passed on a scratch copy in which a silent body was not hedged, a denial by the budget was final, a suspended VM hedged without a last read, both servers' whole, large or empty responses were written, the error of a failed server was dropped, the log named the wrong attempt as the end, or the refusal of a hedge that waited ended a stream whose first attempt had broken. A test fails for each of them now.

--- a/test/test_hedge_exchange.py
+++ b/test/test_hedge_exchange.py
@@ -10,21 +10,25 @@
 import contextlib
 import json
 import socket
+import time
 from collections.abc import AsyncIterator, Iterable
 from typing import Any, cast
+from unittest import mock
 
 import anyio
+import anyio.to_thread
 import pytest
 
+from ramptray import steadyclock
 from ramptray.bundle import acceptance, model, signature
 from ramptray.core import hedging, message
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
 from ramptray.platform import config, header
 from ramptray.relay import answer as answers
+from ramptray.relay import attempts, exchange, socket_stream
 from ramptray.relay import client as relay_client
 from ramptray.relay import connection as connections
-from ramptray.relay import exchange, socket_stream
 from ramptray.relay import message as relay_message
 from test import node
 from test.test_hedging import HedgingDispatcher, make_info
@@ -152,14 +156,19 @@
 class Scene:
     """An exchange with its servers and its caller."""
 
-    def __init__(self, *granted: str, most: int = 3) -> None:
+    def __init__(
+        self,
+        *granted: str,
+        most: int = 3,
+        kind: model.RouteKind = model.RouteKind.STREAM,
+    ) -> None:
         self.servers = FakeServers()
         self.writer = FakeWriter()
         self.dispatcher = GrantingDispatcher(list(granted))
         route = model.Route(
             host="h",
             path_prefix="/",
-            kind=model.RouteKind.STREAM,
+            kind=kind,
             targets=[model.Target(service="s")],
             timeout_s=5.0,
             objective_s=0.01,
@@ -187,6 +196,11 @@
             while not set(backends) <= self.servers.ends.keys():
                 await anyio.sleep(0.001)
 
+    def list_noted(self, kind: str) -> list[dict[str, Any]]:
+        """Returns the events of a kind that were noted of the request."""
+        noted = self.dispatcher.timeline.list_events(0, "r1")
+        return [event for event in noted if event["kind"] == kind]
+
     @contextlib.asynccontextmanager
     async def run(self) -> AsyncIterator[None]:
         """Runs the exchange; it has ended after the block."""
@@ -375,3 +389,137 @@
     assert scene.dispatcher.request_count == 0
     assert scene.exchange.outcome == "caller_gone"
     assert scene.dispatcher._budget._reserved.total() == 0
+
+
+@pytest.mark.anyio
+async def test_a_response_whose_body_is_silent_is_hedged() -> None:
+    # Only its head was waited for with a time limit.
+    scene = Scene("a", "b", kind=model.RouteKind.SAFE)
+    async with scene.run():
+        await scene.wait_for("a")
+        scene.servers.ends["a"].send(HEAD)
+        await scene.wait_for("b")
+        scene.servers.ends["b"].send(HEAD + EVENT)
+    assert (scene.writer.heads, scene.writer.body) == (1, EVENT)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("size", [2, attempts.MAX_BUFFERED_RESPONSE_BYTES + 1])
+async def test_responses_that_arrive_at_once_are_written_once(
+    size: int,
+) -> None:
+    # Those too large to be kept are written by another method.
+    scene = Scene("a", "b", kind=model.RouteKind.SAFE)
+    body = b"x" * size
+    sent = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + body
+
+    def send(end: socket.socket) -> None:
+        # The end of the one that is left is closed meanwhile.
+        with contextlib.suppress(OSError):
+            end.sendall(sent)
+
+    async with scene.run():
+        await scene.wait_for("a", "b")
+        async with anyio.create_task_group() as tasks:
+            for end in scene.servers.ends.values():
+                tasks.start_soon(anyio.to_thread.run_sync, send, end)
+    assert (scene.writer.heads, scene.writer.ends) == (1, ["finish"])
+    assert scene.writer.body == body
+
+
+@pytest.mark.anyio
+async def test_empty_streams_that_end_at_once_are_ended_once() -> None:
+    # Neither has an event with which it would leave the other.
+    scene = Scene("a", "b")
+    async with scene.run():
+        await scene.wait_for("a", "b")
+        for end in scene.servers.ends.values():
+            end.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert (scene.writer.heads, scene.writer.ends) == (1, ["finish"])
+    assert len(scene.dispatcher.list_reported(tickets.Completed)) == 1
+
+
+@pytest.mark.anyio
+async def test_an_error_of_a_server_is_sent_if_the_other_fails_as_well() -> (
+    None
+):
+    # A refusal would say less.
+    scene = Scene("a", "b", most=2, kind=model.RouteKind.SAFE)
+    async with scene.run():
+        await scene.wait_for("a", "b")
+        scene.servers.ends["b"].send(
+            b"HTTP/1.1 500 -\r\nContent-Length: 3\r\n\r\nwhy"
+        )
+        await anyio.sleep(0.05)
+        assert scene.writer.ends == []
+        scene.servers.ends["a"].close()
+    assert (scene.writer.body, scene.writer.ends) == (b"why", ["finish"])
+
+
+@pytest.mark.anyio
+async def test_a_hedge_that_the_budget_denies_is_sought_again() -> None:
+    # The budget refills while the server is silent.
+    scene = Scene("a", "b")
+    allowed = [False, False, True]
+    budget = scene.dispatcher._budget
+    with mock.patch.object(budget, "reserve", side_effect=allowed):
+        async with scene.run():
+            await scene.wait_for("b")
+            scene.servers.ends["b"].send(HEAD + EVENT)
+    assert scene.writer.body == EVENT
+
+
+@pytest.mark.anyio
+async def test_the_attempt_that_answers_is_logged_as_the_end() -> None:
+    # The log named the attempt that was left as the end of the request.
+    scene = Scene("a", "b")
+    async with scene.run():
+        await scene.wait_for("a", "b")
+        scene.servers.ends["b"].send(HEAD + EVENT)
+    (end,), (left,) = scene.list_noted("end"), scene.list_noted("attempt_ended")
+    assert (end["hedge"], end["outcome"]) == ("r1‖1", "complete")
+    assert "hedge" not in left
+
+
+@pytest.mark.anyio
+async def test_a_stream_waits_on_if_its_waiting_hedge_is_refused() -> None:
+    # The first attempt broke while the hedge had no place yet; its refusal was
+    # taken for that of a hedge beside an attempt at work.
+    scene = Scene("a")
+    async with scene.run():
+        await scene.wait_for("a")
+        scene.servers.ends["a"].send(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + EVENT
+        )
+        while scene.dispatcher.request_count < 2:
+            await anyio.sleep(0.001)
+        scene.servers.ends["a"].close()
+        while not scene.dispatcher.list_reported(tickets.AttemptFailed):
+            await anyio.sleep(0.001)
+        scene.dispatcher.refuse(scene.dispatcher._tickets["r1‖1"])
+        await anyio.sleep(0.01)
+        assert scene.writer.ends == []
+        scene.dispatcher.granted.append("b")
+        scene.dispatcher.tick(steadyclock.read() + hedging.RETRY_S)
+        await scene.wait_for("b")
+        second = EVENT.replace(b"1", b"2")
+        scene.servers.ends["b"].send(HEAD + second)
+    assert scene.writer.body == EVENT + second
+    assert scene.writer.ends == ["finish"]
+
+
+@pytest.mark.anyio
+async def test_a_suspended_vm_reads_once_more_before_it_hedges(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # It took all servers for silent when it ran again.
+    monkeypatch.setattr(attempts, "LAST_READ_S", 0.5)
+    scene = Scene("a", "b")
+    async with scene.run():
+        await scene.wait_for("a")
+        await anyio.sleep(0.005)
+        time.sleep(0.1)
+        await anyio.sleep(0.05)
+        scene.servers.ends["a"].send(HEAD + EVENT)
+    assert scene.writer.body == EVENT
+    assert scene.list_noted("hedge") == []
