Check in the model of hedging that each answer ends

The model had no invariant against an answer that waits for ever after both series have ended, and no rule whose removal breaks that a complete answer is whole. Both are checked now. A comment said that the code still writes what a left series had read; it does not: test_parts_that_arrive_from_both_at_once_are_written_once passes.

--- a/spec/hedge.py
+++ b/spec/hedge.py
@@ -85,6 +85,7 @@
         check_left: A series that was left writes no piece that had arrived.
         resume: An attempt asks for what follows the last piece written.
         end_with_last: The answer ends with its last series only.
+        forget_ended: A series that has ended is not taken for one that runs.
         check_other: A series ends without another attempt only if the other
             one still runs when this is decided.
         conceded_is_unknown: A series that leaves the answer to the other never
@@ -100,6 +101,7 @@
     check_left: bool = True
     resume: bool = True
     end_with_last: bool = True
+    forget_ended: bool = True
     check_other: bool = True
     conceded_is_unknown: bool = True
     count_others: bool = True
@@ -123,6 +125,9 @@
         not _is_early(s["said"])
         or all(each.phase not in RUNNING for each in s["series"])
     ),
+    "ends_if_none_runs": lambda s: (
+        bool(s["said"]) or any(each.phase in RUNNING for each in s["series"])
+    ),
     "ends_only_if_denied": lambda s: (
         not _is_early(s["said"]) or s["was_denied"]
     ),
@@ -314,7 +319,10 @@
     if one.phase != "done":
         return []
     ended = _put(state, number, phase="ended")
-    if other.phase in RUNNING and rules.end_with_last:
+    is_running = other.phase in RUNNING or (
+        other.phase == "ended" and not rules.forget_ended
+    )
+    if is_running and rules.end_with_last:
         return [("learn", ended)]
     return [("learn", _end(ended, one.outcome, rules))]
 
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -156,11 +156,14 @@
     ),
     (hedge.check, hedge.Rules(leave_first=False), "one_writer"),
     (hedge.check, hedge.Rules(leave_first=False), "in_order"),
-    # What the code does: a series that was left writes what had arrived.
+    (hedge.check, hedge.Rules(leave_first=False), "whole_if_complete"),
+    # What the code did until this was modelled: a series that was left wrote
+    # what had arrived.
     (hedge.check, hedge.Rules(check_left=False), "one_writer"),
     (hedge.check, hedge.Rules(check_left=False), "in_order"),
     (hedge.check, hedge.Rules(resume=False), "in_order"),
     (hedge.check, hedge.Rules(end_with_last=False), "ends_with_last"),
+    (hedge.check, hedge.Rules(forget_ended=False), "ends_if_none_runs"),
     # What the code did until this was modelled: two series that broke at the
     # same time each left the answer to the other.
     (hedge.check, hedge.Rules(check_other=False), "ends_only_if_denied"),
