Share the loop of callers that ask again and again

Callers and StreamCallers had the same threads and the same loop. The base class also keeps what each caller was answered by itself.

--- a/test/callers.py
+++ b/test/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import contextlib
 import dataclasses
 import functools
@@ -9,6 +10,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from typing import Generic, Self, TypeVar
 
 from test import node
 from test.test_node import ask, wait_until
@@ -18,6 +20,8 @@
 
 _NUMBERS = itertools.count(1)
 
+AnswerT = TypeVar("AnswerT")
+
 
 @dataclasses.dataclass
 class Asked:
@@ -55,32 +59,27 @@
     return ask(started, "/safe/", vm=vm).status == 200
 
 
-class Callers:
-    """Asks all VMs at once until it is stopped.
+class RepeatingCallers(abc.ABC, Generic[AnswerT]):
+    """Callers that ask all VMs at once, again and again until stopped.
 
     Args:
         started: The deployment.
-        path: What is asked.
         per_vm: Callers of each VM.
 
     Attributes:
-        asked: What was asked, in no order.
+        by_caller: What each caller was answered, in order.
     """
 
-    def __init__(
-        self, started: node.Platform, path: str, per_vm: int = 2
-    ) -> None:
-        self.asked: list[Asked] = []
-        self._started = started
-        self._path = path
+    def __init__(self, started: node.Platform, per_vm: int) -> None:
+        vms = [vm for vm in started.vms for _ in range(per_vm)]
+        self.by_caller: list[list[AnswerT]] = [[] for _ in vms]
         self._stopped = threading.Event()
         self._threads = [
-            threading.Thread(target=self._ask_on, args=(vm,))
-            for vm in started.vms
-            for _ in range(per_vm)
+            threading.Thread(target=self._ask_on, args=pair)
+            for pair in zip(vms, self.by_caller, strict=True)
         ]
 
-    def __enter__(self) -> Callers:
+    def __enter__(self) -> Self:
         for thread in self._threads:
             thread.start()
         return self
@@ -90,14 +89,51 @@
         for thread in self._threads:
             thread.join()
 
+    def _ask_on(self, vm: str, answers: list[AnswerT]) -> None:
+        while not self._stopped.is_set():
+            answers.append(self._ask(vm))
+            self._stopped.wait(self._get_pause_s(answers[-1]))
+
+    @abc.abstractmethod
+    def _ask(self, vm: str) -> AnswerT:
+        """Asks a VM once."""
+
+    @abc.abstractmethod
+    def _get_pause_s(self, answer: AnswerT) -> float:
+        """Returns the pause of a caller after an answer, in seconds."""
+
+
+class Callers(RepeatingCallers[Asked]):
+    """Asks all VMs at once until it is stopped.
+
+    Args:
+        started: The deployment.
+        path: What is asked.
+        per_vm: Callers of each VM.
+    """
+
+    def __init__(
+        self, started: node.Platform, path: str, per_vm: int = 2
+    ) -> None:
+        super().__init__(started, per_vm)
+        self._started = started
+        self._path = path
+
+    @property
+    def asked(self) -> list[Asked]:
+        """What was asked, caller by caller."""
+        return list(itertools.chain.from_iterable(self.by_caller))
+
     @property
     def statuses(self) -> set[int]:
         """The statuses of all answers."""
         return {each.status for each in self.asked}
 
-    def _ask_on(self, vm: str) -> None:
-        while not self._stopped.wait(PAUSE_S):
-            self.asked.append(ask_once(self._started, self._path, vm))
+    def _ask(self, vm: str) -> Asked:
+        return ask_once(self._started, self._path, vm)
+
+    def _get_pause_s(self, answer: Asked) -> float:
+        return PAUSE_S
 
 
 def ask_once(started: node.Platform, path: str, vm: str) -> Asked:
--- a/test/silent_load.py
+++ b/test/silent_load.py
@@ -17,7 +17,7 @@
 from concurrent import futures
 from typing import Any, TypeVar
 
-from test import node
+from test import callers, node
 from test.test_node import ask, make_headers, wait_until
 
 EVENTS = 12
@@ -27,6 +27,10 @@
 TIME_LIMIT_MS = 12_000
 SERVERS, VMS = 4, 4
 CALLERS_PER_VM = 3
+
+AFTER_REFUSAL_S = 0.2
+"""Pause of a caller after an answer that was not whole, in seconds."""
+
 ZONES = ("waw-a", "waw-b")
 
 _EVENT_ID = re.compile(rb"id: (\d+)\n")
@@ -240,59 +244,35 @@
     return "\n".join(lines)
 
 
-class StreamCallers:
+class StreamCallers(callers.RepeatingCallers[Reading]):
     """Callers that ask all VMs again and again until they are stopped.
 
     Args:
         started: The deployment.
         path: What is asked.
         per_vm: Callers of each VM.
-        patience_s: Silence after which a caller leaves, in seconds.
 
     Attributes:
-        readings: What was asked, in no order.
+        path: As given.
     """
 
     def __init__(
-        self,
-        started: node.Platform,
-        path: str,
-        per_vm: int = CALLERS_PER_VM,
-        patience_s: float = TIME_LIMIT_MS / 1000,
+        self, started: node.Platform, path: str, per_vm: int = CALLERS_PER_VM
     ) -> None:
-        self.readings: list[Reading] = []
+        super().__init__(started, per_vm)
         self._started = started
-        self._path = path
-        self._patience_s = patience_s
-        self._stopped = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._ask_on, args=(vm,))
-            for vm in started.vms
-            for _ in range(per_vm)
-        ]
+        self.path = path
 
-    def __enter__(self) -> StreamCallers:
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
+    @property
+    def readings(self) -> list[Reading]:
+        """What was asked, caller by caller."""
+        return list(itertools.chain.from_iterable(self.by_caller))
 
-    def list_lost(self) -> list[Reading]:
-        """Returns the requests that ended without an answer."""
-        return [each for each in self.readings if each.is_lost]
+    def _ask(self, vm: str) -> Reading:
+        return read_answer(self._started, self.path, vm)
 
-    def _ask_on(self, vm: str) -> None:
-        while not self._stopped.is_set():
-            reading = read_answer(
-                self._started, self._path, vm, self._patience_s
-            )
-            self.readings.append(reading)
-            if not reading.is_whole:
-                self._stopped.wait(0.2)
+    def _get_pause_s(self, answer: Reading) -> float:
+        return 0.0 if answer.is_whole else AFTER_REFUSAL_S
 
 
 @contextlib.contextmanager
