Test answers beside owners, gateways, suspensions and late callers

Rules out, by real processes, that begun answers end when the owner that placed them is suspended, killed, stopped or restarted while servers pause; when their own VM or their gateway is suspended for 3.5 s, or the gateway stops; when a caller reads 8 MB only 5 s after its VM was asked to stop; and when HTTP/1.0 callers wait for a server that pauses.

--- a/test/test_answer_cuts.py
+++ b/test/test_answer_cuts.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import re
 import signal
+import socket
 import time
 from collections.abc import Callable, Iterator
 from concurrent import futures
@@ -20,12 +22,18 @@
 from ramptray.core import hedging, membership, message
 from ramptray.entry import ticket as tickets
 from ramptray.peer import message as peer_message
-from test import node, silent_load, test_hedging
+from test import node, partition, silent_load, test_hedging
 from test.test_dispatcher import OTHER, OURS
-from test.test_node import ask, wait_until
+from test.test_node import ask, make_headers, wait_until
 
 RESUMABLE, ONCE = "/stream/", "/stream-once/"
 FORMER_RUN, NEW_RUN = 1_700_000_000_000, 1_700_000_009_000
+SUSPENDED_S = 3.5
+"""Longer than two VMs wait for the keepalive of their link, in seconds."""
+
+PADDING_BYTES = 8 * 1024 * 1024
+"""More than the buffers of a connection hold."""
+
 DISTANT = "127.0.0.3:1"
 EVENT_S = 0.3
 IS_STREAM = re.compile("silent-").match
@@ -236,3 +244,169 @@
     assert asked[-2:] == [(DISTANT, "waw-b"), (OTHER, "waw-a")]
     dispatching.grant(ticket, "b")
     assert ticket.machine.backend == "b"
+
+
+def suspend(started: node.Platform, vm: str) -> None:
+    """Suspends a VM's program for longer than its peers wait for it."""
+    started.processes[vm].send_signal(signal.SIGSTOP)
+    time.sleep(SUSPENDED_S)
+    started.processes[vm].send_signal(signal.SIGCONT)
+
+
+def kill(started: node.Platform, vm: str) -> None:
+    started.kill_vm(vm)
+
+
+def stop(started: node.Platform, vm: str) -> None:
+    started.processes[vm].send_signal(signal.SIGTERM)
+
+
+def restart(started: node.Platform, vm: str) -> None:
+    started.kill_vm(vm)
+    started.restart_vm(vm)
+
+
+@pytest.mark.parametrize("harm", [suspend, kill, stop, restart])
+def test_answers_outlast_the_owner_that_placed_them(
+    harm: Callable[[node.Platform, str], None],
+) -> None:
+    # All servers pause meanwhile, so that hedges wait for the owner.
+    zones = ("waw-a", "waw-a", "waw-a")
+    with partition.run_linked(zones, ("waw-a", "waw-a")) as started:
+        started.set_config(silent_load.make_config(2))
+        for vm in started.vms:
+            started.wait_for_config(vm, 2)
+        owner = started.find_owner()
+        others = [vm for vm in started.vms if vm != owner]
+        for name in started.replicas:
+            started.set_faults(name, work_s=1.2)
+        with silent_load.read_together(
+            started, (RESUMABLE, ONCE), others, per_vm=1
+        ) as streams:
+            time.sleep(BEGUN_S)
+            harm(started, owner)
+        readings = [stream.result() for stream in streams]
+        lost = [reading for reading in readings if not reading.is_whole]
+        assert not lost, silent_load.explain(started, lost)
+        assert all(reading.is_in_order for reading in readings)
+
+
+def test_answers_outlast_the_suspension_of_their_own_vm() -> None:
+    with partition.run_linked(("waw-a",) * 3, ("waw-a",) * 2) as started:
+        started.set_config(silent_load.make_config(2))
+        for vm in started.vms:
+            started.wait_for_config(vm, 2)
+        for name in started.replicas:
+            started.set_faults(name, work_s=1.2)
+        with silent_load.read_together(
+            started, (RESUMABLE, ONCE), started.vms, per_vm=1
+        ) as streams:
+            time.sleep(BEGUN_S)
+            for vm in started.vms:
+                started.processes[vm].send_signal(signal.SIGSTOP)
+            time.sleep(SUSPENDED_S)
+            for vm in started.vms:
+                started.processes[vm].send_signal(signal.SIGCONT)
+        readings = [stream.result() for stream in streams]
+        lost = [reading for reading in readings if not reading.is_whole]
+        assert not lost, silent_load.explain(started, lost)
+        assert all(reading.is_in_order for reading in readings)
+
+
+@pytest.mark.parametrize("harm", [suspend, stop])
+def test_answers_outlast_a_gateway_that_comes_back_or_stops(
+    harm: Callable[[node.Platform, str], None],
+) -> None:
+    # Their own VM reaches no server, so they come through one of the others.
+    with partition.run_linked(("waw-a",) * 2, ("waw-a",) * 2) as started:
+        started.set_config(silent_load.make_config(2))
+        for vm in started.vms:
+            started.wait_for_config(vm, 2)
+        owner = started.find_owner()
+        (cut,) = (vm for vm in started.vms if vm != owner)
+        started.partition([cut], proxy.Partition.RESET)
+        started.partition([cut], proxy.Partition.HANG)
+        wait_until(lambda: ask(started, "/safe/", vm=cut).status == 200)
+        for name in started.replicas:
+            started.set_faults(name, work_s=0.8)
+        with silent_load.read_together(
+            started, (RESUMABLE, ONCE), [cut], per_vm=2
+        ) as streams:
+            time.sleep(1.0)
+            harm(started, owner)
+        readings = [stream.result() for stream in streams]
+        dispatches = silent_load.list_events(started, "dispatch", [cut])
+        assert {reading.request_id for reading in readings} <= {
+            event["subject"] for event in dispatches if "gateways" in event
+        }
+        lost = [reading for reading in readings if not reading.is_whole]
+        assert not lost, silent_load.explain(started, lost)
+        assert all(reading.is_in_order for reading in readings)
+
+
+def open_caller(started: node.Platform) -> socket.socket:
+    """Opens a connection to a VM that receives little before it is read."""
+    host, port = started.vms["vm-0"]["front"].split(":")
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.settimeout(10.0)
+    caller.connect((host, int(port)))
+    return caller
+
+
+def format_request(path: str, version: str) -> bytes:
+    headers = make_headers(X_Deadline_Ms="9000")
+    lines = [
+        f"POST {path} HTTP/{version}",
+        *(f"{name}: {value}" for name, value in headers.items()),
+        "Connection: close",
+        "Content-Length: 1",
+        "",
+        "x",
+    ]
+    return "\r\n".join(lines).encode()
+
+
+def read_all(caller: socket.socket) -> bytes:
+    return b"".join(iter(functools.partial(caller.recv, 65536), b""))
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_a_caller_that_reads_late_gets_its_answer_from_a_stopping_vm(
+    version: str,
+) -> None:
+    # The VM has nothing left to do but what waits to be read.
+    with (
+        node.run_platform(replicas=0) as started,
+        open_caller(started) as caller,
+    ):
+        started.set_config(silent_load.make_config(2))
+        started.start_replica("i-0", padding_bytes=PADDING_BYTES)
+        started.wait_for_config("vm-0", 2)
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        caller.sendall(format_request("/once/", version))
+        time.sleep(BEGUN_S)
+        started.processes["vm-0"].send_signal(signal.SIGTERM)
+        time.sleep(5.0)
+        answer = read_all(caller)
+        assert len(answer) > PADDING_BYTES
+        assert started.processes["vm-0"].wait(10.0) == 0
+
+
+@pytest.mark.parametrize("path", [RESUMABLE, ONCE])
+def test_a_caller_without_chunks_gets_an_answer_that_pauses(path: str) -> None:
+    # The end of its connection is all that ends an answer.
+    with (
+        node.run_platform(replicas=0) as started,
+        open_caller(started) as caller,
+    ):
+        started.set_config(silent_load.make_config(2))
+        started.start_replica("i-0", events=3)
+        started.wait_for_config("vm-0", 2)
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        for name in started.replicas:
+            started.set_faults(name, work_s=1.2)
+        caller.sendall(format_request(path, "1.0"))
+        answer = read_all(caller)
+        assert [*map(int, re.findall(rb"id: (\d+)", answer))] == [1, 2, 3]
+        assert answer.endswith(b"\n\n")
