Leave the requests that a stopping VM accepts last time to finish

With graceS of 3 s, a stopping VM accepted requests up to the moment at which it cut all of them: ends the time for the load balancer at the deadline, so nothing was left after it. Three requests of 0.4 s were cut in one run.

The VM now accepts none in the last second before the deadline, or in the last half of its time if that is less; from graceS of 4.5 s on, nothing changes. The wait for the last answers ends at the deadline itself, and no longer up to 0.05 s after it: one run of test_streams_longer_than_the_grace_time... [3.0] ended 0.14 s late (load average 20 to 38) with the first change alone.

test_a_stopping_vm_accepts_no_requests_that_it_would_cut[3.0] failed before.

--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -65,6 +65,11 @@
 """Delay after a failed accept, in seconds. Without it, the accept loop would
 spin when the process runs out of file descriptors."""
 
+FINISH_S = 1.0
+"""Time that requests accepted last by a stopping VM have to finish, in seconds,
+or half of its time if that is less.  Longer requests may be cut; the load
+balancer takes up to three seconds to send none."""
+
 
 class Node:
     """Creates the components of one VM and runs their tasks.
@@ -286,16 +291,17 @@
         self._relay.state.stopping = True
         LOG.info("stopping", extra={"active": self._relay.state.active})
         left_s = max(0.0, deadline - steadyclock.read())
-        with anyio.move_on_after(min(self._settings.lame_duck_s, left_s)):
+        accept_s = left_s - min(FINISH_S, left_s / 2)
+        with anyio.move_on_after(min(self._settings.lame_duck_s, accept_s)):
             await self._gossiper.leave()
             await self._origins.hand_over()
             await anyio.sleep(self._settings.lame_duck_s)
         self._relay.refuse_new_requests()
         self._tunnel_server.stopping = True
-        while (
-            self._relay.state.active or self._tunnel_server.active
-        ) and steadyclock.read() < deadline:
-            await anyio.sleep(0.05)
+        while (self._relay.state.active or self._tunnel_server.active) and (
+            left_s := deadline - steadyclock.read()
+        ) > 0:
+            await anyio.sleep(min(0.05, left_s))
         LOG.info("stopped", extra={"active": self._relay.state.active})
 
     def _make_ready_page(self) -> probe.Page:
--- a/test/test_answer_cuts.py
+++ b/test/test_answer_cuts.py
@@ -410,3 +410,22 @@
         answer = read_all(caller)
         assert [*map(int, re.findall(rb"id: (\d+)", answer))] == [1, 2, 3]
         assert answer.endswith(b"\n\n")
+
+
+@pytest.mark.parametrize("grace_s", [3.0, 8.0])
+def test_a_stopping_vm_accepts_no_requests_that_it_would_cut(
+    grace_s: float,
+) -> None:
+    # With a short grace time, it accepted requests until it cut them all.
+    bounds = {"graceS": grace_s}
+    with node.run_platform(replicas=1, bounds=bounds) as started:
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        started.set_faults("i-0", work_s=0.4)
+        with futures.ThreadPoolExecutor(node.SLOTS) as pool:
+            started.processes["vm-0"].send_signal(signal.SIGTERM)
+            ends_at = time.monotonic() + grace_s
+            while time.monotonic() < ends_at:
+                pool.submit(ask, started, "/once/", "POST", b"x")
+                time.sleep(0.1)
+        assert started.processes["vm-0"].wait(10.0) == 0
+        assert not silent_load.list_events(started, "answer_cut")
