Record two ways in which answers still end too early

An answer that has begun ends at once if its server breaks off while the retry budget is used up, whereas a silent one asks again each 0.25 s. Waiting for the budget needs a state of the request in which no owner may grant it, which is more than a small fix.

A caller that shuts down only its sending side counts as gone. That is how callers that leave are recognized within 0.5 s; whether it should stay is for the owners of that rule to decide.

--- a/test/test_answer_cuts.py
+++ b/test/test_answer_cuts.py
@@ -429,3 +429,52 @@
                 time.sleep(0.1)
         assert started.processes["vm-0"].wait(10.0) == 0
         assert not silent_load.list_events(started, "answer_cut")
+
+
+def test_an_answer_of_a_lost_server_goes_on_when_there_is_budget_again() -> (
+    None
+):
+    # The retry budget was used up when its server broke off, and refills while
+    # its caller waits.
+    bounds = {
+        "retryBudgetRatio": 0.0,
+        "retryBudgetSlack": 20,
+        "budgetWindowS": 2.0,
+    }
+    with node.run_platform(replicas=1, bounds=bounds) as started:
+        started.set_config(silent_load.make_config(2))
+        started.wait_for_config("vm-0", 2)
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        started.set_faults("i-0", fail=True)
+        started.start_replica("i-1")
+        time.sleep(0.5)
+        started.set_faults("i-1", fail=True)
+        ask(started, "/safe/")
+        for name in started.replicas:
+            started.set_faults(name, cut_after=2)
+        with futures.ThreadPoolExecutor(1) as pool:
+            stream = pool.submit(
+                silent_load.read_answer, started, RESUMABLE, "vm-0"
+            )
+            time.sleep(0.5)
+            for name in started.replicas:
+                started.set_faults(name)
+            reading = stream.result()
+        failed = silent_load.list_events(started, "attempt_failed")
+        assert failed[-1]["budget_left"] is False
+        assert reading.is_whole, silent_load.explain(started, [reading])
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_a_caller_that_ends_its_side_only_gets_its_answer(version: str) -> None:
+    # The end of a request's connection is no evidence that its caller has left:
+    # it may have closed the side that it writes to.
+    with (
+        node.run_platform(replicas=1) as started,
+        open_caller(started) as caller,
+    ):
+        wait_until(lambda: ask(started, "/safe/").status == 200)
+        started.set_faults("i-0", work_s=0.3)
+        caller.sendall(format_request("/once/", version))
+        caller.shutdown(socket.SHUT_WR)
+        assert b" 200 " in read_all(caller)
