--- a/test/test_races.py
+++ b/test/test_races.py
@@ -26,30 +26,15 @@
     client,
     connection,
     exchange,
-    message,
     socket_stream,
 )
 from test import node, silent_load
 from test.test_attempts import OWNER, fail, grant, make_info
 from test.test_node import ask, make_headers, wait_until
+from test.test_response_framing import ASKED
 from test.test_socket_stream import LARGE, open_pair, read_all
 
 pytestmark = pytest.mark.anyio
-ASKED = message.CallerRequest(
-    method=b"GET",
-    target=b"/",
-    host="a",
-    headers=[(b"Host", b"a")],
-    request_id="r",
-    deadline_s=9.0,
-    key=None,
-    prompt_tokens=None,
-    output_tokens=0,
-    likely_tokens=None,
-    prefix=(),
-    prefix_tokens=(),
-    last_event=None,
-)
 EVENT = b"id: 1\ndata: x\n\n"
 
 
--- a/test/test_response_framing.py
+++ b/test/test_response_framing.py
@@ -10,6 +10,21 @@
 
 pytestmark = pytest.mark.anyio
 
+ASKED = message.CallerRequest(
+    method=b"GET",
+    target=b"/",
+    host="a",
+    headers=[(b"Host", b"a")],
+    request_id="r",
+    deadline_s=9.0,
+    key=None,
+    prompt_tokens=None,
+    output_tokens=0,
+    likely_tokens=None,
+    prefix=(),
+    prefix_tokens=(),
+    last_event=None,
+)
 HEAD = b"X-Request-Id: r\r\nX-Response-Signature: s\r\n"
 
 
@@ -49,22 +64,7 @@
     opened = connection.Connection(
         connection.Target("a:1"), stream, header.PlatformDialect()
     )
-    asked = message.CallerRequest(
-        method=b"GET",
-        target=b"/",
-        host="a",
-        headers=[(b"Host", b"a")],
-        request_id="r",
-        deadline_s=1.0,
-        key=None,
-        prompt_tokens=None,
-        output_tokens=0,
-        likely_tokens=None,
-        prefix=(),
-        prefix_tokens=(),
-        last_event=None,
-    )
-    await opened.send(asked, message.Attempt("b", "c", 1.0, None))
+    await opened.send(ASKED, message.Attempt("b", "c", 1.0, None))
     await opened.read_head("r", 1.0)
     return await opened.read_body(attempts.MAX_BUFFERED_RESPONSE_BYTES), opened
 
