--- a/test/silent_load.py
+++ b/test/silent_load.py
@@ -231,6 +231,16 @@
     ]
 
 
+def list_run_ids(started: node.Platform) -> set[str]:
+    """Returns the ids of the requests that any run of a server began."""
+    return {
+        line["request_id"]
+        for name in started.replicas
+        for line in started.read_log(name)
+        if line["message"] == "running"
+    }
+
+
 def explain(started: node.Platform, readings: Iterable[Reading]) -> str:
     """Returns what VMs logged of requests and their attempts, line by line."""
     names = {reading.request_id for reading in readings}
