--- a/test/test_hedge_exchange.py
+++ b/test/test_hedge_exchange.py
@@ -17,6 +17,7 @@
 
 import anyio
 import anyio.to_thread
+import msgspec
 import pytest
 
 from ramptray import steadyclock
@@ -32,6 +33,7 @@
 from ramptray.relay import message as relay_message
 from test import node
 from test.test_hedging import HedgingDispatcher, make_info
+from test.test_response_framing import ASKED
 
 EVENT = b"id: 1\ndata: a\n\n"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(EVENT)
@@ -175,10 +177,7 @@
             max_gap_s=0.001,
             tier="t",
         )
-        asked = relay_message.CallerRequest(
-            *(b"POST", b"/", "h", [(b"Host", b"h")], "r1", None, None),
-            *(1, 1, 1, (), (), None),
-        )
+        asked = msgspec.structs.replace(ASKED, request_id="r1")
         routed = answers.RoutedRequest(
             asked, make_info(max_attempts=most), route, "c", 5.0, 1
         )
