--- a/test/silent_load.py
+++ b/test/silent_load.py
@@ -300,19 +300,13 @@
 
 
 @contextlib.contextmanager
-def change_configuration(
-    started: node.Platform, interval_s: float, first: int = 2
-) -> Iterator[None]:
-    """Sends a new configuration at regular intervals."""
+def repeat(interval_s: float, act: Callable[[], None]) -> Iterator[None]:
+    """Acts in a thread of its own, at regular intervals."""
     over = threading.Event()
 
     def run() -> None:
-        for version in itertools.count(first):
-            if over.wait(interval_s):
-                return
-            started.set_config(
-                make_config(version, targetLatencyMs=500 + version % 2)
-            )
+        while not over.wait(interval_s):
+            act()
 
     thread = threading.Thread(target=run)
     thread.start()
@@ -321,3 +315,18 @@
     finally:
         over.set()
         thread.join()
+
+
+def change_configuration(
+    started: node.Platform, interval_s: float, first: int = 2
+) -> contextlib.AbstractContextManager[None]:
+    """Sends a new configuration at regular intervals."""
+    versions = itertools.count(first)
+
+    def change() -> None:
+        version = next(versions)
+        started.set_config(
+            make_config(version, targetLatencyMs=500 + version % 2)
+        )
+
+    return repeat(interval_s, change)
--- a/test/test_silent_paths.py
+++ b/test/test_silent_paths.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
-import contextlib
+import functools
 import itertools
 import signal
-import threading
 import time
 from collections.abc import Iterator
 from concurrent import futures
@@ -175,24 +174,11 @@
     )
 
 
-@contextlib.contextmanager
-def reload_vms(started: node.Platform, interval_s: float) -> Iterator[None]:
-    """Sends SIGHUP to all VMs at regular intervals."""
-    over = threading.Event()
-
-    def run() -> None:
-        while not over.wait(interval_s):
-            for vm in started.vms:
-                if started.processes[vm].poll() is None:
-                    started.processes[vm].send_signal(signal.SIGHUP)
-
-    thread = threading.Thread(target=run)
-    thread.start()
-    try:
-        yield
-    finally:
-        over.set()
-        thread.join()
+def reload_vms(started: node.Platform) -> None:
+    """Sends SIGHUP to all VMs that run."""
+    for vm in started.vms:
+        if started.processes[vm].poll() is None:
+            started.processes[vm].send_signal(signal.SIGHUP)
 
 
 @pytest.mark.parametrize("role", ["entry", "owner"])
@@ -201,7 +187,7 @@
 ) -> None:
     stopping = {"entry": find_other, "owner": find_owner}[role](started)
     with (
-        reload_vms(started, 0.3),
+        silent_load.repeat(0.3, functools.partial(reload_vms, started)),
         silent_load.change_configuration(started, 0.4),
         silent_load.read_together(started, PATHS, started.vms) as asked,
     ):
