Go on with an answer if an attempt that was left fails

Cause: the series of attempts that was left for another one is cancelled, and may raise an exception meanwhile, for example where its connection is closed. `Exchange._run_series` then ended the other one's answer as well.

Change: the exception is logged; the answer goes on. An exception of a series that still runs ends the request as before.

--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 import anyio
 import anyio.abc
 from result import Err
@@ -16,6 +18,8 @@
 from ramptray.relay import attempts, refusal
 from ramptray.relay import client as relay_client
 
+LOG = logging.getLogger(__name__)
+
 
 class Exchange(attempts.Race):
     """Serves one request until its response has ended.
@@ -135,6 +139,13 @@
         try:
             finish = await series.run()
         except Exception as error:
+            if series not in self._running:
+                # The answer of the other series goes on.
+                LOG.exception(
+                    "error in an attempt that was left",
+                    extra={"request": self._routed.info.request_id},
+                )
+                return
             # Raised by ``run``: a task group would wrap it.
             self._error = error
             self._tasks.cancel_scope.cancel()
--- a/test/test_races.py
+++ b/test/test_races.py
@@ -59,6 +59,12 @@
         head = f"HTTP/1.1 {status} -\r\nContent-Length: {length}\r\n\r\n"
         self._stream.data_received(head.encode() + body)
 
+    def send_more(self, body: bytes) -> None:
+        self._stream.data_received(body)
+
+    def break_off(self) -> None:
+        self._stream.connection_lost(ConnectionResetError())
+
 
 class FakeWriter(answer.ResponseWriter):
     """Keeps what it is told to write; like a socket, it need not wait."""
@@ -91,13 +97,14 @@
 class Setting:
     """An exchange whose server ``a`` is silent, so that ``b`` is asked too."""
 
-    def __init__(self) -> None:
+    def __init__(self, kind: model.RouteKind = model.RouteKind.STREAM) -> None:
         self.opened: dict[str, Server] = {}
+        self.errors: dict[str, Exception] = {}
         self.events: list[tickets.Event] = []
         self.writer = FakeWriter()
         info = make_info(repeatable=True, max_attempts=3)
         route = mock.Mock(
-            kind=model.RouteKind.STREAM,
+            kind=kind,
             objective_s=0.05,
             max_gap_s=0.01,
             resumable=False,
@@ -137,7 +144,11 @@
         self, target: connection.Target, *_: Any
     ) -> AsyncIterator[connection.Connection]:
         server = self.opened[target.backend] = Server(target)
-        yield server.connection
+        try:
+            yield server.connection
+        finally:
+            if error := self.errors.get(target.backend):
+                raise error
 
     @contextlib.asynccontextmanager
     async def run(self) -> AsyncIterator[None]:
@@ -329,3 +340,16 @@
             hedged.result()
         other.close()
     assert statuses == [200, 200]
+
+
+async def test_an_exception_of_a_series_that_was_left_ends_no_answer() -> None:
+    # It was raised while the series was cancelled, for example where its
+    # connection was closed, and the answer of the other one was cut off.
+    setting = Setting()
+    async with setting.run():
+        setting.errors["b"] = RuntimeError("close failed")
+        setting.opened["a"].send(EVENT, length=2 * len(EVENT))
+        await anyio.sleep(0.05)
+        setting.opened["a"].send_more(EVENT)
+    assert setting.writer.written == [EVENT, EVENT, b"end"]
+    assert any(isinstance(e, tickets.Completed) for e in setting.events)
