Tell why a server was left whose large response broke off

Cause: `AttemptSeries._forward_large` reports the loss of the answer itself and set no `leave_reason`, so `left_for` was missing in `answer_cut` and its cause was only `backend_lost`.

Change: it sets the reason like any other broken connection, `run_lost` or `connection_lost`.

Run: the new test fails without the change (None instead of `CONNECTION_LOST`); the five cases of test_races around it; ruff, mypy for the relay.

--- a/ramptray/relay/attempts.py
+++ b/ramptray/relay/attempts.py
@@ -222,11 +222,7 @@
             )
             self.ticket.report(failed)
         except connections.BrokenError as error:
-            self.leave_reason = (
-                hedging.LeaveReason.RUN_LOST
-                if isinstance(error, connections.RunLostError)
-                else hedging.LeaveReason.CONNECTION_LOST
-            )
+            self.leave_reason = _get_leave_reason(error)
             is_direct = not grant.gateways
             fault = await self._diagnose(target, error, is_direct)
             self._report_failure(False, core_message.Reason.BACKEND_LOST, fault)
@@ -435,6 +431,7 @@
                 await writer.write(part)
         except connections.BrokenError as error:
             LOG.info("large response broke off", extra={"detail": str(error)})
+            self.leave_reason = _get_leave_reason(error)
             ended = msgspec.structs.replace(
                 self._make_ended(False), broken=True
             )
@@ -666,3 +663,9 @@
             complete,
             first_tokens=first_tokens,
         )
+
+
+def _get_leave_reason(error: connections.BrokenError) -> hedging.LeaveReason:
+    if isinstance(error, connections.RunLostError):
+        return hedging.LeaveReason.RUN_LOST
+    return hedging.LeaveReason.CONNECTION_LOST
--- a/test/test_races.py
+++ b/test/test_races.py
@@ -16,12 +16,13 @@
 from result import Ok
 
 from ramptray.bundle import model
+from ramptray.core import hedging, request
 from ramptray.core import message as core_message
-from ramptray.core import request
 from ramptray.entry import ticket as tickets
 from ramptray.platform import header
 from ramptray.relay import (
     answer,
+    attempts,
     backend_probe,
     client,
     connection,
@@ -353,3 +354,16 @@
         setting.opened["a"].send_more(EVENT)
     assert setting.writer.written == [EVENT, EVENT, b"end"]
     assert any(isinstance(e, tickets.Completed) for e in setting.events)
+
+
+async def test_a_large_response_that_breaks_off_tells_why_it_ended() -> None:
+    # The event of an answer that was cut did not say why its server was left.
+    setting = Setting(model.RouteKind.SAFE)
+    large = bytes(attempts.MAX_BUFFERED_RESPONSE_BYTES + 1)
+    async with setting.run():
+        setting.opened["a"].send(large, length=2 * len(large))
+        await anyio.sleep(0.05)
+        setting.opened["a"].break_off()
+        await anyio.sleep(0.05)
+    reason = setting.exchange._last.leave_reason
+    assert reason is hedging.LeaveReason.CONNECTION_LOST
