Count the work of a regranted attempt once

A VM that reaches no server declines grants several times a second, and each new one counted once more: after five, an owner with 2.5 slots of 4 to spare had none, which new callers are told as an overload.

Change: a declined grant takes its work back.

--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -367,6 +367,7 @@
         failed = decline.unreachable or decline.avoid or decline.silent
         if placed is None:
             return []
+        self._wait_estimator.count_decline(placed.request, placed.started)
         if not (decline.waits or failed):
             # The entry has moved it to another owner, which counts it.
             if not (placed.request.spilled_from or placed.request.attempt):
--- a/ramptray/core/wait_estimator.py
+++ b/ramptray/core/wait_estimator.py
@@ -95,6 +95,14 @@
         if waiting.request.asks_again:
             self.count_arrival(waiting, now)
 
+    def count_decline(
+        self, request: message.RequestInfo, granted_at: float
+    ) -> None:
+        """Removes the work that arrived with a grant that was not used."""
+        if request.asks_again:
+            work_s = self.estimate_work(request)
+            self._arrived_us.remove(int(work_s * 1e6), granted_at)
+
     def count_refusal(self, waiting: queue.QueuedRequest, now: float) -> None:
         """Counts a refused request, whose caller is expected to retry."""
         self._refused.add(waiting.cost, now)
--- a/test/test_hedge_refusals.py
+++ b/test/test_hedge_refusals.py
@@ -118,7 +118,14 @@
         1.8,
     )
     before = get_spare(owner)[0]
-    owner.receive("entry", message.Ended("running-0", 0, 0.0, True), 1.9)
+    (granted,) = owner.receive(
+        "entry", message.Ended("running-0", 0, 0.0, True), 1.9
+    )
+    for _ in range(5):
+        # Its entry reaches no server, and the owner grants another place.
+        assert isinstance(granted.message, message.Grant)
+        declined = message.Decline("r1", granted.message.grant_id, waits=True)
+        (granted,) = owner.receive("entry", declined, 1.9)
     work_s = owner._wait_estimator.estimate_work(asked)
     assert get_spare(owner)[0] == pytest.approx(before - work_s, abs=1e-5)
 
