Trust the slowness of servers up to four times as slow as others

Trials allow one request at a time. With a bound of 1.25 a server that differed a little from the others lost three of its four places at the begin of a burst, until its first response.

--- a/ramptray/core/speed.py
+++ b/ramptray/core/speed.py
@@ -85,6 +85,11 @@
 """The same time at most, in seconds.  It doubles each time that a response
 confirms the slowness, as each trial costs a caller its objective."""
 
+MIN_EXPIRED_RATIO = 4.0
+"""Factor by which a server must seem slower than those in use for its slowness
+not to be trusted.  Those that differ less keep all their places in a burst, in
+which a trial would allow one request at a time."""
+
 EXPIRED_FACTOR = 1.25
 """Factor by which a server whose slowness is no longer trusted counts as slower
 than those in use, so that requests go to it only while those have no room."""
@@ -260,11 +265,10 @@
 
         Args:
             usual_factor: Factor of the engines that are in use.  An engine
-                about as fast keeps its own.
+                that is not much slower keeps its own.
         """
-        assumed = EXPIRED_FACTOR * usual_factor
-        if self.is_learned and self.factor > assumed:
-            self._set_factor(assumed)
+        if self.is_learned and self.factor > MIN_EXPIRED_RATIO * usual_factor:
+            self._set_factor(EXPIRED_FACTOR * usual_factor)
             self.is_learned = False
             self.is_expired = True
 
--- a/test/test_idle_servers.py
+++ b/test/test_idle_servers.py
@@ -129,6 +129,18 @@
     assert learned.max_idle_s == speed.MAX_IDLE_S
 
 
+def test_a_server_that_is_a_little_slower_keeps_its_places() -> None:
+    # Trials of all slower servers would leave few places for a burst.
+    owner = make_owner_after_stall()
+    slow, busy = (owner.fleet.backends[name].speed for name in (SLOW, BUSY))
+    for _ in range(20):
+        busy.learn_first(100, FAST_S)
+    slow.factor = 3.0 * busy.factor
+    now = run_until(owner, 1.2, 1.2 + 2 * speed.MAX_IDLE_S)
+    names = [enqueue(owner, f"burst-{n}", now) for n in range(8)]
+    assert names.count(SLOW) == 4
+
+
 def test_servers_keep_their_speeds_while_none_is_in_use() -> None:
     # Without recent responses of others there is nothing to compare with.
     owner = make_owner_after_stall()
