Grant a server that was tried if all others refuse an entry

Cause: the new owner excluded the server that the request had tried, though the others refused the VM's connections and were ejected for it for 0.5 s. Since the tried one counted as reachable, no gateway was granted; since it was excluded, nobody found out that it was not. The owner granted the two that refused again and again, each 0.5 s, until the time limit.

Servers that are ejected for an entry now count like those that it cannot reach: if none else is left, the tried one is granted, and if that refuses as well, a gateway.

--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -57,11 +57,17 @@
                 if candidate.pauses.may_send(waiting.entry, now)
                 and self._gateways.list_gateways(waiting.entry, candidate, now)
             ]
+        # A server that the request has tried is better than one that refuses.
+        unreachable = {
+            *waiting.request.silent,
+            *self._iterate_ejected_for(waiting.entry, now),
+        }
         return [
             candidate
-            for candidate in self.filter_reachable(candidates, waiting.request)
+            for candidate in self._exclude(
+                candidates, waiting.request, unreachable
+            )
             if candidate.pauses.may_send(waiting.entry, now)
-            and not candidate.availability.is_ejected_for(waiting.entry, now)
         ]
 
     def filter_reachable(
@@ -96,6 +102,14 @@
             for server in self._iterate_allowed(waiting.request)
         )
 
+    def _iterate_ejected_for(self, entry: str, now: float) -> Iterator[str]:
+        """Yields the names of the servers that are ejected for one entry."""
+        if now >= self._entries_ejected_until:
+            return
+        for known in self._backends.values():
+            if known.availability.is_ejected_for(entry, now):
+                yield known.info.name
+
     def _reaches_none(self, waiting: queue.QueuedRequest, now: float) -> bool:
         """Returns whether its entry reaches no server a request may go to."""
         silent = set(waiting.request.silent)
--- a/test/test_gateways.py
+++ b/test/test_gateways.py
@@ -162,6 +162,26 @@
     assert rounds <= 2
 
 
+def test_a_tried_server_is_tried_if_all_others_refuse_an_entry() -> None:
+    # The owner granted the refusing servers in turn, and no gateway, for as
+    # long as a server that the request had tried was believed to be reachable.
+    owner = Owner()
+    info = msgspec.structs.replace(make_info("r"), avoid=("e0",), attempt=1)
+    granted, now = [], 1.0
+    effects = owner.shard.receive(CUT, message.Enqueue(info), now)
+    for step in range(3):
+        (grant,) = [each.message for each in effects]
+        assert isinstance(grant, message.Grant)
+        granted.append((grant.backend, bool(grant.gateways)))
+        decline = message.Decline(
+            "r", grant.grant_id, True, info.avoid, waits=True
+        )
+        now += 0.01 * step
+        effects = owner.shard.receive(CUT, decline, now)
+    assert granted[:2] == [("e1", False), ("e0", False)]
+    assert granted[2][1]
+
+
 def test_a_detached_entry_is_no_relay() -> None:
     owner = Owner()
     owner.gateways.remove_entry(OTHER)
