Wait less in the tests of silent servers

Each program was started when the one before it had come up, VMs were asked one after the other for a first answer of 0.3 s, and most of each stream was waited for at its usual speed after the pause that a test is about. Programs now come up together, and what servers begin after a pause takes 0.05 s an event, except where a stream has to last until the end of the grace time.

--- a/test/silent_load.py
+++ b/test/silent_load.py
@@ -33,6 +33,9 @@
 
 ZONES = ("waw-a", "waw-b")
 
+START_POLL_S = 0.005
+"""How often a program that is being started is looked for, in seconds."""
+
 _EVENT_ID = re.compile(rb"id: (\d+)\n")
 _NUMBERS = itertools.count(1)
 
@@ -120,25 +123,49 @@
         try:
             started.start_store()
             started.set_config(make_config(1))
-            for number in range(servers):
-                started.start_replica(
-                    f"i-{number}",
-                    zone=ZONES[number % 2],
-                    events=EVENTS,
-                    work_s=EVENT_S,
-                )
-                started.write_record(
-                    f"i-{number}", born=1, zone=ZONES[number % 2]
+            _start_together(started, _start_server, "i", servers)
+            _start_together(started, _start_vm, "vm", vms)
+            # Each answer takes as long as an event.
+            with futures.ThreadPoolExecutor(vms) as pool:
+                checks = (
+                    functools.partial(_is_serving, started, vm)
+                    for vm in started.vms
                 )
-            for number in range(vms):
-                started.start_vm(f"vm-{number}", zone=ZONES[number % 2])
-            for vm in started.vms:
-                wait_until(functools.partial(_is_serving, started, vm))
+                list(pool.map(wait_until, checks))
             yield started
         finally:
             started.stop_all()
 
 
+def _start_together(
+    started: PlatformT,
+    start: Callable[[PlatformT, str, str], None],
+    kind: str,
+    count: int,
+) -> None:
+    """Starts servers or VMs, each while those before it come up."""
+    with futures.ThreadPoolExecutor(count) as pool:
+        starts = []
+        for number in range(count):
+            name = f"{kind}-{number}"
+            job = pool.submit(start, started, name, ZONES[number % 2])
+            starts.append(job)
+            # A VM is told of those before it.
+            while name not in started.processes and not job.done():
+                time.sleep(START_POLL_S)
+        for job in starts:
+            job.result()
+
+
+def _start_server(started: node.Platform, name: str, zone: str) -> None:
+    started.start_replica(name, zone=zone, events=EVENTS, work_s=EVENT_S)
+    started.write_record(name, born=1, zone=zone)
+
+
+def _start_vm(started: node.Platform, name: str, zone: str) -> None:
+    started.start_vm(name, zone=zone)
+
+
 def _is_serving(started: node.Platform, vm: str) -> bool:
     return ask(started, "/safe/", vm=vm).status == 200
 
@@ -287,16 +314,26 @@
 
 @contextlib.contextmanager
 def pause_servers(
-    started: node.Platform, names: Collection[str], work_s: float
+    started: node.Platform,
+    names: Collection[str],
+    work_s: float,
+    then_s: float = EVENT_S,
 ) -> Iterator[None]:
-    """Makes servers take longer for each event that they begin meanwhile."""
+    """Makes servers take longer for each event that they begin meanwhile.
+
+    Args:
+        started: The deployment.
+        names: The servers.
+        work_s: Seconds that such an event takes.
+        then_s: Seconds that each event takes that they begin later.
+    """
     for name in names:
         started.set_faults(name, work_s=work_s)
     try:
         yield
     finally:
         for name in names:
-            started.set_faults(name)
+            started.set_faults(name, work_s=then_s)
 
 
 @contextlib.contextmanager
--- a/test/test_silent_paths.py
+++ b/test/test_silent_paths.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import itertools
 import signal
@@ -31,6 +32,10 @@
 """How long before the end of the grace time a VM exits (``exit_margin_s``), in
 seconds.  Later, it may be killed before it has logged what it cuts."""
 
+DRAIN_S = 0.05
+"""Seconds between two events after a pause.  Most of a stream is left then, and
+its arrival at the usual speed would only be waited for."""
+
 TOLERANCE_S = 0.1
 """Longest delay of what is measured, in seconds."""
 
@@ -82,13 +87,26 @@
     assert lost == [], silent_load.explain(started, lost)
 
 
+def check_stopped(started: node.Platform, vm: str) -> None:
+    """Checks that a VM ends by itself, in order."""
+    limit_s = silent_load.TIME_LIMIT_MS / 1000
+    assert started.processes[vm].wait(limit_s) == 0
+
+
+def pause_all(
+    started: node.Platform, work_s: float = PAUSE_S
+) -> contextlib.AbstractContextManager[None]:
+    """Makes all servers pause; what they begin later is soon over."""
+    return silent_load.pause_servers(started, started.replicas, work_s, DRAIN_S)
+
+
 def pause_until_hedged(
     started: node.Platform,
     work_s: float = PAUSE_S,
     silence_s: float = HEDGED_AFTER_S,
 ) -> None:
     """Makes all servers pause once, until other attempts have been sent."""
-    with silent_load.pause_servers(started, started.replicas, work_s):
+    with pause_all(started, work_s):
         time.sleep(silence_s)
 
 
@@ -134,12 +152,12 @@
     with silent_load.read_together(linked, PATHS, [cut]) as asked:
         time.sleep(0.9)
         gateway = find_gateway(linked, asked, cut)
-        with silent_load.pause_servers(linked, linked.replicas, PAUSE_S):
+        with pause_all(linked):
             time.sleep(0.5)
             stop_vm(linked, gateway)
             time.sleep(0.7)
     check_answers(linked, asked)
-    assert linked.processes[gateway].wait(silent_load.TIME_LIMIT_MS / 1000) == 0
+    check_stopped(linked, gateway)
 
 
 def test_resumable_streams_go_on_when_their_gateway_is_killed(
@@ -149,7 +167,7 @@
     with silent_load.read_together(linked, [RESUMABLE], [cut], 4) as asked:
         time.sleep(0.9)
         gateway = find_gateway(linked, asked, cut)
-        with silent_load.pause_servers(linked, linked.replicas, PAUSE_S):
+        with pause_all(linked):
             time.sleep(0.5)
             linked.kill_vm(gateway)
             time.sleep(0.5)
@@ -163,15 +181,13 @@
     stopping = {"entry": find_other, "owner": find_owner}[role](started)
     with silent_load.read_together(started, PATHS, started.vms) as asked:
         time.sleep(0.9)
-        with silent_load.pause_servers(started, started.replicas, PAUSE_S):
+        with pause_all(started):
             time.sleep(HEDGED_AFTER_S)
             stop_vm(started, stopping)
             time.sleep(0.3)
     check_answers(started, asked)
     assert silent_load.list_events(started, "hedge")
-    assert (
-        started.processes[stopping].wait(silent_load.TIME_LIMIT_MS / 1000) == 0
-    )
+    check_stopped(started, stopping)
 
 
 def reload_vms(started: node.Platform) -> None:
@@ -192,7 +208,7 @@
         silent_load.read_together(started, PATHS, started.vms) as asked,
     ):
         time.sleep(0.9)
-        with silent_load.pause_servers(started, started.replicas, PAUSE_S):
+        with pause_all(started):
             time.sleep(0.6)
             stop_vm(started, stopping)
             time.sleep(1.0)
@@ -246,14 +262,14 @@
     first = silent_load.read_answer(started, RESUMABLE, "vm-0", until=3)
     named = {"Last-Event-Id": "3", "Resumes": first.request_id}
     with (
-        silent_load.pause_servers(started, started.replicas, PAUSE_S),
+        pause_all(started),
         silent_load.read_together(
             started, [RESUMABLE], started.vms, headers=named
         ) as asked,
     ):
         time.sleep(HEDGED_AFTER_S)
         for name in started.replicas:
-            started.set_faults(name)
+            started.set_faults(name, work_s=DRAIN_S)
     check_answers(started, asked, EVENT_IDS[3:])
 
 
@@ -290,7 +306,7 @@
     # Before the second attempt is sought, and after it was sent.
     with silent_load.read_together(started, PATHS, started.vms, 1) as asked:
         time.sleep(0.9)
-        with silent_load.pause_servers(started, started.replicas, PAUSE_S):
+        with pause_all(started):
             time.sleep(silence_s)
             started.set_config(CONFIGS[name])
             for vm in started.vms:
@@ -317,7 +333,7 @@
     started: node.Platform, path: str, faults: dict[str, Any]
 ) -> None:
     with (
-        silent_load.pause_servers(started, started.replicas, PAUSE_S),
+        pause_all(started),
         silent_load.read_together(started, [path], started.vms) as asked,
     ):
         time.sleep(0.5)
