--- a/ramptray/node/settings.py
+++ b/ramptray/node/settings.py
@@ -22,8 +22,9 @@
         budget_vms: Least number of VMs among which the fixed part of the retry
             budget is divided; a VM that restarts counts again.
         lame_duck_s: How long a stopping VM still accepts connections, in
-            seconds: the load balancer must see twice that it is not ready. At
-            most until ``exit_margin_s`` before the end of the time to stop.
+            seconds: the load balancer must see twice that it is not ready. It
+            ends earlier if else less than a second of the time to stop, or less
+            than half of it, would be left.
         exit_margin_s: How many seconds before it would be killed a stopping VM
             exits by itself.
         longest_pause_s: Longest pause that a backend server may request from
