--- a/ramptray/core/speed.py
+++ b/ramptray/core/speed.py
@@ -78,8 +78,7 @@
 MAX_IDLE_S = 0.5
 """Time without new requests after which a slowness is not trusted any more, in
 seconds.  A server that seems too slow for the latency objectives gets no
-requests, and only responses show that a stall is over.  With 2 s, stalls every
-2 to 5 s left half of the places empty."""
+requests, and only responses show that a stall is over."""
 
 MAX_CONFIRMED_IDLE_S = 64.0
 """The same time at most, in seconds.  It doubles each time that a response
