List the servers that an entry cannot reach in one place

The silent and the ejected servers of an entry were put together in filter_eligible, and checked one by one again in _reaches_none. Both now use one list, which filter_eligible makes once. No change of behaviour: test_gateways, test_shard, test_waiting, test_server_ejection, test_regions, test_region_scheduling and test_losses pass.

--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -48,7 +48,8 @@
         now: float,
     ) -> list[backends.Backend]:
         """Returns the candidates to which a request may be sent now."""
-        if self._reaches_none(waiting, now):
+        unreachable = self._list_unreachable(waiting, now)
+        if self._is_cut_off(waiting.request, unreachable):
             return [
                 candidate
                 for candidate in self._exclude(
@@ -58,10 +59,6 @@
                 and self._gateways.list_gateways(waiting.entry, candidate, now)
             ]
         # A server that the request has tried is better than one that refuses.
-        unreachable = {
-            *waiting.request.silent,
-            *self._iterate_ejected_for(waiting.entry, now),
-        }
         return [
             candidate
             for candidate in self._exclude(
@@ -102,27 +99,32 @@
             for server in self._iterate_allowed(waiting.request)
         )
 
-    def _iterate_ejected_for(self, entry: str, now: float) -> Iterator[str]:
-        """Yields the names of the servers that are ejected for one entry."""
-        if now >= self._entries_ejected_until:
-            return
-        for known in self._backends.values():
-            if known.availability.is_ejected_for(entry, now):
-                yield known.info.name
-
     def _reaches_none(self, waiting: queue.QueuedRequest, now: float) -> bool:
         """Returns whether its entry reaches no server a request may go to."""
-        silent = set(waiting.request.silent)
-        if not silent and now >= self._entries_ejected_until:
+        unreachable = self._list_unreachable(waiting, now)
+        return self._is_cut_off(waiting.request, unreachable)
+
+    def _list_unreachable(
+        self, waiting: queue.QueuedRequest, now: float
+    ) -> set[str]:
+        """Returns the servers that are silent or ejected for its entry."""
+        unreachable = set(waiting.request.silent)
+        if now < self._entries_ejected_until:
+            unreachable.update(
+                known.info.name
+                for known in self._backends.values()
+                if known.availability.is_ejected_for(waiting.entry, now)
+            )
+        return unreachable
+
+    def _is_cut_off(
+        self, request: message.RequestInfo, unreachable: set[str]
+    ) -> bool:
+        """Returns whether all servers a request may go to are unreachable."""
+        if not unreachable:
             return False
-        reached = any(
-            server.info.name not in silent
-            and not server.availability.is_ejected_for(waiting.entry, now)
-            for server in self._iterate_allowed(waiting.request)
-        )
-        return not reached and any(
-            True for _ in self._iterate_allowed(waiting.request)
-        )
+        allowed = {known.info.name for known in self._iterate_allowed(request)}
+        return bool(allowed) and allowed <= unreachable
 
     def _iterate_allowed(
         self, request: message.RequestInfo
