Drop refusals that a request does not wait for first

_handle_reject asked three times whether the request still waits for this owner, as RequestMachine.receive_reject does once more. It returns at once now. No change of behaviour: the tests of dispatcher, hedging and races pass.

--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -679,19 +679,20 @@
         if ticket is None:
             return
         machine = ticket.machine
-        is_refused = (
-            machine.state is request.State.WAITING and machine.owner == address
-        )
-        if is_refused and ticket.hedges is not None:
+        if (
+            machine.state is not request.State.WAITING
+            or machine.owner != address
+        ):
+            return
+        if ticket.hedges is not None:
             self.hedges["refused"] += 1
-        if is_refused and reject.asks_again and not ticket.asks_again:
+        if reject.asks_again and not ticket.asks_again:
             # The attempt beside it has ended since.  The owner counts the
             # refusal only if it knows that its caller is turned away.
             self._resend(ticket, now)
             return
         if (
-            is_refused
-            and ticket.continues_answer
+            ticket.continues_answer
             and hedging.may_pass(reject.reason, ticket.lacking_since, now)
             and now < ticket.deadline
         ):
