Ask in one place whether a begun answer has a longest wait

find_timeout_reason skipped the time to a grant through Ticket.max_wait_s and the time without an owner by a check of its own; both follow from continues_answer, which it asks once. max_wait_s had one other use and is gone. No change of behaviour: the tests of dispatcher, hedging and scenario pass.

--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -299,11 +299,6 @@
         """Whether a refusal of its owner turns no caller away."""
         return self.has_begun or self.hedges is not None
 
-    @property
-    def max_wait_s(self) -> float | None:
-        """Longest time from its start to a grant, in seconds; None for any."""
-        return None if self.continues_answer else self.info.wait_s
-
     @property
     def tried(self) -> tuple[str, ...]:
         """Backend servers that the request has been sent to."""
@@ -327,7 +322,9 @@
             self.machine.info,
             deadline_s=max(0.0, self.deadline - now - reply_s),
             objective_s=_subtract(self.info.objective_s, elapsed + first_s),
-            wait_s=_subtract(self.max_wait_s, elapsed + reply_s),
+            wait_s=None
+            if self.continues_answer
+            else _subtract(self.info.wait_s, elapsed + reply_s),
             avoid=self.tried,
             silent=silent,
             asks_again=self.asks_again,
--- a/ramptray/entry/timeouts.py
+++ b/ramptray/entry/timeouts.py
@@ -75,7 +75,9 @@
         if pending and granted:
             return message.Reason.LOG_UNAVAILABLE
         return message.Reason.DEADLINE
-    wait_s = ticket.max_wait_s
+    if ticket.continues_answer:
+        return None
+    wait_s = ticket.info.wait_s
     if wait_s is not None:
         # After a failed attempt, the owner needs time to decide on the retry.
         due = max(ticket.started_at + wait_s, ticket.enqueued_at)
@@ -83,8 +85,6 @@
             # The owner should have rejected it by now.
             return message.Reason.OVERLOADED
     no_owner_since = ticket.no_owner_since
-    if ticket.continues_answer:
-        return None
     if no_owner_since is not None and now - no_owner_since > NO_OWNER_TIMEOUT_S:
         return message.Reason.NOT_READY
     return None
