Note the attempt that a stop cuts, not the one left before

answer_cut of a VM that stops named the silence, attempts and presence of the first attempt of a request, also where a second one had the answer since. Exchange set its last series only when one had ended; it now does when a series gets the answer as well. LeaveReason.OVERTAKEN, which nothing set, is set for the series that is left.

test_a_stop_notes_the_attempt_that_it_cuts failed before (1 attempt instead of 2); test_hedge_exchange, test_races and test_hedging pass.

--- a/ramptray/relay/attempts.py
+++ b/ramptray/relay/attempts.py
@@ -169,6 +169,7 @@
             self._make_ended(False), broken=is_silent
         )
         self.ticket.report(tickets.Overtaken(ended))
+        self.leave_reason = hedging.LeaveReason.OVERTAKEN
         self._is_left = True
         self._scope.cancel()
 
--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -102,6 +102,7 @@
             if other is not series:
                 other.leave(other.heard_at < self._hedged_at)
         self._running = [series]
+        self._last = series
 
     def hedge(self, series: attempts.AttemptSeries) -> bool:
         """See the base class."""
--- a/test/test_hedge_exchange.py
+++ b/test/test_hedge_exchange.py
@@ -79,6 +79,7 @@
     """Keeps what the caller gets; never waits, like a caller that reads."""
 
     def __init__(self) -> None:
+        self.is_left = True
         self.heads = 0
         self.body = b""
         self.ends: list[str] = []
@@ -86,7 +87,7 @@
 
     @property
     def has_caller_left(self) -> bool:
-        return True
+        return self.is_left
 
     async def start(
         self, head: relay_message.ResponseHead, length: int | None
@@ -393,6 +394,31 @@
     assert scene.dispatcher._budget._reserved.total() == 0
 
 
+@pytest.mark.anyio
+async def test_a_stop_notes_the_attempt_that_it_cuts() -> None:
+    # It noted the silence of the server that had been left for another one.
+    scene = Scene("a", "b")
+    scene.writer.is_left = False
+    with anyio.fail_after(4.0):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(scene.dispatcher._mailbox.run)
+            async with anyio.create_task_group() as inner:
+                inner.start_soon(scene.exchange.run)
+                await scene.wait_for("a", "b")
+                await anyio.sleep(0.5)
+                scene.servers.ends["b"].send(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + EVENT
+                )
+                while not scene.writer.body:
+                    await anyio.sleep(0.001)
+                inner.cancel_scope.cancel()
+            tasks.cancel_scope.cancel()
+    (cut,) = scene.list_noted("answer_cut")
+    assert cut["left_for"] == "stop"
+    assert cut["attempts"] == 2
+    assert cut["silent_s"] < 0.5
+
+
 @pytest.mark.anyio
 async def test_a_response_whose_body_is_silent_is_hedged() -> None:
     # Only its head was waited for with a time limit.
