--- a/test/test_answer_cuts.py
+++ b/test/test_answer_cuts.py
@@ -70,6 +70,13 @@
                 link.close()
 
 
+def check_whole(started: node.Platform, *readings: silent_load.Reading) -> None:
+    """Checks that answers arrived whole, with their events in order."""
+    lost = [reading for reading in readings if not reading.is_whole]
+    assert not lost, silent_load.explain(started, lost)
+    assert all(reading.is_in_order for reading in readings)
+
+
 @pytest.mark.parametrize("path", [RESUMABLE, ONCE])
 def test_a_former_run_that_finishes_its_answers_goes_on(path: str) -> None:
     # A server that stops accepts no connections while it finishes its answers.
@@ -85,8 +92,7 @@
         del started.announced["i-0"]
         started.write_record("i-0", born=NEW_RUN)
         reading = stream.result()
-        assert reading.is_whole, silent_load.explain(started, [reading])
-        assert reading.is_in_order
+        check_whole(started, reading)
         assert not silent_load.list_events(started, "attempt_failed")
 
 
@@ -160,8 +166,7 @@
             time.sleep(1.5)
             started.processes["i-0"].send_signal(signal.SIGCONT)
             reading = stream.result()
-        assert reading.is_whole, silent_load.explain(started, [reading])
-        assert reading.is_in_order
+        check_whole(started, reading)
 
 
 @pytest.mark.parametrize("how", [proxy.Partition.RESET, proxy.Partition.HANG])
@@ -190,8 +195,7 @@
         for link in links.values():
             link.partition(None)
         reading = stream.result()
-        assert reading.is_whole, silent_load.explain(started, [reading])
-        assert reading.is_in_order
+        check_whole(started, reading)
 
 
 def test_an_answer_outlasts_a_moment_without_a_ready_server() -> None:
@@ -214,8 +218,7 @@
             time.sleep(0.4)
             started.write_record("i-1", born=NEW_RUN)
             reading = stream.result()
-        assert reading.is_whole, silent_load.explain(started, [reading])
-        assert reading.is_in_order
+        check_whole(started, reading)
 
 
 @pytest.mark.parametrize(
@@ -286,9 +289,7 @@
             time.sleep(BEGUN_S)
             harm(started, owner)
         readings = [stream.result() for stream in streams]
-        lost = [reading for reading in readings if not reading.is_whole]
-        assert not lost, silent_load.explain(started, lost)
-        assert all(reading.is_in_order for reading in readings)
+        check_whole(started, *readings)
 
 
 def test_answers_outlast_the_suspension_of_their_own_vm() -> None:
@@ -308,9 +309,7 @@
             for vm in started.vms:
                 started.processes[vm].send_signal(signal.SIGCONT)
         readings = [stream.result() for stream in streams]
-        lost = [reading for reading in readings if not reading.is_whole]
-        assert not lost, silent_load.explain(started, lost)
-        assert all(reading.is_in_order for reading in readings)
+        check_whole(started, *readings)
 
 
 @pytest.mark.parametrize("harm", [suspend, stop])
@@ -339,9 +338,7 @@
         assert {reading.request_id for reading in readings} <= {
             event["subject"] for event in dispatches if "gateways" in event
         }
-        lost = [reading for reading in readings if not reading.is_whole]
-        assert not lost, silent_load.explain(started, lost)
-        assert all(reading.is_in_order for reading in readings)
+        check_whole(started, *readings)
 
 
 def open_caller(started: node.Platform) -> socket.socket:
