--- a/test/test_hedging.py
+++ b/test/test_hedging.py
@@ -126,6 +126,13 @@
             tickets.AttemptFailed(ended, not_run, LOST, None, is_hedged)
         )
 
+    def break_first(
+        self, ticket: tickets.Ticket, hedge: tickets.Ticket
+    ) -> None:
+        """Breaks the attempt that a hedge was made beside."""
+        self.promote(hedge)
+        self.fail(ticket, is_hedged=True)
+
     def list_sent(self, kind: type) -> list[tuple[str, Any]]:
         return [(to, body) for to, body in self.sent if isinstance(body, kind)]
 
@@ -244,8 +251,7 @@
     ticket = dispatching.start(make_info(wait_s=0.5))
     dispatching.receive_exchange(tickets.StreamBegun(ticket.request_id, "1"))
     hedge = dispatching.hedge(ticket).unwrap()
-    dispatching.promote(hedge)
-    dispatching.fail(ticket, is_hedged=True)
+    dispatching.break_first(ticket, hedge)
     dispatching.refuse(hedge)
     assert list_effects(hedge) == []
     dispatching.tick(steadyclock.read() + hedging.RETRY_S)
@@ -340,8 +346,7 @@
     # Another retry would be taken for the same answer.
     ticket = dispatching.start()
     hedge = dispatching.hedge(ticket).unwrap()
-    dispatching.promote(hedge)
-    dispatching.fail(ticket, is_hedged=True)
+    dispatching.break_first(ticket, hedge)
     assert get_finish(ticket).reason is LOST
     dispatching.grant(hedge, "b")
     assert hedge.machine.state is request.State.DISPATCHED
@@ -388,8 +393,7 @@
     ticket = recorder.start()
     hedge = recorder.hedge(ticket).unwrap()
     recorder.grant(hedge, "b")
-    recorder.promote(hedge)
-    recorder.fail(ticket, is_hedged=True)
+    recorder.break_first(ticket, hedge)
     recorder.fail(hedge, is_hedged=True)
     assert hedge.machine.state is request.State.WAITING
 
@@ -400,8 +404,7 @@
     # Hedges that never got a server were counted as having answered.
     ticket = dispatching.start()
     hedge = dispatching.hedge(ticket).unwrap()
-    dispatching.promote(hedge)
-    dispatching.fail(ticket, is_hedged=True)
+    dispatching.break_first(ticket, hedge)
     dispatching.refuse(hedge)
     assert dispatching.hedges["answered"] == 0
 
@@ -442,8 +445,7 @@
     ticket = recorder.start(make_info(max_attempts=4))
     hedge = recorder.hedge(ticket).unwrap()
     recorder.grant(hedge, "b")
-    recorder.promote(hedge)
-    recorder.fail(ticket, is_hedged=True)
+    recorder.break_first(ticket, hedge)
     assert recorder.hedge(hedge).unwrap().request_id != hedge.request_id
 
 
@@ -486,8 +488,7 @@
     ticket = recorder.start()
     hedge = recorder.hedge(ticket).unwrap()
     recorder.grant(hedge, "b")
-    recorder.promote(hedge)
-    recorder.fail(ticket, is_hedged=True)
+    recorder.break_first(ticket, hedge)
     recorder.fail(hedge)
     recorder.grant(hedge, "c")
     recorder.receive_exchange(tickets.ConnectFailed(hedge.request_id))
