--- a/ramptray/bundle/model.py
+++ b/ramptray/bundle/model.py
@@ -200,6 +200,8 @@
             that holds the bundle.
         release: Release of its software; empty if not known.
         region: Region of its availability zone; empty if not known.
+        is_zone_known: Whether its availability zone is known.  If not, this VM
+            grants it to no request, but other VMs may.
     """
 
     zone: Name
@@ -214,6 +216,7 @@
     warm_at: float = 0.0
     release: str = ""
     region: str = ""
+    is_zone_known: bool = True
 
 
 class RouteKind(enum.Enum):
--- a/ramptray/core/availability.py
+++ b/ramptray/core/availability.py
@@ -14,6 +14,10 @@
 MAX_DOUBLINGS = 4
 """Number of doublings after which the ejection time has its maximum."""
 
+MAX_BREAK_DOUBLINGS = 2
+"""Number of doublings due to broken responses in a row: such a server may be
+sound again without a sign of it, so it is tried every 2 s at least."""
+
 EJECT_AFTER_BREAKS = 3
 """Consecutive broken responses after which a server is ejected for a while: a
 server that fails immediately always has free slots and would attract all
@@ -85,6 +89,7 @@
         "failures",
         "unreachable_until",
         "_answered_at",
+        "_break_ejections",
         "_break_reporters",
         "_ejected_for",
         "_backoff_until",
@@ -95,6 +100,7 @@
         "_rated_at",
         "_rates",
         "_refused_at",
+        "_trial_until",
     )
 
     def __init__(self) -> None:
@@ -110,6 +116,9 @@
         self._ejected_for: dict[str, float] = {}
         # Entries whose responses broke off, empty for the server's own report.
         self._break_reporters: set[str] = set()
+        # Ejections after broken responses since the last whole one.
+        self._break_ejections = 0
+        self._trial_until = 0.0
         self._ejected_by: frozenset[str] = frozenset()
         self._backoff_until = 0.0
         # When it may be tried again if no other server is usable.
@@ -127,6 +136,14 @@
         """Returns whether the server is ejected for one entry only."""
         return now < self._ejected_for.get(entry, 0.0)
 
+    def is_on_trial(self, now: float) -> bool:
+        """Returns whether a server whose responses broke off is tried again.
+
+        It gets one request at a time, for as long as it was ejected or until a
+        response is whole: the others would be lost like it if it still fails.
+        """
+        return now < self._trial_until
+
     def has_answered(self, entry: str, now: float) -> bool:
         """Returns whether the server has answered an entry recently."""
         answered_at = self._answered_at.get(entry, -math.inf)
@@ -191,12 +208,16 @@
             self._retry_at = now + UNREACHABLE_S
 
     def allow_trial(self, now: float) -> None:
-        """Opens a server for a trial that was ejected for refused connections.
+        """Opens an ejected server for trials, as no other server is usable.
+
+        This applies to backoffs after refused connections, and to what broken
+        responses in a row have added to others.
 
         The backoff spares requests a refused connection while other servers are
         usable.  Without one, the connection costs no more than a refusal.  A
         trial that fails does not prolong the backoff.
         """
+        self._trial_until = min(self._trial_until, now)
         if now >= self._retry_at:
             self.unreachable_until = min(self.unreachable_until, now)
 
@@ -207,10 +228,18 @@
             validity_s = ISOLATED_ANSWER_VALIDITY_S
         return any(now - at < validity_s for at in self._answered_at.values())
 
-    def _eject(self, reporters: frozenset[str], now: float) -> bool:
+    def _eject(
+        self, reporters: frozenset[str], now: float, min_doublings: int = 0
+    ) -> bool:
         """Ejects the server, with backoff; returns whether it was not before.
 
         Failures during an ejection, or of trials, do not count again.
+
+        Args:
+            reporters: The entries at which it failed.
+            now: The owner's clock in seconds.
+            min_doublings: Least number of doublings of the ejection time while
+                other servers are usable.
         """
         if now < self.unreachable_until:
             return False
@@ -220,9 +249,13 @@
             self.unreachable_until = self._backoff_until
             return True
         doublings = min(self.failures, MAX_DOUBLINGS)
-        pause = min(UNREACHABLE_S * 2**doublings, MAX_UNREACHABLE_S)
+        if doublings < min_doublings:
+            self._retry_at = now + _get_pause_s(doublings)
+            doublings = min_doublings
         self.failures += 1
-        self.unreachable_until = self._backoff_until = now + pause
+        self.unreachable_until = self._backoff_until = now + _get_pause_s(
+            doublings
+        )
         return True
 
     def record_end(
@@ -263,15 +296,25 @@
             if self.breaks >= EJECT_AFTER_BREAKS and may_eject:
                 self._eject_after_breaks(entry, is_sole_entry, now)
         elif whole:
-            self.breaks = 0
+            self.breaks = self._break_ejections = 0
+            self._trial_until = 0.0
             self._break_reporters.clear()
 
     def _eject_after_breaks(
         self, entry: str, is_sole_entry: bool, now: float
     ) -> None:
+        """Ejects the server for all, or for an entry that is the only reporter.
+
+        The beginning of a response, which ends other backoffs, does not end
+        that of broken responses: each of them may have had one.
+        """
         reporters = frozenset(self._break_reporters)
         if is_sole_entry or "" in reporters or len(reporters) >= MIN_REPORTERS:
-            self._eject(reporters, now)
+            doublings = min(self._break_ejections, MAX_BREAK_DOUBLINGS)
+            if self._eject(reporters, now, doublings):
+                self._break_ejections += 1
+                pause_s = self.unreachable_until - now
+                self._trial_until = self.unreachable_until + pause_s
             return
         self._ejected_for[entry] = now + ENTRY_EJECTION_S
 
@@ -308,6 +351,11 @@
             )
 
 
+def _get_pause_s(doublings: int) -> float:
+    """Returns the ejection time after some doublings, in seconds."""
+    return min(math.ldexp(UNREACHABLE_S, doublings), MAX_UNREACHABLE_S)
+
+
 def find_symptom(refused: bool, broken: bool, failed: bool) -> Symptom | None:
     """Returns how a request failed; None if it did not."""
     if broken:
--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -274,6 +274,8 @@
 
     def get_max_running(self, now: float) -> int:
         """Returns how many requests may run there now."""
+        if self.availability.is_on_trial(now):
+            return 1
         return int(min(self.info.max_running, self.growth.get_limit(now)))
 
     def get_rate_limit(self, now: float, part: float) -> float | None:
--- a/ramptray/core/request.py
+++ b/ramptray/core/request.py
@@ -253,6 +253,7 @@
         not_run: bool,
         may_repeat: bool,
         finish: Finish,
+        may_enqueue: bool = True,
     ) -> list[Effect]:
         """Ends an attempt without a response; another one may follow.
 
@@ -263,8 +264,11 @@
             ended: The message to the owner.
             not_run: Whether the backend server has reported that the request
                 did not run.
-            may_repeat: Whether time and the retry budget allow another attempt.
+            may_repeat: Whether another attempt may follow, now or once the
+                retry budget allows it.
             finish: The outcome for the caller if no attempt follows.
+            may_enqueue: Whether it may follow now; otherwise ``assign`` sends
+                the request to its owner later.
         """
         if self.state is not State.DISPATCHED or self._grant is None:
             return []
@@ -289,10 +293,11 @@
         )
         if self.owner is None:
             return []
-        return [
-            SendToOwner(self.owner, ended),
-            SendToOwner(self.owner, message.Enqueue(self.info)),
-        ]
+        effects: list[Effect] = [SendToOwner(self.owner, ended)]
+        if may_enqueue:
+            enqueue = message.Enqueue(self.info)
+            effects.append(SendToOwner(self.owner, enqueue))
+        return effects
 
     def fork(self, request_id: str) -> RequestMachine:
         """Returns a machine for another attempt beside the current one.
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -137,6 +137,10 @@
             sorted(infos, key=self._order.get_key), rules.version
         )
 
+    def remove_backends(self) -> None:
+        """Removes all servers; those with requests stay until these end."""
+        self.fleet.configure([], self._rules.version)
+
     def apply_load_report(
         self,
         name: str,
--- a/ramptray/core/stream_origin.py
+++ b/ramptray/core/stream_origin.py
@@ -29,6 +29,12 @@
 """Time for which an origin is kept beyond the patience of its caller, in
 seconds."""
 
+SPAN_S = MAX_RETENTION_S + RETENTION_MARGIN_S
+"""Time for which a release may have begun a stream that is resumed now, after
+it was listed last, in seconds.  A caller makes several attempts, so the time
+limit of a route does not bound it.  The margin covers the time in which VMs
+that have not read of its removal may still grant its servers."""
+
 MAX_ORIGINS = 20_000
 """Number of origins that a VM keeps, some 6 MB; the oldest are dropped."""
 
@@ -81,6 +87,7 @@
     Attributes:
         KEPT: This VM keeps it.
         PEER: Another VM keeps it.
+        STORED: No VM keeps it, but the store does.
         ONLY_RELEASE: No other release has served while the stream may have
             begun.
         AMBIGUOUS: Attempts of the same id began at different origins.
@@ -90,6 +97,7 @@
 
     KEPT = "kept"
     PEER = "peer"
+    STORED = "stored"
     ONLY_RELEASE = "only_release"
     AMBIGUOUS = "ambiguous"
     UNKNOWN = "unknown"
--- a/ramptray/entry/backend_directory.py
+++ b/ramptray/entry/backend_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 from typing import Any
 
@@ -9,7 +10,12 @@
 
 from ramptray import steadyclock
 from ramptray.bundle import acceptance, model
-from ramptray.core import message, release_history
+from ramptray.core import (
+    message,
+    release_history,
+    route_history,
+    stream_origin,
+)
 from ramptray.entry import reachability
 from ramptray.peer import message as peer_message
 
@@ -28,7 +34,9 @@
         on_backend_restart: Called with a backend server that has restarted,
             and its new run.
         releases: The releases that have served.
-        on_releases: Called when other releases are listed than before.
+        routes: The services that routes have led to.
+        on_releases: Called when other releases are listed than before, or
+            routes lead to other services.
         describe_record: Returns on what this VM's belief about a backend server
             rests, for logs.
     """
@@ -40,6 +48,7 @@
             _ignore_addresses
         )
         self.releases = release_history.ReleaseHistory()
+        self.routes = route_history.RouteHistory()
         self.on_releases: Callable[[], None] = _do_nothing
         self.describe_record: Callable[[str], dict[str, Any]] = _describe_none
         self.on_backend_restart: Callable[[str, int], None] = _ignore_restart
@@ -47,6 +56,7 @@
         self._reachability = reachability.Reachability()
         self._has_unreachable_zone = anyio.Event()
         self._zones: dict[str, str] = {}
+        self._service_zones: dict[str, dict[str, str]] = {}
         self._vm_zones: set[str] = set()
 
     def apply_bundle(self, in_force: acceptance.InForce) -> None:
@@ -56,14 +66,22 @@
         if previous:
             self._handle_restarts(previous.bundle, in_force.bundle)
         self._first_in_force.set()
-        if self.releases.observe(
-            _list_releases(in_force.bundle), steadyclock.read()
-        ):
+        now = steadyclock.read()
+        has_moved = (
+            previous is None
+            or previous.bundle.routes is not in_force.bundle.routes
+        ) and self.routes.observe(in_force.bundle.routes.values(), now)
+        listed = _list_releases(in_force.bundle)
+        if self.releases.observe(listed, now) or has_moved:
             self.on_releases()
         self._zones = {
             name: server.availability_zone or server.zone
             for name, server in in_force.bundle.backend_servers.items()
         }
+        self._service_zones = {}
+        for name, server in in_force.bundle.backend_servers.items():
+            of_service = self._service_zones.setdefault(server.service, {})
+            of_service[name] = self._zones[name]
 
     def _handle_restarts(
         self, previous: model.Bundle, new: model.Bundle
@@ -86,11 +104,43 @@
         """
         if self.in_force is None:
             return None
-        server = self.in_force.bundle.backend_servers.get(grant.backend)
-        if server is None or grant.run > server.run:
+        server = self._find_record(grant)
+        if server is None:
             return grant.url or None
         return None if server.leaving else server.url
 
+    def find_origin(
+        self, grant: message.Grant, service: str
+    ) -> stream_origin.Origin | None:
+        """Returns service and release of the server that a grant leads to.
+
+        They follow the record that gives the server's URL, which may be of a
+        later run than the grant.
+
+        Args:
+            grant: The grant.
+            service: The service that the grant is for.
+
+        Returns:
+            The origin of what the server sends; None if it is unknown.
+        """
+        server = self._find_record(grant)
+        if server is not None:
+            return stream_origin.Origin(server.service, server.release)
+        if grant.release is None:
+            return None
+        return stream_origin.Origin(service, grant.release)
+
+    def _find_record(self, grant: message.Grant) -> model.BackendServer | None:
+        """Returns the record of a granted server; None if it is not known here.
+
+        The record is of the granted run or a later one.
+        """
+        if self.in_force is None:
+            return None
+        server = self.in_force.bundle.backend_servers.get(grant.backend)
+        return None if server is None or server.run < grant.run else server
+
     async def wait_for_bundle(
         self, timeout_s: float
     ) -> acceptance.InForce | None:
@@ -108,18 +158,16 @@
         return server.url if server else None
 
     def get_release(self, grant: message.Grant) -> str | None:
-        """Returns the release of a granted backend server.
+        """Returns the release of the server that a grant leads to.
+
+        It follows the record that gives the server's URL, which may be of a
+        later run than the grant, see ``find_origin``.
 
         Returns:
-            The release; None if neither the bundle nor the grant names that of
-            this run.
+            The release; None if neither a record nor the grant names it.
         """
-        if self.in_force is None:
-            return grant.release
-        server = self.in_force.bundle.backend_servers.get(grant.backend)
-        if server is None or server.run != grant.run:
-            return grant.release
-        return server.release
+        server = self._find_record(grant)
+        return grant.release if server is None else server.release
 
     @property
     def reachable_share(self) -> float:
@@ -134,7 +182,7 @@
         servers = {
             name: server
             for name, server in bundle.backend_servers.items()
-            if not server.leaving
+            if not server.leaving and server.is_zone_known
         }
         own = {
             name: server
@@ -150,7 +198,12 @@
 
     def list_unreachable(self, now: float) -> tuple[str, ...]:
         """Returns the backend servers that must not be tried now."""
-        return self._reachability.list_unreachable(self._zones, now)
+        return tuple(
+            itertools.chain.from_iterable(
+                self._reachability.list_unreachable(zones, now)
+                for zones in self._service_zones.values()
+            )
+        )
 
     def record_connect_failure(self, backend: str | None, now: float) -> None:
         """Records that a connection to a backend server could not be opened."""
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import logging
 import random
 from collections.abc import Callable, Iterable
@@ -136,6 +137,7 @@
             lambda event: self._handle(event, steadyclock.read())
         )
         self._tickets: dict[str, tickets.Ticket] = {}
+        self._same_id_numbers = itertools.count(1)
         self._links: dict[str, attachment.Attachment] = {}
         self._owners = owners.OwnerSelector(
             settings.zone, settings.scheduler, shares_limits, awaits_view
@@ -250,6 +252,8 @@
     ) -> tickets.Ticket:
         """Submits a new request; its effects arrive on the returned ticket."""
         ticket = tickets.Ticket(info, claim_request, self._mailbox.post)
+        if ticket.request_id in self._tickets:
+            ticket.rename(next(self._same_id_numbers))
         ticket.report(tickets.Submitted(ticket))
         return ticket
 
@@ -267,8 +271,10 @@
                 # Avoids wake-ups while idle: one machine may run many entries.
                 self._has_work = anyio.Event()
                 await self._has_work.wait()
+            due_at = steadyclock.read() + TICK_INTERVAL_S
             await anyio.sleep(TICK_INTERVAL_S)
-            self.tick(steadyclock.read())
+            now = steadyclock.read()
+            self.tick(now, now - due_at)
 
     def _handle(self, event: tickets.Event, now: float) -> None:
         match event:
@@ -396,13 +402,17 @@
             not is_hedged
             and now < ticket.deadline
             and (event.not_run or info.repeatable)
+            and ticket.machine.dispatches < info.max_attempts
             and not self._block_propagator.find_block(info, now)
         )
-        may_retry = (
-            may_run_again
-            and ticket.machine.dispatches < info.max_attempts
-            and self._budget.try_take(info.shard.service, now)
+        has_budget = may_run_again and self._budget.try_take(
+            info.shard.service, now
+        )
+        # Its caller has time left, and the budget refills.
+        ticket.awaits_budget = (
+            may_run_again and not has_budget and ticket.continues_answer
         )
+        may_retry = has_budget or ticket.awaits_budget
         finish = request.Finish(
             message.Outcome.UNKNOWN, event.reason, ATTEMPT_RETRY_AFTER_S
         )
@@ -415,7 +425,11 @@
             effects = ticket.machine.end_unknown(event.reason, event.ended)
         else:
             effects = ticket.machine.fail_attempt(
-                event.ended, event.not_run, may_retry, finish
+                event.ended,
+                event.not_run,
+                may_retry,
+                finish,
+                may_enqueue=has_budget,
             )
         self._note(
             "attempt_failed",
@@ -430,10 +444,29 @@
             **(msgspec.to_builtins(event.fault) if event.fault else {}),
         )
         self._apply_effects(ticket, effects, now)
+        if ticket.awaits_budget:
+            ticket.ask_again_at = now + hedging.RETRY_S
+            self._note("asks_again", ticket, reason=hedging.Denial.BUDGET.value)
+
+    def _end_budget_wait(self, ticket: tickets.Ticket, now: float) -> None:
+        """Sends a retry to its owner if the budget allows it now."""
+        machine = ticket.machine
+        if block := self._block_propagator.find_block(machine.info, now):
+            self._reject_blocked(ticket, block, now)
+            return
+        if not self._budget.reserve(machine.info.shard.service, now):
+            ticket.ask_again_at = now + hedging.RETRY_S
+            return
+        ticket.awaits_budget = False
+        ticket.holds_retry = True
+        if machine.owner and self._owners.is_usable(machine.owner, now):
+            self._resend(ticket, now)
+        else:
+            self._assign(ticket, now)
 
     def _start_request(self, ticket: tickets.Ticket, now: float) -> None:
         info = ticket.info
-        self._tickets[info.request_id] = ticket
+        self._tickets[ticket.request_id] = ticket
         self._has_work.set()
         self._budget.count_request(info.shard.service, now)
         self.timeline.note(
@@ -472,8 +505,11 @@
     def _assign(self, ticket: tickets.Ticket, now: float) -> None:
         """Finds the request's owner and sends it the request.
 
-        Records since when there is no owner if none is found.
+        Records since when there is no owner if none is found.  A request that
+        waits for the retry budget is sent to none.
         """
+        if ticket.awaits_budget:
+            return
         shard = ticket.machine.info.shard
         if shard.zone != self._zone and not self._owners.is_zone_reachable(
             shard.zone
@@ -658,8 +694,10 @@
             self._send(grant.owner, decline)
             return
         zone = ticket.machine.info.shard.zone
-        release = self.backends.get_release(grant)
-        grant = msgspec.structs.replace(grant, release=release)
+        if grant.release is None:
+            # An owner of an older version names none.
+            release = self.backends.get_release(grant)
+            grant = msgspec.structs.replace(grant, release=release)
         effects = ticket.machine.receive_grant(grant)
         if zone != self._zone and any(
             isinstance(effect, request.Dispatch) for effect in effects
@@ -707,7 +745,7 @@
         self._apply_effects(ticket, effects, now)
 
     def _ask_again(self, ticket: tickets.Ticket, now: float) -> None:
-        """Sends a refused request to its owner again when that is due.
+        """Sends a request to its owner again when that is due.
 
         One that another zone refused returns to this one.
         """
@@ -717,7 +755,9 @@
         machine = ticket.machine
         if machine.state is not request.State.WAITING or not machine.owner:
             return
-        if machine.info.shard.zone == self._zone:
+        if ticket.awaits_budget:
+            self._end_budget_wait(ticket, now)
+        elif machine.info.shard.zone == self._zone:
             self._resend(ticket, now)
         else:
             self._return_from_zone(ticket, machine.owner, now)
@@ -832,6 +872,8 @@
         self._reassign_all(now)
 
     def _resend(self, ticket: tickets.Ticket, now: float) -> None:
+        if ticket.awaits_budget:
+            return
         owner = ticket.machine.owner
         assert owner is not None
         since = ticket.dispatched_at
@@ -886,6 +928,7 @@
             ticket
             for ticket in self._tickets.values()
             if ticket.machine.state is request.State.WAITING
+            and not ticket.awaits_budget
             and ticket.machine.owner is not None
             and timeouts.is_owner_silent(
                 ticket, self._owners, ticket.machine.owner, now
@@ -912,15 +955,24 @@
         if backed_off or has_spilled:
             self._reassign_all(now)
 
-    def tick(self, now: float) -> None:
-        """Backs off silent owners and rejects requests that timed out."""
-        if not self._lag.observe(now):
+    def tick(self, now: float, late_s: float = 0.0) -> None:
+        """Backs off silent owners and rejects requests that timed out.
+
+        Args:
+            now: The entry's clock.
+            late_s: Seconds since the tick was due.  A late one runs before
+                messages that have arrived are read.
+        """
+        is_lagging = self._lag.observe(now)
+        if not is_lagging and late_s < lag.MAX_TICK_DELAY_S:
             self._back_off_silent_owners(now)
         for ticket in list(self._tickets.values()):
             self._ask_again(ticket, now)
             owner_rtt_s = self._owners.get_rtt_s(ticket.machine.owner)
             reason = timeouts.find_timeout_reason(ticket, now, owner_rtt_s)
-            if reason is not None:
+            if timeouts.is_grant_possible(ticket, reason, late_s):
+                ticket.is_overdue = True
+            elif reason is not None:
                 effects = ticket.machine.reject(reason, RETRY_AFTER_S)
                 self._apply_effects(ticket, effects, now)
 
--- a/ramptray/entry/origin_search.py
+++ b/ramptray/entry/origin_search.py
@@ -9,6 +9,7 @@
 import anyio.abc
 import msgspec
 
+from ramptray import deadline as deadlines
 from ramptray import steadyclock
 from ramptray.core import stream_origin
 from ramptray.peer import link as peer_link
@@ -165,7 +166,7 @@
         left_s = deadline - steadyclock.read()
         if search.found or is_kept:
             left_s = min(left_s, SECOND_ANSWER_S)
-        with anyio.move_on_after(left_s) as scope:
+        with deadlines.move_on_after(left_s) as scope:
             await search.changed.wait()
         if scope.cancelled_caught:
             return
--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -17,8 +17,14 @@
 
 from ramptray import steadyclock
 from ramptray.caller import metrics
-from ramptray.core import membership, release_history, stream_origin
-from ramptray.entry import origin_search
+from ramptray.core import (
+    membership,
+    release_history,
+    route_history,
+    stream_origin,
+)
+from ramptray.entry import origin_backup, origin_search
+from ramptray.log import originlog
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 
@@ -99,12 +105,14 @@
         until: When its origin need not be kept any more.
         keepers: The runs of VMs that keep its origin.
         changed: Set when a VM confirms that it does.
+        is_stored: Whether it was given to the store, too.
     """
 
     origin: stream_origin.Origin
     until: float
     keepers: set[_Run] = msgspec.field(default_factory=set)
     changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    is_stored: bool = False
 
 
 class OriginStore:
@@ -117,6 +125,9 @@
         address: Address of this VM's scheduler.
         client: Sends requests to other VMs.
         history: The releases that have served.
+        log: Keeps origins when all VMs are lost; None for nothing.
+        routes: The services that routes have led to; None if they never lead
+            to others.
     """
 
     def __init__(
@@ -124,11 +135,19 @@
         address: str,
         client: peer_link.Asker,
         history: release_history.ReleaseHistory,
+        log: originlog.OriginLog | None = None,
+        routes: route_history.RouteHistory | None = None,
     ) -> None:
         self._address = address
         self._client = client
         self._history = history
+        self._routes = routes or route_history.RouteHistory()
         self._table = stream_origin.OriginTable()
+        self._backup = (
+            None
+            if log is None
+            else origin_backup.OriginBackup(log, self._merge_stored)
+        )
         self._keepers: list[membership.Member] = []
         self._others: dict[str, str] = {}
         # The runs of the live members, by address.
@@ -144,6 +163,8 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._searcher.run)
+            if self._backup is not None:
+                tasks.start_soon(self._backup.run)
             while True:
                 await anyio.sleep(RESEND_INTERVAL_S)
                 self._resend(steadyclock.read())
@@ -161,6 +182,8 @@
             members: Live members of the scheduling zone.
             others: Some live members of each other zone.
         """
+        if self._backup is not None:
+            self._backup.set_vms(len(members))
         keepers = stream_origin.list_keepers(members)
         self._others = {member.zone: member.address for member in others}
         if keepers == self._keepers:
@@ -289,6 +312,19 @@
             source = stream_origin.Source.AMBIGUOUS
         return Finding(source, is_complete=search.is_complete)
 
+    async def find_stored(self, key: bytes) -> Finding:
+        """Returns what the store knows of a stream that no VM knows."""
+        if self._backup is None:
+            return Finding(stream_origin.Source.UNKNOWN)
+        has_answered = await self._backup.read()
+        origins = self._table.find(key, steadyclock.read())
+        if len(origins) == 1:
+            return Finding(stream_origin.Source.STORED, origins[0])
+        source = stream_origin.Source.UNKNOWN
+        if origins:
+            source = stream_origin.Source.AMBIGUOUS
+        return Finding(source, is_complete=has_answered)
+
     async def hand_over(self) -> None:
         """Sends all origins kept here to the VMs that keep them from now on."""
         now = steadyclock.read()
@@ -326,10 +362,26 @@
         own = self._own[key] = _OwnStream(origin, now + retention_s)
         return own
 
+    def _merge_stored(self, record: stream_origin.OriginRecord) -> None:
+        self._table.merge(record, steadyclock.read())
+
+    def _back_up(self, key: bytes, own: _OwnStream, now: float) -> None:
+        """Stores an origin, once."""
+        if self._backup is None or own.is_stored:
+            return
+        own.is_stored = True
+        for record in self._table.list_records(now, [key]):
+            self._backup.enqueue(record)
+
     def _is_only(self, origin: stream_origin.Origin, now: float) -> bool:
-        """Returns whether no other release can have begun a stream."""
+        """Returns whether no other release or service can have begun a stream.
+
+        Other VMs then know it without being told.
+        """
+        if self._routes.has_moved(origin.service, stream_origin.SPAN_S, now):
+            return False
         only = self._history.find_only(
-            origin.service, stream_origin.MAX_RETENTION_S, now
+            origin.service, stream_origin.SPAN_S, now
         )
         return only == origin.release
 
@@ -356,6 +408,7 @@
         Returns:
             The number of VMs that are to keep it.
         """
+        self._back_up(key, own, now)
         chosen = self._pick_keepers(key, now)
         for address in chosen:
             if self._get_run(address) not in own.keepers:
--- a/ramptray/entry/reachability.py
+++ b/ramptray/entry/reachability.py
@@ -4,7 +4,9 @@
 backend server that does not respond therefore marks its whole availability zone
 as unreachable, unless another server of the zone has answered just before.  An
 unreachable zone is avoided until a probe of it succeeds (``prober``): a request
-that tried it would lose much of its latency objective.
+that tried it would lose much of its latency objective.  Where that leaves no
+server at all, another one is tried first: a lost packet or a single server that
+hangs is no partition.
 """
 
 from __future__ import annotations
@@ -27,6 +29,10 @@
 ANSWER_VALIDITY_S = 0.5
 """How long an answer proves that its zone can be reached, in seconds."""
 
+MIN_SILENT_SERVERS = 2
+"""Number of servers that must have been tried in vain before all of them count
+as unreachable."""
+
 
 class _Backoff(msgspec.Struct, frozen=True):
     until: float
@@ -38,7 +44,8 @@
 
     def __init__(self) -> None:
         self._backoffs: dict[str, _Backoff] = {}
-        self._unreachable_zones: set[str] = set()
+        # Each with the servers in it that were tried in vain.
+        self._unreachable_zones: dict[str, set[str]] = {}
         self._lost_zones: set[str] = set()
         self._answered_at: dict[str, float] = {}
 
@@ -56,8 +63,9 @@
         if now - self._answered_at.get(zone, float("-inf")) < ANSWER_VALIDITY_S:
             return False
         if zone in self._unreachable_zones:
+            self._unreachable_zones[zone].add(backend)
             return False
-        self._unreachable_zones.add(zone)
+        self._unreachable_zones[zone] = {backend}
         LOG.warning(
             "zone is silent", extra={"silent_zone": zone, "backend": backend}
         )
@@ -78,12 +86,14 @@
         self._backoffs.pop(backend, None)
         self._lost_zones.discard(zone)
         if zone in self._unreachable_zones:
-            self._unreachable_zones.remove(zone)
+            del self._unreachable_zones[zone]
             LOG.info("zone answers again", extra={"silent_zone": zone})
 
     def remove(self, backend: str) -> None:
         """Removes the backoff of a backend server that has restarted."""
         self._backoffs.pop(backend, None)
+        for silent in self._unreachable_zones.values():
+            silent.discard(backend)
 
     def list_unreachable_zones(self) -> frozenset[str]:
         """Returns the zones that are avoided until a probe succeeds."""
@@ -94,7 +104,7 @@
 
         A zone is listed until one of its backend servers answers.
         """
-        return frozenset(self._unreachable_zones | self._lost_zones)
+        return frozenset(self._lost_zones.union(self._unreachable_zones))
 
     def list_unreachable(
         self, zones: Mapping[str, str], now: float
@@ -102,7 +112,7 @@
         """Returns the backend servers that must not be tried now.
 
         Args:
-            zones: Availability zone of each backend server.
+            zones: Availability zone of each backend server of a service.
             now: The entry's clock.
         """
         if not self._backoffs and not self._unreachable_zones:
@@ -112,11 +122,17 @@
             for name, backoff in self._backoffs.items()
             if backoff.until > now
         }
-        return tuple(
+        unreachable = tuple(
             name
             for name, zone in zones.items()
             if name in servers or zone in self._unreachable_zones
         )
+        if len(unreachable) < len(zones):
+            return unreachable
+        silent = set[str]().union(*self._unreachable_zones.values())
+        if len(silent) >= MIN_SILENT_SERVERS:
+            return unreachable
+        return tuple(name for name in unreachable if name in servers)
 
 
 def _make_next_backoff(previous: _Backoff | None, now: float) -> _Backoff:
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -187,10 +187,14 @@
         holds_retry: Whether a retry is reserved for its next dispatch.
         retry_used_at: When the current dispatch used the reserved retry; None
             if it did not.
-        ask_again_at: When its owner, which refused it, is asked again; None if
-            it was not refused.
+        awaits_budget: Whether its next attempt waits for the retry budget; no
+            owner has it queued meanwhile.
+        ask_again_at: When its owner, which refused it, is asked again, or the
+            retry budget is looked at again; None if neither is due.
         lacking_since: When its owner first refused it for want of a server
             since its last attempt; None if it did not.
+        is_overdue: Whether it was spared when it had timed out, as a grant may
+            have been unread.
     """
 
     def __init__(
@@ -211,8 +215,11 @@
         self.has_begun = False
         self.holds_retry = False
         self.retry_used_at: float | None = None
+        self.awaits_budget = False
         self.ask_again_at: float | None = None
         self.lacking_since: float | None = None
+        self.is_overdue = False
+        self._name = info.request_id
         self._fork_numbers = itertools.count(1)
         self._unanswered: dict[str, float] = {}
         self.is_use_recorded = False
@@ -230,7 +237,8 @@
         """Returns a ticket for another attempt beside the current one."""
         forked = Ticket(self.info, None, self._report)
         number = next(self._fork_numbers)
-        name = f"{self.info.request_id}{request.HEDGE_MARK}{number}"
+        name = f"{self._name}{request.HEDGE_MARK}{number}"
+        forked._name = self._name
         forked._fork_numbers = self._fork_numbers
         forked.machine = self.machine.fork(name)
         forked.started_at = self.started_at
@@ -241,6 +249,20 @@
         forked.has_begun = self.has_begun
         return forked
 
+    def rename(self, number: int) -> None:
+        """Gives it another name, as another request has the same id.
+
+        Callers choose ids, and those of different customers may be equal.
+
+        Args:
+            number: Distinguishes the requests with this id.
+        """
+        self._name = f"{self.info.request_id}{request.HEDGE_MARK}same{number}"
+        info = msgspec.structs.replace(self.info, request_id=self._name)
+        self.machine = request.RequestMachine(
+            info, self.claim_request is not None
+        )
+
     @property
     def request_id(self) -> str:
         """Under which its owner schedules it."""
--- a/ramptray/entry/timeouts.py
+++ b/ramptray/entry/timeouts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ramptray import deadline
 from ramptray.core import message, request
 from ramptray.entry import owners
 from ramptray.entry import ticket as tickets
@@ -57,6 +58,23 @@
     )
 
 
+def is_grant_possible(
+    ticket: tickets.Ticket, reason: message.Reason | None, late_s: float
+) -> bool:
+    """Returns whether a request that timed out may have an unread grant.
+
+    It is spared once only, as all ticks of a busy VM are late.  A grant after
+    its deadline would be of no use.
+
+    Args:
+        ticket: The request.
+        reason: Why it has timed out; None if it has not.
+        late_s: Seconds since the tick was due.
+    """
+    is_of_use = reason in (message.Reason.OVERLOADED, message.Reason.NOT_READY)
+    return is_of_use and late_s > deadline.MIN_LATE_S and not ticket.is_overdue
+
+
 def find_timeout_reason(
     ticket: tickets.Ticket, now: float, owner_rtt_s: float = 0.0
 ) -> message.Reason | None:
--- a/ramptray/log/hedging.py
+++ b/ramptray/log/hedging.py
@@ -13,7 +13,7 @@
 
 import anyio
 
-from ramptray import steadyclock
+from ramptray import deadline, steadyclock
 from ramptray.log import error as log_error
 
 LOG = logging.getLogger(__name__)
@@ -79,7 +79,7 @@
             while True:
                 if not self.is_receiving:
                     tasks.start_soon(attempt)
-                with anyio.move_on_after(HEDGE_DELAY_S):
+                with deadline.move_on_after(HEDGE_DELAY_S):
                     outcome = await receive.receive()
                     break
                 if not self.is_receiving:
--- a/ramptray/logsink.py
+++ b/ramptray/logsink.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import errno
 import logging
 import os
@@ -17,6 +18,10 @@
 """Maximum number of lines per second below warnings: five per request at a
 hundred requests per second, about the load of a small entry VM."""
 
+MIN_LINES_PER_KIND = 20
+"""Lines per second that each kind of line may have beyond that, so that the
+events of requests do not displace changes of what the program believes."""
+
 MAX_PENDING_BYTES = 256 * 1024
 """Bytes that are buffered for a slow reader; further lines are dropped."""
 
@@ -35,8 +40,9 @@
 
     Args:
         descriptor: File descriptor to write to; it is made non-blocking.
-        lines_per_s: Maximum number of lines per second; warnings and errors
-            are exempt.
+        lines_per_s: Maximum number of lines per second; warnings, errors and
+            the first ``MIN_LINES_PER_KIND`` lines of each kind, but no more
+            than this, are exempt.
     """
 
     def __init__(
@@ -46,9 +52,11 @@
         self.dropped_lines = 0
         self._descriptor = descriptor
         self._lines_per_s = lines_per_s
+        self._min_lines_per_kind = min(MIN_LINES_PER_KIND, lines_per_s)
         self._pending = bytearray()
         self._second = 0
         self._lines = 0
+        self._lines_by_kind: collections.Counter[str] = collections.Counter()
         self._reported_lines = 0
         self._reported_at = 0.0
         self._schedule: Schedule | None = None
@@ -74,7 +82,7 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a line, or counts it as dropped."""
         urgent = record.levelno >= logging.WARNING
-        if not self._may_write(urgent):
+        if not (self._may_write(str(record.msg)) or urgent):
             self.dropped_lines += 1
             return
         try:
@@ -93,9 +101,10 @@
         Args:
             name: Name of the logger.
             text: Message of the line.
-            event: Fields of the event, JSON values.
+            event: Fields of the event, JSON values; its ``kind`` is counted
+                as the kind of the line.
         """
-        if not self._may_write(False):
+        if not self._may_write(event["kind"]):
             self.dropped_lines += 1
             return
         line = {
@@ -147,11 +156,18 @@
         self._is_scheduled = False
         self.flush()
 
-    def _may_write(self, urgent: bool) -> bool:
+    def _may_write(self, kind: str) -> bool:
+        """Counts a line; returns whether the limits leave room for it.
+
+        Args:
+            kind: What the line is about: its message without arguments, or the
+                type of its event.
+        """
         now = steadyclock.read()
         if int(now) != self._second:
             self._second = int(now)
             self._lines = 0
+            self._lines_by_kind.clear()
         if (
             self.dropped_lines > self._reported_lines
             and now - self._reported_at >= REPORT_INTERVAL_S
@@ -159,7 +175,11 @@
             self._reported_at = now
             self._report_dropped_lines()
         self._lines += 1
-        return urgent or self._lines <= self._lines_per_s
+        self._lines_by_kind[kind] += 1
+        return (
+            self._lines <= self._lines_per_s
+            or self._lines_by_kind[kind] <= self._min_lines_per_kind
+        )
 
     def _report_dropped_lines(self) -> None:
         """Writes how many lines were dropped since the last report."""
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -24,13 +24,20 @@
     release_sync,
     server_hints,
 )
-from ramptray.node import listener, probe, settings_watcher, suspension
+from ramptray.node import (
+    listener,
+    loop_monitor,
+    probe,
+    settings_watcher,
+    suspension,
+)
 from ramptray.node import settings as node_settings
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.peer import server as peer_server
 from ramptray.platform import blocks as platform_blocks
-from ramptray.platform import follower, header, store
+from ramptray.platform import follower, header, release_records, store
+from ramptray.platform import origins as platform_origins
 from ramptray.platform import rollout as platform_rollout
 from ramptray.platform import settings as vm_settings
 from ramptray.relay import client as relay_client
@@ -65,11 +72,26 @@
 """Delay after a failed accept, in seconds. Without it, the accept loop would
 spin when the process runs out of file descriptors."""
 
+LAST_ACCEPT_TRIES = 10
+"""How often a stopping VM tries again to accept what waits in the queue: other
+connections that end free file descriptors."""
+
 FINISH_S = 1.0
 """Time that requests accepted last by a stopping VM have to finish, in seconds,
 or half of its time if that is less.  Longer requests may be cut; the load
 balancer takes up to three seconds to send none."""
 
+END_S = 0.2
+"""Longest time in which a stopping VM refuses requests that have arrived at its
+end, in seconds; it takes some milliseconds unless the VM is busy."""
+
+MIN_END_S = 0.05
+"""Shortest such time, in seconds: requests are refused also by a process that
+stood still until it had to exit."""
+
+END_CHECK_INTERVAL_S = 0.01
+"""How often a stopping VM checks whether it has refused them, in seconds."""
+
 
 class Node:
     """Creates the components of one VM and runs their tasks.
@@ -123,7 +145,6 @@
         self._block_sync = block_sync.BlockSync(
             platform_blocks.TopicBlockLog(self._store),
             self._blocks,
-            load_at_start=not vm.first_start,
         )
         self._store.add_rollback_listener(self._block_sync.save_all)
         self._gossiper = self._make_gossiper()
@@ -143,6 +164,7 @@
             self._hub.rollouts.verdicts,
         )
         self._hub.rollouts.on_verdict = self._verdict_writer.enqueue
+        self._store.add_rollback_listener(self._save_verdicts)
         self._gossiper.verdicts = self._hub.rollouts.verdicts
         self._gossiper.find_zone_owner = self._hub.find_zone_owner
         self._gossiper.update_summaries = self._hub.update_summaries
@@ -171,7 +193,11 @@
         for component in (self._hub, self._dispatcher.backends):
             component.describe_record = self._follower.describe_replica
         self._origins = origin_store.OriginStore(
-            vm.peers, self._runtime.client, self._dispatcher.backends.releases
+            vm.peers,
+            self._runtime.client,
+            self._dispatcher.backends.releases,
+            platform_origins.TopicOriginLog(self._store, vm.vm),
+            self._dispatcher.backends.routes,
         )
         self._dispatcher.backends.on_releases = self._origins.update_releases
         self._handler.origins = self._origins
@@ -180,6 +206,10 @@
             self._runtime.client,
             self._dispatcher.backends.releases,
             lambda: self._follower.replica_position,
+            self._follower.list_releases,
+            release_records.TopicReleaseLog(
+                self._store, follower.REPLICA_TOPIC
+            ),
         )
         self._handler.releases = self._release_sync
         self._follower.on_gap = self._release_sync.begin
@@ -193,9 +223,11 @@
         self._prober = prober.Prober(
             self._dispatcher.backends, self._relay_client.probe
         )
+        self._loop_monitor = loop_monitor.LoopMonitor()
         self._relay = relay_server.RelayServer(
             self._dialect, self._make_service().serve
         )
+        self._relay.state.awaits_limits = True
 
     async def run(self, stop: process.Stop) -> None:
         """Serves until a stop is requested and running requests have ended."""
@@ -221,6 +253,7 @@
                 self._origins.run,
                 self._release_sync.run,
                 self._verdict_writer.run,
+                self._loop_monitor.run,
                 suspension.SuspensionDetector(self._handle_suspension).run,
                 settings_watcher.SettingsWatcher(
                     vm_settings.get_path(), self._apply_settings
@@ -261,23 +294,28 @@
             }
         )
         metrics_address = f"{self._vm.ip}:{self._settings.metrics_port}"
-        async with anyio.create_task_group() as connections:
+        callers, *others = (
+            _Acceptor(listener.open_socket(address), handle)
             for address, handle in (
                 (self._vm.callers, self._relay.handle),
                 (self._vm.readiness, probes.handle),
                 (metrics_address, probes.handle),
-            ):
-                listening_socket = listener.open_socket(address)
-                connections.start_soon(
-                    _accept_in_group, listening_socket, handle
-                )
+            )
+        )
+        async with anyio.create_task_group() as connections:
+            for acceptor in (callers, *others):
+                connections.start_soon(acceptor.run)
             LOG.info(
                 "started",
                 extra={"address": self._vm.callers, "peers": self._vm.peers},
             )
             await stop.event.wait()
-            exit_at = steadyclock.read() + self._vm.grace_s
+            # The time to stop runs from the signal, which may have come while
+            # this process stood still.
+            signalled_at = self._loop_monitor.find_earliest_arrival()
+            exit_at = signalled_at + self._vm.grace_s
             await self._shut_down(exit_at - self._settings.exit_margin_s)
+            await self._end_callers(callers, exit_at)
             connections.cancel_scope.cancel()
         return exit_at
 
@@ -298,12 +336,30 @@
             await anyio.sleep(self._settings.lame_duck_s)
         self._relay.refuse_new_requests()
         self._tunnel_server.stopping = True
-        while (self._relay.state.active or self._tunnel_server.active) and (
+        while (self._relay.is_busy or self._tunnel_server.active) and (
             left_s := deadline - steadyclock.read()
         ) > 0:
             await anyio.sleep(min(0.05, left_s))
         LOG.info("stopped", extra={"active": self._relay.state.active})
 
+    async def _end_callers(self, callers: _Acceptor, exit_at: float) -> None:
+        """Answers what callers have sent so far, and ends their connections.
+
+        Args:
+            callers: Accepts their connections.
+            exit_at: When this process has to exit, in seconds of the steady
+                clock.
+        """
+        self._relay.end_requests()
+        await callers.stop()
+        now = steadyclock.read()
+        left_s = max(0.0, exit_at - now)
+        deadline = now + max(MIN_END_S, min(END_S, left_s / 2))
+        while True:
+            await anyio.sleep(END_CHECK_INTERVAL_S)
+            if not self._relay.is_busy or steadyclock.read() >= deadline:
+                return
+
     def _make_ready_page(self) -> probe.Page:
         if self._dispatcher.in_force is None:
             return probe.Page(probe.UNAVAILABLE, "no configuration yet\n")
@@ -369,6 +425,8 @@
             ),
             *self._dispatcher.redirects.list_gauges(),
             *self._origins.list_gauges(),
+            *self._relay.closes.list_gauges(),
+            *self._loop_monitor.list_gauges(),
             *(
                 metrics.Gauge("region_delay_seconds", {"zone": zone}, delay_s)
                 for zone, delay_s in self._gossiper.list_delays().items()
@@ -387,11 +445,17 @@
             in_force.bundle.backend_servers, steadyclock.read()
         )
         self._relay.state.limits = in_force.bundle.relay
+        self._relay.state.awaits_limits = False
         self._hub.post(event.BundleChanged(in_force))
         self._gossiper.membership.set_generation(
             in_force.generation, steadyclock.read()
         )
 
+    def _save_verdicts(self) -> None:
+        in_force = self._follower.in_force
+        if in_force is not None:
+            self._verdict_writer.save_all(in_force.bundle.rollouts)
+
     def _apply_tunneled_hints(
         self, tunneled: peer_message.TunneledHints
     ) -> None:
@@ -485,37 +549,74 @@
             resumption.ResumptionResolver(
                 self._origins,
                 self._dispatcher.backends.releases,
+                self._dispatcher.backends.routes,
                 self._follower.confirm_replicas,
             ),
             self._settings.content_key.encode(),
         )
 
 
-async def _accept_in_group(
-    listening_socket: socket.socket,
-    handle: Callable[[streams.SocketStream], Coroutine[Any, Any, None]],
-) -> None:
-    """Accepts connections; a failed accept does not affect the others."""
-    with contextlib.closing(listening_socket):
+class _Acceptor:
+    """Accepts connections; a failed accept does not affect the others.
+
+    Args:
+        listening_socket: Closed when accepting ends.
+        handle: Serves a connection.
+    """
+
+    def __init__(
+        self,
+        listening_socket: socket.socket,
+        handle: Callable[[streams.SocketStream], Coroutine[Any, Any, None]],
+    ) -> None:
+        self._listening_socket = listening_socket
+        self._handle = handle
+        self._stopping = False
+        self._wait: anyio.CancelScope | None = None
+        self._closed = anyio.Event()
+
+    async def run(self) -> None:
+        """Accepts connections until stopped, and serves them to their end."""
         async with anyio.create_task_group() as tasks:
-            await _accept_all(listening_socket, handle, tasks)
+            with contextlib.closing(self._listening_socket):
+                await self._accept_all(tasks)
+            self._closed.set()
 
+    async def stop(self) -> None:
+        """Accepts what waits in the queue, then closes the listening socket.
 
-async def _accept_all(
-    listening_socket: socket.socket,
-    handle: Callable[[streams.SocketStream], Coroutine[Any, Any, None]],
-    tasks: anyio.abc.TaskGroup,
-) -> None:
-    while True:
-        try:
-            stream = await streams.accept(listening_socket)
-        except OSError as error:
-            LOG.warning(
-                "accepting a connection failed", extra={"detail": repr(error)}
-            )
-            await anyio.sleep(ACCEPT_RETRY_DELAY_S)
-            continue
-        tasks.start_soon(handle, stream)
+        Closing it would reset the connections in its queue, whose requests may
+        have arrived.
+        """
+        self._stopping = True
+        if self._wait is not None:
+            self._wait.cancel()
+        await self._closed.wait()
+
+    async def _accept_all(self, tasks: anyio.abc.TaskGroup) -> None:
+        last_tries = LAST_ACCEPT_TRIES
+        while True:
+            try:
+                await self._accept_queued(tasks)
+            except OSError as error:
+                LOG.warning(
+                    "accepting a connection failed",
+                    extra={"detail": repr(error)},
+                )
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+                last_tries -= self._stopping
+                if last_tries:
+                    continue
+            if self._stopping:
+                return
+            # Only this wait is cancelled: a cancelled accept may drop a
+            # connection that it has taken from the queue.
+            with anyio.CancelScope() as self._wait:
+                await anyio.wait_readable(self._listening_socket)
+
+    async def _accept_queued(self, tasks: anyio.abc.TaskGroup) -> None:
+        while stream := await streams.accept_queued(self._listening_socket):
+            tasks.start_soon(self._handle, stream)
 
 
 async def main(
--- a/ramptray/node/probe.py
+++ b/ramptray/node/probe.py
@@ -12,11 +12,12 @@
 import h11
 import msgspec
 
+from ramptray import steadyclock
 from ramptray.relay import socket_stream as streams
 
 CONNECTION_TIMEOUT_S = 30.0
-"""Longest time that a connection may last or a response may take to be sent, in
-seconds."""
+"""Longest time that a connection waits for requests, or that a response may
+take to be sent, in seconds."""
 
 OK = 200
 NOT_FOUND = 404
@@ -48,10 +49,10 @@
     async def handle(self, stream: streams.SocketStream) -> None:
         """Serves a connection until it is closed or times out."""
         http = h11.Connection(h11.SERVER)
+        ends_at = steadyclock.read() + CONNECTION_TIMEOUT_S
         try:
-            with anyio.move_on_after(CONNECTION_TIMEOUT_S):
-                while await self._serve_request(http, stream):
-                    http.start_next_cycle()
+            while await self._serve_request(http, stream, ends_at):
+                http.start_next_cycle()
         except (
             OSError,
             anyio.BrokenResourceError,
@@ -59,19 +60,31 @@
             anyio.EndOfStream,
             h11.RemoteProtocolError,
         ):
-            pass  # The client closed the connection or sent invalid HTTP.
+            # The client closed the connection or sent invalid HTTP, or its time
+            # is over and nothing has arrived.
+            pass
         finally:
             stream.flush_and_close()
 
     async def _serve_request(
-        self, http: h11.Connection, stream: streams.SocketStream
+        self,
+        http: h11.Connection,
+        stream: streams.SocketStream,
+        ends_at: float,
     ) -> bool:
-        """Serves a request; returns whether another one may follow."""
+        """Serves a request; returns whether another one may follow.
+
+        Args:
+            http: The parser.
+            stream: The connection.
+            ends_at: When to wait no longer, in seconds of the steady clock.
+        """
         target = ""
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                http.receive_data(await stream.receive())
+                left_s = max(0.0, ends_at - steadyclock.read())
+                http.receive_data(await stream.receive(left_s))
             elif isinstance(event, h11.Request):
                 target = event.target.decode("latin-1").partition("?")[0]
             elif isinstance(event, h11.EndOfMessage):
--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -21,7 +21,7 @@
 import grpc.aio
 from anyio.streams import memory
 
-from ramptray import settings, steadyclock
+from ramptray import deadline, settings, steadyclock
 from ramptray.core import clock, connect_timeout
 from ramptray.peer import codec, credentials, link_failures, peer_filter
 
@@ -61,6 +61,11 @@
 ]
 """Channel options; both ends detect an unresponsive peer within 2.5 s."""
 
+GRPC_MARGIN_S = 10.0
+"""By how much gRPC's own timeout of a call is longer, in seconds.  It may end
+the call before gRPC has read its sockets, as after a stop of the process, so it
+only bounds calls that were left behind."""
+
 MAX_KNOWN_ADDRESSES = 2048
 """Number of addresses whose connection times are kept.  Replaced VMs leave
 theirs behind."""
@@ -255,16 +260,20 @@
         shared = await self._get_channel(address)
         try:
             async with shared.use():
-                with anyio.move_on_after(timeout_s) as scope:
+                with deadline.move_on_after(timeout_s) as scope:
                     await shared.wait_connected()
                 if scope.cancelled_caught:
                     raise LinkError(f"{address}: not connected in time")
                 data = codec.encode(self._clock.tick(), request)
                 distance_s = self._get_connect_timeout(address).measured_s
-                async with _translate_cancellation(address):
-                    response = await shared.ask(
-                        data, timeout=timeout_s + distance_s
-                    )
+                response: bytes | None = None
+                with deadline.move_on_after(timeout_s + distance_s):
+                    async with _translate_cancellation(address):
+                        response = await shared.ask(
+                            data, timeout=timeout_s + distance_s + GRPC_MARGIN_S
+                        )
+                if response is None:
+                    raise LinkError(f"{address}: no answer in time")
             self.asked_bytes += len(data) + len(response)
             frame = codec.decode(response)
             body = frame.body
@@ -305,7 +314,7 @@
         _check_allowed(address, self._allowed_peers)
         shared = await self._get_channel(address)
         async with shared.use():
-            with anyio.move_on_after(timeout_s) as scope:
+            with deadline.move_on_after(timeout_s) as scope:
                 await shared.wait_connected()
             if scope.cancelled_caught:
                 raise LinkError(f"{address}: not connected in time")
--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -215,6 +215,8 @@
         warm_in_s: Seconds from its record until it is warm.
         warm_at: When it is warm, on this VM's steady clock.
         release: The release of its software; empty if unknown.
+        is_zone_known: Whether the settings of this VM name its availability
+            zone.  Those of other VMs may, so they may use it in any case.
     """
 
     service: str
@@ -227,6 +229,7 @@
     warm_in_s: float = 0.0
     warm_at: float = 0.0
     release: str = ""
+    is_zone_known: bool = True
 
     def is_older(self, other: Replica) -> bool:
         """Returns whether this record is superseded by the other.
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -15,6 +15,7 @@
 from ramptray.caller import metrics
 from ramptray.core import membership, propagation
 from ramptray.log import error as log_error
+from ramptray.log import shared_read
 from ramptray.peer import link as peer_link
 from ramptray.peer import message as peer_message
 from ramptray.platform import (
@@ -53,6 +54,15 @@
 
 A change in the store must be in force on every VM within about two seconds."""
 
+LOST_CONFIG_DELAY_S = 1.0
+"""Time after which a newer configuration of another VM counts as lost by the
+store, in seconds.  One that the store has usually arrives within it, so that
+changes are not sent whole by every VM that hears of them early."""
+
+LOST_CONFIG_INTERVAL_S = 5.0
+"""Shortest time between two fetches of a configuration that the store has lost,
+in seconds; this VM may be unable to use it."""
+
 NOT_READY_WARNING_S = 1.0
 """Time without a bundle in force after which a VM warns, in seconds; it doubles
 with each warning."""
@@ -107,11 +117,9 @@
         super().__init__(client, FETCH_TIMEOUT_S)
         self.pick_peer: Callable[[], str | None] = _pick_no_peer
         self.on_gap: Callable[[float, int], None] = _ignore_gap
-        self._first_start = first_start
-        self._knows_history = False
-        self._confirming = anyio.Lock()
-        self._confirmed_at = float("-inf")
-        self._is_confirmed = False
+        self._confirmation = shared_read.SharedRead(
+            self._read_all_replicas, CONFIRM_INTERVAL_S
+        )
         self._in_force: acceptance.InForce | None = None
         self._parser = config.ConfigParser(
             terms, scheduling_zone.SchedulingZones(zones).names
@@ -143,6 +151,10 @@
         )
         self._readers = (self._config_reader, self._replica_reader)
         self._woken = anyio.Event()
+        # A configuration that the store may have lost: its generation, and the
+        # address of a VM that has it.
+        self._newer = (0, "")
+        self._is_newer_told = anyio.Event()
         self._distributor = distributor.StreamDistributor(
             me,
             seeds,
@@ -167,6 +179,7 @@
             tasks.start_soon(self._run_expiry)
             tasks.start_soon(self._distributor.run)
             tasks.start_soon(self._fetch_from_peers)
+            tasks.start_soon(self._fetch_lost_configs)
 
     @property
     def in_force(self) -> acceptance.InForce | None:
@@ -221,9 +234,17 @@
     async def fetch(self, address: str, generation: int) -> None:
         """See the base class.
 
-        Does nothing: the VMs that this one follows send the change as a
-        difference.
+        The VMs that this one follows send a change in the store as a
+        difference.  Only a configuration newer than all records known to exist,
+        which a store restored from an older copy has lost, is fetched.
         """
+        if (
+            self._declared is not None
+            and generation > self._declared.generation
+            and not self._config_reader.is_behind
+        ):
+            self._newer = (generation, address)
+            self._is_newer_told.set()
 
     async def fetch_newer(self, address: str) -> None:
         """See the base class."""
@@ -237,14 +258,7 @@
         Returns:
             Whether the store has answered.
         """
-        asked_at = steadyclock.read()
-        async with self._confirming:
-            if self._confirmed_at < asked_at:
-                due_s = self._confirmed_at + CONFIRM_INTERVAL_S - asked_at
-                await anyio.sleep(max(0.0, due_s))
-                self._confirmed_at = steadyclock.read()
-                self._is_confirmed = await self._read_all_replicas()
-            return self._is_confirmed
+        return await self._confirmation.get_answer()
 
     async def _read_all_replicas(self) -> bool:
         began_at = steadyclock.read()
@@ -301,6 +315,16 @@
             if peer is not None:
                 await self.fetch_newer(peer)
 
+    async def _fetch_lost_configs(self) -> None:
+        while True:
+            await self._is_newer_told.wait()
+            await anyio.sleep(LOST_CONFIG_DELAY_S)
+            generation, address = self._newer
+            if self._declared and generation > self._declared.generation:
+                await super().fetch_newer(address)
+                await anyio.sleep(LOST_CONFIG_INTERVAL_S)
+            self._is_newer_told = anyio.Event()
+
     def _apply_config_changes(
         self, changes: store.Changes, is_snapshot: bool
     ) -> None:
@@ -371,18 +395,13 @@
         self._retention_changed.set()
         self._retention_changed = anyio.Event()
         if is_snapshot or self._replica_registry.missed_count != missed:
-            self.on_gap(self._begin_history(now), changes.end)
+            # Only the store shows what served before, see ReleaseHistory.
+            self.on_gap(now, changes.end)
         if is_snapshot or changes.records:
             # Empty reads, which a watching VM gets once per second, must not
             # publish: each bundle costs shard owners some work.
             self._publish()
 
-    def _begin_history(self, now: float) -> float:
-        """Returns from when on all replicas that have served are known."""
-        is_first = self._first_start and not self._knows_history
-        self._knows_history = True
-        return float("-inf") if is_first else now
-
     def describe_replica(self, name: str) -> dict[str, Any]:
         """Returns on what this VM's belief about a replica rests, for logs.
 
@@ -406,6 +425,17 @@
         """End of the stream of replicas that is known here."""
         return self._replica_reader.end or 0
 
+    def list_releases(self) -> dict[str, set[str]]:
+        """Returns the releases of all known replicas by service.
+
+        They include those of replicas that have gone and may still be granted,
+        and of services that the configuration does not name.
+        """
+        releases: dict[str, set[str]] = {}
+        for replica in self._replica_registry.list_replicas().values():
+            releases.setdefault(replica.service, set()).add(replica.release)
+        return releases
+
     def _record_store_error(self) -> None:
         self._replica_registry.record_store_error(steadyclock.read())
 
@@ -543,6 +573,7 @@
             run=replica.run,
             warm_at=replica.warm_at,
             release=replica.release,
+            is_zone_known=replica.is_zone_known,
         )
         for name, replica in known.items()
     }
--- /dev/null
+++ b/ramptray/platform/origins.py
@@ -0,0 +1,122 @@
+"""Stores the origins of streams in a topic of the store."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Iterator, Sequence
+
+import msgspec
+
+from ramptray.core import stream_origin
+from ramptray.log import keyedstream, originlog
+from ramptray.platform import store, stream_position
+
+LOG = logging.getLogger(__name__)
+
+TOPIC = "keyed.origins"
+CALL_TIMEOUT_S = 0.4
+"""Timeout of one read, in seconds: a caller waits for it."""
+
+MAX_PAGES = 16
+"""Largest number of pages of 1 MB that one read takes."""
+
+
+class _StoredOrigin(msgspec.Struct, frozen=True, array_like=True):
+    """The origin of one stream in the store.
+
+    Its first fields are those of ``stream_origin.OriginRecord``, which is what
+    VMs of an older version read and write.
+
+    Attributes:
+        until_unix_s: Until when it is kept, in Unix time.  Callers may use an
+            id again, so an older origin may be that of another stream.  0 in
+            records of an older version, which are not used.
+    """
+
+    key: bytes
+    origins: tuple[stream_origin.Origin, ...]
+    left_s: float
+    until_unix_s: float = 0.0
+
+
+class TopicOriginLog(originlog.OriginLog):
+    """Appends origins under the VM's name; their order in the topic counts.
+
+    Args:
+        client: Client of the store.
+        vm: Name of this VM.
+        read_clock: Returns the Unix time, in seconds.
+    """
+
+    def __init__(
+        self,
+        client: store.Store,
+        vm: str,
+        read_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = client
+        self._vm = vm
+        self._read_clock = read_clock
+
+    async def append(
+        self, records: Sequence[stream_origin.OriginRecord]
+    ) -> None:
+        """See the base class."""
+        now = self._read_clock()
+        stored = [
+            _StoredOrigin(
+                record.key, record.origins, record.left_s, now + record.left_s
+            )
+            for record in records
+        ]
+        await self._store.append(
+            TOPIC, self._vm, msgspec.msgpack.encode(stored)
+        )
+
+    async def read(self, position: int | None) -> originlog.StoredOrigins:
+        """See the base class."""
+        found: list[stream_origin.OriginRecord] = []
+        if position is None:
+            position = stream_position.make_position(self._store.generation, 0)
+        for _ in range(MAX_PAGES):
+            changes = await self._read_retained(position)
+            for change in changes.records:
+                found.extend(_decode(change, self._read_clock()))
+            position = changes.end
+            if not changes.records:
+                break
+        return originlog.StoredOrigins(found, position)
+
+    async def _read_retained(self, position: int) -> keyedstream.Changes:
+        """Returns a page of records from a position on, or later ones."""
+        try:
+            return await self._store.read_changes(
+                TOPIC, position, 0.0, CALL_TIMEOUT_S
+            )
+        except store.TrimmedError as error:
+            begin = stream_position.make_position(
+                self._store.generation, error.first or 0
+            )
+            if begin == position:
+                raise
+        return await self._store.read_changes(TOPIC, begin, 0.0, CALL_TIMEOUT_S)
+
+
+def _decode(
+    change: store.Change, unix_s: float
+) -> Iterator[stream_origin.OriginRecord]:
+    """Yields the origins of a record that are still kept; none if invalid."""
+    try:
+        for each in msgspec.msgpack.decode(
+            change.value or b"", type=list[_StoredOrigin]
+        ):
+            # A clock that was set back may not prolong it.
+            left_s = min(each.left_s, each.until_unix_s - unix_s)
+            if left_s > 0:
+                yield stream_origin.OriginRecord(each.key, each.origins, left_s)
+    except (msgspec.MsgspecError, UnicodeError) as error:
+        LOG.warning(
+            "invalid origins skipped",
+            extra={"key": change.key, "detail": str(error)},
+        )
--- a/ramptray/platform/page.py
+++ b/ramptray/platform/page.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import struct
+from typing import Annotated
 
 import msgspec
 
@@ -27,7 +28,15 @@
 
 
 class TrimmedError(StoreError, log_error.LogTrimmedError):
-    """The requested records are no longer retained."""
+    """The requested records are no longer retained.
+
+    Attributes:
+        first: Offset of the first record retained; None if not known.
+    """
+
+    def __init__(self, text: str, first: int | None = None) -> None:
+        self.first = first
+        super().__init__(text)
 
 
 class NewestItem(msgspec.Struct):
@@ -64,6 +73,20 @@
         raise StoreError(f"not a page of records: {error}") from error
 
 
+class _GonePage(msgspec.Struct):
+    """Wire format of the response for records that are no longer retained."""
+
+    first: Annotated[int, msgspec.Meta(ge=0)]
+
+
+def decode_first(body: bytes) -> int | None:
+    """Returns the first offset retained that a response names, if any."""
+    try:
+        return msgspec.json.decode(body, type=_GonePage).first
+    except msgspec.MsgspecError:
+        return None
+
+
 def decode_value(text: str) -> bytes:
     """Decodes a value; returns ``INVALID_VALUE`` for invalid base64."""
     try:
@@ -83,7 +106,7 @@
     try:
         end, first = PAGE_HEADER.unpack_from(body)
         if first > stream_position.get_offset(offset):
-            raise TrimmedError(f"records before {first} are gone")
+            raise TrimmedError(f"records before {first} are gone", first)
         end = stream_position.make_position(
             stream_position.get_generation(offset), end
         )
--- a/ramptray/platform/record.py
+++ b/ramptray/platform/record.py
@@ -81,7 +81,7 @@
         value: The record.
         name: The replica's name, which is the record's key.
         position: The record's position in the store; -1 if unknown.
-        zones: The existing availability zones; empty to accept any.
+        zones: The availability zones in the settings; empty if any may exist.
 
     Raises:
         RecordError: The record is invalid.
@@ -92,8 +92,6 @@
         raw = msgspec.json.decode(value.decode(), type=_Record)
     except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
         raise RecordError(str(error)[:MAX_ERROR_CHARS]) from error
-    if zones and raw.zone not in zones:
-        raise RecordError(f"zone: {raw.zone} is not known")
     return peer_message.Replica(
         service=raw.service,
         address=raw.address,
@@ -104,4 +102,5 @@
         position=position,
         warm_in_s=raw.warm_in_ms / 1000,
         release=raw.release,
+        is_zone_known=not zones or raw.zone in zones,
     )
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -12,8 +12,10 @@
 
 from __future__ import annotations
 
+import collections
+import contextlib
 import logging
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -62,11 +64,12 @@
             unreliable conditions while the store was responding, in seconds.
             It must be less than the time for which a stopped replica may still
             be sent work.
-        zones: The existing availability zones; empty to accept any.
+        zones: The availability zones in the settings; empty if any may exist.
         limits: How long a change may take to be in force on this VM.
 
     Attributes:
-        missed_count: Number of replicas that came and went unseen.
+        missed_count: Number of replicas, or releases of them, that came and
+            went unseen.
     """
 
     def __init__(
@@ -82,14 +85,15 @@
         self._known: dict[str, _KnownReplica] = {}
         # Run of each replica that has announced that it is leaving.
         self._leaving_runs: dict[str, int] = {}
-        # Error text by name of each replica whose record is invalid.
+        # Why this VM grants a replica to no request, by the replica's name: its
+        # record is invalid or names an unknown availability zone.
         self._unusable: dict[str, str] = {}
         self._error_at = float("-inf")
         self._recovered_at = float("-inf")
 
     @property
     def unusable_count(self) -> int:
-        """Number of invalid records."""
+        """Number of records that are invalid or whose zone is unknown."""
         return len(self._unusable)
 
     def record_store_error(self, now: float) -> None:
@@ -139,6 +143,8 @@
             current_at: When the store had none of them yet; minus infinity if
                 unknown.
         """
+        changes = list(changes)
+        self.missed_count += _count_replaced(changes)
         # The last record of a key wins.  Applying all removals after all other
         # records would permanently drop live replicas whose records were
         # removed and written again in the same batch.
@@ -224,7 +230,10 @@
             return
         if replica.warm_in_s:
             replica = self._set_warm_at(name, replica, now)
-        self._unusable.pop(name, None)
+        if replica.is_zone_known:
+            self._unusable.pop(name, None)
+        else:
+            self._note_unusable(name, f"zone: {replica.zone} is not known")
         if not self._is_superseded(name, replica):
             self._update(name, replica)
 
@@ -250,12 +259,7 @@
         The replica has not announced that it is leaving, so its next valid
         record is accepted.
         """
-        if name not in self._unusable:
-            LOG.warning(
-                "record passed over",
-                extra={"backend": name, "detail": detail},
-            )
-        self._unusable[name] = detail
+        self._note_unusable(name, detail)
         known = self._known.get(name)
         if known is None or known.replica.position > position >= 0:
             return
@@ -264,6 +268,15 @@
         )
         self._known[name] = _KnownReplica(unused)
 
+    def _note_unusable(self, name: str, detail: str) -> None:
+        """Notes, and logs once, why a replica is granted to no request."""
+        if name not in self._unusable:
+            LOG.warning(
+                "record passed over",
+                extra={"backend": name, "detail": detail},
+            )
+        self._unusable[name] = detail
+
     def _is_superseded(self, name: str, replica: peer_message.Replica) -> bool:
         """Returns whether a newer record of the replica is known."""
         known = self._known.get(name)
@@ -334,15 +347,17 @@
             current_at: When the store had none of them yet.
         """
         recovered_s = now - self._recovered_at
-        is_unreliable = (
+        is_near_outage = (
             recovered_s < RECOVERY_WINDOW_S
             or now - self._error_at < UNRELIABLE_AFTER_ERROR_S
-            or count >= MASS_REMOVAL_COUNT
         )
-        if not is_unreliable:
+        if not is_near_outage and count < MASS_REMOVAL_COUNT:
             return now
-        if now - current_at <= self._limits.bound_s:
-            # The store was away for this VM only, or not at all.
+        age_s = now - current_at
+        is_late = not is_near_outage and current_at > float("-inf")
+        if is_late or age_s <= self._limits.bound_s:
+            # The store was away for this VM only, or not at all.  An old copy
+            # alone is no evidence of an outage: this VM may have learned late.
             return min(
                 now + self._retention_s,
                 current_at + self._limits.longest_listed_s,
@@ -369,6 +384,23 @@
         )
 
 
+def _count_replaced(changes: Sequence[store.Change]) -> int:
+    """Returns how many replicas had several releases within these records.
+
+    Only the last one stays listed, but other VMs may have used the others.
+    """
+    counts = collections.Counter(change.key for change in changes)
+    releases: dict[str, set[tuple[str, str]]] = {}
+    for change in changes:
+        if counts[change.key] == 1:
+            continue
+        with contextlib.suppress(record.RecordError):
+            found = record.parse_record(change.value or b"")
+            named = releases.setdefault(change.key, set())
+            named.add((found.service, found.release))
+    return sum(len(named) > 1 for named in releases.values())
+
+
 def _get_age(since: float, now: float) -> float | None:
     """Returns the seconds since a time; None if it is minus infinity."""
     return None if since == float("-inf") else now - since
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -12,6 +12,7 @@
 import h11
 import msgspec
 
+from ramptray import deadline
 from ramptray.core import propagation, rtt
 from ramptray.log import error as log_error
 from ramptray.log import hedging, keyedstream
@@ -242,11 +243,12 @@
         target = f"{path}?{urllib.parse.urlencode(query)}"
         response: StoreResponse | None = None
         try:
-            with anyio.move_on_after(timeout_s + 2 * self._rtt.mean_s) as scope:
+            with deadline.move_on_after(
+                timeout_s + 2 * self._rtt.mean_s
+            ) as timeout:
 
                 def extend() -> None:
-                    stalls_at = anyio.current_time() + hedging.STALL_TIMEOUT_S
-                    scope.deadline = max(scope.deadline, stalls_at)
+                    timeout.extend(hedging.STALL_TIMEOUT_S)
                     on_bytes()
 
                 response = await self._call(target, extend, sent)
@@ -260,11 +262,13 @@
         ) as error:
             raise StoreError(f"{path}: {error!r}") from error
         if response is None:
-            # The scope's deadline cannot tell: late bytes may have extended it.
             raise StoreTimeoutError(f"{path}: no answer in time")
         self._update_generation(path, response.generation)
         if response.status == _GONE:
-            raise TrimmedError(f"{path}: status {response.status}")
+            raise TrimmedError(
+                f"{path}: status {response.status}",
+                page.decode_first(response.body),
+            )
         if response.status != _OK:
             raise StoreError(f"{path}: status {response.status}")
         return response
@@ -305,7 +309,7 @@
             headers=headers,
         )
         began = anyio.current_time()
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
+        with deadline.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port))
         self._rtt.observe(anyio.current_time() - began)
         async with stream:
--- a/ramptray/relay/answer.py
+++ b/ramptray/relay/answer.py
@@ -8,6 +8,7 @@
 
 from ramptray.bundle import model
 from ramptray.core import message as core_message
+from ramptray.core import stream_origin
 from ramptray.relay import message, refusal
 
 
@@ -76,6 +77,8 @@
         writer: Writes to the caller.
         is_begun: Whether its head has been written.
         last_id: Id of the last event that was written; None if there is none.
+        origin: Service and release of the server that sent its first event;
+            None before, or if they are unknown.
         error_response: The last server error of a backend server, which is sent
             if no attempt succeeds.
     """
@@ -84,6 +87,7 @@
         self.writer = writer
         self.is_begun = False
         self.last_id: str | None = None
+        self.origin: stream_origin.Origin | None = None
         self.error_response: message.Response | None = None
 
     async def begin(
--- a/ramptray/relay/attempts.py
+++ b/ramptray/relay/attempts.py
@@ -11,6 +11,7 @@
 import anyio.lowlevel
 import msgspec
 
+from ramptray import deadline as deadlines
 from ramptray import steadyclock
 from ramptray.bundle import model
 from ramptray.core import hedging, request, stream_origin
@@ -106,6 +107,10 @@
     """The backend server began to leave; nothing was sent to it."""
 
 
+class _OtherOriginError(Exception):
+    """The server's events may not follow what the caller holds."""
+
+
 class AttemptSeries:
     """The attempts with one ticket, each after the end of the one before.
 
@@ -140,10 +145,14 @@
         self._origins = means.origins
         self._answer = means.answer
         self._deadline = means.deadline
+        # Of the server of the current attempt; None if it is unknown.
+        self._origin: stream_origin.Origin | None = None
         self._scope = anyio.CancelScope()
         self._is_left = False
         self._splitter = event.EventSplitter()
         self._sent_at = 0.0
+        # Whether any of the current attempt may have reached its server.
+        self._is_sent = False
 
     async def run(self) -> request.Finish | None:
         """Makes attempts until one is complete or none may follow.
@@ -202,21 +211,29 @@
         # cancellation first.
         await anyio.lowlevel.checkpoint()
         self.target = target
+        self._origin = self._find_origin(grant)
         self._sent_at = self.heard_at = steadyclock.read()
         self.first_event_at = None
+        self._is_sent = False
         self._splitter = event.EventSplitter()
         try:
-            with anyio.fail_after(max(0.0, self._deadline - self._sent_at)):
+            self._check_deadline()
+            with deadlines.fail_after(self._deadline - self._sent_at):
                 await self._send(target, grant)
         except TimeoutError:
             self.leave_reason = hedging.LeaveReason.DEADLINE
-            self._end_unknown(core_message.Reason.DEADLINE)
+            if self._is_sent:
+                self._end_unknown(core_message.Reason.DEADLINE)
+            else:
+                self._end_unsent(core_message.Reason.DEADLINE)
         except _UnusableServerError as error:
             self.ticket.report(
                 tickets.GrantUnusable(self._scheduling_id, error.reason)
             )
         except _LeavingServerError:
             self.ticket.report(tickets.ConnectFailed(self._scheduling_id))
+        except _OtherOriginError:
+            self._report_failure(False, core_message.Reason.NO_RELEASE)
         except connections.NotSentError as error:
             failed = tickets.ConnectFailed(
                 self._scheduling_id, error.refused, error.failed_gateways
@@ -228,6 +245,15 @@
             fault = await self._diagnose(target, error, is_direct)
             self._report_failure(False, core_message.Reason.BACKEND_LOST, fault)
 
+    def _check_deadline(self) -> None:
+        """Checks that a request may still be sent.
+
+        Raises:
+            TimeoutError: Its time limit has passed.
+        """
+        if steadyclock.read() >= self._deadline:
+            raise TimeoutError
+
     async def _diagnose(
         self,
         target: connections.Target,
@@ -309,6 +335,7 @@
             target, not_repeatable, grant.gateways
         ) as connection:
             self.target = connection.target
+            self._check_deadline()
             # A record may have arrived while the connection was opened.
             if self._resolve_target(grant) is None:
                 raise _LeavingServerError
@@ -321,6 +348,7 @@
                 max(0.0, self._deadline - steadyclock.read()),
                 self._answer.last_id or self._routed.asked.last_event,
             )
+            self._is_sent = True
             await connection.send(self._routed.asked, attempt)
             head = await self._read_head(connection)
             # Before the body: requests in flight are checked against these
@@ -460,10 +488,12 @@
                 )
             if not events:
                 continue
+            if self.first_event_at is None:
+                self._check_origin(grant)
             self._record_first_event()
             await self._claim()
             if not self._answer.is_begun:
-                await self._begin_stream(grant)
+                await self._begin_stream()
             await self._answer.begin(head, None)
             await writer.write(events)
             self._answer.last_id = (
@@ -473,6 +503,8 @@
         if connection.ends_with_connection:
             self._check_last_event(connection, remainder)
             await self._check_server_runs(connection, head, grant)
+        if self.first_event_at is None:
+            self._check_origin(grant)
         await self._claim()
         await self._answer.begin(head, None)
         if remainder:
@@ -513,7 +545,8 @@
         A server that is leaving may end right after its last response.
 
         Raises:
-            BrokenError: Nothing listens at the server's address any more.
+            BrokenError: Nothing listens at the server's address any more, or
+                nothing answers there.
         """
         target = connection.target
         is_leaving = (
@@ -522,26 +555,80 @@
         )
         if target.gateway or is_leaving:
             return
-        found = await backend_probe.probe_backend(
+        found = await backend_probe.confirm_presence(
             target.address, target.delay_s
         )
-        if found is backend_probe.ProbeResult.GONE:
+        if found in (
+            backend_probe.ProbeResult.GONE,
+            backend_probe.ProbeResult.SILENT,
+        ):
             raise connections.BrokenError(
                 f"{connection.address}: the server ended with the stream"
             )
 
-    async def _begin_stream(self, grant: core_message.Grant) -> None:
+    def _find_origin(
+        self, grant: core_message.Grant
+    ) -> stream_origin.Origin | None:
+        """Returns service and release of the server that a grant leads to."""
+        service = self._routed.info.shard.service
+        return self._dispatcher.backends.find_origin(grant, service)
+
+    def _check_origin(self, grant: core_message.Grant) -> None:
+        """Checks that a server's events may follow what the caller holds.
+
+        The grant was checked when it came, but the server's record may have
+        changed since.
+
+        Raises:
+            _OtherOriginError: The caller holds events of another service or
+                release, or that cannot be ruled out.
+        """
+        if self._find_origin(grant) != self._origin:
+            # Either may have sent the events.
+            self._origin = None
+        if self._may_follow(self._origin):
+            return
+        began = self._get_begun()
+        self._dispatcher.timeline.note(
+            "other_origin",
+            self._request_id,
+            backend=grant.backend,
+            granted=grant.release,
+            service=self._origin.service if self._origin else None,
+            release=self._origin.release if self._origin else None,
+            began=began.release if began else None,
+        )
+        raise _OtherOriginError
+
+    def _may_follow(self, origin: stream_origin.Origin | None) -> bool:
+        """Returns whether events of an origin may follow the caller's."""
+        is_bound = (
+            self._answer.is_begun or self._routed.info.release is not None
+        )
+        return not is_bound or (
+            origin is not None and origin == self._get_begun()
+        )
+
+    def _get_begun(self) -> stream_origin.Origin | None:
+        """Returns what began the stream; None if unknown or not begun."""
+        info = self._routed.info
+        if self._answer.is_begun:
+            return self._answer.origin
+        if info.release is None:
+            return None
+        return stream_origin.Origin(info.shard.service, info.release)
+
+    async def _begin_stream(self) -> None:
         """Binds the stream to the release that sends its first event.
 
         Other VMs keep the release before the caller can return to them.
         """
         routed, asked = self._routed, self._routed.asked
-        self.ticket.report(
-            tickets.StreamBegun(self._scheduling_id, grant.release)
-        )
-        if grant.release is None or not routed.route.resumable:
+        origin = self._answer.origin = self._origin
+        release = origin.release if origin else None
+        self.ticket.report(tickets.StreamBegun(self._scheduling_id, release))
+        if origin is None or not routed.route.resumable:
             return
-        origin = stream_origin.Origin(routed.info.shard.service, grant.release)
         retention_s = stream_origin.compute_retention(asked.deadline_s)
         if asked.last_event and asked.resumes:
             first = stream_origin.make_key(routed.customer, asked.resumes)
@@ -553,7 +640,7 @@
         )
         if not is_confirmed:
             self._dispatcher.timeline.note(
-                "origin_unconfirmed", self._request_id, release=grant.release
+                "origin_unconfirmed", self._request_id, release=release
             )
 
     async def _read_part(
@@ -577,9 +664,13 @@
     def _resolve_target(
         self, grant: core_message.Grant
     ) -> connections.Target | None:
-        """Returns the granted backend server; None if it may not be used."""
+        """Returns the granted backend server; None if it may not be used.
+
+        An owner whose records are older may grant a server that has begun to
+        leave or that has restarted with another release.
+        """
         url = self._dispatcher.backends.get_granted_url(grant)
-        if url is None:
+        if url is None or not self._may_follow(self._find_origin(grant)):
             return None
         address = url.removeprefix("http://")
         return connections.Target(
@@ -646,6 +737,17 @@
             )
         )
 
+    def _end_unsent(self, reason: core_message.Reason) -> None:
+        """Ends an attempt of which nothing was sent; none may follow it."""
+        self.ticket.report(
+            tickets.AttemptFailed(
+                self._make_ended(False),
+                True,
+                reason,
+                is_hedged=self._race.concede(self),
+            )
+        )
+
     def _end_unknown(self, reason: core_message.Reason) -> None:
         self._race.concede(self)
         ended = self._make_ended(False)
--- a/ramptray/relay/backend_probe.py
+++ b/ramptray/relay/backend_probe.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import socket
 
 import anyio
 
+from ramptray import deadline as deadlines
+from ramptray import steadyclock
+
 CONNECT_TIMEOUT_S = 0.06
 """Longest time to open the probe connection, in seconds.  An address without a
 listener refuses within a round trip of a few milliseconds, or about 10 ms on
@@ -18,6 +22,18 @@
 socket last."""
 
 
+CONFIRM_TIMEOUT_S = 0.5
+"""Longest time to find out for certain whether a server has ended, in seconds.
+A probe of a busy VM times out although its answer has arrived."""
+
+MIN_PROBES = 3
+"""Probes before a server counts as uncertain, however late this VM is: one long
+turn of the event loop can use up the time."""
+
+CONFIRM_PAUSE_S = 0.03
+"""Pause before the next probe of a server that is not certain, in seconds."""
+
+
 class ProbeResult(enum.Enum):
     """What a new connection shows about a backend server.
 
@@ -53,18 +69,40 @@
     return result or ProbeResult.CLOSING
 
 
+async def confirm_presence(address: str, delay_s: float = 0.0) -> ProbeResult:
+    """Probes a backend server until it is certain that it runs or has ended.
+
+    Args:
+        address: See ``probe_backend``.
+        delay_s: See ``probe_backend``.
+
+    Returns:
+        The last result; CLOSING or SILENT if it stayed uncertain for
+        ``CONFIRM_TIMEOUT_S``.
+    """
+    deadline = steadyclock.read() + CONFIRM_TIMEOUT_S + 2 * delay_s
+    certain = (ProbeResult.GONE, ProbeResult.LISTENING)
+    for number in itertools.count(1):
+        found = await probe_backend(address, delay_s)
+        is_over = number >= MIN_PROBES and steadyclock.read() >= deadline
+        if found in certain or is_over:
+            break
+        await anyio.sleep(CONFIRM_PAUSE_S)
+    return found
+
+
 async def _try_to_connect(address: str, timeout_s: float) -> ProbeResult | None:
     """Returns the result of one connection; None if it was closed at once."""
     host, _, port = address.rpartition(":")
     try:
-        with anyio.fail_after(timeout_s):
+        with deadlines.fail_after(timeout_s):
             stream = await anyio.connect_tcp(host, int(port))
     except (TimeoutError, socket.gaierror):
         return ProbeResult.SILENT
     except OSError as error:
         return _classify_error(error)
     try:
-        with anyio.move_on_after(CLOSE_WATCH_S):
+        with deadlines.move_on_after(CLOSE_WATCH_S):
             await stream.receive(1)
     except (anyio.EndOfStream, anyio.BrokenResourceError):
         return None
--- a/ramptray/relay/byte_stream.py
+++ b/ramptray/relay/byte_stream.py
@@ -23,7 +23,7 @@
             EndOfStream: The other end has closed its side.
             BrokenResourceError: The stream is lost.
             ClosedResourceError: It was closed here.
-            TimeoutError: Nothing arrived in time.
+            TimeoutError: Nothing has arrived, and the time is over.
         """
 
     @abc.abstractmethod
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -162,7 +162,13 @@
             if connection.target.is_other_run(current)
         ]
         for former in {connection.target for connection in in_use}:
-            is_lost = not await self._is_answering(former)
+            began = steadyclock.read()
+            # Probes of a VM whose event loop is late end before their answers
+            # are read.
+            is_lost = not (
+                await self._is_answering(former)
+                or self._has_sent(former, began)
+            )
             LOG.info(
                 "former run of a backend server",
                 extra={
@@ -181,6 +187,19 @@
                 connection.is_run_lost = True
                 await connection.close()
 
+    def _has_sent(self, former: connections.Target, since: float) -> bool:
+        """Returns whether anything has arrived from a former run.
+
+        Args:
+            former: The former run.
+            since: From when on, in seconds.
+        """
+        return any(
+            connection.heard_at >= since or not connection.is_usable()
+            for connection in self._borrowed
+            if connection.target == former
+        )
+
     async def _is_answering(self, target: connections.Target) -> bool:
         """Returns whether something answers at the address of a server.
 
--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any
 
 import anyio
@@ -11,6 +11,7 @@
 import h11
 import msgspec
 
+from ramptray import deadline as deadlines
 from ramptray import steadyclock
 from ramptray.core import message as core_message
 from ramptray.core import request as core_request
@@ -149,6 +150,7 @@
     Attributes:
         target: The backend server.
         is_run_lost: Whether it was closed as its server's run was lost.
+        heard_at: When bytes of the server were last read; 0 if none were.
     """
 
     def __init__(
@@ -160,6 +162,7 @@
         self.target = target
         self.address = target.address
         self.is_run_lost = False
+        self.heard_at = 0.0
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._stream = stream
@@ -174,6 +177,9 @@
         # Bytes of the response that is being skipped; None if none is.
         self._skipped_bytes: int | None = None
         self._events_in_turn = 0
+        # The event, or error, after the data that was read last; None if it
+        # was not decoded.
+        self._next: Any = None
         # Number and bytes of the parts of bodies since that time.
         self._parts_since = 0.0
         self._part_count = 0
@@ -217,7 +223,8 @@
         """Sends a complete request.
 
         Raises:
-            BrokenError: The connection broke; the request may have arrived.
+            BrokenError: The connection broke and nothing had arrived; the
+                request may have.
         """
         headers = self._dialect.make_headers(request, attempt)
         if request.body or request.method not in (b"GET", b"HEAD"):
@@ -235,14 +242,32 @@
             data += self._http.send(h11.Data(data=request.body)) or b""
             data += self._http.send(h11.EndOfMessage()) or b""
             await self._stream.send(data, SEND_TIMEOUT_S)
+        except anyio.BrokenResourceError as error:
+            # A server that refuses a request may close the connection before
+            # it has read the body.
+            if not await self._read_early():
+                raise BrokenError(f"{self.address}: {error!r}") from error
         except (
             TimeoutError,
-            anyio.BrokenResourceError,
             anyio.ClosedResourceError,
             h11.LocalProtocolError,
         ) as error:
             raise BrokenError(f"{self.address}: {error!r}") from error
 
+    async def _read_early(self) -> bool:
+        """Reads what arrived before a send failed; returns whether any did."""
+        try:
+            received = await self._stream.receive(0.0)
+        except (
+            TimeoutError,
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            return False
+        self._http.receive_data(received)
+        return True
+
     async def read_head(
         self, request_id: str, timeout_s: float | None = None
     ) -> message.ResponseHead:
@@ -296,12 +321,15 @@
     async def read_part(self, timeout_s: float | None = None) -> bytes | None:
         """Returns the next bytes of the response's body; None at its end.
 
+        Chunks that have arrived together are returned together.
+
         Args:
-            timeout_s: Longest silence, in seconds; None for no limit.
+            timeout_s: Longest time without bytes of the body, in seconds; None
+                for no limit.  Bytes of its framing do not prolong it.
 
         Raises:
             BrokenError: The response ended early.
-            TimeoutError: Nothing arrived in time; it may be called again.
+            TimeoutError: None arrived in time; it may be called again.
         """
         event = await self._next_event(timeout_s)
         if isinstance(event, h11.EndOfMessage):
@@ -309,9 +337,31 @@
             return None
         if not isinstance(event, h11.Data):
             raise BrokenError(f"{self.address}: the response ended early")
-        data = bytes(event.data)
-        self._count_part(len(data))
-        return data
+        return b"".join(self._take_received(event))
+
+    def _take_received(self, first: h11.Data) -> Iterator[bytes]:
+        """Yields the data of an event, and what has arrived after it.
+
+        Whoever reads a part forwards it, which costs more CPU time for each
+        part than for its bytes.
+
+        Raises:
+            BrokenError: There are too many small parts.
+        """
+        event: Any = first
+        while isinstance(event, h11.Data):
+            data = bytes(event.data)
+            self._count_part(len(data))
+            yield data
+            if self._events_in_turn >= EVENTS_PER_TURN:
+                return
+            self._events_in_turn += 1
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                event = error
+        if event is not h11.NEED_DATA:
+            self._next = event
 
     def _count_part(self, size: int) -> None:
         """Counts a part of a body.
@@ -425,28 +475,45 @@
         if trailing:
             self._http.receive_data(trailing)
 
-    async def _next_event(self, timeout_s: float | None = None) -> Any:
+    async def _next_event(self, timeout_s: float | None) -> Any:
+        """Returns the next event of the response.
+
+        Args:
+            timeout_s: Longest time until it is complete, in seconds, however
+                many of its bytes arrive meanwhile; None for no limit.
+
+        Raises:
+            BrokenError: The connection broke, or what arrived is no response.
+            TimeoutError: It was not complete in time; may be called again.
+        """
+        deadline = None if timeout_s is None else steadyclock.read() + timeout_s
         self._events_in_turn += 1
         if self._events_in_turn > EVENTS_PER_TURN:
-            self._events_in_turn = 0
+            self._events_in_turn = 1
             await anyio.lowlevel.checkpoint()
         while True:
             try:
-                event = self._http.next_event()
+                event, self._next = self._next, None
+                if isinstance(event, h11.RemoteProtocolError):
+                    raise event
+                event = event or self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._http.receive_data(await self._receive(timeout_s))
+                data = await self._receive(_get_remaining_s(deadline))
+                self._http.receive_data(data)
             except h11.RemoteProtocolError as error:
                 raise BrokenError(f"{self.address}: {error}") from error
 
     async def _receive(self, timeout_s: float | None) -> bytes:
         try:
-            return await self._stream.receive(timeout_s)
+            received = await self._stream.receive(timeout_s)
         except anyio.EndOfStream:
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             kind = RunLostError if self.is_run_lost else BrokenError
             raise kind(f"{self.address}: {error!r}") from error
+        self.heard_at = steadyclock.read()
+        return received
 
 
 def _get_remaining_s(deadline: float | None) -> float | None:
@@ -467,7 +534,7 @@
     address = target.address
     host, _, port = address.rpartition(":")
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S + 2 * target.delay_s):
+        with deadlines.fail_after(CONNECT_TIMEOUT_S + 2 * target.delay_s):
             stream = await streams.connect(host, int(port))
     except (OSError, TimeoutError) as error:
         refused = not isinstance(error, TimeoutError)
--- a/ramptray/relay/refusal.py
+++ b/ramptray/relay/refusal.py
@@ -7,6 +7,7 @@
 from ramptray.core import message as core_message
 from ramptray.core import request
 
+CONTENT_TOO_LARGE = 413
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -28,6 +29,14 @@
     retry_after_s: float = 0.0
 
 
+NOT_READY_RETRY_S = 0.3
+"""Retry-after of a VM without a configuration, in seconds; the retry reaches
+another VM."""
+
+NOT_READY = Refusal(UNAVAILABLE, "not_ready", NOT_READY_RETRY_S)
+"""Sent while no configuration is known."""
+
+
 def make_refusal(finish: request.Finish) -> Refusal:
     """Returns the error response for a request that got no response."""
     reason = finish.reason or core_message.Reason.BACKEND_LOST
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import logging
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -16,8 +17,8 @@
 from ramptray import steadyclock
 from ramptray.bundle import model
 from ramptray.relay import answer as answers
+from ramptray.relay import closing, message, refusal
 from ramptray.relay import dialect as dialects
-from ramptray.relay import message, refusal
 from ramptray.relay import socket_stream as streams
 
 LOG = logging.getLogger(__name__)
@@ -28,11 +29,26 @@
 BODY_TIMEOUT_S = 10.0
 """Longest time a request's body may take to arrive, in seconds."""
 
+IDLE_MARGIN_S = 0.3
+"""How much longer than its idle time a connection stays open, in seconds.  A
+caller counts from when it has read its answer until it sends a request: both
+are on their way for up to 150 ms, and a request that arrives after the end is
+lost."""
+
 REQUEST_TIMEOUT = 408
-CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
 BAD_REQUEST = 400
 
+_LIMIT_STATUSES = (refusal.CONTENT_TOO_LARGE, HEADERS_TOO_LARGE)
+"""Statuses of requests that exceed a limit of the configuration."""
+
+INTERNAL_ERROR = refusal.Refusal(500, "internal error")
+"""Sent after an error of this program; the request may have run."""
+
+STOPPED = refusal.Refusal(refusal.BAD_GATEWAY, "stopped")
+"""Sent if the time to stop ends before an answer begins; the request may have
+run."""
+
 STOPPING = refusal.Refusal(refusal.UNAVAILABLE, "stopping", 0.05)
 """Sent during a planned stop; another VM can serve the retry at once."""
 
@@ -53,6 +69,10 @@
         super().__init__(invalid.text)
 
 
+class _StoppedError(Exception):
+    """The time to stop is over and the request is incomplete."""
+
+
 class ServerState(msgspec.Struct):
     """State shared by all connections of the server.
 
@@ -64,8 +84,13 @@
             then carry ``Connection: close``.
         refusing: Whether new requests are refused because too little time is
             left to finish them before the process is killed.
-        idle: Cancel scopes of the connections waiting for a request.
-        active: Number of requests being served.
+        ending: Whether the time to stop is over; only what has arrived is
+            then read.
+        awaits_limits: Whether no configuration is known yet, so that callers
+            may rely on higher limits.
+        idle: Streams of the connections waiting for a request.
+        reading: Streams of the connections waiting for any bytes.
+        serving: Cancel scopes of the requests being served.
         connections: Number of open connections.
     """
 
@@ -73,10 +98,18 @@
     stopping: bool = False
     diverting: bool = False
     refusing: bool = False
-    idle: set[anyio.CancelScope] = msgspec.field(default_factory=set)
-    active: int = 0
+    ending: bool = False
+    awaits_limits: bool = False
+    idle: set[streams.SocketStream] = msgspec.field(default_factory=set)
+    reading: set[streams.SocketStream] = msgspec.field(default_factory=set)
+    serving: set[anyio.CancelScope] = msgspec.field(default_factory=set)
     connections: int = 0
 
+    @property
+    def active(self) -> int:
+        """Number of requests being served."""
+        return len(self.serving)
+
 
 class RelayServer:
     """Serves callers' connections.
@@ -84,18 +117,46 @@
     Args:
         dialect: Decodes requests and encodes response headers.
         serve: Serves one request.
+
+    Attributes:
+        state: State shared by all connections.
+        closes: Counts the ends of connections.
     """
 
     def __init__(self, dialect: dialects.Dialect, serve: Serve) -> None:
         self.state = ServerState()
+        self.closes = closing.CloseLog()
         self._dialect = dialect
         self._serve = serve
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a connection holds a request or is being closed."""
+        idle = self.state.idle
+        return self.state.connections > len(idle) or not all(
+            stream.is_idle() for stream in idle
+        )
+
     def refuse_new_requests(self) -> None:
-        """Refuses new requests; requests being served continue."""
+        """Refuses new requests and closes idle connections.
+
+        Requests being served continue.
+        """
         self.state.refusing = True
-        for scope in list(self.state.idle):
+        for stream in self.state.idle:
+            stream.end_wait()
+
+    def end_requests(self) -> None:
+        """Ends all requests: the time to stop is over.
+
+        Those that have not arrived completely are refused, and answers that
+        have begun are cut.
+        """
+        self.state.ending = True
+        for scope in self.state.serving:
             scope.cancel()
+        for stream in self.state.reading:
+            stream.end_wait()
 
     async def handle(self, stream: streams.SocketStream) -> None:
         """Serves one connection until it ends."""
@@ -106,18 +167,25 @@
         try:
             streams.set_socket_options(stream)
             await connection.run()
+            await connection.linger()
         except (OSError, CallerDisconnectedError):
             pass  # The caller has disconnected; no response is possible.
         except Exception:
             # A bug must end this connection only, not the others.
-            LOG.exception("connection ended by an error")
+            LOG.exception("closing a connection failed")
+            connection.close_reason = closing.CloseReason.ERROR
         finally:
             self.state.connections -= 1
+            self.closes.record(connection.describe_close())
             connection.close()
 
 
 class CallerConnection:
-    """A caller's connection, which carries one request after another."""
+    """A caller's connection, which carries one request after another.
+
+    Attributes:
+        close_reason: Why it ends.
+    """
 
     def __init__(
         self,
@@ -130,48 +198,102 @@
         self._dialect = dialect
         self._serve = serve
         self._state = state
-        self._http = h11.Connection(h11.SERVER, state.limits.header_bytes)
+        # _parse_event checks the limit in force instead, which may change.
+        self._http = h11.Connection(h11.SERVER, sys.maxsize)
         self._aborted = False
+        self.close_reason = closing.CloseReason.CALLER
+        self._request_count = 0
+        self._request_id = ""
+        self._announced_close = False
+        self._has_unanswered = False
+        self._lingers_since: float | None = None
+        self._dropped_bytes = 0
+        self._idle_since = steadyclock.read()
+        self._promised_idle_s = state.limits.idle_s
 
     @property
     def has_ended(self) -> bool:
         """Whether the caller has closed its side, or the connection is lost."""
         return self._stream.has_ended
 
+    def describe_close(self) -> closing.Close:
+        """Returns why and how the connection ends; called before it closes."""
+        unparsed = len(self._http.trailing_data[0])
+        ended_at = self._lingers_since or steadyclock.read()
+        return closing.Close(
+            self.close_reason,
+            ended_at - self._idle_since,
+            unparsed + self._stream.count_unread_bytes(),
+            self._request_count,
+            self._has_unanswered,
+            self._dropped_bytes,
+        )
+
     async def run(self) -> None:
-        """Serves requests until either side closes."""
-        while await self._serve_one():
-            self._http.start_next_cycle()
-            # _read_request checks the next head against the limits in force.
+        """Serves requests until either side closes.
+
+        An error of this program is answered unless an answer has begun.
+
+        Raises:
+            CallerDisconnectedError: The caller disconnected.
+        """
+        try:
+            while await self._serve_one():
+                self._http.start_next_cycle()
+        except CallerDisconnectedError:
+            raise
+        except Exception:
+            LOG.exception("connection ended by an error")
+            self.close_reason = closing.CloseReason.ERROR
+            self._aborted = self._http.our_state is h11.SEND_BODY
+            if self._http.our_state is h11.SEND_RESPONSE:
+                await self._refuse(self._request_id, INTERNAL_ERROR)
 
     async def _serve_one(self) -> bool:
         """Serves one request; returns whether the connection stays open."""
+        self._request_id = ""
         try:
             request = await self._read_request()
         except _BadRequestError as error:
+            self.close_reason = closing.CloseReason.INVALID
             await self._refuse_invalid_request(error.invalid)
             return False
+        except _StoppedError:
+            self.close_reason = closing.CloseReason.STOP
+            await self._refuse("", STOPPING)
+            return False
         if request is None:
             return False
+        self._request_count += 1
+        self._request_id = request.request_id
+        self._has_unanswered = True
         if self._state.refusing:
-            await CallerResponseWriter(self, request).refuse(STOPPING)
+            self.close_reason = closing.CloseReason.STOP
+            await self._refuse(request.request_id, STOPPING)
             return False
-        self._state.active += 1
-        try:
-            await self._serve_until_disconnect(request)
-        finally:
-            self._state.active -= 1
+        await self._serve_until_disconnect(request)
+        self._idle_since = steadyclock.read()
+        self._promised_idle_s = self._state.limits.idle_s
         http = self._http
         clean = http.our_state is h11.DONE and http.their_state is h11.DONE
-        return clean and not self._aborted
+        if self._aborted:
+            return False
+        is_open = not self._stream.has_ended
+        if self._announced_close and is_open and not self._state.ending:
+            self.close_reason = closing.CloseReason.ANNOUNCED
+        return clean
 
     async def _serve_until_disconnect(
         self, request: message.CallerRequest
     ) -> None:
-        """Serves a request; cancels it as soon as the caller disconnects."""
+        """Serves a request; cancels it as soon as the caller disconnects.
+
+        It is also cancelled when the time to stop is over.
+        """
         writer = CallerResponseWriter(self, request)
         with anyio.CancelScope() as scope:
             self._stream.on_end = scope.cancel
+            self._state.serving.add(scope)
             try:
                 if self._stream.has_ended:
                     scope.cancel()
@@ -179,8 +301,16 @@
                     await self._serve(request, writer)
             finally:
                 self._stream.on_end = None
-        if scope.cancelled_caught:
+                self._state.serving.discard(scope)
+        if not scope.cancelled_caught:
+            return
+        if self._stream.has_ended:
             raise CallerDisconnectedError
+        if self._http.our_state is h11.SEND_RESPONSE:
+            self.close_reason = closing.CloseReason.STOP
+            await self._refuse(request.request_id, STOPPED)
+        elif self._http.our_state is h11.SEND_BODY:
+            await self.abort()
 
     async def _read_request(self) -> message.CallerRequest | None:
         """Returns the next request; None if the connection ended."""
@@ -204,9 +334,8 @@
         return msgspec.structs.replace(request, body=body)
 
     async def _read_head(self) -> h11.Request | None:
-        limits = self._state.limits
         pipelined = bool(self._http.trailing_data[0])
-        if not pipelined and not await self._wait_for_request(limits.idle_s):
+        if not pipelined and not await self._wait_for_request():
             return None
         event = self._parse_event()
         if isinstance(event, h11.Request):
@@ -214,34 +343,50 @@
         if event is not h11.NEED_DATA:
             return None
         try:
-            with anyio.fail_after(limits.header_s):
-                return await self._next_request()
-        except TimeoutError as error:
-            invalid = message.InvalidRequest(
-                REQUEST_TIMEOUT, "head took too long"
+            return await self._next_request(
+                steadyclock.read() + self._state.limits.header_s
             )
-            raise _BadRequestError(invalid) from error
+        except TimeoutError as error:
+            raise self._make_late_error("head took too long") from error
 
-    async def _wait_for_request(self, idle_s: float) -> bool:
+    async def _wait_for_request(self) -> bool:
         """Returns whether the first bytes of a request have arrived."""
-        arrived = False
-        with anyio.CancelScope() as scope:
-            self._state.idle.add(scope)
-            try:
-                arrived = await self._receive(idle_s)
-            except TimeoutError:
-                return False
-            finally:
-                self._state.idle.discard(scope)
-        return arrived
+        self._state.idle.add(self._stream)
+        try:
+            while True:
+                with contextlib.suppress(TimeoutError):
+                    return await self._receive_before(self._idle_until)
+                if self._state.refusing:
+                    self.close_reason = closing.CloseReason.STOP
+                    return False
+                if steadyclock.read() >= self._idle_until:
+                    self.close_reason = closing.CloseReason.IDLE
+                    return False
+        finally:
+            self._state.idle.discard(self._stream)
+
+    @property
+    def _idle_until(self) -> float:
+        """When the connection closes unless a request arrives.
+
+        Callers rely on the idle time that was in force when they got their last
+        answer; a configuration that lengthens it holds at once.
+        """
+        idle_s = max(self._promised_idle_s, self._state.limits.idle_s)
+        return self._idle_since + idle_s + IDLE_MARGIN_S
+
+    async def _next_request(self, deadline: float) -> h11.Request | None:
+        """Returns the next head; None if the connection ended.
 
-    async def _next_request(self) -> h11.Request | None:
+        Raises:
+            TimeoutError: The head is incomplete at the deadline.
+        """
         while True:
             event = self._parse_event()
             if isinstance(event, h11.Request):
                 return event
             if event is h11.NEED_DATA:
-                await self._receive()
+                await self._receive_before(deadline)
             else:
                 return None
 
@@ -257,17 +402,20 @@
                 size += len(data)
                 if size > self._state.limits.body_bytes:
                     invalid = message.InvalidRequest(
-                        CONTENT_TOO_LARGE, "body too large"
+                        refusal.CONTENT_TOO_LARGE, "body too large"
                     )
                     raise _BadRequestError(invalid)
                 parts.append(data)
         except TimeoutError as error:
-            invalid = message.InvalidRequest(
-                REQUEST_TIMEOUT, "body took too long"
-            )
-            raise _BadRequestError(invalid) from error
+            raise self._make_late_error("body took too long") from error
         return b"".join(parts)
 
+    def _make_late_error(self, text: str) -> Exception:
+        """Returns the error of a request that is incomplete when time is up."""
+        if self._state.ending:
+            return _StoppedError()
+        return _BadRequestError(message.InvalidRequest(REQUEST_TIMEOUT, text))
+
     async def _iterate_body(self, deadline: float) -> AsyncIterator[bytes]:
         """Yields the body's parts.
 
@@ -281,34 +429,48 @@
             elif isinstance(event, h11.EndOfMessage):
                 return
             elif event is h11.NEED_DATA:
-                left_s = max(0.0, deadline - steadyclock.read())
-                if not await self._receive(left_s):
+                if not await self._receive_before(deadline):
                     raise CallerDisconnectedError
             else:
                 raise CallerDisconnectedError
 
     def _parse_event(self) -> Any:
         try:
-            return self._http.next_event()
+            event = self._http.next_event()
         except h11.RemoteProtocolError as error:
-            status = error.error_status_hint
-            if status not in (BAD_REQUEST, HEADERS_TOO_LARGE):
-                status = BAD_REQUEST
-            invalid = message.InvalidRequest(status, str(error))
+            invalid = message.InvalidRequest(BAD_REQUEST, str(error))
             raise _BadRequestError(invalid) from error
+        # What is left is an incomplete head, or framing of the body.
+        if event is h11.NEED_DATA and (
+            len(self._http.trailing_data[0]) > self._state.limits.header_bytes
+        ):
+            invalid = message.InvalidRequest(
+                HEADERS_TOO_LARGE, "head too large"
+            )
+            raise _BadRequestError(invalid)
+        return event
+
+    async def _receive_before(self, deadline: float) -> bool:
+        """Receives until a deadline; later only what has arrived already."""
+        return await self._receive(max(0.0, deadline - steadyclock.read()))
 
-    async def _receive(self, timeout_s: float | None = None) -> bool:
+    async def _receive(self, timeout_s: float) -> bool:
         """Feeds received bytes to the parser; returns False at end of stream.
 
         Raises:
             TimeoutError: Nothing arrived in time.
         """
+        self._state.reading.add(self._stream)
         try:
-            data = await self._stream.receive(timeout_s)
+            data = await self._stream.receive(
+                0.0 if self._state.ending else timeout_s
+            )
         except anyio.EndOfStream:
             data = b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise CallerDisconnectedError from error
+        finally:
+            self._state.reading.discard(self._stream)
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -329,6 +491,8 @@
             anyio.ClosedResourceError,
         ) as error:
             self._aborted = True
+            if isinstance(error, TimeoutError):
+                self.close_reason = closing.CloseReason.UNREAD
             raise CallerDisconnectedError from error
 
     async def send_event(self, event: Any) -> None:
@@ -342,17 +506,25 @@
         except h11.LocalProtocolError as error:
             self._aborted = True
             raise CallerDisconnectedError from error
+        self._has_unanswered = False
         if data:
             await self.send(data)
 
     async def abort(self) -> None:
         """Closes the connection in the middle of a response."""
         self._aborted = True
+        self.close_reason = closing.CloseReason.CUT
         if self._ends_with_connection:
             self._stream.reset()
         else:
             self._stream.close()
 
+    async def linger(self) -> None:
+        """Waits until the caller can have read a last, whole response."""
+        if not (self._aborted or self._ends_with_connection):
+            self._lingers_since = steadyclock.read()
+            self._dropped_bytes = await self._stream.linger()
+
     def close(self) -> None:
         """Closes the connection after its last response."""
         if self._ends_with_connection:
@@ -374,6 +546,7 @@
     def get_closing_headers(self) -> message.Headers:
         """Returns ``Connection: close`` if the connection is about to close."""
         if self._state.stopping or self._state.diverting:
+            self._announced_close = True
             return [(b"Connection", b"close")]
         return []
 
@@ -386,9 +559,17 @@
             "invalid request refused",
             extra={"status": invalid.status, "detail": invalid.text},
         )
-        headers = self._dialect.make_refusal_headers("", 0.0)
-        headers.append((b"Connection", b"close"))
         refused = refusal.Refusal(invalid.status, invalid.text)
+        if self._state.awaits_limits and invalid.status in _LIMIT_STATUSES:
+            refused = refusal.NOT_READY
+        await self._refuse("", refused)
+
+    async def _refuse(self, request_id: str, refused: refusal.Refusal) -> None:
+        """Sends an error response with which the connection ends."""
+        headers = self._dialect.make_refusal_headers(
+            request_id, refused.retry_after_s
+        )
+        headers.append((b"Connection", b"close"))
         await send_refusal(self, refused, headers)
 
 
--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -11,7 +11,7 @@
 from ramptray.bundle import acceptance, model
 from ramptray.caller import metrics as caller_metrics
 from ramptray.core import message as core_message
-from ramptray.core import stream_origin
+from ramptray.core import release_history, stream_origin
 from ramptray.entry import dispatcher as dispatchers
 from ramptray.entry import origin_store
 from ramptray.relay import answer as answers
@@ -40,10 +40,6 @@
 about 0.25 s while the store is slow; a longer wait would use up most of a
 route's objective."""
 
-NOT_READY_RETRY_S = 0.3
-"""Retry-after of a VM without a configuration, in seconds; the retry reaches
-another VM."""
-
 MAX_LOGGED_ID_CHARS = 64
 """Longest id from a caller that is logged."""
 
@@ -114,13 +110,7 @@
             CONFIG_WAIT_S
         )
         if in_force is None:
-            await self._refuse(
-                request,
-                writer,
-                refusal.Refusal(
-                    refusal.UNAVAILABLE, "not_ready", NOT_READY_RETRY_S
-                ),
-            )
+            await self._refuse(request, writer, refusal.NOT_READY)
             return
         routed = await self._route_request(request, in_force)
         if isinstance(routed, refusal.Refusal):
@@ -159,9 +149,10 @@
     ) -> stream_origin.Origin | refusal.Refusal:
         """Returns what began the stream that a caller resumes, or a refusal."""
         request = admitted.request
-        finding = await self._resumptions.resolve(
+        resolution = await self._resumptions.resolve(
             request, admitted.route, admitted.customer
         )
+        finding = resolution.finding
         origin = finding.origin
         self._timeline.note(
             "resume",
@@ -172,8 +163,13 @@
             release=origin.release if origin else None,
             source=finding.source.value,
             all_answered=finding.is_complete,
+            retry_after_s=(
+                None if origin else round(resolution.retry_after_s, 3)
+            ),
+            span_s=resolution.span_s,
+            **_describe_basis(resolution.basis),
         )
-        return origin or resumption.make_refusal(finding)
+        return origin or resumption.make_refusal(resolution)
 
     async def _run_exchange(
         self, routed: answers.RoutedRequest, writer: answers.ResponseWriter
@@ -229,6 +225,9 @@
             # Most bundles change only backend servers; keep the route table.
             self._routes = routing.RouteTable(bundle.routes)
         self._in_force = in_force
+        # The body may have been read before this limit was known.
+        if len(request.body) > bundle.relay.body_bytes:
+            return refusal.Refusal(refusal.CONTENT_TOO_LARGE, "body too large")
         route = self._routes.find(request.host, request.target)
         if route is None:
             return refusal.Refusal(NOT_FOUND, "no_route")
@@ -255,10 +254,12 @@
         if origin is not None:
             service = origin.service
             if service not in {target.service for target in route.targets}:
-                return refusal.Refusal(refusal.UNAVAILABLE, "service_left")
+                return refusal.Refusal(
+                    refusal.UNAVAILABLE, "service_left", stream_origin.SPAN_S
+                )
         if service not in admitted.bundle.services:
             return refusal.Refusal(
-                refusal.UNAVAILABLE, "no_service", NOT_READY_RETRY_S
+                refusal.UNAVAILABLE, "no_service", refusal.NOT_READY_RETRY_S
             )
         routed = self._build_routed_request(
             admitted.request,
@@ -322,6 +323,21 @@
         )
 
 
+def _describe_basis(
+    basis: release_history.Basis | None,
+) -> dict[str, float | str | None]:
+    """Returns what an only release rests on, for logs."""
+    if basis is None:
+        return {}
+    return {
+        "history_s": round(basis.length_s, 3),
+        "evidence": basis.evidence.value,
+        "peer_evidence": (
+            basis.peer_evidence.value if basis.peer_evidence else None
+        ),
+    }
+
+
 def _shorten_deadline(
     request: message.CallerRequest, route: model.Route, waited_s: float
 ) -> message.CallerRequest:
--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -11,16 +11,19 @@
 
 import array
 import asyncio
+import contextlib
 import fcntl
 import math
 import select
 import socket
 import struct
+import termios
 from collections.abc import Callable
 from typing import Any
 
 import anyio
 
+from ramptray import deadline as deadlines
 from ramptray import steadyclock
 from ramptray.core import user_timeout
 from ramptray.relay import byte_stream
@@ -34,6 +37,14 @@
 after the connection was closed here: as long as a caller may leave its response
 unread."""
 
+LINGER_S = 2.0
+"""How long after the last answer a closing connection reads and drops what
+arrives, in seconds (RFC 9112, section 9.6): a peer may stand still for about a
+second before it reads the answer."""
+
+LINGER_BYTES = 16 * 1024 * 1024
+"""How many bytes it drops at most: four times the default limit of bodies."""
+
 KEEPALIVE_INTERVAL_S = 1
 """Idle time and interval of TCP keepalive probes, in seconds; 1 is the kernel's
 minimum.  A connection that dies while idle, or while a response is awaited, is
@@ -73,6 +84,7 @@
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._sent_at = -math.inf
         self._deadline = math.inf
         self._timer_fires_at = math.inf
         self._user_timeout: user_timeout.UserTimeout | None = None
@@ -117,6 +129,7 @@
     def resume_writing(self) -> None:
         """Marks that the written data has been accepted."""
         self._writing_paused = False
+        self._sent_at = steadyclock.read()
         _wake(self._write_waiter)
 
     def is_idle(self) -> bool:
@@ -127,15 +140,19 @@
         sock = self.get_socket()
         if sock is None or self._unread or self._ended or self._closed:
             return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN | select.POLLHUP)
-        return not poll.poll(0)
+        return not self._has_arrivals()
 
     @property
     def has_ended(self) -> bool:
         """Whether no more data can arrive; buffered data may be unread."""
         return self._ended
 
+    def count_unread_bytes(self) -> int:
+        """Returns how many received bytes were not read, also by the loop."""
+        sock = self.get_socket()
+        waiting = _count_bytes(sock, termios.FIONREAD) if sock else 0
+        return self._unread_bytes + waiting
+
     def get_socket(self) -> socket.socket | None:
         """Returns the socket; None if it is closed."""
         found: socket.socket | None = self._get_transport().get_extra_info(
@@ -158,23 +175,56 @@
             self._get_transport().resume_reading()
         return data
 
+    def end_wait(self) -> None:
+        """Ends the reader's wait as if its time were over."""
+        waiter = self._read_waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(TimeoutError("nothing arrived in time"))
+
     async def send(self, data: bytes, timeout_s: float) -> None:
         """See the base class; waits until the kernel has accepted the bytes."""
         self._check_open()
         if self._lost:
             raise anyio.BrokenResourceError
+        self._sent_at = steadyclock.read()
         self._get_transport().write(data)
         if self._check_timer is None:
             self._begin_checks()
         if not self._writing_paused:
             return
-        with anyio.fail_after(timeout_s):
+        with deadlines.fail_after(timeout_s):
             while self._writing_paused:
                 self._check_open()
                 self._write_waiter = self._loop.create_future()
                 await self._write_waiter
         self._check_open()
 
+    async def linger(self) -> int:
+        """Ends this side, and drops what arrives until the peer ends its own.
+
+        A close with unread bytes resets the connection, which may take away an
+        answer that the peer has not read.  Waits until ``LINGER_S`` after the
+        last answer at most, so not at all on a connection that was idle for
+        longer.
+
+        Returns:
+            How many bytes were dropped.
+        """
+        if self._closed or self._ended or self._writing_paused:
+            return 0
+        deadline = self._sent_at + LINGER_S
+        dropped = 0
+        with contextlib.suppress(
+            OSError, anyio.EndOfStream, anyio.BrokenResourceError
+        ):
+            self._get_transport().write_eof()
+            while dropped <= LINGER_BYTES:
+                left_s = max(0.0, deadline - steadyclock.read())
+                dropped += len(await self.receive(left_s))
+                if not left_s:
+                    break
+        return dropped
+
     def close(self) -> None:
         """See the base class."""
         if not self._closed:
@@ -259,6 +309,10 @@
             self._set_timer(steadyclock.read() + timeout_s)
         try:
             await self._read_waiter
+        except TimeoutError:
+            if self._unread or self._ended or self._has_arrivals():
+                return
+            raise
         finally:
             self._read_waiter = None
 
@@ -284,7 +338,16 @@
         if steadyclock.read() < self._deadline:
             self._start_timer()
             return
-        waiter.set_exception(TimeoutError("nothing arrived in time"))
+        self.end_wait()
+
+    def _has_arrivals(self) -> bool:
+        """Returns whether the kernel holds anything that was not read.
+
+        After a pause of the process the event loop runs due timers before it
+        reads its sockets, which it does in its next turn.
+        """
+        sock = self.get_socket()
+        return sock is not None and _is_readable(sock)
 
 
 def _wake(waiter: asyncio.Future[None] | None) -> None:
@@ -292,11 +355,23 @@
         waiter.set_result(None)
 
 
+def _is_readable(sock: socket.socket) -> bool:
+    """Returns whether bytes, an end of stream or an error wait to be read."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN | select.POLLHUP)
+    return bool(poll.poll(0))
+
+
 def _count_unsent_bytes(sock: socket.socket) -> int:
     """Returns how many written bytes wait; 0 where the kernel does not say."""
+    return _count_bytes(sock, _SIOCOUTQNSD)
+
+
+def _count_bytes(sock: socket.socket, request: int) -> int:
+    """Returns a number of bytes that the kernel gives; 0 if it does not."""
     count = array.array("i", [0])
     try:
-        fcntl.ioctl(sock.fileno(), _SIOCOUTQNSD, count)
+        fcntl.ioctl(sock.fileno(), request, count)
     except OSError:
         return 0
     return count[0]
@@ -336,8 +411,23 @@
     Raises:
         OSError: It could not be accepted.
     """
+    while (stream := await accept_queued(listening)) is None:
+        await anyio.wait_readable(listening)
+    return stream
+
+
+async def accept_queued(listening: socket.socket) -> SocketStream | None:
+    """Accepts a connection that waits in the queue; None if there is none.
+
+    Raises:
+        OSError: It could not be accepted.
+    """
+    try:
+        sock, _ = listening.accept()
+    except BlockingIOError:
+        return None
+    sock.setblocking(False)
     loop = asyncio.get_running_loop()
-    sock, _ = await loop.sock_accept(listening)
     _, opened = await loop.connect_accepted_socket(SocketStream, sock)
     return opened
 
--- a/ramptray/relay/tunnel.py
+++ b/ramptray/relay/tunnel.py
@@ -17,6 +17,7 @@
 import anyio
 import grpc.aio
 
+from ramptray import deadline
 from ramptray.core import message as core_message
 from ramptray.peer import codec
 from ramptray.peer import link as peer_link
@@ -121,7 +122,7 @@
             self._run(gateway, request, timeout_s, opened)
         )
         try:
-            with anyio.fail_after(timeout_s):
+            with deadline.fail_after(timeout_s):
                 await opened
         except TimeoutError as error:
             raise TunnelError(f"{gateway}: no tunnel in time") from error
@@ -138,7 +139,7 @@
         """See the base class."""
         self._check_open()
         try:
-            with anyio.fail_after(timeout_s):
+            with deadline.fail_after(timeout_s):
                 return await self._receive.receive()
         except anyio.EndOfStream:
             self._check_open()
@@ -156,7 +157,7 @@
             for start in range(0, len(data), MAX_PART_BYTES)
         )
         try:
-            with anyio.fail_after(timeout_s):
+            with deadline.fail_after(timeout_s):
                 for part in parts:
                     await self._call.write(part)
         except peer_link.CONNECTION_ERRORS as error:
--- a/ramptray/relay/tunnel_server.py
+++ b/ramptray/relay/tunnel_server.py
@@ -11,7 +11,7 @@
 import grpc
 import grpc.aio
 
-from ramptray import steadyclock
+from ramptray import deadline, steadyclock
 from ramptray.core import clock
 from ramptray.entry import backend_directory, server_hints
 from ramptray.peer import codec
@@ -94,7 +94,7 @@
         url = self._backends.find_url(request.backend) or ""
         host, _, port = url.removeprefix("http://").rpartition(":")
         try:
-            with anyio.fail_after(connection.CONNECT_TIMEOUT_S):
+            with deadline.fail_after(connection.CONNECT_TIMEOUT_S):
                 return await streams.connect(host, int(port))
         except TimeoutError:
             self._backends.record_connect_failure(
--- a/ramptray/scheduler/block_sync.py
+++ b/ramptray/scheduler/block_sync.py
@@ -43,8 +43,6 @@
     Args:
         block_log: Storage of blocks.
         blocks: The blocks known to this VM.
-        load_at_start: Whether to load blocks at the start; not needed when
-            none can have been saved yet.
         read_clock: Returns the time of day in Unix seconds.
     """
 
@@ -52,12 +50,10 @@
         self,
         block_log: blocklog.BlockLog,
         blocks: blocklist.Blocklist,
-        load_at_start: bool,
         read_clock: Callable[[], float] = time.time,
     ) -> None:
         self._block_log = block_log
         self._blocks = blocks
-        self._load_at_start = load_at_start
         self._read_clock = read_clock
         send, receive = anyio.create_memory_object_stream[
             blocklist.BlockUpdate
@@ -71,8 +67,7 @@
         """Saves blocks, and loads them on request, until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_saves)
-            if self._load_at_start:
-                await self._load()
+            await self._load()
             while True:
                 await self._reload_requested.wait()
                 self._reload_requested = anyio.Event()
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -5,13 +5,13 @@
 import collections
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import msgspec
 
-from ramptray import mailbox, steadyclock, timeline, wallclock
+from ramptray import deadline, mailbox, steadyclock, timeline, wallclock
 from ramptray.bundle import acceptance
 from ramptray.core import (
     backend,
@@ -213,7 +213,12 @@
                 self._has_work = anyio.Event()
                 with anyio.move_on_after(IDLE_TICK_INTERVAL_S):
                     await self._has_work.wait()
+            due_at = steadyclock.read_monotonic() + TICK_INTERVAL_S
             await anyio.sleep(TICK_INTERVAL_S)
+            self._confirm_waiting(steadyclock.read())
+            # The tick refuses requests whose wait is over.  Messages that free
+            # places for them may be unread.
+            await deadline.look_if_late(due_at)
             self._tick(steadyclock.read())
 
     def _handle(self, posted: Any, now: float) -> None:
@@ -539,8 +544,7 @@
             self.content_blocker.detector,
             self._gateways,
         )
-        for entry, hints in self._observations.list_hints(now):
-            owner.fleet.apply_hints(hints, entry, now)
+        self._apply_known_hints(owner, bundle.backend_servers, now)
         self.shards[key] = owner
         self._apply_rollout(key, owner)
         self._update_leaving_states()
@@ -559,18 +563,33 @@
                 session.send(update)
         for key, owner in list(self.shards.items()):
             if key.service not in bundle.services:
-                del self.shards[key]
+                # The servers work on, and a later bundle may bring the service
+                # back.
+                owner.remove_backends()
                 continue
-            owner.configure(
-                rules.make_rules(bundle, key),
-                rules.list_backend_infos(bundle, key),
-            )
+            infos = rules.list_backend_infos(bundle, key)
+            new = {
+                info.name
+                for info in infos
+                if not owner.fleet.is_configured(info.name)
+            }
+            owner.configure(rules.make_rules(bundle, key), infos)
+            if new:
+                self._apply_known_hints(owner, new, steadyclock.read())
             self._apply_rollout(key, owner)
         self._update_leaving_states()
         self.on_new_backends()
         self.timeline.note("bundle", f"generation-{bundle.generation}")
         LOG.info("bundle in force", extra={"generation": bundle.generation})
 
+    def _apply_known_hints(
+        self, owner: shard.ShardOwner, backends: Container[str], now: float
+    ) -> None:
+        """Gives a shard what is known of servers that are new to it."""
+        for entry, hints in self._observations.list_hints(now):
+            if hints.backend in backends:
+                owner.fleet.apply_hints(hints, entry, now)
+
     def _apply_rollout(
         self, key: message.ShardKey, owner: shard.ShardOwner
     ) -> None:
@@ -684,15 +703,19 @@
                     else backend.BackendState.ACTIVE,
                 )
 
+    def _confirm_waiting(self, now: float) -> None:
+        """Tells entries that this scheduler still holds their requests."""
+        for owner in self.shards.values():
+            for entry, count in owner.list_waiting_entries().items():
+                silence_s = self._attached.get_idle_time(entry, now)
+                if silence_s >= STILL_WAITING_INTERVAL_S:
+                    self._send_to_entry(entry, message.StillWaiting(count))
+
     def _tick(self, now: float) -> None:
         for key, owner in self.shards.items():
             self.rollouts.advance(owner, self.owns(key), now)
             self._send_effects(owner.tick(now))
             self._log_usable(key, owner, now)
-            for entry, count in owner.list_waiting_entries().items():
-                silence_s = self._attached.get_idle_time(entry, now)
-                if silence_s >= STILL_WAITING_INTERVAL_S:
-                    self._send_to_entry(entry, message.StillWaiting(count))
         if now - self._summaries_sent_at >= SUMMARY_INTERVAL_S:
             self._summaries_sent_at = now
             self._update_limit_share()
@@ -772,8 +795,10 @@
             )
 
     def _close_idle_shards(self, now: float) -> None:
+        services = self.in_force.bundle.services if self.in_force else {}
         for key, owner in list(self.shards.items()):
-            if self.owns(key) or not owner.is_empty:
+            is_needed = self.owns(key) and key.service in services
+            if is_needed or not owner.is_empty:
                 self._empty_since.pop(key, None)
                 continue
             since = self._empty_since.setdefault(key, now)
--- a/ramptray/scheduler/rollouts.py
+++ b/ramptray/scheduler/rollouts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import anyio
 import msgspec
@@ -138,6 +138,18 @@
         self._pending[verdict.service] = verdict
         self._has_pending.set()
 
+    def save_all(self, orders: Mapping[str, rollout.Order]) -> None:
+        """Queues all known verdicts, as the log may have lost some.
+
+        Args:
+            orders: The orders in force, by service.  A verdict on a former one
+                would replace that on the current one.
+        """
+        for service, order in orders.items():
+            verdict = self._store.get(service)
+            if verdict is not None and verdict.release == order.release:
+                self.enqueue(verdict)
+
     async def run(self) -> None:
         """Writes queued verdicts until cancelled."""
         while True:
--- a/ramptray/scheduler/rules.py
+++ b/ramptray/scheduler/rules.py
@@ -54,6 +54,7 @@
         if server.zone == key.zone
         and server.service == key.service
         and not server.leaving
+        and server.is_zone_known
         and membership.get_shard_number(name, shards) == key.number
     ]
 
--- a/ramptray/steadyclock.py
+++ b/ramptray/steadyclock.py
@@ -21,3 +21,8 @@
 def read_monotonic() -> float:
     """Returns the same, less the time for which the machine was suspended."""
     return time.clock_gettime(time.CLOCK_MONOTONIC)
+
+
+def read_cpu() -> float:
+    """Returns the processor time of this process, in seconds."""
+    return time.clock_gettime(time.CLOCK_PROCESS_CPUTIME_ID)
--- a/test/test_hedge_exchange.py
+++ b/test/test_hedge_exchange.py
@@ -196,6 +196,12 @@
             while not set(backends) <= self.servers.ends.keys():
                 await anyio.sleep(0.001)
 
+    async def wait_for_noted(self, kind: str) -> None:
+        """Waits until an event of a kind was noted of the request."""
+        with anyio.fail_after(3.0):
+            while not self.list_noted(kind):
+                await anyio.sleep(0.001)
+
     def list_noted(self, kind: str) -> list[dict[str, Any]]:
         """Returns the events of a kind that were noted of the request."""
         noted = self.dispatcher.timeline.list_events(0, "r1")
--- a/test/test_late_departure.py
+++ b/test/test_late_departure.py
@@ -35,6 +35,7 @@
         "backend server kept without a record",
         "copy of the log is fresh",
         "copy of the log is late",
+        "event loop late",
         "log lines left out",
         "log lost",
         "log read",
