--- a/test/test_forgotten_releases.py
+++ b/test/test_forgotten_releases.py
@@ -96,20 +96,23 @@
         assert resuming.attempt_stream(started, "vm-0").status == 200
 
 
-def test_streams_of_two_releases_go_on_after_all_vms_were_lost() -> None:
-    # All take-ups were refused, though servers of both releases were there.
+@pytest.mark.parametrize(
+    "begun_s", [2 * origin_backup.WRITE_INTERVAL_S, 0.0], ids=["earlier", "new"]
+)
+def test_streams_of_two_releases_go_on_after_all_vms_were_lost(
+    begun_s: float,
+) -> None:
+    # All take-ups were refused, though servers of both releases were there;
+    # then those of streams whose first event had just arrived.
+    until = resuming.BREAK_AFTER if begun_s else 1
     with resuming.run_releases() as started:
         streams = resuming.run_together(
             lambda vm=vm: resuming.Stream(  # type: ignore[misc]
-                [
-                    resuming.attempt_stream(
-                        started, vm, until=resuming.BREAK_AFTER
-                    )
-                ]
+                [resuming.attempt_stream(started, vm, until=until)]
             )
             for vm in itertools.islice(itertools.cycle(started.vms), 12)
         )
-        time.sleep(2 * origin_backup.WRITE_INTERVAL_S)
+        time.sleep(begun_s)
         lose_vms(started)
         resume_all(started, streams, time.monotonic() + 8.0, True)
         assert resuming.list_mixed(streams) == []
