Hold a first event back until the store has its origin

Callers whose streams had just begun when all VMs were lost were refused until their time was over, though servers of their release were there.

Cause: origins waited for up to 0.25 s before they were written, while the first event went on at once. What had not been written was unknown, and its callers asked again and again, so that fewer take-ups than new streams went on.

Change: the first event waits for the write, for at most 0.1 s, as it already does for other VMs. Origins that come during a write share the next one. Nothing waits for a store whose last write failed or was late, or for a turn that is further off, so an outage costs no time.

--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -1,15 +1,15 @@
 """Remembers which release began a stream, on several VMs.
 
-A VM that forwards a stream's first event tells some other VMs before, and a VM
-at which a caller resumes the stream asks them.  Without an answer the origin is
-unknown; it is never guessed.
+A VM that forwards a stream's first event tells some other VMs and the store
+before, and a VM at which a caller resumes the stream asks them.  Without an
+answer the origin is unknown; it is never guessed.
 """
 
 from __future__ import annotations
 
 import collections
 import logging
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 import anyio
 import anyio.abc
@@ -31,8 +31,8 @@
 LOG = logging.getLogger(__name__)
 
 CONFIRM_TIMEOUT_S = 0.1
-"""How long a first event is held back until other VMs keep its origin, in
-seconds.  In one region they confirm within a few milliseconds."""
+"""How long a first event is held back until other VMs and the store keep its
+origin, in seconds.  In one region VMs confirm within a few milliseconds."""
 
 MIN_CONFIRMATIONS = 2
 """Number of VMs that must keep the origin before the first event is forwarded:
@@ -104,15 +104,15 @@
         origin: Its origin.
         until: When its origin need not be kept any more.
         keepers: The runs of VMs that keep its origin.
-        changed: Set when a VM confirms that it does.
-        is_stored: Whether it was given to the store, too.
+        changed: Set when a VM confirms that it does, or a write has ended.
+        is_backed_up: Whether it was given to the backup, too.
     """
 
     origin: stream_origin.Origin
     until: float
     keepers: set[_Run] = msgspec.field(default_factory=set)
     changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
-    is_stored: bool = False
+    is_backed_up: bool = False
 
 
 class OriginStore:
@@ -146,7 +146,7 @@
         self._backup = (
             None
             if log is None
-            else origin_backup.OriginBackup(log, self._merge_stored)
+            else origin_backup.OriginBackup(log, self._merge_stored, self._wake)
         )
         self._keepers: list[membership.Member] = []
         self._others: dict[str, str] = {}
@@ -223,12 +223,16 @@
             return True
         targets = self._send_to_keepers(key, own, now)
         with anyio.move_on_after(CONFIRM_TIMEOUT_S):
-            while len(own.keepers) < min(MIN_CONFIRMATIONS, targets):
+            while len(own.keepers) < min(
+                MIN_CONFIRMATIONS, targets
+            ) or self._is_write_awaited(key):
                 own.changed = anyio.Event()
                 await own.changed.wait()
         others = sum(m.address != self._address for m in self._keepers)
         is_confirmed = len(own.keepers) >= min(MIN_CONFIRMATIONS, others)
         self._counts["confirmed" if is_confirmed else "unconfirmed"] += 1
+        if self._backup is not None and not self._backup.is_stored(key):
+            self._counts["unstored"] += 1
         return is_confirmed
 
     def prolong(
@@ -339,7 +343,7 @@
         """Yields the metrics."""
         yield metrics.Gauge("stream_origins", {}, len(self._table))
         yield metrics.Gauge("stream_origins_dropped", {}, self._table.dropped)
-        for state in ("confirmed", "unconfirmed"):
+        for state in ("confirmed", "unconfirmed", "unstored"):
             labels = {"state": state}
             yield metrics.Gauge("streams_recorded", labels, self._counts[state])
         for source in stream_origin.Source:
@@ -366,13 +370,22 @@
         self._table.merge(record, steadyclock.read())
 
     def _back_up(self, key: bytes, own: _OwnStream, now: float) -> None:
-        """Stores an origin, once."""
-        if self._backup is None or own.is_stored:
+        """Has the store keep an origin, once."""
+        if self._backup is None or own.is_backed_up:
             return
-        own.is_stored = True
+        own.is_backed_up = True
         for record in self._table.list_records(now, [key]):
             self._backup.enqueue(record)
 
+    def _is_write_awaited(self, key: bytes) -> bool:
+        return self._backup is not None and self._backup.is_awaited(key)
+
+    def _wake(self, keys: Iterable[bytes]) -> None:
+        """Continues the streams that wait for the store."""
+        for key in keys:
+            if own := self._own.get(key):
+                own.changed.set()
+
     def _is_only(self, origin: stream_origin.Origin, now: float) -> bool:
         """Returns whether no other release or service can have begun a stream.
 
--- a/test/test_origin_backup.py
+++ b/test/test_origin_backup.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import contextlib
+import time
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
 
 import anyio
 import pytest
 
-from ramptray.core import stream_origin
-from ramptray.entry import origin_backup
+from ramptray.core import membership, release_history, stream_origin
+from ramptray.entry import origin_backup, origin_store
 from ramptray.log import error as log_error
 from ramptray.log import originlog
+from ramptray.peer import link
 from ramptray.platform import origins, store
 from test import node
 
@@ -36,18 +40,21 @@
 
     Attributes:
         failures: Number of calls that fail from now on.
+        delay_s: Time that a write takes, in seconds.
         batches: What was appended.
         reads: The positions that were read from.
     """
 
     def __init__(self) -> None:
         self.failures = 0
+        self.delay_s = 0.0
         self.batches: list[list[stream_origin.OriginRecord]] = []
         self.reads: list[int | None] = []
 
     async def append(
         self, records: Sequence[stream_origin.OriginRecord]
     ) -> None:
+        await anyio.sleep(self.delay_s)
         self._fail()
         self.batches.append(list(records))
 
@@ -75,6 +82,7 @@
     """Lets the tests wait less."""
     monkeypatch.setattr(origin_backup, "WRITE_INTERVAL_S", 0.02)
     monkeypatch.setattr(origin_backup, "READ_INTERVAL_S", 0.02)
+    monkeypatch.setattr(origin_backup, "MIN_RETRY_PAUSE_S", 0.02)
 
 
 async def wait_for_batches(log: FakeLog, count: int) -> None:
@@ -111,6 +119,87 @@
     assert log.batches == [[make_record(1)]]
 
 
+@contextlib.asynccontextmanager
+async def run_store(
+    log: FakeLog, vms: int = 1
+) -> AsyncIterator[origin_store.OriginStore]:
+    """Runs the origins of a VM that no other VM answers."""
+    members = [
+        membership.Member(f"vm-{n}", "all", f"vm-{n}", 1) for n in range(vms)
+    ]
+    kept = origin_store.OriginStore(
+        "vm-0", SilentPeers(), release_history.ReleaseHistory(), log
+    )
+    kept.update_members(members, [])
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(kept.run)
+        await anyio.lowlevel.checkpoint()
+        yield kept
+        tasks.cancel_scope.cancel()
+
+
+class SilentPeers:
+    """Other VMs, none of which is reached."""
+
+    async def ask(self, address: str, request: Any, timeout_s: float) -> Any:
+        raise link.LinkError("refused")
+
+
+async def measure_hold(kept: origin_store.OriginStore, name: str) -> float:
+    """Returns for how long a stream's first event is held back."""
+    began_at = time.monotonic()
+    await kept.record(stream_origin.make_key("ola", name), ORIGIN, 30.0)
+    return time.monotonic() - began_at
+
+
+@pytest.mark.anyio
+async def test_first_events_wait_until_the_store_has_their_origins() -> None:
+    # Streams that had just begun when all VMs were lost were refused.
+    log = FakeLog()
+    log.delay_s = 0.03
+    async with run_store(log) as kept:
+        async with anyio.create_task_group() as tasks:
+            for number in range(5):
+                tasks.start_soon(measure_hold, kept, str(number))
+        assert sum(map(len, log.batches)) == 5
+        # A later one waits for the interval as well.
+        await measure_hold(kept, "5")
+        assert len(log.batches) == 2
+
+
+@pytest.mark.anyio
+async def test_first_events_do_not_wait_for_a_store_that_is_late() -> None:
+    log = FakeLog()
+    log.failures = 1000
+    async with run_store(log) as kept:
+        await measure_hold(kept, "1")
+        assert await measure_hold(kept, "2") < origin_backup.PROMPT_WRITE_S / 2
+        log.failures = 0
+        await wait_for_batches(log, 1)
+        await measure_hold(kept, "3")
+        assert sum(map(len, log.batches)) == 3
+        log.delay_s = 2 * origin_backup.PROMPT_WRITE_S
+        held_s = await measure_hold(kept, "4")
+        assert held_s < 1.5 * origin_store.CONFIRM_TIMEOUT_S
+        await wait_for_batches(log, len(log.batches) + 1)
+        assert await measure_hold(kept, "5") < origin_backup.PROMPT_WRITE_S / 2
+
+
+@pytest.mark.anyio
+async def test_first_events_of_many_vms_do_not_wait_for_their_turn() -> None:
+    log = FakeLog()
+    backup = origin_backup.OriginBackup(log, lambda record: None)
+    backup.set_vms(300)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(backup.run)
+        backup.enqueue(make_record(1))
+        assert backup.is_awaited(make_record(1).key)
+        await wait_for_batches(log, 1)
+        backup.enqueue(make_record(2))
+        assert not backup.is_awaited(make_record(2).key)
+        tasks.cancel_scope.cancel()
+
+
 @pytest.mark.anyio
 async def test_origins_are_read_once_and_from_where_the_last_read_ended() -> (
     None
