Let bound requests wait only for the servers that may run them

Callers that took up streams were refused as overloaded, although servers of their release were free, when streams of another release waited for servers that had crashed.

Cause: the owner tries the first request of each customer and, if that is bound to a release, the first unbound one behind it. A request bound to another release was not tried, nor were requests of other regions, of customers behind four whose heads are bound, or of lower tiers.

Change: of each customer the first request of each binding (release and regions) is tried, up to the first that any server may run. Bound ones do not use up the number of customers, and lower tiers are tried unless enough unbound ones are ahead.

The five new cases of test_release_binding failed before.

--- a/ramptray/core/granting.py
+++ b/ramptray/core/granting.py
@@ -97,7 +97,10 @@
                 continue
             ahead.extend(self._list_heads(tier, now))
             pauses = self._fleet.eligibility.has_pauses(now)
-            if len(ahead) >= MAX_HEADS_TRIED and not pauses:
+            # Those that only some servers may run leave the others to lower
+            # tiers.
+            unbound = sum(each.binding == queue.UNBOUND for each in ahead)
+            if unbound >= MAX_HEADS_TRIED and not pauses:
                 break
         return out
 
--- a/ramptray/core/queue.py
+++ b/ramptray/core/queue.py
@@ -17,12 +17,33 @@
 
 MAX_SCANNED_REQUESTS = 64
 """Requests of a customer that are scanned for the first one that is not held,
-of each entry, or not bound to a release."""
+of each entry, and of each binding."""
+
+MAX_SCANNED_CUSTOMERS = 32
+"""Customers of a tier that are scanned for requests that any server may run."""
 
 MAX_ENTRY_HEADS = 4
 """Entries per customer whose first request is listed."""
 
 
+class Binding(msgspec.Struct, frozen=True):
+    """The servers that may run a request.
+
+    Requests of different bindings wait for different servers, so they do not
+    block each other.
+
+    Attributes:
+        release: The only release; None for any.
+        regions: The only regions; None for any.
+    """
+
+    release: str | None
+    regions: tuple[str, ...] | None
+
+
+UNBOUND = Binding(None, None)
+
+
 def compute_cost(request: message.RequestInfo) -> int:
     """Returns a request's cost in prompt tokens, for queueing and fairness."""
     return request.prompt_tokens + OUTPUT_WEIGHT * request.output_tokens
@@ -72,6 +93,11 @@
         self.asked_at = first_try_at
         self.is_retry = True
 
+    @property
+    def binding(self) -> Binding:
+        """The servers that may run it."""
+        return Binding(self.request.release, self.request.regions)
+
     @property
     def is_starved(self) -> bool:
         """Whether no other request may be granted before it any more.
@@ -150,24 +176,30 @@
         is_held: Callable[[QueuedRequest], bool] | None = None,
         is_paused: Callable[[str], bool] | None = None,
     ) -> list[QueuedRequest]:
-        """Returns the first request of up to ``max_customers`` customers.
+        """Returns the first requests of up to ``max_customers`` customers.
 
         They are in scheduling order, those bound to a release before others.
-        Behind a request that is bound to one, the customer's first request that
-        is not is listed as well.
+        Requests that are bound to a release or regions do not block those that
+        other servers may run: of each customer, the first request of each
+        binding is listed, up to the first one that any server may run.
 
         Args:
-            max_customers: How many customers.
+            max_customers: How many customers, for each binding.
             is_held: Returns whether a request may not be granted now; those
                 behind it may.
             is_paused: Returns whether every server has asked an entry for a
-                pause.  If given, up to ``MAX_ENTRY_HEADS`` requests are
-                listed per customer, the first of each entry that is not
+                pause.  If given, up to ``MAX_ENTRY_HEADS`` unbound requests
+                are listed per customer, the first of each entry that is not
                 paused.
         """
         heads: list[QueuedRequest] = []
+        listed: collections.Counter[Binding] = collections.Counter()
         taken: list[tuple[float, str]] = []
-        while self._heap and len(taken) < max_customers:
+        while (
+            self._heap
+            and listed[UNBOUND] < max_customers
+            and len(taken) < MAX_SCANNED_CUSTOMERS
+        ):
             used, customer = heapq.heappop(self._heap)
             stale = used != self._used.get(customer)
             if stale or customer not in self._queues:
@@ -181,9 +213,11 @@
             if is_held is not None:
                 queued = itertools.filterfalse(is_held, queued)
             if is_paused is None:
-                heads += _list_release_heads(queued)
+                first = _list_binding_heads(queued)
             else:
-                heads += _list_entry_heads(queued, is_paused)
+                first = _list_entry_heads(queued, is_paused)
+            heads += [w for w in first if listed[w.binding] < max_customers]
+            listed.update({waiting.binding for waiting in first})
         for item in taken:
             heapq.heappush(self._heap, item)
         # A stream that goes on can use one release only, the others any.
@@ -367,14 +401,17 @@
         return self._ranks.get(request.tier, self._tier_count - 1)
 
 
-def _list_release_heads(queued: Iterable[QueuedRequest]) -> list[QueuedRequest]:
-    """Returns a customer's first request, and one not bound to its release."""
-    scanned = iter(queued)
-    first = next(scanned, None)
-    if first is None or first.request.release is None:
-        return [first] if first else []
-    unbound = (each for each in scanned if each.request.release is None)
-    return [first, *itertools.islice(unbound, 1)]
+def _list_binding_heads(queued: Iterable[QueuedRequest]) -> list[QueuedRequest]:
+    """Returns a customer's first request of each binding.
+
+    None is listed behind one that any server may run.
+    """
+    first: dict[Binding, QueuedRequest] = {}
+    for waiting in queued:
+        first.setdefault(waiting.binding, waiting)
+        if UNBOUND in first:
+            break
+    return list(first.values())
 
 
 def _list_entry_heads(
@@ -382,14 +419,17 @@
 ) -> list[QueuedRequest]:
     """Returns the first request of each of a few entries of a customer.
 
-    Of each entry these are two, one bound to a release and one that is not.
+    Of each entry these are the first one of each binding.
     """
-    first: dict[tuple[str, bool], QueuedRequest] = {}
+    first: dict[tuple[str, Binding], QueuedRequest] = {}
+    unbound = 0
     for waiting in queued:
-        key = waiting.entry, waiting.request.release is None
-        if key not in first and not is_paused(waiting.entry):
-            first[key] = waiting
-        if len(first) >= MAX_ENTRY_HEADS:
+        key = waiting.entry, waiting.binding
+        if key in first or is_paused(waiting.entry):
+            continue
+        first[key] = waiting
+        unbound += waiting.binding == UNBOUND
+        if unbound >= MAX_ENTRY_HEADS:
             break
     return list(first.values())
 
--- a/test/test_release_binding.py
+++ b/test/test_release_binding.py
@@ -95,6 +95,67 @@
     assert granted == {"first": "b", "other": "a"}
 
 
+@pytest.mark.parametrize("pauses", [False, True])
+def test_waiting_stream_does_not_block_streams_of_other_releases(
+    pauses: bool,
+) -> None:
+    # After a release's servers had crashed, its streams waited at the head, and
+    # those of another release were refused although its servers were free.
+    owner = make_owner({"a": "v1", "b": "v2", "c": "v3"})
+    if pauses:
+        owner.fleet.eligibility.record_pause(9.0)
+    granted = enqueue(
+        owner,
+        make_info("first", "v2"),
+        make_info("waits", "v2"),
+        make_info("of_v1", "v1"),
+        make_info("waits_too", "v1"),
+        make_info("of_v3", "v3"),
+        now=9.0,
+    )
+    assert granted == {"first": "b", "of_v1": "a", "of_v3": "c"}
+
+
+def test_waiting_streams_do_not_block_other_customers() -> None:
+    owner = make_owner({"a": "v1", "b": "v2"})
+    waiting = (make_info(f"w{n}", "v2", f"customer-{n}") for n in range(9))
+    granted = enqueue(owner, *waiting, make_info("other"), now=9.0)
+    assert granted == {"w0": "b", "other": "a"}
+
+
+def test_waiting_streams_do_not_block_lower_tiers() -> None:
+    owner = make_owner({"a": "v1", "b": "v2"})
+    owner.configure(
+        msgspec.structs.replace(RULES, ranks={"normal": 0, "low": 1}),
+        [known.info for known in owner.fleet.backends.values()],
+    )
+    waiting = (make_info(f"w{n}", "v2", f"customer-{n}") for n in range(9))
+    other = msgspec.structs.replace(make_info("other"), tier="low")
+    granted = enqueue(owner, *waiting, other, now=9.0)
+    assert granted == {"w0": "b", "other": "a"}
+
+
+def test_request_of_a_full_region_does_not_block_its_customers_others() -> None:
+    infos = [
+        backend.BackendInfo(name, 1, 100_000, 16, region=region)
+        for name, region in (("a", "north"), ("b", "south"))
+    ]
+    owner = make_owner({})
+    owner.configure(RULES, infos)
+    granted = enqueue(
+        owner,
+        bind_to_region("first", "south"),
+        bind_to_region("waits", "south"),
+        bind_to_region("other", "north"),
+    )
+    assert granted == {"first": "b", "other": "a"}
+
+
+def bind_to_region(name: str, region: str) -> message.RequestInfo:
+    """Returns a request that only servers of one region may run."""
+    return msgspec.structs.replace(make_info(name), regions=(region,))
+
+
 def test_freed_slot_goes_to_a_stream_that_needs_its_release() -> None:
     # Guards against resumed streams that starve while new ones, which may run
     # at any release, take each slot of theirs.
