Tell callers how long a release without servers stays so

Streams whose release is known but has no server left were refused with 0.5 to 1.3 s (no_release, deadline or overloaded), again and again until their callers' time was over.

Cause: each refusal took its time from the queue of the releases that serve, limited to a third of the caller's time; none asked whether the release could come back.

The shard's one place for refusals now asks first whether the stream can still go on. For 5 s after the release was last listed, or was first asked for at this owner, the advice stays short, as records spread; then it is no_release with the span for which the stream could be taken up. It stays short while no server of any release is there, or another region may have one.

--- a/ramptray/core/eligibility.py
+++ b/ramptray/core/eligibility.py
@@ -237,6 +237,14 @@
             for known in self._backends.values()
         )
 
+    def list_releases(self) -> set[str]:
+        """Returns the releases of the servers that are not leaving."""
+        return {
+            known.info.release
+            for known in self._backends.values()
+            if known.state is not backends.BackendState.LEAVING
+        }
+
     def _list_disallowed(self, request: message.RequestInfo) -> set[str]:
         """Returns the backend servers that may not run a request."""
         if not _is_restricted(request):
--- a/ramptray/core/redirection.py
+++ b/ramptray/core/redirection.py
@@ -190,6 +190,18 @@
         """Returns whether a zone not heard from yet may serve a request."""
         return self.zones > 1 and request.regions != ()
 
+    def may_run_elsewhere(
+        self, request: message.RequestInfo, now: float
+    ) -> bool:
+        """Returns whether another zone may have a server for a request.
+
+        The zone may have no room now, or may not have been heard from yet.
+        """
+        remotes = self.list_remotes(now)
+        return len(remotes) < self.zones - 1 or any(
+            remote.allows(request) for remote in remotes
+        )
+
     def has_come_back(self, request: message.RequestInfo) -> bool:
         """Returns whether a request was redirected from here in vain.
 
--- a/ramptray/core/shard.py
+++ b/ramptray/core/shard.py
@@ -291,6 +291,7 @@
 
     def tick(self, now: float) -> list[owner_effect.SendToEntry]:
         """Refuses requests past their deadline and frees orphaned slots."""
+        self._shedder.observe_releases(now)
         out = self._shedder.refuse_expired(now)
         self.fleet.refresh(now, self._limits.server_part)
         out += self.redirector.redirect_late(self._queue.list_all(), now)
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -17,6 +17,7 @@
     redirection,
     refusal_log,
     release,
+    stream_origin,
     wait_estimator,
 )
 
@@ -37,6 +38,11 @@
 """Time for which a stream that goes on waits for a server of its release to
 become known, in seconds: records reach VMs at different times."""
 
+RELEASE_RETURN_S = stream_origin.RETENTION_MARGIN_S
+"""Time for which a release without servers may come back, in seconds, from when
+it was last listed, or first asked for if this owner has never seen it: until
+then VMs may not have read the same records."""
+
 MAX_RETRY_AFTER_S = 30.0
 """Longest Retry-After, in seconds."""
 
@@ -112,12 +118,23 @@
         self._releases = releases
         self._started_at = started_at
         self._refusals = refusal_log.RefusalLog()
+        # When each release was last listed, or first asked for.
+        self._release_seen_at: dict[str, float] = {}
         self._shed: dict[str, meter.RateMeter] = {}
 
     def list_shed(self, now: float) -> dict[str, int]:
         """Returns the number of recently refused requests of each tier."""
         return {tier: shed.get_sum(now) for tier, shed in self._shed.items()}
 
+    def observe_releases(self, now: float) -> None:
+        """Records which releases have servers; called at each tick."""
+        listed = self._fleet.eligibility.list_releases()
+        oldest = now - stream_origin.SPAN_S
+        self._release_seen_at = {
+            **{r: at for r, at in self._release_seen_at.items() if at > oldest},
+            **dict.fromkeys(listed, now),
+        }
+
     def admit(
         self, waiting: queue.QueuedRequest, now: float
     ) -> owner_effect.SendToEntry | None:
@@ -336,6 +353,27 @@
             release_name
         ) and self._releases.may_continue(release_name)
 
+    def _is_release_gone(
+        self, request: message.RequestInfo, now: float
+    ) -> bool:
+        """Returns whether a stream can no longer go on at its release.
+
+        Without a server of any release, nothing has replaced it, and it comes
+        back with its service.
+        """
+        name = request.release
+        if name is None or not self._fleet.has_usable:
+            return False
+        if not self._releases.may_continue(name):
+            return True
+        if self._fleet.eligibility.has_release(name):
+            return False
+        seen_at = self._release_seen_at.setdefault(name, now)
+        return (
+            now - seen_at >= RELEASE_RETURN_S
+            and not self._redirector.may_run_elsewhere(request, now)
+        )
+
     def _may_find_zone(self, waiting: queue.QueuedRequest, now: float) -> bool:
         """Returns whether a summary of another zone is waited for."""
         if self._redirector.can_redirect(waiting):
@@ -386,6 +424,11 @@
         if not waiting.request.asks_again:
             self._refusals.add(waiting)
             self._wait_estimator.count_refusal(waiting, now)
+        if self._is_release_gone(waiting.request, now):
+            # It stays so for as long as the stream could be taken up.
+            return self._make_reject(
+                waiting, message.Reason.NO_RELEASE, stream_origin.SPAN_S
+            )
         # During a pause of all entries, the queue is served after its end.
         pause_s = self._fleet.eligibility.get_shortest_pause(
             len(self._entries), now
--- a/test/resuming.py
+++ b/test/resuming.py
@@ -41,6 +41,7 @@
         events: Number and release of each event that arrived.
         is_whole: Whether the answer arrived up to its end.
         body: The body of a refusal.
+        retry_after_s: What a refusal advises, in seconds; 0 for nothing.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     events: list[tuple[int, str]] = dataclasses.field(default_factory=list)
     is_whole: bool = False
     body: bytes = b""
+    retry_after_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -110,6 +112,8 @@
         found.status = response.status
         if response.status != http.HTTPStatus.OK:
             found.body = response.read()
+            advised = response.headers.get("Retry-After", "0")
+            found.retry_after_s = float(advised)
             return found
         received = b""
         while data := response.read1(65536):
--- a/test/test_forgotten_releases.py
+++ b/test/test_forgotten_releases.py
@@ -20,6 +20,7 @@
 import pytest
 
 from bench import ports
+from ramptray.core import shedding, stream_origin
 from ramptray.entry import origin_backup
 from test import node, resuming
 from test.test_node import wait_until
@@ -120,6 +121,43 @@
         assert resuming.count_whole(streams) == len(streams)
 
 
+@pytest.mark.parametrize("are_lost", [False, True], ids=["serve", "lost"])
+def test_a_stream_whose_release_has_left_is_not_told_to_return_each_second(
+    are_lost: bool,
+) -> None:
+    # Its caller was refused with about 1 s until its time was over.
+    with resuming.run_releases() as started:
+        streams = resuming.run_together(
+            lambda vm=vm: resuming.Stream(  # type: ignore[misc]
+                [
+                    resuming.attempt_stream(
+                        started, vm, until=3, headers=say_left(30.0)
+                    )
+                ]
+            )
+            for vm in itertools.islice(itertools.cycle(started.vms), 12)
+        )
+        time.sleep(2 * origin_backup.WRITE_INTERVAL_S)
+        remove_first(started)
+        if are_lost:
+            lose_vms(started)
+        left_at = time.monotonic()
+        first = [each for each in streams if each.releases == {"v1"}]
+        assert first
+        resume_all(started, first, left_at + 2.0, True)
+        time.sleep(shedding.RELEASE_RETURN_S)
+        for left_s in (0.4, 0.8, 8.0):
+            for stream, vm in zip(
+                first, itertools.cycle(started.vms), strict=False
+            ):
+                headers = say_left(left_s)
+                last = resuming.resume(started, stream, vm, headers=headers)
+                assert last.status in (503, 504)
+                if left_s > shedding.RELEASE_GRACE_S:
+                    assert last.retry_after_s == stream_origin.SPAN_S
+        assert all(each.releases == {"v1"} for each in first)
+
+
 @contextlib.contextmanager
 def run_first_release(loss: Loss) -> Iterator[node.Platform]:
     """Runs VMs with v1 alone; the replicas of v2 run, but are not listed."""
--- a/test/test_resumption.py
+++ b/test/test_resumption.py
@@ -13,13 +13,29 @@
 
 from ramptray import steadyclock
 from ramptray.bundle import model
-from ramptray.core import release_history, route_history, stream_origin
+from ramptray.core import (
+    backend,
+    release_history,
+    rollout,
+    route_history,
+    shard,
+    shedding,
+    stream_origin,
+    summary,
+)
+from ramptray.core import message as core_message
 from ramptray.entry import origin_store
 from ramptray.log import error as log_error
 from ramptray.log import shared_read
 from ramptray.platform import config, follower, replicas, store
 from ramptray.relay import answer, message, refusal, resumption, service
-from test import node, test_hedge_exchange, test_hedging
+from test import (
+    node,
+    test_hedge_exchange,
+    test_hedging,
+    test_release_binding,
+    test_shard,
+)
 
 V1 = stream_origin.Origin("lm", "v1")
 Source = stream_origin.Source
@@ -512,3 +528,110 @@
         scene.servers.ends["b"].send(test_hedge_exchange.HEAD + SECOND)
     assert scene.writer.body == (SECOND if release == "1" else b"")
     assert scene.writer.ends == ["finish" if release == "1" else "refuse"]
+
+
+# How long a release without servers stays so, as callers are told.
+
+LEFT_AT = 10.0
+"""When the last server of v2 has left, in seconds."""
+
+SETTLED_S = shedding.RELEASE_RETURN_S + 1.0
+
+
+def make_owner_without_v2(remotes: int = 1) -> shard.ShardOwner:
+    """Returns an owner that had a server of v2 up to ``LEFT_AT``."""
+    owner = test_release_binding.make_owner(
+        {"a": "v1", "b": "v2"}, slots=2, remotes=remotes
+    )
+    owner.tick(LEFT_AT)
+    rules = msgspec.structs.replace(test_release_binding.RULES, zones=remotes)
+    owner.configure(rules, [owner.fleet.backends["a"].info])
+    return owner
+
+
+def refuse(
+    owner: shard.ShardOwner, after_s: float, deadline_s: float = 60.0
+) -> core_message.Reject:
+    """Returns how a stream of v2 is refused that is taken up after ``LEFT_AT``.
+
+    Args:
+        owner: The owner.
+        after_s: Seconds since then.
+        deadline_s: For how long its caller waits, in seconds.
+    """
+    info = test_shard.make_info("r", deadline_s=deadline_s)
+    info = msgspec.structs.replace(info, release="v2")
+    now = LEFT_AT + after_s
+    sent = owner.receive("entry", core_message.Enqueue(info), now)
+    sent += owner.tick(now + min(deadline_s, shedding.RELEASE_GRACE_S))
+    (refused,) = (
+        effect.message
+        for effect in sent
+        if isinstance(effect.message, core_message.Reject)
+    )
+    return refused
+
+
+@pytest.mark.parametrize("deadline_s", [0.01, 0.3, 60.0])
+def test_stream_of_a_release_that_left_is_told_the_span(
+    deadline_s: float,
+) -> None:
+    # It was refused with about 1 s, again and again.
+    refused = refuse(make_owner_without_v2(), SETTLED_S, deadline_s)
+    assert refused.reason is core_message.Reason.NO_RELEASE
+    assert refused.retry_after_s == stream_origin.SPAN_S
+
+
+def test_release_that_may_come_back_is_refused_for_a_short_time() -> None:
+    # Records spread, and a VM that has just started has not read them yet.
+    just_left = make_owner_without_v2()
+    assert refuse(just_left, 1.0).retry_after_s <= 1.0
+    starting = test_release_binding.make_owner({"a": "v1"})
+    assert refuse(starting, 1.0 - LEFT_AT).retry_after_s <= 1.0
+    assert refuse(starting, SETTLED_S).retry_after_s == stream_origin.SPAN_S
+
+
+def test_release_that_left_again_is_refused_for_a_short_time() -> None:
+    owner = make_owner_without_v2()
+    assert refuse(owner, SETTLED_S).retry_after_s == stream_origin.SPAN_S
+    only = [owner.fleet.backends["a"].info]
+    back = backend.BackendInfo("c", 2, 100_000, 16, release="v2")
+    owner.configure(test_release_binding.RULES, [*only, back])
+    owner.tick(LEFT_AT + 20.0)
+    owner.configure(test_release_binding.RULES, only)
+    assert refuse(owner, 21.0).retry_after_s <= 1.0
+
+
+def test_stream_of_a_release_without_any_server_left_is_told_a_short_time() -> (
+    None
+):
+    # Nothing has replaced the release, so it returns with its service.
+    owner = make_owner_without_v2()
+    owner.remove_backends()
+    assert refuse(owner, SETTLED_S).retry_after_s <= 1.0
+
+
+@pytest.mark.parametrize("releases", [None, ("v2",)], ids=["unheard", "full"])
+def test_release_that_another_region_may_have_is_refused_for_a_short_time(
+    releases: tuple[str, ...] | None,
+) -> None:
+    owner = make_owner_without_v2(remotes=2)
+    if releases:
+        remote = summary.ShardSummary(
+            msgspec.structs.replace(test_shard.KEY, zone="far"),
+            "x",
+            0,
+            (0,),
+            True,
+            1,
+            releases=releases,
+        )
+        owner.set_remote_summaries([remote], LEFT_AT)
+    assert refuse(owner, SETTLED_S).retry_after_s <= 1.0
+
+
+def test_stream_of_a_release_that_was_rolled_back_is_told_the_span() -> None:
+    owner = test_release_binding.make_owner({"a": "v1", "b": "v2"})
+    test_release_binding.set_rollout(owner, rollout.State.ROLLED_BACK)
+    refused = refuse(owner, 1.0 - LEFT_AT)
+    assert refused.retry_after_s == stream_origin.SPAN_S
