Grant nothing at an ordered release before its verdict is read

After the loss of all VMs at once a request reached a server of a release that had been rolled back (in 3 of 10 restarts here).

Cause: a VM that starts reads the order with its configuration and begins the rollout anew. It reads the verdict only with its first write to the store, 9 and 23 ms later in the logs. A request in between went to the ordered release first, as its rollout had its first request free.

The release gate now holds the ordered release back until a verdict of the store, also "running", or a final one is known, unless no usable server of another release is there. Streams bound to it wait as for a late record, and are refused with about a second, not the span. Every VM with an open shard writes its verdict and so reads the store, stand-ins too. While the store is out, the other releases serve on.

--- a/ramptray/core/release.py
+++ b/ramptray/core/release.py
@@ -35,7 +35,11 @@
     def set_order(
         self, order: rollout.Order | None, verdict: rollout.Verdict | None
     ) -> None:
-        """Applies the ordered rollout and its known verdict, if any."""
+        """Applies the ordered rollout and its known verdict, if any.
+
+        Until a verdict of the log or a final one is known, the ordered release
+        gets requests only if no other one is there.
+        """
         if order is None:
             self.rollout = None
             return
@@ -70,15 +74,22 @@
             candidate
             for candidate in candidates
             if self.rollout.may_receive(candidate.info.release, part)
+            and not self._awaits_verdict(candidate.info.release)
         ]
 
     def may_continue(self, release: str) -> bool:
         """Returns whether streams that a release began may go on there.
 
         No other release can continue them, so they are held back only if the
-        release was rolled back.
+        release was rolled back, or if that is not known yet.
         """
-        return self.rollout is None or not self.rollout.is_rolled_back(release)
+        return not (
+            self.is_rolled_back(release) or self._awaits_verdict(release)
+        )
+
+    def is_rolled_back(self, release: str) -> bool:
+        """Returns whether a release is known to have been rolled back."""
+        return self.rollout is not None and self.rollout.is_rolled_back(release)
 
     def choose(
         self, demand: policy.Demand, candidates: list[backends.Backend]
@@ -119,6 +130,20 @@
             )
         )
 
+    def _awaits_verdict(self, release: str) -> bool:
+        """Returns whether others serve until the verdict on a release is known.
+
+        If the log is out of reach, they serve until it answers.
+        """
+        return (
+            self.rollout is not None
+            and self.rollout.awaits_verdict(release)
+            and any(
+                server.info.release != release and not server.is_lost
+                for server in self._fleet.list_all()
+            )
+        )
+
     def _is_new(self, server: backends.Backend) -> bool:
         assert self.rollout is not None
         return server.info.release == self.rollout.order.release
--- a/ramptray/core/rollout.py
+++ b/ramptray/core/rollout.py
@@ -309,6 +309,7 @@
         self.sent = 0
         self.answers_new = 0
         self.failures_new = 0
+        self._is_verdict_known = False
         self._routes: dict[str, _RouteComparison] = {}
         self._share = order.share * CANARY_SHARE_FRACTION
         self._slack = 1.0
@@ -345,6 +346,17 @@
         sent_new = self.sent_new - self._sent_new_at_ramp
         return sent_new + 1 <= self._share * (sent + 1) + self._slack * part
 
+    def awaits_verdict(self, release: str) -> bool:
+        """Returns whether a release may have been rolled back earlier.
+
+        A VM that has just started does not know what others have decided.
+        """
+        return (
+            release == self.order.release
+            and not self._is_verdict_known
+            and not self.state.is_final
+        )
+
     def is_rolled_back(self, release: str) -> bool:
         """Returns whether a release is the new one and was rolled back."""
         return release == self.order.release and self.state is State.ROLLED_BACK
@@ -370,7 +382,11 @@
 
     def apply_verdict(self, verdict: Verdict) -> None:
         """Applies a verdict of another owner or of the log."""
-        if verdict.release != self.order.release or not verdict.state.is_final:
+        if verdict.release != self.order.release:
+            return
+        if verdict.is_kept or verdict.state.is_final:
+            self._is_verdict_known = True
+        if not verdict.state.is_final:
             return
         if verdict.is_kept or not self.state.is_final:
             self._finish(verdict.state, verdict.reason)
--- a/ramptray/core/shedding.py
+++ b/ramptray/core/shedding.py
@@ -364,7 +364,7 @@
         name = request.release
         if name is None or not self._fleet.has_usable:
             return False
-        if not self._releases.may_continue(name):
+        if self._releases.is_rolled_back(name):
             return True
         if self._fleet.eligibility.has_release(name):
             return False
