Keep what is known of servers that are not listed for a while

Cause: VMs took absence from a configuration for absence of the server. Once no service of the configuration named a server, they dropped its request limit, the refusals that it survives, its speed and its pauses. A server whose service came back then got up to its slots at once beyond its limit (4 and 5 requests in 0.15 s with a limit of 5 a second). The same cause had further effects: - An owner dropped a Running message for a service or server that it did not list, so that the request did not count once the server returned. - An owner dropped the time of the last request, refused connections and the limit of growth with an idle server that it no longer listed. - An entry compared a server's run with the previous configuration only, so it missed a restart while the server was not listed.

Change: facts on servers are kept for 600 s after the configuration has stopped listing them (core/retention.py), as those on leaving servers were. Owners keep Running messages that they cannot place until the request ends or the server is listed (scheduler/unplaced.py); those of a lost entry become orphans. The state of up to 1000 removed servers of a shard is kept for their return within the same run.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -204,6 +204,13 @@
         self._pacer = pacer.Pacer()
         self._rtt = rtt or rtts.RttEstimator(0.0, MAX_RTT_S)
 
+    def inherit(self, former: Backend) -> None:
+        """Inherits what an earlier view of the same run shows of the server."""
+        self.availability = former.availability
+        self.growth = former.growth
+        self.pauses = former.pauses
+        self._pacer = former._pacer
+
     @property
     def is_lost(self) -> bool:
         """Whether it is leaving or lost, so that no request waits for it."""
--- a/ramptray/core/fleet.py
+++ b/ramptray/core/fleet.py
@@ -25,6 +25,9 @@
 ORPHAN_TIMEOUT_S = 30.0
 """Time after which the request of a lost entry loses its slot, in seconds."""
 
+MAX_REMOVED = 1000
+"""Largest number of removed backend servers whose state is kept."""
+
 MAX_FASTEST = 8
 """Number of the fastest backend servers checked for a latency objective."""
 
@@ -89,6 +92,7 @@
         self._speeds = dict(learned)
         self._hints: dict[str, message.ServerHints] = {}
         self._wanted: frozenset[str] = frozenset()
+        self._removed: dict[str, backends.Backend] = {}
         self._backend_of: dict[str, backends.Backend] = {}
         self._line = speeds.LatencyLine()
         self._foreign = 0
@@ -126,6 +130,7 @@
         """Sets the backend servers that may get new requests.
 
         Servers that are no longer listed stay until their last request ends.
+        Their state is kept, as a later configuration may list them again.
 
         Args:
             infos: Facts on each of them from the bundle.
@@ -135,7 +140,9 @@
         self._wanted = frozenset(wanted)
         for name, info in wanted.items():
             known = self.backends.get(name)
-            if known is None or not known.info.equals_except_warm_at(info):
+            if known is None:
+                self._replace_backend(info, self._removed.pop(name, None))
+            elif not known.info.equals_except_warm_at(info):
                 self._replace_backend(info, known)
             else:
                 known.info = info
@@ -147,7 +154,9 @@
             self._pool.discard(name)
             self.backends[name].state = backends.BackendState.LEAVING
             if not self.backends[name].placed:
-                del self.backends[name]
+                self._removed[name] = self.backends.pop(name)
+        for name in list(self._removed)[:-MAX_REMOVED]:
+            del self._removed[name]
         self._foreign = sum(known.foreign for known in self.backends.values())
 
     def is_configured(self, name: str) -> bool:
@@ -557,6 +566,9 @@
         A new run starts empty: the requests of the former run have ended.
         """
         new = backends.Backend(info, self._report_due_at, self._line, self._rtt)
+        is_same_run = former is not None and former.info.run == info.run
+        if former and is_same_run:
+            new.inherit(former)
         learned = self._speeds.get(info.name)
         if learned and learned.run == info.run:
             new.apply_speed(learned.speed)
@@ -564,12 +576,10 @@
             self._apply_to_backend(new, hints)
         self._assume_speed(new)
         self.backends[info.name] = new
-        if former and former.info.run != info.run:
+        if former and not is_same_run:
             for request_id in former.placed:
                 del self._backend_of[request_id]
             former = None
-        if former:
-            new.pauses = former.pauses
         for request_id, placed in (former.placed if former else {}).items():
             moved = new.place(
                 placed.request, placed.entry, placed.grant_id, placed.started
--- a/ramptray/entry/backend_directory.py
+++ b/ramptray/entry/backend_directory.py
@@ -13,6 +13,7 @@
 from ramptray.core import (
     message,
     release_history,
+    retention,
     route_history,
     stream_origin,
 )
@@ -58,15 +59,16 @@
         self._zones: dict[str, str] = {}
         self._service_zones: dict[str, dict[str, str]] = {}
         self._vm_zones: set[str] = set()
+        self._runs: dict[str, int] = {}
+        self._retention = retention.ServerRetention()
 
     def apply_bundle(self, in_force: acceptance.InForce) -> None:
         """Replaces the bundle in force."""
         previous = self.in_force
         self.in_force = in_force
-        if previous:
-            self._handle_restarts(previous.bundle, in_force.bundle)
-        self._first_in_force.set()
         now = steadyclock.read()
+        self._handle_restarts(in_force.bundle, now)
+        self._first_in_force.set()
         has_moved = (
             previous is None
             or previous.bundle.routes is not in_force.bundle.routes
@@ -83,16 +85,17 @@
             of_service = self._service_zones.setdefault(server.service, {})
             of_service[name] = self._zones[name]
 
-    def _handle_restarts(
-        self, previous: model.Bundle, new: model.Bundle
-    ) -> None:
-        """Removes the reachability state of restarted backend servers."""
-        for name, server in new.backend_servers.items():
-            previous_server = previous.backend_servers.get(name)
-            if (
-                previous_server is not None
-                and previous_server.run != server.run
-            ):
+    def _handle_restarts(self, bundle: model.Bundle, now: float) -> None:
+        """Removes the reachability state of restarted backend servers.
+
+        A server may restart while the configuration does not list it.
+        """
+        servers = bundle.backend_servers
+        for name in self._retention.find_expired(self._runs, servers, now):
+            del self._runs[name]
+        for name, server in servers.items():
+            if self._runs.setdefault(name, server.run) != server.run:
+                self._runs[name] = server.run
                 self._reachability.remove(name)
                 self.on_backend_restart(name, server.run)
 
--- a/ramptray/entry/server_hints.py
+++ b/ramptray/entry/server_hints.py
@@ -12,18 +12,13 @@
 
 import msgspec
 
-from ramptray.core import message
+from ramptray.core import message, retention
 
 LOG = logging.getLogger(__name__)
 
 MAX_PAUSE_S = 600.0
 """Default of the longest pause that is applied, in seconds."""
 
-LEAVING_RETENTION_S = 600.0
-"""How long the hint of a leaving backend server is kept after the server was
-removed from the configuration, in seconds.  An older copy of the store may list
-it again."""
-
 
 class UnusableReason(enum.Enum):
     """Why no request may be sent to a backend server now."""
@@ -68,8 +63,6 @@
         limit_per_s: Its request limit; None for none.
         is_leaving: Whether it is leaving; never reset within a run.
         paused_until: When its pause ends, on the entry's clock.
-        last_listed_at: When the configuration last listed it, on the same
-            clock.
         max_refusals_per_s: Refusals in a second that it survives; None if it
             names no number.
     """
@@ -78,7 +71,6 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     paused_until: float = 0.0
-    last_listed_at: float = 0.0
     max_refusals_per_s: float | None = None
 
     def is_needed(self, now: float) -> bool:
@@ -90,14 +82,6 @@
             or self.paused_until > now
         )
 
-    def outlasts_record(self, now: float) -> bool:
-        """Returns whether the hints outlive the server's configuration record.
-
-        The record may expire, or return with an older copy of the store.
-        """
-        is_retained = now - self.last_listed_at < LEAVING_RETENTION_S
-        return self.paused_until > now or (self.is_leaving and is_retained)
-
 
 class ServerHintStore:
     """Stores the hints of each backend server and sends them to schedulers.
@@ -116,6 +100,7 @@
         longest_pause_s: float = MAX_PAUSE_S,
     ) -> None:
         self._hints: dict[str, _Hints] = {}
+        self._retention = retention.ServerRetention()
         self._send = send
         self._list_schedulers = list_schedulers
         self._longest_pause_s = longest_pause_s
@@ -144,7 +129,7 @@
     def observe(self, received: HeadReceived, now: float) -> None:
         """Applies the hints of a response and sends changes to schedulers."""
         hints = self._get(received.backend, received.run)
-        hints.last_listed_at = now
+        self._retention.renew(received.backend)
         changed = [
             self._apply_limit(hints, received),
             self._apply_max_refusals(hints, received),
@@ -192,9 +177,7 @@
             self.send_one(address, backend, now)
 
     def discard_except(self, backends: Iterable[str], now: float) -> None:
-        """Discards hints of servers that are no longer configured.
-
-        Hints that outlast the server's configuration record are kept.
+        """Discards hints of servers that have not been configured for long.
 
         Args:
             backends: The backend servers of the configuration.
@@ -202,11 +185,10 @@
         """
         if not self._hints:
             return
-        listed = set(backends)
-        for backend, hints in list(self._hints.items()):
-            if backend in listed:
-                hints.last_listed_at = now
-            elif not hints.outlasts_record(now):
+        for backend in self._retention.find_expired(
+            self._hints, set(backends), now
+        ):
+            if self._hints[backend].paused_until <= now:
                 del self._hints[backend]
 
     def _get(self, backend: str, run: int) -> _Hints:
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -38,6 +38,7 @@
     query,
     rollouts,
     rules,
+    unplaced,
 )
 
 if TYPE_CHECKING:
@@ -150,6 +151,7 @@
             str,
             tuple[peer_link.Session, message.Enqueue | message.Running],
         ] = {}
+        self._unplaced = unplaced.UnplacedRequests()
         self._has_work = anyio.Event()
         self._mailbox = mailbox.Mailbox(
             lambda posted: self._handle(posted, steadyclock.read())
@@ -233,6 +235,8 @@
                 self._apply_bundle(in_force)
                 self._open_own_shards(now)
                 self._forward_early(now)
+                for request in self._unplaced.take(now):
+                    self._place_running(request, now)
             case event.ViewChanged(view):
                 self._apply_view(view)
                 self._open_own_shards(now)
@@ -339,6 +343,7 @@
             updates = self.blocks.list_updates(steadyclock.read())
             session.send(peer_message.BlockedContents(updates))
         self._attached.add_entry(session, hello.name)
+        self._unplaced.remove_entry(hello.name)
         if hello.gateway_address:
             self._gateways.add_entry(hello.name, hello.gateway_address)
         for owner in self.shards.values():
@@ -364,6 +369,7 @@
         if entry is None:
             return
         self._gateways.remove_entry(entry)
+        self._unplaced.mark_lost(entry, now)
         for owner in self.shards.values():
             owner.detach_entry(entry, now)
 
@@ -374,7 +380,12 @@
         body: message.EntryMessage,
         now: float,
     ) -> None:
+        if isinstance(body, message.Running):
+            name = attached.hello.name
+            self._place_running(unplaced.UnplacedRequest(name, body, now), now)
+            return
         if isinstance(body, message.Enqueue):
+            self._unplaced.remove(body.request.request_id)
             reject = self.content_blocker.check(body.request, now)
             if reject is not None:
                 self._send_effects(
@@ -399,6 +410,20 @@
                 [owner_effect.SendToEntry(attached.hello.name, reject)]
             )
 
+    def _place_running(
+        self, request: unplaced.UnplacedRequest, now: float
+    ) -> None:
+        """Counts a running request, or keeps it until its server is listed."""
+        running = request.make_message(now)
+        owner = self._get_shard(running.request.shard, now)
+        self._has_work.set()
+        if owner is not None:
+            self._send_effects(owner.receive(request.entry, running, now))
+        if owner is None or not owner.holds(running.request.request_id):
+            self._unplaced.add(request)
+        elif request.lost_at is not None:
+            owner.detach_entry(request.entry, now)
+
     def _confirm_queued(
         self,
         attached: attached_process.AttachedProcess,
@@ -446,6 +471,7 @@
     ) -> None:
         if isinstance(body, message.Withdraw | message.Ended):
             self._early.pop(body.request_id, None)
+            self._unplaced.remove(body.request_id)
         for owner in self.shards.values():
             if owner.holds(body.request_id):
                 self.content_blocker.observe(owner, body, now)
--- a/ramptray/scheduler/observations.py
+++ b/ramptray/scheduler/observations.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ramptray.core import message
+from ramptray.core import message, retention
 
 LOG = logging.getLogger(__name__)
 
@@ -24,6 +24,7 @@
         self._hints: dict[str, message.ServerHints] = {}
         # (entry, server) -> the server's run and the time the pause ends.
         self._pauses: dict[tuple[str, str], tuple[int, float]] = {}
+        self._retention = retention.ServerRetention()
 
     def record_hints(
         self, hints: message.ServerHints, origin: str, now: float
@@ -35,6 +36,7 @@
             origin: The entry that received them; a pause applies to it alone.
             now: The scheduler's clock in seconds.
         """
+        self._retention.renew(hints.backend)
         previous = self._hints.get(hints.backend)
         hints = hints.merge_previous(previous)
         if hints.pause_s > 0.0:
@@ -70,11 +72,19 @@
         return [*pauses, *(("", hints) for hints in self._hints.values())]
 
     def discard_except(self, backends: Container[str], now: float) -> None:
-        """Removes all other backend servers and the pauses that have ended."""
-        self.speeds = {n: k for n, k in self.speeds.items() if n in backends}
-        self._hints = {n: k for n, k in self._hints.items() if n in backends}
+        """Removes servers that have not been listed for long, and old pauses.
+
+        Args:
+            backends: The backend servers of the configuration.
+            now: The scheduler's clock in seconds.
+        """
+        for name in self._retention.find_expired(
+            self.speeds.keys() | self._hints.keys(), backends, now
+        ):
+            self.speeds.pop(name, None)
+            self._hints.pop(name, None)
         self._pauses = {
-            (entry, backend): (run, until)
-            for (entry, backend), (run, until) in self._pauses.items()
-            if backend in backends and until > now
+            key: (run, until)
+            for key, (run, until) in self._pauses.items()
+            if until > now
         }
--- a/test/test_server_hints.py
+++ b/test/test_server_hints.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from ramptray.core import backend, message, shard
+from ramptray.core import backend, message, retention, shard
 from ramptray.entry import server_hints
 from ramptray.entry import ticket as tickets
 from ramptray.peer import attachment
@@ -28,6 +28,7 @@
 # Imported fixtures.
 __all__ = ["anyio_backend", "recorder"]
 
+SPEED = message.Speed(100_000.0, 0.003, 0.03)
 LEAVING = server_hints.HeadReceived("r0", "s0", 0, is_leaving=True, owner=OURS)
 
 
@@ -87,11 +88,34 @@
         book.find_unusable_reason("s0", 0, 3.0)
         is server_hints.UnusableReason.LEAVING
     )
-    book.discard_except([], 2.0 + server_hints.LEAVING_RETENTION_S)
+    book.discard_except([], 2.0 + retention.RETENTION_S)
     assert book.find_unusable_reason("s0", 0, 700.0) is None
     assert book.count_leaving() == 0
 
 
+def test_hints_of_an_unlisted_server_are_kept_for_a_while() -> None:
+    # VMs forgot the limit of a server whose service was removed for a while.
+    book, known = RecordingHintBook(), observations.BackendObservations()
+    book.observe(server_hints.HeadReceived("r0", "s0", 0, 5.0), 1.0)
+    known.record_hints(message.ServerHints("s0", 0, 5.0), "entry", 1.0)
+    known.speeds["s0"] = message.SpeedLearned("s0", SPEED)
+    ends_at = 2.0 + retention.RETENTION_S
+    for now, count in ((2.0, 1), (ends_at - 1.0, 1), (ends_at, 0)):
+        book.discard_except(["other"], now)
+        known.discard_except(["other"], now)
+        assert book.count_limited() == count
+        assert len(known.list_hints(now)) == len(known.speeds) == count
+
+
+def test_pauses_of_an_unlisted_server_hold_until_they_end() -> None:
+    known = observations.BackendObservations()
+    hints = message.ServerHints("s0", 0, pause_s=3.0)
+    known.record_hints(hints, "entry", 0.0)
+    known.discard_except([], 1.0)
+    (pause, _) = known.list_hints(1.0)
+    assert pause == ("entry", message.ServerHints("s0", 0, pause_s=2.0))
+
+
 def test_returned_grant_is_sent_after_the_hint_and_counts_no_attempt(
     recorder: RecordingDispatcher,
 ) -> None:
