Use grants that a slow process reads after a late tick

Cause, by a trace: after its process stood still, an entry spared a request whose wait was over at one late tick only and refused it at the next one, 50 ms later. If the process gets the processor for a few milliseconds at a time, the event loop makes a few turns between the two ticks; the owner has granted the request by then ("grant" in the log, no "shed"), but the grant lies in the queue of the link. Stopping the VM again and again for 60 ms, 1 ms apart, after its long stop brings this about: 503 for one or both of two requests.

--- a/ramptray/deadline.py
+++ b/ramptray/deadline.py
@@ -31,6 +31,12 @@
 threads of its own, which stood still as well."""
 
 
+async def look() -> None:
+    """Lets the event loop read what has arrived and handle it."""
+    for _ in range(LOOK_TURNS):
+        await anyio.lowlevel.checkpoint()
+
+
 async def look_if_late(due_at: float) -> None:
     """Lets the event loop read what has arrived if a timer is late.
 
@@ -39,8 +45,7 @@
     """
     if _is_late(due_at):
         await anyio.sleep(LATE_LOOK_S)
-        for _ in range(LOOK_TURNS):
-            await anyio.lowlevel.checkpoint()
+        await look()
 
 
 class Timeout:
--- a/ramptray/entry/dispatcher.py
+++ b/ramptray/entry/dispatcher.py
@@ -19,7 +19,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ramptray import mailbox, runtime, steadyclock
+from ramptray import deadline, mailbox, runtime, steadyclock
 from ramptray.bundle import acceptance, signature
 from ramptray.core import (
     blocklist,
@@ -166,6 +166,8 @@
         self._has_work = anyio.Event()
         self._task_group: anyio.abc.TaskGroup | None = None
         self._lag = lag.TickLag(TICK_INTERVAL_S)
+        self._was_late = False
+        self._has_spared = False
 
     @property
     def in_force(self) -> acceptance.InForce | None:
@@ -273,8 +275,10 @@
                 await self._has_work.wait()
             due_at = steadyclock.read() + TICK_INTERVAL_S
             await anyio.sleep(TICK_INTERVAL_S)
-            now = steadyclock.read()
-            self.tick(now, now - due_at)
+            late_s = steadyclock.read() - due_at
+            if self._has_spared:
+                await deadline.look()
+            self.tick(steadyclock.read(), late_s)
 
     def _handle(self, event: tickets.Event, now: float) -> None:
         match event:
@@ -963,6 +967,12 @@
             late_s: Seconds since the tick was due.  A late one runs before
                 messages that have arrived are read.
         """
+        # A timer may also run in time by chance while the process is short of
+        # processor time.
+        is_late = late_s > deadline.MIN_LATE_S
+        may_lack_messages = is_late or self._was_late
+        self._was_late = is_late
+        self._has_spared = False
         is_lagging = self._lag.observe(now)
         if not is_lagging and late_s < lag.MAX_TICK_DELAY_S:
             self._back_off_silent_owners(now)
@@ -970,8 +980,9 @@
             self._ask_again(ticket, now)
             owner_rtt_s = self._owners.get_rtt_s(ticket.machine.owner)
             reason = timeouts.find_timeout_reason(ticket, now, owner_rtt_s)
-            if timeouts.is_grant_possible(ticket, reason, late_s):
-                ticket.is_overdue = True
+            if timeouts.is_grant_possible(ticket, reason, may_lack_messages):
+                ticket.spared_ticks += 1
+                self._has_spared = True
             elif reason is not None:
                 effects = ticket.machine.reject(reason, RETRY_AFTER_S)
                 self._apply_effects(ticket, effects, now)
--- a/ramptray/entry/ticket.py
+++ b/ramptray/entry/ticket.py
@@ -193,8 +193,8 @@
             retry budget is looked at again; None if neither is due.
         lacking_since: When its owner first refused it for want of a server
             since its last attempt; None if it did not.
-        is_overdue: Whether it was spared when it had timed out, as a grant may
-            have been unread.
+        spared_ticks: Number of ticks at which it had timed out and was not
+            refused, as a grant may have been unread.
     """
 
     def __init__(
@@ -218,7 +218,7 @@
         self.awaits_budget = False
         self.ask_again_at: float | None = None
         self.lacking_since: float | None = None
-        self.is_overdue = False
+        self.spared_ticks = 0
         self._name = info.request_id
         self._fork_numbers = itertools.count(1)
         self._unanswered: dict[str, float] = {}
--- a/ramptray/entry/timeouts.py
+++ b/ramptray/entry/timeouts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from ramptray import deadline
 from ramptray.core import message, request
 from ramptray.entry import owners
 from ramptray.entry import ticket as tickets
@@ -15,6 +14,11 @@
 owner, in seconds, besides the owner's usual reply time.  The owner should have
 rejected it by then."""
 
+MAX_SPARED_TICKS = 6
+"""Late ticks at which a request that has timed out is not refused yet.  After a
+stop of the process several may pass before a grant is read, as a process that
+is short of processor time runs a few turns of its event loop at a time."""
+
 LINK_OPENING_DELAYS = 6
 """One-way delays until the first reply from another zone: those of two
 handshakes, the request and the reply."""
@@ -59,20 +63,20 @@
 
 
 def is_grant_possible(
-    ticket: tickets.Ticket, reason: message.Reason | None, late_s: float
+    ticket: tickets.Ticket, reason: message.Reason | None, is_lagging: bool
 ) -> bool:
     """Returns whether a request that timed out may have an unread grant.
 
-    It is spared once only, as all ticks of a busy VM are late.  A grant after
-    its deadline would be of no use.
+    It is spared at a limited number of ticks, as all ticks of a busy VM are
+    late.  A grant after its deadline would be of no use.
 
     Args:
         ticket: The request.
         reason: Why it has timed out; None if it has not.
-        late_s: Seconds since the tick was due.
+        is_lagging: Whether this tick or the one before it was late.
     """
     is_of_use = reason in (message.Reason.OVERLOADED, message.Reason.NOT_READY)
-    return is_of_use and late_s > deadline.MIN_LATE_S and not ticket.is_overdue
+    return is_of_use and is_lagging and ticket.spared_ticks < MAX_SPARED_TICKS
 
 
 def find_timeout_reason(
