Answer requests without an id in the server stand-in

Cause of just this picture, brought about on purpose: any request without an X-Request-Id, as a probe of a program that asks for a former user of the port, raised KeyError in the stand-in's handler and ended it (exit status 1). Whether it was the cause there is not known, as its log was not kept.

Change: such a request is logged as an error and answered with 400.

Run: the new test failed before; passes with it, and so does test_a_server_that_stood_still_during_a_reset_holds_no_place.

--- a/ramptray/standin/replica/main.py
+++ b/ramptray/standin/replica/main.py
@@ -212,6 +212,11 @@
             ledger = json.dumps(msgspec.to_builtins(self._ledger)).encode()
             await _send_response(stream, 200, ledger, [])
             return True
+        if header.REQUEST_ID.decode() not in headers:
+            # Not of a VM: a program that looks for a former user of the port.
+            LOG.error("request without an id", extra={"path": path})
+            await _send_response(stream, 400, b"", [])
+            return False
         return await self._respond(stream, http, path, headers, bytes(body))
 
     async def _respond(
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -118,6 +118,15 @@
         assert "left" not in started.read_ledger("i-0")["working"]
 
 
+def test_a_request_without_an_id_does_not_end_a_server() -> None:
+    # A program that asked for a former user of the port ended the stand-in, and
+    # the test that ran it saw refused connections.
+    with node.run_platform(vms=0, replicas=1) as started:
+        address = started.replicas["i-0"]
+        assert node.call(address, "GET", "/v1/ready").status == 400
+        started.set_faults("i-0", work_s=PAUSE_S)
+
+
 @pytest.mark.parametrize(
     ("fault", "is_explained"),
     [
