Test late heads and stops where the wait for sockets ends without events

The new cases of test_caller_closes.py fix that order by a signal whose handler sleeps in the wait for the sockets.

--- a/test/test_caller_closes.py
+++ b/test/test_caller_closes.py
@@ -5,8 +5,13 @@
 import asyncio
 import contextlib
 import logging
+import os
+import signal
 import socket
-from collections.abc import AsyncIterator
+import threading
+import time
+from collections.abc import AsyncIterator, Iterator
+from types import FrameType
 from unittest import mock
 
 import anyio
@@ -28,6 +33,15 @@
 WATCHED_S = 5.0
 """How long an answer or an end is waited for, in seconds."""
 
+STOPS_AFTER_S = 0.05
+"""Time until the event loop stands still, in seconds."""
+
+DUE_S = 0.15
+"""When a timer becomes due while it stands still, in seconds."""
+
+STOPPED_S = 0.8
+"""How long it stands still, in seconds: until the idle time is over, too."""
+
 Client = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -83,6 +97,36 @@
         return int(head.split()[1])
 
 
+@contextlib.contextmanager
+def stand_still(client: Client, sent: bytes) -> Iterator[None]:
+    """Has the event loop's thread stand still in its wait for the sockets.
+
+    As after SIGSTOP and SIGCONT, the wait then ends without events, and due
+    timers run before the sockets are read.
+
+    Args:
+        client: The caller's end of a connection.
+        sent: What the caller sends meanwhile.
+    """
+    descriptor = client[1].get_extra_info("socket").fileno()
+    loop_thread = threading.get_ident()
+
+    def interrupt(number: int, frame: FrameType | None) -> None:
+        os.write(descriptor, sent)
+        time.sleep(STOPPED_S)
+
+    former = signal.signal(signal.SIGUSR1, interrupt)
+    timer = threading.Timer(
+        STOPS_AFTER_S, signal.pthread_kill, (loop_thread, signal.SIGUSR1)
+    )
+    timer.start()
+    try:
+        yield
+    finally:
+        timer.join()
+        signal.signal(signal.SIGUSR1, former)
+
+
 async def wait_for_end(relay: server.RelayServer) -> float:
     """Returns the seconds until the server has closed its connection."""
     began = steadyclock.read()
@@ -190,6 +234,37 @@
         assert not relay.is_busy
 
 
+@pytest.mark.parametrize("length", [0, len(HEAD), len(REQUEST) - 1])
+async def test_a_late_timer_does_not_refuse_a_request_that_has_arrived(
+    length: int,
+) -> None:
+    # The timers of idle connections, heads and bodies ran before the sockets
+    # were read: the rest of the request was dropped by 408 or a reset.
+    async with open_connection() as (relay, _, client):
+        relay.state.limits = model.RelayLimits(idle_s=IDLE_S, header_s=DUE_S)
+        with (
+            mock.patch.object(server, "BODY_TIMEOUT_S", DUE_S),
+            stand_still(client, REQUEST[length:]),
+        ):
+            client[1].write(REQUEST[:length])
+            assert await read_status(client) == 200
+
+
+@pytest.mark.parametrize("ends", [False, True])
+async def test_a_stop_refuses_what_came_while_the_process_stood_still(
+    ends: bool,
+) -> None:
+    # The wait ended before the socket was read: the connection was closed
+    # without an answer.
+    async with open_connection() as (relay, _, client):
+        loop = asyncio.get_running_loop()
+        with stand_still(client, REQUEST):
+            loop.call_later(DUE_S, relay.refuse_new_requests)
+            if ends:
+                loop.call_later(DUE_S, relay.end_requests)
+            assert await read_status(client) == refusal.UNAVAILABLE
+
+
 async def test_a_stop_cuts_an_answer_that_has_begun() -> None:
     async def serve(
         request: message.CallerRequest, writer: answer.ResponseWriter
--- a/test/test_unread_requests.py
+++ b/test/test_unread_requests.py
@@ -111,21 +111,24 @@
 def test_a_head_whose_rest_came_before_its_timer_is_answered(
     platform: node.Platform,
 ) -> None:
-    opened = connect(platform)
-    for connection in opened:
-        connection.sock.sendall(b"POST /safe/ HTTP/1.1\r\n")
-    time.sleep(REST_S)
-    with node.stop_process(platform, "vm", STOPPED_S):
+    for _ in range(ROUNDS):
+        opened = connect(platform)
         for connection in opened:
-            headers = {**make_headers(), "Content-Length": "1"}
-            lines = [f"{name}: {text}\r\n" for name, text in headers.items()]
-            rest = "".join([*lines, "\r\nx"]).encode()
-            connection.sock.sendall(rest)
-    found = [
-        connection.sock.recv(65536).partition(b"\r\n")[0]
-        for connection in opened
-    ]
-    assert found == [b"HTTP/1.1 200 "] * CONNECTIONS
+            connection.sock.sendall(b"POST /safe/ HTTP/1.1\r\n")
+        time.sleep(REST_S)
+        with node.stop_process(platform, "vm", STOPPED_S):
+            for connection in opened:
+                headers = {**make_headers(), "Content-Length": "1"}
+                lines = [
+                    f"{name}: {text}\r\n" for name, text in headers.items()
+                ]
+                rest = "".join([*lines, "\r\nx"]).encode()
+                connection.sock.sendall(rest)
+        found = [
+            connection.sock.recv(65536).partition(b"\r\n")[0]
+            for connection in opened
+        ]
+        assert found == [b"HTTP/1.1 200 "] * CONNECTIONS
 
 
 def test_a_request_that_came_before_a_planned_stop_is_answered(
