Read the answers to probes before a member is suspected

A gossip probe ended by its clock alone. After the process stood still, the timer ran before the answer was read, and the member that had answered was suspected, left the view and could lose its shards until it refuted that. The wait uses deadline.move_on_after now.

deadline.py reads the event loop's clock, which its timers follow anyway, so that it also works in the tests' virtual time; look_if_late documented that clock already.

The new test failed before (SUSPECT).

--- a/ramptray/scheduler/gossip.py
+++ b/ramptray/scheduler/gossip.py
@@ -11,7 +11,7 @@
 import anyio.abc
 import msgspec
 
-from ramptray import steadyclock
+from ramptray import deadline, steadyclock
 from ramptray.core import membership, message, rtt, summary
 from ramptray.peer import link as peer_link
 from ramptray.peer import link_failures
@@ -547,7 +547,7 @@
             await self._ask(address, outcome)
             return outcome.answered
         self._tasks.start_soon(self._ask, address, outcome)
-        with anyio.move_on_after(self._get_timeout_s(address, timeout_s)):
+        with deadline.move_on_after(self._get_timeout_s(address, timeout_s)):
             await outcome.is_known.wait()
         return outcome.answered
 
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import signal
+import socket
+import threading
+import time
 from collections.abc import Callable, Mapping
+from types import FrameType
 from typing import Any
 
 import anyio
@@ -103,6 +109,50 @@
     assert suspected == ["b", "c"]
 
 
+class PeersWhileStanding(Peers):
+    """Peers that answer through a socket while this process stands still."""
+
+    async def ask(self, address: str, question: Any, timeout_s: float) -> Any:
+        """See the base class."""
+        here, there = socket.socketpair()
+        here.setblocking(False)
+
+        def stand_still(number: int, frame: FrameType | None) -> None:
+            there.send(b"x")
+            time.sleep(STOPPED_S)
+
+        former = signal.signal(signal.SIGUSR1, stand_still)
+        # Interrupts the wait of the event loop, as SIGSTOP and SIGCONT do.
+        stopping = threading.Timer(
+            HOP_DELAY_S,
+            signal.pthread_kill,
+            (threading.get_ident(), signal.SIGUSR1),
+        )
+        with here, there:
+            stopping.start()
+            await asyncio.get_running_loop().sock_recv(here, 1)
+            stopping.join()
+        signal.signal(signal.SIGUSR1, former)
+        return await super().ask(address, question, timeout_s)
+
+
+def test_a_member_that_answered_during_a_standstill_is_not_suspected() -> None:
+    # The timer of the probe ran before its answer was read, so that a VM that
+    # stood still took the others for lost.
+    gossiper = make_gossiper([], client=PeersWhileStanding(set()))
+    member = membership.Member("b", "z", "b:1", 1)
+
+    async def probe() -> None:
+        async with anyio.create_task_group() as tasks:
+            gossiper._tasks = tasks
+            gossiper.membership.merge([member], steadyclock.read())
+            await gossiper.probe_now("b:1")
+
+    anyio.run(probe)
+    states = {m.vm: m.state for m in gossiper.membership.list_all()}
+    assert states["b"] is membership.MemberState.ALIVE
+
+
 def _do_nothing() -> None:
     """Default until the gossiper sets its callback."""
 
@@ -190,6 +240,9 @@
 
 
 HOP_DELAY_S = 0.003
+STOPPED_S = 1.0
+"""How long a process stands still, in seconds: longer than a probe may take."""
+
 MEMBERS = 120
 SPREAD_LIMIT_S = 0.3
 
