Forget an ejection when a server has another address

Cause: keeps what an owner knows of a server over changes of its record, also the connections that its former address refused. A record that moved within a run left the server ejected.

Change: the availability is inherited for the same address only.

Run: test_server_ejection (the new case failed before), test_link_distance.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -205,8 +205,12 @@
         self._rtt = rtt or rtts.RttEstimator(0.0, MAX_RTT_S)
 
     def inherit(self, former: Backend) -> None:
-        """Inherits what an earlier view of the same run shows of the server."""
-        self.availability = former.availability
+        """Inherits what an earlier view of the same run shows of the server.
+
+        Connections that its former address refused show nothing of a new one.
+        """
+        if former.info.url == self.info.url:
+            self.availability = former.availability
         self.growth = former.growth
         self.pauses = former.pauses
         self._pacer = former._pacer
--- a/test/test_server_ejection.py
+++ b/test/test_server_ejection.py
@@ -12,6 +12,7 @@
 import pytest
 
 from ramptray.core import availability, message, owner_effect, shard
+from ramptray.core import rules as shard_rules
 from test.test_shard import make_info, make_owner
 
 CUT, OTHER, THIRD = "vm-cut", "vm-other", "vm-third"
@@ -75,6 +76,20 @@
     assert serve(owner, OTHER, 1.02)
 
 
+@pytest.mark.parametrize("moves", [False, True])
+def test_a_server_is_ejected_for_its_own_address_only(moves: bool) -> None:
+    # Facts that change, and a record that is removed, do not end an ejection.
+    owner = make_owner(1)
+    refuse(owner, OTHER, 1.0)
+    (known,) = owner.fleet.backends.values()
+    url = "http://127.0.0.1:2" if moves else known.info.url
+    changed = msgspec.structs.replace(known.info, url=url, max_running=9)
+    rules = shard_rules.ShardRules({"normal": 0}, 100_000, 0.0, {}, {})
+    owner.remove_backends()
+    owner.configure(rules, [changed])
+    assert serve(owner, OTHER, 1.01) == moves
+
+
 def test_responses_broken_off_at_one_vm_leave_servers_to_others() -> None:
     owner = make_owner(1)
     assert serve(owner, OTHER, 1.0)
