Test take-ups after two losses, with a frozen store and without a name

test_forgotten_releases now also loses all VMs twice, stops the store as the VMs return and a second later, and has callers that name no attempt.

--- a/test/test_forgotten_releases.py
+++ b/test/test_forgotten_releases.py
@@ -12,6 +12,7 @@
 import itertools
 import json
 import tempfile
+import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
 from concurrent import futures
@@ -45,6 +46,9 @@
 """Seconds between two attempts of a caller."""
 
 LONG_TIMEOUT_MS = 16000
+FROZEN_S = 3.0
+"""Seconds for which the store stands still."""
+
 VMS = 4
 OTHER = "other"
 FORMER_SPAN_S = 9.0
@@ -63,6 +67,9 @@
         is_bootstrap: Whether the settings always say that all VMs start for
             the first time.
         is_named: Whether callers name the attempt that began their stream.
+        is_repeated: Whether all VMs are lost once more as soon as they serve.
+        frozen_at_s: From how long after the loss on the store stands still, in
+            seconds; None for never.
     """
 
     comes_before: bool = True
@@ -70,6 +77,8 @@
     lowers_timeout: bool = False
     is_bootstrap: bool = False
     is_named: bool = True
+    is_repeated: bool = False
+    frozen_at_s: float | None = None
 
 
 LOSSES = {
@@ -80,6 +89,10 @@
     "bootstrap_both_change_meanwhile": Loss(
         comes_before=False, leaves_before=False, is_bootstrap=True
     ),
+    "unnamed": Loss(is_named=False),
+    "killed_twice": Loss(leaves_before=False, is_repeated=True),
+    "store_frozen": Loss(leaves_before=False, frozen_at_s=DOWN_S),
+    "store_frozen_later": Loss(is_named=False, frozen_at_s=DOWN_S + 1.0),
 }
 
 
@@ -87,8 +100,11 @@
 def test_no_stream_is_joined_from_two_releases_after_all_vms_were_lost(
     loss: Loss,
 ) -> None:
-    with run_first_release(loss) as started:
-        streams = break_off(started, loss)
+    with (
+        run_first_release(loss) as started,
+        freeze_store(started, loss) as lost,
+    ):
+        streams = break_off(started, loss, lost)
         assert {s.events[0][1] for s in streams} == {"v1"}
         ends_at = time.monotonic() + PATIENCE_S
         resume_all(started, streams, ends_at, loss.is_named)
@@ -202,8 +218,39 @@
     lose_vms(started)
 
 
-def break_off(started: node.Platform, loss: Loss) -> list[resuming.Stream]:
-    """Begins streams at v1 and breaks them off by the loss of all VMs."""
+@contextlib.contextmanager
+def freeze_store(
+    started: node.Platform, loss: Loss
+) -> Iterator[threading.Event]:
+    """Has the store stand still for a while, counted from when VMs are lost."""
+    lost, ended = threading.Event(), threading.Event()
+
+    def freeze(at_s: float) -> None:
+        lost.wait()
+        if not ended.wait(at_s):
+            with node.stop_process(started, "store"):
+                ended.wait(FROZEN_S)
+
+    with futures.ThreadPoolExecutor(1) as pool:
+        if loss.frozen_at_s is not None:
+            pool.submit(freeze, loss.frozen_at_s)
+        try:
+            yield lost
+        finally:
+            ended.set()
+            lost.set()
+
+
+def break_off(
+    started: node.Platform, loss: Loss, lost: threading.Event
+) -> list[resuming.Stream]:
+    """Begins streams at v1 and breaks them off by the loss of all VMs.
+
+    Args:
+        started: The deployment.
+        loss: What surrounds the loss.
+        lost: Set at the loss, after changes that come with it.
+    """
     with futures.ThreadPoolExecutor(STREAMS) as pool:
         attempts = [
             pool.submit(
@@ -219,7 +266,9 @@
         if loss.leaves_before:
             remove_first(started)
         time.sleep(0.3)
-        lose_vms(started, lambda: change_meanwhile(started, loss))
+        lose_vms(started, lambda: change_meanwhile(started, loss, lost))
+        if loss.is_repeated:
+            lose_vms(started)
     return [resuming.Stream([each.result()]) for each in attempts]
 
 
@@ -234,12 +283,15 @@
         started.remove_record(f"v1-{number}")
 
 
-def change_meanwhile(started: node.Platform, loss: Loss) -> None:
+def change_meanwhile(
+    started: node.Platform, loss: Loss, lost: threading.Event
+) -> None:
     """Makes the changes that come while all VMs are down."""
     if not loss.comes_before:
         list_second(started)
     if not loss.leaves_before:
         remove_first(started)
+    lost.set()
 
 
 def lose_vms(
