Keep unread answers over a standstill of the VM

Cause: the kernel counts TCP_USER_TIMEOUT while the peer's window is closed, and only a running VM moved the limit on, by 0.9 s. A longer standstill cut the answer of a caller that read slowly (129,356 of 8,388,608 bytes arrived after 1.7 s), though its machine had answered all probes.

TCP_RTO_MAX_MS bounds the time between probes to 1 s; without it, probes become rarer and silence shows nothing. It is set when bytes begin to wait, and taken back before a connection is closed with unsent bytes, as the kernel drops a closed connection whose probes have reached their longest interval. A kernel before Linux 6.15 lacks the option; there the former rule applies, and a standstill of over 0.9 s still cuts such an answer.

Weighed and not taken: a longer limit in the kernel alone (the next probe is sent no later than when the limit expires, so that a limit with room for 1.7 s delays the recognition of a lost peer beyond 2.2 s), and writing no more than the peer's window takes (the kernel reports no event when the window opens).

Of the new tests, that of a standstill failed before; those of lost peers did not.

--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -12,8 +12,10 @@
 import array
 import asyncio
 import contextlib
+import errno
 import fcntl
 import math
+import os
 import select
 import socket
 import struct
@@ -53,9 +55,13 @@
 _SIOCOUTQNSD = 0x894B
 """Linux: number of bytes written to a socket that have not been sent."""
 
-_TCP_INFO_START = struct.Struct("=3xB20xI28xI")
-"""Fields of ``struct tcp_info``: unanswered window probes, unacknowledged
-packets, milliseconds since the last acknowledgement."""
+_TCP_INFO_START = struct.Struct("=2xBB20xI28xI")
+"""Fields of ``struct tcp_info``: unanswered retransmissions and window probes,
+unacknowledged packets, milliseconds since the last acknowledgement."""
+
+_TCP_RTO_MAX_MS = 44
+"""Linux 6.15 and later: longest time between two retransmissions or window
+probes, in milliseconds."""
 
 _NO_LINGER = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
@@ -88,6 +94,7 @@
         self._deadline = math.inf
         self._timer_fires_at = math.inf
         self._user_timeout: user_timeout.UserTimeout | None = None
+        self._former_rto_max_ms: int | None = None
         self._check_timer: asyncio.TimerHandle | None = None
 
     # asyncio.Protocol callbacks.
@@ -115,7 +122,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Marks the connection as lost."""
         self._lost = True
-        self._error = exc
+        self._error = self._error or exc
         self._set_ended()
         _wake(self._write_waiter)
         for timer in (self._timer, self._check_timer):
@@ -255,6 +262,10 @@
             sock = self.get_socket()
             if sock is not None and _count_unsent_bytes(sock):
                 _set_user_timeout(sock, FLUSH_TIMEOUT_S)
+                if self._former_rto_max_ms is not None:
+                    # The kernel drops a closed connection whose probes have
+                    # reached their longest interval.
+                    _set_rto_max(sock, self._former_rto_max_ms)
             self._get_transport().close()
 
     def _get_transport(self) -> asyncio.Transport:
@@ -278,9 +289,16 @@
     def _begin_checks(self) -> None:
         """Checks the peer's window until all written bytes have been sent."""
         sock = self.get_socket()
-        if sock is not None and _count_unsent_bytes(sock):
-            now = steadyclock.read_monotonic()
-            self._user_timeout = user_timeout.UserTimeout(now)
+        if sock is None:
+            return
+        if self._writing_paused or _count_unsent_bytes(sock):
+            if self._former_rto_max_ms is None:
+                self._former_rto_max_ms = _bound_probe_interval(sock)
+            self._user_timeout = user_timeout.make_user_timeout(
+                self._former_rto_max_ms is not None,
+                steadyclock.read_monotonic(),
+            )
+            _set_user_timeout(sock, self._user_timeout.limit_s)
             self._schedule_check()
 
     def _schedule_check(self) -> None:
@@ -296,12 +314,23 @@
         assert self._user_timeout is not None
         queue = _read_send_queue(sock)
         former_s = self._user_timeout.limit_s
-        limit_s = self._user_timeout.update(queue, steadyclock.read_monotonic())
-        if limit_s != former_s:
-            _set_user_timeout(sock, limit_s)
+        self._user_timeout.update(queue, steadyclock.read_monotonic())
+        if self._user_timeout.is_lost:
+            self._end_lost(sock)
+            return
+        if self._user_timeout.limit_s != former_s:
+            _set_user_timeout(sock, self._user_timeout.limit_s)
         if queue.unsent_bytes or self._writing_paused:
             self._schedule_check()
 
+    def _end_lost(self, sock: socket.socket) -> None:
+        """Ends the connection to a lost peer, as the kernel would."""
+        self._error = TimeoutError(
+            errno.ETIMEDOUT, os.strerror(errno.ETIMEDOUT)
+        )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self._get_transport().abort()
+
     async def _wait_readable(self, timeout_s: float | None) -> None:
         self._read_waiter = self._loop.create_future()
         self._deadline = math.inf
@@ -381,9 +410,15 @@
     info = sock.getsockopt(
         socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_START.size
     )
-    probes, unacknowledged, silent_ms = _TCP_INFO_START.unpack(info)
+    retransmissions, probes, unacknowledged, silent_ms = _TCP_INFO_START.unpack(
+        info
+    )
     return user_timeout.SendQueue(
-        _count_unsent_bytes(sock), unacknowledged, probes, silent_ms / 1000
+        _count_unsent_bytes(sock),
+        unacknowledged,
+        retransmissions,
+        probes,
+        silent_ms / 1000,
     )
 
 
@@ -393,6 +428,24 @@
     )
 
 
+def _bound_probe_interval(sock: socket.socket) -> int | None:
+    """Bounds the time between window probes.
+
+    Returns:
+        The former bound in milliseconds; None if the kernel has no bound.
+    """
+    try:
+        former_ms = sock.getsockopt(socket.IPPROTO_TCP, _TCP_RTO_MAX_MS)
+        _set_rto_max(sock, round(user_timeout.MAX_PROBE_INTERVAL_S * 1000))
+    except OSError:
+        return None
+    return former_ms
+
+
+def _set_rto_max(sock: socket.socket, rto_max_ms: int) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, rto_max_ms)
+
+
 async def connect(host: str, port: int) -> SocketStream:
     """Opens a connection.
 
--- a/test/test_socket_stream.py
+++ b/test/test_socket_stream.py
@@ -14,6 +14,7 @@
 import pytest
 
 from ramptray import steadyclock
+from ramptray.core import user_timeout
 from ramptray.relay import socket_stream as streams
 
 pytestmark = pytest.mark.anyio
@@ -262,6 +263,66 @@
         assert not stream.has_ended
 
 
+@pytest.mark.parametrize(
+    ("queue", "waiting_s", "is_lost"),
+    [
+        # Without a probe or a retransmission there is nothing to answer.
+        (user_timeout.SendQueue(1, 0, 0, 0, 9.0), 9.0, False),
+        (user_timeout.SendQueue(1, 0, 0, 1, 1.5), 9.0, False),
+        (user_timeout.SendQueue(1, 0, 0, 1, 1.7), 9.0, True),
+        (user_timeout.SendQueue(1, 1, 1, 0, 1.0), 9.0, False),
+        (user_timeout.SendQueue(1, 1, 1, 0, 1.2), 9.0, True),
+        # An idle peer had nothing to acknowledge.
+        (user_timeout.SendQueue(1, 0, 0, 1, 9.0), 0.5, False),
+        (user_timeout.SendQueue(1, 1, 1, 0, 9.0), 0.5, False),
+    ],
+)
+async def test_a_peer_is_lost_only_if_it_had_time_to_answer(
+    queue: user_timeout.SendQueue, waiting_s: float, is_lost: bool
+) -> None:
+    # A round trip of 0.3 s delays answers.
+    timeout = user_timeout.make_user_timeout(True, 0.0)
+    timeout.update(queue, waiting_s)
+    assert timeout.is_lost is is_lost
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+async def test_a_standstill_ends_only_connections_to_lost_peers(
+    is_lost: bool,
+) -> None:
+    # The kernel ended connections to peers that did not read meanwhile.
+    async with open_to_peer() as (stream, peer):
+        with pytest.raises(TimeoutError):
+            await stream.send(LARGE * 4, 0.1)
+        if is_lost:
+            lose(peer)
+        time.sleep(PAUSE_S)
+        await anyio.sleep(2 * user_timeout.CHECK_INTERVAL_S)
+        assert stream.has_ended is is_lost
+
+
+async def test_a_send_to_a_peer_that_is_lost_ends_with_an_error() -> None:
+    # The program waited until the time of the write was over.
+    async with open_to_peer() as (stream, peer):
+        await anyio.sleep(0.1)
+        lose(peer)
+        began = steadyclock.read()
+        with pytest.raises(anyio.BrokenResourceError):
+            await stream.send(LARGE * 4, 10.0)
+        assert steadyclock.read() - began < MAX_UNACKNOWLEDGED_S
+
+
+async def test_a_kernel_that_does_not_bound_probes_ends_lost_connections(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(streams, "_TCP_RTO_MAX_MS", 255)
+    async with open_to_peer() as (stream, peer):
+        with pytest.raises(TimeoutError):
+            await stream.send(LARGE * 4, PAUSE_S)
+        lose(peer)
+        assert await measure_loss_s(stream) < MAX_LOST_S
+
+
 async def test_a_peer_that_pauses_gets_the_bytes_before_a_close() -> None:
     # The kernel dropped what it still had to send.
     data = LARGE[: len(LARGE) // 2]
