Leave the log to its readers after all VMs stood still

The age of a VM's copy of the log grows while its process stands still, so all VMs of a deployment that was suspended as a whole read the store themselves at once. Three waits took their clock as evidence: the check of whom to follow ran before updates were read, a source answered its followers before it had read the store's answer, and a reader began another long poll although the answer of the last one was old when it was read. Now both waits look once more, and a reader whose answer lay unread asks again without a wait.

The new cases failed before; without the reader's or the distributor's part they fail, too. The peers of test_distributor end their waits like PeerClient.

--- a/ramptray/log/reader.py
+++ b/ramptray/log/reader.py
@@ -61,10 +61,12 @@
         as_of: Time whose records it holds at least.  It is not the time of
             arrival, as an answer may be late.
         page: The records.
+        is_late: Whether this process read it late, as it stood still.
     """
 
     as_of: float
     page: PageT
+    is_late: bool = False
 
 
 class _PendingRead(msgspec.Struct):
@@ -370,8 +372,12 @@
                 if self.count_records(answer.page):
                     return answer
                 # The log waited for records until then.
-                as_of = min(answer.as_of + wait_s, steadyclock.read())
-                return msgspec.structs.replace(answer, as_of=as_of)
+                now = steadyclock.read()
+                as_of = min(answer.as_of + wait_s, now)
+                is_late = now - as_of > propagation.RESPONSE_MARGIN_S
+                return msgspec.structs.replace(
+                    answer, as_of=as_of, is_late=is_late
+                )
         except log_error.LogTimeoutError as error:
             self._abandon_read(str(error))
         return None
@@ -460,7 +466,10 @@
         if answer.as_of >= self._peer_end_at:
             # The log's answer takes precedence over what peers have reported.
             self._peer_end = min(self._peer_end, end)
-        self._poll_at_once = False
+        # VMs that follow this one would otherwise have to read the log.
+        self._poll_at_once = (
+            answer.is_late and self._watching and self._follows_peers
+        )
         self._read_started_at = None
         self.answered_at = now
         if answer.as_of > self.fresh_at:
--- a/ramptray/scheduler/distributor.py
+++ b/ramptray/scheduler/distributor.py
@@ -17,7 +17,7 @@
 import anyio.abc
 import msgspec
 
-from ramptray import steadyclock
+from ramptray import deadline, steadyclock
 from ramptray.core import distribution, membership, propagation
 from ramptray.log import keyedstream
 from ramptray.log import mirror as mirrors
@@ -156,7 +156,14 @@
                 self._start_following(tasks)
                 now = steadyclock.read()
                 self._update_watching(now)
-                await self._wait_until_due(self._get_next_check_at() - now)
+                due_s = self._get_next_check_at() - now
+                due_at = anyio.current_time() + max(
+                    propagation.CHECK_INTERVAL_S,
+                    min(due_s, MAX_CHECK_INTERVAL_S),
+                )
+                await self._wait_until_due(due_s)
+                # Updates that came while this process stood still are unread.
+                await deadline.look_if_late(due_at)
 
     def wake(self) -> None:
         """Checks without delay whom to follow and whether to read the log."""
@@ -205,7 +212,7 @@
         """Answers a follower as soon as there are updates or its wait ends."""
         received_at = steadyclock.read()
         known_at = received_at - request.known_s
-        with anyio.move_on_after(request.wait_s):
+        with deadline.move_on_after(request.wait_s):
             while not self._has_updates(request, known_at):
                 await self._changed.wait()
         now = steadyclock.read()
--- a/test/test_distributor.py
+++ b/test/test_distributor.py
@@ -10,7 +10,7 @@
 import anyio
 import pytest
 
-from ramptray import steadyclock
+from ramptray import deadline, steadyclock
 from ramptray.core import clock, distribution, membership, propagation
 from ramptray.log import error, keyedstream, mirror, reader
 from ramptray.node import main
@@ -164,7 +164,7 @@
 
     async def ask(self, address: str, question: Any, timeout_s: float) -> Any:
         name = address.partition(":")[0]
-        with anyio.move_on_after(timeout_s):
+        with deadline.move_on_after(timeout_s):
             answer = await self._deployment.vms[name].distributor.serve_updates(
                 question
             )
@@ -247,6 +247,27 @@
     assert 1 <= virtualtime.run(count) <= 12
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.3, 0.6])
+def test_vms_that_all_stood_still_leave_the_log_to_its_readers(
+    monkeypatch: pytest.MonkeyPatch, pause_s: float
+) -> None:
+    # The age of their copies, which grew meanwhile, made all of them read it.
+    monkeypatch.setattr(steadyclock, "read", virtualtime.read)
+
+    async def list_callers() -> set[str]:
+        async with run(12) as deployment:
+            deployment.log.delay_s = LOG_ANSWER_S
+            deployment.delays_s = dict.fromkeys(deployment.vms, VM_ANSWER_S)
+            await anyio.sleep(pause_s)
+            readers = deployment.list_readers()
+            deployment.log.calls.clear()
+            virtualtime.stand_still(2 * propagation.MAX_AGE_S)
+            await anyio.sleep(propagation.WATCH_WAIT_S)
+            return set(deployment.log.calls) - set(readers)
+
+    assert virtualtime.run(list_callers) == set()
+
+
 @pytest.mark.parametrize("which", ["readers", "others"])
 async def test_a_vm_with_corrupt_answers_delays_others_by_a_bound(
     which: str,
--- a/test/virtualtime.py
+++ b/test/virtualtime.py
@@ -42,6 +42,10 @@
         """See the base class."""
         return self._virtual.now
 
+    def stand_still(self, seconds: float) -> None:
+        """Lets time pass in which nothing runs."""
+        self._virtual.now += seconds
+
 
 def run(function: Callable[[], Awaitable[T]]) -> T:
     """Runs an asynchronous function in virtual time."""
@@ -54,3 +58,10 @@
         return asyncio.get_running_loop().time()
     except RuntimeError:
         return 0.0
+
+
+def stand_still(seconds: float) -> None:
+    """Lets time pass in which the process of the running loop stands still."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, _Loop)
+    loop.stand_still(seconds)
