Have gateways connect only to the address that the VM has checked

A VM checks the release of a granted server by its own record, but through a gateway the bytes came from the address in the gateway's record. The run alone does not tell them apart: servers that do not say when they started have the same run everywhere, and a VM may have read of a later run than the grant and the gateway. A stream could then go on at another release, or be recorded under one that had not begun it.

OpenTunnel now carries the address, and a gateway whose record differs opens no tunnel, which shows nothing about the server. VMs of older versions send none and are served as before.

--- a/ramptray/peer/message.py
+++ b/ramptray/peer/message.py
@@ -42,11 +42,14 @@
         backend: The backend server.
         run: Its run, see ``core.message.Grant``.
         regions: Regions whose VMs and servers may get the bytes; None for any.
+        address: Where the sender's record has it; empty from VMs of an older
+            version.
     """
 
     backend: str
     run: int
     regions: tuple[str, ...] | None = None
+    address: str = ""
 
 
 class TunnelAnswer(msgspec.Struct, frozen=True):
--- a/ramptray/relay/tunnel.py
+++ b/ramptray/relay/tunnel.py
@@ -51,7 +51,8 @@
     Attributes:
         REFUSED: The backend server refused the connection.
         SILENT: It does not respond.
-        UNKNOWN_SERVER: This run of it is not in the gateway's configuration.
+        UNKNOWN_SERVER: This run of it, at the address that is asked for, is not
+            in the gateway's configuration.
         UNUSABLE: It is leaving, or asked the gateway for a pause.
         OUTSIDE_REGIONS: The gateway or the server is outside the request's
             regions.
@@ -233,7 +234,7 @@
         """See the base class."""
         stream = TunnelStream(self._peers)
         request = peer_message.OpenTunnel(
-            target.backend, target.run, target.regions
+            target.backend, target.run, target.regions, target.address
         )
         try:
             await stream.open(
--- a/ramptray/relay/tunnel_server.py
+++ b/ramptray/relay/tunnel_server.py
@@ -12,6 +12,7 @@
 import grpc.aio
 
 from ramptray import deadline, steadyclock
+from ramptray.bundle import model
 from ramptray.core import clock
 from ramptray.entry import backend_directory, server_hints
 from ramptray.peer import codec
@@ -91,8 +92,10 @@
         now = steadyclock.read()
         if reason := self._find_refusal_reason(request, now):
             return reason
-        url = self._backends.find_url(request.backend) or ""
-        host, _, port = url.removeprefix("http://").rpartition(":")
+        in_force = self._backends.in_force
+        assert in_force is not None
+        server = in_force.bundle.backend_servers[request.backend]
+        host, _, port = _get_address(server).rpartition(":")
         try:
             with deadline.fail_after(connection.CONNECT_TIMEOUT_S):
                 return await streams.connect(host, int(port))
@@ -118,6 +121,10 @@
             return tunnel.Refusal.STOPPING
         if server is None or server.run != request.run:
             return tunnel.Refusal.UNKNOWN_SERVER
+        # The other VM has checked the release of the server at its address; a
+        # server that does not tell its start has the same run elsewhere.
+        if request.address and _get_address(server) != request.address:
+            return tunnel.Refusal.UNKNOWN_SERVER
         if request.regions is not None and not {
             self._region,
             server.region,
@@ -175,6 +182,10 @@
         scope.cancel()
 
 
+def _get_address(server: model.BackendServer) -> str:
+    return server.url.removeprefix("http://")
+
+
 async def _forward_responses(
     stream: streams.SocketStream,
     context: grpc.aio.ServicerContext[bytes, bytes],
--- a/test/test_resumption.py
+++ b/test/test_resumption.py
@@ -28,13 +28,21 @@
 from ramptray.log import error as log_error
 from ramptray.log import shared_read
 from ramptray.platform import config, follower, replicas, store
-from ramptray.relay import answer, message, refusal, resumption, service
+from ramptray.relay import (
+    answer,
+    connection,
+    message,
+    refusal,
+    resumption,
+    service,
+)
 from test import (
     node,
     test_hedge_exchange,
     test_hedging,
     test_release_binding,
     test_shard,
+    test_tunnel,
 )
 
 V1 = stream_origin.Origin("lm", "v1")
@@ -635,3 +643,13 @@
     test_release_binding.set_rollout(owner, rollout.State.ROLLED_BACK)
     refused = refuse(owner, 1.0 - LEFT_AT)
     assert refused.retry_after_s == stream_origin.SPAN_S
+
+
+@pytest.mark.anyio
+async def test_a_gateway_does_not_lead_to_another_address_of_a_server() -> None:
+    # The release was checked by the VM's own record, but the bytes came from
+    # the server's address in the gateway's, which may be of another release.
+    async with test_tunnel.run_gateway() as gateway:
+        moved = msgspec.structs.replace(gateway.target, address="127.0.0.1:1")
+        with pytest.raises(connection.NotSentError, match="unknown_server"):
+            await gateway.opener.open(moved)
