Judge request limits at two times of the soak at least

Cause, in the test: only windows of 4 s are judged that begin 3 s after a limit was named, end with it and are not near a fault of its server. In the run of 36 s all 6 to 8 chances of 3 runs lay in the same limit (20.8 to 30.5 s); one more fault of that server there leaves none, and which faults there are at a moment varies with the load of the machine, as they are drawn by the clock.

Change: two servers name limits from 10 s before the end of a run up to its end, where faults cease, and the run of the test lasts 45 s, so that the limit before is still judged. What is judged is as before, and more of it.

--- a/test/limiting.py
+++ b/test/limiting.py
@@ -19,6 +19,10 @@
 GAP_S = (0.5, 3.0)
 """Minimum and maximum time between two limits, in seconds."""
 
+LAST_PERIOD_S = 10.0
+"""Length of the last period, in seconds: in its end, which is calm, there are
+windows to judge in every run.  Those of the others may all be near faults."""
+
 KNOWN_AFTER_S = 3.0
 """Time from a limit's announcement until it must be kept, in seconds."""
 
@@ -72,10 +76,27 @@
         self._rng = rng
         self._names = names
 
-    def run(self, is_over: Callable[[], bool]) -> None:
-        """Sets and ends limits until the run is over."""
+    def run(self, is_over: Callable[[], bool], ends_at: float) -> None:
+        """Sets and ends limits until the run is over.
+
+        Args:
+            is_over: Returns whether it is.
+            ends_at: When it will be, in seconds of the monotonic clock.
+        """
+        last_at = ends_at - LAST_PERIOD_S
+        self._set_limits(
+            (1, 1, 2), LIMIT_PERIOD_S, lambda: time.monotonic() >= last_at
+        )
+        self._set_limits((2,), (LAST_PERIOD_S, LAST_PERIOD_S), is_over)
+
+    def _set_limits(
+        self,
+        counts: tuple[int, ...],
+        period_s: tuple[float, float],
+        is_over: Callable[[], bool],
+    ) -> None:
         while not is_over():
-            limited = self._rng.sample(self._names, self._rng.choice((1, 1, 2)))
+            limited = self._rng.sample(self._names, self._rng.choice(counts))
             periods = [
                 LimitPeriod(name, self._rng.choice(RATES), time.monotonic())
                 for name in limited
@@ -83,7 +104,7 @@
             for period in periods:
                 self._harm.name_limit(period.name, period.rate)
             self.periods += periods
-            self._wait(self._rng.uniform(*LIMIT_PERIOD_S), is_over)
+            self._wait(self._rng.uniform(*period_s), is_over)
             for period in periods:
                 ended_at = self._harm.end_limit(period.name)
                 period.until = min(ended_at, time.monotonic())
--- a/test/soak.py
+++ b/test/soak.py
@@ -250,7 +250,9 @@
             watch = verdict.Verdict(self.record, {})
             tasks.append(lambda: self._skew.run(self._is_over, watch.is_calm))
         if self._limits:
-            tasks.append(lambda: self._limiter.run(self._is_over))
+            tasks.append(
+                lambda: self._limiter.run(self._is_over, self._ends_at)
+            )
         if self._hints:
             tasks.append(lambda: self._hinter.run(self._is_over))
         if self._releases:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -7,14 +7,17 @@
 
 import json
 import pathlib
+import random
 import socket
 import struct
+import time
+from typing import cast
 
 import pytest
 from click import testing
 
 from bench import promise
-from test import harm, node, part_load, pausing, soak, verdict
+from test import harm, limiting, node, part_load, pausing, soak, verdict
 from test.test_node import wait_until
 
 SECONDS = 36.0
@@ -70,7 +73,8 @@
 
 
 def test_the_promises_are_kept_while_replicas_name_request_limits() -> None:
-    check_soak(4, 1, last=1, restarts=True, limits=True)
+    # Long enough for two limits with windows to judge at different times.
+    check_soak(4, 1, 45.0, last=1, restarts=True, limits=True)
 
 
 def test_the_promises_are_kept_while_replicas_leave_and_ask_for_pauses() -> (
@@ -195,6 +199,31 @@
     return pausing.judge([reading], explanation, 20, 0.1)
 
 
+class NoHarm:
+    """Stands in for the replicas that name limits."""
+
+    def name_limit(self, name: str, rate: float) -> None: ...
+
+    def end_limit(self, name: str) -> float:
+        return float("inf")
+
+
+def test_the_last_limits_of_a_run_last_until_its_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # All limits with a window to judge had ended before, and one fault near the
+    # only such period left the run without a judgement.
+    monkeypatch.setattr(limiting, "LAST_PERIOD_S", 0.3)
+    harmer = cast(harm.Harm, NoHarm())
+    limiter = limiting.Limiter(harmer, random.Random(1), ["i-0", "i-1"])
+    ends_at = time.monotonic() + 0.5
+    limiter.run(lambda: time.monotonic() >= ends_at, ends_at)
+    last = limiter.periods[-2:]
+    assert {period.name for period in last} == {"i-0", "i-1"}
+    assert all(period.since >= ends_at - 0.3 for period in last)
+    assert all(period.until >= ends_at for period in last)
+
+
 def test_a_run_is_not_judged_by_the_logs_of_another(
     tmp_path: pathlib.Path,
 ) -> None:
