Look once more before an attempt to reach a VM counts as failed

The wait for a connection ended by its clock, and the state read then was that from before a standstill of the process, as gRPC reads its sockets in threads that stood still as well. The attempt counted as timed out: the link stayed down, and further attempts followed later. The wait uses deadline.move_on_after now.

--- a/ramptray/peer/link.py
+++ b/ramptray/peer/link.py
@@ -491,8 +491,8 @@
         latest = state
         try:
             left_s = max(0.0, until - steadyclock.read())
-            await asyncio.wait([change], timeout=left_s)
-            # Read once more, as this process may have been late itself.
+            with deadline.move_on_after(left_s):
+                await asyncio.wait([change])
             latest = channel.get_state(try_to_connect=True)
         finally:
             # grpc frees a cancelled wait although its core still refers to it;
