Read confirmations before an origin counts as unconfirmed

A first event was held back by the clock alone until two VMs keep its origin. After the process stood still the timer ran before their confirmations were read, and the event went on as unconfirmed. The wait uses deadline.move_on_after now.

The new test failed before.

--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -15,7 +15,7 @@
 import anyio.abc
 import msgspec
 
-from ramptray import steadyclock
+from ramptray import deadline, steadyclock
 from ramptray.caller import metrics
 from ramptray.core import (
     membership,
@@ -222,7 +222,7 @@
         if self._is_only(origin, now):
             return True
         targets = self._send_to_keepers(key, own, now)
-        with anyio.move_on_after(CONFIRM_TIMEOUT_S):
+        with deadline.move_on_after(CONFIRM_TIMEOUT_S):
             while len(own.keepers) < min(
                 MIN_CONFIRMATIONS, targets
             ) or self._is_write_awaited(key):
--- a/test/test_caller_closes.py
+++ b/test/test_caller_closes.py
@@ -6,12 +6,8 @@
 import contextlib
 import logging
 import os
-import signal
 import socket
-import threading
-import time
 from collections.abc import AsyncIterator, Iterator
-from types import FrameType
 from unittest import mock
 
 import anyio
@@ -23,6 +19,7 @@
 from ramptray.platform import header
 from ramptray.relay import answer, message, refusal, server
 from ramptray.relay import socket_stream as streams
+from test import standstill
 
 pytestmark = pytest.mark.anyio
 
@@ -99,32 +96,12 @@
 
 @contextlib.contextmanager
 def stand_still(client: Client, sent: bytes) -> Iterator[None]:
-    """Has the event loop's thread stand still in its wait for the sockets.
-
-    As after SIGSTOP and SIGCONT, the wait then ends without events, and due
-    timers run before the sockets are read.
-
-    Args:
-        client: The caller's end of a connection.
-        sent: What the caller sends meanwhile.
-    """
+    """Has the server's process stand still while a caller sends bytes."""
     descriptor = client[1].get_extra_info("socket").fileno()
-    loop_thread = threading.get_ident()
-
-    def interrupt(number: int, frame: FrameType | None) -> None:
-        os.write(descriptor, sent)
-        time.sleep(STOPPED_S)
-
-    former = signal.signal(signal.SIGUSR1, interrupt)
-    timer = threading.Timer(
-        STOPS_AFTER_S, signal.pthread_kill, (loop_thread, signal.SIGUSR1)
-    )
-    timer.start()
-    try:
+    with standstill.stand_still(
+        STOPS_AFTER_S, STOPPED_S, lambda: os.write(descriptor, sent)
+    ):
         yield
-    finally:
-        timer.join()
-        signal.signal(signal.SIGUSR1, former)
 
 
 async def wait_for_end(relay: server.RelayServer) -> float:
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -4,12 +4,8 @@
 
 import asyncio
 import random
-import signal
 import socket
-import threading
-import time
 from collections.abc import Callable, Mapping
-from types import FrameType
 from typing import Any
 
 import anyio
@@ -21,7 +17,7 @@
 from ramptray.peer import link
 from ramptray.peer import message as peer_message
 from ramptray.scheduler import gossip, source
-from test import virtualtime
+from test import standstill, virtualtime
 
 
 class Peers(link.PeerClient):
@@ -116,23 +112,14 @@
         """See the base class."""
         here, there = socket.socketpair()
         here.setblocking(False)
-
-        def stand_still(number: int, frame: FrameType | None) -> None:
-            there.send(b"x")
-            time.sleep(STOPPED_S)
-
-        former = signal.signal(signal.SIGUSR1, stand_still)
-        # Interrupts the wait of the event loop, as SIGSTOP and SIGCONT do.
-        stopping = threading.Timer(
-            HOP_DELAY_S,
-            signal.pthread_kill,
-            (threading.get_ident(), signal.SIGUSR1),
-        )
-        with here, there:
-            stopping.start()
+        with (
+            here,
+            there,
+            standstill.stand_still(
+                HOP_DELAY_S, STOPPED_S, lambda: there.send(b"x")
+            ),
+        ):
             await asyncio.get_running_loop().sock_recv(here, 1)
-            stopping.join()
-        signal.signal(signal.SIGUSR1, former)
         return await super().ask(address, question, timeout_s)
 
 
--- a/test/test_origin_store.py
+++ b/test/test_origin_store.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import math
+import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -16,12 +18,17 @@
 from ramptray.entry import origin_search, origin_store
 from ramptray.peer import link
 from ramptray.peer import message as peer_message
+from test import standstill
 
 V1 = stream_origin.Origin("lm", "v1")
 V2 = stream_origin.Origin("lm", "v2")
 KEY = stream_origin.make_key("ola", "r1")
 UNKNOWN = stream_origin.Source.UNKNOWN
 
+STOPPED_S = 0.3
+"""How long a process stands still, in seconds: longer than an event is held
+back."""
+
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -49,6 +56,7 @@
         silent: VMs that no message reaches.
         refusing: VMs whose connections are refused.
         asked: Number of messages to each VM.
+        answers: Set once answers have been read; None for at once.
     """
 
     def __init__(self, count: int) -> None:
@@ -57,6 +65,7 @@
         self.silent: set[str] = set()
         self.refusing: set[str] = set()
         self.asked: list[str] = []
+        self.answers: anyio.Event | None = None
         self.stores = {
             member.address: origin_store.OriginStore(
                 member.address, self, self.history
@@ -67,6 +76,8 @@
     async def ask(self, address: str, request: Any, timeout_s: float) -> Any:
         self.asked.append(address)
         await anyio.lowlevel.checkpoint()
+        if self.answers is not None:
+            await self.answers.wait()
         if address in self.silent:
             await anyio.sleep(timeout_s)
             raise link.LinkError("no answer")
@@ -139,6 +150,23 @@
             assert expected_s <= took_s < expected_s + 0.08
 
 
+@pytest.mark.anyio
+async def test_confirmations_that_came_during_a_standstill_count() -> None:
+    # The timer ran before they were read, and the event went on unconfirmed.
+    async with run_network(4) as network:
+        here, there = socket.socketpair()
+        network.answers = anyio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_reader(here, network.answers.set)
+        with (
+            here,
+            there,
+            standstill.stand_still(0.02, STOPPED_S, lambda: there.send(b"x")),
+        ):
+            assert await network.stores["vm-0"].record(KEY, V1, 10.0)
+            loop.remove_reader(here)
+
+
 @pytest.mark.anyio
 async def test_stream_that_only_a_vm_cut_off_knows_is_unknown() -> None:
     async with run_network(4) as network:
