Do not keep failures of servers whose runs have no number

Cause: a server that names no start time may have restarted while it was not listed.

Change: its failures are dropped with its record, as before; its limit, pauses and last request still count.

--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -205,8 +205,13 @@
         self._rtt = rtt or rtts.RttEstimator(0.0, MAX_RTT_S)
 
     def inherit(self, former: Backend) -> None:
-        """Inherits what an earlier view of the same run shows of the server."""
-        self.availability = former.availability
+        """Inherits what an earlier view of the same run shows of the server.
+
+        Without a number, a run may be a later one: failures do not count then,
+        since they could keep requests away from a server that has recovered.
+        """
+        if self.info.run:
+            self.availability = former.availability
         self.growth = former.growth
         self.pauses = former.pauses
         self._pacer = former._pacer
--- a/test/test_returning_requests.py
+++ b/test/test_returning_requests.py
@@ -33,9 +33,10 @@
 from test.test_returning_service import OTHER, make_config
 
 SERVER = "i-0"
+RUN = 1
 KEY = message.ShardKey(scheduling_zone.SINGLE_ZONE, node.SERVICE)
 REPLICA = peer_message.Replica(
-    node.SERVICE, "127.0.0.1:9", "waw-a", node.SLOTS, False, run=1
+    node.SERVICE, "127.0.0.1:9", "waw-a", node.SLOTS, False, run=RUN
 )
 LISTED = (node.SERVICE, REPLICA)
 ABSENCES = {"service": (OTHER, REPLICA), "record": (node.SERVICE, None)}
@@ -136,7 +137,7 @@
 
 
 def announce(owner: Any, now: float) -> None:
-    announce_limit(owner, 2.0, now=now)
+    announce_limit(owner, 2.0, now=now, run=RUN)
 
 
 def refuse_connections(owner: Any, now: float) -> None:
@@ -149,7 +150,7 @@
 def test_a_server_that_returns_at_once_gets_no_request_sooner(
     restrict: Callable[[Any, float], None],
 ) -> None:
-    owner = make_owner()
+    owner = make_owner(run=RUN)
     (known,) = owner.fleet.list_all()
     first = make_request().request
     assert list_grants(owner.receive("entry", message.Enqueue(first), 0.0))
@@ -163,6 +164,16 @@
     assert list_grants(owner.tick(9.0))
 
 
+def test_failures_of_an_unnumbered_run_do_not_outlast_its_record() -> None:
+    # The server may have restarted, and no other one may be there.
+    owner = make_owner()
+    (known,) = owner.fleet.list_all()
+    refuse_connections(owner, 0.1)
+    owner.remove_backends()
+    owner.fleet.configure([known.info], "")
+    assert list_grants(owner.receive("entry", make_request(), 0.2))
+
+
 @pytest.mark.parametrize("absence", ABSENCES)
 def test_a_restart_of_an_unlisted_server_is_noticed(absence: str) -> None:
     # Requests of the lost run waited until the keepalive had failed.
