--- a/ramptray/core/backend.py
+++ b/ramptray/core/backend.py
@@ -207,9 +207,11 @@
     def inherit(self, former: Backend) -> None:
         """Inherits what an earlier view of the same run shows of the server.
 
+        Without a number, a run may be a later one: failures do not count then,
+        since they could keep requests away from a server that has recovered.
         Connections that its former address refused show nothing of a new one.
         """
-        if former.info.url == self.info.url:
+        if self.info.run and former.info.url == self.info.url:
             self.availability = former.availability
         self.growth = former.growth
         self.pauses = former.pauses
