Write origins again once the store may have lost them

A store that came back from an older copy lacked the origins written since, and VMs took their own mark that an origin had been written for the store's memory: they never wrote it again. If all VMs were lost then, the streams were refused though servers of their release were there. Whenever the history of releases begins anew, which all VMs notice, also those that do not read the store, they write the origins of their streams again, in the usual batches.

--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -204,6 +204,14 @@
         """Sends what was not sent so far if further releases are listed."""
         self._resend(steadyclock.read())
 
+    def save_all(self) -> None:
+        """Has the store keep all origins again, as it may have lost some."""
+        now = steadyclock.read()
+        for key, own in self._own.items():
+            if own.is_backed_up:
+                own.is_backed_up = False
+                self._back_up(key, own, now)
+
     async def record(
         self, key: bytes, origin: stream_origin.Origin, retention_s: float
     ) -> bool:
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -212,7 +212,7 @@
             ),
         )
         self._handler.releases = self._release_sync
-        self._follower.on_gap = self._release_sync.begin
+        self._follower.on_gap = self._handle_gap
         self._tunnel_server = tunnel_server.TunnelServer(
             self._dispatcher.backends,
             self._dispatcher.server_hints,
@@ -451,6 +451,12 @@
             in_force.generation, steadyclock.read()
         )
 
+    def _handle_gap(self, since: float, position: int) -> None:
+        self._release_sync.begin(since, position)
+        # A store that came back from an older copy may have lost them, which
+        # VMs that do not read it themselves see by the gap only.
+        self._origins.save_all()
+
     def _save_verdicts(self) -> None:
         in_force = self._follower.in_force
         if in_force is not None:
--- a/test/test_forgotten_releases.py
+++ b/test/test_forgotten_releases.py
@@ -71,6 +71,9 @@
     is_named: bool = True
 
 
+RESTORED_S = 3.0
+"""Time within which VMs see that the store has lost records, in seconds."""
+
 LOSSES = {
     "v1_left_before": Loss(),
     "v1_leaves_meanwhile": Loss(leaves_before=False),
@@ -120,6 +123,29 @@
         assert resuming.count_whole(streams) == len(streams)
 
 
+def test_streams_go_on_after_the_store_and_then_all_vms_were_lost() -> None:
+    # The store came back without their origins, which no VM wrote again.
+    with resuming.run_releases() as started:
+        config = node.make_config(2)
+        started.set_config(config)
+        started.wait_for_config("vm-0", 2)
+        streams = resuming.run_together(
+            lambda vm=vm: resuming.Stream(  # type: ignore[misc]
+                [resuming.attempt_stream(started, vm, until=2)]
+            )
+            for vm in itertools.islice(itertools.cycle(started.vms), 12)
+        )
+        started.lose_records(1)
+        started.set_config({**config, "version": 3})
+        for name in started.replicas:
+            started.write_record(name)
+        time.sleep(RESTORED_S)
+        lose_vms(started)
+        resume_all(started, streams, time.monotonic() + 8.0, True)
+        assert resuming.list_mixed(streams) == []
+        assert resuming.count_whole(streams) == len(streams)
+
+
 @contextlib.contextmanager
 def run_first_release(loss: Loss) -> Iterator[node.Platform]:
     """Runs VMs with v1 alone; the replicas of v2 run, but are not listed."""
--- a/test/test_origin_backup.py
+++ b/test/test_origin_backup.py
@@ -167,6 +167,19 @@
         assert len(log.batches) == 2
 
 
+@pytest.mark.anyio
+async def test_origins_that_the_store_has_lost_are_written_again() -> None:
+    # A store that came back from an older copy lacked them for good.
+    log = FakeLog()
+    async with run_store(log) as kept:
+        await measure_hold(kept, "1")
+        (written,) = log.batches
+        log.batches.clear()
+        kept.save_all()
+        await wait_for_batches(log, 1)
+    assert [record.key for record in log.batches[0]] == [written[0].key]
+
+
 @pytest.mark.anyio
 async def test_first_events_do_not_wait_for_a_store_that_is_late() -> None:
     log = FakeLog()
