Keep the hints of a server's current run when an older response is read

A response of an earlier run that was read late replaced or erased what the server had said since it restarted: its limit, pause or that it is leaving. The entry then sent it requests that it had asked not to get. Hints of a run before the one known are dropped now.

The new test failed before. Run: test_server_hints, test_rate_limit, test_server_pause, test_restarted_replica; formatter, linter, mypy.

--- a/ramptray/entry/server_hints.py
+++ b/ramptray/entry/server_hints.py
@@ -142,7 +142,13 @@
         return sum(hints.paused_until > now for hints in self._hints.values())
 
     def observe(self, received: HeadReceived, now: float) -> None:
-        """Applies the hints of a response and sends changes to schedulers."""
+        """Applies the hints of a response and sends changes to schedulers.
+
+        Those of a run before the one that is known are outdated.
+        """
+        known = self._hints.get(received.backend)
+        if known is not None and 0 < received.run < known.run:
+            return
         hints = self._get(received.backend, received.run)
         hints.last_listed_at = now
         changed = [
--- a/test/test_server_hints.py
+++ b/test/test_server_hints.py
@@ -73,6 +73,18 @@
     )
 
 
+def test_response_of_an_earlier_run_does_not_revoke_later_hints() -> None:
+    # One that was read late erased what the server had said since it restarted.
+    book = RecordingHintBook()
+    book.observe(msgspec.structs.replace(LEAVING, run=2), 1.0)
+    book.sent.clear()
+    late = server_hints.HeadReceived("r1", "s0", 1, limit_per_s=5.0, owner=OURS)
+    book.observe(late, 2.0)
+    reason = book.find_unusable_reason("s0", 2, 2.0)
+    assert reason is server_hints.UnusableReason.LEAVING
+    assert book.sent == []
+
+
 def test_later_run_of_a_leaving_server_gets_requests() -> None:
     book = RecordingHintBook()
     book.observe(LEAVING, 1.0)
