Tell other regions all origins of an ambiguous id

A VM that another region asks for a stream searched its own region, but where the id had begun streams at several releases it answered with the one origin that it keeps itself. The other region took that for certain and went on at a release that may not be the stream's own.

The answer now holds all origins that the search found.

--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -252,8 +252,26 @@
 
     async def find(self, key: bytes) -> Finding:
         """Returns what this VM and others know of how a stream began."""
-        now = steadyclock.read()
-        kept = self._table.find(key, now)
+        is_kept = bool(self._table.find(key, steadyclock.read()))
+        origins, is_complete = await self._search(key)
+        if len(origins) > 1:
+            return Finding(
+                stream_origin.Source.AMBIGUOUS, is_complete=is_complete
+            )
+        if not origins:
+            return Finding(
+                stream_origin.Source.UNKNOWN, is_complete=is_complete
+            )
+        source = stream_origin.Source.PEER
+        if is_kept:
+            source = stream_origin.Source.KEPT
+        return Finding(source, origins[0])
+
+    async def _search(
+        self, key: bytes
+    ) -> tuple[tuple[stream_origin.Origin, ...], bool]:
+        """Returns a stream's origins, and whether all VMs have answered."""
+        kept = self._table.find(key, steadyclock.read())
         addresses = [
             member.address
             for member in stream_origin.rank_keepers(key, self._keepers)
@@ -263,15 +281,7 @@
             addresses[: stream_origin.ASKED_COPIES], key, bool(kept)
         )
         origins = stream_origin.join_answers([kept, *search.found])
-        source = stream_origin.Source.UNKNOWN
-        if len(origins) > 1:
-            source = stream_origin.Source.AMBIGUOUS
-        elif origins:
-            source = stream_origin.Source.PEER
-            if kept:
-                source = stream_origin.Source.KEPT
-            return Finding(source, origins[0])
-        return Finding(source, is_complete=search.is_complete)
+        return origins, search.is_complete
 
     def keep(
         self, request: peer_message.KeepOrigins
@@ -296,9 +306,8 @@
     ) -> peer_message.FoundOrigin:
         """Returns what this VM, or its zone, knows of a stream."""
         if request.asks_zone:
-            finding = await self.find(request.key)
-            if finding.origin is not None:
-                return peer_message.FoundOrigin((finding.origin,))
+            origins, _ = await self._search(request.key)
+            return peer_message.FoundOrigin(origins)
         return peer_message.FoundOrigin(
             self._table.find(request.key, steadyclock.read())
         )
--- a/test/test_resumption.py
+++ b/test/test_resumption.py
@@ -27,6 +27,7 @@
 from ramptray.entry import origin_store
 from ramptray.log import error as log_error
 from ramptray.log import shared_read
+from ramptray.peer import message as peer_message
 from ramptray.platform import config, follower, replicas, store
 from ramptray.relay import (
     answer,
@@ -40,6 +41,7 @@
     node,
     test_hedge_exchange,
     test_hedging,
+    test_origin_store,
     test_release_binding,
     test_shard,
     test_tunnel,
@@ -653,3 +655,19 @@
         moved = msgspec.structs.replace(gateway.target, address="127.0.0.1:1")
         with pytest.raises(connection.NotSentError, match="unknown_server"):
             await gateway.opener.open(moved)
+
+
+@pytest.mark.anyio
+async def test_other_regions_are_told_all_origins_of_an_ambiguous_id() -> None:
+    # They were told the one that the asked VM keeps, and went on there.
+    key = stream_origin.make_key("ola", "r1")
+    other = stream_origin.Origin("lm", "v2")
+    async with test_origin_store.run_network() as network:
+        for address, store in network.stores.items():
+            origin = V1 if address == "vm-0" else other
+            record = stream_origin.OriginRecord(key, (origin,), 10.0)
+            store._table.merge(record, steadyclock.read())
+        await anyio.wait_all_tasks_blocked()
+        question = peer_message.FindOrigin(key, asks_zone=True)
+        answered = await network.stores["vm-0"].answer(question)
+    assert set(answered.origins) == {V1, other}
