--- a/ramptray/deadline.py
+++ b/ramptray/deadline.py
@@ -15,6 +15,8 @@
 import anyio
 import anyio.lowlevel
 
+from ramptray import steadyclock
+
 LOOK_TURNS = 16
 """Turns of the event loop between the timer and the end of the wait.  Each one
 reads the sockets.  A response of 256 KB takes four reads, of three turns
@@ -63,7 +65,7 @@
         self._turns_left = LOOK_TURNS
         self._handle: asyncio.Handle | None = None
         if timeout_s is not None:
-            self._due_at = self._loop.time() + timeout_s
+            self._due_at = steadyclock.read_loop() + timeout_s
             self._start()
 
     @property
@@ -73,7 +75,7 @@
 
     def extend(self, timeout_s: float) -> None:
         """Lets the block go on for at least some further seconds."""
-        extended_to = self._loop.time() + timeout_s
+        extended_to = steadyclock.read_loop() + timeout_s
         self._due_at = max(self._due_at, extended_to)
 
     def stop(self) -> None:
@@ -83,7 +85,7 @@
 
     def _start(self) -> None:
         self._turns_left = LOOK_TURNS
-        left_s = self._due_at - self._loop.time()
+        left_s = self._due_at - steadyclock.read_loop()
         self._handle = self._loop.call_later(max(0.0, left_s), self._on_due)
 
     def _on_due(self) -> None:
@@ -93,7 +95,7 @@
             self._look()
 
     def _look(self) -> None:
-        if self._due_at > self._loop.time():
+        if self._due_at > steadyclock.read_loop():
             self._start()
         elif not self._turns_left:
             self._scope.cancel()
@@ -103,7 +105,7 @@
 
 
 def _is_late(due_at: float) -> bool:
-    return asyncio.get_running_loop().time() - due_at >= MIN_LATE_S
+    return steadyclock.read_loop() - due_at >= MIN_LATE_S
 
 
 @contextlib.contextmanager
--- a/ramptray/scheduler/distributor.py
+++ b/ramptray/scheduler/distributor.py
@@ -157,7 +157,7 @@
                 now = steadyclock.read()
                 self._update_watching(now)
                 due_s = self._get_next_check_at() - now
-                due_at = anyio.current_time() + max(
+                due_at = steadyclock.read_loop() + max(
                     propagation.CHECK_INTERVAL_S,
                     min(due_s, MAX_CHECK_INTERVAL_S),
                 )
--- a/ramptray/scheduler/hub.py
+++ b/ramptray/scheduler/hub.py
@@ -215,7 +215,7 @@
                 self._has_work = anyio.Event()
                 with anyio.move_on_after(IDLE_TICK_INTERVAL_S):
                     await self._has_work.wait()
-            due_at = anyio.current_time() + TICK_INTERVAL_S
+            due_at = steadyclock.read_loop() + TICK_INTERVAL_S
             await anyio.sleep(TICK_INTERVAL_S)
             self._confirm_waiting(steadyclock.read())
             # The tick refuses requests whose wait is over.  Messages that free
--- a/ramptray/steadyclock.py
+++ b/ramptray/steadyclock.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 _CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
@@ -23,6 +24,11 @@
     return time.clock_gettime(time.CLOCK_MONOTONIC)
 
 
+def read_loop() -> float:
+    """Returns the time of the running event loop, which its timers follow."""
+    return asyncio.get_running_loop().time()
+
+
 def read_cpu() -> float:
     """Returns the processor time of this process, in seconds."""
     return time.clock_gettime(time.CLOCK_PROCESS_CPUTIME_ID)
