Count the interval of shared reads from the last read alone

Callers that resumed a stream waited for up to the duration of a read longer than needed, as the pause before the next one was counted from when they had asked, before they had waited for the last one.

Change: the pause ends an interval after the start of the last read.

Run: test_shared_read (the new case failed before: 62.5 ms, not 50).

--- a/ramptray/log/shared_read.py
+++ b/ramptray/log/shared_read.py
@@ -38,10 +38,10 @@
         asked_at = steadyclock.read()
         async with self._lock:
             if self._began_at < asked_at:
-                due_s = self._tried_at + self._min_interval_s - asked_at
-                await anyio.sleep(max(0.0, due_s))
+                due_at = self._tried_at + self._min_interval_s
+                await anyio.sleep(max(0.0, due_at - steadyclock.read()))
                 began_at = self._tried_at = steadyclock.read()
                 self._has_answered = await self._read()
-                # Not if this caller left meanwhile.
+                # A read that was cancelled with its caller answers nobody.
                 self._began_at = began_at
             return self._has_answered
--- a/test/test_shared_read.py
+++ b/test/test_shared_read.py
@@ -10,7 +10,9 @@
 import anyio
 import pytest
 
+from ramptray import steadyclock
 from ramptray.log import shared_read
+from test import virtualtime
 
 INTERVAL_S = 0.05
 
@@ -62,3 +64,27 @@
         leaving.cancel()
     assert found == [False]
     assert store.reads == 3
+
+
+def test_the_interval_counts_from_the_start_of_the_last_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Callers that had waited for the last read waited for that time once more.
+    monkeypatch.setattr(steadyclock, "read", virtualtime.read)
+    started_at: list[float] = []
+
+    async def read() -> bool:
+        started_at.append(steadyclock.read())
+        await anyio.sleep(INTERVAL_S / 2)
+        return True
+
+    async def ask_twice() -> None:
+        shared = shared_read.SharedRead(read, INTERVAL_S)
+        async with anyio.create_task_group() as asking:
+            asking.start_soon(shared.get_answer)
+            await anyio.sleep(INTERVAL_S / 4)
+            asking.start_soon(shared.get_answer)
+
+    virtualtime.run(ask_twice)
+    first_at, second_at = started_at
+    assert second_at - first_at == pytest.approx(INTERVAL_S)
