--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -347,7 +347,7 @@
                 steadyclock.read() + self._state.limits.header_s
             )
         except TimeoutError as error:
-            raise self._make_late_error("head took too long") from error
+            raise self._make_incomplete_error("head took too long") from error
 
     async def _wait_for_request(self) -> bool:
         """Returns whether the first bytes of a request have arrived."""
@@ -407,10 +407,10 @@
                     raise _BadRequestError(invalid)
                 parts.append(data)
         except TimeoutError as error:
-            raise self._make_late_error("body took too long") from error
+            raise self._make_incomplete_error("body took too long") from error
         return b"".join(parts)
 
-    def _make_late_error(self, text: str) -> Exception:
+    def _make_incomplete_error(self, text: str) -> Exception:
         """Returns the error of a request that is incomplete when time is up."""
         if self._state.ending:
             return _StoppedError()
