Measure what tunnels leave in memory in a process of its own

Cause: resident memory also grows until buffers and the allocator have settled, by 14, 12, 4, 2, 0 and 2 MB for 100 requests each in a fresh process. The error kept the gateway, and with it gRPC's queue, which fails each later test of the file.

Change: a process of its own, and the least growth over up to twelve times 100 requests, or closed tunnels. The bound is 2.5 instead of 8 and 4 MB.

--- a/test/test_tunnel.py
+++ b/test/test_tunnel.py
@@ -5,11 +5,14 @@
 import asyncio
 import contextlib
 import gc
+import math
 import os
 import socket
 import struct
+import subprocess
+import sys
 import weakref
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, cast
 
 import anyio
@@ -37,6 +40,13 @@
 RESET = struct.pack("ii", 1, 0)
 PART = 64 * 1024
 
+MAX_GROWTH_MB = 2.5
+"""Growth of memory that counts as none while something is done 100 times: half
+of what gRPC kept then if it kept 50 KB each time."""
+
+MAX_BATCHES = 12
+"""How often something is done 100 times until memory no longer grows."""
+
 MAX_WAITING_BYTES = 256 * 1024
 """Bytes that may wait in one tunnel."""
 
@@ -284,41 +294,32 @@
             stream.close()
 
 
-async def test_closed_tunnels_give_their_memory_back_at_once() -> None:
-    # A reference cycle kept what had arrived, and gRPC what arrived for a read
-    # that was cancelled: 100 KB for each tunnel, for good.
-    async with run_gateway() as gateway, anyio.create_task_group() as tasks:
-        closed = []
-        gc.collect()
-        gc.disable()
-        try:
-            for number in range(120):
-                if number == 20:
-                    before_mb = measure_memory_mb()
-                stream, served = await gateway.open()
-                tasks.start_soon(flood, served)
-                await stream.receive(5.0)
-                closed.append(weakref.ref(stream))
-                stream.close()
-                del stream
-                await anyio.sleep(0.02)
-            await anyio.sleep(0.2)
-            assert [each for each in closed if each() is not None] == []
-            assert measure_memory_mb() - before_mb < 4.0
-        finally:
-            gc.enable()
+async def close_tunnels(gateway: Gateway, count: int) -> list[Any]:
+    """Opens tunnels and closes each one while its server goes on sending.
+
+    Returns:
+        Weak references to them.
+    """
+    closed = []
+    async with anyio.create_task_group() as tasks:
+        for _ in range(count):
+            stream, served = await gateway.open()
+            tasks.start_soon(flood, served)
+            await stream.receive(5.0)
+            closed.append(weakref.ref(stream))
+            stream.close()
+            del stream
+            await anyio.sleep(0.02)
+        await anyio.sleep(0.2)
+        tasks.cancel_scope.cancel()
+    return closed
 
 
-async def test_requests_that_servers_cut_off_leave_nothing_at_the_gateway() -> (
-    None
-):
-    # gRPC kept the part of the request that arrived for a cancelled read: 50 KB
-    # for each request, for good.
-    async with run_gateway() as gateway, anyio.create_task_group() as tasks:
-        body = bytes(4_000_000)
-        for number in range(120):
-            if number == 20:
-                before_mb = measure_memory_mb()
+async def cut_off_requests(gateway: Gateway, count: int) -> None:
+    """Sends large requests and resets each one's connection to the server."""
+    body = bytes(4_000_000)
+    async with anyio.create_task_group() as tasks:
+        for _ in range(count):
             stream, served = await gateway.open()
             tasks.start_soon(send_all, stream, body)
             await anyio.sleep(0.01)
@@ -327,8 +328,70 @@
             await anyio.sleep(0.02)
             stream.close()
             await anyio.sleep(0.02)
-        assert measure_memory_mb() - before_mb < 8.0
-        assert not gateway.tunnels._reading
+
+
+async def measure_growth_mb(act: Callable[[Gateway, int], Any]) -> float:
+    """Returns by how much memory grows while something is done 100 times.
+
+    Buffers and the allocator settle first, which takes some hundred times.
+    What is kept for good makes it grow each time, so the least growth counts.
+    """
+    least_mb = math.inf
+    async with run_gateway() as gateway:
+        for _ in range(MAX_BATCHES):
+            before_mb = measure_memory_mb()
+            await act(gateway, 100)
+            gc.collect()
+            least_mb = min(least_mb, measure_memory_mb() - before_mb)
+            if least_mb < MAX_GROWTH_MB:
+                break
+    return least_mb
+
+
+def measure_alone_mb(act: str) -> float:
+    """Returns the same of a process of its own; others have more to free."""
+    code = (
+        "import anyio; from test import test_tunnel as t;"
+        f"print(anyio.run(t.measure_growth_mb, t.{act}))"
+    )
+    printed = subprocess.run(
+        [sys.executable, "-c", code], check=True, stdout=subprocess.PIPE
+    )
+    return float(printed.stdout)
+
+
+async def test_closed_tunnels_are_freed_at_once() -> None:
+    # A reference cycle kept what had arrived.
+    gc.collect()
+    gc.disable()
+    try:
+        async with run_gateway() as gateway:
+            closed = await close_tunnels(gateway, 20)
+            assert [each for each in closed if each() is not None] == []
+    finally:
+        gc.enable()
+
+
+def test_closed_tunnels_give_their_memory_back() -> None:
+    # gRPC kept what arrived for a read that was cancelled: 100 KB for each
+    # tunnel, for good.
+    assert measure_alone_mb("close_tunnels") < MAX_GROWTH_MB
+
+
+def test_requests_that_servers_cut_off_leave_nothing_at_the_gateway() -> None:
+    # gRPC kept the part of the request that arrived for a cancelled read: 50 KB
+    # for each request, for good.
+    assert measure_alone_mb("cut_off_requests") < MAX_GROWTH_MB
+
+
+async def test_a_gateway_ends_its_reads_of_requests_that_servers_cut_off() -> (
+    None
+):
+    async with run_gateway() as gateway:
+        await cut_off_requests(gateway, 5)
+        with anyio.fail_after(5):
+            while gateway.tunnels._reading:
+                await anyio.sleep(0.01)
 
 
 @pytest.mark.parametrize("with_window", [True, False])
