Ask once whether a roll-out awaits its verdict, and share a test's hub

The release gate looked for servers of other releases once for each candidate, though only the ordered release can await a verdict; it asks once for each selection. Two test files made the same hub; test_cold_start makes it for both. Behaviour is unchanged.

--- a/ramptray/core/release.py
+++ b/ramptray/core/release.py
@@ -70,11 +70,14 @@
         if self.rollout is None:
             return candidates
         part = self._limits.part / self.zones
+        # Only the ordered release can await one.
+        ordered = self.rollout.order.release
+        held_back = ordered if self._awaits_verdict(ordered) else None
         return [
             candidate
             for candidate in candidates
             if self.rollout.may_receive(candidate.info.release, part)
-            and not self._awaits_verdict(candidate.info.release)
+            and candidate.info.release != held_back
         ]
 
     def may_continue(self, release: str) -> bool:
--- a/test/test_cold_start.py
+++ b/test/test_cold_start.py
@@ -186,10 +186,9 @@
     return acceptance.InForce(bundle, signature.Envelope(text, {}))
 
 
-def test_an_owner_without_a_configuration_refuses_nothing() -> None:
-    # Others may choose a VM as their owner before it has read the
-    # configuration; it refused their requests as "not_ready".
-    owner = hub.Hub(
+def make_hub() -> hub.Hub:
+    """Returns the hub of a VM that has no configuration and no peers."""
+    return hub.Hub(
         "a:1",
         scheduling_zone.SINGLE_ZONE,
         hub.Options(report_grace_s=0.0, sends_bundle=False),
@@ -197,6 +196,12 @@
         None,
         timeline.Timeline("node", "z", clock.HybridClock(lambda: 0)),
     )
+
+
+def test_an_owner_without_a_configuration_refuses_nothing() -> None:
+    # Others may choose a VM as their owner before it has read the
+    # configuration; it refused their requests as "not_ready".
+    owner = make_hub()
     session = link.Session()
     shard = message.ShardKey(scheduling_zone.SINGLE_ZONE, node.SERVICE)
     names = ["kept", "withdrawn"]
--- a/test/test_returning_requests.py
+++ b/test/test_returning_requests.py
@@ -14,16 +14,14 @@
 import msgspec
 import pytest
 
-from ramptray import timeline
 from ramptray.bundle import acceptance, signature
-from ramptray.core import clock, fleet, message
+from ramptray.core import fleet, message
 from ramptray.entry import backend_directory
 from ramptray.peer import link
 from ramptray.peer import message as peer_message
 from ramptray.platform import config, follower, scheduling_zone
-from ramptray.scheduler import event, hub
-from test import node
-from test.test_gossip import make_gossiper
+from ramptray.scheduler import event
+from test import node, test_cold_start
 from test.test_rate_limit import (
     announce_limit,
     list_grants,
@@ -60,14 +58,7 @@
     """A hub with an attached entry."""
 
     def __init__(self) -> None:
-        self._hub = hub.Hub(
-            "a:1",
-            scheduling_zone.SINGLE_ZONE,
-            hub.Options(report_grace_s=0.0, sends_bundle=False),
-            make_gossiper([]),
-            None,
-            timeline.Timeline("node", "z", clock.HybridClock(lambda: 0)),
-        )
+        self._hub = test_cold_start.make_hub()
         self.attach()
 
     def attach(self) -> None:
