Tell what a starting VM has read and passed over, and which task failed

Cause: a VM that serves nothing after its start, or ends, did not tell which records it had read and which of them it did not use, nor which of its tasks failed. A topic whose records are passed over looked like an empty one. Change: the lines 'first bundle in force' and 'no bundle in force yet' count records read and passed over by topic, as do two metrics; start_waits_for says whether the configuration or the servers are missing; 'record passed over' names topic, key and reason; a task that ends the process logs its name. No behaviour is changed.

--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -13,7 +13,7 @@
 import anyio
 import anyio.abc
 
-from ramptray import process, runtime, steadyclock
+from ramptray import process, runtime, steadyclock, supervision
 from ramptray.bundle import acceptance
 from ramptray.caller import metrics
 from ramptray.core import blocklist, membership, propagation, retry
@@ -36,7 +36,7 @@
 from ramptray.peer import message as peer_message
 from ramptray.peer import server as peer_server
 from ramptray.platform import blocks as platform_blocks
-from ramptray.platform import follower, header, release_records, store
+from ramptray.platform import follower, header, release_records, store, topic
 from ramptray.platform import origins as platform_origins
 from ramptray.platform import rollout as platform_rollout
 from ramptray.platform import settings as vm_settings
@@ -114,6 +114,7 @@
             "node", vm.vm, vm.zone, settings.log_events, settings.ring_events
         )
         self._store = store.Store(vm.store)
+        self._supervisor = supervision.Supervisor()
         self._metrics = metrics.Metrics()
         self._dialect = header.PlatformDialect()
         self._relay_client = relay_client.RelayClient(
@@ -207,9 +208,7 @@
             self._dispatcher.backends.releases,
             lambda: self._follower.replica_position,
             self._follower.list_releases,
-            release_records.TopicReleaseLog(
-                self._store, follower.REPLICA_TOPIC
-            ),
+            release_records.TopicReleaseLog(self._store, topic.REPLICA_TOPIC),
         )
         self._handler.releases = self._release_sync
         self._follower.on_gap = self._handle_gap
@@ -242,24 +241,30 @@
         except peer_link.LinkError as error:
             raise process.ProcessError(str(error)) from error
         async with anyio.create_task_group() as tasks:
-            for task in (
-                self._hub.run,
-                self._dispatcher.run,
-                self._gossiper.run,
-                self._follower.run,
-                self._relay_client.run,
-                self._prober.run,
-                self._block_sync.run,
-                self._origins.run,
-                self._release_sync.run,
-                self._verdict_writer.run,
-                self._loop_monitor.run,
-                suspension.SuspensionDetector(self._handle_suspension).run,
-                settings_watcher.SettingsWatcher(
-                    vm_settings.get_path(), self._apply_settings
-                ).run,
+            for name, task in (
+                ("scheduler", self._hub.run),
+                ("dispatcher", self._dispatcher.run),
+                ("gossip", self._gossiper.run),
+                ("follower", self._follower.run),
+                ("backend connections", self._relay_client.run),
+                ("prober", self._prober.run),
+                ("blocks", self._block_sync.run),
+                ("origins", self._origins.run),
+                ("releases", self._release_sync.run),
+                ("verdicts", self._verdict_writer.run),
+                ("loop monitor", self._loop_monitor.run),
+                (
+                    "suspension",
+                    suspension.SuspensionDetector(self._handle_suspension).run,
+                ),
+                (
+                    "settings",
+                    settings_watcher.SettingsWatcher(
+                        vm_settings.get_path(), self._apply_settings
+                    ).run,
+                ),
             ):
-                tasks.start_soon(task)
+                tasks.start_soon(self._supervisor.run, name, task)
 
             def probe_member(address: str) -> None:
                 tasks.start_soon(self._gossiper.probe_now, address)
--- a/ramptray/platform/blocks.py
+++ b/ramptray/platform/blocks.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-import logging
-
 import msgspec
 
 from ramptray.log import blocklog
 from ramptray.platform import store
 
-LOG = logging.getLogger(__name__)
-
 TOPIC = "keyed.blocks"
 
 
@@ -51,12 +47,10 @@
                 value = msgspec.json.decode(
                     record.value or b"", type=_BlockRecord
                 )
-            except msgspec.MsgspecError:
+            except msgspec.MsgspecError as error:
                 # The other blocks stay usable.  Without this one, a few more
                 # servers may crash before the content is blocked again.
-                LOG.warning(
-                    "invalid block record skipped", extra={"key": record.key}
-                )
+                self._store.intake.pass_over(TOPIC, record.key, str(error))
                 continue
             blocks.append(
                 blocklog.StoredBlock(
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -32,9 +32,7 @@
 
 LOG = logging.getLogger(__name__)
 
-CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
-REPLICA_TOPIC = "keyed.servers"
 
 FETCH_TIMEOUT_S = 1.0
 """Timeout for fetching updates from a peer, in seconds.
@@ -115,6 +113,7 @@
         on_bundle: OnBundle,
     ) -> None:
         super().__init__(client, FETCH_TIMEOUT_S)
+        self._store = store_client
         self.pick_peer: Callable[[], str | None] = _pick_no_peer
         self.on_gap: Callable[[float, int], None] = _ignore_gap
         self._confirmation = shared_read.SharedRead(
@@ -130,7 +129,9 @@
         self._retention_changed = anyio.Event()
         self._regions = zones
         self._evacuations = evacuation.EvacuationRegistry()
-        self._rollouts = rollout.RolloutOrderRegistry(rollout_terms)
+        self._rollouts = rollout.RolloutOrderRegistry(
+            rollout_terms, store_client.intake
+        )
         self._on_bundle = on_bundle
         self._declared: model.Bundle | None = None
         self._text = ""
@@ -139,13 +140,13 @@
         self._warned_after_s = 0.0
         self._config_reader = topic.TopicReader(
             store_client,
-            CONFIG_TOPIC,
+            topic.CONFIG_TOPIC,
             self._apply_config_changes,
             self._record_store_error,
         )
         self._replica_reader = topic.TopicReader(
             store_client,
-            REPLICA_TOPIC,
+            topic.REPLICA_TOPIC,
             self._apply_replica_changes,
             self._record_store_error,
         )
@@ -300,6 +301,14 @@
             for reader in self._readers
             for gauge in reader.list_gauges(now)
         ]
+        gauges.extend(self._store.intake.list_gauges())
+        gauges.extend(
+            metrics.Gauge("start_waits_for", {"what": what}, float(waits))
+            for what, waits in (
+                ("configuration", self._declared is None),
+                ("servers", not self._knows_replicas),
+            )
+        )
         count = self._replica_registry.unusable_count
         gauges.append(metrics.Gauge("records_unusable", {}, count))
         if self._declared:
@@ -348,6 +357,9 @@
                 "configuration passed over",
                 extra={"origin": origin, "detail": str(error)},
             )
+            self._store.intake.pass_over(
+                topic.CONFIG_TOPIC, CONFIG_KEY, str(error)
+            )
             return
         if self._declared and bundle.generation <= self._declared.generation:
             return
@@ -495,6 +507,7 @@
                 "waited_s": round(waited_s, 2),
                 "has_configuration": self._declared is not None,
                 "knows_replicas": self._knows_replicas,
+                "records": self._store.intake.describe(),
                 "streams": {
                     reader.stream: {
                         "in_outage": reader.in_outage,
@@ -527,6 +540,7 @@
                     "generation": bundle.generation,
                     "after_s": round(steadyclock.read() - self._started_at, 3),
                     "servers": len(bundle.backend_servers),
+                    "records": self._store.intake.describe(),
                     "origins": {
                         reader.stream: reader.origin for reader in self._readers
                     },
--- a/ramptray/platform/origins.py
+++ b/ramptray/platform/origins.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from collections.abc import Callable, Iterator, Sequence
 
@@ -12,8 +11,6 @@
 from ramptray.log import keyedstream, originlog
 from ramptray.platform import store, stream_position
 
-LOG = logging.getLogger(__name__)
-
 TOPIC = "keyed.origins"
 CALL_TIMEOUT_S = 0.4
 """Timeout of one read, in seconds: a caller waits for it."""
@@ -82,12 +79,21 @@
         for _ in range(MAX_PAGES):
             changes = await self._read_retained(position)
             for change in changes.records:
-                found.extend(_decode(change, self._read_clock()))
+                found.extend(self._decode(change))
             position = changes.end
             if not changes.records:
                 break
         return originlog.StoredOrigins(found, position)
 
+    def _decode(
+        self, change: store.Change
+    ) -> Iterator[stream_origin.OriginRecord]:
+        """Yields the origins of a record that are still kept."""
+        try:
+            yield from _iterate_kept(change, self._read_clock())
+        except (msgspec.MsgspecError, UnicodeError) as error:
+            self._store.intake.pass_over(TOPIC, change.key, str(error))
+
     async def _read_retained(self, position: int) -> keyedstream.Changes:
         """Returns a page of records from a position on, or later ones."""
         try:
@@ -103,20 +109,13 @@
         return await self._store.read_changes(TOPIC, begin, 0.0, CALL_TIMEOUT_S)
 
 
-def _decode(
+def _iterate_kept(
     change: store.Change, unix_s: float
 ) -> Iterator[stream_origin.OriginRecord]:
-    """Yields the origins of a record that are still kept; none if invalid."""
-    try:
-        for each in msgspec.msgpack.decode(
-            change.value or b"", type=list[_StoredOrigin]
-        ):
-            # A clock that was set back may not prolong it.
-            left_s = min(each.left_s, each.until_unix_s - unix_s)
-            if left_s > 0:
-                yield stream_origin.OriginRecord(each.key, each.origins, left_s)
-    except (msgspec.MsgspecError, UnicodeError) as error:
-        LOG.warning(
-            "invalid origins skipped",
-            extra={"key": change.key, "detail": str(error)},
-        )
+    for each in msgspec.msgpack.decode(
+        change.value or b"", type=list[_StoredOrigin]
+    ):
+        # A clock that was set back may not prolong it.
+        left_s = min(each.left_s, each.until_unix_s - unix_s)
+        if left_s > 0:
+            yield stream_origin.OriginRecord(each.key, each.origins, left_s)
--- a/ramptray/platform/release_records.py
+++ b/ramptray/platform/release_records.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Annotated
 
 import anyio
@@ -13,8 +12,6 @@
 from ramptray.platform import record as replica_record
 from ramptray.platform import store, stream_position
 
-LOG = logging.getLogger(__name__)
-
 TOPIC = "keyed.releases"
 KEY = "releases"
 
@@ -66,9 +63,18 @@
             raise store.StoreTimeoutError(f"{TOPIC}: no answer in time")
         for change in changes.records:
             if change.key == KEY and change.value is not None:
-                return _decode(change.value)
+                return self._decode(change.value)
         return None
 
+    def _decode(self, value: bytes) -> release_record.ReleaseRecord | None:
+        """Returns the record of a value; None if the value is invalid."""
+        try:
+            raw = msgspec.json.decode(value, type=_ReleaseRecord)
+        except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
+            self._store.intake.pass_over(TOPIC, KEY, str(error))
+            return None
+        return release_record.ReleaseRecord(raw.releases, raw.position)
+
     async def read_replicas(
         self, start: int, end: int
     ) -> release_record.KeptStream:
@@ -97,18 +103,6 @@
         )
 
 
-def _decode(value: bytes) -> release_record.ReleaseRecord | None:
-    """Returns the record of a value; None if the value is invalid."""
-    try:
-        raw = msgspec.json.decode(value, type=_ReleaseRecord)
-    except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
-        LOG.warning(
-            "invalid release record ignored", extra={"detail": str(error)}
-        )
-        return None
-    return release_record.ReleaseRecord(raw.releases, raw.position)
-
-
 def _add_release(releases: dict[str, set[str]], change: store.Change) -> None:
     """Adds the release that a record of a replica names.
 
--- a/ramptray/platform/rollout.py
+++ b/ramptray/platform/rollout.py
@@ -10,8 +10,8 @@
 
 from ramptray.bundle import model
 from ramptray.core import rollout
-from ramptray.log import verdictlog
-from ramptray.platform import page, settings, store
+from ramptray.log import intake, verdictlog
+from ramptray.platform import page, settings, store, topic
 
 LOG = logging.getLogger(__name__)
 
@@ -37,10 +37,16 @@
 
     Args:
         terms: How many of a service's requests a bad release may get.
+        records: Counts the records that are passed over.
     """
 
-    def __init__(self, terms: settings.RolloutTerms) -> None:
+    def __init__(
+        self,
+        terms: settings.RolloutTerms,
+        records: intake.RecordIntake | None = None,
+    ) -> None:
         self._terms = terms
+        self._intake = records or intake.RecordIntake()
         self._orders: dict[str, rollout.Order] = {}
 
     def list_orders(self) -> dict[str, rollout.Order]:
@@ -77,10 +83,7 @@
         try:
             raw = msgspec.json.decode(change.value, type=_Order)
         except (msgspec.MsgspecError, UnicodeError) as error:
-            LOG.error(
-                "invalid rollout order ignored",
-                extra={"service": service, "detail": str(error)},
-            )
+            self._intake.pass_over(topic.CONFIG_TOPIC, change.key, str(error))
             return
         order = rollout.Order(
             raw.service,
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -15,7 +15,7 @@
 from ramptray import deadline
 from ramptray.core import propagation, rtt
 from ramptray.log import error as log_error
-from ramptray.log import hedging, keyedstream
+from ramptray.log import hedging, intake, keyedstream
 from ramptray.log import reader as log_reader
 from ramptray.platform import page, stream_position
 
@@ -101,10 +101,12 @@
 
     Attributes:
         generation: The latest generation named by a response.
+        intake: What became of the records that were read.
     """
 
     def __init__(self, address: str) -> None:
         self.generation = 0
+        self.intake = intake.RecordIntake()
         self._address = address
         self._rtt = rtt.RttEstimator(0.0, CONNECT_TIMEOUT_S)
         self._listeners: list[Callable[[], None]] = []
@@ -145,6 +147,7 @@
             # Pages are not one consistent snapshot.  Returning the end of the
             # first page lets later changes be read again.
             end = stream_position.make_position(generation, decoded.end)
+            self.intake.count_read(topic, len(decoded.items))
             first_end = end if first_end is None else first_end
             records.extend(
                 Change(
@@ -193,7 +196,9 @@
             raise TrimmedError(
                 f"{topic}: the store was restored from an older copy"
             )
-        return page.decode_records(response.body, offset)
+        changes = page.decode_records(response.body, offset)
+        self.intake.count_read(topic, len(changes.records))
+        return changes
 
     async def append(
         self, topic: str, key: str, value: bytes, end: int | None = None
--- a/ramptray/platform/topic.py
+++ b/ramptray/platform/topic.py
@@ -8,6 +8,12 @@
 from ramptray.log import reader as log_reader
 from ramptray.platform import store
 
+CONFIG_TOPIC = "keyed.op"
+"""Topic of the configuration and of operators' orders."""
+
+REPLICA_TOPIC = "keyed.servers"
+"""Topic of the replicas' records."""
+
 ApplyChanges = Callable[[store.Changes, bool], None]
 
 
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -546,7 +546,7 @@
     async def run() -> None:
         topic_reader = topic.TopicReader(
             reader,
-            follower.REPLICA_TOPIC,
+            topic.REPLICA_TOPIC,
             lambda changes, is_snapshot: None,
             lambda: None,
         )
