--- a/ramptray/standin/store/main.py
+++ b/ramptray/standin/store/main.py
@@ -5,6 +5,7 @@
 import base64
 import collections
 import json
+import urllib.parse
 
 import anyio
 import msgspec
@@ -60,11 +61,18 @@
     records: model.Count
 
 
+MAX_PAGE_ITEMS = 500
+"""Most items of a page of newest records."""
+
+
 class Topic:
-    """A keyed topic with a single partition."""
+    """A keyed topic with a single partition.
+
+    Keys are any bytes: only some of the writers write text.
+    """
 
     def __init__(self) -> None:
-        self.records: list[tuple[str, bytes]] = []
+        self.records: list[tuple[bytes, bytes]] = []
         self.changed = anyio.Event()
 
     def drop_newest(self, count: int) -> None:
@@ -73,15 +81,15 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def append(self, key: str, value: bytes) -> None:
+    def append(self, key: bytes, value: bytes) -> None:
         """Appends a record; an empty value deletes the key."""
         self.records.append((key, value))
         self.changed.set()
         self.changed = anyio.Event()
 
-    def list_newest(self) -> dict[str, tuple[bytes, int]]:
+    def list_newest(self) -> dict[bytes, tuple[bytes, int]]:
         """Returns the newest value of each key and its offset."""
-        newest: dict[str, tuple[bytes, int]] = {}
+        newest: dict[bytes, tuple[bytes, int]] = {}
         for offset, (key, value) in enumerate(self.records):
             newest.pop(key, None)
             if value:
@@ -113,12 +121,20 @@
                 routing.Route(
                     "/records/{topic}/{key:path}", self._put, methods=["PUT"]
                 ),
+                routing.Route("/raw/{topic}", self._put_raw, methods=["PUT"]),
             ]
         )
 
     async def _put(self, http: requests.Request) -> responses.Response:
         topic = self._topics[http.path_params["topic"]]
-        topic.append(http.path_params["key"], await http.body())
+        topic.append(http.path_params["key"].encode(), await http.body())
+        return responses.Response(status_code=OK)
+
+    async def _put_raw(self, http: requests.Request) -> responses.Response:
+        """Appends a record whose key may be any bytes."""
+        self._topics[http.path_params["topic"]].append(
+            *_split_record(await http.body())
+        )
         return responses.Response(status_code=OK)
 
     async def _append(self, http: requests.Request) -> responses.Response:
@@ -135,8 +151,7 @@
             (length,) = page.RECORD_LENGTH.unpack_from(body)
             record = body[page.RECORD_LENGTH.size :][:length]
             body = body[page.RECORD_LENGTH.size + length :]
-            key_end = 1 + record[0]
-            topic.append(record[1:key_end].decode(), record[key_end:])
+            topic.append(*_split_record(record))
         result = {"offset": offset, "end": len(topic.records)}
         return self._make_response(msgspec.json.encode(result))
 
@@ -163,14 +178,27 @@
         if refused := await self._apply_faults(http):
             return refused
         topic = self._topics[http.query_params["topic"]]
-        newest = page.NewestPage(
-            [
-                page.NewestItem(key, base64.b64encode(value).decode(), offset)
-                for key, (value, offset) in topic.list_newest().items()
-            ],
-            len(topic.records),
+        after = _get_raw_parameter(http, "after")
+        newest = sorted(
+            (key, value, offset)
+            for key, (value, offset) in topic.list_newest().items()
+            if after is None or key > after
         )
-        return self._make_response(page.encode_newest(newest))
+        items = [
+            {
+                # A key that is no text has lone surrogates.
+                "tlsKey": key.decode(errors="surrogateescape"),
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, value, offset in newest[:MAX_PAGE_ITEMS]
+        ]
+        body = {
+            "items": items,
+            "end": len(topic.records),
+            "hasMore": len(newest) > MAX_PAGE_ITEMS,
+        }
+        return self._make_response(json.dumps(body).encode())
 
     async def _apply_faults(
         self, http: requests.Request
@@ -213,7 +241,7 @@
             gone = json.dumps({"first": first}).encode()
             return self._make_response(gone, status=GONE)
         records = [
-            bytes([len(key)]) + key.encode() + value
+            bytes([len(key)]) + key + value
             for key, value in topic.records[offset:]
         ]
         page_header = page.PAGE_HEADER.pack(len(topic.records), first)
@@ -223,6 +251,21 @@
         return self._make_response(page_header + body)
 
 
+def _split_record(record: bytes) -> tuple[bytes, bytes]:
+    """Returns the key and the value of a record."""
+    key_end = 1 + record[0]
+    return record[1:key_end], record[key_end:]
+
+
+def _get_raw_parameter(http: requests.Request, name: str) -> bytes | None:
+    """Returns a query parameter that may be any bytes; None if missing."""
+    for pair in http.scope["query_string"].split(b"&"):
+        key, _, value = pair.partition(b"=")
+        if key == name.encode():
+            return urllib.parse.unquote_to_bytes(value.replace(b"+", b" "))
+    return None
+
+
 async def _wait_for_disconnect(http: requests.Request) -> None:
     """Waits until the caller disconnects, without sending a response."""
     message = await http.receive()
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -16,7 +16,6 @@
 from ramptray.core import propagation
 from ramptray.platform import (
     config,
-    follower,
     header,
     record,
     replicas,
--- /dev/null
+++ b/test/test_odd_records.py
@@ -0,0 +1,118 @@
+"""One odd record costs that record alone.
+
+Guards against VMs that end, or serve nothing, for a record of the store that
+another program wrote: those in service, those that start after it, and all VMs
+after they were lost.  Real VMs, replicas and a store.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from test import callers, node, odd_records
+from test.test_node import ask, wait_until
+
+START_S = 3.0
+"""Time in which a VM that starts serves, in seconds."""
+
+OBSERVED_S = 1.0
+"""How long requests are observed, in seconds."""
+
+
+SAVE_S = 1.5
+"""Time in which VMs in service have stored what those that start lack."""
+
+
+@contextlib.contextmanager
+def run_beside(odd: odd_records.OddRecord) -> Iterator[node.Platform]:
+    """Runs two VMs to which a record is written while they serve.
+
+    A server comes and all others leave after it, so that VMs have to follow
+    the topic beyond the record.
+    """
+    with callers.run_serving(vms=2) as started:
+        with callers.Callers(started, "/safe/", per_vm=1) as load:
+            odd_records.write(started, odd)
+            time.sleep(0.3)
+            started.start_replica("i-new")
+            wait_until(lambda: all_know(started, "i-new"))
+            for name in ("i-0", "i-1"):
+                started.write_record(name, state="draining")
+            wait_until(lambda: bool(started.read_ledger("i-new")["runs"]))
+            time.sleep(OBSERVED_S)
+        assert {each.status for each in load.asked} == {200}
+        yield started
+
+
+def all_know(started: node.Platform, server: str) -> bool:
+    """Returns whether all VMs have read a server's record."""
+    return all(
+        any(
+            line["message"] == "backend server known"
+            and line["backend"] == server
+            for line in started.read_log(vm)
+        )
+        for vm in started.vms
+    )
+
+
+def check_running(started: node.Platform) -> None:
+    ended = [vm for vm in started.vms if started.processes[vm].poll()]
+    assert ended == []
+
+
+def check_service(started: node.Platform) -> None:
+    """Checks that all VMs soon serve all requests, and go on to run."""
+    wait_until(
+        lambda: all(is_serving(started, vm) for vm in started.vms), START_S
+    )
+    with callers.Callers(started, "/safe/", per_vm=1) as load:
+        time.sleep(OBSERVED_S)
+    assert {each.status for each in load.asked} == {200}
+    check_running(started)
+
+
+def is_serving(started: node.Platform, vm: str) -> bool:
+    with contextlib.suppress(OSError):
+        return ask(started, "/safe/", vm=vm).status == 200
+    return False
+
+
+@pytest.mark.parametrize("odd", odd_records.RECORDS)
+def test_an_odd_record_costs_that_record_alone(odd: str) -> None:
+    with run_beside(odd_records.RECORDS[odd]) as started:
+        check_running(started)
+        restart(started, ["vm-1"])
+        check_service(started)
+        restart(started, list(started.vms))
+        check_service(started)
+
+
+@pytest.mark.parametrize("odd", odd_records.CONFIGS)
+def test_vms_start_beside_an_odd_configuration(odd: str) -> None:
+    # VMs in service kept the former one, so that nothing was seen until all
+    # VMs were lost.
+    value = odd_records.CONFIGS[odd]
+    with callers.run_serving(vms=2) as started:
+        odd_records.write(
+            started,
+            odd_records.OddRecord(node.CONFIG_TOPIC, b"config", value),
+        )
+        time.sleep(SAVE_S)
+        check_service(started)
+        restart(started, ["vm-1"])
+        check_service(started)
+        restart(started, list(started.vms))
+        check_service(started)
+
+
+def restart(started: node.Platform, vms: list[str]) -> None:
+    """Kills VMs, and starts them again after all have ended."""
+    for vm in vms:
+        started.kill_vm(vm)
+    for vm in vms:
+        started.restart_vm(vm)
