Decode what others wrote through one border

Cause: each decoder named its own list of errors. msgspec raises RecursionError for nesting, which two of them lacked, and a number beyond 64 bits passes it and is refused by the next encoder. The error ended the task that read, and with it the process. Change: ramptray/decoding.py turns whatever a decoder raises into one error, with a bound on the size; all decoders of outside bytes use it. RecordIntake.guard applies it to the records of a topic one by one, so that an odd record costs that record alone. Blocks, origins and release records have bounds on their numbers; an invalid status counts as missing, so that the verdict is written again.

--- a/ramptray/bundle/record.py
+++ b/ramptray/bundle/record.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ramptray import decoding
 from ramptray.bundle import acceptance, delta, signature
 
 STREAM = "bundles"
@@ -47,14 +48,19 @@
 def parse_record(body: dict[str, Any]) -> acceptance.Record | None:
     """Returns the record of a JSON body, or None if it is not valid."""
     try:
-        if "delta" in body:
-            return msgspec.convert(body, acceptance.DeltaRollout)
-        envelope = msgspec.convert(
-            {key: body[key] for key in ("text", "signatures")},
-            signature.Envelope,
-        )
-        if "through_offset" not in body:
-            return acceptance.Rollout(envelope)
-        return acceptance.Checkpoint(envelope, int(body["through_offset"]))
-    except (KeyError, ValueError, TypeError, msgspec.ValidationError):
+        with decoding.translate_errors():
+            return _convert_record(body)
+    except decoding.DecodeError:
         return None
+
+
+def _convert_record(body: dict[str, Any]) -> acceptance.Record:
+    if "delta" in body:
+        return msgspec.convert(body, acceptance.DeltaRollout)
+    envelope = msgspec.convert(
+        {key: body[key] for key in ("text", "signatures")},
+        signature.Envelope,
+    )
+    if "through_offset" not in body:
+        return acceptance.Rollout(envelope)
+    return acceptance.Checkpoint(envelope, int(body["through_offset"]))
--- a/ramptray/caller/request.py
+++ b/ramptray/caller/request.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ramptray import wallclock
+from ramptray import decoding, wallclock
 from ramptray.bundle import model
 from ramptray.core import membership, message, prefix
 from ramptray.entry import ticket as tickets
@@ -71,8 +71,8 @@
 ) -> Result[dict[str, Any], InvalidRequest]:
     """Parses the body of a completion request."""
     try:
-        parsed = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+        parsed = decoding.decode_json(body, Any)
+    except decoding.DecodeError as error:
         return Err(InvalidRequest(400, "invalid_json", f"body: {error}"))
     if not isinstance(parsed, dict):
         return Err(
--- a/ramptray/engine/client.py
+++ b/ramptray/engine/client.py
@@ -10,7 +10,7 @@
 import httpcore
 import msgspec
 
-from ramptray import httperror
+from ramptray import decoding, httperror
 from ramptray.engine import event
 
 CONNECT_TIMEOUT_S = 1.0
@@ -200,8 +200,8 @@
         if response.status >= 300:
             raise RefusedError(response.status, data)
         try:
-            return msgspec.json.decode(data) if data else None
-        except msgspec.DecodeError as error:
+            return decoding.decode_json(data, Any) if data else None
+        except decoding.DecodeError as error:
             raise BrokenError(f"{url}{path}: {error}") from error
 
     @contextlib.asynccontextmanager
--- a/ramptray/entry/exchange.py
+++ b/ramptray/entry/exchange.py
@@ -12,7 +12,7 @@
 import msgspec
 from anyio.streams import memory
 
-from ramptray import steadyclock
+from ramptray import decoding, steadyclock
 from ramptray.core import message, request
 from ramptray.engine import client as engine_client
 from ramptray.engine import event
@@ -228,6 +228,7 @@
 
 def _read_usage(data: str) -> _Usage:
     try:
-        return _CHUNK_DECODER.decode(data).usage or _Usage()
-    except msgspec.MsgspecError:
+        with decoding.translate_errors():
+            return _CHUNK_DECODER.decode(data).usage or _Usage()
+    except decoding.DecodeError:
         return _Usage()
--- a/ramptray/log/client.py
+++ b/ramptray/log/client.py
@@ -13,6 +13,7 @@
 import httpcore
 import msgspec
 
+from ramptray import decoding
 from ramptray.log import error as log_error
 
 APPEND_TIMEOUT_S = 2.0
@@ -111,7 +112,11 @@
             wait_s + READ_MARGIN_S,
             agent=self._agent,
         )
-        return msgspec.convert(response, Page)
+        try:
+            with decoding.translate_errors():
+                return msgspec.convert(response, Page)
+        except decoding.DecodeError as error:
+            raise PlatformError(f"{stream}: {error}") from error
 
 
 async def call_platform(
@@ -144,8 +149,8 @@
         PlatformError: The response is not valid JSON.
     """
     try:
-        return msgspec.json.decode(response.content)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(response.content, Any)
+    except decoding.DecodeError as error:
         raise PlatformError(f"{url}: {error}") from error
 
 
--- a/ramptray/log/intake.py
+++ b/ramptray/log/intake.py
@@ -1,10 +1,17 @@
-"""Counts the records of topics that this VM read and passed over."""
+"""Uses the records of topics one by one, and counts those passed over.
+
+Anyone may write records, and a VM that starts reads all of them again.  So an
+odd record costs that record alone: it ends no task, and the others are used.
+"""
 
 from __future__ import annotations
 
 import collections
+import contextlib
 import logging
+from collections.abc import Iterator
 
+from ramptray import decoding
 from ramptray.caller import metrics
 
 LOG = logging.getLogger(__name__)
@@ -36,6 +43,20 @@
         """Counts records that were read."""
         self._read[topic] += count
 
+    @contextlib.contextmanager
+    def guard(self, topic: str, key: str) -> Iterator[None]:
+        """Passes over a record whose decoding or use fails.
+
+        Args:
+            topic: The topic.
+            key: The record's key.
+        """
+        try:
+            with decoding.translate_errors():
+                yield
+        except decoding.DecodeError as error:
+            self.pass_over(topic, key, str(error))
+
     def pass_over(self, topic: str, key: str, detail: str) -> None:
         """Counts a record that is not used, and logs its key once.
 
--- a/ramptray/log/mirror.py
+++ b/ramptray/log/mirror.py
@@ -13,6 +13,7 @@
 import msgspec
 import xxhash
 
+from ramptray import decoding
 from ramptray.bundle import delta
 from ramptray.log import keyedstream
 from ramptray.peer import message as peer_message
@@ -268,6 +269,9 @@
         MirrorError: The packed stream is damaged.
     """
     try:
-        return _RECORDS_DECODER.decode(delta.apply_binary_delta(b"", packed))
-    except (delta.DeltaError, msgspec.MsgspecError) as error:
+        with decoding.translate_errors():
+            return _RECORDS_DECODER.decode(
+                delta.apply_binary_delta(b"", packed)
+            )
+    except decoding.DecodeError as error:
         raise MirrorError(f"packed stream: {error}") from error
--- a/ramptray/log/vmlist.py
+++ b/ramptray/log/vmlist.py
@@ -7,6 +7,7 @@
 import httpcore
 import msgspec
 
+from ramptray import decoding
 from ramptray.log import client as log_client
 
 TIMEOUT_S = 2.0
@@ -76,8 +77,9 @@
             )
         vms = log_client.decode_response(response, self._url)
         try:
-            self._vms = msgspec.convert(vms, list[Vm])
-        except msgspec.ValidationError as error:
+            with decoding.translate_errors():
+                self._vms = msgspec.convert(vms, list[Vm])
+        except decoding.DecodeError as error:
             raise log_client.PlatformError(f"{self._url}: {error}") from error
         self._etag = _find_etag(response)
         return self._vms
--- a/ramptray/peer/codec.py
+++ b/ramptray/peer/codec.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ramptray import decoding
 from ramptray.core import message as core_message
 from ramptray.peer import message as peer_message
 
@@ -129,16 +130,17 @@
         CodecError: The bytes are not a valid frame.
     """
     try:
-        clock, named = _FRAME_DECODER.decode(data)
-        return Frame(
-            clock,
-            [
-                _DECODERS[name].decode(raw)
-                for name, raw in named
-                if _is_known(name)
-            ],
-        )
-    except msgspec.MsgspecError as error:
+        with decoding.translate_errors():
+            clock, named = _FRAME_DECODER.decode(data)
+            return Frame(
+                clock,
+                [
+                    _DECODERS[name].decode(raw)
+                    for name, raw in named
+                    if _is_known(name)
+                ],
+            )
+    except decoding.DecodeError as error:
         raise CodecError(f"not a valid message: {error}") from error
 
 
--- a/ramptray/platform/address.py
+++ b/ramptray/platform/address.py
@@ -24,7 +24,7 @@
         return None
     try:
         listen = tomllib.loads(pathlib.Path(path).read_text()).get("listen")
-    except (OSError, tomllib.TOMLDecodeError):
+    except Exception:
         return None
     front = listen.get("front") if isinstance(listen, dict) else None
     return front if isinstance(front, str) else None
--- a/ramptray/platform/blocks.py
+++ b/ramptray/platform/blocks.py
@@ -2,20 +2,30 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from ramptray import decoding
 from ramptray.log import blocklog
 from ramptray.platform import store
 
 TOPIC = "keyed.blocks"
 
 
+MAX_LEVEL = 64
+"""Highest accepted level; the duration of a block grows up to level 9 only."""
+
+MAX_CRASHES = 1_000_000
+"""Highest accepted number of crashes before a block."""
+
+
 class _BlockRecord(msgspec.Struct, frozen=True):
     """Record value; its key is the blocked content."""
 
-    level: int
+    level: Annotated[int, msgspec.Meta(ge=1, le=MAX_LEVEL)]
     until_unix_s: float
-    crashes: int
+    crashes: Annotated[int, msgspec.Meta(ge=0, le=MAX_CRASHES)]
     lifted: bool = False
 
 
@@ -43,22 +53,17 @@
         changes = await self._store.read_newest(TOPIC)
         blocks = []
         for record in changes.records:
-            try:
-                value = msgspec.json.decode(
-                    record.value or b"", type=_BlockRecord
-                )
-            except msgspec.MsgspecError as error:
-                # The other blocks stay usable.  Without this one, a few more
-                # servers may crash before the content is blocked again.
-                self._store.intake.pass_over(TOPIC, record.key, str(error))
-                continue
-            blocks.append(
-                blocklog.StoredBlock(
-                    record.key,
-                    value.level,
-                    value.until_unix_s,
-                    value.crashes,
-                    value.lifted,
+            # Without one of them, a few more servers may crash before its
+            # content is blocked again.
+            with self._store.intake.guard(TOPIC, record.key):
+                value = decoding.decode_json(record.value or b"", _BlockRecord)
+                blocks.append(
+                    blocklog.StoredBlock(
+                        record.key,
+                        value.level,
+                        value.until_unix_s,
+                        value.crashes,
+                        value.lifted,
+                    )
                 )
-            )
         return blocks
--- a/ramptray/platform/origins.py
+++ b/ramptray/platform/origins.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
+from typing import Annotated
 
 import msgspec
 
+from ramptray import decoding
 from ramptray.core import stream_origin
 from ramptray.log import keyedstream, originlog
 from ramptray.platform import store, stream_position
@@ -33,7 +35,7 @@
 
     key: bytes
     origins: tuple[stream_origin.Origin, ...]
-    left_s: float
+    left_s: Annotated[float, msgspec.Meta(ge=0, le=stream_origin.SPAN_S)]
     until_unix_s: float = 0.0
 
 
@@ -79,21 +81,13 @@
         for _ in range(MAX_PAGES):
             changes = await self._read_retained(position)
             for change in changes.records:
-                found.extend(self._decode(change))
+                with self._store.intake.guard(TOPIC, change.key):
+                    found.extend(_decode(change, self._read_clock()))
             position = changes.end
             if not changes.records:
                 break
         return originlog.StoredOrigins(found, position)
 
-    def _decode(
-        self, change: store.Change
-    ) -> Iterator[stream_origin.OriginRecord]:
-        """Yields the origins of a record that are still kept."""
-        try:
-            yield from _iterate_kept(change, self._read_clock())
-        except (msgspec.MsgspecError, UnicodeError) as error:
-            self._store.intake.pass_over(TOPIC, change.key, str(error))
-
     async def _read_retained(self, position: int) -> keyedstream.Changes:
         """Returns a page of records from a position on, or later ones."""
         try:
@@ -109,13 +103,18 @@
         return await self._store.read_changes(TOPIC, begin, 0.0, CALL_TIMEOUT_S)
 
 
-def _iterate_kept(
+def _decode(
     change: store.Change, unix_s: float
-) -> Iterator[stream_origin.OriginRecord]:
-    for each in msgspec.msgpack.decode(
-        change.value or b"", type=list[_StoredOrigin]
-    ):
+) -> list[stream_origin.OriginRecord]:
+    """Returns the origins of a record that are still kept.
+
+    Raises:
+        DecodeError: The record is invalid.
+    """
+    stored = decoding.decode_msgpack(change.value or b"", list[_StoredOrigin])
+    return [
+        stream_origin.OriginRecord(each.key, each.origins, left_s)
+        for each in stored
         # A clock that was set back may not prolong it.
-        left_s = min(each.left_s, each.until_unix_s - unix_s)
-        if left_s > 0:
-            yield stream_origin.OriginRecord(each.key, each.origins, left_s)
+        if (left_s := min(each.left_s, each.until_unix_s - unix_s)) > 0
+    ]
--- a/ramptray/platform/record.py
+++ b/ramptray/platform/record.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ramptray import decoding
 from ramptray.peer import message as peer_message
 
 MAX_SLOTS = 100_000
@@ -28,11 +29,7 @@
 Programs that write records as floating-point numbers cannot represent larger
 integers exactly."""
 
-MAX_ERROR_CHARS = 200
-"""Maximum length of a logged error text, which quotes the record."""
-
-
-class RecordError(Exception):
+class RecordError(decoding.DecodeError):
     """Invalid record; the message is one line that names the field."""
 
 
@@ -89,9 +86,9 @@
     if not _NAME_PATTERN.fullmatch(name):
         raise RecordError("its name cannot stand in a header")
     try:
-        raw = msgspec.json.decode(value.decode(), type=_Record)
-    except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
-        raise RecordError(str(error)[:MAX_ERROR_CHARS]) from error
+        raw = decoding.decode_json(value, _Record)
+    except decoding.DecodeError as error:
+        raise RecordError(str(error)) from error
     return peer_message.Replica(
         service=raw.service,
         address=raw.address,
--- a/ramptray/platform/release_records.py
+++ b/ramptray/platform/release_records.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from ramptray import decoding
 from ramptray.core import release_record
 from ramptray.log import releaselog
 from ramptray.platform import record as replica_record
@@ -34,7 +35,7 @@
     """Record value."""
 
     releases: dict[str, tuple[str, ...]]
-    position: Annotated[int, msgspec.Meta(ge=0)]
+    position: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class TopicReleaseLog(releaselog.ReleaseLog):
@@ -68,12 +69,10 @@
 
     def _decode(self, value: bytes) -> release_record.ReleaseRecord | None:
         """Returns the record of a value; None if the value is invalid."""
-        try:
-            raw = msgspec.json.decode(value, type=_ReleaseRecord)
-        except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
-            self._store.intake.pass_over(TOPIC, KEY, str(error))
-            return None
-        return release_record.ReleaseRecord(raw.releases, raw.position)
+        with self._store.intake.guard(TOPIC, KEY):
+            raw = decoding.decode_json(value, _ReleaseRecord)
+            return release_record.ReleaseRecord(raw.releases, raw.position)
+        return None
 
     async def read_replicas(
         self, start: int, end: int
--- a/ramptray/platform/rollout.py
+++ b/ramptray/platform/rollout.py
@@ -8,10 +8,11 @@
 
 import msgspec
 
+from ramptray import decoding
 from ramptray.bundle import model
 from ramptray.core import rollout
 from ramptray.log import intake, verdictlog
-from ramptray.platform import page, settings, store, topic
+from ramptray.platform import settings, store, topic
 
 LOG = logging.getLogger(__name__)
 
@@ -80,11 +81,11 @@
         if change.value is None:
             self._orders.pop(service, None)
             return
-        try:
-            raw = msgspec.json.decode(change.value, type=_Order)
-        except (msgspec.MsgspecError, UnicodeError) as error:
-            self._intake.pass_over(topic.CONFIG_TOPIC, change.key, str(error))
-            return
+        with self._intake.guard(topic.CONFIG_TOPIC, change.key):
+            raw = decoding.decode_json(change.value, _Order)
+            self._set_order(service, raw, now)
+
+    def _set_order(self, service: str, raw: _Order, now: float) -> None:
         order = rollout.Order(
             raw.service,
             raw.release,
@@ -111,7 +112,7 @@
     async def save(self, verdict: rollout.Verdict) -> rollout.Verdict:
         """See the base class."""
         snapshot = await self._store.read_newest(STATUS_TOPIC)
-        saved = _find_saved(snapshot.records, verdict)
+        saved = self._find_saved(snapshot.records, verdict)
         if saved is not None and (
             saved.state.is_final or saved.state is verdict.state
         ):
@@ -125,20 +126,21 @@
         )
         return verdict
 
+    def _find_saved(
+        self, records: Iterable[store.Change], wanted: rollout.Verdict
+    ) -> rollout.Verdict | None:
+        """Returns the saved verdict on the same release of the same service.
 
-def _find_saved(
-    records: Iterable[store.Change], wanted: rollout.Verdict
-) -> rollout.Verdict | None:
-    """Returns the saved verdict on the same release of the same service."""
-    for record in records:
-        if record.key != KEY_PREFIX + wanted.service or record.value is None:
-            continue
-        try:
-            status = msgspec.json.decode(record.value, type=_Status)
-        except msgspec.MsgspecError as error:
-            raise page.StoreError(f"{record.key}: {error}") from error
-        if status.release == wanted.release:
-            return rollout.Verdict(
-                wanted.service, status.release, status.state, "kept"
-            )
-    return None
+        An invalid one counts as missing, so that it is written again.
+        """
+        for record in records:
+            is_wanted = record.key == KEY_PREFIX + wanted.service
+            if not is_wanted or record.value is None:
+                continue
+            with self._store.intake.guard(STATUS_TOPIC, record.key):
+                status = decoding.decode_json(record.value, _Status)
+                if status.release == wanted.release:
+                    return rollout.Verdict(
+                        wanted.service, status.release, status.state, "kept"
+                    )
+        return None
--- a/ramptray/platform/settings.py
+++ b/ramptray/platform/settings.py
@@ -4,11 +4,11 @@
 
 import os
 import pathlib
-import tomllib
 
 import msgspec
 from result import Err, Ok
 
+from ramptray import decoding
 from ramptray.bundle import validation
 from ramptray.core import propagation
 from ramptray.platform import address, scheduling_zone
@@ -196,8 +196,8 @@
         SettingsError: The file cannot be read or is invalid.
     """
     try:
-        fields = tomllib.loads(path.read_text())
-    except (OSError, tomllib.TOMLDecodeError) as error:
+        fields = decoding.decode_toml(path.read_bytes())
+    except (OSError, decoding.DecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
     match validation.convert(fields, _SettingsFile, strict=False):
         case Ok(raw):
