Read a page of newest records whose keys are not all text

What callers saw: nothing while VMs ran; a VM that started after such a key had been written to the topic of the configuration or of the replicas served nothing, and after all VMs were lost none did. Cause: VMs in service read the raw records, in which such a key is replaced; a VM that starts reads pages of JSON, which msgspec refuses as a whole for one lone surrogate. Change: a page that is refused is decoded again item by item; an item that is invalid is left out, and its key is given as text. The next page is asked for by the key as it was sent; a page that repeats is an error and not an endless loop. A key that is too long for a record is an error of the store's client, as any other.

--- a/ramptray/platform/page.py
+++ b/ramptray/platform/page.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import base64
-import binascii
+import contextlib
+import re
 import struct
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
+from ramptray import decoding
 from ramptray.log import error as log_error
 from ramptray.log import keyedstream
 from ramptray.platform import stream_position
@@ -23,6 +25,9 @@
 """Replaces a value that is not valid base64."""
 
 
+_SURROGATES = re.compile("[\ud800-\udfff]")
+
+
 class StoreError(log_error.LogError):
     """The store did not respond, or rejected the call."""
 
@@ -39,20 +44,33 @@
         super().__init__(text)
 
 
+_Offset = Annotated[
+    int, msgspec.Meta(ge=-1, lt=1 << stream_position.OFFSET_BITS)
+]
+
+
 class NewestItem(msgspec.Struct):
     """Wire format of the newest record of a key."""
 
     # Despite its name on the wire, the field holds the record's key.
     key: str = msgspec.field(name="tlsKey")
     value: str = ""
-    offset: int = -1
+    offset: _Offset = -1
 
 
 class NewestPage(msgspec.Struct):
     """Wire format of a page of newest records."""
 
     items: list[NewestItem]
-    end: int
+    end: _Offset
+    more: bool = msgspec.field(name="hasMore", default=False)
+
+
+class _LenientPage(msgspec.Struct):
+    """Page whose items are decoded one by one."""
+
+    items: list[Any]
+    end: _Offset
     more: bool = msgspec.field(name="hasMore", default=False)
 
 
@@ -64,13 +82,36 @@
 def decode_newest(body: bytes) -> NewestPage:
     """Decodes a page of newest records.
 
+    Items that are invalid are left out.  Keys that are not Unicode text hold
+    lone surrogates, see ``clean_key``.
+
     Raises:
         StoreError: The bytes are not a valid page.
     """
     try:
-        return msgspec.json.decode(body, type=NewestPage)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_json(body, NewestPage)
+    except decoding.DecodeError:
+        # One odd item would otherwise make the whole page unreadable.
+        return _decode_items(body)
+
+
+def _decode_items(body: bytes) -> NewestPage:
+    try:
+        plain = decoding.decode_lenient_json(body)
+        with decoding.translate_errors():
+            page = msgspec.convert(plain, _LenientPage)
+    except decoding.DecodeError as error:
         raise StoreError(f"not a page of records: {error}") from error
+    items = []
+    for item in page.items:
+        with contextlib.suppress(msgspec.ValidationError):
+            items.append(msgspec.convert(item, NewestItem))
+    return NewestPage(items, page.end, page.more)
+
+
+def clean_key(key: str) -> str:
+    """Returns a key as text, in the form that ``decode_records`` gives it."""
+    return _SURROGATES.sub("\ufffd", key)
 
 
 class _GonePage(msgspec.Struct):
@@ -82,8 +123,8 @@
 def decode_first(body: bytes) -> int | None:
     """Returns the first offset retained that a response names, if any."""
     try:
-        return msgspec.json.decode(body, type=_GonePage).first
-    except msgspec.MsgspecError:
+        return decoding.decode_json(body, _GonePage).first
+    except decoding.DecodeError:
         return None
 
 
@@ -91,7 +132,7 @@
     """Decodes a value; returns ``INVALID_VALUE`` for invalid base64."""
     try:
         return base64.b64decode(text, validate=True)
-    except binascii.Error:
+    except ValueError:
         # The reader of the value reports it; the other items stay usable.
         return INVALID_VALUE
 
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -41,6 +41,9 @@
 
 RECEIVE_BYTES = 65536
 
+MAX_KEY_BYTES = 255
+"""Size of the longest key, in bytes."""
+
 NEWEST_PATH = "/v1/log-newest"
 READ_PATH = "/v1/log-read"
 APPEND_PATH = "/v1/log-append"
@@ -151,7 +154,7 @@
             first_end = end if first_end is None else first_end
             records.extend(
                 Change(
-                    item.key,
+                    page.clean_key(item.key),
                     page.decode_value(item.value),
                     stream_position.make_position(generation, item.offset),
                 )
@@ -159,7 +162,10 @@
             )
             if not decoded.more or not decoded.items:
                 return Changes(records, first_end)
-            after = decoded.items[-1].key
+            former, after = after, decoded.items[-1].key
+            if after == former:
+                # The store does not know the key by which it was asked.
+                raise StoreError(f"{topic}: the page after {after!r} repeats")
 
     async def read_changes(
         self,
@@ -215,7 +221,10 @@
         Raises:
             StoreError: The record may not have been appended.
         """
-        record = bytes([len(key)]) + key.encode() + value
+        encoded_key = key.encode(errors="replace")
+        if len(encoded_key) > MAX_KEY_BYTES:
+            raise StoreError(f"{topic}: the key is too long: {key[:64]!r}")
+        record = bytes([len(encoded_key)]) + encoded_key + value
         query = {"topic": topic, "part": "0"}
         if end is not None:
             query["asOf"] = str(stream_position.get_offset(end))
@@ -245,7 +254,8 @@
             on_bytes: Called whenever bytes of the response arrive.
             sent: Body of a POST request; None for a GET request.
         """
-        target = f"{path}?{urllib.parse.urlencode(query)}"
+        encoded = urllib.parse.urlencode(query, errors="surrogateescape")
+        target = f"{path}?{encoded}"
         response: StoreResponse | None = None
         try:
             with deadline.move_on_after(
