Connect to addresses that others wrote through one border

What callers saw: 500 for 551 to 594 of 641 to 670 requests beside two sound servers, once a record named a host with a label of over 63 letters; after the loss of all VMs 2 to 5 of some 100 requests were served. Cause: such a host passes the record's pattern and fails where it is connected: asyncio raises UnicodeError, which no caller of connect expects. Change: a record whose host has labels that no resolver encodes is invalid. Whatever opening a connection raises is an OSError, so that such a server counts as one that refuses: the request has not run, and another is tried.

--- a/ramptray/platform/record.py
+++ b/ramptray/platform/record.py
@@ -29,6 +29,10 @@
 Programs that write records as floating-point numbers cannot represent larger
 integers exactly."""
 
+MAX_HOST_CHARS = 253
+"""Maximum length of a host name, in characters (RFC 1035)."""
+
+
 class RecordError(decoding.DecodeError):
     """Invalid record; the message is one line that names the field."""
 
@@ -45,7 +49,8 @@
 _Address = Annotated[
     str,
     msgspec.Meta(
-        pattern=r"^[0-9A-Za-z.-]+:0*([1-9][0-9]{0,3}|[1-5][0-9]{4}"
+        # Labels of 1 to 63 characters (RFC 1035): a resolver encodes no others.
+        pattern=r"^([0-9A-Za-z-]{1,63}\.)*[0-9A-Za-z-]{1,63}\.?:0*([1-9][0-9]{0,3}|[1-5][0-9]{4}"
         r"|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])\Z",
     ),
 ]
@@ -89,6 +94,8 @@
         raw = decoding.decode_json(value, _Record)
     except decoding.DecodeError as error:
         raise RecordError(str(error)) from error
+    if len(raw.address.rpartition(":")[0]) > MAX_HOST_CHARS:
+        raise RecordError(f"address: host of over {MAX_HOST_CHARS} characters")
     return peer_message.Replica(
         service=raw.service,
         address=raw.address,
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -12,7 +12,7 @@
 import h11
 import msgspec
 
-from ramptray import deadline
+from ramptray import connecting, deadline
 from ramptray.core import propagation, rtt
 from ramptray.log import error as log_error
 from ramptray.log import hedging, intake, keyedstream
@@ -313,7 +313,7 @@
         Connections are not reused: one on which a response was lost stays
         silent forever, and calls are infrequent.
         """
-        host, _, port = self._address.rpartition(":")
+        host, port = connecting.split_address(self._address)
         http = h11.Connection(h11.CLIENT)
         headers = [("Host", self._address), ("Connection", "close")]
         if sent is not None:
@@ -324,8 +324,11 @@
             headers=headers,
         )
         began = anyio.current_time()
-        with deadline.fail_after(CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, int(port))
+        with (
+            deadline.fail_after(CONNECT_TIMEOUT_S),
+            connecting.translate_errors(self._address),
+        ):
+            stream = await anyio.connect_tcp(host, port)
         self._rtt.observe(anyio.current_time() - began)
         async with stream:
             _set_keep_alive(stream)
--- a/ramptray/relay/backend_probe.py
+++ b/ramptray/relay/backend_probe.py
@@ -8,8 +8,8 @@
 
 import anyio
 
+from ramptray import connecting, steadyclock
 from ramptray import deadline as deadlines
-from ramptray import steadyclock
 
 CONNECT_TIMEOUT_S = 0.06
 """Longest time to open the probe connection, in seconds.  An address without a
@@ -93,10 +93,13 @@
 
 async def _try_to_connect(address: str, timeout_s: float) -> ProbeResult | None:
     """Returns the result of one connection; None if it was closed at once."""
-    host, _, port = address.rpartition(":")
     try:
-        with deadlines.fail_after(timeout_s):
-            stream = await anyio.connect_tcp(host, int(port))
+        host, port = connecting.split_address(address)
+        with (
+            deadlines.fail_after(timeout_s),
+            connecting.translate_errors(address),
+        ):
+            stream = await anyio.connect_tcp(host, port)
     except (TimeoutError, socket.gaierror):
         return ProbeResult.SILENT
     except OSError as error:
--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -11,8 +11,8 @@
 import h11
 import msgspec
 
+from ramptray import connecting, steadyclock
 from ramptray import deadline as deadlines
-from ramptray import steadyclock
 from ramptray.core import message as core_message
 from ramptray.core import request as core_request
 from ramptray.relay import byte_stream, message
@@ -532,10 +532,10 @@
         NotSentError: It could not be opened.
     """
     address = target.address
-    host, _, port = address.rpartition(":")
     try:
+        host, port = connecting.split_address(address)
         with deadlines.fail_after(CONNECT_TIMEOUT_S + 2 * target.delay_s):
-            stream = await streams.connect(host, int(port))
+            stream = await streams.connect(host, port)
     except (OSError, TimeoutError) as error:
         refused = not isinstance(error, TimeoutError)
         raise NotSentError(f"{address}: {error!r}", refused) from error
--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -25,8 +25,8 @@
 
 import anyio
 
+from ramptray import connecting, steadyclock
 from ramptray import deadline as deadlines
-from ramptray import steadyclock
 from ramptray.core import user_timeout
 from ramptray.relay import byte_stream
 
@@ -450,10 +450,11 @@
     """Opens a connection.
 
     Raises:
-        OSError: The host is unreachable or refused the connection.
+        OSError: The host is unreachable, unknown or refused the connection.
     """
     loop = asyncio.get_running_loop()
-    _, opened = await loop.create_connection(SocketStream, host, port)
+    with connecting.translate_errors(f"{host}:{port}"):
+        _, opened = await loop.create_connection(SocketStream, host, port)
     set_socket_options(opened)
     return opened
 
--- a/ramptray/relay/tunnel_server.py
+++ b/ramptray/relay/tunnel_server.py
@@ -12,7 +12,7 @@
 import grpc
 import grpc.aio
 
-from ramptray import deadline, steadyclock
+from ramptray import connecting, deadline, steadyclock
 from ramptray.bundle import model
 from ramptray.core import clock
 from ramptray.entry import backend_directory, server_hints
@@ -138,10 +138,10 @@
         in_force = self._backends.in_force
         assert in_force is not None
         server = in_force.bundle.backend_servers[request.backend]
-        host, _, port = _get_address(server).rpartition(":")
         try:
+            host, port = connecting.split_address(_get_address(server))
             with deadline.fail_after(connection.CONNECT_TIMEOUT_S):
-                return await streams.connect(host, int(port))
+                return await streams.connect(host, port)
         except TimeoutError:
             self._backends.record_connect_failure(
                 request.backend, steadyclock.read()
