Run tasks of a VM again that failed, and name those that end it

What callers saw: an error in any of a VM's tasks, also those that only read or save something, ended the process; it then read the same again. Cause: all tasks ran in one task group, so each error was one of all. The scheduler, the dispatcher and the membership still end the process, with a line that names them: a failure may leave requests half changed. A bundle whose use fails is logged and does not stop the reading; an error in serving a probe ends its connection alone; a metrics port that is taken is logged.

--- a/ramptray/entry/origin_search.py
+++ b/ramptray/entry/origin_search.py
@@ -79,9 +79,12 @@
 
         They are not cancelled, see ``StreamDistributor._follow``.
         """
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            await anyio.sleep_forever()
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                await anyio.sleep_forever()
+        finally:
+            self._tasks = None
 
     async def search(
         self, addresses: Sequence[str], key: bytes, is_kept: bool
--- a/ramptray/entry/origin_store.py
+++ b/ramptray/entry/origin_store.py
@@ -160,14 +160,17 @@
 
     async def run(self) -> None:
         """Sends origins to other VMs until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            tasks.start_soon(self._searcher.run)
-            if self._backup is not None:
-                tasks.start_soon(self._backup.run)
-            while True:
-                await anyio.sleep(RESEND_INTERVAL_S)
-                self._resend(steadyclock.read())
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                tasks.start_soon(self._searcher.run)
+                if self._backup is not None:
+                    tasks.start_soon(self._backup.run)
+                while True:
+                    await anyio.sleep(RESEND_INTERVAL_S)
+                    self._resend(steadyclock.read())
+        finally:
+            self._tasks = None
 
     def update_members(
         self,
@@ -477,6 +480,12 @@
 
     async def _send_pending(self, address: str, outbox: _Outbox) -> None:
         """Sends what is pending for a VM; at most one message at a time."""
+        try:
+            await self._send_batches(address, outbox)
+        finally:
+            outbox.is_sending = False
+
+    async def _send_batches(self, address: str, outbox: _Outbox) -> None:
         while outbox.pending:
             now = outbox.sent_at = steadyclock.read()
             keys = list(outbox.pending)[:MAX_BATCH]
@@ -495,7 +504,6 @@
                 outbox.pending.clear()
                 break
             self._confirm(address, keys, answer)
-        outbox.is_sending = False
 
     def _confirm(
         self,
--- a/ramptray/entry/release_sync.py
+++ b/ramptray/entry/release_sync.py
@@ -142,6 +142,9 @@
 
         Meanwhile, writes the release record when it is this VM's turn.
         """
+        if self._begin:
+            # A former run may have failed while it extended the history.
+            self._gap.set()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_writes)
             while True:
--- a/ramptray/log/intake.py
+++ b/ramptray/log/intake.py
@@ -57,6 +57,10 @@
         except decoding.DecodeError as error:
             self.pass_over(topic, key, str(error))
 
+    def count_passed_over(self, topic: str) -> None:
+        """Counts a record that is not used, which the caller logs."""
+        self._passed_over[topic] += 1
+
     def pass_over(self, topic: str, key: str, detail: str) -> None:
         """Counts a record that is not used, and logs its key once.
 
@@ -65,7 +69,7 @@
             key: The record's key.
             detail: Why it is not used.
         """
-        self._passed_over[topic] += 1
+        self.count_passed_over(topic)
         named = (topic, key)
         if named in self._logged or len(self._logged) >= MAX_LOGGED_KEYS:
             return
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -7,7 +7,7 @@
 import random
 import socket
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 
 import anyio
@@ -241,10 +241,15 @@
         except peer_link.LinkError as error:
             raise process.ProcessError(str(error)) from error
         async with anyio.create_task_group() as tasks:
+            # These hold the state of running requests, which a failure may
+            # leave half changed.
             for name, task in (
                 ("scheduler", self._hub.run),
                 ("dispatcher", self._dispatcher.run),
                 ("gossip", self._gossiper.run),
+            ):
+                tasks.start_soon(self._supervisor.run_critical, name, task)
+            for name, task in (
                 ("follower", self._follower.run),
                 ("backend connections", self._relay_client.run),
                 ("prober", self._prober.run),
@@ -264,10 +269,14 @@
                     ).run,
                 ),
             ):
-                tasks.start_soon(self._supervisor.run, name, task)
+                tasks.start_soon(self._supervisor.keep_running, name, task)
 
             def probe_member(address: str) -> None:
-                tasks.start_soon(self._gossiper.probe_now, address)
+                tasks.start_soon(
+                    self._supervisor.attempt,
+                    "probe of a member",
+                    lambda: self._gossiper.probe_now(address),
+                )
 
             self._dispatcher.on_silent_owner = probe_member
             self._dispatcher.backends.on_unreachable_zone = (
@@ -276,7 +285,9 @@
 
             def leave_lost_runs(backend: str, run: int) -> None:
                 tasks.start_soon(
-                    self._relay_client.leave_lost_runs, backend, run
+                    self._supervisor.attempt,
+                    "search for lost runs",
+                    lambda: self._relay_client.leave_lost_runs(backend, run),
                 )
 
             self._dispatcher.backends.on_backend_restart = leave_lost_runs
@@ -298,15 +309,14 @@
                 METRICS_PATH: self._make_metrics_page,
             }
         )
-        metrics_address = f"{self._vm.ip}:{self._settings.metrics_port}"
         callers, *others = (
             _Acceptor(listener.open_socket(address), handle)
             for address, handle in (
                 (self._vm.callers, self._relay.handle),
                 (self._vm.readiness, probes.handle),
-                (metrics_address, probes.handle),
             )
         )
+        others.extend(self._open_metrics(probes))
         async with anyio.create_task_group() as connections:
             for acceptor in (callers, *others):
                 connections.start_soon(acceptor.run)
@@ -324,6 +334,17 @@
             connections.cancel_scope.cancel()
         return exit_at
 
+    def _open_metrics(self, probes: probe.ProbeServer) -> Iterator[_Acceptor]:
+        """Yields the acceptor of the metrics, which callers do not need."""
+        address = f"{self._vm.ip}:{self._settings.metrics_port}"
+        try:
+            yield _Acceptor(listener.open_socket(address), probes.handle)
+        except OSError as error:
+            LOG.error(
+                "metrics not served",
+                extra={"address": address, "detail": str(error)},
+            )
+
     async def _shut_down(self, deadline: float) -> None:
         """Shuts down gracefully: waits for the requests that were accepted.
 
@@ -432,6 +453,7 @@
             *self._origins.list_gauges(),
             *self._relay.closes.list_gauges(),
             *self._loop_monitor.list_gauges(),
+            *self._supervisor.list_gauges(),
             *(
                 metrics.Gauge("region_delay_seconds", {"zone": zone}, delay_s)
                 for zone, delay_s in self._gossiper.list_delays().items()
@@ -627,7 +649,14 @@
 
     async def _accept_queued(self, tasks: anyio.abc.TaskGroup) -> None:
         while stream := await streams.accept_queued(self._listening_socket):
-            tasks.start_soon(self._handle, stream)
+            tasks.start_soon(self._serve, stream)
+
+    async def _serve(self, stream: streams.SocketStream) -> None:
+        try:
+            await self._handle(stream)
+        except Exception:
+            # A bug must end this connection only, not the others.
+            LOG.exception("serving a connection failed")
 
 
 async def main(
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -124,7 +124,7 @@
             terms, scheduling_zone.SchedulingZones(zones).names
         )
         self._replica_registry = replicas.ReplicaRegistry(
-            retention_s, zones, limits
+            retention_s, zones, limits, store_client.intake
         )
         self._retention_changed = anyio.Event()
         self._regions = zones
@@ -135,6 +135,7 @@
         self._on_bundle = on_bundle
         self._declared: model.Bundle | None = None
         self._text = ""
+        self._publish_failures = 0
         self._knows_replicas = False
         self._started_at = steadyclock.read()
         self._warned_after_s = 0.0
@@ -302,6 +303,9 @@
             for gauge in reader.list_gauges(now)
         ]
         gauges.extend(self._store.intake.list_gauges())
+        gauges.append(
+            metrics.Gauge("publish_failures", {}, self._publish_failures)
+        )
         gauges.extend(
             metrics.Gauge("start_waits_for", {"what": what}, float(waits))
             for what, waits in (
@@ -524,8 +528,17 @@
         if self._declared is None or not self._knows_replicas:
             # Without replicas a starting VM would refuse its first requests.
             return
+        try:
+            self._put_in_force(self._declared)
+        except Exception:
+            # The records that were read stay applied: reading them again would
+            # fail again, and changes behind them would never be read.
+            self._publish_failures += 1
+            LOG.exception("bundle not put in force")
+
+    def _put_in_force(self, declared: model.Bundle) -> None:
         bundle = add_replicas(
-            self._declared,
+            declared,
             self._replica_registry.list_replicas(),
             self._evacuations.zones,
             self._regions,
--- a/ramptray/platform/replicas.py
+++ b/ramptray/platform/replicas.py
@@ -20,8 +20,9 @@
 import msgspec
 
 from ramptray.core import propagation
+from ramptray.log import intake
 from ramptray.peer import message as peer_message
-from ramptray.platform import record, store
+from ramptray.platform import record, store, topic
 from ramptray.scheduler import distributor
 
 LOG = logging.getLogger(__name__)
@@ -66,6 +67,7 @@
             be sent work.
         zones: The availability zones in the settings; empty if any may exist.
         limits: How long a change may take to be in force on this VM.
+        records: Counts the records that are passed over.
 
     Attributes:
         missed_count: Number of replicas, or releases of them, that came and
@@ -77,8 +79,10 @@
         retention_s: float,
         zones: Collection[str] = (),
         limits: propagation.PropagationLimits | None = None,
+        records: intake.RecordIntake | None = None,
     ) -> None:
         self.missed_count = 0
+        self._intake = records or intake.RecordIntake()
         self._limits = limits or propagation.PropagationLimits()
         self._retention_s = retention_s
         self._zones = zones
@@ -154,7 +158,8 @@
                 removals[change.key] = change.position
             else:
                 removals.pop(change.key, None)
-                self._apply_record(change, now)
+                with self._intake.guard(topic.REPLICA_TOPIC, change.key):
+                    self._apply_record(change, now)
         self._apply_removals(removals, now, current_at)
 
     def apply_snapshot(
@@ -270,6 +275,7 @@
 
     def _note_unusable(self, name: str, detail: str) -> None:
         """Notes, and logs once, why a replica is granted to no request."""
+        self._intake.count_passed_over(topic.REPLICA_TOPIC)
         if name not in self._unusable:
             LOG.warning(
                 "record passed over",
--- a/ramptray/scheduler/distributor.py
+++ b/ramptray/scheduler/distributor.py
@@ -275,13 +275,15 @@
         The last request is not cancelled: cancelling it would make the channel
         raise a cancellation that belongs to none of the cancel scopes here.
         """
-        while address in self._wanted_sources:
-            due_s = self._get_second_source_delay_s()
-            if address != self._primary_source and due_s > 0:
-                await self._wait_until_due(due_s)
-            elif not await self.fetch_updates(address, POLL_WAIT_S):
-                await anyio.sleep(RETRY_PAUSE_S)
-        self._followed_sources.discard(address)
+        try:
+            while address in self._wanted_sources:
+                due_s = self._get_second_source_delay_s()
+                if address != self._primary_source and due_s > 0:
+                    await self._wait_until_due(due_s)
+                elif not await self.fetch_updates(address, POLL_WAIT_S):
+                    await anyio.sleep(RETRY_PAUSE_S)
+        finally:
+            self._followed_sources.discard(address)
 
     def _get_second_source_delay_s(self) -> float:
         """Returns after how many seconds to poll the second source."""
--- a/ramptray/scheduler/rollouts.py
+++ b/ramptray/scheduler/rollouts.py
@@ -152,6 +152,9 @@
 
     async def run(self) -> None:
         """Writes queued verdicts until cancelled."""
+        if self._pending:
+            # A former run may have failed while it wrote them.
+            self._has_pending.set()
         while True:
             await self._has_pending.wait()
             self._has_pending = anyio.Event()
