Start beside a configuration that VMs in service pass over

What callers saw: nothing while VMs ran; once all VMs were lost, or one started, those that started had no configuration and refused everything. Cause: VMs in service keep the former configuration; a VM that starts read only the newest record. Change: a VM that passes over the newest configuration stores a copy of the one in force, once for all VMs, and discards it when a valid one comes, since it may hold keys that were taken away. A VM that starts beside an invalid one takes the configuration of another VM, a record that the topic retains, or the copy; if there is none, the valid parts of the invalid one. While all configurations are valid this costs no call.

--- a/ramptray/platform/config.py
+++ b/ramptray/platform/config.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Sequence
 from typing import Any, Literal
 
 import msgspec
 from result import Err, Ok
 
+from ramptray import decoding
 from ramptray.bundle import model, validation
 from ramptray.core import prefix_cache
 from ramptray.platform import scheduling_zone, settings
@@ -38,7 +40,7 @@
 }
 
 
-class ConfigError(Exception):
+class ConfigError(decoding.DecodeError):
     """Invalid configuration; the message is one line that names the field."""
 
 
@@ -126,9 +128,28 @@
     tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
 
 
+_PARTS: dict[str, type[_Wire]] = {
+    "routes": _Route,
+    "services": _Service,
+    "tenants": _Tenant,
+}
+"""Lists of parts of which one may be left out, with the type of each part."""
+
 DEFAULT_LIMIT_TERMS = settings.LimitTerms()
 
 
+class PartialConfig(msgspec.Struct, frozen=True):
+    """The valid parts of a configuration.
+
+    Attributes:
+        bundle: The bundle that they declare, without replicas.
+        omitted: The parts left out, by their fields.
+    """
+
+    bundle: model.Bundle
+    omitted: list[str]
+
+
 class _DecodedRoute(msgspec.Struct, frozen=True):
     """A decoded route with its source.
 
@@ -171,18 +192,49 @@
         Raises:
             ConfigError: The configuration is invalid.
         """
+        return self._parse_fields(_read_fields(text))
+
+    def parse_valid_parts(self, text: str) -> PartialConfig:
+        """Returns the bundle that the valid parts of a configuration declare.
+
+        Invalid routes, services and customers are left out, and so are invalid
+        limits.  Customers that are no list are not left out, since without
+        them no request would need a key.
+
+        Raises:
+            ConfigError: Its fields cannot be read, or it names no version.
+        """
         fields = _read_fields(text)
+        omitted: list[str] = []
+        for name, kind in _PARTS.items():
+            parts = fields.get(name)
+            if not isinstance(parts, list):
+                continue
+            invalid = [
+                number
+                for number, part in enumerate(parts)
+                if not _is_valid(part, kind)
+            ]
+            omitted.extend(f"{name}.{number}" for number in invalid)
+            fields[name] = [
+                part
+                for number, part in enumerate(parts)
+                if number not in invalid
+            ]
+        if "limits" in fields and not _is_valid(fields["limits"], _Limits):
+            omitted.append("limits")
+            del fields["limits"]
+        return PartialConfig(self._parse_fields(fields), omitted)
+
+    def _parse_fields(self, fields: dict[str, Any]) -> model.Bundle:
         try:
-            return self._parse_changed(fields)
-        except msgspec.ValidationError as error:
+            with decoding.translate_errors():
+                return self._parse_changed(fields)
+        except ConfigError:
+            raise
+        except decoding.DecodeError as error:
             self._decoded = {}
-            # Decodes the whole again for an error that names each field.
-            match validation.convert(fields, _Config, strict=False):
-                case Err(violations):
-                    text = validation.format_violations(violations)
-                    raise ConfigError(text) from error
-                case Ok(_):
-                    raise ConfigError(str(error)) from error
+            raise ConfigError(_describe(fields, error)) from error
 
     def _parse_changed(self, fields: dict[str, Any]) -> model.Bundle:
         declared = msgspec.convert(
@@ -217,11 +269,34 @@
 
 def _read_fields(text: str) -> dict[str, Any]:
     try:
-        return msgspec.json.decode(text, type=dict[str, Any])
-    except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
+        return decoding.decode_json(text, dict[str, Any])
+    except decoding.DecodeError as error:
         raise ConfigError(f"not a JSON object: {error}") from error
 
 
+def _describe(fields: dict[str, Any], error: decoding.DecodeError) -> str:
+    """Returns a text that names each invalid field, where that is known."""
+    with contextlib.suppress(decoding.DecodeError), decoding.translate_errors():
+        match validation.convert(fields, _Config, strict=False):
+            case Err(violations):
+                return validation.format_violations(violations)
+            case Ok(_):
+                pass
+    return str(error)
+
+
+def _is_valid(part: Any, kind: type[_Wire]) -> bool:
+    """Returns whether a part of a configuration can be used by itself."""
+    try:
+        with decoding.translate_errors():
+            wire = msgspec.convert(part, kind, strict=False)
+            if isinstance(wire, _Route):
+                _make_route(wire, True)
+    except decoding.DecodeError:
+        return False
+    return True
+
+
 def parse_config(
     text: str, terms: settings.LimitTerms = DEFAULT_LIMIT_TERMS
 ) -> model.Bundle:
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -20,6 +20,7 @@
 from ramptray.peer import message as peer_message
 from ramptray.platform import (
     config,
+    config_recovery,
     evacuation,
     replicas,
     rollout,
@@ -32,7 +33,6 @@
 
 LOG = logging.getLogger(__name__)
 
-CONFIG_KEY = "config"
 
 FETCH_TIMEOUT_S = 1.0
 """Timeout for fetching updates from a peer, in seconds.
@@ -135,6 +135,14 @@
         self._on_bundle = on_bundle
         self._declared: model.Bundle | None = None
         self._text = ""
+        self._newest_text = ""
+        self._recovery = config_recovery.ConfigRecovery(
+            store_client,
+            lambda: self._text,
+            self._offer_config,
+            self._fetch_first_config,
+            self._use_valid_parts,
+        )
         self._publish_failures = 0
         self._knows_replicas = False
         self._started_at = steadyclock.read()
@@ -182,6 +190,7 @@
             tasks.start_soon(self._distributor.run)
             tasks.start_soon(self._fetch_from_peers)
             tasks.start_soon(self._fetch_lost_configs)
+            tasks.start_soon(self._recovery.run)
 
     @property
     def in_force(self) -> acceptance.InForce | None:
@@ -328,6 +337,11 @@
             if peer is not None:
                 await self.fetch_newer(peer)
 
+    async def _fetch_first_config(self) -> None:
+        peer = self.pick_peer()
+        if peer is not None:
+            await super().fetch_newer(peer)
+
     async def _fetch_lost_configs(self) -> None:
         while True:
             await self._is_newer_told.wait()
@@ -349,11 +363,22 @@
         if zones_changed or orders_changed:
             self._publish()
         for change in changes.records:
-            if change.key == CONFIG_KEY and change.value is not None:
-                text = change.value.decode("utf-8", errors="replace")
-                self._apply_config(text, self._config_reader.origin)
+            if (
+                change.key == config_recovery.CONFIG_KEY
+                and change.value is not None
+            ):
+                self._newest_text = change.value.decode(errors="replace")
+                is_valid = self._apply_config(
+                    self._newest_text, self._config_reader.origin
+                )
+                self._recovery.set_newest_invalid(not is_valid)
+
+    def _apply_config(self, text: str, origin: str) -> bool:
+        """Puts a configuration in force that is newer than the one here.
 
-    def _apply_config(self, text: str, origin: str) -> None:
+        Returns:
+            Whether it is valid.
+        """
         try:
             bundle = self._parser.parse(text)
         except config.ConfigError as error:
@@ -361,14 +386,38 @@
                 "configuration passed over",
                 extra={"origin": origin, "detail": str(error)},
             )
-            self._store.intake.pass_over(
-                topic.CONFIG_TOPIC, CONFIG_KEY, str(error)
-            )
-            return
+            self._store.intake.count_passed_over(topic.CONFIG_TOPIC)
+            return False
         if self._declared and bundle.generation <= self._declared.generation:
-            return
-        self._declared = bundle
+            return True
         self._text = text
+        self._declare(bundle, origin)
+        return True
+
+    def _offer_config(self, text: str, origin: str) -> None:
+        """Uses a configuration that was in force before an invalid one."""
+        if self._declared is None:
+            self._apply_config(text, origin)
+
+    def _use_valid_parts(self) -> bool:
+        """Uses the valid parts of the newest configuration, if it has any."""
+        try:
+            found = self._parser.parse_valid_parts(self._newest_text)
+        except config.ConfigError as error:
+            LOG.error(
+                "configuration has no valid parts",
+                extra={"detail": str(error)},
+            )
+            return False
+        LOG.error(
+            "parts of the configuration passed over",
+            extra={"omitted": found.omitted},
+        )
+        self._declare(found.bundle, self._config_reader.origin)
+        return True
+
+    def _declare(self, bundle: model.Bundle, origin: str) -> None:
+        self._declared = bundle
         LOG.info(
             "configuration in force",
             extra={
--- a/ramptray/platform/origins.py
+++ b/ramptray/platform/origins.py
@@ -10,7 +10,7 @@
 
 from ramptray import decoding
 from ramptray.core import stream_origin
-from ramptray.log import keyedstream, originlog
+from ramptray.log import originlog
 from ramptray.platform import store, stream_position
 
 TOPIC = "keyed.origins"
@@ -79,7 +79,9 @@
         if position is None:
             position = stream_position.make_position(self._store.generation, 0)
         for _ in range(MAX_PAGES):
-            changes = await self._read_retained(position)
+            changes = await self._store.read_retained(
+                TOPIC, position, CALL_TIMEOUT_S
+            )
             for change in changes.records:
                 with self._store.intake.guard(TOPIC, change.key):
                     found.extend(_decode(change, self._read_clock()))
@@ -88,20 +90,6 @@
                 break
         return originlog.StoredOrigins(found, position)
 
-    async def _read_retained(self, position: int) -> keyedstream.Changes:
-        """Returns a page of records from a position on, or later ones."""
-        try:
-            return await self._store.read_changes(
-                TOPIC, position, 0.0, CALL_TIMEOUT_S
-            )
-        except store.TrimmedError as error:
-            begin = stream_position.make_position(
-                self._store.generation, error.first or 0
-            )
-            if begin == position:
-                raise
-        return await self._store.read_changes(TOPIC, begin, 0.0, CALL_TIMEOUT_S)
-
 
 def _decode(
     change: store.Change, unix_s: float
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -206,6 +206,32 @@
         self.intake.count_read(topic, len(changes.records))
         return changes
 
+    async def read_retained(
+        self,
+        topic: str,
+        offset: int,
+        timeout_s: float = log_reader.CALL_TIMEOUT_S,
+    ) -> Changes:
+        """Returns a page of records from an offset on, or later ones.
+
+        Args:
+            topic: The topic.
+            offset: Position of the first record wanted.
+            timeout_s: Timeout of each of up to two calls, in seconds.
+
+        Raises:
+            StoreError: The store did not respond, or rejected the call.
+        """
+        try:
+            return await self.read_changes(topic, offset, 0.0, timeout_s)
+        except TrimmedError as error:
+            begin = stream_position.make_position(
+                self.generation, error.first or 0
+            )
+            if begin == offset:
+                raise
+        return await self.read_changes(topic, begin, 0.0, timeout_s)
+
     async def append(
         self, topic: str, key: str, value: bytes, end: int | None = None
     ) -> None:
--- a/test/test_cold_start.py
+++ b/test/test_cold_start.py
@@ -21,7 +21,13 @@
 from ramptray.entry import owners, reachability
 from ramptray.peer import link
 from ramptray.peer import message as peer_message
-from ramptray.platform import config, follower, scheduling_zone, store
+from ramptray.platform import (
+    config,
+    config_recovery,
+    follower,
+    scheduling_zone,
+    store,
+)
 from ramptray.platform import settings as vm_settings
 from ramptray.scheduler import event, gossip, hub
 from test import callers, node, silent_load, virtualtime
@@ -247,7 +253,7 @@
         applied.append,
     )
     text = json.dumps(node.make_config(1)).encode()
-    record = store.Change(follower.CONFIG_KEY, text, 0)
+    record = store.Change(config_recovery.CONFIG_KEY, text, 0)
     followed._apply_config_changes(store.Changes([record], 1), True)
     assert not applied
     followed._apply_replica_changes(store.Changes([], 0), True)
--- a/test/test_odd_records.py
+++ b/test/test_odd_records.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import time
 from collections.abc import Iterator
 
 import pytest
 
+from ramptray.platform import config_recovery
 from test import callers, node, odd_records
 from test.test_node import ask, wait_until
 
@@ -27,6 +29,10 @@
 """Time in which VMs in service have stored what those that start lack."""
 
 
+FORGOTTEN = 10**6
+"""Offset before which a store has dropped all records but the newest."""
+
+
 @contextlib.contextmanager
 def run_beside(odd: odd_records.OddRecord) -> Iterator[node.Platform]:
     """Runs two VMs to which a record is written while they serve.
@@ -60,6 +66,26 @@
     )
 
 
+def restart(started: node.Platform, vms: list[str]) -> None:
+    """Kills VMs, and starts them again after all have ended."""
+    for vm in vms:
+        started.kill_vm(vm)
+    for vm in vms:
+        started.restart_vm(vm)
+
+
+def write_config(started: node.Platform, value: bytes) -> None:
+    odd = odd_records.OddRecord(node.CONFIG_TOPIC, b"config", value)
+    odd_records.write(started, odd)
+
+
+def read_copy(started: node.Platform) -> list[str]:
+    """Returns the keys of the configurations that VMs have stored."""
+    path = f"/v1/log-newest?topic={config_recovery.TOPIC}&part=0"
+    items = json.loads(node.call(started.store, "GET", path).body)["items"]
+    return [item["tlsKey"] for item in items]
+
+
 def check_running(started: node.Platform) -> None:
     ended = [vm for vm in started.vms if started.processes[vm].poll()]
     assert ended == []
@@ -98,10 +124,7 @@
     # VMs were lost.
     value = odd_records.CONFIGS[odd]
     with callers.run_serving(vms=2) as started:
-        odd_records.write(
-            started,
-            odd_records.OddRecord(node.CONFIG_TOPIC, b"config", value),
-        )
+        write_config(started, value)
         time.sleep(SAVE_S)
         check_service(started)
         restart(started, ["vm-1"])
@@ -110,9 +133,44 @@
         check_service(started)
 
 
-def restart(started: node.Platform, vms: list[str]) -> None:
-    """Kills VMs, and starts them again after all have ended."""
-    for vm in vms:
-        started.kill_vm(vm)
-    for vm in vms:
-        started.restart_vm(vm)
+def test_vms_start_with_a_copy_beside_an_odd_configuration() -> None:
+    with callers.run_serving(vms=2) as started:
+        write_config(started, odd_records.NESTED)
+        wait_until(lambda: bool(read_copy(started)), SAVE_S)
+        started.set_faults("store", forgotten=FORGOTTEN)
+        restart(started, list(started.vms))
+        check_service(started)
+        in_force = [
+            line["origin"]
+            for line in started.read_log("vm-0")
+            if line["message"] == "configuration in force"
+        ]
+        assert in_force[-1] == "copy" or in_force[-1].startswith("peer")
+
+
+def test_a_copy_is_discarded_once_a_configuration_is_valid() -> None:
+    # The copy may hold keys that have been taken away since.
+    with callers.run_serving(vms=2) as started:
+        write_config(started, odd_records.NESTED)
+        wait_until(lambda: bool(read_copy(started)), SAVE_S)
+        started.set_config(node.make_config(3))
+        for vm in started.vms:
+            started.wait_for_config(vm, 3)
+        wait_until(lambda: not read_copy(started), SAVE_S)
+        check_service(started)
+
+
+def test_vms_start_with_the_valid_parts_of_an_odd_configuration() -> None:
+    # No VM, copy or retained record has a former one.
+    odd = odd_records.make_config("tenants", ratePerS=None)
+    with node.run_platform(vms=0, replicas=2) as started:
+        write_config(started, odd)
+        started.set_faults("store", forgotten=FORGOTTEN)
+        started.start_vm("vm-0")
+        check_service(started)
+        refused = ask(
+            started,
+            "/safe/",
+            headers={"Authorization": f"Bearer {node.LIMITED_KEY}"},
+        )
+        assert refused.status == 401
