--- a/ramptray/platform/blocks.py
+++ b/ramptray/platform/blocks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -20,6 +21,10 @@
 """Highest accepted number of crashes before a block."""
 
 
+_KEY_PATTERN = re.compile(r"[!-~]+")
+"""Keys of blocks.  Others could not be stored again under the same key."""
+
+
 class _BlockRecord(msgspec.Struct, frozen=True):
     """Record value; its key is the blocked content."""
 
@@ -56,6 +61,8 @@
             # Without one of them, a few more servers may crash before its
             # content is blocked again.
             with self._store.intake.guard(TOPIC, record.key):
+                if not _KEY_PATTERN.fullmatch(record.key):
+                    raise decoding.DecodeError("its key is no digest")
                 value = decoding.decode_json(record.value or b"", _BlockRecord)
                 blocks.append(
                     blocklog.StoredBlock(
