Read all records of replicas before one release counts as the only one

Cause: a VM that stood still confirms that it knows all records by one read; a page holds 1 MB at most, so with more records behind it the read confirmed a state of some time ago, and a stream of unknown origin could go on at a release that was no longer the only one (ORDER). Change: it reads on until a page is empty, eight pages at most. The test's stand-in of a topic now answers by offset, as the store does.

--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -68,6 +68,10 @@
 CONFIRM_TIMEOUT_S = 0.5
 """Timeout of a read that confirms that all records are known, in seconds."""
 
+MAX_CONFIRM_PAGES = 8
+"""Number of pages that such a read takes at most.  The last one is empty: only
+that shows that no record follows."""
+
 CONFIRM_INTERVAL_S = 0.1
 """Shortest interval between two such reads, in seconds.  Callers cause them."""
 
@@ -272,25 +276,28 @@
         return await self._confirmation.get_answer()
 
     async def _read_all_replicas(self) -> bool:
-        began_at = steadyclock.read()
         end = self._replica_reader.end
         if end is None:
             return False
-        try:
-            changes = await self._replica_reader.read_from(
-                end, 0.0, CONFIRM_TIMEOUT_S
-            )
-        except log_error.LogError as error:
-            LOG.info(
-                "records of replicas not confirmed",
-                extra={"detail": str(error)},
-            )
-            return False
-        if changes.records:
+        for _ in range(MAX_CONFIRM_PAGES):
+            began_at = steadyclock.read()
+            try:
+                changes = await self._replica_reader.read_from(
+                    end, 0.0, CONFIRM_TIMEOUT_S
+                )
+            except log_error.LogError as error:
+                LOG.info(
+                    "records of replicas not confirmed",
+                    extra={"detail": str(error)},
+                )
+                return False
+            if not changes.records:
+                return True
             await self._replica_reader.apply_peer_page(
                 changes, False, began_at, "store"
             )
-        return True
+            end = changes.end
+        return False
 
     def set_on_stream_advance(self, on_advance: Callable[[], None]) -> None:
         """See the base class."""
--- a/test/test_resumption.py
+++ b/test/test_resumption.py
@@ -273,6 +273,7 @@
         self.records: list[store.Change] = []
         self.reads = 0
         self.is_down = False
+        self.page_size = 100
         self.applied: list[store.Change] = []
 
     async def read_from(
@@ -282,7 +283,9 @@
         await anyio.sleep(0.01)
         if self.is_down:
             raise log_error.LogTimeoutError("no answer")
-        return store.Changes(self.records, offset + len(self.records))
+        rest = [each for each in self.records if each.position >= offset]
+        page = rest[: self.page_size]
+        return store.Changes(page, offset + len(page))
 
     async def apply_peer_page(
         self, page: store.Changes, whole: bool, fresh_at: float, peer: str
@@ -310,6 +313,17 @@
     assert topic.applied == topic.records
 
 
+@pytest.mark.anyio
+async def test_records_beyond_the_first_page_are_not_missed() -> None:
+    # A VM that stood still had more records to read than a page holds, and took
+    # the release before them for the only one.
+    topic = Topic()
+    topic.page_size = 2
+    topic.records = [store.Change(f"i-{at}", b"{}", at) for at in range(7, 12)]
+    assert await make_confirming(topic).confirm_replicas()
+    assert topic.applied == topic.records
+
+
 @pytest.mark.anyio
 async def test_nothing_is_certain_while_the_store_is_down() -> None:
     topic = Topic()
