--- a/ramptray/controller/leaseholder.py
+++ b/ramptray/controller/leaseholder.py
@@ -8,7 +8,7 @@
 import anyio
 import msgspec
 
-from ramptray import steadyclock
+from ramptray import decoding, steadyclock
 from ramptray.core import lease
 from ramptray.log import client as log_client
 from ramptray.log import stream
@@ -61,8 +61,9 @@
 
     def _apply_record(self, record: log_client.LogRecord) -> None:
         try:
-            parsed = msgspec.convert(record.body, lease.LeaseRecord)
-        except msgspec.ValidationError as error:
+            with decoding.translate_errors():
+                parsed = msgspec.convert(record.body, lease.LeaseRecord)
+        except decoding.DecodeError as error:
             LOG.warning("invalid record in the lease stream: %s", error)
             return
         self._lease.apply_record(record.offset, parsed, steadyclock.read())
--- a/ramptray/engine/client.py
+++ b/ramptray/engine/client.py
@@ -247,6 +247,7 @@
 
 def _convert(body: Any, kind: type[ResponseT]) -> ResponseT:
     try:
-        return msgspec.convert(body, kind)
-    except msgspec.ValidationError as error:
+        with decoding.translate_errors():
+            return msgspec.convert(body, kind)
+    except decoding.DecodeError as error:
         raise BrokenError(f"invalid response: {error}") from error
--- a/ramptray/engine/orders.py
+++ b/ramptray/engine/orders.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ramptray import decoding
 from ramptray.core import engine_orders
 from ramptray.engine import client
 
@@ -36,8 +37,9 @@
         """
         body: Any = await self._engines.query("GET", url, "/orders")
         try:
-            state = msgspec.convert(body, _StateResponse)
-        except msgspec.ValidationError as error:
+            with decoding.translate_errors():
+                state = msgspec.convert(body, _StateResponse)
+        except decoding.DecodeError as error:
             raise client.BrokenError(f"{url}/orders: {error}") from error
         return engine_orders.EngineState(
             frozenset(state.versions),
--- a/ramptray/scheduler/claims.py
+++ b/ramptray/scheduler/claims.py
@@ -11,7 +11,7 @@
 import msgspec
 from anyio.streams import memory
 
-from ramptray import steadyclock
+from ramptray import decoding, steadyclock
 from ramptray.core import claim
 from ramptray.log import client as log_client
 from ramptray.log import pages
@@ -215,10 +215,11 @@
         self, partition: Partition, body: dict[str, Any]
     ) -> None:
         try:
-            records = msgspec.convert(
-                body.get("records"), list[claim.ClaimRecord]
-            )
-        except msgspec.ValidationError as error:
+            with decoding.translate_errors():
+                records = msgspec.convert(
+                    body.get("records"), list[claim.ClaimRecord]
+                )
+        except decoding.DecodeError as error:
             LOG.warning("invalid record in a claim stream: %s", error)
             return
         for record in records:
