--- a/test/odd_records.py
+++ b/test/odd_records.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import random
+import time
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from test import node
@@ -10,6 +13,7 @@
 BLOCK_TOPIC = "keyed.blocks"
 ORIGIN_TOPIC = "keyed.origins"
 RELEASE_TOPIC = "keyed.releases"
+WRITE_EVERY_S = 0.7
 NESTING = 40_000
 NESTED = b'{"a":' * NESTING + b"1" + b"}" * NESTING
 NESTED_MSGPACK = b"\x91" * NESTING + b"\xc0"
@@ -137,3 +141,28 @@
     """Writes a record as another writer does."""
     body = bytes([len(odd.key)]) + odd.key + odd.value
     node.call(started.store, "PUT", f"/raw/{odd.topic}", body)
+
+
+class OddWriter:
+    """Writes odd records during a soak, beside those of the sound writers.
+
+    Args:
+        started: The deployment.
+        rng: Chooses the records.
+    """
+
+    def __init__(self, started: node.Platform, rng: random.Random) -> None:
+        self._started = started
+        self._rng = rng
+        # The replica's own writer would write its record again.
+        self._names = sorted(set(RECORDS) - {"server_in_place"})
+
+    def run(self, is_over: Callable[[], bool]) -> None:
+        """Writes until the soak is over."""
+        while not is_over():
+            time.sleep(WRITE_EVERY_S)
+            write(self._started, RECORDS[self._rng.choice(self._names)])
+            if self._rng.random() < 0.3:
+                value = CONFIGS[self._rng.choice(sorted(CONFIGS))]
+                odd = OddRecord(node.CONFIG_TOPIC, b"config", value)
+                write(self._started, odd)
--- a/test/soak.py
+++ b/test/soak.py
@@ -31,6 +31,7 @@
     key_removal,
     limiting,
     node,
+    odd_records,
     part_load,
     partition,
     pausing,
@@ -81,6 +82,7 @@
         keys: Whether all keys of all customers are taken away at times.
         skewed: Whether one VM gets most new connections at times.
         pauses: Whether replicas also pause, and callers ask for long streams.
+        odd: Whether another program writes odd records.
     """
 
     def __init__(
@@ -99,7 +101,13 @@
         keys: bool = False,
         skewed: bool = False,
         pauses: bool = False,
+        odd: bool = False,
     ) -> None:
+        self._odd_writer = (
+            odd_records.OddWriter(started, random.Random(f"{seed}/odd"))
+            if odd
+            else None
+        )
         self._pauses = pauses
         self._skewed = skewed
         self._releases = releases
@@ -259,6 +267,8 @@
             tasks.append(lambda: self._changer.run(self._is_over))
         if remover := self._remover:
             tasks.append(lambda: remover.intrude(self._intrude, self._is_over))
+        if writer := self._odd_writer:
+            tasks.append(lambda: writer.run(self._is_over))
         if pauser := self._pauser:
             tasks.append(lambda: pauser.run(self._is_over))
         for caller in self._stream_callers:
@@ -568,6 +578,7 @@
     keys: bool = False,
     skewed: bool = False,
     pauses: bool = False,
+    odd: bool = False,
 ) -> tuple[list[promise.Promise], list[str]]:
     """Runs one soak and returns its promises and its faults.
 
@@ -586,6 +597,7 @@
         keys: Whether all keys of all customers are taken away at times.
         skewed: Whether one VM gets most new connections at times.
         pauses: Whether replicas also pause, and callers ask for long streams.
+        odd: Whether another program writes odd records.
     """
     with tempfile.TemporaryDirectory() as made:
         name = keep or made
@@ -608,6 +620,7 @@
                 keys,
                 skewed,
                 pauses,
+                odd,
             )
             return soak.perform(), list(soak.record.list_faults())
         finally:
@@ -656,6 +669,7 @@
 @click.option(
     "--pauses", is_flag=True, help="Replicas send nothing for 0.5 to 4 s."
 )
+@click.option("--odd", is_flag=True, help="Odd records are written.")
 @click.option("--show", is_flag=True, help="Show the faults of each run.")
 @click.option(
     "--keep",
@@ -677,6 +691,7 @@
     keys: bool,
     skewed: bool,
     pauses: bool,
+    odd: bool,
     show: bool,
     keep: pathlib.Path | None,
 ) -> None:
@@ -701,6 +716,7 @@
             keys,
             skewed,
             pauses,
+            odd,
         )
         broken = [kept for kept in promises if kept.violations]
         click.echo(f"seed {each}: {'BROKEN' if broken else 'kept'}")
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -95,6 +95,10 @@
     check_soak(4, 3, 45.0, last=3, outages=True, keys=True)
 
 
+def test_the_promises_are_kept_while_odd_records_are_written() -> None:
+    check_soak(3, 1, 45.0, last=3, outages=True, odd=True)
+
+
 def test_the_promises_are_kept_while_servers_pause() -> None:
     # Answers were cut while their servers were silent, and no run showed it.
     check_soak(3, 1, last=3, restarts=True, pauses=True)
