Fetch a configuration that an invalid one hides without delay

Cause: VMs that get the newest record of each key, from other VMs or at a start, do not see the valid configuration before an invalid one. Change: while the newest configuration is invalid, a VM asks another one at once, and for one that is told to be newer without the delay. The search of retained records reads pages to the end, sixteen records at most.

--- a/ramptray/platform/config_recovery.py
+++ b/ramptray/platform/config_recovery.py
@@ -34,8 +34,9 @@
 MAX_PAUSE_S = 5.0
 """Shortest and longest pause before another attempt, in seconds."""
 
-MAX_RETAINED = 64
-"""Number of the topic's last records that are searched."""
+MAX_RETAINED = 16
+"""Number of the topic's last records that are searched.  Each may be hundreds
+of kilobytes large."""
 
 SEARCHES = 3
 """Number of searches without a result after which the valid parts of an invalid
@@ -72,6 +73,11 @@
         self._searches = 0
         self._changed = anyio.Event()
 
+    @property
+    def is_newest_invalid(self) -> bool:
+        """Whether the newest configuration cannot be used."""
+        return self._is_newest_invalid
+
     def set_newest_invalid(self, is_invalid: bool) -> None:
         """Sets whether the newest configuration cannot be used."""
         if is_invalid or self._is_newest_invalid:
@@ -111,6 +117,8 @@
                 await self._store.append(TOPIC, KEY, b"")
                 self._has_copy = False
             return True
+        # It may hide a valid one from VMs that get the newest record only.
+        await self._fetch()
         if not self._get_text():
             await self._search()
         if not self._get_text():
@@ -128,8 +136,7 @@
         self._has_copy = True
 
     async def _search(self) -> None:
-        """Offers the configurations found, and then those of other VMs."""
-        await self._fetch()
+        """Offers the configurations that the store holds."""
         retained = await self._read_retained()
         copies = self._iterate_texts(await self._store.read_newest(TOPIC))
         for text in retained:
@@ -151,12 +158,18 @@
         newest = await self._store.read_newest(topic.CONFIG_TOPIC)
         offset = stream_position.get_offset(newest.end)
         begin = newest.end - min(offset, MAX_RETAINED)
-        changes = await self._store.read_retained(topic.CONFIG_TOPIC, begin)
-        return [
-            change.value.decode(errors="replace")
-            for change in reversed(changes.records)
-            if change.key == CONFIG_KEY and change.value is not None
-        ]
+        texts: list[str] = []
+        for _ in range(MAX_RETAINED):
+            page = await self._store.read_retained(topic.CONFIG_TOPIC, begin)
+            if not page.records:
+                break
+            texts.extend(
+                change.value.decode(errors="replace")
+                for change in page.records
+                if change.key == CONFIG_KEY and change.value is not None
+            )
+            begin = page.end
+        return texts[::-1]
 
 
 def _unpack(packed: bytes) -> str:
--- a/ramptray/platform/follower.py
+++ b/ramptray/platform/follower.py
@@ -352,11 +352,18 @@
     async def _fetch_lost_configs(self) -> None:
         while True:
             await self._is_newer_told.wait()
-            await anyio.sleep(LOST_CONFIG_DELAY_S)
+            # An invalid configuration hides this one in the store.
+            is_hidden = self._recovery.is_newest_invalid
+            if not is_hidden:
+                await anyio.sleep(LOST_CONFIG_DELAY_S)
             generation, address = self._newer
             if self._declared and generation > self._declared.generation:
                 await super().fetch_newer(address)
-                await anyio.sleep(LOST_CONFIG_INTERVAL_S)
+                await anyio.sleep(
+                    PEER_FETCH_INTERVAL_S
+                    if is_hidden
+                    else LOST_CONFIG_INTERVAL_S
+                )
             self._is_newer_told = anyio.Event()
 
     def _apply_config_changes(
--- a/test/test_odd_records.py
+++ b/test/test_odd_records.py
@@ -21,6 +21,9 @@
 START_S = 3.0
 """Time in which a VM that starts serves, in seconds."""
 
+APPLY_S = 2.0
+"""Time in which a change is in force on every VM, in seconds."""
+
 OBSERVED_S = 1.0
 """How long requests are observed, in seconds."""
 
@@ -174,3 +177,29 @@
             headers={"Authorization": f"Bearer {node.LIMITED_KEY}"},
         )
         assert refused.status == 401
+
+
+def test_an_odd_configuration_hides_no_valid_one() -> None:
+    # VMs that get the newest record of each key, from the store at a start or
+    # from other VMs, never saw the valid one before it.
+    with callers.run_serving(vms=5) as started:
+        config = node.make_config(2)
+        config["routes"].append(
+            {**config["routes"][0], "name": "new", "pathPrefix": "/new/"}
+        )
+        started.set_config(config)
+        write_config(started, odd_records.NESTED)
+        wait_until(
+            lambda: all(
+                ask(started, "/new/", vm=vm).status == 200 for vm in started.vms
+            ),
+            APPLY_S,
+        )
+        restart(started, list(started.vms))
+        check_service(started)
+        wait_until(
+            lambda: all(
+                ask(started, "/new/", vm=vm).status == 200 for vm in started.vms
+            ),
+            START_S,
+        )
