--- a/ramptray/platform/page.py
+++ b/ramptray/platform/page.py
@@ -27,6 +27,8 @@
 
 
 _SURROGATES = re.compile("[\ud800-\udfff]")
+_NO_BYTES = re.compile("[\ud800-\udc7f\udd00-\udfff]")
+"""Surrogates that do not stand for a byte (``surrogateescape``)."""
 
 
 class StoreError(log_error.LogError):
@@ -115,6 +117,14 @@
     return _SURROGATES.sub("\ufffd", key)
 
 
+def make_cursor(key: str) -> str:
+    """Returns the key after which the next page begins.
+
+    Lone surrogates that stand for a byte are kept, and sent as that byte.
+    """
+    return _NO_BYTES.sub("\ufffd", key)
+
+
 class _GonePage(msgspec.Struct):
     """Wire format of the response for records that are no longer retained."""
 
--- a/ramptray/platform/store.py
+++ b/ramptray/platform/store.py
@@ -162,7 +162,7 @@
             )
             if not decoded.more or not decoded.items:
                 return Changes(records, first_end)
-            former, after = after, decoded.items[-1].key
+            former, after = after, page.make_cursor(decoded.items[-1].key)
             if after == former:
                 # The store does not know the key by which it was asked.
                 raise StoreError(f"{topic}: the page after {after!r} repeats")
--- a/test/test_decoding.py
+++ b/test/test_decoding.py
@@ -82,7 +82,7 @@
 
 def test_a_page_that_repeats_is_an_error() -> None:
     # The store names a key in a form by which it does not find it again.
-    item = page.NewestItem("odd-\ufffd", "", 1)
+    item = page.NewestItem("odd-\ud800", "", 1)
     body = page.encode_newest(page.NewestPage([item], 2, True))
 
     class Repeating(store.Store):
