Settle the configuration again after a failed run, list what was traced

Cause: the task that stores, discards or searches the copy of a configuration forgot what was left to do if it failed; its next run waited for a change. Change: a run begins with what is left.

--- a/ramptray/platform/config_recovery.py
+++ b/ramptray/platform/config_recovery.py
@@ -86,6 +86,9 @@
 
     async def run(self) -> None:
         """Stores, discards or searches the copy until cancelled."""
+        if self._is_newest_invalid or self._has_copy:
+            # A former run may have failed on the way.
+            self._changed.set()
         pause_s = MIN_PAUSE_S
         while True:
             await self._changed.wait()
