Remove an unused parameter and a second bound of the same text

Cause: no caller of decode_json sets strict, and the only caller of pass_over gives it a text that decoding.py has bounded already. Change: both are gone; behaviour is unchanged.

--- a/ramptray/decoding.py
+++ b/ramptray/decoding.py
@@ -45,20 +45,19 @@
         raise DecodeError(text[:MAX_ERROR_CHARS]) from error
 
 
-def decode_json(data: bytes | str, kind: type[T], strict: bool = True) -> T:
+def decode_json(data: bytes | str, kind: type[T]) -> T:
     """Returns the value of a JSON text.
 
     Args:
         data: The text.
         kind: Type of the value.
-        strict: Whether to reject numbers given as text.
 
     Raises:
         DecodeError: The text is invalid, or not a value of this type.
     """
     with translate_errors():
         _check_size(data)
-        return msgspec.json.decode(data, type=kind, strict=strict)
+        return msgspec.json.decode(data, type=kind)
 
 
 def decode_lenient_json(data: bytes) -> Any:
--- a/ramptray/log/intake.py
+++ b/ramptray/log/intake.py
@@ -23,9 +23,6 @@
 MAX_KEY_CHARS = 64
 """Length of a key in a log line."""
 
-MAX_DETAIL_CHARS = 200
-"""Length of the reason in a log line, which may quote the record."""
-
 
 class RecordIntake:
     """Counts and logs what became of the records that this VM read.
@@ -79,7 +76,7 @@
             extra={
                 "topic": topic,
                 "key": key[:MAX_KEY_CHARS],
-                "detail": detail[:MAX_DETAIL_CHARS],
+                "detail": detail,
             },
         )
 
