Free a request's body when its answer has ended

Callers saw: after 300 whole bodies of 1 MB a VM of 300 MB stayed at up to 780 MB, and was killed.

Cause: an exchange and its series of attempts referred to each other, so the body of each served request was left to the garbage collector, which runs by numbers of objects, not by their size. A refusal that was sent within an exception handler kept the exception, its traceback and what had been read in the same way, if the connection broke meanwhile.

Change: series refer to their exchange weakly; refusals are sent after the handler.

Evidence: collected by hand after a crowd of whole 1 MB bodies, the garbage of a VM held 500 requests, 307 of them with their exchanges, and a collection and a trim of the heap took it from 163 to 57 MB.

--- a/ramptray/relay/exchange.py
+++ b/ramptray/relay/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import weakref
 
 import anyio
 import anyio.abc
@@ -133,7 +134,10 @@
         return bool(others)
 
     def _make_series(self, ticket: tickets.Ticket) -> attempts.AttemptSeries:
-        return attempts.AttemptSeries(self._means, ticket, self)
+        # A cycle of strong references would keep the request's body until the
+        # garbage collector runs.
+        race = weakref.proxy(self)
+        return attempts.AttemptSeries(self._means, ticket, race)
 
     async def _run_series(self, series: attempts.AttemptSeries) -> None:
         assert self._tasks is not None
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -339,19 +339,22 @@
     async def _serve_one(self) -> bool:
         """Serves one request; returns whether the connection stays open."""
         self._request_id = ""
+        refused: refusal.Refusal | None = None
         try:
             request = await self._read_request()
         except _BadRequestError as error:
             self.close_reason = closing.CloseReason.INVALID
-            await self._refuse_invalid_request(error.invalid)
-            return False
+            refused = self._make_invalid_refusal(error.invalid)
         except _StoppedError:
             self.close_reason = closing.CloseReason.STOP
-            await self._refuse("", STOPPING)
-            return False
+            refused = STOPPING
         except _CrowdedError:
             self.close_reason = closing.CloseReason.CROWDED
-            await self._refuse("", CROWDED)
+            refused = CROWDED
+        if refused is not None:
+            # Not within a handler: an error of the connection would keep the
+            # handled one, whose traceback holds what has been read.
+            await self._refuse_unread(refused)
             return False
         if request is None:
             return False
@@ -679,19 +682,21 @@
             return [(b"Connection", b"close")]
         return []
 
-    async def _refuse_invalid_request(
+    def _make_invalid_refusal(
         self, invalid: message.InvalidRequest
-    ) -> None:
-        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
+    ) -> refusal.Refusal:
         LOG.info(
             "invalid request refused",
             extra={"status": invalid.status, "detail": invalid.text},
         )
-        refused = refusal.Refusal(invalid.status, invalid.text)
         if self._state.awaits_limits and invalid.status in _LIMIT_STATUSES:
-            refused = refusal.NOT_READY
-        await self._refuse("", refused)
+            return refusal.NOT_READY
+        return refusal.Refusal(invalid.status, invalid.text)
+
+    async def _refuse_unread(self, refused: refusal.Refusal) -> None:
+        """Refuses a request that has not been read, if that is possible."""
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._refuse("", refused)
 
     async def _refuse(self, request_id: str, refused: refusal.Refusal) -> None:
         """Sends an error response with which the connection ends."""
