Count the framing of a header with the bytes that it takes at least

Callers saw: 431 for a head of 8,000 bytes where 8,192 are allowed.

Cause: four bytes were counted for each header beside its name and value, but the space behind the colon is optional, so three suffice.

Change: three bytes are counted.

--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -35,6 +35,9 @@
 are on their way for up to 150 ms, and a request that arrives after the end is
 lost."""
 
+MIN_HEADER_FRAMING_BYTES = 3
+"""Bytes of a header beside its name and value: a colon and a line end."""
+
 REQUEST_TIMEOUT = 408
 HEADERS_TOO_LARGE = 431
 BAD_REQUEST = 400
@@ -757,8 +760,11 @@
 
 
 def _compute_head_size(head: message.RequestHead) -> int:
-    """Returns the approximate size of a head in bytes."""
-    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    """Returns the least size that a head can have had, in bytes."""
+    fields = sum(
+        len(name) + len(value) + MIN_HEADER_FRAMING_BYTES
+        for name, value in head.headers
+    )
     return len(head.method) + len(head.target) + fields
 
 
