Bound the bytes that wait unread in the kernel

Callers saw: VMs that were killed though their own buffers were small: what has arrived and is not read counts as memory of the process. 1,000 callers whose bodies lacked a byte took 194 MB, 306 MB with what waited.

Cause: the kernel keeps 128 KB for each connection (measured on loopback).

A stream can be told how much to read at once.

--- a/ramptray/node/listener.py
+++ b/ramptray/node/listener.py
@@ -1,12 +1,14 @@
 """Listening sockets that can be opened before the program is loaded.
 
-This module may import only the standard library.
+This module may import only the standard library, and what does so too.
 """
 
 from __future__ import annotations
 
 import socket
 
+from ramptray import receive_buffer
+
 BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
 
@@ -34,6 +36,7 @@
     host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    receive_buffer.limit(listener)
     listener.bind((host, int(port)))
     listener.listen(BACKLOG)
     listener.setblocking(False)
--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -26,7 +26,7 @@
 
 import anyio
 
-from ramptray import connecting, steadyclock
+from ramptray import connecting, receive_buffer, steadyclock
 from ramptray import deadline as deadlines
 from ramptray.core import user_timeout
 from ramptray.relay import byte_stream
@@ -37,7 +37,7 @@
 peer."""
 
 MAX_READ_BYTES = 64 * 1024
-"""Largest read for a reader that waits."""
+"""Largest read for a reader that waits, in bytes."""
 
 FLUSH_TIMEOUT_S = 30.0
 """How long the kernel goes on to send to a peer that does not read, in seconds,
@@ -93,11 +93,14 @@
     """A connected socket, read by one task and written by one task.
 
     Attributes:
+        max_read_bytes: Largest read for a reader that waits, in bytes; at most
+            ``MAX_READ_BYTES``.
         on_end: Called once when the peer has closed its side or the connection
             is lost.
     """
 
     def __init__(self) -> None:
+        self.max_read_bytes = MAX_READ_BYTES
         self.on_end: Callable[[], object] | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -131,7 +134,7 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns where the event loop reads bytes to; not empty."""
         if self._is_awaited:
-            return _BUFFERS.buffer
+            return _BUFFERS.buffer[: self.max_read_bytes]
         left = MAX_UNREAD_BYTES - len(self._unread)
         return _BUFFERS.buffer[: max(1, left)]
 
@@ -232,6 +235,18 @@
         if waiter is not None and not waiter.done():
             waiter.set_exception(TimeoutError("nothing arrived in time"))
 
+    def set_read_limits(self, read_bytes: int, kernel_bytes: int) -> None:
+        """Sets how much is read at once, and waits in the kernel until then.
+
+        Args:
+            read_bytes: See ``max_read_bytes``.
+            kernel_bytes: What the kernel may keep, in bytes.
+        """
+        self.max_read_bytes = read_bytes
+        sock = self.get_socket()
+        if sock is not None:
+            receive_buffer.limit(sock, kernel_bytes)
+
     async def send(self, data: bytes, timeout_s: float) -> None:
         """See the base class; waits until the kernel has accepted the bytes."""
         self._check_open()
--- a/ramptray/webserver.py
+++ b/ramptray/webserver.py
@@ -9,7 +9,7 @@
 import uvicorn
 from starlette import types
 
-from ramptray import settings
+from ramptray import receive_buffer, settings
 
 BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
@@ -31,6 +31,7 @@
     """
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    receive_buffer.limit(listener)
     listener.bind(settings.split_address(address))
     listener.listen(BACKLOG)
     return listener
