Send large bodies to servers slice by slice

Cause: head and body were joined, and what the socket did not take at once was copied by the transport, so a body existed three times until it was sent.

Change: bodies are sent in slices of 64 KB, with one time limit for all.

Evidence: test_a_crowd_leaves_a_vm_its_memory_and_its_callers[whole_large_requests]

--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -37,6 +37,10 @@
 """Longest time a backend server may leave a request unread, in seconds.  The
 request's own deadline is earlier."""
 
+MAX_SLICE_BYTES = 64 * 1024
+"""Part of a request's body that is sent at a time, in bytes.  What is written
+but not sent yet exists twice."""
+
 MAX_HEAD_BYTES = 65536
 MAX_SKIPPED_RESPONSES = 4
 """Largest number of responses to other requests that are skipped."""
@@ -242,10 +246,7 @@
             head = h11.Request(
                 method=request.method, target=request.target, headers=headers
             )
-            data = self._http.send(head) or b""
-            data += self._http.send(h11.Data(data=request.body)) or b""
-            data += self._http.send(h11.EndOfMessage()) or b""
-            await self._stream.send(data, SEND_TIMEOUT_S)
+            await self._send_all(head, request.body)
         except anyio.BrokenResourceError as error:
             # A server that refuses a request may close the connection before
             # it has read the body.
@@ -258,6 +259,23 @@
         ) as error:
             raise BrokenError(f"{self.address}: {error!r}") from error
 
+    async def _send_all(self, head: h11.Request, body: bytes) -> None:
+        """Sends a head and a body, whose parts have one time limit together."""
+        ends_at = steadyclock.read() + SEND_TIMEOUT_S
+        data = self._http.send(head) or b""
+        for start in range(0, len(body), MAX_SLICE_BYTES):
+            if start:
+                await self._send_before(ends_at, data)
+                data = b""
+            part = body[start : start + MAX_SLICE_BYTES]
+            data += self._http.send(h11.Data(data=part)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._send_before(ends_at, data)
+
+    async def _send_before(self, ends_at: float, data: bytes) -> None:
+        left_s = max(0.0, ends_at - steadyclock.read())
+        await self._stream.send(data, left_s)
+
     async def _read_early(self) -> bool:
         """Reads what arrived before a send failed; returns whether any did."""
         try:
