Count requests with what they take in memory, before they are read

Callers saw: VMs of 300 MB at 305 to 780 MB, which are killed: 2,500 heads of 1,300 small headers 462 MB, 300 chunked bodies 357 MB, whole bodies 780 MB. A length over the limit got 413 only after the limit had been read.

Cause: the budget counted bytes on the wire, after they had been read; headers, chunks and copies took many times that. Whoever came last was refused, and only who rested gave way, so a crowd that sent a byte now and then kept all.

Change: resources.compute_request_bytes is the one rule: a header counts 256 bytes beside its characters, a body with its length as soon as the head names it, and with what is copied. Bodies are kept as one buffer. The incomplete requests that take most are refused first; small ones are always read; a single large one may take more than the part of requests. The number of connections is bounded by memory as well. Memory in use that nothing explains makes the part smaller, and the allocator returns large blocks.

--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -764,6 +764,7 @@
         vm = vm_settings.read_settings(vm_settings.get_path())
     except vm_settings.SettingsError as error:
         raise process.ProcessError(str(error)) from error
+    resources.return_freed_memory()
     await Node(settings, vm).run(stop)
 
 
--- a/ramptray/relay/client.py
+++ b/ramptray/relay/client.py
@@ -122,7 +122,6 @@
             resources.Resting(
                 resources.RestKind.KEPT,
                 connection.idle_since,
-                0,
                 functools.partial(self._discard, connection),
             )
             for connection in itertools.chain.from_iterable(self._idle.values())
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import logging
+import re
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any
@@ -14,7 +15,7 @@
 import msgspec
 from result import Err, Ok
 
-from ramptray import resources, steadyclock
+from ramptray import receive_buffer, resources, steadyclock
 from ramptray.bundle import model
 from ramptray.relay import answer as answers
 from ramptray.relay import closing, message, refusal
@@ -29,6 +30,17 @@
 BODY_TIMEOUT_S = 10.0
 """Longest time a request's body may take to arrive, in seconds."""
 
+READ_BYTES = 16 * 1024
+"""Largest read of a request that is not known to be large, in bytes.  All
+connections may have bytes to read in the same pass of the event loop."""
+
+LARGE_BYTES = 256 * 1024
+"""Size of a body from which on more is read at once, in bytes.  It is so large
+that the longer reads matter little in what it takes altogether."""
+
+STEP_BYTES = 4 * 1024
+"""Steps in which room is found for a body whose head names no length."""
+
 IDLE_MARGIN_S = 0.3
 """How much longer than its idle time a connection stays open, in seconds.  A
 caller counts from when it has read its answer until it sends a request: both
@@ -38,6 +50,8 @@
 MIN_HEADER_FRAMING_BYTES = 3
 """Bytes of a header beside its name and value: a colon and a line end."""
 
+_HEAD_END = re.compile(rb"\n\r?\n")
+
 REQUEST_TIMEOUT = 408
 HEADERS_TOO_LARGE = 431
 BAD_REQUEST = 400
@@ -48,6 +62,10 @@
 INTERNAL_ERROR = refusal.Refusal(500, "internal error")
 """Sent after an error of this program; the request may have run."""
 
+_BODY_TOO_LARGE = message.InvalidRequest(
+    refusal.CONTENT_TOO_LARGE, "body too large"
+)
+
 STOPPED = refusal.Refusal(refusal.BAD_GATEWAY, "stopped")
 """Sent if the time to stop ends before an answer begins; the request may have
 run."""
@@ -104,7 +122,8 @@
         serving: Cancel scopes of the requests being served.
         connections: Number of open connections.
         closing: How many of them are being closed for others.
-        buffered_bytes: Bytes of requests that are being read or served.
+        buffered_bytes: Memory that requests being read or served take, in
+            bytes.
     """
 
     limits: model.RelayLimits = msgspec.field(default_factory=model.RelayLimits)
@@ -173,6 +192,14 @@
             if (resting := connection.find_rest()) is not None
         )
 
+    def list_holders(self) -> Iterator[resources.Holder]:
+        """See the base class."""
+        return (
+            holder
+            for connection in self._open
+            if (holder := connection.find_holder()) is not None
+        )
+
     @property
     def is_busy(self) -> bool:
         """Whether a connection holds a request or is being closed."""
@@ -263,7 +290,14 @@
         self._dropped_bytes = 0
         self._idle_since = steadyclock.read()
         self._promised_idle_s = state.limits.idle_s
+        # Memory that the request takes or is about to, and that of its head.
         self._buffered_bytes = 0
+        self._head_cost = 0
+        self._is_reading = False
+        self._is_refused = False
+        self._is_chunked = False
+        self._is_large = False
+        stream.max_read_bytes = READ_BYTES
 
     @property
     def has_ended(self) -> bool:
@@ -298,10 +332,33 @@
                 kind = resources.RestKind.KEPT
         if since is None:
             return None
-        return resources.Resting(
-            kind, since, self._buffered_bytes, self._close_for_others
+        return resources.Resting(kind, since, self._close_for_others)
+
+    def find_holder(self) -> resources.Holder | None:
+        """Returns the memory that the connection can give up, if any.
+
+        A request can be refused until it is complete, and a caller can be left
+        that does not read its answer.
+        """
+        if self._is_reading:
+            since = self._waits_since or steadyclock.read()
+        elif self._stream.unread_since is not None:
+            since = self._stream.unread_since
+        else:
+            return None
+        return resources.Holder(
+            since, self._buffered_bytes, self._refuse_for_others
         )
 
+    def _refuse_for_others(self) -> None:
+        """Ends a request whose memory others need."""
+        self._is_refused = True
+        self._release_buffer()
+        if self._is_reading:
+            self._stream.end_wait()
+        else:
+            self._stream.close()
+
     def _close_for_others(self) -> None:
         """Closes the connection unless something has just arrived on it."""
         self._is_closed_for_others = True
@@ -416,6 +473,19 @@
 
     async def _read_request(self) -> message.CallerRequest | None:
         """Returns the next request; None if the connection ended."""
+        if self._is_large:
+            self._set_read_limits(is_large=False)
+        try:
+            request = await self._read_decoded_head()
+            if request is None:
+                return None
+            body = await self._read_body()
+        finally:
+            self._is_reading = False
+        return msgspec.structs.replace(request, body=body)
+
+    async def _read_decoded_head(self) -> message.CallerRequest | None:
+        """Returns the next request without its body."""
         event = await self._read_head()
         if event is None:
             return None
@@ -432,18 +502,67 @@
                 raise _BadRequestError(invalid)
             case Ok(request):
                 pass
-        body = await self._read_body()
-        return msgspec.structs.replace(request, body=body)
+        length = _find_body_length(head)
+        self._is_chunked = length is None
+        self._reserve_body(length or 0)
+        return request
+
+    def _reserve_body(self, size: int) -> None:
+        """Finds room for a body before it is read.
+
+        Args:
+            size: Its length, or how much of it has arrived if its head names
+                none, in bytes.
+
+        Raises:
+            _BadRequestError: It is over the limit.
+            _CrowdedError: There is no room.
+        """
+        limit = self._state.limits.body_bytes
+        if size > limit:
+            raise _BadRequestError(_BODY_TOO_LARGE)
+        if self._is_chunked:
+            size = min((size // STEP_BYTES + 1) * STEP_BYTES, limit)
+        self._hold(
+            self._head_cost + resources.compute_request_bytes(0, 0, size)
+        )
+        if size >= LARGE_BYTES and not self._is_large:
+            self._set_read_limits(is_large=True)
+
+    def _hold(self, size: int) -> None:
+        """Counts the memory that the request takes.
+
+        Args:
+            size: How much it is, in bytes; less than before changes nothing.
+
+        Raises:
+            _CrowdedError: There is no room.
+        """
+        added = size - self._buffered_bytes
+        if added <= 0:
+            return
+        if self._budget and not self._budget.make_room_for_bytes(
+            self._buffered_bytes, added
+        ):
+            raise _CrowdedError
+        self._buffered_bytes += added
+        self._state.buffered_bytes += added
+
+    def _set_read_limits(self, is_large: bool) -> None:
+        """Reads larger parts of a large body."""
+        self._is_large = is_large
+        if is_large:
+            self._stream.set_read_limits(
+                streams.MAX_READ_BYTES, receive_buffer.LARGE_BYTES
+            )
+        else:
+            self._stream.set_read_limits(READ_BYTES, receive_buffer.BYTES)
 
     async def _read_head(self) -> h11.Request | None:
         pipelined = bool(self._http.trailing_data[0])
         if not pipelined and not await self._wait_for_request():
             return None
-        event = self._parse_event()
-        if isinstance(event, h11.Request):
-            return event
-        if event is not h11.NEED_DATA:
-            return None
+        self._is_reading = True
         try:
             return await self._next_request(
                 steadyclock.read() + self._state.limits.header_s
@@ -487,6 +606,7 @@
             TimeoutError: The head is incomplete at the deadline.
         """
         while True:
+            self._hold_head()
             event = self._parse_event()
             if isinstance(event, h11.Request):
                 return event
@@ -495,29 +615,41 @@
             else:
                 return None
 
+    def _hold_head(self) -> None:
+        """Finds room for the headers that have arrived.
+
+        Raises:
+            _CrowdedError: There is no room.
+        """
+        unparsed = self._http.trailing_data[0]
+        end = _HEAD_END.search(unparsed)
+        size = end.end() if end else len(unparsed)
+        lines = unparsed.count(b"\n", 0, size)
+        self._head_cost = resources.compute_request_bytes(size, lines, 0)
+        self._hold(self._head_cost)
+
     async def _read_body(self) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        # Small chunks take many times their size if each is kept by itself.
+        body = bytearray()
         deadline = steadyclock.read() + BODY_TIMEOUT_S
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self.send(self._http.send(interim) or b"")
         try:
             async for data in self._iterate_body(deadline):
-                size += len(data)
-                if size > self._state.limits.body_bytes:
-                    invalid = message.InvalidRequest(
-                        refusal.CONTENT_TOO_LARGE, "body too large"
-                    )
-                    raise _BadRequestError(invalid)
-                parts.append(data)
+                body += data
+                if self._is_chunked:
+                    self._reserve_body(len(body))
+            return bytes(body)
         except TimeoutError as error:
             raise self._make_incomplete_error("body took too long") from error
-        return b"".join(parts)
+        finally:
+            # A refusal may take longer to be sent than others can wait.
+            body.clear()
 
     def _make_incomplete_error(self, text: str) -> Exception:
         """Returns the error of a request that is incomplete when time is up."""
-        if self._is_closed_for_others:
+        if self._is_closed_for_others or self._is_refused:
             return _CrowdedError()
         if self._state.ending:
             return _StoppedError()
@@ -581,16 +713,12 @@
             self._waits_since = None
             self._state.reading.discard(self._stream)
         self._stay_open()
+        if self._is_refused:
+            raise _CrowdedError
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise CallerDisconnectedError from error
-        self._buffered_bytes += len(data)
-        self._state.buffered_bytes += len(data)
-        if self._budget and not self._budget.make_room_for_bytes(
-            self._buffered_bytes
-        ):
-            raise _CrowdedError
         return bool(data)
 
     def release(self) -> None:
@@ -768,6 +896,14 @@
     return len(head.method) + len(head.target) + fields
 
 
+def _find_body_length(head: message.RequestHead) -> int | None:
+    """Returns the length of a body in bytes; None if it has chunks."""
+    values = {name.lower(): value for name, value in head.headers}
+    if b"transfer-encoding" in values:
+        return None
+    return int(values.get(b"content-length", b"0"))
+
+
 async def send_refusal(
     connection: CallerConnection,
     refused: refusal.Refusal,
--- a/ramptray/resources.py
+++ b/ramptray/resources.py
@@ -4,12 +4,17 @@
 need.  When either runs short, those that have rested longest are closed first:
 a connection at rest never keeps the process from accepting callers, from
 reaching servers, other VMs and the store, or from answering probes.
+
+A request counts with what it takes in memory, not with its bytes on the wire
+(``compute_request_bytes``), and before these are read where its head names
+them.  When memory runs short, the requests that take most are refused first.
 """
 
 from __future__ import annotations
 
 import abc
 import contextlib
+import ctypes
 import enum
 import heapq
 import itertools
@@ -46,13 +51,40 @@
 """One in this many connections is kept for those to servers, and for callers
 that are refused."""
 
+MEGABYTE = 1_000_000
+
 MEMORY_PART = 4
 """One in this many bytes of memory may hold callers' requests.  The program
-takes about a sixth of a small VM, and sending a body copies it."""
+takes about a sixth of a small VM, and connections up to a half."""
+
+CONNECTION_MEMORY_PART = 2
+"""One in this many bytes of memory may be taken by connections."""
+
+CONNECTION_BYTES = 64 * 1024
+"""Memory that a connection may take beside larger requests, in bytes: its
+task and parser, bytes that nobody has read yet, here and in the kernel, and a
+small request."""
 
 SMALL_BYTES = 16 * 1024
-"""Size up to which a request is read however much memory others take, in
-bytes: connections are few enough for requests of this size on each."""
+"""Cost up to which a request is read however much memory others take, in
+bytes, as it counts as part of its connection."""
+
+HEADER_BYTES = 256
+"""Memory that a header takes beside its characters, in bytes."""
+
+COPY_BYTES = 128 * 1024
+"""Part of a body that may exist twice, in bytes, while it is read or sent."""
+
+RESIDENT_PART = 0.85
+"""Part of the memory beyond which no room is left, whatever is counted: memory
+that is free inside the process is not free for others."""
+
+MIN_REQUESTS_PART = 16
+"""One in this many bytes of memory may hold requests however much the rest of
+the process takes."""
+
+RESIDENT_INTERVAL_S = 0.1
+"""Least time between two looks at the memory in use, in seconds."""
 
 BATCH_PART = 64
 """One in this many connections is closed at a time, as finding those that have
@@ -76,6 +108,12 @@
 LOG_INTERVAL_S = 1.0
 """Least time between two log lines about closed connections, in seconds."""
 
+LARGE_BLOCK_BYTES = 128 * 1024
+"""Size from which on blocks are returned as soon as they are free, in bytes."""
+
+_M_MMAP_THRESHOLD = -3
+"""Option of ``mallopt``, see ``malloc.h``."""
+
 _DESCRIPTORS = pathlib.Path("/proc/self/fd")
 _MEMORY = pathlib.Path("/proc/self/statm")
 
@@ -103,16 +141,29 @@
     Attributes:
         kind: Why it rests.
         since: Time of the last event on it, in seconds of the steady clock.
-        buffered_bytes: Bytes of its request that are kept in memory.
         close: Closes it; it no longer counts from then on.
     """
 
     kind: RestKind
     since: float
-    buffered_bytes: int
     close: Callable[[], None]
 
 
+class Holder(msgspec.Struct, frozen=True):
+    """A request that takes memory and may be refused.
+
+    Attributes:
+        since: Time of the last event on its connection, in seconds of the
+            steady clock.
+        buffered_bytes: Memory that it takes, in bytes.
+        refuse: Refuses it; its memory no longer counts from then on.
+    """
+
+    since: float
+    buffered_bytes: int
+    refuse: Callable[[], None]
+
+
 class ConnectionPool(abc.ABC):
     """Connections of one kind."""
 
@@ -123,13 +174,17 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Bytes of requests that are kept in memory."""
+        """Memory that requests take, in bytes."""
         return 0
 
     def list_resting(self) -> Iterable[Resting]:
         """Returns the connections that may be closed for others."""
         return ()
 
+    def list_holders(self) -> Iterable[Holder]:
+        """Returns the requests that may be refused for others' memory."""
+        return ()
+
 
 class ResourceBudget:
     """Divides the descriptors and the memory of the process.
@@ -147,13 +202,17 @@
     """
 
     def __init__(self, max_descriptors: int, memory_mb: int) -> None:
-        self.max_buffered_bytes = memory_mb * 1_000_000 // MEMORY_PART
+        self.max_buffered_bytes = memory_mb * MEGABYTE // MEMORY_PART
         files = min(MAX_FILE_DESCRIPTORS, max_descriptors // 8)
         links = max_descriptors // LINK_PART
         self.max_incoming_links = int(INCOMING_LINK_PART * links)
+        fitting = memory_mb * MEGABYTE // CONNECTION_MEMORY_PART
         self.max_connections = max(
             MIN_CONNECTIONS,
-            max_descriptors - files - PROCESS_DESCRIPTORS - links,
+            min(
+                max_descriptors - files - PROCESS_DESCRIPTORS - links,
+                fitting // CONNECTION_BYTES,
+            ),
         )
         headroom = self.max_connections // HEADROOM_PART
         self.max_with_callers = self.max_connections - headroom
@@ -165,6 +224,8 @@
         # Since when callers wait and too few connections rest; None if none do.
         self._waiting_since: float | None = None
         self._refusing_at = -CROWDED_S
+        self._resident_bytes = 0
+        self._resident_read_at = -RESIDENT_INTERVAL_S
 
     def add_pool(self, name: str, pool: ConnectionPool) -> None:
         """Adds connections that share the budget.
@@ -236,34 +297,81 @@
         resting = sum(1 for _ in self._list_old())
         return self._count_connections() - resting >= self.max_with_callers
 
-    def make_room_for_bytes(self, request_bytes: int) -> bool:
-        """Closes resting connections if requests take too much memory.
+    def make_room_for_bytes(self, held_bytes: int, added_bytes: int) -> bool:
+        """Refuses the costliest requests if all take too much memory.
+
+        Those that take more than the one that asks are refused, and those
+        that rest.
 
         Args:
-            request_bytes: Size of a request as far as it has been read.
+            held_bytes: Memory that a request takes already.
+            added_bytes: Memory that it needs beyond that.
 
         Returns:
-            Whether the request may be read on.
+            Whether the request may take it.
         """
-        excess = self._count_buffered() - self.max_buffered_bytes
-        if excess <= 0 or request_bytes <= SMALL_BYTES:
+        cost = held_bytes + added_bytes
+        if cost <= SMALL_BYTES:
             return True
-        spare = self.max_buffered_bytes // BATCH_PART
-        holding = (
-            each
-            for each in self._list_old()
-            if each.buffered_bytes > SMALL_BYTES
+        buffered = self._count_buffered()
+        excess = buffered + added_bytes - self._compute_room(buffered)
+        if excess <= 0:
+            return True
+        latest = steadyclock.read() - MIN_REST_S
+        holders = sorted(
+            (
+                each
+                for each in self._list_holders()
+                if each.buffered_bytes > SMALL_BYTES
+                and (each.buffered_bytes > cost or each.since <= latest)
+            ),
+            key=_get_refusal_order,
         )
-        freed = 0
-        closed = 0
-        for each in sorted(holding, key=_get_closing_order):
-            if freed >= excess + spare:
+        if sum(each.buffered_bytes for each in holders) < excess:
+            return self._is_only_large(held_bytes, cost)
+        excess += self.max_buffered_bytes // BATCH_PART
+        refused = 0
+        for each in holders:
+            if excess <= 0:
                 break
-            freed += each.buffered_bytes
-            closed += 1
-            each.close()
-        self._record_closed(closed, "memory")
-        return freed >= excess
+            excess -= each.buffered_bytes
+            refused += 1
+            each.refuse()
+        self._record_closed(refused, "memory")
+        return True
+
+    def _is_only_large(self, held_bytes: int, cost: int) -> bool:
+        """Returns whether a request may exceed the part of requests.
+
+        One that is large by itself may while all others are few, as far as the
+        process has memory left.
+
+        Args:
+            held_bytes: Memory that it takes already.
+            cost: Memory that it is going to take.
+        """
+        buffered = self._count_buffered()
+        others = buffered - held_bytes
+        rest = max(0, self._resident_bytes - held_bytes)
+        return (
+            others <= self.max_buffered_bytes // BATCH_PART
+            and rest + cost <= RESIDENT_PART * self._memory_mb * MEGABYTE
+        )
+
+    def _compute_room(self, buffered: int) -> int:
+        """Returns how many bytes requests may take altogether.
+
+        Args:
+            buffered: How many they take.
+        """
+        now = steadyclock.read()
+        if now - self._resident_read_at >= RESIDENT_INTERVAL_S:
+            self._resident_read_at = now
+            self._resident_bytes = _read_resident_bytes() or 0
+        memory = self._memory_mb * MEGABYTE
+        rest = max(0, self._resident_bytes - buffered)
+        room = min(self.max_buffered_bytes, int(RESIDENT_PART * memory) - rest)
+        return max(memory // MIN_REQUESTS_PART, room)
 
     def describe(self) -> dict[str, int]:
         """Returns the limits and what each pool holds, for logs."""
@@ -289,7 +397,7 @@
         resident = _read_resident_bytes()
         if resident is not None:
             yield metrics.Gauge("resident_bytes", {}, resident)
-        yield metrics.Gauge("max_memory_bytes", {}, self._memory_mb * 1_000_000)
+        yield metrics.Gauge("max_memory_bytes", {}, self._memory_mb * MEGABYTE)
 
     def _count_by_pool(self) -> dict[str, int]:
         return {
@@ -307,6 +415,11 @@
             pool.list_resting() for pool in self._pools.values()
         )
 
+    def _list_holders(self) -> Iterator[Holder]:
+        return itertools.chain.from_iterable(
+            pool.list_holders() for pool in self._pools.values()
+        )
+
     def _list_old(self) -> Iterator[Resting]:
         """Yields the connections that have rested for long enough."""
         latest = steadyclock.read() - MIN_REST_S
@@ -352,6 +465,24 @@
     return resting.kind, resting.since
 
 
+def _get_refusal_order(holder: Holder) -> tuple[int, float]:
+    return -holder.buffered_bytes, holder.since
+
+
+def compute_request_bytes(
+    head_bytes: int, header_count: int, body_bytes: int
+) -> int:
+    """Returns the memory that a request takes until it has been answered.
+
+    Args:
+        head_bytes: Size of its head, in bytes.
+        header_count: Number of its headers.
+        body_bytes: Size of its body, in bytes.
+    """
+    head = head_bytes + header_count * HEADER_BYTES
+    return head + body_bytes + min(body_bytes, COPY_BYTES)
+
+
 def raise_descriptor_limit(configured: int) -> int:
     """Allows this process as many descriptors as its settings do.
 
@@ -373,6 +504,16 @@
     return soft
 
 
+def return_freed_memory() -> None:
+    """Has the allocator return large blocks to the system once they are free.
+
+    glibc raises its limit for blocks of their own with each that is freed, so
+    that bodies of requests would come to lie between objects that stay.
+    """
+    with contextlib.suppress(OSError, AttributeError):
+        ctypes.CDLL(None).mallopt(_M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
+
+
 def _count_descriptors() -> int | None:
     """Returns how many descriptors are open; None if it cannot be read."""
     try:
--- a/test/test_resources.py
+++ b/test/test_resources.py
@@ -23,6 +23,8 @@
     def __init__(self, busy: int = 0) -> None:
         self.busy = busy
         self.resting: dict[str, resources.Resting] = {}
+        self.held: dict[str, int] = {}
+        self.busy_bytes = 0
 
     @property
     def connection_count(self) -> int:
@@ -30,11 +32,17 @@
 
     @property
     def buffered_bytes(self) -> int:
-        return sum(each.buffered_bytes for each in self.resting.values())
+        return self.busy_bytes + sum(self.held.values())
 
     def list_resting(self) -> Iterator[resources.Resting]:
         return iter(self.resting.values())
 
+    def list_holders(self) -> Iterator[resources.Holder]:
+        return (
+            resources.Holder(each.since, self.held[name], each.close)
+            for name, each in self.resting.items()
+        )
+
     def add(
         self,
         name: str,
@@ -45,12 +53,13 @@
         self.resting[name] = resources.Resting(
             kind,
             steadyclock.read() - rests_s,
-            buffered_bytes,
             functools.partial(self._close, name),
         )
+        self.held[name] = buffered_bytes
 
     def _close(self, name: str) -> None:
         del self.resting[name]
+        del self.held[name]
 
 
 def make_budget(
@@ -161,8 +170,10 @@
         0.0,
         2 * budget.max_buffered_bytes,
     )
-    assert budget.make_room_for_bytes(resources.SMALL_BYTES)
-    assert not budget.make_room_for_bytes(resources.SMALL_BYTES + 1)
+    assert budget.make_room_for_bytes(0, resources.SMALL_BYTES)
+    pool.held["new"] = resources.SMALL_BYTES + 1
+    pool.busy_bytes = 2 * budget.max_buffered_bytes
+    assert not budget.make_room_for_bytes(0, resources.SMALL_BYTES + 1)
 
 
 def test_unfinished_requests_give_up_their_memory() -> None:
@@ -171,6 +182,51 @@
     part = budget.max_buffered_bytes // 3
     for name in ("a", "b", "c", "d"):
         pool.add(name, resources.RestKind.INCOMPLETE, OLD_S, part)
-    assert budget.make_room_for_bytes(part)
+    assert budget.make_room_for_bytes(0, part)
     assert len(pool.resting) < 4
-    assert pool.buffered_bytes <= budget.max_buffered_bytes
+    assert pool.buffered_bytes + part <= budget.max_buffered_bytes
+
+
+def test_the_request_that_takes_most_is_refused_first() -> None:
+    pool = Pool()
+    budget = make_budget(pool)
+    part = budget.max_buffered_bytes // 8
+    for number in range(1, 4):
+        pool.add(str(number), resources.RestKind.INCOMPLETE, 0.0, number * part)
+    pool.busy_bytes = 2 * part
+    assert budget.make_room_for_bytes(0, part)
+    assert set(pool.resting) == {"1", "2"}
+
+
+def test_a_request_takes_no_memory_of_smaller_ones_at_work() -> None:
+    pool = Pool()
+    budget = make_budget(pool)
+    part = budget.max_buffered_bytes // 8
+    for number in range(8):
+        pool.add(str(number), resources.RestKind.INCOMPLETE, 0.0, part)
+    assert not budget.make_room_for_bytes(0, 2 * part)
+    assert len(pool.resting) == 8
+
+
+def test_a_single_request_may_take_more_than_its_part() -> None:
+    budget = resources.ResourceBudget(200, 1000)
+    pool = Pool()
+    budget.add_pool("callers", pool)
+    assert budget.make_room_for_bytes(0, 2 * budget.max_buffered_bytes)
+    assert not budget.make_room_for_bytes(0, 4 * budget.max_buffered_bytes)
+    pool.add("other", resources.RestKind.INCOMPLETE, 0.0, 100_000_000)
+    assert not budget.make_room_for_bytes(0, 2 * budget.max_buffered_bytes)
+
+
+@pytest.mark.parametrize("memory_mb", [64, 100, 300, 4000])
+def test_the_parts_of_all_stay_below_the_memory(memory_mb: int) -> None:
+    budget = resources.ResourceBudget(1_000_000, memory_mb)
+    connections = budget.max_connections * resources.CONNECTION_BYTES
+    taken = connections + budget.max_buffered_bytes
+    assert taken <= 0.75 * memory_mb * resources.MEGABYTE
+
+
+def test_headers_count_with_what_they_take() -> None:
+    few = resources.compute_request_bytes(8_000, 20, 0)
+    many = resources.compute_request_bytes(8_000, 1_300, 0)
+    assert many - few == 1_280 * resources.HEADER_BYTES
