Parse what takes long in turns

Callers saw: beside 600 senders of chunks of one or two bytes nobody got an answer, nor some seconds after they had left; the readiness page took up to 9.3 s.

Cause: all that had arrived on a connection was parsed at once, at some 3 us a chunk (measured) without a pause, and each of thousands of connections could have 64 KB of it.

Change: heads of many lines, and each further 64 chunks of a body, wait for a turn, of which there is one in each pass of the event loop; who has had least is next. Framing beyond the limit of heads and 32 bytes a chunk gets 413.

--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -15,7 +15,7 @@
 import msgspec
 from result import Err, Ok
 
-from ramptray import receive_buffer, resources, steadyclock
+from ramptray import receive_buffer, resources, steadyclock, turns
 from ramptray.bundle import model
 from ramptray.relay import answer as answers
 from ramptray.relay import closing, message, refusal
@@ -41,6 +41,13 @@
 STEP_BYTES = 4 * 1024
 """Steps in which room is found for a body whose head names no length."""
 
+PARTS_PER_TURN = 64
+"""Lines or chunks that are parsed before other requests get their turn."""
+
+FRAMING_BYTES = 32
+"""Largest part of a body's framing for each chunk, in bytes: a size of up to 20
+digits and two line ends."""
+
 IDLE_MARGIN_S = 0.3
 """How much longer than its idle time a connection stays open, in seconds.  A
 caller counts from when it has read its answer until it sends a request: both
@@ -65,6 +72,9 @@
 _BODY_TOO_LARGE = message.InvalidRequest(
     refusal.CONTENT_TOO_LARGE, "body too large"
 )
+_FRAMING_TOO_LARGE = message.InvalidRequest(
+    refusal.CONTENT_TOO_LARGE, "framing of the body too large"
+)
 
 STOPPED = refusal.Refusal(refusal.BAD_GATEWAY, "stopped")
 """Sent if the time to stop ends before an answer begins; the request may have
@@ -124,6 +134,7 @@
         closing: How many of them are being closed for others.
         buffered_bytes: Memory that requests being read or served take, in
             bytes.
+        turn_queue: Turns at parsing what takes long.
     """
 
     limits: model.RelayLimits = msgspec.field(default_factory=model.RelayLimits)
@@ -138,6 +149,7 @@
     connections: int = 0
     closing: int = 0
     buffered_bytes: int = 0
+    turn_queue: turns.TurnQueue = msgspec.field(default_factory=turns.TurnQueue)
 
     @property
     def active(self) -> int:
@@ -224,6 +236,7 @@
         have begun are cut.
         """
         self.state.ending = True
+        self.state.turn_queue.close()
         for scope in self.state.serving:
             scope.cancel()
         for stream in self.state.reading:
@@ -295,7 +308,13 @@
         self._head_cost = 0
         self._is_reading = False
         self._is_refused = False
+        self._turn: turns.Turn | None = None
+        self._turn_count = 0
+        # Of the body: whether it has chunks, how many there were, and the bytes
+        # that arrived since its head was parsed.
         self._is_chunked = False
+        self._chunk_count = 0
+        self._wire_bytes = 0
         self._is_large = False
         stream.max_read_bytes = READ_BYTES
 
@@ -354,7 +373,9 @@
         """Ends a request whose memory others need."""
         self._is_refused = True
         self._release_buffer()
-        if self._is_reading:
+        if self._turn is not None:
+            turns.withdraw(self._turn)
+        elif self._is_reading:
             self._stream.end_wait()
         else:
             self._stream.close()
@@ -473,6 +494,7 @@
 
     async def _read_request(self) -> message.CallerRequest | None:
         """Returns the next request; None if the connection ended."""
+        self._turn_count = self._chunk_count = self._wire_bytes = 0
         if self._is_large:
             self._set_read_limits(is_large=False)
         try:
@@ -606,7 +628,7 @@
             TimeoutError: The head is incomplete at the deadline.
         """
         while True:
-            self._hold_head()
+            await self._prepare_head(deadline)
             event = self._parse_event()
             if isinstance(event, h11.Request):
                 return event
@@ -615,10 +637,11 @@
             else:
                 return None
 
-    def _hold_head(self) -> None:
-        """Finds room for the headers that have arrived.
+    async def _prepare_head(self, deadline: float) -> None:
+        """Finds room for the headers that have arrived, and time if many.
 
         Raises:
+            TimeoutError: There was no time until the deadline.
             _CrowdedError: There is no room.
         """
         unparsed = self._http.trailing_data[0]
@@ -627,6 +650,21 @@
         lines = unparsed.count(b"\n", 0, size)
         self._head_cost = resources.compute_request_bytes(size, lines, 0)
         self._hold(self._head_cost)
+        if end and lines > PARTS_PER_TURN:
+            await self._take_turn(deadline)
+
+    async def _take_turn(self, deadline: float) -> None:
+        """Waits until what takes long to parse does not hold up others.
+
+        Raises:
+            TimeoutError: There was no time until the deadline.
+        """
+        self._turn = self._state.turn_queue.enqueue(self._turn_count)
+        self._turn_count += 1
+        try:
+            await turns.wait(self._turn, deadline)
+        finally:
+            self._turn = None
 
     async def _read_body(self) -> bytes:
         # Small chunks take many times their size if each is kept by itself.
@@ -647,6 +685,27 @@
             # A refusal may take longer to be sent than others can wait.
             body.clear()
 
+    async def _check_framing(self, size: int, deadline: float) -> None:
+        """Checks what has arrived of a body in chunks beside its bytes.
+
+        Args:
+            size: How many bytes of it have been parsed.
+            deadline: When it has to be complete, in seconds of the steady
+                clock.
+
+        Raises:
+            TimeoutError: There was no time until the deadline.
+            _BadRequestError: The framing is over the limit.
+        """
+        unparsed = self._http.trailing_data[0]
+        framing = self._wire_bytes - size - len(unparsed)
+        allowed = FRAMING_BYTES * self._chunk_count
+        if framing > self._state.limits.header_bytes + allowed:
+            raise _BadRequestError(_FRAMING_TOO_LARGE)
+        # They may be many headers behind the body, which are parsed at once.
+        if unparsed.count(b"\n") > PARTS_PER_TURN:
+            await self._take_turn(deadline)
+
     def _make_incomplete_error(self, text: str) -> Exception:
         """Returns the error of a request that is incomplete when time is up."""
         if self._is_closed_for_others or self._is_refused:
@@ -661,15 +720,23 @@
         Raises:
             TimeoutError: The body is incomplete at the deadline.
         """
+        self._wire_bytes = len(self._http.trailing_data[0])
+        size = 0
         while True:
             event = self._parse_event()
             if isinstance(event, h11.Data):
+                size += len(event.data)
                 yield bytes(event.data)
+                self._chunk_count += event.chunk_start
+                if event.chunk_start and not self._chunk_count % PARTS_PER_TURN:
+                    await self._take_turn(deadline)
             elif isinstance(event, h11.EndOfMessage):
                 return
             elif event is h11.NEED_DATA:
                 if not await self._receive_before(deadline):
                     raise CallerDisconnectedError
+                if self._is_chunked:
+                    await self._check_framing(size, deadline)
             else:
                 raise CallerDisconnectedError
 
@@ -719,6 +786,7 @@
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise CallerDisconnectedError from error
+        self._wire_bytes += len(data)
         return bool(data)
 
     def release(self) -> None:
