Read no bodies at the ports for probes, and close who stays too long

Callers saw: the readiness page took 3 to 10 s beside 600 connections that sent bodies or requests without end, or read no answers.

Cause: bodies were read to their end, however long, and a connection that neither waited for bytes nor read its answers could not be ended for another.

Change: a request with a body gets its page and the connection closes; the connection that has waited longest is closed whatever it does; requests that were sent ahead are served one in each pass of the event loop.

--- a/ramptray/node/probe.py
+++ b/ramptray/node/probe.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import anyio
+import anyio.lowlevel
 import h11
 import msgspec
 
@@ -24,11 +25,17 @@
 """Number of connections that are kept open.  The load balancer and the
 collector of metrics need one each."""
 
+READ_BYTES = 16 * 1024
+"""Largest read, in bytes: the largest head that the parser accepts."""
+
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
 
 
+_BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
+
 class Page(msgspec.Struct, frozen=True):
     """The response for one path.
 
@@ -61,14 +68,18 @@
         http = h11.Connection(h11.SERVER)
         ends_at = steadyclock.read() + CONNECTION_TIMEOUT_S
         self._open[stream] = None
+        stream.max_read_bytes = READ_BYTES
         for oldest in itertools.islice(
             self._open, max(0, len(self._open) - MAX_CONNECTIONS)
         ):
-            oldest.end_wait()
+            # Its client may write without end, or leave answers unread.
+            oldest.close()
         try:
             while await self._serve_request(http, stream, ends_at):
                 http.start_next_cycle()
                 self._open[stream] = self._open.pop(stream)
+                # Requests that were sent ahead must not hold up others.
+                await anyio.lowlevel.checkpoint()
         except (
             OSError,
             anyio.BrokenResourceError,
@@ -104,6 +115,12 @@
                 http.receive_data(await stream.receive(left_s))
             elif isinstance(event, h11.Request):
                 target = event.target.decode("latin-1").partition("?")[0]
+                if any(
+                    name in _BODY_HEADERS and value != b"0"
+                    for name, value in event.headers
+                ):
+                    # The connection closes, so the body need not be read.
+                    break
             elif isinstance(event, h11.EndOfMessage):
                 break
             elif isinstance(event, h11.ConnectionClosed):
