Bound the memory of an entry's requests

Callers saw: an entry at 945 MB beside 200 bodies of 4 MB without their last byte, and it kept that.

Cause: nothing bounded the sum of bodies or heads; the chunks of a body were kept one by one; a length over the limit was read up to the limit; a body of JSON may take 25 times its size once it is decoded.

Change: an entry's requests share a ResourceBudget, with new settings limits.memory_mb and limits.descriptors. A request counts with its headers, three times its body, and what its JSON takes at most; without room it gets 503 `overloaded`, not run. A length over the limit gets 413 at once.

--- a/ramptray/caller/admission.py
+++ b/ramptray/caller/admission.py
@@ -1,10 +1,10 @@
-"""Limits the number of requests that an entry serves concurrently."""
+"""Limits the requests that an entry serves, by their number and memory."""
 
 from __future__ import annotations
 
-from starlette import types
+from starlette import responses, types
 
-from ramptray.caller import refusal
+from ramptray.caller import memory, refusal
 from ramptray.core import message, request
 
 RETRY_AFTER_S = 1.0
@@ -15,18 +15,25 @@
 
 
 class Admission:
-    """ASGI middleware that rejects requests above a concurrency limit.
+    """ASGI middleware that rejects requests for which there is no room.
 
     Rejected requests get a complete error response.
 
     Args:
         app: The application that serves the admitted requests.
         max_concurrent: Maximum number of requests served concurrently.
+        pool: Counts the memory of requests.
     """
 
-    def __init__(self, app: types.ASGIApp, max_concurrent: int) -> None:
+    def __init__(
+        self,
+        app: types.ASGIApp,
+        max_concurrent: int,
+        pool: memory.CallerPool,
+    ) -> None:
         self._app = app
         self._max_concurrent = max_concurrent
+        self._pool = pool
         self._active = 0
 
     async def __call__(
@@ -37,16 +44,24 @@
             await self._app(scope, receive, send)
             return
         if self._active >= self._max_concurrent:
-            finish = request.Finish(
-                message.Outcome.NOT_RUN,
-                message.Reason.OVERLOADED,
-                RETRY_AFTER_S,
-            )
-            response = refusal.make_response(finish, "")
-            await response(scope, receive, send)
+            await make_overload_response()(scope, receive, send)
             return
+        held = self._pool.open_request(scope)
         self._active += 1
         try:
+            held.hold_head(scope["headers"])
             await self._app(scope, receive, send)
+        except memory.CrowdedError:
+            # Only raised before a response begins.
+            await make_overload_response()(scope, receive, send)
         finally:
             self._active -= 1
+            self._pool.close_request(held)
+
+
+def make_overload_response() -> responses.Response:
+    """Returns the response to a request for which there is no room."""
+    finish = request.Finish(
+        message.Outcome.NOT_RUN, message.Reason.OVERLOADED, RETRY_AFTER_S
+    )
+    return refusal.make_response(finish, "")
--- a/ramptray/caller/app.py
+++ b/ramptray/caller/app.py
@@ -20,6 +20,7 @@
 from ramptray.caller import (
     authentication,
     completion,
+    memory,
     plain,
     refusal,
     response_cache,
@@ -102,6 +103,10 @@
                 return error_response
             case Ok(authenticated):
                 pass
+        memory.get_memory(http.scope).hold_body(
+            len(authenticated.body),
+            memory.estimate_decoded_bytes(authenticated.body),
+        )
         match caller_request.parse_body(authenticated.body):
             case Err(invalid_request):
                 return refusal.make_invalid_request_response(invalid_request)
--- a/ramptray/caller/authentication.py
+++ b/ramptray/caller/authentication.py
@@ -9,7 +9,7 @@
 
 from ramptray import settings as settings_module
 from ramptray.bundle import model
-from ramptray.caller import refusal
+from ramptray.caller import memory, refusal
 from ramptray.caller import request as caller_request
 from ramptray.core import message, request
 from ramptray.entry import dispatcher as entry_dispatcher
@@ -41,6 +41,9 @@
 
     Returns:
         The request, or the error response to send.
+
+    Raises:
+        memory.CrowdedError: There is no room for it.
     """
     match authenticate(http, dispatcher):
         case Err(error_response):
@@ -77,18 +80,33 @@
 async def _read_body(
     http: requests.Request, limits: settings_module.CallerLimits
 ) -> bytes | caller_request.InvalidRequest:
-    """Returns the body of a request, or why the request is invalid."""
-    chunks: list[bytes] = []
-    size = 0
+    """Returns the body of a request, or why the request is invalid.
+
+    Raises:
+        memory.CrowdedError: There is no room for it.
+    """
+    too_large = caller_request.InvalidRequest(
+        413, "too_large", f"body: at most {limits.body_bytes} bytes"
+    )
+    declared = int(http.headers.get("content-length", 0))
+    if declared > limits.body_bytes:
+        return too_large
+    held = memory.get_memory(http.scope)
+    held.hold_body(declared)
+    body = bytearray()
     try:
-        with anyio.fail_after(limits.body_s):
+        with held.begin_reading(), anyio.fail_after(limits.body_s):
             async for chunk in http.stream():
-                size += len(chunk)
-                if size > limits.body_bytes:
-                    text = f"body: at most {limits.body_bytes} bytes"
-                    return caller_request.InvalidRequest(413, "too_large", text)
-                chunks.append(chunk)
+                body += chunk
+                if len(body) > limits.body_bytes:
+                    return too_large
+                if not declared:
+                    held.hold_body(len(body) + memory.STEP_BYTES)
     except TimeoutError:
         text = f"body: expected within {limits.body_s} s"
         return caller_request.InvalidRequest(408, "too_slow", text)
-    return b"".join(chunks)
+    finally:
+        held.end_reading()
+    if held.is_refused:
+        raise memory.CrowdedError
+    return bytes(body)
--- a/ramptray/entry/main.py
+++ b/ramptray/entry/main.py
@@ -6,8 +6,8 @@
 
 import anyio
 
-from ramptray import process, runtime, webserver
-from ramptray.caller import admission, metrics
+from ramptray import process, resources, runtime, webserver
+from ramptray.caller import admission, memory, metrics
 from ramptray.caller import app as caller_app
 from ramptray.engine import client as engine_client
 from ramptray.entry import dispatcher
@@ -25,6 +25,14 @@
     """Serves until a stop is requested and running requests have ended."""
     process_runtime = runtime.make_runtime("entry", settings)
     entry_dispatcher = dispatcher.Dispatcher(settings, process_runtime)
+    resources.return_freed_memory()
+    limits = settings.limits
+    pool = memory.CallerPool(
+        resources.ResourceBudget(
+            resources.raise_descriptor_limit(limits.descriptors),
+            limits.memory_mb,
+        )
+    )
     listener = webserver.bind(settings.listen)
     async with anyio.create_task_group() as tasks:
         app = caller_app.CallerApp(
@@ -36,8 +44,8 @@
             tasks,
         )
         server = webserver.make_server(
-            admission.Admission(app.make_app(), settings.limits.requests),
-            settings.limits.header_bytes,
+            admission.Admission(app.make_app(), limits.requests, pool),
+            limits.header_bytes,
         )
         tasks.start_soon(entry_dispatcher.run)
         async with anyio.create_task_group() as serving:
--- a/ramptray/settings.py
+++ b/ramptray/settings.py
@@ -65,6 +65,12 @@
         body_s: Timeout for receiving a request body, in seconds.
         idle_write_s: Longest time that a caller may leave its response unread,
             in seconds.
+        memory_mb: Memory that the process may take, in megabytes.  Callers'
+            requests may take a quarter of it, with what they take when
+            decoded; a single one may take more.  Beyond that those that take
+            most are refused.
+        descriptors: Descriptors that the process may have open.  When too few
+            are left, the connections that have rested longest are closed.
     """
 
     body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 4 * 1024 * 1024
@@ -72,6 +78,8 @@
     requests: model.PositiveInt = 2000
     body_s: model.PositiveFloat = 30.0
     idle_write_s: model.PositiveFloat = 60.0
+    memory_mb: Annotated[int, msgspec.Meta(ge=64)] = 300
+    descriptors: Annotated[int, msgspec.Meta(ge=64)] = 8192
 
 
 class EntrySettings(ProcessSettings, frozen=True, kw_only=True):
