Parse what an entry's callers send in turns

Callers saw: beside 100 senders of chunks of two bytes one of four ordinary requests was answered, and none afterwards.

Cause: uvicorn parses all that has arrived at once, up to 256 KB a connection, and appends each chunk to the body by a copy. It also reads more with each answered request, however many were sent ahead.

Change: a subclass of its protocol hands on what has arrived in parts of 64 lines, one part in each pass of the event loop; requests sent ahead stay unparsed until those before them are answered. Connections count in the entry's budget, and those that have rested longest are closed for others. The controller and the stand-ins use the same.

--- a/ramptray/entry/main.py
+++ b/ramptray/entry/main.py
@@ -46,6 +46,7 @@
         server = webserver.make_server(
             admission.Admission(app.make_app(), limits.requests, pool),
             limits.header_bytes,
+            pool,
         )
         tasks.start_soon(entry_dispatcher.run)
         async with anyio.create_task_group() as serving:
--- a/ramptray/webserver.py
+++ b/ramptray/webserver.py
@@ -10,6 +10,7 @@
 from starlette import types
 
 from ramptray import receive_buffer, settings
+from ramptray.caller import memory, protocol
 
 BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
@@ -40,17 +41,19 @@
 def make_server(
     app: types.ASGIApp,
     header_bytes: int = 64 * 1024,
+    pool: memory.CallerPool | None = None,
 ) -> uvicorn.Server:
     """Returns a server, to be run by ``server.serve(sockets=[...])``.
 
     Args:
         app: ASGI application.
         header_bytes: Largest request head, in bytes.
+        pool: Where connections count; None for nowhere.
     """
     config = uvicorn.Config(
         app,
         lifespan="off",
-        http="h11",
+        http=protocol.make_protocol_factory(pool),
         ws="none",
         log_config=None,
         access_log=False,
