Keep the buffer into which a body was read

Callers saw: nothing yet; a single body larger than the part of requests would have taken twice its size for a moment.

Cause: the buffer was copied once the body was complete.

Change: the buffer is the body. A test sends a body of a third of the memory, another one unfinished calls over HTTP/2 to the port for VMs; both pass.

--- a/ramptray/relay/connection.py
+++ b/ramptray/relay/connection.py
@@ -259,7 +259,9 @@
         ) as error:
             raise BrokenError(f"{self.address}: {error!r}") from error
 
-    async def _send_all(self, head: h11.Request, body: bytes) -> None:
+    async def _send_all(
+        self, head: h11.Request, body: bytes | bytearray
+    ) -> None:
         """Sends a head and a body, whose parts have one time limit together."""
         ends_at = steadyclock.read() + SEND_TIMEOUT_S
         data = self._http.send(head) or b""
@@ -267,7 +269,7 @@
             if start:
                 await self._send_before(ends_at, data)
                 data = b""
-            part = body[start : start + MAX_SLICE_BYTES]
+            part = bytes(body[start : start + MAX_SLICE_BYTES])
             data += self._http.send(h11.Data(data=part)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         await self._send_before(ends_at, data)
--- a/ramptray/relay/content.py
+++ b/ramptray/relay/content.py
@@ -61,7 +61,7 @@
     )
 
 
-def _digest(fields: Iterable[bytes], key: bytes, size: int) -> str:
+def _digest(fields: Iterable[bytes | bytearray], key: bytes, size: int) -> str:
     hasher = hashlib.blake2b(key=key, digest_size=size)
     for field in fields:
         hasher.update(len(field).to_bytes(8))
--- a/ramptray/relay/message.py
+++ b/ramptray/relay/message.py
@@ -54,7 +54,7 @@
     prefix_tokens: tuple[int, ...]
     last_event: str | None
     resumes: str | None = None
-    body: bytes = b""
+    body: bytes | bytearray = b""
     part_ids: tuple[str, ...] = ()
 
 
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -666,8 +666,9 @@
         finally:
             self._turn = None
 
-    async def _read_body(self) -> bytes:
-        # Small chunks take many times their size if each is kept by itself.
+    async def _read_body(self) -> bytearray:
+        # Small chunks take many times their size if each is kept by itself,
+        # and a large body is not to be copied.
         body = bytearray()
         deadline = steadyclock.read() + BODY_TIMEOUT_S
         if self._http.they_are_waiting_for_100_continue:
@@ -678,12 +679,9 @@
                 body += data
                 if self._is_chunked:
                     self._reserve_body(len(body))
-            return bytes(body)
         except TimeoutError as error:
             raise self._make_incomplete_error("body took too long") from error
-        finally:
-            # A refusal may take longer to be sent than others can wait.
-            body.clear()
+        return body
 
     async def _check_framing(self, size: int, deadline: float) -> None:
         """Checks what has arrived of a body in chunks beside its bytes.
--- a/test/test_costly_callers.py
+++ b/test/test_costly_callers.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from ramptray.peer import link
 from test import crowd, node
 from test.test_node import ask, make_headers, wait_until
 
@@ -188,6 +189,44 @@
     press(platform, platform.vms["vm-0"]["front"], BEHAVIOURS[kind])
 
 
+def make_frame(kind: int, flags: int, stream: int, payload: bytes) -> bytes:
+    """Returns a frame of HTTP/2 (RFC 9113, section 4.1)."""
+    head = len(payload).to_bytes(3) + bytes((kind, flags))
+    return head + stream.to_bytes(4) + payload
+
+
+def make_unfinished_calls(count: int) -> bytes:
+    """Returns calls over HTTP/2 whose messages lack most of their bytes.
+
+    Together they have as many bytes as a server reads that adds to no window.
+    """
+    path = f"/{link.SERVICE}/Ask".encode()
+    # HPACK: the method and scheme by their index, the others as literals.
+    fields = b"\x83\x86" + b"".join(
+        b"\x00%c%s%c%s" % (len(name), name, len(value), value)
+        for name, value in (
+            (b":path", path),
+            (b":authority", b"vm"),
+            (b"content-type", b"application/grpc"),
+            (b"te", b"trailers"),
+        )
+    )
+    message = b"\x00" + (4_000_000).to_bytes(4) + b"x" * (65_535 // count - 5)
+    calls = b"".join(
+        make_frame(1, 4, stream, fields) + make_frame(0, 0, stream, message)
+        for stream in range(1, 2 * count, 2)
+    )
+    preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+    return preface + make_frame(4, 0, 0, b"") + calls
+
+
+def test_unfinished_calls_at_the_port_for_vms_leave_a_vm_its_memory(
+    platform: node.Platform,
+) -> None:
+    behaviour = crowd.Behaviour(make_unfinished_calls(8))
+    press(platform, platform.vms["vm-0"]["control"], behaviour)
+
+
 PAGE = b"GET /v1/ready HTTP/1.1\r\nHost: vm\r\n"
 OTHER_PORTS = ("ready", "control", "metrics")
 PORT_BEHAVIOURS: dict[str, crowd.Behaviour] = {
@@ -247,6 +286,21 @@
     assert json.loads(answer.body)["bytes"] in (BODY_BYTES, 65_536, 4)
 
 
+def test_a_request_larger_than_the_part_of_requests_is_served(
+    platform: node.Platform,
+) -> None:
+    size = MEMORY_MB * 1_000_000 // 3
+    limits = {**node.make_config(1)["limits"], "maxBodyBytes": size}
+    platform.set_config(node.make_config(2, limits=limits))
+    platform.wait_for_config("vm-0", 2)
+    front = platform.vms["vm-0"]["front"]
+    pid = platform.processes["vm-0"].pid
+    with crowd.measure_usage(pid, [front]) as usage:
+        head = make_head(f"Content-Length: {size}")
+        assert crowd.exchange(front, head + b"x" * size).status == 200
+    assert usage.memory_mb < MEMORY_MB
+
+
 def test_a_head_of_the_largest_size_is_served(platform: node.Platform) -> None:
     # Four bytes were counted for each header beside its name and value, but
     # the optional space takes one of them.
