Cut an answer that is not read only after a while

Callers saw: nothing yet; beside a lack of memory the answer to a large request could have been cut as soon as the kernel took no more of it.

Cause: requests that cost more were displaced whether they were incomplete or being answered.

Change: only incomplete ones are; an answer is cut once it has not been read for MIN_REST_S.

Evidence: test_an_answer_that_is_not_read_is_cut_only_after_a_while

--- a/ramptray/caller/memory.py
+++ b/ramptray/caller/memory.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import abc
 from collections.abc import Iterator
-from typing import Protocol
 
 import anyio
 from starlette import types
@@ -27,7 +27,7 @@
     """Others need the memory that a request takes or needs."""
 
 
-class Connection(Protocol):
+class Connection(abc.ABC):
     """A caller's connection.
 
     Attributes:
@@ -39,6 +39,7 @@
     waits_since: float | None
     has_served: bool
 
+    @abc.abstractmethod
     def abort(self) -> None:
         """Closes the connection at once."""
 
@@ -82,7 +83,7 @@
     def list_holders(self) -> Iterator[resources.Holder]:
         """See the base class."""
         return (
-            resources.Holder(each.since, each.buffered_bytes, each.refuse)
+            resources.Holder(each.since, each.buffered_bytes, True, each.refuse)
             for each in self._requests
             if each.is_reading
         )
--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -366,7 +366,10 @@
         else:
             return None
         return resources.Holder(
-            since, self._buffered_bytes, self._refuse_for_others
+            since,
+            self._buffered_bytes,
+            self._is_reading,
+            self._refuse_for_others,
         )
 
     def _refuse_for_others(self) -> None:
--- a/ramptray/resources.py
+++ b/ramptray/resources.py
@@ -150,17 +150,21 @@
 
 
 class Holder(msgspec.Struct, frozen=True):
-    """A request that takes memory and may be refused.
+    """A request that takes memory and may have to give it up.
 
     Attributes:
         since: Time of the last event on its connection, in seconds of the
             steady clock.
         buffered_bytes: Memory that it takes, in bytes.
-        refuse: Refuses it; its memory no longer counts from then on.
+        is_incomplete: Whether it has not arrived completely, so that it can be
+            refused; else its answer is not read.
+        refuse: Refuses it, or cuts its answer; its memory no longer counts from
+            then on.
     """
 
     since: float
     buffered_bytes: int
+    is_incomplete: bool
     refuse: Callable[[], None]
 
 
@@ -300,8 +304,8 @@
     def make_room_for_bytes(self, held_bytes: int, added_bytes: int) -> bool:
         """Refuses the costliest requests if all take too much memory.
 
-        Those that take more than the one that asks are refused, and those
-        that rest.
+        Incomplete ones that take more than the one that asks are refused, and
+        all that rest.
 
         Args:
             held_bytes: Memory that a request takes already.
@@ -323,7 +327,10 @@
                 each
                 for each in self._list_holders()
                 if each.buffered_bytes > SMALL_BYTES
-                and (each.buffered_bytes > cost or each.since <= latest)
+                and (
+                    each.since <= latest
+                    or (each.is_incomplete and each.buffered_bytes > cost)
+                )
             ),
             key=_get_refusal_order,
         )
--- a/test/test_resources.py
+++ b/test/test_resources.py
@@ -39,7 +39,12 @@
 
     def list_holders(self) -> Iterator[resources.Holder]:
         return (
-            resources.Holder(each.since, self.held[name], each.close)
+            resources.Holder(
+                each.since,
+                self.held[name],
+                each.kind is resources.RestKind.INCOMPLETE,
+                each.close,
+            )
             for name, each in self.resting.items()
         )
 
@@ -198,6 +203,18 @@
     assert set(pool.resting) == {"1", "2"}
 
 
+def test_an_answer_that_is_not_read_is_cut_only_after_a_while() -> None:
+    pool = Pool()
+    budget = make_budget(pool)
+    limit = budget.max_buffered_bytes
+    pool.add("new", resources.RestKind.UNREAD, 0.0, limit)
+    assert not budget.make_room_for_bytes(0, limit // 8)
+    pool.add("old", resources.RestKind.UNREAD, OLD_S, limit // 2)
+    pool.held["new"] = limit // 2
+    assert budget.make_room_for_bytes(0, limit // 8)
+    assert set(pool.resting) == {"new"}
+
+
 def test_a_request_takes_no_memory_of_smaller_ones_at_work() -> None:
     pool = Pool()
     budget = make_budget(pool)
