Log no error where a closing connection is closed for others

Operators saw: "closing a connection failed" for each answered connection that was closed while it waited for its other end (247 lines in one failing test).

Cause: the wait treats the close by this process as an error.

Change: it ends the wait.

--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -281,7 +281,10 @@
         deadline = self._sent_at + LINGER_S
         dropped = 0
         with contextlib.suppress(
-            OSError, anyio.EndOfStream, anyio.BrokenResourceError
+            OSError,
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
         ):
             self._get_transport().write_eof()
             while dropped <= LINGER_BYTES:
