Let callers send more ahead while there is room

Callers saw: work went on after its caller had left behind 50,000 bytes (test_work_is_cancelled_soon_after_the_caller_disconnects[50000], broken by the smaller receive buffers).

Cause: the end of a connection arrives behind its bytes, and the kernel takes some 37 KB now where it took 128 KB.

Change: while a request is served, up to 64 KB are read behind it, counted as part of its cost, if no other request has to end for them. Requests sent ahead count while they stay unparsed.

Evidence: the test passes again.

--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -38,6 +38,10 @@
 """Size of a body from which on more is read at once, in bytes.  It is so large
 that the longer reads matter little in what it takes altogether."""
 
+MORE_UNREAD_BYTES = 48 * 1024
+"""What a caller may send beyond the usual while its request is served, in
+bytes, if there is room: whether it has left is seen only behind these."""
+
 STEP_BYTES = 4 * 1024
 """Steps in which room is found for a body whose head names no length."""
 
@@ -316,7 +320,9 @@
         self._chunk_count = 0
         self._wire_bytes = 0
         self._is_large = False
+        self._keeps_more_unread = False
         stream.max_read_bytes = READ_BYTES
+        stream.on_unread_limit = self._allow_more_unread
 
     @property
     def has_ended(self) -> bool:
@@ -372,6 +378,18 @@
             self._refuse_for_others,
         )
 
+    def _allow_more_unread(self) -> int:
+        """Returns how many bytes may be kept beyond the usual."""
+        has_room = self._budget is None or self._budget.has_room(
+            MORE_UNREAD_BYTES
+        )
+        if self._is_reading or self._keeps_more_unread or not has_room:
+            return 0
+        self._keeps_more_unread = True
+        self._buffered_bytes += MORE_UNREAD_BYTES
+        self._state.buffered_bytes += MORE_UNREAD_BYTES
+        return MORE_UNREAD_BYTES
+
     def _refuse_for_others(self) -> None:
         """Ends a request whose memory others need."""
         self._is_refused = True
@@ -498,6 +516,7 @@
     async def _read_request(self) -> message.CallerRequest | None:
         """Returns the next request; None if the connection ended."""
         self._turn_count = self._chunk_count = self._wire_bytes = 0
+        self._keeps_more_unread = False
         if self._is_large:
             self._set_read_limits(is_large=False)
         try:
@@ -651,7 +670,10 @@
         end = _HEAD_END.search(unparsed)
         size = end.end() if end else len(unparsed)
         lines = unparsed.count(b"\n", 0, size)
-        self._head_cost = resources.compute_request_bytes(size, lines, 0)
+        # With the requests that were sent ahead, which stay unparsed.
+        self._head_cost = resources.compute_request_bytes(
+            len(unparsed), lines, 0
+        )
         self._hold(self._head_cost)
         if end and lines > PARTS_PER_TURN:
             await self._take_turn(deadline)
--- a/ramptray/relay/socket_stream.py
+++ b/ramptray/relay/socket_stream.py
@@ -97,11 +97,15 @@
             ``MAX_READ_BYTES``.
         on_end: Called once when the peer has closed its side or the connection
             is lost.
+        on_unread_limit: Called when as many bytes as may be are unread; returns
+            how many more may be until they are read.
     """
 
     def __init__(self) -> None:
         self.max_read_bytes = MAX_READ_BYTES
         self.on_end: Callable[[], object] | None = None
+        self.on_unread_limit: Callable[[], int] | None = None
+        self._max_unread_bytes = MAX_UNREAD_BYTES
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._unread = bytearray()
@@ -135,7 +139,7 @@
         """Returns where the event loop reads bytes to; not empty."""
         if self._is_awaited:
             return _BUFFERS.buffer[: self.max_read_bytes]
-        left = MAX_UNREAD_BYTES - len(self._unread)
+        left = self._max_unread_bytes - len(self._unread)
         return _BUFFERS.buffer[: max(1, left)]
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -143,12 +147,19 @@
         self._unread += _BUFFERS.buffer[:nbytes]
         if self._is_awaited:
             _wake(self._read_waiter)
-        elif len(self._unread) >= MAX_UNREAD_BYTES and not self._reading_paused:
+        elif not self._reading_paused and self._is_full():
             self._reading_paused = True
             self._get_transport().pause_reading()
             if self._leave_timer is None:
                 self._schedule_leave_check()
 
+    def _is_full(self) -> bool:
+        """Returns whether no more bytes may be kept until some are read."""
+        size = len(self._unread)
+        if size >= self._max_unread_bytes and self.on_unread_limit is not None:
+            self._max_unread_bytes += self.on_unread_limit()
+        return size >= self._max_unread_bytes
+
     @property
     def _is_awaited(self) -> bool:
         """Whether a reader waits, which takes all bytes as soon as it runs."""
@@ -224,6 +235,7 @@
             await self._wait_readable(timeout_s)
         data = bytes(self._unread)
         self._unread.clear()
+        self._max_unread_bytes = MAX_UNREAD_BYTES
         if self._reading_paused and not self._lost:
             self._reading_paused = False
             self._get_transport().resume_reading()
--- a/ramptray/resources.py
+++ b/ramptray/resources.py
@@ -347,6 +347,11 @@
         self._record_closed(refused, "memory")
         return True
 
+    def has_room(self, added_bytes: int) -> bool:
+        """Returns whether requests may take more without that others end."""
+        buffered = self._count_buffered()
+        return buffered + added_bytes <= self._compute_room(buffered)
+
     def _is_only_large(self, held_bytes: int, cost: int) -> bool:
         """Returns whether a request may exceed the part of requests.
 
