Count the lines of an incomplete head at an entry

Callers saw: nothing yet; a head that came in small parts was parsed without a turn, however many lines it had.

Cause: only the lines of the last part were counted.

Change: those that wait in the parser count as well.

--- a/ramptray/caller/protocol.py
+++ b/ramptray/caller/protocol.py
@@ -20,12 +20,12 @@
 _LINES = re.compile(rb"(?:[^\n]*\n){1,%d}" % LINES_PER_TURN)
 
 
-class PacedProtocol(h11_impl.H11Protocol):
+class PacedProtocol(h11_impl.H11Protocol, memory.Connection):
     """Parses what arrives in parts that do not hold up other connections.
 
     Args:
         pool: Where the connection counts; None for nowhere.
-        paces: Turns at parsing, shared by all connections of a server.
+        turn_queue: Turns at parsing, shared by all connections of a server.
         options: Arguments of the base class.
 
     Attributes:
@@ -36,14 +36,14 @@
     def __init__(
         self,
         pool: memory.CallerPool | None,
-        paces: turns.TurnQueue,
+        turn_queue: turns.TurnQueue,
         **options: Any,
     ) -> None:
         super().__init__(**options)
         self.waits_since: float | None = steadyclock.read()
         self.has_served = False
         self._pool = pool
-        self._paces = paces
+        self._turn_queue = turn_queue
         self._unparsed = bytearray()
         self._turn: turns.Turn | None = None
         self._turn_count = 0
@@ -67,7 +67,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses what arrived, at once if that takes little time."""
-        is_cheap = data.count(b"\n") <= LINES_PER_TURN
+        # An incomplete head is parsed once its last line has arrived.
+        incomplete = self.conn.trailing_data[0]
+        lines = incomplete.count(b"\n") + data.count(b"\n")
+        is_cheap = lines <= LINES_PER_TURN
         if is_cheap and not self._unparsed and not self._is_ahead:
             self._parse(data)
             return
@@ -77,7 +80,7 @@
         self._wait_for_turn()
 
     def abort(self) -> None:
-        """Closes the connection at once."""
+        """See the base class."""
         self.transport.abort()
 
     def on_response_complete(self) -> None:
@@ -100,7 +103,7 @@
         """
         if self._turn is not None or not self._unparsed or self._is_ahead:
             return
-        self._turn = self._paces.enqueue(self._turn_count)
+        self._turn = self._turn_queue.enqueue(self._turn_count)
         self._turn_count += 1
         self._turn.add_done_callback(self._parse_part)
 
