Answer 503 where an entry has no memory for a body

Callers saw: 500 instead of 503 `overloaded`, not run, once the memory of an entry's requests was used up.

Cause: the error passed through Starlette's own handler of unknown errors, which answers them itself.

Change: the application has a handler for it.

--- a/ramptray/caller/admission.py
+++ b/ramptray/caller/admission.py
@@ -49,11 +49,12 @@
         held = self._pool.open_request(scope)
         self._active += 1
         try:
-            held.hold_head(scope["headers"])
+            try:
+                held.hold_head(scope["headers"])
+            except memory.CrowdedError:
+                await make_overload_response()(scope, receive, send)
+                return
             await self._app(scope, receive, send)
-        except memory.CrowdedError:
-            # Only raised before a response begins.
-            await make_overload_response()(scope, receive, send)
         finally:
             self._active -= 1
             self._pool.close_request(held)
--- a/ramptray/caller/app.py
+++ b/ramptray/caller/app.py
@@ -18,6 +18,7 @@
 from ramptray import steadyclock
 from ramptray.bundle import model
 from ramptray.caller import (
+    admission,
     authentication,
     completion,
     memory,
@@ -92,7 +93,8 @@
                 routing.Route("/healthz", self._show_health),
                 routing.Route("/readyz", self._show_ready),
                 routing.Route("/metrics", self._show_metrics),
-            ]
+            ],
+            exception_handlers={memory.CrowdedError: _refuse_crowded},
         )
 
     async def _complete(self, http: requests.Request) -> responses.Response:
@@ -345,5 +347,11 @@
     return result
 
 
+async def _refuse_crowded(
+    http: requests.Request, error: Exception
+) -> responses.Response:
+    return admission.make_overload_response()
+
+
 def _format_event(item: event.Event) -> str:
     return f"data: {item.data}\n\n"
--- a/test/crowd.py
+++ b/test/crowd.py
@@ -227,12 +227,41 @@
         # A refusal may come before all has been sent.
         with contextlib.suppress(BrokenPipeError, ConnectionResetError):
             opened.sendall(data)
-        response = http.client.HTTPResponse(opened)
-        response.begin()
-        return node.Answer(response)
+        return _read_answer(opened)
 
 
 def wait_as_advised(answer: node.Answer) -> None:
     """Waits as a refusal advises its caller to, within a bound."""
     advised_s = float(answer.headers.get("retry-after", 0.0))
     time.sleep(min(advised_s, MAX_PAUSE_S))
+
+
+def collect_answers(address: str, data: bytes, count: int) -> list[node.Answer]:
+    """Returns what callers get that send the same and wait for a second.
+
+    Args:
+        address: Where they connect to.
+        data: What each of them sends.
+        count: Number of callers.
+    """
+    host, port = address.split(":")
+    with contextlib.ExitStack() as stack:
+        opened = [
+            stack.enter_context(socket.create_connection((host, int(port))))
+            for _ in range(count)
+        ]
+        for connection in opened:
+            connection.sendall(data)
+        time.sleep(1.0)
+        with selectors.DefaultSelector() as selector:
+            for connection in opened:
+                selector.register(connection, selectors.EVENT_READ)
+            answered = [key.fileobj for key, _ in selector.select(0.0)]
+        return [_read_answer(connection) for connection in answered]
+
+
+def _read_answer(connection: object) -> node.Answer:
+    assert isinstance(connection, socket.socket)
+    response = http.client.HTTPResponse(connection)
+    response.begin()
+    return node.Answer(response)
--- a/test/test_costly_callers.py
+++ b/test/test_costly_callers.py
@@ -227,6 +227,20 @@
     press(platform, platform.vms["vm-0"]["control"], behaviour)
 
 
+def test_a_vm_without_memory_says_that_nothing_ran(
+    platform: node.Platform,
+) -> None:
+    answers = crowd.collect_answers(
+        platform.vms["vm-0"]["front"], make_head(LACKING), CALLERS // 10
+    )
+    assert answers
+    for answer in answers:
+        assert answer.status == 503
+        assert b"crowded" in answer.body
+        assert "retry-after" in answer.headers
+    assert platform.list_runs().count("crowd") == 0
+
+
 PAGE = b"GET /v1/ready HTTP/1.1\r\nHost: vm\r\n"
 OTHER_PORTS = ("ready", "control", "metrics")
 PORT_BEHAVIOURS: dict[str, crowd.Behaviour] = {
