Count a body in chunks whatever length its head names

Callers saw: nothing yet; 300 bodies in chunks with "Content-Length: 1" beside took 1,363 MB of an entry of 300 MB.

Cause: the length counted as known, though chunks go before it.

Change: a body in chunks has no known length.

--- a/ramptray/caller/authentication.py
+++ b/ramptray/caller/authentication.py
@@ -88,7 +88,9 @@
     too_large = caller_request.InvalidRequest(
         413, "too_large", f"body: at most {limits.body_bytes} bytes"
     )
-    declared = int(http.headers.get("content-length", 0))
+    # A body in chunks has no length, whatever else its head says.
+    is_chunked = "transfer-encoding" in http.headers
+    declared = 0 if is_chunked else int(http.headers.get("content-length", 0))
     if declared > limits.body_bytes:
         return too_large
     held = memory.get_memory(http.scope)
@@ -100,7 +102,7 @@
                 body += chunk
                 if len(body) > limits.body_bytes:
                     return too_large
-                if not declared:
+                if is_chunked:
                     held.hold_body(len(body) + memory.STEP_BYTES)
     except TimeoutError:
         text = f"body: expected within {limits.body_s} s"
--- a/test/test_costly_entry_callers.py
+++ b/test/test_costly_entry_callers.py
@@ -159,6 +159,34 @@
     assert usage.descriptors <= MAX_DESCRIPTORS
 
 
+def test_an_entry_without_memory_says_that_nothing_ran(
+    running: deployment.Deployment,
+) -> None:
+    answers = crowd.collect_answers(
+        running.entries[0].address, make_head(LACKING), CALLERS // 10
+    )
+    assert answers
+    for answer in answers:
+        assert answer.status == 503
+        assert json.loads(answer.body)["error"]["outcome"] == "not_run"
+        assert "retry-after" in answer.headers
+
+
+def test_a_body_in_chunks_counts_whatever_length_its_head_names(
+    running: deployment.Deployment,
+) -> None:
+    entry = running.entries[0]
+    assert entry.popen is not None
+    behaviour = crowd.Behaviour(
+        make_head("Content-Length: 1", CHUNKED)
+        + make_chunk(16_384) * (BODY_BYTES // 16_384 - 1)
+    )
+    with crowd.measure_usage(entry.popen.pid, [entry.address]) as usage:
+        crowd.Crowd(entry.address, behaviour, CALLERS, SEED).press(PRESSED_S)
+        assert is_answered(entry.address, MODELS)
+    assert usage.memory_mb < MEMORY_MB
+
+
 def test_a_crowd_at_a_scheduler_leaves_it_its_memory_and_its_callers(
     running: deployment.Deployment,
 ) -> None:
