Free the head of a request that an entry has answered

Callers saw: an entry of 300 MB at 305 MB beside 300 heads of small headers, though most were refused.

Cause: uvicorn's protocol keeps the head of the last request for as long as its connection waits for the next one; it no longer counted by then.

Change: the protocol drops it with the answer.

Evidence: test_a_crowd_leaves_an_entry_its_memory_and_its_callers[small_headers] passed twice and failed once (304.8 MB); with the change 107 MB.

--- a/ramptray/caller/protocol.py
+++ b/ramptray/caller/protocol.py
@@ -87,6 +87,10 @@
         """Marks that the connection waits for the next request."""
         self.has_served = True
         super().on_response_complete()
+        if self.cycle is not None and self.cycle.response_complete:
+            # They hold the head, and uvicorn keeps them for as long as the
+            # connection waits.
+            self.cycle = self.scope = self.headers = None  # type: ignore
         self._update_wait()
         self._wait_for_turn()
 
