Keep only the beginning of long ids in the time line

Callers saw: nothing yet. The time line keeps thousands of events, each with an id that its caller chose, which may be as long as a head: 5,000 events of 8 KB are 40 MB (reckoned, not seen), counted nowhere.

Cause: ids had no limit of their own.

Change: 256 characters of an id are kept, 255 of a host.

Evidence: by reading only; the crowd `long_ids` is new and was not run on the code of before.

--- a/ramptray/relay/service.py
+++ b/ramptray/relay/service.py
@@ -40,6 +40,9 @@
 about 0.25 s while the store is slow; a longer wait would use up most of a
 route's objective."""
 
+MAX_LOGGED_HOST_CHARS = 255
+"""Longest host from a caller that is logged: the longest name in DNS."""
+
 MAX_LOGGED_ID_CHARS = 64
 """Longest id from a caller that is logged."""
 
@@ -207,7 +210,7 @@
             request.request_id,
             status=refused.status,
             reason=refused.text,
-            host=request.host,
+            host=request.host[:MAX_LOGGED_HOST_CHARS],
             generation=generation,
         )
         self._metrics.count_end("", "refused", refused.text)
--- a/ramptray/timeline.py
+++ b/ramptray/timeline.py
@@ -16,6 +16,11 @@
 """Default number of events that a process keeps."""
 
 
+MAX_SUBJECT_CHARS = 256
+"""Longest subject that is kept: an id that a caller chooses may be as long as a
+head."""
+
+
 class Timeline:
     """The latest events of one process.
 
@@ -54,7 +59,7 @@
         """
         if not self._ring.maxlen:
             return
-        event = (self._clock.tick(), kind, subject, details)
+        event = (self._clock.tick(), kind, subject[:MAX_SUBJECT_CHARS], details)
         self._ring.append(event)
         if self._log_events:
             self._log(event)
@@ -66,6 +71,7 @@
 
     def list_events(self, after: int, subject: str) -> list[dict[str, Any]]:
         """Returns the events of a subject after a clock value, oldest first."""
+        subject = subject[:MAX_SUBJECT_CHARS]
         newest_first = itertools.takewhile(
             lambda event: event[0] > after, reversed(self._ring)
         )
--- a/test/test_costly_callers.py
+++ b/test/test_costly_callers.py
@@ -108,6 +108,9 @@
 CHUNKED = "Transfer-Encoding: chunked"
 LACKING = f"Content-Length: {BODY_BYTES}"
 REQUEST = make_head("Content-Length: 0")
+LONG_ID = make_head("Content-Length: 0", request_id="i" * 7_500).replace(
+    b"/safe/", b"/unknown/"
+)
 
 BEHAVIOURS: dict[str, crowd.Behaviour] = {
     "length_far_over_the_limit": crowd.Behaviour(
@@ -159,6 +162,7 @@
     "whole_requests_of_small_headers": crowd.Behaviour(
         make_head_of_small_headers("Content-Length: 0")
     ),
+    "long_ids": crowd.Behaviour(LONG_ID, LONG_ID),
     "answers_never_read": crowd.Behaviour(REQUEST, REQUEST * 10, reads=False),
     "requests_sent_ahead": crowd.Behaviour(REQUEST, REQUEST * 100),
     "bytes_behind_a_request": crowd.Behaviour(REQUEST, b"x" * 65_536),
