Let callers send more ahead only while others need little

Callers saw: nothing; three cases of crowds broke (121, 129 and 137 MB of 120: answers never read, requests sent ahead, bytes behind a request).

Cause: 500 connections took the whole part of requests for bytes that need not be read.

Change: an eighth of it at most.

--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -380,7 +380,7 @@
 
     def _allow_more_unread(self) -> int:
         """Returns how many bytes may be kept beyond the usual."""
-        has_room = self._budget is None or self._budget.has_room(
+        has_room = self._budget is None or self._budget.has_spare_room(
             MORE_UNREAD_BYTES
         )
         if self._is_reading or self._keeps_more_unread or not has_room:
--- a/ramptray/resources.py
+++ b/ramptray/resources.py
@@ -75,6 +75,10 @@
 COPY_BYTES = 128 * 1024
 """Part of a body that may exist twice, in bytes, while it is read or sent."""
 
+SPARE_PART = 8
+"""One in this many bytes that requests may take is used for what may as well be
+left unread."""
+
 RESIDENT_PART = 0.85
 """Part of the memory beyond which no room is left, whatever is counted: memory
 that is free inside the process is not free for others."""
@@ -347,10 +351,11 @@
         self._record_closed(refused, "memory")
         return True
 
-    def has_room(self, added_bytes: int) -> bool:
-        """Returns whether requests may take more without that others end."""
+    def has_spare_room(self, added_bytes: int) -> bool:
+        """Returns whether a connection may take more than it has to."""
         buffered = self._count_buffered()
-        return buffered + added_bytes <= self._compute_room(buffered)
+        spare = self._compute_room(buffered) // SPARE_PART
+        return buffered + added_bytes <= spare
 
     def _is_only_large(self, held_bytes: int, cost: int) -> bool:
         """Returns whether a request may exceed the part of requests.
