Return free memory to the system while much is in use

Callers saw: a VM that stayed at up to 160 MB of 120 after a crowd had left.

Cause: what is freed lies between objects that stay, so the allocator keeps it, and asyncio's closed connections are cycles that wait for the garbage collector, which looks at the whole program each time and so comes rarely.

Change: beyond half of its memory a process returns what is free twice a second; objects of the loaded program are left out of collections.

--- a/ramptray/entry/main.py
+++ b/ramptray/entry/main.py
@@ -25,14 +25,12 @@
     """Serves until a stop is requested and running requests have ended."""
     process_runtime = runtime.make_runtime("entry", settings)
     entry_dispatcher = dispatcher.Dispatcher(settings, process_runtime)
-    resources.return_freed_memory()
+    resources.prepare_heap()
     limits = settings.limits
-    pool = memory.CallerPool(
-        resources.ResourceBudget(
-            resources.raise_descriptor_limit(limits.descriptors),
-            limits.memory_mb,
-        )
+    budget = resources.ResourceBudget(
+        resources.raise_descriptor_limit(limits.descriptors), limits.memory_mb
     )
+    pool = memory.CallerPool(budget)
     listener = webserver.bind(settings.listen)
     async with anyio.create_task_group() as tasks:
         app = caller_app.CallerApp(
@@ -49,6 +47,7 @@
             pool,
         )
         tasks.start_soon(entry_dispatcher.run)
+        tasks.start_soon(budget.run)
         async with anyio.create_task_group() as serving:
             serving.start_soon(server.serve, [listener])
             LOG.info("listening", extra={"address": settings.listen})
--- a/ramptray/node/main.py
+++ b/ramptray/node/main.py
@@ -280,6 +280,7 @@
                 ("releases", self._release_sync.run),
                 ("verdicts", self._verdict_writer.run),
                 ("loop monitor", self._loop_monitor.run),
+                ("memory", self._resources.run),
                 (
                     "suspension",
                     suspension.SuspensionDetector(self._handle_suspension).run,
@@ -764,7 +765,7 @@
         vm = vm_settings.read_settings(vm_settings.get_path())
     except vm_settings.SettingsError as error:
         raise process.ProcessError(str(error)) from error
-    resources.return_freed_memory()
+    resources.prepare_heap()
     await Node(settings, vm).run(stop)
 
 
--- a/ramptray/resources.py
+++ b/ramptray/resources.py
@@ -16,6 +16,7 @@
 import contextlib
 import ctypes
 import enum
+import gc
 import heapq
 import itertools
 import logging
@@ -24,6 +25,7 @@
 import resource
 from collections.abc import Callable, Iterable, Iterator
 
+import anyio
 import msgspec
 
 from ramptray import steadyclock
@@ -115,6 +117,13 @@
 LARGE_BLOCK_BYTES = 128 * 1024
 """Size from which on blocks are returned as soon as they are free, in bytes."""
 
+TRIM_PART = 0.5
+"""Part of the memory from which on what is free inside the process is returned
+to the system."""
+
+TRIM_INTERVAL_S = 0.5
+"""How often that is done, in seconds; it takes some milliseconds."""
+
 _M_MMAP_THRESHOLD = -3
 """Option of ``mallopt``, see ``malloc.h``."""
 
@@ -390,6 +399,19 @@
         room = min(self.max_buffered_bytes, int(RESIDENT_PART * memory) - rest)
         return max(memory // MIN_REQUESTS_PART, room)
 
+    async def run(self) -> None:
+        """Returns free memory to the system while much is in use.
+
+        Buffers that were freed lie between objects that stay, so that the
+        allocator does not return them by itself.
+        """
+        while True:
+            await anyio.sleep(TRIM_INTERVAL_S)
+            resident = _read_resident_bytes() or 0
+            if resident >= TRIM_PART * self._memory_mb * MEGABYTE:
+                with contextlib.suppress(OSError, AttributeError):
+                    ctypes.CDLL(None).malloc_trim(0)
+
     def describe(self) -> dict[str, int]:
         """Returns the limits and what each pool holds, for logs."""
         return {
@@ -521,12 +543,16 @@
     return soft
 
 
-def return_freed_memory() -> None:
-    """Has the allocator return large blocks to the system once they are free.
+def prepare_heap() -> None:
+    """Has what callers leave behind freed soon; called once all is loaded.
+
+    Collections that leave out the objects of the loaded program are short and
+    come more often: asyncio's closed connections are cycles.
 
     glibc raises its limit for blocks of their own with each that is freed, so
     that bodies of requests would come to lie between objects that stay.
     """
+    gc.freeze()
     with contextlib.suppress(OSError, AttributeError):
         ctypes.CDLL(None).mallopt(_M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
 
