Leave a closed connection to no garbage collection

Callers saw: nothing; memory of closed connections came back late.

Cause: a caller's connection and its stream referred to each other, since callers may send more ahead.

Change: the connection takes its hook back when it closes.

--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -876,6 +876,8 @@
 
     def close(self) -> None:
         """Closes the connection after its last response."""
+        # Otherwise both would refer to each other.
+        self._stream.on_unread_limit = None
         if self._ends_with_connection:
             self._stream.reset()
         else:
