--- a/ramptray/resources.py
+++ b/ramptray/resources.py
@@ -78,8 +78,8 @@
 """Part of a body that may exist twice, in bytes, while it is read or sent."""
 
 SPARE_PART = 8
-"""One in this many bytes that requests may take is used for what may as well be
-left unread."""
+"""One in this many bytes that requests may take is used for what callers send
+ahead beyond the usual, as it may as well stay in the kernel."""
 
 RESIDENT_PART = 0.85
 """Part of the memory beyond which no room is left, whatever is counted: memory
@@ -369,8 +369,8 @@
     def _is_only_large(self, held_bytes: int, cost: int) -> bool:
         """Returns whether a request may exceed the part of requests.
 
-        One that is large by itself may while all others are few, as far as the
-        process has memory left.
+        It may while all others together are small, as far as the process has
+        memory left.
 
         Args:
             held_bytes: Memory that it takes already.
--- a/test/crowd.py
+++ b/test/crowd.py
@@ -218,6 +218,11 @@
     )
 
 
+def make_chunk(size: int, extension: str = "") -> bytes:
+    """Returns a chunk of a body."""
+    return b"%x%s\r\n%s\r\n" % (size, extension.encode(), b"x" * size)
+
+
 def exchange(address: str, data: bytes) -> node.Answer:
     """Sends bytes on a connection of their own; returns the answer."""
     host, port = address.split(":")
--- a/test/test_costly_callers.py
+++ b/test/test_costly_callers.py
@@ -97,12 +97,8 @@
     return make_head(*lines, *("a:b" for _ in range(SMALL_HEADERS)))
 
 
-def make_chunk(size: int, extension: str = "") -> bytes:
-    return b"%x%s\r\n%s\r\n" % (size, extension.encode(), b"x" * size)
-
-
 def make_chunks(size: int, total: int) -> bytes:
-    return make_chunk(size) * (total // size)
+    return crowd.make_chunk(size) * (total // size)
 
 
 CHUNKED = "Transfer-Encoding: chunked"
@@ -117,7 +113,7 @@
         make_head("Content-Length: 1000000000"), b"x" * 65_536
     ),
     "chunks_without_end": crowd.Behaviour(
-        make_head(CHUNKED), make_chunk(16_384)
+        make_head(CHUNKED), crowd.make_chunk(16_384)
     ),
     "body_without_its_last_byte": crowd.Behaviour(
         make_head(LACKING) + b"x" * (BODY_BYTES - 1)
@@ -136,10 +132,10 @@
     ),
     "small_chunks_that_trickle": crowd.Behaviour(
         make_head(CHUNKED) + make_chunks(16_384, BODY_BYTES - 65_536),
-        trickled=make_chunk(2),
+        trickled=crowd.make_chunk(2),
     ),
     "extensions": crowd.Behaviour(
-        make_head(CHUNKED), make_chunk(1, ";a=" + "b" * 4_000)
+        make_head(CHUNKED), crowd.make_chunk(1, ";a=" + "b" * 4_000)
     ),
     "trailers_without_end": crowd.Behaviour(
         make_head(CHUNKED) + b"0\r\n", b"a:b\r\n" * 1_000
@@ -252,7 +248,8 @@
         PAGE + b"Content-Length: 1000000000\r\n\r\n", b"x" * 65_536
     ),
     "small_chunks_without_end": crowd.Behaviour(
-        PAGE + b"Transfer-Encoding: chunked\r\n\r\n", make_chunk(2) * 1_000
+        PAGE + b"Transfer-Encoding: chunked\r\n\r\n",
+        crowd.make_chunk(2) * 1_000,
     ),
     "head_without_end": crowd.Behaviour(PAGE, b"a:b\r\n" * 1_000),
     "answers_never_read": crowd.Behaviour(
@@ -289,7 +286,7 @@
         CHUNKED.encode() + b"\r\n\r\n" + make_chunks(2, 65_536) + b"0\r\n\r\n",
         CHUNKED.encode()
         + b"\r\n\r\n"
-        + make_chunk(1, ";a=" + "b" * 1_000) * 4
+        + crowd.make_chunk(1, ";a=" + "b" * 1_000) * 4
         + b"0\r\n\r\n",
     ],
     ids=["length", "large_chunks", "small_chunks", "extensions"],
--- a/test/test_costly_entry_callers.py
+++ b/test/test_costly_entry_callers.py
@@ -70,10 +70,6 @@
     return make_head(*lines, *("a:b" for _ in range(small)))
 
 
-def make_chunk(size: int, extension: str = "") -> bytes:
-    return b"%x%s\r\n%s\r\n" % (size, extension.encode(), b"x" * size)
-
-
 CHUNKED = "Transfer-Encoding: chunked"
 LACKING = f"Content-Length: {BODY_BYTES}"
 MODELS = make_head(method="GET", path="/v1/models")
@@ -92,19 +88,20 @@
         make_head("Content-Length: 1000000000"), b"x" * 65_536
     ),
     "chunks_without_end": crowd.Behaviour(
-        make_head(CHUNKED), make_chunk(16_384)
+        make_head(CHUNKED), crowd.make_chunk(16_384)
     ),
     "body_without_its_last_byte": crowd.Behaviour(
         make_head(LACKING) + b"x" * (BODY_BYTES - 1)
     ),
     "large_chunks_that_stop": crowd.Behaviour(
-        make_head(CHUNKED) + make_chunk(16_384) * (BODY_BYTES // 16_384 - 1)
+        make_head(CHUNKED)
+        + crowd.make_chunk(16_384) * (BODY_BYTES // 16_384 - 1)
     ),
     "two_byte_chunks_that_stop": crowd.Behaviour(
-        make_head(CHUNKED) + make_chunk(2) * (1 << 19)
+        make_head(CHUNKED) + crowd.make_chunk(2) * (1 << 19)
     ),
     "extensions": crowd.Behaviour(
-        make_head(CHUNKED), make_chunk(1, ";a=" + "b" * 4_000)
+        make_head(CHUNKED), crowd.make_chunk(1, ";a=" + "b" * 4_000)
     ),
     "trailers_without_end": crowd.Behaviour(
         make_head(CHUNKED) + b"0\r\n", b"a:b\r\n" * 1_000
@@ -179,7 +176,7 @@
     assert entry.popen is not None
     behaviour = crowd.Behaviour(
         make_head("Content-Length: 1", CHUNKED)
-        + make_chunk(16_384) * (BODY_BYTES // 16_384 - 1)
+        + crowd.make_chunk(16_384) * (BODY_BYTES // 16_384 - 1)
     )
     with crowd.measure_usage(entry.popen.pid, [entry.address]) as usage:
         crowd.Crowd(entry.address, behaviour, CALLERS, SEED).press(PRESSED_S)
