Test the budget apart from the memory of the process that tests it

Change: the tests say what the process takes; a new one checks that memory which nothing explains leaves requests less.

--- a/test/test_resources.py
+++ b/test/test_resources.py
@@ -13,6 +13,16 @@
 OLD_S = 5.0
 
 
+@pytest.fixture(autouse=True)
+def _no_resident_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Leaves out the memory of the process that runs the tests."""
+    set_resident_bytes(monkeypatch, 0)
+
+
+def set_resident_bytes(monkeypatch: pytest.MonkeyPatch, size: int) -> None:
+    monkeypatch.setattr(resources, "_read_resident_bytes", lambda: size)
+
+
 class Pool(resources.ConnectionPool):
     """Connections that close at once.
 
@@ -243,6 +253,19 @@
     assert taken <= 0.75 * memory_mb * resources.MEGABYTE
 
 
+def test_memory_that_nothing_explains_leaves_requests_less(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    pool = Pool()
+    budget = make_budget(pool)
+    pool.busy_bytes = budget.max_buffered_bytes // 2
+    part = budget.max_buffered_bytes // 3
+    assert budget.make_room_for_bytes(0, part)
+    set_resident_bytes(monkeypatch, 90 * resources.MEGABYTE)
+    time.sleep(resources.RESIDENT_INTERVAL_S)
+    assert not budget.make_room_for_bytes(0, part)
+
+
 def test_headers_count_with_what_they_take() -> None:
     few = resources.compute_request_bytes(8_000, 20, 0)
     many = resources.compute_request_bytes(8_000, 1_300, 0)
