Look up the length of a body by the parser's names

Each head's names were put in lower case once more to find the body's length, though the parser gives them so. Behaviour is unchanged: test_caller_closes, test_node and the cases of single requests and limits pass (65 tests).

--- a/ramptray/relay/server.py
+++ b/ramptray/relay/server.py
@@ -546,7 +546,7 @@
                 raise _BadRequestError(invalid)
             case Ok(request):
                 pass
-        length = _find_body_length(head)
+        length = _find_body_length(event)
         self._is_chunked = length is None
         self._reserve_body(length or 0)
         return request
@@ -989,9 +989,10 @@
     return len(head.method) + len(head.target) + fields
 
 
-def _find_body_length(head: message.RequestHead) -> int | None:
+def _find_body_length(event: h11.Request) -> int | None:
     """Returns the length of a body in bytes; None if it has chunks."""
-    values = {name.lower(): value for name, value in head.headers}
+    # The parser gives names in lower case.
+    values = dict(event.headers)
     if b"transfer-encoding" in values:
         return None
     return int(values.get(b"content-length", b"0"))
