--- a/test/crowd.py
+++ b/test/crowd.py
@@ -12,7 +12,7 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from test import node
 
@@ -23,6 +23,9 @@
 KERNEL_SAMPLE_INTERVAL_S = 0.2
 MB = 1e6
 
+TRIES = 8
+"""How often an ordinary caller sends its request, as refusals advise it to."""
+
 MAX_PAUSE_S = 2.0
 """Longest pause of a caller before it sends again, in seconds."""
 
@@ -235,10 +238,22 @@
         return _read_answer(opened)
 
 
-def wait_as_advised(answer: node.Answer) -> None:
-    """Waits as a refusal advises its caller to, within a bound."""
-    advised_s = float(answer.headers.get("retry-after", 0.0))
-    time.sleep(min(advised_s, MAX_PAUSE_S))
+def is_answered(ask: Callable[[], node.Answer]) -> bool:
+    """Returns whether an ordinary caller gets its answer in the end.
+
+    Args:
+        ask: Sends its request once.
+    """
+    for _ in range(TRIES):
+        try:
+            answer = ask()
+        except OSError:
+            continue
+        if answer.status == 200:
+            return True
+        advised_s = float(answer.headers.get("retry-after", 0.0))
+        time.sleep(min(advised_s, MAX_PAUSE_S))
+    return False
 
 
 def collect_answers(address: str, data: bytes, count: int) -> list[node.Answer]:
--- a/test/test_costly_callers.py
+++ b/test/test_costly_callers.py
@@ -32,8 +32,6 @@
 BODY_BYTES = 1 << 20
 HEAD_BYTES = 8192
 SMALL_HEADERS = 1_250
-TRIES = 8
-"""How often an ordinary caller sends its request, as refusals advise it to."""
 
 
 @pytest.fixture
@@ -66,15 +64,7 @@
 
 def is_answered(started: node.Platform, body: bytes | None = None) -> bool:
     """Returns whether an ordinary caller gets its answer in the end."""
-    for _ in range(TRIES):
-        try:
-            answer = ask(started, "/safe/", "POST", body)
-        except OSError:
-            continue
-        if answer.status == 200:
-            return True
-        crowd.wait_as_advised(answer)
-    return False
+    return crowd.is_answered(lambda: ask(started, "/safe/", "POST", body))
 
 
 def make_head(*lines: str, request_id: str = "crowd") -> bytes:
--- a/test/test_costly_entry_callers.py
+++ b/test/test_costly_entry_callers.py
@@ -28,7 +28,6 @@
 """Largest body that an entry's settings allow unless they say otherwise."""
 
 HEAD_BYTES = 32 * 1024
-TRIES = 8
 
 PLAN = deployment.Plan(
     zones={"waw-a": 1},
@@ -124,15 +123,7 @@
 
 def is_answered(address: str, request: bytes) -> bool:
     """Returns whether an ordinary caller gets its answer in the end."""
-    for _ in range(TRIES):
-        try:
-            answer = crowd.exchange(address, request)
-        except OSError:
-            continue
-        if answer.status == 200:
-            return True
-        crowd.wait_as_advised(answer)
-    return False
+    return crowd.is_answered(lambda: crowd.exchange(address, request))
 
 
 def make_completion(body: bytes) -> bytes:
